--- /dev/null
+++ b/apps/marigoldcrankd.cpp
@@ -0,0 +1,161 @@
+// marigoldcrankd: the daemon, the same on every entry VM.
+//
+// Index: 1 command line, 2 signals, 3 main
+#include "adapters/logging.hpp"
+#include "app/node.hpp"
+#include "app/option_text.hpp"
+#include "domain/boot_clock.hpp"
+#include "domain/settings.hpp"
+
+#include <getopt.h>
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <optional>
+
+namespace
+{
+
+using namespace marigoldcrank;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+// 1. Command line
+
+struct command_line
+{
+    std::string settings_file;
+    bool        check_only = false;
+    bool        print = false;
+};
+
+void print_help()
+{
+    std::cout
+        << "Usage: marigoldcrankd --settings FILE [--check-settings]\n\n"
+           "Serves callers on one entry VM until SIGTERM, which drains it.\n\n"
+           "  -s, --settings FILE    settings in INI form\n"
+           "  -c, --check-settings   check FILE, print what is wrong, exit 0 or 1\n"
+           "  -p, --print-settings   print all settings with their meaning and exit\n"
+           "  -h, --help             this text\n\n"
+           "Exit codes: 0 stopped or checked; 1 failed; 2 wrong command line.\n";
+}
+
+std::optional<command_line> parse_command_line(int argc, char** argv, int& exit_code)
+{
+    static option const options[] = {{"settings", required_argument, nullptr, 's'},
+                                     {"check-settings", no_argument, nullptr, 'c'},
+                                     {"print-settings", no_argument, nullptr, 'p'},
+                                     {"help", no_argument, nullptr, 'h'},
+                                     {nullptr, 0, nullptr, 0}};
+    command_line        result;
+    exit_code = exit_usage;
+    for (int flag = 0; (flag = getopt_long(argc, argv, "s:cph", options, nullptr)) != -1;)
+    {
+        switch (flag)
+        {
+        case 's':
+            result.settings_file = optarg;
+            break;
+        case 'c':
+            result.check_only = true;
+            break;
+        case 'p':
+            result.print = true;
+            break;
+        case 'h':
+            print_help();
+            exit_code = exit_ok;
+            return std::nullopt;
+        default:
+            return std::nullopt;
+        }
+    }
+    if (result.settings_file.empty() && !result.print)
+    {
+        std::cerr << "marigoldcrankd: --settings FILE is missing; see --help\n";
+        return std::nullopt;
+    }
+    return result;
+}
+
+// 2. Signals
+
+/// Waits for SIGTERM or SIGINT, or an operator's order to drain.
+void wait_for_stop(node const& daemon, sigset_t const& signals)
+{
+    timespec const pause{0, 100'000'000};
+    while (!daemon.drain_requested())
+    {
+        if (sigtimedwait(&signals, nullptr, &pause) > 0)
+        {
+            return;
+        }
+    }
+}
+
+int serve(settings const& options)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    start_logging(options.log_level);
+    node daemon(options);
+    if (!daemon.listening())
+    {
+        return exit_failure;
+    }
+    wait_for_stop(daemon, signals);
+    daemon.drain();
+    return exit_ok;
+}
+
+} // namespace
+
+// 3. main
+
+int main(int argc, char** argv)
+{
+    int        exit_code = exit_ok;
+    auto const command = parse_command_line(argc, argv, exit_code);
+    if (!command)
+    {
+        return exit_code;
+    }
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int>
+        {
+            settings options;
+            if (!command->settings_file.empty())
+            {
+                BOOST_LEAF_ASSIGN(options, load_settings(command->settings_file));
+            }
+            if (command->print)
+            {
+                std::cout << format_settings(options);
+                return exit_ok;
+            }
+            if (command->check_only)
+            {
+                std::cout << command->settings_file << ": ok\n";
+                return exit_ok;
+            }
+            return serve(options);
+        },
+        [](setting_failure const& failure)
+        {
+            std::cerr << format_failure(failure) << "\n";
+            return exit_failure;
+        },
+        []
+        {
+            std::cerr << "marigoldcrankd: failed\n";
+            return exit_failure;
+        });
+}
--- /dev/null
+++ b/apps/operator_commands.cpp
@@ -0,0 +1,357 @@
+// The subcommands of marigoldcrank.
+//
+// Index: 1 output, 2 rules (check, diff, apply), 3 keys, 4 views, 5 table
+#include "operator_commands.hpp"
+
+#include "app/option_text.hpp"
+#include "domain/api_key.hpp"
+#include "domain/configuration.hpp"
+#include "domain/span.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+using nlohmann::json;
+
+constexpr std::size_t change_id_digits = 24;
+
+// 1. Output
+
+void print(command_context const& context, json const& value, std::string const& text)
+{
+    std::cout << (context.options.json ? value.dump(2) : text) << "\n";
+}
+
+int usage_error(std::string const& text)
+{
+    std::cerr << "marigoldcrank: " << text << "; see --help\n";
+    return exit_usage;
+}
+
+leaf::result<std::string> read_file(std::string const& path)
+{
+    std::ifstream stream(path);
+    if (!stream)
+    {
+        return leaf::new_error(rules_failure{
+            {{rule_fault::unreadable_text, path, 0, "", "a readable file"}}});
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+// 2. Rules
+
+leaf::result<int> check(command_context const& context)
+{
+    if (context.arguments.size() != 1)
+    {
+        return usage_error("check takes one FILE");
+    }
+    auto const& file = context.arguments[0];
+    BOOST_LEAF_AUTO(text, read_file(file));
+    BOOST_LEAF_AUTO(parsed, parse_rules(text, file));
+    auto const rules = parsed.workspaces.size() + parsed.keys.size() +
+                       parsed.models.size() + parsed.services.size() +
+                       parsed.targets.size() + parsed.groups.size();
+    print(context, {{"outcome", "ok"}, {"rules", rules}},
+          file + ": " + std::to_string(rules) + " rules, all good");
+    return exit_ok;
+}
+
+std::vector<std::string> lines_of(std::string const& text)
+{
+    std::vector<std::string> lines;
+    std::istringstream       stream(text);
+    for (std::string line; std::getline(stream, line);)
+    {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+/// Lines only in one of the two texts, as `- old` and `+ new`.
+json changed_lines(std::string const& before, std::string const& after)
+{
+    auto const old_lines = lines_of(before);
+    auto const new_lines = lines_of(after);
+    json       changes = json::array();
+    auto       only_in = [&](auto const& lines, auto const& others, char const* sign)
+    {
+        for (auto const& line : lines)
+        {
+            if (std::find(others.begin(), others.end(), line) == others.end())
+            {
+                changes.push_back(sign + line);
+            }
+        }
+    };
+    only_in(old_lines, new_lines, "- ");
+    only_in(new_lines, old_lines, "+ ");
+    return changes;
+}
+
+std::string joined(json const& lines)
+{
+    std::string text;
+    for (auto const& line : lines)
+    {
+        text += line.get<std::string>() + "\n";
+    }
+    return text;
+}
+
+leaf::result<int> diff(command_context const& context)
+{
+    if (context.arguments.size() != 1)
+    {
+        return usage_error("diff takes one FILE");
+    }
+    BOOST_LEAF_AUTO(text, read_file(context.arguments[0]));
+    BOOST_LEAF_CHECK(parse_rules(text, context.arguments[0]));
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(current, client.get("/admin/rules"));
+    auto const changes = changed_lines(current.value("rules", ""), text);
+    print(context, {{"revision", current["revision"]}, {"changes", changes}},
+          joined(changes));
+    return exit_ok;
+}
+
+int exit_code_of(std::string const& outcome)
+{
+    if (outcome == "accepted")
+    {
+        return exit_ok;
+    }
+    if (outcome == "conflict")
+    {
+        return exit_conflict;
+    }
+    return outcome == "unknown" ? exit_unknown : exit_failed;
+}
+
+std::string author_name()
+{
+    char const* user = std::getenv("USER");
+    return user != nullptr ? user : "operator";
+}
+
+/// A lost answer is settled by sending the same change again: the log knows its id.
+leaf::result<json> send_change(operator_client const& client, json const& change)
+{
+    constexpr int tries = 3;
+    json          answer = {{"outcome", "unknown"}};
+    for (int attempt = 0; attempt < tries && answer.value("outcome", "") == "unknown";
+         ++attempt)
+    {
+        answer = leaf::try_handle_all([&] { return client.post("/admin/rules", change); },
+                                      [] {
+                                          return json{{"outcome", "unknown"}};
+                                      });
+    }
+    return answer;
+}
+
+leaf::result<int> apply(command_context const& context)
+{
+    if (context.arguments.size() != 1)
+    {
+        return usage_error("apply takes one FILE");
+    }
+    BOOST_LEAF_AUTO(text, read_file(context.arguments[0]));
+    BOOST_LEAF_CHECK(parse_rules(text, context.arguments[0]));
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(current, client.get("/admin/rules"));
+    auto const changes = changed_lines(current.value("rules", ""), text);
+    if (!context.options.json)
+    {
+        std::cout << joined(changes);
+    }
+    json const change = {{"change_id", random_id(change_id_digits)},
+                         {"base_revision", current["revision"]},
+                         {"rules", text},
+                         {"author", author_name()}};
+    BOOST_LEAF_AUTO(answer, send_change(client, change));
+    answer["changes"] = changes;
+    auto const outcome = answer.value("outcome", "unknown");
+    print(context, answer,
+          outcome + ", revision " + std::to_string(answer.value("revision", 0)));
+    return exit_code_of(outcome);
+}
+
+// 3. Keys
+
+leaf::result<int> create_key(command_context const& context)
+{
+    auto const  key = make_api_key(context.arguments[1]);
+    auto const  salt = make_salt();
+    auto const& workspace = context.arguments[2];
+    auto const  rule = key.id + " = workspace=" + workspace + " salt=" + salt +
+                      " hash=" + salted_hash(salt, key.secret);
+    print(context, {{"key", format_api_key(key)}, {"rule", rule}},
+          "key, shown this once: " + format_api_key(key) +
+              "\nline for [keys], below a comment saying who asked:\n" + rule);
+    return exit_ok;
+}
+
+leaf::result<int> withdraw_key(command_context const& context)
+{
+    bool const compromised = context.arguments.size() > 2;
+    if (compromised && context.arguments[2] != "compromised")
+    {
+        return usage_error("keys withdraw ID [compromised]");
+    }
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(answer,
+                    client.post("/admin/keys/withdraw", {{"key_id", context.arguments[1]},
+                                                         {"compromised", compromised}}));
+    bool const withdrawn = answer.value("outcome", "") == "withdrawn";
+    print(context, answer, answer.value("outcome", "failed"));
+    return withdrawn ? exit_ok : exit_failed;
+}
+
+leaf::result<int> hash_operator_key(command_context const& context)
+{
+    auto const key = make_api_key("operator");
+    auto const salt = make_salt();
+    auto const setting = salt + "$" + salted_hash(salt, key.secret);
+    print(context, {{"key", key.secret}, {"setting", setting}},
+          "operators' key, shown this once: " + key.secret +
+              "\nsetting for [node]: operator_key = " + setting);
+    return exit_ok;
+}
+
+leaf::result<int> keys(command_context const& context)
+{
+    auto const& words = context.arguments;
+    if (words.size() == 3 && words[0] == "create")
+    {
+        return create_key(context);
+    }
+    if ((words.size() == 2 || words.size() == 3) && words[0] == "withdraw")
+    {
+        return withdraw_key(context);
+    }
+    if (words.size() == 1 && words[0] == "operator")
+    {
+        return hash_operator_key(context);
+    }
+    return usage_error("keys create ID WORKSPACE | withdraw ID [compromised] | operator");
+}
+
+// 4. Views
+
+leaf::result<int> status(command_context const& context)
+{
+    operator_client const client(context.options);
+    auto const            answers = client.get_all("/admin/status");
+    std::string           text;
+    for (auto const& answer : answers)
+    {
+        text += answer.value("node", "") + ": revision " +
+                std::to_string(answer.value("revision", 0)) + ", next offset " +
+                std::to_string(answer.value("next_offset", 0)) + ", peers " +
+                std::to_string(answer["live_peers"].size()) + ", backend servers " +
+                std::to_string(answer["backend_servers"].size()) + "\n";
+    }
+    print(context, answers, text);
+    return answers.empty() ? exit_unreachable : exit_ok;
+}
+
+std::string span_line(json const& span)
+{
+    constexpr std::uint64_t nanos_per_micro = 1000;
+    auto const              micros = (span.value("end_unix_nano", std::uint64_t{0}) -
+                         span.value("begin_unix_nano", std::uint64_t{0})) /
+                        nanos_per_micro;
+    std::string line = span.value("node", "") + " " + span.value("name", "") + " " +
+                       std::to_string(micros) + " us";
+    for (auto const& [name, value] : span["attributes"].items())
+    {
+        line += " " + name + "=" + value.get<std::string>();
+    }
+    return line + "\n";
+}
+
+leaf::result<int> explain(command_context const& context)
+{
+    if (context.arguments.size() != 1)
+    {
+        return usage_error("explain takes one request or trace ID");
+    }
+    operator_client const client(context.options);
+    json                  spans = json::array();
+    for (auto const& answer : client.get_all("/admin/explain?id=" + context.arguments[0]))
+    {
+        spans.insert(spans.end(), answer["spans"].begin(), answer["spans"].end());
+    }
+    std::sort(spans.begin(), spans.end(),
+              [](json const& left, json const& right)
+              { return left["begin_unix_nano"] < right["begin_unix_nano"]; });
+    std::string text;
+    for (auto const& span : spans)
+    {
+        text += span_line(span);
+    }
+    print(context, spans, text);
+    return spans.empty() ? exit_failed : exit_ok;
+}
+
+leaf::result<int> usage(command_context const& context)
+{
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(answer, client.get("/admin/usage"));
+    std::string text;
+    for (auto const& window : answer["windows"])
+    {
+        for (auto const& figure : window["figures"])
+        {
+            text += "window " + std::to_string(window.value("window", 0)) + " " +
+                    figure.value("workspace", "") + " " + figure.value("model", "") +
+                    " " + std::to_string(figure.value("prompt_tokens", 0)) + " prompt, " +
+                    std::to_string(figure.value("output_tokens", 0)) + " output, " +
+                    std::to_string(figure.value("calls", 0)) + " calls\n";
+        }
+    }
+    print(context, answer, text);
+    return exit_ok;
+}
+
+leaf::result<int> drain(command_context const& context)
+{
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(answer, client.post("/admin/drain", json::object()));
+    print(context, answer, answer.value("outcome", "failed"));
+    return exit_ok;
+}
+
+// 5. Table
+
+constexpr std::array commands{
+    operator_command{"check", "FILE", "check a rules file; changes nothing", check},
+    operator_command{"diff", "FILE", "show what FILE would change", diff},
+    operator_command{"apply", "FILE", "put a rules file in force", apply},
+    operator_command{"keys", "create ID WORKSPACE | withdraw ID [compromised] | operator",
+                     "make or withdraw keys", keys},
+    operator_command{"status", "", "nodes, duties and backend servers", status},
+    operator_command{"explain", "ID", "the decisions about one request", explain},
+    operator_command{"usage", "", "sealed usage windows", usage},
+    operator_command{"drain", "", "drain the first node given by --node", drain}};
+
+} // namespace
+
+std::span<operator_command const> operator_commands() noexcept
+{
+    return commands;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/http_backend.cpp
@@ -0,0 +1,169 @@
+// Engines and plain services over HTTP.
+//
+// Index: 1 events, 2 streams, 3 service calls, 4 cancel and load
+#include "adapters/http_backend.hpp"
+
+#include "adapters/http_exchange.hpp"
+#include "adapters/sse_reader.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+using nlohmann::json;
+
+constexpr char const* json_type = "application/json";
+constexpr int         status_ok = 200;
+
+// 1. Events
+
+/// An event that is no JSON object reads as one of no request, and is dropped as such.
+stream_event parse_event(std::string_view data)
+{
+    auto const body = json::parse(data, nullptr, false);
+    if (!body.is_object())
+    {
+        return {};
+    }
+    stream_event event;
+    event.request_id = body.value("request_id", "");
+    event.attempt = body.value("attempt", std::uint64_t{0});
+    event.sequence = body.value("sequence", std::uint64_t{0});
+    event.text = body.value("text", "");
+    event.last = body.value("last", false);
+    event.prompt_tokens = body.value("prompt_tokens", std::uint64_t{0});
+    event.output_tokens = body.value("output_tokens", std::uint64_t{0});
+    return event;
+}
+} // namespace
+
+http_backend::http_backend(http_timeouts timeouts, std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts)
+{
+}
+
+// 2. Streams
+
+leaf::result<void> http_backend::stream(backend_server const& server,
+                                        engine_call const& call, event_sink const& sink)
+{
+    auto             client = clients_.take(server.host, server.port);
+    sse_reader       reader;
+    int              status = 0;
+    httplib::Request request;
+    request.method = "POST";
+    request.path = call.path;
+    request.body = call.body;
+    request.headers = {{"Content-Type", json_type},
+                       {"X-Sender", sender_},
+                       {"X-Request-Id", call.request_id},
+                       {"X-Attempt", std::to_string(call.attempt)},
+                       {"X-Resume-From", std::to_string(call.resume_from)},
+                       {"X-Workspace", call.workspace},
+                       {"traceparent", call.traceparent}};
+    request.response_handler = [&status](httplib::Response const& response)
+    {
+        status = response.status;
+        return true;
+    };
+    request.content_receiver =
+        [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
+        auto handle = [&](std::string_view event)
+        {
+            return sink(parse_event(event));
+        };
+        return status != status_ok || reader.feed({data, size}, handle);
+    };
+    auto const answer = client->send(request);
+    if (!answer)
+    {
+        return transport_error(answer.error(), server.id);
+    }
+    if (answer->status != status_ok)
+    {
+        return leaf::new_error(
+            transport_failure{transport_fault::refused, server.id, answer->status});
+    }
+    clients_.put_back(server.host, server.port, std::move(client));
+    return {};
+}
+
+// 3. Service calls
+
+leaf::result<service_answer> http_backend::call(backend_server const& server,
+                                                service_call const&   service)
+{
+    // A kept-alive connection may have been closed by the service meanwhile, and a
+    // failure on it could not be told from a lost answer. A new connection keeps "not
+    // connected" provable, which is what makes a refusal as not run true.
+    http_client_pool fresh(clients_.timeouts());
+    auto             client = fresh.take(server.host, server.port);
+    client->set_keep_alive(false);
+    httplib::Request request;
+    request.method = service.method;
+    request.path = service.path;
+    request.body = service.body;
+    request.headers = {{"X-Sender", sender_},
+                       {"X-Request-Id", service.request_id},
+                       {"traceparent", service.traceparent}};
+    if (!service.content_type.empty())
+    {
+        request.headers.emplace("Content-Type", service.content_type);
+    }
+    auto const answer = client->send(request);
+    if (!answer)
+    {
+        return transport_error(answer.error(), server.id);
+    }
+    return service_answer{answer->status, answer->get_header_value("Content-Type"),
+                          answer->body};
+}
+
+// 4. Cancel and load
+
+void http_backend::cancel(backend_server const& server, std::string const& request_id)
+{
+    auto       client = clients_.take(server.host, server.port);
+    auto const answer = client->Post("/cancel", {{"X-Sender", sender_}},
+                                     json{{"request_id", request_id}}.dump(), json_type);
+    if (answer)
+    {
+        clients_.put_back(server.host, server.port, std::move(client));
+    }
+}
+
+leaf::result<load_report> http_backend::load(backend_server const& server)
+{
+    auto       client = clients_.take(server.host, server.port);
+    auto const answer = client->Get("/load", {{"X-Sender", sender_}});
+    if (!answer)
+    {
+        return transport_error(answer.error(), server.id);
+    }
+    clients_.put_back(server.host, server.port, std::move(client));
+    auto const body = json::parse(answer->body, nullptr, false);
+    if (answer->status != status_ok || !body.is_object())
+    {
+        return leaf::new_error(message_failure{"load report", "not a JSON object"});
+    }
+    load_report load;
+    load.running = body.value("running", std::int64_t{0});
+    load.waiting = body.value("waiting", std::int64_t{0});
+    load.prefill_tokens = body.value("prefill_tokens", std::int64_t{0});
+    load.lag_ms = body.value("lag_ms", std::uint64_t{0});
+    auto const role = body.value("role", "mixed");
+    load.role = role == "prefill"  ? engine_role::prefill
+                : role == "decode" ? engine_role::decode
+                                   : engine_role::mixed;
+    load.read_at = boot_clock::now();
+    return load;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/http_backend.hpp
@@ -0,0 +1,37 @@
+// Engines and plain services over HTTP.
+//
+// Index: http_backend
+#ifndef MARIGOLDCRANK_ADAPTERS_HTTP_BACKEND_HPP
+#define MARIGOLDCRANK_ADAPTERS_HTTP_BACKEND_HPP
+
+#include "adapters/http_client_pool.hpp"
+#include "ports/backend_port.hpp"
+
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Models backend_port. Safe to use from several threads.
+class http_backend
+{
+public:
+    http_backend(http_timeouts timeouts, std::string sender);
+
+    leaf::result<void> stream(backend_server const& server, engine_call const& call,
+                              event_sink const& sink);
+    leaf::result<service_answer> call(backend_server const& server,
+                                      service_call const&   service);
+    void cancel(backend_server const& server, std::string const& request_id);
+    leaf::result<load_report> load(backend_server const& server);
+
+private:
+    std::string      sender_;
+    http_client_pool clients_;
+};
+
+static_assert(backend_port<http_backend>);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/adapters/http_exchange.cpp
@@ -0,0 +1,27 @@
+// Classification of cpp-httplib's errors.
+#include "adapters/http_exchange.hpp"
+
+namespace marigoldcrank
+{
+
+transport_fault fault_of(httplib::Error error) noexcept
+{
+    switch (error)
+    {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+        return transport_fault::not_connected;
+    case httplib::Error::Read:
+        return transport_fault::silent;
+    default:
+        return transport_fault::answer_lost;
+    }
+}
+
+leaf::error_id transport_error(httplib::Error error, std::string peer)
+{
+    return leaf::new_error(transport_failure{fault_of(error), std::move(peer), 0});
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/http_platform.cpp
@@ -0,0 +1,139 @@
+// The platform over HTTP.
+//
+// Index: 1 exchanges, 2 log, 3 VM list, 4 usage reports
+#include "adapters/http_platform.hpp"
+
+#include "adapters/http_exchange.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+using nlohmann::json;
+
+constexpr millis      log_read_margin{2000};
+constexpr int         status_gone = 410;
+constexpr char const* json_type = "application/json";
+} // namespace
+
+http_platform::http_platform(std::string host, int port, millis timeout,
+                             std::string sender)
+    : host_(std::move(host)), port_(port), sender_(std::move(sender)),
+      clients_({timeout, timeout}), log_readers_({timeout, timeout + log_read_margin})
+{
+}
+
+// 2. Log
+
+leaf::result<std::uint64_t> http_platform::append(std::string const& text)
+{
+    auto       client = clients_.take(host_, port_);
+    auto const answer =
+        client->Post("/log/append", {{"X-Sender", sender_}}, text, json_type);
+    if (!answer)
+    {
+        // A connection that was never opened carried nothing; any other error may stand
+        // for a lost answer, and the record may take effect later.
+        bool const unknown = fault_of(answer.error()) != transport_fault::not_connected;
+        return leaf::new_error(append_failure{unknown});
+    }
+    clients_.put_back(host_, port_, std::move(client));
+    auto const body = json::parse(answer->body, nullptr, false);
+    if (answer->status != 200 || !body.is_object() || !body.contains("offset"))
+    {
+        return leaf::new_error(append_failure{answer->status == 200});
+    }
+    return body["offset"].get<std::uint64_t>();
+}
+
+leaf::result<log_page> http_platform::read(std::uint64_t from, millis wait)
+{
+    auto       client = log_readers_.take(host_, port_);
+    auto const path = "/log/read?from=" + std::to_string(from) +
+                      "&wait_ms=" + std::to_string(wait.count());
+    auto const answer = client->Get(path, {{"X-Sender", sender_}});
+    if (!answer)
+    {
+        return transport_error(answer.error(), "platform");
+    }
+    log_readers_.put_back(host_, port_, std::move(client));
+    auto const body = json::parse(answer->body, nullptr, false);
+    if (answer->status == status_gone && body.is_object())
+    {
+        return leaf::new_error(log_gap{body.value("first_retained", std::uint64_t{1})});
+    }
+    if (answer->status != 200 || !body.is_object() || !body.contains("records"))
+    {
+        return leaf::new_error(
+            transport_failure{transport_fault::refused, "platform", answer->status});
+    }
+    return log_page{body.value("first_retained", std::uint64_t{1}),
+                    body.value("first", from),
+                    body["records"].get<std::vector<std::string>>()};
+}
+
+// 3. VM list
+
+namespace
+{
+backend_server parse_backend_server(json const& entry)
+{
+    return {.id = entry.value("id", ""),
+            .host = entry.value("host", ""),
+            .port = entry.value("port", 0),
+            .data_centre = entry.value("data_centre", ""),
+            .group = entry.value("group", ""),
+            .cheap = entry.value("cheap", false),
+            .leaving = entry.value("state", "live") != "live"};
+}
+} // namespace
+
+leaf::result<std::vector<backend_server>> http_platform::backend_servers()
+{
+    auto       client = clients_.take(host_, port_);
+    auto const answer = client->Get("/vms", {{"X-Sender", sender_}});
+    if (!answer)
+    {
+        return transport_error(answer.error(), "platform");
+    }
+    clients_.put_back(host_, port_, std::move(client));
+    auto const body = json::parse(answer->body, nullptr, false);
+    if (answer->status != 200 || !body.is_array())
+    {
+        return leaf::new_error(
+            transport_failure{transport_fault::refused, "platform", answer->status});
+    }
+    std::vector<backend_server> servers;
+    for (auto const& entry : body)
+    {
+        servers.push_back(parse_backend_server(entry));
+    }
+    return servers;
+}
+
+// 4. Usage reports
+
+leaf::result<void> http_platform::report_usage(std::uint64_t      window,
+                                               std::string const& body)
+{
+    auto       client = clients_.take(host_, port_);
+    auto const answer = client->Post("/usage/" + std::to_string(window),
+                                     {{"X-Sender", sender_}}, body, json_type);
+    if (!answer)
+    {
+        return transport_error(answer.error(), "platform");
+    }
+    clients_.put_back(host_, port_, std::move(client));
+    if (answer->status != 200)
+    {
+        return leaf::new_error(
+            transport_failure{transport_fault::refused, "platform", answer->status});
+    }
+    return {};
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/http_platform.hpp
@@ -0,0 +1,42 @@
+// The platform over HTTP: log, VM list, usage reports.
+//
+// Index: http_platform
+#ifndef MARIGOLDCRANK_ADAPTERS_HTTP_PLATFORM_HPP
+#define MARIGOLDCRANK_ADAPTERS_HTTP_PLATFORM_HPP
+
+#include "adapters/http_client_pool.hpp"
+#include "ports/platform_port.hpp"
+
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Models platform_log_port, vm_list_port and usage_report_port. Safe to use from several
+/// threads.
+class http_platform
+{
+public:
+    /// `sender` names this process to the platform, which records it with every request.
+    http_platform(std::string host, int port, millis timeout, std::string sender);
+
+    leaf::result<std::uint64_t>               append(std::string const& text);
+    leaf::result<log_page>                    read(std::uint64_t from, millis wait);
+    leaf::result<std::vector<backend_server>> backend_servers();
+    leaf::result<void> report_usage(std::uint64_t window, std::string const& body);
+
+private:
+    std::string      host_;
+    int              port_;
+    std::string      sender_;
+    http_client_pool clients_;
+    http_client_pool log_readers_; // long polls; a timeout beyond the wait
+};
+
+static_assert(platform_log_port<http_platform>);
+static_assert(vm_list_port<http_platform>);
+static_assert(usage_report_port<http_platform>);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,218 @@
+// cpp-httplib's server with a bounded number of connections.
+//
+// Index: 1 overflow_queue, 2 configure, 3 refusals
+#include "adapters/http_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <netinet/tcp.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace marigoldcrank
+{
+
+// 1. overflow_queue
+
+namespace
+{
+thread_local bool     refusing_thread = false;
+constexpr std::size_t overflow_backlog = 256; // connections waiting to be refused
+} // namespace
+
+/// One set of threads and the tasks that wait for it.
+struct overflow_queue::lane
+{
+    std::mutex                        mutex;
+    std::condition_variable           changed;
+    std::deque<std::function<void()>> tasks;
+    std::size_t                       idle = 0;
+    bool                              stopping = false;
+
+    /// Takes the task if a thread is free for it.
+    bool offer(std::function<void()>& task)
+    {
+        std::lock_guard const lock(mutex);
+        if (tasks.size() >= idle)
+        {
+            return false;
+        }
+        tasks.push_back(std::move(task));
+        changed.notify_all();
+        return true;
+    }
+
+    /// Waits for room; the kernel's own bounded backlog holds what comes meanwhile.
+    void insist(std::function<void()>& task)
+    {
+        std::unique_lock lock(mutex);
+        changed.wait(lock,
+                     [&] { return stopping || tasks.size() < idle + overflow_backlog; });
+        tasks.push_back(std::move(task));
+        changed.notify_all();
+    }
+};
+
+overflow_queue::overflow_queue(std::size_t threads, std::size_t overflow_threads)
+    : serving_(std::make_unique<lane>()), refusing_(std::make_unique<lane>())
+{
+    serving_->idle = threads;
+    refusing_->idle = overflow_threads;
+    for (std::size_t index = 0; index < threads; ++index)
+    {
+        threads_.emplace_back([this] { run(*serving_, false); });
+    }
+    for (std::size_t index = 0; index < overflow_threads; ++index)
+    {
+        threads_.emplace_back([this] { run(*refusing_, true); });
+    }
+}
+
+overflow_queue::~overflow_queue() = default;
+
+void overflow_queue::enqueue(std::function<void()> task)
+{
+    if (!serving_->offer(task))
+    {
+        refusing_->insist(task);
+    }
+}
+
+void overflow_queue::shutdown()
+{
+    for (auto* own : {serving_.get(), refusing_.get()})
+    {
+        std::lock_guard const lock(own->mutex);
+        own->stopping = true;
+        own->changed.notify_all();
+    }
+    for (auto& thread : threads_)
+    {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+bool overflow_queue::refusing() noexcept
+{
+    return refusing_thread;
+}
+
+void overflow_queue::run(lane& own, bool refuses)
+{
+    refusing_thread = refuses;
+    std::unique_lock lock(own.mutex);
+    while (true)
+    {
+        own.changed.wait(lock, [&] { return own.stopping || !own.tasks.empty(); });
+        if (own.tasks.empty())
+        {
+            return;
+        }
+        auto task = std::move(own.tasks.front());
+        own.tasks.pop_front();
+        --own.idle;
+        own.changed.notify_all();
+        lock.unlock();
+        task();
+        task = nullptr;
+        lock.lock();
+        ++own.idle;
+        own.changed.notify_all();
+    }
+}
+
+// 2. configure
+
+namespace
+{
+constexpr int keep_alive_s = 5;
+constexpr int keep_alive_requests = 100'000;
+constexpr int write_timeout_s = 10;
+
+void set_socket_options(int socket)
+{
+    int const on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+}
+} // namespace
+
+void configure(httplib::Server& server, http_server_options const& options)
+{
+    server.new_task_queue = [options]
+    {
+        return new overflow_queue(options.threads, options.overflow_threads);
+    };
+    server.set_socket_options(set_socket_options);
+    server.set_tcp_nodelay(true);
+    server.set_payload_max_length(options.max_body);
+    server.set_keep_alive_timeout(keep_alive_s);
+    server.set_keep_alive_max_count(keep_alive_requests);
+    server.set_write_timeout(write_timeout_s, 0);
+}
+
+// 3. Refusals
+
+int status_of(refusal_cause cause) noexcept
+{
+    switch (cause)
+    {
+    case refusal_cause::unauthenticated:
+    case refusal_cause::key_withdrawn:
+        return 401;
+    case refusal_cause::malformed:
+        return 400;
+    case refusal_cause::too_large:
+        return 413;
+    case refusal_cause::unknown_model:
+    case refusal_cause::unknown_service:
+        return 404;
+    case refusal_cause::key_reused:
+        return 422;
+    case refusal_cause::in_progress:
+        return 409;
+    case refusal_cause::over_limit:
+        return 429;
+    case refusal_cause::poison:
+        return 422;
+    case refusal_cause::deadline:
+        return 504;
+    case refusal_cause::backend_server_failed:
+        return 502;
+    case refusal_cause::no_configuration:
+    case refusal_cause::no_backend_server:
+    case refusal_cause::overloaded:
+    case refusal_cause::draining:
+    case refusal_cause::log_unavailable:
+    case refusal_cause::cancelled:
+        return 503;
+    }
+    return 500;
+}
+
+std::string refusal_body(refusal const& value, std::string const& request_id)
+{
+    using nlohmann::json;
+    json const error = {{"message", std::string{"The request was refused: "} +
+                                        name_of(value.cause) + "."},
+                        {"type", name_of(value.cause)},
+                        {"code", name_of(value.cause)},
+                        {"fate", name_of(value.fate)},
+                        {"retry_after", value.retry_after},
+                        {"request_id", request_id}};
+    return json{{"error", error}}.dump();
+}
+
+void write_refusal(httplib::Response& response, refusal const& value,
+                   std::string const& request_id)
+{
+    response.status = status_of(value.cause);
+    response.set_header("Retry-After", std::to_string(value.retry_after));
+    response.set_header("X-Request-Id", request_id);
+    response.set_content(refusal_body(value, request_id), "application/json");
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/sse_reader.hpp
@@ -0,0 +1,46 @@
+// Cuts a byte stream of server-sent events into the data of single events.
+//
+// Index: sse_reader
+#ifndef MARIGOLDCRANK_ADAPTERS_SSE_READER_HPP
+#define MARIGOLDCRANK_ADAPTERS_SSE_READER_HPP
+
+#include <string>
+#include <string_view>
+
+namespace marigoldcrank
+{
+
+/// Feed bytes in any pieces; the handler gets the text behind `data: ` of each event.
+class sse_reader
+{
+public:
+    /// Returns false as soon as the handler does.
+    template <class Handler>
+    bool feed(std::string_view bytes, Handler&& handler)
+    {
+        buffer_.append(bytes);
+        std::size_t begin = 0;
+        for (auto end = buffer_.find("\n\n"); end != std::string::npos;
+             end = buffer_.find("\n\n", begin))
+        {
+            auto const event = std::string_view{buffer_}.substr(begin, end - begin);
+            begin = end + 2;
+            if (event.substr(0, field.size()) == field &&
+                !handler(event.substr(field.size())))
+            {
+                return false;
+            }
+        }
+        buffer_.erase(0, begin);
+        return true;
+    }
+
+private:
+    static constexpr std::string_view field = "data: ";
+
+    std::string buffer_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/app/answer_stream.hpp
@@ -0,0 +1,97 @@
+// Tokens on their way from an engine's thread to the caller's thread.
+//
+// Index: 1 answer_end, 2 answer_batch, 3 answer_stream
+#ifndef MARIGOLDCRANK_APP_ANSWER_STREAM_HPP
+#define MARIGOLDCRANK_APP_ANSWER_STREAM_HPP
+
+#include "domain/boot_clock.hpp"
+#include "domain/failure.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// How an answer ended: whole, or with a refusal.
+struct answer_end
+{
+    std::optional<refusal> refused; // none: the answer is whole
+    std::uint64_t          prompt_tokens = 0;
+    std::uint64_t          output_tokens = 0;
+
+    bool operator==(answer_end const&) const = default;
+};
+
+/// All that came since the last look.
+struct answer_batch
+{
+    std::vector<std::string>  tokens;
+    std::optional<answer_end> end;
+};
+
+/// One producer, one consumer.
+class answer_stream
+{
+public:
+    /// Producer: false once the caller has left.
+    bool push(std::string const& token)
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            if (abandoned_)
+            {
+                return false;
+            }
+            waiting_.tokens.push_back(token);
+        }
+        changed_.notify_one();
+        return true;
+    }
+
+    /// Producer: nothing may be pushed afterwards.
+    void finish(answer_end end)
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            waiting_.end = std::move(end);
+        }
+        changed_.notify_one();
+    }
+
+    /// Consumer: waits for a token or the end; an empty batch after the timeout.
+    answer_batch take(millis timeout)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, timeout,
+                          [&] { return !waiting_.tokens.empty() || waiting_.end; });
+        return std::exchange(waiting_, {});
+    }
+
+    /// Consumer: the caller has left; the producer stops at its next token.
+    void abandon()
+    {
+        std::lock_guard const lock(mutex_);
+        abandoned_ = true;
+    }
+
+    bool abandoned() const
+    {
+        std::lock_guard const lock(mutex_);
+        return abandoned_;
+    }
+
+private:
+    mutable std::mutex      mutex_;
+    std::condition_variable changed_;
+    answer_batch            waiting_;
+    bool                    abandoned_ = false;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/app/caller_front.hpp
@@ -0,0 +1,420 @@
+// Routes for callers: model calls, plain services, health, metrics.
+//
+// Index: 1 caller_front, 2 model calls, 3 service calls, 4 helpers
+#ifndef MARIGOLDCRANK_APP_CALLER_FRONT_HPP
+#define MARIGOLDCRANK_APP_CALLER_FRONT_HPP
+
+#include "adapters/http_server.hpp"
+#include "adapters/metrics.hpp"
+#include "adapters/span_store.hpp"
+#include "app/caller_request.hpp"
+#include "app/model_body.hpp"
+#include "app/request_path.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Adds its routes to a server; must outlive it.
+template <backend_port Backend>
+class caller_front
+{
+public:
+    caller_front(request_path<Backend>& path, ledger_store& store, span_store& spans,
+                 metrics& counters, millis deadline)
+        : path_(path), store_(store), spans_(spans), metrics_(counters),
+          deadline_(deadline)
+    {
+    }
+
+    void add_routes(httplib::Server& server)
+    {
+        server.set_pre_routing_handler([this](auto const& request, auto& response)
+                                       { return pre_route(request, response); });
+        auto model = [this](httplib::Request const& request, httplib::Response& response)
+        {
+            model_call(request, response);
+        };
+        server.Post("/v1/chat/completions", model);
+        server.Post("/v1/completions", model);
+        server.Get("/v1/models", [this](auto const& request, auto& response)
+                   { models(request, response); });
+        auto service =
+            [this](httplib::Request const& request, httplib::Response& response)
+        {
+            service_call(request, response);
+        };
+        server.Get("/services/([^/]+)(/.*)", service);
+        server.Post("/services/([^/]+)(/.*)", service);
+        server.Put("/services/([^/]+)(/.*)", service);
+        server.Delete("/services/([^/]+)(/.*)", service);
+        server.Get("/healthz", [](auto const&, auto& response)
+                   { response.set_content("ok\n", "text/plain"); });
+        server.Get("/readyz", [this](auto const&, auto& response) { ready(response); });
+        server.Get("/metrics", [this](auto const&, auto& response)
+                   { response.set_content(metrics_.exposition(), "text/plain"); });
+        server.set_error_handler([](auto const& request, auto& response)
+                                 { fill_error(request, response); });
+    }
+
+    /// From now on /readyz tells the balancer to send nothing more, and connections close
+    /// after the request in progress.
+    void start_draining()
+    {
+        draining_ = true;
+    }
+
+    bool draining() const noexcept
+    {
+        return draining_;
+    }
+
+    std::int64_t inflight() const noexcept
+    {
+        return inflight_;
+    }
+
+private:
+    static constexpr std::size_t request_id_digits = 24;
+    static constexpr millis      take_timeout{1000};
+    static constexpr int         retry_soon_s = 1;
+    static constexpr int         retry_later_s = 3600;
+
+    /// Counts a request as in progress while it lives.
+    class inflight_count
+    {
+    public:
+        explicit inflight_count(std::atomic<std::int64_t>& count) : count_(count)
+        {
+            ++count_;
+        }
+        ~inflight_count()
+        {
+            --count_;
+        }
+        inflight_count(inflight_count const&) = delete;
+        inflight_count& operator=(inflight_count const&) = delete;
+
+    private:
+        std::atomic<std::int64_t>& count_;
+    };
+
+    httplib::Server::HandlerResponse pre_route(httplib::Request const&,
+                                               httplib::Response& response)
+    {
+        if (draining_)
+        {
+            response.set_header("Connection", "close");
+        }
+        if (!overflow_queue::refusing())
+        {
+            return httplib::Server::HandlerResponse::Unhandled;
+        }
+        metrics_.add("refusals_total", "cause=\"overloaded\"");
+        response.set_header("Connection", "close");
+        write_refusal(response,
+                      {refusal_cause::overloaded, call_fate::not_run, retry_soon_s},
+                      random_id(request_id_digits));
+        return httplib::Server::HandlerResponse::Handled;
+    }
+
+    // 2. Model calls
+
+    void model_call(httplib::Request const& http, httplib::Response& response)
+    {
+        auto const begun = boot_clock::now();
+        auto const request_id = random_id(request_id_digits);
+        auto const trace = parse_traceparent(http.get_header_value("traceparent"));
+        span_scope span(spans_, trace, request_id, "accept");
+        answer_or_refuse(
+            request_id, response,
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(admitted, authorise(http, request_id, span.context()));
+                BOOST_LEAF_AUTO(body, parse_model_body(http.path, http.body));
+                span.note("gen_ai.request.model", body.model);
+                span.note("marigoldcrank.workspace", admitted.workspace);
+                auto const model = admitted.config->models.find(body.model);
+                if (model == admitted.config->models.end())
+                {
+                    return leaf::new_error(refusal{refusal_cause::unknown_model,
+                                                   call_fate::not_run, retry_later_s});
+                }
+                model_request request{.request_id = request_id,
+                                      .workspace = admitted.workspace,
+                                      .key_id = admitted.key_id,
+                                      .model = body.model,
+                                      .group = model->second.group,
+                                      .path = http.path,
+                                      .body = http.body,
+                                      .prompt_tokens = body.prompt_tokens,
+                                      .trace = span.context(),
+                                      .deadline = begun + deadline_};
+                return answer_model(std::move(request), body.stream, response, begun);
+            });
+    }
+
+    /// The status line goes out with the first token or the refusal, never before: a call
+    /// that fails early is refused with a status of its own.
+    leaf::result<void> answer_model(model_request request, bool streamed,
+                                    httplib::Response&     response,
+                                    boot_clock::time_point begun)
+    {
+        bool const    chat = request.path == "/v1/chat/completions";
+        answer_writer writer(request.request_id, request.model, chat);
+        auto const    request_id = request.request_id;
+        auto          counted = std::make_shared<inflight_count>(inflight_);
+        auto          stream = path_.start(std::move(request));
+        auto          first = await(*stream);
+        metrics_.observe("first_token_seconds", boot_clock::now() - begun);
+        if (first.tokens.empty() && first.end && first.end->refused)
+        {
+            return leaf::new_error(*first.end->refused);
+        }
+        metrics_.add("requests_total", "kind=\"model\"");
+        response.set_header("X-Request-Id", request_id);
+        if (!streamed)
+        {
+            return answer_whole(*stream, std::move(first), writer, response);
+        }
+        auto state = std::make_shared<answer_batch>(std::move(first));
+        response.set_chunked_content_provider(
+            "text/event-stream",
+            [this, stream, state, writer, request_id, counted](std::size_t,
+                                                               httplib::DataSink& sink)
+            { return relay(*stream, *state, writer, request_id, sink); },
+            [stream](bool) { stream->abandon(); });
+        return {};
+    }
+
+    /// Waits for a token or the end; the path ends every request by its deadline.
+    static answer_batch await(answer_stream& stream)
+    {
+        answer_batch batch;
+        while (batch.tokens.empty() && !batch.end)
+        {
+            batch = stream.take(take_timeout);
+        }
+        return batch;
+    }
+
+    leaf::result<void> answer_whole(answer_stream& stream, answer_batch batch,
+                                    answer_writer const& writer,
+                                    httplib::Response&   response)
+    {
+        std::string text;
+        while (true)
+        {
+            for (auto const& token : batch.tokens)
+            {
+                text += token;
+            }
+            if (batch.end)
+            {
+                break;
+            }
+            batch = await(stream);
+        }
+        if (batch.end->refused)
+        {
+            return leaf::new_error(*batch.end->refused);
+        }
+        response.set_content(
+            writer.whole(text, batch.end->prompt_tokens, batch.end->output_tokens),
+            "application/json");
+        return {};
+    }
+
+    /// Writes what has come; called again and again until it ends the answer.
+    bool relay(answer_stream& stream, answer_batch& batch, answer_writer const& writer,
+               std::string const& request_id, httplib::DataSink& sink)
+    {
+        std::string out;
+        for (auto const& token : batch.tokens)
+        {
+            out += writer.chunk(token);
+        }
+        if (batch.end && batch.end->refused)
+        {
+            // No [DONE]: a short answer must not look whole.
+            out += "data: " + refusal_body(*batch.end->refused, request_id) + "\n\n";
+        }
+        else if (batch.end)
+        {
+            out += writer.closing(batch.end->prompt_tokens, batch.end->output_tokens);
+        }
+        if (!out.empty() && !sink.write(out.data(), out.size()))
+        {
+            return false;
+        }
+        if (batch.end)
+        {
+            sink.done();
+            return true;
+        }
+        batch = stream.take(take_timeout);
+        return sink.is_writable();
+    }
+
+    void models(httplib::Request const& http, httplib::Response& response)
+    {
+        auto const request_id = random_id(request_id_digits);
+        answer_or_refuse(
+            request_id, response,
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(admitted, authorise(http, request_id, {}));
+                auto list = nlohmann::json::array();
+                for (auto const& [name, model] : admitted.config->models)
+                {
+                    list.push_back({{"id", name}, {"object", "model"}});
+                }
+                response.set_content(
+                    nlohmann::json{{"object", "list"}, {"data", list}}.dump(),
+                    "application/json");
+                return {};
+            });
+    }
+
+    // 3. Service calls
+
+    void service_call(httplib::Request const& http, httplib::Response& response)
+    {
+        auto const request_id = random_id(request_id_digits);
+        auto const trace = parse_traceparent(http.get_header_value("traceparent"));
+        span_scope span(spans_, trace, request_id, "accept");
+        answer_or_refuse(
+            request_id, response,
+            [&]() -> leaf::result<void>
+            {
+                BOOST_LEAF_AUTO(admitted, authorise(http, request_id, span.context()));
+                BOOST_LEAF_AUTO(request, service_request_of(http, admitted));
+                request.request_id = request_id;
+                request.trace = span.context();
+                request.deadline = boot_clock::now() + deadline_;
+                inflight_count const counted(inflight_);
+                BOOST_LEAF_AUTO(answer, path_.call(request));
+                metrics_.add("requests_total", "kind=\"service\"");
+                response.status = answer.status;
+                response.set_header("X-Request-Id", request_id);
+                response.set_content(answer.body, answer.content_type.empty()
+                                                      ? "application/octet-stream"
+                                                      : answer.content_type);
+                return {};
+            });
+    }
+
+    static leaf::result<service_request> service_request_of(httplib::Request const& http,
+                                                            admission const& admitted)
+    {
+        auto const name = http.matches[1].str();
+        auto const path = http.matches[2].str();
+        auto const rule = admitted.config->services.find(name);
+        if (rule == admitted.config->services.end())
+        {
+            return leaf::new_error(refusal{refusal_cause::unknown_service,
+                                           call_fate::not_run, retry_later_s});
+        }
+        service_request request;
+        request.workspace = admitted.workspace;
+        request.key_id = admitted.key_id;
+        request.service = name;
+        request.group = rule->second.group;
+        request.idempotency_key = http.get_header_value("Idempotency-Key");
+        request.method = http.method;
+        request.path = path;
+        request.content_type = http.get_header_value("Content-Type");
+        request.body = http.body;
+        for (auto const& prefix : rule->second.once)
+        {
+            bool const matches = path.rfind(prefix, 0) == 0;
+            request.once = request.once || (matches && http.method != "GET");
+        }
+        return request;
+    }
+
+    // 4. Helpers
+
+    leaf::result<admission> authorise(httplib::Request const& http,
+                                      std::string const&      request_id,
+                                      trace_context const&    trace)
+    {
+        span_scope span(spans_, trace, request_id, "authorise");
+        if (draining_)
+        {
+            return leaf::new_error(
+                refusal{refusal_cause::draining, call_fate::not_run, retry_soon_s});
+        }
+        return admit(*store_.access(), http.get_header_value("Authorization"));
+    }
+
+    template <class Body>
+    void answer_or_refuse(std::string const& request_id, httplib::Response& response,
+                          Body&& body)
+    {
+        leaf::try_handle_all(
+            std::forward<Body>(body),
+            [&](refusal const& value) { refuse(response, value, request_id); },
+            [&](message_failure const&)
+            {
+                refuse(response,
+                       {refusal_cause::malformed, call_fate::not_run, retry_later_s},
+                       request_id);
+            },
+            [&]
+            {
+                refuse(response,
+                       {refusal_cause::backend_server_failed, call_fate::outcome_unknown,
+                        retry_soon_s},
+                       request_id);
+            });
+    }
+
+    void refuse(httplib::Response& response, refusal const& value,
+                std::string const& request_id)
+    {
+        metrics_.add("refusals_total",
+                     std::string{"cause=\""} + name_of(value.cause) + "\"");
+        write_refusal(response, value, request_id);
+    }
+
+    void ready(httplib::Response& response) const
+    {
+        bool const serves = !draining_ && store_.access()->config != nullptr;
+        response.status = serves ? 200 : 503;
+        response.set_content(serves ? "ready\n" : "not ready\n", "text/plain");
+    }
+
+    /// Errors that the server itself finds before a route runs.
+    static void fill_error(httplib::Request const&, httplib::Response& response)
+    {
+        if (!response.body.empty())
+        {
+            return;
+        }
+        auto const status = response.status;
+        auto const cause = status == 413   ? refusal_cause::too_large
+                           : status == 404 ? refusal_cause::unknown_service
+                                           : refusal_cause::malformed;
+        write_refusal(response, {cause, call_fate::not_run, retry_later_s},
+                      random_id(request_id_digits));
+        response.status = status;
+    }
+
+    request_path<Backend>&    path_;
+    ledger_store&             store_;
+    span_store&               spans_;
+    metrics&                  metrics_;
+    millis                    deadline_;
+    std::atomic<bool>         draining_{false};
+    std::atomic<std::int64_t> inflight_{0};
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/app/caller_request.hpp
@@ -0,0 +1,63 @@
+// A caller's request after the front has read it, and the admission of its key.
+//
+// Index: 1 admission, 2 model_request, 3 service_request, 4 admit
+#ifndef MARIGOLDCRANK_APP_CALLER_REQUEST_HPP
+#define MARIGOLDCRANK_APP_CALLER_REQUEST_HPP
+
+#include "app/ledger_store.hpp"
+#include "domain/boot_clock.hpp"
+#include "domain/failure.hpp"
+#include "domain/span.hpp"
+
+#include <memory>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// The workspace a request runs for, and the configuration it was admitted under.
+struct admission
+{
+    std::string                          workspace;
+    std::string                          key_id;
+    std::shared_ptr<configuration const> config;
+};
+
+struct model_request
+{
+    std::string            request_id;
+    std::string            workspace;
+    std::string            key_id;
+    std::string            model;
+    std::string            group;
+    std::string            path;
+    std::string            body;
+    std::int64_t           prompt_tokens = 0; // estimate, for routing
+    trace_context          trace;
+    boot_clock::time_point deadline{};
+};
+
+struct service_request
+{
+    std::string            request_id;
+    std::string            workspace;
+    std::string            key_id;
+    std::string            service;
+    std::string            group;
+    bool                   once = false; // may not be repeated
+    std::string            idempotency_key;
+    std::string            method;
+    std::string            path;
+    std::string            content_type;
+    std::string            body;
+    trace_context          trace;
+    boot_clock::time_point deadline{};
+};
+
+/// Judges the text of an Authorization header. Fails with refusal; the key ends here.
+leaf::result<admission> admit(access_list const& access,
+                              std::string const& authorization);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/app/log_writer.hpp
@@ -0,0 +1,62 @@
+// Appends records and settles what became of them by reading them back.
+//
+// Index: log_writer
+#ifndef MARIGOLDCRANK_APP_LOG_WRITER_HPP
+#define MARIGOLDCRANK_APP_LOG_WRITER_HPP
+
+#include "app/ledger_store.hpp"
+#include "domain/span.hpp"
+#include "ports/platform_port.hpp"
+#include "wire.pb.h"
+
+#include <optional>
+#include <string>
+
+namespace marigoldcrank
+{
+
+template <platform_log_port Log>
+class log_writer
+{
+public:
+    log_writer(Log& log, ledger_store& store) : log_(log), store_(store) {}
+
+    /// Appends the record under a new id and waits until it was read back. Nothing: its
+    /// fate is unknown, it may still take effect later.
+    std::optional<record_outcome> append(wire::log_record record, millis timeout)
+    {
+        record.set_record_id(random_id(record_id_digits));
+        return append_as(record, timeout);
+    }
+
+    /// The same under the id that the record has; for an append that is tried again.
+    std::optional<record_outcome> append_as(wire::log_record const& record,
+                                            millis                  timeout)
+    {
+        auto const text = format_record(record);
+        bool const possible = leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_CHECK(log_.append(text));
+                return true;
+            },
+            // A lost answer may stand for an append that took effect: look for it.
+            [](append_failure const& failure) { return failure.outcome_unknown; },
+            [] { return false; });
+        if (!possible)
+        {
+            return std::nullopt;
+        }
+        return store_.wait_for(record.record_id(), timeout);
+    }
+
+private:
+    static constexpr std::size_t record_id_digits = 24;
+
+    Log&          log_;
+    ledger_store& store_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/app/operator_front.hpp
@@ -0,0 +1,279 @@
+// Routes for operators, behind the operators' key: rules, keys, status, explain, usage.
+//
+// Index: 1 operator_front, 2 rules and keys, 3 views
+#ifndef MARIGOLDCRANK_APP_OPERATOR_FRONT_HPP
+#define MARIGOLDCRANK_APP_OPERATOR_FRONT_HPP
+
+#include "adapters/http_server.hpp"
+#include "adapters/span_store.hpp"
+#include "adapters/zmq_peers.hpp"
+#include "app/ledger_store.hpp"
+#include "app/log_writer.hpp"
+#include "app/server_directory.hpp"
+#include "app/usage_reporter.hpp"
+#include "domain/api_key.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Adds its routes to a server; must outlive it.
+template <platform_log_port Log, peer_port Peers>
+class operator_front
+{
+public:
+    operator_front(log_writer<Log>& writer, ledger_store& store, span_store& spans,
+                   server_directory& directory, Peers& peers, std::string operator_key,
+                   std::string node, std::function<void()> drain)
+        : writer_(writer), store_(store), spans_(spans), directory_(directory),
+          peers_(peers), operator_key_(std::move(operator_key)), node_(std::move(node)),
+          drain_(std::move(drain))
+    {
+    }
+
+    void add_routes(httplib::Server& server)
+    {
+        guarded_get(server, "/admin/rules", &operator_front::rules);
+        guarded_get(server, "/admin/status", &operator_front::status);
+        guarded_get(server, "/admin/explain", &operator_front::explain);
+        guarded_get(server, "/admin/usage", &operator_front::usage);
+        guarded_post(server, "/admin/rules", &operator_front::apply);
+        guarded_post(server, "/admin/keys/withdraw", &operator_front::withdraw);
+        guarded_post(server, "/admin/drain", &operator_front::drain);
+    }
+
+private:
+    using json = nlohmann::json;
+    using route = json (operator_front::*)(httplib::Request const&);
+
+    static constexpr millis settle_timeout{3000};
+
+    void guarded_get(httplib::Server& server, char const* path, route handler)
+    {
+        server.Get(path, [this, handler](auto const& request, auto& response)
+                   { guarded(request, response, handler); });
+    }
+
+    void guarded_post(httplib::Server& server, char const* path, route handler)
+    {
+        server.Post(path, [this, handler](auto const& request, auto& response)
+                    { guarded(request, response, handler); });
+    }
+
+    void guarded(httplib::Request const& request, httplib::Response& response,
+                 route handler)
+    {
+        if (!authorised(request))
+        {
+            write_refusal(response,
+                          {refusal_cause::unauthenticated, call_fate::not_run, 3600}, "");
+            return;
+        }
+        response.set_content((this->*handler)(request).dump(
+                                 -1, ' ', false, json::error_handler_t::replace),
+                             "application/json");
+    }
+
+    bool authorised(httplib::Request const& request) const
+    {
+        auto const separator = operator_key_.find('$');
+        auto const header = request.get_header_value("Authorization");
+        auto const prefix = std::string{"Bearer "};
+        return separator != std::string::npos && header.rfind(prefix, 0) == 0 &&
+               key_matches(operator_key_.substr(0, separator),
+                           operator_key_.substr(separator + 1),
+                           header.substr(prefix.size()));
+    }
+
+    // 2. Rules and keys
+
+    json rules(httplib::Request const&)
+    {
+        auto const access = store_.access();
+        if (!access->config)
+        {
+            return {{"revision", 0}, {"rules", ""}};
+        }
+        return {{"revision", access->config->revision},
+                {"change_id", access->config->change_id},
+                {"rules", access->config->text}};
+    }
+
+    /// Body: change_id, base_revision, rules, author. A change whose answer was lost is
+    /// settled by sending it again: the fold knows its id.
+    json apply(httplib::Request const& request)
+    {
+        auto const body = json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.value("change_id", json()).is_string() ||
+            !body.value("rules", json()).is_string())
+        {
+            return {{"outcome", "malformed"}};
+        }
+        auto const refused = judge(body["rules"].get<std::string>());
+        if (!refused.empty())
+        {
+            return {{"outcome", "invalid"}, {"failures", refused}};
+        }
+        auto const       id = body["change_id"].get<std::string>();
+        wire::log_record record;
+        auto*            change = record.mutable_change();
+        change->set_change_id(id);
+        change->set_base_revision(body.value("base_revision", std::uint64_t{0}));
+        change->set_rules(body["rules"].get<std::string>());
+        change->set_author(body.value("author", ""));
+        writer_.append(record, settle_timeout);
+        return verdict_of(id);
+    }
+
+    static json judge(std::string const& rules)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<json>
+            {
+                BOOST_LEAF_CHECK(parse_rules(rules, "rules"));
+                return json::array();
+            },
+            [](rules_failure const& failure)
+            {
+                json list = json::array();
+                for (auto const& rule : failure.failures)
+                {
+                    list.push_back({{"line", rule.line},
+                                    {"rule", rule.rule},
+                                    {"fault", name_of(rule.fault)},
+                                    {"allowed", rule.allowed}});
+                }
+                return list;
+            },
+            [] { return json::array({"unreadable"}); });
+    }
+
+    json verdict_of(std::string const& change_id) const
+    {
+        return store_.with_ledger(
+            [&](ledger const& value) -> json
+            {
+                auto const  verdict = value.config().verdict(change_id);
+                char const* name = verdict == change_verdict::accepted   ? "accepted"
+                                   : verdict == change_verdict::conflict ? "conflict"
+                                                                         : "unknown";
+                return {{"outcome", name}, {"revision", value.config().revision()}};
+            });
+    }
+
+    /// Peers hear of a withdrawal before the log does, so that it works while the
+    /// platform is out.
+    json withdraw(httplib::Request const& request)
+    {
+        auto const body = json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.value("key_id", json()).is_string())
+        {
+            return {{"outcome", "malformed"}};
+        }
+        wire::key_withdrawal withdrawal;
+        withdrawal.set_key_id(body["key_id"].get<std::string>());
+        withdrawal.set_compromised(body.value("compromised", false));
+        store_.offer(withdrawal);
+        wire::peer_message message;
+        message.set_from(node_);
+        *message.mutable_withdrawal() = withdrawal;
+        peers_.broadcast(message);
+        wire::log_record record;
+        *record.mutable_withdrawal() = withdrawal;
+        auto const outcome = writer_.append(record, settle_timeout);
+        return {{"outcome", "withdrawn"}, {"logged", outcome.has_value()}};
+    }
+
+    json drain(httplib::Request const&)
+    {
+        drain_();
+        return {{"outcome", "draining"}};
+    }
+
+    // 3. Views
+
+    json status(httplib::Request const&)
+    {
+        auto const access = store_.access();
+        json       servers = json::array();
+        for (auto const& server : directory_.all())
+        {
+            servers.push_back({{"id", server.id},
+                               {"group", server.group},
+                               {"data_centre", server.data_centre},
+                               {"cheap", server.cheap},
+                               {"leaving", server.leaving}});
+        }
+        json       duties = json::object();
+        auto const next = store_.with_ledger(
+            [&](ledger const& value)
+            {
+                for (auto const& [duty, state] : value.leases().duties())
+                {
+                    duties[duty] = {{"holder", state.holder},
+                                    {"epoch", state.epoch},
+                                    {"released", state.released}};
+                }
+                return value.next_offset();
+            });
+        return {{"node", node_},
+                {"revision", access->config ? access->config->revision : 0},
+                {"withdrawn_keys", access->withdrawn.size()},
+                {"live_peers", peers_.live()},
+                {"next_offset", next},
+                {"duties", duties},
+                {"backend_servers", servers}};
+    }
+
+    json explain(httplib::Request const& request)
+    {
+        json list = json::array();
+        for (auto const& value : spans_.find(request.get_param_value("id")))
+        {
+            json attributes = json::object();
+            for (auto const& attribute : value.attributes)
+            {
+                attributes[attribute.name] = attribute.value;
+            }
+            list.push_back({{"name", value.name},
+                            {"node", node_},
+                            {"trace_id", value.trace_id},
+                            {"request_id", value.request_id},
+                            {"begin_unix_nano", value.begin},
+                            {"end_unix_nano", value.end},
+                            {"attributes", attributes}});
+        }
+        return {{"spans", list}};
+    }
+
+    json usage(httplib::Request const&)
+    {
+        return store_.with_ledger(
+            [](ledger const& value) -> json
+            {
+                json windows = json::array();
+                for (auto const& [number, window] : value.usage().sealed())
+                {
+                    windows.push_back(json::parse(format_window(window)));
+                }
+                return {{"windows", windows}};
+            });
+    }
+
+    log_writer<Log>&      writer_;
+    ledger_store&         store_;
+    span_store&           spans_;
+    server_directory&     directory_;
+    Peers&                peers_;
+    std::string           operator_key_;
+    std::string           node_;
+    std::function<void()> drain_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/domain/configuration.cpp
@@ -0,0 +1,368 @@
+// Reads a rules file into a configuration.
+//
+// Index: 1 rule lines, 2 fields, 3 sections, 4 cross checks, 5 parse_rules
+#define SI_NO_CONVERSION
+#include "domain/configuration.hpp"
+
+#include <SimpleIni.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <sstream>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+// 1. Rule lines
+
+/// One line of the file before its fields are judged.
+struct rule_line
+{
+    std::string section;
+    std::string id;
+    std::string content;
+    std::string requester;
+    int         line = 0;
+};
+
+std::string trimmed(std::string const& text)
+{
+    auto const begin = text.find_first_not_of(" \t\r;#");
+    auto const end = text.find_last_not_of(" \t\r");
+    return begin == std::string::npos ? "" : text.substr(begin, end - begin + 1);
+}
+
+/// SimpleIni gives no line numbers: finds the first line of `section` that begins with
+/// `id`.
+int line_of(std::string const& text, std::string const& section, std::string const& id)
+{
+    std::istringstream stream(text);
+    std::string        line;
+    std::string        current;
+    for (int number = 1; std::getline(stream, line); ++number)
+    {
+        auto const begin = line.find_first_not_of(" \t");
+        if (begin == std::string::npos)
+        {
+            continue;
+        }
+        if (line[begin] == '[')
+        {
+            current = line.substr(begin + 1, line.find(']', begin) - begin - 1);
+            continue;
+        }
+        auto const end = line.find_first_of(" \t=", begin);
+        if (current == section && line.substr(begin, end - begin) == id)
+        {
+            return number;
+        }
+    }
+    return 0;
+}
+
+/// Collects failures while the file is read, so that one run names all bad rules.
+struct rule_report
+{
+    std::string               file;
+    std::vector<rule_failure> failures;
+
+    void add(rule_fault fault, rule_line const& rule, std::string allowed)
+    {
+        failures.push_back(
+            {fault, file, rule.line, rule.section + "." + rule.id, std::move(allowed)});
+    }
+};
+
+// 2. Fields
+
+using field_map = std::map<std::string, std::string>;
+
+field_map split_fields(rule_line const& rule, std::set<std::string> const& allowed,
+                       rule_report& report)
+{
+    field_map          fields;
+    std::istringstream stream(rule.content);
+    std::string        word;
+    while (stream >> word)
+    {
+        auto const equals = word.find('=');
+        auto const name = word.substr(0, equals);
+        if (equals == std::string::npos || allowed.count(name) == 0 ||
+            !fields.emplace(name, word.substr(equals + 1)).second)
+        {
+            std::string known = "each of these once, as name=value:";
+            for (auto const& field : allowed)
+            {
+                known += " " + field;
+            }
+            report.add(rule_fault::unknown_field, rule, known);
+        }
+    }
+    return fields;
+}
+
+void read_text(field_map const& fields, std::string const& name, rule_line const& rule,
+               rule_report& report, std::string& target)
+{
+    auto const found = fields.find(name);
+    if (found == fields.end() || found->second.empty())
+    {
+        report.add(rule_fault::missing_field, rule, name + "=TEXT");
+        return;
+    }
+    target = found->second;
+}
+
+struct number_range
+{
+    std::int64_t lowest;
+    std::int64_t highest;
+};
+
+void read_number(field_map const& fields, std::string const& name, number_range range,
+                 rule_line const& rule, rule_report& report, std::int64_t& target)
+{
+    auto const found = fields.find(name);
+    if (found == fields.end())
+    {
+        return;
+    }
+    auto const& content = found->second;
+    auto const  allowed = name + "=" + std::to_string(range.lowest) + " to " +
+                         std::to_string(range.highest);
+    std::int64_t value = 0;
+    auto const [end, error] =
+        std::from_chars(content.data(), content.data() + content.size(), value);
+    if (error != std::errc{} || end != content.data() + content.size())
+    {
+        report.add(rule_fault::not_a_number, rule, allowed);
+        return;
+    }
+    if (value < range.lowest || value > range.highest)
+    {
+        report.add(rule_fault::out_of_range, rule, allowed);
+        return;
+    }
+    target = value;
+}
+
+void read_flag(field_map const& fields, std::string const& name, rule_line const& rule,
+               rule_report& report, bool& target)
+{
+    auto const found = fields.find(name);
+    if (found == fields.end())
+    {
+        return;
+    }
+    if (found->second != "yes" && found->second != "no")
+    {
+        report.add(rule_fault::out_of_range, rule, name + "=yes or no");
+        return;
+    }
+    target = found->second == "yes";
+}
+
+std::vector<std::string> split_list(std::string const& text)
+{
+    std::vector<std::string> items;
+    std::istringstream       stream(text);
+    std::string              item;
+    while (std::getline(stream, item, ','))
+    {
+        items.push_back(item);
+    }
+    return items;
+}
+
+// 3. Sections
+
+constexpr std::int64_t max_weight = 10'000;
+constexpr std::int64_t max_tokens = 1'000'000'000;
+constexpr std::int64_t max_ms = 3'600'000;
+constexpr std::int64_t max_window_s = 86'400;
+constexpr std::int64_t max_servers = 10'000;
+
+void add_workspace(rule_line const& rule, rule_report& report, configuration& result)
+{
+    workspace_rule value{.name = rule.id, .requester = rule.requester};
+    auto const     fields = split_fields(rule, {"weight", "tokens_per_minute"}, report);
+    read_number(fields, "weight", {1, max_weight}, rule, report, value.weight);
+    read_number(fields, "tokens_per_minute", {0, max_tokens}, rule, report,
+                value.tokens_per_minute);
+    result.workspaces.emplace(rule.id, value);
+}
+
+void add_key(rule_line const& rule, rule_report& report, configuration& result)
+{
+    key_rule   value{.id = rule.id, .requester = rule.requester};
+    auto const fields = split_fields(rule, {"workspace", "salt", "hash"}, report);
+    read_text(fields, "workspace", rule, report, value.workspace);
+    read_text(fields, "salt", rule, report, value.salt);
+    read_text(fields, "hash", rule, report, value.hash);
+    result.keys.emplace(rule.id, value);
+}
+
+void add_model(rule_line const& rule, rule_report& report, configuration& result)
+{
+    model_rule value{.name = rule.id, .requester = rule.requester};
+    auto const fields = split_fields(rule, {"group"}, report);
+    read_text(fields, "group", rule, report, value.group);
+    result.models.emplace(rule.id, value);
+}
+
+void add_service(rule_line const& rule, rule_report& report, configuration& result)
+{
+    service_rule value{.name = rule.id, .requester = rule.requester};
+    auto const   fields = split_fields(rule, {"group", "once"}, report);
+    read_text(fields, "group", rule, report, value.group);
+    auto const once = fields.find("once");
+    if (once != fields.end())
+    {
+        value.once = split_list(once->second);
+    }
+    result.services.emplace(rule.id, value);
+}
+
+void add_target(rule_line const& rule, rule_report& report, configuration& result)
+{
+    target_rule value{.id = rule.id, .requester = rule.requester};
+    auto const  fields = split_fields(
+         rule, {"workspace", "first_token_ms", "between_tokens_ms", "percent", "window_s"},
+         report);
+    read_text(fields, "workspace", rule, report, value.workspace);
+    read_number(fields, "first_token_ms", {1, max_ms}, rule, report,
+                value.first_token_ms);
+    read_number(fields, "between_tokens_ms", {1, max_ms}, rule, report,
+                value.between_tokens_ms);
+    read_number(fields, "percent", {1, 100}, rule, report, value.percent);
+    read_number(fields, "window_s", {1, max_window_s}, rule, report, value.window_s);
+    result.targets.emplace(rule.id, value);
+}
+
+void add_group(rule_line const& rule, rule_report& report, configuration& result)
+{
+    group_rule value{.name = rule.id, .requester = rule.requester};
+    auto const fields =
+        split_fields(rule, {"checks_fencing", "least", "most", "cheap_percent"}, report);
+    read_flag(fields, "checks_fencing", rule, report, value.checks_fencing);
+    read_number(fields, "least", {0, max_servers}, rule, report, value.least);
+    read_number(fields, "most", {1, max_servers}, rule, report, value.most);
+    read_number(fields, "cheap_percent", {0, 100}, rule, report, value.cheap_percent);
+    result.groups.emplace(rule.id, value);
+}
+
+using section_reader = void (*)(rule_line const&, rule_report&, configuration&);
+
+std::map<std::string, section_reader> const& sections()
+{
+    static std::map<std::string, section_reader> const readers{
+        {"workspaces", add_workspace}, {"keys", add_key},       {"models", add_model},
+        {"services", add_service},     {"targets", add_target}, {"groups", add_group}};
+    return readers;
+}
+
+// 4. Cross checks
+
+void check_workspace(std::string const& section, std::string const& id,
+                     std::string const& workspace, std::string const& text,
+                     configuration const& result, rule_report& report)
+{
+    if (!workspace.empty() && result.workspaces.count(workspace) == 0)
+    {
+        rule_line rule{.section = section, .id = id, .line = line_of(text, section, id)};
+        report.add(rule_fault::unknown_workspace, rule, "an id from [workspaces]");
+    }
+}
+
+void check_workspaces(std::string const& text, configuration const& result,
+                      rule_report& report)
+{
+    for (auto const& [id, key] : result.keys)
+    {
+        check_workspace("keys", id, key.workspace, text, result, report);
+    }
+    for (auto const& [id, target] : result.targets)
+    {
+        check_workspace("targets", id, target.workspace, text, result, report);
+    }
+}
+
+// 5. parse_rules
+
+void read_section(CSimpleIniA const& ini, std::string const& section,
+                  std::string const& text, rule_report& report, configuration& result)
+{
+    auto const reader = sections().find(section);
+    if (reader == sections().end())
+    {
+        report.add(rule_fault::unknown_section, {.section = section},
+                   "workspaces, keys, models, services, targets, groups");
+        return;
+    }
+    CSimpleIniA::TNamesDepend keys;
+    ini.GetAllKeys(section.c_str(), keys);
+    keys.sort(CSimpleIniA::Entry::LoadOrder());
+    for (auto const& key : keys)
+    {
+        rule_line                 rule{.section = section,
+                                       .id = key.pItem,
+                                       .content = ini.GetValue(section.c_str(), key.pItem, ""),
+                                       .requester = trimmed(key.pComment != nullptr ? key.pComment : ""),
+                                       .line = line_of(text, section, key.pItem)};
+        CSimpleIniA::TNamesDepend values;
+        ini.GetAllValues(section.c_str(), key.pItem, values);
+        if (values.size() > 1)
+        {
+            report.add(rule_fault::repeated_id, rule, "one line for each id");
+        }
+        if (rule.requester.empty())
+        {
+            report.add(rule_fault::no_requester, rule,
+                       "a comment line above it, saying who asked");
+        }
+        reader->second(rule, report, result);
+    }
+}
+
+} // namespace
+
+leaf::result<configuration> parse_rules(std::string const& text, std::string const& file)
+{
+    rule_report   report{.file = file, .failures = {}};
+    configuration result;
+    CSimpleIniA   ini;
+    ini.SetAllowKeyOnly(true);
+    ini.SetMultiKey(true);
+    if (ini.LoadData(text.data(), text.size()) < 0)
+    {
+        report.add(rule_fault::unreadable_text, {}, "an INI file");
+    }
+    CSimpleIniA::TNamesDepend names;
+    ini.GetAllSections(names);
+    names.sort(CSimpleIniA::Entry::LoadOrder());
+    for (auto const& name : names)
+    {
+        bool const empty_preamble =
+            *name.pItem == '\0' && ini.GetSectionSize(name.pItem) <= 0;
+        if (!empty_preamble)
+        {
+            read_section(ini, name.pItem, text, report, result);
+        }
+    }
+    check_workspaces(text, result, report);
+    if (!report.failures.empty())
+    {
+        std::stable_sort(report.failures.begin(), report.failures.end(),
+                         [](auto const& left, auto const& right)
+                         { return left.line < right.line; });
+        return leaf::new_error(rules_failure{std::move(report.failures)});
+    }
+    result.text = text;
+    return result;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/domain/settings.hpp
@@ -0,0 +1,106 @@
+// Settings of one daemon, read from an INI file.
+//
+// Index: 1 settings, 2 setting_option (the table of all options), 3 parse functions
+//
+// Every option has a default, a unit and a range in the table of settings.cpp; an option
+// that is not in the table is refused, so that a typing error never passes in silence.
+#ifndef MARIGOLDCRANK_DOMAIN_SETTINGS_HPP
+#define MARIGOLDCRANK_DOMAIN_SETTINGS_HPP
+
+#include "domain/failure.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// Address of another entry VM, as `name@host:port` in the settings.
+struct peer_address
+{
+    std::string name;
+    std::string host;
+    int         port = 0;
+
+    auto operator<=>(peer_address const&) const = default;
+};
+
+/// All options of one daemon.
+struct settings
+{
+    // [node]
+    std::string  name = "node-1";          // "node-1"     unique among the entry VMs
+    std::string  data_centre = "dc-1";     // "dc-1"       where this entry VM stands
+    std::string  http_host = "127.0.0.1";  // "127.0.0.1"  IP number to listen on
+    std::int64_t http_port = 8080;         // 8080         port for callers
+    std::int64_t http_threads = 256;       // 256          connections served at once
+    std::int64_t overflow_threads = 4;     // 4            connections refused at once
+    std::int64_t max_body_bytes = 4194304; // 4194304      bytes of one request body
+    std::int64_t drain_ms = 30000;         // 30000        longest graceful shutdown, ms
+    std::string  operator_key;             // ""           salt$hash of the operators' key
+    // [peers]
+    std::string  peer_host = "127.0.0.1"; // "127.0.0.1"  IP number to listen on
+    std::int64_t peer_port = 8081;        // 8081         port for other entry VMs
+    std::string  peer_list;               // ""           blank-separated name@host:port
+    std::int64_t heartbeat_ms = 500;      // 500          between heartbeats, ms
+    std::int64_t peer_dead_ms = 2500;     // 2500         silence that marks a peer, ms
+    // [platform]
+    std::string  platform_host = "127.0.0.1"; // "127.0.0.1" IP number of the platform
+    std::int64_t platform_port = 9000;        // 9000         its port
+    std::int64_t platform_timeout_ms = 1500;  // 1500        for one exchange, ms
+    std::int64_t log_wait_ms = 1000;          // 1000         long poll of the log, ms
+    std::int64_t list_every_ms = 500; // 500          between reads of the VM list, ms
+    // [leases]
+    std::int64_t lease_ms = 6000; // 6000         validity of one renewal, ms
+    std::int64_t renew_ms = 2000; // 2000         between renewals, ms
+    std::int64_t drift_ms = 500;  // 500          bound on clock drift, ms
+    // [requests]
+    std::int64_t progress_ms = 3000;  // 3000         silence that ends an attempt, ms
+    std::int64_t connect_ms = 500;    // 500          to open a connection, ms
+    std::int64_t deadline_ms = 60000; // 60000        for a whole request, ms
+    std::int64_t max_attempts = 3;    // 3            tries of a repeatable request
+    std::int64_t load_every_ms = 200; // 200          between load reads, ms
+    // [usage]
+    std::int64_t usage_flush_ms = 1000; // 1000         between usage appends, ms
+    std::int64_t window_ms = 5000;      // 5000         length of a usage window, ms
+    // [logs]
+    std::string  log_level = "info"; // "info"       debug | info | warning | error
+    std::string  span_file;          // ""           spans as JSON lines; "" for none
+    std::int64_t span_keep = 4096;   // 4096         spans kept for explain, count
+
+    bool operator==(settings const&) const = default;
+};
+
+/// One row of the table of options.
+struct setting_option
+{
+    char const*  section;
+    char const*  key;
+    char const*  unit;
+    char const*  meaning;
+    std::int64_t settings::*number; // null for a text option
+    std::string settings::*text;    // null for a number option
+    std::int64_t           lowest;
+    std::int64_t           highest;
+};
+
+/// The table of all options, in the order of the file.
+std::span<setting_option const> setting_options() noexcept;
+
+/// Reads a settings file. Fails with setting_failure.
+leaf::result<settings> parse_settings(std::string const& text, std::string const& file);
+
+/// Reads and parses the file at `path`. Fails with setting_failure.
+leaf::result<settings> load_settings(std::string const& path);
+
+/// Writes `value` in the form that parse_settings reads.
+std::string format_settings(settings const& value);
+
+/// Parses "name@host:port name@host:port". Fails with setting_failure.
+leaf::result<std::vector<peer_address>> parse_peer_list(std::string const& text);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/ledger/lease_fold.hpp
@@ -0,0 +1,63 @@
+// Fold of lease records: who holds which duty, agreed by all readers of the log.
+//
+// Index: 1 lease_state, 2 lease_fold
+//
+// A claim is effective only if it names the current epoch and the offset of the last
+// effective renewal: a claim that raced with a renewal loses, and of two rival claims the
+// one with the lower offset wins. The offset of the effective claim is the epoch, which
+// is the fencing number of every order under that lease.
+#ifndef MARIGOLDCRANK_LEDGER_LEASE_FOLD_HPP
+#define MARIGOLDCRANK_LEDGER_LEASE_FOLD_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace marigoldcrank::wire
+{
+class lease_claim;
+class lease_renewal;
+class lease_release;
+} // namespace marigoldcrank::wire
+
+namespace marigoldcrank
+{
+
+/// A duty as the log has it.
+struct lease_state
+{
+    std::string   holder;          // ""  node and incarnation; kept after a release
+    std::uint64_t epoch = 0;       // 0   offset of the effective claim; 0 for never held
+    std::uint64_t last_offset = 0; // 0   last effective claim, renewal or release
+    bool          released = true; // the holder gave it up; no waiting needed
+
+    bool operator==(lease_state const&) const = default;
+};
+
+/// Folds lease records in offset order. Offsets start at 1.
+class lease_fold
+{
+public:
+    /// Each returns whether the record was effective.
+    bool apply(std::uint64_t offset, wire::lease_claim const& claim);
+    bool apply(std::uint64_t offset, wire::lease_renewal const& renewal);
+    bool apply(std::uint64_t offset, wire::lease_release const& release);
+
+    /// The state of a duty; the default state if it was never held.
+    lease_state state(std::string const& duty) const;
+
+    /// True if `epoch` is the current, unreleased epoch of `duty` held by `holder`.
+    bool holds(std::string const& duty, std::string const& holder,
+               std::uint64_t epoch) const;
+
+    std::map<std::string, lease_state> const& duties() const noexcept;
+
+    bool operator==(lease_fold const&) const = default;
+
+private:
+    std::map<std::string, lease_state> duties_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/ledger/ledger.hpp
@@ -0,0 +1,69 @@
+// The fold of the whole log: a pure function of the records in offset order.
+//
+// Index: 1 record_effect, 2 ledger, 3 record text
+#ifndef MARIGOLDCRANK_LEDGER_LEDGER_HPP
+#define MARIGOLDCRANK_LEDGER_LEDGER_HPP
+
+#include "domain/failure.hpp"
+#include "ledger/configuration_fold.hpp"
+#include "ledger/lease_fold.hpp"
+#include "ledger/usage_fold.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace marigoldcrank::wire
+{
+class log_record;
+}
+
+namespace marigoldcrank
+{
+
+/// What a record meant to the fold.
+enum class record_effect
+{
+    effective,
+    without_effect, // lost a race, repeated or out of date
+    malformed       // not a record; every reader skips it alike
+};
+
+/// All folds together. Value type: two readers of the same prefix hold equal ledgers.
+class ledger
+{
+public:
+    /// Folds the record at `offset`; offsets must rise by one from call to call, except
+    /// after a gap, where the caller starts again from a snapshot.
+    record_effect apply(std::uint64_t offset, wire::log_record const& record);
+
+    /// Counts a record whose bytes could not be read.
+    record_effect skip_malformed(std::uint64_t offset);
+
+    lease_fold const&         leases() const noexcept;
+    configuration_fold const& config() const noexcept;
+    configuration_fold&       config() noexcept; // peers' snapshots and withdrawals
+    usage_fold const&         usage() const noexcept;
+    std::uint64_t             next_offset() const noexcept;
+    std::uint64_t             malformed() const noexcept; // records skipped
+
+    bool operator==(ledger const&) const = default;
+
+private:
+    bool fold(std::uint64_t offset, wire::log_record const& record);
+
+    lease_fold         leases_;
+    configuration_fold config_;
+    usage_fold         usage_;
+    std::uint64_t      next_offset_ = 1;
+    std::uint64_t      malformed_ = 0;
+};
+
+/// The text of a record as it stands in the log (protobuf's JSON form).
+std::string format_record(wire::log_record const& record);
+
+/// Reads the text of a record. Fails with message_failure.
+leaf::result<wire::log_record> parse_record(std::string const& text);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/standins/engine_model.cpp
@@ -0,0 +1,261 @@
+// What the engine's stand-in computes.
+//
+// Index: 1 tokens, 2 prefix_cache, 3 order_book, 4 running_set
+#include "engine_model.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+
+namespace marigoldcrank::standins
+{
+
+using nlohmann::json;
+
+// 1. Tokens
+
+std::string token_of(std::uint64_t prompt_hash, std::uint64_t index)
+{
+    static constexpr std::array        words{"well ",  "run ",   "throw ", "jump ",
+                                      "medal ", "class ", "claim ", "ferry ",
+                                      "toll ",  "rule ",  "paid ",  "line "};
+    std::array<std::uint64_t, 2> const input{prompt_hash, index};
+    return words[XXH64(input.data(), sizeof input, 0) % words.size()];
+}
+
+// 2. prefix_cache
+
+namespace
+{
+constexpr std::size_t  block_bytes = 256; // prefixes are cut at whole blocks
+constexpr std::int64_t bytes_per_token = 4;
+constexpr std::size_t  max_events = 10'000;
+
+std::string hash_text(char const* data, std::size_t size)
+{
+    return std::to_string(XXH64(data, size, 0));
+}
+} // namespace
+
+prefix_cache::prefix_cache(std::int64_t capacity, std::int64_t event_lag_ms,
+                           std::int64_t event_gap)
+    : capacity_(capacity), event_lag_ms_(event_lag_ms), event_gap_(event_gap)
+{
+}
+
+std::int64_t prefix_cache::use(std::string const& prompt, std::int64_t now_ms)
+{
+    std::lock_guard const lock(mutex_);
+    std::int64_t          hit = 0;
+    bool                  unbroken = true;
+    for (std::size_t end = block_bytes; end <= prompt.size(); end += block_bytes)
+    {
+        auto const hash = hash_text(prompt.data(), end);
+        unbroken = unbroken && by_hash_.count(hash) != 0;
+        if (unbroken)
+        {
+            hit = static_cast<std::int64_t>(end) / bytes_per_token;
+        }
+        store(hash, static_cast<std::int64_t>(block_bytes) / bytes_per_token, now_ms);
+    }
+    return hit;
+}
+
+void prefix_cache::store(std::string const& hash, std::int64_t tokens,
+                         std::int64_t now_ms)
+{
+    auto const found = by_hash_.find(hash);
+    if (found != by_hash_.end())
+    {
+        order_.splice(order_.begin(), order_, found->second);
+        return;
+    }
+    order_.push_front({hash, tokens});
+    by_hash_[hash] = order_.begin();
+    held_ += tokens;
+    publish(true, order_.front(), now_ms);
+    while (held_ > capacity_ && !order_.empty())
+    {
+        publish(false, order_.back(), now_ms);
+        held_ -= order_.back().tokens;
+        by_hash_.erase(order_.back().hash);
+        order_.pop_back();
+    }
+}
+
+void prefix_cache::publish(bool stored, entry const& which, std::int64_t now_ms)
+{
+    ++sequence_;
+    bool const lost =
+        event_gap_ > 0 && sequence_ % static_cast<std::uint64_t>(event_gap_) == 0;
+    if (!lost)
+    {
+        events_.push_back({sequence_, now_ms, stored, which.hash, which.tokens});
+    }
+    if (events_.size() > max_events)
+    {
+        events_.pop_front();
+    }
+}
+
+json prefix_cache::events(std::uint64_t from, std::int64_t now_ms)
+{
+    std::lock_guard const lock(mutex_);
+    json                  list = json::array();
+    for (auto const& value : events_)
+    {
+        if (value.sequence >= from && now_ms - value.at_ms >= event_lag_ms_)
+        {
+            list.push_back({{"sequence", value.sequence},
+                            {"kind", value.stored ? "stored" : "evicted"},
+                            {"prefix", value.hash},
+                            {"tokens", value.tokens}});
+        }
+    }
+    return list;
+}
+
+bool prefix_cache::holds(std::string const& prefix_hash)
+{
+    std::lock_guard const lock(mutex_);
+    return by_hash_.count(prefix_hash) != 0;
+}
+
+void prefix_cache::import(std::string const& prefix_hash, std::int64_t tokens,
+                          std::int64_t now_ms)
+{
+    std::lock_guard const lock(mutex_);
+    store(prefix_hash, tokens, now_ms);
+}
+
+// 3. order_book
+
+order_book::order_book(bool checks_fencing) : checks_fencing_(checks_fencing) {}
+
+int order_book::apply(json const& order, std::int64_t now_ms, std::int64_t change_ms)
+{
+    constexpr int status_ok = 200;
+    constexpr int status_malformed = 400;
+    constexpr int status_old_fence = 409;
+    if (!order.is_object() || !order.value("kind", json()).is_string() ||
+        !order.value("value", json()).is_string())
+    {
+        return status_malformed;
+    }
+    std::lock_guard const lock(mutex_);
+    auto const            fence = order.value("fence", std::uint64_t{0});
+    if (checks_fencing_ && fence < highest_fence_)
+    {
+        return status_old_fence;
+    }
+    highest_fence_ = std::max(highest_fence_, fence);
+    // An order names the state wanted, so a repeated one changes nothing.
+    if (!seen_ids_.insert(order.value("id", "")).second)
+    {
+        return status_ok;
+    }
+    auto const kind = order["kind"].get<std::string>();
+    auto const value = order["value"].get<std::string>();
+    if (kind != "role")
+    {
+        loaded_[kind] = value;
+    }
+    else if (role_ != value)
+    {
+        role_ = value;
+        changing_until_ = now_ms + change_ms;
+    }
+    return status_ok;
+}
+
+json order_book::state(std::int64_t now_ms)
+{
+    std::lock_guard const lock(mutex_);
+    return {{"role", role_},
+            {"changing", now_ms < changing_until_},
+            {"loaded", loaded_},
+            {"highest_fence", highest_fence_}};
+}
+
+std::string order_book::role()
+{
+    std::lock_guard const lock(mutex_);
+    return role_;
+}
+
+bool order_book::changing(std::int64_t now_ms)
+{
+    std::lock_guard const lock(mutex_);
+    return now_ms < changing_until_;
+}
+
+// 4. running_set
+
+running_set::running_set(std::int64_t batch) : batch_(batch) {}
+
+bool running_set::enter(std::string const& request_id, std::int64_t priority,
+                        std::int64_t prompt_tokens)
+{
+    std::unique_lock lock(mutex_);
+    auto const       place = std::pair{priority, arrivals_++};
+    waiting_.insert(place);
+    prefill_tokens_ += prompt_tokens;
+    active_.insert(request_id);
+    changed_.wait(lock,
+                  [&]
+                  {
+                      return cancelled_.count(request_id) != 0 ||
+                             (running_ < batch_ && *waiting_.begin() == place);
+                  });
+    waiting_.erase(place);
+    changed_.notify_all();
+    if (cancelled_.erase(request_id) != 0)
+    {
+        active_.erase(request_id);
+        prefill_tokens_ -= prompt_tokens;
+        return false;
+    }
+    ++running_;
+    return true;
+}
+
+void running_set::prefilled(std::int64_t prompt_tokens)
+{
+    std::lock_guard const lock(mutex_);
+    prefill_tokens_ -= prompt_tokens;
+}
+
+void running_set::leave(std::string const& request_id)
+{
+    std::lock_guard const lock(mutex_);
+    --running_;
+    active_.erase(request_id);
+    cancelled_.erase(request_id);
+    changed_.notify_all();
+}
+
+void running_set::cancel(std::string const& request_id)
+{
+    std::lock_guard const lock(mutex_);
+    if (active_.count(request_id) != 0)
+    {
+        cancelled_.insert(request_id);
+        changed_.notify_all();
+    }
+}
+
+bool running_set::cancelled(std::string const& request_id)
+{
+    std::lock_guard const lock(mutex_);
+    return cancelled_.count(request_id) != 0;
+}
+
+json running_set::load()
+{
+    std::lock_guard const lock(mutex_);
+    return {{"running", running_},
+            {"waiting", waiting_.size()},
+            {"prefill_tokens", prefill_tokens_}};
+}
+
+} // namespace marigoldcrank::standins
--- /dev/null
+++ b/standins/engine_standin.cpp
@@ -0,0 +1,346 @@
+// Stand-in for an engine: streams tokens, batches, caches prefixes, takes orders.
+//
+// Index: 1 engine, 2 streams, 3 other routes, 4 main
+//
+// Faults besides the common ones: `truncate` ends a stream early without its end marker;
+// `crossed` sends a stream under another request's id; `late` delays a stream's first
+// token; `silent` stops a stream in the middle and keeps the connection open; `crash_on`
+// (with `text` in the prompt) is the poison request, see the setting poison.
+#include "engine_model.hpp"
+#include "standin_server.hpp"
+
+#include <xxhash.h>
+
+#include <unistd.h>
+
+#include <thread>
+
+namespace
+{
+
+using namespace marigoldcrank::standins;
+using nlohmann::json;
+
+constexpr int          status_changing = 503;
+constexpr int          crash_exit = 137;
+constexpr std::int64_t bytes_per_token = 4;
+constexpr std::int64_t default_tokens = 16;
+
+// 1. Engine
+
+struct engine
+{
+    engine(engine_options const& value, standin_server& shared)
+        : options(value), server(shared),
+          cache(value.cache_tokens, value.event_lag_ms, value.event_gap),
+          orders(value.checks_fencing), running(value.batch)
+    {
+    }
+
+    engine_options  options;
+    standin_server& server;
+    std::string     poison; // a prompt with this text crashes the process
+    prefix_cache    cache;
+    order_book      orders;
+    running_set     running;
+    std::mutex      mutex;
+    json            generated = json::array(); // what was generated for whom, for audits
+    json            lagging_load = json::object();
+    std::int64_t    lagging_at = -1'000'000;
+};
+
+/// One stream, from its request's headers and body.
+struct stream_job
+{
+    std::string   request_id;
+    std::string   sender;
+    std::string   workspace;
+    std::uint64_t attempt = 1;
+    std::uint64_t resume_from = 0;
+    std::string   prompt;
+    std::uint64_t tokens = 0; // length of the whole answer
+    std::int64_t  priority = 0;
+};
+
+std::uint64_t header_number(httplib::Request const& request, char const* name,
+                            std::uint64_t otherwise)
+{
+    auto const text = request.get_header_value(name);
+    return text.empty() ? otherwise : std::strtoull(text.c_str(), nullptr, 10);
+}
+
+stream_job job_of(httplib::Request const& request, json const& body)
+{
+    stream_job job;
+    job.request_id = request.get_header_value("X-Request-Id");
+    job.sender = request.get_header_value("X-Sender");
+    job.workspace = request.get_header_value("X-Workspace");
+    job.attempt = header_number(request, "X-Attempt", 1);
+    job.resume_from = header_number(request, "X-Resume-From", 0);
+    job.priority = static_cast<std::int64_t>(header_number(request, "X-Priority", 0));
+    job.prompt =
+        body.contains("messages") ? body["messages"].dump() : body.value("prompt", "");
+    job.tokens = static_cast<std::uint64_t>(body.value("max_tokens", default_tokens));
+    return job;
+}
+
+// 2. Streams
+
+std::string event_text(stream_job const& job, std::uint64_t sequence,
+                       std::string const& token)
+{
+    return "data: " +
+           json{{"request_id", job.request_id},
+                {"attempt", job.attempt},
+                {"sequence", sequence},
+                {"text", token}}
+               .dump() +
+           "\n\n";
+}
+
+std::string end_text(stream_job const& job, std::int64_t prompt_tokens)
+{
+    return "data: " +
+           json{{"request_id", job.request_id},   {"attempt", job.attempt},
+                {"sequence", job.tokens},         {"last", true},
+                {"prompt_tokens", prompt_tokens}, {"output_tokens", job.tokens}}
+               .dump() +
+           "\n\n";
+}
+
+/// Sends the stream; returns how many tokens it generated.
+std::uint64_t send_stream(engine& self, stream_job const& job, std::int64_t prompt_tokens,
+                          httplib::DataSink& sink)
+{
+    auto const hash = XXH64(job.prompt.data(), job.prompt.size(), 0);
+    auto const slow = self.server.take_fault("slow_decode", job.sender);
+    bool const truncated = self.server.take_fault("truncate", job.sender).has_value();
+    auto const silent = self.server.take_fault("silent", job.sender);
+    auto const half = job.resume_from + (job.tokens - job.resume_from) / 2;
+    auto const factor = slow ? std::max<std::int64_t>(slow->for_ms, 1) : 1;
+    for (auto sequence = job.resume_from; sequence < job.tokens; ++sequence)
+    {
+        if (self.running.cancelled(job.request_id) || (truncated && sequence == half))
+        {
+            return sequence - job.resume_from;
+        }
+        if (silent && sequence == half)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(silent->for_ms));
+            return sequence - job.resume_from;
+        }
+        if (self.server.take_fault("crash_stream", job.sender))
+        {
+            _exit(crash_exit);
+        }
+        std::this_thread::sleep_for(
+            std::chrono::microseconds(self.options.decode_us * factor));
+        auto const text = event_text(job, sequence, token_of(hash, sequence));
+        if (!sink.write(text.data(), text.size()))
+        {
+            return sequence + 1 - job.resume_from;
+        }
+    }
+    auto const text = end_text(job, prompt_tokens);
+    sink.write(text.data(), text.size());
+    return job.tokens - job.resume_from;
+}
+
+void run_job(engine& self, stream_job job, httplib::DataSink& sink)
+{
+    auto const prompt_tokens =
+        static_cast<std::int64_t>(job.prompt.size()) / bytes_per_token;
+    if (!self.running.enter(job.request_id, job.priority, prompt_tokens))
+    {
+        return;
+    }
+    auto const request_id = job.request_id;
+    auto const computed =
+        prompt_tokens - self.cache.use(job.prompt, self.server.elapsed_ms());
+    if (auto const late = self.server.take_fault("late", job.sender))
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(late->for_ms));
+    }
+    if (self.server.take_fault("crossed", job.sender))
+    {
+        job.request_id = "other-request";
+    }
+    std::this_thread::sleep_for(
+        std::chrono::microseconds(computed * 1'000'000 / self.options.prefill_per_s));
+    self.running.prefilled(prompt_tokens);
+    auto const count = send_stream(self, job, prompt_tokens, sink);
+    self.running.leave(request_id);
+    std::lock_guard const lock(self.mutex);
+    self.generated.push_back({{"request_id", request_id},
+                              {"workspace", job.workspace},
+                              {"attempt", job.attempt},
+                              {"resume_from", job.resume_from},
+                              {"prompt_tokens", prompt_tokens},
+                              {"output_tokens", count}});
+}
+
+void add_streams(engine& self)
+{
+    auto generate = [&](httplib::Request const& request, httplib::Response& response)
+    {
+        auto const body = json::parse(request.body, nullptr, false);
+        if (!body.is_object())
+        {
+            write_json(response, {{"error", "malformed"}}, 400);
+            return;
+        }
+        auto const job = job_of(request, body);
+        if (!self.poison.empty() && job.prompt.find(self.poison) != std::string::npos)
+        {
+            _exit(crash_exit);
+        }
+        if (self.orders.changing(self.server.elapsed_ms()))
+        {
+            write_json(response, {{"error", "changing role"}}, status_changing);
+            return;
+        }
+        response.set_chunked_content_provider(
+            "text/event-stream",
+            [&self, job](std::size_t, httplib::DataSink& sink)
+            {
+                run_job(self, job, sink);
+                sink.done();
+                return true;
+            });
+    };
+    self.server.route("POST", "/v1/chat/completions", "generate", generate);
+    self.server.route("POST", "/v1/completions", "generate", generate);
+}
+
+// 3. Other routes
+
+json lagging_load(engine& self)
+{
+    std::lock_guard const lock(self.mutex);
+    auto const            now = self.server.elapsed_ms();
+    if (now - self.lagging_at >= self.options.load_lag_ms)
+    {
+        self.lagging_load = self.running.load();
+        self.lagging_load["role"] = self.orders.role();
+        self.lagging_at = now;
+    }
+    auto answer = self.lagging_load;
+    answer["lag_ms"] = now - self.lagging_at;
+    return answer;
+}
+
+void add_state_routes(engine& self)
+{
+    self.server.route("GET", "/load", "",
+                      [&](auto const&, auto& response)
+                      { write_json(response, lagging_load(self)); });
+    self.server.route(
+        "GET", "/state", "",
+        [&](auto const&, auto& response)
+        { write_json(response, self.orders.state(self.server.elapsed_ms())); });
+    self.server.route(
+        "GET", "/events", "",
+        [&](auto const& request, auto& response)
+        {
+            auto const from =
+                request.has_param("from") ? request.get_param_value("from") : "0";
+            write_json(response,
+                       self.cache.events(std::strtoull(from.c_str(), nullptr, 10),
+                                         self.server.elapsed_ms()));
+        });
+    self.server.server().Get("/control/generated",
+                             [&](auto const&, auto& response)
+                             {
+                                 std::lock_guard const lock(self.mutex);
+                                 write_json(response, self.generated);
+                             });
+}
+
+void add_order_routes(engine& self)
+{
+    self.server.route("POST", "/orders", "order",
+                      [&](auto const& request, auto& response)
+                      {
+                          auto const order = json::parse(request.body, nullptr, false);
+                          auto const now = self.server.elapsed_ms();
+                          auto const status =
+                              self.orders.apply(order, now, self.options.role_change_ms);
+                          write_json(response, self.orders.state(now), status);
+                      });
+    self.server.route("POST", "/cancel", "cancel",
+                      [&](auto const& request, auto& response)
+                      {
+                          auto const body = json::parse(request.body, nullptr, false);
+                          self.running.cancel(
+                              body.is_object() ? body.value("request_id", "") : "");
+                          write_json(response, json::object());
+                      });
+    self.server.route("GET", "/kv/export", "kv_export",
+                      [&](auto const& request, auto& response)
+                      {
+                          auto const prefix = request.get_param_value("prefix");
+                          bool const held = self.cache.holds(prefix);
+                          write_json(response, {{"prefix", prefix}}, held ? 200 : 404);
+                      });
+    self.server.route("POST", "/kv/import", "kv_import",
+                      [&](auto const& request, auto& response)
+                      {
+                          auto const body = json::parse(request.body, nullptr, false);
+                          if (!body.is_object())
+                          {
+                              write_json(response, {{"error", "malformed"}}, 400);
+                              return;
+                          }
+                          self.cache.import(body.value("prefix", ""),
+                                            body.value("tokens", std::int64_t{0}),
+                                            self.server.elapsed_ms());
+                          write_json(response, json::object());
+                      });
+}
+
+engine_options options_of(standin_settings const& settings)
+{
+    engine_options options;
+    options.prefill_per_s = number_of(settings, "prefill_per_s");
+    options.decode_us = number_of(settings, "decode_us");
+    options.batch = number_of(settings, "batch");
+    options.cache_tokens = number_of(settings, "cache_tokens");
+    options.load_lag_ms = number_of(settings, "load_lag_ms");
+    options.event_lag_ms = number_of(settings, "event_lag_ms");
+    options.event_gap = number_of(settings, "event_gap");
+    options.role_change_ms = number_of(settings, "role_change_ms");
+    options.checks_fencing = settings.at("checks_fencing") == "yes";
+    return options;
+}
+
+} // namespace
+
+// 4. main
+
+int main(int argc, char** argv)
+{
+    auto const     settings = parse_command_line(argc, argv,
+                                                 {{"name", "engine"},
+                                                  {"host", "127.0.0.1"},
+                                                  {"port", "9100"},
+                                                  {"threads", "256"},
+                                                  {"prefill_per_s", "20000"},
+                                                  {"decode_us", "2000"},
+                                                  {"batch", "64"},
+                                                  {"cache_tokens", "200000"},
+                                                  {"load_lag_ms", "100"},
+                                                  {"event_lag_ms", "300"},
+                                                  {"event_gap", "0"},
+                                                  {"role_change_ms", "2000"},
+                                                  {"checks_fencing", "yes"},
+                                                  {"poison", ""}},
+                                                 "Stand-in for an engine.");
+    standin_server server(settings.at("name"),
+                          static_cast<std::size_t>(number_of(settings, "threads")));
+    engine         self(options_of(settings), server);
+    self.poison = settings.at("poison");
+    add_streams(self);
+    add_state_routes(self);
+    add_order_routes(self);
+    return server.run(settings.at("host"), static_cast<int>(number_of(settings, "port")));
+}
--- /dev/null
+++ b/standins/platform_standin.cpp
@@ -0,0 +1,290 @@
+// Stand-in for the platform: log, VM orders, VM list, usage reports, weight store.
+//
+// Index: 1 log, 2 VM list and orders, 3 usage reports, 4 weight store, 5 main
+//
+// Faults besides the common ones: `late` makes an append take effect for_ms after its
+// answer was lost; `from` limits any fault to one sender, which cuts that sender off.
+#include "standin_server.hpp"
+
+#include <condition_variable>
+#include <thread>
+
+namespace
+{
+
+using namespace marigoldcrank::standins;
+using nlohmann::json;
+
+constexpr int status_gone = 410;
+constexpr int status_too_many = 429;
+
+std::int64_t parameter(httplib::Request const& request, char const* name,
+                       std::int64_t otherwise)
+{
+    return request.has_param(name)
+               ? std::strtoll(request.get_param_value(name).c_str(), nullptr, 10)
+               : otherwise;
+}
+
+// 1. Log
+
+/// Append-only records with offsets from 1; the oldest expire beyond `retain`.
+class log_records
+{
+public:
+    explicit log_records(std::size_t retain) : retain_(retain) {}
+
+    std::uint64_t append(std::string text)
+    {
+        std::lock_guard const lock(mutex_);
+        records_.push_back(std::move(text));
+        while (records_.size() > retain_)
+        {
+            records_.erase(records_.begin());
+            ++first_;
+        }
+        changed_.notify_all();
+        return first_ + records_.size() - 1;
+    }
+
+    json read(std::uint64_t from, std::int64_t wait_ms, int& status)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+                          [&] { return from < first_ + records_.size(); });
+        if (from < first_)
+        {
+            status = status_gone;
+            return {{"first_retained", first_}};
+        }
+        json       records = json::array();
+        auto const begin = static_cast<std::size_t>(from - first_);
+        for (auto index = begin; index < records_.size() && records.size() < max_page;
+             ++index)
+        {
+            records.push_back(records_[index]);
+        }
+        return {{"first_retained", first_}, {"first", from}, {"records", records}};
+    }
+
+    /// Lets records below `offset` expire.
+    void expire(std::uint64_t offset)
+    {
+        std::lock_guard const lock(mutex_);
+        while (first_ < offset && !records_.empty())
+        {
+            records_.erase(records_.begin());
+            ++first_;
+        }
+    }
+
+private:
+    static constexpr std::size_t max_page = 500;
+
+    std::size_t              retain_;
+    std::mutex               mutex_;
+    std::condition_variable  changed_;
+    std::vector<std::string> records_;
+    std::uint64_t            first_ = 1;
+};
+
+void add_log(standin_server& server, log_records& log)
+{
+    server.route("POST", "/log/append", "append",
+                 [&](auto const& request, auto& response)
+                 {
+                     auto const sender = request.get_header_value("X-Sender");
+                     if (auto const late = server.take_fault("late", sender))
+                     {
+                         std::thread(
+                             [&log, text = request.body, wait = late->for_ms]
+                             {
+                                 std::this_thread::sleep_for(
+                                     std::chrono::milliseconds(wait));
+                                 log.append(text);
+                             })
+                             .detach();
+                         drop_answer(response);
+                         return;
+                     }
+                     write_json(response, {{"offset", log.append(request.body)}});
+                 });
+    server.route("GET", "/log/read", "",
+                 [&](auto const& request, auto& response)
+                 {
+                     int        status = 200;
+                     auto const body = log.read(
+                         static_cast<std::uint64_t>(parameter(request, "from", 1)),
+                         parameter(request, "wait_ms", 0), status);
+                     write_json(response, body, status);
+                 });
+    server.server().Post(
+        "/control/expire",
+        [&](auto const& request, auto& response)
+        {
+            log.expire(static_cast<std::uint64_t>(parameter(request, "below", 1)));
+            write_json(response, json::object());
+        });
+}
+
+// 2. VM list and orders
+
+/// The list as callers see it lags behind the truth by lag_ms.
+class vm_list
+{
+public:
+    explicit vm_list(std::int64_t lag_ms) : lag_(lag_ms) {}
+
+    void replace(json machines)
+    {
+        std::lock_guard const lock(mutex_);
+        machines_ = std::move(machines);
+        changed_at_ = std::chrono::steady_clock::now();
+    }
+
+    json seen()
+    {
+        std::lock_guard const lock(mutex_);
+        if (std::chrono::steady_clock::now() - changed_at_ >= lag_)
+        {
+            seen_ = machines_;
+        }
+        return seen_;
+    }
+
+    json truth()
+    {
+        std::lock_guard const lock(mutex_);
+        return machines_;
+    }
+
+    /// Orders are not idempotent: two orders buy two machines.
+    std::string buy(json const& order)
+    {
+        std::lock_guard const lock(mutex_);
+        auto const            id = "vm-" + std::to_string(++bought_);
+        machines_.push_back({{"id", id},
+                             {"order_id", order.value("order_id", "")},
+                             {"group", order.value("group", "")},
+                             {"data_centre", order.value("data_centre", "")},
+                             {"cheap", order.value("cheap", false)},
+                             {"state", "starting"}});
+        changed_at_ = std::chrono::steady_clock::now();
+        return id;
+    }
+
+    bool dismiss(std::string const& id)
+    {
+        std::lock_guard const lock(mutex_);
+        for (auto& machine : machines_)
+        {
+            if (machine.value("id", "") == id)
+            {
+                machine["state"] = "leaving";
+                changed_at_ = std::chrono::steady_clock::now();
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    std::chrono::milliseconds             lag_;
+    std::mutex                            mutex_;
+    json                                  machines_ = json::array();
+    json                                  seen_ = json::array();
+    int                                   bought_ = 0;
+    std::chrono::steady_clock::time_point changed_at_{};
+};
+
+void add_vms(standin_server& server, vm_list& machines)
+{
+    server.route("GET", "/vms", "",
+                 [&](auto const&, auto& response)
+                 { write_json(response, machines.seen()); });
+    server.route("POST", "/vms/order", "vm_order",
+                 [&](auto const& request, auto& response)
+                 {
+                     auto const order = json::parse(request.body, nullptr, false);
+                     if (!order.is_object())
+                     {
+                         write_json(response, {{"error", "malformed"}}, 400);
+                         return;
+                     }
+                     if (order.value("kind", "buy") == "dismiss")
+                     {
+                         bool const known = machines.dismiss(order.value("id", ""));
+                         write_json(response, {{"dismissed", known}}, known ? 200 : 404);
+                         return;
+                     }
+                     write_json(response, {{"id", machines.buy(order)}});
+                 });
+    server.server().Post("/control/vms",
+                         [&](auto const& request, auto& response)
+                         {
+                             machines.replace(json::parse(request.body, nullptr, false));
+                             write_json(response, json::object());
+                         });
+    server.server().Get("/control/vms", [&](auto const&, auto& response)
+                        { write_json(response, machines.truth()); });
+}
+
+// 3. Usage reports
+
+void add_usage(standin_server& server)
+{
+    server.route("POST", "/usage/([0-9]+)", "usage",
+                 [](auto const&, auto& response) {
+                     write_json(response, {{"received", true}});
+                 });
+}
+
+// 4. Weight store
+
+/// Answers at most `per_second` fetches a second.
+void add_weights(standin_server& server, std::int64_t per_second)
+{
+    auto second = std::make_shared<std::int64_t>(0);
+    auto used = std::make_shared<std::int64_t>(0);
+    auto mutex = std::make_shared<std::mutex>();
+    server.route("GET", "/weights/([^/]+)", "weights",
+                 [=, &server](auto const& request, auto& response)
+                 {
+                     std::lock_guard const lock(*mutex);
+                     auto const            now = server.elapsed_ms() / 1000;
+                     *used = now == *second ? *used + 1 : 1;
+                     *second = now;
+                     if (*used > per_second)
+                     {
+                         write_json(response, {{"error", "rate"}}, status_too_many);
+                         return;
+                     }
+                     write_json(response, {{"weights", request.matches[1].str()}});
+                 });
+}
+
+} // namespace
+
+// 5. main
+
+int main(int argc, char** argv)
+{
+    auto const     settings = parse_command_line(argc, argv,
+                                                 {{"name", "platform"},
+                                                  {"host", "127.0.0.1"},
+                                                  {"port", "9000"},
+                                                  {"threads", "128"},
+                                                  {"retain_records", "1000000"},
+                                                  {"list_lag_ms", "0"},
+                                                  {"weights_per_second", "4"}},
+                                                 "Stand-in for the platform.");
+    standin_server server(settings.at("name"),
+                          static_cast<std::size_t>(number_of(settings, "threads")));
+    log_records    log(static_cast<std::size_t>(number_of(settings, "retain_records")));
+    vm_list        machines(number_of(settings, "list_lag_ms"));
+    add_log(server, log);
+    add_vms(server, machines);
+    add_usage(server);
+    add_weights(server, number_of(settings, "weights_per_second"));
+    return server.run(settings.at("host"), static_cast<int>(number_of(settings, "port")));
+}
--- /dev/null
+++ b/standins/service_standin.cpp
@@ -0,0 +1,61 @@
+// Stand-in for a plain service, such as ordering: each call that arrives runs.
+//
+// Index: 1 calls, 2 main
+//
+// It does not know Idempotency-Key and runs a repeated call again, so that a doubled
+// order shows as two entries in /control/received with kind "call". Faults besides the
+// common ones: `silent` runs the call and then keeps the connection open without an
+// answer.
+#include "standin_server.hpp"
+
+#include <atomic>
+#include <thread>
+
+namespace
+{
+
+using namespace marigoldcrank::standins;
+
+// 1. Calls
+
+void add_calls(standin_server& server, std::atomic<std::int64_t>& runs)
+{
+    auto run = [&](httplib::Request const& request, httplib::Response& response)
+    {
+        auto const number = ++runs;
+        if (auto const silent =
+                server.take_fault("silent", request.get_header_value("X-Sender")))
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(silent->for_ms));
+        }
+        write_json(response,
+                   {{"run", number}, {"path", request.path}, {"echo", request.body}});
+    };
+    server.route("GET", "/(?!control|load).*", "call", run);
+    server.route("POST", "/(?!control|cancel).*", "call", run);
+    server.route("PUT", "/.*", "call", run);
+    server.route("DELETE", "/.*", "call", run);
+}
+
+} // namespace
+
+// 2. main
+
+int main(int argc, char** argv)
+{
+    auto const                settings = parse_command_line(argc, argv,
+                                                            {{"name", "service"},
+                                                             {"host", "127.0.0.1"},
+                                                             {"port", "9200"},
+                                                             {"threads", "128"}},
+                                                            "Stand-in for a plain service.");
+    standin_server            server(settings.at("name"),
+                                     static_cast<std::size_t>(number_of(settings, "threads")));
+    std::atomic<std::int64_t> runs{0};
+    server.route("GET", "/load", "",
+                 [](auto const&, auto& response) {
+                     write_json(response, {{"running", 0}, {"waiting", 0}});
+                 });
+    add_calls(server, runs);
+    return server.run(settings.at("host"), static_cast<int>(number_of(settings, "port")));
+}
--- /dev/null
+++ b/tests/support/node_process.hpp
@@ -0,0 +1,144 @@
+// Processes for tests: daemons and stand-ins on loopback ports that no other test uses.
+//
+// Index: 1 port_block, 2 child_process, 3 fleet_options, 4 fleet
+#ifndef MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
+#define MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace marigoldcrank::tests
+{
+
+/// A hundred ports below the range of outgoing connections. One of them stays bound while
+/// the object lives, so that tests which run side by side never share a block.
+class port_block
+{
+public:
+    port_block();
+    ~port_block();
+    port_block(port_block const&) = delete;
+    port_block& operator=(port_block const&) = delete;
+
+    int next();
+
+private:
+    int socket_ = -1;
+    int base_ = 0;
+    int used_ = 0;
+};
+
+/// A started program; killed when the object goes.
+class child_process
+{
+public:
+    explicit child_process(std::vector<std::string> const& command);
+    ~child_process();
+    child_process(child_process const&) = delete;
+    child_process& operator=(child_process const&) = delete;
+
+    pid_t pid() const noexcept;
+    void  signal(int number) const;
+    bool  running();
+
+    /// Waits for the end; -1 if it still runs after the timeout.
+    int wait(int timeout_ms);
+
+private:
+    pid_t pid_ = -1;
+    int   status_ = -1;
+};
+
+/// What a fleet consists of.
+struct fleet_options
+{
+    int                                nodes = 3;
+    int                                engines = 2;
+    int                                services = 1;
+    std::string                        rules;         // ""  the default rules
+    std::map<std::string, std::string> node_settings; // key to value, over short timings
+    std::map<std::string, std::string> engine_settings; // key to value
+    std::map<std::string, std::string> platform_settings;
+    bool                               apply_rules = true;
+};
+
+/// Platform, engines, services and nodes, each a process. Node i stands in data centre
+/// dc-(i mod 3 + 1), and so do engine i and service i.
+class fleet
+{
+public:
+    explicit fleet(fleet_options options = {});
+
+    int platform_port() const noexcept;
+    int node_port(int node) const;
+    int node_peer_port(int node) const;
+    int engine_port(int engine) const;
+    int service_port(int service) const;
+
+    child_process& node(int index);
+    child_process& engine(int index);
+    child_process& platform();
+
+    /// Starts or starts again; waits until it serves (not for nodes if `wait` is false).
+    void start_platform();
+    void start_node(int index, bool wait = true);
+    void start_engine(int index);
+    void start_service(int index);
+
+    /// What a stand-in was asked so far, by kind; all kinds if empty.
+    nlohmann::json received(int port, std::string const& kind = "") const;
+    void           fault(int port, nlohmann::json const& value) const;
+
+    /// Puts the list of machines as it is now into the platform.
+    void publish_machines(nlohmann::json const& changes = nlohmann::json::object()) const;
+
+    /// Sends a change through a node; the daemon's answer.
+    nlohmann::json apply(int node, std::string const& rules, std::uint64_t base_revision,
+                         std::string const& change_id) const;
+    nlohmann::json admin(int node, std::string const& path) const;
+    nlohmann::json admin_post(int node, std::string const& path,
+                              nlohmann::json const& body) const;
+
+    /// Bearer key of workspace `north` or `south` in the default rules.
+    std::string key(std::string const& workspace) const;
+
+    std::string const& rules() const noexcept;
+    std::string const& operator_key() const noexcept;
+
+    /// Settings file text of one node; start_node writes and uses it.
+    std::map<std::string, std::string>& node_settings(int index);
+
+private:
+    void write_node_settings(int index) const;
+
+    fleet_options                                   options_;
+    port_block                                      ports_;
+    std::string                                     directory_;
+    std::string                                     rules_;
+    std::string                                     operator_key_;
+    std::string                                     operator_setting_;
+    std::map<std::string, std::string>              keys_;
+    int                                             platform_port_ = 0;
+    std::vector<int>                                node_ports_;
+    std::vector<int>                                peer_ports_;
+    std::vector<int>                                engine_ports_;
+    std::vector<int>                                service_ports_;
+    std::vector<std::map<std::string, std::string>> node_settings_;
+    std::unique_ptr<child_process>                  platform_;
+    std::vector<std::unique_ptr<child_process>>     nodes_;
+    std::vector<std::unique_ptr<child_process>>     engines_;
+    std::vector<std::unique_ptr<child_process>>     services_;
+};
+
+/// Polls until `condition` holds; false after the timeout, which only bounds a failure.
+bool eventually(std::function<bool()> const& condition, int timeout_ms = 20000);
+
+} // namespace marigoldcrank::tests
+
+#endif
