--- a/apps/operator_client.cpp
+++ b/apps/operator_client.cpp
@@ -52,7 +52,7 @@
 {
     for (std::size_t index = 0; index + 1 < options_.nodes.size(); ++index)
     {
-        auto const answer = leaf::try_handle_all(
+        auto answer = leaf::try_handle_all(
             [&] { return ask(options_.nodes[index], method, path, body); },
             [] { return nlohmann::json(); });
         if (!answer.is_null())
--- a/src/app/answer_stream.hpp
+++ b/src/app/answer_stream.hpp
@@ -54,11 +54,11 @@
     }
 
     /// Producer: nothing may be pushed afterwards.
-    void finish(answer_end end)
+    void finish(answer_end const& end)
     {
         {
             std::lock_guard const lock(mutex_);
-            waiting_.end = std::move(end);
+            waiting_.end = end;
         }
         changed_.notify_one();
     }
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -162,7 +162,7 @@
     std::string buy(json const& order)
     {
         std::lock_guard const lock(mutex_);
-        auto const            id = "vm-" + std::to_string(++bought_);
+        auto                  id = "vm-" + std::to_string(++bought_);
         machines_.push_back({{"id", id},
                              {"order_id", order.value("order_id", "")},
                              {"group", order.value("group", "")},
--- a/standins/standin_server.cpp
+++ b/standins/standin_server.cpp
@@ -331,8 +331,9 @@
 }
 } // namespace
 
-standin_settings parse_command_line(int argc, char** argv, standin_settings defaults,
-                                    std::string const& description)
+standin_settings parse_command_line(int argc, char** argv,
+                                    standin_settings const& defaults,
+                                    std::string const&      description)
 {
     static option const options[] = {{"settings", required_argument, nullptr, 's'},
                                      {"set", required_argument, nullptr, 'k'},
--- a/standins/standin_server.hpp
+++ b/standins/standin_server.hpp
@@ -86,8 +86,9 @@
 
 /// Reads --settings FILE ([standin] key = value), --set key=value and --help. Exits the
 /// process with 0 after --help and with 2 on a wrong command line.
-standin_settings parse_command_line(int argc, char** argv, standin_settings defaults,
-                                    std::string const& description);
+standin_settings parse_command_line(int argc, char** argv,
+                                    standin_settings const& defaults,
+                                    std::string const&      description);
 
 std::int64_t number_of(standin_settings const& settings, std::string const& key);
 
