--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -192,16 +192,23 @@
 
 // 4. main
 
-int main()
+/// Usage: bench_entry [latency | throughput]; both without an argument.
+int main(int argc, char** argv)
 {
+    std::string const    part = argc > 1 ? argv[1] : "";
     tests::fleet_options options;
     options.nodes = 1;
     options.engines = 2;
     options.node_settings = {{"http_threads", "400"}, {"load_every_ms", "200"}};
-    options.engine_settings = {
-        {"decode_us", "10000"}, {"batch", "400"}, {"threads", "400"}};
+    options.engine_settings = {{"decode_us", "10000"}, {"batch", "400"}, {"threads", "400"}};
     fleet system(options);
-    measure_latency(system);
-    measure_throughput(system);
+    if(part != "throughput")
+    {
+        measure_latency(system);
+    }
+    if(part != "latency")
+    {
+        measure_throughput(system);
+    }
     return 0;
 }
