Order fold, order socket with its timer, orders as values

The order socket sends one order over a connection of its own in one segment. Test over processes: a holder stopped between check and send past its lease, 20 times an engine that checks fencing and 20 times one that ignores it, with the successor's order in between: 0 orders arrive.

--- /dev/null
+++ b/src/adapters/order_socket.cpp
@@ -0,0 +1,252 @@
+// Sends one order over a connection of its own.
+//
+// Index: 1 socket, 2 answer, 3 order_socket
+#include "adapters/order_socket.hpp"
+
+#include "adapters/lease_timer.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+// 1. Socket
+
+constexpr std::size_t largest_request = 1200; // fits one segment on any usual network
+constexpr std::size_t largest_answer = 65'536;
+
+/// Closes with a reset unless the exchange came to its end: a normal close would leave
+/// unsent bytes to the kernel, which sends them when it can.
+class socket_handle
+{
+public:
+    socket_handle()
+        : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+    {
+        int const    on = 1;
+        linger const reset{1, 0};
+        setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
+    ~socket_handle()
+    {
+        ::close(fd_);
+    }
+
+    socket_handle(socket_handle const&) = delete;
+    socket_handle& operator=(socket_handle const&) = delete;
+
+    int fd() const noexcept
+    {
+        return fd_;
+    }
+
+    void close_normally() const
+    {
+        linger const normal{0, 0};
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &normal, sizeof normal);
+    }
+
+private:
+    int fd_;
+};
+
+std::int64_t left_ms(boot_clock::time_point end)
+{
+    return std::chrono::duration_cast<millis>(end - boot_clock::now()).count();
+}
+
+/// Waits for the events until `end`; a signal (the timer's) only makes it look again.
+bool wait_for_events(int socket, short events, boot_clock::time_point end)
+{
+    while (true)
+    {
+        auto const left = left_ms(end);
+        if (left <= 0)
+        {
+            return false;
+        }
+        pollfd     entry{socket, events, 0};
+        auto const ready = ::poll(&entry, 1, static_cast<int>(left));
+        if (ready > 0)
+        {
+            return true;
+        }
+        if (ready < 0 && errno != EINTR)
+        {
+            return false;
+        }
+    }
+}
+
+bool limit_retransmission(int socket, boot_clock::time_point valid_until)
+{
+    auto const left = left_ms(valid_until);
+    if (left <= 0)
+    {
+        return false;
+    }
+    auto const limit = static_cast<unsigned int>(left);
+    return setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit) == 0;
+}
+
+bool connect_until(int socket, order_message const& message, boot_clock::time_point end)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(message.port));
+    if (inet_pton(AF_INET, message.host.c_str(), &address.sin_addr) != 1)
+    {
+        return false;
+    }
+    if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+    {
+        return true;
+    }
+    if (errno != EINPROGRESS && errno != EINTR)
+    {
+        return false;
+    }
+    int       error = 0;
+    socklen_t size = sizeof error;
+    return wait_for_events(socket, POLLOUT, end) &&
+           getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+// 2. Answer
+
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return text;
+}
+
+template <class Number>
+Number number_at(std::string const& text, std::size_t at)
+{
+    Number value = 0;
+    std::from_chars(text.data() + at, text.data() + text.size(), value);
+    return value;
+}
+
+/// The answer, once it is whole: status line, Content-Length, body.
+std::optional<order_answer> parse_answer(std::string const& text)
+{
+    constexpr std::size_t status_at = 9; // after "HTTP/1.1 "
+    std::string const     length_name = "content-length: ";
+    auto const            end = text.find("\r\n\r\n");
+    if (end == std::string::npos || text.rfind("HTTP/1.", 0) != 0)
+    {
+        return std::nullopt;
+    }
+    auto const headers = lower_case(text.substr(0, end));
+    auto const place = headers.find(length_name);
+    auto const body = text.substr(end + 4);
+    if (place == std::string::npos ||
+        body.size() < number_at<std::size_t>(headers, place + length_name.size()))
+    {
+        return std::nullopt;
+    }
+    return order_answer{number_at<int>(text, status_at), body};
+}
+
+leaf::result<order_answer> read_answer(int socket, std::string const& peer,
+                                       boot_clock::time_point end)
+{
+    std::string             text;
+    std::array<char, 4'096> buffer{};
+    while (text.size() < largest_answer && wait_for_events(socket, POLLIN, end))
+    {
+        auto const count = ::recv(socket, buffer.data(), buffer.size(), 0);
+        if (count < 0 && (errno == EINTR || errno == EAGAIN))
+        {
+            continue;
+        }
+        if (count <= 0)
+        {
+            return leaf::new_error(
+                transport_failure{transport_fault::answer_lost, peer, 0});
+        }
+        text.append(buffer.data(), static_cast<std::size_t>(count));
+        if (auto answer = parse_answer(text))
+        {
+            return *answer;
+        }
+    }
+    return leaf::new_error(transport_failure{transport_fault::silent, peer, 0});
+}
+
+} // namespace
+
+// 3. order_socket
+
+order_socket::order_socket(millis timeout, std::string sender, checkpoint before_send)
+    : timeout_(timeout), sender_(std::move(sender)), before_send_(std::move(before_send))
+{
+}
+
+std::string order_socket::request_text(order_message const& message) const
+{
+    return "POST " + message.path + " HTTP/1.1\r\nHost: " + message.host + ":" +
+           std::to_string(message.port) +
+           "\r\nConnection: close\r\nContent-Type: application/json\r\nX-Sender: " +
+           sender_ + "\r\nX-Fence: " + std::to_string(message.fence) +
+           "\r\nX-Request-Id: " + message.order_id +
+           "\r\nContent-Length: " + std::to_string(message.body.size()) + "\r\n\r\n" +
+           message.body;
+}
+
+leaf::result<order_answer> order_socket::send(order_message const&   message,
+                                              boot_clock::time_point valid_until) const
+{
+    auto const          peer = message.host + ":" + std::to_string(message.port);
+    auto const          text = request_text(message);
+    auto const          end = std::min(valid_until, boot_clock::now() + timeout_);
+    socket_handle const socket;
+    lease_timer const   guard(socket.fd(), valid_until);
+    bool const          ready = text.size() <= largest_request && guard.armed() &&
+                       limit_retransmission(socket.fd(), valid_until) &&
+                       connect_until(socket.fd(), message, end) &&
+                       limit_retransmission(socket.fd(), valid_until);
+    if (!ready || boot_clock::now() >= valid_until)
+    {
+        return leaf::new_error(
+            transport_failure{transport_fault::not_connected, peer, 0});
+    }
+    before_send_();
+    auto const sent = ::send(socket.fd(), text.data(), text.size(), MSG_NOSIGNAL);
+    if (sent < 0)
+    {
+        // Nothing was taken by the kernel: the lease is over, or the other side is gone.
+        return leaf::new_error(
+            transport_failure{transport_fault::not_connected, peer, 0});
+    }
+    if (sent != static_cast<ssize_t>(text.size()))
+    {
+        return leaf::new_error(transport_failure{transport_fault::answer_lost, peer, 0});
+    }
+    auto answer = read_answer(socket.fd(), peer, end);
+    if (answer)
+    {
+        socket.close_normally();
+    }
+    return answer;
+}
+
+} // namespace marigoldcrank
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -45,6 +45,16 @@
         // the current one in the fold, whatever it believes itself.
         return leases_.holds("reporter", record.seal().holder(), record.seal().epoch()) &&
                usage_.apply(offset, record.seal());
+    case wire::log_record::kIntent:
+        // An intent of an epoch that is over must not open an order: its sender may be a
+        // paused holder that has not yet seen its successor.
+        return leases_.holds(record.intent().duty(), record.intent().holder(),
+                             record.intent().epoch()) &&
+               orders_.apply(offset, record.intent());
+    case wire::log_record::kOutcome:
+        return leases_.holds(record.outcome().duty(), record.outcome().holder(),
+                             record.outcome().epoch()) &&
+               orders_.apply(record.outcome());
     default:
         return false;
     }
@@ -70,6 +80,11 @@
     return usage_;
 }
 
+order_fold const& ledger::orders() const noexcept
+{
+    return orders_;
+}
+
 std::uint64_t ledger::next_offset() const noexcept
 {
     return next_offset_;
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -7,6 +7,7 @@
 #include "domain/failure.hpp"
 #include "ledger/configuration_fold.hpp"
 #include "ledger/lease_fold.hpp"
+#include "ledger/order_fold.hpp"
 #include "ledger/usage_fold.hpp"
 
 #include <cstdint>
@@ -43,6 +44,7 @@
     configuration_fold const& config() const noexcept;
     configuration_fold&       config() noexcept; // peers' snapshots and withdrawals
     usage_fold const&         usage() const noexcept;
+    order_fold const&         orders() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -54,6 +56,7 @@
     lease_fold         leases_;
     configuration_fold config_;
     usage_fold         usage_;
+    order_fold         orders_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
 };
--- /dev/null
+++ b/src/ledger/order_fold.cpp
@@ -0,0 +1,69 @@
+// Fold of orders.
+#include "ledger/order_fold.hpp"
+
+#include "wire.pb.h"
+
+namespace marigoldcrank
+{
+
+char const* name_of(order_end end) noexcept
+{
+    return end == order_end::done ? "done" : "abandoned";
+}
+
+bool order_fold::apply(std::uint64_t offset, wire::order_intent const& intent)
+{
+    // Without this a duty could order what another duty answers for, under a fencing
+    // number that the other's engines can't compare with their own.
+    bool const own_target = intent.target().rfind(intent.duty() + "/", 0) == 0;
+    if (!own_target || intent.order_id().empty() || open_.count(intent.target()) != 0 ||
+        known_ids_.count(intent.order_id()) != 0)
+    {
+        return false;
+    }
+    open_[intent.target()] = {
+        intent.order_id(), intent.duty(),  intent.target(), intent.wanted(),
+        intent.holder(),   intent.epoch(), offset};
+    known_ids_.insert(intent.order_id());
+    id_order_.push_back(intent.order_id());
+    if (id_order_.size() > remembered_ids)
+    {
+        known_ids_.erase(id_order_.front());
+        id_order_.pop_front();
+    }
+    return true;
+}
+
+bool order_fold::apply(wire::order_outcome const& outcome)
+{
+    for (auto at = open_.begin(); at != open_.end(); ++at)
+    {
+        if (at->second.order_id == outcome.order_id() &&
+            at->second.duty == outcome.duty())
+        {
+            open_.erase(at);
+            return true;
+        }
+    }
+    return false;
+}
+
+std::map<std::string, open_order> const& order_fold::open() const noexcept
+{
+    return open_;
+}
+
+std::vector<open_order> order_fold::open_of(std::string const& duty) const
+{
+    std::vector<open_order> result;
+    for (auto const& [target, order] : open_)
+    {
+        if (order.duty == duty)
+        {
+            result.push_back(order);
+        }
+    }
+    return result;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/ports/order_port.hpp
@@ -0,0 +1,60 @@
+// What the duties need to give orders and to read the truth about them, as concepts.
+//
+// Index: 1 order_message, 2 order_answer, 3 order_port, 4 engine_state_port
+#ifndef MARIGOLDCRANK_PORTS_ORDER_PORT_HPP
+#define MARIGOLDCRANK_PORTS_ORDER_PORT_HPP
+
+#include "domain/boot_clock.hpp"
+#include "domain/failure.hpp"
+#include "domain/order.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// One order on its way to an engine or to the platform.
+struct order_message
+{
+    std::string   host; // IP number
+    int           port = 0;
+    std::string   path;
+    std::string   body; // JSON
+    std::string   order_id;
+    std::uint64_t fence = 0; // epoch of the sender's lease
+};
+
+struct order_answer
+{
+    int         status = 0;
+    std::string body;
+
+    bool operator==(order_answer const&) const = default;
+};
+
+/// Sends one order under a lease. No byte of it leaves this process, nor its kernel,
+/// after `valid_until`. Fails with transport_failure; not_connected means that the other
+/// side got nothing, any other fault that it may have got the order.
+template <class Orders>
+concept order_port = requires(Orders& orders, order_message const& message,
+                              boot_clock::time_point valid_until)
+{
+    {
+        orders.send(message, valid_until)
+        } -> std::same_as<leaf::result<order_answer>>;
+};
+
+/// Reads an engine's own state. Fails with transport_failure or message_failure.
+template <class Engines>
+concept engine_state_port = requires(Engines& engines, backend_server const& server)
+{
+    {
+        engines.state(server)
+        } -> std::same_as<leaf::result<engine_state>>;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/tests/failure/orders_socket_test.cpp
@@ -0,0 +1,136 @@
+// One order under a lease that ends while its sender is stopped, over processes.
+#include "adapters/order_socket.hpp"
+#include "support/node_process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int nothing_sent = 3;
+
+bool stopped(child_process const& process)
+{
+    std::ifstream file("/proc/" + std::to_string(process.pid()) + "/stat");
+    std::string   text;
+    std::getline(file, text);
+    auto const end = text.rfind(')');
+    return end != std::string::npos && text.substr(end + 2, 1) == "T";
+}
+
+fleet_options one_engine(bool checks_fencing)
+{
+    return {.nodes = 0,
+            .engines = 1,
+            .services = 0,
+            .engine_settings = {{"checks_fencing", checks_fencing ? "yes" : "no"}},
+            .apply_rules = false};
+}
+
+std::vector<std::string> sender(int port, int lease_ms, int number)
+{
+    return {std::string{MARIGOLDCRANK_BINARIES} + "/tests/stopped_sender",
+            std::to_string(port), std::to_string(lease_ms),
+            "order-" + std::to_string(number), std::to_string(number)};
+}
+
+/// The successor's order, sent by this process under a fencing number of its own.
+void order_as_successor(int port, int fence)
+{
+    order_socket const socket(millis{5000}, "successor");
+    auto const         id = "successor-" + std::to_string(fence);
+    auto const         sent = leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(
+                        socket.send({"127.0.0.1", port, "/orders",
+                             "{\"id\":\"" + id + "\",\"fence\":" + std::to_string(fence) +
+                                 ",\"kind\":\"role\",\"value\":\"decode\"}",
+                             id, static_cast<std::uint64_t>(fence)},
+                                    boot_clock::now() + millis{5000}));
+            return true;
+        },
+        [] { return false; });
+    EXPECT_TRUE(sent);
+}
+
+/// Story: the holder checks its lease, is paused for longer than the lease, and wakes up
+/// when a successor is in office and has ordered the same engine to another role. Its
+/// order goes out at its next instruction; an engine that ignores fencing obeys it.
+void expect_no_order_from_a_paused_holder(bool checks_fencing)
+{
+    constexpr int lease_ms = 100;
+    fleet         system(one_engine(checks_fencing));
+    auto const    port = system.engine_port(0);
+    for (int round = 1; round <= 20; ++round)
+    {
+        child_process holder(sender(port, lease_ms, round));
+        ASSERT_TRUE(eventually([&] { return stopped(holder); }));
+        std::this_thread::sleep_for(millis{lease_ms + 20});
+        order_as_successor(port, 100 + round);
+        holder.signal(SIGCONT);
+        EXPECT_EQ(holder.wait(10'000), nothing_sent);
+    }
+    for (auto const& order : system.received(port, "order"))
+    {
+        EXPECT_EQ(order["from"], "successor");
+    }
+    EXPECT_EQ(system.received(port, "order").size(), 20U);
+}
+
+TEST(orders_socket, a_paused_holder_gets_no_order_through_to_a_checking_engine)
+{
+    expect_no_order_from_a_paused_holder(true);
+}
+
+TEST(orders_socket,
+     a_paused_holder_gets_no_order_through_to_an_engine_that_ignores_fences)
+{
+    expect_no_order_from_a_paused_holder(false);
+}
+
+/// The other side of the promise: a pause that ends within the lease costs nothing.
+TEST(orders_socket, a_holder_paused_within_its_lease_still_sends)
+{
+    fleet         system(one_engine(true));
+    child_process holder(sender(system.engine_port(0), 30'000, 1));
+    ASSERT_TRUE(eventually([&] { return stopped(holder); }));
+    holder.signal(SIGCONT);
+    EXPECT_EQ(holder.wait(10'000), 0);
+    EXPECT_EQ(system.received(system.engine_port(0), "order").size(), 1U);
+}
+
+/// Story: the engine's machine is gone but for its open port: the order is neither
+/// acknowledged nor refused, and the kernel would retransmit it for minutes. A stopped
+/// engine stands for it: the order is sent within the lease and answered after it.
+TEST(orders_socket, an_unanswered_order_ends_with_the_lease)
+{
+    fleet system(one_engine(true));
+    system.engine(0).signal(SIGSTOP);
+    order_socket const socket(millis{20'000}, "self");
+    auto const         end = boot_clock::now() + millis{200};
+    auto const         fault = leaf::try_handle_all(
+        [&]() -> leaf::result<transport_fault>
+        {
+            BOOST_LEAF_CHECK(socket.send(
+                        {"127.0.0.1", system.engine_port(0), "/orders", "{}", "id", 1}, end));
+            return transport_fault::refused;
+        },
+        [](transport_failure const& failure) { return failure.fault; },
+        [] { return transport_fault::refused; });
+    system.engine(0).signal(SIGCONT);
+    EXPECT_TRUE(fault == transport_fault::silent ||
+                fault == transport_fault::answer_lost);
+    EXPECT_LT(boot_clock::now(), end + millis{10'000});
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
