Duties that order VMs and engines' roles through the log

An intent is appended and read back before its order is sent; the orderer and one controller a group and data centre hold leases of their own; VM purchases are settled by the platform's list. Operators name wanted numbers ([groups]) and roles ([roles]). Routing leaves out servers with an open order. The engine stand-in now cuts what runs when its role changes, and faults may name a path.

--- /dev/null
+++ b/src/adapters/http_engine_state.cpp
@@ -0,0 +1,38 @@
+// Engines' own account of their role, over HTTP.
+#include "adapters/http_engine_state.hpp"
+
+#include "adapters/http_exchange.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace marigoldcrank
+{
+
+http_engine_state::http_engine_state(http_timeouts timeouts, std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts)
+{
+}
+
+leaf::result<engine_state> http_engine_state::state(backend_server const& server)
+{
+    using nlohmann::json;
+    constexpr int status_ok = 200;
+    auto          client = clients_.take(server.host, server.port);
+    auto const    answer = client->Get("/state", {{"X-Sender", sender_}});
+    if (!answer)
+    {
+        return transport_error(answer.error(), server.id);
+    }
+    clients_.put_back(server.host, server.port, std::move(client));
+    auto const body = json::parse(answer->body, nullptr, false);
+    if (answer->status != status_ok || !body.is_object())
+    {
+        return leaf::new_error(message_failure{"engine state", "not a JSON object"});
+    }
+    return engine_state{parse_engine_role(body.value("role", "mixed")),
+                        body.value("changing", false),
+                        body.value("highest_fence", std::uint64_t{0})};
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/http_engine_state.hpp
@@ -0,0 +1,32 @@
+// Engines' own account of their role, over HTTP.
+//
+// Index: http_engine_state
+#ifndef MARIGOLDCRANK_ADAPTERS_HTTP_ENGINE_STATE_HPP
+#define MARIGOLDCRANK_ADAPTERS_HTTP_ENGINE_STATE_HPP
+
+#include "adapters/http_client_pool.hpp"
+#include "ports/order_port.hpp"
+
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Models engine_state_port. Safe to use from several threads.
+class http_engine_state
+{
+public:
+    http_engine_state(http_timeouts timeouts, std::string sender);
+
+    leaf::result<engine_state> state(backend_server const& server);
+
+private:
+    std::string      sender_;
+    http_client_pool clients_;
+};
+
+static_assert(engine_state_port<http_engine_state>);
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -88,7 +88,9 @@
             .data_centre = entry.value("data_centre", ""),
             .group = entry.value("group", ""),
             .cheap = entry.value("cheap", false),
-            .leaving = entry.value("state", "live") != "live"};
+            .leaving = entry.value("state", "live") != "live",
+            .order_id = entry.value("order_id", ""),
+            .starting = entry.value("state", "live") == "starting"};
 }
 } // namespace
 
--- /dev/null
+++ b/src/app/engine_controller.hpp
@@ -0,0 +1,235 @@
+// The controller's duty: roles of the engines of one group in one data centre.
+//
+// Index: engine_controller
+//
+// A change of role goes: intent (which all entry VMs read, and stop routing to the
+// engine), drain, order, and once the engine shows the role, the outcome. Whoever holds
+// the duty carries on where the log and the engine say that it stands.
+#ifndef MARIGOLDCRANK_APP_ENGINE_CONTROLLER_HPP
+#define MARIGOLDCRANK_APP_ENGINE_CONTROLLER_HPP
+
+#include "app/order_journal.hpp"
+#include "app/server_drain.hpp"
+#include "policy/wanted_state.hpp"
+#include "ports/platform_port.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+/// Used by one thread.
+template <platform_log_port Log, vm_list_port List, order_port Orders,
+          engine_state_port Engines, backend_port Backend>
+class engine_controller
+{
+public:
+    engine_controller(order_journal<Log, Orders>& journal, ledger_store& store,
+                      List& list, Engines& engines, Backend& backend, std::string group,
+                      std::string data_centre)
+        : journal_(journal), store_(store), list_(list), engines_(engines),
+          drain_(backend, journal.terms().notice), group_(std::move(group)),
+          data_centre_(std::move(data_centre))
+    {
+    }
+
+    /// Settles open orders; orders something new only if none is open.
+    void step(boot_clock::time_point now)
+    {
+        auto const held = journal_.authority(now, margin());
+        if (!held || now - looked_at_ < journal_.terms().every || !read_list())
+        {
+            return;
+        }
+        looked_at_ = now;
+        auto const open = journal_.open(*held, now);
+        for (auto const& tracked : open)
+        {
+            settle(*held, tracked);
+        }
+        if (open.empty())
+        {
+            decide(*held);
+        }
+    }
+
+private:
+    /// Engines that check fencing numbers refuse a predecessor's late order themselves.
+    millis margin() const
+    {
+        auto const access = store_.access();
+        bool const checked = access->config &&
+                             access->config->groups.count(group_) != 0 &&
+                             access->config->groups.at(group_).checks_fencing;
+        return checked ? millis{0} : journal_.terms().margin;
+    }
+
+    bool read_list()
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_ASSIGN(listed_, list_.backend_servers());
+                return true;
+            },
+            [] { return false; });
+    }
+
+    std::optional<engine_state> state_of(backend_server const& server)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<engine_state>>
+            {
+                BOOST_LEAF_AUTO(state, engines_.state(server));
+                return std::optional{state};
+            },
+            [] { return std::optional<engine_state>{}; });
+    }
+
+    void settle(held_lease const& held, tracked_order const& tracked)
+    {
+        auto const   place = std::find_if(listed_.begin(), listed_.end(),
+                                          [&](backend_server const& server)
+                                          { return server.id == tracked.wanted.server; });
+        engine_truth truth{.listed = place != listed_.end() && !place->leaving};
+        if (truth.listed)
+        {
+            truth.state = state_of(*place);
+            truth.idle = drain_.idle(*place, tracked.seen_at);
+        }
+        auto step = settle_role(tracked.wanted, tracked.progress, truth);
+        if (step == order_step::send)
+        {
+            step = judge_others(tracked);
+        }
+        switch (step)
+        {
+        case order_step::wait:
+            break;
+        case order_step::send:
+            journal_.send(held, tracked, message_for(held, tracked, *place));
+            break;
+        case order_step::close_done:
+            journal_.close(held, tracked, order_end::done);
+            break;
+        case order_step::close_abandoned:
+            journal_.close(held, tracked, order_end::abandoned);
+            break;
+        }
+    }
+
+    /// Controllers of other data centres decide at the same time, and together could take
+    /// every engine of the group out of service. All read the same open orders: the one
+    /// with the lowest offset goes on, the others give way.
+    order_step judge_others(tracked_order const& tracked) const
+    {
+        auto const open = open_by_server();
+        bool       one_serves = false;
+        bool       one_was_first = false;
+        for (auto const& server : listed_)
+        {
+            if (server.group != group_ || server.leaving ||
+                server.id == tracked.wanted.server)
+            {
+                continue;
+            }
+            auto const found = open.find(server.id);
+            one_serves = one_serves || found == open.end();
+            one_was_first = one_was_first ||
+                            (found != open.end() && found->second < tracked.entry.offset);
+        }
+        return one_serves      ? order_step::send
+               : one_was_first ? order_step::close_abandoned
+                               : order_step::wait;
+    }
+
+    /// Offsets of the open orders by their server, of all duties.
+    std::map<std::string, std::uint64_t> open_by_server() const
+    {
+        std::map<std::string, std::uint64_t> result;
+        auto const                           open =
+            store_.with_ledger([](ledger const& value) { return value.orders().open(); });
+        for (auto const& [target, entry] : open)
+        {
+            leaf::try_handle_all(
+                [&, &found = entry]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(wanted, parse_order(found.wanted));
+                    result[wanted.server] = found.offset;
+                    return {};
+                },
+                [] {});
+        }
+        return result;
+    }
+
+    static order_message message_for(held_lease const& held, tracked_order const& tracked,
+                                     backend_server const& server)
+    {
+        return {.host = server.host,
+                .port = server.port,
+                .path = "/orders",
+                .body = nlohmann::json{{"id", tracked.entry.order_id},
+                                       {"fence", held.epoch},
+                                       {"kind", "role"},
+                                       {"value", name_of(tracked.wanted.role)}}
+                            .dump()};
+    }
+
+    void decide(held_lease const& held)
+    {
+        auto const access = store_.access();
+        if (!access->config || access->config->roles.count(group_) == 0)
+        {
+            return;
+        }
+        auto const&            rule = access->config->roles.at(group_);
+        std::vector<role_view> own;
+        std::int64_t           others = 0;
+        auto const             open = open_by_server();
+        for (auto const& server : listed_)
+        {
+            bool const member = server.group == group_ && !server.leaving;
+            if (member && server.data_centre == data_centre_)
+            {
+                auto const state = state_of(server);
+                if (state && !state->changing)
+                {
+                    own.push_back({server.id, state->role});
+                }
+            }
+            else if (member)
+            {
+                others += open.count(server.id) == 0 ? 1 : 0;
+            }
+        }
+        auto const wanted = next_role_order(own, {rule.prefill, rule.decode}, others);
+        if (wanted)
+        {
+            journal_.intend(held, wanted->server, with_place(*wanted));
+        }
+    }
+
+    order with_place(order wanted) const
+    {
+        wanted.group = group_;
+        wanted.data_centre = data_centre_;
+        return wanted;
+    }
+
+    order_journal<Log, Orders>& journal_;
+    ledger_store&               store_;
+    List&                       list_;
+    Engines&                    engines_;
+    server_drain<Backend>       drain_;
+    std::string                 group_;
+    std::string                 data_centre_;
+    std::vector<backend_server> listed_;
+    boot_clock::time_point      looked_at_{};
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
 #include "app/log_follower.hpp"
+#include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
 #include "app/server_poller.hpp"
 #include "app/usage_recorder.hpp"
@@ -69,6 +70,7 @@
     operator_front<http_platform, zmq_peers>     operators;
     log_follower<http_platform>                  follower;
     server_poller<http_platform, http_backend>   poller;
+    node_duties                                  duties;
     httplib::Server                              server;
     bool                                         bound = false;
     std::thread                                  server_thread;
@@ -110,7 +112,8 @@
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory, millis{options.list_every_ms},
-             millis{options.load_every_ms})
+             millis{options.load_every_ms}),
+      duties(options, holder, terms(), writer, store, platform, backend, directory)
 {
 }
 
@@ -269,6 +272,7 @@
             thread->join();
         }
     }
+    parts_->duties.stop();
     parts_->poller.stop();
     parts_->follower.stop();
     parts_->peers.stop();
@@ -289,6 +293,7 @@
     auto const until = boot_clock::now() + millis{parts_->options.drain_ms};
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
+    parts_->duties.hand_over();
     while (parts_->callers.inflight() > 0 && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
--- /dev/null
+++ b/src/app/node_duties.hpp
@@ -0,0 +1,79 @@
+// The order-giving duties of a node, put together from its settings.
+//
+// Index: node_duties
+#ifndef MARIGOLDCRANK_APP_NODE_DUTIES_HPP
+#define MARIGOLDCRANK_APP_NODE_DUTIES_HPP
+
+#include "adapters/http_backend.hpp"
+#include "adapters/http_engine_state.hpp"
+#include "adapters/http_platform.hpp"
+#include "adapters/order_socket.hpp"
+#include "app/duty_runner.hpp"
+#include "domain/settings.hpp"
+
+#include <sstream>
+
+namespace marigoldcrank
+{
+
+/// Runs from construction until stop() or destruction.
+class node_duties
+{
+public:
+    node_duties(settings const& options, std::string const& holder, lease_terms lease,
+                log_writer<http_platform>& writer, ledger_store& store,
+                http_platform& platform, http_backend& backend,
+                server_directory& directory)
+        : orders_(millis{options.order_timeout_ms}, options.name),
+          engines_({millis{options.connect_ms}, millis{options.order_timeout_ms}},
+                   options.name),
+          runner_(writer, store, platform, orders_, engines_, backend, directory,
+                  duties_of(options, holder, lease))
+    {
+    }
+
+    /// See duty_runner.
+    void hand_over()
+    {
+        runner_.hand_over();
+    }
+
+    void stop()
+    {
+        runner_.stop();
+    }
+
+private:
+    static duty_options duties_of(settings const& options, std::string const& holder,
+                                  lease_terms lease)
+    {
+        duty_options       value{.data_centre = options.data_centre,
+                                 .holder = holder,
+                                 .lease = lease,
+                                 .orders = {.margin = millis{options.order_margin_ms},
+                                            .notice = millis{options.order_notice_ms},
+                                            .settle = millis{options.order_settle_ms},
+                                            .every = millis{options.order_every_ms},
+                                            .append = lease.renew},
+                                 .platform = {.host = options.platform_host,
+                                              .port = static_cast<int>(options.platform_port),
+                                              .data_centres = {}}};
+        std::istringstream words(options.order_centres);
+        std::string        word;
+        while (words >> word)
+        {
+            value.platform.data_centres.insert(word);
+        }
+        return value;
+    }
+
+    order_socket      orders_;
+    http_engine_state engines_;
+    duty_runner<http_platform, http_platform, order_socket, http_engine_state,
+                http_backend>
+        runner_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -61,6 +61,21 @@
     change(server, [&](server_view& view) { view.load = load; });
 }
 
+void server_directory::set_draining(std::set<std::string> const& servers)
+{
+    for (auto& own : shards_)
+    {
+        std::lock_guard const lock(own.mutex);
+        for (auto& [name, members] : own.groups)
+        {
+            for (auto& [id, view] : members)
+            {
+                view.draining = servers.count(id) != 0;
+            }
+        }
+    }
+}
+
 std::vector<server_view> server_directory::group(std::string const& name) const
 {
     std::vector<server_view> views;
--- a/src/app/server_directory.hpp
+++ b/src/app/server_directory.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,10 @@
     /// Takes a load report; unknown servers are ignored.
     void report(backend_server const& server, load_report const& load);
 
+    /// Servers that routing leaves out because an open order will take them out of
+    /// service; all others are in again.
+    void set_draining(std::set<std::string> const& servers);
+
     /// All servers of one group, as routing sees them.
     std::vector<server_view> group(std::string const& name) const;
 
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -22,6 +22,8 @@
     std::string group;           // engines or services that serve the same
     bool        cheap = false;   // may be reclaimed with its whole zone
     bool        leaving = false; // gets no new work
+    std::string order_id;         // of the order that bought it, if it was bought
+    bool        starting = false; // bought, and not yet live
 
     auto operator<=>(backend_server const&) const = default;
 };
--- a/src/domain/configuration.cpp
+++ b/src/domain/configuration.cpp
@@ -255,13 +255,27 @@
     result.groups.emplace(rule.id, value);
 }
 
+void add_role(rule_line const& rule, rule_report& report, configuration& result)
+{
+    role_rule  value{.group = rule.id, .requester = rule.requester};
+    auto const fields = split_fields(rule, {"prefill", "decode"}, report);
+    read_number(fields, "prefill", {0, max_servers}, rule, report, value.prefill);
+    read_number(fields, "decode", {0, max_servers}, rule, report, value.decode);
+    result.roles.emplace(rule.id, value);
+}
+
 using section_reader = void (*)(rule_line const&, rule_report&, configuration&);
 
 std::map<std::string, section_reader> const& sections()
 {
     static std::map<std::string, section_reader> const readers{
-        {"workspaces", add_workspace}, {"keys", add_key},       {"models", add_model},
-        {"services", add_service},     {"targets", add_target}, {"groups", add_group}};
+        {"workspaces", add_workspace},
+        {"keys", add_key},
+        {"models", add_model},
+        {"services", add_service},
+        {"targets", add_target},
+        {"groups", add_group},
+        {"roles", add_role}};
     return readers;
 }
 
@@ -300,7 +314,7 @@
     if (reader == sections().end())
     {
         report.add(rule_fault::unknown_section, {.section = section},
-                   "workspaces, keys, models, services, targets, groups");
+                   "workspaces, keys, models, services, targets, groups, roles");
         return;
     }
     CSimpleIniA::TNamesDepend keys;
--- a/src/domain/configuration.hpp
+++ b/src/domain/configuration.hpp
@@ -91,6 +91,18 @@
     bool operator==(group_rule const&) const = default;
 };
 
+/// [roles] Engines of a group that each data centre keeps in a role; the others are
+/// mixed.
+struct role_rule
+{
+    std::string  group;       // the rule's id
+    std::int64_t prefill = 0; // 0      engines per data centre
+    std::int64_t decode = 0;  // 0      engines per data centre
+    std::string  requester;
+
+    bool operator==(role_rule const&) const = default;
+};
+
 // 2. Configuration
 
 /// An accepted rules file. Immutable once parsed; nodes swap whole configurations.
@@ -105,6 +117,7 @@
     std::map<std::string, service_rule>   services;
     std::map<std::string, target_rule>    targets;
     std::map<std::string, group_rule>     groups;
+    std::map<std::string, role_rule>      roles;
 
     bool operator==(configuration const&) const = default;
 };
--- a/src/domain/settings.cpp
+++ b/src/domain/settings.cpp
@@ -72,6 +72,12 @@
     text("logs", "log_level", "debug, info, warning or error", &settings::log_level),
     text("logs", "span_file", "spans as JSON lines; empty for none", &settings::span_file),
     number("logs", "span_keep", "count", "spans kept for explain", &settings::span_keep, 0, 1'000'000),
+    number("orders", "order_timeout_ms", "ms", "for one order", &settings::order_timeout_ms, 10, hour_ms),
+    number("orders", "order_margin_ms", "ms", "a successor's wait for packets in flight", &settings::order_margin_ms, 0, hour_ms),
+    number("orders", "order_notice_ms", "ms", "for all nodes to read of a drain", &settings::order_notice_ms, 0, hour_ms),
+    number("orders", "order_settle_ms", "ms", "until an order without effect is given up", &settings::order_settle_ms, 100, hour_ms),
+    number("orders", "order_every_ms", "ms", "between looks at engines and VM list", &settings::order_every_ms, 10, hour_ms),
+    text("orders", "order_centres", "data centres to buy VMs in; empty: those of the VM list", &settings::order_centres),
 };
 // clang-format on
 
@@ -148,7 +154,7 @@
     {
         return leaf::new_error(
             setting_failure{setting_fault::unknown_section, file, section, "",
-                            "node, peers, platform, leases, requests, usage, logs"});
+                            "node, peers, platform, leases, requests, usage, logs, orders"});
     }
     CSimpleIniA::TNamesDepend keys;
     ini.GetAllKeys(section.c_str(), keys);
--- a/src/domain/settings.hpp
+++ b/src/domain/settings.hpp
@@ -69,6 +69,13 @@
     std::string  log_level = "info"; // "info"       debug | info | warning | error
     std::string  span_file;          // ""           spans as JSON lines; "" for none
     std::int64_t span_keep = 4096;   // 4096         spans kept for explain, count
+    // [orders]
+    std::int64_t order_timeout_ms = 1000; // 1000         for one order, ms
+    std::int64_t order_margin_ms = 500;   // 500          for packets in flight, ms
+    std::int64_t order_notice_ms = 500;   // 500          for all nodes to read a drain, ms
+    std::int64_t order_settle_ms = 60000; // 60000        until an order is given up, ms
+    std::int64_t order_every_ms = 200;    // 200          between looks at the truth, ms
+    std::string  order_centres;           // ""           data centres to buy VMs in
 
     bool operator==(settings const&) const = default;
 };
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -42,8 +42,8 @@
     bool const excluded = std::find(request.excluded.begin(), request.excluded.end(),
                                     view.server.id) != request.excluded.end();
     bool const too_cheap = view.server.cheap && !request.may_use_cheap;
-    return view.server.group == request.group && !view.server.leaving && !excluded &&
-           !too_cheap;
+    return view.server.group == request.group && !view.server.leaving && !view.draining &&
+           !excluded && !too_cheap;
 }
 } // namespace
 
--- a/src/policy/route.hpp
+++ b/src/policy/route.hpp
@@ -23,6 +23,7 @@
     std::int64_t   own_running = 0;       // streams this entry VM has on it
     std::int64_t   own_prompt_tokens = 0; // prompt tokens of those, not yet answered
     std::int64_t   failures = 0;          // failed attempts since the last good one
+    bool           draining = false;      // an open order will take it out of service
 
     bool operator==(server_view const&) const = default;
 };
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -244,6 +244,13 @@
     }
 }
 
+void running_set::cut()
+{
+    std::lock_guard const lock(mutex_);
+    cancelled_.insert(active_.begin(), active_.end());
+    changed_.notify_all();
+}
+
 bool running_set::cancelled(std::string const& request_id)
 {
     std::lock_guard const lock(mutex_);
--- a/standins/engine_model.hpp
+++ b/standins/engine_model.hpp
@@ -118,6 +118,9 @@
     void cancel(std::string const& request_id);
     bool cancelled(std::string const& request_id);
 
+    /// Cuts everything that runs, as a restart would.
+    void cut();
+
     nlohmann::json load();
 
 private:
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -263,8 +263,15 @@
                       {
                           auto const order = json::parse(request.body, nullptr, false);
                           auto const now = self.server.elapsed_ms();
+                          auto const before = self.orders.role();
                           auto const status =
                               self.orders.apply(order, now, self.options.role_change_ms);
+                          if (self.orders.role() != before)
+                          {
+                              // A change of role restarts the engine's batch: whoever did
+                              // not drain it first sees streams that end in the middle.
+                              self.running.cut();
+                          }
                           write_json(response, self.orders.state(now), status);
                       });
     self.server.route("POST", "/cancel", "cancel",
--- a/standins/standin_server.cpp
+++ b/standins/standin_server.cpp
@@ -85,31 +85,31 @@
 {
     auto const sender = request.get_header_value("X-Sender");
     record(request, kind);
-    if (take_fault("crash", sender))
+    if (take_fault("crash", sender, request.path))
     {
         _exit(crash_exit);
     }
-    if (take_fault("outage", sender))
+    if (take_fault("outage", sender, request.path))
     {
         // Nothing took effect, but the sender can't tell that from a lost answer.
         drop_answer(response);
         return;
     }
-    if (auto const set = take_fault("freeze", sender))
+    if (auto const set = take_fault("freeze", sender, request.path))
     {
         sleep_ms(set->for_ms);
     }
-    if (auto const set = take_fault("slow", sender))
+    if (auto const set = take_fault("slow", sender, request.path))
     {
         sleep_ms(set->for_ms);
     }
-    if (take_fault("refuse", sender))
+    if (take_fault("refuse", sender, request.path))
     {
         write_json(response, {{"error", "refused"}}, status_unavailable);
         return;
     }
     inner(request, response);
-    if (take_fault("drop_answer", sender))
+    if (take_fault("drop_answer", sender, request.path))
     {
         drop_answer(response);
     }
@@ -196,7 +196,8 @@
 // 2. Faults
 
 std::optional<fault> standin_server::take_fault(std::string const& kind,
-                                                std::string const& sender)
+                                                std::string const& sender,
+                                                std::string const& path)
 {
     std::lock_guard const lock(mutex_);
     auto const            found = faults_.find(kind);
@@ -215,7 +216,7 @@
         faults_.erase(found);
         return std::nullopt;
     }
-    if (other_sender)
+    if (other_sender || (!set.path.empty() && set.path != path))
     {
         return std::nullopt;
     }
@@ -270,6 +271,7 @@
     value.count = body.value("count", std::int64_t{-1});
     value.for_ms = body.value("for_ms", std::int64_t{0});
     value.from = body.value("from", "");
+    value.path = body.value("path", "");
     value.until = steady_clock::now() + std::chrono::milliseconds(value.for_ms);
     std::lock_guard const lock(mutex_);
     if (value.kind == "none")
--- a/standins/standin_server.hpp
+++ b/standins/standin_server.hpp
@@ -30,6 +30,7 @@
     std::int64_t                          count = -1; // -1      uses left; -1 without end
     std::int64_t                          for_ms = 0; // 0       delay or duration, ms
     std::string                           from;    // ""      only this sender; "" for all
+    std::string                           path;    // ""      only this path; "" for all
     std::chrono::steady_clock::time_point until{}; //         end of a fault with for_ms
 };
 
@@ -49,8 +50,10 @@
     /// Serves until SIGTERM. Prints the port on standard output once it listens.
     int run(std::string const& host, int port);
 
-    /// The fault of this kind for this sender, if one is set; counts the use.
-    std::optional<fault> take_fault(std::string const& kind, std::string const& sender);
+    /// The fault of this kind for this sender, if one is set; counts the use. A fault
+    /// that is set for one path is taken only by a request to it.
+    std::optional<fault> take_fault(std::string const& kind, std::string const& sender,
+                                    std::string const& path = "");
 
     httplib::Server& server() noexcept;
 
--- /dev/null
+++ b/tests/failure/orders_vms_test.cpp
@@ -0,0 +1,185 @@
+// Orders of backend servers over processes; the truth is what the platform received.
+#include "support/order_checks.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr char const* two_wording_servers = "[groups]\n; asked for by the tests\n"
+                                            "wording = least=2 most=3\n";
+
+/// One wording engine in each of three data centres; the orderer buys one more in each.
+fleet_options three_data_centres()
+{
+    return {.nodes = 3,
+            .engines = 3,
+            .services = 0,
+            .node_settings = {{"order_every_ms", "50"},
+                              {"order_margin_ms", "100"},
+                              {"order_notice_ms", "200"},
+                              {"order_settle_ms", "4000"}},
+            .platform_settings = {{"list_lag_ms", "400"}}};
+}
+
+/// VMs bought so far, in truth.
+std::size_t bought(fleet const& system)
+{
+    std::size_t count = 0;
+    for (auto const& machine : true_machines(system))
+    {
+        count += machine.value("order_id", "").empty() ? 0 : 1;
+    }
+    return count;
+}
+
+std::size_t outcomes(fleet const& system)
+{
+    std::size_t count = 0;
+    for (auto const& entry : system.received(system.platform_port(), "append"))
+    {
+        count +=
+            entry["body"].get<std::string>().find("\"outcome\":{") != std::string::npos
+                ? 1
+                : 0;
+    }
+    return count;
+}
+
+/// Waits until three VMs were bought and all orders are settled, and then for a while
+/// longer in which no other may come.
+void expect_three_and_no_more(fleet const& system)
+{
+    EXPECT_TRUE(eventually([&] { return bought(system) >= 3; }, 60'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    EXPECT_EQ(bought(system), 3U);
+    auto const orders = orders_at(system, system.platform_port(), "vm_order");
+    EXPECT_TRUE(one_holder_at_a_time(orders));
+}
+
+int other_than(int node)
+{
+    return node == 0 ? 1 : 0;
+}
+
+/// Holder of the orderer's duty, as soon as there is one.
+int wait_for_orderer(fleet const& system, int asked = 0)
+{
+    int holder = -1;
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            holder = holder_of(system, "orderer", asked);
+            return holder >= 0;
+        }));
+    return holder;
+}
+
+TEST(orders_vms, buys_what_is_missing_once_although_the_list_lags)
+{
+    fleet system(three_data_centres());
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    expect_three_and_no_more(system);
+    EXPECT_EQ(orders_at(system, system.platform_port(), "vm_order").size(), 3U);
+}
+
+/// Story: the platform starts a VM and its answer is lost. The orderer, which does not
+/// see the VM in the lagging list, orders it again: two VMs run and are paid for.
+TEST(orders_vms, a_lost_answer_buys_nothing_twice)
+{
+    fleet system(three_data_centres());
+    system.fault(system.platform_port(),
+                 {{"kind", "drop_answer"}, {"path", "/vms/order"}, {"count", 2}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    expect_three_and_no_more(system);
+}
+
+/// Story: the orderer is killed after the platform has got its order and before anything
+/// was noted of it. Its successor finds an order that may or may not have taken effect.
+TEST(orders_vms, a_killed_orderers_purchase_is_neither_repeated_nor_forgotten)
+{
+    fleet system(three_data_centres());
+    system.fault(
+        system.platform_port(),
+        {{"kind", "slow"}, {"path", "/vms/order"}, {"for_ms", 500}, {"count", 1}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    ASSERT_TRUE(eventually(
+        [&] { return !system.received(system.platform_port(), "vm_order").empty(); }));
+    auto const from =
+        system.received(system.platform_port(), "vm_order")[0]["from"].get<std::string>();
+    auto const killed = std::stoi(from.substr(5));
+    system.node(killed).signal(SIGKILL);
+    expect_three_and_no_more(system);
+    EXPECT_NE(wait_for_orderer(system, other_than(killed)), killed);
+}
+
+/// Story: the orderer appends an intent and is paused for longer than its lease. The
+/// successor settles it and buys; then the first one wakes up and sends its order.
+TEST(orders_vms, a_paused_orderer_buys_nothing_in_its_successors_time)
+{
+    fleet system(three_data_centres());
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    ASSERT_TRUE(eventually([&] { return !intents(system).empty(); }));
+    auto const from = intents(system)[0]["from"].get<std::string>();
+    auto const paused = std::stoi(from.substr(5));
+    system.node(paused).signal(SIGSTOP);
+    auto const asked = other_than(paused);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            auto const holder = holder_of(system, "orderer", asked);
+            return holder >= 0 && holder != paused;
+        }));
+    EXPECT_TRUE(eventually([&] { return bought(system) >= 3; }, 60'000));
+    system.node(paused).signal(SIGCONT);
+    expect_three_and_no_more(system);
+}
+
+/// Story: the log is out for longer than a lease while VMs are missing. Nobody is in
+/// charge then, so nothing may be ordered, and after the outage nothing twice.
+TEST(orders_vms, nothing_is_ordered_without_the_log)
+{
+    fleet system(three_data_centres());
+    system.fault(system.platform_port(),
+                 {{"kind", "slow"}, {"path", "/vms"}, {"for_ms", 300}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    wait_for_orderer(system);
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"path", "/log/append"}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000)); // beyond the lease
+    auto const before = orders_at(system, system.platform_port(), "vm_order").size();
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    EXPECT_EQ(orders_at(system, system.platform_port(), "vm_order").size(), before);
+    system.fault(system.platform_port(), {{"kind", "none"}});
+    expect_three_and_no_more(system);
+}
+
+/// Story: answers of appends are lost and some appends take effect two seconds late,
+/// while the orderer is killed and its successors race for the duty. An intent that was
+/// given up on becomes effective when its VM has long been bought.
+TEST(orders_vms, late_and_lost_appends_with_a_kill_buy_nothing_twice)
+{
+    fleet system(three_data_centres());
+    system.fault(system.platform_port(),
+                 {{"kind", "drop_answer"}, {"path", "/log/append"}, {"count", 10}});
+    system.fault(system.platform_port(),
+                 {{"kind", "late"}, {"for_ms", 2'000}, {"count", 6}});
+    ASSERT_TRUE(
+        eventually([&] { return apply_lines(system, two_wording_servers, "second"); }));
+    ASSERT_TRUE(eventually([&] { return !intents(system).empty(); }, 60'000));
+    auto const from = intents(system)[0]["from"].get<std::string>();
+    system.fault(system.platform_port(),
+                 {{"kind", "late"}, {"for_ms", 2'000}, {"count", 6}});
+    system.node(std::stoi(from.substr(5))).signal(SIGKILL);
+    expect_three_and_no_more(system);
+    EXPECT_GT(outcomes(system), 0U);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
