Failure tests of role changes over processes

Eight stories: under load, engine crash, killed, paused (engines that check and that ignore fencing), lost and late appends, log outage in a drain, paused and killed at once.

--- /dev/null
+++ b/tests/failure/orders_roles_test.cpp
@@ -0,0 +1,295 @@
+// Changes of role over processes; the truth is what the engines received and generated.
+#include "support/order_checks.hpp"
+
+#include <httplib.h>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr char const* one_prefill_engine =
+    "[roles]\n; asked for by the tests\nwording = prefill=1\n";
+constexpr int tokens_asked = 150;
+
+/// Engines in dc-1 and dc-2; nodes 0 and 3 stand in dc-1, nodes 1 and 4 in dc-2.
+fleet_options two_data_centres(bool checks_fencing = true)
+{
+    return {.nodes = 5,
+            .engines = 2,
+            .services = 0,
+            .node_settings = {{"order_every_ms", "50"},
+                              {"order_margin_ms", "200"},
+                              {"order_notice_ms", "400"},
+                              {"order_settle_ms", "15000"}},
+            .engine_settings = {{"checks_fencing", checks_fencing ? "yes" : "no"},
+                                {"role_change_ms", "500"}}};
+}
+
+bool is_prefill(int port)
+{
+    auto const state = engine_state_at(port);
+    return state.value("role", "") == "prefill" && !state.value("changing", true);
+}
+
+bool both_are_prefill(fleet const& system)
+{
+    return is_prefill(system.engine_port(0)) && is_prefill(system.engine_port(1));
+}
+
+/// Callers that stream one answer after another until the object goes.
+class steady_callers
+{
+public:
+    explicit steady_callers(fleet const& system)
+    {
+        for (int node = 0; node < 3; ++node)
+        {
+            threads_.emplace_back([this, &system, node] { run(system, node); });
+        }
+    }
+
+    ~steady_callers()
+    {
+        stop();
+    }
+
+    void stop()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_)
+        {
+            thread.join();
+        }
+        threads_.clear();
+    }
+
+    std::atomic<int> whole{0};
+    std::atomic<int> broken{0};
+
+private:
+    void run(fleet const& system, int node)
+    {
+        json const body = {{"model", "wording"},
+                           {"messages", json::array({{{"role", "user"},
+                                                      {"content", "a line for Noor"}}})},
+                           {"max_tokens", tokens_asked},
+                           {"stream", true}};
+        while (!stopping_)
+        {
+            httplib::Client client("127.0.0.1", system.node_port(node));
+            client.set_read_timeout(30);
+            auto const answer =
+                client.Post("/v1/chat/completions",
+                            {{"Authorization", "Bearer " + system.key("north")}},
+                            body.dump(), "application/json");
+            bool const complete =
+                answer && answer->status == 200 &&
+                answer->body.find("data: [DONE]") != std::string::npos &&
+                answer->body.find("\"completion_tokens\":" +
+                                  std::to_string(tokens_asked)) != std::string::npos;
+            ++(complete ? whole : broken);
+        }
+    }
+
+    std::atomic<bool>        stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+/// Streams that an engine ended before their end, by its own account.
+int cut_streams(fleet const& system, int engine)
+{
+    httplib::Client client("127.0.0.1", system.engine_port(engine));
+    auto const      answer = client.Get("/control/generated");
+    int             cut = 0;
+    for (auto const& entry : json::parse(answer->body))
+    {
+        cut += entry["resume_from"].get<int>() + entry["output_tokens"].get<int>() <
+                       tokens_asked
+                   ? 1
+                   : 0;
+    }
+    return cut;
+}
+
+std::size_t distinct_ids(std::vector<received_order> const& orders)
+{
+    std::set<std::string> ids;
+    for (auto const& order : orders)
+    {
+        ids.insert(order.id);
+    }
+    return ids.size();
+}
+
+int number_of(std::string const& node)
+{
+    return std::stoi(node.substr(5));
+}
+
+/// The node that intended a change of the engine in that data centre.
+int intending_node(fleet const& system, std::string const& data_centre)
+{
+    for (auto const& entry : intents(system))
+    {
+        if (entry["intent"]["duty"] == "controller/wording/" + data_centre)
+        {
+            return number_of(entry["from"]);
+        }
+    }
+    return -1;
+}
+
+/// Story: both engines are ordered to another role while answers stream from them. An
+/// engine that changes its role cuts what runs on it, and a caller waits for the rest.
+TEST(orders_roles, a_change_of_role_under_load_cuts_no_request)
+{
+    fleet          system(two_data_centres());
+    steady_callers callers(system);
+    ASSERT_TRUE(eventually([&] { return callers.whole >= 6; }));
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second"));
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    auto const so_far = callers.whole.load();
+    EXPECT_TRUE(eventually([&] { return callers.whole >= so_far + 6; }));
+    callers.stop();
+    EXPECT_EQ(callers.broken, 0);
+    for (int engine = 0; engine < 2; ++engine)
+    {
+        EXPECT_EQ(cut_streams(system, engine), 0);
+        EXPECT_EQ(distinct_ids(orders_at(system, system.engine_port(engine), "order")),
+                  1U);
+    }
+}
+
+/// Story: an engine crashes while it changes its role and comes back in its old one. The
+/// change would stay half done, or the engine out of service for good.
+TEST(orders_roles, an_engine_that_crashes_in_the_middle_is_brought_to_its_role)
+{
+    fleet system(two_data_centres());
+    system.fault(system.engine_port(0),
+                 {{"kind", "crash"}, {"path", "/orders"}, {"count", 1}});
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second"));
+    ASSERT_TRUE(eventually([&] { return !system.engine(0).running(); }, 60'000));
+    system.start_engine(0);
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    EXPECT_TRUE(one_holder_at_a_time(orders_at(system, system.engine_port(0), "order")));
+}
+
+/// Story: the controller is killed after its intent, in the middle of the drain. Its
+/// successor has to settle the change, or the engine is never routed to again.
+TEST(orders_roles, a_killed_controllers_change_is_settled_by_its_successor)
+{
+    fleet system(two_data_centres());
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second"));
+    ASSERT_TRUE(eventually([&] { return intending_node(system, "dc-1") >= 0; }, 60'000));
+    auto const killed = intending_node(system, "dc-1");
+    system.node(killed).signal(SIGKILL);
+    EXPECT_TRUE(eventually([&] { return is_prefill(system.engine_port(0)); }, 60'000));
+    auto const orders = orders_at(system, system.engine_port(0), "order");
+    EXPECT_TRUE(one_holder_at_a_time(orders));
+    EXPECT_EQ(orders.back().from, killed == 0 ? "node-3" : "node-0");
+}
+
+/// Story: the controller is paused between its intent and its order for longer than the
+/// lease. The successor has settled the change and operators want the old role again,
+/// when the first one wakes up and orders what nobody wants any more.
+void expect_nothing_from_a_paused_controller(bool checks_fencing)
+{
+    fleet system(two_data_centres(checks_fencing));
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second", 1));
+    ASSERT_TRUE(eventually([&] { return intending_node(system, "dc-1") >= 0; }, 60'000));
+    auto const paused = intending_node(system, "dc-1");
+    system.node(paused).signal(SIGSTOP);
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    ASSERT_TRUE(apply_lines(system, "", "third", 1));
+    system.node(paused).signal(SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    auto const orders = orders_at(system, system.engine_port(0), "order");
+    EXPECT_TRUE(one_holder_at_a_time(orders));
+    auto const successor = paused == 0 ? "node-3" : "node-0";
+    EXPECT_EQ(orders.back().from, successor);
+    EXPECT_TRUE(is_prefill(system.engine_port(0)));
+}
+
+TEST(orders_roles, a_paused_controller_orders_nothing_from_checking_engines)
+{
+    expect_nothing_from_a_paused_controller(true);
+}
+
+TEST(orders_roles, a_paused_controller_orders_nothing_from_engines_that_ignore_fences)
+{
+    expect_nothing_from_a_paused_controller(false);
+}
+
+/// Story: answers of appends and of orders are lost, and some appends take effect late.
+/// An engine's role is turned twice, or an order given up on turns it back later.
+TEST(orders_roles, lost_answers_and_late_appends_turn_each_engine_once)
+{
+    fleet system(two_data_centres());
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second"));
+    system.fault(system.platform_port(),
+                 {{"kind", "drop_answer"}, {"path", "/log/append"}, {"count", 20}});
+    system.fault(system.platform_port(),
+                 {{"kind", "late"}, {"for_ms", 1'500}, {"count", 5}});
+    system.fault(system.engine_port(0),
+                 {{"kind", "drop_answer"}, {"path", "/orders"}, {"count", 1}});
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    for (int engine = 0; engine < 2; ++engine)
+    {
+        auto const port = system.engine_port(engine);
+        EXPECT_TRUE(is_prefill(port));
+        EXPECT_TRUE(one_holder_at_a_time(orders_at(system, port, "order")));
+        EXPECT_EQ(distinct_ids(orders_at(system, port, "order")), 1U);
+    }
+}
+
+/// Story: the log goes out while an engine is drained for a change. The holder's lease
+/// ends before the drain does; an order after that has no authority behind it.
+TEST(orders_roles, a_drain_that_outlasts_the_lease_gives_no_order)
+{
+    fleet system(two_data_centres());
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second"));
+    ASSERT_TRUE(eventually([&] { return intending_node(system, "dc-1") >= 0; }, 60'000));
+    system.fault(system.engine_port(0),
+                 {{"kind", "slow"}, {"path", "/load"}, {"for_ms", 1'700}});
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"path", "/log/append"}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500)); // beyond the lease
+    auto const before = orders_at(system, system.engine_port(0), "order").size();
+    system.fault(system.engine_port(0), {{"kind", "none"}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    EXPECT_EQ(orders_at(system, system.engine_port(0), "order").size(), before);
+    system.fault(system.platform_port(), {{"kind", "none"}});
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    EXPECT_TRUE(one_holder_at_a_time(orders_at(system, system.engine_port(0), "order")));
+}
+
+/// Story: two things at once: the controller is paused past its lease and its successor
+/// is killed in the middle of the same change; the first one wakes up in between.
+TEST(orders_roles, a_paused_holder_and_a_killed_successor_leave_one_order_at_a_time)
+{
+    fleet system(two_data_centres(false));
+    ASSERT_TRUE(apply_lines(system, one_prefill_engine, "second", 1));
+    ASSERT_TRUE(eventually([&] { return intending_node(system, "dc-1") >= 0; }, 60'000));
+    auto const paused = intending_node(system, "dc-1");
+    auto const other = paused == 0 ? 3 : 0;
+    system.node(paused).signal(SIGSTOP);
+    ASSERT_TRUE(eventually(
+        [&] { return holder_of(system, "controller/wording/dc-1", 1) == other; },
+        60'000));
+    system.node(other).signal(SIGKILL);
+    system.node(paused).signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return both_are_prefill(system); }, 60'000));
+    EXPECT_TRUE(one_holder_at_a_time(orders_at(system, system.engine_port(0), "order")));
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
