--- a/src/ledger/order_fold.cpp
+++ b/src/ledger/order_fold.cpp
@@ -24,14 +24,19 @@
     open_[intent.target()] = {
         intent.order_id(), intent.duty(),  intent.target(), intent.wanted(),
         intent.holder(),   intent.epoch(), offset};
-    known_ids_.insert(intent.order_id());
-    id_order_.push_back(intent.order_id());
+    remember(intent.order_id());
+    return true;
+}
+
+void order_fold::remember(std::string const& order_id)
+{
+    known_ids_.insert(order_id);
+    id_order_.push_back(order_id);
     if (id_order_.size() > remembered_ids)
     {
         known_ids_.erase(id_order_.front());
         id_order_.pop_front();
     }
-    return true;
 }
 
 bool order_fold::apply(wire::order_outcome const& outcome)
@@ -66,4 +71,39 @@
     return result;
 }
 
+void order_fold::save(wire::order_state_snapshot& snapshot) const
+{
+    for (auto const& [target, order] : open_)
+    {
+        auto* entry = snapshot.add_open();
+        entry->set_order_id(order.order_id);
+        entry->set_duty(order.duty);
+        entry->set_epoch(order.epoch);
+        entry->set_holder(order.holder);
+        entry->set_target(target);
+        entry->set_wanted(order.wanted);
+        entry->set_offset(order.offset);
+    }
+    for (auto const& id : id_order_)
+    {
+        snapshot.add_known_ids(id);
+    }
+}
+
+order_fold order_fold::restored(wire::order_state_snapshot const& snapshot)
+{
+    order_fold value;
+    for (auto const& entry : snapshot.open())
+    {
+        value.open_[entry.target()] = {entry.order_id(), entry.duty(),   entry.target(),
+                                       entry.wanted(),   entry.holder(), entry.epoch(),
+                                       entry.offset()};
+    }
+    for (auto const& id : snapshot.known_ids())
+    {
+        value.remember(id);
+    }
+    return value;
+}
+
 } // namespace marigoldcrank
--- a/src/ledger/order_fold.hpp
+++ b/src/ledger/order_fold.hpp
@@ -19,6 +19,7 @@
 {
 class order_intent;
 class order_outcome;
+class order_state_snapshot;
 } // namespace marigoldcrank::wire
 
 namespace marigoldcrank
@@ -65,11 +66,19 @@
     /// Open orders of one duty, in the order of their targets.
     std::vector<open_order> open_of(std::string const& duty) const;
 
+    /// A fold restored from what was saved folds on as this one would.
+    void              save(wire::order_state_snapshot& snapshot) const;
+    static order_fold restored(wire::order_state_snapshot const& snapshot);
+
     bool operator==(order_fold const&) const = default;
 
 private:
-    /// Ids are remembered long enough for a repeated append to be recognised.
-    static constexpr std::size_t remembered_ids = 16'384;
+    void remember(std::string const& order_id);
+
+    /// Ids are remembered so that a repeated append does not open an order again. One
+    /// that comes after more orders than this opens an order that nobody sends, see
+    /// order_journal.
+    static constexpr std::size_t remembered_ids = 512;
 
     std::map<std::string, open_order> open_;
     std::set<std::string>             known_ids_;
--- a/tests/property/order_property_test.cpp
+++ b/tests/property/order_property_test.cpp
@@ -129,6 +129,10 @@
         other.apply(index + 1, world.log[index]);
     }
     RC_ASSERT(other == world.fold());
+    // A fold restored from a snapshot equals the one that was saved.
+    wire::order_state_snapshot snapshot;
+    other.orders().save(snapshot);
+    RC_ASSERT(order_fold::restored(snapshot) == other.orders());
 }
 
 // 2. Purchases
