--- a/apps/operator_commands.cpp
+++ b/apps/operator_commands.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -326,6 +327,37 @@
     return exit_ok;
 }
 
+std::string utc_time(std::uint64_t unix_ms)
+{
+    constexpr std::uint64_t millis_per_second = 1000;
+    constexpr std::size_t   longest = 32;
+    auto const seconds = static_cast<std::time_t>(unix_ms / millis_per_second);
+    std::tm    parts{};
+    std::array<char, longest> text{};
+    gmtime_r(&seconds, &parts);
+    std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M:%S UTC", &parts);
+    return text.data();
+}
+
+leaf::result<int> history(command_context const& context)
+{
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(answer, client.get("/admin/history"));
+    std::string text;
+    for (auto const& change : answer["changes"])
+    {
+        bool const accepted = change.value("accepted", false);
+        text += (accepted ? "revision " : "conflict ") +
+                std::to_string(change.value("offset", 0)) + " on " +
+                std::to_string(change.value("base_revision", 0)) + ", " +
+                utc_time(change.value("at_unix_ms", std::uint64_t{0})) + ", " +
+                change.value("author", "") + ", change " + change.value("change_id", "") +
+                "\n";
+    }
+    print(context, answer, text);
+    return exit_ok;
+}
+
 leaf::result<int> drain(command_context const& context)
 {
     operator_client const client(context.options);
@@ -345,6 +377,7 @@
     operator_command{"status", "", "nodes, duties and backend servers", status},
     operator_command{"explain", "ID", "the decisions about one request", explain},
     operator_command{"usage", "", "sealed usage windows", usage},
+    operator_command{"history", "", "the chain of changes of the rules", history},
     operator_command{"drain", "", "drain the first node given by --node", drain}};
 
 } // namespace
--- a/src/adapters/zmq_peers.cpp
+++ b/src/adapters/zmq_peers.cpp
@@ -158,8 +158,14 @@
     {
         return;
     }
-    outbox_in.send(zmq::buffer(name), zmq::send_flags::sndmore);
-    outbox_in.send(zmq::buffer(text), zmq::send_flags::none);
+    // The handler posts from the socket thread, which alone empties the outbox: waiting
+    // for room there would stop both for ever. What does not fit is lost like any other
+    // message; the next heartbeat says the state again.
+    auto const more = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
+    if (outbox_in.send(zmq::buffer(name), more))
+    {
+        outbox_in.send(zmq::buffer(text), zmq::send_flags::none);
+    }
 }
 
 // 3. Public members
--- a/src/app/caller_request.hpp
+++ b/src/app/caller_request.hpp
@@ -1,6 +1,6 @@
 // A caller's request after the front has read it, and the admission of its key.
 //
-// Index: 1 admission, 2 model_request, 3 service_request, 4 admit
+// Index: 1 admission, 2 key_state, 3 model_request, 4 service_request, 5 admit
 #ifndef MARIGOLDCRANK_APP_CALLER_REQUEST_HPP
 #define MARIGOLDCRANK_APP_CALLER_REQUEST_HPP
 
@@ -23,6 +23,14 @@
     std::shared_ptr<configuration const> config;
 };
 
+/// What became of a key after its request was admitted.
+enum class key_state
+{
+    good,
+    withdrawn,  // queued work is refused, dispatched work finishes
+    compromised // dispatched work is cancelled as well
+};
+
 struct model_request
 {
     std::string            request_id;
--- a/src/app/ledger_store.cpp
+++ b/src/app/ledger_store.cpp
@@ -1,12 +1,20 @@
 // The ledger of this process.
+//
+// Index: 1 from the log, 2 from peers, 3 views, 4 access list
 #include "app/ledger_store.hpp"
 
 #include "adapters/logging.hpp"
 #include "wire.pb.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
+
 namespace marigoldcrank
 {
 
+// 1. From the log
+
 ledger_store::ledger_store(listener on_access_change)
     : on_access_change_(std::move(on_access_change)), started_(boot_clock::now()),
       access_(std::make_shared<access_list const>())
@@ -38,8 +46,9 @@
         if (effect == record_effect::effective)
         {
             note_duty(record, now);
-            changed = refresh_access();
         }
+        judge_peer_rules();
+        changed = refresh_access();
     }
     applied_.notify_all();
     if (!readable)
@@ -53,21 +62,48 @@
     }
 }
 
-void ledger_store::skip_to(std::uint64_t first)
+void ledger_store::restore(wire::ledger_snapshot const& snapshot,
+                           boot_clock::time_point       now)
 {
-    std::lock_guard const lock(mutex_);
-    while (ledger_.next_offset() < first)
+    bool changed = false;
+    {
+        std::lock_guard const lock(mutex_);
+        ledger_ = ledger::restored(snapshot);
+        // Each duty's last renewal may be as young as the snapshot: a whole lease must
+        // pass from here before this node may claim any of them.
+        for (auto const& [duty, state] : ledger_.leases().duties())
+        {
+            duty_read_at_[duty] = now;
+        }
+        judge_peer_rules();
+        changed = refresh_access();
+    }
+    applied_.notify_all();
+    if (changed)
     {
-        ledger_.skip_malformed(first - 1);
+        on_access_change_();
     }
 }
 
+// 2. From peers
+
 bool ledger_store::offer(wire::config_snapshot const& snapshot)
 {
     bool changed = false;
     {
         std::lock_guard const lock(mutex_);
-        changed = ledger_.config().apply(snapshot) && refresh_access();
+        if (snapshot.revision() <= access_->revision())
+        {
+            return false;
+        }
+        if (snapshot.revision() < ledger_.next_offset())
+        {
+            log_warning(log_part::ledger, "Refused a peer's configuration that the log "
+                                          "does not hold.");
+            return false;
+        }
+        peer_rules_ = read_rules(snapshot);
+        changed = refresh_access();
     }
     if (changed)
     {
@@ -76,12 +112,17 @@
     return changed;
 }
 
-bool ledger_store::offer(wire::key_withdrawal const& withdrawal)
+bool ledger_store::offer(wire::key_withdrawal_set const& withdrawals)
 {
     bool changed = false;
     {
         std::lock_guard const lock(mutex_);
-        changed = ledger_.config().apply(withdrawal) && refresh_access();
+        for (auto const& withdrawal : withdrawals.withdrawals())
+        {
+            auto& compromised = withdrawn_[withdrawal.key_id()];
+            compromised = compromised || withdrawal.compromised();
+        }
+        changed = refresh_access();
     }
     if (changed)
     {
@@ -90,6 +131,58 @@
     return changed;
 }
 
+/// Once the ledger has passed the offset of a peer's configuration, the ledger decides.
+void ledger_store::judge_peer_rules()
+{
+    if (peer_rules_.revision == 0 || peer_rules_.revision >= ledger_.next_offset())
+    {
+        return;
+    }
+    auto const& current = ledger_.config().current();
+    bool const  confirmed =
+        current.revision > peer_rules_.revision || current == peer_rules_;
+    if (!confirmed)
+    {
+        log_warning(log_part::ledger,
+                    "A peer's configuration is not the log's; dropped.");
+        // The only step back there is: away from rules that were never accepted.
+        publish(std::make_shared<access_list const>());
+    }
+    peer_rules_ = {};
+}
+
+// 3. Views
+
+accepted_rules ledger_store::rules_in_force() const
+{
+    std::lock_guard const lock(mutex_);
+    auto const            revision = access_->revision();
+    auto const&           own = ledger_.config().current();
+    if (own.revision == revision)
+    {
+        return own;
+    }
+    return peer_rules_.revision == revision ? peer_rules_ : accepted_rules{};
+}
+
+wire::key_withdrawal_set ledger_store::unlogged_withdrawals() const
+{
+    std::lock_guard const    lock(mutex_);
+    wire::key_withdrawal_set missing;
+    auto const&              logged = ledger_.config().withdrawn_keys();
+    for (auto const& [key, compromised] : withdrawn_)
+    {
+        auto const found = logged.find(key);
+        if (found == logged.end() || (compromised && !found->second))
+        {
+            auto* entry = missing.add_withdrawals();
+            entry->set_key_id(key);
+            entry->set_compromised(compromised);
+        }
+    }
+    return missing;
+}
+
 std::optional<record_outcome> ledger_store::wait_for(std::string const& record_id,
                                                      millis             timeout)
 {
@@ -107,7 +200,7 @@
 
 std::shared_ptr<access_list const> ledger_store::access() const
 {
-    std::lock_guard const lock(mutex_);
+    std::lock_guard const lock(access_mutex_);
     return access_;
 }
 
@@ -149,36 +242,75 @@
     }
 }
 
+// 4. Access list
+
+namespace
+{
+std::uint64_t digest_of(std::map<std::string, bool> const& withdrawn)
+{
+    std::string text;
+    for (auto const& [key, compromised] : withdrawn)
+    {
+        text += key + (compromised ? " compromised\n" : " withdrawn\n");
+    }
+    return withdrawn.empty() ? 0 : XXH64(text.data(), text.size(), 0);
+}
+} // namespace
+
+void ledger_store::publish(std::shared_ptr<access_list const> next)
+{
+    std::lock_guard const lock(access_mutex_);
+    access_ = std::move(next);
+}
+
 bool ledger_store::refresh_access()
 {
-    auto const& fold = ledger_.config();
-    auto const  held = access_->config ? access_->config->revision : 0;
-    auto        next = std::make_shared<access_list>(*access_);
-    next->withdrawn = fold.withdrawn_keys();
-    if (fold.revision() > held)
-    {
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void>
-            {
-                BOOST_LEAF_AUTO(parsed, parse_rules(fold.rules(), "log"));
-                parsed.revision = fold.revision();
-                parsed.change_id = fold.change_id();
-                next->config = std::make_shared<configuration const>(std::move(parsed));
-                return {};
-            },
-            [&]
-            {
-                log_error(log_part::ledger, "Accepted rules do not parse here; kept the "
-                                            "configuration in force.");
-            });
+    for (auto const& [key, compromised] : ledger_.config().withdrawn_keys())
+    {
+        auto& known = withdrawn_[key];
+        known = known || compromised;
     }
+    auto const newest = std::max(ledger_.config().revision(), peer_rules_.revision);
+    bool const same_rules = newest <= std::max(access_->revision(), unreadable_);
+    if (same_rules && withdrawn_ == access_->withdrawn)
+    {
+        return false;
+    }
+    auto next = std::make_shared<access_list>(*access_);
+    next->withdrawn = withdrawn_;
+    next->withdrawn_digest = digest_of(withdrawn_);
+    refresh_config(*next);
     bool const changed =
         next->withdrawn != access_->withdrawn || next->config != access_->config;
-    if (changed)
+    publish(std::move(next));
+    return changed;
+}
+
+void ledger_store::refresh_config(access_list& next)
+{
+    auto const& own = ledger_.config().current();
+    auto const& newest = peer_rules_.revision > own.revision ? peer_rules_ : own;
+    if (newest.revision <= std::max(next.revision(), unreadable_))
     {
-        access_ = std::move(next);
+        return;
     }
-    return changed;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(parsed, parse_rules(newest.rules, "log"));
+            parsed.revision = newest.revision;
+            parsed.change_id = newest.change_id;
+            next.config = std::make_shared<configuration const>(std::move(parsed));
+            return {};
+        },
+        [&]
+        {
+            // Only a newer program can have judged them good: the fold must not parse,
+            // or two versions of it would hold different chains.
+            unreadable_ = newest.revision;
+            log_error(log_part::ledger, "Accepted rules do not parse here; kept the "
+                                        "configuration in force.");
+        });
 }
 
 } // namespace marigoldcrank
--- a/src/app/ledger_store.hpp
+++ b/src/app/ledger_store.hpp
@@ -19,6 +19,11 @@
 #include <optional>
 #include <string>
 
+namespace marigoldcrank::wire
+{
+class key_withdrawal_set;
+}
+
 namespace marigoldcrank
 {
 
@@ -31,14 +36,22 @@
     bool operator==(record_outcome const&) const = default;
 };
 
-/// Configuration in force and the keys that were withdrawn since; immutable.
+/// Configuration in force and all withdrawn keys known here; immutable.
 struct access_list
 {
-    std::shared_ptr<configuration const> config; // null: none known yet, refuse
-    std::map<std::string, bool>          withdrawn;
+    std::shared_ptr<configuration const> config;    // null: none known yet, refuse
+    std::map<std::string, bool>          withdrawn; // id, compromised
+    std::uint64_t withdrawn_digest = 0;             // equal sets, equal digests
+
+    std::uint64_t revision() const noexcept
+    {
+        return config ? config->revision : 0;
+    }
 };
 
-/// Safe to use from several threads.
+/// The ledger, which only the log moves, and beside it what peers know sooner: a newer
+/// configuration and withdrawn keys. In force is the newest accepted of both. Safe to use
+/// from several threads.
 class ledger_store
 {
 public:
@@ -50,12 +63,23 @@
     /// Folds the text of one record, read at `now`.
     void apply(std::uint64_t offset, std::string const& text, boot_clock::time_point now);
 
-    /// Starts again after records expired: offsets before `first` are gone.
-    void skip_to(std::uint64_t first);
+    /// Starts again from a snapshot after records expired unread.
+    void restore(wire::ledger_snapshot const& snapshot, boot_clock::time_point now);
 
-    /// Takes a peer's configuration or withdrawal if it is newer. True if it was.
+    /// Takes a peer's configuration if it is newer than the one in force. True if it was.
+    /// A peer is believed only where this node's own log is silent: a revision that the
+    /// ledger has passed without accepting it is refused, and one that the ledger passes
+    /// later is dropped in favour of the ledger's own.
     bool offer(wire::config_snapshot const& snapshot);
-    bool offer(wire::key_withdrawal const& withdrawal);
+
+    /// Adds withdrawn keys, whoever says so. True if any was new.
+    bool offer(wire::key_withdrawal_set const& withdrawals);
+
+    /// The rules in force, to be passed on to peers.
+    accepted_rules rules_in_force() const;
+
+    /// Withdrawals known here that the log does not hold yet.
+    wire::key_withdrawal_set unlogged_withdrawals() const;
 
     /// Waits until a record with this id was read back.
     std::optional<record_outcome> wait_for(std::string const& record_id, millis timeout);
@@ -78,7 +102,10 @@
 private:
     void remember(std::string const& record_id, record_outcome outcome);
     void note_duty(wire::log_record const& record, boot_clock::time_point now);
+    void publish(std::shared_ptr<access_list const> next);
     bool refresh_access(); // under the lock; true if anything changed
+    void refresh_config(access_list& next);
+    void judge_peer_rules();
 
     static constexpr std::size_t remembered_records = 8192;
 
@@ -87,10 +114,14 @@
     mutable std::mutex                            mutex_;
     std::condition_variable                       applied_;
     ledger                                        ledger_;
+    accepted_rules                                peer_rules_;     // ahead of the ledger
+    std::map<std::string, bool>                   withdrawn_;      // from any source
+    std::uint64_t                                 unreadable_ = 0; // newest such revision
     std::map<std::string, record_outcome>         outcomes_;
     std::deque<std::string>                       outcome_order_;
     std::map<std::string, boot_clock::time_point> duty_read_at_;
-    std::shared_ptr<access_list const>            access_;
+    mutable std::mutex                 access_mutex_; // read for every token; never long
+    std::shared_ptr<access_list const> access_;       // written under both locks
 };
 
 } // namespace marigoldcrank
--- a/src/app/log_follower.hpp
+++ b/src/app/log_follower.hpp
@@ -1,14 +1,20 @@
 // Reads the platform's log from offset to offset into the ledger store.
 //
 // Index: log_follower
+//
+// Records expire. A reader that comes too late reads on from the first retained record,
+// without folding anything, until it meets a snapshot that covers all that is gone;
+// there it starts again.
 #ifndef MARIGOLDCRANK_APP_LOG_FOLLOWER_HPP
 #define MARIGOLDCRANK_APP_LOG_FOLLOWER_HPP
 
 #include "adapters/logging.hpp"
 #include "app/ledger_store.hpp"
 #include "ports/platform_port.hpp"
+#include "wire.pb.h"
 
 #include <atomic>
+#include <optional>
 #include <thread>
 
 namespace marigoldcrank
@@ -44,22 +50,38 @@
         return reachable_;
     }
 
+    /// True if the ledger holds all that was read; false while a snapshot is looked for.
+    bool synchronised() const noexcept
+    {
+        return !searching_;
+    }
+
+    /// First offset that the log still held at the last read.
+    std::uint64_t first_retained() const noexcept
+    {
+        return first_retained_;
+    }
+
     /// Reads one page and folds it; false if the log could not be read.
     bool read_once()
     {
         return leaf::try_handle_all(
             [&]() -> leaf::result<bool>
             {
-                auto const from = store_.with_ledger([](ledger const& value)
+                auto const next = store_.with_ledger([](ledger const& value)
                                                      { return value.next_offset(); });
+                auto const from = searching_ ? search_from_ : next;
                 BOOST_LEAF_AUTO(page, log_.read(from, wait_));
-                fold(page);
+                first_retained_ = page.first_retained;
+                searching_ ? search(page) : fold(page);
                 return true;
             },
             [&](log_gap const& gap)
             {
-                log_warning(log_part::ledger, "Records expired unread.");
-                store_.skip_to(gap.first_retained);
+                log_warning(log_part::ledger,
+                            "Records expired unread; looks for a snapshot.");
+                search_from_ = gap.first_retained;
+                searching_ = true;
                 return true;
             },
             [] { return false; });
@@ -78,6 +100,48 @@
         }
     }
 
+    /// Folding on over the hole would give this node a ledger of its own: it would take
+    /// a lapsed lease for free and count usage twice.
+    void search(log_page const& page)
+    {
+        auto offset = page.first;
+        for (auto const& text : page.records)
+        {
+            if (auto const found = snapshot_in(text);
+                found && covers(*found, offset, page.first_retained))
+            {
+                store_.restore(*found, boot_clock::now());
+                searching_ = false;
+                log_info(log_part::ledger, "Starts again from a snapshot.");
+                return;
+            }
+            ++offset;
+        }
+        search_from_ = offset;
+    }
+
+    static bool covers(wire::ledger_snapshot const& snapshot, std::uint64_t offset,
+                       std::uint64_t first_retained)
+    {
+        return snapshot.through_offset() < offset &&
+               snapshot.through_offset() + 1 >= first_retained;
+    }
+
+    static std::optional<wire::ledger_snapshot> snapshot_in(std::string const& text)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<wire::ledger_snapshot>>
+            {
+                BOOST_LEAF_AUTO(record, parse_record(text));
+                if (!record.has_ledger())
+                {
+                    return std::nullopt;
+                }
+                return record.ledger();
+            },
+            [] { return std::optional<wire::ledger_snapshot>{}; });
+    }
+
     void run()
     {
         while (!stopping_)
@@ -90,12 +154,15 @@
         }
     }
 
-    Log&              log_;
-    ledger_store&     store_;
-    millis            wait_;
-    std::atomic<bool> stopping_{false};
-    std::atomic<bool> reachable_{false};
-    std::thread       thread_;
+    Log&                       log_;
+    ledger_store&              store_;
+    millis                     wait_;
+    std::atomic<bool>          stopping_{false};
+    std::atomic<bool>          reachable_{false};
+    std::atomic<bool>          searching_{false};
+    std::atomic<std::uint64_t> first_retained_{1};
+    std::uint64_t              search_from_ = 1;
+    std::thread                thread_;
 };
 
 } // namespace marigoldcrank
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,7 +11,10 @@
 #include "app/lease_keeper.hpp"
 #include "app/log_follower.hpp"
 #include "app/operator_front.hpp"
+#include "app/peer_roster.hpp"
 #include "app/server_poller.hpp"
+#include "app/snapshot_keeper.hpp"
+#include "app/usage_custody.hpp"
 #include "app/usage_recorder.hpp"
 #include "app/usage_reporter.hpp"
 
@@ -49,6 +52,7 @@
     settings          options;
     std::string       incarnation = random_id(incarnation_digits);
     std::string       holder = options.name + "/" + incarnation;
+    std::atomic<bool> started{false}; // all parts stand; messages before are dropped
     std::atomic<bool> stopping{false};
     std::atomic<bool> drain_wanted{false};
 
@@ -59,10 +63,14 @@
     http_backend                                 backend;
     server_directory                             directory;
     log_writer<http_platform>                    writer;
-    usage_recorder<http_platform>                usage;
+    peer_roster                                  roster;
+    usage_custody                                custody;
+    zmq_peers                                    peers;
+    usage_recorder<http_platform, zmq_peers>     usage;
     lease_keeper<http_platform>                  reporter_lease;
     usage_reporter<http_platform, http_platform> reporter;
-    zmq_peers                                    peers;
+    lease_keeper<http_platform>                  keeper_lease;
+    snapshot_keeper<http_platform>               keeper;
     worker_pool                                  workers;
     request_path<http_backend>                   path;
     caller_front<http_backend>                   callers;
@@ -81,9 +89,14 @@
     void               pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
-    wire::peer_message snapshot_message() const;
+    void               take_handoff(wire::peer_message const& message);
+    wire::peer_message beat_message() const;
+    wire::peer_message rules_message() const;
+    wire::peer_message withdrawals_message() const;
+    key_state          state_of_key(std::string const& key_id) const;
     void               run_duties();
     void               run_usage();
+    bool               settle_custody(millis hold);
     void               run_beats();
     void               start();
 };
@@ -95,15 +108,27 @@
       platform(options.platform_host, static_cast<int>(options.platform_port),
                millis{options.platform_timeout_ms}, options.name),
       backend({millis{options.connect_ms}, millis{options.progress_ms}}, options.name),
-      writer(platform, store), usage(writer, options.name, incarnation),
+      writer(platform, store), roster(options.data_centre, millis{options.peer_dead_ms}),
+      peers(options, peers_of(options),
+            [this](wire::peer_message const& message) { take_message(message); }),
+      usage(writer, store, peers, roster,
+            {options.name, incarnation, millis{options.handoff_ms}}),
       reporter_lease(writer, store, "reporter", holder, terms()),
       reporter(writer, store, platform, reporter_lease, holder,
                millis{options.window_ms}),
-      peers(options, peers_of(options),
-            [this](wire::peer_message const& message) { take_message(message); }),
+      keeper_lease(writer, store, "keeper", holder, terms()),
+      keeper(writer, store, keeper_lease,
+             {millis{options.snapshot_every_ms},
+              static_cast<std::uint64_t>(options.snapshot_every_records)}),
       workers(count_of(options.http_threads)),
       path(backend, directory, spans, counters, workers,
-           [this](wire::usage_delta delta) { usage.add(std::move(delta)); },
+           [this](wire::usage_delta delta)
+           {
+               if (!usage.add(std::move(delta)))
+               {
+                   counters.add("usage_unshared_total");
+               }
+           },
            {options.data_centre, options.max_attempts}),
       callers(path, store, spans, counters, millis{options.deadline_ms}),
       operators(writer, store, spans, directory, peers, options.operator_key,
@@ -129,41 +154,56 @@
     return result;
 }
 
-wire::peer_message node::parts::snapshot_message() const
+/// The configuration in force, for peers that are cut off from the platform.
+wire::peer_message node::parts::rules_message() const
 {
     auto result = message();
-    store.with_ledger(
-        [&](ledger const& value)
-        {
-            auto* snapshot = result.mutable_configuration();
-            snapshot->set_revision(value.config().revision());
-            snapshot->set_change_id(value.config().change_id());
-            snapshot->set_rules(value.config().rules());
-            snapshot->set_author(value.config().author());
-            return 0;
-        });
+    write_rules(store.rules_in_force(), *result.mutable_configuration());
     return result;
 }
 
-/// Peers that are cut off from the platform take the newest configuration from here.
-void node::parts::pass_on_access()
+wire::peer_message node::parts::withdrawals_message() const
 {
-    auto const access = store.access();
-    if (access->config)
+    auto  result = message();
+    auto* set = result.mutable_withdrawals();
+    for (auto const& [key, compromised] : store.access()->withdrawn)
     {
-        peers.broadcast(snapshot_message());
+        auto* entry = set->add_withdrawals();
+        entry->set_key_id(key);
+        entry->set_compromised(compromised);
     }
-    for (auto const& [key, compromised] : access->withdrawn)
+    return result;
+}
+
+wire::peer_message node::parts::beat_message() const
+{
+    auto const access = store.access();
+    auto       result = message();
+    auto*      beat = result.mutable_beat();
+    beat->set_config_revision(access->revision());
+    beat->set_withdrawn_digest(access->withdrawn_digest);
+    beat->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
+    beat->set_draining(callers.draining());
+    beat->set_data_centre(options.data_centre);
+    return result;
+}
+
+/// A heartbeat at once tells all peers that there is something new here; those that do
+/// not have it ask for it, so that rules travel only where they are missing.
+void node::parts::pass_on_access()
+{
+    if (started)
     {
-        auto withdrawal = message();
-        withdrawal.mutable_withdrawal()->set_key_id(key);
-        withdrawal.mutable_withdrawal()->set_compromised(compromised);
-        peers.broadcast(withdrawal);
+        peers.broadcast(beat_message());
     }
 }
 
 void node::parts::take_message(wire::peer_message const& message)
 {
+    if (!started)
+    {
+        return;
+    }
     switch (message.body_case())
     {
     case wire::peer_message::kBeat:
@@ -172,40 +212,79 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
-    case wire::peer_message::kWithdrawal:
-        store.offer(message.withdrawal());
+    case wire::peer_message::kConfigurationWanted:
+        if (store.rules_in_force().revision != 0)
+        {
+            peers.send(message.from(), rules_message());
+        }
+        break;
+    case wire::peer_message::kWithdrawals:
+        store.offer(message.withdrawals());
+        break;
+    case wire::peer_message::kHandoff:
+        take_handoff(message);
+        break;
+    case wire::peer_message::kHandoffAck:
+        usage.acknowledged(message.from(), message.handoff_ack());
         break;
     default:
         break;
     }
 }
 
-/// A heartbeat tells the sender's revision; one that is behind is sent the newest.
+/// Peers that differ are brought together: the one behind asks for the rules, and each
+/// sends the other the withdrawn keys that it knows. So a node that missed a broadcast,
+/// or started after it, has the newest within a heartbeat or two.
 void node::parts::take_beat(wire::peer_message const& message)
 {
-    auto const access = store.access();
-    if (access->config && access->config->revision > message.beat().config_revision())
+    auto const& beat = message.beat();
+    auto const  access = store.access();
+    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                  beat.draining(), boot_clock::now()});
+    if (beat.config_revision() > access->revision())
     {
-        peers.send(message.from(), snapshot_message());
+        auto wanted = this->message();
+        wanted.set_configuration_wanted(true);
+        peers.send(message.from(), wanted);
     }
+    if (beat.withdrawn_digest() != access->withdrawn_digest && !access->withdrawn.empty())
+    {
+        peers.send(message.from(), withdrawals_message());
+    }
+}
+
+/// The acknowledgement goes out only after the deltas are kept.
+void node::parts::take_handoff(wire::peer_message const& message)
+{
+    custody.take(message.handoff(), boot_clock::now());
+    auto  answer = this->message();
+    auto* ack = answer.mutable_handoff_ack();
+    ack->set_node(message.handoff().node());
+    ack->set_incarnation(message.handoff().incarnation());
+    ack->set_sequence(message.handoff().sequence());
+    peers.send(message.from(), answer);
 }
 
 void node::parts::run_beats()
 {
     while (!stopping)
     {
-        auto const access = store.access();
-        auto       beat = message();
-        beat.mutable_beat()->set_config_revision(access->config ? access->config->revision
-                                                                : 0);
-        beat.mutable_beat()->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
-        beat.mutable_beat()->set_draining(callers.draining());
-        beat.mutable_beat()->set_data_centre(options.data_centre);
-        peers.broadcast(beat);
+        peers.broadcast(beat_message());
         std::this_thread::sleep_for(millis{options.heartbeat_ms});
     }
 }
 
+key_state node::parts::state_of_key(std::string const& key_id) const
+{
+    auto const access = store.access();
+    auto const found = access->withdrawn.find(key_id);
+    if (found == access->withdrawn.end())
+    {
+        return key_state::good;
+    }
+    return found->second ? key_state::compromised : key_state::withdrawn;
+}
+
 // 3. Duties
 
 void node::parts::run_duties()
@@ -216,8 +295,10 @@
         if (!callers.draining())
         {
             reporter_lease.step(now);
+            keeper_lease.step(boot_clock::now());
         }
         reporter.step(boot_clock::now());
+        keeper.step(boot_clock::now(), follower.first_retained());
         std::this_thread::sleep_for(duty_pause);
     }
 }
@@ -226,17 +307,45 @@
 {
     while (!stopping)
     {
+        usage.hand_off_again(boot_clock::now());
         usage.flush(flush_timeout);
+        settle_custody(millis{options.custody_hold_ms});
         std::this_thread::sleep_for(millis{options.usage_flush_ms});
     }
 }
 
+/// Appends what peers that are gone left here. True if nothing overdue is left.
+bool node::parts::settle_custody(millis hold)
+{
+    store.with_ledger(
+        [&](ledger const& value)
+        {
+            custody.forget_counted(value.usage());
+            return 0;
+        });
+    auto const now = boot_clock::now();
+    auto const alive = [&](std::string const& name, std::string const& run)
+    {
+        return hold != millis::zero() && roster.alive(name, run, now);
+    };
+    for (auto const& batch : custody.overdue(now, hold, alive))
+    {
+        if (!append_batch(writer, batch, flush_timeout))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 // 4. Life cycle
 
 void node::parts::start()
 {
     configure(server, {count_of(options.http_threads), count_of(options.overflow_threads),
                        count_of(options.max_body_bytes)});
+    started = true;
+    path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
@@ -293,11 +402,15 @@
     {
         std::this_thread::sleep_for(drain_poll);
     }
-    while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
+    // What peers left here leaves with this node, so it goes into the log as well.
+    while (
+        !(parts_->usage.flush(flush_timeout) && parts_->settle_custody(millis::zero())) &&
+        boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
     parts_->reporter_lease.release();
+    parts_->keeper_lease.release();
     log_info(log_part::node, "Drained.");
 }
 
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -41,6 +41,7 @@
         guarded_get(server, "/admin/status", &operator_front::status);
         guarded_get(server, "/admin/explain", &operator_front::explain);
         guarded_get(server, "/admin/usage", &operator_front::usage);
+        guarded_get(server, "/admin/history", &operator_front::history);
         guarded_post(server, "/admin/rules", &operator_front::apply);
         guarded_post(server, "/admin/keys/withdraw", &operator_front::withdraw);
         guarded_post(server, "/admin/drain", &operator_front::drain);
@@ -109,7 +110,8 @@
     {
         auto const body = json::parse(request.body, nullptr, false);
         if (!body.is_object() || !body.value("change_id", json()).is_string() ||
-            !body.value("rules", json()).is_string())
+            !body.value("rules", json()).is_string() ||
+            body["change_id"].get<std::string>().empty())
         {
             return {{"outcome", "malformed"}};
         }
@@ -125,6 +127,7 @@
         change->set_base_revision(body.value("base_revision", std::uint64_t{0}));
         change->set_rules(body["rules"].get<std::string>());
         change->set_author(body.value("author", ""));
+        change->set_at_unix_ms(unix_millis());
         writer_.append(record, settle_timeout);
         return verdict_of(id);
     }
@@ -166,7 +169,7 @@
     }
 
     /// Peers hear of a withdrawal before the log does, so that it works while the
-    /// platform is out.
+    /// platform is out; the keeper appends it later if this append comes to nothing.
     json withdraw(httplib::Request const& request)
     {
         auto const body = json::parse(request.body, nullptr, false);
@@ -174,16 +177,15 @@
         {
             return {{"outcome", "malformed"}};
         }
-        wire::key_withdrawal withdrawal;
-        withdrawal.set_key_id(body["key_id"].get<std::string>());
-        withdrawal.set_compromised(body.value("compromised", false));
-        store_.offer(withdrawal);
         wire::peer_message message;
         message.set_from(node_);
-        *message.mutable_withdrawal() = withdrawal;
+        auto* withdrawal = message.mutable_withdrawals()->add_withdrawals();
+        withdrawal->set_key_id(body["key_id"].get<std::string>());
+        withdrawal->set_compromised(body.value("compromised", false));
+        store_.offer(message.withdrawals());
         peers_.broadcast(message);
         wire::log_record record;
-        *record.mutable_withdrawal() = withdrawal;
+        *record.mutable_withdrawal() = *withdrawal;
         auto const outcome = writer_.append(record, settle_timeout);
         return {{"outcome", "withdrawn"}, {"logged", outcome.has_value()}};
     }
@@ -221,7 +223,7 @@
                 return value.next_offset();
             });
         return {{"node", node_},
-                {"revision", access->config ? access->config->revision : 0},
+                {"revision", access->revision()},
                 {"withdrawn_keys", access->withdrawn.size()},
                 {"live_peers", peers_.live()},
                 {"next_offset", next},
@@ -264,6 +266,26 @@
             });
     }
 
+    /// The chain of changes and those that lost a race, oldest first.
+    json history(httplib::Request const&)
+    {
+        return store_.with_ledger(
+            [](ledger const& value) -> json
+            {
+                json changes = json::array();
+                for (auto const& note : value.config().history())
+                {
+                    changes.push_back({{"change_id", note.change_id},
+                                       {"offset", note.offset},
+                                       {"base_revision", note.base_revision},
+                                       {"accepted", note.accepted},
+                                       {"author", note.author},
+                                       {"at_unix_ms", note.at_unix_ms}});
+                }
+                return {{"revision", value.config().revision()}, {"changes", changes}};
+            });
+    }
+
     log_writer<Log>&      writer_;
     ledger_store&         store_;
     span_store&           spans_;
--- /dev/null
+++ b/src/app/peer_roster.cpp
@@ -0,0 +1,77 @@
+// What this node knows of its peers.
+#include "app/peer_roster.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+peer_roster::peer_roster(std::string data_centre, millis dead_after)
+    : data_centre_(std::move(data_centre)), dead_after_(dead_after)
+{
+}
+
+void peer_roster::heard(std::string const& name, peer_note const& note)
+{
+    std::lock_guard const lock(mutex_);
+    auto&                 held = notes_[name];
+    auto const            failed_at = held.failed_at;
+    held = note;
+    held.failed_at = failed_at;
+}
+
+void peer_roster::failed(std::string const& name, boot_clock::time_point now)
+{
+    std::lock_guard const lock(mutex_);
+    notes_[name].failed_at = now;
+}
+
+bool peer_roster::alive(std::string const& name, std::string const& incarnation,
+                        boot_clock::time_point now) const
+{
+    std::lock_guard const lock(mutex_);
+    auto const            found = notes_.find(name);
+    return found != notes_.end() && found->second.incarnation == incarnation &&
+           now - found->second.heard_at < dead_after_;
+}
+
+std::vector<std::string> peer_roster::keepers(boot_clock::time_point now,
+                                              std::uint64_t          turn) const
+{
+    struct candidate
+    {
+        int         rank = 0; // 2 for a late failure, 1 for another data centre
+        std::string name;
+    };
+    std::vector<candidate> found;
+    {
+        std::lock_guard const lock(mutex_);
+        for (auto const& [name, note] : notes_)
+        {
+            if (now - note.heard_at >= dead_after_ || note.draining)
+            {
+                continue;
+            }
+            bool const failed = note.failed_at != boot_clock::time_point{} &&
+                                now - note.failed_at < dead_after_;
+            bool const elsewhere = note.data_centre != data_centre_;
+            found.push_back({(failed ? 2 : 0) + (elsewhere ? 1 : 0), name});
+        }
+    }
+    if (!found.empty())
+    {
+        auto const shift = static_cast<std::ptrdiff_t>(turn % found.size());
+        std::rotate(found.begin(), found.begin() + shift, found.end());
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](candidate const& left, candidate const& right)
+                     { return left.rank < right.rank; });
+    std::vector<std::string> names;
+    for (auto& each : found)
+    {
+        names.push_back(std::move(each.name));
+    }
+    return names;
+}
+
+} // namespace marigoldcrank
--- a/src/app/request_path.hpp
+++ b/src/app/request_path.hpp
@@ -35,6 +35,7 @@
 {
 public:
     using usage_sink = std::function<void(wire::usage_delta)>;
+    using key_check = std::function<key_state(std::string const& key_id)>;
 
     request_path(Backend& backend, server_directory& directory, span_store& spans,
                  metrics& counters, worker_pool& workers, usage_sink usage,
@@ -44,6 +45,12 @@
     {
     }
 
+    /// Asked before each dispatch and with each token; set before the first request.
+    void watch_keys(key_check check)
+    {
+        keys_ = std::move(check);
+    }
+
     /// Starts a model call; tokens and end arrive on the stream.
     std::shared_ptr<answer_stream> start(model_request request)
     {
@@ -64,6 +71,11 @@
         auto          fate = call_fate::not_run;
         for (std::int64_t attempt = 1; attempt <= attempts; ++attempt)
         {
+            if (key_stops(request.key_id, fate != call_fate::not_run))
+            {
+                return leaf::new_error(
+                    refusal{refusal_cause::key_withdrawn, fate, retry_never_s});
+            }
             auto const server = route(wanted, request.request_id, request.trace);
             if (!server)
             {
@@ -85,6 +97,7 @@
 
 private:
     static constexpr int retry_after_s = 1;
+    static constexpr int retry_never_s = 3600;
 
     /// Progress of one model call over its attempts.
     struct model_progress
@@ -93,8 +106,17 @@
         std::uint64_t prompt_tokens = 0; // as the engine counted them
         bool          whole = false;     // the engine's end marker arrived in order
         bool          caller_left = false;
+        bool          key_stopped = false;
     };
 
+    /// A withdrawn key stops what has not been dispatched; a compromised one everything.
+    bool key_stops(std::string const& key_id, bool dispatched) const
+    {
+        auto const state = keys_ ? keys_(key_id) : key_state::good;
+        return state == key_state::compromised ||
+               (state == key_state::withdrawn && !dispatched);
+    }
+
     void serve(model_request const& request, answer_stream& stream)
     {
         model_progress progress;
@@ -104,6 +126,11 @@
         bool           dispatched = false;
         for (std::int64_t attempt = 1; attempt <= options_.max_attempts; ++attempt)
         {
+            progress.key_stopped = key_stops(request.key_id, dispatched);
+            if (progress.key_stopped)
+            {
+                break;
+            }
             auto const server = route(wanted, request.request_id, request.trace);
             if (!server || boot_clock::now() >= request.deadline)
             {
@@ -112,7 +139,7 @@
             dispatched = true;
             run_attempt(*server, request, static_cast<std::uint64_t>(attempt), stream,
                         progress);
-            if (progress.whole || progress.caller_left)
+            if (progress.whole || progress.caller_left || progress.key_stopped)
             {
                 break;
             }
@@ -131,6 +158,14 @@
         {
             return end;
         }
+        if (progress.key_stopped)
+        {
+            end.refused =
+                refusal{refusal_cause::key_withdrawn,
+                        dispatched ? call_fate::final_refusal : call_fate::not_run,
+                        retry_never_s};
+            return end;
+        }
         bool const late = boot_clock::now() >= request.deadline;
         auto const cause = progress.caller_left ? refusal_cause::cancelled
                            : late               ? refusal_cause::deadline
@@ -187,9 +222,12 @@
             { return std::string{name_of(failure.fault)}; },
             [] { return std::string{"failed"}; });
         directory_.first_token(server, request.prompt_tokens);
-        directory_.end(server, progress.whole || progress.caller_left);
+        // A silent engine gives no token at which to look.
+        progress.key_stopped = !progress.whole && key_stops(request.key_id, true);
+        directory_.end(server,
+                       progress.whole || progress.caller_left || progress.key_stopped);
         span.note("dispatch.outcome", progress.whole ? "whole" : outcome);
-        if (progress.caller_left)
+        if (progress.caller_left || progress.key_stopped)
         {
             backend_.cancel(server, request.request_id);
         }
@@ -219,7 +257,8 @@
         }
         ++progress.next;
         progress.caller_left = !stream.push(event.text);
-        return !progress.caller_left;
+        progress.key_stopped = key_stops(request.key_id, true);
+        return !progress.caller_left && !progress.key_stopped;
     }
 
     void record_usage(model_request const& request, model_progress const& progress)
@@ -283,6 +322,7 @@
     metrics&          metrics_;
     worker_pool&      workers_;
     usage_sink        usage_;
+    key_check         keys_;
     request_options   options_;
 };
 
--- a/src/app/usage_reporter.hpp
+++ b/src/app/usage_reporter.hpp
@@ -10,6 +10,7 @@
 #include "app/log_writer.hpp"
 #include "ports/platform_port.hpp"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
             seal(*held);
         }
         report_sealed();
+        mark_reported(*held);
     }
 
 private:
@@ -74,6 +76,7 @@
             {
                 std::vector<sealed_window> result;
                 auto const&                sealed = value.usage().sealed();
+                reported_ = std::max(reported_, value.usage().last_reported());
                 for (auto at = sealed.upper_bound(reported_); at != sealed.end(); ++at)
                 {
                     result.push_back(at->second);
@@ -91,6 +94,24 @@
         }
     }
 
+    /// The mark says from where a successor goes on. One that is lost or loses its race
+    /// only costs repeats with the same figures.
+    void mark_reported(held_lease const& held)
+    {
+        auto const marked = store_.with_ledger([](ledger const& value)
+                                               { return value.usage().last_reported(); });
+        if (reported_ <= marked)
+        {
+            return;
+        }
+        wire::log_record record;
+        auto*            body = record.mutable_reported();
+        body->set_window(reported_);
+        body->set_epoch(held.epoch);
+        body->set_holder(holder_);
+        writer_.append(record, seal_timeout);
+    }
+
     bool report(sealed_window const& window)
     {
         return leaf::try_handle_all(
--- a/src/domain/settings.hpp
+++ b/src/domain/settings.hpp
@@ -65,6 +65,11 @@
     // [usage]
     std::int64_t usage_flush_ms = 1000; // 1000         between usage appends, ms
     std::int64_t window_ms = 5000;      // 5000         length of a usage window, ms
+    std::int64_t handoff_ms = 100; // 100          wait for a peer to keep a delta, ms
+    std::int64_t custody_hold_ms =
+        5000; // 5000        before a peer appends for another, ms
+    std::int64_t snapshot_every_ms = 60000;     // 60000  longest between snapshots, ms
+    std::int64_t snapshot_every_records = 5000; // 5000  most records between snapshots
     // [logs]
     std::string  log_level = "info"; // "info"       debug | info | warning | error
     std::string  span_file;          // ""           spans as JSON lines; "" for none
--- a/src/ledger/configuration_fold.cpp
+++ b/src/ledger/configuration_fold.cpp
@@ -1,4 +1,6 @@
 // Fold of configuration changes.
+//
+// Index: 1 rules messages, 2 folding, 3 views, 4 snapshot
 #include "ledger/configuration_fold.hpp"
 
 #include "wire.pb.h"
@@ -6,43 +8,39 @@
 namespace marigoldcrank
 {
 
-bool configuration_fold::apply(std::uint64_t offset, wire::config_change const& change)
+// 1. Rules messages
+
+accepted_rules read_rules(wire::config_snapshot const& message)
 {
-    // A repeated id is the operator's tool settling a lost answer, not a second change.
-    if (verdicts_.count(change.change_id()) != 0)
-    {
-        return false;
-    }
-    // A node that took its configuration from a peer reads older changes afterwards: the
-    // offset guard keeps it from stepping below the revision that it already serves.
-    bool const older_than_held = offset <= revision_;
-    if (older_than_held || change.base_revision() != revision_)
-    {
-        bool const held = change.change_id() == change_id_;
-        verdicts_[change.change_id()] =
-            held ? change_verdict::accepted : change_verdict::conflict;
-        return false;
-    }
-    revision_ = offset;
-    change_id_ = change.change_id();
-    rules_ = change.rules();
-    author_ = change.author();
-    verdicts_[change_id_] = change_verdict::accepted;
-    return true;
+    return {message.revision(), message.change_id(), message.rules(), message.author()};
 }
 
-bool configuration_fold::apply(wire::config_snapshot const& snapshot)
+void write_rules(accepted_rules const& value, wire::config_snapshot& message)
 {
-    if (snapshot.revision() <= revision_)
+    message.set_revision(value.revision);
+    message.set_change_id(value.change_id);
+    message.set_rules(value.rules);
+    message.set_author(value.author);
+}
+
+// 2. Folding
+
+bool configuration_fold::apply(std::uint64_t offset, wire::config_change const& change)
+{
+    // A repeated id is the operator's tool settling a lost answer, or an append that took
+    // effect late, not a second change.
+    if (change.change_id().empty() || verdicts_.count(change.change_id()) != 0)
     {
         return false;
     }
-    revision_ = snapshot.revision();
-    change_id_ = snapshot.change_id();
-    rules_ = snapshot.rules();
-    author_ = snapshot.author();
-    verdicts_[change_id_] = change_verdict::accepted;
-    return true;
+    bool const accepted = change.base_revision() == current_.revision;
+    remember({change.change_id(), offset, change.base_revision(), accepted,
+              change.author(), change.at_unix_ms()});
+    if (accepted)
+    {
+        current_ = {offset, change.change_id(), change.rules(), change.author()};
+    }
+    return accepted;
 }
 
 bool configuration_fold::apply(wire::key_withdrawal const& withdrawal)
@@ -54,24 +52,27 @@
     return added || worse;
 }
 
-std::uint64_t configuration_fold::revision() const noexcept
+void configuration_fold::remember(change_note note)
 {
-    return revision_;
+    verdicts_[note.change_id] = note.accepted;
+    history_.push_back(std::move(note));
+    if (history_.size() > remembered_changes)
+    {
+        verdicts_.erase(history_.front().change_id);
+        history_.pop_front();
+    }
 }
 
-std::string const& configuration_fold::rules() const noexcept
-{
-    return rules_;
-}
+// 3. Views
 
-std::string const& configuration_fold::change_id() const noexcept
+std::uint64_t configuration_fold::revision() const noexcept
 {
-    return change_id_;
+    return current_.revision;
 }
 
-std::string const& configuration_fold::author() const noexcept
+accepted_rules const& configuration_fold::current() const noexcept
 {
-    return author_;
+    return current_;
 }
 
 std::map<std::string, bool> const& configuration_fold::withdrawn_keys() const noexcept
@@ -82,7 +83,55 @@
 change_verdict configuration_fold::verdict(std::string const& change_id) const
 {
     auto const found = verdicts_.find(change_id);
-    return found == verdicts_.end() ? change_verdict::unknown : found->second;
+    if (found == verdicts_.end())
+    {
+        return change_verdict::unknown;
+    }
+    return found->second ? change_verdict::accepted : change_verdict::conflict;
+}
+
+std::deque<change_note> const& configuration_fold::history() const noexcept
+{
+    return history_;
+}
+
+// 4. Snapshot
+
+void configuration_fold::save(wire::config_state_snapshot& state) const
+{
+    write_rules(current_, *state.mutable_current());
+    for (auto const& note : history_)
+    {
+        auto* entry = state.add_verdicts();
+        entry->set_change_id(note.change_id);
+        entry->set_offset(note.offset);
+        entry->set_base_revision(note.base_revision);
+        entry->set_accepted(note.accepted);
+        entry->set_author(note.author);
+        entry->set_at_unix_ms(note.at_unix_ms);
+    }
+    for (auto const& [key, compromised] : withdrawn_)
+    {
+        auto* entry = state.add_withdrawn();
+        entry->set_key_id(key);
+        entry->set_compromised(compromised);
+    }
+}
+
+configuration_fold configuration_fold::restored(wire::config_state_snapshot const& state)
+{
+    configuration_fold fold;
+    fold.current_ = read_rules(state.current());
+    for (auto const& entry : state.verdicts())
+    {
+        fold.remember({entry.change_id(), entry.offset(), entry.base_revision(),
+                       entry.accepted(), entry.author(), entry.at_unix_ms()});
+    }
+    for (auto const& entry : state.withdrawn())
+    {
+        fold.withdrawn_[entry.key_id()] = entry.compromised();
+    }
+    return fold;
 }
 
 } // namespace marigoldcrank
--- a/src/ledger/lease_fold.cpp
+++ b/src/ledger/lease_fold.cpp
@@ -58,4 +58,28 @@
     return duties_;
 }
 
+void lease_fold::save(wire::lease_state_snapshot& state) const
+{
+    for (auto const& [duty, value] : duties_)
+    {
+        auto* entry = state.add_duties();
+        entry->set_duty(duty);
+        entry->set_holder(value.holder);
+        entry->set_epoch(value.epoch);
+        entry->set_last_offset(value.last_offset);
+        entry->set_released(value.released);
+    }
+}
+
+lease_fold lease_fold::restored(wire::lease_state_snapshot const& state)
+{
+    lease_fold fold;
+    for (auto const& entry : state.duties())
+    {
+        fold.duties_[entry.duty()] = {entry.holder(), entry.epoch(), entry.last_offset(),
+                                      entry.released()};
+    }
+    return fold;
+}
+
 } // namespace marigoldcrank
--- a/src/ledger/lease_fold.hpp
+++ b/src/ledger/lease_fold.hpp
@@ -18,6 +18,7 @@
 class lease_claim;
 class lease_renewal;
 class lease_release;
+class lease_state_snapshot;
 } // namespace marigoldcrank::wire
 
 namespace marigoldcrank
@@ -52,6 +53,9 @@
 
     std::map<std::string, lease_state> const& duties() const noexcept;
 
+    void              save(wire::lease_state_snapshot& state) const;
+    static lease_fold restored(wire::lease_state_snapshot const& state);
+
     bool operator==(lease_fold const&) const = default;
 
 private:
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -34,33 +34,56 @@
         return leases_.apply(offset, record.release());
     case wire::log_record::kChange:
         return config_.apply(offset, record.change());
-    case wire::log_record::kSnapshot:
-        return config_.apply(record.snapshot());
     case wire::log_record::kWithdrawal:
         return config_.apply(record.withdrawal());
     case wire::log_record::kUsage:
-        return usage_.apply(record.usage());
     case wire::log_record::kSeal:
-        // A reporter that lost its lease must not close a window: its epoch is no longer
-        // the current one in the fold, whatever it believes itself.
-        return leases_.holds("reporter", record.seal().holder(), record.seal().epoch()) &&
-               usage_.apply(offset, record.seal());
+    case wire::log_record::kReported:
+        return fold_usage(offset, record);
+    case wire::log_record::kLedger:
+        return note_snapshot(offset, record.ledger());
     default:
         return false;
     }
 }
 
-lease_fold const& ledger::leases() const noexcept
+bool ledger::fold_usage(std::uint64_t offset, wire::log_record const& record)
 {
-    return leases_;
+    // A reporter that lost its lease must neither close a window nor mark one: its epoch
+    // is no longer the current one in the fold, whatever it believes itself.
+    auto const reports = [&](auto const& body)
+    {
+        return leases_.holds("reporter", body.holder(), body.epoch());
+    };
+    if (record.has_usage())
+    {
+        return usage_.apply(record.usage());
+    }
+    if (record.has_seal())
+    {
+        return reports(record.seal()) && usage_.apply(offset, record.seal());
+    }
+    return reports(record.reported()) && usage_.apply(record.reported());
 }
 
-configuration_fold const& ledger::config() const noexcept
+/// A snapshot changes nothing for a reader who has folded what it covers.
+bool ledger::note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot)
 {
-    return config_;
+    if (snapshot.through_offset() >= offset ||
+        snapshot.through_offset() <= snapshot_through_)
+    {
+        return false;
+    }
+    snapshot_through_ = snapshot.through_offset();
+    return true;
 }
 
-configuration_fold& ledger::config() noexcept
+lease_fold const& ledger::leases() const noexcept
+{
+    return leases_;
+}
+
+configuration_fold const& ledger::config() const noexcept
 {
     return config_;
 }
@@ -80,6 +103,35 @@
     return malformed_;
 }
 
+std::uint64_t ledger::snapshot_through() const noexcept
+{
+    return snapshot_through_;
+}
+
+wire::ledger_snapshot ledger::snapshot() const
+{
+    wire::ledger_snapshot snapshot;
+    snapshot.set_through_offset(next_offset_ - 1);
+    snapshot.set_malformed(malformed_);
+    snapshot.set_previous_through(snapshot_through_);
+    leases_.save(*snapshot.mutable_leases());
+    config_.save(*snapshot.mutable_config());
+    usage_.save(*snapshot.mutable_usage());
+    return snapshot;
+}
+
+ledger ledger::restored(wire::ledger_snapshot const& snapshot)
+{
+    ledger value;
+    value.next_offset_ = snapshot.through_offset() + 1;
+    value.malformed_ = snapshot.malformed();
+    value.snapshot_through_ = snapshot.previous_through();
+    value.leases_ = lease_fold::restored(snapshot.leases());
+    value.config_ = configuration_fold::restored(snapshot.config());
+    value.usage_ = usage_fold::restored(snapshot.usage());
+    return value;
+}
+
 std::string format_record(wire::log_record const& record)
 {
     std::string                              text;
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -14,8 +14,9 @@
 
 namespace marigoldcrank::wire
 {
+class ledger_snapshot;
 class log_record;
-}
+} // namespace marigoldcrank::wire
 
 namespace marigoldcrank
 {
@@ -41,21 +42,30 @@
 
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
-    configuration_fold&       config() noexcept; // peers' snapshots and withdrawals
     usage_fold const&         usage() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
+    /// Last offset that the newest snapshot in the log covers; 0 for none.
+    std::uint64_t snapshot_through() const noexcept;
+
+    /// The whole state: a ledger restored from it folds on as this one would.
+    wire::ledger_snapshot snapshot() const;
+    static ledger         restored(wire::ledger_snapshot const& snapshot);
+
     bool operator==(ledger const&) const = default;
 
 private:
     bool fold(std::uint64_t offset, wire::log_record const& record);
+    bool fold_usage(std::uint64_t offset, wire::log_record const& record);
+    bool note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot);
 
     lease_fold         leases_;
     configuration_fold config_;
     usage_fold         usage_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
+    std::uint64_t      snapshot_through_ = 0;
 };
 
 /// The text of a record as it stands in the log (protobuf's JSON form).
--- a/src/ledger/usage_fold.hpp
+++ b/src/ledger/usage_fold.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_LEDGER_USAGE_FOLD_HPP
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -13,6 +14,8 @@
 namespace marigoldcrank::wire
 {
 class usage_batch;
+class usage_reported;
+class usage_state_snapshot;
 class window_seal;
 } // namespace marigoldcrank::wire
 
@@ -43,28 +46,48 @@
     bool operator==(sealed_window const&) const = default;
 };
 
-/// Folds usage batches and seals in offset order.
+/// Folds usage batches, seals and reporters' marks in offset order.
 class usage_fold
 {
 public:
-    /// True if the batch was counted; a repeat of (node, incarnation, sequence) is not.
+    /// Reported windows whose figures are kept for operators.
+    static constexpr std::uint64_t kept_windows = 128;
+
+    /// Incarnations whose counted sequences are kept; the first to appear goes first. An
+    /// append that takes effect after so many newer incarnations would count twice.
+    static constexpr std::size_t kept_incarnations = 4096;
+
+    /// True if anything in the batch was counted; a delta that came before is not.
     bool apply(wire::usage_batch const& batch);
 
     /// True if the seal was effective: it names the last sealed window plus one.
     /// The caller has checked the reporter's lease.
     bool apply(std::uint64_t offset, wire::window_seal const& seal);
 
-    std::uint64_t                                 last_sealed() const noexcept;
+    /// True if the mark moved on. The caller has checked the reporter's lease.
+    bool apply(wire::usage_reported const& mark);
+
+    std::uint64_t last_sealed() const noexcept;
+    std::uint64_t last_reported() const noexcept;
+
+    /// All windows not yet reported and the last reported ones.
     std::map<std::uint64_t, sealed_window> const& sealed() const noexcept;
     usage_table const&                            open() const noexcept;
 
-    /// True if the batch of this node, incarnation and sequence was counted.
+    /// True if the delta of this node, incarnation and sequence was counted.
     bool counted(std::string const& node, std::string const& incarnation,
                  std::uint64_t sequence) const;
 
+    std::size_t incarnations() const noexcept;
+
+    void              save(wire::usage_state_snapshot& state) const;
+    static usage_fold restored(wire::usage_state_snapshot const& state);
+
     bool operator==(usage_fold const&) const = default;
 
 private:
+    using incarnation_name = std::pair<std::string, std::string>; // node, incarnation
+
     /// Sequences counted of one incarnation: all up to `through`, and those in `above`.
     struct counted_sequences
     {
@@ -76,9 +99,15 @@
         bool operator==(counted_sequences const&) const = default;
     };
 
-    std::map<std::pair<std::string, std::string>, counted_sequences> counted_;
-    usage_table                                                      open_;
-    std::map<std::uint64_t, sealed_window>                           sealed_;
+    counted_sequences& sequences_of(incarnation_name const& name);
+    void               forget_reported();
+
+    std::map<incarnation_name, counted_sequences> counted_;
+    std::deque<incarnation_name>                  appeared_; // order of counted_
+    usage_table                                   open_;
+    std::map<std::uint64_t, sealed_window>        sealed_;
+    std::uint64_t                                 last_sealed_ = 0;
+    std::uint64_t                                 last_reported_ = 0;
 };
 
 } // namespace marigoldcrank
