--- /dev/null
+++ b/tests/failure/usage_audit_test.cpp
@@ -0,0 +1,347 @@
+// Bills under faults: what the engines' stand-ins generated against what the platform's
+// stand-in received, to the token.
+//
+// Index: 1 load, 2 audit, 3 stories
+#include "domain/boot_clock.hpp"
+#include "ledger/ledger.hpp"
+#include "support/node_process.hpp"
+#include "wire.pb.h"
+
+#include <httplib.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+// 1. Load
+
+/// Callers of both workspaces at all nodes, until stopped.
+class caller_load
+{
+public:
+    explicit caller_load(fleet& system) : system_(system)
+    {
+        for (int index = 0; index < callers; ++index)
+        {
+            threads_.emplace_back([this, index] { call(index); });
+        }
+    }
+
+    ~caller_load()
+    {
+        stop();
+    }
+
+    void stop()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_)
+        {
+            if (thread.joinable())
+            {
+                thread.join();
+            }
+        }
+    }
+
+    /// Requests whose caller saw the whole answer.
+    std::set<std::string> whole()
+    {
+        std::lock_guard const lock(mutex_);
+        return whole_;
+    }
+
+private:
+    static constexpr int callers = 6;
+
+    void call(int index)
+    {
+        auto const workspace = index % 2 == 0 ? "north" : "south";
+        for (int round = 0; !stopping_; ++round)
+        {
+            bool const      streamed = round % 2 == 0;
+            httplib::Client client("127.0.0.1", system_.node_port((index + round) % 3));
+            client.set_read_timeout(30);
+            auto const answer = client.Post(
+                "/v1/chat/completions",
+                {{"Authorization", "Bearer " + system_.key(workspace)}},
+                json{{"model", "wording"},
+                     {"messages", json::array({{{"role", "user"},
+                                                {"content", std::string(40, 'x')}}})},
+                     {"max_tokens", 4 + (index + round) % 7},
+                     {"stream", streamed}}
+                    .dump(),
+                "application/json");
+            bool const whole =
+                answer && answer->status == 200 &&
+                (!streamed || answer->body.find("data: [DONE]") != std::string::npos);
+            if (whole)
+            {
+                std::lock_guard const lock(mutex_);
+                whole_.insert(answer->get_header_value("X-Request-Id"));
+            }
+            std::this_thread::sleep_for(millis{whole ? 5 : 50});
+        }
+    }
+
+    fleet&                   system_;
+    std::atomic<bool>        stopping_{false};
+    std::mutex               mutex_;
+    std::set<std::string>    whole_;
+    std::vector<std::thread> threads_;
+};
+
+// 2. Audit
+
+struct request_bill
+{
+    std::string   workspace;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0;
+
+    auto operator<=>(request_bill const&) const = default;
+};
+
+/// What the engines generated for each request, over all its attempts.
+std::map<std::string, request_bill> generated(fleet const& system, int engines)
+{
+    std::map<std::string, request_bill> result;
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        httplib::Client client("127.0.0.1", system.engine_port(engine));
+        auto const      answer = client.Get("/control/generated");
+        for (auto const& entry : json::parse(answer ? answer->body : "[]"))
+        {
+            auto& bill = result[entry["request_id"]];
+            bill.workspace = entry["workspace"];
+            bill.prompt_tokens = entry["prompt_tokens"];
+            bill.output_tokens = std::max(
+                bill.output_tokens, entry["resume_from"].get<std::uint64_t>() +
+                                        entry["output_tokens"].get<std::uint64_t>());
+        }
+    }
+    return result;
+}
+
+/// Deltas in the platform's log, each numbered delta once, by request.
+std::multimap<std::string, request_bill> logged(fleet const& system)
+{
+    std::multimap<std::string, request_bill>                      result;
+    std::set<std::tuple<std::string, std::string, std::uint64_t>> seen;
+    for (auto const& text : system.log_records())
+    {
+        auto const record = leaf::try_handle_all([&] { return parse_record(text); },
+                                                 [] { return wire::log_record{}; });
+        auto       sequence = record.usage().sequence();
+        for (auto const& delta : record.usage().deltas())
+        {
+            auto const& batch = record.usage();
+            if (seen.emplace(batch.node(), batch.incarnation(), sequence++).second)
+            {
+                result.emplace(delta.request_id(),
+                               request_bill{delta.workspace(), delta.prompt_tokens(),
+                                            delta.output_tokens()});
+            }
+        }
+    }
+    return result;
+}
+
+using totals = std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>;
+
+totals totals_of(std::multimap<std::string, request_bill> const& bills)
+{
+    totals result;
+    for (auto const& [request, bill] : bills)
+    {
+        result[bill.workspace].first += bill.prompt_tokens;
+        result[bill.workspace].second += bill.output_tokens;
+    }
+    return result;
+}
+
+/// What the platform received; fails the test if a window has two figures.
+totals reported(fleet const& system)
+{
+    std::map<std::string, std::string> windows;
+    totals                             result;
+    for (auto const& report : system.received(system.platform_port(), "usage"))
+    {
+        auto const [place, first] = windows.emplace(report["path"], report["body"]);
+        EXPECT_EQ(place->second, report["body"]) << report["path"];
+        if (!first)
+        {
+            continue;
+        }
+        auto const body = json::parse(report["body"].get<std::string>());
+        for (auto const& figure : body["figures"])
+        {
+            auto& sum = result[figure["workspace"]];
+            sum.first += figure["prompt_tokens"].get<std::uint64_t>();
+            sum.second += figure["output_tokens"].get<std::uint64_t>();
+        }
+    }
+    return result;
+}
+
+/// Every whole answer is billed once and to the token, every cut one at most once and
+/// never beyond what was generated; and just that was reported.
+void audit(fleet const& system, int engines, std::set<std::string> const& whole)
+{
+    ASSERT_GT(whole.size(), 20U);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const bills = logged(system);
+            return std::all_of(whole.begin(), whole.end(),
+                               [&](auto const& id) { return bills.count(id) == 1; });
+        }));
+    EXPECT_TRUE(
+        eventually([&] { return reported(system) == totals_of(logged(system)); }));
+    auto const bills = logged(system);
+    auto const truth = generated(system, engines);
+    for (auto const& id : whole)
+    {
+        ASSERT_EQ(bills.count(id), 1U) << id;
+        ASSERT_EQ(bills.find(id)->second, truth.at(id)) << id;
+    }
+    for (auto const& [id, bill] : bills)
+    {
+        ASSERT_EQ(bills.count(id), 1U) << id;
+        ASSERT_EQ(truth.count(id), 1U) << id;
+        EXPECT_LE(bill.output_tokens, truth.at(id).output_tokens);
+        EXPECT_EQ(bill.workspace, truth.at(id).workspace);
+    }
+}
+
+/// Usage that reached the log through another node than the one that served it.
+std::size_t appended_for_others(fleet const& system)
+{
+    std::size_t count = 0;
+    for (auto const& append : system.received(system.platform_port(), "append"))
+    {
+        auto const text = append["body"].get<std::string>();
+        auto const record = leaf::try_handle_all([&] { return parse_record(text); },
+                                                 [] { return wire::log_record{}; });
+        count += record.has_usage() && record.usage().node() != append["from"] ? 1 : 0;
+    }
+    return count;
+}
+
+fleet_options audited(std::string const& flush_ms)
+{
+    fleet_options options;
+    options.node_settings = {{"usage_flush_ms", flush_ms}, {"custody_hold_ms", "800"}};
+    return options;
+}
+
+void pause(int duration)
+{
+    std::this_thread::sleep_for(millis{duration});
+}
+
+std::string reporter_of(fleet const& system, int node)
+{
+    return system.admin(node, "/admin/status")["duties"]["reporter"].value("holder", "");
+}
+
+int index_of(std::string const& holder)
+{
+    return std::stoi(holder.substr(std::string{"node-"}.size()));
+}
+
+// 3. Stories
+
+/// Story: a workspace is billed for less than it was served. Order: a node serves
+/// answers, is killed before its next append, and its memory is gone. Cause: deltas that
+/// waited only there.
+TEST(usage_audit, a_killed_node_loses_no_usage)
+{
+    fleet       system(audited("1500"));
+    caller_load load(system);
+    pause(2500);
+    system.node(1).signal(SIGKILL);
+    pause(1000);
+    load.stop();
+    audit(system, 2, load.whole());
+    EXPECT_GT(appended_for_others(system), 0U);
+}
+
+/// Story: the same answer is on the bill twice. Order: appends take effect, their answers
+/// are lost, or they take effect a second later; the node appends again. Cause: a repeat
+/// taken for new usage.
+TEST(usage_audit, lost_answers_and_late_appends_bill_nothing_twice)
+{
+    fleet       system(audited("100"));
+    caller_load load(system);
+    pause(500);
+    system.fault(system.platform_port(),
+                 {{"kind", "late"}, {"count", 15}, {"for_ms", 900}});
+    pause(1500);
+    system.fault(system.platform_port(), {{"kind", "drop_answer"}, {"for_ms", 1500}});
+    pause(1500);
+    load.stop();
+    audit(system, 2, load.whole());
+}
+
+/// Story: a window arrives twice with different figures. Order: the reporter is paused
+/// past its lease, another takes over, the first wakes up and goes on where it was.
+/// Cause: figures that a reporter keeps for itself.
+TEST(usage_audit, a_reporter_paused_past_its_lease_reports_nothing_else)
+{
+    fleet system(audited("100"));
+    ASSERT_TRUE(eventually([&] { return !reporter_of(system, 0).empty(); }));
+    auto const  first = reporter_of(system, 0);
+    auto const  paused = index_of(first);
+    auto const  witness = (paused + 1) % 3;
+    caller_load load(system);
+    pause(1000);
+    system.node(paused).signal(SIGSTOP);
+    EXPECT_TRUE(eventually([&] { return reporter_of(system, witness) != first; }));
+    pause(1000);
+    system.node(paused).signal(SIGCONT);
+    pause(1000);
+    load.stop();
+    audit(system, 2, load.whole());
+    std::set<std::string> senders;
+    for (auto const& report : system.received(system.platform_port(), "usage"))
+    {
+        senders.insert(report["from"]);
+    }
+    EXPECT_GE(senders.size(), 2U);
+}
+
+/// Story: usage of an outage is missing from the bill. Order: the log is out, answers go
+/// on, a node is killed in the middle of it; then the log is back. Cause: two faults at
+/// once, of which each alone is survived.
+TEST(usage_audit, a_node_killed_while_the_log_is_out_loses_no_usage)
+{
+    fleet       system(audited("100"));
+    caller_load load(system);
+    pause(800);
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"for_ms", 3000}});
+    pause(1200);
+    auto const served = load.whole().size();
+    system.node(2).signal(SIGKILL);
+    pause(800);
+    EXPECT_GT(load.whole().size(), served); // served on, without the log
+    pause(1200);
+    load.stop();
+    audit(system, 2, load.whole());
+    EXPECT_GT(appended_for_others(system), 0U);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -448,6 +448,30 @@
     require(answer && answer->status == 200, "a fault was not set");
 }
 
+std::vector<std::string> fleet::log_records() const
+{
+    httplib::Client          client("127.0.0.1", platform_port_);
+    std::vector<std::string> texts;
+    for (std::uint64_t from = 1;;)
+    {
+        auto const answer = client.Get("/log/read?from=" + std::to_string(from));
+        require(static_cast<bool>(answer), "the log could not be read");
+        auto const page = json::parse(answer->body);
+        if (answer->status != 200)
+        {
+            from = page["first_retained"];
+            continue;
+        }
+        auto const records = page["records"].get<std::vector<std::string>>();
+        if (records.empty())
+        {
+            return texts;
+        }
+        texts.insert(texts.end(), records.begin(), records.end());
+        from += records.size();
+    }
+}
+
 void fleet::publish_machines(json const& changes) const
 {
     json machines = json::array();
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -95,6 +95,9 @@
     nlohmann::json received(int port, std::string const& kind = "") const;
     void           fault(int port, nlohmann::json const& value) const;
 
+    /// Texts of all records that the platform's log retains.
+    std::vector<std::string> log_records() const;
+
     /// Puts the list of machines as it is now into the platform.
     void publish_machines(nlohmann::json const& changes = nlohmann::json::object()) const;
 
