--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -144,8 +144,13 @@
 
 leaf::result<wire::log_record> parse_record(std::string const& text)
 {
+    // A field of a later version changes nothing for a record that is known here: an
+    // older reader that skipped the record would fold another chain than the newer ones.
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
     wire::log_record record;
-    auto const       status = google::protobuf::util::JsonStringToMessage(text, &record);
+    auto const       status =
+        google::protobuf::util::JsonStringToMessage(text, &record, options);
     if (!status.ok())
     {
         return leaf::new_error(message_failure{"log record", status.ToString()});
