--- /dev/null
+++ b/tests/failure/keys_test.cpp
@@ -0,0 +1,255 @@
+// Keys under faults: withdrawn everywhere within seconds, and never seen behind an entry.
+//
+// Index: 1 helpers, 2 withdrawal, 3 work in progress, 4 secrecy
+#include "domain/boot_clock.hpp"
+#include "support/node_process.hpp"
+
+#include <httplib.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+// 1. Helpers
+
+httplib::Headers bearer(fleet const& system, std::string const& workspace)
+{
+    return {{"Authorization", "Bearer " + system.key(workspace)}};
+}
+
+/// A caller that keeps its connection open from call to call.
+class open_connection
+{
+public:
+    open_connection(fleet const& system, int node)
+        : headers_(bearer(system, "north")), client_("127.0.0.1", system.node_port(node))
+    {
+        client_.set_keep_alive(true);
+        client_.set_read_timeout(30);
+    }
+
+    httplib::Result call(int tokens = 2)
+    {
+        return client_.Post("/v1/completions", headers_,
+                            json{{"model", "wording"},
+                                 {"prompt", "x"},
+                                 {"max_tokens", tokens},
+                                 {"stream", true}}
+                                .dump(),
+                            "application/json");
+    }
+
+    int status()
+    {
+        auto const answer = call();
+        return answer ? answer->status : 0;
+    }
+
+private:
+    httplib::Headers headers_;
+    httplib::Client  client_;
+};
+
+std::string withdraw(fleet const& system, int node, bool compromised)
+{
+    return system
+        .admin_post(node, "/admin/keys/withdraw",
+                    {{"key_id", "north-1"}, {"compromised", compromised}})
+        .value("outcome", "");
+}
+
+bool holds(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+// 2. Withdrawal
+
+/// Story: a withdrawn key goes on working at some nodes. Order: callers stand connected
+/// to all nodes, the platform is out, one node is paused; the key is withdrawn at
+/// another; the paused one wakes up, a new one starts. Cause: a withdrawal that goes
+/// through the log alone, or is told to peers only once.
+TEST(keys, a_withdrawn_key_stops_everywhere_without_the_platform)
+{
+    fleet           system;
+    open_connection callers[] = {{system, 0}, {system, 1}, {system, 2}};
+    for (auto& caller : callers)
+    {
+        ASSERT_EQ(caller.status(), 200);
+    }
+    system.fault(system.platform_port(), {{"kind", "outage"}});
+    system.node(2).signal(SIGSTOP);
+    EXPECT_EQ(withdraw(system, 0, false), "withdrawn");
+    for (int node = 0; node < 2; ++node)
+    {
+        EXPECT_TRUE(eventually([&] { return callers[node].status() == 401; }));
+    }
+    auto const refused = callers[1].call();
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(json::parse(refused->body)["error"]["fate"], "not_run");
+    system.node(2).signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return callers[2].status() == 401; }));
+    system.node(1).signal(SIGKILL);
+    system.node(1).wait(5000);
+    system.start_node(1);
+    EXPECT_TRUE(eventually([&] { return callers[1].status() == 401; }));
+    // The other workspace's key works on.
+    httplib::Client client("127.0.0.1", system.node_port(1));
+    EXPECT_EQ(client.Get("/v1/models", bearer(system, "south"))->status, 200);
+}
+
+/// Story: a withdrawn key works again after all nodes were replaced. Order: it is
+/// withdrawn while the platform is out, the append is given up; the platform is back, and
+/// every node that heard of it goes. Cause: a withdrawal that never reached the log.
+TEST(keys, a_withdrawal_during_an_outage_reaches_the_log_afterwards)
+{
+    fleet system;
+    system.fault(
+        system.platform_port(),
+        {{"kind", "outage"}, {"from", "node-0 node-1 node-2"}, {"for_ms", 5000}});
+    EXPECT_EQ(withdraw(system, 0, false), "withdrawn");
+    auto const logged = [&]
+    {
+        auto const records = system.log_records();
+        return std::any_of(records.begin(), records.end(),
+                           [](auto const& text) {
+                               return holds(text, "withdrawal") && holds(text, "north-1");
+                           });
+    };
+    EXPECT_TRUE(eventually(logged));
+    for (int node = 0; node < 3; ++node)
+    {
+        system.node(node).signal(SIGKILL);
+        system.node(node).wait(5000);
+    }
+    system.start_node(1);
+    open_connection caller(system, 1);
+    EXPECT_TRUE(eventually([&] { return caller.status() == 401; }));
+}
+
+// 3. Work in progress
+
+fleet_options slow_engine()
+{
+    fleet_options options;
+    options.engines = 1;
+    options.engine_settings = {{"decode_us", "20000"}};
+    return options;
+}
+
+/// Story: a caller's answer is cut although nobody asked for that. Order: a long answer
+/// is under way, its key is withdrawn at another node. Cause: withdrawal taken for a
+/// cancel.
+TEST(keys, dispatched_work_of_a_withdrawn_key_finishes)
+{
+    fleet           system(slow_engine());
+    open_connection caller(system, 1);
+    std::thread     withdrawal(
+        [&]
+        {
+            ASSERT_TRUE(eventually(
+                [&]
+                { return !system.received(system.engine_port(0), "generate").empty(); }));
+            EXPECT_EQ(withdraw(system, 0, false), "withdrawn");
+        });
+    auto const answer = caller.call(100);
+    withdrawal.join();
+    ASSERT_TRUE(answer);
+    EXPECT_TRUE(holds(answer->body, "data: [DONE]"));
+    EXPECT_EQ(caller.status(), 401);
+    EXPECT_TRUE(system.received(system.engine_port(0), "cancel").empty());
+}
+
+/// Story: a stolen key's answer streams on after the operator said so. Order: as above,
+/// but the key is withdrawn as compromised. Cause: only new requests are judged.
+TEST(keys, dispatched_work_of_a_compromised_key_is_cancelled)
+{
+    fleet           system(slow_engine());
+    open_connection caller(system, 1);
+    std::thread     withdrawal(
+        [&]
+        {
+            ASSERT_TRUE(eventually(
+                [&]
+                { return !system.received(system.engine_port(0), "generate").empty(); }));
+            EXPECT_EQ(withdraw(system, 0, true), "withdrawn");
+        });
+    auto const answer = caller.call(400);
+    withdrawal.join();
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(holds(answer->body, "data: [DONE]"));
+    EXPECT_TRUE(holds(answer->body, "key_withdrawn"));
+    EXPECT_TRUE(eventually(
+        [&] { return !system.received(system.engine_port(0), "cancel").empty(); }));
+}
+
+// 4. Secrecy
+
+/// Story: whoever reads an engine's request, a log file, a span or the platform's log can
+/// call in the workspace's name. Order: calls of all kinds, good and bad, withdrawals,
+/// changes. Cause: a header or body passed on as it came, or written down.
+TEST(keys, no_key_is_ever_seen_behind_an_entry)
+{
+    fleet_options options;
+    options.keep_output = true;
+    fleet             system(options);
+    std::string const wrong = "mgc_north-1_0123wrong";
+    for (auto const* path : {"/v1/completions", "/v1/chat/completions",
+                             "/services/ordering/orders", "/services/ordering/status"})
+    {
+        for (auto const& key : {system.key("north"), wrong})
+        {
+            httplib::Client client("127.0.0.1", system.node_port(0));
+            client.Post(
+                path,
+                {{"Authorization", "Bearer " + key},
+                 {"Idempotency-Key", "order"},
+                 {"X-Api-Key", key},
+                 {"Cookie", "key=" + key},
+                 {"X-Workspace", "south"}},
+                R"({"model":"wording","prompt":"x","max_tokens":2,"messages":[]})",
+                "application/json");
+        }
+    }
+    EXPECT_EQ(withdraw(system, 1, true), "withdrawn");
+    EXPECT_EQ(open_connection(system, 2).status(), 401);
+    system.apply(0, system.rules() + "\n", system.admin(0, "/admin/status")["revision"],
+                 "second");
+    ASSERT_TRUE(eventually(
+        [&] { return !system.received(system.platform_port(), "usage").empty(); }));
+    std::string seen = system.outputs();
+    ASSERT_TRUE(holds(seen, "dispatch")); // spans are among it
+    for (auto const& text : system.log_records())
+    {
+        seen += text;
+    }
+    for (int const port : {system.platform_port(), system.engine_port(0),
+                           system.engine_port(1), system.service_port(0)})
+    {
+        seen += system.received(port).dump();
+    }
+    ASSERT_TRUE(holds(seen, "generate"));
+    for (auto const& key :
+         {system.key("north"), system.key("south"), wrong, system.operator_key()})
+    {
+        EXPECT_FALSE(holds(seen, key));
+        EXPECT_FALSE(holds(seen, key.substr(key.rfind('_') + 1)));
+    }
+    EXPECT_FALSE(holds(seen, "Bearer"));
+    for (auto const& request : system.received(system.engine_port(0), "generate"))
+    {
+        EXPECT_EQ(request["headers"]["X-Workspace"], "north");
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -89,7 +89,8 @@
 
 // 2. child_process
 
-child_process::child_process(std::vector<std::string> const& command)
+child_process::child_process(std::vector<std::string> const& command,
+                             std::string const&              output)
 {
     std::vector<char*> arguments;
     for (auto const& word : command)
@@ -102,9 +103,11 @@
     {
         if (std::getenv("MARIGOLDCRANK_TEST_OUTPUT") == nullptr)
         {
-            int const quiet = open("/dev/null", O_WRONLY);
-            dup2(quiet, STDOUT_FILENO);
-            dup2(quiet, STDERR_FILENO);
+            constexpr int mode = 0600;
+            auto const*   path = output.empty() ? "/dev/null" : output.c_str();
+            int const     sink = open(path, O_WRONLY | O_CREAT | O_APPEND, mode);
+            dup2(sink, STDOUT_FILENO);
+            dup2(sink, STDERR_FILENO);
         }
         execv(arguments[0], arguments.data());
         _exit(127);
@@ -303,7 +306,8 @@
 {
     auto settings = options_.platform_settings;
     settings["port"] = std::to_string(platform_port_);
-    platform_ = std::make_unique<child_process>(command_of("platform_standin", settings));
+    platform_ = std::make_unique<child_process>(command_of("platform_standin", settings),
+                                                output_of("platform"));
     require(eventually([&] { return serves(platform_port_, "/control/received"); }),
             "the platform's stand-in did not start");
 }
@@ -315,7 +319,8 @@
     settings["port"] = std::to_string(port);
     settings["name"] = "engine-" + std::to_string(index);
     engines_.at(static_cast<std::size_t>(index)) =
-        std::make_unique<child_process>(command_of("engine_standin", settings));
+        std::make_unique<child_process>(command_of("engine_standin", settings),
+                                        output_of("engine-" + std::to_string(index)));
     require(eventually([&] { return serves(port, "/load"); }), "an engine did not start");
 }
 
@@ -324,7 +329,8 @@
     auto const port = service_ports_.at(static_cast<std::size_t>(index));
     services_.at(static_cast<std::size_t>(index)) = std::make_unique<child_process>(
         command_of("service_standin", {{"port", std::to_string(port)},
-                                       {"name", "service-" + std::to_string(index)}}));
+                                       {"name", "service-" + std::to_string(index)}}),
+        output_of("service-" + std::to_string(index)));
     require(eventually([&] { return serves(port, "/load"); }), "a service did not start");
 }
 
@@ -341,6 +347,12 @@
     values["http_port"] = std::to_string(node_ports_[position]);
     values["peer_port"] = std::to_string(peer_ports_[position]);
     values["operator_key"] = operator_setting_;
+    if (options_.keep_output)
+    {
+        values["span_file"] =
+            directory_ + "/node-" + std::to_string(index) + "-spans.log";
+        values["log_level"] = "debug";
+    }
     values.try_emplace("platform_port", std::to_string(platform_port_));
     std::string peers;
     for (std::size_t other = 0; other < peer_ports_.size(); ++other)
@@ -372,7 +384,8 @@
     write_node_settings(index);
     nodes_.at(static_cast<std::size_t>(index)) = std::make_unique<child_process>(
         std::vector<std::string>{binary("marigoldcrankd"), "--settings",
-                                 directory_ + "/node-" + std::to_string(index) + ".ini"});
+                                 directory_ + "/node-" + std::to_string(index) + ".ini"},
+        output_of("node-" + std::to_string(index)));
     if (wait)
     {
         require(eventually([&] { return serves(node_port(index), "/healthz"); }),
@@ -448,6 +461,25 @@
     require(answer && answer->status == 200, "a fault was not set");
 }
 
+std::string fleet::output_of(std::string const& process) const
+{
+    return options_.keep_output ? directory_ + "/" + process + ".log" : "";
+}
+
+std::string fleet::outputs() const
+{
+    std::string text;
+    for (auto const& entry : std::filesystem::directory_iterator(directory_))
+    {
+        if (entry.path().extension() == ".log")
+        {
+            std::ifstream file(entry.path());
+            text.append(std::istreambuf_iterator<char>(file), {});
+        }
+    }
+    return text;
+}
+
 std::vector<std::string> fleet::log_records() const
 {
     httplib::Client          client("127.0.0.1", platform_port_);
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -38,7 +38,9 @@
 class child_process
 {
 public:
-    explicit child_process(std::vector<std::string> const& command);
+    /// Output goes to the file `output`, or nowhere if it is empty.
+    explicit child_process(std::vector<std::string> const& command,
+                           std::string const&              output = "");
     ~child_process();
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
@@ -66,6 +68,7 @@
     std::map<std::string, std::string> engine_settings; // key to value
     std::map<std::string, std::string> platform_settings;
     bool                               apply_rules = true;
+    bool                               keep_output = false; // see fleet::outputs
 };
 
 /// Platform, engines, services and nodes, each a process. Node i stands in data centre
@@ -95,6 +98,9 @@
     nlohmann::json received(int port, std::string const& kind = "") const;
     void           fault(int port, nlohmann::json const& value) const;
 
+    /// All that the processes printed and the nodes' spans, with keep_output.
+    std::string outputs() const;
+
     /// Texts of all records that the platform's log retains.
     std::vector<std::string> log_records() const;
 
@@ -118,7 +124,8 @@
     std::map<std::string, std::string>& node_settings(int index);
 
 private:
-    void write_node_settings(int index) const;
+    void        write_node_settings(int index) const;
+    std::string output_of(std::string const& process) const;
 
     fleet_options                                   options_;
     port_block                                      ports_;
