--- a/tests/property/folds_property_test.cpp
+++ b/tests/property/folds_property_test.cpp
@@ -322,6 +322,7 @@
         store.apply(index + 1, format_record(log[index]), boot_clock::now());
         RC_ASSERT(store.access()->revision() >= in_force);
         in_force = store.access()->revision();
+        RC_ASSERT(store.rules_in_force().revision == in_force); // it can be passed on
         RC_ASSERT(store.with_ledger([&](ledger const& value)
                                     { return value == folded(log, 0, index + 1); }));
     }
