--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -83,6 +83,7 @@
     std::thread                                  duty_thread;
     std::thread                                  usage_thread;
     std::thread                                  beat_thread;
+    std::thread                                  keeper_thread;
 
     lease_terms        terms() const;
     wire::peer_message message() const;
@@ -98,6 +99,7 @@
     void               run_usage();
     bool               settle_custody(millis hold);
     void               run_beats();
+    void               run_keeper();
     void               start();
 };
 
@@ -295,9 +297,22 @@
         if (!callers.draining())
         {
             reporter_lease.step(now);
-            keeper_lease.step(boot_clock::now());
         }
         reporter.step(boot_clock::now());
+        std::this_thread::sleep_for(duty_pause);
+    }
+}
+
+/// On a thread of its own: an append of one duty that waits for a slow log must not keep
+/// the other from renewing its lease.
+void node::parts::run_keeper()
+{
+    while (!stopping)
+    {
+        if (!callers.draining())
+        {
+            keeper_lease.step(boot_clock::now());
+        }
         keeper.step(boot_clock::now(), follower.first_retained());
         std::this_thread::sleep_for(duty_pause);
     }
@@ -358,6 +373,7 @@
     duty_thread = std::thread([this] { run_duties(); });
     usage_thread = std::thread([this] { run_usage(); });
     beat_thread = std::thread([this] { run_beats(); });
+    keeper_thread = std::thread([this] { run_keeper(); });
     log_info(log_part::node, "Started " + holder + " in " + options.data_centre + ".");
 }
 
@@ -370,8 +386,9 @@
 {
     parts_->stopping = true;
     parts_->server.stop();
-    for (auto* thread : {&parts_->server_thread, &parts_->duty_thread,
-                         &parts_->usage_thread, &parts_->beat_thread})
+    for (auto* thread :
+         {&parts_->server_thread, &parts_->duty_thread, &parts_->usage_thread,
+          &parts_->beat_thread, &parts_->keeper_thread})
     {
         if (thread->joinable())
         {
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -226,6 +226,7 @@
                 {"revision", access->revision()},
                 {"withdrawn_keys", access->withdrawn.size()},
                 {"live_peers", peers_.live()},
+                {"peer_bytes_sent", peers_.bytes_sent()},
                 {"next_offset", next},
                 {"duties", duties},
                 {"backend_servers", servers}};
--- /dev/null
+++ b/tests/unit/snapshot_keeper_test.cpp
@@ -0,0 +1,81 @@
+// When a snapshot is due, and whom a node asks to keep its usage.
+#include "app/peer_roster.hpp"
+#include "app/snapshot_keeper.hpp"
+
+#include <gtest/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+constexpr keeper_options options{millis{1000}, 100};
+
+/// A ledger that has folded `records` records, the last of which is a snapshot record if
+/// `through` is not 0.
+ledger folded(std::uint64_t records, std::uint64_t through)
+{
+    ledger           value;
+    wire::log_record record;
+    for (std::uint64_t offset = 1; offset < records; ++offset)
+    {
+        value.apply(offset, record);
+    }
+    if (through != 0)
+    {
+        record.mutable_ledger()->set_through_offset(through);
+    }
+    value.apply(records, record);
+    return value;
+}
+
+TEST(snapshot_keeper, an_empty_log_needs_none)
+{
+    EXPECT_FALSE(snapshot_due(ledger{}, 1, millis{5000}, options));
+}
+
+TEST(snapshot_keeper, due_after_the_time_and_after_the_records)
+{
+    EXPECT_FALSE(snapshot_due(folded(50, 0), 1, millis{500}, options));
+    EXPECT_TRUE(snapshot_due(folded(50, 0), 1, millis{1000}, options));
+    EXPECT_TRUE(snapshot_due(folded(150, 0), 1, millis{500}, options));
+    EXPECT_FALSE(snapshot_due(folded(150, 100), 1, millis{500}, options));
+}
+
+/// The half of the retained records that follows the last snapshot is the time in which
+/// the next one must succeed.
+TEST(snapshot_keeper, due_before_retention_reaches_the_last_one)
+{
+    EXPECT_FALSE(snapshot_due(folded(60, 40), 20, millis{0}, options));
+    EXPECT_TRUE(snapshot_due(folded(60, 40), 21, millis{0}, options));
+    EXPECT_TRUE(snapshot_due(folded(60, 0), 2, millis{0}, options));
+}
+
+TEST(peer_roster, prefers_who_answers_then_the_own_data_centre)
+{
+    auto const  now = boot_clock::now();
+    peer_roster roster("dc-1", millis{1000});
+    roster.heard("far", {.data_centre = "dc-2", .heard_at = now});
+    roster.heard("near", {.data_centre = "dc-1", .heard_at = now});
+    roster.heard("leaving", {.data_centre = "dc-1", .draining = true, .heard_at = now});
+    roster.heard("gone", {.data_centre = "dc-1", .heard_at = now - millis{1001}});
+    for (std::uint64_t turn = 0; turn < 4; ++turn)
+    {
+        EXPECT_EQ(roster.keepers(now, turn), (std::vector<std::string>{"near", "far"}));
+    }
+    roster.failed("near", now);
+    EXPECT_EQ(roster.keepers(now, 0), (std::vector<std::string>{"far", "near"}));
+}
+
+TEST(peer_roster, a_new_run_is_not_the_old_one)
+{
+    auto const  now = boot_clock::now();
+    peer_roster roster("dc-1", millis{1000});
+    roster.heard("node", {.incarnation = "second", .heard_at = now});
+    EXPECT_TRUE(roster.alive("node", "second", now));
+    EXPECT_FALSE(roster.alive("node", "first", now));
+    EXPECT_FALSE(roster.alive("node", "second", now + millis{1000}));
+}
+
+} // namespace
+} // namespace marigoldcrank
