--- a/bench/bench_ledger.cpp
+++ b/bench/bench_ledger.cpp
@@ -176,7 +176,8 @@
     // Usage without gaps in its numbers, as nodes send it.
     for (std::uint64_t offset = 1002; offset < 3002; ++offset)
     {
-        value.apply(offset, offset % 2 == 0 ? withdrawal(offset) : usage((offset - 1003) / 2));
+        value.apply(offset,
+                    offset % 2 == 0 ? withdrawal(offset) : usage((offset - 1003) / 2));
     }
     wire::log_record record;
     auto const       taken =
