--- /dev/null
+++ b/src/adapters/exchange_watch.cpp
@@ -0,0 +1,80 @@
+// Ends exchanges whose time is up.
+#include "adapters/exchange_watch.hpp"
+
+#include <httplib.h>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr millis tick{10};
+} // namespace
+
+exchange_watch::guard::guard(exchange_watch& watch, httplib::Client& client,
+                             boot_clock::time_point until)
+    : watch_(watch)
+{
+    std::lock_guard const lock(watch_.mutex_);
+    position_ = watch_.entries_.emplace(watch_.entries_.end());
+    position_->client = &client;
+    move_end(until);
+    watch_.changed_.notify_one();
+}
+
+exchange_watch::guard::~guard()
+{
+    std::lock_guard const lock(watch_.mutex_);
+    watch_.entries_.erase(position_);
+}
+
+void exchange_watch::guard::move_end(boot_clock::time_point until) noexcept
+{
+    position_->until = until.time_since_epoch().count();
+}
+
+bool exchange_watch::guard::expired() const noexcept
+{
+    return position_->expired;
+}
+
+exchange_watch::exchange_watch() : thread_([this] { run(); }) {}
+
+exchange_watch::~exchange_watch()
+{
+    {
+        std::lock_guard const lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_one();
+    thread_.join();
+}
+
+void exchange_watch::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_)
+    {
+        changed_.wait(lock, [&] { return stopping_ || !entries_.empty(); });
+        end_expired();
+        changed_.wait_for(lock, tick, [&] { return stopping_; });
+    }
+}
+
+void exchange_watch::end_expired()
+{
+    auto const now = boot_clock::now().time_since_epoch().count();
+    for (auto& each : entries_)
+    {
+        if (now >= each.until)
+        {
+            // Again on every tick: a stop between two steps of the library, before its
+            // socket counts as used, has no effect. While a client connects this waits
+            // for it, at most the connection timeout.
+            each.expired = true;
+            each.client->stop();
+        }
+    }
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/adapters/exchange_watch.hpp
@@ -0,0 +1,77 @@
+// Ends exchanges whose time is up, from a thread of its own.
+//
+// Index: 1 exchange_watch, 2 exchange_watch::guard
+#ifndef MARIGOLDCRANK_ADAPTERS_EXCHANGE_WATCH_HPP
+#define MARIGOLDCRANK_ADAPTERS_EXCHANGE_WATCH_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace httplib
+{
+class Client;
+}
+
+namespace marigoldcrank
+{
+
+/// A read timeout starts again with every byte, so that a server which trickles junk, or
+/// headers byte by byte, would hold a caller beyond its deadline. The watch shuts the
+/// socket down when the time is up, whatever the reading thread waits for.
+class exchange_watch
+{
+    struct entry;
+
+public:
+    /// Watches one exchange while it lives.
+    class guard
+    {
+    public:
+        guard(exchange_watch& watch, httplib::Client& client,
+              boot_clock::time_point until);
+        ~guard();
+        guard(guard const&) = delete;
+        guard& operator=(guard const&) = delete;
+
+        /// Moves the end; takes no lock.
+        void move_end(boot_clock::time_point until) noexcept;
+
+        /// True if the watch has ended the exchange.
+        bool expired() const noexcept;
+
+    private:
+        exchange_watch&            watch_;
+        std::list<entry>::iterator position_;
+    };
+
+    exchange_watch();
+    ~exchange_watch();
+
+private:
+    struct entry
+    {
+        httplib::Client*             client = nullptr;
+        std::atomic<boot_clock::rep> until{0}; // nanoseconds since boot
+        std::atomic<bool>            expired{false};
+    };
+
+    void run();
+    void end_expired();
+
+    std::mutex              mutex_;
+    std::condition_variable changed_;
+    std::list<entry>        entries_;
+    bool                    stopping_ = false;
+    std::thread             thread_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -4,12 +4,14 @@
 #include "adapters/http_backend.hpp"
 
 #include "adapters/http_exchange.hpp"
+#include "adapters/json_fields.hpp"
 #include "adapters/sse_reader.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <optional>
+#include <algorithm>
+#include <utility>
 
 namespace marigoldcrank
 {
@@ -23,6 +25,8 @@
 
 // 1. Events
 
+constexpr millis closing_grace{50}; // for the end of a stream whose answer is whole
+
 /// An event that is no JSON object reads as one of no request, and is dropped as such.
 stream_event parse_event(std::string_view data)
 {
@@ -31,42 +35,80 @@
     {
         return {};
     }
-    stream_event event;
-    event.request_id = body.value("request_id", "");
-    event.attempt = body.value("attempt", std::uint64_t{0});
-    event.sequence = body.value("sequence", std::uint64_t{0});
-    event.text = body.value("text", "");
-    event.last = body.value("last", false);
-    event.prompt_tokens = body.value("prompt_tokens", std::uint64_t{0});
-    event.output_tokens = body.value("output_tokens", std::uint64_t{0});
-    return event;
-}
-} // namespace
-
-http_backend::http_backend(http_timeouts timeouts, std::string sender)
-    : sender_(std::move(sender)), clients_(timeouts)
-{
+    return {.request_id = text_field(body, "request_id"),
+            .attempt = number_field(body, "attempt"),
+            .sequence = number_field(body, "sequence"),
+            .text = text_field(body, "text"),
+            .last = flag_field(body, "last"),
+            .cancelled = flag_field(body, "cancelled"),
+            .prompt_tokens = number_field(body, "prompt_tokens"),
+            .output_tokens = number_field(body, "output_tokens")};
 }
 
-// 2. Streams
-
-leaf::result<void> http_backend::stream(backend_server const& server,
-                                        engine_call const& call, event_sink const& sink)
+httplib::Request stream_request(engine_call const& call, std::string const& sender)
 {
-    auto             client = clients_.take(server.host, server.port);
-    sse_reader       reader;
-    int              status = 0;
     httplib::Request request;
     request.method = "POST";
     request.path = call.path;
     request.body = call.body;
     request.headers = {{"Content-Type", json_type},
-                       {"X-Sender", sender_},
+                       {"X-Sender", sender},
                        {"X-Request-Id", call.request_id},
                        {"X-Attempt", std::to_string(call.attempt)},
                        {"X-Resume-From", std::to_string(call.resume_from)},
                        {"X-Workspace", call.workspace},
                        {"traceparent", call.traceparent}};
+    return request;
+}
+
+/// A read error is a timeout or a broken connection; the library does not say which.
+transport_fault read_fault(httplib::Error error, bool expired,
+                           boot_clock::time_point last_byte, millis silence)
+{
+    if (expired || boot_clock::now() - last_byte >= silence)
+    {
+        return transport_fault::silent;
+    }
+    auto const fault = fault_of(error);
+    return fault == transport_fault::silent ? transport_fault::answer_lost : fault;
+}
+} // namespace
+
+http_backend::http_backend(http_timeouts timeouts, std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts)
+{
+}
+
+// 2. Streams
+
+leaf::result<void> http_backend::stream(backend_server const& server,
+                                        engine_call const& call, event_sink const& sink)
+{
+    auto const silence = clients_.timeouts().silence;
+    auto const limit = [&]
+    {
+        return std::min(call.deadline, boot_clock::now() + silence);
+    };
+    auto                  client = clients_.take(server.host, server.port);
+    exchange_watch::guard watched(watch_, *client, limit());
+    sse_reader            reader;
+    int                   status = 0;
+    bool                  complete = false;
+    auto                  last_byte = boot_clock::now();
+    auto const            take = [&](std::string_view event)
+    {
+        auto const verdict = sink(parse_event(event));
+        if (verdict == event_verdict::progress)
+        {
+            watched.move_end(limit());
+        }
+        if (verdict == event_verdict::complete && !std::exchange(complete, true))
+        {
+            watched.move_end(boot_clock::now() + closing_grace);
+        }
+        return true;
+    };
+    auto request = stream_request(call, sender_);
     request.response_handler = [&status](httplib::Response const& response)
     {
         status = response.status;
@@ -75,23 +117,36 @@
     request.content_receiver =
         [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
     {
-        auto handle = [&](std::string_view event)
-        {
-            return sink(parse_event(event));
-        };
-        return status != status_ok || reader.feed({data, size}, handle);
+        last_byte = boot_clock::now();
+        return status != status_ok || reader.feed({data, size}, take);
     };
     auto const answer = client->send(request);
     if (!answer)
     {
-        return transport_error(answer.error(), server.id);
+        if (complete)
+        {
+            return {};
+        }
+        return leaf::new_error(transport_failure{
+            read_fault(answer.error(), watched.expired(), last_byte, silence), server.id,
+            0});
     }
     if (answer->status != status_ok)
     {
         return leaf::new_error(
             transport_failure{transport_fault::refused, server.id, answer->status});
     }
-    clients_.put_back(server.host, server.port, std::move(client));
+    return keep(server, std::move(client), watched.expired());
+}
+
+leaf::result<void> http_backend::keep(backend_server const&            server,
+                                      std::unique_ptr<httplib::Client> client,
+                                      bool                             expired)
+{
+    if (!expired)
+    {
+        clients_.put_back(server.host, server.port, std::move(client));
+    }
     return {};
 }
 
@@ -102,11 +157,13 @@
 {
     // A kept-alive connection may have been closed by the service meanwhile, and a
     // failure on it could not be told from a lost answer. A new connection keeps "not
-    // connected" provable, which is what makes a refusal as not run true.
+    // connected" provable, which is what makes a refusal as not run true. The library
+    // sends a request again by itself only over TLS, so a plain connection sends once.
     http_client_pool fresh(clients_.timeouts());
     auto             client = fresh.take(server.host, server.port);
     client->set_keep_alive(false);
-    httplib::Request request;
+    exchange_watch::guard watched(watch_, *client, service.deadline);
+    httplib::Request      request;
     request.method = service.method;
     request.path = service.path;
     request.body = service.body;
@@ -128,11 +185,13 @@
 
 // 4. Cancel and load
 
-void http_backend::cancel(backend_server const& server, std::string const& request_id)
+void http_backend::cancel(backend_server const& server, std::string const& request_id,
+                          std::uint64_t attempt)
 {
     auto       client = clients_.take(server.host, server.port);
-    auto const answer = client->Post("/cancel", {{"X-Sender", sender_}},
-                                     json{{"request_id", request_id}}.dump(), json_type);
+    auto const answer = client->Post(
+        "/cancel", {{"X-Sender", sender_}},
+        json{{"request_id", request_id}, {"attempt", attempt}}.dump(), json_type);
     if (answer)
     {
         clients_.put_back(server.host, server.port, std::move(client));
@@ -154,11 +213,11 @@
         return leaf::new_error(message_failure{"load report", "not a JSON object"});
     }
     load_report load;
-    load.running = body.value("running", std::int64_t{0});
-    load.waiting = body.value("waiting", std::int64_t{0});
-    load.prefill_tokens = body.value("prefill_tokens", std::int64_t{0});
-    load.lag_ms = body.value("lag_ms", std::uint64_t{0});
-    auto const role = body.value("role", "mixed");
+    load.running = static_cast<std::int64_t>(number_field(body, "running"));
+    load.waiting = static_cast<std::int64_t>(number_field(body, "waiting"));
+    load.prefill_tokens = static_cast<std::int64_t>(number_field(body, "prefill_tokens"));
+    load.lag_ms = number_field(body, "lag_ms");
+    auto const role = text_field(body, "role");
     load.role = role == "prefill"  ? engine_role::prefill
                 : role == "decode" ? engine_role::decode
                                    : engine_role::mixed;
--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_ADAPTERS_HTTP_BACKEND_HPP
 #define MARIGOLDCRANK_ADAPTERS_HTTP_BACKEND_HPP
 
+#include "adapters/exchange_watch.hpp"
 #include "adapters/http_client_pool.hpp"
 #include "ports/backend_port.hpp"
 
@@ -22,12 +23,17 @@
                               event_sink const& sink);
     leaf::result<service_answer> call(backend_server const& server,
                                       service_call const&   service);
-    void cancel(backend_server const& server, std::string const& request_id);
+    void cancel(backend_server const& server, std::string const& request_id,
+                std::uint64_t attempt);
     leaf::result<load_report> load(backend_server const& server);
 
 private:
+    leaf::result<void> keep(backend_server const&            server,
+                            std::unique_ptr<httplib::Client> client, bool expired);
+
     std::string      sender_;
     http_client_pool clients_;
+    exchange_watch   watch_;
 };
 
 static_assert(backend_port<http_backend>);
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -173,6 +173,7 @@
     case refusal_cause::key_reused:
         return 422;
     case refusal_cause::in_progress:
+    case refusal_cause::owner_lost:
         return 409;
     case refusal_cause::over_limit:
         return 429;
--- a/src/adapters/sse_reader.hpp
+++ b/src/adapters/sse_reader.hpp
@@ -14,7 +14,7 @@
 class sse_reader
 {
 public:
-    /// Returns false as soon as the handler does.
+    /// Returns false as soon as the handler does, or if an event grows beyond all bounds.
     template <class Handler>
     bool feed(std::string_view bytes, Handler&& handler)
     {
@@ -32,11 +32,12 @@
             }
         }
         buffer_.erase(0, begin);
-        return true;
+        return buffer_.size() <= most_bytes;
     }
 
 private:
     static constexpr std::string_view field = "data: ";
+    static constexpr std::size_t      most_bytes = 1U << 20U; // of one event
 
     std::string buffer_;
 };
--- a/src/app/answer_stream.hpp
+++ b/src/app/answer_stream.hpp
@@ -9,9 +9,11 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace marigoldcrank
@@ -72,11 +74,36 @@
         return std::exchange(waiting_, {});
     }
 
-    /// Consumer: the caller has left; the producer stops at its next token.
+    /// Consumer: the caller has left. The producer's `on_abandon` runs on this thread, so
+    /// that an engine which gives no token at all is told as well.
     void abandon()
     {
-        std::lock_guard const lock(mutex_);
-        abandoned_ = true;
+        std::function<void()> notify;
+        {
+            std::lock_guard const lock(mutex_);
+            abandoned_ = true;
+            notify = on_abandon_;
+        }
+        if (notify)
+        {
+            notify();
+        }
+    }
+
+    /// Producer: what to do when the caller leaves; runs at once if it has left. Empty to
+    /// forget. May run once more after it was forgotten, on another thread.
+    void on_abandon(std::function<void()> notify)
+    {
+        bool left = false;
+        {
+            std::lock_guard const lock(mutex_);
+            on_abandon_ = notify;
+            left = abandoned_;
+        }
+        if (left && notify)
+        {
+            notify();
+        }
     }
 
     bool abandoned() const
@@ -90,6 +117,7 @@
     std::condition_variable changed_;
     answer_batch            waiting_;
     bool                    abandoned_ = false;
+    std::function<void()>   on_abandon_;
 };
 
 } // namespace marigoldcrank
--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -4,12 +4,14 @@
 #ifndef MARIGOLDCRANK_APP_CALLER_FRONT_HPP
 #define MARIGOLDCRANK_APP_CALLER_FRONT_HPP
 
+#include "adapters/caller_connection.hpp"
 #include "adapters/http_server.hpp"
 #include "adapters/metrics.hpp"
 #include "adapters/span_store.hpp"
 #include "app/caller_request.hpp"
 #include "app/model_body.hpp"
 #include "app/request_path.hpp"
+#include "app/service_path.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -21,14 +23,15 @@
 {
 
 /// Adds its routes to a server; must outlive it.
-template <backend_port Backend>
+template <backend_port Backend, platform_log_port Log>
 class caller_front
 {
 public:
-    caller_front(request_path<Backend>& path, ledger_store& store, span_store& spans,
-                 metrics& counters, millis deadline)
-        : path_(path), store_(store), spans_(spans), metrics_(counters),
-          deadline_(deadline)
+    caller_front(request_path<Backend>& path, service_path<Backend, Log>& services,
+                 ledger_store& store, span_store& spans, metrics& counters,
+                 millis deadline)
+        : path_(path), services_(services), store_(store), spans_(spans),
+          metrics_(counters), deadline_(deadline)
     {
     }
 
@@ -81,7 +84,7 @@
 
 private:
     static constexpr std::size_t request_id_digits = 24;
-    static constexpr millis      take_timeout{1000};
+    static constexpr millis      take_timeout{200}; // a caller that left is noticed
     static constexpr int         retry_soon_s = 1;
     static constexpr int         retry_later_s = 3600;
 
@@ -152,25 +155,29 @@
                                       .group = model->second.group,
                                       .path = http.path,
                                       .body = http.body,
+                                      .content = body.content,
                                       .prompt_tokens = body.prompt_tokens,
                                       .trace = span.context(),
                                       .deadline = begun + deadline_};
-                return answer_model(std::move(request), body.stream, response, begun);
+                auto caller = std::make_shared<caller_connection>(http.remote_addr,
+                                                                  http.remote_port);
+                return answer_model(std::move(request), body.stream, caller, response);
             });
     }
 
     /// The status line goes out with the first token or the refusal, never before: a call
     /// that fails early is refused with a status of its own.
     leaf::result<void> answer_model(model_request request, bool streamed,
-                                    httplib::Response&     response,
-                                    boot_clock::time_point begun)
+                                    std::shared_ptr<caller_connection> const& caller,
+                                    httplib::Response&                        response)
     {
         bool const    chat = request.path == "/v1/chat/completions";
+        auto const    begun = boot_clock::now();
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
         auto          counted = std::make_shared<inflight_count>(inflight_);
         auto          stream = path_.start(std::move(request));
-        auto          first = await(*stream);
+        auto          first = await(*stream, *caller);
         metrics_.observe("first_token_seconds", boot_clock::now() - begun);
         if (first.tokens.empty() && first.end && first.end->refused)
         {
@@ -180,32 +187,39 @@
         response.set_header("X-Request-Id", request_id);
         if (!streamed)
         {
-            return answer_whole(*stream, std::move(first), writer, response);
+            return answer_whole(*stream, *caller, std::move(first), writer, response);
         }
         auto state = std::make_shared<answer_batch>(std::move(first));
         response.set_chunked_content_provider(
             "text/event-stream",
-            [this, stream, state, writer, request_id, counted](std::size_t,
-                                                               httplib::DataSink& sink)
-            { return relay(*stream, *state, writer, request_id, sink); },
+            [this, stream, state, writer, request_id, caller,
+             counted](std::size_t, httplib::DataSink& sink) {
+                return relay(*stream, *state, writer, request_id, sink) &&
+                       !caller->closed();
+            },
             [stream](bool) { stream->abandon(); });
         return {};
     }
 
-    /// Waits for a token or the end; the path ends every request by its deadline.
-    static answer_batch await(answer_stream& stream)
+    /// Waits for a token or the end; the path ends every request by its deadline, and at
+    /// once if the caller has left.
+    static answer_batch await(answer_stream& stream, caller_connection& caller)
     {
         answer_batch batch;
         while (batch.tokens.empty() && !batch.end)
         {
             batch = stream.take(take_timeout);
+            if (batch.tokens.empty() && !batch.end && caller.closed())
+            {
+                stream.abandon();
+            }
         }
         return batch;
     }
 
-    leaf::result<void> answer_whole(answer_stream& stream, answer_batch batch,
-                                    answer_writer const& writer,
-                                    httplib::Response&   response)
+    leaf::result<void> answer_whole(answer_stream& stream, caller_connection& caller,
+                                    answer_batch batch, answer_writer const& writer,
+                                    httplib::Response& response)
     {
         std::string text;
         while (true)
@@ -218,7 +232,11 @@
             {
                 break;
             }
-            batch = await(stream);
+            if (caller.closed())
+            {
+                stream.abandon();
+            }
+            batch = await(stream, caller);
         }
         if (batch.end->refused)
         {
@@ -230,7 +248,9 @@
         return {};
     }
 
-    /// Writes what has come; called again and again until it ends the answer.
+    /// Writes what has come; called again and again until it ends the answer. An answer
+    /// that breaks off before its end leaves the chunked coding open, so that no library
+    /// takes it for a whole one.
     bool relay(answer_stream& stream, answer_batch& batch, answer_writer const& writer,
                std::string const& request_id, httplib::DataSink& sink)
     {
@@ -288,25 +308,36 @@
         auto const request_id = random_id(request_id_digits);
         auto const trace = parse_traceparent(http.get_header_value("traceparent"));
         span_scope span(spans_, trace, request_id, "accept");
-        answer_or_refuse(
-            request_id, response,
-            [&]() -> leaf::result<void>
-            {
-                BOOST_LEAF_AUTO(admitted, authorise(http, request_id, span.context()));
-                BOOST_LEAF_AUTO(request, service_request_of(http, admitted));
-                request.request_id = request_id;
-                request.trace = span.context();
-                request.deadline = boot_clock::now() + deadline_;
-                inflight_count const counted(inflight_);
-                BOOST_LEAF_AUTO(answer, path_.call(request));
-                metrics_.add("requests_total", "kind=\"service\"");
-                response.status = answer.status;
-                response.set_header("X-Request-Id", request_id);
-                response.set_content(answer.body, answer.content_type.empty()
-                                                      ? "application/octet-stream"
-                                                      : answer.content_type);
-                return {};
-            });
+        answer_or_refuse(request_id, response,
+                         [&]() -> leaf::result<void>
+                         {
+                             BOOST_LEAF_AUTO(admitted,
+                                             authorise(http, request_id, span.context()));
+                             BOOST_LEAF_AUTO(request, service_request_of(http, admitted));
+                             request.request_id = request_id;
+                             request.trace = span.context();
+                             request.deadline = boot_clock::now() + deadline_;
+                             inflight_count const counted(inflight_);
+                             BOOST_LEAF_AUTO(reply, services_.call(request));
+                             metrics_.add("requests_total", "kind=\"service\"");
+                             response.set_header("X-Request-Id", request_id);
+                             write_reply(response, reply);
+                             return {};
+                         });
+    }
+
+    /// A second try under a key is told that the answer is that of the first.
+    static void write_reply(httplib::Response& response, service_reply const& reply)
+    {
+        auto const& type = reply.answer.content_type;
+        response.status = reply.answer.status;
+        response.set_content(reply.answer.body,
+                             type.empty() ? "application/octet-stream" : type);
+        if (reply.earlier)
+        {
+            response.set_header("X-Earlier-Result",
+                                reply.body_left_out ? "status-only" : "whole");
+        }
     }
 
     static leaf::result<service_request> service_request_of(httplib::Request const& http,
@@ -406,13 +437,14 @@
         response.status = status;
     }
 
-    request_path<Backend>&    path_;
-    ledger_store&             store_;
-    span_store&               spans_;
-    metrics&                  metrics_;
-    millis                    deadline_;
-    std::atomic<bool>         draining_{false};
-    std::atomic<std::int64_t> inflight_{0};
+    request_path<Backend>&      path_;
+    service_path<Backend, Log>& services_;
+    ledger_store&               store_;
+    span_store&                 spans_;
+    metrics&                    metrics_;
+    millis                      deadline_;
+    std::atomic<bool>           draining_{false};
+    std::atomic<std::int64_t>   inflight_{0};
 };
 
 } // namespace marigoldcrank
--- a/src/app/caller_request.hpp
+++ b/src/app/caller_request.hpp
@@ -32,6 +32,7 @@
     std::string            group;
     std::string            path;
     std::string            body;
+    std::string            content;           // hash of model and prompt
     std::int64_t           prompt_tokens = 0; // estimate, for routing
     trace_context          trace;
     boot_clock::time_point deadline{};
--- a/src/app/ledger_store.cpp
+++ b/src/app/ledger_store.cpp
@@ -62,6 +62,12 @@
     }
 }
 
+void ledger_store::forget_before(std::uint64_t first)
+{
+    std::lock_guard const lock(mutex_);
+    ledger_.forget_before(first);
+}
+
 bool ledger_store::offer(wire::config_snapshot const& snapshot)
 {
     bool changed = false;
--- a/src/app/ledger_store.hpp
+++ b/src/app/ledger_store.hpp
@@ -53,6 +53,9 @@
     /// Starts again after records expired: offsets before `first` are gone.
     void skip_to(std::uint64_t first);
 
+    /// Forgets what the log has forgotten before `first`.
+    void forget_before(std::uint64_t first);
+
     /// Takes a peer's configuration or withdrawal if it is newer. True if it was.
     bool offer(wire::config_snapshot const& snapshot);
     bool offer(wire::key_withdrawal const& withdrawal);
--- a/src/app/log_follower.hpp
+++ b/src/app/log_follower.hpp
@@ -76,6 +76,7 @@
             store_.apply(offset, text, boot_clock::now());
             ++offset;
         }
+        store_.forget_before(page.first_retained);
     }
 
     void run()
--- a/src/app/log_writer.hpp
+++ b/src/app/log_writer.hpp
@@ -50,6 +50,20 @@
         return store_.wait_for(record.record_id(), timeout);
     }
 
+    /// Appends without waiting for the record to be read back. False: no answer that the
+    /// log took it; it may take effect later all the same.
+    bool send(wire::log_record const& record)
+    {
+        auto const text = format_record(record);
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_CHECK(log_.append(text));
+                return true;
+            },
+            [] { return false; });
+    }
+
 private:
     static constexpr std::size_t record_id_digits = 24;
 
--- a/src/app/model_body.cpp
+++ b/src/app/model_body.cpp
@@ -1,6 +1,7 @@
 // Bodies of the language model API.
 #include "app/model_body.hpp"
 
+#include "domain/api_key.hpp"
 #include "domain/boot_clock.hpp"
 
 #include <nlohmann/json.hpp>
@@ -64,8 +65,9 @@
     model_body result;
     result.model = model->get<std::string>();
     result.stream = stream != parsed.end() && stream->get<bool>();
-    result.prompt_tokens =
-        static_cast<std::int64_t>(prompt->dump().size()) / bytes_per_token;
+    auto const text = prompt->dump(-1, ' ', false, json::error_handler_t::replace);
+    result.content = salted_hash(result.model, text);
+    result.prompt_tokens = static_cast<std::int64_t>(text.size()) / bytes_per_token;
     return result;
 }
 
--- a/src/app/model_body.hpp
+++ b/src/app/model_body.hpp
@@ -17,6 +17,7 @@
 {
     std::string  model;
     bool         stream = false;
+    std::string  content; // hash of model and prompt, by which poison is recognised
     std::int64_t prompt_tokens = 0; // estimate: four bytes a token
 
     bool operator==(model_body const&) const = default;
--- /dev/null
+++ b/src/app/model_run.hpp
@@ -0,0 +1,493 @@
+// One model call from admission to its end: attempts, resumption, retries, usage.
+//
+// Index: 1 request_options, 2 model_parts, 3 model_run: attempts, 4 model_run: suspects,
+//        5 model_run: one attempt, 6 model_run: the end
+#ifndef MARIGOLDCRANK_APP_MODEL_RUN_HPP
+#define MARIGOLDCRANK_APP_MODEL_RUN_HPP
+
+#include "adapters/metrics.hpp"
+#include "adapters/span_store.hpp"
+#include "app/answer_stream.hpp"
+#include "app/caller_request.hpp"
+#include "app/poison_guard.hpp"
+#include "app/request_state.hpp"
+#include "app/server_directory.hpp"
+#include "app/token_sequencer.hpp"
+#include "app/worker_pool.hpp"
+#include "policy/retry_budget.hpp"
+#include "ports/backend_port.hpp"
+#include "wire.pb.h"
+
+#include <algorithm>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// Options of the request path.
+struct request_options
+{
+    std::string          data_centre = "dc-1"; // "dc-1"  of this entry VM
+    std::int64_t         max_attempts = 3;     // 3       tries that reach a server
+    retry_budget_options retries{};            //         see retry_budget.hpp
+
+    bool operator==(request_options const&) const = default;
+};
+
+/// The retry budget of a process.
+class shared_retry_budget
+{
+public:
+    explicit shared_retry_budget(retry_budget_options options) : budget_(options) {}
+
+    void admit()
+    {
+        std::lock_guard const lock(mutex_);
+        budget_.admit();
+    }
+
+    bool take()
+    {
+        std::lock_guard const lock(mutex_);
+        return budget_.take();
+    }
+
+private:
+    std::mutex   mutex_;
+    retry_budget budget_;
+};
+
+/// What all model calls of a process share.
+template <backend_port Backend>
+struct model_parts
+{
+    Backend&                               backend;
+    server_directory&                      directory;
+    span_store&                            spans;
+    metrics&                               counters;
+    poison_guard&                          poison;
+    shared_retry_budget&                   budget;
+    worker_pool&                           cancels; // blocking cancels off the path
+    std::function<void(wire::usage_delta)> usage;
+    request_options                        options;
+};
+
+/// Used by one thread; the caller's thread reads the stream.
+template <backend_port Backend>
+class model_run
+{
+public:
+    model_run(model_parts<Backend>& parts, model_request const& request,
+              answer_stream& stream)
+        : parts_(parts), request_(request), stream_(stream),
+          sequencer_(request.request_id)
+    {
+    }
+
+    void run()
+    {
+        parts_.budget.admit();
+        state_ = state_.after(request_step::queue);
+        while (!state_.over() && attempt())
+        {
+        }
+        record_usage();
+        stream_.finish(end());
+    }
+
+private:
+    static constexpr int    retry_after_s = 1;
+    static constexpr int    retry_never_s = 3600;
+    static constexpr millis solo_pause{10};
+    static constexpr millis solo_settle{20}; // for a peer's claim to arrive
+
+    // 3. Attempts
+
+    /// One more attempt; false when the request is to be given up.
+    bool attempt()
+    {
+        if (auto const cause = reason_to_stop())
+        {
+            return give_up(*cause);
+        }
+        auto const verdict = parts_.poison.judge(request_.content);
+        if (verdict == poison_verdict::guilty)
+        {
+            return give_up(refusal_cause::poison);
+        }
+        bool const retry = tries_ > 0;
+        if (retry && (tries_ >= parts_.options.max_attempts || !parts_.budget.take()))
+        {
+            return give_up(refusal_cause::backend_server_failed);
+        }
+        if (retry)
+        {
+            parts_.counters.add("retries_total");
+        }
+        return verdict == poison_verdict::suspect ? run_alone() : run_among_others();
+    }
+
+    std::optional<refusal_cause> reason_to_stop() const
+    {
+        if (stream_.abandoned())
+        {
+            return refusal_cause::cancelled;
+        }
+        if (boot_clock::now() >= request_.deadline)
+        {
+            return refusal_cause::deadline;
+        }
+        return std::nullopt;
+    }
+
+    bool give_up(refusal_cause cause)
+    {
+        cause_ = cause;
+        state_ = state_.after(request_step::refuse);
+        return false;
+    }
+
+    bool give_up_without_server()
+    {
+        return give_up(state_.fate() == call_fate::not_run
+                           ? refusal_cause::no_backend_server
+                           : refusal_cause::backend_server_failed);
+    }
+
+    bool run_among_others()
+    {
+        auto server = route();
+        // A server may be kept free for a suspect between the choice and the count; the
+        // suspect waits for the count to fall, so one of the two always sees the other.
+        while (server)
+        {
+            parts_.directory.begin(*server, request_.prompt_tokens);
+            if (!parts_.poison.reserved(server->id))
+            {
+                break;
+            }
+            parts_.directory.end(*server, true);
+            parts_.directory.first_token(*server, request_.prompt_tokens);
+            server = route();
+        }
+        if (!server)
+        {
+            return give_up_without_server();
+        }
+        run_on(*server);
+        return true;
+    }
+
+    std::optional<backend_server> route()
+    {
+        span_scope span(parts_.spans, request_.trace, request_.request_id, "route");
+        auto       decision = decide(gone_, flawed_);
+        if (!decision.chosen && !flawed_.empty())
+        {
+            // Nothing else is left: a server that answered badly is better than none.
+            flawed_.clear();
+            decision = decide(gone_, flawed_);
+        }
+        std::string candidates;
+        for (auto const& candidate : decision.candidates)
+        {
+            candidates += candidate.server + "=" + std::to_string(candidate.cost) + " ";
+        }
+        span.note("route.candidates", candidates);
+        span.note("route.chosen", decision.chosen ? decision.chosen->id : "none");
+        return decision.chosen;
+    }
+
+    route_decision decide(std::vector<std::string>        excluded,
+                          std::vector<std::string> const& also) const
+    {
+        excluded.insert(excluded.end(), also.begin(), also.end());
+        auto const reserved = parts_.poison.reserved();
+        excluded.insert(excluded.end(), reserved.begin(), reserved.end());
+        route_request const wanted{.group = request_.group,
+                                   .data_centre = parts_.options.data_centre,
+                                   .prompt_tokens = request_.prompt_tokens,
+                                   .excluded = std::move(excluded)};
+        return choose_server(parts_.directory.group(request_.group), wanted,
+                             boot_clock::now());
+    }
+
+    // 4. Suspects
+
+    /// Keeps a server free, waits until nothing else runs on it, and runs there. The wait
+    /// ends with the deadline.
+    bool run_alone()
+    {
+        while (true)
+        {
+            if (auto const cause = reason_to_stop())
+            {
+                return give_up(*cause);
+            }
+            if (parts_.poison.judge(request_.content) == poison_verdict::guilty)
+            {
+                return give_up(refusal_cause::poison);
+            }
+            auto const server = route_alone();
+            if (!server)
+            {
+                std::this_thread::sleep_for(solo_pause);
+                continue;
+            }
+            bool const empty = wait_until_empty(*server);
+            if (empty)
+            {
+                parts_.directory.begin(*server, request_.prompt_tokens);
+                run_on(*server);
+            }
+            parts_.poison.release(server->id);
+            if (empty)
+            {
+                return true;
+            }
+        }
+    }
+
+    std::optional<backend_server> route_alone()
+    {
+        std::set<std::string> group;
+        for (auto const& view : parts_.directory.group(request_.group))
+        {
+            group.insert(view.server.id);
+        }
+        auto const chosen = decide(gone_, {}).chosen;
+        bool const kept =
+            chosen && parts_.poison.reserve(chosen->id, group, request_.deadline);
+        return kept ? chosen : std::nullopt;
+    }
+
+    /// True once this entry VM runs nothing on the server and the server itself has said
+    /// since the reservation that it runs nothing at all.
+    bool wait_until_empty(backend_server const& server)
+    {
+        auto const reserved_at = boot_clock::now();
+        std::this_thread::sleep_for(solo_settle);
+        while (!reason_to_stop() && !parts_.poison.contested(server.id))
+        {
+            auto const views = parts_.directory.group(server.group);
+            auto const view = std::find_if(views.begin(), views.end(),
+                                           [&](server_view const& each)
+                                           { return each.server.id == server.id; });
+            if (view == views.end() || view->server.leaving)
+            {
+                return false;
+            }
+            auto const said_at =
+                view->load.read_at - millis{static_cast<std::int64_t>(view->load.lag_ms)};
+            if (view->own_running == 0 && said_at >= reserved_at &&
+                view->load.running + view->load.waiting == 0)
+            {
+                return true;
+            }
+            std::this_thread::sleep_for(solo_pause);
+        }
+        return false;
+    }
+
+    // 5. One attempt
+
+    /// The place on the server was counted by the caller of this function.
+    void run_on(backend_server const& server)
+    {
+        span_scope span(parts_.spans, request_.trace, request_.request_id, "dispatch");
+        span.note("server.address", server.id);
+        state_ = state_.after(request_step::dispatch);
+        sequencer_.begin_attempt(++attempt_);
+        engine_call const call{.request_id = request_.request_id,
+                               .attempt = attempt_,
+                               .resume_from = sequencer_.next(),
+                               .path = request_.path,
+                               .body = request_.body,
+                               .traceparent = format_traceparent(span.context()),
+                               .workspace = request_.workspace,
+                               .deadline = request_.deadline};
+        stream_.on_abandon([this_parts = &parts_, server, call]
+                           { cancel(*this_parts, server, call); });
+        auto const outcome = exchange(server, call);
+        stream_.on_abandon({});
+        parts_.directory.first_token(server, request_.prompt_tokens);
+        parts_.directory.end(server, sequencer_.whole() || stream_.abandoned());
+        settle(server, call, outcome);
+        span.note("dispatch.outcome", sequencer_.whole() ? "whole"
+                                      : outcome          ? name_of(outcome->fault)
+                                                         : "no_end_marker");
+    }
+
+    static void cancel(model_parts<Backend>& parts, backend_server const& server,
+                       engine_call const& call)
+    {
+        parts.counters.add("cancels_total");
+        parts.cancels.post([&parts, server, id = call.request_id, attempt = call.attempt]
+                           { parts.backend.cancel(server, id, attempt); });
+    }
+
+    /// The failure, or nothing if the stream ended in good order.
+    std::optional<transport_failure> exchange(backend_server const& server,
+                                              engine_call const&    call)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<transport_failure>>
+            {
+                BOOST_LEAF_CHECK(parts_.backend.stream(server, call,
+                                                       [&](stream_event const& event)
+                                                       { return take(server, event); }));
+                return std::optional<transport_failure>{};
+            },
+            [](transport_failure const& failure)
+            { return std::optional<transport_failure>{failure}; },
+            [&]
+            {
+                return std::optional<transport_failure>{
+                    {transport_fault::answer_lost, server.id, 0}};
+            });
+    }
+
+    event_verdict take(backend_server const& server, stream_event const& event)
+    {
+        auto const taken = sequencer_.take(event);
+        if (taken.dropped)
+        {
+            parts_.counters.add("dropped_events_total");
+            return event_verdict::no_progress;
+        }
+        if (state_.allows(request_step::first_token))
+        {
+            state_ = state_.after(request_step::first_token);
+            parts_.directory.first_token(server, request_.prompt_tokens);
+        }
+        for (auto const& token : taken.tokens)
+        {
+            stream_.push(token);
+        }
+        return sequencer_.whole() ? event_verdict::complete : event_verdict::progress;
+    }
+
+    void settle(backend_server const& server, engine_call const& call,
+                std::optional<transport_failure> const& failure)
+    {
+        if (sequencer_.whole())
+        {
+            state_ = state_.after(request_step::finish);
+            if (attempt_ > 0 && parts_.poison.reserved(server.id))
+            {
+                parts_.poison.clear(request_.content);
+            }
+            return;
+        }
+        if (failure && failure->fault == transport_fault::not_connected)
+        {
+            // No byte was sent: neither a retry nor a doubt.
+            state_ = state_.after(request_step::nothing_sent);
+            gone_.push_back(server.id);
+            return;
+        }
+        state_ = state_.after(request_step::attempt_lost);
+        ++tries_;
+        if (failure && failure->fault == transport_fault::refused)
+        {
+            // The engine's plain refusal, as in a change of role: it works, elsewhere.
+            gone_.push_back(server.id);
+            return;
+        }
+        settle_broken(server, call, failure);
+    }
+
+    void settle_broken(backend_server const& server, engine_call const& call,
+                       std::optional<transport_failure> const& failure)
+    {
+        bool const broken = failure && failure->fault == transport_fault::answer_lost;
+        if (broken && crashed(server))
+        {
+            parts_.counters.add("suspects_total");
+            parts_.poison.note_crash(request_.content, call.request_id + "/" +
+                                                           std::to_string(call.attempt));
+            gone_.push_back(server.id);
+            return;
+        }
+        flawed_.push_back(server.id);
+        if (failure && failure->fault == transport_fault::silent)
+        {
+            cancel(parts_, server, call);
+        }
+    }
+
+    /// A connection that broke is a crash if the server takes no new one either.
+    bool crashed(backend_server const& server)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_CHECK(parts_.backend.load(server));
+                return false;
+            },
+            [](transport_failure const& failure)
+            {
+                return failure.fault != transport_fault::silent &&
+                       failure.fault != transport_fault::refused;
+            },
+            [] { return false; });
+    }
+
+    // 6. The end
+
+    answer_end end() const
+    {
+        auto const prompt = sequencer_.end() ? sequencer_.end()->prompt_tokens : 0;
+        answer_end result{std::nullopt, prompt, sequencer_.next()};
+        if (state_.phase() != request_phase::finished)
+        {
+            bool const poison = cause_ == refusal_cause::poison;
+            result.refused =
+                refusal{cause_, poison ? call_fate::final_refusal : state_.fate(),
+                        poison ? retry_never_s : retry_after_s};
+        }
+        return result;
+    }
+
+    /// Billed is what the engine says it ran; without its word, what the caller was sent.
+    void record_usage()
+    {
+        auto const& counted = sequencer_.end();
+        bool const  trusted = counted && (counted->cancelled || sequencer_.whole());
+        auto const  output = trusted ? std::max(counted->output_tokens, sequencer_.next())
+                                     : sequencer_.next();
+        if (output == 0 && !counted)
+        {
+            return;
+        }
+        wire::usage_delta delta;
+        delta.set_request_id(request_.request_id);
+        delta.set_workspace(request_.workspace);
+        delta.set_model(request_.model);
+        delta.set_prompt_tokens(counted ? counted->prompt_tokens : 0);
+        delta.set_output_tokens(output);
+        delta.set_calls(1);
+        parts_.usage(std::move(delta));
+    }
+
+    model_parts<Backend>&    parts_;
+    model_request const&     request_;
+    answer_stream&           stream_;
+    token_sequencer          sequencer_;
+    request_state            state_;
+    refusal_cause            cause_ = refusal_cause::no_backend_server;
+    std::uint64_t            attempt_ = 0; // attempts made, also those never connected
+    std::int64_t             tries_ = 0;   // attempts that may have reached a server
+    std::vector<std::string> gone_;        // servers not to be tried again
+    std::vector<std::string> flawed_;      // servers to be tried again if none is left
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,6 +11,7 @@
 #include "app/lease_keeper.hpp"
 #include "app/log_follower.hpp"
 #include "app/operator_front.hpp"
+#include "app/peer_roster.hpp"
 #include "app/server_poller.hpp"
 #include "app/usage_recorder.hpp"
 #include "app/usage_reporter.hpp"
@@ -27,6 +28,7 @@
 constexpr millis      duty_pause{50};
 constexpr millis      flush_timeout{2000};
 constexpr millis      drain_poll{20};
+constexpr millis      book_pause{100};
 
 std::vector<peer_address> peers_of(settings const& options)
 {
@@ -62,10 +64,14 @@
     usage_recorder<http_platform>                usage;
     lease_keeper<http_platform>                  reporter_lease;
     usage_reporter<http_platform, http_platform> reporter;
+    poison_guard                                 poison; // peers' news come in at once
+    peer_roster                                  roster;
     zmq_peers                                    peers;
     worker_pool                                  workers;
+    call_book<http_platform>                     book;
     request_path<http_backend>                   path;
-    caller_front<http_backend>                   callers;
+    service_path<http_backend, http_platform>    services;
+    caller_front<http_backend, http_platform>    callers;
     operator_front<http_platform, zmq_peers>     operators;
     log_follower<http_platform>                  follower;
     server_poller<http_platform, http_backend>   poller;
@@ -75,10 +81,14 @@
     std::thread                                  duty_thread;
     std::thread                                  usage_thread;
     std::thread                                  beat_thread;
+    std::thread                                  book_thread;
 
-    lease_terms        terms() const;
-    wire::peer_message message() const;
-    void               pass_on_access();
+    lease_terms                            terms() const;
+    std::function<void(wire::usage_delta)> usage_sink();
+    void                                   pass_on(wire::peer_message& news);
+    void                                   run_book();
+    wire::peer_message                     message() const;
+    void                                   pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     wire::peer_message snapshot_message() const;
@@ -99,13 +109,23 @@
       reporter_lease(writer, store, "reporter", holder, terms()),
       reporter(writer, store, platform, reporter_lease, holder,
                millis{options.window_ms}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
+      roster(millis{options.peer_dead_ms}),
       peers(options, peers_of(options),
             [this](wire::peer_message const& message) { take_message(message); }),
       workers(count_of(options.http_threads)),
-      path(backend, directory, spans, counters, workers,
-           [this](wire::usage_delta delta) { usage.add(std::move(delta)); },
-           {options.data_centre, options.max_attempts}),
-      callers(path, store, spans, counters, millis{options.deadline_ms}),
+      book(writer, store, holder,
+           [this](std::string const& owner) { return roster.alive(owner); },
+           {.claim_wait = millis{options.claim_wait_ms},
+            .kept_body = count_of(options.kept_body_bytes)}),
+      path(backend, directory, spans, counters, workers, poison, usage_sink(),
+           {options.data_centre,
+            options.max_attempts,
+            {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book, usage_sink(),
+                options.data_centre, options.max_attempts}),
+      callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(writer, store, spans, directory, peers, options.operator_key,
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
@@ -119,6 +139,14 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
+std::function<void(wire::usage_delta)> node::parts::usage_sink()
+{
+    return [this](wire::usage_delta delta)
+    {
+        usage.add(std::move(delta));
+    };
+}
+
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -145,6 +173,13 @@
     return result;
 }
 
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
 /// Peers that are cut off from the platform take the newest configuration from here.
 void node::parts::pass_on_access()
 {
@@ -175,6 +210,12 @@
     case wire::peer_message::kWithdrawal:
         store.offer(message.withdrawal());
         break;
+    case wire::peer_message::kSuspect:
+        poison.take(message.suspect());
+        break;
+    case wire::peer_message::kSolo:
+        poison.take(message.from(), message.solo());
+        break;
     default:
         break;
     }
@@ -183,6 +224,16 @@
 /// A heartbeat tells the sender's revision; one that is behind is sent the newest.
 void node::parts::take_beat(wire::peer_message const& message)
 {
+    if (roster.note(message.from(), message.incarnation(), boot_clock::now()))
+    {
+        // It has just started and knows of no suspect; its callers may send one again.
+        for (auto& news : poison.all_suspects())
+        {
+            news.set_from(options.name);
+            news.set_incarnation(incarnation);
+            peers.send(message.from(), news);
+        }
+    }
     auto const access = store.access();
     if (access->config && access->config->revision > message.beat().config_revision())
     {
@@ -231,6 +282,16 @@
     }
 }
 
+/// Releases and results that the log has not taken yet.
+void node::parts::run_book()
+{
+    while (!stopping)
+    {
+        book.flush(flush_timeout);
+        std::this_thread::sleep_for(book_pause);
+    }
+}
+
 // 4. Life cycle
 
 void node::parts::start()
@@ -249,6 +310,7 @@
     duty_thread = std::thread([this] { run_duties(); });
     usage_thread = std::thread([this] { run_usage(); });
     beat_thread = std::thread([this] { run_beats(); });
+    book_thread = std::thread([this] { run_book(); });
     log_info(log_part::node, "Started " + holder + " in " + options.data_centre + ".");
 }
 
@@ -261,8 +323,9 @@
 {
     parts_->stopping = true;
     parts_->server.stop();
-    for (auto* thread : {&parts_->server_thread, &parts_->duty_thread,
-                         &parts_->usage_thread, &parts_->beat_thread})
+    for (auto* thread :
+         {&parts_->server_thread, &parts_->duty_thread, &parts_->usage_thread,
+          &parts_->beat_thread, &parts_->book_thread})
     {
         if (thread->joinable())
         {
@@ -293,6 +356,10 @@
     {
         std::this_thread::sleep_for(drain_poll);
     }
+    while (!parts_->book.flush(flush_timeout) && boot_clock::now() < until)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
     while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
--- /dev/null
+++ b/src/app/poison_guard.cpp
@@ -0,0 +1,189 @@
+// Suspected requests of all entry VMs, and the servers kept free for them.
+#include "app/poison_guard.hpp"
+
+#include "wire.pb.h"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr millis longest_reservation{600'000}; // that a peer may ask for
+
+void fill(wire::poison_suspect& suspect, std::string const& content,
+          poison_entry const& entry)
+{
+    suspect.set_content_hash(content);
+    suspect.set_crashes(static_cast<std::uint32_t>(entry.crashes.size()));
+    for (auto const& crash : entry.crashes)
+    {
+        suspect.add_crash_ids(crash);
+    }
+}
+} // namespace
+
+poison_guard::poison_guard(std::string node, poison_options options,
+                           broadcaster broadcast)
+    : node_(std::move(node)), broadcast_(std::move(broadcast)), list_(options)
+{
+}
+
+poison_verdict poison_guard::judge(std::string const& content) const
+{
+    std::lock_guard const lock(mutex_);
+    return list_.judge(content, boot_clock::now());
+}
+
+void poison_guard::note_crash(std::string const& content, std::string const& crash)
+{
+    {
+        std::lock_guard const lock(mutex_);
+        list_.note(content, crash, boot_clock::now());
+    }
+    broadcast_suspect(content);
+}
+
+void poison_guard::clear(std::string const& content)
+{
+    std::lock_guard const lock(mutex_);
+    list_.clear(content);
+}
+
+void poison_guard::take(wire::poison_suspect const& news)
+{
+    std::lock_guard const lock(mutex_);
+    for (auto const& crash : news.crash_ids())
+    {
+        list_.note(news.content_hash(), crash, boot_clock::now());
+    }
+}
+
+void poison_guard::take(std::string const& peer, wire::solo_run const& news)
+{
+    auto const asked =
+        std::min<std::uint64_t>(news.for_ms(), longest_reservation.count());
+    std::lock_guard const lock(mutex_);
+    auto&                 holders = reserved_[news.server()];
+    std::erase_if(holders, [&](reservation const& each) { return each.holder == peer; });
+    if (asked > 0)
+    {
+        holders.push_back(
+            {peer, boot_clock::now() + millis{static_cast<std::int64_t>(asked)}});
+    }
+    if (holders.empty())
+    {
+        reserved_.erase(news.server());
+    }
+}
+
+std::vector<wire::peer_message> poison_guard::all_suspects() const
+{
+    std::lock_guard const           lock(mutex_);
+    std::vector<wire::peer_message> messages;
+    for (auto const& [content, entry] : list_.entries())
+    {
+        fill(*messages.emplace_back().mutable_suspect(), content, entry);
+    }
+    return messages;
+}
+
+bool poison_guard::held(std::string const& server, boot_clock::time_point now) const
+{
+    auto const found = reserved_.find(server);
+    return found != reserved_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](reservation const& each) { return now < each.until; });
+}
+
+bool poison_guard::reserve(std::string const& server, std::set<std::string> const& group,
+                           boot_clock::time_point until)
+{
+    auto const now = boot_clock::now();
+    {
+        std::lock_guard const lock(mutex_);
+        auto const            kept =
+            std::count_if(group.begin(), group.end(),
+                          [&](std::string const& each) { return held(each, now); });
+        auto const most = std::max<std::ptrdiff_t>(1, std::ssize(group) / 2);
+        if (held(server, now) || kept >= most)
+        {
+            return false;
+        }
+        reserved_[server] = {{node_, until}};
+    }
+    broadcast_solo(server, std::chrono::duration_cast<millis>(until - now));
+    return true;
+}
+
+void poison_guard::release(std::string const& server)
+{
+    {
+        std::lock_guard const lock(mutex_);
+        auto&                 holders = reserved_[server];
+        std::erase_if(holders,
+                      [&](reservation const& each) { return each.holder == node_; });
+        if (holders.empty())
+        {
+            reserved_.erase(server);
+        }
+    }
+    broadcast_solo(server, millis{0});
+}
+
+bool poison_guard::contested(std::string const& server) const
+{
+    std::lock_guard const lock(mutex_);
+    auto const            found = reserved_.find(server);
+    return found != reserved_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](reservation const& each) { return each.holder < node_; });
+}
+
+std::set<std::string> poison_guard::reserved() const
+{
+    auto const            now = boot_clock::now();
+    std::lock_guard const lock(mutex_);
+    std::set<std::string> servers;
+    for (auto const& [server, holders] : reserved_)
+    {
+        if (held(server, now))
+        {
+            servers.insert(server);
+        }
+    }
+    return servers;
+}
+
+bool poison_guard::reserved(std::string const& server) const
+{
+    std::lock_guard const lock(mutex_);
+    return held(server, boot_clock::now());
+}
+
+void poison_guard::broadcast_suspect(std::string const& content) const
+{
+    wire::peer_message message;
+    {
+        std::lock_guard const lock(mutex_);
+        auto const            found = list_.entries().find(content);
+        if (found == list_.entries().end())
+        {
+            return;
+        }
+        fill(*message.mutable_suspect(), content, found->second);
+    }
+    broadcast_(message);
+}
+
+void poison_guard::broadcast_solo(std::string const& server, millis duration) const
+{
+    wire::peer_message message;
+    message.mutable_solo()->set_server(server);
+    message.mutable_solo()->set_for_ms(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count())));
+    broadcast_(message);
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/app/service_path.hpp
@@ -0,0 +1,256 @@
+// The way of one call of a plain service: repeatable, or at most once.
+//
+// Index: 1 service_reply, 2 service_parts, 3 service_path: calls, 4 service_path: at most
+//        once, 5 service_path: attempts
+#ifndef MARIGOLDCRANK_APP_SERVICE_PATH_HPP
+#define MARIGOLDCRANK_APP_SERVICE_PATH_HPP
+
+#include "adapters/metrics.hpp"
+#include "adapters/span_store.hpp"
+#include "app/call_book.hpp"
+#include "app/caller_request.hpp"
+#include "app/request_state.hpp"
+#include "app/server_directory.hpp"
+#include "domain/api_key.hpp"
+#include "ports/backend_port.hpp"
+
+#include <functional>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// An answer, and whether it is that of an earlier try under the same key.
+struct service_reply
+{
+    service_answer answer;
+    bool           earlier = false;
+    bool           body_left_out = false; // of an earlier try: too large to be kept
+
+    bool operator==(service_reply const&) const = default;
+};
+
+/// What the service path of a process uses.
+template <backend_port Backend, platform_log_port Log>
+struct service_parts
+{
+    Backend&                               backend;
+    server_directory&                      directory;
+    span_store&                            spans;
+    metrics&                               counters;
+    call_book<Log>&                        book;
+    std::function<void(wire::usage_delta)> usage;
+    std::string                            data_centre;
+    std::int64_t                           max_attempts = 3;
+};
+
+/// Safe to use from several threads.
+template <backend_port Backend, platform_log_port Log>
+class service_path
+{
+public:
+    explicit service_path(service_parts<Backend, Log> parts) : parts_(std::move(parts)) {}
+
+    // 3. Calls
+
+    /// Fails with refusal, whose fate tells whether the call may have run.
+    leaf::result<service_reply> call(service_request const& request)
+    {
+        if (request.once && !request.idempotency_key.empty())
+        {
+            return call_by_key(request);
+        }
+        auto const done = run(request);
+        if (!done.answer)
+        {
+            return leaf::new_error(done.refused);
+        }
+        return service_reply{*done.answer};
+    }
+
+private:
+    static constexpr int retry_soon_s = 1;
+    static constexpr int retry_later_s = 3600;
+
+    /// How the attempts of a call ended.
+    struct run_end
+    {
+        std::optional<service_answer> answer;
+        refusal                       refused; // without an answer
+    };
+
+    // 4. At most once
+
+    static wire::call_intent intent_of(service_request const& request)
+    {
+        // A newline is in no workspace's name, so no two pairs give the same text.
+        wire::call_intent intent;
+        intent.set_key_hash(
+            salted_hash(request.workspace + "\n", request.idempotency_key));
+        intent.set_workspace(request.workspace);
+        intent.set_body_hash(salted_hash(
+            request.service + "\n" + request.method + "\n" + request.path, request.body));
+        intent.set_request_id(request.request_id);
+        return intent;
+    }
+
+    leaf::result<service_reply> call_by_key(service_request const& request)
+    {
+        auto const intent = intent_of(request);
+        auto const claim = claim_for(request, intent);
+        switch (claim.verdict)
+        {
+        case claim_verdict::granted:
+            return run_claimed(request, intent);
+        case claim_verdict::answered:
+            return service_reply{{static_cast<int>(claim.entry.status),
+                                  claim.entry.content_type, claim.entry.body},
+                                 true,
+                                 claim.entry.body_left_out};
+        case claim_verdict::key_reused:
+            return refused(refusal_cause::key_reused, call_fate::not_run, retry_later_s);
+        case claim_verdict::in_progress:
+            return refused(refusal_cause::in_progress, call_fate::outcome_unknown,
+                           retry_soon_s);
+        case claim_verdict::owner_lost:
+            return refused(refusal_cause::owner_lost, call_fate::outcome_unknown,
+                           retry_later_s);
+        case claim_verdict::log_unavailable:
+            break;
+        }
+        return refused(refusal_cause::log_unavailable, call_fate::not_run, retry_soon_s);
+    }
+
+    static leaf::error_id refused(refusal_cause cause, call_fate fate, int retry_after)
+    {
+        return leaf::new_error(refusal{cause, fate, retry_after});
+    }
+
+    call_claim claim_for(service_request const& request, wire::call_intent const& intent)
+    {
+        span_scope span(parts_.spans, request.trace, request.request_id, "claim");
+        auto const claim = parts_.book.claim(intent);
+        span.note("claim.verdict", std::to_string(static_cast<int>(claim.verdict)));
+        return claim;
+    }
+
+    leaf::result<service_reply> run_claimed(service_request const&   request,
+                                            wire::call_intent const& intent)
+    {
+        auto const done = run(request);
+        if (done.answer)
+        {
+            wire::call_result result;
+            result.set_status(static_cast<std::uint32_t>(done.answer->status));
+            result.set_content_type(done.answer->content_type);
+            result.set_body(done.answer->body);
+            parts_.book.settle(intent, std::move(result));
+            return service_reply{*done.answer};
+        }
+        if (done.refused.fate == call_fate::not_run)
+        {
+            parts_.book.release(intent);
+        }
+        else
+        {
+            parts_.book.settle(intent, {});
+        }
+        return leaf::new_error(done.refused);
+    }
+
+    // 5. Attempts
+
+    /// A call that may not be repeated goes to a second server only if the first provably
+    /// got no byte of it.
+    run_end run(service_request const& request)
+    {
+        request_state state = request_state{}.after(request_step::queue);
+        route_request wanted{.group = request.group,
+                             .data_centre = parts_.data_centre,
+                             .may_use_cheap = !request.once};
+        std::int64_t  tries = 0;
+        auto          cause = refusal_cause::no_backend_server;
+        while (tries < (request.once ? 1 : parts_.max_attempts))
+        {
+            if (boot_clock::now() >= request.deadline)
+            {
+                cause = refusal_cause::deadline;
+                break;
+            }
+            auto const server = route(wanted, request);
+            if (!server)
+            {
+                break;
+            }
+            state = state.after(request_step::dispatch);
+            auto const answer = dispatch(*server, request, state);
+            if (answer)
+            {
+                record_call(request);
+                return {answer, {}};
+            }
+            cause = refusal_cause::backend_server_failed;
+            tries += state.fate() == call_fate::not_run ? 0 : 1;
+            wanted.excluded.push_back(server->id);
+        }
+        return {std::nullopt, {cause, state.fate(), retry_soon_s}};
+    }
+
+    std::optional<backend_server> route(route_request const&   wanted,
+                                        service_request const& request)
+    {
+        span_scope span(parts_.spans, request.trace, request.request_id, "route");
+        auto const decision = choose_server(parts_.directory.group(wanted.group), wanted,
+                                            boot_clock::now());
+        span.note("route.chosen", decision.chosen ? decision.chosen->id : "none");
+        return decision.chosen;
+    }
+
+    /// Sends the call once and moves the state on.
+    std::optional<service_answer> dispatch(backend_server const&  server,
+                                           service_request const& request,
+                                           request_state&         state)
+    {
+        span_scope span(parts_.spans, request.trace, request.request_id, "dispatch");
+        span.note("server.address", server.id);
+        service_call const call{request.request_id, request.method,
+                                request.path,       request.content_type,
+                                request.body,       format_traceparent(span.context()),
+                                request.deadline};
+        parts_.directory.begin(server, 0);
+        std::optional<service_answer> answer;
+        auto const                    step = leaf::try_handle_all(
+            [&]() -> leaf::result<request_step>
+            {
+                BOOST_LEAF_ASSIGN(answer, parts_.backend.call(server, call));
+                return request_step::finish;
+            },
+            [](transport_failure const& failure)
+            {
+                return failure.fault == transport_fault::not_connected
+                                              ? request_step::nothing_sent
+                                              : request_step::attempt_lost;
+            },
+            [] { return request_step::attempt_lost; });
+        state = state.after(step);
+        parts_.directory.end(server, answer.has_value());
+        span.note("dispatch.outcome", answer ? "answered" : name_of(state.fate()));
+        return answer;
+    }
+
+    void record_call(service_request const& request)
+    {
+        wire::usage_delta delta;
+        delta.set_request_id(request.request_id);
+        delta.set_workspace(request.workspace);
+        delta.set_model("service:" + request.service);
+        delta.set_calls(1);
+        parts_.usage(std::move(delta));
+    }
+
+    service_parts<Backend, Log> parts_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/domain/failure.cpp
+++ b/src/domain/failure.cpp
@@ -116,6 +116,8 @@
         return "key_reused";
     case refusal_cause::in_progress:
         return "in_progress";
+    case refusal_cause::owner_lost:
+        return "owner_lost";
     case refusal_cause::poison:
         return "poison";
     case refusal_cause::backend_server_failed:
--- a/src/domain/failure.hpp
+++ b/src/domain/failure.hpp
@@ -152,6 +152,7 @@
     log_unavailable,
     key_reused,
     in_progress,
+    owner_lost, // an earlier try under this key has no known outcome
     poison,
     backend_server_failed,
     cancelled
--- a/src/domain/settings.hpp
+++ b/src/domain/settings.hpp
@@ -62,6 +62,11 @@
     std::int64_t deadline_ms = 60000; // 60000        for a whole request, ms
     std::int64_t max_attempts = 3;    // 3            tries of a repeatable request
     std::int64_t load_every_ms = 200; // 200          between load reads, ms
+    std::int64_t retry_percent = 10;  // 10           retries per 100 admitted requests
+    std::int64_t retry_burst = 64;    // 64           retries saved up in good times
+    std::int64_t claim_wait_ms = 1500; // 1500        for an intent to be read back, ms
+    std::int64_t kept_body_bytes = 65536; // 65536    of an answer kept for a second try
+    std::int64_t poison_keep_ms = 3600000; // 3600000 a suspicion after its last crash, ms
     // [usage]
     std::int64_t usage_flush_ms = 1000; // 1000         between usage appends, ms
     std::int64_t window_ms = 5000;      // 5000         length of a usage window, ms
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -45,11 +45,29 @@
         // the current one in the fold, whatever it believes itself.
         return leases_.holds("reporter", record.seal().holder(), record.seal().epoch()) &&
                usage_.apply(offset, record.seal());
+    case wire::log_record::kCall:
+        return calls_.apply(offset, record.call());
+    case wire::log_record::kCallFree:
+        return calls_.apply(offset, record.call_free());
+    case wire::log_record::kCallDone:
+        return calls_.apply(offset, record.call_done());
+    case wire::log_record::kCalls:
+        return calls_.apply(offset, record.calls());
     default:
         return false;
     }
 }
 
+void ledger::forget_before(std::uint64_t offset)
+{
+    calls_.forget_before(offset);
+}
+
+call_fold const& ledger::calls() const noexcept
+{
+    return calls_;
+}
+
 lease_fold const& ledger::leases() const noexcept
 {
     return leases_;
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_LEDGER_LEDGER_HPP
 
 #include "domain/failure.hpp"
+#include "ledger/call_fold.hpp"
 #include "ledger/configuration_fold.hpp"
 #include "ledger/lease_fold.hpp"
 #include "ledger/usage_fold.hpp"
@@ -39,10 +40,14 @@
     /// Counts a record whose bytes could not be read.
     record_effect skip_malformed(std::uint64_t offset);
 
+    /// Tells that the log has lost the records before `offset`.
+    void forget_before(std::uint64_t offset);
+
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
     configuration_fold&       config() noexcept; // peers' snapshots and withdrawals
     usage_fold const&         usage() const noexcept;
+    call_fold const&          calls() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -54,6 +59,7 @@
     lease_fold         leases_;
     configuration_fold config_;
     usage_fold         usage_;
+    call_fold          calls_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
 };
--- /dev/null
+++ b/src/policy/poison_list.hpp
@@ -0,0 +1,122 @@
+// Requests suspected of crashing the servers that run them.
+//
+// Index: 1 poison_options, 2 poison_verdict, 3 poison_list
+#ifndef MARIGOLDCRANK_POLICY_POISON_LIST_HPP
+#define MARIGOLDCRANK_POLICY_POISON_LIST_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+struct poison_options
+{
+    std::size_t capacity = 4096; // 4096     contents remembered
+    millis      keep{3'600'000}; // 3600000  after the last crash, ms
+
+    bool operator==(poison_options const&) const = default;
+};
+
+/// How a request with this content may run.
+enum class poison_verdict
+{
+    innocent,
+    suspect, // one crash: only alone on its server
+    guilty   // two crashes: never again
+};
+
+/// One content and the crashes it was in flight for.
+struct poison_entry
+{
+    std::set<std::string>  crashes; // one id a crash, so that peers' news merge
+    boot_clock::time_point last{};
+
+    bool operator==(poison_entry const&) const = default;
+};
+
+/// Value type, by content hash. The crashes of one content form a set that only grows, so
+/// that peers' messages may come doubled, late or in any order.
+class poison_list
+{
+public:
+    explicit poison_list(poison_options options) : options_(options) {}
+
+    /// Notes a crash. True if it was news.
+    bool note(std::string const& content, std::string const& crash,
+              boot_clock::time_point now)
+    {
+        expire(now);
+        auto& entry = entries_[content];
+        if (entry.crashes.size() >= crashes_kept || !entry.crashes.insert(crash).second)
+        {
+            return false;
+        }
+        entry.last = now;
+        if (entries_.size() > options_.capacity)
+        {
+            forget_oldest();
+        }
+        return true;
+    }
+
+    /// Clears a suspect that ran alone to its end. A guilty one stays.
+    void clear(std::string const& content)
+    {
+        auto const found = entries_.find(content);
+        if (found != entries_.end() && found->second.crashes.size() < crashes_kept)
+        {
+            entries_.erase(found);
+        }
+    }
+
+    poison_verdict judge(std::string const& content, boot_clock::time_point now) const
+    {
+        auto const found = entries_.find(content);
+        if (found == entries_.end() || now - found->second.last >= options_.keep)
+        {
+            return poison_verdict::innocent;
+        }
+        return found->second.crashes.size() < crashes_kept ? poison_verdict::suspect
+                                                           : poison_verdict::guilty;
+    }
+
+    std::map<std::string, poison_entry> const& entries() const noexcept
+    {
+        return entries_;
+    }
+
+    bool operator==(poison_list const&) const = default;
+
+private:
+    static constexpr std::size_t crashes_kept = 2; // as many as make it guilty
+
+    void expire(boot_clock::time_point now)
+    {
+        std::erase_if(entries_, [&](auto const& each)
+                      { return now - each.second.last >= options_.keep; });
+    }
+
+    void forget_oldest()
+    {
+        auto oldest = entries_.begin();
+        for (auto each = entries_.begin(); each != entries_.end(); ++each)
+        {
+            oldest = each->second.last < oldest->second.last ? each : oldest;
+        }
+        entries_.erase(oldest);
+    }
+
+    poison_options                      options_;
+    std::map<std::string, poison_entry> entries_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/policy/retry_budget.hpp
@@ -0,0 +1,60 @@
+// How many retries an entry VM may add to the load of its backend servers.
+//
+// Index: 1 retry_budget_options, 2 retry_budget
+#ifndef MARIGOLDCRANK_POLICY_RETRY_BUDGET_HPP
+#define MARIGOLDCRANK_POLICY_RETRY_BUDGET_HPP
+
+#include <algorithm>
+#include <cstdint>
+
+namespace marigoldcrank
+{
+
+struct retry_budget_options
+{
+    std::int64_t percent = 10; // 10  retries per hundred admitted requests
+    std::int64_t burst = 64;   // 64  retries saved up while nothing fails
+
+    bool operator==(retry_budget_options const&) const = default;
+};
+
+/// A token bucket, filled by admitted requests and not by time: when half the engines
+/// fail, retries grow with the failures, and without a bound the rest gets the load of
+/// all plus the retries, fails as well, and never recovers. Value type.
+class retry_budget
+{
+public:
+    explicit retry_budget(retry_budget_options options)
+        : options_(options), hundredths_(options.burst * per_retry)
+    {
+    }
+
+    void admit() noexcept
+    {
+        hundredths_ =
+            std::min(hundredths_ + options_.percent, options_.burst * per_retry);
+    }
+
+    /// True if one more retry fits in; it is then counted.
+    bool take() noexcept
+    {
+        if (hundredths_ < per_retry)
+        {
+            return false;
+        }
+        hundredths_ -= per_retry;
+        return true;
+    }
+
+    bool operator==(retry_budget const&) const = default;
+
+private:
+    static constexpr std::int64_t per_retry = 100;
+
+    retry_budget_options options_;
+    std::int64_t         hundredths_; // of a retry
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -3,9 +3,13 @@
 // Index: 1 engine, 2 streams, 3 other routes, 4 main
 //
 // Faults besides the common ones: `truncate` ends a stream early without its end marker;
-// `crossed` sends a stream under another request's id; `late` delays a stream's first
-// token; `silent` stops a stream in the middle and keeps the connection open; `crash_on`
-// (with `text` in the prompt) is the poison request, see the setting poison.
+// `crossed` sends a stream under another request's id, `crossed_middle` mixes another
+// request's events in; `stale` mixes in events of an earlier attempt; `doubled` sends
+// each event twice; `reordered` swaps neighbours; `late` delays a stream's first token;
+// `silent` stops a stream in the middle and keeps the connection open; `junk` does so and
+// trickles bytes that are no token; `malformed` sends an event with fields of wrong
+// types; `crash_stream` and `crash_middle` end the process at the first token or in the
+// middle of a stream. The setting poison is the request that crashes every engine.
 #include "engine_model.hpp"
 #include "standin_server.hpp"
 
@@ -14,6 +18,7 @@
 #include <unistd.h>
 
 #include <thread>
+#include <utility>
 
 namespace
 {
@@ -108,25 +113,128 @@
            "\n\n";
 }
 
+std::string cancelled_text(stream_job const& job, std::int64_t prompt_tokens,
+                           std::uint64_t count)
+{
+    return "data: " +
+           json{{"request_id", job.request_id},
+                {"attempt", job.attempt},
+                {"sequence", count},
+                {"last", true},
+                {"cancelled", true},
+                {"prompt_tokens", prompt_tokens},
+                {"output_tokens", count}}
+               .dump() +
+           "\n\n";
+}
+
+/// Faults of one stream, taken once at its start.
+struct stream_faults
+{
+    stream_faults(standin_server& server, std::string const& sender)
+        : slow(server.take_fault("slow_decode", sender)),
+          silent(server.take_fault("silent", sender)),
+          junk(server.take_fault("junk", sender)),
+          truncate(server.take_fault("truncate", sender)),
+          crossed_middle(server.take_fault("crossed_middle", sender)),
+          stale(server.take_fault("stale", sender)),
+          doubled(server.take_fault("doubled", sender)),
+          reordered(server.take_fault("reordered", sender)),
+          malformed(server.take_fault("malformed", sender)),
+          crash_middle(server.take_fault("crash_middle", sender))
+    {
+    }
+
+    std::optional<fault> slow;
+    std::optional<fault> silent;
+    std::optional<fault> junk;
+    std::optional<fault> truncate;
+    std::optional<fault> crossed_middle;
+    std::optional<fault> stale;
+    std::optional<fault> doubled;
+    std::optional<fault> reordered;
+    std::optional<fault> malformed;
+    std::optional<fault> crash_middle;
+};
+
+/// Events that belong to the token, with what the faults add around it.
+std::string faulty_text(stream_faults const& faults, stream_job const& job,
+                        std::uint64_t sequence, std::string const& token)
+{
+    std::string text;
+    if (faults.stale)
+    {
+        auto earlier = job;
+        --earlier.attempt;
+        text += event_text(earlier, sequence, "stale ");
+    }
+    if (faults.crossed_middle)
+    {
+        auto other = job;
+        other.request_id = "other-request";
+        text += event_text(other, sequence, "foreign ");
+    }
+    if (faults.malformed)
+    {
+        text += "data: {\"request_id\":7,\"attempt\":\"x\",\"text\":[]}\n\n";
+    }
+    auto const own = event_text(job, sequence, token);
+    text += faults.doubled ? own + own : own;
+    return text;
+}
+
+/// Sends bytes that are no token until for_ms have passed or the other side left.
+void trickle_junk(httplib::DataSink& sink, std::int64_t for_ms)
+{
+    constexpr std::int64_t pause_ms = 20;
+    std::string const      junk = "data: {\"request_id\":\"junk\"}\n\n";
+    for (std::int64_t waited = 0; waited < for_ms; waited += pause_ms)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
+        if (!sink.write(junk.data(), junk.size()))
+        {
+            return;
+        }
+    }
+}
+
+/// The fault of a stream's middle; true if the stream ends there.
+bool fail_in_the_middle(stream_faults const& faults, httplib::DataSink& sink)
+{
+    if (faults.crash_middle)
+    {
+        _exit(crash_exit);
+    }
+    if (faults.silent)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(faults.silent->for_ms));
+    }
+    if (faults.junk)
+    {
+        trickle_junk(sink, faults.junk->for_ms);
+    }
+    return faults.truncate || faults.silent || faults.junk;
+}
+
 /// Sends the stream; returns how many tokens it generated.
-std::uint64_t send_stream(engine& self, stream_job const& job, std::int64_t prompt_tokens,
-                          httplib::DataSink& sink)
+std::uint64_t send_stream(engine& self, stream_job const& job, std::string const& key,
+                          std::int64_t prompt_tokens, httplib::DataSink& sink)
 {
-    auto const hash = XXH64(job.prompt.data(), job.prompt.size(), 0);
-    auto const slow = self.server.take_fault("slow_decode", job.sender);
-    bool const truncated = self.server.take_fault("truncate", job.sender).has_value();
-    auto const silent = self.server.take_fault("silent", job.sender);
-    auto const half = job.resume_from + (job.tokens - job.resume_from) / 2;
-    auto const factor = slow ? std::max<std::int64_t>(slow->for_ms, 1) : 1;
+    auto const          hash = XXH64(job.prompt.data(), job.prompt.size(), 0);
+    stream_faults const faults(self.server, job.sender);
+    auto const          half = job.resume_from + (job.tokens - job.resume_from) / 2;
+    auto const  factor = faults.slow ? std::max<std::int64_t>(faults.slow->for_ms, 1) : 1;
+    std::string held;
     for (auto sequence = job.resume_from; sequence < job.tokens; ++sequence)
     {
-        if (self.running.cancelled(job.request_id) || (truncated && sequence == half))
+        if (self.running.cancelled(key))
         {
+            auto const text = cancelled_text(job, prompt_tokens, sequence);
+            sink.write(text.data(), text.size());
             return sequence - job.resume_from;
         }
-        if (silent && sequence == half)
+        if (sequence == half && fail_in_the_middle(faults, sink))
         {
-            std::this_thread::sleep_for(std::chrono::milliseconds(silent->for_ms));
             return sequence - job.resume_from;
         }
         if (self.server.take_fault("crash_stream", job.sender))
@@ -135,7 +243,13 @@
         }
         std::this_thread::sleep_for(
             std::chrono::microseconds(self.options.decode_us * factor));
-        auto const text = event_text(job, sequence, token_of(hash, sequence));
+        auto text = faulty_text(faults, job, sequence, token_of(hash, sequence));
+        if (faults.reordered && held.empty() && sequence + 1 < job.tokens)
+        {
+            held = std::move(text);
+            continue;
+        }
+        text += std::exchange(held, {});
         if (!sink.write(text.data(), text.size()))
         {
             return sequence + 1 - job.resume_from;
@@ -146,12 +260,20 @@
     return job.tokens - job.resume_from;
 }
 
+std::string running_key(std::string const& request_id, std::uint64_t attempt)
+{
+    return request_id + "/" + std::to_string(attempt);
+}
+
 void run_job(engine& self, stream_job job, httplib::DataSink& sink)
 {
     auto const prompt_tokens =
         static_cast<std::int64_t>(job.prompt.size()) / bytes_per_token;
-    if (!self.running.enter(job.request_id, job.priority, prompt_tokens))
+    auto const key = running_key(job.request_id, job.attempt);
+    if (!self.running.enter(key, job.priority, prompt_tokens))
     {
+        auto const text = cancelled_text(job, 0, job.resume_from);
+        sink.write(text.data(), text.size());
         return;
     }
     auto const request_id = job.request_id;
@@ -168,8 +290,8 @@
     std::this_thread::sleep_for(
         std::chrono::microseconds(computed * 1'000'000 / self.options.prefill_per_s));
     self.running.prefilled(prompt_tokens);
-    auto const count = send_stream(self, job, prompt_tokens, sink);
-    self.running.leave(request_id);
+    auto const count = send_stream(self, job, key, prompt_tokens, sink);
+    self.running.leave(key);
     std::lock_guard const lock(self.mutex);
     self.generated.push_back({{"request_id", request_id},
                               {"workspace", job.workspace},
@@ -271,8 +393,12 @@
                       [&](auto const& request, auto& response)
                       {
                           auto const body = json::parse(request.body, nullptr, false);
-                          self.running.cancel(
-                              body.is_object() ? body.value("request_id", "") : "");
+                          if (body.is_object())
+                          {
+                              self.running.cancel(
+                                  running_key(body.value("request_id", ""),
+                                              body.value("attempt", std::uint64_t{1})));
+                          }
                           write_json(response, json::object());
                       });
     self.server.route("GET", "/kv/export", "kv_export",
--- a/tests/failure/thin_path_test.cpp
+++ b/tests/failure/thin_path_test.cpp
@@ -1,4 +1,5 @@
 // The whole path over processes: caller, entry, engine or service, platform.
+#include "support/caller.hpp"
 #include "support/node_process.hpp"
 
 #include <httplib.h>
@@ -12,11 +13,6 @@
 
 using nlohmann::json;
 
-httplib::Headers bearer(fleet const& system)
-{
-    return {{"Authorization", "Bearer " + system.key("north")}};
-}
-
 json completion_body(bool stream)
 {
     return {
@@ -26,30 +22,6 @@
         {"stream", stream}};
 }
 
-/// Output tokens reported for workspace north over all windows.
-std::uint64_t reported_tokens(fleet const& system)
-{
-    std::map<std::string, std::uint64_t> by_window;
-    for (auto const& report : system.received(system.platform_port(), "usage"))
-    {
-        std::uint64_t tokens = 0;
-        auto const    body = json::parse(report["body"].get<std::string>());
-        for (auto const& figure : body["figures"])
-        {
-            tokens += figure["workspace"] == "north"
-                          ? figure["output_tokens"].get<std::uint64_t>()
-                          : 0;
-        }
-        by_window[report["path"]] = tokens;
-    }
-    std::uint64_t total = 0;
-    for (auto const& [window, tokens] : by_window)
-    {
-        total += tokens;
-    }
-    return total;
-}
-
 TEST(thin_path, streams_a_whole_answer_and_reports_its_usage)
 {
     fleet           system;
--- /dev/null
+++ b/tests/failure/whole_answer_test.cpp
@@ -0,0 +1,178 @@
+// A caller gets the whole answer to its own request, or a typed error, whatever engines
+// do.
+#include "support/caller.hpp"
+#include "support/node_process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int tokens = 24;
+
+/// Sets a fault at every engine.
+void fault_everywhere(fleet const& system, int engines, json const& value)
+{
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        system.fault(system.engine_port(engine), value);
+    }
+}
+
+/// Story: the caller of a certificate's wording reads a line twice, a line of another
+/// child, or a line that stops short. An engine (or what lies between) doubles, swaps,
+/// crosses, cuts or delays events, or sends ones of an earlier attempt. Cause: events are
+/// taken as they come.
+class confused_engine : public testing::TestWithParam<char const*>
+{
+};
+
+TEST_P(confused_engine, gives_each_token_once_and_in_order)
+{
+    fleet       system;
+    auto const  expected = ask(system, 0, {.tokens = tokens});
+    std::string kind = GetParam();
+    fault_everywhere(system, 2, {{"kind", kind}, {"count", 1}, {"for_ms", 300}});
+    auto const answer = ask(system, 0, {.tokens = tokens});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.done);
+    EXPECT_EQ(answer.text, expected.text);
+    EXPECT_EQ(answer.token_count, tokens);
+}
+
+INSTANTIATE_TEST_SUITE_P(faults, confused_engine,
+                         testing::Values("doubled", "reordered", "stale",
+                                         "crossed_middle", "late", "malformed"));
+
+/// Story: as above, but the one engine that is confused can't end the answer; another one
+/// has to, from the token that is missing.
+class broken_engine : public testing::TestWithParam<char const*>
+{
+};
+
+TEST_P(broken_engine, resumes_on_the_other_with_each_token_once)
+{
+    fleet       system;
+    auto const  expected = ask(system, 0, {.tokens = tokens});
+    std::string kind = GetParam();
+    json const  value = {{"kind", kind}, {"count", 1}, {"for_ms", 60000}};
+    system.fault(system.engine_port(0), value);
+    auto const answer = ask(system, 0, {.tokens = tokens, .prompt = "a line for Noor"});
+    EXPECT_TRUE(answer.done);
+    EXPECT_EQ(answer.text, expected.text);
+    auto const resumed = system.received(system.engine_port(1), "generate");
+    ASSERT_EQ(resumed.size(), 1U);
+    auto const from = resumed[0]["headers"]["X-Resume-From"].get<std::string>();
+    EXPECT_EQ(from, kind == "crossed" ? "0" : std::to_string(tokens / 2));
+}
+
+INSTANTIATE_TEST_SUITE_P(faults, broken_engine,
+                         testing::Values("truncate", "crash_middle", "silent", "junk",
+                                         "crossed"));
+
+/// Story: every engine cuts its answers; a caller's program takes half a claim's check
+/// for a whole one. Cause: a chunked answer that was cut ends like a whole one.
+TEST(whole_answer, a_short_answer_never_looks_whole)
+{
+    fleet system;
+    fault_everywhere(system, 2, {{"kind", "truncate"}});
+    auto const streamed = ask(system, 0, {.tokens = tokens});
+    EXPECT_FALSE(streamed.done);
+    EXPECT_EQ(streamed.error["type"], "backend_server_failed");
+    EXPECT_EQ(streamed.error["fate"], "outcome_unknown");
+    auto const whole = ask(system, 0, {.tokens = tokens, .stream = false});
+    EXPECT_EQ(whole.status, 502);
+    EXPECT_EQ(whole.error["type"], "backend_server_failed");
+}
+
+/// Story: the entry VM is killed in the middle of an answer. The caller's library must
+/// see a broken transfer, not an end.
+TEST(whole_answer, a_killed_entry_leaves_the_transfer_broken)
+{
+    fleet                system({.engine_settings = {{"decode_us", "100000"}}});
+    caller_options const options{.tokens = tokens};
+    streamed_answer      answer;
+    std::thread          caller([&] { answer = ask(system, 0, options); });
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return system.received(system.engine_port(0), "generate").size() +
+                       system.received(system.engine_port(1), "generate").size() ==
+                   1;
+        }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    system.node(0).signal(SIGKILL);
+    caller.join();
+    EXPECT_FALSE(answer.complete);
+    EXPECT_FALSE(answer.done);
+}
+
+/// Story: a clerk closes the page; the engine goes on for nobody, or what it ran is not
+/// billed. Cause: the entry VM only notices at the next token, and counts what it sent.
+class leaving_caller : public testing::TestWithParam<std::tuple<bool, char const*>>
+{
+};
+
+TEST_P(leaving_caller, is_cancelled_at_the_engine_and_billed_for_what_ran)
+{
+    auto const [stream, prefill_per_s] = GetParam();
+    fleet system(
+        {.engines = 1,
+         .engine_settings = {{"decode_us", "20000"}, {"prefill_per_s", prefill_per_s}}});
+    std::thread caller(
+        [&]
+        { ask(system, 0, {.tokens = 2000, .stream = stream, .leave_after_ms = 600}); });
+    caller.join();
+    EXPECT_TRUE(eventually(
+        [&] { return system.received(system.engine_port(0), "cancel").size() == 1; }));
+    EXPECT_TRUE(eventually([&] { return !generated(system, 0).empty(); }));
+    auto const ran = generated(system, 0)[0]["output_tokens"].get<std::uint64_t>();
+    EXPECT_LT(ran, 1000U);
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == ran; }))
+        << ran << " ran, reported " << reported_tokens(system);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, leaving_caller,
+    testing::Values(std::tuple{true, "20000"}, std::tuple{false, "20000"},
+                    // Slow prefill: the caller leaves before the first token.
+                    std::tuple{true, "3"}));
+
+/// Story: an engine sends bytes for ever that are no token; the caller waits beyond its
+/// deadline. Cause: each byte starts a read timeout again.
+TEST(whole_answer, a_trickling_engine_is_left_at_the_deadline)
+{
+    fleet system({.engines = 1,
+                  .node_settings = {{"deadline_ms", "2500"}, {"progress_ms", "60000"}}});
+    fault_everywhere(system, 1, {{"kind", "junk"}, {"for_ms", 60000}});
+    auto const answer = ask(system, 0, {.tokens = tokens});
+    EXPECT_FALSE(answer.done);
+    EXPECT_EQ(answer.error["type"], "deadline");
+    EXPECT_LT(answer.duration_ms, 20000);
+}
+
+/// Story: an engine changes its role and refuses for two seconds; callers see errors.
+/// Cause: a plain refusal is taken for a failure, or is not tried elsewhere.
+TEST(whole_answer, an_engine_that_changes_its_role_is_passed_over)
+{
+    fleet           system;
+    httplib::Client engine("127.0.0.1", system.engine_port(0));
+    ASSERT_TRUE(engine.Post("/orders",
+                            R"({"id":"1","kind":"role","value":"decode","fence":1})",
+                            "application/json"));
+    auto const answer = ask(system, 0, {.tokens = tokens});
+    EXPECT_TRUE(answer.done);
+    auto const metrics =
+        httplib::Client("127.0.0.1", system.node_port(0)).Get("/metrics");
+    ASSERT_TRUE(metrics);
+    EXPECT_EQ(metrics->body.find("suspects_total"), std::string::npos);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
