--- /dev/null
+++ b/tests/failure/at_most_once_test.cpp
@@ -0,0 +1,375 @@
+// A call that may not be repeated runs at most once, and `not_run` is true, wherever the
+// call is cut. The truth is what the service's stand-in received.
+#include "support/caller.hpp"
+#include "support/node_process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+/// What the caller saw of one try.
+struct try_outcome
+{
+    int         status = 0; // 0: the connection broke
+    std::string fate;
+    std::string type;
+    std::string request_id;
+    std::string body;
+    std::string earlier;
+    std::string retry_after;
+};
+
+try_outcome order(fleet const& system, int node, std::string const& key,
+                  std::string const& body = "{\"copies\":30}")
+{
+    httplib::Client client("127.0.0.1", system.node_port(node));
+    client.set_read_timeout(30);
+    auto headers = bearer(system);
+    if (!key.empty())
+    {
+        headers.emplace("Idempotency-Key", key);
+    }
+    auto const answer =
+        client.Post("/services/ordering/orders", headers, body, "application/json");
+    if (!answer)
+    {
+        return {};
+    }
+    auto const parsed = json::parse(answer->body, nullptr, false);
+    auto const error =
+        parsed.is_object() ? parsed.value("error", json::object()) : json();
+    return {answer->status,
+            error.is_object() ? error.value("fate", "") : "",
+            error.is_object() ? error.value("type", "") : "",
+            answer->get_header_value("X-Request-Id"),
+            answer->body,
+            answer->get_header_value("X-Earlier-Result"),
+            answer->get_header_value("Retry-After")};
+}
+
+json runs(fleet const& system)
+{
+    return system.received(system.service_port(0), "call");
+}
+
+/// True once the platform was asked to append a record of this kind by node 0.
+bool appended(fleet const& system, std::string const& field)
+{
+    for (auto const& entry : system.received(system.platform_port(), "append"))
+    {
+        auto const record = json::parse(entry["body"].get<std::string>(), nullptr, false);
+        if (entry["from"] == "node-0" && record.contains("calls") &&
+            record["calls"].contains(field))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void fault_log(fleet const& system, std::string const& kind, int for_ms = 0,
+               std::string const& from = "node-0")
+{
+    system.fault(system.platform_port(),
+                 {{"kind", kind}, {"for_ms", for_ms}, {"from", from}});
+}
+
+void fault_service(fleet const& system, std::string const& kind, int for_ms)
+{
+    system.fault(system.service_port(0), {{"kind", kind}, {"for_ms", for_ms}});
+}
+
+void end_faults(fleet const& system)
+{
+    system.fault(system.platform_port(), {{"kind", "none"}});
+    system.fault(system.service_port(0), {{"kind", "none"}});
+}
+
+/// Sends the order through node 0 and kills it when `reached` holds.
+try_outcome order_and_kill(fleet& system, std::function<bool()> const& reached)
+{
+    try_outcome seen;
+    std::thread caller([&] { seen = order(system, 0, "order-1"); });
+    EXPECT_TRUE(eventually(reached));
+    system.node(0).signal(SIGKILL);
+    caller.join();
+    EXPECT_EQ(seen.status, 0) << "answered before the cut";
+    return seen;
+}
+
+/// One place where a call may be cut, and how its story ends.
+struct cut_point
+{
+    char const* name;
+    bool        answered; // the last try gets an answer; else the outcome stays unknown
+    std::vector<try_outcome> (*bring_about)(fleet&);
+};
+
+std::vector<try_outcome> killed_before_intent(fleet& system)
+{
+    fault_log(system, "outage");
+    return {order_and_kill(system, [&] { return appended(system, "intents"); })};
+}
+
+std::vector<try_outcome> killed_after_intent(fleet& system)
+{
+    // The append takes effect a moment after the entry VM was killed.
+    fault_log(system, "late", 600);
+    auto seen = order_and_kill(system, [&] { return appended(system, "intents"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    return {seen};
+}
+
+std::vector<try_outcome> killed_after_dispatch(fleet& system)
+{
+    fault_service(system, "silent", 60'000);
+    return {order_and_kill(system, [&] { return runs(system).size() == 1; })};
+}
+
+std::vector<try_outcome> killed_before_answer(fleet& system)
+{
+    fault_service(system, "slow", 400);
+    return {order_and_kill(system,
+                           [&]
+                           {
+                               if (!runs(system).empty())
+                               {
+                                   // The result takes effect; the entry VM can't know.
+                                   fault_log(system, "drop_answer");
+                               }
+                               return appended(system, "results");
+                           })};
+}
+
+std::vector<try_outcome> log_outage(fleet& system)
+{
+    fault_log(system, "outage", 0, "");
+    std::vector<try_outcome> seen;
+    for (int node = 0; node < 3; ++node)
+    {
+        seen.push_back(order(system, node, "order-1"));
+        EXPECT_EQ(seen.back().type, "log_unavailable");
+        EXPECT_EQ(seen.back().fate, "not_run");
+        EXPECT_FALSE(seen.back().retry_after.empty());
+    }
+    return seen;
+}
+
+std::vector<try_outcome> lost_append_answer(fleet& system)
+{
+    fault_log(system, "drop_answer", 300);
+    return {order(system, 0, "order-1")};
+}
+
+std::vector<try_outcome> late_append(fleet& system)
+{
+    fault_log(system, "late", 2500);
+    auto seen = order(system, 0, "order-1");
+    EXPECT_EQ(seen.fate, "not_run");
+    return {seen, order(system, 1, "order-1")};
+}
+
+std::vector<try_outcome> late_append_then_wait(fleet& system)
+{
+    fault_log(system, "late", 2000);
+    auto seen = order(system, 0, "order-1");
+    EXPECT_EQ(seen.fate, "not_run");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    return {seen};
+}
+
+std::vector<try_outcome> service_freezes_after_effect(fleet& system)
+{
+    fault_service(system, "silent", 60'000);
+    auto seen = order(system, 0, "order-1");
+    EXPECT_EQ(seen.fate, "outcome_unknown");
+    return {seen};
+}
+
+std::vector<try_outcome> service_drops_answer(fleet& system)
+{
+    fault_service(system, "drop_answer", 0);
+    auto seen = order(system, 0, "order-1");
+    EXPECT_EQ(seen.fate, "outcome_unknown");
+    return {seen};
+}
+
+std::vector<try_outcome> service_down(fleet& system)
+{
+    system.service(0).signal(SIGKILL);
+    system.service(0).wait(5000);
+    auto seen = order(system, 0, "order-1");
+    EXPECT_EQ(seen.fate, "not_run");
+    system.start_service(0);
+    return {seen};
+}
+
+std::vector<try_outcome> log_out_after_dispatch(fleet& system)
+{
+    fault_service(system, "slow", 400);
+    try_outcome seen;
+    std::thread caller([&] { seen = order(system, 0, "order-1"); });
+    EXPECT_TRUE(eventually([&] { return runs(system).size() == 1; }));
+    fault_log(system, "outage", 0, "");
+    caller.join();
+    EXPECT_EQ(seen.status, 200);
+    std::vector<try_outcome> all{seen, order(system, 0, "order-1")};
+    all.push_back(order(system, 1, "order-1"));
+    return all;
+}
+
+std::vector<try_outcome> three_entries_at_once(fleet& system)
+{
+    fault_service(system, "slow", 300);
+    std::vector<try_outcome> seen(3);
+    std::vector<std::thread> callers;
+    for (int node = 0; node < 3; ++node)
+    {
+        callers.emplace_back(
+            [&, node]
+            { seen[static_cast<std::size_t>(node)] = order(system, node, "order-1"); });
+    }
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    return seen;
+}
+
+constexpr cut_point cut_points[] = {
+    {"killed_before_intent", true, killed_before_intent},
+    {"killed_after_intent", false, killed_after_intent},
+    {"killed_after_dispatch", false, killed_after_dispatch},
+    {"killed_before_answer", true, killed_before_answer},
+    {"log_outage", true, log_outage},
+    {"lost_append_answer", true, lost_append_answer},
+    {"late_append", true, late_append},
+    {"late_append_then_wait", true, late_append_then_wait},
+    {"service_freezes_after_effect", false, service_freezes_after_effect},
+    {"service_drops_answer", false, service_drops_answer},
+    {"service_down", true, service_down},
+    {"log_out_after_dispatch", true, log_out_after_dispatch},
+    {"three_entries_at_once", true, three_entries_at_once},
+};
+
+/// Story: a school's print order hangs; its office sends it again, through whatever entry
+/// VM the balancer picks, until it gets an answer that is final. The school must not pay
+/// twice, and where it was told `not_run`, nothing may have run. Causes: one for each cut
+/// point.
+class at_most_once : public testing::TestWithParam<cut_point>
+{
+};
+
+TEST_P(at_most_once, runs_once_at_most_and_not_run_is_true)
+{
+    fleet      system;
+    auto const cut = GetParam();
+    auto       seen = cut.bring_about(system);
+    end_faults(system);
+    int        next = 0;
+    bool const settled = eventually(
+        [&]
+        {
+            seen.push_back(order(system, 1 + next++ % 2, "order-1"));
+            return seen.back().status == 200 || seen.back().type == "owner_lost";
+        });
+    EXPECT_TRUE(settled) << seen.back().type;
+    EXPECT_EQ(seen.back().status == 200, cut.answered) << seen.back().type;
+    auto const received = runs(system);
+    EXPECT_LE(received.size(), 1U) << received.dump(1);
+    for (auto const& each : seen)
+    {
+        for (auto const& run : received)
+        {
+            EXPECT_FALSE(each.fate == "not_run" && run["id"] == each.request_id);
+        }
+        EXPECT_TRUE(each.status != 200 || each.body == seen.back().body);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(cuts, at_most_once, testing::ValuesIn(cut_points),
+                         [](auto const& cut) { return std::string{cut.param.name}; });
+
+/// Story: an office's program uses one key for two different orders; the second would be
+/// answered with the first one's print run.
+TEST(idempotency_key, another_body_under_the_same_key_is_refused)
+{
+    fleet system;
+    EXPECT_EQ(order(system, 0, "order-1").status, 200);
+    auto const other = order(system, 1, "order-1", "{\"copies\":31}");
+    EXPECT_EQ(other.status, 422);
+    EXPECT_EQ(other.type, "key_reused");
+    EXPECT_EQ(other.fate, "not_run");
+    EXPECT_EQ(runs(system).size(), 1U);
+}
+
+/// Story: a key of one workspace meets the same key of another one.
+TEST(idempotency_key, belongs_to_its_workspace)
+{
+    fleet system;
+    EXPECT_EQ(order(system, 0, "order-1").status, 200);
+    httplib::Client client("127.0.0.1", system.node_port(1));
+    auto            headers = bearer(system, "south");
+    headers.emplace("Idempotency-Key", "order-1");
+    auto const answer = client.Post("/services/ordering/orders", headers,
+                                    "{\"copies\":30}", "application/json");
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer->has_header("X-Earlier-Result"));
+    EXPECT_EQ(runs(system).size(), 2U);
+}
+
+/// Story: a service's answer is larger than what is kept; the second try must not run the
+/// call again, and must not pass half an answer for the whole.
+TEST(idempotency_key, keeps_only_the_status_of_a_large_answer)
+{
+    fleet      system({.node_settings = {{"kept_body_bytes", "8"}}});
+    auto const first = order(system, 0, "order-1");
+    auto const second = order(system, 1, "order-1");
+    EXPECT_EQ(first.status, 200);
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(second.earlier, "status-only");
+    EXPECT_EQ(second.body, "");
+    EXPECT_EQ(runs(system).size(), 1U);
+}
+
+/// Story: without a key nothing can tell a repeat; the service loses its answer and the
+/// call runs again by itself. Cause: the HTTP library or the path sends it twice.
+TEST(no_idempotency_key, is_sent_once_and_its_fate_told)
+{
+    fleet system({.services = 2});
+    for (int service = 0; service < 2; ++service)
+    {
+        system.fault(system.service_port(service), {{"kind", "drop_answer"}});
+    }
+    auto const seen = order(system, 0, "");
+    EXPECT_EQ(seen.fate, "outcome_unknown");
+    EXPECT_EQ(system.received(system.service_port(0), "call").size() +
+                  system.received(system.service_port(1), "call").size(),
+              1U);
+}
+
+/// Story: a repeatable call runs on one server, whose answer is lost, and is tried on a
+/// second one that is down. The caller is told `not_run`. Cause: the last attempt
+/// decides.
+TEST(repeatable_call, an_earlier_attempt_makes_not_run_untrue)
+{
+    fleet system({.services = 2});
+    system.service(1).signal(SIGKILL);
+    system.service(1).wait(5000);
+    system.fault(system.service_port(0), {{"kind", "drop_answer"}});
+    httplib::Client client("127.0.0.1", system.node_port(0));
+    auto const      answer = client.Get("/services/ordering/status", bearer(system));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(system.received(system.service_port(0), "call").size(), 1U);
+    EXPECT_EQ(json::parse(answer->body)["error"]["fate"], "outcome_unknown");
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/property/not_run_property_test.cpp
@@ -0,0 +1,549 @@
+// `not_run` is true and a call that may not be repeated runs at most once, under random
+// faults and cut points of log, service and entry VMs. Fakes stand at the ports.
+//
+// Index: 1 world, 2 fakes, 3 entry VM, 4 service calls, 5 model calls
+#include "app/call_book.hpp"
+#include "app/model_run.hpp"
+#include "app/service_path.hpp"
+
+#include <gtest/gtest.h>
+
+// After GoogleTest, whose names it uses without including it.
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <thread>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+// 1. World
+
+/// Thrown where the entry VM is killed; nothing on the path catches it.
+struct killed
+{
+};
+
+enum class fault
+{
+    none,
+    lost_answer,   // took effect, the answer was lost
+    lost_request,  // took no effect, which the sender can't know
+    late,          // takes effect later (log only)
+    not_connected, // nothing was sent
+    refused,       // answered and refused
+    killed_before, // the sender dies before it takes effect
+    killed_after,  // the sender dies after it took effect
+    kinds
+};
+
+struct entry_vm;
+
+/// What is true, whatever the entry VMs believe.
+struct world
+{
+    std::vector<std::string>   log;
+    std::deque<std::string>    late;
+    std::map<std::string, int> runs;         // by request id
+    std::map<std::string, int> runs_by_body; // the body names the key
+    std::set<std::string>      doubted;      // bodies whose sender can't know
+    std::deque<fault>          faults;       // for the next exchanges
+    std::vector<entry_vm*>     entries;
+
+    fault next_fault()
+    {
+        if (faults.empty())
+        {
+            return fault::none;
+        }
+        auto const value = faults.front();
+        faults.pop_front();
+        return value;
+    }
+
+    std::uint64_t append(std::string const& text);
+};
+
+// 2. Fakes
+
+struct fake_log
+{
+    world& all;
+
+    leaf::result<std::uint64_t> append(std::string const& text)
+    {
+        switch (all.next_fault())
+        {
+        case fault::lost_answer:
+            all.append(text);
+            return leaf::new_error(append_failure{true});
+        case fault::lost_request:
+            return leaf::new_error(append_failure{true});
+        case fault::late:
+            all.late.push_back(text);
+            return leaf::new_error(append_failure{true});
+        case fault::not_connected:
+        case fault::refused:
+            return leaf::new_error(append_failure{false});
+        case fault::killed_before:
+            throw killed{};
+        case fault::killed_after:
+            all.append(text);
+            throw killed{};
+        default:
+            return all.append(text);
+        }
+    }
+
+    leaf::result<log_page> read(std::uint64_t, millis)
+    {
+        return log_page{};
+    }
+};
+
+struct fake_backend
+{
+    world&        all;
+    std::uint64_t tokens = 0; // of every engine's answer
+
+    leaf::result<service_answer> call(backend_server const& server,
+                                      service_call const&   service)
+    {
+        switch (all.next_fault())
+        {
+        case fault::lost_answer:
+            run(service);
+            return failed(transport_fault::answer_lost, server);
+        case fault::lost_request:
+            all.doubted.insert(service.body);
+            return failed(transport_fault::silent, server);
+        case fault::late:
+            run(service);
+            return failed(transport_fault::silent, server);
+        case fault::not_connected:
+            return failed(transport_fault::not_connected, server);
+        case fault::killed_before:
+            throw killed{};
+        case fault::killed_after:
+            run(service);
+            throw killed{};
+        case fault::refused:
+            return run(service, 500);
+        default:
+            return run(service, 200);
+        }
+    }
+
+    leaf::result<void> stream(backend_server const& server, engine_call const& call,
+                              event_sink const& sink)
+    {
+        auto const fault = all.next_fault();
+        if (fault == fault::not_connected)
+        {
+            return failed(transport_fault::not_connected, server);
+        }
+        ++all.runs[call.request_id];
+        if (fault == fault::refused)
+        {
+            return failed(transport_fault::refused, server);
+        }
+        bool const cut = fault != fault::none;
+        auto const end = cut ? (call.resume_from + tokens) / 2 : tokens;
+        for (auto sequence = call.resume_from; sequence < end; ++sequence)
+        {
+            sink({call.request_id, call.attempt, sequence, std::to_string(sequence)});
+        }
+        if (!cut)
+        {
+            sink({.request_id = call.request_id,
+                  .attempt = call.attempt,
+                  .sequence = tokens,
+                  .last = true,
+                  .output_tokens = tokens});
+            return {};
+        }
+        return fault == fault::lost_answer ? failed(transport_fault::answer_lost, server)
+               : fault == fault::late      ? failed(transport_fault::silent, server)
+                                           : leaf::result<void>{};
+    }
+
+    void cancel(backend_server const&, std::string const&, std::uint64_t) {}
+
+    leaf::result<load_report> load(backend_server const& server)
+    {
+        if (all.next_fault() == fault::not_connected)
+        {
+            return failed(transport_fault::not_connected, server);
+        }
+        return load_report{.read_at = boot_clock::now()};
+    }
+
+private:
+    static leaf::error_id failed(transport_fault fault, backend_server const& server)
+    {
+        return leaf::new_error(transport_failure{fault, server.id, 0});
+    }
+
+    service_answer run(service_call const& service, int status = 200)
+    {
+        ++all.runs[service.request_id];
+        ++all.runs_by_body[service.body];
+        return {status, "text/plain", "ran as " + service.request_id};
+    }
+};
+
+static_assert(platform_log_port<fake_log>);
+static_assert(backend_port<fake_backend>);
+
+// 3. Entry VM
+
+struct entry_vm
+{
+    entry_vm(world& value, std::string owner)
+        : all(value), log{value}, backend{value}, writer(log, store),
+          book(writer, store, std::move(owner),
+               // What peers believe of each other may be wrong at any time.
+               [this](std::string const& name)
+               { return (name.size() + ++asked) % 2 == 0; },
+               {.claim_wait = millis{1}, .outage_pause = millis{1}}),
+          path({backend, directory, spans, counters, book, [](wire::usage_delta) {},
+                "dc-1", 3})
+    {
+        directory.replace({{.id = "service-1", .group = "ordering"},
+                           {.id = "service-2", .group = "ordering"}});
+        catch_up();
+    }
+
+    void catch_up()
+    {
+        auto const from =
+            store.with_ledger([](ledger const& value) { return value.next_offset(); });
+        for (auto offset = from; offset <= all.log.size() && !stalled; ++offset)
+        {
+            store.apply(offset, all.log[offset - 1], boot_clock::now());
+        }
+    }
+
+    world&                               all;
+    fake_log                             log;
+    fake_backend                         backend;
+    metrics                              counters;
+    span_store                           spans{"node", 0, ""};
+    ledger_store                         store{[] {
+    }};
+    server_directory                     directory;
+    log_writer<fake_log>                 writer;
+    call_book<fake_log>                  book;
+    service_path<fake_backend, fake_log> path;
+    bool                                 stalled = false; // does not read the log
+    std::size_t                          asked = 0;
+};
+
+std::uint64_t world::append(std::string const& text)
+{
+    log.push_back(text);
+    auto const offset = log.size();
+    for (auto* entry : entries)
+    {
+        entry->catch_up();
+    }
+    return offset;
+}
+
+// 4. Service calls
+
+/// What one try was told.
+struct told
+{
+    std::string              request_id;
+    std::optional<call_fate> fate; // none: answered, or the entry VM died
+    std::string              body; // of an answer
+
+    bool answered() const
+    {
+        return !body.empty();
+    }
+};
+
+/// Three entry VMs, one log, two servers, and callers that try again at will.
+struct scenario
+{
+    scenario()
+    {
+        for (int index = 0; index < 3; ++index)
+        {
+            entries.push_back(nullptr);
+            restart(static_cast<std::size_t>(index));
+        }
+    }
+
+    void restart(std::size_t index)
+    {
+        entries[index] = std::make_unique<entry_vm>(
+            all, "node-" + std::to_string(index) + "/" + std::to_string(++incarnations));
+        all.entries.clear();
+        for (auto const& entry : entries)
+        {
+            if (entry)
+            {
+                all.entries.push_back(entry.get());
+            }
+        }
+    }
+
+    void send(std::size_t index, std::string const& key, bool once)
+    {
+        service_request request;
+        request.request_id = "request-" + std::to_string(++requests);
+        request.workspace = "north";
+        request.group = "ordering";
+        request.service = "ordering";
+        request.once = once;
+        request.idempotency_key = key;
+        request.body = key.empty() ? request.request_id : key;
+        request.deadline = boot_clock::now() + millis{60'000};
+        told outcome{request.request_id, std::nullopt, ""};
+        try
+        {
+            leaf::try_handle_all(
+                [&]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(reply, entries[index]->path.call(request));
+                    outcome.body = reply.answer.body;
+                    return {};
+                },
+                [&](refusal const& value) { outcome.fate = value.fate; },
+                [&] { outcome.fate = call_fate::outcome_unknown; });
+        }
+        catch (killed const&)
+        {
+            die(index);
+        }
+        outcomes.push_back(outcome);
+    }
+
+    void step(int kind, std::size_t index, int key)
+    {
+        switch (kind)
+        {
+        case 0:
+            entries[index]->stalled = !entries[index]->stalled;
+            entries[index]->catch_up();
+            break;
+        case 1:
+            deliver_late();
+            break;
+        case 2:
+            flush(index);
+            break;
+        case 3:
+            die(index);
+            break;
+        case 4:
+            send(index, "", true);
+            break;
+        case 5:
+            send(index, "", false);
+            break;
+        default:
+            send(index, "key-" + std::to_string(key), true);
+        }
+    }
+
+    void deliver_late()
+    {
+        if (!all.late.empty())
+        {
+            auto const text = all.late.front();
+            all.late.pop_front();
+            all.append(text);
+        }
+    }
+
+    void flush(std::size_t index)
+    {
+        try
+        {
+            entries[index]->book.flush(millis{1});
+        }
+        catch (killed const&)
+        {
+            die(index);
+        }
+    }
+
+    void die(std::size_t index)
+    {
+        ++deaths;
+        restart(index);
+    }
+
+    /// All faults end, what is late arrives, and every caller tries once more.
+    void come_to_rest()
+    {
+        all.faults.clear();
+        while (!all.late.empty())
+        {
+            deliver_late();
+        }
+        for (std::size_t index = 0; index < entries.size(); ++index)
+        {
+            entries[index]->stalled = false;
+            entries[index]->catch_up();
+            flush(index);
+        }
+        for (std::string const key : {"key-0", "key-1"})
+        {
+            // No try may have run and no entry VM died, so nothing may hold the key.
+            bool const free =
+                deaths == 0 && all.runs_by_body[key] == 0 && all.doubted.count(key) == 0;
+            must_answer[key] = free;
+        }
+        for (std::size_t index = 0; index < entries.size(); ++index)
+        {
+            send(index, "key-0", true);
+            send(index, "key-1", true);
+        }
+    }
+
+    world                                  all;
+    std::vector<std::unique_ptr<entry_vm>> entries;
+    std::vector<told>                      outcomes;
+    std::map<std::string, bool>            must_answer;
+    int                                    deaths = 0;
+    int                                    requests = 0;
+    int                                    incarnations = 0;
+};
+
+RC_GTEST_PROP(service_calls, run_at_most_once_and_not_run_is_true, ())
+{
+    auto const steps = *rc::gen::resize(
+        14,
+        rc::gen::container<std::vector<std::tuple<int, std::size_t, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 12), rc::gen::inRange<std::size_t>(0, 3),
+                           rc::gen::inRange(0, 2))));
+    auto const faults = *rc::gen::resize(
+        20, rc::gen::container<std::deque<int>>(rc::gen::weightedOneOf<int>(
+                {{2, rc::gen::just(0)},
+                 {3, rc::gen::inRange(0, static_cast<int>(fault::kinds))}})));
+    scenario trial;
+    for (auto const value : faults)
+    {
+        trial.all.faults.push_back(static_cast<fault>(value));
+    }
+    for (auto const& [kind, index, key] : steps)
+    {
+        trial.step(kind, index, key);
+    }
+    trial.come_to_rest();
+    for (auto const& outcome : trial.outcomes)
+    {
+        auto const ran = trial.all.runs.find(outcome.request_id);
+        RC_ASSERT(outcome.fate != call_fate::not_run || ran == trial.all.runs.end());
+    }
+    for (std::string const key : {"key-0", "key-1"})
+    {
+        RC_ASSERT(trial.all.runs_by_body[key] <= 1);
+    }
+    auto const known = trial.outcomes.size() - 6;
+    for (std::size_t index = known; index < trial.outcomes.size(); ++index)
+    {
+        // At rest each key has an answer, the same everywhere, or is known as unknown.
+        auto const& outcome = trial.outcomes[index];
+        RC_ASSERT(outcome.answered() || outcome.fate == call_fate::outcome_unknown);
+        auto const& first = trial.outcomes[known + (index - known) % 2];
+        RC_ASSERT(outcome.body == first.body);
+        auto const key = "key-" + std::to_string((index - known) % 2);
+        RC_ASSERT(outcome.answered() || !trial.must_answer[key]);
+    }
+}
+
+// 5. Model calls
+
+/// Reports idle servers again and again, as the poller does.
+class idle_reports
+{
+public:
+    explicit idle_reports(server_directory& directory)
+        : thread_(
+              [this, &directory]
+              {
+                  while (!stopping_)
+                  {
+                      for (auto const& server : directory.all())
+                      {
+                          directory.report(server, {.read_at = boot_clock::now()});
+                      }
+                      std::this_thread::sleep_for(std::chrono::microseconds(500));
+                  }
+              })
+    {
+    }
+
+    ~idle_reports()
+    {
+        stopping_ = true;
+        thread_.join();
+    }
+
+private:
+    std::atomic<bool> stopping_{false};
+    std::thread       thread_;
+};
+
+RC_GTEST_PROP(model_calls, are_whole_or_refused_and_not_run_is_true, ())
+{
+    auto const faults =
+        *rc::gen::resize(8, rc::gen::container<std::deque<int>>(rc::gen::inRange(
+                                0, static_cast<int>(fault::killed_before))));
+    world all;
+    for (auto const value : faults)
+    {
+        all.faults.push_back(static_cast<fault>(value));
+    }
+    auto const       tokens = *rc::gen::inRange<std::uint64_t>(0, 9);
+    fake_backend     backend{all, tokens};
+    server_directory directory;
+    directory.replace({{.id = "engine-1", .group = "wording"},
+                       {.id = "engine-2", .group = "wording"},
+                       {.id = "engine-3", .group = "wording"}});
+    idle_reports const        reports(directory);
+    span_store                spans{"node", 0, ""};
+    metrics                   counters;
+    poison_guard              poison("node", {}, [](wire::peer_message&) {});
+    shared_retry_budget       budget(retry_budget_options{});
+    worker_pool               cancels(1);
+    std::uint64_t             billed = 0;
+    model_parts<fake_backend> parts{
+        backend, directory,
+        spans,   counters,
+        poison,  budget,
+        cancels, [&](wire::usage_delta delta) { billed += delta.output_tokens(); },
+        {}};
+    model_request request;
+    request.request_id = "request";
+    request.group = "wording";
+    request.content = "content";
+    request.deadline = boot_clock::now() + millis{60'000};
+    answer_stream stream;
+    model_run<fake_backend>(parts, request, stream).run();
+    auto const answer = stream.take(millis{0});
+    RC_ASSERT(answer.end.has_value());
+    for (std::size_t index = 0; index < answer.tokens.size(); ++index)
+    {
+        RC_ASSERT(answer.tokens[index] == std::to_string(index));
+    }
+    RC_ASSERT(billed == answer.tokens.size());
+    if (!answer.end->refused)
+    {
+        RC_ASSERT(answer.tokens.size() == tokens);
+        return;
+    }
+    RC_ASSERT(answer.end->refused->fate != call_fate::not_run ||
+              all.runs.count("request") == 0);
+}
+
+} // namespace
+} // namespace marigoldcrank
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -417,6 +417,11 @@
     return *engines_.at(static_cast<std::size_t>(index));
 }
 
+child_process& fleet::service(int index)
+{
+    return *services_.at(static_cast<std::size_t>(index));
+}
+
 child_process& fleet::platform()
 {
     return *platform_;
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -83,6 +83,7 @@
 
     child_process& node(int index);
     child_process& engine(int index);
+    child_process& service(int index);
     child_process& platform();
 
     /// Starts or starts again; waits until it serves (not for nodes if `wait` is false).
