--- a/src/app/log_follower.hpp
+++ b/src/app/log_follower.hpp
@@ -98,6 +98,7 @@
             store_.apply(offset, text, boot_clock::now());
             ++offset;
         }
+        store_.forget_before(page.first_retained);
     }
 
     /// Folding on over the hole would give this node a ledger of its own: it would take
