--- a/src/app/duty_runner.hpp
+++ b/src/app/duty_runner.hpp
@@ -29,8 +29,9 @@
     orderer_options platform;
 };
 
-/// One thread watches which duties there are and marks draining servers; each duty has a
-/// thread, so that a slow order never keeps another duty's lease from being renewed.
+/// One thread watches which duties there are and marks draining servers. Each duty has a
+/// thread for its lease and one for its orders: an engine that hangs while it is asked
+/// must not keep a lease from being renewed.
 template <platform_log_port Log, vm_list_port List, order_port Orders,
           engine_state_port Engines, backend_port Backend>
 class duty_runner
@@ -38,10 +39,10 @@
 public:
     duty_runner(log_writer<Log>& writer, ledger_store& store, List& list, Orders& orders,
                 Engines& engines, Backend& backend, server_directory& directory,
-                duty_options options)
+                span_store& spans, duty_options options)
         : writer_(writer), store_(store), list_(list), orders_(orders), engines_(engines),
-          backend_(backend), directory_(directory), options_(std::move(options)),
-          watcher_([this] { watch(); })
+          backend_(backend), directory_(directory), spans_(spans),
+          options_(std::move(options)), watcher_([this] { watch(); })
     {
     }
 
@@ -81,7 +82,7 @@
         duty(duty_runner& owner, std::string const& name)
             : lease(owner.writer_, owner.store_, name, owner.options_.holder,
                     owner.options_.lease),
-              journal(owner.writer_, owner.store_, lease, owner.orders_,
+              journal(owner.writer_, owner.store_, lease, owner.orders_, owner.spans_,
                       owner.options_.holder, owner.options_.orders)
         {
         }
@@ -89,7 +90,8 @@
         lease_keeper<Log>                           lease;
         order_journal<Log, Orders>                  journal;
         std::function<void(boot_clock::time_point)> work;
-        std::thread                                 thread;
+        std::thread                                 lease_thread;
+        std::thread                                 work_thread;
     };
 
     void watch()
@@ -180,7 +182,8 @@
         }
         auto added = std::make_unique<duty>(*this, name);
         added->work = work_of(name, added->journal);
-        added->thread = std::thread([this, own = added.get()] { run(*own); });
+        added->lease_thread = std::thread([this, own = added.get()] { keep(*own); });
+        added->work_thread = std::thread([this, own = added.get()] { work(*own); });
         duties_.emplace(name, std::move(added));
     }
 
@@ -206,11 +209,19 @@
         };
     }
 
-    void run(duty& own)
+    void keep(duty& own)
     {
         while (!ending_)
         {
             own.lease.step(boot_clock::now());
+            std::this_thread::sleep_for(duty_pause);
+        }
+    }
+
+    void work(duty& own)
+    {
+        while (!ending_)
+        {
             own.work(boot_clock::now());
             std::this_thread::sleep_for(duty_pause);
         }
@@ -222,9 +233,12 @@
         ending_ = true;
         for (auto const& [name, owned] : duties_)
         {
-            if (owned->thread.joinable())
+            for (auto* thread : {&owned->lease_thread, &owned->work_thread})
             {
-                owned->thread.join();
+                if (thread->joinable())
+                {
+                    thread->join();
+                }
             }
         }
     }
@@ -236,6 +250,7 @@
     Engines&                                     engines_;
     Backend&                                     backend_;
     server_directory&                            directory_;
+    span_store&                                  spans_;
     duty_options                                 options_;
     std::atomic<bool>                            stopping_{false}; // the watcher
     std::atomic<bool>                            ending_{false};   // the duties
--- a/src/app/engine_controller.hpp
+++ b/src/app/engine_controller.hpp
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace marigoldcrank
 {
@@ -165,6 +166,17 @@
         return result;
     }
 
+    /// An engine that does not answer now keeps the role that it had: judging it as gone
+    /// would turn another engine, and turn it back when the first one answers.
+    engine_role role_of(backend_server const& server)
+    {
+        if (auto const state = state_of(server))
+        {
+            last_roles_[server.id] = state->role;
+        }
+        return last_roles_[server.id];
+    }
+
     static order_message message_for(held_lease const& held, tracked_order const& tracked,
                                      backend_server const& server)
     {
@@ -194,11 +206,7 @@
             bool const member = server.group == group_ && !server.leaving;
             if (member && server.data_centre == data_centre_)
             {
-                auto const state = state_of(server);
-                if (state && !state->changing)
-                {
-                    own.push_back({server.id, state->role});
-                }
+                own.push_back({server.id, role_of(server)});
             }
             else if (member)
             {
@@ -219,15 +227,16 @@
         return wanted;
     }
 
-    order_journal<Log, Orders>& journal_;
-    ledger_store&               store_;
-    List&                       list_;
-    Engines&                    engines_;
-    server_drain<Backend>       drain_;
-    std::string                 group_;
-    std::string                 data_centre_;
-    std::vector<backend_server> listed_;
-    boot_clock::time_point      looked_at_{};
+    order_journal<Log, Orders>&        journal_;
+    ledger_store&                      store_;
+    List&                              list_;
+    Engines&                           engines_;
+    server_drain<Backend>              drain_;
+    std::string                        group_;
+    std::string                        data_centre_;
+    std::vector<backend_server>        listed_;
+    std::map<std::string, engine_role> last_roles_; // by engine
+    boot_clock::time_point             looked_at_{};
 };
 
 } // namespace marigoldcrank
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -113,7 +113,7 @@
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory, millis{options.list_every_ms},
              millis{options.load_every_ms}),
-      duties(options, holder, terms(), writer, store, platform, backend, directory)
+      duties(options, holder, terms(), writer, store, platform, directory, spans)
 {
 }
 
--- a/src/app/node_duties.hpp
+++ b/src/app/node_duties.hpp
@@ -22,12 +22,13 @@
 public:
     node_duties(settings const& options, std::string const& holder, lease_terms lease,
                 log_writer<http_platform>& writer, ledger_store& store,
-                http_platform& platform, http_backend& backend,
-                server_directory& directory)
+                http_platform& platform, server_directory& directory, span_store& spans)
         : orders_(millis{options.order_timeout_ms}, options.name),
           engines_({millis{options.connect_ms}, millis{options.order_timeout_ms}},
                    options.name),
-          runner_(writer, store, platform, orders_, engines_, backend, directory,
+          probe_({millis{options.connect_ms}, millis{options.order_timeout_ms}},
+                 options.name),
+          runner_(writer, store, platform, orders_, engines_, probe_, directory, spans,
                   duties_of(options, holder, lease))
     {
     }
@@ -69,6 +70,7 @@
 
     order_socket      orders_;
     http_engine_state engines_;
+    http_backend      probe_; // asks for loads, with timeouts shorter than a lease
     duty_runner<http_platform, http_platform, order_socket, http_engine_state,
                 http_backend>
         runner_;
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -209,6 +209,7 @@
                                {"leaving", server.leaving}});
         }
         json       duties = json::object();
+        json       open_orders = json::object();
         auto const next = store_.with_ledger(
             [&](ledger const& value)
             {
@@ -218,6 +219,13 @@
                                     {"epoch", state.epoch},
                                     {"released", state.released}};
                 }
+                for (auto const& [target, order] : value.orders().open())
+                {
+                    open_orders[target] = {{"order_id", order.order_id},
+                                           {"wanted", order.wanted},
+                                           {"holder", order.holder},
+                                           {"epoch", order.epoch}};
+                }
                 return value.next_offset();
             });
         return {{"node", node_},
@@ -226,6 +234,7 @@
                 {"live_peers", peers_.live()},
                 {"next_offset", next},
                 {"duties", duties},
+                {"open_orders", open_orders},
                 {"backend_servers", servers}};
     }
 
--- a/src/app/order_journal.hpp
+++ b/src/app/order_journal.hpp
@@ -5,11 +5,13 @@
 #define MARIGOLDCRANK_APP_ORDER_JOURNAL_HPP
 
 #include "adapters/logging.hpp"
+#include "adapters/span_store.hpp"
 #include "app/lease_keeper.hpp"
 #include "policy/order_settlement.hpp"
 #include "ports/order_port.hpp"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,8 +46,9 @@
 {
 public:
     order_journal(log_writer<Log>& writer, ledger_store& store, lease_keeper<Log>& lease,
-                  Orders& orders, std::string holder, order_terms terms)
-        : writer_(writer), store_(store), lease_(lease), orders_(orders),
+                  Orders& orders, span_store& spans, std::string holder,
+                  order_terms terms)
+        : writer_(writer), store_(store), lease_(lease), orders_(orders), spans_(spans),
           holder_(std::move(holder)), terms_(terms)
     {
     }
@@ -90,8 +93,12 @@
         body->set_holder(holder_);
         body->set_target(lease_.duty() + "/" + place);
         body->set_wanted(format_order(wanted));
+        auto span = scope(body->order_id(), "order.intend", body->target());
+        span->note("order.wanted", body->wanted());
         auto const outcome = writer_.append(record, terms_.append);
-        if (outcome && outcome->effect == record_effect::effective)
+        bool const effective = outcome && outcome->effect == record_effect::effective;
+        span->note("order.effective", effective ? "yes" : "no");
+        if (effective)
         {
             notes_[body->order_id()] = {boot_clock::now(), order_sending::not_sent};
         }
@@ -106,6 +113,9 @@
         body->set_epoch(held.epoch);
         body->set_holder(holder_);
         body->set_outcome(name_of(end));
+        auto span = scope(body->order_id(), "order.close", tracked.entry.target);
+        span->note("order.outcome", name_of(end));
+        span->note("order.inherited", tracked.progress.inherited ? "yes" : "no");
         if (writer_.append(record, terms_.append))
         {
             log_info(log_part::order, "Order " + tracked.entry.order_id + " for " +
@@ -124,6 +134,8 @@
         }
         message.order_id = tracked.entry.order_id;
         message.fence = current->epoch;
+        auto span = scope(message.order_id, "order.send", tracked.entry.target);
+        span->note("order.fence", std::to_string(message.fence));
         // Noted before the send: if anything goes wrong below, it may have had effect.
         auto& own = notes_[tracked.entry.order_id];
         own.sending = order_sending::may_have_effect;
@@ -144,6 +156,8 @@
                            : order_sending::may_have_effect;
             },
             [] { return order_sending::may_have_effect; });
+        bool const refused = own.sending == order_sending::without_effect;
+        span->note("order.sending", refused ? "without effect" : "may have effect");
     }
 
     order_terms const& terms() const noexcept
@@ -152,7 +166,8 @@
     }
 
 private:
-    static constexpr std::size_t order_id_digits = 24;
+    static constexpr std::size_t trace_id_digits = 32;
+    static constexpr std::size_t order_id_digits = trace_id_digits;
     static constexpr int         status_refused = 400;
     static constexpr int         status_failed = 500;
 
@@ -171,6 +186,16 @@
         return {now, order_sending::without_effect};
     }
 
+    /// All spans of an order share a trace, whose id is the order's.
+    std::unique_ptr<span_scope> scope(std::string const& order_id, std::string name,
+                                      std::string const& target)
+    {
+        auto span = std::make_unique<span_scope>(spans_, trace_context{order_id, ""},
+                                                 order_id, std::move(name));
+        span->note("order.target", target);
+        return span;
+    }
+
     static order read_wanted(open_order const& entry)
     {
         return leaf::try_handle_all([&] { return parse_order(entry.wanted); },
@@ -190,6 +215,7 @@
     ledger_store&               store_;
     lease_keeper<Log>&          lease_;
     Orders&                     orders_;
+    span_store&                 spans_;
     std::string                 holder_;
     order_terms                 terms_;
     std::map<std::string, note> notes_; // by order id
--- a/standins/standin_server.hpp
+++ b/standins/standin_server.hpp
@@ -31,6 +31,7 @@
     std::int64_t                          for_ms = 0; // 0       delay or duration, ms
     std::string                           from;    // ""      only this sender; "" for all
     std::string                           path;    // ""      only this path; "" for all
+    std::string                           text;    // ""      only bodies that contain it
     std::chrono::steady_clock::time_point until{}; //         end of a fault with for_ms
 };
 
@@ -50,10 +51,13 @@
     /// Serves until SIGTERM. Prints the port on standard output once it listens.
     int run(std::string const& host, int port);
 
-    /// The fault of this kind for this sender, if one is set; counts the use. A fault
-    /// that is set for one path is taken only by a request to it.
-    std::optional<fault> take_fault(std::string const& kind, std::string const& sender,
-                                    std::string const& path = "");
+    /// The fault of this kind for this sender, if one is set; counts the use.
+    std::optional<fault> take_fault(std::string const& kind, std::string const& sender);
+
+    /// The same; a fault that is set for a path or a text is taken only by requests that
+    /// match.
+    std::optional<fault> take_fault(std::string const&      kind,
+                                    httplib::Request const& request);
 
     httplib::Server& server() noexcept;
 
@@ -63,8 +67,10 @@
     std::int64_t elapsed_ms() const;
 
 private:
-    void record(httplib::Request const& request, std::string const& kind);
-    void add_control_routes();
+    std::optional<fault> take_fault(std::string const& kind, std::string const& sender,
+                                    std::string const& path, std::string const& body);
+    void                 record(httplib::Request const& request, std::string const& kind);
+    void                 add_control_routes();
     void set_fault(httplib::Request const& request, httplib::Response& response);
     void handle(httplib::Request const& request, httplib::Response& response,
                 std::string const& kind, handler const& inner);
