--- a/bench/bench_spread.cpp
+++ b/bench/bench_spread.cpp
@@ -84,7 +84,8 @@
     std::uint64_t const      base = system.admin(entry, "/admin/rules")["revision"];
     std::vector<double>      times(nodes);
     std::vector<std::thread> watchers;
-    auto const               begun = boot_clock::now();
+    watchers.reserve(nodes);
+    auto const begun = boot_clock::now();
     for (int node = 0; node < nodes; ++node)
     {
         watchers.emplace_back(
--- a/src/app/peer_roster.cpp
+++ b/src/app/peer_roster.cpp
@@ -67,6 +67,7 @@
                      [](candidate const& left, candidate const& right)
                      { return left.rank < right.rank; });
     std::vector<std::string> names;
+    names.reserve(found.size());
     for (auto& each : found)
     {
         names.push_back(std::move(each.name));
--- a/src/app/usage_custody.cpp
+++ b/src/app/usage_custody.cpp
@@ -24,9 +24,9 @@
     std::lock_guard const lock(mutex_);
     for (auto each = kept_.begin(); each != kept_.end();)
     {
-        auto const& [node, incarnation] = each->first;
+        auto const& name = each->first;
         std::erase_if(each->second, [&](auto const& entry)
-                      { return counted.counted(node, incarnation, entry.first); });
+                      { return counted.counted(name.first, name.second, entry.first); });
         each = each->second.empty() ? kept_.erase(each) : std::next(each);
     }
 }
