--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
 #include "app/log_follower.hpp"
+#include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
 #include "app/peer_roster.hpp"
 #include "app/server_poller.hpp"
@@ -77,6 +78,7 @@
     operator_front<http_platform, zmq_peers>     operators;
     log_follower<http_platform>                  follower;
     server_poller<http_platform, http_backend>   poller;
+    node_duties                                  duties;
     httplib::Server                              server;
     bool                                         bound = false;
     std::thread                                  server_thread;
@@ -99,6 +101,7 @@
     void               run_usage();
     bool               settle_custody(millis hold);
     void               run_beats();
+    void               watch_traffic();
     void               run_keeper();
     void               start();
 };
@@ -137,7 +140,8 @@
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory, millis{options.list_every_ms},
-             millis{options.load_every_ms})
+             millis{options.load_every_ms}),
+      duties(options, holder, terms(), writer, store, platform, backend, directory)
 {
 }
 
@@ -355,8 +359,19 @@
 
 // 4. Life cycle
 
+void node::parts::watch_traffic()
+{
+    counters.watch("peer_bytes_total", "direction=\"sent\"",
+                   [this] { return peers.bytes_sent(); });
+    counters.watch("peer_bytes_total", "direction=\"received\"",
+                   [this] { return peers.bytes_received(); });
+    counters.watch("peer_malformed_total", "", [this] { return peers.malformed(); });
+    counters.watch("platform_bytes_total", "", [this] { return platform.bytes(); });
+}
+
 void node::parts::start()
 {
+    watch_traffic();
     configure(server, {count_of(options.http_threads), count_of(options.overflow_threads),
                        count_of(options.max_body_bytes)});
     started = true;
@@ -395,6 +410,7 @@
             thread->join();
         }
     }
+    parts_->duties.stop();
     parts_->poller.stop();
     parts_->follower.stop();
     parts_->peers.stop();
@@ -415,6 +431,7 @@
     auto const until = boot_clock::now() + millis{parts_->options.drain_ms};
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
+    parts_->duties.hand_over();
     while (parts_->callers.inflight() > 0 && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -40,6 +40,9 @@
     case wire::log_record::kSeal:
     case wire::log_record::kReported:
         return fold_usage(offset, record);
+    case wire::log_record::kIntent:
+    case wire::log_record::kOutcome:
+        return fold_order(offset, record);
     case wire::log_record::kLedger:
         return note_snapshot(offset, record.ledger());
     default:
@@ -66,6 +69,21 @@
     return reports(record.reported()) && usage_.apply(record.reported());
 }
 
+bool ledger::fold_order(std::uint64_t offset, wire::log_record const& record)
+{
+    // An intent of an epoch that is over must not open an order: its sender may be a
+    // paused holder that has not yet seen its successor.
+    auto const holds = [&](auto const& body)
+    {
+        return leases_.holds(body.duty(), body.holder(), body.epoch());
+    };
+    if (record.has_intent())
+    {
+        return holds(record.intent()) && orders_.apply(offset, record.intent());
+    }
+    return holds(record.outcome()) && orders_.apply(record.outcome());
+}
+
 /// A snapshot changes nothing for a reader who has folded what it covers.
 bool ledger::note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot)
 {
@@ -93,6 +111,11 @@
     return usage_;
 }
 
+order_fold const& ledger::orders() const noexcept
+{
+    return orders_;
+}
+
 std::uint64_t ledger::next_offset() const noexcept
 {
     return next_offset_;
@@ -117,6 +140,7 @@
     leases_.save(*snapshot.mutable_leases());
     config_.save(*snapshot.mutable_config());
     usage_.save(*snapshot.mutable_usage());
+    orders_.save(*snapshot.mutable_orders());
     return snapshot;
 }
 
@@ -129,6 +153,7 @@
     value.leases_ = lease_fold::restored(snapshot.leases());
     value.config_ = configuration_fold::restored(snapshot.config());
     value.usage_ = usage_fold::restored(snapshot.usage());
+    value.orders_ = order_fold::restored(snapshot.orders());
     return value;
 }
 
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -7,6 +7,7 @@
 #include "domain/failure.hpp"
 #include "ledger/configuration_fold.hpp"
 #include "ledger/lease_fold.hpp"
+#include "ledger/order_fold.hpp"
 #include "ledger/usage_fold.hpp"
 
 #include <cstdint>
@@ -43,6 +44,7 @@
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
     usage_fold const&         usage() const noexcept;
+    order_fold const&         orders() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -58,11 +60,13 @@
 private:
     bool fold(std::uint64_t offset, wire::log_record const& record);
     bool fold_usage(std::uint64_t offset, wire::log_record const& record);
+    bool fold_order(std::uint64_t offset, wire::log_record const& record);
     bool note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot);
 
     lease_fold         leases_;
     configuration_fold config_;
     usage_fold         usage_;
+    order_fold         orders_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
     std::uint64_t      snapshot_through_ = 0;
