Reports go out under the lease's timer, as orders do

Cause: a reporter checked its lease and then sent by the HTTP client; paused in between, it reported in its successor's time. Change: the reporter uses the order socket (one connection a report, disconnected at the end of the lease, epoch as fencing number), which takes requests of several segments when told so; a successor waits order_margin_ms before its first report.

--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -1,6 +1,6 @@
 // The platform over HTTP.
 //
-// Index: 1 exchanges, 2 log, 3 VM list, 4 usage reports
+// Index: 1 exchanges, 2 log, 3 VM list
 #include "adapters/http_platform.hpp"
 
 #include "adapters/http_exchange.hpp"
@@ -148,26 +148,4 @@
     return servers;
 }
 
-// 4. Usage reports
-
-leaf::result<void> http_platform::report_usage(std::uint64_t      window,
-                                               std::string const& body)
-{
-    auto       client = clients_.take(host_, port_);
-    auto const answer = client->Post("/usage/" + std::to_string(window),
-                                     {{"X-Sender", sender_}}, body, json_type);
-    count("/usage/", body, answer);
-    if (!answer)
-    {
-        return transport_error(answer.error(), "platform");
-    }
-    clients_.put_back(host_, port_, std::move(client));
-    if (answer->status != 200)
-    {
-        return leaf::new_error(
-            transport_failure{transport_fault::refused, "platform", answer->status});
-    }
-    return {};
-}
-
 } // namespace marigoldcrank
--- a/src/adapters/http_platform.hpp
+++ b/src/adapters/http_platform.hpp
@@ -1,4 +1,4 @@
-// The platform over HTTP: log, VM list, usage reports.
+// The platform over HTTP: log, VM list. Orders and reports go by order_socket.
 //
 // Index: http_platform
 #ifndef MARIGOLDCRANK_ADAPTERS_HTTP_PLATFORM_HPP
@@ -18,8 +18,7 @@
 namespace marigoldcrank
 {
 
-/// Models platform_log_port, vm_list_port and usage_report_port. Safe to use from several
-/// threads.
+/// Models platform_log_port and vm_list_port. Safe to use from several threads.
 class http_platform
 {
 public:
@@ -29,7 +28,6 @@
     leaf::result<std::uint64_t>               append(std::string const& text);
     leaf::result<log_page>                    read(std::uint64_t from, millis wait);
     leaf::result<std::vector<backend_server>> backend_servers();
-    leaf::result<void> report_usage(std::uint64_t window, std::string const& body);
 
     /// Bytes sent and received, for the budget of control traffic.
     std::uint64_t bytes() const noexcept;
@@ -48,7 +46,6 @@
 
 static_assert(platform_log_port<http_platform>);
 static_assert(vm_list_port<http_platform>);
-static_assert(usage_report_port<http_platform>);
 
 } // namespace marigoldcrank
 
--- a/src/adapters/order_socket.cpp
+++ b/src/adapters/order_socket.cpp
@@ -26,7 +26,6 @@
 
 // 1. Socket
 
-constexpr std::size_t largest_request = 1200; // fits one segment on any usual network
 constexpr std::size_t largest_answer = 65'536;
 
 /// Closes with a reset unless the exchange came to its end: a normal close would leave
@@ -128,6 +127,25 @@
            getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
 }
 
+/// Bytes taken by the kernel; negative if it took none.
+ssize_t send_all(int socket, std::string const& text, boot_clock::time_point end)
+{
+    ssize_t sent = ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+    while (sent > 0 && sent < static_cast<ssize_t>(text.size()) &&
+           wait_for_events(socket, POLLOUT, end))
+    {
+        auto const rest = static_cast<std::size_t>(sent);
+        auto const more =
+            ::send(socket, text.data() + rest, text.size() - rest, MSG_NOSIGNAL);
+        if (more < 0 && errno != EAGAIN && errno != EINTR)
+        {
+            break;
+        }
+        sent += std::max<ssize_t>(more, 0);
+    }
+    return sent;
+}
+
 // 2. Answer
 
 std::string lower_case(std::string text)
@@ -196,8 +214,10 @@
 
 // 3. order_socket
 
-order_socket::order_socket(millis timeout, std::string sender, checkpoint before_send)
-    : timeout_(timeout), sender_(std::move(sender)), before_send_(std::move(before_send))
+order_socket::order_socket(millis timeout, std::string sender, checkpoint before_send,
+                           std::size_t largest)
+    : timeout_(timeout), sender_(std::move(sender)), before_send_(std::move(before_send)),
+      largest_(largest)
 {
 }
 
@@ -220,7 +240,7 @@
     auto const          end = std::min(valid_until, boot_clock::now() + timeout_);
     socket_handle const socket;
     lease_timer const   guard(socket.fd(), valid_until);
-    bool const          ready = text.size() <= largest_request && guard.armed() &&
+    bool const          ready = text.size() <= largest_ && guard.armed() &&
                        limit_retransmission(socket.fd(), valid_until) &&
                        connect_until(socket.fd(), message, end) &&
                        limit_retransmission(socket.fd(), valid_until);
@@ -230,7 +250,7 @@
             transport_failure{transport_fault::not_connected, peer, 0});
     }
     before_send_();
-    auto const sent = ::send(socket.fd(), text.data(), text.size(), MSG_NOSIGNAL);
+    auto const sent = send_all(socket.fd(), text, end);
     if (sent < 0)
     {
         // Nothing was taken by the kernel: the lease is over, or the other side is gone.
--- a/src/adapters/order_socket.hpp
+++ b/src/adapters/order_socket.hpp
@@ -28,10 +28,16 @@
 public:
     using checkpoint = std::function<void()>;
 
+    /// Fits one segment on any usual network, so that an order arrives whole or not.
+    static constexpr std::size_t one_segment = 1200;
+
     /// `sender` names this process to the other side. `before_send` runs between the
-    /// check of the lease and the send; tests stop the process there.
+    /// check of the lease and the send; tests stop the process there. `largest` is the
+    /// size of the largest request. A request of several segments (a usage report) may
+    /// break off at the end of the lease; the other side then has no whole request.
     order_socket(
-        millis timeout, std::string sender, checkpoint before_send = [] {});
+        millis timeout, std::string sender, checkpoint before_send = [] {},
+        std::size_t largest = one_segment);
 
     leaf::result<order_answer> send(order_message const&   message,
                                     boot_clock::time_point valid_until) const;
@@ -42,6 +48,7 @@
     millis      timeout_;
     std::string sender_;
     checkpoint  before_send_;
+    std::size_t largest_;
 };
 
 static_assert(order_port<order_socket>);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,6 +6,7 @@
 #include "adapters/http_backend.hpp"
 #include "adapters/http_platform.hpp"
 #include "adapters/logging.hpp"
+#include "adapters/order_socket.hpp"
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
@@ -28,6 +29,7 @@
 namespace
 {
 constexpr std::size_t incarnation_digits = 12;
+constexpr std::size_t largest_report = 16'777'216; // bytes; some 100,000 figures
 constexpr millis      duty_pause{50};
 constexpr millis      flush_timeout{2000};
 constexpr millis      drain_poll{20};
@@ -57,35 +59,36 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> drain_wanted{false};
 
-    metrics                                      counters;
-    span_store                                   spans;
-    ledger_store                                 store;
-    http_platform                                platform;
-    http_backend                                 backend;
-    server_directory                             directory;
-    log_writer<http_platform>                    writer;
-    peer_roster                                  roster;
-    usage_custody                                custody;
-    zmq_peers                                    peers;
-    usage_recorder<http_platform, zmq_peers>     usage;
-    lease_keeper<http_platform>                  reporter_lease;
-    usage_reporter<http_platform, http_platform> reporter;
-    lease_keeper<http_platform>                  keeper_lease;
-    snapshot_keeper<http_platform>               keeper;
-    worker_pool                                  workers;
-    request_path<http_backend>                   path;
-    caller_front<http_backend>                   callers;
-    operator_front<http_platform, zmq_peers>     operators;
-    log_follower<http_platform>                  follower;
-    server_poller<http_platform, http_backend>   poller;
-    node_duties                                  duties;
-    httplib::Server                              server;
-    bool                                         bound = false;
-    std::thread                                  server_thread;
-    std::thread                                  duty_thread;
-    std::thread                                  usage_thread;
-    std::thread                                  beat_thread;
-    std::thread                                  keeper_thread;
+    metrics                                     counters;
+    span_store                                  spans;
+    ledger_store                                store;
+    http_platform                               platform;
+    http_backend                                backend;
+    server_directory                            directory;
+    log_writer<http_platform>                   writer;
+    peer_roster                                 roster;
+    usage_custody                               custody;
+    zmq_peers                                   peers;
+    usage_recorder<http_platform, zmq_peers>    usage;
+    order_socket                                reports;
+    lease_keeper<http_platform>                 reporter_lease;
+    usage_reporter<http_platform, order_socket> reporter;
+    lease_keeper<http_platform>                 keeper_lease;
+    snapshot_keeper<http_platform>              keeper;
+    worker_pool                                 workers;
+    request_path<http_backend>                  path;
+    caller_front<http_backend>                  callers;
+    operator_front<http_platform, zmq_peers>    operators;
+    log_follower<http_platform>                 follower;
+    server_poller<http_platform, http_backend>  poller;
+    node_duties                                 duties;
+    httplib::Server                             server;
+    bool                                        bound = false;
+    std::thread                                 server_thread;
+    std::thread                                 duty_thread;
+    std::thread                                 usage_thread;
+    std::thread                                 beat_thread;
+    std::thread                                 keeper_thread;
 
     lease_terms        terms() const;
     wire::peer_message message() const;
@@ -118,9 +121,12 @@
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
             {options.name, incarnation, millis{options.handoff_ms}}),
+      reports(
+          millis{options.platform_timeout_ms}, options.name, [] {}, largest_report),
       reporter_lease(writer, store, "reporter", holder, terms()),
-      reporter(writer, store, platform, reporter_lease, holder,
-               millis{options.window_ms}),
+      reporter(writer, store, reports, reporter_lease,
+               {holder, millis{options.window_ms}, millis{options.order_margin_ms},
+                options.platform_host, static_cast<int>(options.platform_port)}),
       keeper_lease(writer, store, "keeper", holder, terms()),
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
--- a/src/ports/platform_port.hpp
+++ b/src/ports/platform_port.hpp
@@ -1,7 +1,7 @@
 // What the application needs of the platform, as concepts. Adapters fill them over HTTP;
 // tests fill them with fakes.
 //
-// Index: 1 log_page, 2 platform_log_port, 3 vm_list_port, 4 usage_report_port
+// Index: 1 log_page, 2 platform_log_port, 3 vm_list_port
 #ifndef MARIGOLDCRANK_PORTS_PLATFORM_PORT_HPP
 #define MARIGOLDCRANK_PORTS_PLATFORM_PORT_HPP
 
@@ -53,17 +53,6 @@
         } -> std::same_as<leaf::result<std::vector<backend_server>>>;
 };
 
-/// Takes the sealed figures of a window (JSON text). Fails with transport_failure; the
-/// report may be sent again as often as needed, its figures never differ.
-template <class Reports>
-concept usage_report_port = requires(Reports& reports, std::uint64_t window,
-                                     std::string const& body)
-{
-    {
-        reports.report_usage(window, body)
-        } -> std::same_as<leaf::result<void>>;
-};
-
 } // namespace marigoldcrank
 
 #endif
--- a/tests/failure/usage_audit_test.cpp
+++ b/tests/failure/usage_audit_test.cpp
@@ -349,6 +349,14 @@
         senders.insert(report["from"]);
     }
     EXPECT_GE(senders.size(), 2U);
+    // Nobody reports again once a successor did: fencing numbers only rise.
+    std::uint64_t fence = 0;
+    for (auto const& report : system.received(system.platform_port(), "usage"))
+    {
+        auto const own = std::stoull(report["fence"].get<std::string>());
+        EXPECT_GE(own, fence);
+        fence = own;
+    }
 }
 
 /// Story: usage of an outage is missing from the bill. Order: the log is out, answers go
