Silent connections, drains and a relay for tests

Cause: idle connections of one address go silent together and each cost a caller the silence timeout; the poller waited for the slowest server before it read anything again; two threads flushed usage during a drain and could drop a batch; a drain refused before the balancer knew. Change: idle neighbours are dropped with a failed connection, each server is read on its own, duties end before the last flush, drain_notice_ms, drains of servers and data centres through the log, relay under tests/support.

--- a/apps/operator_commands.cpp
+++ b/apps/operator_commands.cpp
@@ -326,8 +326,37 @@
     return exit_ok;
 }
 
+/// A lost answer is settled by saying it again: a drain names the state wanted.
+leaf::result<int> drain_servers(command_context const& context, bool drained)
+{
+    auto const& words = context.arguments;
+    if (words.size() != 2 || (words[0] != "server" && words[0] != "data_centre"))
+    {
+        return usage_error("drain [server ID | data_centre NAME], undrain server ID | "
+                           "data_centre NAME");
+    }
+    operator_client const client(context.options);
+    BOOST_LEAF_AUTO(answer,
+                    client.post("/admin/servers/drain", {{"scope", words[0]},
+                                                         {"name", words[1]},
+                                                         {"drained", drained},
+                                                         {"author", author_name()}}));
+    auto const outcome = answer.value("outcome", "unknown");
+    print(context, answer, outcome);
+    return exit_code_of(outcome);
+}
+
+leaf::result<int> undrain(command_context const& context)
+{
+    return drain_servers(context, false);
+}
+
 leaf::result<int> drain(command_context const& context)
 {
+    if (!context.arguments.empty())
+    {
+        return drain_servers(context, true);
+    }
     operator_client const client(context.options);
     BOOST_LEAF_AUTO(answer, client.post("/admin/drain", json::object()));
     print(context, answer, answer.value("outcome", "failed"));
@@ -345,7 +374,11 @@
     operator_command{"status", "", "nodes, duties and backend servers", status},
     operator_command{"explain", "ID", "the decisions about one request", explain},
     operator_command{"usage", "", "sealed usage windows", usage},
-    operator_command{"drain", "", "drain the first node given by --node", drain}};
+    operator_command{"drain", "[server ID | data_centre NAME]",
+                     "drain servers on all nodes, or the first node given by --node",
+                     drain},
+    operator_command{"undrain", "server ID | data_centre NAME",
+                     "let drained servers take work again", undrain}};
 
 } // namespace
 
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -9,6 +9,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace marigoldcrank
@@ -43,11 +44,29 @@
 }
 } // namespace
 
-http_backend::http_backend(http_timeouts timeouts, std::string sender)
-    : sender_(std::move(sender)), clients_(timeouts)
+http_backend::http_backend(http_timeouts timeouts, millis load_timeout,
+                           std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts),
+      load_clients_({std::min(timeouts.connect, load_timeout), load_timeout})
 {
 }
 
+/// A kept-alive connection may have gone silent for good while new ones work, and then
+/// its neighbours have too: the next attempt, at this server also, opens a new one.
+leaf::error_id http_backend::fail(httplib::Error error, backend_server const& server)
+{
+    if (error != httplib::Error::Canceled)
+    {
+        clients_.drop_idle(server.host, server.port);
+    }
+    return transport_error(error, server.id);
+}
+
+std::size_t http_backend::idle_connections() const
+{
+    return clients_.idle() + load_clients_.idle();
+}
+
 // 2. Streams
 
 leaf::result<void> http_backend::stream(backend_server const& server,
@@ -84,7 +103,7 @@
     auto const answer = client->send(request);
     if (!answer)
     {
-        return transport_error(answer.error(), server.id);
+        return fail(answer.error(), server);
     }
     if (answer->status != status_ok)
     {
@@ -141,13 +160,14 @@
 
 leaf::result<load_report> http_backend::load(backend_server const& server)
 {
-    auto       client = clients_.take(server.host, server.port);
+    auto       client = load_clients_.take(server.host, server.port);
     auto const answer = client->Get("/load", {{"X-Sender", sender_}});
     if (!answer)
     {
-        return transport_error(answer.error(), server.id);
+        load_clients_.drop_idle(server.host, server.port);
+        return fail(answer.error(), server);
     }
-    clients_.put_back(server.host, server.port, std::move(client));
+    load_clients_.put_back(server.host, server.port, std::move(client));
     auto const body = json::parse(answer->body, nullptr, false);
     if (answer->status != status_ok || !body.is_object())
     {
@@ -158,6 +178,7 @@
     load.waiting = body.value("waiting", std::int64_t{0});
     load.prefill_tokens = body.value("prefill_tokens", std::int64_t{0});
     load.lag_ms = body.value("lag_ms", std::uint64_t{0});
+    load.leaving = body.value("leaving", false);
     auto const role = body.value("role", "mixed");
     load.role = role == "prefill"  ? engine_role::prefill
                 : role == "decode" ? engine_role::decode
--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -9,6 +9,11 @@
 
 #include <string>
 
+namespace httplib
+{
+enum class Error;
+}
+
 namespace marigoldcrank
 {
 
@@ -16,7 +21,8 @@
 class http_backend
 {
 public:
-    http_backend(http_timeouts timeouts, std::string sender);
+    /// `load_timeout` bounds a load read, and so how long a silent server goes unseen.
+    http_backend(http_timeouts timeouts, millis load_timeout, std::string sender);
 
     leaf::result<void> stream(backend_server const& server, engine_call const& call,
                               event_sink const& sink);
@@ -25,9 +31,15 @@
     void cancel(backend_server const& server, std::string const& request_id);
     leaf::result<load_report> load(backend_server const& server);
 
+    /// Idle connections kept for the next call.
+    std::size_t idle_connections() const;
+
 private:
+    leaf::error_id fail(httplib::Error error, backend_server const& server);
+
     std::string      sender_;
     http_client_pool clients_;
+    http_client_pool load_clients_;
 };
 
 static_assert(backend_port<http_backend>);
--- a/src/adapters/http_client_pool.cpp
+++ b/src/adapters/http_client_pool.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 constexpr std::size_t max_idle_per_address = 64;
+constexpr millis      max_idle_age{4000}; // below the servers' usual keep-alive time
+constexpr millis      sweep_every{1000};
 
 /// TCP_USER_TIMEOUT ends a connection whose sent bytes are not acknowledged, which a read
 /// timeout alone does not see while the kernel retransmits.
@@ -31,11 +33,12 @@
 {
     {
         std::lock_guard const lock(mutex_);
-        auto&                 idle = idle_[{host, port}];
-        if (!idle.empty())
+        drop_old(boot_clock::now());
+        auto const found = idle_.find({host, port});
+        if (found != idle_.end() && !found->second.empty())
         {
-            auto client = std::move(idle.back());
-            idle.pop_back();
+            auto client = std::move(found->second.back().client);
+            found->second.pop_back();
             return client;
         }
     }
@@ -54,13 +57,49 @@
                                 std::unique_ptr<httplib::Client> client)
 {
     std::lock_guard const lock(mutex_);
-    auto&                 idle = idle_[{host, port}];
+    auto const            now = boot_clock::now();
+    drop_old(now);
+    auto& idle = idle_[{host, port}];
     if (idle.size() < max_idle_per_address)
     {
-        idle.push_back(std::move(client));
+        idle.push_back({std::move(client), now});
     }
 }
 
+void http_client_pool::drop_idle(std::string const& host, int port)
+{
+    std::lock_guard const lock(mutex_);
+    idle_.erase({host, port});
+}
+
+std::size_t http_client_pool::idle() const
+{
+    std::lock_guard const lock(mutex_);
+    std::size_t           count = 0;
+    for (auto const& [where, clients] : idle_)
+    {
+        count += clients.size();
+    }
+    return count;
+}
+
+/// Servers are replaced all day, and nobody takes the clients of one that is gone: each
+/// would keep a descriptor for ever. Old ones are also those that may have gone silent.
+void http_client_pool::drop_old(boot_clock::time_point now)
+{
+    if (now - swept_ < sweep_every)
+    {
+        return;
+    }
+    swept_ = now;
+    for (auto& [where, clients] : idle_)
+    {
+        std::erase_if(clients, [&](idle_client const& idle)
+                      { return now - idle.since > max_idle_age; });
+    }
+    std::erase_if(idle_, [](auto const& entry) { return entry.second.empty(); });
+}
+
 http_timeouts const& http_client_pool::timeouts() const noexcept
 {
     return timeouts_;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -130,13 +130,24 @@
 {
 constexpr int keep_alive_s = 5;
 constexpr int keep_alive_requests = 100'000;
-constexpr int write_timeout_s = 10;
-
-void set_socket_options(int socket)
+constexpr int send_buffer_bytes = 128 * 1024;
+constexpr int us_per_ms = 1000;
+constexpr int ms_per_s = 1000;
+
+/// Accepted sockets inherit these from the listening one. A caller that vanishes without
+/// FIN acknowledges nothing: TCP_USER_TIMEOUT ends its connection. One that lives but
+/// reads nothing keeps acknowledging: the write timeout ends it, and the bounded buffer
+/// makes that timeout start after 128 KB and not after the megabytes that the kernel
+/// would grow it to, for each of hundreds of connections.
+void set_socket_options(int socket, millis silence)
 {
-    int const on = 1;
+    int const          on = 1;
+    unsigned int const limit = static_cast<unsigned int>(silence.count());
     setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes,
+               sizeof send_buffer_bytes);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 } // namespace
 
@@ -146,12 +157,14 @@
     {
         return new overflow_queue(options.threads, options.overflow_threads);
     };
-    server.set_socket_options(set_socket_options);
+    server.set_socket_options([silence = options.silence](int socket)
+                              { set_socket_options(socket, silence); });
     server.set_tcp_nodelay(true);
     server.set_payload_max_length(options.max_body);
     server.set_keep_alive_timeout(keep_alive_s);
     server.set_keep_alive_max_count(keep_alive_requests);
-    server.set_write_timeout(write_timeout_s, 0);
+    server.set_write_timeout(options.silence.count() / ms_per_s,
+                             options.silence.count() % ms_per_s * us_per_ms);
 }
 
 // 3. Refusals
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_ADAPTERS_HTTP_SERVER_HPP
 #define MARIGOLDCRANK_ADAPTERS_HTTP_SERVER_HPP
 
+#include "domain/boot_clock.hpp"
 #include "domain/failure.hpp"
 
 #include <httplib.h>
@@ -45,6 +46,7 @@
     std::size_t threads = 256;        // 256      connections served at once
     std::size_t overflow_threads = 4; // 4        connections refused at once
     std::size_t max_body = 4194304;   // 4194304  bytes of one request body
+    millis      silence{10000};       // 10000    a caller that reads nothing, ms
 };
 
 /// Sets sockets, limits and the queue of a server.
--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -63,12 +63,18 @@
     }
 
     /// From now on /readyz tells the balancer to send nothing more, and connections close
-    /// after the request in progress.
+    /// after the request in progress. Requests are still taken, see refuse_new.
     void start_draining()
     {
         draining_ = true;
     }
 
+    /// From now on new requests are refused as not run.
+    void refuse_new()
+    {
+        refusing_ = true;
+    }
+
     bool draining() const noexcept
     {
         return draining_;
@@ -127,6 +133,9 @@
 
     void model_call(httplib::Request const& http, httplib::Response& response)
     {
+        // Counted before the look at refusing_: a drain that then finds the count at zero
+        // cannot miss a request that is just coming in, and stop the server under it.
+        auto const counted = std::make_shared<inflight_count>(inflight_);
         auto const begun = boot_clock::now();
         auto const request_id = random_id(request_id_digits);
         auto const trace = parse_traceparent(http.get_header_value("traceparent"));
@@ -155,20 +164,21 @@
                                       .prompt_tokens = body.prompt_tokens,
                                       .trace = span.context(),
                                       .deadline = begun + deadline_};
-                return answer_model(std::move(request), body.stream, response, begun);
+                return answer_model(std::move(request), body.stream, response, begun,
+                                    counted);
             });
     }
 
     /// The status line goes out with the first token or the refusal, never before: a call
     /// that fails early is refused with a status of its own.
     leaf::result<void> answer_model(model_request request, bool streamed,
-                                    httplib::Response&     response,
-                                    boot_clock::time_point begun)
+                                    httplib::Response&                     response,
+                                    boot_clock::time_point                 begun,
+                                    std::shared_ptr<inflight_count> const& counted)
     {
         bool const    chat = request.path == "/v1/chat/completions";
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
-        auto          counted = std::make_shared<inflight_count>(inflight_);
         auto          stream = path_.start(std::move(request));
         auto          first = await(*stream);
         metrics_.observe("first_token_seconds", boot_clock::now() - begun);
@@ -285,7 +295,8 @@
 
     void service_call(httplib::Request const& http, httplib::Response& response)
     {
-        auto const request_id = random_id(request_id_digits);
+        inflight_count const counted(inflight_); // as in model_call
+        auto const           request_id = random_id(request_id_digits);
         auto const trace = parse_traceparent(http.get_header_value("traceparent"));
         span_scope span(spans_, trace, request_id, "accept");
         answer_or_refuse(
@@ -297,7 +308,6 @@
                 request.request_id = request_id;
                 request.trace = span.context();
                 request.deadline = boot_clock::now() + deadline_;
-                inflight_count const counted(inflight_);
                 BOOST_LEAF_AUTO(answer, path_.call(request));
                 metrics_.add("requests_total", "kind=\"service\"");
                 response.status = answer.status;
@@ -345,7 +355,7 @@
                                       trace_context const&    trace)
     {
         span_scope span(spans_, trace, request_id, "authorise");
-        if (draining_)
+        if (refusing_)
         {
             return leaf::new_error(
                 refusal{refusal_cause::draining, call_fate::not_run, retry_soon_s});
@@ -412,6 +422,7 @@
     metrics&                  metrics_;
     millis                    deadline_;
     std::atomic<bool>         draining_{false};
+    std::atomic<bool>         refusing_{false};
     std::atomic<std::int64_t> inflight_{0};
 };
 
--- a/src/app/ledger_store.cpp
+++ b/src/app/ledger_store.cpp
@@ -90,6 +90,20 @@
     return changed;
 }
 
+bool ledger_store::offer(wire::drain_state const& drains)
+{
+    bool changed = false;
+    {
+        std::lock_guard const lock(mutex_);
+        changed = ledger_.drains().apply(drains) && refresh_access();
+    }
+    if (changed)
+    {
+        on_access_change_();
+    }
+    return changed;
+}
+
 std::optional<record_outcome> ledger_store::wait_for(std::string const& record_id,
                                                      millis             timeout)
 {
@@ -155,6 +169,7 @@
     auto const  held = access_->config ? access_->config->revision : 0;
     auto        next = std::make_shared<access_list>(*access_);
     next->withdrawn = fold.withdrawn_keys();
+    next->drains = ledger_.drains().value();
     if (fold.revision() > held)
     {
         leaf::try_handle_all(
@@ -172,8 +187,9 @@
                                             "configuration in force.");
             });
     }
-    bool const changed =
-        next->withdrawn != access_->withdrawn || next->config != access_->config;
+    bool const changed = next->withdrawn != access_->withdrawn ||
+                         next->config != access_->config ||
+                         next->drains != access_->drains;
     if (changed)
     {
         access_ = std::move(next);
--- a/src/app/ledger_store.hpp
+++ b/src/app/ledger_store.hpp
@@ -36,6 +36,7 @@
 {
     std::shared_ptr<configuration const> config; // null: none known yet, refuse
     std::map<std::string, bool>          withdrawn;
+    drain_list                           drains;
 };
 
 /// Safe to use from several threads.
@@ -56,6 +57,7 @@
     /// Takes a peer's configuration or withdrawal if it is newer. True if it was.
     bool offer(wire::config_snapshot const& snapshot);
     bool offer(wire::key_withdrawal const& withdrawal);
+    bool offer(wire::drain_state const& drains);
 
     /// Waits until a record with this id was read back.
     std::optional<record_outcome> wait_for(std::string const& record_id, millis timeout);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -51,6 +51,7 @@
     std::string       holder = options.name + "/" + incarnation;
     std::atomic<bool> stopping{false};
     std::atomic<bool> drain_wanted{false};
+    std::atomic<bool> duties_over{false};
 
     metrics                                      counters;
     span_store                                   spans;
@@ -82,6 +83,7 @@
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     wire::peer_message snapshot_message() const;
+    wire::peer_message drains_message() const;
     void               run_duties();
     void               run_usage();
     void               run_beats();
@@ -94,7 +96,8 @@
       store([this] { pass_on_access(); }),
       platform(options.platform_host, static_cast<int>(options.platform_port),
                millis{options.platform_timeout_ms}, options.name),
-      backend({millis{options.connect_ms}, millis{options.progress_ms}}, options.name),
+      backend({millis{options.connect_ms}, millis{options.progress_ms}},
+              millis{options.load_timeout_ms}, options.name),
       writer(platform, store), usage(writer, options.name, incarnation),
       reporter_lease(writer, store, "reporter", holder, terms()),
       reporter(writer, store, platform, reporter_lease, holder,
@@ -109,8 +112,8 @@
       operators(writer, store, spans, directory, peers, options.operator_key,
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
-      poller(platform, backend, directory, millis{options.list_every_ms},
-             millis{options.load_every_ms})
+      poller(platform, backend, directory,
+             {millis{options.list_every_ms}, millis{options.load_every_ms}})
 {
 }
 
@@ -145,10 +148,22 @@
     return result;
 }
 
+wire::peer_message node::parts::drains_message() const
+{
+    auto result = message();
+    *result.mutable_drains() = to_message(store.access()->drains);
+    return result;
+}
+
 /// Peers that are cut off from the platform take the newest configuration from here.
 void node::parts::pass_on_access()
 {
     auto const access = store.access();
+    directory.set_drains(access->drains);
+    if (access->drains.revision > 0)
+    {
+        peers.broadcast(drains_message());
+    }
     if (access->config)
     {
         peers.broadcast(snapshot_message());
@@ -172,6 +187,9 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
+    case wire::peer_message::kDrains:
+        store.offer(message.drains());
+        break;
     case wire::peer_message::kWithdrawal:
         store.offer(message.withdrawal());
         break;
@@ -188,6 +206,10 @@
     {
         peers.send(message.from(), snapshot_message());
     }
+    if (access->drains.revision > message.beat().drain_revision())
+    {
+        peers.send(message.from(), drains_message());
+    }
 }
 
 void node::parts::run_beats()
@@ -201,6 +223,7 @@
         beat.mutable_beat()->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
         beat.mutable_beat()->set_draining(callers.draining());
         beat.mutable_beat()->set_data_centre(options.data_centre);
+        beat.mutable_beat()->set_drain_revision(access->drains.revision);
         peers.broadcast(beat);
         std::this_thread::sleep_for(millis{options.heartbeat_ms});
     }
@@ -210,7 +233,7 @@
 
 void node::parts::run_duties()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         auto const now = boot_clock::now();
         if (!callers.draining())
@@ -224,7 +247,7 @@
 
 void node::parts::run_usage()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         usage.flush(flush_timeout);
         std::this_thread::sleep_for(millis{options.usage_flush_ms});
@@ -235,8 +258,9 @@
 
 void node::parts::start()
 {
-    configure(server, {count_of(options.http_threads), count_of(options.overflow_threads),
-                       count_of(options.max_body_bytes)});
+    configure(server,
+              {count_of(options.http_threads), count_of(options.overflow_threads),
+               count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     callers.add_routes(server);
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
@@ -289,10 +313,19 @@
     auto const until = boot_clock::now() + millis{parts_->options.drain_ms};
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
+    // The balancer learns of it late and goes on sending for a while: refusing at once
+    // would show callers a planned stop.
+    std::this_thread::sleep_for(millis{parts_->options.drain_notice_ms});
+    parts_->callers.refuse_new();
     while (parts_->callers.inflight() > 0 && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
+    // The recorder and the keeper are each used by one thread: two flushes at once would
+    // drop a batch that only one of them had appended.
+    parts_->duties_over = true;
+    parts_->usage_thread.join();
+    parts_->duty_thread.join();
     while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -44,6 +44,7 @@
         guarded_post(server, "/admin/rules", &operator_front::apply);
         guarded_post(server, "/admin/keys/withdraw", &operator_front::withdraw);
         guarded_post(server, "/admin/drain", &operator_front::drain);
+        guarded_post(server, "/admin/servers/drain", &operator_front::drain_servers);
     }
 
 private:
@@ -194,6 +195,35 @@
         return {{"outcome", "draining"}};
     }
 
+    /// Body: scope (server or data_centre), name, drained, author. Goes through the log,
+    /// so that all nodes agree; saying it again changes nothing.
+    json drain_servers(httplib::Request const& request)
+    {
+        auto const body = json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.value("scope", json()).is_string() ||
+            !body.value("name", json()).is_string())
+        {
+            return {{"outcome", "malformed"}};
+        }
+        wire::log_record record;
+        auto*            wanted = record.mutable_drain();
+        wanted->set_scope(body["scope"].get<std::string>());
+        wanted->set_name(body["name"].get<std::string>());
+        wanted->set_drained(body.value("drained", true));
+        wanted->set_author(body.value("author", ""));
+        auto const outcome = writer_.append(record, settle_timeout);
+        if (!outcome)
+        {
+            return {{"outcome", "unknown"}};
+        }
+        auto const  drains = store_.access()->drains;
+        auto const& names =
+            wanted->scope() == "server" ? drains.servers : drains.data_centres;
+        bool const in_force = (names.count(wanted->name()) != 0) == wanted->drained();
+        return {{"outcome", in_force ? "accepted" : "malformed"},
+                {"revision", drains.revision}};
+    }
+
     // 3. Views
 
     json status(httplib::Request const&)
--- a/src/app/request_path.hpp
+++ b/src/app/request_path.hpp
@@ -147,8 +147,17 @@
                                         trace_context const& trace)
     {
         span_scope span(spans_, trace, request_id, "route");
-        auto const decision =
+        auto       decision =
             choose_server(directory_.group(wanted.group), wanted, boot_clock::now());
+        if (!decision.chosen && !wanted.excluded.empty())
+        {
+            // Its connection may have gone silent while new ones work: before the last
+            // server is called dead, a new connection to it is tried.
+            auto again = wanted;
+            again.excluded.clear();
+            decision =
+                choose_server(directory_.group(wanted.group), again, boot_clock::now());
+        }
         std::string candidates;
         for (auto const& candidate : decision.candidates)
         {
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -58,12 +58,42 @@
 
 void server_directory::report(backend_server const& server, load_report const& load)
 {
-    change(server, [&](server_view& view) { view.load = load; });
+    change(server,
+           [&](server_view& view)
+           {
+               view.load = load;
+               view.missed_reports = 0;
+           });
+}
+
+void server_directory::missed_report(backend_server const& server)
+{
+    change(server, [](server_view& view) { ++view.missed_reports; });
+}
+
+void server_directory::set_drains(drain_list drains)
+{
+    auto                  next = std::make_shared<drain_list const>(std::move(drains));
+    std::lock_guard const lock(drains_mutex_);
+    drains_ = std::move(next);
+}
+
+std::shared_ptr<drain_list const> server_directory::drains() const
+{
+    std::lock_guard const lock(drains_mutex_);
+    return drains_;
+}
+
+void server_directory::mark_leaving(server_view& view, drain_list const& drains)
+{
+    view.server.leaving =
+        view.server.leaving || view.load.leaving || drains.covers(view.server);
 }
 
 std::vector<server_view> server_directory::group(std::string const& name) const
 {
     std::vector<server_view> views;
+    auto const               drained = drains();
     auto const&              own = shard_of(name);
     std::lock_guard const    lock(own.mutex);
     auto const               found = own.groups.find(name);
@@ -75,6 +105,7 @@
     for (auto const& [id, view] : found->second)
     {
         views.push_back(view);
+        mark_leaving(views.back(), *drained);
     }
     return views;
 }
@@ -82,6 +113,7 @@
 std::vector<backend_server> server_directory::all() const
 {
     std::vector<backend_server> servers;
+    auto const                  drained = drains();
     for (auto const& own : shards_)
     {
         std::lock_guard const lock(own.mutex);
@@ -89,7 +121,9 @@
         {
             for (auto const& [id, view] : members)
             {
-                servers.push_back(view.server);
+                auto seen = view;
+                mark_leaving(seen, *drained);
+                servers.push_back(seen.server);
             }
         }
     }
--- a/src/app/server_directory.hpp
+++ b/src/app/server_directory.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_APP_SERVER_DIRECTORY_HPP
 #define MARIGOLDCRANK_APP_SERVER_DIRECTORY_HPP
 
+#include "ledger/drain_fold.hpp"
 #include "policy/route.hpp"
 
 #include <array>
@@ -28,7 +29,16 @@
     /// Takes a load report; unknown servers are ignored.
     void report(backend_server const& server, load_report const& load);
 
-    /// All servers of one group, as routing sees them.
+    /// A load report did not come.
+    void missed_report(backend_server const& server);
+
+    /// Takes the operators' drains.
+    void set_drains(drain_list drains);
+
+    /// All servers of one group, as routing sees them: leaving is what the platform's
+    /// list, the server itself or an operator's drain says, whichever says so first. The
+    /// list lags, and a server that has been told to go may be gone before the list
+    /// tells.
     std::vector<server_view> group(std::string const& name) const;
 
     /// All servers.
@@ -48,13 +58,19 @@
     };
     static constexpr std::size_t shard_count = 16;
 
+    std::shared_ptr<drain_list const> drains() const;
+
     shard&       shard_of(std::string const& group);
     shard const& shard_of(std::string const& group) const;
 
     template <class Change>
     void change(backend_server const& server, Change&& apply);
 
-    std::array<shard, shard_count> shards_;
+    static void mark_leaving(server_view& view, drain_list const& drains);
+
+    std::array<shard, shard_count>    shards_;
+    mutable std::mutex                drains_mutex_;
+    std::shared_ptr<drain_list const> drains_ = std::make_shared<drain_list const>();
 };
 
 } // namespace marigoldcrank
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -41,7 +41,8 @@
     std::int64_t           waiting = 0;        // requests not yet in the batch
     std::int64_t           prefill_tokens = 0; // prompt tokens still to be computed
     engine_role            role = engine_role::mixed;
-    std::uint64_t          lag_ms = 0; // age that the engine itself states
+    std::uint64_t          lag_ms = 0;      // age that the engine itself states
+    bool                   leaving = false; // it says that it will go away
     boot_clock::time_point read_at{};
 
     bool operator==(load_report const&) const = default;
--- a/src/domain/settings.hpp
+++ b/src/domain/settings.hpp
@@ -38,8 +38,11 @@
     std::int64_t http_threads = 256;       // 256          connections served at once
     std::int64_t overflow_threads = 4;     // 4            connections refused at once
     std::int64_t max_body_bytes = 4194304; // 4194304      bytes of one request body
-    std::int64_t drain_ms = 30000;         // 30000        longest graceful shutdown, ms
-    std::string  operator_key;             // ""           salt$hash of the operators' key
+    std::int64_t drain_notice_ms =
+        3000;                      // 3000         still serving though not ready, ms
+    std::int64_t drain_ms = 90000; // 90000        longest graceful shutdown, ms
+    std::int64_t caller_silence_ms = 10000; // 10000       a caller that reads nothing, ms
+    std::string  operator_key; // ""           salt$hash of the operators' key
     // [peers]
     std::string  peer_host = "127.0.0.1"; // "127.0.0.1"  IP number to listen on
     std::int64_t peer_port = 8081;        // 8081         port for other entry VMs
@@ -51,7 +54,8 @@
     std::int64_t platform_port = 9000;        // 9000         its port
     std::int64_t platform_timeout_ms = 1500;  // 1500        for one exchange, ms
     std::int64_t log_wait_ms = 1000;          // 1000         long poll of the log, ms
-    std::int64_t list_every_ms = 500; // 500          between reads of the VM list, ms
+    std::int64_t list_every_ms = 500;   // 500          between reads of the VM list, ms
+    std::int64_t load_timeout_ms = 500; // 500        for one read of a server's load, ms
     // [leases]
     std::int64_t lease_ms = 6000; // 6000         validity of one renewal, ms
     std::int64_t renew_ms = 2000; // 2000         between renewals, ms
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -45,6 +45,8 @@
         // the current one in the fold, whatever it believes itself.
         return leases_.holds("reporter", record.seal().holder(), record.seal().epoch()) &&
                usage_.apply(offset, record.seal());
+    case wire::log_record::kDrain:
+        return drains_.apply(offset, record.drain());
     default:
         return false;
     }
@@ -65,6 +67,16 @@
     return config_;
 }
 
+drain_fold const& ledger::drains() const noexcept
+{
+    return drains_;
+}
+
+drain_fold& ledger::drains() noexcept
+{
+    return drains_;
+}
+
 usage_fold const& ledger::usage() const noexcept
 {
     return usage_;
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -6,6 +6,7 @@
 
 #include "domain/failure.hpp"
 #include "ledger/configuration_fold.hpp"
+#include "ledger/drain_fold.hpp"
 #include "ledger/lease_fold.hpp"
 #include "ledger/usage_fold.hpp"
 
@@ -42,6 +43,8 @@
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
     configuration_fold&       config() noexcept; // peers' snapshots and withdrawals
+    drain_fold const&         drains() const noexcept;
+    drain_fold&               drains() noexcept; // peers' lists
     usage_fold const&         usage() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
@@ -53,6 +56,7 @@
 
     lease_fold         leases_;
     configuration_fold config_;
+    drain_fold         drains_;
     usage_fold         usage_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t tokens_per_stream =
     64; // decode work of one stream, as prompt tokens
 constexpr std::int64_t failure_penalty = 4'000; // tokens for each failure in a row
+constexpr std::int64_t most_missed = 5;         // more missed reports tell nothing more
 constexpr std::int64_t remote_penalty = 2'000;  // tokens for another data centre
 constexpr std::int64_t stale_after_ms = 2'000;  // age at which a report counts half
 
@@ -33,8 +34,11 @@
     auto const own = view.own_prompt_tokens + view.own_running * tokens_per_stream;
     auto const distance =
         view.server.data_centre == request.data_centre ? 0 : remote_penalty;
+    // A frozen or cut-off server reports nothing, its last report fades, and it would
+    // look idle and draw everything: what it does not report counts against it.
+    auto const doubts = view.failures + std::min(view.missed_reports, most_missed);
     return std::max(own, discounted(reported, view.load, now)) + request.prompt_tokens +
-           view.failures * failure_penalty + distance;
+           doubts * failure_penalty + distance;
 }
 
 bool may_take(server_view const& view, route_request const& request)
--- a/src/policy/route.hpp
+++ b/src/policy/route.hpp
@@ -23,6 +23,7 @@
     std::int64_t   own_running = 0;       // streams this entry VM has on it
     std::int64_t   own_prompt_tokens = 0; // prompt tokens of those, not yet answered
     std::int64_t   failures = 0;          // failed attempts since the last good one
+    std::int64_t   missed_reports = 0;    // load reads without an answer, in a row
 
     bool operator==(server_view const&) const = default;
 };
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -5,7 +5,8 @@
 // Faults besides the common ones: `truncate` ends a stream early without its end marker;
 // `crossed` sends a stream under another request's id; `late` delays a stream's first
 // token; `silent` stops a stream in the middle and keeps the connection open; `crash_on`
-// (with `text` in the prompt) is the poison request, see the setting poison.
+// (with `text` in the prompt) is the poison request, see the setting poison; `leaving`
+// makes the load reports say that this engine will go away.
 #include "engine_model.hpp"
 #include "standin_server.hpp"
 
@@ -226,6 +227,10 @@
     }
     auto answer = self.lagging_load;
     answer["lag_ms"] = now - self.lagging_at;
+    if (self.server.take_fault("leaving", ""))
+    {
+        answer["leaving"] = true;
+    }
     return answer;
 }
 
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -185,6 +185,8 @@
             {"progress_ms", "1500"},
             {"deadline_ms", "20000"},
             {"drain_ms", "20000"},
+            {"drain_notice_ms", "100"},
+            {"load_timeout_ms", "300"},
             {"platform_timeout_ms", "800"},
             {"log_level", "warning"}};
 }
@@ -260,6 +262,10 @@
     {
         service_ports_.push_back(ports_.next());
     }
+    engine_addresses_ = relay_to(engine_ports_);
+    service_addresses_ = relay_to(service_ports_);
+    peer_addresses_ = relay_to(peer_ports_);
+    platform_address_ = relay_to({platform_port_}).front();
     nodes_.resize(node_ports_.size());
     engines_.resize(engine_ports_.size());
     services_.resize(service_ports_.size());
@@ -297,6 +303,46 @@
     }
 }
 
+std::vector<int> fleet::relay_to(std::vector<int> const& ports)
+{
+    if (!options_.relayed)
+    {
+        return ports;
+    }
+    std::vector<int> addresses;
+    for (int const port : ports)
+    {
+        addresses.push_back(ports_.next());
+        relays_[port] = std::make_unique<tcp_relay>(addresses.back(), port);
+    }
+    return addresses;
+}
+
+tcp_relay& fleet::platform_relay()
+{
+    return *relays_.at(platform_port_);
+}
+
+tcp_relay& fleet::engine_relay(int engine)
+{
+    return *relays_.at(engine_port(engine));
+}
+
+tcp_relay& fleet::service_relay(int service)
+{
+    return *relays_.at(service_port(service));
+}
+
+tcp_relay& fleet::peer_relay(int node)
+{
+    return *relays_.at(node_peer_port(node));
+}
+
+int fleet::next_port()
+{
+    return ports_.next();
+}
+
 // 4. fleet: processes
 
 void fleet::start_platform()
@@ -341,12 +387,12 @@
     values["http_port"] = std::to_string(node_ports_[position]);
     values["peer_port"] = std::to_string(peer_ports_[position]);
     values["operator_key"] = operator_setting_;
-    values.try_emplace("platform_port", std::to_string(platform_port_));
+    values.try_emplace("platform_port", std::to_string(platform_address_));
     std::string peers;
     for (std::size_t other = 0; other < peer_ports_.size(); ++other)
     {
         peers += "node-" + std::to_string(other) +
-                 "@127.0.0.1:" + std::to_string(peer_ports_[other]) + " ";
+                 "@127.0.0.1:" + std::to_string(peer_addresses_[other]) + " ";
     }
     values.try_emplace("peer_list", peers);
     std::ofstream file(directory_ + "/node-" + std::to_string(index) + ".ini");
@@ -468,8 +514,8 @@
             machines.push_back(machine);
         }
     };
-    add("engine-", "wording", engine_ports_);
-    add("service-", "ordering", service_ports_);
+    add("engine-", "wording", engine_addresses_);
+    add("service-", "ordering", service_addresses_);
     httplib::Client client("127.0.0.1", platform_port_);
     require(static_cast<bool>(
                 client.Post("/control/vms", machines.dump(), "application/json")),
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -4,6 +4,8 @@
 #ifndef MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
 #define MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
 
+#include "support/tcp_relay.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -66,6 +68,7 @@
     std::map<std::string, std::string> engine_settings; // key to value
     std::map<std::string, std::string> platform_settings;
     bool                               apply_rules = true;
+    bool relayed = false; // a tcp_relay before the platform, each engine, service, peer
 };
 
 /// Platform, engines, services and nodes, each a process. Node i stands in data centre
@@ -85,6 +88,15 @@
     child_process& engine(int index);
     child_process& platform();
 
+    /// The relays, if the fleet was built with them.
+    tcp_relay& platform_relay();
+    tcp_relay& engine_relay(int engine);
+    tcp_relay& service_relay(int service);
+    tcp_relay& peer_relay(int node);
+
+    /// A port that nothing else uses, for a test's own relay.
+    int next_port();
+
     /// Starts or starts again; waits until it serves (not for nodes if `wait` is false).
     void start_platform();
     void start_node(int index, bool wait = true);
@@ -115,7 +127,8 @@
     std::map<std::string, std::string>& node_settings(int index);
 
 private:
-    void write_node_settings(int index) const;
+    void             write_node_settings(int index) const;
+    std::vector<int> relay_to(std::vector<int> const& ports);
 
     fleet_options                                   options_;
     port_block                                      ports_;
@@ -129,6 +142,11 @@
     std::vector<int>                                peer_ports_;
     std::vector<int>                                engine_ports_;
     std::vector<int>                                service_ports_;
+    std::vector<int>                                engine_addresses_; // as published
+    std::vector<int>                                service_addresses_;
+    std::vector<int>                                peer_addresses_;
+    int                                             platform_address_ = 0;
+    std::map<int, std::unique_ptr<tcp_relay>>       relays_; // by target port
     std::vector<std::map<std::string, std::string>> node_settings_;
     std::unique_ptr<child_process>                  platform_;
     std::vector<std::unique_ptr<child_process>>     nodes_;
--- /dev/null
+++ b/tests/support/tcp_relay.cpp
@@ -0,0 +1,270 @@
+// A TCP relay in the test process.
+//
+// Index: 1 sockets, 2 controls, 3 the thread
+#include "support/tcp_relay.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <vector>
+
+namespace marigoldcrank::tests
+{
+
+namespace
+{
+constexpr int         turn_ms = 2;
+constexpr int         backlog = 512;
+constexpr int         buffer_bytes = 16 * 1024; // small, so that a stalled reader shows
+constexpr std::size_t head_limit = 4096;
+
+// 1. Sockets
+
+sockaddr_in loopback(int port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+int open_socket()
+{
+    int const socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int const on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
+    return socket;
+}
+} // namespace
+
+tcp_relay::tcp_relay(int port, int target_port)
+    : listener_(open_socket()), target_port_(target_port)
+{
+    auto const address = loopback(port);
+    if (::bind(listener_, reinterpret_cast<sockaddr const*>(&address), sizeof address) !=
+            0 ||
+        ::listen(listener_, backlog) != 0)
+    {
+        throw std::runtime_error("a relay cannot bind its port");
+    }
+    thread_ = std::thread([this] { run(); });
+}
+
+tcp_relay::~tcp_relay()
+{
+    stopping_ = true;
+    thread_.join();
+    cut(true);
+    ::close(listener_);
+}
+
+// 2. Controls
+
+void tcp_relay::silence_open()
+{
+    std::lock_guard const lock(mutex_);
+    for (auto& own : connections_)
+    {
+        own.silent = true;
+    }
+}
+
+void tcp_relay::cut_off(std::set<std::string> senders)
+{
+    std::lock_guard const lock(mutex_);
+    cut_senders_ = std::move(senders);
+}
+
+void tcp_relay::silence_all(bool on)
+{
+    std::lock_guard const lock(mutex_);
+    all_silent_ = on;
+}
+
+void tcp_relay::cut(bool on)
+{
+    std::lock_guard const lock(mutex_);
+    cut_ = on;
+    for (auto& own : connections_)
+    {
+        drop(own.caller);
+        drop(own.target);
+    }
+}
+
+void tcp_relay::delay(std::chrono::milliseconds value)
+{
+    std::lock_guard const lock(mutex_);
+    delay_ = value;
+}
+
+std::size_t tcp_relay::accepted() const
+{
+    std::lock_guard const lock(mutex_);
+    return accepted_;
+}
+
+std::size_t tcp_relay::open() const
+{
+    std::lock_guard const lock(mutex_);
+    return connections_.size();
+}
+
+// 3. The thread
+
+void tcp_relay::run()
+{
+    while (!stopping_)
+    {
+        std::vector<pollfd> items{{listener_, POLLIN, 0}};
+        {
+            std::lock_guard const lock(mutex_);
+            connections_.remove_if(
+                [](connection const& own)
+                { return own.caller.socket < 0 && own.target.socket < 0; });
+            for (auto& own : connections_)
+            {
+                short const wanted = own.silent ? POLLRDHUP : POLLIN;
+                items.push_back({own.caller.socket, wanted, 0});
+                items.push_back({own.target.socket, wanted, 0});
+            }
+        }
+        ::poll(items.data(), items.size(), turn_ms);
+        std::lock_guard const lock(mutex_);
+        std::size_t           index = 1;
+        for (auto& own : connections_)
+        {
+            own.silent = own.silent || all_silent_ || cut_senders_.count(own.sender) != 0;
+            serve(own, own.caller, own.target, items[index].revents);
+            serve(own, own.target, own.caller, items[index + 1].revents);
+            index += 2;
+        }
+        if ((items[0].revents & POLLIN) != 0)
+        {
+            accept_one();
+        }
+    }
+}
+
+void tcp_relay::accept_one()
+{
+    int const caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    ++accepted_;
+    int const  target = open_socket();
+    auto const address = loopback(target_port_);
+    if (cut_ ||
+        ::connect(target, reinterpret_cast<sockaddr const*>(&address), sizeof address))
+    {
+        ::close(caller);
+        ::close(target);
+        return;
+    }
+    int const on = 1;
+    setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    connections_.emplace_back();
+    connections_.back().caller.socket = caller;
+    connections_.back().target.socket = target;
+}
+
+void tcp_relay::serve(connection& own, half& from, half& to, short events)
+{
+    if (own.silent)
+    {
+        // The end of a silent connection is not passed on; only its own side is closed.
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+        {
+            drop(from);
+        }
+        return;
+    }
+    bool const writable_backlog = to.waiting.size() > 64;
+    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0 && from.socket >= 0 &&
+        !writable_backlog)
+    {
+        std::array<char, buffer_bytes> buffer;
+        auto const size = ::recv(from.socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        std::string bytes(buffer.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        if (&from == &own.caller)
+        {
+            learn_sender(own, bytes);
+        }
+        // An empty piece stands for the end of the stream.
+        if (size >= 0 || errno != EAGAIN)
+        {
+            to.waiting.push_back({clock::now() + delay_, std::move(bytes)});
+        }
+        own.silent = own.silent || cut_senders_.count(own.sender) != 0;
+    }
+    if (!own.silent)
+    {
+        flush(own, to);
+    }
+}
+
+void tcp_relay::flush(connection& own, half& to)
+{
+    while (!to.waiting.empty() && to.waiting.front().due <= clock::now())
+    {
+        auto& bytes = to.waiting.front().bytes;
+        if (bytes.empty())
+        {
+            drop(own.caller);
+            drop(own.target);
+            return;
+        }
+        auto const size = to.socket < 0 ? -1
+                                        : ::send(to.socket, bytes.data(), bytes.size(),
+                                                 MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (size < 0)
+        {
+            return;
+        }
+        bytes.erase(0, static_cast<std::size_t>(size));
+        if (!bytes.empty())
+        {
+            return;
+        }
+        to.waiting.pop_front();
+    }
+}
+
+void tcp_relay::learn_sender(connection& own, std::string const& bytes) const
+{
+    if (!own.sender.empty() || own.head.size() > head_limit)
+    {
+        return;
+    }
+    own.head += bytes;
+    for (std::string const mark : {"X-Sender: ", "\x0a\x06"})
+    {
+        auto const found = own.head.find(mark + "node-");
+        if (found != std::string::npos)
+        {
+            auto const begin = found + mark.size();
+            auto const end = own.head.find_first_not_of("0123456789", begin + 5);
+            own.sender = own.head.substr(begin, end - begin);
+            return;
+        }
+    }
+}
+
+void tcp_relay::drop(half& end) const
+{
+    if (end.socket >= 0)
+    {
+        ::close(end.socket);
+        end.socket = -1;
+    }
+    end.waiting.clear();
+}
+
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/support/tcp_relay.hpp
@@ -0,0 +1,96 @@
+// A TCP relay in the test process that stands between two processes and spoils their
+// connections.
+//
+// Index: tcp_relay
+#ifndef MARIGOLDCRANK_TESTS_SUPPORT_TCP_RELAY_HPP
+#define MARIGOLDCRANK_TESTS_SUPPORT_TCP_RELAY_HPP
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <list>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+
+/// Listens on one loopback port and passes bytes to another. A silent connection stays
+/// open and passes nothing ever again, not even its end, as if something between the two
+/// ends had lost track of it. Senders are told apart by the X-Sender header of HTTP or
+/// the `from` field of peer messages, whichever comes first on a connection.
+class tcp_relay
+{
+public:
+    tcp_relay(int port, int target_port);
+    ~tcp_relay();
+    tcp_relay(tcp_relay const&) = delete;
+    tcp_relay& operator=(tcp_relay const&) = delete;
+
+    /// All connections that are open now go silent for good; new ones work.
+    void silence_open();
+
+    /// Connections of these senders go silent, the new ones too, until the next call.
+    void cut_off(std::set<std::string> senders);
+
+    /// All connections go silent, the new ones too, while this is on.
+    void silence_all(bool on);
+
+    /// Closes what is open; closes new connections at once while this is on.
+    void cut(bool on);
+
+    /// Every piece of data arrives this much later.
+    void delay(std::chrono::milliseconds value);
+
+    /// Connections accepted so far, and those that are open.
+    std::size_t accepted() const;
+    std::size_t open() const;
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    struct piece
+    {
+        clock::time_point due;
+        std::string       bytes;
+    };
+    struct half
+    {
+        int               socket = -1;
+        std::deque<piece> waiting; // to be written to `socket`
+    };
+    struct connection
+    {
+        half        caller;
+        half        target;
+        std::string head; // first bytes, until the sender is known
+        std::string sender;
+        bool        silent = false;
+    };
+
+    void run();
+    void accept_one();
+    void serve(connection& own, half& from, half& to, short events);
+    void flush(connection& own, half& to);
+    void learn_sender(connection& own, std::string const& bytes) const;
+    void drop(half& end) const;
+
+    int                       listener_ = -1;
+    int                       target_port_;
+    mutable std::mutex        mutex_;
+    std::list<connection>     connections_;
+    std::set<std::string>     cut_senders_;
+    bool                      all_silent_ = false;
+    bool                      cut_ = false;
+    std::chrono::milliseconds delay_{0};
+    std::size_t               accepted_ = 0;
+    std::atomic<bool>         stopping_{false};
+    std::thread               thread_;
+};
+
+} // namespace marigoldcrank::tests
+
+#endif
