--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -109,8 +109,9 @@
            [this](wire::usage_delta delta) { usage.add(std::move(delta)); },
            {options.data_centre, options.max_attempts}),
       callers(path, store, spans, counters, millis{options.deadline_ms}),
-      operators(writer, store, spans, directory, peers, options.operator_key,
-                options.name, [this] { drain_wanted = true; }),
+      operators(
+          writer, store, spans, directory, peers, options.operator_key, options.name,
+          [this] { drain_wanted = true; }, [this] { return callers.inflight(); }),
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory,
              {millis{options.list_every_ms}, millis{options.load_every_ms}})
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -28,10 +28,11 @@
 public:
     operator_front(log_writer<Log>& writer, ledger_store& store, span_store& spans,
                    server_directory& directory, Peers& peers, std::string operator_key,
-                   std::string node, std::function<void()> drain)
+                   std::string node, std::function<void()> drain,
+                   std::function<std::int64_t()> inflight)
         : writer_(writer), store_(store), spans_(spans), directory_(directory),
           peers_(peers), operator_key_(std::move(operator_key)), node_(std::move(node)),
-          drain_(std::move(drain))
+          drain_(std::move(drain)), inflight_(std::move(inflight))
     {
     }
 
@@ -254,6 +255,8 @@
                 {"revision", access->config ? access->config->revision : 0},
                 {"withdrawn_keys", access->withdrawn.size()},
                 {"live_peers", peers_.live()},
+                {"inflight", inflight_()},
+                {"own_running", directory_.own_running()},
                 {"next_offset", next},
                 {"duties", duties},
                 {"backend_servers", servers}};
@@ -294,14 +297,15 @@
             });
     }
 
-    log_writer<Log>&      writer_;
-    ledger_store&         store_;
-    span_store&           spans_;
-    server_directory&     directory_;
-    Peers&                peers_;
-    std::string           operator_key_;
-    std::string           node_;
-    std::function<void()> drain_;
+    log_writer<Log>&              writer_;
+    ledger_store&                 store_;
+    span_store&                   spans_;
+    server_directory&             directory_;
+    Peers&                        peers_;
+    std::string                   operator_key_;
+    std::string                   node_;
+    std::function<void()>         drain_;
+    std::function<std::int64_t()> inflight_;
 };
 
 } // namespace marigoldcrank
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -130,6 +130,23 @@
     return servers;
 }
 
+std::int64_t server_directory::own_running() const
+{
+    std::int64_t count = 0;
+    for (auto const& own : shards_)
+    {
+        std::lock_guard const lock(own.mutex);
+        for (auto const& [name, members] : own.groups)
+        {
+            for (auto const& [id, view] : members)
+            {
+                count += view.own_running;
+            }
+        }
+    }
+    return count;
+}
+
 void server_directory::begin(backend_server const& server, std::int64_t prompt_tokens)
 {
     change(server,
--- a/src/app/server_directory.hpp
+++ b/src/app/server_directory.hpp
@@ -44,6 +44,9 @@
     /// All servers.
     std::vector<backend_server> all() const;
 
+    /// Requests that this entry VM has at servers.
+    std::int64_t own_running() const;
+
     /// Own work counts at once: reports lag, and without this every request of a moment
     /// goes to the server that was idle when it reported.
     void begin(backend_server const& server, std::int64_t prompt_tokens);
--- /dev/null
+++ b/tests/failure/silent_connections_test.cpp
@@ -0,0 +1,222 @@
+// Connections that go silent for good while new ones work.
+#include "support/model_caller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+fleet_options one_engine()
+{
+    fleet_options options;
+    options.nodes = 1;
+    options.engines = 1;
+    options.services = 0;
+    options.relayed = true;
+    return options;
+}
+
+// A class's line takes long: a firewall forgot the kept-alive connections between entry
+// VM and engine while nobody wrote. Each idle connection that is left costs the caller
+// another silence, until the attempts are used up, though a new connection would work.
+TEST(silent_connections, idle_ones_cost_one_silence_and_not_each_its_own)
+{
+    auto options = one_engine();
+    options.node_settings["max_attempts"] = "2";
+    fleet                    system(options);
+    model_question const     slow{.tokens = 400};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 8; ++index)
+    {
+        callers.emplace_back([&]
+                             { EXPECT_TRUE(call_model(system, 0, slow).whole(slow)); });
+    }
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    system.engine_relay(0).silence_open();
+    model_question const question;
+    EXPECT_TRUE(call_model(system, 0, question).whole(question));
+    EXPECT_TRUE(call_model(system, 0, question).whole(question));
+}
+
+// A reply stops in the middle: the connection to the only engine goes silent while it
+// streams. The caller sees a pause of progress_ms, then the rest, each token once.
+TEST(silent_connections, a_stream_goes_on_at_the_same_engine_over_a_new_one)
+{
+    fleet                system(one_engine());
+    model_question const question{.tokens = 400};
+    std::atomic<int>     parts{0};
+    auto const           answer = call_model(system, 0, question,
+                                             [&]
+                                             {
+                                       if (++parts == 5)
+                                       {
+                                           system.engine_relay(0).silence_open();
+                                       }
+                                   });
+    EXPECT_TRUE(answer.whole(question));
+    EXPECT_EQ(system.received(system.engine_port(0), "generate").size(), 2U);
+}
+
+// An operator withdraws a VM, and its engine goes on getting work: another engine is
+// frozen, and whoever asks for loads waits for it before reading the list again.
+TEST(silent_connections, a_frozen_engine_holds_up_no_report_and_no_list)
+{
+    fleet_options options;
+    options.nodes = 1;
+    options.engines = 3;
+    options.node_settings = {{"load_timeout_ms", "120000"}, {"progress_ms", "120000"}};
+    fleet system(options);
+    system.engine(0).signal(SIGSTOP);
+    auto const leaving = [&](std::string const& id)
+    {
+        auto const status = system.admin(0, "/admin/status");
+        for (auto const& server : status["backend_servers"])
+        {
+            if (server["id"] == id)
+            {
+                return server["leaving"] == true;
+            }
+        }
+        return false;
+    };
+    system.fault(system.engine_port(1), {{"kind", "leaving"}});
+    EXPECT_TRUE(eventually([&] { return leaving("engine-1"); }));
+    system.publish_machines({{"engine-2", {{"state", "leaving"}}}});
+    EXPECT_TRUE(eventually([&] { return leaving("engine-2"); }));
+    EXPECT_FALSE(leaving("engine-0"));
+    system.engine(0).signal(SIGCONT);
+}
+
+// Requests are refused as overloaded though hardly anybody is served: callers that read
+// nothing any more, or vanished without a word, keep the connections' threads.
+TEST(silent_connections, a_caller_that_reads_nothing_gives_its_slot_back)
+{
+    auto options = one_engine();
+    options.node_settings["http_threads"] = "4";
+    options.node_settings["caller_silence_ms"] = "500";
+    options.engine_settings["decode_us"] = "1";
+    fleet                    system(options);
+    auto const               port = system.next_port();
+    tcp_relay                between(port, system.node_port(0));
+    model_question const     endless{.tokens = 1'000'000, .timeout_s = 60, .port = port};
+    std::vector<std::thread> stalled;
+    model_question const     question;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            stalled.emplace_back([&] { call_model(system, 0, endless); });
+            return call_model(system, 0, question).status == 503;
+        }));
+    between.silence_open();
+    EXPECT_TRUE(
+        eventually([&] { return call_model(system, 0, question).whole(question); }));
+    EXPECT_TRUE(eventually(
+        [&] { return system.received(system.engine_port(0), "cancel").size() >= 1; }));
+    between.cut(true);
+    for (auto& caller : stalled)
+    {
+        caller.join();
+    }
+}
+
+// Orders and withdrawals go to an entry VM that is stopped: the others still count it as
+// there. Its kernel acknowledges everything, so only what it says itself can tell.
+TEST(silent_connections, a_stopped_peer_is_not_live_until_it_goes_on)
+{
+    fleet      system({.engines = 1, .services = 0});
+    auto const live = [&](std::size_t count)
+    {
+        return system.admin(0, "/admin/status")["live_peers"].size() == count;
+    };
+    ASSERT_TRUE(eventually([&] { return live(2); }));
+    system.node(1).signal(SIGSTOP);
+    EXPECT_TRUE(eventually([&] { return live(1); }));
+    system.node(1).signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return live(2); }));
+}
+
+// A key that was withdrawn goes on working at one entry VM: the connections to it have
+// gone silent, and nothing opens new ones.
+TEST(silent_connections, peers_open_a_new_one_when_theirs_went_silent)
+{
+    fleet_options options;
+    options.engines = 1;
+    options.services = 0;
+    options.relayed = true;
+    fleet      system(options);
+    auto const live = [&](int node)
+    {
+        return system.admin(node, "/admin/status")["live_peers"].size();
+    };
+    ASSERT_TRUE(eventually([&] { return live(0) == 2; }));
+    auto const before = system.peer_relay(0).accepted();
+    system.peer_relay(0).silence_open();
+    EXPECT_TRUE(
+        eventually([&] { return system.peer_relay(0).accepted() >= before + 2; }));
+    EXPECT_TRUE(eventually([&] { return live(0) == 2; }));
+}
+
+// After a week of small faults an entry VM refuses everything: each lost connection left
+// a thread, a descriptor or a count behind.
+TEST(silent_connections, a_thousand_of_them_leave_nothing_behind)
+{
+    auto options = one_engine();
+    options.engines = 2;
+    options.node_settings["progress_ms"] = "200";
+    options.node_settings["max_attempts"] = "10";
+    fleet                    system(options);
+    auto const               pid = system.node(0).pid();
+    auto const               threads = process_count(pid, "task");
+    std::atomic<bool>        over{false};
+    std::atomic<int>         refused{0};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 24; ++index)
+    {
+        callers.emplace_back(
+            [&]
+            {
+                model_question const question{.tokens = 40};
+                while (!over)
+                {
+                    auto const answer = call_model(system, 0, question);
+                    EXPECT_TRUE(answer.whole(question) || !answer.fate.empty());
+                    refused += answer.whole(question) ? 0 : 1;
+                }
+            });
+    }
+    std::size_t faults = 0;
+    while (faults < 1000)
+    {
+        faults += system.engine_relay(0).silence_open();
+        faults += system.engine_relay(1).silence_open();
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    over = true;
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    auto const status = [&](char const* name)
+    {
+        return system.admin(0, "/admin/status").value(name, -1);
+    };
+    EXPECT_TRUE(eventually([&] { return status("inflight") == 0; }));
+    EXPECT_TRUE(eventually([&] { return status("own_running") == 0; }));
+    EXPECT_EQ(process_count(pid, "task"), threads);
+    EXPECT_TRUE(eventually([&] { return process_count(pid, "fd") < 60; }));
+    model_question const question;
+    EXPECT_TRUE(call_model(system, 0, question).whole(question));
+    RecordProperty("refused", refused);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/support/model_caller.cpp
@@ -0,0 +1,148 @@
+// A caller of model calls.
+#include "support/model_caller.hpp"
+
+#include "adapters/sse_reader.hpp"
+#include "engine_model.hpp"
+
+#include <httplib.h>
+#include <xxhash.h>
+
+#include <filesystem>
+
+namespace marigoldcrank::tests
+{
+
+namespace
+{
+using nlohmann::json;
+
+json messages_of(model_question const& question)
+{
+    return json::array({{{"role", "user"}, {"content", question.prompt}}});
+}
+
+void take_event(std::string_view data, model_answer& answer)
+{
+    if (data == "[DONE]")
+    {
+        answer.ended = true;
+        return;
+    }
+    auto const event = json::parse(data, nullptr, false);
+    if (!event.is_object())
+    {
+        return;
+    }
+    if (event.contains("error"))
+    {
+        answer.fate = event["error"].value("fate", "");
+        return;
+    }
+    for (auto const& choice : event.value("choices", json::array()))
+    {
+        answer.text += choice.value("delta", json::object()).value("content", "");
+    }
+    if (event.contains("usage") && event["usage"].is_object())
+    {
+        answer.stated_tokens =
+            event["usage"].value("completion_tokens", std::uint64_t{0});
+    }
+}
+
+void take_body(std::string const& text, model_answer& answer)
+{
+    auto const body = json::parse(text, nullptr, false);
+    if (!body.is_object())
+    {
+        return;
+    }
+    if (body.contains("error"))
+    {
+        answer.fate = body["error"].value("fate", "");
+        return;
+    }
+    answer.text = body["choices"][0]["message"].value("content", "");
+    answer.stated_tokens = body["usage"].value("completion_tokens", std::uint64_t{0});
+    answer.ended = true;
+}
+} // namespace
+
+bool model_answer::whole(model_question const& question) const
+{
+    return status == 200 && ended && text == expected_text(question) &&
+           stated_tokens == static_cast<std::uint64_t>(question.tokens);
+}
+
+model_answer call_model(fleet const& system, int node, model_question const& question,
+                        std::function<void()> const& on_bytes)
+{
+    auto const      port = question.port != 0 ? question.port : system.node_port(node);
+    httplib::Client client("127.0.0.1", port);
+    client.set_read_timeout(question.timeout_s);
+    model_answer     answer;
+    std::string      rest;
+    sse_reader       reader;
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"Authorization", "Bearer " + system.key(question.workspace)},
+                       {"Content-Type", "application/json"}};
+    request.body = json{{"model", "wording"},
+                        {"messages", messages_of(question)},
+                        {"max_tokens", question.tokens},
+                        {"stream", question.stream}}
+                       .dump();
+    request.content_receiver =
+        [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
+    {
+        std::string_view const bytes{data, size};
+        rest += bytes;
+        reader.feed(bytes,
+                    [&](std::string_view event)
+                    {
+                        take_event(event, answer);
+                        return true;
+                    });
+        on_bytes();
+        return true;
+    };
+    request.response_handler = [&](httplib::Response const& response)
+    {
+        answer.status = response.status;
+        answer.request_id = response.get_header_value("X-Request-Id");
+        answer.connection = response.get_header_value("Connection");
+        return true;
+    };
+    client.send(request);
+    if (!question.stream || answer.status != 200)
+    {
+        take_body(rest, answer);
+    }
+    return answer;
+}
+
+std::string expected_text(model_question const& question)
+{
+    auto const  prompt = messages_of(question).dump();
+    auto const  hash = XXH64(prompt.data(), prompt.size(), 0);
+    std::string text;
+    for (int index = 0; index < question.tokens; ++index)
+    {
+        text += standins::token_of(hash, static_cast<std::uint64_t>(index));
+    }
+    return text;
+}
+
+std::size_t process_count(pid_t pid, std::string const& name)
+{
+    std::size_t                               count = 0;
+    std::filesystem::directory_iterator const entries("/proc/" + std::to_string(pid) +
+                                                      "/" + name);
+    for ([[maybe_unused]] auto const& entry : entries)
+    {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/support/model_caller.hpp
@@ -0,0 +1,53 @@
+// A caller of model calls, for tests of failures.
+//
+// Index: 1 model_answer, 2 call_model, 3 process counts
+#ifndef MARIGOLDCRANK_TESTS_SUPPORT_MODEL_CALLER_HPP
+#define MARIGOLDCRANK_TESTS_SUPPORT_MODEL_CALLER_HPP
+
+#include "support/node_process.hpp"
+
+#include <functional>
+#include <string>
+
+namespace marigoldcrank::tests
+{
+
+/// One request for `tokens` tokens.
+struct model_question
+{
+    std::string workspace = "north";
+    std::string prompt = "a line for Noor";
+    int         tokens = 8;
+    bool        stream = true;
+    int         timeout_s = 30;
+    int         port = 0; // 0: the node's own, else a relay before it
+};
+
+/// What the caller saw.
+struct model_answer
+{
+    int           status = 0; // 0: no answer at all
+    std::string   text;       // tokens in the order of arrival
+    std::uint64_t stated_tokens = 0;
+    bool          ended = false; // the proper end marker came
+    std::string   fate;          // of a refusal
+    std::string   request_id;
+    std::string   connection; // header Connection
+
+    bool whole(model_question const& question) const;
+};
+
+/// Calls a node; `on_bytes` runs as parts of a streamed answer arrive.
+model_answer call_model(
+    fleet const& system, int node, model_question const& question = {},
+    std::function<void()> const& on_bytes = [] {});
+
+/// The text that every engine gives as the answer.
+std::string expected_text(model_question const& question);
+
+/// Entries of /proc/PID/NAME, for example of `fd` and `task`.
+std::size_t process_count(pid_t pid, std::string const& name);
+
+} // namespace marigoldcrank::tests
+
+#endif
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -69,13 +69,16 @@
 
 // 2. Controls
 
-void tcp_relay::silence_open()
+std::size_t tcp_relay::silence_open()
 {
     std::lock_guard const lock(mutex_);
+    std::size_t           count = 0;
     for (auto& own : connections_)
     {
+        count += own.silent ? 0 : 1;
         own.silent = true;
     }
+    return count;
 }
 
 void tcp_relay::cut_off(std::set<std::string> senders)
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -30,8 +30,9 @@
     tcp_relay(tcp_relay const&) = delete;
     tcp_relay& operator=(tcp_relay const&) = delete;
 
-    /// All connections that are open now go silent for good; new ones work.
-    void silence_open();
+    /// All connections that are open now go silent for good; new ones work. Returns how
+    /// many went silent by this call.
+    std::size_t silence_open();
 
     /// Connections of these senders go silent, the new ones too, until the next call.
     void cut_off(std::set<std::string> senders);
