--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -255,6 +255,8 @@
                 {"revision", access->config ? access->config->revision : 0},
                 {"withdrawn_keys", access->withdrawn.size()},
                 {"live_peers", peers_.live()},
+                {"drained_servers", access->drains.servers},
+                {"drained_data_centres", access->drains.data_centres},
                 {"inflight", inflight_()},
                 {"own_running", directory_.own_running()},
                 {"next_offset", next},
--- /dev/null
+++ b/tests/failure/cuts_test.cpp
@@ -0,0 +1,152 @@
+// Data centres cut off, platform outages, paused and killed processes.
+#include "support/model_caller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+/// Cuts node 0 and engine 0, alone in dc-1, off from the other data centres and from the
+/// platform, or mends the cut.
+void cut_first_data_centre(fleet& system, bool on)
+{
+    std::set<std::string> const none;
+    std::set<std::string> const inside{"node-0"};
+    std::set<std::string> const outside{"node-1", "node-2"};
+    system.platform_relay().cut_off(on ? inside : none);
+    system.engine_relay(0).cut_off(on ? outside : none);
+    system.peer_relay(0).cut_off(on ? outside : none);
+    for (int other : {1, 2})
+    {
+        system.engine_relay(other).cut_off(on ? inside : none);
+        system.peer_relay(other).cut_off(on ? inside : none);
+    }
+}
+
+std::uint64_t whole_tokens(std::vector<model_answer> const& answers,
+                           model_question const&            question)
+{
+    std::uint64_t tokens = 0;
+    for (auto const& answer : answers)
+    {
+        EXPECT_TRUE(answer.whole(question)) << answer.status << " " << answer.fate;
+        tokens += static_cast<std::uint64_t>(question.tokens);
+    }
+    return tokens;
+}
+
+// A digger cuts a data centre's lines for a while. Its callers are served by its own
+// engine, the others by theirs, and when the lines are back no work and no bill stands
+// twice.
+TEST(cuts, a_data_centre_cut_off_serves_and_doubles_nothing)
+{
+    fleet_options options;
+    options.engines = 3;
+    options.services = 0;
+    options.relayed = true;
+    fleet                system(options);
+    model_question const question{.tokens = 40};
+    caller_group         load(system, {0, 1, 2}, 9, question);
+    ASSERT_TRUE(eventually([&] { return load.answered() >= 9; }));
+    cut_first_data_centre(system, true);
+    auto const alone = [&]
+    {
+        return system.admin(0, "/admin/status")["live_peers"].empty();
+    };
+    ASSERT_TRUE(eventually(alone));
+    auto const answered = load.answered();
+    auto const own = system.received(system.engine_port(0), "generate").size();
+    ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 90; }));
+    EXPECT_GT(system.received(system.engine_port(0), "generate").size(), own);
+    EXPECT_EQ(system.admin(0, "/admin/status")["backend_servers"].size(), 3U);
+    cut_first_data_centre(system, false);
+    ASSERT_TRUE(eventually([&] { return !alone(); }));
+    auto tokens = whole_tokens(load.stop(), question);
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
+    // One more, so that a doubled batch that came later would show in a later window.
+    EXPECT_TRUE(call_model(system, 0, question).whole(question));
+    tokens += 40;
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
+}
+
+// The platform is down for long, and callers are refused because an entry VM took the
+// list that it could not read for an empty one.
+TEST(cuts, an_old_list_is_kept_while_the_platform_is_out)
+{
+    fleet system;
+    system.fault(system.platform_port(), {{"kind", "outage"}});
+    ASSERT_TRUE(eventually(
+        [&] { return system.received(system.platform_port(), "append").size() > 3; }));
+    model_question const question;
+    for (int index = 0; index < 30; ++index)
+    {
+        EXPECT_TRUE(call_model(system, index % 3, question).whole(question));
+    }
+}
+
+// An entry VM is paused by its hypervisor in mid-stream and goes on later: the others
+// serve on unharmed, its own callers get the rest of their replies, and nothing is billed
+// twice.
+TEST(cuts, a_paused_entry_vm_harms_no_other_and_goes_on)
+{
+    fleet                system;
+    model_question const question{.tokens = 200};
+    caller_group         paused(system, {0}, 4, question);
+    caller_group         others(system, {1, 2}, 8, question);
+    ASSERT_TRUE(eventually([&] { return paused.answered() >= 4; }));
+    system.node(0).signal(SIGSTOP);
+    auto const answered = others.answered();
+    ASSERT_TRUE(eventually([&] { return others.answered() >= answered + 48; }));
+    system.node(0).signal(SIGCONT);
+    auto const before = paused.answered();
+    ASSERT_TRUE(eventually([&] { return paused.answered() >= before + 8; }));
+    auto tokens = whole_tokens(paused.stop(), question);
+    tokens += whole_tokens(others.stop(), question);
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
+}
+
+// An engine is paused in mid-stream: the replies stop. They go on at another engine, and
+// what the paused one sends when it wakes up reaches nobody.
+TEST(cuts, a_paused_engine_costs_a_pause_and_no_token)
+{
+    fleet                system;
+    model_question const question{.tokens = 300};
+    caller_group         load(system, {0, 1, 2}, 9, question);
+    ASSERT_TRUE(eventually([&] { return load.answered() >= 9; }));
+    system.engine(0).signal(SIGSTOP);
+    auto answered = load.answered();
+    ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 27; }));
+    system.engine(0).signal(SIGCONT);
+    answered = load.answered();
+    ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 27; }));
+    auto const tokens = whole_tokens(load.stop(), question);
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
+}
+
+// An entry VM dies with the platform's lease and dozens of streams on it. Callers of the
+// others see nothing of it.
+TEST(cuts, a_killed_entry_vm_harms_no_other)
+{
+    fleet                system;
+    model_question const question{.tokens = 200};
+    caller_group         dying(system, {0}, 8, question);
+    caller_group         others(system, {1, 2}, 8, question);
+    ASSERT_TRUE(eventually([&] { return dying.answered() >= 8; }));
+    system.node(0).signal(SIGKILL);
+    auto const answered = others.answered();
+    ASSERT_TRUE(eventually([&] { return others.answered() >= answered + 48; }));
+    whole_tokens(others.stop(), question);
+    for (auto const& answer : dying.stop())
+    {
+        EXPECT_TRUE(answer.whole(question) || !answer.ended);
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/failure/drains_test.cpp
@@ -0,0 +1,173 @@
+// Planned changes: drains of nodes, engines and data centres, and VMs that leave.
+#include "support/model_caller.hpp"
+
+#include <httplib.h>
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+int ready_status(fleet const& system, int node)
+{
+    httplib::Client client("127.0.0.1", system.node_port(node));
+    auto const      answer = client.Get("/readyz");
+    return answer ? answer->status : 0;
+}
+
+std::size_t generated_at(fleet const& system, int engine)
+{
+    return system.received(system.engine_port(engine), "generate").size();
+}
+
+bool leaving_at(fleet const& system, int node, std::string const& id)
+{
+    auto const status = system.admin(node, "/admin/status");
+    for (auto const& server : status["backend_servers"])
+    {
+        if (server["id"] == id)
+        {
+            return server["leaving"] == true;
+        }
+    }
+    return false;
+}
+
+bool leaving_everywhere(fleet const& system, std::string const& id, bool wanted)
+{
+    return eventually(
+        [&]
+        {
+            return leaving_at(system, 0, id) == wanted &&
+                   leaving_at(system, 1, id) == wanted &&
+                   leaving_at(system, 2, id) == wanted;
+        });
+}
+
+// An operator stops an entry VM in the morning rush. The balancer goes on sending for a
+// while; lines in progress take longer than the stop. A caller must see neither: no reply
+// cut, no refusal while the balancer cannot know, and the bill complete.
+TEST(drains, of_a_node_cuts_nothing_and_tells_the_balancer_first)
+{
+    fleet_options options;
+    options.node_settings["drain_notice_ms"] = "3000";
+    fleet                system(options);
+    model_question const question{.tokens = 200};
+    caller_group         load(system, {0}, 12, question);
+    ASSERT_TRUE(eventually([&] { return load.answered() >= 12; }));
+    system.node(0).signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return ready_status(system, 0) == 503; }));
+    auto const late = call_model(system, 0, question);
+    EXPECT_TRUE(late.whole(question));
+    EXPECT_EQ(late.connection, "close");
+    auto       last = late;
+    bool const refused = eventually(
+        [&]
+        {
+            last = call_model(system, 0, question);
+            return !last.whole(question);
+        });
+    EXPECT_TRUE(refused);
+    EXPECT_EQ(last.fate, "not_run");
+    EXPECT_EQ(system.node(0).wait(20000), 0);
+    std::uint64_t tokens = 0;
+    for (auto const& answer : load.stop())
+    {
+        bool const gone = answer.status == 0 && answer.text.empty();
+        EXPECT_TRUE(answer.whole(question) || answer.fate == "not_run" || gone);
+        tokens += answer.whole(question) ? 200 : 0;
+    }
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) >= tokens; }));
+}
+
+// An operator drains an engine on one node for a repair, and another node goes on sending
+// to it: its streams are cut when the machine is taken. So a drain is a record of the
+// log.
+TEST(drains, of_an_engine_holds_on_all_nodes_and_cuts_nothing)
+{
+    fleet                system;
+    model_question const slow{.tokens = 600};
+    caller_group         load(system, {0, 1, 2}, 6, slow);
+    ASSERT_TRUE(eventually([&] { return generated_at(system, 0) > 0; }));
+    json drain = {{"scope", "server"}, {"name", "engine-0"}, {"drained", true}};
+    EXPECT_EQ(system.admin_post(1, "/admin/servers/drain", drain)["outcome"], "accepted");
+    ASSERT_TRUE(leaving_everywhere(system, "engine-0", true));
+    auto const before = generated_at(system, 0);
+    auto const answered = load.answered();
+    ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 12; }));
+    EXPECT_EQ(generated_at(system, 0), before);
+    drain["drained"] = false;
+    EXPECT_EQ(system.admin_post(2, "/admin/servers/drain", drain)["outcome"], "accepted");
+    EXPECT_TRUE(eventually([&] { return generated_at(system, 0) > before; }));
+    for (auto const& answer : load.stop())
+    {
+        EXPECT_TRUE(answer.whole(slow));
+    }
+}
+
+// A data centre is emptied for maintenance, the platform goes down, and a node that is
+// replaced meanwhile sends work there: it could not read of the drain in the log. Its
+// peers tell it.
+TEST(drains, of_a_data_centre_reaches_a_node_that_cannot_read_the_log)
+{
+    fleet      system;
+    json const drain = {{"scope", "data_centre"}, {"name", "dc-2"}};
+    EXPECT_EQ(system.admin_post(0, "/admin/servers/drain", drain)["outcome"], "accepted");
+    ASSERT_TRUE(leaving_everywhere(system, "engine-1", true));
+    EXPECT_FALSE(leaving_at(system, 0, "engine-0"));
+    system.fault(system.platform_port(), {{"kind", "outage"}});
+    system.node(2).signal(SIGKILL);
+    system.node(2).wait(5000);
+    system.start_node(2);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const status = system.admin(2, "/admin/status");
+            return status["drained_data_centres"] == json::array({"dc-2"});
+        }));
+}
+
+// A cheap VM is told to go and says so at once; the platform's list lags by minutes. What
+// is sent to it in between is cut when it goes.
+TEST(drains, a_server_that_says_it_leaves_gets_no_new_work)
+{
+    fleet system;
+    system.fault(system.engine_port(0), {{"kind", "leaving"}});
+    ASSERT_TRUE(leaving_everywhere(system, "engine-0", true));
+    auto const           before = generated_at(system, 0);
+    model_question const question;
+    for (int index = 0; index < 12; ++index)
+    {
+        EXPECT_TRUE(call_model(system, index % 3, question).whole(question));
+    }
+    EXPECT_EQ(generated_at(system, 0), before);
+}
+
+// All cheap engines of a zone are reclaimed in the same second while they stream: each
+// reply stops. Each goes on elsewhere, where it stopped, to its proper end.
+TEST(drains, a_zone_reclaimed_at_once_loses_no_stream)
+{
+    fleet                system({.engines = 6});
+    model_question const question{.tokens = 400};
+    caller_group         load(system, {0, 1, 2}, 24, question);
+    ASSERT_TRUE(eventually(
+        [&] { return generated_at(system, 0) > 3 && generated_at(system, 3) > 3; }));
+    system.engine(0).signal(SIGKILL);
+    system.engine(3).signal(SIGKILL);
+    auto const answered = load.answered();
+    ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 48; }));
+    for (auto const& answer : load.stop())
+    {
+        EXPECT_TRUE(answer.whole(question));
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/support/model_caller.cpp
+++ b/tests/support/model_caller.cpp
@@ -133,6 +133,68 @@
     return text;
 }
 
+caller_group::caller_group(fleet const& system, std::vector<int> nodes, int callers,
+                           model_question question)
+{
+    for (int index = 0; index < callers; ++index)
+    {
+        threads_.emplace_back(
+            [this, &system, nodes, question, index]
+            {
+                for (auto turn = static_cast<std::size_t>(index); !over_; ++turn)
+                {
+                    auto answer =
+                        call_model(system, nodes[turn % nodes.size()], question);
+                    std::lock_guard const lock(mutex_);
+                    answers_.push_back(std::move(answer));
+                }
+            });
+    }
+}
+
+caller_group::~caller_group()
+{
+    stop();
+}
+
+std::vector<model_answer> caller_group::stop()
+{
+    over_ = true;
+    for (auto& thread : threads_)
+    {
+        thread.join();
+    }
+    threads_.clear();
+    return answers_;
+}
+
+std::size_t caller_group::answered() const
+{
+    std::lock_guard const lock(mutex_);
+    return answers_.size();
+}
+
+std::uint64_t reported_tokens(fleet const& system)
+{
+    std::map<std::string, std::uint64_t> by_window;
+    for (auto const& report : system.received(system.platform_port(), "usage"))
+    {
+        std::uint64_t tokens = 0;
+        auto const    body = json::parse(report["body"].get<std::string>());
+        for (auto const& figure : body["figures"])
+        {
+            tokens += figure["output_tokens"].get<std::uint64_t>();
+        }
+        by_window[report["path"]] = tokens;
+    }
+    std::uint64_t total = 0;
+    for (auto const& [window, tokens] : by_window)
+    {
+        total += tokens;
+    }
+    return total;
+}
+
 std::size_t process_count(pid_t pid, std::string const& name)
 {
     std::size_t                               count = 0;
--- a/tests/support/model_caller.hpp
+++ b/tests/support/model_caller.hpp
@@ -1,13 +1,17 @@
 // A caller of model calls, for tests of failures.
 //
-// Index: 1 model_answer, 2 call_model, 3 process counts
+// Index: 1 model_answer, 2 call_model, 3 caller_group, 4 counts
 #ifndef MARIGOLDCRANK_TESTS_SUPPORT_MODEL_CALLER_HPP
 #define MARIGOLDCRANK_TESTS_SUPPORT_MODEL_CALLER_HPP
 
 #include "support/node_process.hpp"
 
+#include <atomic>
 #include <functional>
+#include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace marigoldcrank::tests
 {
@@ -45,6 +49,31 @@
 /// The text that every engine gives as the answer.
 std::string expected_text(model_question const& question);
 
+/// Callers that ask one node after the other until the object stops them.
+class caller_group
+{
+public:
+    caller_group(fleet const& system, std::vector<int> nodes, int callers,
+                 model_question question);
+    ~caller_group();
+
+    /// Stops and gives all answers.
+    std::vector<model_answer> stop();
+
+    /// Answers so far.
+    std::size_t answered() const;
+
+private:
+    std::atomic<bool>         over_{false};
+    mutable std::mutex        mutex_;
+    std::vector<model_answer> answers_;
+    std::vector<std::thread>  threads_;
+};
+
+/// Output tokens in the reports that the platform received, each window once; all
+/// workspaces.
+std::uint64_t reported_tokens(fleet const& system);
+
 /// Entries of /proc/PID/NAME, for example of `fd` and `task`.
 std::size_t process_count(pid_t pid, std::string const& name);
 
