--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -127,7 +127,11 @@
 
 void child_process::signal(int number) const
 {
-    ::kill(pid_, number);
+    // Its number may belong to another process once its end was taken note of.
+    if (status_ < 0)
+    {
+        ::kill(pid_, number);
+    }
 }
 
 bool child_process::running()
