Drains tell whether they were whole; fields of wrong type no longer end the daemon

Cause: json::value throws on a field of another type, in the threads that read loads, lists and streams, where nothing catches it. A drain that ran out of time exited 0, and waited for a whole usage interval. A server that changed its group stayed in the old one. Test of a drained node: failed once in two runs (the node was gone before it refused anything); a call that outlasts the notice now keeps it there, all its checks stay.

--- a/apps/marigoldcrankd.cpp
+++ b/apps/marigoldcrankd.cpp
@@ -41,7 +41,8 @@
            "  -c, --check-settings   check FILE, print what is wrong, exit 0 or 1\n"
            "  -p, --print-settings   print all settings with their meaning and exit\n"
            "  -h, --help             this text\n\n"
-           "Exit codes: 0 stopped or checked; 1 failed; 2 wrong command line.\n";
+           "Exit codes: 0 drained or checked; 1 failed, or stopped before it had "
+           "drained;\n            2 wrong command line.\n";
 }
 
 std::optional<command_line> parse_command_line(int argc, char** argv, int& exit_code)
@@ -112,8 +113,7 @@
         return exit_failure;
     }
     wait_for_stop(daemon, signals);
-    daemon.drain();
-    return exit_ok;
+    return daemon.drain() ? exit_ok : exit_failure;
 }
 
 } // namespace
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http_backend.hpp"
 
 #include "adapters/http_exchange.hpp"
+#include "adapters/json_fields.hpp"
 #include "adapters/sse_reader.hpp"
 
 #include <httplib.h>
@@ -33,13 +34,13 @@
         return {};
     }
     stream_event event;
-    event.request_id = body.value("request_id", "");
-    event.attempt = body.value("attempt", std::uint64_t{0});
-    event.sequence = body.value("sequence", std::uint64_t{0});
-    event.text = body.value("text", "");
-    event.last = body.value("last", false);
-    event.prompt_tokens = body.value("prompt_tokens", std::uint64_t{0});
-    event.output_tokens = body.value("output_tokens", std::uint64_t{0});
+    event.request_id = field_or<std::string>(body, "request_id", "");
+    event.attempt = field_or(body, "attempt", std::uint64_t{0});
+    event.sequence = field_or(body, "sequence", std::uint64_t{0});
+    event.text = field_or<std::string>(body, "text", "");
+    event.last = field_or(body, "last", false);
+    event.prompt_tokens = field_or(body, "prompt_tokens", std::uint64_t{0});
+    event.output_tokens = field_or(body, "output_tokens", std::uint64_t{0});
     return event;
 }
 } // namespace
@@ -174,12 +175,12 @@
         return leaf::new_error(message_failure{"load report", "not a JSON object"});
     }
     load_report load;
-    load.running = body.value("running", std::int64_t{0});
-    load.waiting = body.value("waiting", std::int64_t{0});
-    load.prefill_tokens = body.value("prefill_tokens", std::int64_t{0});
-    load.lag_ms = body.value("lag_ms", std::uint64_t{0});
-    load.leaving = body.value("leaving", false);
-    auto const role = body.value("role", "mixed");
+    load.running = field_or(body, "running", std::int64_t{0});
+    load.waiting = field_or(body, "waiting", std::int64_t{0});
+    load.prefill_tokens = field_or(body, "prefill_tokens", std::int64_t{0});
+    load.lag_ms = field_or(body, "lag_ms", std::uint64_t{0});
+    load.leaving = field_or(body, "leaving", false);
+    auto const role = field_or<std::string>(body, "role", "mixed");
     load.role = role == "prefill"  ? engine_role::prefill
                 : role == "decode" ? engine_role::decode
                                    : engine_role::mixed;
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http_platform.hpp"
 
 #include "adapters/http_exchange.hpp"
+#include "adapters/json_fields.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -82,13 +83,13 @@
 {
 backend_server parse_backend_server(json const& entry)
 {
-    return {.id = entry.value("id", ""),
-            .host = entry.value("host", ""),
-            .port = entry.value("port", 0),
-            .data_centre = entry.value("data_centre", ""),
-            .group = entry.value("group", ""),
-            .cheap = entry.value("cheap", false),
-            .leaving = entry.value("state", "live") != "live"};
+    return {.id = field_or<std::string>(entry, "id", ""),
+            .host = field_or<std::string>(entry, "host", ""),
+            .port = field_or(entry, "port", 0),
+            .data_centre = field_or<std::string>(entry, "data_centre", ""),
+            .group = field_or<std::string>(entry, "group", ""),
+            .cheap = field_or(entry, "cheap", false),
+            .leaving = field_or<std::string>(entry, "state", "live") != "live"};
 }
 } // namespace
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -135,10 +135,10 @@
 constexpr int ms_per_s = 1000;
 
 /// Accepted sockets inherit these from the listening one. A caller that vanishes without
-/// FIN acknowledges nothing: TCP_USER_TIMEOUT ends its connection. One that lives but
-/// reads nothing keeps acknowledging: the write timeout ends it, and the bounded buffer
-/// makes that timeout start after 128 KB and not after the megabytes that the kernel
-/// would grow it to, for each of hundreds of connections.
+/// FIN acknowledges nothing, and one that lives but reads nothing keeps its window shut:
+/// TCP_USER_TIMEOUT ends both, and the write timeout the second where the kernel does
+/// not. The bounded buffer makes them start after 128 KB and not after the megabytes that
+/// the kernel would grow it to, for each of hundreds of connections.
 void set_socket_options(int socket, millis silence)
 {
     int const          on = 1;
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -86,6 +86,7 @@
     wire::peer_message drains_message() const;
     void               run_duties();
     void               run_usage();
+    void               pause(millis duration) const;
     void               run_beats();
     void               start();
 };
@@ -246,12 +247,22 @@
     }
 }
 
+/// Ends early when a drain ends the duties, which must not wait out a long interval.
+void node::parts::pause(millis duration) const
+{
+    auto const until = boot_clock::now() + duration;
+    while (!stopping && !duties_over && boot_clock::now() < until)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
+}
+
 void node::parts::run_usage()
 {
     while (!stopping && !duties_over)
     {
         usage.flush(flush_timeout);
-        std::this_thread::sleep_for(millis{options.usage_flush_ms});
+        pause(millis{options.usage_flush_ms});
     }
 }
 
@@ -309,30 +320,36 @@
     return parts_->drain_wanted;
 }
 
-void node::drain()
+bool node::drain()
 {
     auto const until = boot_clock::now() + millis{parts_->options.drain_ms};
+    auto const wait_for = [until](auto const& condition)
+    {
+        bool done = condition();
+        while (!done && boot_clock::now() < until)
+        {
+            std::this_thread::sleep_for(drain_poll);
+            done = condition();
+        }
+        return done;
+    };
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
     // The balancer learns of it late and goes on sending for a while: refusing at once
     // would show callers a planned stop.
     std::this_thread::sleep_for(millis{parts_->options.drain_notice_ms});
     parts_->callers.refuse_new();
-    while (parts_->callers.inflight() > 0 && boot_clock::now() < until)
-    {
-        std::this_thread::sleep_for(drain_poll);
-    }
+    bool const served = wait_for([this] { return parts_->callers.inflight() == 0; });
     // The recorder and the keeper are each used by one thread: two flushes at once would
     // drop a batch that only one of them had appended.
     parts_->duties_over = true;
     parts_->usage_thread.join();
     parts_->duty_thread.join();
-    while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
-    {
-        std::this_thread::sleep_for(drain_poll);
-    }
+    bool const billed = wait_for([this] { return parts_->usage.flush(flush_timeout); });
     parts_->reporter_lease.release();
-    log_info(log_part::node, "Drained.");
+    log_info(log_part::node,
+             served && billed ? "Drained." : "Stopped before it drained.");
+    return served && billed;
 }
 
 } // namespace marigoldcrank
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -25,7 +25,8 @@
 
     /// Graceful shutdown: tells the balancer, finishes what is in progress, hands usage
     /// and duties over. Returns when nothing is left, or after drain_ms.
-    void drain();
+    /// False if something was still in progress or some usage not yet in the log then.
+    bool drain();
 
     /// True once an operator asked for a graceful shutdown.
     bool drain_requested() const noexcept;
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -37,10 +37,11 @@
 
 void server_directory::replace(std::vector<backend_server> const& servers)
 {
-    std::set<std::string> listed;
+    // By group too: a server that changed its group must not stay in the old one.
+    std::set<std::pair<std::string, std::string>> listed;
     for (auto const& server : servers)
     {
-        listed.insert(server.id);
+        listed.insert({server.group, server.id});
         auto&                 own = shard_of(server.group);
         std::lock_guard const lock(own.mutex);
         own.groups[server.group][server.id].server = server;
@@ -50,8 +51,10 @@
         std::lock_guard const lock(own.mutex);
         for (auto& [name, members] : own.groups)
         {
-            std::erase_if(members, [&](auto const& member)
-                          { return listed.count(member.first) == 0; });
+            std::erase_if(members,
+                          [&](auto const& member) {
+                              return listed.count({name, member.first}) == 0;
+                          });
         }
     }
 }
--- a/tests/failure/drains_test.cpp
+++ b/tests/failure/drains_test.cpp
@@ -62,8 +62,14 @@
     model_question const question{.tokens = 200};
     caller_group         load(system, {0}, 12, question);
     ASSERT_TRUE(eventually([&] { return load.answered() >= 12; }));
+    // Outlasts the notice, so that the node refuses for a while before it goes.
+    model_question const longest{.tokens = 3000};
+    std::thread          long_call(
+        [&] { EXPECT_TRUE(call_model(system, 0, longest).whole(longest)); });
+    ASSERT_TRUE(eventually(
+        [&] { return system.admin(0, "/admin/status").value("inflight", 0) > 12; }));
     system.node(0).signal(SIGTERM);
-    ASSERT_TRUE(eventually([&] { return ready_status(system, 0) == 503; }));
+    EXPECT_TRUE(eventually([&] { return ready_status(system, 0) == 503; }));
     auto const late = call_model(system, 0, question);
     EXPECT_TRUE(late.whole(question));
     EXPECT_EQ(late.connection, "close");
@@ -76,8 +82,9 @@
         });
     EXPECT_TRUE(refused);
     EXPECT_EQ(last.fate, "not_run");
+    long_call.join();
     EXPECT_EQ(system.node(0).wait(20000), 0);
-    std::uint64_t tokens = 0;
+    std::uint64_t tokens = 3000;
     for (auto const& answer : load.stop())
     {
         bool const gone = answer.status == 0 && answer.text.empty();
@@ -112,6 +119,46 @@
     }
 }
 
+// The operators' tool says the same by its exit code, and a wrong word changes nothing.
+TEST(drains, by_the_operators_tool)
+{
+    fleet      system;
+    auto const run = [&](std::vector<std::string> const& words)
+    {
+        std::vector<std::string> command{
+            std::string{MARIGOLDCRANK_BINARIES} + "/marigoldcrank",
+            "--node=127.0.0.1:" + std::to_string(system.node_port(0)),
+            "--operator-key=" + system.operator_key()};
+        command.insert(command.end(), words.begin(), words.end());
+        return child_process(command).wait(10000);
+    };
+    EXPECT_EQ(run({"drain", "server", "engine-0"}), 0);
+    EXPECT_TRUE(leaving_everywhere(system, "engine-0", true));
+    EXPECT_EQ(run({"undrain", "server", "engine-0"}), 0);
+    EXPECT_TRUE(leaving_everywhere(system, "engine-0", false));
+    EXPECT_EQ(run({"drain", "region", "north"}), 2);
+    EXPECT_TRUE(system.node(0).running());
+}
+
+// An entry VM is stopped while the platform is out, and its last tokens are in no bill.
+// It waits for the log as long as it may, and says so if that was too short.
+TEST(drains, wait_for_the_log_and_tell_when_usage_is_left)
+{
+    fleet_options options;
+    options.node_settings["usage_flush_ms"] = "60000";
+    options.node_settings["drain_ms"] = "3000";
+    fleet                system(options);
+    model_question const question;
+    EXPECT_TRUE(call_model(system, 0, question).whole(question));
+    EXPECT_TRUE(call_model(system, 1, question).whole(question));
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"from", "node-0"}});
+    system.node(0).signal(SIGTERM);
+    system.node(1).signal(SIGTERM);
+    EXPECT_EQ(system.node(1).wait(80000), 0);
+    EXPECT_EQ(system.node(0).wait(80000), 1);
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == 8; }));
+}
+
 // A data centre is emptied for maintenance, the platform goes down, and a node that is
 // replaced meanwhile sends work there: it could not read of the drain in the log. Its
 // peers tell it.
