--- a/bench/soak/soak.cpp
+++ b/bench/soak/soak.cpp
@@ -17,7 +17,8 @@
 
 using namespace marigoldcrank;
 
-constexpr int exit_usage = 2;
+constexpr int         exit_usage = 2;
+constexpr std::size_t spare_keys = 12;
 
 // 1. Command line
 
@@ -58,13 +59,14 @@
 
 /// Entry VMs, engines and services as both users run them; the engines from 6 on are
 /// cheap and go a zone at a time.
-tests::fleet_options fleet_of_nine()
+tests::fleet_options fleet_of_nine(soak::soak_keys const& keys)
 {
     tests::fleet_options result;
     result.nodes = 9;
     result.engines = 12;
     result.services = 3;
     result.relayed = true;
+    result.rules = keys.rules();
     result.node_settings["drain_notice_ms"] = "1500";
     return result;
 }
@@ -87,6 +89,7 @@
     line("soak_doubled", result.doubled, "requests");
     line("soak_wrong", result.wrong, "requests");
     line("soak_false_not_run", result.false_not_run, "requests");
+    line("soak_withdrawn_key_worked", result.withdrawn_worked, "requests");
     line("soak_cut_by_planned", result.cut_by_planned, "requests");
     line("soak_unbilled", result.unbilled_tokens, "tokens");
     line("soak_overbilled", result.overbilled_tokens, "tokens");
@@ -101,14 +104,15 @@
     auto const wanted = parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     std::cout << "soak_seed " << wanted.seed << " seed" << std::endl;
-    tests::fleet      system(fleet_of_nine());
-    soak::soak_load   load(system, wanted.seed);
-    soak::soak_faults faults(system, wanted.seed);
+    soak::soak_keys   keys(spare_keys);
+    tests::fleet      system(fleet_of_nine(keys));
+    soak::soak_load   load(system, keys, wanted.seed);
+    soak::soak_faults faults(system, keys, wanted.seed);
     auto const        until =
         boot_clock::now() + millis{static_cast<std::int64_t>(wanted.minutes * 60'000)};
     auto const episodes = faults.run(until);
     auto const calls = load.stop();
-    auto const result = soak::audit(system, calls, episodes);
+    auto const result = soak::audit(system, keys, calls, episodes);
     print(result, calls.size(), episodes.size());
     return result.faults() == 0 ? 0 : 1;
 }
--- a/bench/soak/soak_audit.cpp
+++ b/bench/soak/soak_audit.cpp
@@ -21,6 +21,7 @@
 constexpr int    engine_count = 12;
 constexpr int    service_count = 3;
 constexpr millis late_windows{3000};
+constexpr millis withdrawal_time{5000}; // "within seconds"
 
 // 1. Stand-ins
 
@@ -99,6 +100,20 @@
     }
 }
 
+void check_keys(std::vector<call_record> const& calls, soak_keys const& keys,
+                audit_result& result)
+{
+    for (auto const& call : calls)
+    {
+        bool const withdrawn =
+            call.key >= 0 && keys.withdrawn_before(static_cast<std::size_t>(call.key),
+                                                   call.begun, withdrawal_time);
+        bool const refused = call.outcome == call_outcome::not_run ||
+                             call.outcome == call_outcome::lost_caller;
+        result.withdrawn_worked += withdrawn && !refused ? 1 : 0;
+    }
+}
+
 // 3. Planned changes
 
 /// A call without a whole answer or a true refusal needs a fault as its reason. A fault
@@ -175,16 +190,18 @@
 
 std::uint64_t audit_result::faults() const
 {
-    return lost + doubled + wrong + false_not_run + cut_by_planned + unbilled_tokens +
-           overbilled_tokens;
+    return lost + doubled + wrong + false_not_run + withdrawn_worked + cut_by_planned +
+           unbilled_tokens + overbilled_tokens;
 }
 
-audit_result audit(tests::fleet const& system, std::vector<call_record> const& calls,
-                   std::vector<episode> const& episodes)
+audit_result audit(tests::fleet const& system, soak_keys const& keys,
+                   std::vector<call_record> const& calls,
+                   std::vector<episode> const&     episodes)
 {
     audit_result result;
     check_marks(calls, marks_at_engines(system), result);
     check_orders(calls, runs_at_services(system), result);
+    check_keys(calls, keys, result);
     check_planned(calls, episodes, result);
     check_bills(system, calls, result);
     return result;
--- a/bench/soak/soak_faults.cpp
+++ b/bench/soak/soak_faults.cpp
@@ -34,8 +34,8 @@
 }
 } // namespace
 
-soak_faults::soak_faults(tests::fleet& system, std::uint64_t seed)
-    : system_(system), source_(seed)
+soak_faults::soak_faults(tests::fleet& system, soak_keys& keys, std::uint64_t seed)
+    : system_(system), keys_(keys), source_(seed)
 {
 }
 
@@ -287,7 +287,7 @@
     int const  node = pick(node_count);
     int const  engine = pick(engine_count);
     auto const centre = "dc-" + std::to_string(pick(data_centres) + 1);
-    switch (pick(4))
+    switch (pick(5))
     {
     case 0:
         return {"entry VM drained and replaced", true,
@@ -311,6 +311,8 @@
                 {
                     drain("data_centre", centre, false);
                 }};
+    case 3:
+        return withdrawn_key();
     default:
         return leaving_engine();
     }
@@ -336,6 +338,31 @@
             }};
 }
 
+/// The last key stays, so that spare keys work to the end.
+soak_faults::fault soak_faults::withdrawn_key()
+{
+    return {"key withdrawn", true,
+            [this]
+            {
+                if (next_key_ + 1 == keys_.count())
+                {
+                    return;
+                }
+                auto const key = next_key_++;
+                tests::eventually(
+                    [&]
+                    {
+                        auto const answer =
+                            system_.admin_post(pick(node_count), "/admin/keys/withdraw",
+                                               {{"key_id", keys_.id(key)}});
+                        return answer.value("outcome", "") == "withdrawn";
+                    });
+                keys_.note_withdrawn(key);
+            },
+            [] {
+            }};
+}
+
 void soak_faults::drain(char const* scope, std::string const& name, bool drained)
 {
     auto const accepted = [&]
--- a/bench/soak/soak_faults.hpp
+++ b/bench/soak/soak_faults.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_BENCH_SOAK_FAULTS_HPP
 
 #include "domain/boot_clock.hpp"
+#include "soak_keys.hpp"
 #include "support/node_process.hpp"
 
 #include <cstdint>
@@ -29,7 +30,7 @@
 class soak_faults
 {
 public:
-    soak_faults(tests::fleet& system, std::uint64_t seed);
+    soak_faults(tests::fleet& system, soak_keys& keys, std::uint64_t seed);
 
     /// Until this time; every fault is mended when it returns.
     std::vector<episode> run(boot_clock::time_point until);
@@ -51,6 +52,7 @@
     fault platform_fault();
     fault planned();
     fault leaving_engine();
+    fault withdrawn_key();
     fault reclaimed_zone();
     void  start_node(int node);
     void  start_engine(int engine);
@@ -58,6 +60,8 @@
     void  drain(char const* scope, std::string const& name, bool drained);
 
     tests::fleet&   system_;
+    soak_keys&      keys_;
+    std::size_t     next_key_ = 0;
     std::mt19937_64 source_;
 };
 
--- a/bench/soak/soak_load.cpp
+++ b/bench/soak/soak_load.cpp
@@ -15,7 +15,8 @@
 
 constexpr int    model_callers = 16;
 constexpr int    order_callers = 6;
-constexpr int    patience_s = 45; // beyond the deadline and all pauses
+constexpr int    patience_s = 45;     // beyond the deadline and all pauses
+constexpr int    spare_key_share = 4; // one call in so many uses one
 constexpr millis readiness_every{300};
 constexpr millis thinking{20};
 constexpr millis order_thinking{60};
@@ -23,7 +24,9 @@
 
 // 1. Threads
 
-soak_load::soak_load(tests::fleet const& system, std::uint64_t seed) : system_(system)
+soak_load::soak_load(tests::fleet const& system, soak_keys const& keys,
+                     std::uint64_t seed)
+    : system_(system), keys_(keys)
 {
     for (auto& ready : ready_)
     {
@@ -123,6 +126,11 @@
         question.prompt += std::string(2000 + source() % 4000, 'x');
         question.tokens = source() % 5 == 0 ? 300 : 10;
     }
+    if (sportdag && source() % spare_key_share == 0)
+    {
+        record.key = static_cast<int>(source() % keys_.count());
+        question.key = keys_.bearer(static_cast<std::size_t>(record.key));
+    }
     record.node = pick_node(source);
     record.tokens = static_cast<std::uint64_t>(question.tokens);
     record.begun = boot_clock::now();
--- a/bench/soak/soak_load.hpp
+++ b/bench/soak/soak_load.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_BENCH_SOAK_LOAD_HPP
 
 #include "domain/boot_clock.hpp"
+#include "soak_keys.hpp"
 #include "support/model_caller.hpp"
 
 #include <array>
@@ -42,6 +43,7 @@
     bool                   order = false; // may not be repeated
     call_outcome           outcome = call_outcome::hung;
     std::uint64_t          tokens = 0; // asked for
+    int                    key = -1;   // of soak_keys; -1 for the workspace's own
     boot_clock::time_point begun{};
     boot_clock::time_point ended{};
 };
@@ -50,7 +52,7 @@
 class soak_load
 {
 public:
-    soak_load(tests::fleet const& system, std::uint64_t seed);
+    soak_load(tests::fleet const& system, soak_keys const& keys, std::uint64_t seed);
     ~soak_load();
 
     std::vector<call_record> stop();
@@ -69,6 +71,7 @@
     void        keep(call_record record);
 
     tests::fleet const&                       system_;
+    soak_keys const&                          keys_;
     std::atomic<bool>                         over_{false};
     std::array<std::atomic<bool>, node_count> ready_{};
     std::atomic<std::uint64_t>                next_{0};
--- a/tests/support/model_caller.cpp
+++ b/tests/support/model_caller.cpp
@@ -85,7 +85,8 @@
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
-    request.headers = {{"Authorization", "Bearer " + system.key(question.workspace)},
+    auto const key = question.key.empty() ? system.key(question.workspace) : question.key;
+    request.headers = {{"Authorization", "Bearer " + key},
                        {"Content-Type", "application/json"}};
     request.body = json{{"model", "wording"},
                         {"messages", messages_of(question)},
--- a/tests/support/model_caller.hpp
+++ b/tests/support/model_caller.hpp
@@ -20,6 +20,7 @@
 struct model_question
 {
     std::string workspace = "north";
+    std::string key; // "": the workspace's own
     std::string prompt = "a line for Noor";
     int         tokens = 8;
     bool        stream = true;
--- a/tests/unit/server_directory_test.cpp
+++ b/tests/unit/server_directory_test.cpp
@@ -36,5 +36,28 @@
     EXPECT_FALSE(directory.all()[0].leaving);
 }
 
+// A frozen engine's last report fades until it looks idle and draws every request of the
+// moment, each of which then waits out the silence.
+TEST(server_directory, a_server_without_reports_is_the_last_choice)
+{
+    server_directory     directory;
+    backend_server const frozen{.id = "frozen", .group = "wording"};
+    backend_server const busy{.id = "busy", .group = "wording"};
+    directory.replace({frozen, busy});
+    auto const now = boot_clock::now();
+    directory.report(frozen, {.read_at = now});
+    directory.report(busy, {.running = 20, .prefill_tokens = 2000, .read_at = now});
+    auto const chosen = [&]
+    {
+        return choose_server(directory.group("wording"), {.group = "wording"}, now)
+            .chosen->id;
+    };
+    EXPECT_EQ(chosen(), "frozen");
+    directory.missed_report(frozen);
+    EXPECT_EQ(chosen(), "busy");
+    directory.report(frozen, {.read_at = now});
+    EXPECT_EQ(chosen(), "frozen");
+}
+
 } // namespace
 } // namespace marigoldcrank
