--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
 #include "app/log_follower.hpp"
+#include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
 #include "app/server_poller.hpp"
 #include "app/usage_recorder.hpp"
@@ -70,6 +71,7 @@
     operator_front<http_platform, zmq_peers>     operators;
     log_follower<http_platform>                  follower;
     server_poller<http_platform, http_backend>   poller;
+    node_duties                                  duties;
     httplib::Server                              server;
     bool                                         bound = false;
     std::thread                                  server_thread;
@@ -88,6 +90,7 @@
     void               run_usage();
     void               pause(millis duration) const;
     void               run_beats();
+    void               watch_traffic();
     void               start();
 };
 
@@ -115,7 +118,8 @@
           [this] { drain_wanted = true; }, [this] { return callers.inflight(); }),
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory,
-             {millis{options.list_every_ms}, millis{options.load_every_ms}})
+             {millis{options.list_every_ms}, millis{options.load_every_ms}}),
+      duties(options, holder, terms(), writer, store, platform, backend, directory)
 {
 }
 
@@ -268,8 +272,19 @@
 
 // 4. Life cycle
 
+void node::parts::watch_traffic()
+{
+    counters.watch("peer_bytes_total", "direction=\"sent\"",
+                   [this] { return peers.bytes_sent(); });
+    counters.watch("peer_bytes_total", "direction=\"received\"",
+                   [this] { return peers.bytes_received(); });
+    counters.watch("peer_malformed_total", "", [this] { return peers.malformed(); });
+    counters.watch("platform_bytes_total", "", [this] { return platform.bytes(); });
+}
+
 void node::parts::start()
 {
+    watch_traffic();
     configure(server,
               {count_of(options.http_threads), count_of(options.overflow_threads),
                count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
@@ -305,6 +320,7 @@
             thread->join();
         }
     }
+    parts_->duties.stop();
     parts_->poller.stop();
     parts_->follower.stop();
     parts_->peers.stop();
@@ -335,6 +351,7 @@
     };
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
+    parts_->duties.hand_over();
     // The balancer learns of it late and goes on sending for a while: refusing at once
     // would show callers a planned stop.
     std::this_thread::sleep_for(millis{parts_->options.drain_notice_ms});
--- a/src/app/server_directory.hpp
+++ b/src/app/server_directory.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     /// Takes a load report; unknown servers are ignored.
     void report(backend_server const& server, load_report const& load);
 
+    /// Servers that routing leaves out because an open order will take them out of
+    /// service; all others are in again.
+    void set_draining(std::set<std::string> const& servers);
+
     /// A load report did not come.
     void missed_report(backend_server const& server);
 
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -8,6 +8,7 @@
 #include "ledger/configuration_fold.hpp"
 #include "ledger/drain_fold.hpp"
 #include "ledger/lease_fold.hpp"
+#include "ledger/order_fold.hpp"
 #include "ledger/usage_fold.hpp"
 
 #include <cstdint>
@@ -46,6 +47,7 @@
     drain_fold const&         drains() const noexcept;
     drain_fold&               drains() noexcept; // peers' lists
     usage_fold const&         usage() const noexcept;
+    order_fold const&         orders() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -58,6 +60,7 @@
     configuration_fold config_;
     drain_fold         drains_;
     usage_fold         usage_;
+    order_fold         orders_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
 };
