--- a/src/adapters/lease_timer.cpp
+++ b/src/adapters/lease_timer.cpp
@@ -32,7 +32,7 @@
     {
         sockaddr nowhere{};
         nowhere.sa_family = AF_UNSPEC;
-        ::connect(guarded_socket, &nowhere, sizeof nowhere);
+        (void)::connect(guarded_socket, &nowhere, sizeof nowhere);
     }
     errno = saved;
 }
--- a/tests/failure/orders_roles_test.cpp
+++ b/tests/failure/orders_roles_test.cpp
@@ -1,11 +1,11 @@
 // Changes of role over processes; the truth is what the engines received and generated.
 #include "support/order_checks.hpp"
+#include "support/steady_callers.hpp"
 
 #include <httplib.h>
 
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <csignal>
 #include <thread>
 
@@ -20,7 +20,7 @@
     "[roles]\n; asked for by the tests\nwording = prefill=1\n";
 constexpr char const* no_prefill_engine =
     "[roles]\n; asked for by the tests\nwording = prefill=0\n";
-constexpr int tokens_asked = 150;
+constexpr int tokens_asked = steady_callers::tokens_asked;
 
 /// Engines in dc-1 and dc-2; nodes 0 and 3 stand in dc-1, nodes 1 and 4 in dc-2.
 fleet_options two_data_centres(bool checks_fencing = true)
@@ -52,65 +52,6 @@
     return is_prefill(system.engine_port(0)) && is_prefill(system.engine_port(1));
 }
 
-/// Callers that stream one answer after another until the object goes.
-class steady_callers
-{
-public:
-    explicit steady_callers(fleet const& system)
-    {
-        for (int node = 0; node < 3; ++node)
-        {
-            threads_.emplace_back([this, &system, node] { run(system, node); });
-        }
-    }
-
-    ~steady_callers()
-    {
-        stop();
-    }
-
-    void stop()
-    {
-        stopping_ = true;
-        for (auto& thread : threads_)
-        {
-            thread.join();
-        }
-        threads_.clear();
-    }
-
-    std::atomic<int> whole{0};
-    std::atomic<int> broken{0};
-
-private:
-    void run(fleet const& system, int node)
-    {
-        json const body = {{"model", "wording"},
-                           {"messages", json::array({{{"role", "user"},
-                                                      {"content", "a line for Noor"}}})},
-                           {"max_tokens", tokens_asked},
-                           {"stream", true}};
-        while (!stopping_)
-        {
-            httplib::Client client("127.0.0.1", system.node_port(node));
-            client.set_read_timeout(30);
-            auto const answer =
-                client.Post("/v1/chat/completions",
-                            {{"Authorization", "Bearer " + system.key("north")}},
-                            body.dump(), "application/json");
-            bool const complete =
-                answer && answer->status == 200 &&
-                answer->body.find("data: [DONE]") != std::string::npos &&
-                answer->body.find("\"completion_tokens\":" +
-                                  std::to_string(tokens_asked)) != std::string::npos;
-            ++(complete ? whole : broken);
-        }
-    }
-
-    std::atomic<bool>        stopping_{false};
-    std::vector<std::thread> threads_;
-};
-
 /// Streams that an engine ended before their end, by its own account.
 int cut_streams(fleet const& system, int engine)
 {
@@ -201,6 +142,7 @@
     system.node(killed).signal(SIGKILL);
     EXPECT_TRUE(eventually([&] { return is_prefill(system.engine_port(0)); }, 60'000));
     auto const orders = orders_at(system, system.engine_port(0), "order");
+    ASSERT_FALSE(orders.empty());
     EXPECT_TRUE(one_holder_at_a_time(orders));
     EXPECT_EQ(orders.back().from, killed == 0 ? "node-3" : "node-0");
 }
@@ -234,6 +176,7 @@
     system.node(paused).signal(SIGCONT);
     std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
     auto const orders = orders_at(system, port, "order");
+    ASSERT_FALSE(orders.empty());
     EXPECT_TRUE(one_holder_at_a_time(orders));
     EXPECT_EQ(orders.back().from, paused == 0 ? "node-3" : "node-0");
     EXPECT_TRUE(is_in_role(port, "mixed"));
--- a/tests/failure/orders_vms_test.cpp
+++ b/tests/failure/orders_vms_test.cpp
@@ -1,9 +1,11 @@
 // Orders of backend servers over processes; the truth is what the platform received.
 #include "support/order_checks.hpp"
+#include "support/steady_callers.hpp"
 
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <set>
 #include <thread>
 
 namespace marigoldcrank::tests
@@ -144,6 +146,51 @@
     expect_three_and_no_more(system);
 }
 
+std::int64_t running_at(int port)
+{
+    httplib::Client client("127.0.0.1", port);
+    auto const      answer = client.Get("/load");
+    return json::parse(answer->body)["running"].get<std::int64_t>();
+}
+
+/// Story: there is one server too many in each data centre. The platform takes those away
+/// that it is told to, at once; answers that stream from them would be cut. The answer to
+/// the first dismissal is lost, and another server would be dismissed in its place.
+TEST(orders_vms, only_the_surplus_is_dismissed_and_only_when_it_is_idle)
+{
+    auto options = three_data_centres();
+    options.engines = 6;
+    options.engine_settings = {{"load_lag_ms", "0"}};
+    fleet system(options);
+    system.fault(system.platform_port(),
+                 {{"kind", "drop_answer"}, {"path", "/vms/order"}, {"count", 1}});
+    steady_callers callers(system);
+    ASSERT_TRUE(eventually([&] { return callers.whole >= 6; }));
+    ASSERT_TRUE(apply_lines(
+        system, "[groups]\n; asked for by the tests\nwording = least=1 most=1\n",
+        "second"));
+    std::set<std::string> gone;
+    auto const            look = [&]
+    {
+        for (auto const& machine : true_machines(system))
+        {
+            bool const leaving = machine["state"] == "leaving";
+            if (leaving && gone.insert(machine["id"]).second)
+            {
+                EXPECT_EQ(running_at(machine["port"]), 0) << machine["id"];
+            }
+        }
+        return gone.size() >= 3;
+    };
+    EXPECT_TRUE(eventually(look, 60'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    look();
+    callers.stop();
+    EXPECT_EQ(gone, (std::set<std::string>{"engine-3", "engine-4", "engine-5"}));
+    EXPECT_EQ(callers.broken, 0);
+    EXPECT_EQ(bought(system), 0U);
+}
+
 /// Story: the log is out for longer than a lease while VMs are missing. Nobody is in
 /// charge then, so nothing may be ordered, and after the outage nothing twice.
 TEST(orders_vms, nothing_is_ordered_without_the_log)
