--- a/tests/failure/orders_vms_test.cpp
+++ b/tests/failure/orders_vms_test.cpp
@@ -209,6 +209,42 @@
     expect_three_and_no_more(system);
 }
 
+/// Story: the platform takes longer for each append than a node waits between renewals.
+/// Intents and outcomes come late, leases are close to their end, and the same need is
+/// seen at many looks.
+TEST(orders_vms, a_slow_log_buys_nothing_twice)
+{
+    fleet system(three_data_centres());
+    system.fault(system.platform_port(), {{"kind", "slow"},
+                                          {"path", "/log/append"},
+                                          {"for_ms", 500},
+                                          {"count", 1'000'000}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    expect_three_and_no_more(system);
+}
+
+/// Story: the orderer alone is cut off from the platform after its first intent, while
+/// its peers still reach it. A successor takes the duty; the cut ends and the first one
+/// goes on where it was.
+TEST(orders_vms, an_orderer_cut_off_from_the_platform_is_replaced_and_buys_nothing)
+{
+    fleet system(three_data_centres());
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    ASSERT_TRUE(eventually([&] { return !intents(system).empty(); }));
+    auto const cut = intents(system)[0]["from"].get<std::string>();
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"from", cut}});
+    auto const asked = other_than(std::stoi(cut.substr(5)));
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const holder = holder_of(system, "orderer", asked);
+            return holder >= 0 && "node-" + std::to_string(holder) != cut;
+        }));
+    EXPECT_TRUE(eventually([&] { return bought(system) >= 3; }, 60'000));
+    system.fault(system.platform_port(), {{"kind", "none"}});
+    expect_three_and_no_more(system);
+}
+
 /// Story: the appends of three intents are given up on, others take their place and the
 /// VMs are bought; then the first three take effect, under a lease that still runs. They
 /// look like any other intent, and their holder sends what nobody needs any more.
