--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,6 +6,7 @@
 #include "adapters/http_backend.hpp"
 #include "adapters/http_platform.hpp"
 #include "adapters/logging.hpp"
+#include "adapters/order_socket.hpp"
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
@@ -28,9 +29,11 @@
 namespace
 {
 constexpr std::size_t incarnation_digits = 12;
+constexpr std::size_t largest_report = 16'777'216; // bytes; some 100,000 figures
 constexpr millis      duty_pause{50};
 constexpr millis      flush_timeout{2000};
 constexpr millis      drain_poll{20};
+constexpr millis      book_pause{100};
 
 std::vector<peer_address> peers_of(settings const& options)
 {
@@ -68,13 +71,17 @@
     usage_custody                                custody;
     zmq_peers                                    peers;
     usage_recorder<http_platform, zmq_peers>     usage;
+    order_socket                                 reports;
     lease_keeper<http_platform>                  reporter_lease;
-    usage_reporter<http_platform, http_platform> reporter;
+    usage_reporter<http_platform, order_socket>  reporter;
     lease_keeper<http_platform>                  keeper_lease;
     snapshot_keeper<http_platform>               keeper;
+    poison_guard                                 poison;
     worker_pool                                  workers;
+    call_book<http_platform>                     book;
     request_path<http_backend>                   path;
-    caller_front<http_backend>                   callers;
+    service_path<http_backend, http_platform>    services;
+    caller_front<http_backend, http_platform>    callers;
     operator_front<http_platform, zmq_peers>     operators;
     log_follower<http_platform>                  follower;
     server_poller<http_platform, http_backend>   poller;
@@ -86,10 +93,14 @@
     std::thread                                  usage_thread;
     std::thread                                  beat_thread;
     std::thread                                  keeper_thread;
-
-    lease_terms        terms() const;
-    wire::peer_message message() const;
-    void               pass_on_access();
+    std::thread                                  book_thread;
+
+    lease_terms                            terms() const;
+    std::function<void(wire::usage_delta)> usage_sink();
+    void                                   pass_on(wire::peer_message& news);
+    void                                   run_book();
+    wire::peer_message                     message() const;
+    void                                   pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     void               take_handoff(wire::peer_message const& message);
@@ -118,24 +129,32 @@
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
             {options.name, incarnation, millis{options.handoff_ms}}),
+      reports(
+          millis{options.platform_timeout_ms}, options.name, [] {}, largest_report),
       reporter_lease(writer, store, "reporter", holder, terms()),
-      reporter(writer, store, platform, reporter_lease, holder,
-               millis{options.window_ms}),
+      reporter(writer, store, reports, reporter_lease,
+               {holder, millis{options.window_ms}, millis{options.order_margin_ms},
+                options.platform_host, static_cast<int>(options.platform_port)}),
       keeper_lease(writer, store, "keeper", holder, terms()),
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
       workers(count_of(options.http_threads)),
-      path(backend, directory, spans, counters, workers,
-           [this](wire::usage_delta delta)
-           {
-               if (!usage.add(std::move(delta)))
-               {
-                   counters.add("usage_unshared_total");
-               }
-           },
-           {options.data_centre, options.max_attempts}),
-      callers(path, store, spans, counters, millis{options.deadline_ms}),
+      book(writer, store, holder,
+           [this](std::string const& owner)
+           { return roster.alive(owner, boot_clock::now()); },
+           {.claim_wait = millis{options.claim_wait_ms},
+            .kept_body = count_of(options.kept_body_bytes)}),
+      path(backend, directory, spans, counters, workers, poison, usage_sink(),
+           {.data_centre = options.data_centre,
+            .max_attempts = options.max_attempts,
+            .retries = {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book, usage_sink(),
+                [this](std::string const& id) { return state_of_key(id); },
+                options.data_centre, options.max_attempts}),
+      callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(writer, store, spans, directory, peers, options.operator_key,
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
@@ -150,6 +169,17 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
+std::function<void(wire::usage_delta)> node::parts::usage_sink()
+{
+    return [this](wire::usage_delta delta)
+    {
+        if (!usage.add(std::move(delta)))
+        {
+            counters.add("usage_unshared_total");
+        }
+    };
+}
+
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -181,6 +211,13 @@
     return result;
 }
 
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
 wire::peer_message node::parts::beat_message() const
 {
     auto const access = store.access();
@@ -233,6 +270,12 @@
     case wire::peer_message::kHandoffAck:
         usage.acknowledged(message.from(), message.handoff_ack());
         break;
+    case wire::peer_message::kSuspect:
+        poison.take(message.suspect());
+        break;
+    case wire::peer_message::kSolo:
+        poison.take(message.from(), message.solo());
+        break;
     default:
         break;
     }
@@ -245,8 +288,17 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
-    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
-                                  beat.draining(), boot_clock::now()});
+    if (roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                      beat.draining(), boot_clock::now()}))
+    {
+        // It has just started and knows of no suspect; its callers may send one again.
+        for (auto& news : poison.all_suspects())
+        {
+            news.set_from(options.name);
+            news.set_incarnation(incarnation);
+            peers.send(message.from(), news);
+        }
+    }
     if (beat.config_revision() > access->revision())
     {
         auto wanted = this->message();
@@ -357,6 +409,16 @@
     return true;
 }
 
+/// Releases and results that the log has not taken yet.
+void node::parts::run_book()
+{
+    while (!stopping)
+    {
+        book.flush(flush_timeout);
+        std::this_thread::sleep_for(book_pause);
+    }
+}
+
 // 4. Life cycle
 
 void node::parts::watch_traffic()
@@ -389,6 +451,7 @@
     usage_thread = std::thread([this] { run_usage(); });
     beat_thread = std::thread([this] { run_beats(); });
     keeper_thread = std::thread([this] { run_keeper(); });
+    book_thread = std::thread([this] { run_book(); });
     log_info(log_part::node, "Started " + holder + " in " + options.data_centre + ".");
 }
 
@@ -403,7 +466,7 @@
     parts_->server.stop();
     for (auto* thread :
          {&parts_->server_thread, &parts_->duty_thread, &parts_->usage_thread,
-          &parts_->beat_thread, &parts_->keeper_thread})
+          &parts_->beat_thread, &parts_->keeper_thread, &parts_->book_thread})
     {
         if (thread->joinable())
         {
@@ -440,6 +503,11 @@
     while (
         !(parts_->usage.flush(flush_timeout) && parts_->settle_custody(millis::zero())) &&
         boot_clock::now() < until)
+        while (!parts_->book.flush(flush_timeout) && boot_clock::now() < until)
+        {
+            std::this_thread::sleep_for(drain_poll);
+        }
+    while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
--- a/src/app/peer_roster.hpp
+++ b/src/app/peer_roster.hpp
@@ -32,8 +32,9 @@
 public:
     peer_roster(std::string data_centre, millis dead_after);
 
-    /// Notes a heartbeat.
-    void heard(std::string const& name, peer_note const& note);
+    /// Notes a heartbeat. True if it is the first of this incarnation: a restarted peer
+    /// has the same name and nothing of what its earlier incarnation knew.
+    bool heard(std::string const& name, peer_note const& note);
 
     /// Notes that a peer did not answer: it goes last for a while.
     void failed(std::string const& name, boot_clock::time_point now);
@@ -42,6 +43,9 @@
     bool alive(std::string const& name, std::string const& incarnation,
                boot_clock::time_point now) const;
 
+    /// The same of `owner`, which is name and incarnation with a slash between.
+    bool alive(std::string const& owner, boot_clock::time_point now) const;
+
     /// Live peers that may keep something for this node, the best first: those that
     /// answered, then those in the same data centre, then by name. `turn` spreads the
     /// load over equals.
