--- a/bench/bench_spread.cpp
+++ b/bench/bench_spread.cpp
@@ -1,7 +1,7 @@
 // How soon a change of the rules is in force on nine nodes, and what control costs at
 // rest. Prints `name value unit` lines. Nodes run with the default timings.
 //
-// Index: 1 measuring, 2 spread, 3 rest, 4 main
+// Index: 1 measuring, 2 spread, 3 rest, 4 handoff, 5 main
 #include "domain/boot_clock.hpp"
 #include "domain/settings.hpp"
 #include "support/node_process.hpp"
@@ -162,15 +162,45 @@
            "bytes_per_s");
 }
 
+// 4. Handoff
+
+double metric(std::string const& exposition, std::string const& name)
+{
+    auto const place = exposition.find("\n" + name + " ");
+    return place == std::string::npos
+               ? 0
+               : std::strtod(exposition.c_str() + place + name.size() + 2, nullptr);
+}
+
+/// Mean time by which the handing over of usage holds up the end of an answer.
+void measure_handoff(fleet const& system)
+{
+    constexpr int   calls = 300;
+    httplib::Client client("127.0.0.1", system.node_port(1));
+    client.set_keep_alive(true);
+    for (int index = 0; index < calls; ++index)
+    {
+        client.Post(
+            "/v1/completions", {{"Authorization", "Bearer " + system.key("north")}},
+            R"({"model":"wording","prompt":"x","max_tokens":1})", "application/json");
+    }
+    auto const text = client.Get("/metrics")->body;
+    auto const name = std::string{"marigoldcrank_usage_handoff_seconds"};
+    report("usage_handoff_mean",
+           metric(text, name + "_sum") / metric(text, name + "_count") * 1000, "ms");
+    report("usage_handoff_count", metric(text, name + "_count"), "answers");
+}
+
 } // namespace
 
-// 4. main
+// 5. main
 
 int main()
 {
     fleet const system({.nodes = nodes, .node_settings = default_timings()});
     measure_spread(system, "in_force_on_nine_nodes");
     measure_rest(system);
+    measure_handoff(system);
     system.fault(system.platform_port(),
                  {{"kind", "outage"}, {"from", "node-0 node-3 node-6"}});
     measure_spread(system, "in_force_with_a_data_centre_cut_off");
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -135,7 +135,10 @@
       path(backend, directory, spans, counters, workers,
            [this](wire::usage_delta delta)
            {
-               if (!usage.add(std::move(delta)))
+               auto const begun = boot_clock::now();
+               bool const shared = usage.add(std::move(delta));
+               counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
+               if (!shared)
                {
                    counters.add("usage_unshared_total");
                }
--- a/tests/failure/configuration_test.cpp
+++ b/tests/failure/configuration_test.cpp
@@ -8,11 +8,15 @@
 
 #include <httplib.h>
 
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace marigoldcrank::tests
@@ -165,6 +169,46 @@
     EXPECT_EQ(history["revision"], revision);
 }
 
+/// Story: an operator does not know whose rules are in force. Order: one change is
+/// accepted, one loses the race; the tool is asked through another node.
+TEST(configuration, history_names_every_change_and_its_author)
+{
+    fleet      system;
+    auto const base = revision_of(system, 0);
+    ASSERT_EQ(system.apply(0, variant(system, 1), base, "won")["outcome"], "accepted");
+    ASSERT_EQ(system.apply(0, variant(system, 2), base, "lost")["outcome"], "conflict");
+    auto const output =
+        std::filesystem::temp_directory_path() / ("history-" + std::to_string(getpid()));
+    auto const ask = [&](std::vector<std::string> options)
+    {
+        std::filesystem::remove(output);
+        std::vector<std::string> command{
+            std::string{MARIGOLDCRANK_BINARIES} + "/marigoldcrank", "--node",
+            "127.0.0.1:" + std::to_string(system.node_port(2)), "--operator-key",
+            system.operator_key()};
+        command.insert(command.end(), options.begin(), options.end());
+        child_process tool(command, output.string());
+        EXPECT_EQ(tool.wait(10'000), 0);
+        std::ifstream file(output);
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    };
+    ASSERT_TRUE(eventually(
+        [&] { return system.admin(2, "/admin/history")["changes"].size() == 3; }));
+    auto const changes = json::parse(ask({"--json", "history"}))["changes"];
+    ASSERT_EQ(changes.size(), 3U);
+    EXPECT_EQ(changes[1]["change_id"], "won");
+    EXPECT_EQ(changes[1]["accepted"], true);
+    EXPECT_EQ(changes[1]["base_revision"], base);
+    EXPECT_EQ(changes[1]["author"], "tests");
+    EXPECT_GT(changes[1]["at_unix_ms"], 0);
+    EXPECT_EQ(changes[2]["change_id"], "lost");
+    EXPECT_EQ(changes[2]["accepted"], false);
+    auto const text = ask({"history"});
+    EXPECT_NE(text.find("conflict "), std::string::npos);
+    EXPECT_NE(text.find("tests, change won"), std::string::npos);
+    std::filesystem::remove(output);
+}
+
 // 4. Never back
 
 /// Story: rules that were replaced are in force again. Order: a node is paused, the rules
--- /dev/null
+++ b/tests/unit/key_state_test.cpp
@@ -0,0 +1,154 @@
+// A key that is withdrawn between admission and dispatch, with a fake backend server.
+#include "app/request_path.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+/// Generates three tokens; runs `between` after the first.
+class fake_backend
+{
+public:
+    leaf::result<void> stream(backend_server const&, engine_call const& call,
+                              event_sink const& sink)
+    {
+        ++dispatched;
+        for (std::uint64_t sequence = 0; sequence < 3; ++sequence)
+        {
+            if (!sink({call.request_id, call.attempt, sequence, "token"}))
+            {
+                return {};
+            }
+            between();
+        }
+        sink({call.request_id, call.attempt, 3, "", true, 1, 3});
+        return {};
+    }
+
+    leaf::result<service_answer> call(backend_server const&, service_call const&)
+    {
+        ++dispatched;
+        return service_answer{200, "", ""};
+    }
+
+    void cancel(backend_server const&, std::string const&)
+    {
+        ++cancelled;
+    }
+
+    leaf::result<load_report> load(backend_server const&)
+    {
+        return load_report{};
+    }
+
+    std::atomic<int>      dispatched{0};
+    std::atomic<int>      cancelled{0};
+    std::function<void()> between = [] {
+    };
+};
+
+/// One request path to one engine, and the state of the only key.
+struct path_under_test
+{
+    path_under_test()
+    {
+        directory.replace({{.id = "engine", .group = "group"}});
+        path.watch_keys([this](std::string const&) { return key.load(); });
+    }
+
+    answer_end run()
+    {
+        auto         stream = path.start({.request_id = "request",
+                                          .key_id = "key",
+                                          .group = "group",
+                                          .deadline = boot_clock::now() + millis{60000}});
+        answer_batch batch;
+        while (!batch.end)
+        {
+            batch = stream->take(millis{1000});
+        }
+        return *batch.end;
+    }
+
+    fake_backend               backend;
+    server_directory           directory;
+    span_store                 spans{"node", 16, ""};
+    metrics                    counters;
+    std::atomic<key_state>     key{key_state::good};
+    std::atomic<std::uint64_t> billed{0};
+    worker_pool                workers{1};
+    request_path<fake_backend> path{backend,
+                                    directory,
+                                    spans,
+                                    counters,
+                                    workers,
+                                    [this](wire::usage_delta const& delta) { billed += delta.output_tokens(); },
+                                    {}};
+};
+
+TEST(key_state, queued_work_of_a_withdrawn_key_is_refused_as_not_run)
+{
+    path_under_test test;
+    test.key = key_state::withdrawn;
+    auto const end = test.run();
+    ASSERT_TRUE(end.refused);
+    EXPECT_EQ(end.refused->cause, refusal_cause::key_withdrawn);
+    EXPECT_EQ(end.refused->fate, call_fate::not_run);
+    EXPECT_EQ(test.backend.dispatched, 0);
+    EXPECT_EQ(test.billed, 0U);
+}
+
+TEST(key_state, dispatched_work_of_a_withdrawn_key_finishes)
+{
+    path_under_test test;
+    test.backend.between = [&]
+    {
+        test.key = key_state::withdrawn;
+    };
+    auto const end = test.run();
+    EXPECT_FALSE(end.refused);
+    EXPECT_EQ(test.backend.cancelled, 0);
+    EXPECT_EQ(test.billed, 3U);
+}
+
+TEST(key_state, dispatched_work_of_a_compromised_key_is_cancelled_and_billed_so_far)
+{
+    path_under_test test;
+    test.backend.between = [&]
+    {
+        test.key = key_state::compromised;
+    };
+    auto const end = test.run();
+    ASSERT_TRUE(end.refused);
+    EXPECT_EQ(end.refused->cause, refusal_cause::key_withdrawn);
+    EXPECT_EQ(end.refused->fate, call_fate::final_refusal);
+    EXPECT_EQ(test.backend.dispatched, 1);
+    EXPECT_EQ(test.backend.cancelled, 1);
+    EXPECT_EQ(test.billed, 2U);
+}
+
+TEST(key_state, a_service_call_of_a_withdrawn_key_is_not_sent)
+{
+    path_under_test test;
+    test.key = key_state::withdrawn;
+    service_request request;
+    request.group = "group";
+    auto const fate = leaf::try_handle_all(
+        [&]() -> leaf::result<call_fate>
+        {
+            BOOST_LEAF_CHECK(test.path.call(request));
+            return call_fate::final_refusal;
+        },
+        [](refusal const& value) { return value.fate; },
+        [] { return call_fate::final_refusal; });
+    EXPECT_EQ(fate, call_fate::not_run);
+    EXPECT_EQ(test.backend.dispatched, 0);
+}
+
+} // namespace
+} // namespace marigoldcrank
