--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -45,6 +45,14 @@
         return fold_order(offset, record);
     case wire::log_record::kLedger:
         return note_snapshot(offset, record.ledger());
+    case wire::log_record::kCall:
+        return calls_.apply(offset, record.call());
+    case wire::log_record::kCallFree:
+        return calls_.apply(offset, record.call_free());
+    case wire::log_record::kCallDone:
+        return calls_.apply(offset, record.call_done());
+    case wire::log_record::kCalls:
+        return calls_.apply(offset, record.calls());
     default:
         return false;
     }
@@ -84,7 +92,8 @@
     return holds(record.outcome()) && orders_.apply(record.outcome());
 }
 
-/// A snapshot changes nothing for a reader who has folded what it covers.
+/// A snapshot says nothing new to a reader who has folded what it covers, but for what
+/// may be forgotten.
 bool ledger::note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot)
 {
     if (snapshot.through_offset() >= offset ||
@@ -93,9 +102,17 @@
         return false;
     }
     snapshot_through_ = snapshot.through_offset();
+    // What the log has let go is forgotten at a record, so by all readers alike: each
+    // reader's own view of the retention would make ledgers differ.
+    calls_.forget_before(snapshot.first_retained());
     return true;
 }
 
+call_fold const& ledger::calls() const noexcept
+{
+    return calls_;
+}
+
 lease_fold const& ledger::leases() const noexcept
 {
     return leases_;
@@ -141,6 +158,7 @@
     config_.save(*snapshot.mutable_config());
     usage_.save(*snapshot.mutable_usage());
     orders_.save(*snapshot.mutable_orders());
+    calls_.save(*snapshot.mutable_calls());
     return snapshot;
 }
 
@@ -154,6 +172,7 @@
     value.config_ = configuration_fold::restored(snapshot.config());
     value.usage_ = usage_fold::restored(snapshot.usage());
     value.orders_ = order_fold::restored(snapshot.orders());
+    value.calls_ = call_fold::restored(snapshot.calls());
     return value;
 }
 
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_LEDGER_LEDGER_HPP
 
 #include "domain/failure.hpp"
+#include "ledger/call_fold.hpp"
 #include "ledger/configuration_fold.hpp"
 #include "ledger/lease_fold.hpp"
 #include "ledger/order_fold.hpp"
@@ -45,6 +46,7 @@
     configuration_fold const& config() const noexcept;
     usage_fold const&         usage() const noexcept;
     order_fold const&         orders() const noexcept;
+    call_fold const&          calls() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -67,6 +69,7 @@
     configuration_fold config_;
     usage_fold         usage_;
     order_fold         orders_;
+    call_fold          calls_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
     std::uint64_t      snapshot_through_ = 0;
