--- a/src/app/ledger_store.cpp
+++ b/src/app/ledger_store.cpp
@@ -85,12 +85,6 @@
     }
 }
 
-void ledger_store::forget_before(std::uint64_t first)
-{
-    std::lock_guard const lock(mutex_);
-    ledger_.forget_before(first);
-}
-
 // 2. From peers
 
 bool ledger_store::offer(wire::config_snapshot const& snapshot)
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -178,7 +178,10 @@
 {
     return [this](wire::usage_delta delta)
     {
-        if (!usage.add(std::move(delta)))
+        auto const begun = boot_clock::now();
+        bool const shared = usage.add(std::move(delta));
+        counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
+        if (!shared)
         {
             counters.add("usage_unshared_total");
         }
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -94,7 +94,8 @@
     return holds(record.outcome()) && orders_.apply(record.outcome());
 }
 
-/// A snapshot changes nothing for a reader who has folded what it covers.
+/// A snapshot says nothing new to a reader who has folded what it covers, but for what
+/// may be forgotten.
 bool ledger::note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot)
 {
     if (snapshot.through_offset() >= offset ||
@@ -103,14 +104,12 @@
         return false;
     }
     snapshot_through_ = snapshot.through_offset();
+    // What the log has let go is forgotten at a record, so by all readers alike: each
+    // reader's own view of the retention would make ledgers differ.
+    calls_.forget_before(snapshot.first_retained());
     return true;
 }
 
-void ledger::forget_before(std::uint64_t offset)
-{
-    calls_.forget_before(offset);
-}
-
 call_fold const& ledger::calls() const noexcept
 {
     return calls_;
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -43,9 +43,6 @@
     /// Counts a record whose bytes could not be read.
     record_effect skip_malformed(std::uint64_t offset);
 
-    /// Tells that the log has lost the records before `offset`.
-    void forget_before(std::uint64_t offset);
-
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
     drain_fold const&         drains() const noexcept;
