--- /dev/null
+++ b/scripts/make_traces.py
@@ -0,0 +1,192 @@
+#!/usr/bin/env python3
+"""Writes the replay traces under traces/; the same bytes for the same seed.
+
+Index: 1 users, 2 arrivals, 3 traces, 4 writing
+
+A trace is text. Header lines: `user`, `scale` (seconds of the original that one second of
+the trace stands for), `duration_ms`, `workspace NAME WEIGHT FIRST_TOKEN_MS BETWEEN_MS`,
+`engine ZONE PRICE COUNT`, `service ZONE PRICE COUNT`, `prefix ID TOKENS`, `shift FROM TO`,
+`flood FROM TO WORKSPACE`, `fault AT KIND ARGUMENTS`. Then one line a request, with the
+milliseconds since the line before:
+  `r DT WORKSPACE PROMPT OUTPUT PREFIX` a model call (prefix -1 for none),
+  `p ...` the same with a poison content, `o DT WORKSPACE` a call that may not be repeated.
+"""
+import pathlib
+import random
+import zlib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent / "traces"
+SEED = 20261202
+ZONES = ["dc-1", "dc-2", "dc-3"]
+
+# 1. Users: sizes of today; weights as in examples/*/rules.ini.
+USERS = {
+    "sportdag": {
+        "workspaces": ["noord", "oost", "zuid", "west", "centrum", "heuvel", "haven", "bos"],
+        "weights": [8, 6, 4, 1, 1, 1, 1, 1],
+        "dear": 2, "cheap": 2,           # engines a zone: 12 in all
+        "prompt_heavy": (4000, 60), "output_heavy": (600, 400), "ordinary": (1800, 140),
+        "prefixes": [1200, 1000, 800, 600, 600, 400, 400, 400],
+        "factor": 1.0,
+    },
+    "cwmtawe": {
+        "workspaces": ["aberdulais", "clydach", "glais", "ystalyfera", "trebanos", "godre",
+                       "craig", "pontardawe"],
+        "weights": [8, 6, 4, 1, 1, 1, 1, 1],
+        "dear": 2, "cheap": 1,           # 9 in all
+        "prompt_heavy": (5000, 80), "output_heavy": (800, 360), "ordinary": (2400, 120),
+        "prefixes": [1600, 1400, 1200, 1000, 800, 800, 600, 600],
+        "factor": 0.68,                  # 9 engines and longer prompts
+    },
+}
+FIRST_TOKEN_MS, BETWEEN_MS = 410, 75
+
+
+# 2. Arrivals
+class Trace:
+    def __init__(self, user, name, duration_s, scale):
+        self.user, self.name, self.data = user, name, USERS[user]
+        self.duration_ms, self.scale = duration_s * 1000, scale
+        self.random = random.Random(zlib.crc32(f"{SEED}/{user}/{name}".encode()))
+        self.requests, self.extra = [], []
+
+    def pick_workspace(self):
+        return self.random.choices(range(8), self.data["weights"])[0]
+
+    def size(self, shape):
+        prompt, output = shape
+        spread = self.random.lognormvariate(0, 0.35)
+        return (max(40, int(prompt * min(spread, 2.0))),
+                max(8, int(output * min(self.random.lognormvariate(0, 0.35), 2.0))))
+
+    def arrive(self, begin_s, end_s, rate, shape, workspace=None):
+        """Poisson arrivals; rate is of the whole fleet, scaled to the user's."""
+        at = begin_s
+        while True:
+            at += self.random.expovariate(rate * self.data["factor"])
+            if at >= end_s:
+                return
+            chosen = self.pick_workspace() if workspace is None else workspace
+            prompt, output = self.size(self.data[shape])
+            prefix = chosen if self.random.random() < 0.7 else -1
+            if prefix >= 0:
+                prompt = max(prompt, self.data["prefixes"][prefix] + 40)
+            self.requests.append((int(at * 1000), "r", chosen, prompt, output, prefix))
+
+    def once(self, rate):
+        at = 0.0
+        while True:
+            at += self.random.expovariate(rate)
+            if at * 1000 >= self.duration_ms:
+                return
+            self.requests.append((int(at * 1000), "o", self.pick_workspace()))
+
+    # 4. Writing
+    def write(self):
+        lines = [f"user {self.user}", f"scale {self.scale}", f"duration_ms {self.duration_ms}"]
+        for name, weight in zip(self.data["workspaces"], self.data["weights"]):
+            lines.append(f"workspace {name} {weight} {FIRST_TOKEN_MS} {BETWEEN_MS}")
+        for zone in ZONES:
+            lines.append(f"engine {zone} dear {self.data['dear']}")
+            lines.append(f"engine {zone} cheap {self.data['cheap']}")
+            lines.append(f"service {zone} dear 1")
+        for index, tokens in enumerate(self.data["prefixes"]):
+            lines.append(f"prefix {index} {tokens}")
+        lines += self.extra
+        before = 0
+        for request in sorted(self.requests):
+            lines.append(" ".join([request[1], str(request[0] - before)] +
+                                  [str(field) for field in request[2:]]))
+            before = request[0]
+        (ROOT / f"{self.user}-{self.name}.trace").write_text("\n".join(lines) + "\n")
+
+
+# 3. Traces
+def ordinary(user):
+    trace = Trace(user, "ordinary", 240, 15)
+    for step in range(8):  # an hour that rises and falls gently
+        trace.arrive(step * 30, step * 30 + 30, (12, 16, 20, 24, 24, 20, 16, 12)[step], "ordinary")
+    trace.once(0.5)
+    trace.write()
+
+
+def peak(user):
+    trace = Trace(user, "peak", 180, 10)
+    for begin, end, rate in ((0, 40, 24), (40, 60, 50), (60, 130, 80), (130, 150, 50), (150, 180, 24)):
+        trace.arrive(begin, end, rate, "ordinary")
+    trace.extra.append("shift 40000 150000")
+    trace.once(1.5)
+    trace.write()
+
+
+def swing(user):
+    trace = Trace(user, "swing", 240, 1)
+    trace.arrive(0, 60, 44, "output_heavy")
+    for step in range(6):  # over within two minutes, and back
+        trace.arrive(60 + step * 5, 65 + step * 5, 44 * (6 - step) / 7, "output_heavy")
+        trace.arrive(60 + step * 5, 65 + step * 5, 44 * (step + 1) / 7, "prompt_heavy")
+    trace.arrive(90, 150, 44, "prompt_heavy")
+    for step in range(6):
+        trace.arrive(150 + step * 5, 155 + step * 5, 44 * (6 - step) / 7, "prompt_heavy")
+        trace.arrive(150 + step * 5, 155 + step * 5, 44 * (step + 1) / 7, "output_heavy")
+    trace.arrive(180, 240, 44, "output_heavy")
+    trace.extra.append("shift 60000 180000")
+    trace.once(0.5)
+    trace.write()
+
+
+def flood(user):
+    trace = Trace(user, "flood", 150, 1)
+    for workspace in range(1, 8):
+        trace.arrive(0, 150, 2.5, "ordinary", workspace)
+    trace.arrive(0, 30, 6, "ordinary", 0)
+    trace.arrive(30, 120, 90, "ordinary", 0)
+    trace.arrive(120, 150, 6, "ordinary", 0)
+    trace.extra.append("flood 30000 120000 0")
+    trace.once(0.5)
+    trace.write()
+
+
+def vanish(user):
+    trace = Trace(user, "vanish", 150, 1)
+    trace.arrive(0, 30, 30, "ordinary")
+    trace.arrive(30, 120, 55, "ordinary")
+    trace.arrive(120, 150, 30, "ordinary")
+    trace.extra += ["shift 60000 120000", "fault 60000 vanish dc-2"]
+    trace.once(1.0)
+    trace.write()
+
+
+def faulty(user, name, rate, fault):
+    trace = Trace(user, name, 120, 1)
+    trace.arrive(0, 120, rate, "ordinary")
+    trace.extra += fault
+    trace.once(0.5)
+    trace.write()
+
+
+def poison(user):
+    trace = Trace(user, "poison", 120, 1)
+    trace.arrive(0, 120, 26, "ordinary")
+    for again in range(4):  # its caller sends it again
+        trace.requests.append((30000 + again * 15000, "p", 3, 900, 80, -1))
+    trace.once(0.5)
+    trace.write()
+
+
+def main():
+    ROOT.mkdir(exist_ok=True)
+    for user in USERS:
+        ordinary(user)
+        peak(user)
+        swing(user)
+        flood(user)
+        vanish(user)
+        faulty(user, "late-reports", 44, ["fault 20000 report_lag 5000"])
+        faulty(user, "cache-gaps", 44, ["fault 0 cache_gap 4"])
+        faulty(user, "slow-engine", 36, ["fault 30000 slow 1 10"])
+        poison(user)
+
+
+if __name__ == "__main__":
+    main()
