Policies as pure functions: routing, prefixes, slow engines, shares, admission, retries, limits, roles, spending

Cause: the thin route halved an old report's weight, which makes a silent engine look idle. Now an old report gives way to the assumption that others have as much there as this entry VM.

--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,91 @@
+// Admission and the brief queue.
+#include "policy/admission.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t micros_per_milli = 1'000;
+constexpr std::int64_t least_retry_ms = 1'000;
+constexpr std::int64_t virtual_scale = 1'024;
+constexpr std::int64_t idle_slack_percent = 125; // of the idle time, for long prompts
+} // namespace
+
+// 1. Judgement
+
+admission_decision judge_admission(admission_input const&   input,
+                                   admission_options const& options)
+{
+    admission_decision decision;
+    decision.input = input;
+    auto const share =
+        input.within_share ? options.bound_percent : options.excess_percent;
+    decision.bound_us = std::max(input.target_us * share / percent,
+                                 input.idle_us * idle_slack_percent / percent);
+    if (input.servable && input.predicted_us + input.waited_us <= decision.bound_us)
+    {
+        decision.verdict = admission_verdict::dispatch;
+        return decision;
+    }
+    if (input.servable && input.waited_us < options.hold_ms * micros_per_milli)
+    {
+        decision.verdict = admission_verdict::hold;
+        return decision;
+    }
+    decision.verdict = admission_verdict::refuse;
+    auto const excess = input.predicted_us - decision.bound_us;
+    decision.retry_after_ms =
+        std::max<std::int64_t>(least_retry_ms, excess / micros_per_milli);
+    return decision;
+}
+
+// 2. Queue
+
+void fair_queue::push(std::uint32_t workspace, std::uint64_t item, std::int64_t tokens,
+                      std::int64_t weight)
+{
+    auto&      finish = finish_of_[workspace];
+    auto const start = std::max(virtual_time_, finish);
+    finish = start + tokens * virtual_scale / std::max<std::int64_t>(1, weight);
+    order_.insert({start, item});
+    start_of_[item] = start;
+}
+
+std::vector<std::uint64_t> fair_queue::items() const
+{
+    std::vector<std::uint64_t> result;
+    result.reserve(order_.size());
+    for (auto const& each : order_)
+    {
+        result.push_back(each.item);
+    }
+    return result;
+}
+
+void fair_queue::remove(std::uint64_t item)
+{
+    auto const found = start_of_.find(item);
+    if (found == start_of_.end())
+    {
+        return;
+    }
+    virtual_time_ = std::max(virtual_time_, found->second);
+    order_.erase({found->second, item});
+    start_of_.erase(found);
+    if (order_.empty())
+    {
+        // Nobody waits, so nobody has a claim from before.
+        finish_of_.clear();
+    }
+}
+
+std::size_t fair_queue::size() const noexcept
+{
+    return order_.size();
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/policy/fair_share.cpp
@@ -0,0 +1,139 @@
+// Weighted max-min shares.
+#include "policy/fair_share.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+// 1. Level
+
+std::int64_t fair_level(std::vector<share_demand> demands, std::int64_t capacity)
+{
+    std::int64_t total = 0;
+    std::int64_t weights = 0;
+    for (auto const& demand : demands)
+    {
+        total += demand.offered;
+        weights += demand.weight;
+    }
+    if (total <= capacity)
+    {
+        return no_level;
+    }
+    // Those who ask least for their weight are served whole; the rest share what is left.
+    std::sort(demands.begin(), demands.end(),
+              [](share_demand const& left, share_demand const& right)
+              { return left.offered * right.weight < right.offered * left.weight; });
+    auto left = capacity;
+    for (auto const& demand : demands)
+    {
+        auto const level = left / std::max<std::int64_t>(1, weights);
+        if (demand.offered > level * demand.weight)
+        {
+            return level;
+        }
+        left -= demand.offered;
+        weights -= demand.weight;
+    }
+    return no_level;
+}
+
+// 2. Shares
+
+fair_share::fair_share(millis window) : window_(window) {}
+
+fair_share::workspace_use& fair_share::use_of(std::uint32_t workspace)
+{
+    if (workspace >= workspaces_.size())
+    {
+        workspaces_.resize(workspace + 1);
+    }
+    return workspaces_[workspace];
+}
+
+void fair_share::weigh(std::uint32_t workspace, std::int64_t weight)
+{
+    use_of(workspace).weight = std::max<std::int64_t>(1, weight);
+}
+
+void fair_share::add(window_sum& sum, std::int64_t tokens,
+                     boot_clock::time_point now) const
+{
+    auto const number = now.time_since_epoch() / window_;
+    if (number != sum.number)
+    {
+        sum.previous = number == sum.number + 1 ? sum.current : 0;
+        sum.current = 0;
+        sum.number = number;
+    }
+    sum.current += tokens;
+}
+
+std::int64_t fair_share::read(window_sum const& sum, boot_clock::time_point now) const
+{
+    auto const number = now.time_since_epoch() / window_;
+    auto const into =
+        std::chrono::duration_cast<millis>(now.time_since_epoch() % window_);
+    auto const left = window_ - into;
+    if (number == sum.number)
+    {
+        return sum.current + sum.previous * left.count() / window_.count();
+    }
+    return number == sum.number + 1 ? sum.current * left.count() / window_.count() : 0;
+}
+
+void fair_share::offer(std::uint32_t workspace, std::int64_t tokens,
+                       boot_clock::time_point now)
+{
+    add(use_of(workspace).offered, tokens, now);
+}
+
+void fair_share::charge(std::uint32_t workspace, std::int64_t tokens,
+                        boot_clock::time_point now)
+{
+    add(use_of(workspace).charged, tokens, now);
+}
+
+void fair_share::pressed(boot_clock::time_point now)
+{
+    pressed_until_ = now + window_;
+}
+
+void fair_share::refresh(boot_clock::time_point now)
+{
+    level_ = no_level;
+    if (now >= pressed_until_)
+    {
+        return;
+    }
+    std::vector<share_demand> demands;
+    std::int64_t              admitted = 0;
+    for (auto const& use : workspaces_)
+    {
+        auto const offered = read(use.offered, now);
+        if (offered > 0)
+        {
+            demands.push_back({use.weight, offered});
+            admitted += read(use.charged, now);
+        }
+    }
+    level_ = fair_level(std::move(demands), admitted);
+}
+
+bool fair_share::within(std::uint32_t workspace, boot_clock::time_point now) const
+{
+    if (level_ == no_level || workspace >= workspaces_.size())
+    {
+        return true;
+    }
+    auto const& use = workspaces_[workspace];
+    return read(use.charged, now) <= level_ * use.weight;
+}
+
+std::int64_t fair_share::level() const noexcept
+{
+    return level_;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/policy/fair_share.hpp
@@ -0,0 +1,84 @@
+// Fair shares of a group of engines, in tokens and by weight.
+//
+// Index: 1 share_demand, fair_level, 2 fair_share
+#ifndef MARIGOLDCRANK_POLICY_FAIR_SHARE_HPP
+#define MARIGOLDCRANK_POLICY_FAIR_SHARE_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// What one workspace asked for, with its weight.
+struct share_demand
+{
+    std::int64_t weight = 1;
+    std::int64_t offered = 0; // tokens
+
+    bool operator==(share_demand const&) const = default;
+};
+
+/// A level that limits nobody.
+constexpr std::int64_t no_level = std::numeric_limits<std::int64_t>::max();
+
+/// Weighted max-min fairness: the level L, in tokens for each unit of weight, at which
+/// the sum of min(offered, weight * L) is `capacity`. no_level if all demand fits.
+std::int64_t fair_level(std::vector<share_demand> demands, std::int64_t capacity);
+
+/// Use of each workspace over a sliding window, and who is within its share. A workspace
+/// that asks for less than its share is always within it.
+class fair_share
+{
+public:
+    explicit fair_share(millis window);
+
+    void weigh(std::uint32_t workspace, std::int64_t weight);
+
+    /// Counts what was asked for, whether or not it was admitted.
+    void offer(std::uint32_t workspace, std::int64_t tokens, boot_clock::time_point now);
+
+    /// Counts what was admitted.
+    void charge(std::uint32_t workspace, std::int64_t tokens, boot_clock::time_point now);
+
+    /// Work had to be held or refused: shares count for a window from now on.
+    void pressed(boot_clock::time_point now);
+
+    /// Recomputes the level from the window; call it every few hundred milliseconds.
+    void refresh(boot_clock::time_point now);
+
+    bool within(std::uint32_t workspace, boot_clock::time_point now) const;
+
+    std::int64_t level() const noexcept;
+
+private:
+    /// Two buckets of one window each, read as a sliding window.
+    struct window_sum
+    {
+        std::int64_t number = 0; // of the current bucket
+        std::int64_t current = 0;
+        std::int64_t previous = 0;
+    };
+    struct workspace_use
+    {
+        std::int64_t weight = 1;
+        window_sum   offered;
+        window_sum   charged;
+    };
+
+    void add(window_sum& sum, std::int64_t tokens, boot_clock::time_point now) const;
+    std::int64_t   read(window_sum const& sum, boot_clock::time_point now) const;
+    workspace_use& use_of(std::uint32_t workspace);
+
+    millis                     window_;
+    std::vector<workspace_use> workspaces_;
+    boot_clock::time_point     pressed_until_{};
+    std::int64_t               level_ = no_level;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/policy/limit_book.cpp
@@ -0,0 +1,102 @@
+// Shares of limits, lent by time.
+#include "policy/limit_book.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr std::int64_t percent = 100;
+}
+
+limit_book::limit_book(limit_terms terms, boot_clock::time_point started,
+                       std::uint64_t first_ask)
+    : terms_(terms), started_(started), next_ask_(first_ask)
+{
+}
+
+void limit_book::set_limit(std::string const& workspace, std::int64_t limit)
+{
+    books_[workspace].limit = limit;
+}
+
+void limit_book::set_demand(std::string const& workspace, std::int64_t demand)
+{
+    books_[workspace].demand = demand;
+}
+
+std::int64_t limit_book::own_share(workspace_book const& book) const
+{
+    return book.limit / std::max<std::int64_t>(1, terms_.entries);
+}
+
+std::int64_t limit_book::sum(std::vector<loan>& loans, boot_clock::time_point now) const
+{
+    std::erase_if(loans, [&](loan const& each) { return now >= each.until; });
+    std::int64_t total = 0;
+    for (auto const& each : loans)
+    {
+        total += each.amount;
+    }
+    return total;
+}
+
+std::int64_t limit_book::usable(std::string const& workspace, boot_clock::time_point now)
+{
+    auto&      book = books_[workspace];
+    auto const own = own_share(book);
+    bool const forgetful = now < started_ + terms_.loan + terms_.drift;
+    auto const kept = forgetful ? own * terms_.keep_percent / percent : own;
+    return std::max<std::int64_t>(0, kept - sum(book.lent, now)) +
+           sum(book.borrowed, now);
+}
+
+std::optional<limit_ask> limit_book::ask(std::string const&     workspace,
+                                         boot_clock::time_point now)
+{
+    auto&      book = books_[workspace];
+    auto const missing = book.demand - usable(workspace, now);
+    std::erase_if(book.asked,
+                  [&](auto const& each) { return now >= each.second + terms_.loan; });
+    if (book.limit == 0 || missing <= 0)
+    {
+        return std::nullopt;
+    }
+    auto const number = next_ask_++;
+    book.asked[number] = now;
+    return limit_ask{workspace, number, missing};
+}
+
+std::optional<limit_grant> limit_book::lend(limit_ask const&       ask,
+                                            boot_clock::time_point now)
+{
+    auto&      book = books_[ask.workspace];
+    auto const own = own_share(book);
+    bool const forgetful = now < started_ + terms_.loan + terms_.drift;
+    auto const lent = sum(book.lent, now);
+    auto const lendable = own - own * terms_.keep_percent / percent - lent;
+    auto const spare = own - lent - book.demand;
+    auto const amount = std::min({ask.wanted, lendable, spare});
+    if (forgetful || amount <= 0)
+    {
+        return std::nullopt;
+    }
+    book.lent.push_back({amount, now + terms_.loan + terms_.drift});
+    return limit_grant{ask.workspace, ask.ask, amount};
+}
+
+void limit_book::take(limit_grant const& grant, boot_clock::time_point now)
+{
+    auto&      book = books_[grant.workspace];
+    auto const asked = book.asked.find(grant.ask);
+    if (asked == book.asked.end() || now >= asked->second + terms_.loan)
+    {
+        return;
+    }
+    book.borrowed.push_back({grant.amount, asked->second + terms_.loan});
+    book.asked.erase(asked);
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/policy/role_plan.cpp
@@ -0,0 +1,185 @@
+// Role control.
+#include "policy/role_plan.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t milli = 1'000;
+constexpr std::int64_t micros_per_second = 1'000'000;
+constexpr std::int64_t pressed_percent = 75; // of the engines needed: a change could pay
+
+/// Thousandths of an engine that decode `output_tokens` a second in full batches.
+std::int64_t decode_need(std::int64_t output_tokens, engine_speed const& speed)
+{
+    auto const token_us = speed.step_us / speed.batch + speed.stream_us;
+    return output_tokens * token_us * milli / micros_per_second;
+}
+
+std::int64_t prefill_need(std::int64_t tokens, engine_speed const& speed)
+{
+    return tokens * speed.prefill_us * milli / micros_per_second;
+}
+
+engine_role role_for(engine_use use)
+{
+    return use == engine_use::prefill  ? engine_role::prefill
+           : use == engine_use::decode ? engine_role::decode
+                                       : engine_role::mixed;
+}
+} // namespace
+
+role_planner::role_planner(role_options options, engine_speed speed)
+    : options_(options), speed_(speed)
+{
+}
+
+// 1. How many engines
+
+/// More prefill engines at once; fewer only after the need stayed low for the smoothing
+/// time, since a swing back is as likely as not.
+std::int64_t role_planner::plan_prefill(role_plan& plan, role_demand const& demand,
+                                        std::int64_t usable)
+{
+    auto const step_us = speed_.step_us + speed_.stream_us * speed_.batch / 2;
+    auto const steps = std::max<std::int64_t>(1, usable * micros_per_second / step_us);
+    plan.slow_step_percent = demand.long_chunks * percent / steps;
+    plan.prefill_milli = prefill_need(demand.long_tokens, speed_) * percent /
+                         std::max<std::int64_t>(1, options_.fill_percent);
+    plan.decode_milli = decode_need(demand.output_tokens, speed_) +
+                        prefill_need(demand.short_tokens, speed_);
+    bool const split = usable > 1 && plan.slow_step_percent >= options_.split_percent;
+    auto       wanted = split ? (plan.prefill_milli + milli - 1) / milli : 0;
+    if (plan.prefill_milli + plan.decode_milli > usable * milli && split)
+    {
+        wanted =
+            (usable * plan.prefill_milli + (plan.prefill_milli + plan.decode_milli) / 2) /
+            (plan.prefill_milli + plan.decode_milli);
+    }
+    wanted = split ? std::clamp<std::int64_t>(wanted, 1, usable - 1) : 0;
+    if (wanted >= prefill_engines_)
+    {
+        prefill_engines_ = wanted;
+        low_since_ = {};
+        return prefill_engines_;
+    }
+    if (low_since_ == boot_clock::time_point{})
+    {
+        low_since_ = now_;
+    }
+    if (now_ - low_since_ >= millis{options_.smooth_ms})
+    {
+        prefill_engines_ = wanted;
+        low_since_ = {};
+    }
+    return std::min(prefill_engines_, std::max<std::int64_t>(0, usable - 1));
+}
+
+// 2. Which engines
+
+/// Engines that already have the role come first, then those already so used, then the
+/// emptiest: the fewest streams see a change of use.
+void role_planner::assign_uses(role_plan& plan, std::vector<role_engine> const& engines)
+{
+    std::vector<std::size_t> order(engines.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    auto rank = [&](std::size_t index)
+    {
+        bool const fitting = engines[index].role == engine_role::prefill;
+        bool const unfit = engines[index].role == engine_role::decode;
+        bool const used = memory_[index].use == engine_use::prefill;
+        return std::tuple(!fitting, unfit, !used, used ? 0 : engines[index].streams,
+                          index);
+    };
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t left, std::size_t right)
+              { return rank(left) < rank(right); });
+    auto left = plan.prefill_engines;
+    for (auto const index : order)
+    {
+        if (!engines[index].open || engines[index].changing)
+        {
+            plan.wishes[index].use = memory_[index].use;
+            continue;
+        }
+        bool const prefill = left > 0;
+        left -= prefill ? 1 : 0;
+        plan.wishes[index].use = plan.prefill_engines == 0 ? engine_use::any
+                                 : prefill                 ? engine_use::prefill
+                                                           : engine_use::decode;
+        memory_[index].use = plan.wishes[index].use;
+    }
+}
+
+// 3. Which orders
+
+/// An unfit role loses the whole engine, a mixed one the gain of the fitting role; what
+/// is lost counts only while the group is short of engines.
+void role_planner::order_roles(role_plan& plan, std::vector<role_engine> const& engines,
+                               millis since)
+{
+    auto const usable = static_cast<std::int64_t>(engines.size());
+    bool const pressed = (plan.prefill_milli + plan.decode_milli) * percent >
+                         usable * milli * pressed_percent;
+    std::int64_t changing =
+        std::count_if(engines.begin(), engines.end(),
+                      [](role_engine const& engine) { return engine.changing; });
+    for (std::size_t index = 0; index < engines.size(); ++index)
+    {
+        auto&      memory = memory_[index];
+        auto&      wish = plan.wishes[index];
+        auto const role = engines[index].role;
+        wish.role = role;
+        if (!engines[index].open || engines[index].changing)
+        {
+            memory.regret_ms = 0;
+            continue;
+        }
+        auto const fitting = role_for(wish.use);
+        bool const unfit = role != engine_role::mixed && role != fitting;
+        auto const loss = unfit                        ? percent
+                          : pressed && role != fitting ? options_.gain_percent
+                                                       : -options_.gain_percent;
+        memory.regret_ms =
+            std::max<std::int64_t>(0, memory.regret_ms + since.count() * loss / percent);
+        wish.regret_ms = memory.regret_ms;
+        bool const due =
+            memory.regret_ms * percent >= options_.change_ms * options_.regret_percent;
+        if (due && changing < options_.most_changing)
+        {
+            wish.role = unfit ? engine_role::mixed : fitting;
+            ++changing;
+            ++plan.orders;
+            memory.regret_ms = 0;
+        }
+    }
+}
+
+role_plan role_planner::step(role_demand const&              demand,
+                             std::vector<role_engine> const& engines,
+                             boot_clock::time_point          now)
+{
+    now_ = now;
+    memory_.resize(engines.size());
+    role_plan plan;
+    plan.wishes.resize(engines.size());
+    auto const usable = std::count_if(engines.begin(), engines.end(),
+                                      [](role_engine const& engine)
+                                      { return engine.open && !engine.changing; });
+    plan.prefill_engines = plan_prefill(plan, demand, usable);
+    assign_uses(plan, engines);
+    auto const since = stepped_ == boot_clock::time_point{}
+                           ? millis{0}
+                           : std::chrono::duration_cast<millis>(now - stepped_);
+    stepped_ = now;
+    order_roles(plan, engines, since);
+    return plan;
+}
+
+} // namespace marigoldcrank
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -6,66 +6,219 @@
 namespace marigoldcrank
 {
 
+// 1. Prediction
+
 namespace
 {
-constexpr std::int64_t tokens_per_stream =
-    64; // decode work of one stream, as prompt tokens
-constexpr std::int64_t failure_penalty = 4'000; // tokens for each failure in a row
-constexpr std::int64_t remote_penalty = 2'000;  // tokens for another data centre
-constexpr std::int64_t stale_after_ms = 2'000;  // age at which a report counts half
-
-/// A report loses half its weight every stale_after_ms: old reports would send every
-/// entry VM to the engine that was idle when they were made.
-std::int64_t discounted(std::int64_t tokens, load_report const& load,
-                        boot_clock::time_point now)
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t half = 2;
+constexpr int          fraction_bits = 16; // of the reciprocal that replaces a division
+
+bool is_excluded(std::span<std::uint32_t const> excluded, std::uint32_t engine)
 {
-    auto const age = std::chrono::duration_cast<millis>(now - load.read_at).count() +
-                     static_cast<std::int64_t>(load.lag_ms);
-    auto const halvings = std::clamp<std::int64_t>(age / stale_after_ms, 0, 30);
-    return tokens >> halvings;
+    return std::find(excluded.begin(), excluded.end(), engine) != excluded.end();
 }
 
-std::int64_t predicted_cost(server_view const& view, route_request const& request,
-                            boot_clock::time_point now)
+bool may_take(engine_view const& view, engine_request const& request, bool long_prompt)
 {
-    auto const reported = view.load.prefill_tokens +
-                          (view.load.running + view.load.waiting) * tokens_per_stream;
-    auto const own = view.own_prompt_tokens + view.own_running * tokens_per_stream;
-    auto const distance =
-        view.server.data_centre == request.data_centre ? 0 : remote_penalty;
-    return std::max(own, discounted(reported, view.load, now)) + request.prompt_tokens +
-           view.failures * failure_penalty + distance;
+    if (!view.open || (view.cheap && !request.may_use_cheap) ||
+        view.role == engine_role::decode)
+    {
+        return false;
+    }
+    // A long prompt's step delays every stream in the batch beyond its target.
+    return !(long_prompt && view.use == engine_use::decode);
 }
 
-bool may_take(server_view const& view, route_request const& request)
+/// Multiplications instead of divisions: a scan of 475 engines has 5 microseconds.
+struct predictor
 {
-    bool const excluded = std::find(request.excluded.begin(), request.excluded.end(),
-                                    view.server.id) != request.excluded.end();
-    bool const too_cheap = view.server.cheap && !request.may_use_cheap;
-    return view.server.group == request.group && !view.server.leaving && !excluded &&
-           !too_cheap;
-}
+    engine_speed const&  speed;
+    route_options const& options;
+    std::int64_t         chunk_reciprocal;
+
+    predictor(engine_speed const& assumed, route_options const& given)
+        : speed(assumed), options(given),
+          chunk_reciprocal((std::int64_t{1} << fraction_bits) / assumed.chunk_tokens)
+    {
+    }
+
+    route_reason operator()(engine_view const& view, std::int64_t prompt_tokens,
+                            std::int64_t hit_tokens) const
+    {
+        auto const tokens = view.own.prefill_tokens + view.others.prefill_tokens +
+                            std::max<std::int64_t>(1, prompt_tokens - hit_tokens);
+        auto const   step = speed.step_us + speed.stream_us * view.streams();
+        auto const   over = std::max<std::int64_t>(0, view.streams() + 1 - speed.batch);
+        route_reason reason;
+        reason.prefill_us = slowed(tokens * speed.prefill_us, view);
+        reason.steps_us = slowed(
+            step + ((tokens * chunk_reciprocal * step) >> fraction_bits) - step / half,
+            view);
+        reason.place_us = slowed(over * options.turn_us, view);
+        reason.penalty_us =
+            (view.remote ? options.remote_us : 0) + view.failures * options.failure_us;
+        reason.hit_tokens = hit_tokens;
+        reason.slowdown = view.slowdown;
+        return reason;
+    }
+
+    static std::int64_t slowed(std::int64_t micros, engine_view const& view)
+    {
+        return (micros * view.slowdown) / engine_view::nominal_speed;
+    }
+};
+
+/// Keeps the best two.
+struct ranking
+{
+    engine_decision decision;
+    std::int64_t    least = 0;
+
+    void offer(std::uint32_t engine, route_reason const& reason)
+    {
+        auto const cost = reason.total_us();
+        if (decision.engine == engine_decision::none || cost < least)
+        {
+            if (decision.engine != engine)
+            {
+                decision.runner_up = decision.engine;
+                decision.runner_up_us = least;
+            }
+            decision.engine = engine;
+            decision.reason = reason;
+            least = cost;
+        }
+        else if (decision.runner_up == engine_decision::none ||
+                 cost < decision.runner_up_us)
+        {
+            decision.runner_up = engine;
+            decision.runner_up_us = cost;
+        }
+    }
+};
 } // namespace
 
-route_decision choose_server(std::vector<server_view> const& servers,
-                             route_request const& request, boot_clock::time_point now)
+route_reason predict_first_token(engine_view const& view, std::int64_t prompt_tokens,
+                                 std::int64_t hit_tokens, engine_speed const& speed,
+                                 route_options const& options)
 {
-    route_decision decision;
-    std::int64_t   least = 0;
-    for (auto const& view : servers)
+    return predictor(speed, options)(view, prompt_tokens, hit_tokens);
+}
+
+// 2. Choice
+
+engine_decision choose_engine(std::span<engine_view const> views,
+                              engine_request const& request, engine_speed const& speed,
+                              route_options const& options)
+{
+    predictor const predict(speed, options);
+    bool const      long_prompt = request.too_long_to_share(options);
+    ranking         best;
+    for (std::uint32_t index = 0; index < views.size(); ++index)
     {
-        if (!may_take(view, request))
+        if (may_take(views[index], request, long_prompt) &&
+            !is_excluded(request.excluded, index))
+        {
+            ++best.decision.candidates;
+            best.offer(index, predict(views[index], request.prompt_tokens, 0));
+        }
+    }
+    for (auto const& hit : request.hits)
+    {
+        auto const& view = views[hit.engine];
+        auto const  tokens = std::min(hit.tokens, request.prompt_tokens) *
+                            options.prefix_percent / percent;
+        if (may_take(view, request, long_prompt) &&
+            !is_excluded(request.excluded, hit.engine))
+        {
+            best.offer(hit.engine, predict(view, request.prompt_tokens, tokens));
+        }
+    }
+    return best.decision;
+}
+
+std::uint32_t choose_decode_engine(std::span<engine_view const> views,
+                                   engine_speed const&          speed)
+{
+    std::uint32_t chosen = engine_decision::none;
+    std::int64_t  least = 0;
+    for (std::uint32_t index = 0; index < views.size(); ++index)
+    {
+        auto const& view = views[index];
+        if (!view.open || view.use == engine_use::prefill ||
+            view.role == engine_role::prefill || view.streams() >= speed.batch)
         {
             continue;
         }
-        auto const cost = predicted_cost(view, request, now);
-        decision.candidates.push_back({view.server.id, cost});
-        if (!decision.chosen || cost < least)
+        auto const cost = (view.streams() + 1) * view.slowdown;
+        if (chosen == engine_decision::none || cost < least)
         {
-            decision.chosen = view.server;
+            chosen = index;
             least = cost;
         }
     }
+    return chosen;
+}
+
+// 3. The live request path's form
+
+namespace
+{
+engine_view view_of(server_view const& server, route_request const& request,
+                    boot_clock::time_point now, route_options const& options)
+{
+    engine_view view;
+    view.own = {server.own_running, server.own_prompt_tokens};
+    auto const age =
+        std::chrono::duration_cast<millis>(now - server.load.read_at).count() +
+        static_cast<std::int64_t>(server.load.lag_ms);
+    own_work const reported{server.load.running + server.load.waiting,
+                            server.load.prefill_tokens};
+    view.others =
+        estimate_others({reported, view.own, age}, view.own, request.entries, options);
+    view.slowdown = server.slowdown;
+    view.failures = static_cast<std::int32_t>(server.failures);
+    view.cheap = server.server.cheap;
+    view.remote = server.server.data_centre != request.data_centre;
+    view.role = server.load.role;
+    view.open = server.server.group == request.group && !server.server.leaving &&
+                std::find(request.excluded.begin(), request.excluded.end(),
+                          server.server.id) == request.excluded.end();
+    return view;
+}
+} // namespace
+
+route_decision choose_server(std::vector<server_view> const& servers,
+                             route_request const& request, boot_clock::time_point now,
+                             engine_speed const& speed, route_options const& options)
+{
+    std::vector<engine_view> views;
+    views.reserve(servers.size());
+    for (auto const& server : servers)
+    {
+        views.push_back(view_of(server, request, now, options));
+    }
+    engine_request const wanted{.prompt_tokens = request.prompt_tokens,
+                                .may_use_cheap = request.may_use_cheap,
+                                .hits = {},
+                                .excluded = {}};
+    route_decision       decision;
+    decision.detail = choose_engine(views, wanted, speed, options);
+    bool const long_prompt = wanted.too_long_to_share(options);
+    for (std::size_t index = 0; index < views.size(); ++index)
+    {
+        if (may_take(views[index], wanted, long_prompt))
+        {
+            auto const reason = predict_first_token(views[index], request.prompt_tokens,
+                                                    0, speed, options);
+            decision.candidates.push_back({servers[index].server.id, reason.total_us()});
+        }
+    }
+    if (decision.detail.engine != engine_decision::none)
+    {
+        decision.chosen = servers[decision.detail.engine].server;
+    }
     return decision;
 }
 
--- /dev/null
+++ b/src/policy/spending_plan.cpp
@@ -0,0 +1,139 @@
+// Ordering of backend servers by data centre and price.
+#include "policy/spending_plan.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t milli = 1'000;
+constexpr std::int64_t dear_price = 100;
+
+std::int64_t servers_for(std::int64_t need_milli, std::int64_t fill_percent)
+{
+    auto const per_server = milli * fill_percent / percent;
+    return (need_milli + per_server - 1) / std::max<std::int64_t>(1, per_server);
+}
+
+/// Spreads `total` evenly, within each data centre's limit.
+template <class Limit, class Assign>
+void spread(std::size_t zones, std::int64_t total, Limit&& limit, Assign&& assign)
+{
+    std::vector<std::int64_t> given(zones, 0);
+    bool                      progress = true;
+    while (total > 0 && progress)
+    {
+        progress = false;
+        for (std::size_t zone = 0; zone < zones && total > 0; ++zone)
+        {
+            if (given[zone] < limit(zone))
+            {
+                ++given[zone];
+                --total;
+                progress = true;
+            }
+        }
+    }
+    for (std::size_t zone = 0; zone < zones; ++zone)
+    {
+        assign(zone, given[zone]);
+    }
+}
+
+/// Totals over the data centres that can be ordered in.
+struct totals
+{
+    std::int64_t zones = 0;
+    std::int64_t dear_most = 0;
+    std::int64_t cheap_most = 0;
+    std::int64_t dear_least = 0;
+};
+
+totals totals_of(spending_input const& input)
+{
+    totals sum;
+    for (std::size_t zone = 0; zone < input.most.size(); ++zone)
+    {
+        if (input.reachable[zone])
+        {
+            ++sum.zones;
+            sum.dear_most += input.most[zone].dear;
+            sum.cheap_most += input.most[zone].cheap;
+            sum.dear_least += std::min(input.least, input.most[zone].dear);
+        }
+    }
+    return sum;
+}
+
+/// Dear servers needed beside `cheap` ones.
+std::int64_t dear_beside(std::int64_t cheap, totals const& sum, spending_plan const& plan)
+{
+    auto const lost = (cheap + sum.zones - 1) / std::max<std::int64_t>(1, sum.zones);
+    return std::max(
+        {sum.dear_least, plan.for_load - cheap, plan.for_loss - (cheap - lost)});
+}
+} // namespace
+
+spending_plan plan_spending(spending_input const& input, spending_options const& options)
+{
+    spending_plan plan;
+    plan.wanted.resize(input.most.size());
+    plan.for_load = servers_for(input.need_milli, options.fill_percent);
+    plan.for_loss = servers_for(input.need_milli, options.loss_percent);
+    auto const   sum = totals_of(input);
+    server_count best{sum.dear_most, sum.cheap_most};
+    auto const   price_of = [&](server_count const& count)
+    {
+        return count.dear * dear_price + count.cheap * options.cheap_price;
+    };
+    plan.short_of_servers = true;
+    for (std::int64_t cheap = 0; cheap <= sum.cheap_most; ++cheap)
+    {
+        server_count const candidate{dear_beside(cheap, sum, plan), cheap};
+        if (candidate.dear > sum.dear_most)
+        {
+            continue;
+        }
+        if (plan.short_of_servers || price_of(candidate) < price_of(best))
+        {
+            best = candidate;
+        }
+        plan.short_of_servers = false;
+    }
+    plan.price = price_of(best);
+    auto const reachable = [&](std::size_t zone)
+    {
+        return bool{input.reachable[zone]};
+    };
+    spread(
+        plan.wanted.size(), best.dear,
+        [&](std::size_t zone) { return reachable(zone) ? input.most[zone].dear : 0; },
+        [&](std::size_t zone, std::int64_t count) { plan.wanted[zone].dear = count; });
+    spread(
+        plan.wanted.size(), best.cheap,
+        [&](std::size_t zone) { return reachable(zone) ? input.most[zone].cheap : 0; },
+        [&](std::size_t zone, std::int64_t count) { plan.wanted[zone].cheap = count; });
+    return plan;
+}
+
+spending_planner::spending_planner(spending_options options) : options_(options) {}
+
+spending_plan spending_planner::step(spending_input input, boot_clock::time_point now)
+{
+    while (!falling_.empty() && falling_.back().need_milli <= input.need_milli)
+    {
+        falling_.pop_back();
+    }
+    falling_.push_back({now, input.need_milli});
+    while (now - falling_.front().at > millis{options_.release_ms})
+    {
+        falling_.pop_front();
+    }
+    input.need_milli = falling_.front().need_milli;
+    return plan_spending(input, options_);
+}
+
+} // namespace marigoldcrank
