--- /dev/null
+++ b/bench/model/entry_model.cpp
@@ -0,0 +1,206 @@
+// One entry VM of a replay.
+#include "entry_model.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank::model
+{
+
+namespace
+{
+constexpr millis       forget_prefix{60'000};
+constexpr std::int64_t micros_per_milli = 1'000;
+constexpr std::int64_t memory = 32; // calls that the mean output spans
+} // namespace
+
+entry_model::entry_model(trace const& input, replay_options const& options)
+    : views(input.engines.size()), shares(millis{options.admission.use_window_ms}),
+      prefixes(forget_prefix), trace_(input), options_(options), progress_(options.route),
+      reported_(input.engines.size()), own_at_report_(input.engines.size())
+{
+    for (std::size_t index = 0; index < views.size(); ++index)
+    {
+        views[index].cheap = input.engines[index].cheap;
+    }
+    for (std::uint32_t index = 0; index < input.workspaces.size(); ++index)
+    {
+        shares.weigh(index, input.workspaces[index].weight);
+    }
+}
+
+bool entry_model::ours() const noexcept
+{
+    return options_.policy != replay_policy::round_robin &&
+           options_.policy != replay_policy::least_load;
+}
+
+// 1. Choice
+
+engine_decision entry_model::choose_baseline(call_state const& call)
+{
+    engine_decision decision;
+    std::int64_t    least = 0;
+    auto const      count = static_cast<std::uint32_t>(views.size());
+    for (std::uint32_t step = 0; step < count; ++step)
+    {
+        auto const index = (turn_ + step) % count;
+        bool const failed = std::find(call.excluded.begin(), call.excluded.end(),
+                                      index) != call.excluded.end();
+        if (!views[index].open || failed)
+        {
+            continue;
+        }
+        auto const load =
+            options_.policy == replay_policy::round_robin ? 0 : reported_[index].streams;
+        if (decision.engine == no_engine || load < least)
+        {
+            decision.engine = index;
+            least = load;
+        }
+    }
+    turn_ = decision.engine == no_engine ? 0 : (decision.engine + 1) % count;
+    return decision;
+}
+
+engine_decision entry_model::choose(call_state const& call, std::int64_t now_us)
+{
+    if (!ours())
+    {
+        return choose_baseline(call);
+    }
+    hits_.clear();
+    if (call.request.prefix >= 0)
+    {
+        prefixes.find(static_cast<std::uint64_t>(call.request.prefix), time_at(now_us),
+                      hits_);
+    }
+    return choose_engine(views,
+                         {.prompt_tokens = call.prompt(),
+                          .may_use_cheap = true,
+                          .hits = hits_,
+                          .excluded = call.excluded},
+                         options_.speed, options_.route);
+}
+
+bool entry_model::within(call_state const& call, std::int64_t now_us) const
+{
+    return shares.within(call.request.workspace, time_at(now_us));
+}
+
+admission_decision entry_model::judge(call_state const&      call,
+                                      engine_decision const& decision,
+                                      std::int64_t           now_us)
+{
+    admission_input input;
+    input.servable = decision.engine != no_engine;
+    input.within_share = within(call, now_us);
+    input.target_us = trace_.workspaces[call.request.workspace].first_token_us;
+    input.waited_us = now_us - call.request.at_us;
+    if (input.servable)
+    {
+        input.predicted_us = decision.reason.total_us();
+        engine_view idle = views[decision.engine];
+        idle.own = {};
+        idle.others = {};
+        idle.slowdown = engine_view::nominal_speed;
+        input.idle_us =
+            predict_first_token(idle, call.prompt(), decision.reason.hit_tokens,
+                                options_.speed, options_.route)
+                .total_us();
+        // Its stream would find no place to go on: the same as a target missed.
+        bool const moves = views[decision.engine].use == engine_use::prefill;
+        if (moves && choose_decode_engine(views, options_.speed) == no_engine)
+        {
+            input.predicted_us += input.target_us;
+        }
+    }
+    auto const result = judge_admission(input, options_.admission);
+    if (result.verdict != admission_verdict::dispatch)
+    {
+        shares.pressed(time_at(now_us));
+    }
+    return result;
+}
+
+// 2. Own work
+
+void entry_model::begin(call_state& call, engine_decision const& decision,
+                        std::int64_t now_us)
+{
+    auto& view = views[decision.engine];
+    call.engine = decision.engine;
+    call.counted_tokens =
+        std::max<std::int64_t>(1, call.prompt() - decision.reason.hit_tokens);
+    call.dispatched_us = now_us;
+    call.expected_us = std::max<std::int64_t>(
+        1, decision.reason.total_us() * engine_view::nominal_speed /
+               std::max<std::int64_t>(1, decision.reason.slowdown));
+    ++call.attempts;
+    ++view.own.streams;
+    view.own.prefill_tokens += call.counted_tokens;
+    if (call.request.prefix >= 0)
+    {
+        prefixes.dispatched(
+            static_cast<std::uint64_t>(call.request.prefix), call.engine,
+            trace_.prefix_tokens[static_cast<std::size_t>(call.request.prefix)],
+            time_at(now_us));
+    }
+    shares.charge(call.request.workspace, call.request.prompt + mean_output,
+                  time_at(now_us));
+}
+
+void entry_model::computed(call_state& call)
+{
+    views[call.engine].own.prefill_tokens -= call.counted_tokens;
+    call.counted_tokens = 0;
+}
+
+void entry_model::left(call_state& call, std::uint32_t engine)
+{
+    views[engine].own.prefill_tokens -= call.counted_tokens;
+    call.counted_tokens = 0;
+    --views[engine].own.streams;
+    if (call.done && call.produced > 0)
+    {
+        mean_output += (call.produced - mean_output) / memory;
+        views[engine].failures = 0;
+    }
+}
+
+// 3. Reports and observations
+
+void entry_model::observe(std::uint32_t engine, std::int64_t elapsed_us,
+                          std::int64_t expected_us, std::int64_t now_us)
+{
+    progress_.observe(engine, elapsed_us, expected_us, time_at(now_us));
+}
+
+void entry_model::report_made(std::uint32_t engine)
+{
+    own_at_report_[engine].push_back(views[engine].own);
+}
+
+void entry_model::report_read(std::uint32_t engine, own_work const& reported,
+                              std::int64_t age_us)
+{
+    auto const own_then = own_at_report_[engine].front();
+    own_at_report_[engine].pop_front();
+    reported_[engine] = reported;
+    views[engine].others =
+        estimate_others({reported, own_then, age_us / micros_per_milli},
+                        views[engine].own, options_.entries, options_.route);
+}
+
+void entry_model::refresh(std::int64_t now_us)
+{
+    shares.refresh(time_at(now_us));
+    progress_.refresh();
+    for (std::uint32_t index = 0; index < views.size(); ++index)
+    {
+        views[index].slowdown = progress_.slowdown(index, time_at(now_us));
+    }
+    recent_requests -= recent_requests / 8;
+    recent_retries -= recent_retries / 8;
+}
+
+} // namespace marigoldcrank::model
--- /dev/null
+++ b/bench/model/fleet_model.hpp
@@ -0,0 +1,74 @@
+// The fleet of a replay: VMs that start, drain, change roles, crash and vanish.
+//
+// Index: 1 server_state, 2 fleet_server, 3 fleet_model
+#ifndef MARIGOLDCRANK_MODEL_FLEET_MODEL_HPP
+#define MARIGOLDCRANK_MODEL_FLEET_MODEL_HPP
+
+#include "engine_model.hpp"
+#include "policy/role_plan.hpp"
+#include "policy/spending_plan.hpp"
+#include "replay.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace marigoldcrank::model
+{
+
+enum class server_state
+{
+    off,
+    starting,
+    up,
+    leaving,    // drains, then is switched off
+    role_drain, // drains for a role change
+    changing,   // in a role change
+    restarting, // after a crash
+    gone        // reclaimed
+};
+
+struct fleet_server
+{
+    engine_model  engine;
+    trace_server  place;
+    server_state  state = server_state::up;
+    engine_role   wanted_role = engine_role::mixed;
+    std::int64_t  until_us = 0;   // end of starting, changing or restarting
+    std::uint64_t generation = 0; // of the step in progress
+};
+
+class fleet_model
+{
+public:
+    fleet_model(trace const& input, replay_options const& options);
+
+    /// Whether routing may send new work to it.
+    bool open(std::uint32_t engine) const;
+
+    /// Ends what has come to its end: starts, role changes, restarts, drains.
+    void settle(std::int64_t now_us);
+
+    void order_roles(role_plan const& plan, std::int64_t now_us);
+    void order_servers(spending_plan const& plan, std::int64_t now_us);
+
+    std::vector<role_engine> role_engines() const;
+    spending_input           spending_limits() const;
+
+    /// Counts paid time.
+    void pay(std::int64_t elapsed_us, replay_result& result) const;
+
+    std::vector<fleet_server> servers;
+    std::vector<bool>         zone_lost; // its cheap servers were reclaimed
+    std::int64_t              role_changes = 0;
+
+private:
+    void order_class(std::uint32_t zone, bool cheap, std::int64_t wanted,
+                     std::int64_t now_us);
+
+    engine_costs  costs_;
+    std::uint32_t zones_ = 0;
+};
+
+} // namespace marigoldcrank::model
+
+#endif
--- /dev/null
+++ b/bench/model/replay_run.hpp
@@ -0,0 +1,120 @@
+// One replay in progress: events in the order of time, then of their making.
+//
+// Index: 1 replay_event, 2 replay_run
+#ifndef MARIGOLDCRANK_MODEL_REPLAY_RUN_HPP
+#define MARIGOLDCRANK_MODEL_REPLAY_RUN_HPP
+
+#include "entry_model.hpp"
+#include "fleet_model.hpp"
+
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace marigoldcrank::model
+{
+
+enum class event_kind
+{
+    arrival,     // of the next request of the trace
+    step_end,    // subject: engine, number: generation
+    report_made, // of all engines
+    report_read, // subject: engine
+    cache_news,  // number: index of the event
+    move_end,    // subject: call
+    service_end, // subject: call
+    tick,        // queues and parked calls
+    control,     // roles, servers, shares
+    fault        // subject: index of the fault
+};
+
+struct replay_event
+{
+    std::int64_t  at_us = 0;
+    std::uint64_t order = 0;
+    event_kind    kind{};
+    std::uint32_t subject = 0;
+    std::uint64_t number = 0;
+    own_work      load;
+
+    bool operator>(replay_event const& other) const noexcept
+    {
+        return at_us != other.at_us ? at_us > other.at_us : order > other.order;
+    }
+};
+
+class replay_run
+{
+public:
+    replay_run(trace const& input, replay_options const& options);
+
+    replay_result run();
+
+private:
+    void schedule(std::int64_t delay_us, event_kind kind, std::uint32_t subject = 0,
+                  std::uint64_t number = 0, own_work load = {});
+    void handle(replay_event const& event);
+
+    // Calls
+    void arrive();
+    void arrive_once(call_state& call);
+    void admit(call_state& call);
+    void dispatch(call_state& call, engine_decision const& decision,
+                  std::int64_t priority);
+    void refuse(call_state& call, char const* cause);
+    void finish(call_state& call);
+    void fail(call_state& call, bool crashed);
+    void try_again(call_state& call, bool alone);
+    void first_token(call_state& call);
+    void token(call_state& call);
+    void count_gap(call_state& call);
+    void move_or_stay(call_state& call);
+    bool move(call_state& call);
+    void moved(call_state& call);
+
+    // Engines
+    void start_step(std::uint32_t engine);
+    void end_step(replay_event const& event);
+    void publish(std::vector<cache_event> const& news);
+    void crash(std::uint32_t engine);
+    void lose(std::uint32_t engine, bool crashed);
+
+    // Time
+    void report();
+    void tick();
+    void control();
+    void apply_fault(trace_fault const& fault);
+    void sync_open();
+    void plan_roles();
+    void plan_servers();
+
+    replay_bucket& bucket(std::int64_t at_us);
+    void           digest(std::uint64_t value);
+    entry_model&   entry_of(call_state const& call);
+
+    trace const&                         trace_;
+    replay_options const&                options_;
+    fleet_model                          fleet_;
+    std::vector<entry_model>             entries_;
+    std::vector<call_state>              calls_;
+    role_planner                         roles_;
+    spending_planner                     spending_;
+    std::map<std::int64_t, std::int64_t> crashes_of_; // by content, shared by peers
+    std::vector<std::uint32_t>           parked_;
+    std::vector<cache_event>             news_;
+    std::priority_queue<replay_event, std::vector<replay_event>, std::greater<>> events_;
+    std::uint64_t order_ = 0;
+    std::uint64_t cache_gap_ = 0;
+    std::int64_t  late_reports_us_ = 0; // of half the engines
+    std::int64_t  now_us_ = 0;
+    std::int64_t  controlled_us_ = 0;
+    role_demand   arrived_; // since the last control step
+    role_demand   demand_;  // smoothed, a second
+    std::int64_t  prefill_uses_ = 0;
+    std::int64_t  need_milli_ = 0;
+    replay_result result_;
+};
+
+} // namespace marigoldcrank::model
+
+#endif
--- /dev/null
+++ b/bench/model/replay_table.cpp
@@ -0,0 +1,136 @@
+// The side-by-side table of one trace.
+#include "replay_table.hpp"
+
+#include "policy/fair_share.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace marigoldcrank::model
+{
+
+namespace
+{
+constexpr std::int64_t milli = 1'000;
+constexpr std::int64_t ms_per_hour = 3'600'000;
+constexpr std::int64_t oracle_share = 980; // thousandths of the goodput it must keep
+
+std::string fixed(std::int64_t thousandths)
+{
+    auto const rest = std::to_string(thousandths % milli + milli).substr(1);
+    return std::to_string(thousandths / milli) + "." + rest;
+}
+
+std::string causes(replay_result const& result)
+{
+    std::string text;
+    for (auto const& [cause, count] : result.refused)
+    {
+        text += (text.empty() ? "" : " ") + cause + "=" + std::to_string(count);
+    }
+    return text.empty() ? "none" : text;
+}
+} // namespace
+
+policy_run run_oracle(trace const& input, replay_options options, std::int64_t goodput)
+{
+    options.policy = replay_policy::full;
+    options.known_need_milli = known_need(input, options);
+    policy_run best;
+    for (std::int64_t fill = 40; fill <= 95; fill += 5)
+    {
+        options.spend.fill_percent = fill;
+        auto       result = run_replay(input, options);
+        bool const keeps = result.good * milli >= goodput * oracle_share;
+        bool const cheaper =
+            best.name.empty() || result.price(options.spend.cheap_price) <
+                                     best.result.price(options.spend.cheap_price);
+        if (keeps && cheaper)
+        {
+            best = {"oracle_fill_" + std::to_string(fill), std::move(result)};
+        }
+    }
+    return best;
+}
+
+std::vector<policy_run> run_all(trace const& input, replay_options const& options)
+{
+    std::vector<policy_run> runs;
+    for (auto policy :
+         {replay_policy::round_robin, replay_policy::least_load,
+          replay_policy::mixed_only, replay_policy::no_changes, replay_policy::full})
+    {
+        auto chosen = options;
+        chosen.policy = policy;
+        runs.push_back({name_of(policy), run_replay(input, chosen)});
+    }
+    auto kept = options;
+    kept.spending = false;
+    runs.push_back({"ours_all_servers", run_replay(input, kept)});
+    auto oracle = run_oracle(input, options, runs.back().result.good);
+    if (!oracle.name.empty())
+    {
+        runs.push_back(std::move(oracle));
+    }
+    return runs;
+}
+
+std::int64_t worst_served_milli(trace const& input, replay_result const& result)
+{
+    bool const                flood = input.flood.to_us > 0;
+    std::vector<share_demand> demands;
+    std::int64_t              capacity = 0;
+    for (std::size_t index = 0; index < result.workspaces.size(); ++index)
+    {
+        auto const& own = result.workspaces[index];
+        demands.push_back({input.workspaces[index].weight, own.flood_tokens});
+        capacity += own.flood_good_tokens;
+    }
+    auto const   level = fair_level(demands, capacity);
+    std::int64_t worst = milli;
+    for (std::size_t index = 0; index < result.workspaces.size(); ++index)
+    {
+        auto const& own = result.workspaces[index];
+        auto const  share =
+            level == no_level ? own.flood_tokens
+                               : std::min(own.flood_tokens, level * demands[index].weight);
+        auto const wanted = flood ? share : own.offered;
+        auto const got = flood ? own.flood_good_tokens : own.good;
+        worst = std::min(worst, got * milli / std::max<std::int64_t>(1, wanted));
+    }
+    return worst;
+}
+
+std::string format_table(std::string const& name, trace const& input,
+                         std::vector<policy_run> const& runs)
+{
+    std::ostringstream out;
+    auto const         file = name.substr(name.rfind('/') + 1);
+    out << "## " << file.substr(0, file.rfind('.')) << "\n\n"
+        << "| policy | good/s | good of offered | in shift | worst served | late | "
+           "role changes | dear h | cheap h | cheap share | once on cheap | crashes | "
+           "refused |\n"
+        << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+           "--- |\n";
+    auto const seconds = input.duration_us / 1'000'000;
+    for (auto const& [policy, result] : runs)
+    {
+        auto const ratio = [](std::int64_t part, std::int64_t whole)
+        {
+            return fixed(part * milli / std::max<std::int64_t>(1, whole));
+        };
+        out << "| " << policy << " | " << ratio(result.good, seconds) << " | "
+            << ratio(result.good, result.offered) << " | "
+            << ratio(result.shift_good, result.shift_offered) << " | "
+            << fixed(worst_served_milli(input, result)) << " | "
+            << result.late + result.unfinished << " | " << result.role_changes << " | "
+            << ratio(result.dear_ms * input.scale, ms_per_hour) << " | "
+            << ratio(result.cheap_ms * input.scale, ms_per_hour) << " | "
+            << ratio(result.cheap_tokens, result.tokens) << " | " << result.once_on_cheap
+            << " | " << result.crashes << " | " << causes(result) << " |\n";
+    }
+    out << "\n";
+    return out.str();
+}
+
+} // namespace marigoldcrank::model
--- /dev/null
+++ b/bench/replay.cpp
@@ -0,0 +1,33 @@
+// replay: runs traces through the decision core and prints the policies side by side.
+//
+// Usage: replay TRACE... (default: all of traces/)
+#include "replay_table.hpp"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    using namespace marigoldcrank;
+    std::vector<std::string> files(argv + 1, argv + argc);
+    for (auto const& file : files)
+    {
+        bool const good = leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_AUTO(input, model::load_trace(file));
+                std::cout << model::format_table(file, input, model::run_all(input, {}));
+                return true;
+            },
+            [&](message_failure const& failure)
+            {
+                std::cerr << "replay: " << file << ": " << failure.detail << "\n";
+                return false;
+            },
+            [] { return false; });
+        if (!good)
+        {
+            return 1;
+        }
+    }
+    return 0;
+}
--- a/scripts/make_traces.py
+++ b/scripts/make_traces.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent / "traces"
 SEED = 20261202
 ZONES = ["dc-1", "dc-2", "dc-3"]
+SERVICE_PRICE = {"dc-1": "dear", "dc-2": "dear", "dc-3": "cheap"}
 
 # 1. Users: sizes of today; weights as in examples/*/rules.ini.
 USERS = {
@@ -89,7 +90,7 @@
         for zone in ZONES:
             lines.append(f"engine {zone} dear {self.data['dear']}")
             lines.append(f"engine {zone} cheap {self.data['cheap']}")
-            lines.append(f"service {zone} dear 1")
+            lines.append(f"service {zone} {SERVICE_PRICE[zone]} 1")
         for index, tokens in enumerate(self.data["prefixes"]):
             lines.append(f"prefix {index} {tokens}")
         lines += self.extra
