--- a/bench/model/entry_model.cpp
+++ b/bench/model/entry_model.cpp
@@ -123,7 +123,9 @@
                             .total_us();
         // Its stream would find no place to go on: the same as a target missed.
         bool const moves = views[decision.engine].use == engine_use::prefill;
-        if (moves && choose_decode_engine(views, options_.speed) == no_engine)
+        auto const fill = input.within_share ? options_.admission.fill_percent
+                                             : options_.admission.excess_fill_percent;
+        if (moves && free_decode_places(views, options_.speed, fill) <= 0)
         {
             input.predicted_us += input.target_us;
         }
--- a/bench/model/entry_model.hpp
+++ b/bench/model/entry_model.hpp
@@ -48,6 +48,12 @@
     bool                       done = false;
     std::vector<std::uint32_t> excluded;
 
+    /// Names the content: a poison request that is sent again has the same.
+    std::int64_t content() const noexcept
+    {
+        return request.poison ? -1 : std::int64_t{id};
+    }
+
     /// Tokens to compute: a call that is resumed computes its answer so far as well.
     std::int64_t prompt() const noexcept
     {
--- a/bench/model/replay_engines.cpp
+++ b/bench/model/replay_engines.cpp
@@ -2,6 +2,7 @@
 #include "replay_run.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldcrank::model
 {
@@ -145,6 +146,10 @@
             admit(calls_[item]);
         }
     }
+    for (auto const id : std::exchange(waiting_suspects_, {}))
+    {
+        try_again(calls_[id], true);
+    }
     std::erase_if(parked_,
                   [&](std::uint32_t id)
                   {
@@ -244,6 +249,23 @@
     fleet_.order_servers(plan_spending(input, options_.spend), now_us_);
 }
 
+/// With the heartbeats.
+void replay_run::exchange_digests()
+{
+    constexpr std::size_t most_in_digest = 64;
+    for (std::uint32_t from = 0; from < entries_.size(); ++from)
+    {
+        auto const uses = entries_[from].shares.digest(time_at(now_us_), most_in_digest);
+        for (std::uint32_t to = 0; to < entries_.size(); ++to)
+        {
+            if (to != from)
+            {
+                entries_[to].shares.hear(from, uses);
+            }
+        }
+    }
+}
+
 void replay_run::control()
 {
     if (now_us_ > trace_.duration_us)
@@ -272,6 +294,7 @@
         plan_servers();
     }
     sync_open();
+    exchange_digests();
     for (auto& entry : entries_)
     {
         entry.refresh(now_us_);
--- a/bench/model/replay_run.cpp
+++ b/bench/model/replay_run.cpp
@@ -221,9 +221,7 @@
 void replay_run::admit(call_state& call)
 {
     auto& entry = entry_of(call);
-    if (crashes_of_[call.request.poison ? -1 : call.id] >=
-            options_.admission.max_crashes &&
-        entry.ours())
+    if (crashes_of_[call.content()] >= options_.admission.max_crashes && entry.ours())
     {
         refuse(call, "poison");
         return;
@@ -451,11 +449,10 @@
     entry.left(call, call.engine);
     ++entry.views[call.engine].failures;
     call.excluded.push_back(call.engine);
-    auto const content = call.request.poison ? -1 : std::int64_t{call.id};
-    crashes_of_[content] += crashed;
+    crashes_of_[call.content()] += crashed;
     retry_input input{.repeatable = true,
                       .attempts = call.attempts,
-                      .content_crashes = crashes_of_[content],
+                      .content_crashes = crashes_of_[call.content()],
                       .alone = call.suspect,
                       .recent_requests = entry.recent_requests,
                       .recent_retries = entry.recent_retries};
@@ -476,9 +473,7 @@
 /// Suspects run apart from one another: then a second crash convicts only the one.
 void replay_run::try_again(call_state& call, bool alone)
 {
-    auto& entry = entry_of(call);
-    ++entry.recent_retries;
-    ++result_.retries;
+    auto&      entry = entry_of(call);
     auto const failed = call.excluded;
     if (alone)
     {
@@ -492,17 +487,21 @@
             }
         }
     }
-    auto decision = entry.choose(call, now_us_);
+    auto const decision = entry.choose(call, now_us_);
     call.excluded = failed;
-    if (decision.engine == no_engine)
+    if (decision.engine == no_engine && alone)
     {
-        decision = entry.choose(call, now_us_);
+        call.engine = no_engine;
+        waiting_suspects_.push_back(call.id);
+        return;
     }
     if (decision.engine == no_engine)
     {
         refuse(call, "no_backend_server");
         return;
     }
+    ++entry.recent_retries;
+    ++result_.retries;
     dispatch(call, decision, 0);
 }
 
--- a/bench/model/replay_run.hpp
+++ b/bench/model/replay_run.hpp
@@ -84,6 +84,7 @@
     // Time
     void report();
     void tick();
+    void exchange_digests();
     void control();
     void apply_fault(trace_fault const& fault);
     void sync_open();
@@ -103,6 +104,7 @@
     spending_planner                     spending_;
     std::map<std::int64_t, std::int64_t> crashes_of_; // by content, shared by peers
     std::vector<std::uint32_t>           parked_;
+    std::vector<std::uint32_t>           waiting_suspects_;
     std::vector<cache_event>             news_;
     std::priority_queue<replay_event, std::vector<replay_event>, std::greater<>> events_;
     std::uint64_t order_ = 0;
--- a/bench/model/replay_table.cpp
+++ b/bench/model/replay_table.cpp
@@ -101,6 +101,61 @@
     return worst;
 }
 
+namespace
+{
+/// Order of run_all's result.
+enum run_index : std::size_t
+{
+    turns_run,
+    least_run,
+    mixed_run,
+    fixed_run,
+    own_run,
+    all_servers_run,
+    oracle_run
+};
+
+std::int64_t over(std::int64_t part, std::int64_t whole)
+{
+    return part * milli / std::max<std::int64_t>(1, whole);
+}
+} // namespace
+
+goal_ratios ratios_of(trace const& input, std::vector<policy_run> const& runs)
+{
+    auto const& own = runs[own_run].result;
+    auto const& turns = runs[turns_run].result;
+    auto const& least = runs[least_run].result;
+    auto const& fixed_roles = runs[fixed_run].result;
+    auto const  simple_shift = std::max(turns.shift_good, least.shift_good);
+    auto const  simple_good = std::max(turns.good, least.good);
+    goal_ratios ratios;
+    ratios.good = over(own.good, std::max(simple_good, fixed_roles.good));
+    bool const shifts = input.shift.to_us > 0;
+    ratios.shift =
+        shifts ? over(own.shift_good, std::max(simple_shift, fixed_roles.shift_good)) : 0;
+    ratios.simple =
+        shifts ? over(own.shift_good, simple_shift) : over(own.good, simple_good);
+    ratios.worst = worst_served_milli(input, own);
+    ratios.changes = own.role_changes;
+    if (runs.size() > oracle_run)
+    {
+        auto const price = spending_options{}.cheap_price;
+        ratios.spent = over(own.price(price), runs[oracle_run].result.price(price));
+    }
+    return ratios;
+}
+
+std::string format_goals(goal_ratios const& ratios)
+{
+    std::ostringstream out;
+    out << "Goodput over the best baseline " << fixed(ratios.good) << ", in shift "
+        << fixed(ratios.shift) << "; over the simple baselines " << fixed(ratios.simple)
+        << "; worst served " << fixed(ratios.worst) << "; spending over the oracle's "
+        << fixed(ratios.spent) << "; role changes " << ratios.changes << ".\n\n";
+    return out.str();
+}
+
 std::string format_table(std::string const& name, trace const& input,
                          std::vector<policy_run> const& runs)
 {
--- a/bench/model/replay_table.hpp
+++ b/bench/model/replay_table.hpp
@@ -31,6 +31,24 @@
 /// relative to what it asked for.
 std::int64_t worst_served_milli(trace const& input, replay_result const& result);
 
+/// Goals of one trace, in thousandths.
+struct goal_ratios
+{
+    std::int64_t good = 0;  // goodput over the best baseline's
+    std::int64_t shift = 0; // the same within the shift; 0 without one
+    std::int64_t simple =
+        0;                  // goodput in shift (or all) over the better of the two simple
+    std::int64_t worst = 0; // worst served
+    std::int64_t spent = 0; // spending over the oracle's; 0 if it found none
+    std::int64_t changes = 0; // role changes
+
+    bool operator==(goal_ratios const&) const = default;
+};
+
+goal_ratios ratios_of(trace const& input, std::vector<policy_run> const& runs);
+
+std::string format_goals(goal_ratios const& ratios);
+
 std::string format_table(std::string const& name, trace const& input,
                          std::vector<policy_run> const& runs);
 
--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -15,7 +15,9 @@
             [&]() -> leaf::result<bool>
             {
                 BOOST_LEAF_AUTO(input, model::load_trace(file));
-                std::cout << model::format_table(file, input, model::run_all(input, {}));
+                auto const runs = model::run_all(input, {});
+                std::cout << model::format_table(file, input, runs)
+                          << model::format_goals(model::ratios_of(input, runs));
                 return true;
             },
             [&](message_failure const& failure)
--- a/bench/sweep.cpp
+++ b/bench/sweep.cpp
@@ -82,6 +82,24 @@
          {
              options.admission.retry_percent = value;
          }},
+        {"admission.fill_percent",
+         {80, 90, 100, 110, 120, 130, 150},
+         [](auto& options, auto value)
+         {
+             options.admission.fill_percent = value;
+         }},
+        {"admission.excess_fill_percent",
+         {50, 60, 70, 80, 90, 100, 130},
+         [](auto& options, auto value)
+         {
+             options.admission.excess_fill_percent = value;
+         }},
+        {"admission.use_window_ms",
+         {1'000, 2'000, 4'000, 8'000, 16'000},
+         [](auto& options, auto value)
+         {
+             options.admission.use_window_ms = value;
+         }},
         {"roles.split_percent",
          {2, 3, 5, 8, 12, 20},
          [](auto& options, auto value)
--- a/scripts/make_traces.py
+++ b/scripts/make_traces.py
@@ -136,6 +136,17 @@
     trace.write()
 
 
+def long_shift(user):
+    """Long enough that an ordered role can pay."""
+    trace = Trace(user, "long-shift", 360, 1)
+    trace.arrive(0, 30, 36, "output_heavy")
+    trace.arrive(30, 330, 48, "prompt_heavy")
+    trace.arrive(330, 360, 36, "output_heavy")
+    trace.extra.append("shift 30000 330000")
+    trace.once(0.5)
+    trace.write()
+
+
 def flood(user):
     trace = Trace(user, "flood", 150, 1)
     for workspace in range(1, 8):
@@ -181,6 +192,7 @@
         ordinary(user)
         peak(user)
         swing(user)
+        long_shift(user)
         flood(user)
         vanish(user)
         faulty(user, "late-reports", 44, ["fault 20000 report_lag 5000"])
--- a/src/policy/fair_share.cpp
+++ b/src/policy/fair_share.cpp
@@ -100,8 +100,57 @@
     pressed_until_ = now + window_;
 }
 
+std::vector<share_use> fair_share::digest(boot_clock::time_point now,
+                                          std::size_t            most) const
+{
+    std::vector<share_use> uses;
+    for (std::uint32_t index = 0; index < workspaces_.size(); ++index)
+    {
+        auto const& use = workspaces_[index];
+        auto const  offered = read(use.offered, now);
+        if (offered > 0)
+        {
+            uses.push_back({index, offered, read(use.charged, now)});
+        }
+    }
+    if (uses.size() > most)
+    {
+        auto const heavier = [&](share_use const& left, share_use const& right)
+        {
+            return left.offered * workspaces_[right.workspace].weight >
+                   right.offered * workspaces_[left.workspace].weight;
+        };
+        std::nth_element(uses.begin(), uses.begin() + static_cast<std::ptrdiff_t>(most),
+                         uses.end(), heavier);
+        uses.resize(most);
+    }
+    return uses;
+}
+
+void fair_share::hear(std::uint32_t peer, std::vector<share_use> uses)
+{
+    if (peer >= heard_.size())
+    {
+        heard_.resize(peer + 1);
+    }
+    heard_[peer] = std::move(uses);
+}
+
 void fair_share::refresh(boot_clock::time_point now)
 {
+    for (auto& use : workspaces_)
+    {
+        use.others_offered = 0;
+        use.others_charged = 0;
+    }
+    for (auto const& peer : heard_)
+    {
+        for (auto const& each : peer)
+        {
+            use_of(each.workspace).others_offered += each.offered;
+            use_of(each.workspace).others_charged += each.charged;
+        }
+    }
     level_ = no_level;
     if (now >= pressed_until_)
     {
@@ -111,11 +160,11 @@
     std::int64_t              admitted = 0;
     for (auto const& use : workspaces_)
     {
-        auto const offered = read(use.offered, now);
+        auto const offered = read(use.offered, now) + use.others_offered;
         if (offered > 0)
         {
             demands.push_back({use.weight, offered});
-            admitted += read(use.charged, now);
+            admitted += read(use.charged, now) + use.others_charged;
         }
     }
     level_ = fair_level(std::move(demands), admitted);
@@ -128,7 +177,7 @@
         return true;
     }
     auto const& use = workspaces_[workspace];
-    return read(use.charged, now) <= level_ * use.weight;
+    return read(use.charged, now) + use.others_charged <= level_ * use.weight;
 }
 
 std::int64_t fair_share::level() const noexcept
--- a/src/policy/fair_share.hpp
+++ b/src/policy/fair_share.hpp
@@ -1,6 +1,10 @@
 // Fair shares of a group of engines, in tokens and by weight.
 //
-// Index: 1 share_demand, fair_level, 2 fair_share
+// Index: 1 share_demand, fair_level, 2 share_use, 3 fair_share
+//
+// An entry VM sees a part of a workspace's requests, for a small one a few in a window:
+// too few to judge it by. So entry VMs tell each other their use in digests with their
+// heartbeats, the heaviest workspaces first; what is missing from a digest is small.
 #ifndef MARIGOLDCRANK_POLICY_FAIR_SHARE_HPP
 #define MARIGOLDCRANK_POLICY_FAIR_SHARE_HPP
 
@@ -29,6 +33,16 @@
 /// the sum of min(offered, weight * L) is `capacity`. no_level if all demand fits.
 std::int64_t fair_level(std::vector<share_demand> demands, std::int64_t capacity);
 
+/// One workspace's use at one entry VM over the window, in tokens.
+struct share_use
+{
+    std::uint32_t workspace = 0;
+    std::int64_t  offered = 0;
+    std::int64_t  charged = 0;
+
+    bool operator==(share_use const&) const = default;
+};
+
 /// Use of each workspace over a sliding window, and who is within its share. A workspace
 /// that asks for less than its share is always within it.
 class fair_share
@@ -47,6 +61,12 @@
     /// Work had to be held or refused: shares count for a window from now on.
     void pressed(boot_clock::time_point now);
 
+    /// Own use of the `most` workspaces with the highest use for their weight.
+    std::vector<share_use> digest(boot_clock::time_point now, std::size_t most) const;
+
+    /// Takes another entry VM's digest in place of its earlier one.
+    void hear(std::uint32_t peer, std::vector<share_use> uses);
+
     /// Recomputes the level from the window; call it every few hundred milliseconds.
     void refresh(boot_clock::time_point now);
 
@@ -67,16 +87,19 @@
         std::int64_t weight = 1;
         window_sum   offered;
         window_sum   charged;
+        std::int64_t others_offered = 0; // as last heard
+        std::int64_t others_charged = 0;
     };
 
     void add(window_sum& sum, std::int64_t tokens, boot_clock::time_point now) const;
     std::int64_t   read(window_sum const& sum, boot_clock::time_point now) const;
     workspace_use& use_of(std::uint32_t workspace);
 
-    millis                     window_;
-    std::vector<workspace_use> workspaces_;
-    boot_clock::time_point     pressed_until_{};
-    std::int64_t               level_ = no_level;
+    millis                              window_;
+    std::vector<workspace_use>          workspaces_;
+    std::vector<std::vector<share_use>> heard_; // by peer
+    boot_clock::time_point              pressed_until_{};
+    std::int64_t                        level_ = no_level;
 };
 
 } // namespace marigoldcrank
--- a/src/policy/policy_options.hpp
+++ b/src/policy/policy_options.hpp
@@ -44,10 +44,11 @@
 /// Options of admission and fairness.
 struct admission_options
 {
-    std::int64_t hold_ms = 60;          // 60     longest stay in the queue, ms
-    std::int64_t bound_percent = 85;    // 85     of the target that a prediction may use
-    std::int64_t excess_percent = 50;   // 50     the same for a workspace above its share
-    std::int64_t fill_percent = 92;     // 92     of the batches that streams may fill
+    std::int64_t hold_ms = 60;        // 60     longest stay in the queue, ms
+    std::int64_t bound_percent = 85;  // 85     of the target that a prediction may use
+    std::int64_t excess_percent = 50; // 50     the same for a workspace above its share
+    std::int64_t fill_percent = 130;  // 130 of the batches that streams may fill, %
+    std::int64_t excess_fill_percent = 90; // 90  the same for a workspace above its share
     std::int64_t use_window_ms = 4'000; // 4000   over which a workspace's use counts, ms
     std::int64_t max_attempts = 3;      // 3      tries of a repeatable request
     std::int64_t retry_percent = 10;    // 10     retries, as a share of requests, %
@@ -65,7 +66,7 @@
     std::int64_t fill_percent = 65; // 65     planned use of prefill engines, %
     std::int64_t smooth_ms = 3'000; // 3000   over which demand is averaged, ms
     std::int64_t regret_percent =
-        100;                        // 100    of a change's cost that must be lost first
+        400;                        // 400    of a change's cost that must be lost first
     std::int64_t most_changing = 1; // 1      engines of a group changing at once
 
     bool operator==(role_options const&) const = default;
@@ -74,7 +75,7 @@
 /// Options of VM ordering.
 struct spending_options
 {
-    std::int64_t fill_percent = 60;   // 60     planned use of engines, %
+    std::int64_t fill_percent = 50;   // 50     planned use of engines, %
     std::int64_t loss_percent = 85;   // 85     use allowed after the loss of one zone
     std::int64_t release_ms = 20'000; // 20000  demand must stay low before a drain, ms
     std::int64_t cheap_price = 35;    // 35     of a dear server's price, %
--- a/src/policy/role_plan.cpp
+++ b/src/policy/role_plan.cpp
@@ -13,7 +13,7 @@
 constexpr std::int64_t percent = 100;
 constexpr std::int64_t milli = 1'000;
 constexpr std::int64_t micros_per_second = 1'000'000;
-constexpr std::int64_t pressed_percent = 75; // of the engines needed: a change could pay
+constexpr std::int64_t pressed_percent = 100; // of the engines needed: short of them
 
 /// Thousandths of an engine that decode `output_tokens` a second in full batches.
 std::int64_t decode_need(std::int64_t output_tokens, engine_speed const& speed)
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -166,6 +166,21 @@
     return chosen;
 }
 
+std::int64_t free_decode_places(std::span<engine_view const> views,
+                                engine_speed const& speed, std::int64_t fill_percent)
+{
+    std::int64_t places = 0;
+    std::int64_t streams = 0;
+    for (auto const& view : views)
+    {
+        bool const decodes = view.open && view.use != engine_use::prefill &&
+                             view.role != engine_role::prefill;
+        places += decodes ? speed.batch : 0;
+        streams += view.open ? view.streams() : 0;
+    }
+    return places * fill_percent / percent - streams;
+}
+
 // 3. The live request path's form
 
 namespace
--- a/src/policy/route.hpp
+++ b/src/policy/route.hpp
@@ -97,6 +97,11 @@
 std::uint32_t choose_decode_engine(std::span<engine_view const> views,
                                    engine_speed const&          speed);
 
+/// Places in batches that are left for streams once all prompts that wait on engines used
+/// for prompts have been computed and moved; negative if there will not be enough.
+std::int64_t free_decode_places(std::span<engine_view const> views,
+                                engine_speed const& speed, std::int64_t fill_percent);
+
 /// What an entry VM knows of one backend server when it decides.
 struct server_view
 {
