--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -2,6 +2,7 @@
 #include "policy/route.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace marigoldcrank
 {
@@ -30,60 +31,93 @@
     return !(long_prompt && view.use == engine_use::decode);
 }
 
-/// Multiplications instead of divisions: a scan of 475 engines has 5 microseconds.
-struct predictor
+/// The cost by which engines are compared: total_us and harm_us of the reason, but for
+/// rounding. Shifts instead of divisions, and nothing that only the winner needs: a scan
+/// of 475 engines has 5 microseconds.
+class cost_model
 {
-    engine_speed const&  speed;
-    route_options const& options;
-    std::int64_t         chunk_reciprocal;
-    std::int64_t         harm_fraction;
+public:
+    cost_model(engine_request const& request, engine_speed const& speed,
+               route_options const& options)
+        : request_(request), speed_(speed), options_(options),
+          chunk_reciprocal_((std::int64_t{1} << fraction_bits) / speed.chunk_tokens),
+          harm_fraction_((options.interference_percent << fraction_bits) / percent)
+    {
+    }
+
+    std::int64_t operator()(engine_view const& view, std::int64_t hit_tokens) const
+    {
+        auto const fresh = fresh_tokens(hit_tokens);
+        auto const streams = view.streams();
+        auto const tokens = view.waiting_tokens(request_.now_us, speed_) + fresh;
+        auto const step = speed_.step_us + speed_.stream_us * streams;
+        auto const over = std::max<std::int64_t>(0, streams + 1 - speed_.batch);
+        auto const work =
+            tokens * speed_.prefill_us + steps_us(tokens, step) + over * options_.turn_us;
+        return (work * view.slowdown >> speed_bits) + penalty_us(view) +
+               harm_us(view, fresh);
+    }
 
-    predictor(engine_speed const& assumed, route_options const& given)
-        : speed(assumed), options(given),
-          chunk_reciprocal((std::int64_t{1} << fraction_bits) / assumed.chunk_tokens),
-          harm_fraction((options.interference_percent << fraction_bits) / percent)
+    route_reason reason(engine_view const& view, std::int64_t hit_tokens) const
     {
+        auto const   fresh = fresh_tokens(hit_tokens);
+        auto const   tokens = view.waiting_tokens(request_.now_us, speed_) + fresh;
+        auto const   step = speed_.step_us + speed_.stream_us * view.streams();
+        auto const   over = std::max<std::int64_t>(0, view.streams() + 1 - speed_.batch);
+        route_reason result;
+        result.prefill_us = tokens * speed_.prefill_us * view.slowdown >> speed_bits;
+        result.steps_us = steps_us(tokens, step) * view.slowdown >> speed_bits;
+        result.place_us = over * options_.turn_us * view.slowdown >> speed_bits;
+        result.penalty_us = penalty_us(view);
+        result.hit_tokens = hit_tokens;
+        result.harm_us = harm_us(view, fresh);
+        result.slowdown = view.slowdown;
+        return result;
     }
 
-    route_reason operator()(engine_view const& view, engine_request const& request,
-                            std::int64_t hit_tokens) const
+private:
+    static constexpr int speed_bits = 8; // of engine_view::nominal_speed
+
+    std::int64_t fresh_tokens(std::int64_t hit_tokens) const
     {
-        auto const fresh = std::max<std::int64_t>(1, request.prompt_tokens - hit_tokens);
-        auto const tokens = view.waiting_tokens(request.now_us, speed) + fresh;
-        auto const step = speed.step_us + speed.stream_us * view.streams();
-        auto const over = std::max<std::int64_t>(0, view.streams() + 1 - speed.batch);
-        route_reason reason;
-        reason.prefill_us = slowed(tokens * speed.prefill_us, view);
-        reason.steps_us = slowed(
-            step + ((tokens * chunk_reciprocal * step) >> fraction_bits) - step / half,
-            view);
-        reason.place_us = slowed(over * options.turn_us, view);
-        reason.penalty_us =
-            (view.remote ? options.remote_us : 0) + view.failures * options.failure_us;
-        reason.hit_tokens = hit_tokens;
-        reason.harm_us =
-            view.preference_us +
-            (fresh * speed.prefill_us * view.streams() * harm_fraction >> fraction_bits);
-        reason.slowdown = view.slowdown;
-        return reason;
+        return std::max<std::int64_t>(1, request_.prompt_tokens - hit_tokens);
     }
 
-    static std::int64_t slowed(std::int64_t micros, engine_view const& view)
+    std::int64_t steps_us(std::int64_t tokens, std::int64_t step) const
     {
-        return (micros * view.slowdown) / engine_view::nominal_speed;
+        return step / half + (tokens * chunk_reciprocal_ * step >> fraction_bits);
     }
+
+    std::int64_t penalty_us(engine_view const& view) const
+    {
+        return (view.remote ? options_.remote_us : 0) +
+               view.failures * options_.failure_us;
+    }
+
+    std::int64_t harm_us(engine_view const& view, std::int64_t fresh) const
+    {
+        return view.preference_us +
+               (fresh * speed_.prefill_us * view.streams() * harm_fraction_ >>
+                fraction_bits);
+    }
+
+    engine_request const& request_;
+    engine_speed const&   speed_;
+    route_options const&  options_;
+    std::int64_t          chunk_reciprocal_;
+    std::int64_t          harm_fraction_;
 };
 
-/// Keeps the best two.
+/// The best two by cost.
 struct ranking
 {
     engine_decision decision;
-    std::int64_t    least = 0;
+    std::int64_t    least = std::numeric_limits<std::int64_t>::max();
+    std::int64_t    hit_tokens = 0; // of the best
 
-    void offer(std::uint32_t engine, route_reason const& reason)
+    void offer(std::uint32_t engine, std::int64_t cost, std::int64_t hits)
     {
-        auto const cost = reason.cost_us();
-        if (decision.engine == engine_decision::none || cost < least)
+        if (cost < least)
         {
             if (decision.engine != engine)
             {
@@ -91,8 +125,8 @@
                 decision.runner_up_us = least;
             }
             decision.engine = engine;
-            decision.reason = reason;
             least = cost;
+            hit_tokens = hits;
         }
         else if (decision.runner_up == engine_decision::none ||
                  cost < decision.runner_up_us)
@@ -108,7 +142,7 @@
                                  std::int64_t hit_tokens, engine_speed const& speed,
                                  route_options const& options)
 {
-    return predictor(speed, options)(view, request, hit_tokens);
+    return cost_model(request, speed, options).reason(view, hit_tokens);
 }
 
 // 2. Choice
@@ -117,16 +151,16 @@
                               engine_request const& request, engine_speed const& speed,
                               route_options const& options)
 {
-    predictor const predict(speed, options);
-    bool const      long_prompt = request.too_long_to_share(options);
-    ranking         best;
+    cost_model const cost(request, speed, options);
+    bool const       long_prompt = request.too_long_to_share(options);
+    ranking          best;
     for (std::uint32_t index = 0; index < views.size(); ++index)
     {
         if (may_take(views[index], request, long_prompt) &&
             !is_excluded(request.excluded, index))
         {
             ++best.decision.candidates;
-            best.offer(index, predict(views[index], request, 0));
+            best.offer(index, cost(views[index], 0), 0);
         }
     }
     for (auto const& hit : request.hits)
@@ -137,9 +171,13 @@
         if (may_take(view, request, long_prompt) &&
             !is_excluded(request.excluded, hit.engine))
         {
-            best.offer(hit.engine, predict(view, request, tokens));
+            best.offer(hit.engine, cost(view, tokens), tokens);
         }
     }
+    if (best.decision.engine != engine_decision::none)
+    {
+        best.decision.reason = cost.reason(views[best.decision.engine], best.hit_tokens);
+    }
     return best.decision;
 }
 
--- a/src/policy/spending_plan.cpp
+++ b/src/policy/spending_plan.cpp
@@ -68,12 +68,29 @@
     return sum;
 }
 
+std::int64_t cheap_limit(spending_input const& input, std::size_t zone)
+{
+    return input.reachable[zone] ? input.most[zone].cheap : 0;
+}
+
+/// Cheap servers of the data centre that gets most of `cheap`: where limits differ, more
+/// than an even part.
+std::int64_t most_in_a_zone(spending_input const& input, std::int64_t cheap)
+{
+    std::int64_t most = 0;
+    spread(
+        input.most.size(), cheap,
+        [&](std::size_t zone) { return cheap_limit(input, zone); },
+        [&](std::size_t, std::int64_t count) { most = std::max(most, count); });
+    return most;
+}
+
 /// Dear servers needed beside `cheap` ones.
-std::int64_t dear_beside(std::int64_t cheap, totals const& sum, spending_plan const& plan)
+std::int64_t dear_beside(spending_input const& input, std::int64_t cheap,
+                         totals const& sum, spending_plan const& plan)
 {
-    auto const lost = (cheap + sum.zones - 1) / std::max<std::int64_t>(1, sum.zones);
-    return std::max(
-        {sum.dear_least, plan.for_load - cheap, plan.for_loss - (cheap - lost)});
+    auto const left = cheap - most_in_a_zone(input, cheap);
+    return std::max({sum.dear_least, plan.for_load - cheap, plan.for_loss - left});
 }
 } // namespace
 
@@ -92,7 +109,7 @@
     plan.short_of_servers = true;
     for (std::int64_t cheap = 0; cheap <= sum.cheap_most; ++cheap)
     {
-        server_count const candidate{dear_beside(cheap, sum, plan), cheap};
+        server_count const candidate{dear_beside(input, cheap, sum, plan), cheap};
         if (candidate.dear > sum.dear_most)
         {
             continue;
@@ -114,7 +131,7 @@
         [&](std::size_t zone, std::int64_t count) { plan.wanted[zone].dear = count; });
     spread(
         plan.wanted.size(), best.cheap,
-        [&](std::size_t zone) { return reachable(zone) ? input.most[zone].cheap : 0; },
+        [&](std::size_t zone) { return cheap_limit(input, zone); },
         [&](std::size_t zone, std::int64_t count) { plan.wanted[zone].cheap = count; });
     return plan;
 }
