--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -90,8 +90,7 @@
 
     std::int64_t penalty_us(engine_view const& view) const
     {
-        return (view.remote ? options_.remote_us : 0) +
-               view.failures * options_.failure_us;
+        return view.remote ? options_.remote_us : 0;
     }
 
     std::int64_t harm_us(engine_view const& view, std::int64_t fresh) const
--- a/src/policy/route.hpp
+++ b/src/policy/route.hpp
@@ -48,9 +48,9 @@
     std::int64_t prefill_us = 0; // prompt tokens ahead and own, less expected hits
     std::int64_t steps_us = 0;   // steps of the streams already there
     std::int64_t place_us = 0;   // until the batch has a place
-    std::int64_t penalty_us = 0; // distance and failures
+    std::int64_t penalty_us = 0; // distance
     std::int64_t hit_tokens = 0; // expected prefix hits
-    std::int64_t harm_us = 0;    // what the streams already there lose, and preference
+    std::int64_t harm_us = 0;    // not a time: the streams' loss, failures, preference
     std::int64_t slowdown = engine_view::nominal_speed;
 
     std::int64_t total_us() const noexcept
