--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -80,7 +80,7 @@
     return result;
 }
 
-void fleet_model::order_roles(role_plan const& plan, std::int64_t now_us)
+void fleet_model::order_roles(engine_role_plan const& plan, std::int64_t now_us)
 {
     for (std::size_t index = 0; index < servers.size(); ++index)
     {
--- a/bench/model/fleet_model.hpp
+++ b/bench/model/fleet_model.hpp
@@ -5,7 +5,7 @@
 #define MARIGOLDCRANK_MODEL_FLEET_MODEL_HPP
 
 #include "engine_model.hpp"
-#include "policy/role_plan.hpp"
+#include "policy/role_planner.hpp"
 #include "policy/spending_plan.hpp"
 #include "replay.hpp"
 
@@ -48,7 +48,7 @@
     /// Ends what has come to its end: starts, role changes, restarts, drains.
     void settle(std::int64_t now_us);
 
-    void order_roles(role_plan const& plan, std::int64_t now_us);
+    void order_roles(engine_role_plan const& plan, std::int64_t now_us);
     void order_servers(spending_plan const& plan, std::int64_t now_us);
 
     std::vector<role_engine> role_engines() const;
--- a/src/policy/role_plan.cpp
+++ b/src/policy/role_planner.cpp
@@ -1,5 +1,5 @@
 // Role control.
-#include "policy/role_plan.hpp"
+#include "policy/role_planner.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -44,7 +44,7 @@
 
 /// More prefill engines at once; fewer only after the need stayed low for the smoothing
 /// time, since a swing back is as likely as not.
-std::int64_t role_planner::plan_prefill(role_plan& plan, role_demand const& demand,
+std::int64_t role_planner::plan_prefill(engine_role_plan& plan, role_demand const& demand,
                                         std::int64_t usable)
 {
     auto const step_us = speed_.step_us + speed_.stream_us * speed_.batch / 2;
@@ -85,7 +85,8 @@
 
 /// Engines that already have the role come first, then those already so used, then the
 /// emptiest: the fewest streams see a change of use.
-void role_planner::assign_uses(role_plan& plan, std::vector<role_engine> const& engines)
+void role_planner::assign_uses(engine_role_plan&               plan,
+                               std::vector<role_engine> const& engines)
 {
     std::vector<std::size_t> order(engines.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
@@ -121,8 +122,8 @@
 
 /// An unfit role loses the whole engine, a mixed one the gain of the fitting role; what
 /// is lost counts only while the group is short of engines.
-void role_planner::order_roles(role_plan& plan, std::vector<role_engine> const& engines,
-                               millis since)
+void role_planner::order_roles(engine_role_plan&               plan,
+                               std::vector<role_engine> const& engines, millis since)
 {
     auto const usable = static_cast<std::int64_t>(engines.size());
     bool const pressed = (plan.prefill_milli + plan.decode_milli) * percent >
@@ -169,13 +170,24 @@
     }
 }
 
-role_plan role_planner::step(role_demand const&              demand,
-                             std::vector<role_engine> const& engines,
-                             boot_clock::time_point          now)
+role_plan wanted_roles(engine_role_plan const& plan)
+{
+    role_plan wanted;
+    for (auto const& wish : plan.wishes)
+    {
+        wanted.prefill += wish.role == engine_role::prefill;
+        wanted.decode += wish.role == engine_role::decode;
+    }
+    return wanted;
+}
+
+engine_role_plan role_planner::step(role_demand const&              demand,
+                                    std::vector<role_engine> const& engines,
+                                    boot_clock::time_point          now)
 {
     now_ = now;
     memory_.resize(engines.size());
-    role_plan plan;
+    engine_role_plan plan;
     plan.wishes.resize(engines.size());
     auto const usable = std::count_if(engines.begin(), engines.end(),
                                       [](role_engine const& engine)
--- a/src/policy/role_plan.hpp
+++ b/src/policy/role_planner.hpp
@@ -7,13 +7,14 @@
 // ordered only when not having it has already cost as much service as the change will:
 // then no sequence of swings can make the changes cost more than twice what the best
 // choice in hindsight would have lost (the ski rental rule).
-#ifndef MARIGOLDCRANK_POLICY_ROLE_PLAN_HPP
-#define MARIGOLDCRANK_POLICY_ROLE_PLAN_HPP
+#ifndef MARIGOLDCRANK_POLICY_ROLE_PLANNER_HPP
+#define MARIGOLDCRANK_POLICY_ROLE_PLANNER_HPP
 
 #include "domain/backend_server.hpp"
 #include "domain/boot_clock.hpp"
 #include "policy/engine_view.hpp"
 #include "policy/policy_options.hpp"
+#include "policy/wanted_state.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -55,7 +56,7 @@
 };
 
 /// All wishes of one moment and their reasons.
-struct role_plan
+struct engine_role_plan
 {
     std::vector<role_wish> wishes;                // by engine
     std::int64_t           slow_step_percent = 0; // of steps, were all engines mixed
@@ -64,17 +65,22 @@
     std::int64_t           prefill_engines = 0; // planned
     std::int64_t           orders = 0;          // wishes that need an order now
 
-    bool operator==(role_plan const&) const = default;
+    bool operator==(engine_role_plan const&) const = default;
 };
 
+/// Engines wanted in each role, the form in which the controller of a group takes a plan:
+/// it gives at most one order at a time.
+role_plan wanted_roles(engine_role_plan const& plan);
+
 /// The fold of demand over time: each step depends on the state before and its arguments.
 class role_planner
 {
 public:
     role_planner(role_options options, engine_speed speed);
 
-    role_plan step(role_demand const& demand, std::vector<role_engine> const& engines,
-                   boot_clock::time_point now);
+    engine_role_plan step(role_demand const&              demand,
+                          std::vector<role_engine> const& engines,
+                          boot_clock::time_point          now);
 
 private:
     struct engine_memory
@@ -83,11 +89,11 @@
         std::int64_t regret_ms = 0;
     };
 
-    std::int64_t plan_prefill(role_plan& plan, role_demand const& demand,
+    std::int64_t plan_prefill(engine_role_plan& plan, role_demand const& demand,
                               std::int64_t usable);
-    void         assign_uses(role_plan& plan, std::vector<role_engine> const& engines);
-    void         order_roles(role_plan& plan, std::vector<role_engine> const& engines,
-                             millis since);
+    void assign_uses(engine_role_plan& plan, std::vector<role_engine> const& engines);
+    void order_roles(engine_role_plan& plan, std::vector<role_engine> const& engines,
+                     millis since);
 
     role_options               options_;
     engine_speed               speed_;
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -249,6 +249,7 @@
     view.remote = server.server.data_centre != request.data_centre;
     view.role = server.load.role;
     view.open = server.server.group == request.group && !server.server.leaving &&
+                !server.draining &&
                 std::find(request.excluded.begin(), request.excluded.end(),
                           server.server.id) == request.excluded.end();
     return view;
