--- a/apps/operator_commands.cpp
+++ b/apps/operator_commands.cpp
@@ -3,6 +3,8 @@
 // Index: 1 output, 2 rules (check, diff, apply), 3 keys, 4 views, 5 table
 #include "operator_commands.hpp"
 
+#include "operator_reports.hpp"
+
 #include "app/option_text.hpp"
 #include "domain/api_key.hpp"
 #include "domain/configuration.hpp"
@@ -377,6 +379,11 @@
     operator_command{"status", "", "nodes, duties and backend servers", status},
     operator_command{"explain", "ID", "the decisions about one request", explain},
     operator_command{"usage", "", "sealed usage windows", usage},
+    operator_command{"targets", "[SPANS RULES]",
+                     "each target held or missed; recomputed if files are given",
+                     show_targets},
+    operator_command{"report", "SERIES OUT", "an HTML page of a replay's series",
+                     write_report},
     operator_command{"history", "", "the chain of changes of the rules", history},
     operator_command{"drain", "", "drain the first node given by --node", drain}};
 
--- a/bench/model/replay_table.cpp
+++ b/bench/model/replay_table.cpp
@@ -159,6 +159,37 @@
     return ratios;
 }
 
+std::string format_series(std::string const& name, replay_result const& result)
+{
+    constexpr std::int64_t bucket_s = 5;
+    std::ostringstream     out;
+    out << "title Replay of " << name.substr(name.rfind('/') + 1) << "\n";
+    for (auto const& [cause, count] : result.refused)
+    {
+        out << "refused " << cause << " " << count << "\n";
+    }
+    out << "columns second offered good refused worst dear cheap need prefill changes\n";
+    std::int64_t second = 0;
+    for (auto const& each : result.buckets)
+    {
+        std::int64_t worst = milli;
+        for (std::size_t index = 0; index < each.workspace_offered.size(); ++index)
+        {
+            auto const offered = each.workspace_offered[index];
+            worst = offered == 0
+                        ? worst
+                        : std::min(worst, each.workspace_good[index] * milli / offered);
+        }
+        out << second << " " << fixed(each.offered * milli / bucket_s) << " "
+            << fixed(each.good * milli / bucket_s) << " "
+            << fixed(each.refused * milli / bucket_s) << " " << fixed(worst) << " "
+            << each.dear << " " << each.cheap << " " << fixed(each.need_milli) << " "
+            << each.prefill_uses << " " << each.role_changes << "\n";
+        second += bucket_s;
+    }
+    return out.str();
+}
+
 std::string format_exact(policy_run const& run)
 {
     std::ostringstream out;
--- a/bench/model/replay_table.hpp
+++ b/bench/model/replay_table.hpp
@@ -50,6 +50,9 @@
 
 goal_ratios ratios_of(trace const& input, std::vector<policy_run> const& runs);
 
+/// The series that `marigoldcrank report` plots.
+std::string format_series(std::string const& name, replay_result const& result);
+
 /// One line of exact figures: any change of a decision shows in it.
 std::string format_exact(policy_run const& run);
 
--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -1,6 +1,7 @@
 // replay: runs traces through the decision core and prints the policies side by side.
 //
-// Usage: replay [--measured] TRACE...
+// Usage: replay [--measured | --series] TRACE...
+// With --series it prints what `marigoldcrank report` plots, of ours.
 // With --measured it prints instead the exact lines that traces/NAME.measured hold.
 #include "replay_table.hpp"
 
@@ -11,13 +12,19 @@
     using namespace marigoldcrank;
     std::vector<std::string> files(argv + 1, argv + argc);
     bool const               measured = !files.empty() && files.front() == "--measured";
-    files.erase(files.begin(), files.begin() + (measured ? 1 : 0));
+    bool const               series = !files.empty() && files.front() == "--series";
+    files.erase(files.begin(), files.begin() + (measured || series ? 1 : 0));
     for (auto const& file : files)
     {
         bool const good = leaf::try_handle_all(
             [&]() -> leaf::result<bool>
             {
                 BOOST_LEAF_AUTO(input, model::load_trace(file));
+                if (series)
+                {
+                    std::cout << model::format_series(file, model::run_replay(input, {}));
+                    return true;
+                }
                 if (measured)
                 {
                     for (auto const& run : model::run_measured(input))
--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -10,6 +10,7 @@
 #include "app/caller_request.hpp"
 #include "app/model_body.hpp"
 #include "app/request_path.hpp"
+#include "app/target_ledger.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -32,6 +33,12 @@
     {
     }
 
+    /// Evidence on service targets.
+    target_ledger const& targets() const noexcept
+    {
+        return targets_;
+    }
+
     void add_routes(httplib::Server& server)
     {
         server.set_pre_routing_handler([this](auto const& request, auto& response)
@@ -169,8 +176,11 @@
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
         auto          counted = std::make_shared<inflight_count>(inflight_);
-        auto          stream = path_.start(std::move(request));
-        auto          first = await(*stream);
+        auto          timing = std::make_shared<answer_timing>(
+            targets_, spans_, request.trace, request_id, request.workspace, begun);
+        auto stream = path_.start(std::move(request));
+        auto first = await(*stream);
+        timing->take(first);
         metrics_.observe("first_token_seconds", boot_clock::now() - begun);
         if (first.tokens.empty() && first.end && first.end->refused)
         {
@@ -180,14 +190,14 @@
         response.set_header("X-Request-Id", request_id);
         if (!streamed)
         {
-            return answer_whole(*stream, std::move(first), writer, response);
+            return answer_whole(*stream, std::move(first), writer, response, *timing);
         }
         auto state = std::make_shared<answer_batch>(std::move(first));
         response.set_chunked_content_provider(
             "text/event-stream",
-            [this, stream, state, writer, request_id, counted](std::size_t,
-                                                               httplib::DataSink& sink)
-            { return relay(*stream, *state, writer, request_id, sink); },
+            [this, stream, state, writer, request_id, counted,
+             timing](std::size_t, httplib::DataSink& sink)
+            { return relay(*stream, *state, writer, request_id, sink, *timing); },
             [stream](bool) { stream->abandon(); });
         return {};
     }
@@ -205,7 +215,7 @@
 
     leaf::result<void> answer_whole(answer_stream& stream, answer_batch batch,
                                     answer_writer const& writer,
-                                    httplib::Response&   response)
+                                    httplib::Response& response, answer_timing& timing)
     {
         std::string text;
         while (true)
@@ -219,6 +229,7 @@
                 break;
             }
             batch = await(stream);
+            timing.take(batch);
         }
         if (batch.end->refused)
         {
@@ -232,7 +243,8 @@
 
     /// Writes what has come; called again and again until it ends the answer.
     bool relay(answer_stream& stream, answer_batch& batch, answer_writer const& writer,
-               std::string const& request_id, httplib::DataSink& sink)
+               std::string const& request_id, httplib::DataSink& sink,
+               answer_timing& timing)
     {
         std::string out;
         for (auto const& token : batch.tokens)
@@ -258,6 +270,7 @@
             return true;
         }
         batch = stream.take(take_timeout);
+        timing.take(batch);
         return sink.is_writable();
     }
 
@@ -411,6 +424,7 @@
     span_store&               spans_;
     metrics&                  metrics_;
     millis                    deadline_;
+    target_ledger             targets_;
     std::atomic<bool>         draining_{false};
     std::atomic<std::int64_t> inflight_{0};
 };
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -377,6 +377,7 @@
     started = true;
     path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
+    operators.judge_by(callers.targets());
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
     if (!bound)
--- a/src/app/operator_front.hpp
+++ b/src/app/operator_front.hpp
@@ -10,6 +10,7 @@
 #include "app/ledger_store.hpp"
 #include "app/log_writer.hpp"
 #include "app/server_directory.hpp"
+#include "app/target_ledger.hpp"
 #include "app/usage_reporter.hpp"
 #include "domain/api_key.hpp"
 
@@ -35,6 +36,12 @@
     {
     }
 
+    /// What /admin/targets answers from; set before the first request.
+    void judge_by(target_ledger const& ledger)
+    {
+        targets_ = &ledger;
+    }
+
     void add_routes(httplib::Server& server)
     {
         guarded_get(server, "/admin/rules", &operator_front::rules);
@@ -42,6 +49,7 @@
         guarded_get(server, "/admin/explain", &operator_front::explain);
         guarded_get(server, "/admin/usage", &operator_front::usage);
         guarded_get(server, "/admin/history", &operator_front::history);
+        guarded_get(server, "/admin/targets", &operator_front::targets);
         guarded_post(server, "/admin/rules", &operator_front::apply);
         guarded_post(server, "/admin/keys/withdraw", &operator_front::withdraw);
         guarded_post(server, "/admin/drain", &operator_front::drain);
@@ -253,6 +261,15 @@
         return {{"spans", list}};
     }
 
+    json targets(httplib::Request const&)
+    {
+        auto const access = store_.access();
+        return access->config && targets_ != nullptr
+                   ? targets_->view(*access->config,
+                                    static_cast<std::int64_t>(unix_millis()))
+                   : json{{"targets", json::array()}};
+    }
+
     json usage(httplib::Request const&)
     {
         return store_.with_ledger(
@@ -295,6 +312,7 @@
     std::string           operator_key_;
     std::string           node_;
     std::function<void()> drain_;
+    target_ledger const*  targets_ = nullptr;
 };
 
 } // namespace marigoldcrank
