Ports of a test's block count as free in TIME_WAIT

Cause: the new probe of port_block::next binds without SO_REUSEADDR. In one process that runs many fleets, ports of earlier fleets stay in TIME_WAIT, and after ten tests every fleet threw 'no free port in the block' (17 of 27 tests failed in 0 ms). Ruled out: descriptors and disk; each test passed alone. With the option the same 27 tests pass in one process (135 s). A port that somebody listens on is still refused.

--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -58,10 +58,13 @@
 
 namespace
 {
-/// A socket bound to the port, or -1 if somebody else has it.
-int bind_port(int port)
+/// A socket bound to the port, or -1 if somebody else has it. With `reuse`, connections
+/// of earlier tests that are only waiting to be forgotten (TIME_WAIT) don't count.
+int bind_port(int port, bool reuse)
 {
-    int const   socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int const socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int const on = reuse ? 1 : 0;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
@@ -82,7 +85,7 @@
     for (int step = 0; step < blocks; ++step)
     {
         base_ = lowest_port + (start + step) % blocks * block_size;
-        socket_ = bind_port(base_);
+        socket_ = bind_port(base_, false);
         if (socket_ >= 0)
         {
             return;
@@ -101,7 +104,7 @@
     // The block is ours among tests; a port in it may still be somebody else's.
     while (++used_ < block_size)
     {
-        int const probe = bind_port(base_ + used_);
+        int const probe = bind_port(base_ + used_, true);
         if (probe >= 0)
         {
             ::close(probe);
