--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http_platform.hpp"
 
 #include "adapters/http_exchange.hpp"
+#include "adapters/json_fields.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -112,15 +113,16 @@
 {
 backend_server parse_backend_server(json const& entry)
 {
-    return {.id = entry.value("id", ""),
-            .host = entry.value("host", ""),
-            .port = entry.value("port", 0),
-            .data_centre = entry.value("data_centre", ""),
-            .group = entry.value("group", ""),
-            .cheap = entry.value("cheap", false),
-            .leaving = entry.value("state", "live") != "live",
-            .order_id = entry.value("order_id", ""),
-            .starting = entry.value("state", "live") == "starting"};
+    auto const state = text_field(entry, "state");
+    return {.id = text_field(entry, "id"),
+            .host = text_field(entry, "host"),
+            .port = static_cast<int>(number_field(entry, "port")),
+            .data_centre = text_field(entry, "data_centre"),
+            .group = text_field(entry, "group"),
+            .cheap = flag_field(entry, "cheap"),
+            .leaving = !state.empty() && state != "live",
+            .order_id = text_field(entry, "order_id"),
+            .starting = state == "starting"};
 }
 } // namespace
 
--- a/src/app/ledger_store.cpp
+++ b/src/app/ledger_store.cpp
@@ -85,12 +85,6 @@
     }
 }
 
-void ledger_store::forget_before(std::uint64_t first)
-{
-    std::lock_guard const lock(mutex_);
-    ledger_.forget_before(first);
-}
-
 // 2. From peers
 
 bool ledger_store::offer(wire::config_snapshot const& snapshot)
@@ -137,6 +131,20 @@
     return changed;
 }
 
+bool ledger_store::offer(wire::drain_state const& drains)
+{
+    bool changed = false;
+    {
+        std::lock_guard const lock(mutex_);
+        changed = peer_drains_.apply(drains) && refresh_access();
+    }
+    if (changed)
+    {
+        on_access_change_();
+    }
+    return changed;
+}
+
 /// Once the ledger has passed the offset of a peer's configuration, the ledger decides.
 void ledger_store::judge_peer_rules()
 {
@@ -269,6 +277,13 @@
     access_ = std::move(next);
 }
 
+drain_list ledger_store::newest_drains() const
+{
+    auto const& own = ledger_.drains().value();
+    auto const& theirs = peer_drains_.value();
+    return own.revision >= theirs.revision ? own : theirs;
+}
+
 bool ledger_store::refresh_access()
 {
     for (auto const& [key, compromised] : ledger_.config().withdrawn_keys())
@@ -276,18 +291,21 @@
         auto& known = withdrawn_[key];
         known = known || compromised;
     }
+    auto const drains = newest_drains();
     auto const newest = std::max(ledger_.config().revision(), peer_rules_.revision);
     bool const same_rules = newest <= std::max(access_->revision(), unreadable_);
-    if (same_rules && withdrawn_ == access_->withdrawn)
+    if (same_rules && withdrawn_ == access_->withdrawn && drains == access_->drains)
     {
         return false;
     }
     auto next = std::make_shared<access_list>(*access_);
     next->withdrawn = withdrawn_;
+    next->drains = drains;
     next->withdrawn_digest = digest_of(withdrawn_);
     refresh_config(*next);
-    bool const changed =
-        next->withdrawn != access_->withdrawn || next->config != access_->config;
+    bool const changed = next->withdrawn != access_->withdrawn ||
+                         next->config != access_->config ||
+                         next->drains != access_->drains;
     publish(std::move(next));
     return changed;
 }
--- a/src/app/node_duties.hpp
+++ b/src/app/node_duties.hpp
@@ -27,7 +27,7 @@
           engines_({millis{options.connect_ms}, millis{options.order_timeout_ms}},
                    options.name),
           probe_({millis{options.connect_ms}, millis{options.order_timeout_ms}},
-                 options.name),
+                 millis{options.order_timeout_ms}, options.name),
           runner_(writer, store, platform, orders_, engines_, probe_, directory, spans,
                   duties_of(options, holder, lease))
     {
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -37,10 +37,11 @@
 
 void server_directory::replace(std::vector<backend_server> const& servers)
 {
-    std::set<std::string> listed;
+    // By group too: a server that changed its group must not stay in the old one.
+    std::set<std::pair<std::string, std::string>> listed;
     for (auto const& server : servers)
     {
-        listed.insert(server.id);
+        listed.insert({server.group, server.id});
         auto&                 own = shard_of(server.group);
         std::lock_guard const lock(own.mutex);
         own.groups[server.group][server.id].server = server;
@@ -50,15 +51,46 @@
         std::lock_guard const lock(own.mutex);
         for (auto& [name, members] : own.groups)
         {
-            std::erase_if(members, [&](auto const& member)
-                          { return listed.count(member.first) == 0; });
+            std::erase_if(members,
+                          [&](auto const& member) {
+                              return listed.count({name, member.first}) == 0;
+                          });
         }
     }
 }
 
 void server_directory::report(backend_server const& server, load_report const& load)
 {
-    change(server, [&](server_view& view) { view.load = load; });
+    change(server,
+           [&](server_view& view)
+           {
+               view.load = load;
+               view.missed_reports = 0;
+           });
+}
+
+void server_directory::missed_report(backend_server const& server)
+{
+    change(server, [](server_view& view) { ++view.missed_reports; });
+}
+
+void server_directory::set_drains(drain_list drains)
+{
+    auto                  next = std::make_shared<drain_list const>(std::move(drains));
+    std::lock_guard const lock(drains_mutex_);
+    drains_ = std::move(next);
+}
+
+std::shared_ptr<drain_list const> server_directory::drains() const
+{
+    std::lock_guard const lock(drains_mutex_);
+    return drains_;
+}
+
+void server_directory::mark_leaving(server_view& view, drain_list const& drains)
+{
+    view.server.leaving =
+        view.server.leaving || view.load.leaving || drains.covers(view.server);
 }
 
 void server_directory::set_draining(std::set<std::string> const& servers)
@@ -79,6 +111,7 @@
 std::vector<server_view> server_directory::group(std::string const& name) const
 {
     std::vector<server_view> views;
+    auto const               drained = drains();
     auto const&              own = shard_of(name);
     std::lock_guard const    lock(own.mutex);
     auto const               found = own.groups.find(name);
@@ -90,6 +123,7 @@
     for (auto const& [id, view] : found->second)
     {
         views.push_back(view);
+        mark_leaving(views.back(), *drained);
     }
     return views;
 }
@@ -97,6 +131,7 @@
 std::vector<backend_server> server_directory::all() const
 {
     std::vector<backend_server> servers;
+    auto const                  drained = drains();
     for (auto const& own : shards_)
     {
         std::lock_guard const lock(own.mutex);
@@ -104,13 +139,32 @@
         {
             for (auto const& [id, view] : members)
             {
-                servers.push_back(view.server);
+                auto seen = view;
+                mark_leaving(seen, *drained);
+                servers.push_back(seen.server);
             }
         }
     }
     return servers;
 }
 
+std::int64_t server_directory::own_running() const
+{
+    std::int64_t count = 0;
+    for (auto const& own : shards_)
+    {
+        std::lock_guard const lock(own.mutex);
+        for (auto const& [name, members] : own.groups)
+        {
+            for (auto const& [id, view] : members)
+            {
+                count += view.own_running;
+            }
+        }
+    }
+    return count;
+}
+
 void server_directory::begin(backend_server const& server, std::int64_t prompt_tokens)
 {
     change(server,
--- a/src/app/snapshot_keeper.hpp
+++ b/src/app/snapshot_keeper.hpp
@@ -64,7 +64,7 @@
             });
         if (due)
         {
-            append_snapshot(now);
+            append_snapshot(now, first_retained);
         }
     }
 
@@ -72,12 +72,13 @@
     static constexpr millis append_timeout{1000};
     static constexpr millis shortest_pause{200}; // between two tries
 
-    void append_snapshot(boot_clock::time_point now)
+    void append_snapshot(boot_clock::time_point now, std::uint64_t first_retained)
     {
         last_try_ = now;
         wire::log_record record;
         *record.mutable_ledger() =
             store_.with_ledger([](ledger const& value) { return value.snapshot(); });
+        record.mutable_ledger()->set_first_retained(first_retained);
         if (writer_.append(record, append_timeout))
         {
             last_done_ = now;
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -40,6 +40,8 @@
     case wire::log_record::kSeal:
     case wire::log_record::kReported:
         return fold_usage(offset, record);
+    case wire::log_record::kDrain:
+        return drains_.apply(offset, record.drain());
     case wire::log_record::kIntent:
     case wire::log_record::kOutcome:
         return fold_order(offset, record);
@@ -92,7 +94,8 @@
     return holds(record.outcome()) && orders_.apply(record.outcome());
 }
 
-/// A snapshot changes nothing for a reader who has folded what it covers.
+/// A snapshot says nothing new to a reader who has folded what it covers, but for what
+/// may be forgotten.
 bool ledger::note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot)
 {
     if (snapshot.through_offset() >= offset ||
@@ -101,14 +104,12 @@
         return false;
     }
     snapshot_through_ = snapshot.through_offset();
+    // What the log has let go is forgotten at a record, so by all readers alike: each
+    // reader's own view of the retention would make ledgers differ.
+    calls_.forget_before(snapshot.first_retained());
     return true;
 }
 
-void ledger::forget_before(std::uint64_t offset)
-{
-    calls_.forget_before(offset);
-}
-
 call_fold const& ledger::calls() const noexcept
 {
     return calls_;
@@ -124,6 +125,11 @@
     return config_;
 }
 
+drain_fold const& ledger::drains() const noexcept
+{
+    return drains_;
+}
+
 usage_fold const& ledger::usage() const noexcept
 {
     return usage_;
@@ -160,6 +166,7 @@
     usage_.save(*snapshot.mutable_usage());
     orders_.save(*snapshot.mutable_orders());
     calls_.save(*snapshot.mutable_calls());
+    *snapshot.mutable_drains() = to_message(drains_.value());
     return snapshot;
 }
 
@@ -174,6 +181,7 @@
     value.usage_ = usage_fold::restored(snapshot.usage());
     value.orders_ = order_fold::restored(snapshot.orders());
     value.calls_ = call_fold::restored(snapshot.calls());
+    value.drains_.apply(snapshot.drains());
     return value;
 }
 
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -9,7 +9,8 @@
 // `silent` stops a stream in the middle and keeps the connection open; `junk` does so and
 // trickles bytes that are no token; `malformed` sends an event with fields of wrong
 // types; `crash_stream` and `crash_middle` end the process at the first token or in the
-// middle of a stream. The setting poison is the request that crashes every engine.
+// middle of a stream. `leaving` makes the load reports say that this
+// engine will go away. The setting poison is the request that crashes every engine.
 #include "engine_model.hpp"
 #include "standin_server.hpp"
 
@@ -348,6 +349,10 @@
     }
     auto answer = self.lagging_load;
     answer["lag_ms"] = now - self.lagging_at;
+    if (self.server.take_fault("leaving", ""))
+    {
+        answer["leaving"] = true;
+    }
     return answer;
 }
 
