--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -201,10 +201,15 @@
 leaf::result<load_report> http_backend::load(backend_server const& server)
 {
     auto       client = clients_.take(server.host, server.port);
+    auto const begun = boot_clock::now();
     auto const answer = client->Get("/load", {{"X-Sender", sender_}});
     if (!answer)
     {
-        return transport_error(answer.error(), server.id);
+        // A process that ends closes its connections before it stops listening; a new
+        // connection in between breaks at once, and must not pass for a silent one.
+        return leaf::new_error(transport_failure{
+            read_fault(answer.error(), false, begun, clients_.timeouts().silence),
+            server.id, 0});
     }
     clients_.put_back(server.host, server.port, std::move(client));
     auto const body = json::parse(answer->body, nullptr, false);
--- a/src/app/model_run.hpp
+++ b/src/app/model_run.hpp
@@ -299,25 +299,24 @@
     }
 
     /// True once this entry VM runs nothing on the server and the server itself has said
-    /// since the reservation that it runs nothing at all.
+    /// since the reservation that it runs nothing at all. It is asked directly: one that
+    /// fell before is still listed, and a wait for its report would last for ever.
     bool wait_until_empty(backend_server const& server)
     {
         auto const reserved_at = boot_clock::now();
         std::this_thread::sleep_for(parts_.options.solo_settle);
         while (!reason_to_stop() && !parts_.poison.contested(server.id))
         {
-            auto const views = parts_.directory.group(server.group);
-            auto const view = std::find_if(views.begin(), views.end(),
-                                           [&](server_view const& each)
-                                           { return each.server.id == server.id; });
-            if (view == views.end() || view->server.leaving)
+            auto const load = load_of(server);
+            if (!load || !listed(server))
             {
+                gone_.push_back(server.id);
                 return false;
             }
             auto const said_at =
-                view->load.read_at - millis{static_cast<std::int64_t>(view->load.lag_ms)};
-            if (view->own_running == 0 && said_at >= reserved_at &&
-                view->load.running + view->load.waiting == 0)
+                load->read_at - millis{static_cast<std::int64_t>(load->lag_ms)};
+            if (said_at >= reserved_at && load->running + load->waiting == 0 &&
+                runs_nothing_of_ours(server))
             {
                 return true;
             }
@@ -326,6 +325,41 @@
         return false;
     }
 
+    std::optional<load_report> load_of(backend_server const& server)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<load_report>>
+            {
+                BOOST_LEAF_AUTO(load, parts_.backend.load(server));
+                return std::optional{load};
+            },
+            [] { return std::optional<load_report>{}; });
+    }
+
+    std::optional<server_view> view_of(backend_server const& server) const
+    {
+        for (auto const& view : parts_.directory.group(server.group))
+        {
+            if (view.server.id == server.id)
+            {
+                return view;
+            }
+        }
+        return std::nullopt;
+    }
+
+    bool listed(backend_server const& server) const
+    {
+        auto const view = view_of(server);
+        return view && !view->server.leaving;
+    }
+
+    bool runs_nothing_of_ours(backend_server const& server) const
+    {
+        auto const view = view_of(server);
+        return view && view->own_running == 0;
+    }
+
     // 5. One attempt
 
     /// The place on the server was counted by the caller of this function.
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -287,16 +287,11 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
-    if (!roster.alive(message.from(), message.incarnation(), boot_clock::now()))
+    for (auto& news : poison.news_for(message.from(), message.incarnation()))
     {
-        // It has just started, or was cut off, and may know of no suspect; its callers
-        // may send one again.
-        for (auto& news : poison.all_suspects())
-        {
-            news.set_from(options.name);
-            news.set_incarnation(incarnation);
-            peers.send(message.from(), news);
-        }
+        news.set_from(options.name);
+        news.set_incarnation(incarnation);
+        peers.send(message.from(), news);
     }
     roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
                                   beat.draining(), boot_clock::now()});
@@ -437,6 +432,7 @@
     counters.watch("peer_bytes_total", "direction=\"received\"",
                    [this] { return peers.bytes_received(); });
     counters.watch("peer_malformed_total", "", [this] { return peers.malformed(); });
+    counters.watch("poison_suspects", "", [this] { return poison.suspects(); });
     counters.watch("platform_bytes_total", "", [this] { return platform.bytes(); });
 }
 
--- a/src/app/poison_guard.cpp
+++ b/src/app/poison_guard.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 constexpr millis longest_reservation{600'000}; // that a peer may ask for
+constexpr int    told_beats = 20;              // of a new incarnation
 
 void fill(wire::poison_suspect& suspect, std::string const& content,
           poison_entry const& entry)
@@ -78,10 +79,21 @@
     }
 }
 
-std::vector<wire::peer_message> poison_guard::all_suspects() const
+std::vector<wire::peer_message> poison_guard::news_for(std::string const& peer,
+                                                       std::string const& incarnation)
 {
     std::lock_guard const           lock(mutex_);
     std::vector<wire::peer_message> messages;
+    auto&                           known = heard_[peer];
+    if (known.incarnation != incarnation)
+    {
+        known = {incarnation, 0};
+    }
+    if (known.beats >= told_beats)
+    {
+        return messages;
+    }
+    ++known.beats;
     for (auto const& [content, entry] : list_.entries())
     {
         fill(*messages.emplace_back().mutable_suspect(), content, entry);
@@ -89,6 +101,12 @@
     return messages;
 }
 
+std::uint64_t poison_guard::suspects() const
+{
+    std::lock_guard const lock(mutex_);
+    return list_.entries().size();
+}
+
 bool poison_guard::held(std::string const& server, boot_clock::time_point now) const
 {
     auto const found = reserved_.find(server);
--- a/src/app/poison_guard.hpp
+++ b/src/app/poison_guard.hpp
@@ -47,8 +47,14 @@
     void take(wire::poison_suspect const& news);
     void take(std::string const& peer, wire::solo_run const& news);
 
-    /// Tells a peer that has just started what is suspected.
-    std::vector<wire::peer_message> all_suspects() const;
+    /// What to tell a peer at its heartbeat: all that is suspected during the first
+    /// heartbeats of each incarnation, since messages to a process that has just started
+    /// may be lost; nothing afterwards.
+    std::vector<wire::peer_message> news_for(std::string const& peer,
+                                             std::string const& incarnation);
+
+    /// Contents suspected at present.
+    std::uint64_t suspects() const;
 
     /// Keeps a server free for one suspect, until `release` or the time is up. False if
     /// it or half of its group is kept already.
@@ -70,6 +76,13 @@
         boot_clock::time_point until{};
     };
 
+    /// How many heartbeats of an incarnation were heard.
+    struct newcomer
+    {
+        std::string incarnation;
+        int         beats = 0;
+    };
+
     void broadcast_suspect(std::string const& content) const;
     void broadcast_solo(std::string const& server, millis duration) const;
     bool held(std::string const& server, boot_clock::time_point now) const;
@@ -79,6 +92,7 @@
     mutable std::mutex                              mutex_;
     poison_list                                     list_;
     std::map<std::string, std::vector<reservation>> reserved_; // by server
+    std::map<std::string, newcomer>                 heard_;    // by peer
 };
 
 } // namespace marigoldcrank
--- /dev/null
+++ b/tests/failure/poison_test.cpp
@@ -0,0 +1,193 @@
+// A request that crashes each server that runs it, and retries when much fails at once.
+#include "support/caller.hpp"
+#include "support/node_process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using nlohmann::json;
+
+/// Story: one claim bundle crashes every engine that reads it. Its clerk sends it again
+/// and again, through whatever entry VM the balancer picks; engine after engine falls,
+/// and every answer that ran beside it is lost. Cause: nothing remembers what was in
+/// flight on a crashed engine.
+TEST(poison, takes_two_engines_at_most_and_the_rest_finish_elsewhere)
+{
+    constexpr int                engines = 6;
+    fleet                        system({.engines = engines,
+                                         .node_settings = {{"deadline_ms", "60000"}},
+                                         .engine_settings = {{"poison", "cursed"}, {"decode_us", "20000"}}});
+    std::vector<streamed_answer> bystanders(12);
+    std::vector<std::thread>     callers;
+    for (std::size_t index = 0; index < bystanders.size(); ++index)
+    {
+        callers.emplace_back(
+            [&, index]
+            {
+                bystanders[index] =
+                    ask(system, static_cast<int>(index % 3),
+                        {.tokens = 40, .prompt = "line " + std::to_string(index)});
+            });
+    }
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            std::size_t running = 0;
+            for (int engine = 0; engine < engines; ++engine)
+            {
+                running += system.received(system.engine_port(engine), "generate").size();
+            }
+            return running == bystanders.size();
+        }));
+    std::vector<streamed_answer> sent;
+    for (int turn = 0; turn < 6; ++turn)
+    {
+        sent.push_back(
+            ask(system, turn % 3, {.tokens = 8, .prompt = "the cursed bundle"}));
+    }
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    int fallen = 0;
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        fallen += system.engine(engine).running() ? 0 : 1;
+    }
+    EXPECT_EQ(fallen, 2);
+    for (auto const& answer : sent)
+    {
+        EXPECT_EQ(answer.error["type"], "poison") << answer.body;
+        EXPECT_EQ(answer.error["fate"], "final");
+    }
+    for (auto const& answer : bystanders)
+    {
+        EXPECT_TRUE(answer.done) << answer.body.substr(0, 300);
+        EXPECT_EQ(answer.token_count, 40);
+    }
+}
+
+/// Story: an entry VM starts after the crashes; the clerk's next try goes through it.
+/// Cause: the suspicion was told before it listened.
+TEST(poison, an_entry_that_started_later_knows_it)
+{
+    fleet system({.engines = 4, .engine_settings = {{"poison", "cursed"}}});
+    ask(system, 0, {.tokens = 8, .prompt = "the cursed bundle"});
+    system.node(2).signal(SIGKILL);
+    system.node(2).wait(5000);
+    system.start_node(2);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            httplib::Client client("127.0.0.1", system.node_port(2));
+            auto const      metrics = client.Get("/metrics");
+            return metrics &&
+                   metrics->body.find("poison_suspects 1") != std::string::npos;
+        }));
+    auto const answer = ask(system, 2, {.tokens = 8, .prompt = "the cursed bundle"});
+    EXPECT_EQ(answer.error["type"], "poison");
+    int fallen = 0;
+    for (int engine = 0; engine < 4; ++engine)
+    {
+        fallen += system.engine(engine).running() ? 0 : 1;
+    }
+    EXPECT_EQ(fallen, 2);
+}
+
+/// What a burst of requests cost the engines.
+struct burst_cost
+{
+    int         admitted = 0;
+    int         whole = 0;
+    std::size_t received = 0; // by engines that still live
+    int         slowest_ms = 0;
+};
+
+burst_cost send_burst(fleet& system, int engines, int count)
+{
+    std::vector<streamed_answer> answers(static_cast<std::size_t>(count));
+    std::vector<std::thread>     callers;
+    constexpr int                lanes = 6;
+    for (int lane = 0; lane < lanes; ++lane)
+    {
+        callers.emplace_back(
+            [&, lane]
+            {
+                for (int index = lane; index < count; index += lanes)
+                {
+                    answers[static_cast<std::size_t>(index)] =
+                        ask(system, index % 3,
+                            {.tokens = 6, .prompt = "line " + std::to_string(index)});
+                }
+            });
+    }
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    burst_cost cost{.admitted = count};
+    for (auto const& answer : answers)
+    {
+        cost.whole += answer.done ? 1 : 0;
+        cost.slowest_ms = std::max(cost.slowest_ms, static_cast<int>(answer.duration_ms));
+        EXPECT_TRUE(answer.done || !answer.error.empty()) << answer.body;
+        EXPECT_TRUE(answer.done || answer.error["retry_after"].get<int>() > 0);
+    }
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        cost.received += system.received(system.engine_port(engine), "generate").size();
+    }
+    return cost;
+}
+
+void print(char const* name, burst_cost const& cost)
+{
+    std::cout << name << ": " << cost.admitted << " admitted, " << cost.whole
+              << " whole, " << cost.received << " tries at live engines, slowest "
+              << cost.slowest_ms << " ms\n";
+}
+
+/// Story: engines fail; each caller's request is tried three times, the engines that are
+/// left get three times the load, and fail as well. Cause: retries without a budget.
+TEST(retries, stay_within_the_budget_when_every_try_fails)
+{
+    constexpr int count = 300;
+    constexpr int burst = 4; // at each of three entry VMs
+    fleet         system(
+                {.engines = 4, .node_settings = {{"retry_burst", std::to_string(burst)}}});
+    for (int engine = 0; engine < 4; ++engine)
+    {
+        system.fault(system.engine_port(engine), {{"kind", "truncate"}});
+    }
+    auto const cost = send_burst(system, 4, count);
+    print("every engine cuts", cost);
+    EXPECT_LE(cost.received, count + count / 10 + 3 * burst);
+}
+
+TEST(retries, stay_under_a_tenth_when_half_the_engines_fail)
+{
+    constexpr int count = 300;
+    fleet         system({.engines = 4, .node_settings = {{"retry_burst", "4"}}});
+    for (int engine = 0; engine < 2; ++engine)
+    {
+        system.fault(system.engine_port(engine), {{"kind", "truncate"}});
+    }
+    auto const cut = send_burst(system, 4, count);
+    print("half the engines cut", cut);
+    EXPECT_LE(cut.received, count + count / 10 + 12);
+    system.engine(0).signal(SIGKILL);
+    system.engine(1).signal(SIGKILL);
+    auto const killed = send_burst(system, 4, count);
+    print("half the engines dead, cumulative at the others", killed);
+    EXPECT_GE(killed.whole, count * 9 / 10);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/property/not_run_property_test.cpp
+++ b/tests/property/not_run_property_test.cpp
@@ -12,7 +12,6 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
-#include <thread>
 
 namespace marigoldcrank
 {
@@ -31,6 +30,7 @@
     refused,       // answered and refused
     killed_before, // the sender dies before it takes effect
     killed_after,  // the sender dies after it took effect
+    overtaken,     // another entry VM claims the same key just before (log only)
     kinds
 };
 
@@ -46,6 +46,7 @@
     std::set<std::string>      doubted;      // bodies whose sender can't know
     std::deque<fault>          faults;       // for the next exchanges
     std::vector<entry_vm*>     entries;
+    std::string                current_key; // of the call that is sent
 
     fault next_fault()
     {
@@ -59,6 +60,43 @@
     }
 
     std::uint64_t append(std::string const& text);
+
+    /// A rival's intent for each key that the record claims; the rival runs the call.
+    void append_rivals(std::string const& text)
+    {
+        auto const record = leaf::try_handle_all([&] { return parse_record(text); },
+                                                 [] { return wire::log_record{}; });
+        for (auto const& intent : record.calls().intents())
+        {
+            auto rival = intent;
+            rival.set_owner("rival/1");
+            rival.set_request_id("rival-" + std::to_string(log.size()));
+            wire::log_record own;
+            own.set_record_id(rival.request_id());
+            *own.mutable_calls()->add_intents() = rival;
+            bool const first = is_free(intent.key_hash());
+            append(format_record(own));
+            runs_by_body[current_key] += first ? 1 : 0;
+        }
+    }
+
+    /// True if nobody holds the key, by a fold of the whole log.
+    bool is_free(std::string const& key_hash) const
+    {
+        ledger truth;
+        for (std::size_t index = 0; index < log.size(); ++index)
+        {
+            leaf::try_handle_all(
+                [&]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(record, parse_record(log[index]));
+                    truth.apply(index + 1, record);
+                    return {};
+                },
+                [] {});
+        }
+        return !truth.calls().find(key_hash);
+    }
 };
 
 // 2. Fakes
@@ -95,6 +133,9 @@
             dead = true;
             all.append(text);
             return leaf::new_error(append_failure{true});
+        case fault::overtaken:
+            all.append_rivals(text);
+            return all.append(text);
         default:
             return all.append(text);
         }
@@ -315,6 +356,7 @@
         request.idempotency_key = key;
         request.body = key.empty() ? request.request_id : key;
         request.deadline = boot_clock::now() + millis{60'000};
+        all.current_key = key;
         told outcome{request.request_id, std::nullopt, ""};
         leaf::try_handle_all(
             [&]() -> leaf::result<void>
@@ -477,37 +519,6 @@
 
 // 5. Model calls
 
-/// Reports idle servers again and again, as the poller does.
-class idle_reports
-{
-public:
-    explicit idle_reports(server_directory& directory)
-        : thread_(
-              [this, &directory]
-              {
-                  while (!stopping_)
-                  {
-                      for (auto const& server : directory.all())
-                      {
-                          directory.report(server, {.read_at = boot_clock::now()});
-                      }
-                      std::this_thread::sleep_for(std::chrono::microseconds(500));
-                  }
-              })
-    {
-    }
-
-    ~idle_reports()
-    {
-        stopping_ = true;
-        thread_.join();
-    }
-
-private:
-    std::atomic<bool> stopping_{false};
-    std::thread       thread_;
-};
-
 RC_GTEST_PROP(model_calls, are_whole_or_refused_and_not_run_is_true, ())
 {
     auto const faults = *rc::gen::resize(
@@ -524,7 +535,6 @@
     directory.replace({{.id = "engine-1", .group = "wording"},
                        {.id = "engine-2", .group = "wording"},
                        {.id = "engine-3", .group = "wording"}});
-    idle_reports const        reports(directory);
     span_store                spans{"node", 0, ""};
     metrics                   counters;
     poison_guard              poison("node", {}, [](wire::peer_message&) {});
