--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -70,6 +70,7 @@
     log_writer<http_platform>                   writer;
     peer_roster                                 roster;
     usage_custody                               custody;
+    poison_guard                                poison;
     zmq_peers                                   peers;
     usage_recorder<http_platform, zmq_peers>    usage;
     order_socket                                reports;
@@ -77,7 +78,6 @@
     usage_reporter<http_platform, order_socket> reporter;
     lease_keeper<http_platform>                 keeper_lease;
     snapshot_keeper<http_platform>              keeper;
-    poison_guard                                poison;
     worker_pool                                 workers;
     call_book<http_platform>                    book;
     request_path<http_backend>                  path;
@@ -96,12 +96,9 @@
     std::thread                                 keeper_thread;
     std::thread                                 book_thread;
 
-    lease_terms                            terms() const;
-    std::function<void(wire::usage_delta)> usage_sink();
-    void                                   pass_on(wire::peer_message& news);
-    void                                   run_book();
-    wire::peer_message                     message() const;
-    void                                   pass_on_access();
+    lease_terms        terms() const;
+    wire::peer_message message() const;
+    void               pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     void               take_handoff(wire::peer_message const& message);
@@ -117,6 +114,10 @@
     void               run_beats();
     void               watch_traffic();
     void               run_keeper();
+    void               add_usage(wire::usage_delta delta);
+    void               pass_on(wire::peer_message& news);
+    bool               alive(std::string const& owner) const;
+    void               run_book();
     void               start();
 };
 
@@ -129,6 +130,8 @@
       backend({millis{options.connect_ms}, millis{options.progress_ms}},
               millis{options.load_timeout_ms}, options.name),
       writer(platform, store), roster(options.data_centre, millis{options.peer_dead_ms}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
       peers(options, peers_of(options),
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
@@ -143,21 +146,25 @@
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
-      poison(options.name, {.keep = millis{options.poison_keep_ms}},
-             [this](wire::peer_message& news) { pass_on(news); }),
       workers(count_of(options.http_threads)),
       book(writer, store, holder,
-           [this](std::string const& owner)
-           { return roster.alive(owner, boot_clock::now()); },
+           [this](std::string const& owner) { return alive(owner); },
            {.claim_wait = millis{options.claim_wait_ms},
             .kept_body = count_of(options.kept_body_bytes)}),
-      path(backend, directory, spans, counters, workers, poison, usage_sink(),
-           {.data_centre = options.data_centre,
-            .max_attempts = options.max_attempts,
-            .retries = {options.retry_percent, options.retry_burst}}),
-      services({backend, directory, spans, counters, book, usage_sink(),
-                [this](std::string const& id) { return state_of_key(id); },
-                options.data_centre, options.max_attempts}),
+      path(
+          backend, directory, spans, counters, workers, poison,
+          [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
+          [this](std::string const& id) { return state_of_key(id); },
+          {.data_centre = options.data_centre,
+           .max_attempts = options.max_attempts,
+           .retries = {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book,
+                [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
+                options.data_centre, options.max_attempts,
+                [this](std::string const& id)
+                {
+                    return state_of_key(id);
+                }}),
       callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(
           writer, store, spans, directory, peers, options.operator_key, options.name,
@@ -174,20 +181,6 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
-std::function<void(wire::usage_delta)> node::parts::usage_sink()
-{
-    return [this](wire::usage_delta delta)
-    {
-        auto const begun = boot_clock::now();
-        bool const shared = usage.add(std::move(delta));
-        counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
-        if (!shared)
-        {
-            counters.add("usage_unshared_total");
-        }
-    };
-}
-
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -226,13 +219,6 @@
     return result;
 }
 
-void node::parts::pass_on(wire::peer_message& news)
-{
-    news.set_from(options.name);
-    news.set_incarnation(incarnation);
-    peers.broadcast(news);
-}
-
 wire::peer_message node::parts::beat_message() const
 {
     auto const access = store.access();
@@ -301,6 +287,22 @@
     }
 }
 
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
+/// `owner` is name and incarnation with a slash between.
+bool node::parts::alive(std::string const& owner) const
+{
+    auto const slash = owner.find('/');
+    return slash != std::string::npos &&
+           roster.alive(owner.substr(0, slash), owner.substr(slash + 1),
+                        boot_clock::now());
+}
+
 /// Peers that differ are brought together: the one behind asks for the rules, and each
 /// sends the other the withdrawn keys that it knows. So a node that missed a broadcast,
 /// or started after it, has the newest within a heartbeat or two.
@@ -308,17 +310,14 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
-    if (roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
-                                      beat.draining(), boot_clock::now()}))
+    for (auto& news : poison.news_for(message.from(), message.incarnation()))
     {
-        // It has just started and knows of no suspect; its callers may send one again.
-        for (auto& news : poison.all_suspects())
-        {
-            news.set_from(options.name);
-            news.set_incarnation(incarnation);
-            peers.send(message.from(), news);
-        }
+        news.set_from(options.name);
+        news.set_incarnation(incarnation);
+        peers.send(message.from(), news);
     }
+    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                  beat.draining(), boot_clock::now()});
     if (beat.config_revision() > access->revision())
     {
         auto wanted = this->message();
@@ -443,6 +442,17 @@
     return true;
 }
 
+void node::parts::add_usage(wire::usage_delta delta)
+{
+    auto const begun = boot_clock::now();
+    bool const shared = usage.add(std::move(delta));
+    counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
+    if (!shared)
+    {
+        counters.add("usage_unshared_total");
+    }
+}
+
 /// Releases and results that the log has not taken yet.
 void node::parts::run_book()
 {
@@ -462,6 +472,7 @@
     counters.watch("peer_bytes_total", "direction=\"received\"",
                    [this] { return peers.bytes_received(); });
     counters.watch("peer_malformed_total", "", [this] { return peers.malformed(); });
+    counters.watch("poison_suspects", "", [this] { return poison.suspects(); });
     counters.watch("platform_bytes_total", "", [this] { return platform.bytes(); });
 }
 
@@ -472,7 +483,6 @@
               {count_of(options.http_threads), count_of(options.overflow_threads),
                count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     started = true;
-    path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
     operators.judge_by(callers.targets());
     operators.add_routes(server);
--- a/src/app/request_path.hpp
+++ b/src/app/request_path.hpp
@@ -17,24 +17,19 @@
 {
 public:
     using usage_sink = std::function<void(wire::usage_delta)>;
+    using key_check = std::function<key_state(std::string const& key_id)>;
 
     request_path(Backend& backend, server_directory& directory, span_store& spans,
                  metrics& counters, worker_pool& workers, poison_guard& poison,
-                 usage_sink usage, request_options options)
-        : workers_(workers), budget_(options.retries),
-          cancels_(cancel_threads), parts_{backend,           directory,        spans,
-                                           counters,          poison,           budget_,
-                                           cancels_,          std::move(usage), {},
-                                           std::move(options)}
+                 usage_sink usage, key_check keys, request_options options)
+        : workers_(workers), budget_(options.retries), cancels_(cancel_threads),
+          parts_{backend,        directory,        spans,
+                 counters,       poison,           budget_,
+                 cancels_,       std::move(usage), std::move(options),
+                 std::move(keys)}
     {
     }
 
-    /// Asked before each dispatch and with each token; set before the first request.
-    void watch_keys(std::function<key_state(std::string const&)> check)
-    {
-        parts_.keys = std::move(check);
-    }
-
     /// Starts a model call; tokens and end arrive on the stream.
     std::shared_ptr<answer_stream> start(model_request request)
     {
--- a/src/ledger/call_fold.cpp
+++ b/src/ledger/call_fold.cpp
@@ -3,6 +3,8 @@
 
 #include "wire.pb.h"
 
+#include <algorithm>
+
 namespace marigoldcrank
 {
 
@@ -66,9 +68,32 @@
     entry.body = result.body();
     entry.body_left_out = result.body_left_out();
     entry.last_offset = offset;
+    note_body(result.key_hash(), entry);
     return true;
 }
 
+/// Bodies would make every snapshot of the log as large as the answers of a whole
+/// retention time; the oldest go, and a second try is told the status alone.
+void call_fold::note_body(std::string const& key_hash, call_entry& entry)
+{
+    if (entry.body.empty())
+    {
+        return;
+    }
+    bodies_.insert({entry.last_offset, key_hash});
+    if (bodies_.size() <= bodies_kept)
+    {
+        return;
+    }
+    auto const oldest = entries_.find(bodies_.begin()->second);
+    if (oldest != entries_.end())
+    {
+        oldest->second.body.clear();
+        oldest->second.body_left_out = true;
+    }
+    bodies_.erase(bodies_.begin());
+}
+
 bool call_fold::apply(std::uint64_t offset, wire::call_batch const& batch)
 {
     bool changed = false;
@@ -91,6 +116,7 @@
 {
     std::erase_if(entries_,
                   [&](auto const& each) { return each.second.last_offset < offset; });
+    bodies_.erase(bodies_.begin(), bodies_.lower_bound({offset, ""}));
     std::erase_if(released_, [&](auto const& each) { return each.second < offset; });
 }
 
--- a/src/ledger/call_fold.hpp
+++ b/src/ledger/call_fold.hpp
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace marigoldcrank::wire
 {
@@ -66,15 +68,19 @@
 
     std::size_t size() const noexcept;
 
-    /// A fold restored from what was saved folds on as this one would.
     void             save(wire::call_state_snapshot& state) const;
     static call_fold restored(wire::call_state_snapshot const& state);
 
     bool operator==(call_fold const&) const = default;
 
 private:
-    std::map<std::string, call_entry>    entries_;
-    std::map<std::string, std::uint64_t> released_; // request id to offset
+    static constexpr std::size_t bodies_kept = 1024; // of the newest answers
+
+    void note_body(std::string const& key_hash, call_entry& entry);
+
+    std::map<std::string, call_entry>               entries_;
+    std::map<std::string, std::uint64_t>            released_; // request id to offset
+    std::set<std::pair<std::uint64_t, std::string>> bodies_;   // offset and key hash
 };
 
 } // namespace marigoldcrank
