Fleets of one process use one block of ports after the other

Cause: the eleventh fleet of a gtest run failed with 'no free port in the block': every fleet of a process took the same block, whose ports stay in TIME_WAIT. Seen twice in a run of 20 tests; under ctest, one process a test, it doesn't show.

--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -78,7 +79,10 @@
 port_block::port_block()
 {
     constexpr int blocks = (highest_port - lowest_port) / block_size;
-    int const     start = static_cast<int>(getpid() % blocks);
+    // Each fleet of a process starts behind the one before: connections of that one
+    // keep its ports for a minute after they were closed.
+    static std::atomic<int> earlier{0};
+    int const               start = (static_cast<int>(getpid()) + earlier++) % blocks;
     for (int step = 0; step < blocks; ++step)
     {
         base_ = lowest_port + (start + step) % blocks * block_size;
