--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -12,6 +12,7 @@
 #include "app/model_body.hpp"
 #include "app/request_path.hpp"
 #include "app/service_path.hpp"
+#include "app/target_ledger.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -35,6 +36,12 @@
     {
     }
 
+    /// Evidence on service targets.
+    target_ledger const& targets() const noexcept
+    {
+        return targets_;
+    }
+
     void add_routes(httplib::Server& server)
     {
         server.set_pre_routing_handler([this](auto const& request, auto& response)
@@ -186,8 +193,11 @@
         auto const    begun = boot_clock::now();
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
-        auto          stream = path_.start(std::move(request));
-        auto          first = await(*stream, *caller);
+        auto          timing = std::make_shared<answer_timing>(
+            targets_, spans_, request.trace, request_id, request.workspace, begun);
+        auto stream = path_.start(std::move(request));
+        auto first = await(*stream, *caller);
+        timing->take(first);
         metrics_.observe("first_token_seconds", boot_clock::now() - begun);
         if (first.tokens.empty() && first.end && first.end->refused)
         {
@@ -197,14 +207,16 @@
         response.set_header("X-Request-Id", request_id);
         if (!streamed)
         {
-            return answer_whole(*stream, *caller, std::move(first), writer, response);
+            return answer_whole(*stream, *caller, std::move(first), writer, response,
+                                *timing);
         }
         auto state = std::make_shared<answer_batch>(std::move(first));
         response.set_chunked_content_provider(
             "text/event-stream",
-            [this, stream, state, writer, request_id, caller,
-             counted](std::size_t, httplib::DataSink& sink) {
-                return relay(*stream, *state, writer, request_id, sink) &&
+            [this, stream, state, writer, request_id, caller, counted,
+             timing](std::size_t, httplib::DataSink& sink)
+            {
+                return relay(*stream, *state, writer, request_id, sink, *timing) &&
                        !caller->closed();
             },
             [stream](bool) { stream->abandon(); });
@@ -229,7 +241,7 @@
 
     leaf::result<void> answer_whole(answer_stream& stream, caller_connection& caller,
                                     answer_batch batch, answer_writer const& writer,
-                                    httplib::Response& response)
+                                    httplib::Response& response, answer_timing& timing)
     {
         std::string text;
         while (true)
@@ -247,6 +259,7 @@
                 stream.abandon();
             }
             batch = await(stream, caller);
+            timing.take(batch);
         }
         if (batch.end->refused)
         {
@@ -262,7 +275,8 @@
     /// that breaks off before its end leaves the chunked coding open, so that no library
     /// takes it for a whole one.
     bool relay(answer_stream& stream, answer_batch& batch, answer_writer const& writer,
-               std::string const& request_id, httplib::DataSink& sink)
+               std::string const& request_id, httplib::DataSink& sink,
+               answer_timing& timing)
     {
         std::string out;
         for (auto const& token : batch.tokens)
@@ -288,6 +302,7 @@
             return true;
         }
         batch = stream.take(take_timeout);
+        timing.take(batch);
         return sink.is_writable();
     }
 
@@ -453,6 +468,7 @@
     span_store&                 spans_;
     metrics&                    metrics_;
     millis                      deadline_;
+    target_ledger               targets_;
     std::atomic<bool>           draining_{false};
     std::atomic<bool>           refusing_{false};
     std::atomic<std::int64_t>   inflight_{0};
