--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -23,8 +23,8 @@
 
 
 def free_ports(count):
-    """Ports below the range of outgoing connections, in a block that nothing listens on."""
-    for base in range(18000, 32000, 50):
+    """Ports below those of the tests, in a block that nothing listens on."""
+    for base in range(5000, 9900, 50):
         sockets = []
         try:
             for port in range(base, base + count):
--- a/src/app/ledger_store.hpp
+++ b/src/app/ledger_store.hpp
@@ -66,6 +66,9 @@
     /// Starts again from a snapshot after records expired unread.
     void restore(wire::ledger_snapshot const& snapshot, boot_clock::time_point now);
 
+    /// Forgets what the log has forgotten before `first`.
+    void forget_before(std::uint64_t first);
+
     /// Takes a peer's configuration if it is newer than the one in force. True if it was.
     /// A peer is believed only where this node's own log is silent: a revision that the
     /// ledger has passed without accepting it is refused, and one that the ledger passes
--- /dev/null
+++ b/src/app/limit_shares.cpp
@@ -0,0 +1,136 @@
+// Limits of workspaces, shared by all entry VMs.
+#include "app/limit_shares.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+constexpr std::int64_t millionths = 1'000'000;
+constexpr std::int64_t millis_per_minute = 60'000;
+constexpr std::int64_t burst_ms = 10'000; // of the share that an idle workspace saves up
+constexpr std::int64_t longest_retry_s = 60;
+constexpr std::int64_t memory = 4; // heartbeats that the demand is averaged over
+
+std::int64_t millis_between(boot_clock::time_point from, boot_clock::time_point to)
+{
+    return std::chrono::duration_cast<millis>(to - from).count();
+}
+
+std::int64_t filled_in(std::int64_t per_minute, std::int64_t elapsed_ms)
+{
+    return per_minute * elapsed_ms * (millionths / 1'000) / (millis_per_minute / 1'000);
+}
+} // namespace
+
+limit_shares::limit_shares(limit_terms terms, std::uint64_t first_ask)
+    : book_(terms, boot_clock::now(), first_ask)
+{
+}
+
+void limit_shares::configure(configuration const& config)
+{
+    std::lock_guard const lock(mutex_);
+    for (auto& [name, own] : meters_)
+    {
+        own.limit = 0;
+    }
+    for (auto const& [name, rule] : config.workspaces)
+    {
+        meters_[name].limit = rule.tokens_per_minute;
+        book_.set_limit(name, rule.tokens_per_minute);
+    }
+}
+
+void limit_shares::fill(std::string const& workspace, meter& own,
+                        boot_clock::time_point now)
+{
+    auto const share = book_.usable(workspace, now);
+    auto const most = filled_in(share, burst_ms);
+    auto const elapsed = own.filled_at == boot_clock::time_point{}
+                             ? burst_ms
+                             : std::min(burst_ms, millis_between(own.filled_at, now));
+    if (elapsed > 0)
+    {
+        own.level = std::min(most, own.level + filled_in(share, elapsed));
+        own.filled_at = now;
+    }
+}
+
+leaf::result<void> limit_shares::admit(std::string const& workspace, std::int64_t tokens,
+                                       boot_clock::time_point now)
+{
+    std::lock_guard const lock(mutex_);
+    auto const            found = meters_.find(workspace);
+    if (found == meters_.end() || found->second.limit == 0)
+    {
+        return {};
+    }
+    auto& own = found->second;
+    own.offered += tokens;
+    fill(workspace, own, now);
+    if (own.level > 0)
+    {
+        own.level -= tokens * millionths;
+        return {};
+    }
+    auto const a_second =
+        std::max<std::int64_t>(1, filled_in(book_.usable(workspace, now), 1'000));
+    auto const seconds = std::min(longest_retry_s, -own.level / a_second + 1);
+    return leaf::new_error(refusal{refusal_cause::over_limit, call_fate::not_run,
+                                   static_cast<int>(seconds)});
+}
+
+void limit_shares::charge(std::string const& workspace, std::int64_t tokens)
+{
+    std::lock_guard const lock(mutex_);
+    auto const            found = meters_.find(workspace);
+    if (found != meters_.end() && found->second.limit != 0)
+    {
+        found->second.level -= tokens * millionths;
+        found->second.offered += tokens;
+    }
+}
+
+std::vector<limit_ask> limit_shares::asks(boot_clock::time_point now)
+{
+    std::lock_guard const  lock(mutex_);
+    std::vector<limit_ask> wanted;
+    for (auto& [workspace, own] : meters_)
+    {
+        auto const elapsed = std::max<std::int64_t>(1, millis_between(own.asked_at, now));
+        bool const first = own.asked_at == boot_clock::time_point{};
+        own.asked_at = now;
+        if (own.limit == 0 || first)
+        {
+            own.offered = 0;
+            continue;
+        }
+        auto const rate = own.offered * millis_per_minute / elapsed;
+        own.demand += (rate - own.demand) / memory;
+        own.offered = 0;
+        book_.set_demand(workspace, own.demand);
+        if (auto const ask = book_.ask(workspace, now))
+        {
+            wanted.push_back(*ask);
+        }
+    }
+    return wanted;
+}
+
+std::optional<limit_grant> limit_shares::lend(limit_ask const&       ask,
+                                              boot_clock::time_point now)
+{
+    std::lock_guard const lock(mutex_);
+    return book_.lend(ask, now);
+}
+
+void limit_shares::take(limit_grant const& grant, boot_clock::time_point now)
+{
+    std::lock_guard const lock(mutex_);
+    book_.take(grant, now);
+}
+
+} // namespace marigoldcrank
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,9 +6,11 @@
 #include "adapters/http_backend.hpp"
 #include "adapters/http_platform.hpp"
 #include "adapters/logging.hpp"
+#include "adapters/order_socket.hpp"
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
+#include "app/limit_shares.hpp"
 #include "app/log_follower.hpp"
 #include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
@@ -20,6 +22,8 @@
 #include "app/usage_reporter.hpp"
 
 #include <atomic>
+#include <cstdlib>
+#include <set>
 #include <thread>
 
 namespace marigoldcrank
@@ -28,9 +32,11 @@
 namespace
 {
 constexpr std::size_t incarnation_digits = 12;
+constexpr std::size_t largest_report = 16'777'216; // bytes; some 100,000 figures
 constexpr millis      duty_pause{50};
 constexpr millis      flush_timeout{2000};
 constexpr millis      drain_poll{20};
+constexpr millis      book_pause{100};
 
 std::vector<peer_address> peers_of(settings const& options)
 {
@@ -38,6 +44,25 @@
                                 [] { return std::vector<peer_address>{}; });
 }
 
+/// Entry VMs that share every limit: this one and its peers.
+std::size_t entry_count(settings const& options)
+{
+    std::set<std::string> names{options.name};
+    for (auto const& peer : peers_of(options))
+    {
+        names.insert(peer.name);
+    }
+    return names.size();
+}
+
+/// Differs between runs of the process, so that a late grant to an earlier run is none.
+std::uint64_t first_ask()
+{
+    constexpr std::size_t digits = 15;
+    constexpr int         base = 16;
+    return std::strtoull(random_id(digits).c_str(), nullptr, base);
+}
+
 std::size_t count_of(std::int64_t value)
 {
     return static_cast<std::size_t>(value);
@@ -57,39 +82,48 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> drain_wanted{false};
 
-    metrics                                      counters;
-    span_store                                   spans;
-    ledger_store                                 store;
-    http_platform                                platform;
-    http_backend                                 backend;
-    server_directory                             directory;
-    log_writer<http_platform>                    writer;
-    peer_roster                                  roster;
-    usage_custody                                custody;
-    zmq_peers                                    peers;
-    usage_recorder<http_platform, zmq_peers>     usage;
-    lease_keeper<http_platform>                  reporter_lease;
-    usage_reporter<http_platform, http_platform> reporter;
-    lease_keeper<http_platform>                  keeper_lease;
-    snapshot_keeper<http_platform>               keeper;
-    worker_pool                                  workers;
-    request_path<http_backend>                   path;
-    caller_front<http_backend>                   callers;
-    operator_front<http_platform, zmq_peers>     operators;
-    log_follower<http_platform>                  follower;
-    server_poller<http_platform, http_backend>   poller;
-    node_duties                                  duties;
-    httplib::Server                              server;
-    bool                                         bound = false;
-    std::thread                                  server_thread;
-    std::thread                                  duty_thread;
-    std::thread                                  usage_thread;
-    std::thread                                  beat_thread;
-    std::thread                                  keeper_thread;
-
-    lease_terms        terms() const;
-    wire::peer_message message() const;
-    void               pass_on_access();
+    metrics                                     counters;
+    span_store                                  spans;
+    ledger_store                                store;
+    http_platform                               platform;
+    http_backend                                backend;
+    server_directory                            directory;
+    log_writer<http_platform>                   writer;
+    peer_roster                                 roster;
+    usage_custody                               custody;
+    zmq_peers                                   peers;
+    usage_recorder<http_platform, zmq_peers>    usage;
+    order_socket                                reports;
+    lease_keeper<http_platform>                 reporter_lease;
+    usage_reporter<http_platform, order_socket> reporter;
+    lease_keeper<http_platform>                 keeper_lease;
+    snapshot_keeper<http_platform>              keeper;
+    poison_guard                                poison;
+    limit_shares                                limits;
+    worker_pool                                 workers;
+    call_book<http_platform>                    book;
+    request_path<http_backend>                  path;
+    service_path<http_backend, http_platform>   services;
+    caller_front<http_backend, http_platform>   callers;
+    operator_front<http_platform, zmq_peers>    operators;
+    log_follower<http_platform>                 follower;
+    server_poller<http_platform, http_backend>  poller;
+    node_duties                                 duties;
+    httplib::Server                             server;
+    bool                                        bound = false;
+    std::thread                                 server_thread;
+    std::thread                                 duty_thread;
+    std::thread                                 usage_thread;
+    std::thread                                 beat_thread;
+    std::thread                                 keeper_thread;
+    std::thread                                 book_thread;
+
+    lease_terms                            terms() const;
+    std::function<void(wire::usage_delta)> usage_sink();
+    void                                   pass_on(wire::peer_message& news);
+    void                                   run_book();
+    wire::peer_message                     message() const;
+    void                                   pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     void               take_handoff(wire::peer_message const& message);
@@ -101,6 +135,8 @@
     void               run_usage();
     bool               settle_custody(millis hold);
     void               run_beats();
+    void               share_limits(std::uint64_t turn);
+    void               take_limit(wire::peer_message const& received);
     void               watch_traffic();
     void               run_keeper();
     void               start();
@@ -118,30 +154,39 @@
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
             {options.name, incarnation, millis{options.handoff_ms}}),
+      reports(
+          millis{options.platform_timeout_ms}, options.name, [] {}, largest_report),
       reporter_lease(writer, store, "reporter", holder, terms()),
-      reporter(writer, store, platform, reporter_lease, holder,
-               millis{options.window_ms}),
+      reporter(writer, store, reports, reporter_lease,
+               {holder, millis{options.window_ms}, millis{options.order_margin_ms},
+                options.platform_host, static_cast<int>(options.platform_port)}),
       keeper_lease(writer, store, "keeper", holder, terms()),
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
+      limits({.entries = static_cast<std::int64_t>(entry_count(options))}, first_ask()),
       workers(count_of(options.http_threads)),
-      path(backend, directory, spans, counters, workers,
-           [this](wire::usage_delta delta)
-           {
-               if (!usage.add(std::move(delta)))
-               {
-                   counters.add("usage_unshared_total");
-               }
-           },
-           {options.data_centre, options.max_attempts}),
-      callers(path, store, spans, counters, millis{options.deadline_ms}),
+      book(writer, store, holder,
+           [this](std::string const& owner)
+           { return roster.alive(owner, boot_clock::now()); },
+           {.claim_wait = millis{options.claim_wait_ms},
+            .kept_body = count_of(options.kept_body_bytes)}),
+      path(backend, directory, spans, counters, workers, poison, usage_sink(),
+           {.data_centre = options.data_centre,
+            .max_attempts = options.max_attempts,
+            .retries = {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book, usage_sink(),
+                [this](std::string const& id) { return state_of_key(id); },
+                options.data_centre, options.max_attempts}),
+      callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(writer, store, spans, directory, peers, options.operator_key,
                 options.name, [this] { drain_wanted = true; }),
       follower(platform, store, millis{options.log_wait_ms}),
       poller(platform, backend, directory, millis{options.list_every_ms},
              millis{options.load_every_ms}),
-      duties(options, holder, terms(), writer, store, platform, backend, directory)
+      duties(options, holder, terms(), writer, store, platform, directory, spans)
 {
 }
 
@@ -150,6 +195,19 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
+std::function<void(wire::usage_delta)> node::parts::usage_sink()
+{
+    return [this](wire::usage_delta delta)
+    {
+        limits.charge(delta.workspace(),
+                      static_cast<std::int64_t>(delta.output_tokens()));
+        if (!usage.add(std::move(delta)))
+        {
+            counters.add("usage_unshared_total");
+        }
+    };
+}
+
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -181,6 +239,13 @@
     return result;
 }
 
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
 wire::peer_message node::parts::beat_message() const
 {
     auto const access = store.access();
@@ -218,6 +283,10 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
+    case wire::peer_message::kLimitWanted:
+    case wire::peer_message::kLimitLent:
+        take_limit(message);
+        break;
     case wire::peer_message::kConfigurationWanted:
         if (store.rules_in_force().revision != 0)
         {
@@ -233,6 +302,12 @@
     case wire::peer_message::kHandoffAck:
         usage.acknowledged(message.from(), message.handoff_ack());
         break;
+    case wire::peer_message::kSuspect:
+        poison.take(message.suspect());
+        break;
+    case wire::peer_message::kSolo:
+        poison.take(message.from(), message.solo());
+        break;
     default:
         break;
     }
@@ -245,8 +320,17 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
-    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
-                                  beat.draining(), boot_clock::now()});
+    if (roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                      beat.draining(), boot_clock::now()}))
+    {
+        // It has just started and knows of no suspect; its callers may send one again.
+        for (auto& news : poison.all_suspects())
+        {
+            news.set_from(options.name);
+            news.set_incarnation(incarnation);
+            peers.send(message.from(), news);
+        }
+    }
     if (beat.config_revision() > access->revision())
     {
         auto wanted = this->message();
@@ -273,8 +357,10 @@
 
 void node::parts::run_beats()
 {
+    std::uint64_t turn = 0;
     while (!stopping)
     {
+        share_limits(turn++);
         peers.broadcast(beat_message());
         std::this_thread::sleep_for(millis{options.heartbeat_ms});
     }
@@ -291,6 +377,53 @@
     return found->second ? key_state::compromised : key_state::withdrawn;
 }
 
+/// With each heartbeat; each ask goes to another live peer in turn.
+void node::parts::share_limits(std::uint64_t turn)
+{
+    auto const access = store.access();
+    if (access->config)
+    {
+        limits.configure(*access->config);
+    }
+    auto const live = peers.live();
+    for (auto const& ask : limits.asks(boot_clock::now()))
+    {
+        if (live.empty())
+        {
+            return;
+        }
+        auto  request = message();
+        auto* wanted = request.mutable_limit_wanted();
+        wanted->set_workspace(ask.workspace);
+        wanted->set_ask(ask.ask);
+        wanted->set_wanted(ask.wanted);
+        peers.send(live[turn++ % live.size()], request);
+    }
+}
+
+void node::parts::take_limit(wire::peer_message const& received)
+{
+    auto const now = boot_clock::now();
+    if (received.has_limit_lent())
+    {
+        auto const& lent = received.limit_lent();
+        limits.take({lent.workspace(), lent.ask(), lent.amount()}, now);
+        return;
+    }
+    auto const& wanted = received.limit_wanted();
+    auto const  grant =
+        limits.lend({wanted.workspace(), wanted.ask(), wanted.wanted()}, now);
+    if (grant)
+    {
+        auto  answer = message();
+        auto* lent = answer.mutable_limit_lent();
+        lent->set_workspace(grant->workspace);
+        lent->set_ask(grant->ask);
+        lent->set_amount(grant->amount);
+        peers.send(received.from(), answer);
+    }
+}
+
 // 3. Duties
 
 void node::parts::run_duties()
@@ -357,6 +490,16 @@
     return true;
 }
 
+/// Releases and results that the log has not taken yet.
+void node::parts::run_book()
+{
+    while (!stopping)
+    {
+        book.flush(flush_timeout);
+        std::this_thread::sleep_for(book_pause);
+    }
+}
+
 // 4. Life cycle
 
 void node::parts::watch_traffic()
@@ -377,6 +520,7 @@
     started = true;
     path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
+    callers.limit_by(limits);
     operators.judge_by(callers.targets());
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
@@ -390,6 +534,7 @@
     usage_thread = std::thread([this] { run_usage(); });
     beat_thread = std::thread([this] { run_beats(); });
     keeper_thread = std::thread([this] { run_keeper(); });
+    book_thread = std::thread([this] { run_book(); });
     log_info(log_part::node, "Started " + holder + " in " + options.data_centre + ".");
 }
 
@@ -404,7 +549,7 @@
     parts_->server.stop();
     for (auto* thread :
          {&parts_->server_thread, &parts_->duty_thread, &parts_->usage_thread,
-          &parts_->beat_thread, &parts_->keeper_thread})
+          &parts_->beat_thread, &parts_->keeper_thread, &parts_->book_thread})
     {
         if (thread->joinable())
         {
@@ -441,6 +586,11 @@
     while (
         !(parts_->usage.flush(flush_timeout) && parts_->settle_custody(millis::zero())) &&
         boot_clock::now() < until)
+        while (!parts_->book.flush(flush_timeout) && boot_clock::now() < until)
+        {
+            std::this_thread::sleep_for(drain_poll);
+        }
+    while (!parts_->usage.flush(flush_timeout) && boot_clock::now() < until)
     {
         std::this_thread::sleep_for(drain_poll);
     }
--- a/src/domain/settings.cpp
+++ b/src/domain/settings.cpp
@@ -67,6 +67,11 @@
     number("requests", "deadline_ms", "ms", "for a whole request", &settings::deadline_ms, 10, hour_ms),
     number("requests", "max_attempts", "count", "tries of a repeatable request", &settings::max_attempts, 1, 10),
     number("requests", "load_every_ms", "ms", "between load reads", &settings::load_every_ms, 10, hour_ms),
+    number("requests", "retry_percent", "percent", "retries per 100 admitted requests", &settings::retry_percent, 0, 100),
+    number("requests", "retry_burst", "count", "retries saved up in good times", &settings::retry_burst, 0, 100'000),
+    number("requests", "claim_wait_ms", "ms", "for an intent to be read back", &settings::claim_wait_ms, 10, hour_ms),
+    number("requests", "kept_body_bytes", "bytes", "of an answer kept for a second try", &settings::kept_body_bytes, 0, max_body),
+    number("requests", "poison_keep_ms", "ms", "a suspicion after its last crash", &settings::poison_keep_ms, 10, 24 * hour_ms),
     number("usage", "usage_flush_ms", "ms", "between usage appends", &settings::usage_flush_ms, 10, hour_ms),
     number("usage", "window_ms", "ms", "length of a usage window", &settings::window_ms, 100, hour_ms),
     number("usage", "handoff_ms", "ms", "wait for a peer to keep a delta", &settings::handoff_ms, 1, hour_ms),
@@ -156,9 +161,9 @@
 {
     if (!known_section(section))
     {
-        return leaf::new_error(
-            setting_failure{setting_fault::unknown_section, file, section, "",
-                            "node, peers, platform, leases, requests, usage, logs, orders"});
+        return leaf::new_error(setting_failure{
+            setting_fault::unknown_section, file, section, "",
+            "node, peers, platform, leases, requests, usage, logs, orders"});
     }
     CSimpleIniA::TNamesDepend keys;
     ini.GetAllKeys(section.c_str(), keys);
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -45,6 +45,14 @@
         return fold_order(offset, record);
     case wire::log_record::kLedger:
         return note_snapshot(offset, record.ledger());
+    case wire::log_record::kCall:
+        return calls_.apply(offset, record.call());
+    case wire::log_record::kCallFree:
+        return calls_.apply(offset, record.call_free());
+    case wire::log_record::kCallDone:
+        return calls_.apply(offset, record.call_done());
+    case wire::log_record::kCalls:
+        return calls_.apply(offset, record.calls());
     default:
         return false;
     }
@@ -96,6 +104,16 @@
     return true;
 }
 
+void ledger::forget_before(std::uint64_t offset)
+{
+    calls_.forget_before(offset);
+}
+
+call_fold const& ledger::calls() const noexcept
+{
+    return calls_;
+}
+
 lease_fold const& ledger::leases() const noexcept
 {
     return leases_;
@@ -141,6 +159,7 @@
     config_.save(*snapshot.mutable_config());
     usage_.save(*snapshot.mutable_usage());
     orders_.save(*snapshot.mutable_orders());
+    calls_.save(*snapshot.mutable_calls());
     return snapshot;
 }
 
@@ -154,6 +173,7 @@
     value.config_ = configuration_fold::restored(snapshot.config());
     value.usage_ = usage_fold::restored(snapshot.usage());
     value.orders_ = order_fold::restored(snapshot.orders());
+    value.calls_ = call_fold::restored(snapshot.calls());
     return value;
 }
 
