--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -9,6 +9,7 @@
 #include "adapters/metrics.hpp"
 #include "adapters/span_store.hpp"
 #include "app/caller_request.hpp"
+#include "app/limit_shares.hpp"
 #include "app/model_body.hpp"
 #include "app/request_path.hpp"
 #include "app/service_path.hpp"
@@ -42,6 +43,12 @@
         return targets_;
     }
 
+    /// Asked before each model call; set before the first request.
+    void limit_by(limit_shares& limits)
+    {
+        limits_ = &limits;
+    }
+
     void add_routes(httplib::Server& server)
     {
         server.set_pre_routing_handler([this](auto const& request, auto& response)
@@ -164,6 +171,11 @@
                     return leaf::new_error(refusal{refusal_cause::unknown_model,
                                                    call_fate::not_run, retry_later_s});
                 }
+                if (limits_ != nullptr)
+                {
+                    BOOST_LEAF_CHECK(limits_->admit(
+                        admitted.workspace, body.prompt_tokens, boot_clock::now()));
+                }
                 model_request request{.request_id = request_id,
                                       .workspace = admitted.workspace,
                                       .key_id = admitted.key_id,
@@ -193,8 +205,9 @@
         auto const    begun = boot_clock::now();
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
-        auto          timing = std::make_shared<answer_timing>(
-            targets_, spans_, request.trace, request_id, request.workspace, begun);
+        auto timing = std::make_shared<answer_timing>(targets_, spans_, request.trace,
+                                                      request_id, request.workspace,
+                                                      request.deadline - deadline_);
         auto stream = path_.start(std::move(request));
         auto first = await(*stream, *caller);
         timing->take(first);
@@ -469,6 +482,7 @@
     metrics&                    metrics_;
     millis                      deadline_;
     target_ledger               targets_;
+    limit_shares*               limits_ = nullptr;
     std::atomic<bool>           draining_{false};
     std::atomic<bool>           refusing_{false};
     std::atomic<std::int64_t>   inflight_{0};
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
+#include "app/limit_shares.hpp"
 #include "app/log_follower.hpp"
 #include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
@@ -21,6 +22,8 @@
 #include "app/usage_reporter.hpp"
 
 #include <atomic>
+#include <cstdlib>
+#include <set>
 #include <thread>
 
 namespace marigoldcrank
@@ -41,6 +44,25 @@
                                 [] { return std::vector<peer_address>{}; });
 }
 
+/// Entry VMs that share every limit: this one and its peers.
+std::size_t entry_count(settings const& options)
+{
+    std::set<std::string> names{options.name};
+    for (auto const& peer : peers_of(options))
+    {
+        names.insert(peer.name);
+    }
+    return names.size();
+}
+
+/// Differs between runs of the process, so that a late grant to an earlier run is none.
+std::uint64_t first_ask()
+{
+    constexpr std::size_t digits = 15;
+    constexpr int         base = 16;
+    return std::strtoull(random_id(digits).c_str(), nullptr, base);
+}
+
 std::size_t count_of(std::int64_t value)
 {
     return static_cast<std::size_t>(value);
@@ -78,6 +100,7 @@
     usage_reporter<http_platform, order_socket> reporter;
     lease_keeper<http_platform>                 keeper_lease;
     snapshot_keeper<http_platform>              keeper;
+    limit_shares                                limits;
     worker_pool                                 workers;
     call_book<http_platform>                    book;
     request_path<http_backend>                  path;
@@ -112,6 +135,8 @@
     wire::peer_message drains_message() const;
     void               pause(millis duration) const;
     void               run_beats();
+    void               share_limits(std::uint64_t turn);
+    void               take_limit(wire::peer_message const& received);
     void               watch_traffic();
     void               run_keeper();
     void               add_usage(wire::usage_delta delta);
@@ -146,6 +171,7 @@
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
+      limits({.entries = static_cast<std::int64_t>(entry_count(options))}, first_ask()),
       workers(count_of(options.http_threads)),
       book(writer, store, holder,
            [this](std::string const& owner) { return alive(owner); },
@@ -258,6 +284,10 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
+    case wire::peer_message::kLimitWanted:
+    case wire::peer_message::kLimitLent:
+        take_limit(message);
+        break;
     case wire::peer_message::kDrains:
         store.offer(message.drains());
         break;
@@ -348,8 +378,10 @@
 
 void node::parts::run_beats()
 {
+    std::uint64_t turn = 0;
     while (!stopping)
     {
+        share_limits(turn++);
         peers.broadcast(beat_message());
         std::this_thread::sleep_for(millis{options.heartbeat_ms});
     }
@@ -366,6 +398,53 @@
     return found->second ? key_state::compromised : key_state::withdrawn;
 }
 
+/// With each heartbeat; each ask goes to another live peer in turn.
+void node::parts::share_limits(std::uint64_t turn)
+{
+    auto const access = store.access();
+    if (access->config)
+    {
+        limits.configure(*access->config);
+    }
+    auto const live = peers.live();
+    for (auto const& ask : limits.asks(boot_clock::now()))
+    {
+        if (live.empty())
+        {
+            return;
+        }
+        auto  request = message();
+        auto* wanted = request.mutable_limit_wanted();
+        wanted->set_workspace(ask.workspace);
+        wanted->set_ask(ask.ask);
+        wanted->set_wanted(ask.wanted);
+        peers.send(live[turn++ % live.size()], request);
+    }
+}
+
+void node::parts::take_limit(wire::peer_message const& received)
+{
+    auto const now = boot_clock::now();
+    if (received.has_limit_lent())
+    {
+        auto const& lent = received.limit_lent();
+        limits.take({lent.workspace(), lent.ask(), lent.amount()}, now);
+        return;
+    }
+    auto const& wanted = received.limit_wanted();
+    auto const  grant =
+        limits.lend({wanted.workspace(), wanted.ask(), wanted.wanted()}, now);
+    if (grant)
+    {
+        auto  answer = message();
+        auto* lent = answer.mutable_limit_lent();
+        lent->set_workspace(grant->workspace);
+        lent->set_ask(grant->ask);
+        lent->set_amount(grant->amount);
+        peers.send(received.from(), answer);
+    }
+}
+
 // 3. Duties
 
 void node::parts::run_duties()
@@ -444,6 +523,7 @@
 
 void node::parts::add_usage(wire::usage_delta delta)
 {
+    limits.charge(delta.workspace(), static_cast<std::int64_t>(delta.output_tokens()));
     auto const begun = boot_clock::now();
     bool const shared = usage.add(std::move(delta));
     counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
@@ -484,6 +564,7 @@
                count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     started = true;
     callers.add_routes(server);
+    callers.limit_by(limits);
     operators.judge_by(callers.targets());
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
