--- a/bench/soak/soak_faults.cpp
+++ b/bench/soak/soak_faults.cpp
@@ -160,7 +160,7 @@
 soak_faults::fault soak_faults::reclaimed_zone()
 {
     int const zone = pick(data_centres);
-    auto      each = [this, zone](auto const& act)
+    auto      each = [zone](auto const& act)
     {
         for (int engine = first_cheap; engine < engine_count; ++engine)
         {
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -54,13 +54,9 @@
 
 /// A kept-alive connection may have gone silent for good while new ones work, and then
 /// its neighbours have too: the next attempt, at this server also, opens a new one.
-leaf::error_id http_backend::fail(httplib::Error error, backend_server const& server)
+void http_backend::lose_idle(backend_server const& server)
 {
-    if (error != httplib::Error::Canceled)
-    {
-        clients_.drop_idle(server.host, server.port);
-    }
-    return transport_error(error, server.id);
+    clients_.drop_idle(server.host, server.port);
 }
 
 std::size_t http_backend::idle_connections() const
@@ -104,7 +100,12 @@
     auto const answer = client->send(request);
     if (!answer)
     {
-        return fail(answer.error(), server);
+        // The caller's own leaving says nothing about the server.
+        if (answer.error() != httplib::Error::Canceled)
+        {
+            lose_idle(server);
+        }
+        return transport_error(answer.error(), server.id);
     }
     if (answer->status != status_ok)
     {
@@ -166,7 +167,8 @@
     if (!answer)
     {
         load_clients_.drop_idle(server.host, server.port);
-        return fail(answer.error(), server);
+        lose_idle(server);
+        return transport_error(answer.error(), server.id);
     }
     load_clients_.put_back(server.host, server.port, std::move(client));
     auto const body = json::parse(answer->body, nullptr, false);
--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -9,11 +9,6 @@
 
 #include <string>
 
-namespace httplib
-{
-enum class Error;
-}
-
 namespace marigoldcrank
 {
 
@@ -35,7 +30,7 @@
     std::size_t idle_connections() const;
 
 private:
-    leaf::error_id fail(httplib::Error error, backend_server const& server);
+    void lose_idle(backend_server const& server);
 
     std::string      sender_;
     http_client_pool clients_;
--- a/src/app/server_directory.cpp
+++ b/src/app/server_directory.cpp
@@ -52,8 +52,8 @@
         for (auto& [name, members] : own.groups)
         {
             std::erase_if(members,
-                          [&](auto const& member) {
-                              return listed.count({name, member.first}) == 0;
+                          [&listed, &group = name](auto const& member) {
+                              return listed.count({group, member.first}) == 0;
                           });
         }
     }
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -19,9 +19,9 @@
     std::string host;
     int         port = 0;
     std::string data_centre;
-    std::string group;           // engines or services that serve the same
-    bool        cheap = false;   // may be reclaimed with its whole zone
-    bool        leaving = false; // gets no new work
+    std::string group;            // engines or services that serve the same
+    bool        cheap = false;    // may be reclaimed with its whole zone
+    bool        leaving = false;  // gets no new work
     std::string order_id;         // of the order that bought it, if it was bought
     bool        starting = false; // bought, and not yet live
 
--- a/src/domain/settings.cpp
+++ b/src/domain/settings.cpp
@@ -155,9 +155,9 @@
 {
     if (!known_section(section))
     {
-        return leaf::new_error(
-            setting_failure{setting_fault::unknown_section, file, section, "",
-                            "node, peers, platform, leases, requests, usage, logs, orders"});
+        return leaf::new_error(setting_failure{
+            setting_fault::unknown_section, file, section, "",
+            "node, peers, platform, leases, requests, usage, logs, orders"});
     }
     CSimpleIniA::TNamesDepend keys;
     ini.GetAllKeys(section.c_str(), keys);
--- a/src/domain/settings.hpp
+++ b/src/domain/settings.hpp
@@ -76,7 +76,7 @@
     // [orders]
     std::int64_t order_timeout_ms = 1000; // 1000         for one order, ms
     std::int64_t order_margin_ms = 500;   // 500          for packets in flight, ms
-    std::int64_t order_notice_ms = 500;   // 500          for all nodes to read a drain, ms
+    std::int64_t order_notice_ms = 500; // 500          for all nodes to read a drain, ms
     std::int64_t order_settle_ms = 60000; // 60000        until an order is given up, ms
     std::int64_t order_every_ms = 200;    // 200          between looks at the truth, ms
     std::string  order_centres;           // ""           data centres to buy VMs in
