--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace marigoldcrank
 {
@@ -25,6 +25,8 @@
 
 // 1. Events
 
+constexpr millis closing_grace{50}; // for the end of a stream whose answer is whole
+
 /// An event that is no JSON object reads as one of no request, and is dropped as such.
 stream_event parse_event(std::string_view data)
 {
@@ -33,15 +35,42 @@
     {
         return {};
     }
-    stream_event event;
-    event.request_id = field_or<std::string>(body, "request_id", "");
-    event.attempt = field_or(body, "attempt", std::uint64_t{0});
-    event.sequence = field_or(body, "sequence", std::uint64_t{0});
-    event.text = field_or<std::string>(body, "text", "");
-    event.last = field_or(body, "last", false);
-    event.prompt_tokens = field_or(body, "prompt_tokens", std::uint64_t{0});
-    event.output_tokens = field_or(body, "output_tokens", std::uint64_t{0});
-    return event;
+    return {.request_id = text_field(body, "request_id"),
+            .attempt = number_field(body, "attempt"),
+            .sequence = number_field(body, "sequence"),
+            .text = text_field(body, "text"),
+            .last = flag_field(body, "last"),
+            .cancelled = flag_field(body, "cancelled"),
+            .prompt_tokens = number_field(body, "prompt_tokens"),
+            .output_tokens = number_field(body, "output_tokens")};
+}
+
+httplib::Request stream_request(engine_call const& call, std::string const& sender)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = call.path;
+    request.body = call.body;
+    request.headers = {{"Content-Type", json_type},
+                       {"X-Sender", sender},
+                       {"X-Request-Id", call.request_id},
+                       {"X-Attempt", std::to_string(call.attempt)},
+                       {"X-Resume-From", std::to_string(call.resume_from)},
+                       {"X-Workspace", call.workspace},
+                       {"traceparent", call.traceparent}};
+    return request;
+}
+
+/// A read error is a timeout or a broken connection; the library does not say which.
+transport_fault read_fault(httplib::Error error, bool expired,
+                           boot_clock::time_point last_byte, millis silence)
+{
+    if (expired || boot_clock::now() - last_byte >= silence)
+    {
+        return transport_fault::silent;
+    }
+    auto const fault = fault_of(error);
+    return fault == transport_fault::silent ? transport_fault::answer_lost : fault;
 }
 } // namespace
 
@@ -69,20 +98,31 @@
 leaf::result<void> http_backend::stream(backend_server const& server,
                                         engine_call const& call, event_sink const& sink)
 {
-    auto             client = clients_.take(server.host, server.port);
-    sse_reader       reader;
-    int              status = 0;
-    httplib::Request request;
-    request.method = "POST";
-    request.path = call.path;
-    request.body = call.body;
-    request.headers = {{"Content-Type", json_type},
-                       {"X-Sender", sender_},
-                       {"X-Request-Id", call.request_id},
-                       {"X-Attempt", std::to_string(call.attempt)},
-                       {"X-Resume-From", std::to_string(call.resume_from)},
-                       {"X-Workspace", call.workspace},
-                       {"traceparent", call.traceparent}};
+    auto const silence = clients_.timeouts().silence;
+    auto const limit = [&]
+    {
+        return std::min(call.deadline, boot_clock::now() + silence);
+    };
+    auto                  client = clients_.take(server.host, server.port);
+    exchange_watch::guard watched(watch_, *client, limit());
+    sse_reader            reader;
+    int                   status = 0;
+    bool                  complete = false;
+    auto                  last_byte = boot_clock::now();
+    auto const            take = [&](std::string_view event)
+    {
+        auto const verdict = sink(parse_event(event));
+        if (verdict == event_verdict::progress)
+        {
+            watched.move_end(limit());
+        }
+        if (verdict == event_verdict::complete && !std::exchange(complete, true))
+        {
+            watched.move_end(boot_clock::now() + closing_grace);
+        }
+        return true;
+    };
+    auto request = stream_request(call, sender_);
     request.response_handler = [&status](httplib::Response const& response)
     {
         status = response.status;
@@ -91,28 +131,37 @@
     request.content_receiver =
         [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
     {
-        auto handle = [&](std::string_view event)
-        {
-            return sink(parse_event(event));
-        };
-        return status != status_ok || reader.feed({data, size}, handle);
+        last_byte = boot_clock::now();
+        return status != status_ok || reader.feed({data, size}, take);
     };
     auto const answer = client->send(request);
     if (!answer)
     {
-        // The caller's own leaving says nothing about the server.
-        if (answer.error() != httplib::Error::Canceled)
+        if (complete)
         {
-            lose_idle(server);
+            return {};
         }
-        return transport_error(answer.error(), server.id);
+        lose_idle(server);
+        return leaf::new_error(transport_failure{
+            read_fault(answer.error(), watched.expired(), last_byte, silence), server.id,
+            0});
     }
     if (answer->status != status_ok)
     {
         return leaf::new_error(
             transport_failure{transport_fault::refused, server.id, answer->status});
     }
-    clients_.put_back(server.host, server.port, std::move(client));
+    return keep(server, std::move(client), watched.expired());
+}
+
+leaf::result<void> http_backend::keep(backend_server const&            server,
+                                      std::unique_ptr<httplib::Client> client,
+                                      bool                             expired)
+{
+    if (!expired)
+    {
+        clients_.put_back(server.host, server.port, std::move(client));
+    }
     return {};
 }
 
@@ -123,11 +172,13 @@
 {
     // A kept-alive connection may have been closed by the service meanwhile, and a
     // failure on it could not be told from a lost answer. A new connection keeps "not
-    // connected" provable, which is what makes a refusal as not run true.
+    // connected" provable, which is what makes a refusal as not run true. The library
+    // sends a request again by itself only over TLS, so a plain connection sends once.
     http_client_pool fresh(clients_.timeouts());
     auto             client = fresh.take(server.host, server.port);
     client->set_keep_alive(false);
-    httplib::Request request;
+    exchange_watch::guard watched(watch_, *client, service.deadline);
+    httplib::Request      request;
     request.method = service.method;
     request.path = service.path;
     request.body = service.body;
@@ -149,11 +200,13 @@
 
 // 4. Cancel and load
 
-void http_backend::cancel(backend_server const& server, std::string const& request_id)
+void http_backend::cancel(backend_server const& server, std::string const& request_id,
+                          std::uint64_t attempt)
 {
     auto       client = clients_.take(server.host, server.port);
-    auto const answer = client->Post("/cancel", {{"X-Sender", sender_}},
-                                     json{{"request_id", request_id}}.dump(), json_type);
+    auto const answer = client->Post(
+        "/cancel", {{"X-Sender", sender_}},
+        json{{"request_id", request_id}, {"attempt", attempt}}.dump(), json_type);
     if (answer)
     {
         clients_.put_back(server.host, server.port, std::move(client));
@@ -177,12 +230,12 @@
         return leaf::new_error(message_failure{"load report", "not a JSON object"});
     }
     load_report load;
-    load.running = field_or(body, "running", std::int64_t{0});
-    load.waiting = field_or(body, "waiting", std::int64_t{0});
-    load.prefill_tokens = field_or(body, "prefill_tokens", std::int64_t{0});
-    load.lag_ms = field_or(body, "lag_ms", std::uint64_t{0});
-    load.leaving = field_or(body, "leaving", false);
-    auto const role = field_or<std::string>(body, "role", "mixed");
+    load.running = static_cast<std::int64_t>(number_field(body, "running"));
+    load.waiting = static_cast<std::int64_t>(number_field(body, "waiting"));
+    load.prefill_tokens = static_cast<std::int64_t>(number_field(body, "prefill_tokens"));
+    load.lag_ms = number_field(body, "lag_ms");
+    load.leaving = flag_field(body, "leaving");
+    auto const role = text_field(body, "role");
     load.role = role == "prefill"  ? engine_role::prefill
                 : role == "decode" ? engine_role::decode
                                    : engine_role::mixed;
--- a/src/adapters/json_fields.hpp
+++ b/src/adapters/json_fields.hpp
@@ -1,37 +1,39 @@
-// Fields of JSON objects that other systems sent.
+// Fields of JSON objects that others sent: a field of another type reads as absent.
 //
-// Index: field_or
+// Index: number_field, text_field, flag_field
+//
+// nlohmann's value() throws if the type differs; from a confused engine that would end
+// the daemon.
 #ifndef MARIGOLDCRANK_ADAPTERS_JSON_FIELDS_HPP
 #define MARIGOLDCRANK_ADAPTERS_JSON_FIELDS_HPP
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <string>
-#include <type_traits>
 
 namespace marigoldcrank
 {
 
-/// The field, or `otherwise` if it is missing or of another type. json::value throws on
-/// another type, and a confused backend server would take the whole daemon down with it.
-template <class Value>
-Value field_or(nlohmann::json const& body, char const* name, Value otherwise)
+/// A whole number that is not negative; 0 if there is none.
+inline std::uint64_t number_field(nlohmann::json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    return found != object.end() && found->is_number_unsigned()
+               ? found->get<std::uint64_t>()
+               : 0;
+}
+
+inline std::string text_field(nlohmann::json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+inline bool flag_field(nlohmann::json const& object, char const* name)
 {
-    auto const found = body.is_object() ? body.find(name) : body.end();
-    if (found == body.end())
-    {
-        return otherwise;
-    }
-    bool fits = found->is_number();
-    if constexpr (std::is_same_v<Value, std::string>)
-    {
-        fits = found->is_string();
-    }
-    else if constexpr (std::is_same_v<Value, bool>)
-    {
-        fits = found->is_boolean();
-    }
-    return fits ? found->get<Value>() : otherwise;
+    auto const found = object.find(name);
+    return found != object.end() && found->is_boolean() && found->get<bool>();
 }
 
 } // namespace marigoldcrank
--- a/src/app/server_poller.hpp
+++ b/src/app/server_poller.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace marigoldcrank
 {
@@ -82,6 +83,9 @@
                 [&]() -> leaf::result<void>
                 {
                     BOOST_LEAF_AUTO(servers, list_.backend_servers());
+                    // A VM that was bought and has not started has no address yet.
+                    std::erase_if(servers, [](backend_server const& server)
+                                  { return server.starting; });
                     directory_.replace(servers);
                     return {};
                 },
--- a/tests/concurrent/server_poller_test.cpp
+++ b/tests/concurrent/server_poller_test.cpp
@@ -60,7 +60,7 @@
     {
         return service_answer{};
     }
-    void cancel(backend_server const&, std::string const&) {}
+    void cancel(backend_server const&, std::string const&, std::uint64_t) {}
 };
 
 TEST(server_poller, reads_on_while_one_server_is_frozen)
--- a/tests/support/model_caller.hpp
+++ b/tests/support/model_caller.hpp
@@ -38,6 +38,7 @@
     std::string   fate;          // of a refusal
     std::string   request_id;
     std::string   connection; // header Connection
+    std::string   expected;   // the text that every engine gives as the answer
 
     bool whole(model_question const& question) const;
 };
@@ -73,7 +74,7 @@
 
 /// Output tokens in the reports that the platform received, each window once; all
 /// workspaces.
-std::uint64_t reported_tokens(fleet const& system);
+std::uint64_t all_reported_tokens(fleet const& system);
 
 /// Entries of /proc/PID/NAME, for example of `fd` and `task`.
 std::size_t process_count(pid_t pid, std::string const& name);
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -40,7 +40,9 @@
 class child_process
 {
 public:
-    explicit child_process(std::vector<std::string> const& command);
+    /// Output goes to the file `output`, or nowhere if it is empty.
+    explicit child_process(std::vector<std::string> const& command,
+                           std::string const&              output = "");
     ~child_process();
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
@@ -68,6 +70,7 @@
     std::map<std::string, std::string> engine_settings; // key to value
     std::map<std::string, std::string> platform_settings;
     bool                               apply_rules = true;
+    bool                               keep_output = false; // see fleet::outputs
     bool relayed = false; // a tcp_relay before the platform, each engine, service, peer
 };
 
@@ -86,6 +89,7 @@
 
     child_process& node(int index);
     child_process& engine(int index);
+    child_process& service(int index);
     child_process& platform();
 
     /// The relays, if the fleet was built with them.
@@ -107,6 +111,12 @@
     nlohmann::json received(int port, std::string const& kind = "") const;
     void           fault(int port, nlohmann::json const& value) const;
 
+    /// All that the processes printed and the nodes' spans, with keep_output.
+    std::string outputs() const;
+
+    /// Texts of all records that the platform's log retains.
+    std::vector<std::string> log_records() const;
+
     /// Puts the list of machines as it is now into the platform.
     void publish_machines(nlohmann::json const& changes = nlohmann::json::object()) const;
 
@@ -129,6 +139,7 @@
 private:
     void             write_node_settings(int index) const;
     std::vector<int> relay_to(std::vector<int> const& ports);
+    std::string      output_of(std::string const& process) const;
 
     fleet_options                                   options_;
     port_block                                      ports_;
--- a/tests/unit/http_backend_test.cpp
+++ b/tests/unit/http_backend_test.cpp
@@ -79,7 +79,7 @@
                                                            [&](stream_event const& event)
                                                            {
                                                 events.push_back(event);
-                                                return true;
+                                                return event_verdict::progress;
                                             }));
             return true;
         },
