--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -10,11 +10,6 @@
 
 #include <string>
 
-namespace httplib
-{
-enum class Error;
-}
-
 namespace marigoldcrank
 {
 
--- a/tests/failure/silent_connections_test.cpp
+++ b/tests/failure/silent_connections_test.cpp
@@ -188,7 +188,9 @@
                 while (!over)
                 {
                     auto const answer = call_model(system, 0, question);
-                    EXPECT_TRUE(answer.whole(question) || !answer.fate.empty());
+                    EXPECT_TRUE(answer.whole(question) || !answer.fate.empty())
+                        << answer.status << " " << answer.text.size() << " "
+                        << answer.ended << answer.stated_tokens;
                     refused += answer.whole(question) ? 0 : 1;
                 }
             });
