--- a/bench/soak/soak_audit.cpp
+++ b/bench/soak/soak_audit.cpp
@@ -175,12 +175,12 @@
     tests::eventually(
         [&]
         {
-            reported = tests::all_reported_tokens(system);
+            reported = tests::reported_tokens(system);
             return reported >= whole;
         });
     // What would be billed twice comes in a later window than the first time.
     std::this_thread::sleep_for(late_windows);
-    reported = tests::all_reported_tokens(system);
+    reported = tests::reported_tokens(system);
     result.unbilled_tokens = reported < whole ? whole - reported : 0;
     result.overbilled_tokens = reported > most ? reported - most : 0;
     std::cerr << "tokens served whole " << whole << ", reported " << reported
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -73,24 +73,25 @@
     auto const fault = fault_of(error);
     return fault == transport_fault::silent ? transport_fault::answer_lost : fault;
 }
-} // namespace
-
-http_backend::http_backend(http_timeouts timeouts, millis load_timeout,
-                           std::string sender)
-    : sender_(std::move(sender)), clients_(timeouts),
-      load_clients_({std::min(timeouts.connect, load_timeout), load_timeout})
-{
-}
 
 /// A kept-alive connection may have gone silent for good while new ones work, and then
 /// its neighbours have too: the next attempt, at this server also, opens a new one.
-void http_backend::drop_idle_after(httplib::Error error, backend_server const& server)
+void drop_idle_after(http_client_pool& clients, httplib::Error error,
+                     backend_server const& server)
 {
     if (error != httplib::Error::Canceled)
     {
-        clients_.drop_idle(server.host, server.port);
+        clients.drop_idle(server.host, server.port);
     }
 }
+} // namespace
+
+http_backend::http_backend(http_timeouts timeouts, millis load_timeout,
+                           std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts),
+      load_clients_({std::min(timeouts.connect, load_timeout), load_timeout})
+{
+}
 
 std::size_t http_backend::idle_connections() const
 {
@@ -145,7 +146,7 @@
         {
             return {};
         }
-        drop_idle_after(answer.error(), server);
+        drop_idle_after(clients_, answer.error(), server);
         return leaf::new_error(transport_failure{
             read_fault(answer.error(), watched.expired(), last_byte, silence), server.id,
             0});
@@ -225,7 +226,7 @@
     if (!answer)
     {
         load_clients_.drop_idle(server.host, server.port);
-        drop_idle_after(answer.error(), server);
+        drop_idle_after(clients_, answer.error(), server);
         // A process that ends closes its connections before it stops listening; a new
         // connection in between breaks at once, and must not pass for a silent one.
         return leaf::new_error(transport_failure{
--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -32,7 +32,6 @@
     std::size_t idle_connections() const;
 
 private:
-    void drop_idle_after(httplib::Error error, backend_server const& server);
     leaf::result<void> keep(backend_server const&            server,
                             std::unique_ptr<httplib::Client> client, bool expired);
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -128,11 +128,9 @@
     wire::peer_message beat_message() const;
     wire::peer_message rules_message() const;
     wire::peer_message withdrawals_message() const;
-    wire::peer_message drains_message() const;
     key_state          state_of_key(std::string const& key_id) const;
     void               run_duties();
     void               run_usage();
-    void               pause(millis duration) const;
     bool               settle_custody(millis hold);
     wire::peer_message drains_message() const;
     void               pause(millis duration) const;
@@ -256,7 +254,6 @@
     beat->set_withdrawn_digest(access->withdrawn_digest);
     beat->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
     beat->set_draining(callers.draining());
-    beat->set_drain_revision(access->drains.revision);
     beat->set_data_centre(options.data_centre);
     beat->set_drain_revision(access->drains.revision);
     return result;
--- a/tests/failure/cuts_test.cpp
+++ b/tests/failure/cuts_test.cpp
@@ -68,11 +68,11 @@
     cut_first_data_centre(system, false);
     ASSERT_TRUE(eventually([&] { return !alone(); }));
     auto tokens = whole_tokens(load.stop(), question);
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) == tokens; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
     // One more, so that a doubled batch that came later would show in a later window.
     EXPECT_TRUE(call_model(system, 0, question).whole(question));
     tokens += 40;
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) == tokens; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
 }
 
 // The platform is down for long, and callers are refused because an entry VM took the
@@ -108,7 +108,7 @@
     ASSERT_TRUE(eventually([&] { return paused.answered() >= before + 8; }));
     auto tokens = whole_tokens(paused.stop(), question);
     tokens += whole_tokens(others.stop(), question);
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) == tokens; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
 }
 
 // An engine is paused in mid-stream: the replies stop. They go on at another engine, and
@@ -126,7 +126,7 @@
     answered = load.answered();
     ASSERT_TRUE(eventually([&] { return load.answered() >= answered + 27; }));
     auto const tokens = whole_tokens(load.stop(), question);
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) == tokens; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == tokens; }));
 }
 
 // An entry VM dies with the platform's lease and dozens of streams on it. Callers of the
--- a/tests/failure/drains_test.cpp
+++ b/tests/failure/drains_test.cpp
@@ -91,7 +91,7 @@
         EXPECT_TRUE(answer.whole(question) || answer.fate == "not_run" || gone);
         tokens += answer.whole(question) ? 200 : 0;
     }
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) >= tokens; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) >= tokens; }));
 }
 
 // An operator drains an engine on one node for a repair, and another node goes on sending
@@ -156,7 +156,7 @@
     system.node(1).signal(SIGTERM);
     EXPECT_EQ(system.node(1).wait(80000), 0);
     EXPECT_EQ(system.node(0).wait(80000), 1);
-    EXPECT_TRUE(eventually([&] { return all_reported_tokens(system) == 8; }));
+    EXPECT_TRUE(eventually([&] { return reported_tokens(system) == 8; }));
 }
 
 // A data centre is emptied for maintenance, the platform goes down, and a node that is
