--- a/bench/model/replay_run.cpp
+++ b/bench/model/replay_run.cpp
@@ -238,7 +238,8 @@
         return;
     }
     auto const judged = entry.judge(call, decision, now_us_);
-    digest(static_cast<std::uint64_t>(judged.verdict) + judged.input.predicted_us);
+    digest(static_cast<std::uint64_t>(judged.verdict) +
+           static_cast<std::uint64_t>(judged.input.predicted_us));
     switch (judged.verdict)
     {
     case admission_verdict::dispatch:
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -61,7 +61,7 @@
     result.reserve(order_.size());
     for (auto const& each : order_)
     {
-        result.push_back(each.item);
+        result.push_back(each.second);
     }
     return result;
 }
--- a/src/policy/admission.hpp
+++ b/src/policy/admission.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace marigoldcrank
@@ -72,13 +73,7 @@
     std::size_t size() const noexcept;
 
 private:
-    struct place
-    {
-        std::int64_t  start;
-        std::uint64_t item;
-
-        auto operator<=>(place const&) const = default;
-    };
+    using place = std::pair<std::int64_t, std::uint64_t>; // start, item
 
     std::set<place>                       order_;
     std::map<std::uint64_t, std::int64_t> start_of_;
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -96,9 +96,10 @@
 
     std::int64_t harm_us(engine_view const& view, std::int64_t fresh) const
     {
-        return view.preference_us +
-               (fresh * speed_.prefill_us * view.streams() * harm_fraction_ >>
-                fraction_bits);
+        auto const streams_lose =
+            (fresh * speed_.prefill_us * view.streams() * harm_fraction_) >>
+            fraction_bits;
+        return view.preference_us + view.failures * options_.failure_us + streams_lose;
     }
 
     engine_request const& request_;
