--- a/bench/model/replay_run.cpp
+++ b/bench/model/replay_run.cpp
@@ -207,7 +207,9 @@
     for (std::size_t index = 0; index < views.size(); ++index)
     {
         views[index].cheap = trace_.services[index].cheap;
-        views[index].own.streams = (call.id + index) % views.size(); // take turns
+        // The services take turns.
+        views[index].own.streams =
+            static_cast<std::int64_t>((call.id + index) % views.size());
     }
     bool const     ours = entry_of(call).ours();
     engine_request wanted{
