--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace marigoldcrank
@@ -74,11 +75,28 @@
 }
 } // namespace
 
-http_backend::http_backend(http_timeouts timeouts, std::string sender)
-    : sender_(std::move(sender)), clients_(timeouts)
+http_backend::http_backend(http_timeouts timeouts, millis load_timeout,
+                           std::string sender)
+    : sender_(std::move(sender)), clients_(timeouts),
+      load_clients_({std::min(timeouts.connect, load_timeout), load_timeout})
 {
 }
 
+/// A kept-alive connection may have gone silent for good while new ones work, and then
+/// its neighbours have too: the next attempt, at this server also, opens a new one.
+void http_backend::drop_idle_after(httplib::Error error, backend_server const& server)
+{
+    if (error != httplib::Error::Canceled)
+    {
+        clients_.drop_idle(server.host, server.port);
+    }
+}
+
+std::size_t http_backend::idle_connections() const
+{
+    return clients_.idle() + load_clients_.idle();
+}
+
 // 2. Streams
 
 leaf::result<void> http_backend::stream(backend_server const& server,
@@ -127,6 +145,7 @@
         {
             return {};
         }
+        drop_idle_after(answer.error(), server);
         return leaf::new_error(transport_failure{
             read_fault(answer.error(), watched.expired(), last_byte, silence), server.id,
             0});
@@ -200,18 +219,20 @@
 
 leaf::result<load_report> http_backend::load(backend_server const& server)
 {
-    auto       client = clients_.take(server.host, server.port);
     auto const begun = boot_clock::now();
+    auto       client = load_clients_.take(server.host, server.port);
     auto const answer = client->Get("/load", {{"X-Sender", sender_}});
     if (!answer)
     {
+        load_clients_.drop_idle(server.host, server.port);
+        drop_idle_after(answer.error(), server);
         // A process that ends closes its connections before it stops listening; a new
         // connection in between breaks at once, and must not pass for a silent one.
         return leaf::new_error(transport_failure{
-            read_fault(answer.error(), false, begun, clients_.timeouts().silence),
+            read_fault(answer.error(), false, begun, load_clients_.timeouts().silence),
             server.id, 0});
     }
-    clients_.put_back(server.host, server.port, std::move(client));
+    load_clients_.put_back(server.host, server.port, std::move(client));
     auto const body = json::parse(answer->body, nullptr, false);
     if (answer->status != status_ok || !body.is_object())
     {
@@ -222,6 +243,7 @@
     load.waiting = static_cast<std::int64_t>(number_field(body, "waiting"));
     load.prefill_tokens = static_cast<std::int64_t>(number_field(body, "prefill_tokens"));
     load.lag_ms = number_field(body, "lag_ms");
+    load.leaving = flag_field(body, "leaving");
     auto const role = text_field(body, "role");
     load.role = role == "prefill"  ? engine_role::prefill
                 : role == "decode" ? engine_role::decode
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -1,9 +1,10 @@
 // The platform over HTTP.
 //
-// Index: 1 exchanges, 2 log, 3 VM list, 4 usage reports
+// Index: 1 exchanges, 2 log, 3 VM list
 #include "adapters/http_platform.hpp"
 
 #include "adapters/http_exchange.hpp"
+#include "adapters/json_fields.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -112,15 +113,16 @@
 {
 backend_server parse_backend_server(json const& entry)
 {
-    return {.id = entry.value("id", ""),
-            .host = entry.value("host", ""),
-            .port = entry.value("port", 0),
-            .data_centre = entry.value("data_centre", ""),
-            .group = entry.value("group", ""),
-            .cheap = entry.value("cheap", false),
-            .leaving = entry.value("state", "live") != "live",
-            .order_id = entry.value("order_id", ""),
-            .starting = entry.value("state", "live") == "starting"};
+    auto const state = text_field(entry, "state");
+    return {.id = text_field(entry, "id"),
+            .host = text_field(entry, "host"),
+            .port = static_cast<int>(number_field(entry, "port")),
+            .data_centre = text_field(entry, "data_centre"),
+            .group = text_field(entry, "group"),
+            .cheap = flag_field(entry, "cheap"),
+            .leaving = !state.empty() && state != "live",
+            .order_id = text_field(entry, "order_id"),
+            .starting = state == "starting"};
 }
 } // namespace
 
@@ -148,26 +150,4 @@
     return servers;
 }
 
-// 4. Usage reports
-
-leaf::result<void> http_platform::report_usage(std::uint64_t      window,
-                                               std::string const& body)
-{
-    auto       client = clients_.take(host_, port_);
-    auto const answer = client->Post("/usage/" + std::to_string(window),
-                                     {{"X-Sender", sender_}}, body, json_type);
-    count("/usage/", body, answer);
-    if (!answer)
-    {
-        return transport_error(answer.error(), "platform");
-    }
-    clients_.put_back(host_, port_, std::move(client));
-    if (answer->status != 200)
-    {
-        return leaf::new_error(
-            transport_failure{transport_fault::refused, "platform", answer->status});
-    }
-    return {};
-}
-
 } // namespace marigoldcrank
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,6 +6,7 @@
 #include "adapters/http_backend.hpp"
 #include "adapters/http_platform.hpp"
 #include "adapters/logging.hpp"
+#include "adapters/order_socket.hpp"
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
@@ -28,6 +29,7 @@
 namespace
 {
 constexpr std::size_t incarnation_digits = 12;
+constexpr std::size_t largest_report = 16'777'216; // bytes; some 100,000 figures
 constexpr millis      duty_pause{50};
 constexpr millis      flush_timeout{2000};
 constexpr millis      drain_poll{20};
@@ -57,44 +59,49 @@
     std::atomic<bool> started{false}; // all parts stand; messages before are dropped
     std::atomic<bool> stopping{false};
     std::atomic<bool> drain_wanted{false};
-
-    metrics                                      counters;
-    span_store                                   spans;
-    ledger_store                                 store;
-    http_platform                                platform;
-    http_backend                                 backend;
-    server_directory                             directory;
-    log_writer<http_platform>                    writer;
-    peer_roster                                  roster;
-    usage_custody                                custody;
-    poison_guard                                 poison;
-    zmq_peers                                    peers;
-    usage_recorder<http_platform, zmq_peers>     usage;
-    lease_keeper<http_platform>                  reporter_lease;
-    usage_reporter<http_platform, http_platform> reporter;
-    lease_keeper<http_platform>                  keeper_lease;
-    snapshot_keeper<http_platform>               keeper;
-    worker_pool                                  workers;
-    call_book<http_platform>                     book;
-    request_path<http_backend>                   path;
-    service_path<http_backend, http_platform>    services;
-    caller_front<http_backend, http_platform>    callers;
-    operator_front<http_platform, zmq_peers>     operators;
-    log_follower<http_platform>                  follower;
-    server_poller<http_platform, http_backend>   poller;
-    node_duties                                  duties;
-    httplib::Server                              server;
-    bool                                         bound = false;
-    std::thread                                  server_thread;
-    std::thread                                  duty_thread;
-    std::thread                                  usage_thread;
-    std::thread                                  beat_thread;
-    std::thread                                  keeper_thread;
-    std::thread                                  book_thread;
-
-    lease_terms        terms() const;
-    wire::peer_message message() const;
-    void               pass_on_access();
+    std::atomic<bool> duties_over{false};
+
+    metrics                                     counters;
+    span_store                                  spans;
+    ledger_store                                store;
+    http_platform                               platform;
+    http_backend                                backend;
+    server_directory                            directory;
+    log_writer<http_platform>                   writer;
+    peer_roster                                 roster;
+    usage_custody                               custody;
+    zmq_peers                                   peers;
+    usage_recorder<http_platform, zmq_peers>    usage;
+    order_socket                                reports;
+    lease_keeper<http_platform>                 reporter_lease;
+    usage_reporter<http_platform, order_socket> reporter;
+    lease_keeper<http_platform>                 keeper_lease;
+    snapshot_keeper<http_platform>              keeper;
+    poison_guard                                poison;
+    worker_pool                                 workers;
+    call_book<http_platform>                    book;
+    request_path<http_backend>                  path;
+    service_path<http_backend, http_platform>   services;
+    caller_front<http_backend, http_platform>   callers;
+    operator_front<http_platform, zmq_peers>    operators;
+    log_follower<http_platform>                 follower;
+    server_poller<http_platform, http_backend>  poller;
+    node_duties                                 duties;
+    httplib::Server                             server;
+    bool                                        bound = false;
+    std::thread                                 server_thread;
+    std::thread                                 duty_thread;
+    std::thread                                 usage_thread;
+    std::thread                                 beat_thread;
+    std::thread                                 keeper_thread;
+    std::thread                                 book_thread;
+
+    lease_terms                            terms() const;
+    std::function<void(wire::usage_delta)> usage_sink();
+    void                                   pass_on(wire::peer_message& news);
+    void                                   run_book();
+    wire::peer_message                     message() const;
+    void                                   pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     void               take_handoff(wire::peer_message const& message);
@@ -105,13 +112,11 @@
     void               run_duties();
     void               run_usage();
     bool               settle_custody(millis hold);
+    wire::peer_message drains_message() const;
+    void               pause(millis duration) const;
     void               run_beats();
     void               watch_traffic();
     void               run_keeper();
-    void               add_usage(wire::usage_delta delta);
-    void               pass_on(wire::peer_message& news);
-    bool               alive(std::string const& owner) const;
-    void               run_book();
     void               start();
 };
 
@@ -121,47 +126,46 @@
       store([this] { pass_on_access(); }),
       platform(options.platform_host, static_cast<int>(options.platform_port),
                millis{options.platform_timeout_ms}, options.name),
-      backend({millis{options.connect_ms}, millis{options.progress_ms}}, options.name),
+      backend({millis{options.connect_ms}, millis{options.progress_ms}},
+              millis{options.load_timeout_ms}, options.name),
       writer(platform, store), roster(options.data_centre, millis{options.peer_dead_ms}),
-      poison(options.name, {.keep = millis{options.poison_keep_ms}},
-             [this](wire::peer_message& news) { pass_on(news); }),
       peers(options, peers_of(options),
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
             {options.name, incarnation, millis{options.handoff_ms}}),
+      reports(
+          millis{options.platform_timeout_ms}, options.name, [] {}, largest_report),
       reporter_lease(writer, store, "reporter", holder, terms()),
-      reporter(writer, store, platform, reporter_lease, holder,
-               millis{options.window_ms}),
+      reporter(writer, store, reports, reporter_lease,
+               {holder, millis{options.window_ms}, millis{options.order_margin_ms},
+                options.platform_host, static_cast<int>(options.platform_port)}),
       keeper_lease(writer, store, "keeper", holder, terms()),
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
       workers(count_of(options.http_threads)),
       book(writer, store, holder,
-           [this](std::string const& owner) { return alive(owner); },
+           [this](std::string const& owner)
+           { return roster.alive(owner, boot_clock::now()); },
            {.claim_wait = millis{options.claim_wait_ms},
             .kept_body = count_of(options.kept_body_bytes)}),
-      path(
-          backend, directory, spans, counters, workers, poison,
-          [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
-          [this](std::string const& id) { return state_of_key(id); },
-          {.data_centre = options.data_centre,
-           .max_attempts = options.max_attempts,
-           .retries = {options.retry_percent, options.retry_burst}}),
-      services({backend, directory, spans, counters, book,
-                [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
-                options.data_centre, options.max_attempts,
-                [this](std::string const& id)
-                {
-                    return state_of_key(id);
-                }}),
+      path(backend, directory, spans, counters, workers, poison, usage_sink(),
+           {.data_centre = options.data_centre,
+            .max_attempts = options.max_attempts,
+            .retries = {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book, usage_sink(),
+                [this](std::string const& id) { return state_of_key(id); },
+                options.data_centre, options.max_attempts}),
       callers(path, services, store, spans, counters, millis{options.deadline_ms}),
-      operators(writer, store, spans, directory, peers, options.operator_key,
-                options.name, [this] { drain_wanted = true; }),
+      operators(
+          writer, store, spans, directory, peers, options.operator_key, options.name,
+          [this] { drain_wanted = true; }, [this] { return callers.inflight(); }),
       follower(platform, store, millis{options.log_wait_ms}),
-      poller(platform, backend, directory, millis{options.list_every_ms},
-             millis{options.load_every_ms}),
-      duties(options, holder, terms(), writer, store, platform, backend, directory)
+      poller(platform, backend, directory,
+             {millis{options.list_every_ms}, millis{options.load_every_ms}}),
+      duties(options, holder, terms(), writer, store, platform, directory, spans)
 {
 }
 
@@ -170,6 +174,20 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
+std::function<void(wire::usage_delta)> node::parts::usage_sink()
+{
+    return [this](wire::usage_delta delta)
+    {
+        auto const begun = boot_clock::now();
+        bool const shared = usage.add(std::move(delta));
+        counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
+        if (!shared)
+        {
+            counters.add("usage_unshared_total");
+        }
+    };
+}
+
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -201,6 +219,20 @@
     return result;
 }
 
+wire::peer_message node::parts::drains_message() const
+{
+    auto result = message();
+    *result.mutable_drains() = to_message(store.access()->drains);
+    return result;
+}
+
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
 wire::peer_message node::parts::beat_message() const
 {
     auto const access = store.access();
@@ -211,6 +243,7 @@
     beat->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
     beat->set_draining(callers.draining());
     beat->set_data_centre(options.data_centre);
+    beat->set_drain_revision(access->drains.revision);
     return result;
 }
 
@@ -218,6 +251,7 @@
 /// not have it ask for it, so that rules travel only where they are missing.
 void node::parts::pass_on_access()
 {
+    directory.set_drains(store.access()->drains);
     if (started)
     {
         peers.broadcast(beat_message());
@@ -238,6 +272,9 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
+    case wire::peer_message::kDrains:
+        store.offer(message.drains());
+        break;
     case wire::peer_message::kConfigurationWanted:
         if (store.rules_in_force().revision != 0)
         {
@@ -264,22 +301,6 @@
     }
 }
 
-void node::parts::pass_on(wire::peer_message& news)
-{
-    news.set_from(options.name);
-    news.set_incarnation(incarnation);
-    peers.broadcast(news);
-}
-
-/// `owner` is name and incarnation with a slash between.
-bool node::parts::alive(std::string const& owner) const
-{
-    auto const slash = owner.find('/');
-    return slash != std::string::npos &&
-           roster.alive(owner.substr(0, slash), owner.substr(slash + 1),
-                        boot_clock::now());
-}
-
 /// Peers that differ are brought together: the one behind asks for the rules, and each
 /// sends the other the withdrawn keys that it knows. So a node that missed a broadcast,
 /// or started after it, has the newest within a heartbeat or two.
@@ -287,14 +308,14 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
+    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                  beat.draining(), boot_clock::now()});
     for (auto& news : poison.news_for(message.from(), message.incarnation()))
     {
         news.set_from(options.name);
         news.set_incarnation(incarnation);
         peers.send(message.from(), news);
     }
-    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
-                                  beat.draining(), boot_clock::now()});
     if (beat.config_revision() > access->revision())
     {
         auto wanted = this->message();
@@ -305,6 +326,10 @@
     {
         peers.send(message.from(), withdrawals_message());
     }
+    if (access->drains.revision > beat.drain_revision())
+    {
+        peers.send(message.from(), drains_message());
+    }
 }
 
 /// The acknowledgement goes out only after the deltas are kept.
@@ -343,7 +368,7 @@
 
 void node::parts::run_duties()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         auto const now = boot_clock::now();
         if (!callers.draining())
@@ -359,7 +384,7 @@
 /// the other from renewing its lease.
 void node::parts::run_keeper()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         if (!callers.draining())
         {
@@ -370,14 +395,24 @@
     }
 }
 
+/// Ends early when a drain ends the duties, which must not wait out a long interval.
+void node::parts::pause(millis duration) const
+{
+    auto const until = boot_clock::now() + duration;
+    while (!stopping && !duties_over && boot_clock::now() < until)
+    {
+        std::this_thread::sleep_for(drain_poll);
+    }
+}
+
 void node::parts::run_usage()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         usage.hand_off_again(boot_clock::now());
         usage.flush(flush_timeout);
         settle_custody(millis{options.custody_hold_ms});
-        std::this_thread::sleep_for(millis{options.usage_flush_ms});
+        pause(millis{options.usage_flush_ms});
     }
 }
 
@@ -405,18 +440,10 @@
     return true;
 }
 
-void node::parts::add_usage(wire::usage_delta delta)
-{
-    if (!usage.add(std::move(delta)))
-    {
-        counters.add("usage_unshared_total");
-    }
-}
-
 /// Releases and results that the log has not taken yet.
 void node::parts::run_book()
 {
-    while (!stopping)
+    while (!stopping && !duties_over)
     {
         book.flush(flush_timeout);
         std::this_thread::sleep_for(book_pause);
@@ -439,9 +466,11 @@
 void node::parts::start()
 {
     watch_traffic();
-    configure(server, {count_of(options.http_threads), count_of(options.overflow_threads),
-                       count_of(options.max_body_bytes)});
+    configure(server,
+              {count_of(options.http_threads), count_of(options.overflow_threads),
+               count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     started = true;
+    path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
@@ -493,30 +522,47 @@
     return parts_->drain_wanted;
 }
 
-void node::drain()
+bool node::drain()
 {
     auto const until = boot_clock::now() + millis{parts_->options.drain_ms};
+    auto const wait_for = [until](auto const& condition)
+    {
+        bool done = condition();
+        while (!done && boot_clock::now() < until)
+        {
+            std::this_thread::sleep_for(drain_poll);
+            done = condition();
+        }
+        return done;
+    };
     parts_->callers.start_draining();
     log_info(log_part::node, "Draining.");
     parts_->duties.hand_over();
-    while (parts_->callers.inflight() > 0 && boot_clock::now() < until)
+    // The balancer learns of it late and goes on sending for a while: refusing at once
+    // would show callers a planned stop.
+    std::this_thread::sleep_for(millis{parts_->options.drain_notice_ms});
+    parts_->callers.refuse_new();
+    bool const served = wait_for([this] { return parts_->callers.inflight() == 0; });
+    // Recorder, book and keeper are each used by one thread: two flushes at once would
+    // drop a batch that only one of them had appended.
+    parts_->duties_over = true;
+    for (auto* thread : {&parts_->usage_thread, &parts_->duty_thread,
+                         &parts_->keeper_thread, &parts_->book_thread})
     {
-        std::this_thread::sleep_for(drain_poll);
-    }
-    while (!parts_->book.flush(flush_timeout) && boot_clock::now() < until)
-    {
-        std::this_thread::sleep_for(drain_poll);
+        thread->join();
     }
     // What peers left here leaves with this node, so it goes into the log as well.
-    while (
-        !(parts_->usage.flush(flush_timeout) && parts_->settle_custody(millis::zero())) &&
-        boot_clock::now() < until)
-    {
-        std::this_thread::sleep_for(drain_poll);
-    }
+    bool const billed = wait_for(
+        [this] {
+            return parts_->usage.flush(flush_timeout) &&
+                   parts_->settle_custody(millis::zero());
+        });
+    bool const settled = wait_for([this] { return parts_->book.flush(flush_timeout); });
     parts_->reporter_lease.release();
     parts_->keeper_lease.release();
-    log_info(log_part::node, "Drained.");
+    bool const whole = served && billed && settled;
+    log_info(log_part::node, whole ? "Drained." : "Stopped before it drained.");
+    return whole;
 }
 
 } // namespace marigoldcrank
--- a/src/app/peer_roster.cpp
+++ b/src/app/peer_roster.cpp
@@ -11,13 +11,15 @@
 {
 }
 
-void peer_roster::heard(std::string const& name, peer_note const& note)
+bool peer_roster::heard(std::string const& name, peer_note const& note)
 {
     std::lock_guard const lock(mutex_);
     auto&                 held = notes_[name];
     auto const            failed_at = held.failed_at;
+    bool const            fresh = held.incarnation != note.incarnation;
     held = note;
     held.failed_at = failed_at;
+    return fresh;
 }
 
 void peer_roster::failed(std::string const& name, boot_clock::time_point now)
@@ -35,6 +37,13 @@
            now - found->second.heard_at < dead_after_;
 }
 
+bool peer_roster::alive(std::string const& owner, boot_clock::time_point now) const
+{
+    auto const slash = owner.find('/');
+    return slash != std::string::npos &&
+           alive(owner.substr(0, slash), owner.substr(slash + 1), now);
+}
+
 std::vector<std::string> peer_roster::keepers(boot_clock::time_point now,
                                               std::uint64_t          turn) const
 {
@@ -67,6 +76,7 @@
                      [](candidate const& left, candidate const& right)
                      { return left.rank < right.rank; });
     std::vector<std::string> names;
+    names.reserve(found.size());
     for (auto& each : found)
     {
         names.push_back(std::move(each.name));
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -19,9 +19,9 @@
     std::string host;
     int         port = 0;
     std::string data_centre;
-    std::string group;           // engines or services that serve the same
-    bool        cheap = false;   // may be reclaimed with its whole zone
-    bool        leaving = false; // gets no new work
+    std::string group;            // engines or services that serve the same
+    bool        cheap = false;    // may be reclaimed with its whole zone
+    bool        leaving = false;  // gets no new work
     std::string order_id;         // of the order that bought it, if it was bought
     bool        starting = false; // bought, and not yet live
 
@@ -43,7 +43,8 @@
     std::int64_t           waiting = 0;        // requests not yet in the batch
     std::int64_t           prefill_tokens = 0; // prompt tokens still to be computed
     engine_role            role = engine_role::mixed;
-    std::uint64_t          lag_ms = 0; // age that the engine itself states
+    std::uint64_t          lag_ms = 0;      // age that the engine itself states
+    bool                   leaving = false; // it says that it will go away
     boot_clock::time_point read_at{};
 
     bool operator==(load_report const&) const = default;
--- a/src/domain/settings.cpp
+++ b/src/domain/settings.cpp
@@ -47,7 +47,9 @@
     number("node", "http_threads", "count", "connections served at once", &settings::http_threads, 4, max_threads),
     number("node", "overflow_threads", "count", "connections refused at once", &settings::overflow_threads, 1, max_threads),
     number("node", "max_body_bytes", "bytes", "largest request body", &settings::max_body_bytes, 1024, max_body),
+    number("node", "drain_notice_ms", "ms", "still serving though /readyz says no, while the balancer learns of a drain", &settings::drain_notice_ms, 0, hour_ms),
     number("node", "drain_ms", "ms", "longest graceful shutdown", &settings::drain_ms, 0, hour_ms),
+    number("node", "caller_silence_ms", "ms", "ends a connection whose caller reads nothing", &settings::caller_silence_ms, 100, hour_ms),
     text("node", "operator_key", "salt$hash of the operators' key", &settings::operator_key),
     text("peers", "peer_host", "IP number to listen on", &settings::peer_host),
     number("peers", "peer_port", "port", "port for other entry VMs", &settings::peer_port, 0, max_port),
@@ -59,6 +61,7 @@
     number("platform", "platform_timeout_ms", "ms", "for one exchange", &settings::platform_timeout_ms, 10, hour_ms),
     number("platform", "log_wait_ms", "ms", "long poll of the log", &settings::log_wait_ms, 0, hour_ms),
     number("platform", "list_every_ms", "ms", "between reads of the VM list", &settings::list_every_ms, 10, hour_ms),
+    number("platform", "load_timeout_ms", "ms", "for one read of a backend server's load", &settings::load_timeout_ms, 10, hour_ms),
     number("leases", "lease_ms", "ms", "validity of one renewal", &settings::lease_ms, 100, hour_ms),
     number("leases", "renew_ms", "ms", "between renewals", &settings::renew_ms, 10, hour_ms),
     number("leases", "drift_ms", "ms", "bound on clock drift within a lease", &settings::drift_ms, 0, hour_ms),
@@ -161,9 +164,9 @@
 {
     if (!known_section(section))
     {
-        return leaf::new_error(
-            setting_failure{setting_fault::unknown_section, file, section, "",
-                            "node, peers, platform, leases, requests, usage, logs, orders"});
+        return leaf::new_error(setting_failure{
+            setting_fault::unknown_section, file, section, "",
+            "node, peers, platform, leases, requests, usage, logs, orders"});
     }
     CSimpleIniA::TNamesDepend keys;
     ini.GetAllKeys(section.c_str(), keys);
--- a/src/ledger/call_fold.cpp
+++ b/src/ledger/call_fold.cpp
@@ -8,6 +8,17 @@
 namespace marigoldcrank
 {
 
+namespace
+{
+/// An unknown number comes from a later version: the outcome is then unknown here.
+call_phase phase_of(std::uint32_t number)
+{
+    return number == 0   ? call_phase::intended
+           : number == 1 ? call_phase::answered
+                         : call_phase::unknown;
+}
+} // namespace
+
 bool call_fold::apply(std::uint64_t offset, wire::call_intent const& intent)
 {
     // An append that was given up on can take effect after the release that its owner
@@ -115,60 +126,56 @@
     return found == entries_.end() ? std::nullopt : std::optional{found->second};
 }
 
-void call_fold::save(wire::call_state_snapshot& snapshot) const
+std::size_t call_fold::size() const noexcept
+{
+    return entries_.size();
+}
+
+void call_fold::save(wire::call_state_snapshot& state) const
 {
-    for (auto const& [key_hash, entry] : entries_)
+    for (auto const& [key, entry] : entries_)
     {
-        auto* saved = snapshot.add_entries();
-        saved->set_key_hash(key_hash);
+        auto* saved = state.add_entries();
+        saved->set_key_hash(key);
+        saved->set_request_id(entry.request_id);
         saved->set_owner(entry.owner);
+        saved->set_body_hash(entry.body_hash);
         saved->set_phase(static_cast<std::uint32_t>(entry.phase));
+        saved->set_status(entry.status);
+        saved->set_content_type(entry.content_type);
+        saved->set_body(entry.body);
+        saved->set_body_left_out(entry.body_left_out);
         saved->set_last_offset(entry.last_offset);
-        auto* result = saved->mutable_result();
-        result->set_request_id(entry.request_id);
-        result->set_body_hash(entry.body_hash);
-        result->set_status(entry.status);
-        result->set_content_type(entry.content_type);
-        result->set_body(entry.body);
-        result->set_body_left_out(entry.body_left_out);
     }
     for (auto const& [request_id, offset] : released_)
     {
-        auto* saved = snapshot.add_released();
+        auto* saved = state.add_released();
         saved->set_request_id(request_id);
         saved->set_offset(offset);
     }
 }
 
-call_fold call_fold::restored(wire::call_state_snapshot const& snapshot)
+call_fold call_fold::restored(wire::call_state_snapshot const& state)
 {
     call_fold value;
-    for (auto const& saved : snapshot.entries())
+    for (auto const& saved : state.entries())
     {
-        auto const& result = saved.result();
-        auto&       entry = value.entries_[saved.key_hash()];
-        entry = {.request_id = result.request_id(),
-                 .owner = saved.owner(),
-                 .body_hash = result.body_hash(),
-                 .phase = static_cast<call_phase>(std::min<std::uint32_t>(
-                     saved.phase(), static_cast<std::uint32_t>(call_phase::unknown))),
-                 .status = result.status(),
-                 .content_type = result.content_type(),
-                 .body = result.body(),
-                 .body_left_out = result.body_left_out(),
-                 .last_offset = saved.last_offset()};
-        value.note_body(saved.key_hash(), entry);
+        value.entries_[saved.key_hash()] = {.request_id = saved.request_id(),
+                                            .owner = saved.owner(),
+                                            .body_hash = saved.body_hash(),
+                                            .phase = phase_of(saved.phase()),
+                                            .status = saved.status(),
+                                            .content_type = saved.content_type(),
+                                            .body = saved.body(),
+                                            .body_left_out = saved.body_left_out(),
+                                            .last_offset = saved.last_offset()};
+        value.note_body(saved.key_hash(), value.entries_[saved.key_hash()]);
     }
-    for (auto const& saved : snapshot.released())
+    for (auto const& saved : state.released())
     {
         value.released_[saved.request_id()] = saved.offset();
     }
     return value;
 }
 
-std::size_t call_fold::size() const noexcept
-{
-    return entries_.size();
-}
-
 } // namespace marigoldcrank
--- a/src/ledger/call_fold.hpp
+++ b/src/ledger/call_fold.hpp
@@ -68,8 +68,9 @@
 
     std::size_t size() const noexcept;
 
-    void             save(wire::call_state_snapshot& snapshot) const;
-    static call_fold restored(wire::call_state_snapshot const& snapshot);
+    /// A fold restored from what was saved folds on as this one would.
+    void             save(wire::call_state_snapshot& state) const;
+    static call_fold restored(wire::call_state_snapshot const& state);
 
     bool operator==(call_fold const&) const = default;
 
--- a/src/ledger/ledger.hpp
+++ b/src/ledger/ledger.hpp
@@ -7,6 +7,7 @@
 #include "domain/failure.hpp"
 #include "ledger/call_fold.hpp"
 #include "ledger/configuration_fold.hpp"
+#include "ledger/drain_fold.hpp"
 #include "ledger/lease_fold.hpp"
 #include "ledger/order_fold.hpp"
 #include "ledger/usage_fold.hpp"
@@ -42,14 +43,12 @@
     /// Counts a record whose bytes could not be read.
     record_effect skip_malformed(std::uint64_t offset);
 
-    /// Tells that the log has lost the records before `offset`.
-    void forget_before(std::uint64_t offset);
-
     lease_fold const&         leases() const noexcept;
     configuration_fold const& config() const noexcept;
+    drain_fold const&         drains() const noexcept;
     usage_fold const&         usage() const noexcept;
-    call_fold const&          calls() const noexcept;
     order_fold const&         orders() const noexcept;
+    call_fold const&          calls() const noexcept;
     std::uint64_t             next_offset() const noexcept;
     std::uint64_t             malformed() const noexcept; // records skipped
 
@@ -65,15 +64,15 @@
 private:
     bool fold(std::uint64_t offset, wire::log_record const& record);
     bool fold_usage(std::uint64_t offset, wire::log_record const& record);
-    bool fold_call(std::uint64_t offset, wire::log_record const& record);
     bool fold_order(std::uint64_t offset, wire::log_record const& record);
     bool note_snapshot(std::uint64_t offset, wire::ledger_snapshot const& snapshot);
 
     lease_fold         leases_;
     configuration_fold config_;
+    drain_fold         drains_;
     usage_fold         usage_;
-    call_fold          calls_;
     order_fold         orders_;
+    call_fold          calls_;
     std::uint64_t      next_offset_ = 1;
     std::uint64_t      malformed_ = 0;
     std::uint64_t      snapshot_through_ = 0;
--- a/tests/failure/orders_vms_test.cpp
+++ b/tests/failure/orders_vms_test.cpp
@@ -1,9 +1,11 @@
 // Orders of backend servers over processes; the truth is what the platform received.
 #include "support/order_checks.hpp"
+#include "support/steady_callers.hpp"
 
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <set>
 #include <thread>
 
 namespace marigoldcrank::tests
@@ -17,7 +19,8 @@
                                             "wording = least=2 most=3\n";
 
 /// One wording engine in each of three data centres; the orderer buys one more in each.
-fleet_options three_data_centres()
+fleet_options three_data_centres(std::string const& list_lag_ms = "400",
+                                 std::string const& settle_ms = "4000")
 {
     return {.nodes = 3,
             .engines = 3,
@@ -25,8 +28,8 @@
             .node_settings = {{"order_every_ms", "50"},
                               {"order_margin_ms", "100"},
                               {"order_notice_ms", "200"},
-                              {"order_settle_ms", "4000"}},
-            .platform_settings = {{"list_lag_ms", "400"}}};
+                              {"order_settle_ms", settle_ms}},
+            .platform_settings = {{"list_lag_ms", list_lag_ms}}};
 }
 
 /// VMs bought so far, in truth.
@@ -102,10 +105,11 @@
 }
 
 /// Story: the orderer is killed after the platform has got its order and before anything
-/// was noted of it. Its successor finds an order that may or may not have taken effect.
+/// was noted of it. Its successor finds an order that may or may not have taken effect,
+/// and a list that lags by more than a lease and can't tell yet.
 TEST(orders_vms, a_killed_orderers_purchase_is_neither_repeated_nor_forgotten)
 {
-    fleet system(three_data_centres());
+    fleet system(three_data_centres("2500", "8000"));
     system.fault(
         system.platform_port(),
         {{"kind", "slow"}, {"path", "/vms/order"}, {"for_ms", 500}, {"count", 1}});
@@ -142,13 +146,58 @@
     expect_three_and_no_more(system);
 }
 
+std::int64_t running_at(int port)
+{
+    httplib::Client client("127.0.0.1", port);
+    auto const      answer = client.Get("/load");
+    return json::parse(answer->body)["running"].get<std::int64_t>();
+}
+
+/// Story: there is one server too many in each data centre. The platform takes those away
+/// that it is told to, at once; answers that stream from them would be cut. The answer to
+/// the first dismissal is lost, and another server would be dismissed in its place.
+TEST(orders_vms, only_the_surplus_is_dismissed_and_only_when_it_is_idle)
+{
+    auto options = three_data_centres();
+    options.engines = 6;
+    options.engine_settings = {{"load_lag_ms", "0"}};
+    fleet system(options);
+    system.fault(system.platform_port(),
+                 {{"kind", "drop_answer"}, {"path", "/vms/order"}, {"count", 1}});
+    steady_callers callers(system);
+    ASSERT_TRUE(eventually([&] { return callers.whole >= 6; }));
+    ASSERT_TRUE(apply_lines(
+        system, "[groups]\n; asked for by the tests\nwording = least=1 most=1\n",
+        "second"));
+    std::set<std::string> gone;
+    auto const            look = [&]
+    {
+        for (auto const& machine : true_machines(system))
+        {
+            bool const leaving = machine["state"] == "leaving";
+            if (leaving && gone.insert(machine["id"]).second)
+            {
+                EXPECT_EQ(running_at(machine["port"]), 0) << machine["id"];
+            }
+        }
+        return gone.size() >= 3;
+    };
+    EXPECT_TRUE(eventually(look, 60'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    look();
+    callers.stop();
+    EXPECT_EQ(gone, (std::set<std::string>{"engine-3", "engine-4", "engine-5"}));
+    EXPECT_EQ(callers.broken, 0);
+    EXPECT_EQ(bought(system), 0U);
+}
+
 /// Story: the log is out for longer than a lease while VMs are missing. Nobody is in
 /// charge then, so nothing may be ordered, and after the outage nothing twice.
 TEST(orders_vms, nothing_is_ordered_without_the_log)
 {
     fleet system(three_data_centres());
     system.fault(system.platform_port(),
-                 {{"kind", "slow"}, {"path", "/vms"}, {"for_ms", 300}});
+                 {{"kind", "slow"}, {"path", "/vms"}, {"for_ms", 300}, {"count", 1000}});
     ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
     wait_for_orderer(system);
     system.fault(system.platform_port(), {{"kind", "outage"}, {"path", "/log/append"}});
@@ -160,6 +209,57 @@
     expect_three_and_no_more(system);
 }
 
+/// Story: the platform takes longer for each append than a node waits between renewals.
+/// Intents and outcomes come late, leases are close to their end, and the same need is
+/// seen at many looks.
+TEST(orders_vms, a_slow_log_buys_nothing_twice)
+{
+    fleet system(three_data_centres());
+    system.fault(system.platform_port(), {{"kind", "slow"},
+                                          {"path", "/log/append"},
+                                          {"for_ms", 500},
+                                          {"count", 1'000'000}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    expect_three_and_no_more(system);
+}
+
+/// Story: the orderer alone is cut off from the platform after its first intent, while
+/// its peers still reach it. A successor takes the duty; the cut ends and the first one
+/// goes on where it was.
+TEST(orders_vms, an_orderer_cut_off_from_the_platform_is_replaced_and_buys_nothing)
+{
+    fleet system(three_data_centres());
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    ASSERT_TRUE(eventually([&] { return !intents(system).empty(); }));
+    auto const cut = intents(system)[0]["from"].get<std::string>();
+    system.fault(system.platform_port(), {{"kind", "outage"}, {"from", cut}});
+    auto const asked = other_than(std::stoi(cut.substr(5)));
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const holder = holder_of(system, "orderer", asked);
+            return holder >= 0 && "node-" + std::to_string(holder) != cut;
+        }));
+    EXPECT_TRUE(eventually([&] { return bought(system) >= 3; }, 60'000));
+    system.fault(system.platform_port(), {{"kind", "none"}});
+    expect_three_and_no_more(system);
+}
+
+/// Story: the appends of three intents are given up on, others take their place and the
+/// VMs are bought; then the first three take effect, under a lease that still runs. They
+/// look like any other intent, and their holder sends what nobody needs any more.
+TEST(orders_vms, an_intent_that_takes_effect_late_buys_nothing)
+{
+    fleet system(three_data_centres());
+    system.fault(
+        system.platform_port(),
+        {{"kind", "late"}, {"text", "\"intent\""}, {"for_ms", 4'000}, {"count", 3}});
+    ASSERT_TRUE(apply_lines(system, two_wording_servers, "second"));
+    EXPECT_TRUE(eventually([&] { return bought(system) >= 3; }, 60'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(4'000)); // all late ones are in
+    expect_three_and_no_more(system);
+}
+
 /// Story: answers of appends are lost and some appends take effect two seconds late,
 /// while the orderer is killed and its successors race for the duty. An intent that was
 /// given up on becomes effective when its VM has long been bought.
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -56,6 +56,25 @@
 
 // 1. port_block
 
+namespace
+{
+/// A socket bound to the port, or -1 if somebody else has it.
+int bind_port(int port)
+{
+    int const   socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+    {
+        return socket;
+    }
+    ::close(socket);
+    return -1;
+}
+} // namespace
+
 port_block::port_block()
 {
     constexpr int blocks = (highest_port - lowest_port) / block_size;
@@ -63,16 +82,11 @@
     for (int step = 0; step < blocks; ++step)
     {
         base_ = lowest_port + (start + step) % blocks * block_size;
-        socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(base_));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (::bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+        socket_ = bind_port(base_);
+        if (socket_ >= 0)
         {
             return;
         }
-        ::close(socket_);
     }
     throw std::runtime_error("no free block of ports");
 }
@@ -84,7 +98,17 @@
 
 int port_block::next()
 {
-    return base_ + ++used_;
+    // The block is ours among tests; a port in it may still be somebody else's.
+    while (++used_ < block_size)
+    {
+        int const probe = bind_port(base_ + used_);
+        if (probe >= 0)
+        {
+            ::close(probe);
+            return base_ + used_;
+        }
+    }
+    throw std::runtime_error("no free port in the block");
 }
 
 // 2. child_process
@@ -130,7 +154,11 @@
 
 void child_process::signal(int number) const
 {
-    ::kill(pid_, number);
+    // Its number may belong to another process once its end was taken note of.
+    if (status_ < 0)
+    {
+        ::kill(pid_, number);
+    }
 }
 
 bool child_process::running()
@@ -188,6 +216,8 @@
             {"progress_ms", "1500"},
             {"deadline_ms", "20000"},
             {"drain_ms", "20000"},
+            {"drain_notice_ms", "100"},
+            {"load_timeout_ms", "300"},
             {"platform_timeout_ms", "800"},
             {"log_level", "warning"}};
 }
@@ -263,6 +293,10 @@
     {
         service_ports_.push_back(ports_.next());
     }
+    engine_addresses_ = relay_to(engine_ports_);
+    service_addresses_ = relay_to(service_ports_);
+    peer_addresses_ = relay_to(peer_ports_);
+    platform_address_ = relay_to({platform_port_}).front();
     nodes_.resize(node_ports_.size());
     engines_.resize(engine_ports_.size());
     services_.resize(service_ports_.size());
@@ -300,6 +334,46 @@
     }
 }
 
+std::vector<int> fleet::relay_to(std::vector<int> const& ports)
+{
+    if (!options_.relayed)
+    {
+        return ports;
+    }
+    std::vector<int> addresses;
+    for (int const port : ports)
+    {
+        addresses.push_back(ports_.next());
+        relays_[port] = std::make_unique<tcp_relay>(addresses.back(), port);
+    }
+    return addresses;
+}
+
+tcp_relay& fleet::platform_relay()
+{
+    return *relays_.at(platform_port_);
+}
+
+tcp_relay& fleet::engine_relay(int engine)
+{
+    return *relays_.at(engine_port(engine));
+}
+
+tcp_relay& fleet::service_relay(int service)
+{
+    return *relays_.at(service_port(service));
+}
+
+tcp_relay& fleet::peer_relay(int node)
+{
+    return *relays_.at(node_peer_port(node));
+}
+
+int fleet::next_port()
+{
+    return ports_.next();
+}
+
 // 4. fleet: processes
 
 void fleet::start_platform()
@@ -353,12 +427,12 @@
             directory_ + "/node-" + std::to_string(index) + "-spans.log";
         values["log_level"] = "debug";
     }
-    values.try_emplace("platform_port", std::to_string(platform_port_));
+    values.try_emplace("platform_port", std::to_string(platform_address_));
     std::string peers;
     for (std::size_t other = 0; other < peer_ports_.size(); ++other)
     {
         peers += "node-" + std::to_string(other) +
-                 "@127.0.0.1:" + std::to_string(peer_ports_[other]) + " ";
+                 "@127.0.0.1:" + std::to_string(peer_addresses_[other]) + " ";
     }
     values.try_emplace("peer_list", peers);
     std::ofstream file(directory_ + "/node-" + std::to_string(index) + ".ini");
@@ -529,8 +603,8 @@
             machines.push_back(machine);
         }
     };
-    add("engine-", "wording", engine_ports_);
-    add("service-", "ordering", service_ports_);
+    add("engine-", "wording", engine_addresses_);
+    add("service-", "ordering", service_addresses_);
     httplib::Client client("127.0.0.1", platform_port_);
     require(static_cast<bool>(
                 client.Post("/control/vms", machines.dump(), "application/json")),
