--- a/src/app/model_run.hpp
+++ b/src/app/model_run.hpp
@@ -1,95 +1,26 @@
 // One model call from admission to its end: attempts, resumption, retries, usage.
 //
-// Index: 1 request_options, 2 model_parts, 3 model_run: attempts, 4 model_run: suspects,
-//        5 model_run: one attempt, 6 model_run: the end
+// Index: 1 model_run: attempts, 2 model_run: suspects, 3 model_run: one attempt,
+//        4 model_run: the end
 #ifndef MARIGOLDCRANK_APP_MODEL_RUN_HPP
 #define MARIGOLDCRANK_APP_MODEL_RUN_HPP
 
-#include "adapters/metrics.hpp"
-#include "adapters/span_store.hpp"
 #include "app/answer_stream.hpp"
-#include "app/caller_request.hpp"
-#include "app/poison_guard.hpp"
+#include "app/model_parts.hpp"
 #include "app/request_state.hpp"
-#include "app/server_directory.hpp"
+#include "app/solo_wait.hpp"
 #include "app/token_sequencer.hpp"
-#include "app/worker_pool.hpp"
-#include "policy/retry_budget.hpp"
-#include "ports/backend_port.hpp"
-#include "wire.pb.h"
 
 #include <algorithm>
-#include <functional>
-#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 namespace marigoldcrank
 {
 
-/// Options of the request path.
-struct request_options
-{
-    std::string          data_centre = "dc-1"; // "dc-1"  of this entry VM
-    std::int64_t         max_attempts = 3;     // 3       tries that reach a server
-    retry_budget_options retries{};            //         see retry_budget.hpp
-    millis               solo_pause{10};       // 10      between looks at a server, ms
-    millis               solo_settle{20};      // 20      for a peer's claim to arrive, ms
-
-    bool operator==(request_options const&) const = default;
-};
-
-/// The retry budget of a process.
-class shared_retry_budget
-{
-public:
-    explicit shared_retry_budget(retry_budget_options options) : budget_(options) {}
-
-    void admit()
-    {
-        std::lock_guard const lock(mutex_);
-        budget_.admit();
-    }
-
-    bool take()
-    {
-        std::lock_guard const lock(mutex_);
-        return budget_.take();
-    }
-
-private:
-    std::mutex   mutex_;
-    retry_budget budget_;
-};
-
-/// What all model calls of a process share.
-template <backend_port Backend>
-struct model_parts
-{
-    Backend&                               backend;
-    server_directory&                      directory;
-    span_store&                            spans;
-    metrics&                               counters;
-    poison_guard&                          poison;
-    shared_retry_budget&                   budget;
-    worker_pool&                           cancels; // blocking cancels off the path
-    std::function<void(wire::usage_delta)> usage;
-    request_options                        options;
-    std::function<key_state(std::string const& key_id)> keys{}; // none: all are good
-
-    /// A withdrawn key stops what has not been dispatched; a compromised one everything.
-    bool key_stops(std::string const& key_id, bool dispatched) const
-    {
-        auto const state = keys ? keys(key_id) : key_state::good;
-        return state == key_state::compromised ||
-               (state == key_state::withdrawn && !dispatched);
-    }
-};
-
 /// Used by one thread; the caller's thread reads the stream.
 template <backend_port Backend>
 class model_run
@@ -117,7 +48,7 @@
     static constexpr int retry_after_s = 1;
     static constexpr int retry_never_s = 3600;
 
-    // 3. Attempts
+    // 1. Attempts
 
     /// One more attempt; false when the request is to be given up.
     bool attempt()
@@ -149,7 +80,7 @@
         {
             return refusal_cause::cancelled;
         }
-        if (key_stopped_ || parts_.key_stops(request_.key_id, tries_ > 0))
+        if (key_stops())
         {
             return refusal_cause::key_withdrawn;
         }
@@ -160,6 +91,14 @@
         return std::nullopt;
     }
 
+    /// A withdrawn key stops what has not been dispatched; a compromised one everything.
+    bool key_stops() const
+    {
+        auto const state = parts_.keys ? parts_.keys(request_.key_id) : key_state::good;
+        return state == key_state::compromised ||
+               (state == key_state::withdrawn && state_.fate() == call_fate::not_run);
+    }
+
     bool give_up(refusal_cause cause)
     {
         cause_ = cause;
@@ -232,7 +171,7 @@
                              boot_clock::now());
     }
 
-    // 4. Suspects
+    // 2. Suspects
 
     /// Keeps a server free, waits until nothing else runs on it, and runs there. The wait
     /// ends with the deadline.
@@ -258,7 +197,13 @@
                 std::this_thread::sleep_for(parts_.options.solo_pause);
                 continue;
             }
-            bool const empty = wait_until_empty(*server);
+            auto const waited = solo_wait<Backend>(parts_, *server)
+                                    .run([&] { return reason_to_stop().has_value(); });
+            bool const empty = waited == solo_wait_end::empty;
+            if (waited == solo_wait_end::gone)
+            {
+                gone_.push_back(server->id);
+            }
             if (empty)
             {
                 parts_.directory.begin(*server, request_.prompt_tokens);
@@ -298,69 +243,7 @@
         return kept ? chosen : std::nullopt;
     }
 
-    /// True once this entry VM runs nothing on the server and the server itself has said
-    /// since the reservation that it runs nothing at all. It is asked directly: one that
-    /// fell before is still listed, and a wait for its report would last for ever.
-    bool wait_until_empty(backend_server const& server)
-    {
-        auto const reserved_at = boot_clock::now();
-        std::this_thread::sleep_for(parts_.options.solo_settle);
-        while (!reason_to_stop() && !parts_.poison.contested(server.id))
-        {
-            auto const load = load_of(server);
-            if (!load || !listed(server))
-            {
-                gone_.push_back(server.id);
-                return false;
-            }
-            auto const said_at =
-                load->read_at - millis{static_cast<std::int64_t>(load->lag_ms)};
-            if (said_at >= reserved_at && load->running + load->waiting == 0 &&
-                runs_nothing_of_ours(server))
-            {
-                return true;
-            }
-            std::this_thread::sleep_for(parts_.options.solo_pause);
-        }
-        return false;
-    }
-
-    std::optional<load_report> load_of(backend_server const& server)
-    {
-        return leaf::try_handle_all(
-            [&]() -> leaf::result<std::optional<load_report>>
-            {
-                BOOST_LEAF_AUTO(load, parts_.backend.load(server));
-                return std::optional{load};
-            },
-            [] { return std::optional<load_report>{}; });
-    }
-
-    std::optional<server_view> view_of(backend_server const& server) const
-    {
-        for (auto const& view : parts_.directory.group(server.group))
-        {
-            if (view.server.id == server.id)
-            {
-                return view;
-            }
-        }
-        return std::nullopt;
-    }
-
-    bool listed(backend_server const& server) const
-    {
-        auto const view = view_of(server);
-        return view && !view->server.leaving;
-    }
-
-    bool runs_nothing_of_ours(backend_server const& server) const
-    {
-        auto const view = view_of(server);
-        return view && view->own_running == 0;
-    }
-
-    // 5. One attempt
+    // 3. One attempt
 
     /// The place on the server was counted by the caller of this function.
     void run_on(backend_server const& server)
@@ -404,9 +287,10 @@
         return leaf::try_handle_all(
             [&]() -> leaf::result<std::optional<transport_failure>>
             {
-                BOOST_LEAF_CHECK(parts_.backend.stream(server, call,
-                                                       [&](stream_event const& event)
-                                                       { return take(server, event); }));
+                BOOST_LEAF_CHECK(
+                    parts_.backend.stream(server, call,
+                                          [&](stream_event const& event)
+                                          { return take(server, call, event); }));
                 return std::optional<transport_failure>{};
             },
             [](transport_failure const& failure)
@@ -418,11 +302,14 @@
             });
     }
 
-    event_verdict take(backend_server const& server, stream_event const& event)
+    event_verdict take(backend_server const& server, engine_call const& call,
+                       stream_event const& event)
     {
-        if (key_stopped_ || parts_.key_stops(request_.key_id, true))
+        if (!key_stopped_ && key_stops())
         {
-            return take_after_key_stopped(server, event);
+            // The engine ends the stream with its own count, which is what is billed.
+            key_stopped_ = true;
+            cancel(parts_, server, call);
         }
         auto const taken = sequencer_.take(event);
         if (taken.dropped)
@@ -437,32 +324,19 @@
         }
         for (auto const& token : taken.tokens)
         {
-            stream_.push(token);
+            if (!key_stopped_)
+            {
+                stream_.push(token);
+            }
         }
         return sequencer_.whole() ? event_verdict::complete : event_verdict::progress;
     }
 
-    /// The key was withdrawn as compromised: no token goes out any more, and the engine
-    /// is told. Only its own count is still of use.
-    event_verdict take_after_key_stopped(backend_server const& server,
-                                         stream_event const&   event)
-    {
-        if (!std::exchange(key_stopped_, true))
-        {
-            cancel(parts_, server,
-                   {.request_id = request_.request_id, .attempt = attempt_});
-        }
-        if (event.cancelled)
-        {
-            sequencer_.take(event);
-        }
-        return event_verdict::complete;
-    }
-
     void settle(backend_server const& server, engine_call const& call,
                 std::optional<transport_failure> const& failure)
     {
-        if (sequencer_.whole())
+        // Tokens were held back once the key stopped, so the answer is not whole.
+        if (sequencer_.whole() && !key_stopped_)
         {
             state_ = state_.after(request_step::finish);
             if (attempt_ > 0 && parts_.poison.reserved(server.id))
@@ -525,7 +399,7 @@
             [] { return false; });
     }
 
-    // 6. The end
+    // 4. The end
 
     answer_end end() const
     {
@@ -533,13 +407,12 @@
         answer_end result{std::nullopt, prompt, sequencer_.next()};
         if (state_.phase() != request_phase::finished)
         {
-            bool const poison = cause_ == refusal_cause::poison;
-            bool const key = cause_ == refusal_cause::key_withdrawn;
-            bool const judged =
-                poison || (key && state_.fate() == call_fate::outcome_unknown);
+            bool const withdrawn = cause_ == refusal_cause::key_withdrawn;
+            bool const for_good = cause_ == refusal_cause::poison ||
+                                  (withdrawn && state_.fate() != call_fate::not_run);
             result.refused =
-                refusal{cause_, judged ? call_fate::final_refusal : state_.fate(),
-                        poison || key ? retry_never_s : retry_after_s};
+                refusal{cause_, for_good ? call_fate::final_refusal : state_.fate(),
+                        for_good || withdrawn ? retry_never_s : retry_after_s};
         }
         return result;
     }
@@ -572,10 +445,10 @@
     request_state            state_;
     refusal_cause            cause_ = refusal_cause::no_backend_server;
     std::uint64_t            attempt_ = 0; // attempts made, also those never connected
-    bool                     key_stopped_ = false;
-    std::int64_t             tries_ = 0; // attempts that may have reached a server
-    std::vector<std::string> gone_;      // servers not to be tried again
-    std::vector<std::string> flawed_;    // servers to be tried again if none is left
+    std::int64_t             tries_ = 0;   // attempts that may have reached a server
+    bool                     key_stopped_ = false; // cancelled for its key
+    std::vector<std::string> gone_;                // servers not to be tried again
+    std::vector<std::string> flawed_; // servers to be tried again if none is left
 };
 
 } // namespace marigoldcrank
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -177,20 +177,15 @@
            [this](std::string const& owner) { return alive(owner); },
            {.claim_wait = millis{options.claim_wait_ms},
             .kept_body = count_of(options.kept_body_bytes)}),
-      path(
-          backend, directory, spans, counters, workers, poison,
-          [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
-          [this](std::string const& id) { return state_of_key(id); },
-          {.data_centre = options.data_centre,
-           .max_attempts = options.max_attempts,
-           .retries = {options.retry_percent, options.retry_burst}}),
+      path(backend, directory, spans, counters, workers, poison,
+           [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
+           {.data_centre = options.data_centre,
+            .max_attempts = options.max_attempts,
+            .retries = {options.retry_percent, options.retry_burst}}),
       services({backend, directory, spans, counters, book,
                 [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
-                options.data_centre, options.max_attempts,
-                [this](std::string const& id)
-                {
-                    return state_of_key(id);
-                }}),
+                [this](std::string const& id) { return state_of_key(id); },
+                options.data_centre, options.max_attempts}),
       callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(
           writer, store, spans, directory, peers, options.operator_key, options.name,
@@ -563,6 +558,7 @@
               {count_of(options.http_threads), count_of(options.overflow_threads),
                count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     started = true;
+    path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
     callers.limit_by(limits);
     operators.judge_by(callers.targets());
--- a/src/app/service_path.hpp
+++ b/src/app/service_path.hpp
@@ -40,17 +40,9 @@
     metrics&                                            counters;
     call_book<Log>&                                     book;
     std::function<void(wire::usage_delta)>              usage;
+    std::function<key_state(std::string const& key_id)> keys; // empty: all are good
     std::string                                         data_centre;
     std::int64_t                                        max_attempts = 3;
-    std::function<key_state(std::string const& key_id)> keys{}; // none: all are good
-
-    /// A withdrawn key stops what has not been dispatched; a compromised one retries too.
-    bool key_stops(std::string const& key_id, bool dispatched) const
-    {
-        auto const state = keys ? keys(key_id) : key_state::good;
-        return state == key_state::compromised ||
-               (state == key_state::withdrawn && !dispatched);
-    }
 };
 
 /// Safe to use from several threads.
@@ -186,10 +178,10 @@
                 cause = refusal_cause::deadline;
                 break;
             }
-            if (parts_.key_stops(request.key_id, tries > 0))
+            if (key_stops(request, state))
             {
-                return {std::nullopt,
-                        {refusal_cause::key_withdrawn, state.fate(), retry_later_s}};
+                cause = refusal_cause::key_withdrawn;
+                break;
             }
             auto const server = route(wanted, request);
             if (!server)
@@ -207,7 +199,17 @@
             tries += state.fate() == call_fate::not_run ? 0 : 1;
             wanted.excluded.push_back(server->id);
         }
-        return {std::nullopt, {cause, state.fate(), retry_soon_s}};
+        bool const withdrawn = cause == refusal_cause::key_withdrawn;
+        return {std::nullopt,
+                {cause, state.fate(), withdrawn ? retry_later_s : retry_soon_s}};
+    }
+
+    /// A withdrawn key stops what has not been sent; a compromised one every new attempt.
+    bool key_stops(service_request const& request, request_state const& state) const
+    {
+        auto const key = parts_.keys ? parts_.keys(request.key_id) : key_state::good;
+        return key == key_state::compromised ||
+               (key == key_state::withdrawn && state.fate() == call_fate::not_run);
     }
 
     std::optional<backend_server> route(route_request const&   wanted,
--- a/src/ledger/call_fold.cpp
+++ b/src/ledger/call_fold.cpp
@@ -169,6 +169,7 @@
                                             .body = saved.body(),
                                             .body_left_out = saved.body_left_out(),
                                             .last_offset = saved.last_offset()};
+        value.note_body(saved.key_hash(), value.entries_[saved.key_hash()]);
     }
     for (auto const& saved : state.released())
     {
--- a/src/ledger/call_fold.hpp
+++ b/src/ledger/call_fold.hpp
@@ -68,6 +68,7 @@
 
     std::size_t size() const noexcept;
 
+    /// A fold restored from what was saved folds on as this one would.
     void             save(wire::call_state_snapshot& state) const;
     static call_fold restored(wire::call_state_snapshot const& state);
 
