--- a/bench/soak/soak_load.cpp
+++ b/bench/soak/soak_load.cpp
@@ -156,12 +156,17 @@
     bool const keyed = source() % 2 == 0;
     auto const workspace = sportdag ? "north" : "south";
     auto       record = send_order(workspace, mark, keyed, pick_node(source));
+    auto const begun = record.begun;
     bool const again = keyed && (record.outcome == call_outcome::unknown ||
                                  record.outcome == call_outcome::lost_caller);
     keep(std::move(record));
     if (again)
     {
-        keep(send_order(workspace, mark, keyed, pick_node(source)));
+        // What it is told is the fate of the first try, so that one's faults count for
+        // it.
+        auto second = send_order(workspace, mark, keyed, pick_node(source));
+        second.begun = begun;
+        keep(std::move(second));
     }
 }
 
--- a/tests/failure/silent_connections_test.cpp
+++ b/tests/failure/silent_connections_test.cpp
@@ -189,8 +189,7 @@
                 {
                     auto const answer = call_model(system, 0, question);
                     EXPECT_TRUE(answer.whole(question) || !answer.fate.empty())
-                        << answer.status << " " << answer.text.size() << " "
-                        << answer.ended << answer.stated_tokens;
+                        << answer.status;
                     refused += answer.whole(question) ? 0 : 1;
                 }
             });
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -22,6 +22,7 @@
 constexpr int         backlog = 512;
 constexpr int         buffer_bytes = 16 * 1024; // small, so that a stalled reader shows
 constexpr std::size_t head_limit = 4096;
+constexpr std::size_t most_halves = 100; // silent connections closed at one end
 
 // 1. Sockets
 
@@ -134,6 +135,7 @@
             connections_.remove_if(
                 [](connection const& own)
                 { return own.caller.socket < 0 && own.target.socket < 0; });
+            drop_oldest_halves();
             for (auto& own : connections_)
             {
                 short const wanted = own.silent ? POLLRDHUP : POLLIN;
@@ -158,6 +160,23 @@
     }
 }
 
+/// The library's clients in this process cannot use descriptors above 1,023, so that a
+/// thousand forgotten connections must not be kept here.
+void tcp_relay::drop_oldest_halves()
+{
+    std::size_t halves = 0;
+    for (auto own = connections_.rbegin(); own != connections_.rend(); ++own)
+    {
+        bool const half = own->caller.socket < 0 || own->target.socket < 0;
+        halves += half ? 1 : 0;
+        if (half && halves > most_halves)
+        {
+            drop(own->caller);
+            drop(own->target);
+        }
+    }
+}
+
 void tcp_relay::accept_one()
 {
     int const caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -73,6 +73,7 @@
     };
 
     void run();
+    void drop_oldest_halves();
     void accept_one();
     void serve(connection& own, half& from, half& to, short events);
     void flush(connection& own, half& to);
