--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -219,8 +219,8 @@
 
 leaf::result<load_report> http_backend::load(backend_server const& server)
 {
-    auto const begun = boot_clock::now();
     auto       client = load_clients_.take(server.host, server.port);
+    auto const begun = boot_clock::now();
     auto const answer = client->Get("/load", {{"X-Sender", sender_}});
     if (!answer)
     {
--- a/src/app/caller_front.hpp
+++ b/src/app/caller_front.hpp
@@ -9,9 +9,11 @@
 #include "adapters/metrics.hpp"
 #include "adapters/span_store.hpp"
 #include "app/caller_request.hpp"
+#include "app/limit_shares.hpp"
 #include "app/model_body.hpp"
 #include "app/request_path.hpp"
 #include "app/service_path.hpp"
+#include "app/target_ledger.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -35,6 +37,18 @@
     {
     }
 
+    /// Evidence on service targets.
+    target_ledger const& targets() const noexcept
+    {
+        return targets_;
+    }
+
+    /// Asked before each model call; set before the first request.
+    void limit_by(limit_shares& limits)
+    {
+        limits_ = &limits;
+    }
+
     void add_routes(httplib::Server& server)
     {
         server.set_pre_routing_handler([this](auto const& request, auto& response)
@@ -157,6 +171,11 @@
                     return leaf::new_error(refusal{refusal_cause::unknown_model,
                                                    call_fate::not_run, retry_later_s});
                 }
+                if (limits_ != nullptr)
+                {
+                    BOOST_LEAF_CHECK(limits_->admit(
+                        admitted.workspace, body.prompt_tokens, boot_clock::now()));
+                }
                 model_request request{.request_id = request_id,
                                       .workspace = admitted.workspace,
                                       .key_id = admitted.key_id,
@@ -186,8 +205,12 @@
         auto const    begun = boot_clock::now();
         answer_writer writer(request.request_id, request.model, chat);
         auto const    request_id = request.request_id;
-        auto          stream = path_.start(std::move(request));
-        auto          first = await(*stream, *caller);
+        auto timing = std::make_shared<answer_timing>(targets_, spans_, request.trace,
+                                                      request_id, request.workspace,
+                                                      request.deadline - deadline_);
+        auto stream = path_.start(std::move(request));
+        auto first = await(*stream, *caller);
+        timing->take(first);
         metrics_.observe("first_token_seconds", boot_clock::now() - begun);
         if (first.tokens.empty() && first.end && first.end->refused)
         {
@@ -197,14 +220,16 @@
         response.set_header("X-Request-Id", request_id);
         if (!streamed)
         {
-            return answer_whole(*stream, *caller, std::move(first), writer, response);
+            return answer_whole(*stream, *caller, std::move(first), writer, response,
+                                *timing);
         }
         auto state = std::make_shared<answer_batch>(std::move(first));
         response.set_chunked_content_provider(
             "text/event-stream",
-            [this, stream, state, writer, request_id, caller,
-             counted](std::size_t, httplib::DataSink& sink) {
-                return relay(*stream, *state, writer, request_id, sink) &&
+            [this, stream, state, writer, request_id, caller, counted,
+             timing](std::size_t, httplib::DataSink& sink)
+            {
+                return relay(*stream, *state, writer, request_id, sink, *timing) &&
                        !caller->closed();
             },
             [stream](bool) { stream->abandon(); });
@@ -229,7 +254,7 @@
 
     leaf::result<void> answer_whole(answer_stream& stream, caller_connection& caller,
                                     answer_batch batch, answer_writer const& writer,
-                                    httplib::Response& response)
+                                    httplib::Response& response, answer_timing& timing)
     {
         std::string text;
         while (true)
@@ -247,6 +272,7 @@
                 stream.abandon();
             }
             batch = await(stream, caller);
+            timing.take(batch);
         }
         if (batch.end->refused)
         {
@@ -262,7 +288,8 @@
     /// that breaks off before its end leaves the chunked coding open, so that no library
     /// takes it for a whole one.
     bool relay(answer_stream& stream, answer_batch& batch, answer_writer const& writer,
-               std::string const& request_id, httplib::DataSink& sink)
+               std::string const& request_id, httplib::DataSink& sink,
+               answer_timing& timing)
     {
         std::string out;
         for (auto const& token : batch.tokens)
@@ -288,6 +315,7 @@
             return true;
         }
         batch = stream.take(take_timeout);
+        timing.take(batch);
         return sink.is_writable();
     }
 
@@ -453,6 +481,8 @@
     span_store&                 spans_;
     metrics&                    metrics_;
     millis                      deadline_;
+    target_ledger               targets_;
+    limit_shares*               limits_ = nullptr;
     std::atomic<bool>           draining_{false};
     std::atomic<bool>           refusing_{false};
     std::atomic<std::int64_t>   inflight_{0};
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include "adapters/zmq_peers.hpp"
 #include "app/caller_front.hpp"
 #include "app/lease_keeper.hpp"
+#include "app/limit_shares.hpp"
 #include "app/log_follower.hpp"
 #include "app/node_duties.hpp"
 #include "app/operator_front.hpp"
@@ -21,6 +22,8 @@
 #include "app/usage_reporter.hpp"
 
 #include <atomic>
+#include <cstdlib>
+#include <set>
 #include <thread>
 
 namespace marigoldcrank
@@ -41,6 +44,25 @@
                                 [] { return std::vector<peer_address>{}; });
 }
 
+/// Entry VMs that share every limit: this one and its peers.
+std::size_t entry_count(settings const& options)
+{
+    std::set<std::string> names{options.name};
+    for (auto const& peer : peers_of(options))
+    {
+        names.insert(peer.name);
+    }
+    return names.size();
+}
+
+/// Differs between runs of the process, so that a late grant to an earlier run is none.
+std::uint64_t first_ask()
+{
+    constexpr std::size_t digits = 15;
+    constexpr int         base = 16;
+    return std::strtoull(random_id(digits).c_str(), nullptr, base);
+}
+
 std::size_t count_of(std::int64_t value)
 {
     return static_cast<std::size_t>(value);
@@ -70,6 +92,7 @@
     log_writer<http_platform>                   writer;
     peer_roster                                 roster;
     usage_custody                               custody;
+    poison_guard                                poison;
     zmq_peers                                   peers;
     usage_recorder<http_platform, zmq_peers>    usage;
     order_socket                                reports;
@@ -77,7 +100,7 @@
     usage_reporter<http_platform, order_socket> reporter;
     lease_keeper<http_platform>                 keeper_lease;
     snapshot_keeper<http_platform>              keeper;
-    poison_guard                                poison;
+    limit_shares                                limits;
     worker_pool                                 workers;
     call_book<http_platform>                    book;
     request_path<http_backend>                  path;
@@ -96,27 +119,30 @@
     std::thread                                 keeper_thread;
     std::thread                                 book_thread;
 
-    lease_terms                            terms() const;
-    std::function<void(wire::usage_delta)> usage_sink();
-    void                                   pass_on(wire::peer_message& news);
-    void                                   run_book();
-    wire::peer_message                     message() const;
-    void                                   pass_on_access();
+    lease_terms        terms() const;
+    wire::peer_message message() const;
+    void               pass_on_access();
     void               take_message(wire::peer_message const& message);
     void               take_beat(wire::peer_message const& message);
     void               take_handoff(wire::peer_message const& message);
     wire::peer_message beat_message() const;
     wire::peer_message rules_message() const;
     wire::peer_message withdrawals_message() const;
+    wire::peer_message drains_message() const;
     key_state          state_of_key(std::string const& key_id) const;
     void               run_duties();
     void               run_usage();
-    bool               settle_custody(millis hold);
-    wire::peer_message drains_message() const;
     void               pause(millis duration) const;
+    bool               settle_custody(millis hold);
     void               run_beats();
+    void               share_limits(std::uint64_t turn);
+    void               take_limit(wire::peer_message const& received);
     void               watch_traffic();
     void               run_keeper();
+    void               add_usage(wire::usage_delta delta);
+    void               pass_on(wire::peer_message& news);
+    bool               alive(std::string const& owner) const;
+    void               run_book();
     void               start();
 };
 
@@ -129,6 +155,8 @@
       backend({millis{options.connect_ms}, millis{options.progress_ms}},
               millis{options.load_timeout_ms}, options.name),
       writer(platform, store), roster(options.data_centre, millis{options.peer_dead_ms}),
+      poison(options.name, {.keep = millis{options.poison_keep_ms}},
+             [this](wire::peer_message& news) { pass_on(news); }),
       peers(options, peers_of(options),
             [this](wire::peer_message const& message) { take_message(message); }),
       usage(writer, store, peers, roster,
@@ -143,21 +171,26 @@
       keeper(writer, store, keeper_lease,
              {millis{options.snapshot_every_ms},
               static_cast<std::uint64_t>(options.snapshot_every_records)}),
-      poison(options.name, {.keep = millis{options.poison_keep_ms}},
-             [this](wire::peer_message& news) { pass_on(news); }),
+      limits({.entries = static_cast<std::int64_t>(entry_count(options))}, first_ask()),
       workers(count_of(options.http_threads)),
       book(writer, store, holder,
-           [this](std::string const& owner)
-           { return roster.alive(owner, boot_clock::now()); },
+           [this](std::string const& owner) { return alive(owner); },
            {.claim_wait = millis{options.claim_wait_ms},
             .kept_body = count_of(options.kept_body_bytes)}),
-      path(backend, directory, spans, counters, workers, poison, usage_sink(),
-           {.data_centre = options.data_centre,
-            .max_attempts = options.max_attempts,
-            .retries = {options.retry_percent, options.retry_burst}}),
-      services({backend, directory, spans, counters, book, usage_sink(),
-                [this](std::string const& id) { return state_of_key(id); },
-                options.data_centre, options.max_attempts}),
+      path(
+          backend, directory, spans, counters, workers, poison,
+          [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
+          [this](std::string const& id) { return state_of_key(id); },
+          {.data_centre = options.data_centre,
+           .max_attempts = options.max_attempts,
+           .retries = {options.retry_percent, options.retry_burst}}),
+      services({backend, directory, spans, counters, book,
+                [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
+                options.data_centre, options.max_attempts,
+                [this](std::string const& id)
+                {
+                    return state_of_key(id);
+                }}),
       callers(path, services, store, spans, counters, millis{options.deadline_ms}),
       operators(
           writer, store, spans, directory, peers, options.operator_key, options.name,
@@ -174,20 +207,6 @@
     return {millis{options.lease_ms}, millis{options.renew_ms}, millis{options.drift_ms}};
 }
 
-std::function<void(wire::usage_delta)> node::parts::usage_sink()
-{
-    return [this](wire::usage_delta delta)
-    {
-        auto const begun = boot_clock::now();
-        bool const shared = usage.add(std::move(delta));
-        counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
-        if (!shared)
-        {
-            counters.add("usage_unshared_total");
-        }
-    };
-}
-
 // 2. Peers
 
 wire::peer_message node::parts::message() const
@@ -226,13 +245,6 @@
     return result;
 }
 
-void node::parts::pass_on(wire::peer_message& news)
-{
-    news.set_from(options.name);
-    news.set_incarnation(incarnation);
-    peers.broadcast(news);
-}
-
 wire::peer_message node::parts::beat_message() const
 {
     auto const access = store.access();
@@ -242,6 +254,7 @@
     beat->set_withdrawn_digest(access->withdrawn_digest);
     beat->set_inflight(static_cast<std::uint64_t>(callers.inflight()));
     beat->set_draining(callers.draining());
+    beat->set_drain_revision(access->drains.revision);
     beat->set_data_centre(options.data_centre);
     beat->set_drain_revision(access->drains.revision);
     return result;
@@ -272,6 +285,10 @@
     case wire::peer_message::kConfiguration:
         store.offer(message.configuration());
         break;
+    case wire::peer_message::kLimitWanted:
+    case wire::peer_message::kLimitLent:
+        take_limit(message);
+        break;
     case wire::peer_message::kDrains:
         store.offer(message.drains());
         break;
@@ -301,6 +318,22 @@
     }
 }
 
+void node::parts::pass_on(wire::peer_message& news)
+{
+    news.set_from(options.name);
+    news.set_incarnation(incarnation);
+    peers.broadcast(news);
+}
+
+/// `owner` is name and incarnation with a slash between.
+bool node::parts::alive(std::string const& owner) const
+{
+    auto const slash = owner.find('/');
+    return slash != std::string::npos &&
+           roster.alive(owner.substr(0, slash), owner.substr(slash + 1),
+                        boot_clock::now());
+}
+
 /// Peers that differ are brought together: the one behind asks for the rules, and each
 /// sends the other the withdrawn keys that it knows. So a node that missed a broadcast,
 /// or started after it, has the newest within a heartbeat or two.
@@ -308,14 +341,14 @@
 {
     auto const& beat = message.beat();
     auto const  access = store.access();
-    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
-                                  beat.draining(), boot_clock::now()});
     for (auto& news : poison.news_for(message.from(), message.incarnation()))
     {
         news.set_from(options.name);
         news.set_incarnation(incarnation);
         peers.send(message.from(), news);
     }
+    roster.heard(message.from(), {message.incarnation(), beat.data_centre(),
+                                  beat.draining(), boot_clock::now()});
     if (beat.config_revision() > access->revision())
     {
         auto wanted = this->message();
@@ -346,8 +379,10 @@
 
 void node::parts::run_beats()
 {
+    std::uint64_t turn = 0;
     while (!stopping)
     {
+        share_limits(turn++);
         peers.broadcast(beat_message());
         std::this_thread::sleep_for(millis{options.heartbeat_ms});
     }
@@ -364,6 +399,53 @@
     return found->second ? key_state::compromised : key_state::withdrawn;
 }
 
+/// With each heartbeat; each ask goes to another live peer in turn.
+void node::parts::share_limits(std::uint64_t turn)
+{
+    auto const access = store.access();
+    if (access->config)
+    {
+        limits.configure(*access->config);
+    }
+    auto const live = peers.live();
+    for (auto const& ask : limits.asks(boot_clock::now()))
+    {
+        if (live.empty())
+        {
+            return;
+        }
+        auto  request = message();
+        auto* wanted = request.mutable_limit_wanted();
+        wanted->set_workspace(ask.workspace);
+        wanted->set_ask(ask.ask);
+        wanted->set_wanted(ask.wanted);
+        peers.send(live[turn++ % live.size()], request);
+    }
+}
+
+void node::parts::take_limit(wire::peer_message const& received)
+{
+    auto const now = boot_clock::now();
+    if (received.has_limit_lent())
+    {
+        auto const& lent = received.limit_lent();
+        limits.take({lent.workspace(), lent.ask(), lent.amount()}, now);
+        return;
+    }
+    auto const& wanted = received.limit_wanted();
+    auto const  grant =
+        limits.lend({wanted.workspace(), wanted.ask(), wanted.wanted()}, now);
+    if (grant)
+    {
+        auto  answer = message();
+        auto* lent = answer.mutable_limit_lent();
+        lent->set_workspace(grant->workspace);
+        lent->set_ask(grant->ask);
+        lent->set_amount(grant->amount);
+        peers.send(received.from(), answer);
+    }
+}
+
 // 3. Duties
 
 void node::parts::run_duties()
@@ -440,6 +522,18 @@
     return true;
 }
 
+void node::parts::add_usage(wire::usage_delta delta)
+{
+    limits.charge(delta.workspace(), static_cast<std::int64_t>(delta.output_tokens()));
+    auto const begun = boot_clock::now();
+    bool const shared = usage.add(std::move(delta));
+    counters.observe("usage_handoff_seconds", boot_clock::now() - begun);
+    if (!shared)
+    {
+        counters.add("usage_unshared_total");
+    }
+}
+
 /// Releases and results that the log has not taken yet.
 void node::parts::run_book()
 {
@@ -470,8 +564,9 @@
               {count_of(options.http_threads), count_of(options.overflow_threads),
                count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
     started = true;
-    path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
+    callers.limit_by(limits);
+    operators.judge_by(callers.targets());
     operators.add_routes(server);
     bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
     if (!bound)
--- a/tests/support/model_caller.hpp
+++ b/tests/support/model_caller.hpp
@@ -38,6 +38,7 @@
     std::string   fate;          // of a refusal
     std::string   request_id;
     std::string   connection; // header Connection
+    std::string   expected;   // the text that every engine gives as the answer
 
     bool whole(model_question const& question) const;
 };
