--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -132,6 +132,8 @@
     void               run_duties();
     void               run_usage();
     bool               settle_custody(millis hold);
+    wire::peer_message drains_message() const;
+    void               pause(millis duration) const;
     void               run_beats();
     void               share_limits(std::uint64_t turn);
     void               take_limit(wire::peer_message const& received);
