Streams of a reclaimed zone are not taken for poison

Change: src/policy/mass_loss.hpp excuses what was in flight on just one of several servers lost within two seconds; the crash still counts, so poison that falls into such a moment ends at its second crash.

--- a/src/app/poison_guard.cpp
+++ b/src/app/poison_guard.cpp
@@ -27,7 +27,8 @@
 
 poison_guard::poison_guard(std::string node, poison_options options,
                            broadcaster broadcast)
-    : node_(std::move(node)), broadcast_(std::move(broadcast)), list_(options)
+    : node_(std::move(node)), broadcast_(std::move(broadcast)), list_(options),
+      losses_(options.together)
 {
 }
 
@@ -37,19 +38,27 @@
     return list_.judge(content, boot_clock::now());
 }
 
-void poison_guard::note_crash(std::string const& content, std::string const& crash)
+void poison_guard::note_crash(std::string const& server, std::string const& content,
+                              std::string const& crash)
 {
     {
         std::lock_guard const lock(mutex_);
-        list_.note(content, crash, boot_clock::now());
+        auto const            now = boot_clock::now();
+        list_.note(content, crash, now);
+        // Without this every stream of a reclaimed zone would wait for a server of its
+        // own, and most would wait beyond their deadline.
+        for (auto const& excused : losses_.note(server, content, now))
+        {
+            list_.excuse(excused);
+        }
     }
     broadcast_suspect(content);
 }
 
-void poison_guard::clear(std::string const& content)
+void poison_guard::ran_whole(std::string const& content, bool alone)
 {
     std::lock_guard const lock(mutex_);
-    list_.clear(content);
+    list_.ran_whole(content, alone);
 }
 
 void poison_guard::take(wire::poison_suspect const& news)
--- a/src/app/poison_guard.hpp
+++ b/src/app/poison_guard.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_APP_POISON_GUARD_HPP
 #define MARIGOLDCRANK_APP_POISON_GUARD_HPP
 
+#include "policy/mass_loss.hpp"
 #include "policy/poison_list.hpp"
 
 #include <functional>
@@ -38,10 +39,11 @@
     poison_verdict judge(std::string const& content) const;
 
     /// A server crashed while it ran this content; `crash` is unique to the attempt.
-    void note_crash(std::string const& content, std::string const& crash);
+    void note_crash(std::string const& server, std::string const& content,
+                    std::string const& crash);
 
-    /// The content ran alone to its end.
-    void clear(std::string const& content);
+    /// The content ran to its end; `alone` if nothing else ran beside it.
+    void ran_whole(std::string const& content, bool alone);
 
     /// News of a peer.
     void take(wire::poison_suspect const& news);
@@ -91,6 +93,7 @@
     broadcaster                                     broadcast_;
     mutable std::mutex                              mutex_;
     poison_list                                     list_;
+    mass_loss                                       losses_;
     std::map<std::string, std::vector<reservation>> reserved_; // by server
     std::map<std::string, newcomer>                 heard_;    // by peer
 };
--- /dev/null
+++ b/src/policy/mass_loss.hpp
@@ -0,0 +1,76 @@
+// Tells the loss of several servers at once, as when a zone is reclaimed, from the crash
+// of one server by a request.
+//
+// Index: mass_loss
+#ifndef MARIGOLDCRANK_POLICY_MASS_LOSS_HPP
+#define MARIGOLDCRANK_POLICY_MASS_LOSS_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// A request crashes one server after the other; a platform that reclaims a zone takes
+/// several in the same moment. What was in flight on just one of several servers that
+/// were lost together did not crash the others. Value type.
+class mass_loss
+{
+public:
+    explicit mass_loss(millis window) : window_(window) {}
+
+    /// Notes a content in flight on a lost server. The contents that the loss excuses:
+    /// none while this is the only server lost within the window.
+    std::vector<std::string> note(std::string const& server, std::string const& content,
+                                  boot_clock::time_point now)
+    {
+        std::erase_if(lost_,
+                      [&](auto const& each) { return now - each.second.at >= window_; });
+        lost_.try_emplace(server).first->second.contents.insert(content);
+        lost_[server].at = std::max(lost_[server].at, now);
+        return lost_.size() < 2 ? std::vector<std::string>{} : on_one_server_only();
+    }
+
+    bool operator==(mass_loss const&) const = default;
+
+private:
+    struct lost_server
+    {
+        std::set<std::string>  contents; // in flight when it was lost
+        boot_clock::time_point at{};
+
+        bool operator==(lost_server const&) const = default;
+    };
+
+    std::vector<std::string> on_one_server_only() const
+    {
+        std::map<std::string, int> servers;
+        for (auto const& [server, loss] : lost_)
+        {
+            for (auto const& content : loss.contents)
+            {
+                ++servers[content];
+            }
+        }
+        std::vector<std::string> once;
+        for (auto const& [content, count] : servers)
+        {
+            if (count == 1)
+            {
+                once.push_back(content);
+            }
+        }
+        return once;
+    }
+
+    millis                             window_;
+    std::map<std::string, lost_server> lost_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/poison_list.hpp
+++ b/src/policy/poison_list.hpp
@@ -20,6 +20,7 @@
 {
     std::size_t capacity = 4096; // 4096     contents remembered
     millis      keep{3'600'000}; // 3600000  after the last crash, ms
+    millis      together{2'000}; // 2000     servers lost within it are lost at once, ms
 
     bool operator==(poison_options const&) const = default;
 };
@@ -37,6 +38,7 @@
 {
     std::set<std::string>  crashes; // one id a crash, so that peers' news merge
     boot_clock::time_point last{};
+    bool                   excused = false; // its server fell together with others
 
     bool operator==(poison_entry const&) const = default;
 };
@@ -59,6 +61,7 @@
             return false;
         }
         entry.last = now;
+        entry.excused = false;
         if (entries_.size() > options_.capacity)
         {
             forget_oldest();
@@ -66,7 +69,28 @@
         return true;
     }
 
-    /// Clears a suspect that ran alone to its end. A guilty one stays.
+    /// A suspect whose server fell together with others may run like any request. The
+    /// crash still counts, so that poison which fell into such a moment stops after two.
+    void excuse(std::string const& content)
+    {
+        auto const found = entries_.find(content);
+        if (found != entries_.end() && found->second.crashes.size() < crashes_kept)
+        {
+            found->second.excused = true;
+        }
+    }
+
+    /// Clears a suspect that ran to its end alone, or excused. A guilty one stays.
+    void ran_whole(std::string const& content, bool alone)
+    {
+        auto const found = entries_.find(content);
+        if (found != entries_.end() && (alone || found->second.excused))
+        {
+            clear(content);
+        }
+    }
+
+    /// Clears a suspect. A guilty one stays.
     void clear(std::string const& content)
     {
         auto const found = entries_.find(content);
@@ -83,8 +107,11 @@
         {
             return poison_verdict::innocent;
         }
-        return found->second.crashes.size() < crashes_kept ? poison_verdict::suspect
-                                                           : poison_verdict::guilty;
+        if (found->second.crashes.size() >= crashes_kept)
+        {
+            return poison_verdict::guilty;
+        }
+        return found->second.excused ? poison_verdict::innocent : poison_verdict::suspect;
     }
 
     std::map<std::string, poison_entry> const& entries() const noexcept
