--- a/src/app/model_run.hpp
+++ b/src/app/model_run.hpp
@@ -107,10 +107,29 @@
     }
 
     bool run_among_others()
+    {
+        auto server = claim_server();
+        // All that is left may be kept free for suspects, for as long as those run: a
+        // refusal would show callers a crash that hit only others.
+        while (!server && any_server_left() && !parts_.poison.reserved().empty() &&
+               !reason_to_stop())
+        {
+            std::this_thread::sleep_for(parts_.options.solo_pause);
+            server = claim_server();
+        }
+        if (!server)
+        {
+            return give_up_without_server();
+        }
+        run_on(*server);
+        return true;
+    }
+
+    /// A server may be kept free for a suspect between the choice and the count; the
+    /// suspect waits for the count to fall, so one of the two always sees the other.
+    std::optional<backend_server> claim_server()
     {
         auto server = route();
-        // A server may be kept free for a suspect between the choice and the count; the
-        // suspect waits for the count to fall, so one of the two always sees the other.
         while (server)
         {
             parts_.directory.begin(*server, request_.prompt_tokens);
@@ -122,12 +141,7 @@
             parts_.directory.first_token(*server, request_.prompt_tokens);
             server = route();
         }
-        if (!server)
-        {
-            return give_up_without_server();
-        }
-        run_on(*server);
-        return true;
+        return server;
     }
 
     std::optional<backend_server> route()
