--- a/bench/bench_entry.cpp
+++ b/bench/bench_entry.cpp
@@ -140,6 +140,7 @@
     std::vector<std::thread>  callers;
     auto const                until = boot_clock::now() + duration;
     auto const                body = body_of(tokens);
+    callers.reserve(static_cast<std::size_t>(streams));
     for (int index = 0; index < streams; ++index)
     {
         callers.emplace_back(
--- a/bench/measure_slopes.cpp
+++ b/bench/measure_slopes.cpp
@@ -82,11 +82,11 @@
     for (std::int64_t index = 0; index < workspaces; ++index)
     {
         auto const name = "workspace-" + std::to_string(index);
-        spaces += who + name + " = weight=1 tokens_per_minute=60000\n";
-        keys += who + name + "-1 = workspace=" + name + " salt=" + salt +
-                " hash=" + hash + "\n";
-        targets += who + name + "-fast = workspace=" + name +
-                   " first_token_ms=410 between_tokens_ms=75\n";
+        spaces.append(who).append(name).append(" = weight=1 tokens_per_minute=60000\n");
+        keys.append(who).append(name).append("-1 = workspace=").append(name);
+        keys.append(" salt=").append(salt).append(" hash=").append(hash).append("\n");
+        targets.append(who).append(name).append("-fast = workspace=").append(name);
+        targets.append(" first_token_ms=410 between_tokens_ms=75\n");
     }
     return spaces + keys + targets;
 }
--- a/src/app/answer_stream.hpp
+++ b/src/app/answer_stream.hpp
@@ -92,7 +92,7 @@
 
     /// Producer: what to do when the caller leaves; runs at once if it has left. Empty to
     /// forget. May run once more after it was forgotten, on another thread.
-    void on_abandon(std::function<void()> notify)
+    void on_abandon(std::function<void()> const& notify)
     {
         bool left = false;
         {
--- a/src/app/duty_runner.hpp
+++ b/src/app/duty_runner.hpp
@@ -7,6 +7,7 @@
 #include "app/engine_controller.hpp"
 #include "app/server_directory.hpp"
 #include "app/vm_orderer.hpp"
+#include "policy/drained_servers.hpp"
 
 #include <atomic>
 #include <functional>
@@ -114,19 +115,19 @@
     /// gives the order.
     std::set<std::string> draining() const
     {
-        std::set<std::string> servers;
+        std::map<std::string, std::uint64_t> ordered;
         for (auto const& [target, entry] : open_orders())
         {
             leaf::try_handle_all(
-                [&, &text = entry.wanted]() -> leaf::result<void>
+                [&, &found = entry]() -> leaf::result<void>
                 {
-                    BOOST_LEAF_AUTO(wanted, parse_order(text));
-                    servers.insert(wanted.server);
+                    BOOST_LEAF_AUTO(wanted, parse_order(found.wanted));
+                    ordered[wanted.server] = found.offset;
                     return {};
                 },
                 [] {});
         }
-        return servers;
+        return drained_servers(directory_.all(), std::move(ordered));
     }
 
     std::map<std::string, open_order> open_orders() const
--- a/src/app/engine_controller.hpp
+++ b/src/app/engine_controller.hpp
@@ -101,9 +101,13 @@
             truth.idle = drain_.idle(*place, tracked.seen_at);
         }
         auto step = settle_role(tracked.wanted, tracked.progress, truth);
-        if (step == order_step::send)
+        // Giving way must not wait for the engine to be idle: the last server of a group
+        // serves on until the order for it is closed.
+        bool const unsent = tracked.progress.sending == order_sending::not_sent;
+        if (step == order_step::send || (step == order_step::wait && unsent))
         {
-            step = judge_others(tracked);
+            auto const judged = judge_others(tracked);
+            step = judged == order_step::send ? step : judged;
         }
         switch (step)
         {
--- a/src/app/request_path.hpp
+++ b/src/app/request_path.hpp
@@ -30,9 +30,9 @@
     }
 
     /// Asked before each dispatch and with each token; set before the first request.
-    void watch_keys(std::function<key_state(std::string const&)> check)
+    void watch_keys(std::function<key_state(std::string const&)> const& check)
     {
-        parts_.keys = std::move(check);
+        parts_.keys = check;
     }
 
     /// Starts a model call; tokens and end arrive on the stream.
--- a/src/app/service_path.hpp
+++ b/src/app/service_path.hpp
@@ -130,7 +130,7 @@
     call_claim claim_for(service_request const& request, wire::call_intent const& intent)
     {
         span_scope span(parts_.spans, request.trace, request.request_id, "claim");
-        auto const claim = parts_.book.claim(intent);
+        auto       claim = parts_.book.claim(intent);
         span.note("claim.verdict", std::to_string(static_cast<int>(claim.verdict)));
         return claim;
     }
