--- a/bench/measure_slopes.cpp
+++ b/bench/measure_slopes.cpp
@@ -121,7 +121,8 @@
     auto*                  batch = record.mutable_usage();
     batch->set_node("entry-" + std::to_string(node));
     batch->set_incarnation("0123456789ab");
-    batch->set_sequence(sequence);
+    // The sequence numbers the first delta; the rest follow.
+    batch->set_sequence((sequence - 1) * deltas + 1);
     for (std::int64_t index = 0; index < deltas; ++index)
     {
         auto const which =
@@ -301,13 +302,18 @@
 
 // 6. main
 
-/// Usage: measure_slopes [quick]; quick leaves out the fleets of 18 and 36 processes.
+/// Usage: measure_slopes [tables | quick]; tables starts no process, quick leaves out the
+/// fleets of 18 and 36.
 int main(int argc, char** argv)
 {
     bool const quick = argc > 1 && std::string{argv[1]} == "quick";
     measure_configuration();
     measure_ledger();
     measure_directory();
+    if (argc > 1 && std::string{argv[1]} == "tables")
+    {
+        return 0;
+    }
     for (int const nodes : {3, 9, 18, 36})
     {
         if (quick && nodes > 9)
--- a/src/adapters/exchange_watch.cpp
+++ b/src/adapters/exchange_watch.cpp
@@ -23,9 +23,21 @@
 }
 
 exchange_watch::guard::~guard()
+{
+    release();
+}
+
+bool exchange_watch::guard::release()
 {
     std::lock_guard const lock(watch_.mutex_);
+    if (!watching_)
+    {
+        return false;
+    }
+    bool const ended = position_->expired;
     watch_.entries_.erase(position_);
+    watching_ = false;
+    return ended;
 }
 
 void exchange_watch::guard::move_end(boot_clock::time_point until) noexcept
--- a/src/adapters/exchange_watch.hpp
+++ b/src/adapters/exchange_watch.hpp
@@ -46,9 +46,14 @@
         /// True if the watch has ended the exchange.
         bool expired() const noexcept;
 
+        /// Ends the watching. Called before the client goes to another user: a late stop
+        /// would end that user's exchange. True if the watch has ended this one.
+        bool release();
+
     private:
         exchange_watch&            watch_;
         std::list<entry>::iterator position_;
+        bool                       watching_ = true;
     };
 
     exchange_watch();
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -156,7 +156,7 @@
         return leaf::new_error(
             transport_failure{transport_fault::refused, server.id, answer->status});
     }
-    return keep(server, std::move(client), watched.expired());
+    return keep(server, std::move(client), watched.release());
 }
 
 leaf::result<void> http_backend::keep(backend_server const&            server,
--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -32,7 +32,7 @@
 
 constexpr int lowest_port = 10'000;
 constexpr int highest_port = 32'000;
-constexpr int block_size = 100;
+constexpr int block_size = 200;
 constexpr int poll_ms = 10;
 
 void sleep_ms(int duration)
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -18,7 +18,7 @@
 namespace marigoldcrank::tests
 {
 
-/// A hundred ports below the range of outgoing connections. One of them stays bound while
+/// Two hundred ports below the range of outgoing connections. One of them stays bound while
 /// the object lives, so that tests which run side by side never share a block.
 class port_block
 {
