--- a/apps/operator_commands.cpp
+++ b/apps/operator_commands.cpp
@@ -1,8 +1,9 @@
 // The subcommands of marigoldcrank.
 //
-// Index: 1 output, 2 rules (check, diff, apply), 3 keys, 4 views, 5 table
+// Index: 1 rules (check, diff, apply), 2 keys, 3 views, 4 table
 #include "operator_commands.hpp"
 
+#include "operator_output.hpp"
 #include "operator_reports.hpp"
 
 #include "app/option_text.hpp"
@@ -26,33 +27,7 @@
 
 constexpr std::size_t change_id_digits = 24;
 
-// 1. Output
-
-void print(command_context const& context, json const& value, std::string const& text)
-{
-    std::cout << (context.options.json ? value.dump(2) : text) << "\n";
-}
-
-int usage_error(std::string const& text)
-{
-    std::cerr << "marigoldcrank: " << text << "; see --help\n";
-    return exit_usage;
-}
-
-leaf::result<std::string> read_file(std::string const& path)
-{
-    std::ifstream stream(path);
-    if (!stream)
-    {
-        return leaf::new_error(rules_failure{
-            {{rule_fault::unreadable_text, path, 0, "", "a readable file"}}});
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return text.str();
-}
-
-// 2. Rules
+// 1. Rules
 
 leaf::result<int> check(command_context const& context)
 {
@@ -191,7 +166,7 @@
     return exit_code_of(outcome);
 }
 
-// 3. Keys
+// 2. Keys
 
 leaf::result<int> create_key(command_context const& context)
 {
@@ -251,7 +226,7 @@
     return usage_error("keys create ID WORKSPACE | withdraw ID [compromised] | operator");
 }
 
-// 4. Views
+// 3. Views
 
 leaf::result<int> status(command_context const& context)
 {
@@ -397,7 +372,7 @@
     return exit_ok;
 }
 
-// 5. Table
+// 4. Table
 
 constexpr std::array commands{
     operator_command{"check", "FILE", "check a rules file; changes nothing", check},
--- a/apps/operator_reports.cpp
+++ b/apps/operator_reports.cpp
@@ -4,6 +4,8 @@
 #include "operator_reports.hpp"
 
 #include "app/report_page.hpp"
+#include "app/target_ledger.hpp"
+#include "operator_output.hpp"
 #include "policy/target_judgement.hpp"
 
 #include <algorithm>
@@ -18,19 +20,6 @@
 {
 using nlohmann::json;
 
-leaf::result<std::string> content_of(std::string const& path)
-{
-    std::ifstream stream(path);
-    if (!stream)
-    {
-        return leaf::new_error(rules_failure{
-            {{rule_fault::unreadable_text, path, 0, "", "a readable file"}}});
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return text.str();
-}
-
 void print_verdict(json const& verdict)
 {
     std::cout << verdict.value("rule", "") << " " << verdict.value("state", "") << ": "
@@ -154,8 +143,8 @@
 
 leaf::result<int> targets_recomputed(command_context const& context)
 {
-    BOOST_LEAF_AUTO(spans, content_of(context.arguments[0]));
-    BOOST_LEAF_AUTO(rules, content_of(context.arguments[1]));
+    BOOST_LEAF_AUTO(spans, read_file(context.arguments[0]));
+    BOOST_LEAF_AUTO(rules, read_file(context.arguments[1]));
     BOOST_LEAF_AUTO(config, parse_rules(rules, context.arguments[1]));
     auto const   samples = samples_of(spans);
     std::int64_t newest = 0;
@@ -167,15 +156,7 @@
     for (auto const& [id, rule] : config.targets)
     {
         auto const verdict = judge_target(rule, samples, newest);
-        verdicts.push_back({{"rule", verdict.rule},
-                            {"workspace", verdict.workspace},
-                            {"from_unix_ms", verdict.from_ms},
-                            {"to_unix_ms", verdict.to_ms},
-                            {"calls", verdict.calls},
-                            {"met", verdict.met},
-                            {"percent", verdict.percent},
-                            {"state", name_of(verdict.state)},
-                            {"missed", verdict.missed_ids}});
+        verdicts.push_back(to_json(verdict));
     }
     return print_all(context, verdicts);
 }
@@ -204,7 +185,7 @@
         std::cerr << "marigoldcrank: report takes SERIES and OUT\n";
         return exit_usage;
     }
-    BOOST_LEAF_AUTO(text, content_of(context.arguments[0]));
+    BOOST_LEAF_AUTO(text, read_file(context.arguments[0]));
     BOOST_LEAF_AUTO(series, parse_series(text));
     std::ofstream page(context.arguments[1]);
     page << format_report(series);
--- a/src/app/target_ledger.cpp
+++ b/src/app/target_ledger.cpp
@@ -38,20 +38,25 @@
     return verdicts;
 }
 
+nlohmann::json to_json(target_verdict const& verdict)
+{
+    return {{"rule", verdict.rule},
+            {"workspace", verdict.workspace},
+            {"from_unix_ms", verdict.from_ms},
+            {"to_unix_ms", verdict.to_ms},
+            {"calls", verdict.calls},
+            {"met", verdict.met},
+            {"percent", verdict.percent},
+            {"state", name_of(verdict.state)},
+            {"missed", verdict.missed_ids}};
+}
+
 nlohmann::json target_ledger::view(configuration const& config, std::int64_t now_ms) const
 {
     auto list = nlohmann::json::array();
     for (auto const& verdict : judge(config, now_ms))
     {
-        list.push_back({{"rule", verdict.rule},
-                        {"workspace", verdict.workspace},
-                        {"from_unix_ms", verdict.from_ms},
-                        {"to_unix_ms", verdict.to_ms},
-                        {"calls", verdict.calls},
-                        {"met", verdict.met},
-                        {"percent", verdict.percent},
-                        {"state", name_of(verdict.state)},
-                        {"missed", verdict.missed_ids}});
+        list.push_back(to_json(verdict));
     }
     return {{"targets", list}};
 }
--- a/src/app/target_ledger.hpp
+++ b/src/app/target_ledger.hpp
@@ -1,6 +1,6 @@
 // Evidence on service targets, and the series behind `marigoldcrank report`.
 //
-// Index: 1 target_ledger, 2 answer_timing
+// Index: 1 to_json, 2 target_ledger, 3 answer_timing
 #ifndef MARIGOLDCRANK_APP_TARGET_LEDGER_HPP
 #define MARIGOLDCRANK_APP_TARGET_LEDGER_HPP
 
@@ -19,6 +19,9 @@
 namespace marigoldcrank
 {
 
+/// A verdict as /admin/targets and `marigoldcrank targets` give it.
+nlohmann::json to_json(target_verdict const& verdict);
+
 /// Keeps the samples of the last hour; safe to use from several threads, in shards by
 /// workspace.
 class target_ledger
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -18,8 +18,8 @@
 namespace marigoldcrank::tests
 {
 
-/// Two hundred ports below the range of outgoing connections. One of them stays bound while
-/// the object lives, so that tests which run side by side never share a block.
+/// Two hundred ports below the range of outgoing connections. One of them stays bound
+/// while the object lives, so that tests which run side by side never share a block.
 class port_block
 {
 public:
