A burst of connections waits to be accepted

Cause: the library lets five connections wait; when a failure hits all callers at once they connect again in the same moment, the kernel drops what does not fit, and such a caller is reset without an answer about 1.2 s later. Ruled out: descriptors, the lease timer, the relay, the watch on exchanges, the look at whether the caller has left (traced: not reached in the failing calls).

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -128,6 +128,7 @@
 
 namespace
 {
+constexpr int waiting_connections = 1024; // at most; the kernel may allow fewer
 constexpr int keep_alive_s = 5;
 constexpr int keep_alive_requests = 100'000;
 constexpr int send_buffer_bytes = 128 * 1024;
@@ -151,6 +152,26 @@
 }
 } // namespace
 
+/// The library lets five connections wait to be accepted. When more callers come at once,
+/// as after a failure that hits them together, the kernel drops what does not fit; such a
+/// caller waits a second and is then reset without an answer. Listening again with a
+/// larger backlog, before the first accept, leaves them in the queue.
+bool bind_port(httplib::Server& server, http_server_options const& options,
+               std::string const& host, int port)
+{
+    int listener = -1;
+    server.set_socket_options(
+        [&listener, silence = options.silence](int socket)
+        {
+            listener = socket;
+            set_socket_options(socket, silence);
+        });
+    bool const bound = server.bind_to_port(host, port) && listener >= 0 &&
+                       ::listen(listener, waiting_connections) == 0;
+    configure(server, options);
+    return bound;
+}
+
 void configure(httplib::Server& server, http_server_options const& options)
 {
     server.new_task_queue = [options]
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -49,6 +49,10 @@
     millis      silence{10000};       // 10000    a caller that reads nothing, ms
 };
 
+/// Binds the server's port, with room for a burst of new connections.
+bool bind_port(httplib::Server& server, http_server_options const& options,
+               std::string const& host, int port);
+
 /// Sets sockets, limits and the queue of a server.
 void configure(httplib::Server& server, http_server_options const& options);
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -120,16 +120,18 @@
 void node::parts::start()
 {
     watch_traffic();
-    configure(server,
-              {count_of(options.http_threads), count_of(options.overflow_threads),
-               count_of(options.max_body_bytes), millis{options.caller_silence_ms}});
+    http_server_options const front{
+        count_of(options.http_threads), count_of(options.overflow_threads),
+        count_of(options.max_body_bytes), millis{options.caller_silence_ms}};
+    configure(server, front);
     started = true;
     path.watch_keys([this](std::string const& id) { return state_of_key(id); });
     callers.add_routes(server);
     callers.limit_by(limits);
     operators.judge_by(callers.targets());
     operators.add_routes(server);
-    bound = server.bind_to_port(options.http_host, static_cast<int>(options.http_port));
+    bound =
+        bind_port(server, front, options.http_host, static_cast<int>(options.http_port));
     if (!bound)
     {
         log_error(log_part::node, "Cannot bind the port for callers.");
--- a/tests/concurrent/shared_state_test.cpp
+++ b/tests/concurrent/shared_state_test.cpp
@@ -11,6 +11,11 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <thread>
 
@@ -213,5 +218,36 @@
     EXPECT_EQ(served, 2);
 }
 
+/// Story: a failure hits all callers at once and all connect again in the same moment;
+/// some wait a second and are reset without an answer. Cause: the library's queue of five
+/// connections that wait to be accepted. Nothing accepts here, so what does not fit
+/// shows.
+TEST(shared_state, a_burst_of_connections_waits_to_be_accepted)
+{
+    constexpr int     burst = 64;
+    tests::port_block ports;
+    httplib::Server   server;
+    auto const        port = ports.next();
+    ASSERT_TRUE(bind_port(server, {}, "127.0.0.1", port));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    std::vector<pollfd> callers;
+    for (int index = 0; index < burst; ++index)
+    {
+        callers.push_back(
+            {::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), POLLOUT, 0});
+        (void)::connect(callers.back().fd, reinterpret_cast<sockaddr*>(&address),
+                        sizeof address);
+    }
+    EXPECT_TRUE(tests::eventually(
+        [&] { return ::poll(callers.data(), callers.size(), 0) == burst; }, 5000));
+    for (auto const& caller : callers)
+    {
+        ::close(caller.fd);
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank
