--- a/tests/support/node_process.cpp
+++ b/tests/support/node_process.cpp
@@ -1,7 +1,6 @@
 // Processes for tests.
 //
-// Index: 1 port_block, 2 child_process, 3 fleet: set-up, 4 fleet: processes, 5 fleet:
-// calls
+// Index: 1 fleet: set-up, 2 fleet: processes, 3 fleet: calls
 #include "support/node_process.hpp"
 
 #include "domain/api_key.hpp"
@@ -29,170 +28,9 @@
 namespace
 {
 using nlohmann::json;
-
-constexpr int lowest_port = 10'000;
-constexpr int highest_port = 32'000;
-constexpr int block_size = 200;
-constexpr int poll_ms = 10;
-
-void sleep_ms(int duration)
-{
-    std::this_thread::sleep_for(std::chrono::milliseconds(duration));
-}
-} // namespace
-
-bool eventually(std::function<bool()> const& condition, int timeout_ms)
-{
-    auto const until = boot_clock::now() + millis{timeout_ms};
-    while (!condition())
-    {
-        if (boot_clock::now() > until)
-        {
-            return false;
-        }
-        sleep_ms(poll_ms);
-    }
-    return true;
-}
-
-// 1. port_block
-
-namespace
-{
-/// A socket bound to the port, or -1 if somebody else has it. With `reuse`, connections
-/// of earlier tests that are only waiting to be forgotten (TIME_WAIT) don't count.
-int bind_port(int port, bool reuse)
-{
-    int const socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int const on = reuse ? 1 : 0;
-    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
-    {
-        return socket;
-    }
-    ::close(socket);
-    return -1;
-}
 } // namespace
 
-port_block::port_block()
-{
-    constexpr int blocks = (highest_port - lowest_port) / block_size;
-    // Each fleet of a process starts behind the one before: connections of that one
-    // keep its ports for a minute after they were closed.
-    static std::atomic<int> earlier{0};
-    int const               start = (static_cast<int>(getpid()) + earlier++) % blocks;
-    for (int step = 0; step < blocks; ++step)
-    {
-        base_ = lowest_port + (start + step) % blocks * block_size;
-        socket_ = bind_port(base_, false);
-        if (socket_ >= 0)
-        {
-            return;
-        }
-    }
-    throw std::runtime_error("no free block of ports");
-}
-
-port_block::~port_block()
-{
-    ::close(socket_);
-}
-
-int port_block::next()
-{
-    // The block is ours among tests; a port in it may still be somebody else's.
-    while (++used_ < block_size)
-    {
-        int const probe = bind_port(base_ + used_, true);
-        if (probe >= 0)
-        {
-            ::close(probe);
-            return base_ + used_;
-        }
-    }
-    throw std::runtime_error("no free port in the block");
-}
-
-// 2. child_process
-
-child_process::child_process(std::vector<std::string> const& command,
-                             std::string const&              output)
-{
-    std::vector<char*> arguments;
-    for (auto const& word : command)
-    {
-        arguments.push_back(const_cast<char*>(word.c_str()));
-    }
-    arguments.push_back(nullptr);
-    pid_ = fork();
-    if (pid_ == 0)
-    {
-        if (std::getenv("MARIGOLDCRANK_TEST_OUTPUT") == nullptr)
-        {
-            constexpr int mode = 0600;
-            auto const*   path = output.empty() ? "/dev/null" : output.c_str();
-            int const     sink = open(path, O_WRONLY | O_CREAT | O_APPEND, mode);
-            dup2(sink, STDOUT_FILENO);
-            dup2(sink, STDERR_FILENO);
-        }
-        execv(arguments[0], arguments.data());
-        _exit(127);
-    }
-}
-
-child_process::~child_process()
-{
-    if (running())
-    {
-        signal(SIGKILL);
-        wait(5000);
-    }
-}
-
-pid_t child_process::pid() const noexcept
-{
-    return pid_;
-}
-
-void child_process::signal(int number) const
-{
-    // Its number may belong to another process once its end was taken note of.
-    if (status_ < 0)
-    {
-        ::kill(pid_, number);
-    }
-}
-
-bool child_process::running()
-{
-    return wait(0) == -1;
-}
-
-int child_process::wait(int timeout_ms)
-{
-    if (status_ >= 0)
-    {
-        return status_;
-    }
-    auto const ended = [&]
-    {
-        int status = 0;
-        if (waitpid(pid_, &status, WNOHANG) != pid_)
-        {
-            return false;
-        }
-        status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-        return true;
-    };
-    return eventually(ended, timeout_ms) ? status_ : -1;
-}
-
-// 3. fleet: set-up
+// 1. fleet: set-up
 
 namespace
 {
@@ -387,7 +225,7 @@
     return ports_.next();
 }
 
-// 4. fleet: processes
+// 2. fleet: processes
 
 void fleet::start_platform()
 {
@@ -480,7 +318,7 @@
     }
 }
 
-// 5. fleet: calls
+// 3. fleet: calls
 
 int fleet::platform_port() const noexcept
 {
--- a/tests/support/node_process.hpp
+++ b/tests/support/node_process.hpp
@@ -1,9 +1,12 @@
 // Processes for tests: daemons and stand-ins on loopback ports that no other test uses.
 //
-// Index: 1 port_block, 2 child_process, 3 fleet_options, 4 fleet
+// Index: 1 fleet_options, 2 fleet
 #ifndef MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
 #define MARIGOLDCRANK_TESTS_SUPPORT_NODE_PROCESS_HPP
 
+#include "support/child_process.hpp"
+#include "support/eventually.hpp"
+#include "support/port_block.hpp"
 #include "support/tcp_relay.hpp"
 
 #include <nlohmann/json.hpp>
@@ -18,47 +21,6 @@
 namespace marigoldcrank::tests
 {
 
-/// Two hundred ports below the range of outgoing connections. One of them stays bound
-/// while the object lives, so that tests which run side by side never share a block.
-class port_block
-{
-public:
-    port_block();
-    ~port_block();
-    port_block(port_block const&) = delete;
-    port_block& operator=(port_block const&) = delete;
-
-    int next();
-
-private:
-    int socket_ = -1;
-    int base_ = 0;
-    int used_ = 0;
-};
-
-/// A started program; killed when the object goes.
-class child_process
-{
-public:
-    /// Output goes to the file `output`, or nowhere if it is empty.
-    explicit child_process(std::vector<std::string> const& command,
-                           std::string const&              output = "");
-    ~child_process();
-    child_process(child_process const&) = delete;
-    child_process& operator=(child_process const&) = delete;
-
-    pid_t pid() const noexcept;
-    void  signal(int number) const;
-    bool  running();
-
-    /// Waits for the end; -1 if it still runs after the timeout.
-    int wait(int timeout_ms);
-
-private:
-    pid_t pid_ = -1;
-    int   status_ = -1;
-};
-
 /// What a fleet consists of.
 struct fleet_options
 {
@@ -165,9 +127,6 @@
     std::vector<std::unique_ptr<child_process>>     services_;
 };
 
-/// Polls until `condition` holds; false after the timeout, which only bounds a failure.
-bool eventually(std::function<bool()> const& condition, int timeout_ms = 20000);
-
 } // namespace marigoldcrank::tests
 
 #endif
