--- a/apps/marigoldcrankd.cpp
+++ b/apps/marigoldcrankd.cpp
@@ -5,7 +5,9 @@
 #include "app/node.hpp"
 #include "app/option_text.hpp"
 #include "domain/boot_clock.hpp"
+#include "domain/entry_settings.hpp"
 #include "domain/settings.hpp"
+#include "platform/entry_main.hpp"
 
 #include <getopt.h>
 
@@ -28,6 +30,7 @@
 struct command_line
 {
     std::string settings_file;
+    std::string entry_file; // settings of an entry VM on the users' platform
     bool        check_only = false;
     bool        print = false;
 };
@@ -35,9 +38,11 @@
 void print_help()
 {
     std::cout
-        << "Usage: marigoldcrankd --settings FILE [--check-settings]\n\n"
+        << "Usage: marigoldcrankd --settings FILE [--check-settings]\n"
+           "       marigoldcrankd --entry FILE [--check-settings]\n\n"
            "Serves callers on one entry VM until SIGTERM, which drains it.\n\n"
            "  -s, --settings FILE    settings in INI form\n"
+           "  -e, --entry FILE       settings of an entry VM on the users' platform\n"
            "  -c, --check-settings   check FILE, print what is wrong, exit 0 or 1\n"
            "  -p, --print-settings   print all settings with their meaning and exit\n"
            "  -h, --help             this text\n\n"
@@ -48,19 +53,23 @@
 std::optional<command_line> parse_command_line(int argc, char** argv, int& exit_code)
 {
     static option const options[] = {{"settings", required_argument, nullptr, 's'},
+                                     {"entry", required_argument, nullptr, 'e'},
                                      {"check-settings", no_argument, nullptr, 'c'},
                                      {"print-settings", no_argument, nullptr, 'p'},
                                      {"help", no_argument, nullptr, 'h'},
                                      {nullptr, 0, nullptr, 0}};
     command_line        result;
     exit_code = exit_usage;
-    for (int flag = 0; (flag = getopt_long(argc, argv, "s:cph", options, nullptr)) != -1;)
+    for (int flag = 0; (flag = getopt_long(argc, argv, "s:e:cph", options, nullptr)) != -1;)
     {
         switch (flag)
         {
         case 's':
             result.settings_file = optarg;
             break;
+        case 'e':
+            result.entry_file = optarg;
+            break;
         case 'c':
             result.check_only = true;
             break;
@@ -75,9 +84,10 @@
             return std::nullopt;
         }
     }
-    if (result.settings_file.empty() && !result.print)
+    bool const without_file = result.settings_file.empty() && result.entry_file.empty();
+    if (without_file && !result.print)
     {
-        std::cerr << "marigoldcrankd: --settings FILE is missing; see --help\n";
+        std::cerr << "marigoldcrankd: --settings or --entry FILE is missing; see --help\n";
         return std::nullopt;
     }
     return result;
@@ -131,6 +141,16 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int>
         {
+            if (!command->entry_file.empty() && !command->check_only)
+            {
+                return platform::run_on_platform(command->entry_file);
+            }
+            if (!command->entry_file.empty())
+            {
+                BOOST_LEAF_CHECK(load_entry_settings(command->entry_file));
+                std::cout << command->entry_file << ": ok\n";
+                return exit_ok;
+            }
             settings options;
             if (!command->settings_file.empty())
             {
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -1,6 +1,6 @@
 // Backend servers as the platform lists them and as they report themselves.
 //
-// Index: 1 backend_server, 2 engine_role, 3 load_report
+// Index: 1 engine_role, 2 backend_server, 3 load_report
 #ifndef MARIGOLDCRANK_DOMAIN_BACKEND_SERVER_HPP
 #define MARIGOLDCRANK_DOMAIN_BACKEND_SERVER_HPP
 
@@ -12,6 +12,14 @@
 namespace marigoldcrank
 {
 
+/// What an engine may be used for.
+enum class engine_role
+{
+    mixed,
+    prefill,
+    decode
+};
+
 /// One backend server of the platform's list.
 struct backend_server
 {
@@ -24,18 +32,13 @@
     bool        leaving = false;  // gets no new work
     std::string order_id;         // of the order that bought it, if it was bought
     bool        starting = false; // bought, and not yet live
+    engine_role role = engine_role::mixed; // as the server last stated it
+    std::int64_t slots = 0;                // requests it runs at once; 0: not stated
+    std::int64_t born_unix_ms = 0;         // start of this incarnation; 0: not stated
 
     auto operator<=>(backend_server const&) const = default;
 };
 
-/// What an engine may be used for.
-enum class engine_role
-{
-    mixed,
-    prefill,
-    decode
-};
-
 /// Load as an engine reported it; it lags, so read_at says when it was read.
 struct load_report
 {
--- /dev/null
+++ b/src/domain/entry_settings.hpp
@@ -0,0 +1,70 @@
+// Settings of a daemon on an entry VM of the users' platform, read from INI.
+//
+// Index: 1 socket_address, 2 entry_settings, 3 parse functions
+//
+// The platform renders this file and may add fields at any time, so unknown keys are
+// ignored here; a known key with a bad value is refused.
+#ifndef MARIGOLDCRANK_DOMAIN_ENTRY_SETTINGS_HPP
+#define MARIGOLDCRANK_DOMAIN_ENTRY_SETTINGS_HPP
+
+#include "domain/boot_clock.hpp"
+#include "domain/failure.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// An IP number and a port.
+struct socket_address
+{
+    std::string   host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(socket_address const&) const = default;
+};
+
+/// Parses "10.1.0.31:8368"; an empty text gives an address with port 0.
+leaf::result<socket_address> parse_socket_address(std::string const& text);
+
+/// All options of one daemon. Times come from the deployment's own bounds.
+struct entry_settings
+{
+    // [node]
+    std::string    name;        //          unique among the VMs
+    std::string    data_centre; //          where this VM stands
+    socket_address callers;     //          listens for callers here
+    socket_address readiness;   //          answers the balancer here
+    socket_address metrics;     //          serves metrics here; port 0: not at all
+    bool           first_start = false; //  no VM has run before
+    // [platform]
+    socket_address store;  //               the log that keeps what must last
+    socket_address duties; //               takes usage reports and VM orders
+    // [bounds]
+    millis       drain_notice{2500}; // 2500 until the balancer has noticed a drain
+    millis       grace{8000};        // 8000 from SIGTERM to the end
+    millis       key_life{5000};     // 5000 keys count no longer than this after a read
+    bool         keys_fail_closed = true; // refuse keyed calls when that has passed
+    millis       lease{3000};        // 3000 validity of one renewal of the duty lease
+    millis       usage_window{5000}; // 5000 length of a usage window
+    millis       usage_due{10000};   // 10000 a window is reported this long after its end
+    std::int64_t retry_percent = 20; // 20   retries a hundred calls, over all VMs
+    std::int64_t retry_slack = 58;   // 58   retries besides, over all VMs
+    // [logs]
+    std::int64_t log_lines_per_s = 400; // 400 most lines a second; more are counted
+    std::int64_t log_sample = 8; // 8        one call in so many has all its lines written
+
+    bool operator==(entry_settings const&) const = default;
+};
+
+/// Reads settings. Fails with setting_failure.
+leaf::result<entry_settings> parse_entry_settings(std::string const& text,
+                                                  std::string const& file);
+
+/// Reads the file at `path`. Fails with setting_failure.
+leaf::result<entry_settings> load_entry_settings(std::string const& path);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/ledger/usage_windows.cpp
@@ -0,0 +1,89 @@
+// Counting and adding up of usage.
+#include "ledger/usage_windows.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace marigoldcrank
+{
+
+std::string format_usage_record(usage_record const& value)
+{
+    return nlohmann::json{{"writer", value.writer},
+                          {"number", value.number},
+                          {"window", value.window},
+                          {"counts", value.counts}}
+        .dump();
+}
+
+std::optional<usage_record> parse_usage_record(std::string_view text)
+{
+    auto const document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object())
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        return usage_record{.writer = document.at("writer").get<std::string>(),
+                            .number = document.at("number").get<std::uint64_t>(),
+                            .window = document.at("window").get<std::int64_t>(),
+                            .counts = document.at("counts").get<usage_counts>()};
+    }
+    catch (nlohmann::json::exception const&)
+    {
+        return std::nullopt; // of another writer; the caller logs what it skips
+    }
+}
+
+usage_counter::usage_counter(std::string writer, millis window)
+    : writer_(std::move(writer)), window_(window)
+{
+}
+
+std::int64_t usage_counter::window_of(std::int64_t unix_ms) const noexcept
+{
+    return unix_ms / window_.count();
+}
+
+void usage_counter::add(std::string const& workspace, std::int64_t unix_ms)
+{
+    ++open_[window_of(unix_ms)][workspace];
+}
+
+std::vector<usage_record> usage_counter::take_before(std::int64_t window)
+{
+    std::vector<usage_record> records;
+    while (!open_.empty() && open_.begin()->first < window)
+    {
+        auto const first = open_.begin();
+        records.push_back({writer_, ++number_, first->first, std::move(first->second)});
+        open_.erase(first);
+    }
+    return records;
+}
+
+void usage_sum::absorb(usage_record const& record)
+{
+    auto& sum = windows_[record.window];
+    if (!sum.seen.emplace(record.writer, record.number).second)
+    {
+        return;
+    }
+    for (auto const& [workspace, count] : record.counts)
+    {
+        sum.counts[workspace] += count;
+    }
+}
+
+usage_counts usage_sum::of(std::int64_t window) const
+{
+    auto const found = windows_.find(window);
+    return found == windows_.end() ? usage_counts{} : found->second.counts;
+}
+
+void usage_sum::forget_before(std::int64_t window)
+{
+    windows_.erase(windows_.begin(), windows_.lower_bound(window));
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/ledger/usage_windows.hpp
@@ -0,0 +1,76 @@
+// Usage by window: what one VM counts, and the sum over all VMs' records.
+//
+// Index: 1 usage_record, 2 formats, 3 usage_counter, 4 usage_sum
+#ifndef MARIGOLDCRANK_LEDGER_USAGE_WINDOWS_HPP
+#define MARIGOLDCRANK_LEDGER_USAGE_WINDOWS_HPP
+
+#include "ledger/duty_log.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// What one VM counted for one window since its last record.
+struct usage_record
+{
+    std::string   writer;     // VM and incarnation
+    std::uint64_t number = 0; // counts the writer's records, so that a repeat is dropped
+    std::int64_t  window = 0;
+    usage_counts  counts;
+
+    bool operator==(usage_record const&) const = default;
+};
+
+std::string                 format_usage_record(usage_record const& value);
+std::optional<usage_record> parse_usage_record(std::string_view text);
+
+/// Counts of this VM. Not shared between threads.
+class usage_counter
+{
+public:
+    usage_counter(std::string writer, millis window);
+
+    std::int64_t window_of(std::int64_t unix_ms) const noexcept;
+
+    void add(std::string const& workspace, std::int64_t unix_ms);
+
+    /// Records of the windows before `window`; they count as handed over.
+    std::vector<usage_record> take_before(std::int64_t window);
+
+private:
+    std::string                          writer_;
+    millis                               window_;
+    std::uint64_t                        number_ = 0;
+    std::map<std::int64_t, usage_counts> open_;
+};
+
+/// Adds up records; each counts once, however often it was appended or read.
+class usage_sum
+{
+public:
+    void absorb(usage_record const& record);
+
+    /// The sum so far; empty if nobody counted anything.
+    usage_counts of(std::int64_t window) const;
+
+    void forget_before(std::int64_t window);
+
+private:
+    struct window_sum
+    {
+        std::set<std::pair<std::string, std::uint64_t>> seen;
+        usage_counts                                    counts;
+    };
+
+    std::map<std::int64_t, window_sum> windows_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/policy/placement.hpp
@@ -0,0 +1,67 @@
+// Which server a call goes to, from what this VM knows itself.
+//
+// Index: 1 placement_options, 2 candidate, 3 placement, 4 place_plain, 5 place_model
+//
+// Load answered: prompts of a few hundred to tens of thousands of tokens that share long
+// parts, on engines of which those for prefill read twice as fast as those for decode.
+#ifndef MARIGOLDCRANK_POLICY_PLACEMENT_HPP
+#define MARIGOLDCRANK_POLICY_PLACEMENT_HPP
+
+#include "domain/backend_server.hpp"
+#include "domain/caller_call.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+struct placement_options
+{
+    // 2     a decode engine reads prompts at half the speed of a prefill engine
+    double decode_reads_slower = 2;
+    // 4     tokens in work seen by this VM stand for so many over all VMs
+    double peer_factor = 4;
+    // 1000  tokens; handing a prompt over costs a call and a transfer, so a prompt with
+    //       fewer own tokens is read where it is decoded
+    std::int64_t handover_tokens = 1000;
+    // 150   tokens; a running stream slows an engine's step like so many tokens to read
+    std::int64_t stream_tokens = 150;
+    // 400   tokens; what a way between data centres costs in time and bytes
+    std::int64_t distance_tokens = 400;
+
+    bool operator==(placement_options const&) const = default;
+};
+
+/// A server with what this VM has in work there.
+struct candidate
+{
+    backend_server const* server = nullptr;
+    std::int64_t          running = 0;        // calls of this VM
+    std::int64_t          prompt_backlog = 0; // prompt tokens of this VM not read yet
+    bool                  suspect = false;    // has failed lately: last choice
+};
+
+/// Where a model call goes.
+struct placement
+{
+    backend_server const* decode = nullptr;  // runs the call
+    backend_server const* prefill = nullptr; // reads the prompt first; null: decode does
+};
+
+/// The least loaded server for a plain call, those of the own data centre first among
+/// equals. `ticket` breaks ties, so that VMs don't all pick the same. Null if there is none.
+backend_server const* place_plain(std::vector<candidate> const& candidates,
+                                  std::string const& data_centre, std::uint64_t ticket);
+
+/// Engines for a model call; nothing if no engine can decode.
+std::optional<placement> place_model(std::vector<candidate> const& candidates,
+                                     caller_call const&            call,
+                                     std::string const& data_centre, std::uint64_t ticket,
+                                     placement_options const& options);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/call_runner.hpp
@@ -0,0 +1,714 @@
+// The serving of one call: from its head to its one final answer.
+//
+// Index: 1 call_order, 2 call_runner: admit, plain calls, model calls, relaying, ends
+//
+// A call that may not be repeated is sent again only after a server has said that it did not
+// run it, or if no byte of it has left. 503 is said only if that holds for all its sends;
+// else 502, or 504 once its time is over.
+#ifndef MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
+#define MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
+
+#include "serving/caller_link.hpp"
+#include "serving/event_splitter.hpp"
+#include "serving/own_reply.hpp"
+#include "serving/server_exchange.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <set>
+
+namespace marigoldcrank
+{
+
+/// How the connection goes on after a call.
+enum class link_after
+{
+    keep,
+    close,  // in order
+    aborted // already ended
+};
+
+template <wire_dialect Dialect>
+class call_runner
+{
+public:
+    call_runner(entry_state& state, caller_link& caller, http_request const& request,
+                caller_call call)
+        : state_(state), caller_(caller), request_(request), call_(std::move(call)),
+          arrived_(boot_clock::now()), keep_(request.keep_alive() && !state.draining)
+    {
+    }
+
+    /// Serves the call; gives its final answer unless the caller has left.
+    boost::asio::awaitable<link_after> run()
+    {
+        ++state_.calls_in_work;
+        if (auto const refusal = admit())
+        {
+            co_await reply(*refusal);
+        }
+        else
+        {
+            caller_.watch([this] { stop(); });
+            if (model_call())
+            {
+                co_await serve_model();
+            }
+            else
+            {
+                co_await serve_plain();
+            }
+            caller_.unwatch();
+        }
+        --state_.calls_in_work;
+        note_end();
+        co_return after_;
+    }
+
+private:
+    using exchange = server_exchange<Dialect>;
+
+    /// Marks the exchange that ends if the caller leaves.
+    struct in_use
+    {
+        in_use(call_runner& owner, exchange& link) : runner(owner)
+        {
+            runner.current_ = &link;
+        }
+
+        ~in_use()
+        {
+            runner.current_ = nullptr;
+        }
+
+        in_use(in_use const&) = delete;
+        in_use& operator=(in_use const&) = delete;
+
+        call_runner& runner;
+    };
+
+    static constexpr unsigned first_server_error = 500;
+    // 20  ms; with less left no server can answer in time
+    static constexpr millis least_left{20};
+    // 2000  ms; a caller's connection that takes no answer for so long is given up
+    static constexpr millis write_time{2000};
+
+    // Admit: route, key, time
+
+    std::optional<own_reply> admit()
+    {
+        rules_ = state_.view.rules;
+        bool const fresh = state_.keys_fresh(arrived_);
+        if (!rules_)
+        {
+            return own_reply{503, call_fate::not_run, "no_rules", soon};
+        }
+        route_ = rules_->find_route(call_.host, call_.path());
+        if (route_ == nullptr)
+        {
+            return fresh ? own_reply{404, call_fate::final_refusal, "no_route", std::nullopt}
+                         : own_reply{503, call_fate::not_run, "stale_rules", soon};
+        }
+        if (auto const refusal = check_key(fresh))
+        {
+            return refusal;
+        }
+        set_deadline();
+        auto const* target = pick_target(*route_, state_.ticket());
+        service_ = rules_->find_service(target->service);
+        service_name_ = target->service;
+        rank_ = workspace_ != nullptr && workspace_->rank >= 0 ? workspace_->rank
+                                                               : route_->rank;
+        repeatable_ = route_->kind == call_kind::idempotent ||
+                      (route_->kind == call_kind::stream && route_->resumable);
+        state_.budget(service_name_).admit();
+        return std::nullopt;
+    }
+
+    std::optional<own_reply> check_key(bool fresh)
+    {
+        workspace_ = call_.key.empty() ? nullptr : rules_->find_workspace(call_.key);
+        if (!rules_->keyed() || route_->open)
+        {
+            return std::nullopt;
+        }
+        if (!fresh)
+        {
+            return own_reply{503, call_fate::not_run, "stale_keys", soon};
+        }
+        if (workspace_ == nullptr)
+        {
+            return own_reply{401, call_fate::final_refusal, "unknown_key", std::nullopt};
+        }
+        return std::nullopt;
+    }
+
+    void set_deadline()
+    {
+        constexpr millis unstated{60000}; // callers that state no patience get a minute
+        auto             patience = call_.patience.value_or(unstated);
+        if (route_->timeout.count() > 0)
+        {
+            patience = std::min(patience, route_->timeout);
+        }
+        deadline_ = loop_clock::now() + patience;
+    }
+
+    bool model_call() const
+    {
+        return service_ != nullptr && service_->has_engines && !call_.prompt.empty();
+    }
+
+    // Plain calls
+
+    boost::asio::awaitable<void> serve_plain()
+    {
+        while (true)
+        {
+            auto const now = boot_clock::now();
+            auto const  candidates = state_.candidates(service_name_, tried_, now);
+            auto const* server =
+                place_plain(candidates, state_.settings.data_centre, state_.ticket());
+            if (server == nullptr || !may_send())
+            {
+                co_return co_await give_up();
+            }
+            exchange   link{state_, *server};
+            in_use     use{*this, link};
+            load_share share{state_, server->id, 0};
+            note_send(*server, 0);
+            auto const fate = co_await send(link, {}, attempt_end());
+            if (caller_.left())
+            {
+                co_return;
+            }
+            if (fate == exchange_fate::answered)
+            {
+                if (co_await relay_plain(link))
+                {
+                    co_return;
+                }
+                continue;
+            }
+            note_failed_send(link, fate);
+        }
+    }
+
+    /// An answer in one piece. False if another server should be tried.
+    boost::asio::awaitable<bool> relay_plain(exchange& link)
+    {
+        std::string body;
+        bool const  head_only = request_.method_string() == "HEAD";
+        if (!head_only && !co_await link.read_whole(body, attempt_end()))
+        {
+            if (!caller_.left())
+            {
+                note_failed_send(link, exchange_fate::unknown);
+            }
+            co_return caller_.left();
+        }
+        auto const status = link.facts().status;
+        auto       bytes = format_answer(link.head(), body, !keep_, head_only);
+        count_usage();
+        if (status < first_server_error)
+        {
+            state_.health.succeeded(link.server().id);
+            co_await answer(std::move(bytes), status);
+            co_return true;
+        }
+        // A server's own failure is kept: it is the answer if no other server does better.
+        note_failed_answer(link);
+        kept_failure_ = std::move(bytes);
+        kept_status_ = status;
+        if (repeatable_ && may_send_again())
+        {
+            co_return false;
+        }
+        co_await give_up();
+        co_return true;
+    }
+
+    // Model calls
+
+    boost::asio::awaitable<void> serve_model()
+    {
+        while (true)
+        {
+            auto const now = boot_clock::now();
+            auto const candidates = state_.candidates(service_name_, tried_, now);
+            auto const placed =
+                place_model(candidates, call_, state_.settings.data_centre,
+                            state_.ticket(), placement_options{});
+            if (!placed || !may_send())
+            {
+                co_return co_await give_up();
+            }
+            auto const     decode = *placed->decode;
+            backend_server reader;
+            std::string    source;
+            if (placed->prefill != nullptr && !prefilled_ && !started_)
+            {
+                prefilled_ = true;
+                reader = *placed->prefill;
+                source = co_await read_prompt(reader);
+                if (caller_.left())
+                {
+                    release(reader, source);
+                    co_return;
+                }
+            }
+            if (co_await run_stream(decode, source))
+            {
+                co_return;
+            }
+            release(reader, source);
+        }
+    }
+
+    /// Has a prefill engine read the prompt. Gives where its cache lies; empty if nowhere.
+    boost::asio::awaitable<std::string> read_prompt(backend_server server)
+    {
+        exchange   link{state_, server};
+        in_use     use{*this, link};
+        load_share share{state_, server.id, call_.prompt_tokens()};
+        note_send(server, call_.prompt_tokens());
+        auto       message = onward(server);
+        message.prefill_only = true;
+        auto const fate = co_await send_message(link, message, true, deadline_);
+        std::string body;
+        constexpr unsigned ok = 200;
+        bool const answered = fate == exchange_fate::answered && link.facts().status == ok &&
+                              co_await link.read_whole(body, deadline_);
+        auto const handle = answered ? Dialect::read_handle(body) : std::nullopt;
+        if (!handle)
+        {
+            if (!caller_.left())
+            {
+                note_prefill_failure(link, fate);
+            }
+            co_return std::string{};
+        }
+        state_.health.succeeded(server.id);
+        co_return server.host + ":" + std::to_string(server.port) + "/" + *handle;
+    }
+
+    /// Runs the call at `server`. True if its final answer has been given.
+    boost::asio::awaitable<bool> run_stream(backend_server server, std::string source)
+    {
+        exchange   link{state_, server};
+        in_use     use{*this, link};
+        load_share share{state_, server.id, source.empty() ? call_.prompt_tokens() : 0};
+        auto       message = onward(server);
+        message.cache_source = source;
+        note_send(server, source.empty() ? call_.prompt_tokens() : 0);
+        ++runs_;
+        auto const fate = co_await send_message(link, message, false, deadline_);
+        if (caller_.left())
+        {
+            co_return true;
+        }
+        if (fate != exchange_fate::answered)
+        {
+            note_failed_send(link, fate);
+            co_return false;
+        }
+        share.prompt_read();
+        constexpr unsigned first_redirect = 300;
+        if (link.facts().status >= first_redirect)
+        {
+            co_return started_ ? co_await break_off("resume_refused")
+                               : co_await relay_plain(link);
+        }
+        co_return co_await relay_events(link);
+    }
+
+    /// Passes whole events on as they arrive.
+    boost::asio::awaitable<bool> relay_events(exchange& link)
+    {
+        event_splitter splitter;
+        std::string    bytes;
+        auto           step = body_step::more;
+        while (step == body_step::more)
+        {
+            bytes.clear();
+            step = co_await link.read_body(bytes, deadline_);
+            if (caller_.left())
+            {
+                co_return true;
+            }
+            auto events = splitter.feed(bytes);
+            if (step == body_step::whole)
+            {
+                events.bytes += splitter.rest();
+            }
+            if (!co_await pass_on(link, events, step == body_step::whole))
+            {
+                co_return true;
+            }
+        }
+        if (step == body_step::whole)
+        {
+            state_.health.succeeded(link.server().id);
+            end_ = "served";
+            after_ = keep_ && chunked() ? link_after::keep : link_after::close;
+            co_return true;
+        }
+        note_failed_send(link, exchange_fate::unknown);
+        co_return started_ && !(repeatable_ && may_send_again())
+            ? co_await break_off(link.fault())
+            : false;
+    }
+
+    /// Writes events, behind the stream's head if they are the first. False: caller is gone.
+    boost::asio::awaitable<bool> pass_on(exchange& link, whole_events const& events,
+                                         bool last)
+    {
+        std::string out;
+        if (!started_ && (last || !events.bytes.empty()))
+        {
+            started_ = true;
+            first_event_ = boot_clock::now();
+            state_.counters.observe("first_event_seconds", first_event_ - arrived_);
+            status_ = link.facts().status;
+            count_usage();
+            out = format_stream_head(link.head(), !keep_, chunked());
+        }
+        if (!events.bytes.empty())
+        {
+            out += chunked() ? format_chunk(events.bytes) : events.bytes;
+        }
+        if (!events.last_id.empty())
+        {
+            last_event_ = events.last_id;
+        }
+        if (last && chunked())
+        {
+            out += last_chunk;
+        }
+        co_return out.empty() || co_await caller_.write(out, deadline_);
+    }
+
+    /// Ends a stream that can't go on, so that it doesn't look whole.
+    boost::asio::awaitable<bool> break_off(std::string_view cause)
+    {
+        end_ = "broken_off";
+        last_fault_ = cause;
+        caller_.abort();
+        after_ = link_after::aborted;
+        co_return true;
+    }
+
+    bool chunked() const
+    {
+        constexpr unsigned http_1_1 = 11;
+        return request_.version() >= http_1_1;
+    }
+
+    // Sends
+
+    onward_call onward(backend_server const& server) const
+    {
+        return {.server_id = server.id,
+                .workspace = workspace_ == nullptr ? "" : workspace_->name,
+                .left = std::chrono::duration_cast<millis>(deadline_ - loop_clock::now()),
+                .rank = rank_,
+                .resume_after = last_event_};
+    }
+
+    boost::asio::awaitable<exchange_fate> send(exchange& link, std::string const& source,
+                                               loop_time until)
+    {
+        ++runs_;
+        auto message = onward(link.server());
+        message.cache_source = source;
+        return send_message(link, message, false, until);
+    }
+
+    boost::asio::awaitable<exchange_fate> send_message(exchange& link, onward_call message,
+                                                       bool for_us, loop_time until)
+    {
+        exchange_request request{.message = Dialect::build_onward(request_, message),
+                                 .call_id = call_.id,
+                                 .careful = !repeatable_ && !for_us,
+                                 .for_us = for_us,
+                                 .until = until};
+        auto const       fate = co_await link.start(std::move(request));
+        if (fate == exchange_fate::unknown && !for_us)
+        {
+            maybe_run_ = true;
+        }
+        co_return fate;
+    }
+
+    /// Sends this call may still take: time, number of servers, and its share of retries.
+    bool may_send()
+    {
+        if (deadline_ - loop_clock::now() < least_left)
+        {
+            last_fault_ = "deadline";
+            return false;
+        }
+        if (runs_ == 0)
+        {
+            return true;
+        }
+        return !(maybe_run_ && !repeatable_) && runs_ < route_->max_servers && take_retry();
+    }
+
+    /// Whether a failed answer is worth another send; what may_send asks is asked again.
+    bool may_send_again() const
+    {
+        return runs_ < route_->max_servers && deadline_ - loop_clock::now() > least_left;
+    }
+
+    bool take_retry()
+    {
+        bool const granted = state_.budget(service_name_).take();
+        state_.counters.add(granted ? "retries_total" : "retries_denied_total");
+        if (!granted)
+        {
+            last_fault_ = "budget";
+        }
+        return granted;
+    }
+
+    /// A repeatable call leaves time for a second server; any other waits to its end.
+    loop_time attempt_end() const
+    {
+        bool const last = !repeatable_ || runs_ >= route_->max_servers;
+        auto const now = loop_clock::now();
+        return last ? deadline_ : now + (deadline_ - now) / 2;
+    }
+
+    void stop()
+    {
+        if (current_ != nullptr)
+        {
+            current_->stop();
+        }
+    }
+
+    /// Frees a cached prompt that won't be fetched. Best effort: it lapses by itself.
+    void release(backend_server const& server, std::string const& source)
+    {
+        auto const slash = source.find('/');
+        if (slash == std::string::npos)
+        {
+            return;
+        }
+        auto message = Dialect::build_release(source.substr(slash + 1), server.host);
+        auto run = [](backend_server to, http_request freeing) -> boost::asio::awaitable<void>
+        {
+            constexpr millis patience{1000};
+            auto const       executor = co_await boost::asio::this_coro::executor;
+            auto const       link = std::make_shared<http_connection>(executor);
+            auto const       until = loop_clock::now() + patience;
+            socket_address const address{to.host, static_cast<std::uint16_t>(to.port)};
+            auto const           opened = co_await link->connect(address, until);
+            if (opened == link_step::ok)
+            {
+                co_await link->send(std::move(freeing), until);
+                co_await link->read_head(false, until);
+            }
+            link->close();
+        };
+        boost::asio::co_spawn(caller_.stream().get_executor(),
+                              run(server, std::move(message)), boost::asio::detached);
+    }
+
+    // Ends
+
+    /// No send is left: the refusal or failure that is true.
+    boost::asio::awaitable<void> give_up()
+    {
+        if (started_)
+        {
+            co_await break_off(last_fault_);
+            co_return;
+        }
+        if (!kept_failure_.empty())
+        {
+            co_return co_await answer(std::move(kept_failure_), kept_status_);
+        }
+        bool const late = deadline_ - loop_clock::now() < least_left;
+        if (maybe_run_)
+        {
+            own_reply const unknown{late ? 504U : 502U, call_fate::outcome_unknown,
+                                    last_fault_, std::nullopt};
+            co_return co_await reply(unknown);
+        }
+        own_reply const refusal{503, call_fate::not_run, last_fault_, soon};
+        co_await reply(refusal);
+    }
+
+    boost::asio::awaitable<void> reply(own_reply value)
+    {
+        status_ = value.status;
+        end_ = value.cause.empty() ? "refused" : value.cause;
+        state_.counters.add("refusals_total",
+                            "cause=\"" + std::string{end_} + "\",status=\"" +
+                                std::to_string(value.status) + "\"");
+        co_await write_out(format_reply(value, !keep_));
+    }
+
+    boost::asio::awaitable<void> answer(std::string bytes, unsigned status)
+    {
+        status_ = status;
+        end_ = "served";
+        co_await write_out(std::move(bytes));
+    }
+
+    boost::asio::awaitable<void> write_out(std::string bytes)
+    {
+        bool const written =
+            co_await caller_.write(bytes, loop_clock::now() + write_time);
+        after_ = !written ? link_after::aborted
+                 : keep_  ? link_after::keep
+                          : link_after::close;
+    }
+
+    void count_usage()
+    {
+        if (workspace_ != nullptr && !counted_)
+        {
+            counted_ = true;
+            state_.usage.add(workspace_->name, static_cast<std::int64_t>(unix_millis()));
+        }
+    }
+
+    // Notes for logs
+
+    void note_send(backend_server const& server, std::int64_t tokens)
+    {
+        state_.log.write_step(call_.id,
+                              event_line{"send"}
+                                  .add("id", call_.id)
+                                  .add("server", server.id)
+                                  .add("run", runs_)
+                                  .add("tokens", tokens)
+                                  .add("rules", version())
+                                  .add("left_ms", deadline_ - loop_clock::now()),
+                              boot_clock::now());
+    }
+
+    void note_failed_send(exchange& link, exchange_fate fate)
+    {
+        tried_.insert(link.server().id);
+        last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
+        if (fate == exchange_fate::not_sent && runs_ > 0)
+        {
+            --runs_; // nothing has reached that server
+        }
+        if (fate == exchange_fate::unknown)
+        {
+            maybe_run_ = true;
+            state_.health.failed(link.server().id, false, boot_clock::now());
+        }
+        note_failure("send_failed", link, fate);
+    }
+
+    void note_failed_answer(exchange& link)
+    {
+        tried_.insert(link.server().id);
+        last_fault_ = "server_error";
+        maybe_run_ = true;
+        state_.health.failed(link.server().id, false, boot_clock::now());
+        note_failure("server_error", link, exchange_fate::answered);
+    }
+
+    void note_prefill_failure(exchange& link, exchange_fate fate)
+    {
+        if (fate == exchange_fate::unknown)
+        {
+            state_.health.failed(link.server().id, false, boot_clock::now());
+        }
+        note_failure("prefill_failed", link, fate);
+    }
+
+    void note_failure(std::string_view event, exchange& link, exchange_fate fate)
+    {
+        state_.counters.add("failed_sends_total",
+                            std::string{"fate=\""} + exchange_fate_name(fate) + "\"");
+        state_.log.write(event_line{event}
+                             .add("id", call_.id)
+                             .add("server", link.server().id)
+                             .add("fate", exchange_fate_name(fate))
+                             .add("fault", link.fault())
+                             .add("status", link.facts().status)
+                             .add("age_ms", boot_clock::now() - arrived_),
+                         boot_clock::now());
+    }
+
+    void note_end()
+    {
+        auto const now = boot_clock::now();
+        if (caller_.left() && end_.empty())
+        {
+            end_ = "caller_left";
+            after_ = link_after::aborted;
+        }
+        event_line line{"end"};
+        line.add("id", call_.id)
+            .add("outcome", end_)
+            .add("status", static_cast<std::int64_t>(status_))
+            .add("route", route_ == nullptr ? "" : route_->name)
+            .add("runs", runs_)
+            .add("fault", last_fault_)
+            .add("rules", version())
+            .add("keys_age_ms", now - state_.view.read_sent)
+            .add("took_ms", now - arrived_);
+        state_.counters.observe("call_seconds", now - arrived_);
+        state_.counters.add("calls_total", "outcome=\"" + std::string{end_} + "\"");
+        if (end_ == "served")
+        {
+            state_.log.write_step(call_.id, line, now);
+        }
+        else
+        {
+            state_.log.write(line, now);
+        }
+    }
+
+    std::int64_t version() const
+    {
+        return rules_ ? static_cast<std::int64_t>(rules_->version()) : 0;
+    }
+
+    // 300  ms; a refused caller comes back once a short disturbance is over
+    static constexpr millis soon{300};
+
+    entry_state&                         state_;
+    caller_link&                         caller_;
+    http_request const&                  request_;
+    caller_call                          call_;
+    boot_clock::time_point               arrived_;
+    boot_clock::time_point               first_event_{};
+    bool                                 keep_;
+    std::shared_ptr<serving_rules const> rules_;
+    route const*                         route_ = nullptr;
+    service const*                       service_ = nullptr;
+    workspace const*                     workspace_ = nullptr;
+    std::string                          service_name_;
+    std::int64_t                         rank_ = 0;
+    bool                                 repeatable_ = false;
+    loop_time                            deadline_{};
+    std::set<std::string>                tried_;
+    std::int64_t                         runs_ = 0; // sends that may have reached a server
+    bool                                 maybe_run_ = false;
+    bool                                 prefilled_ = false;
+    bool                                 started_ = false; // the caller has the stream's head
+    bool                                 counted_ = false;
+    std::string                          kept_failure_; // a server's own, in bytes
+    unsigned                             kept_status_ = 0;
+    std::string                          last_event_;
+    std::string_view                     last_fault_ = "no_server";
+    std::string_view                     end_;
+    unsigned                             status_ = 0;
+    exchange*                            current_ = nullptr;
+    link_after                           after_ = link_after::close;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/caller_link.cpp
@@ -0,0 +1,141 @@
+// Writing to callers, and watching for their leaving.
+#include "serving/caller_link.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+// 100  ms; how often a caller is looked at while its call is in work. Readiness won't do:
+//     bytes that a caller has sent ahead keep the socket readable and hide its leaving
+constexpr millis look_again{100};
+// 1000  ms and 256 KiB; longest that a closed side is still read off
+constexpr millis      linger_time{1000};
+constexpr std::size_t linger_bytes = 262144;
+constexpr std::size_t linger_piece = 4096;
+
+/// True if the other side has closed or reset, even with bytes before that unread.
+bool closed_by_peer(int handle)
+{
+    pollfd state{handle, POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) == 1 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+} // namespace
+
+caller_link::caller_link(tcp::socket socket)
+    : stream_(std::move(socket)), again_(stream_.get_executor())
+{
+    set_link_options(stream_.socket(), connection_options{});
+}
+
+asio::awaitable<bool> caller_link::write(std::string_view bytes, loop_time until)
+{
+    stream_.expires_at(until);
+    error_code error;
+    co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+    {
+        leave();
+    }
+    co_return !error;
+}
+
+void caller_link::watch(std::function<void()> on_leave)
+{
+    ++watch_;
+    on_leave_ = std::move(on_leave);
+    look_later();
+}
+
+void caller_link::unwatch()
+{
+    ++watch_;
+    on_leave_ = nullptr;
+    again_.cancel();
+}
+
+bool caller_link::left() const noexcept
+{
+    return left_;
+}
+
+void caller_link::look_later()
+{
+    again_.expires_after(look_again);
+    again_.async_wait(
+        [self = shared_from_this(), own = watch_](error_code const& error)
+        {
+            if (!error && own == self->watch_)
+            {
+                self->look();
+            }
+        });
+}
+
+void caller_link::look()
+{
+    if (!stream_.socket().is_open() || closed_by_peer(stream_.socket().native_handle()))
+    {
+        leave();
+        return;
+    }
+    look_later();
+}
+
+void caller_link::leave()
+{
+    left_ = true;
+    if (auto const told = std::exchange(on_leave_, nullptr))
+    {
+        told();
+    }
+}
+
+void caller_link::abort()
+{
+    error_code ignored; // the connection ends either way
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.socket().close(ignored);
+}
+
+asio::awaitable<void> caller_link::finish()
+{
+    error_code error;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::size_t read = 0;
+    stream_.expires_after(linger_time);
+    while (!error && read < linger_bytes)
+    {
+        buffer_.clear();
+        read += co_await stream_.async_read_some(
+            buffer_.prepare(linger_piece), asio::redirect_error(asio::use_awaitable, error));
+    }
+    error_code ignored; // closing what is closed already changes nothing
+    stream_.socket().close(ignored);
+}
+
+boost::beast::tcp_stream& caller_link::stream() noexcept
+{
+    return stream_;
+}
+
+boost::beast::flat_buffer& caller_link::buffer() noexcept
+{
+    return buffer_;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/caller_session.hpp
@@ -0,0 +1,208 @@
+// One caller's connection: requests are read strictly and served one after the other.
+//
+// Index: 1 caller_session: run, reading, refusing
+#ifndef MARIGOLDCRANK_SERVING_CALLER_SESSION_HPP
+#define MARIGOLDCRANK_SERVING_CALLER_SESSION_HPP
+
+#include "serving/call_runner.hpp"
+#include "serving/http_rules.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <optional>
+#include <set>
+
+namespace marigoldcrank
+{
+
+/// Sessions that wait for a request; a drain ends them once the balancer has noticed it.
+using idle_links = std::set<std::shared_ptr<caller_link>>;
+
+template <wire_dialect Dialect>
+class caller_session
+{
+public:
+    caller_session(entry_state& state, idle_links& idle, boost::asio::ip::tcp::socket socket)
+        : state_(state), idle_(idle),
+          link_(std::make_shared<caller_link>(std::move(socket)))
+    {
+    }
+
+    /// Serves the connection to its end.
+    boost::asio::awaitable<void> run()
+    {
+        auto after = link_after::keep;
+        while (after == link_after::keep)
+        {
+            after = co_await serve_next();
+        }
+        if (after == link_after::close)
+        {
+            co_await link_->finish();
+        }
+        else
+        {
+            link_->stream().close();
+        }
+    }
+
+private:
+    using request_parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    // 2000  ms; a caller that takes no refusal for so long is given up
+    static constexpr millis write_time{2000};
+
+    boost::asio::awaitable<link_after> serve_next()
+    {
+        auto const limits =
+            state_.view.rules ? state_.view.rules->limits() : caller_limits{};
+        if (!co_await wait_first_byte(limits))
+        {
+            co_return link_after::aborted;
+        }
+        request_parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
+        auto refusal = co_await read_head(parser, limits);
+        if (!refusal)
+        {
+            refusal = co_await read_body(parser, limits);
+        }
+        if (refusal)
+        {
+            co_return co_await refuse(*refusal);
+        }
+        auto const request = parser.release();
+        auto       call = Dialect::read_call(request.base());
+        if (auto const* fault = std::get_if<call_fault>(&call))
+        {
+            co_return co_await refuse(bad(*fault == call_fault::bad_number
+                                              ? "bad_number"
+                                              : "repeated_field"));
+        }
+        call_runner<Dialect> runner{state_, *link_, request,
+                                    std::move(std::get<caller_call>(call))};
+        co_return co_await runner.run();
+    }
+
+    /// False if the connection ended, or stayed idle for too long.
+    boost::asio::awaitable<bool> wait_first_byte(caller_limits const& limits)
+    {
+        auto& buffer = link_->buffer();
+        if (buffer.size() > 0)
+        {
+            co_return true;
+        }
+        constexpr std::size_t     piece = 4096;
+        boost::system::error_code error;
+        idle_.insert(link_);
+        link_->stream().expires_after(limits.idle_time);
+        auto const read = co_await link_->stream().async_read_some(
+            buffer.prepare(piece),
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        buffer.commit(read);
+        idle_.erase(link_);
+        co_return !error;
+    }
+
+    boost::asio::awaitable<std::optional<own_reply>> read_head(request_parser& parser,
+                                                               caller_limits const& limits)
+    {
+        boost::system::error_code error;
+        link_->stream().expires_after(limits.header_time);
+        co_await boost::beast::http::async_read_header(
+            link_->stream(), link_->buffer(), parser,
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error)
+        {
+            co_return refusal_of(error);
+        }
+        auto const fault = check_head(parser.get().base());
+        if (fault != head_fault::none)
+        {
+            co_return bad(head_fault_name(fault));
+        }
+        co_return std::nullopt;
+    }
+
+    boost::asio::awaitable<std::optional<own_reply>> read_body(request_parser& parser,
+                                                               caller_limits const& limits)
+    {
+        if (parser.get().count(boost::beast::http::field::expect) > 0 && !parser.is_done())
+        {
+            auto const until = loop_clock::now() + write_time;
+            if (!co_await link_->write("HTTP/1.1 100 Continue\r\n\r\n", until))
+            {
+                co_return bad("closed");
+            }
+        }
+        boost::system::error_code error;
+        link_->stream().expires_after(limits.idle_time);
+        co_await boost::beast::http::async_read(
+            link_->stream(), link_->buffer(), parser,
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (error)
+        {
+            co_return refusal_of(error);
+        }
+        co_return std::nullopt;
+    }
+
+    static own_reply bad(std::string_view cause)
+    {
+        return {400, call_fate::final_refusal, cause, std::nullopt};
+    }
+
+    static own_reply refusal_of(boost::system::error_code const& error)
+    {
+        namespace http = boost::beast::http;
+        if (error == http::error::header_limit)
+        {
+            return {431, call_fate::final_refusal, "header_limit", std::nullopt};
+        }
+        if (error == http::error::body_limit)
+        {
+            return {413, call_fate::final_refusal, "body_limit", std::nullopt};
+        }
+        if (error == boost::beast::error::timeout)
+        {
+            return {408, call_fate::not_run, "slow_request", std::nullopt};
+        }
+        bool const parsing =
+            error.category() == http::make_error_code(http::error::bad_method).category() &&
+            error != http::error::end_of_stream && error != http::error::partial_message;
+        return bad(parsing ? "malformed" : "closed");
+    }
+
+    /// Answers a request that can't be served as it is, and ends the connection: where the
+    /// next request begins is not certain any more.
+    boost::asio::awaitable<link_after> refuse(own_reply refusal)
+    {
+        if (refusal.cause == "closed" || !link_->stream().socket().is_open())
+        {
+            co_return link_after::aborted;
+        }
+        state_.counters.add("refusals_total", "cause=\"" + std::string{refusal.cause} +
+                                                  "\",status=\"" +
+                                                  std::to_string(refusal.status) + "\"");
+        state_.log.write(event_line{"bad_request"}
+                             .add("cause", refusal.cause)
+                             .add("status", static_cast<std::int64_t>(refusal.status)),
+                         boot_clock::now());
+        auto const bytes = format_reply(refusal, true);
+        bool const written =
+            co_await link_->write(bytes, loop_clock::now() + write_time);
+        co_return written ? link_after::close : link_after::aborted;
+    }
+
+    entry_state&                 state_;
+    idle_links&                  idle_;
+    std::shared_ptr<caller_link> link_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/duty_worker.hpp
@@ -0,0 +1,334 @@
+// Usage on every VM, and the duties of the one that holds the lease.
+//
+// Index: 1 duty_times, 2 duty_worker: usage, lease, sealing, reporting
+#ifndef MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
+#define MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
+
+#include "ledger/usage_windows.hpp"
+#include "ports/duty_port.hpp"
+#include "ports/log_store_port.hpp"
+#include "serving/entry_state.hpp"
+#include "serving/loop_sleep.hpp"
+
+namespace marigoldcrank
+{
+
+struct duty_times
+{
+    millis renew{900};    // 900   ms; three renewals fit into a lease
+    millis look{1500};    // 1500  ms; between looks of a VM that doesn't hold the lease
+    millis margin{400};   // 400   ms; drift of clocks and packets in flight
+    millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
+    millis seal{3000};    // 3000  ms after a window's end: all VMs have handed over
+    millis too_old{14000}; // 14000 ms after its end a window is not sealed any more: an
+                           //      earlier seal of it could be lost from the history
+    millis call_slack{300}; // 300 ms of the lease that must be left to begin a call
+
+    bool operator==(duty_times const&) const = default;
+};
+
+template <log_store_port Store, duty_port Duties>
+class duty_worker
+{
+public:
+    duty_worker(entry_state& state, Store& store, Duties& duties, duty_times times = {})
+        : state_(state), store_(store), duties_(duties), times_(times),
+          log_(state.incarnation,
+               duty_lease_options{state.settings.lease, times.margin},
+               boot_clock::now())
+    {
+    }
+
+    /// Hands over this VM's counts, window by window. Records whose append has failed or
+    /// got no answer are sent again; readers count each once.
+    boost::asio::awaitable<void> run_usage()
+    {
+        std::vector<std::string> waiting;
+        while (true)
+        {
+            auto const past = static_cast<std::int64_t>(unix_millis()) -
+                              times_.hand_over.count();
+            for (auto const& record :
+                 state_.usage.take_before(state_.usage.window_of(past)))
+            {
+                waiting.push_back(format_usage_record(record));
+            }
+            if (!waiting.empty())
+            {
+                auto const result = co_await store_.append(usage_lane, usage_topic(), waiting,
+                                                           std::nullopt);
+                if (std::holds_alternative<std::uint64_t>(result))
+                {
+                    waiting.clear();
+                }
+                state_.counters.add(waiting.empty() ? "usage_appends_total"
+                                                    : "usage_append_failures_total");
+            }
+            co_await loop_sleep(usage_look);
+        }
+    }
+
+    /// Follows the lease, takes it when it is free, and does the duties while it is held.
+    boost::asio::awaitable<void> run_duties()
+    {
+        while (true)
+        {
+            bool const held = log_.held_until(boot_clock::now()).has_value();
+            if (held)
+            {
+                co_await hold();
+            }
+            else
+            {
+                co_await follow();
+            }
+            note_change();
+            auto const now_held = log_.held_until(boot_clock::now()).has_value();
+            co_await loop_sleep(now_held ? times_.renew : times_.look);
+        }
+    }
+
+private:
+    static constexpr unsigned duty_lane = 2;
+    static constexpr unsigned usage_lane = 3;
+    static constexpr millis   usage_look{500}; // 500  ms; between looks for a closed window
+
+    static std::string duty_topic()
+    {
+        return "duty";
+    }
+
+    static std::string usage_topic()
+    {
+        return "usage";
+    }
+
+    // Lease
+
+    boost::asio::awaitable<void> follow()
+    {
+        bool const known = co_await catch_up();
+        if (!known || !log_.may_claim(boot_clock::now()) || state_.draining)
+        {
+            co_return;
+        }
+        std::vector<duty_record> claim{
+            duty_record{.kind = duty_kind::claim, .holder = state_.incarnation}};
+        co_await append(std::move(claim));
+    }
+
+    boost::asio::awaitable<void> hold()
+    {
+        if (state_.draining)
+        {
+            co_return; // the lease runs out, and another VM takes over
+        }
+        std::vector<duty_record> records{duty_record{
+            .kind = duty_kind::renew, .holder = state_.incarnation, .window = reported_}};
+        co_await read_usage();
+        for (auto& seal : due_seals())
+        {
+            records.push_back(std::move(seal));
+        }
+        if (co_await append(std::move(records)))
+        {
+            co_await report_sealed();
+        }
+    }
+
+    /// Appends under the condition that nothing was appended unseen.
+    boost::asio::awaitable<bool> append(std::vector<duty_record> records)
+    {
+        auto const               now = boot_clock::now();
+        auto const               number = log_.begin_append(now);
+        std::vector<std::string> texts;
+        for (auto& record : records)
+        {
+            record.number = number;
+            texts.push_back(format_duty_record(record));
+        }
+        auto const result =
+            co_await store_.append(duty_lane, duty_topic(), texts, log_.end());
+        auto const* offset = std::get_if<std::uint64_t>(&result);
+        if (offset == nullptr)
+        {
+            // Without an answer it may have been appended: what was is read back.
+            co_await catch_up();
+            co_return false;
+        }
+        for (std::size_t at = 0; at < records.size(); ++at)
+        {
+            log_.absorb(records[at], *offset + at, boot_clock::now());
+        }
+        co_return true;
+    }
+
+    boost::asio::awaitable<bool> catch_up()
+    {
+        auto result = co_await store_.read(duty_lane, duty_topic(), log_.end(), millis{0});
+        if (auto const* failure = std::get_if<store_failure>(&result))
+        {
+            if (failure->fault == store_fault::trimmed && failure->offset > 0)
+            {
+                log_.skip(failure->offset - 1, boot_clock::now());
+            }
+            co_return false;
+        }
+        auto const& chunk = std::get<log_chunk>(result);
+        for (std::size_t at = 0; at < chunk.records.size(); ++at)
+        {
+            auto const record = parse_duty_record(chunk.records[at]);
+            if (record)
+            {
+                log_.absorb(*record, chunk.from + at, boot_clock::now());
+            }
+            else
+            {
+                log_.skip(chunk.from + at, boot_clock::now());
+            }
+        }
+        co_return chunk.from + chunk.records.size() >= chunk.end;
+    }
+
+    void note_change()
+    {
+        auto const now = boot_clock::now();
+        bool const held = log_.held_until(now).has_value();
+        if (held == held_)
+        {
+            return;
+        }
+        held_ = held;
+        state_.log.write(event_line{held ? "lease_held" : "lease_lost"}
+                             .add("epoch", static_cast<std::int64_t>(log_.epoch()))
+                             .add("holder", log_.holder())
+                             .add("end", static_cast<std::int64_t>(log_.end())),
+                         now);
+    }
+
+    // Sealing
+
+    boost::asio::awaitable<void> read_usage()
+    {
+        auto result =
+            co_await store_.read(duty_lane, usage_topic(), usage_next_, millis{0});
+        if (auto const* failure = std::get_if<store_failure>(&result))
+        {
+            usage_next_ = failure->fault == store_fault::trimmed ? failure->offset
+                                                                 : usage_next_;
+            usage_read_ = false;
+            co_return;
+        }
+        auto const& chunk = std::get<log_chunk>(result);
+        for (auto const& text : chunk.records)
+        {
+            if (auto const record = parse_usage_record(text))
+            {
+                sum_.absorb(*record);
+            }
+        }
+        usage_next_ = chunk.from + chunk.records.size();
+        usage_read_ = usage_next_ >= chunk.end;
+    }
+
+    /// Windows whose counts are in and that nobody has sealed yet.
+    std::vector<duty_record> due_seals()
+    {
+        std::vector<duty_record> seals;
+        auto const length = state_.settings.usage_window.count();
+        auto const now = static_cast<std::int64_t>(unix_millis());
+        auto const last = (now - times_.seal.count()) / length - 1;
+        auto const first = (now - times_.too_old.count()) / length;
+        sum_.forget_before(first - 1);
+        if (!usage_read_)
+        {
+            return seals;
+        }
+        for (auto window = first; window <= last; ++window)
+        {
+            auto counts = sum_.of(window);
+            if (!counts.empty() && log_.sealed().count(window) == 0)
+            {
+                seals.push_back({.kind = duty_kind::seal,
+                                 .holder = state_.incarnation,
+                                 .window = window,
+                                 .counts = std::move(counts)});
+            }
+        }
+        return seals;
+    }
+
+    // Reporting
+
+    boost::asio::awaitable<void> report_sealed()
+    {
+        auto const done = std::max(reported_, log_.reported());
+        std::vector<std::pair<std::int64_t, usage_counts>> due;
+        for (auto const& [window, counts] : log_.sealed())
+        {
+            if (window > done)
+            {
+                due.emplace_back(window, counts);
+            }
+        }
+        reported_ = done;
+        for (auto const& [window, counts] : due)
+        {
+            auto const sender = authority();
+            if (!sender)
+            {
+                co_return;
+            }
+            auto const outcome = co_await duties_.report_usage(*sender, window, counts);
+            note_report(window, counts, *sender, outcome);
+            if (outcome != duty_outcome::accepted)
+            {
+                co_return; // sealed, so the repeat will bear the same figures
+            }
+            reported_ = window;
+        }
+    }
+
+    /// The right to call now; nothing if too little of the lease is left.
+    std::optional<duty_sender> authority() const
+    {
+        auto const now = boot_clock::now();
+        auto const until = log_.held_until(now);
+        if (!until || *until - now < times_.call_slack)
+        {
+            return std::nullopt;
+        }
+        return duty_sender{state_.settings.name, log_.epoch(), loop_clock::now() + (*until - now)};
+    }
+
+    void note_report(std::int64_t window, usage_counts const& counts,
+                     duty_sender const& sender, duty_outcome outcome)
+    {
+        std::int64_t sum = 0;
+        for (auto const& [workspace, count] : counts)
+        {
+            sum += count;
+        }
+        state_.log.write(event_line{"usage_report"}
+                             .add("window", window)
+                             .add("requests", sum)
+                             .add("epoch", static_cast<std::int64_t>(sender.epoch))
+                             .add("outcome", static_cast<std::int64_t>(outcome)),
+                         boot_clock::now());
+    }
+
+    entry_state& state_;
+    Store&       store_;
+    Duties&      duties_;
+    duty_times   times_;
+    duty_log     log_;
+    usage_sum    sum_;
+    std::uint64_t usage_next_ = 0;
+    bool         usage_read_ = false;
+    bool         held_ = false;
+    std::int64_t reported_ = 0;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/entry_node.hpp
@@ -0,0 +1,197 @@
+// An entry VM's daemon: its parts, its start, its graceful shutdown.
+//
+// Index: 1 entry_node: start, run, drain
+#ifndef MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
+#define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
+
+#include "serving/caller_session.hpp"
+#include "serving/duty_worker.hpp"
+#include "serving/listener.hpp"
+#include "serving/status_server.hpp"
+#include "serving/store_followers.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace marigoldcrank
+{
+
+template <wire_dialect Dialect, log_store_port Store, store_codec Codec, duty_port Duties>
+class entry_node
+{
+public:
+    entry_node(entry_settings settings, std::string settings_file)
+        : file_(std::move(settings_file)),
+          state_(settings, settings.name + "/" + std::to_string(unix_millis())),
+          store_(settings.store), duties_(settings.duties), rules_(state_, store_),
+          servers_(state_, store_), worker_(state_, store_, duties_),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    /// Serves until a signal has drained it. Throws boost::system::system_error if an
+    /// address can't be listened on.
+    void run()
+    {
+        listen();
+        spawn(rules_.run());
+        spawn(servers_.run());
+        spawn(worker_.run_usage());
+        spawn(worker_.run_duties());
+        spawn(keep_house());
+        spawn(await_signals());
+        state_.log.write(event_line{"start"}
+                             .add("vm", state_.settings.name)
+                             .add("incarnation", state_.incarnation)
+                             .add("data_centre", state_.settings.data_centre)
+                             .add("first_start", state_.settings.first_start ? 1 : 0),
+                         boot_clock::now());
+        loop_.run();
+        state_.log.flush(boot_clock::now());
+    }
+
+private:
+    // 200   ms; lines wait no longer, and idle connections are looked through
+    static constexpr millis house_pause{200};
+    // 50    ms; between looks at whether all calls have ended
+    static constexpr millis drain_look{50};
+    // 700   ms of the grace are left for the last answers to be taken
+    static constexpr millis drain_reserve{700};
+
+    void spawn(boost::asio::awaitable<void> work)
+    {
+        boost::asio::co_spawn(loop_, std::move(work), boost::asio::detached);
+    }
+
+    void listen()
+    {
+        listen_on(loop_, state_.settings.callers,
+                  [this](boost::asio::ip::tcp::socket socket)
+                  {
+                      auto run = [](std::shared_ptr<caller_session<Dialect>> session)
+                          -> boost::asio::awaitable<void> { co_await session->run(); };
+                      spawn(run(std::make_shared<caller_session<Dialect>>(
+                          state_, idle_, std::move(socket))));
+                  });
+        serve_status(loop_, state_.settings.readiness,
+                     [this]
+                     {
+                         bool const ready = state_.ready(boot_clock::now());
+                         return status_answer{ready ? 200U : 503U, ""};
+                     });
+        if (state_.settings.metrics.port != 0)
+        {
+            serve_status(loop_, state_.settings.metrics,
+                         [this] { return status_answer{200, state_.counters.exposition()}; });
+        }
+        state_.counters.watch("log_lines_dropped_total", "",
+                              [this] { return state_.log.dropped(); });
+    }
+
+    boost::asio::awaitable<void> keep_house()
+    {
+        while (true)
+        {
+            state_.pool.trim(loop_clock::now());
+            state_.log.flush(boot_clock::now());
+            note_readiness();
+            co_await loop_sleep(house_pause);
+        }
+    }
+
+    void note_readiness()
+    {
+        auto const now = boot_clock::now();
+        bool const ready = state_.ready(now);
+        if (ready != ready_)
+        {
+            ready_ = ready;
+            state_.log.write(event_line{ready ? "ready" : "not_ready"}
+                                 .add("keys_age_ms", now - state_.view.read_sent)
+                                 .add("servers", static_cast<std::int64_t>(
+                                                     state_.servers.servers().size())),
+                             now);
+        }
+    }
+
+    boost::asio::awaitable<void> await_signals()
+    {
+        while (true)
+        {
+            auto const number = co_await signals_.async_wait(boost::asio::use_awaitable);
+            if (number != SIGHUP)
+            {
+                break;
+            }
+            reload();
+        }
+        co_await drain();
+        loop_.stop();
+    }
+
+    /// Takes over the bounds from a changed settings file; addresses stay as they are.
+    void reload()
+    {
+        auto const now = boot_clock::now();
+        bool const taken = leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_AUTO(value, load_entry_settings(file_));
+                state_.settings = value;
+                return true;
+            },
+            [] { return false; });
+        state_.log.write(event_line{"reload"}.add("taken", taken ? 1 : 0), now);
+    }
+
+    /// Not ready at once, but serving until the balancer has noticed; then idle connections
+    /// end, and calls in work get the rest of the grace.
+    boost::asio::awaitable<void> drain()
+    {
+        auto const began = boot_clock::now();
+        state_.draining = true;
+        state_.log.write(event_line{"stop"}.add("calls", state_.calls_in_work), began);
+        co_await loop_sleep(state_.settings.drain_notice);
+        end_idle_links();
+        auto const limit = state_.settings.grace - drain_reserve;
+        while (boot_clock::now() - began < limit &&
+               (state_.calls_in_work > 0 || !idle_.empty()))
+        {
+            end_idle_links();
+            co_await loop_sleep(drain_look);
+        }
+        state_.log.write(event_line{"stopped"}
+                             .add("calls", state_.calls_in_work)
+                             .add("took_ms", boot_clock::now() - began),
+                         boot_clock::now());
+    }
+
+    /// Closing our side first lets a request that crosses it be told apart by its sender.
+    void end_idle_links()
+    {
+        auto const links = std::exchange(idle_, {});
+        for (auto const& link : links)
+        {
+            boost::system::error_code ignored; // it may have closed by itself
+            link->stream().socket().shutdown(
+                boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        }
+    }
+
+    std::string                      file_;
+    boost::asio::io_context          loop_{1};
+    entry_state                      state_;
+    Store                            store_;
+    Duties                           duties_;
+    rules_follower<Store, Codec>     rules_;
+    servers_follower<Store, Codec>   servers_;
+    duty_worker<Store, Duties>       worker_;
+    idle_links                       idle_;
+    boost::asio::signal_set          signals_;
+    bool                             ready_ = false;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/entry_state.hpp
@@ -0,0 +1,105 @@
+// What one daemon believes and counts: rules, servers, loads, budgets, usage.
+//
+// Index: 1 server_load, 2 rules_view, 3 entry_state
+//
+// Confined to the event loop's thread, which is the one that an entry VM's quarter of a core
+// feeds: it has no locks because nothing else may touch it.
+#ifndef MARIGOLDCRANK_SERVING_ENTRY_STATE_HPP
+#define MARIGOLDCRANK_SERVING_ENTRY_STATE_HPP
+
+#include "adapters/event_log.hpp"
+#include "adapters/metrics.hpp"
+#include "domain/entry_settings.hpp"
+#include "domain/serving_rules.hpp"
+#include "ledger/server_list.hpp"
+#include "ledger/usage_windows.hpp"
+#include "policy/placement.hpp"
+#include "policy/retry_budget.hpp"
+#include "policy/server_health.hpp"
+#include "serving/connection_pool.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Calls of this VM at one server.
+struct server_load
+{
+    std::int64_t running = 0;
+    std::int64_t prompt_backlog = 0; // tokens
+};
+
+/// The rules in force and how old the knowledge is.
+struct rules_view
+{
+    std::shared_ptr<serving_rules const> rules; // null: none known yet
+    boot_clock::time_point               read_sent{}; // of the newest answered read
+};
+
+class entry_state
+{
+public:
+    entry_state(entry_settings value, std::string incarnation_name);
+
+    /// True while keys may be believed: a read sent within the safe part of their life was
+    /// answered. Failure guarded against: a withdrawn key that goes on working at a VM which
+    /// can't reach the store.
+    bool keys_fresh(boot_clock::time_point now) const;
+
+    /// Whether the balancer should send new connections here.
+    bool ready(boot_clock::time_point now) const;
+
+    /// Servers of `service` that may get new work, with our load; without those `tried`.
+    std::vector<candidate> candidates(std::string const&           service,
+                                      std::set<std::string> const& tried,
+                                      boot_clock::time_point       now) const;
+
+    /// The bucket of retries for a service, this VM's share of it.
+    retry_budget& budget(std::string const& service);
+
+    std::uint64_t ticket();
+
+    entry_settings                     settings;
+    std::string                        incarnation;
+    rules_view                         view;
+    server_list                        servers;
+    std::map<std::string, server_load> loads;
+    server_health                      health;
+    connection_pool                    pool;
+    usage_counter                      usage;
+    event_log                          log;
+    metrics                            counters;
+    bool                               draining = false;
+    std::int64_t                       calls_in_work = 0;
+
+private:
+    std::map<std::string, retry_budget> budgets_;
+    std::mt19937_64                     random_;
+};
+
+/// Holds a call's share of a server's load for as long as it lives.
+class load_share
+{
+public:
+    load_share(entry_state& state, std::string server, std::int64_t prompt_tokens);
+    ~load_share();
+    load_share(load_share const&) = delete;
+    load_share& operator=(load_share const&) = delete;
+
+    /// The prompt has been read: its tokens wait no longer.
+    void prompt_read();
+
+private:
+    entry_state& state_;
+    std::string  server_;
+    std::int64_t tokens_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/http_connection.cpp
@@ -0,0 +1,199 @@
+// Steps of an exchange over Asio and Beast.
+//
+// Index: 1 options, 2 connect and send, 3 reading, 4 state
+#include "serving/http_connection.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t background_bytes = 4096; // longer bodies are sent in the background
+
+link_step step_of(error_code const& error)
+{
+    if (!error)
+    {
+        return link_step::ok;
+    }
+    return error == beast::error::timeout ? link_step::timed_out : link_step::broken;
+}
+
+template <class Value>
+void set_option(int socket, int level, int name, Value value)
+{
+    // A kernel that lacks an option still serves; time-outs of each step remain.
+    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
+}
+
+} // namespace
+
+// 1. Options
+
+void set_link_options(tcp::socket& socket, connection_options const& options)
+{
+    auto const handle = socket.native_handle();
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, options.probe_idle_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, options.probe_every_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, options.probe_count);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, options.unacknowledged_ms);
+}
+
+http_connection::http_connection(asio::any_io_executor executor) : stream_(executor) {}
+
+// 2. Connect and send
+
+asio::awaitable<link_step> http_connection::connect(socket_address const& address,
+                                                    loop_time             until)
+{
+    error_code error;
+    auto const ip = asio::ip::make_address(address.host, error);
+    if (error)
+    {
+        co_return link_step::broken;
+    }
+    tcp::endpoint const endpoint{ip, address.port};
+    stream_.expires_at(until);
+    co_await stream_.async_connect(endpoint,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+    {
+        set_link_options(stream_.socket(), connection_options{});
+    }
+    co_return step_of(error);
+}
+
+asio::awaitable<link_step> http_connection::send(http_request request, loop_time until)
+{
+    stream_.expires_at(until);
+    whole_ = false;
+    if (request.body().size() <= background_bytes)
+    {
+        error_code error;
+        co_await http::async_write(stream_, request,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        co_return step_of(error);
+    }
+    writing_ = true;
+    auto write = [](std::shared_ptr<http_connection> self,
+                    http_request message) -> asio::awaitable<void>
+    {
+        error_code error;
+        co_await http::async_write(self->stream_, message,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        self->writing_ = false;
+        self->write_failed_ = static_cast<bool>(error);
+    };
+    asio::co_spawn(stream_.get_executor(), write(shared_from_this(), std::move(request)),
+                   asio::detached);
+    co_return link_step::ok;
+}
+
+// 3. Reading
+
+asio::awaitable<link_step> http_connection::read_head(bool head_only, loop_time until)
+{
+    constexpr unsigned informational = 200;
+    whole_ = false;
+    do
+    {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        parser_->skip(head_only);
+        stream_.expires_at(until);
+        error_code error;
+        co_await http::async_read_header(stream_, buffer_, *parser_,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+        {
+            bool const ours = error.category() ==
+                              http::make_error_code(http::error::end_of_stream).category();
+            bool const ended = error == http::error::end_of_stream ||
+                               error == http::error::partial_message;
+            co_return ours && !ended ? link_step::malformed : step_of(error);
+        }
+    } while (parser_->get().result_int() < informational);
+    whole_ = parser_->is_done();
+    co_return link_step::ok;
+}
+
+answer_head const& http_connection::head() const
+{
+    return parser_->get().base();
+}
+
+asio::awaitable<body_step> http_connection::read_body(std::string& out, loop_time until)
+{
+    if (parser_->is_done())
+    {
+        whole_ = true;
+        co_return body_step::whole;
+    }
+    std::array<char, body_piece> piece;
+    auto&                        body = parser_->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    stream_.expires_at(until);
+    error_code error;
+    co_await http::async_read_some(stream_, buffer_, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    out.append(piece.data(), piece.size() - body.size);
+    body.data = nullptr;
+    if (error && error != http::error::need_buffer)
+    {
+        co_return error == beast::error::timeout ? body_step::timed_out : body_step::broken;
+    }
+    whole_ = parser_->is_done();
+    co_return whole_ ? body_step::whole : body_step::more;
+}
+
+// 4. State
+
+bool http_connection::reusable() const
+{
+    return whole_ && !writing_ && !write_failed_ && buffer_.size() == 0 && parser_ &&
+           parser_->get().keep_alive() && !parser_->get().need_eof() &&
+           stream_.socket().is_open();
+}
+
+bool http_connection::quiet() const
+{
+    if (!stream_.socket().is_open())
+    {
+        return false;
+    }
+    char       byte = 0;
+    auto const handle = const_cast<beast::tcp_stream&>(stream_).socket().native_handle();
+    auto const count = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void http_connection::close()
+{
+    error_code ignored; // closing what is closed already changes nothing
+    stream_.socket().close(ignored);
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/http_rules.cpp
@@ -0,0 +1,109 @@
+// Checks and copies of heads.
+#include "serving/http_rules.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace marigoldcrank
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool bad_target(std::string_view target)
+{
+    return target.empty() || target.front() != '/' ||
+           std::any_of(target.begin(), target.end(), [](unsigned char letter)
+                       { return letter <= ' ' || letter == 0x7f || letter == '#'; });
+}
+
+} // namespace
+
+head_fault check_head(request_head const& head)
+{
+    if (head.count(http::field::host) != 1 || bare_host(view(head[http::field::host])).empty())
+    {
+        return head_fault::host;
+    }
+    auto const lengths = head.count(http::field::content_length);
+    auto const codings = head.count(http::field::transfer_encoding);
+    if (lengths > 1 || (lengths == 1 && codings > 0) ||
+        (lengths == 1 && !parse_whole_number(view(head[http::field::content_length]))))
+    {
+        return head_fault::length;
+    }
+    if (codings > 1 ||
+        (codings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")))
+    {
+        return head_fault::transfer_coding;
+    }
+    return bad_target(view(head.target())) ? head_fault::target : head_fault::none;
+}
+
+char const* head_fault_name(head_fault value)
+{
+    switch (value)
+    {
+    case head_fault::host:
+        return "host";
+    case head_fault::length:
+        return "length";
+    case head_fault::transfer_coding:
+        return "transfer_coding";
+    case head_fault::target:
+        return "target";
+    case head_fault::none:
+        break;
+    }
+    return "none";
+}
+
+bool hop_field(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> names{
+        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",     "Expect"};
+    return std::any_of(names.begin(), names.end(), [&](std::string_view each)
+                       { return boost::beast::iequals(each, name); });
+}
+
+bool named_by_connection(http::fields const& fields, std::string_view name)
+{
+    auto const [first, last] = fields.equal_range(http::field::connection);
+    return std::any_of(first, last, [&](auto const& field)
+                       { return http::token_list{field.value()}.exists(name); });
+}
+
+std::string bare_host(std::string_view host)
+{
+    auto const  colon = host.rfind(':');
+    bool const  bracketed = !host.empty() && host.back() == ']';
+    std::string result{colon == std::string_view::npos || bracketed ? host
+                                                                    : host.substr(0, colon)};
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return result;
+}
+
+std::optional<std::int64_t> parse_whole_number(std::string_view text)
+{
+    std::int64_t value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    bool const whole = error == std::errc{} && end == text.data() + text.size() &&
+                       !text.empty() && text.front() != '-';
+    return whole ? std::optional{value} : std::nullopt;
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/listener.cpp
@@ -0,0 +1,55 @@
+// The accept loop.
+#include "serving/listener.hpp"
+
+#include "serving/loop_sleep.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+// 1024  connections; a full queue drops the opening packet, which is sent again only after a
+//       second
+constexpr int backlog = 1024;
+// 100   ms; without descriptors the next try of accepting waits for one to be closed
+constexpr millis no_descriptor_pause{100};
+
+asio::awaitable<void> accept_all(tcp::acceptor                    acceptor,
+                                 std::function<void(tcp::socket)> handler)
+{
+    while (true)
+    {
+        boost::system::error_code error;
+        auto socket = co_await acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+        {
+            co_await loop_sleep(no_descriptor_pause);
+            continue;
+        }
+        handler(std::move(socket));
+    }
+}
+
+} // namespace
+
+void listen_on(asio::io_context& loop, socket_address const& address,
+               std::function<void(tcp::socket)> handler)
+{
+    tcp::endpoint const endpoint{asio::ip::make_address(address.host), address.port};
+    tcp::acceptor       acceptor{loop};
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(backlog);
+    asio::co_spawn(loop, accept_all(std::move(acceptor), std::move(handler)), asio::detached);
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/listener.hpp
@@ -0,0 +1,24 @@
+// Accepts connections on one address.
+//
+// Index: listen_on
+#ifndef MARIGOLDCRANK_SERVING_LISTENER_HPP
+#define MARIGOLDCRANK_SERVING_LISTENER_HPP
+
+#include "domain/entry_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+
+namespace marigoldcrank
+{
+
+/// Calls `handler` with each accepted connection for as long as the loop runs. Throws
+/// boost::system::system_error if the address can't be listened on.
+void listen_on(boost::asio::io_context& loop, socket_address const& address,
+               std::function<void(boost::asio::ip::tcp::socket)> handler);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/store_followers.hpp
@@ -0,0 +1,356 @@
+// Follows what the operators and the servers write into the store.
+//
+// Index: 1 store_codec, 2 follow_options, 3 rules_follower, 4 servers_follower
+//
+// Both begin with the newest record of each key and then read on. Records may be dropped
+// from the history at any time; then the newest ones are read again.
+#ifndef MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
+#define MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
+
+#include "ports/log_store_port.hpp"
+#include "serving/entry_state.hpp"
+#include "serving/loop_sleep.hpp"
+
+#include <concepts>
+
+namespace marigoldcrank
+{
+
+/// Names and forms of the topics that others write.
+template <class Codec>
+concept store_codec = requires(std::string const& text, std::uint64_t offset) {
+    {
+        Codec::rules_topic()
+    } -> std::convertible_to<std::string>;
+    {
+        Codec::rules_key()
+    } -> std::convertible_to<std::string>;
+    {
+        Codec::servers_topic()
+    } -> std::convertible_to<std::string>;
+    {
+        Codec::keyed(text, offset)
+    } -> std::same_as<std::optional<keyed_record>>;
+    {
+        Codec::rules(text)
+    } -> std::same_as<std::optional<serving_rules>>;
+    {
+        Codec::server(text, text)
+    } -> std::same_as<std::optional<backend_server>>;
+};
+
+struct follow_options
+{
+    // 1500  ms; longest a read for rules waits at the store. Keys are believed for some
+    //       seconds from the sending of the last answered read, so two of these and a
+    //       second try on a new connection must fit into that time.
+    millis rules_wait{1500};
+    // 900   ms; pause between reads of the servers' entries, which change all the time.
+    //       A leaving server gets no new work within two seconds of its notice.
+    millis servers_pause{900};
+    // 150 to 800  ms; pause after a failed read, doubled each time
+    millis first_retry{150};
+    millis longest_retry{800};
+
+    bool operator==(follow_options const&) const = default;
+};
+
+/// Pause before the next try of a failing read.
+class retry_pause
+{
+public:
+    explicit retry_pause(follow_options const& options)
+        : options_(options), next_(options.first_retry)
+    {
+    }
+
+    millis take(std::uint64_t ticket)
+    {
+        auto const pause = next_;
+        next_ = std::min(next_ * 2, options_.longest_retry);
+        // Spread over half to whole, so that VMs that failed together don't return together.
+        return pause / 2 + millis{static_cast<std::int64_t>(
+                               ticket % static_cast<std::uint64_t>(pause.count() / 2 + 1))};
+    }
+
+    void reset()
+    {
+        next_ = options_.first_retry;
+    }
+
+private:
+    follow_options options_;
+    millis         next_;
+};
+
+template <log_store_port Store, store_codec Codec>
+class rules_follower
+{
+public:
+    rules_follower(entry_state& state, Store& store, follow_options options = {})
+        : state_(state), store_(store), options_(options), pause_(options)
+    {
+    }
+
+    boost::asio::awaitable<void> run()
+    {
+        while (true)
+        {
+            auto const sent = boot_clock::now();
+            auto const failure =
+                known_ ? co_await read_on() : co_await read_newest();
+            if (!failure)
+            {
+                state_.view.read_sent = sent;
+                note_reachable(true, store_fault::unreachable);
+                pause_.reset();
+                continue;
+            }
+            known_ = known_ && failure->fault != store_fault::trimmed;
+            note_reachable(false, failure->fault);
+            co_await loop_sleep(pause_.take(state_.ticket()));
+        }
+    }
+
+private:
+    static constexpr unsigned lane = 0;
+
+    boost::asio::awaitable<std::optional<store_failure>> read_newest()
+    {
+        std::string after;
+        while (true)
+        {
+            auto result = co_await store_.newest(lane, Codec::rules_topic(), after);
+            if (auto const* failure = std::get_if<store_failure>(&result))
+            {
+                co_return *failure;
+            }
+            auto const& page = std::get<keyed_page>(result);
+            for (auto const& record : page.records)
+            {
+                take(record);
+            }
+            next_ = after.empty() ? page.end : next_; // later pages may miss changes to it
+            if (!page.more || page.records.empty())
+            {
+                known_ = true;
+                co_return std::nullopt;
+            }
+            after = page.records.back().key;
+        }
+    }
+
+    boost::asio::awaitable<std::optional<store_failure>> read_on()
+    {
+        auto const wait = lost_ ? millis{0} : options_.rules_wait;
+        auto result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
+        if (auto const* failure = std::get_if<store_failure>(&result))
+        {
+            co_return *failure;
+        }
+        auto const& chunk = std::get<log_chunk>(result);
+        for (std::size_t at = 0; at < chunk.records.size(); ++at)
+        {
+            if (auto const record = Codec::keyed(chunk.records[at], chunk.from + at))
+            {
+                take(*record);
+            }
+        }
+        next_ = chunk.from + chunk.records.size();
+        co_return std::nullopt;
+    }
+
+    /// A version only ever gives way to a newer one, whatever order records are read in.
+    void take(keyed_record const& record)
+    {
+        if (record.key != Codec::rules_key() || !record.value)
+        {
+            return;
+        }
+        auto       rules = Codec::rules(*record.value);
+        auto const now = boot_clock::now();
+        if (!rules)
+        {
+            state_.log.write(event_line{"rules_unreadable"}.add(
+                                 "offset", static_cast<std::int64_t>(record.offset)),
+                             now);
+            return;
+        }
+        bool const newer = !state_.view.rules || rules->version() > state_.view.rules->version();
+        if (!newer)
+        {
+            return;
+        }
+        auto const version = static_cast<std::int64_t>(rules->version());
+        state_.log.write(event_line{"rules"}
+                             .add("version", version)
+                             .add("offset", static_cast<std::int64_t>(record.offset))
+                             .add("routes", static_cast<std::int64_t>(rules->routes().size())),
+                         now);
+        state_.view.rules = std::make_shared<serving_rules const>(std::move(*rules));
+    }
+
+    void note_reachable(bool reachable, store_fault fault)
+    {
+        if (lost_ == !reachable)
+        {
+            return;
+        }
+        lost_ = !reachable;
+        auto const now = boot_clock::now();
+        state_.log.write(event_line{reachable ? "store_regained" : "store_lost"}
+                             .add("topic", Codec::rules_topic())
+                             .add("fault", static_cast<std::int64_t>(fault))
+                             .add("age_ms", now - state_.view.read_sent),
+                         now);
+    }
+
+    entry_state&   state_;
+    Store&         store_;
+    follow_options options_;
+    retry_pause    pause_;
+    std::uint64_t  next_ = 0;
+    bool           known_ = false;
+    bool           lost_ = false;
+};
+
+template <log_store_port Store, store_codec Codec>
+class servers_follower
+{
+public:
+    servers_follower(entry_state& state, Store& store, follow_options options = {})
+        : state_(state), store_(store), options_(options), pause_(options)
+    {
+    }
+
+    boost::asio::awaitable<void> run()
+    {
+        while (true)
+        {
+            auto const failure =
+                known_ ? co_await read_on() : co_await read_newest();
+            auto const now = boot_clock::now();
+            if (failure)
+            {
+                known_ = known_ && failure->fault != store_fault::trimmed;
+                state_.servers.store_lost();
+                co_await loop_sleep(pause_.take(state_.ticket()));
+                continue;
+            }
+            state_.servers.store_answered(now);
+            pause_.reset();
+            for (auto const& id : state_.servers.expire(now))
+            {
+                forget(id, "lapsed");
+            }
+            co_await loop_sleep(options_.servers_pause);
+        }
+    }
+
+private:
+    static constexpr unsigned lane = 1;
+
+    boost::asio::awaitable<std::optional<store_failure>> read_newest()
+    {
+        std::vector<backend_server> all;
+        std::string                 after;
+        while (true)
+        {
+            auto result = co_await store_.newest(lane, Codec::servers_topic(), after);
+            if (auto const* failure = std::get_if<store_failure>(&result))
+            {
+                co_return *failure;
+            }
+            auto const& page = std::get<keyed_page>(result);
+            for (auto const& record : page.records)
+            {
+                if (auto server = Codec::server(record.key, *record.value))
+                {
+                    all.push_back(std::move(*server));
+                }
+            }
+            next_ = after.empty() ? page.end : next_; // later pages may miss changes to it
+            if (!page.more || page.records.empty())
+            {
+                break;
+            }
+            after = page.records.back().key;
+        }
+        known_ = true;
+        // The listing is believed only now that the store is known to be back.
+        state_.servers.store_answered(boot_clock::now());
+        state_.servers.replace(all, boot_clock::now());
+        state_.log.write(event_line{"servers"}.add("count",
+                                                   static_cast<std::int64_t>(all.size())),
+                         boot_clock::now());
+        co_return std::nullopt;
+    }
+
+    boost::asio::awaitable<std::optional<store_failure>> read_on()
+    {
+        auto result = co_await store_.read(lane, Codec::servers_topic(), next_, millis{0});
+        if (auto const* failure = std::get_if<store_failure>(&result))
+        {
+            co_return *failure;
+        }
+        auto const& chunk = std::get<log_chunk>(result);
+        state_.servers.store_answered(boot_clock::now());
+        for (std::size_t at = 0; at < chunk.records.size(); ++at)
+        {
+            if (auto const record = Codec::keyed(chunk.records[at], chunk.from + at))
+            {
+                take(*record);
+            }
+        }
+        next_ = chunk.from + chunk.records.size();
+        co_return std::nullopt;
+    }
+
+    void take(keyed_record const& record)
+    {
+        auto const server =
+            record.value ? Codec::server(record.key, *record.value) : std::nullopt;
+        auto const now = boot_clock::now();
+        if (!server)
+        {
+            if (state_.servers.drop(record.key, now))
+            {
+                forget(record.key, record.value ? "unreadable" : "removed");
+            }
+            return;
+        }
+        if (state_.servers.put(*server))
+        {
+            state_.log.write(event_line{"server"}
+                                 .add("server", server->id)
+                                 .add("service", server->group)
+                                 .add("data_centre", server->data_centre)
+                                 .add("leaving", server->leaving ? 1 : 0)
+                                 .add("role", static_cast<std::int64_t>(server->role))
+                                 .add("offset", static_cast<std::int64_t>(record.offset)),
+                             now);
+        }
+    }
+
+    void forget(std::string const& id, std::string_view cause)
+    {
+        state_.log.write(event_line{"server_gone"}.add("server", id).add("cause", cause),
+                         boot_clock::now());
+        if (state_.servers.servers().count(id) == 0)
+        {
+            state_.pool.drop(id);
+            state_.health.forget(id);
+        }
+    }
+
+    entry_state&   state_;
+    Store&         store_;
+    follow_options options_;
+    retry_pause    pause_;
+    std::uint64_t  next_ = 0;
+    bool           known_ = false;
+};
+
+} // namespace marigoldcrank
+
+#endif
