--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -88,65 +88,93 @@
 
 // 3. Model
 
+namespace
+{
+
+/// Costs that all model placements share.
+class model_costs
+{
+public:
+    model_costs(std::string const& data_centre, placement_options const& options)
+        : data_centre_(data_centre), options_(options)
+    {
+    }
+
+    double waiting(candidate const& each) const
+    {
+        auto const streams = static_cast<double>(each.running * options_.stream_tokens);
+        return options_.peer_factor * (static_cast<double>(each.prompt_backlog) + streams);
+    }
+
+    double distance(candidate const& each) const
+    {
+        bool const near = each.server->data_centre == data_centre_;
+        return (near ? 0.0 : static_cast<double>(options_.distance_tokens)) +
+               (each.suspect ? suspect_cost : 0.0);
+    }
+
+private:
+    std::string const&       data_centre_;
+    placement_options const& options_;
+};
+
+constexpr double unfit = std::numeric_limits<double>::infinity();
+
+} // namespace
+
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
                                      caller_call const&            call,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options)
 {
-    auto const  shared = call.shared_part();
-    auto const  all = static_cast<double>(call.prompt_tokens());
-    auto const  own = static_cast<double>(call.own_tokens());
-    auto const* prefill_home = home_of(candidates, shared, true);
-    auto const* decode_home = home_of(candidates, shared, false);
-    auto const  near = [&](candidate const& each)
-    {
-        bool const same = each.server->data_centre == data_centre;
-        return (same ? 0.0 : static_cast<double>(options.distance_tokens)) +
-               (each.suspect ? suspect_cost : 0.0);
-    };
-    auto const waiting = [&](candidate const& each)
+    model_costs const costs{data_centre, options};
+    auto const        shared = call.shared_part();
+    auto const        all = static_cast<double>(call.prompt_tokens());
+    auto const        own = static_cast<double>(call.own_tokens());
+    auto const*       prefill_home = home_of(candidates, shared, true);
+    auto const*       decode_home = home_of(candidates, shared, false);
+    auto const        unread = [&](candidate const& each, backend_server const* home)
     {
-        return options.peer_factor *
-               (static_cast<double>(each.prompt_backlog) +
-                static_cast<double>(each.running * options.stream_tokens));
+        return each.server == home && !shared.empty() ? own : all;
     };
-    auto const none = std::numeric_limits<double>::infinity();
-    auto const reads_itself = [&](candidate const& each)
-    {
-        if (each.server->role == engine_role::prefill)
+    auto const whole = cheapest(
+        candidates, ticket,
+        [&](candidate const& each)
         {
-            return none;
-        }
-        auto const unread = each.server == decode_home && !shared.empty() ? own : all;
-        return options.decode_reads_slower * (waiting(each) + unread) + near(each);
-    };
-    auto const reads_first = [&](candidate const& each)
-    {
-        if (each.server->role != engine_role::prefill)
+            bool const fits = each.server->role != engine_role::prefill;
+            auto const tokens = costs.waiting(each) + unread(each, decode_home);
+            return fits ? options.decode_reads_slower * tokens + costs.distance(each)
+                        : unfit;
+        });
+    auto const first = cheapest(
+        candidates, ticket,
+        [&](candidate const& each)
         {
-            return none;
-        }
-        auto const unread = each.server == prefill_home && !shared.empty() ? own : all;
-        return waiting(each) + unread + near(each);
-    };
-    auto const takes_over = [&](candidate const& each)
-    {
-        return each.server->role == engine_role::prefill ? none : waiting(each) + near(each);
-    };
-    auto const whole = cheapest(candidates, ticket, reads_itself);
+            bool const fits = each.server->role == engine_role::prefill;
+            auto const tokens = costs.waiting(each) + unread(each, prefill_home);
+            return fits ? tokens + costs.distance(each) : unfit;
+        });
     if (whole.server == nullptr)
     {
         return std::nullopt;
     }
-    auto const first = cheapest(candidates, ticket, reads_first);
-    bool const worth_it = call.own_tokens() >= options.handover_tokens &&
-                          first.cost + static_cast<double>(options.handover_tokens) <
-                              whole.cost;
-    if (!worth_it)
-    {
-        return placement{whole.server, nullptr};
-    }
-    return placement{cheapest(candidates, ticket, takes_over).server, first.server};
+    bool const apart = call.own_tokens() >= options.handover_tokens &&
+                       first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
+    return apart ? placement{first.server, true} : placement{whole.server, false};
+}
+
+backend_server const* place_decode(std::vector<candidate> const& candidates,
+                                   std::string const& data_centre, std::uint64_t ticket,
+                                   placement_options const& options)
+{
+    model_costs const costs{data_centre, options};
+    return cheapest(candidates, ticket,
+                    [&](candidate const& each)
+                    {
+                        bool const fits = each.server->role != engine_role::prefill;
+                        return fits ? costs.waiting(each) + costs.distance(each) : unfit;
+                    })
+        .server;
 }
 
 } // namespace marigoldcrank
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -1,6 +1,7 @@
 // Which server a call goes to, from what this VM knows itself.
 //
-// Index: 1 placement_options, 2 candidate, 3 placement, 4 place_plain, 5 place_model
+// Index: 1 placement_options, 2 candidate, 3 placement, 4 place_plain, 5 place_model,
+//        6 place_decode
 //
 // Load answered: prompts of a few hundred to tens of thousands of tokens that share long
 // parts, on engines of which those for prefill read twice as fast as those for decode.
@@ -44,11 +45,11 @@
     bool                  suspect = false;    // has failed lately: last choice
 };
 
-/// Where a model call goes.
+/// Where a model call goes first.
 struct placement
 {
-    backend_server const* decode = nullptr;  // runs the call
-    backend_server const* prefill = nullptr; // reads the prompt first; null: decode does
+    backend_server const* server = nullptr;
+    bool                  prefill_only = false; // reads the prompt; another one runs the call
 };
 
 /// The least loaded server for a plain call, those of the own data centre first among
@@ -56,12 +57,18 @@
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const& data_centre, std::uint64_t ticket);
 
-/// Engines for a model call; nothing if no engine can decode.
+/// The first engine for a model call; nothing if no engine can decode.
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
                                      caller_call const&            call,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options);
 
+/// The engine that runs a call whose prompt another one has read. Asked only then: reading
+/// can take seconds, in which engines begin to leave and loads change. Null if there is none.
+backend_server const* place_decode(std::vector<candidate> const& candidates,
+                                   std::string const& data_centre, std::uint64_t ticket,
+                                   placement_options const& options);
+
 } // namespace marigoldcrank
 
 #endif
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -235,24 +235,24 @@
     {
         while (true)
         {
-            auto const now = boot_clock::now();
-            auto const candidates = state_.candidates(service_name_, tried_, now);
-            auto const placed =
-                place_model(candidates, call_, state_.settings.data_centre,
-                            state_.ticket(), placement_options{});
-            if (!placed || !may_send())
+            auto const first = place_first();
+            if (!first || !may_send())
             {
                 co_return co_await give_up();
             }
-            auto const     decode = *placed->decode;
+            auto           decode = *first->server; // copies: the list changes meanwhile
             backend_server reader;
             std::string    source;
-            if (placed->prefill != nullptr && !prefilled_ && !started_)
+            if (first->prefill_only)
             {
                 prefilled_ = true;
-                reader = *placed->prefill;
+                reader = decode;
                 source = co_await read_prompt(reader);
-                if (caller_.left())
+                if (!caller_.left() && !choose_decode(decode))
+                {
+                    co_await give_up();
+                }
+                if (caller_.left() || !end_.empty())
                 {
                     release(reader, source);
                     co_return;
@@ -266,6 +266,41 @@
         }
     }
 
+    /// Where the call goes next. A prompt is read apart at most once a call: a second time
+    /// would count as one more send.
+    std::optional<placement> place_first()
+    {
+        auto const candidates =
+            state_.candidates(service_name_, tried_, boot_clock::now());
+        if (!prefilled_ && !started_)
+        {
+            return place_model(candidates, call_, state_.settings.data_centre,
+                               state_.ticket(), placement_options{});
+        }
+        auto const* server = place_decode(candidates, state_.settings.data_centre,
+                                          state_.ticket(), placement_options{});
+        return server == nullptr ? std::nullopt : std::optional{placement{server, false}};
+    }
+
+    /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
+    bool choose_decode(backend_server& decode)
+    {
+        if (deadline_ - loop_clock::now() < least_left)
+        {
+            last_fault_ = "deadline";
+            return false;
+        }
+        auto const  candidates =
+            state_.candidates(service_name_, tried_, boot_clock::now());
+        auto const* server = place_decode(candidates, state_.settings.data_centre,
+                                          state_.ticket(), placement_options{});
+        if (server != nullptr)
+        {
+            decode = *server;
+        }
+        return server != nullptr;
+    }
+
     /// Has a prefill engine read the prompt. Gives where its cache lies; empty if nowhere.
     boost::asio::awaitable<std::string> read_prompt(backend_server server)
     {
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -75,6 +75,12 @@
         {
             co_return co_await refuse(*refusal);
         }
+        if (state_.closed)
+        {
+            // Too late to be sure of an end within the grace; another VM serves it at once.
+            constexpr millis at_once{50};
+            co_return co_await refuse({503, call_fate::not_run, "stopping", at_once});
+        }
         auto const request = parser.release();
         auto       call = Dialect::read_call(request.base());
         if (auto const* fault = std::get_if<call_fault>(&call))
@@ -104,8 +110,8 @@
             buffer.prepare(piece),
             boost::asio::redirect_error(boost::asio::use_awaitable, error));
         buffer.commit(read);
-        idle_.erase(link_);
-        co_return !error;
+        bool const ended = idle_.erase(link_) == 0; // by a drain: this side is closed
+        co_return !error && !ended;
     }
 
     boost::asio::awaitable<std::optional<own_reply>> read_head(request_parser& parser,
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -56,8 +56,8 @@
     static constexpr millis house_pause{200};
     // 50    ms; between looks at whether all calls have ended
     static constexpr millis drain_look{50};
-    // 700   ms of the grace are left for the last answers to be taken
-    static constexpr millis drain_reserve{700};
+    // 300   ms of the grace are left for the last answers to be taken
+    static constexpr millis drain_reserve{300};
 
     void spawn(boost::asio::awaitable<void> work)
     {
@@ -153,6 +153,7 @@
         state_.draining = true;
         state_.log.write(event_line{"stop"}.add("calls", state_.calls_in_work), began);
         co_await loop_sleep(state_.settings.drain_notice);
+        state_.closed = true;
         end_idle_links();
         auto const limit = state_.settings.grace - drain_reserve;
         while (boot_clock::now() - began < limit &&
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -74,7 +74,8 @@
     usage_counter                      usage;
     event_log                          log;
     metrics                            counters;
-    bool                               draining = false;
+    bool                               draining = false; // not ready; still serving
+    bool                               closed = false; // takes no new calls any more
     std::int64_t                       calls_in_work = 0;
 
 private:
