Cheap engines bought beside the full-price ones; roles changed under overload, announced first

Cause: the fleet as bought can't read the prompts of a swing (prefill engines saturated at the mean load), and decode engines that read prompts slow every stream on them. Now a change is announced in the duty topic 2.2 s before its order, and only made under overload.

--- a/src/ledger/duty_log.cpp
+++ b/src/ledger/duty_log.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace marigoldcrank
 {
@@ -11,7 +12,7 @@
 namespace
 {
 
-constexpr std::array<char const*, 3> kind_names{"claim", "renew", "seal"};
+constexpr std::array<char const*, 4> kind_names{"claim", "renew", "seal", "change"};
 
 } // namespace
 
@@ -25,6 +26,10 @@
     {
         document["counts"] = value.counts;
     }
+    if (value.kind == duty_kind::change)
+    {
+        document["server"] = value.server;
+    }
     return document.dump();
 }
 
@@ -51,6 +56,10 @@
         {
             record.counts = document.at("counts").get<usage_counts>();
         }
+        if (record.kind == duty_kind::change)
+        {
+            record.server = document.at("server").get<std::string>();
+        }
         return record;
     }
     catch (nlohmann::json::exception const&)
@@ -95,6 +104,12 @@
     {
         sealed_.try_emplace(record.window, record.counts);
     }
+    if (record.kind == duty_kind::change)
+    {
+        std::erase_if(changing_, [&](auto const& entry)
+                      { return now - entry.second > change_kept; });
+        changing_[record.server] = now;
+    }
     if (record.kind == duty_kind::renew)
     {
         reported_ = std::max(reported_, record.window);
@@ -147,6 +162,11 @@
     return holder_;
 }
 
+std::map<std::string, boot_clock::time_point> const& duty_log::changing() const noexcept
+{
+    return changing_;
+}
+
 std::map<std::int64_t, usage_counts> const& duty_log::sealed() const noexcept
 {
     return sealed_;
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -31,7 +31,8 @@
 {
     claim, // the writer takes over
     renew, // the writer goes on
-    seal   // the figures of a window are fixed
+    seal,  // the figures of a window are fixed
+    change // an engine is about to get an order for another role
 };
 
 /// One record of the duty topic.
@@ -42,6 +43,7 @@
     std::uint64_t number = 0;   // counts the holder's appends; tells its own ones apart
     std::int64_t  window = 0;   // seal: the window. renew: the last window that is reported
     usage_counts  counts;       // seal
+    std::string   server;       // change: the engine
 
     bool operator==(duty_record const&) const = default;
 };
@@ -84,11 +86,15 @@
     std::uint64_t      epoch() const noexcept;
     std::string const& holder() const noexcept;
 
+    /// Engines that were announced to change, and when this VM heard of it.
+    std::map<std::string, boot_clock::time_point> const& changing() const noexcept;
+
     std::map<std::int64_t, usage_counts> const& sealed() const noexcept;
     std::int64_t                                reported() const noexcept;
 
 private:
     static constexpr std::size_t most_windows = 64; // far more than are ever due at once
+    static constexpr millis      change_kept{30000}; // 30000  ms; longer than any change takes
 
     std::string                                      self_;
     duty_lease_options                               options_;
@@ -100,6 +106,7 @@
     std::map<std::uint64_t, boot_clock::time_point>  sent_;
     boot_clock::time_point                           valid_until_{};
     std::map<std::int64_t, usage_counts>             sealed_;
+    std::map<std::string, boot_clock::time_point>    changing_;
     std::int64_t                                     reported_ = 0;
 };
 
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -56,12 +56,26 @@
     while (!open_.empty() && open_.begin()->first < window)
     {
         auto const first = open_.begin();
+        for (auto const& [workspace, count] : first->second)
+        {
+            handed_[first->first] += count;
+        }
         records.push_back({writer_, ++number_, first->first, std::move(first->second)});
         open_.erase(first);
     }
+    while (handed_.size() > most_handed)
+    {
+        handed_.erase(handed_.begin());
+    }
     return records;
 }
 
+std::int64_t usage_counter::handed_over(std::int64_t window) const
+{
+    auto const found = handed_.find(window);
+    return found == handed_.end() ? 0 : found->second;
+}
+
 void usage_sum::absorb(usage_record const& record)
 {
     auto& sum = windows_[record.window];
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -43,11 +43,17 @@
     /// Records of the windows before `window`; they count as handed over.
     std::vector<usage_record> take_before(std::int64_t window);
 
+    /// Calls in the records of this window so far; 0 for one long past.
+    std::int64_t handed_over(std::int64_t window) const;
+
 private:
     std::string                          writer_;
     millis                               window_;
     std::uint64_t                        number_ = 0;
     std::map<std::int64_t, usage_counts> open_;
+    std::map<std::int64_t, std::int64_t> handed_;
+
+    static constexpr std::size_t most_handed = 16; // windows; far more than are ever asked for
 };
 
 /// Adds up records; each counts once, however often it was appended or read.
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -17,6 +17,7 @@
 {
     int    tolerated = 2;    // 2     failures in a row before a server is avoided
     millis first_pause{500}; // 500   ms; doubles with each further failure
+    millis refused_pause{250};  // 250   ms; a full server has places again within this
     millis longest_pause{4000}; // 4000 ms; a server that is back is found within this
 
     bool operator==(server_health_options const&) const = default;
@@ -48,6 +49,14 @@
         }
     }
 
+    /// The server has turned a call away: it is full or about to change, not unwell. It is
+    /// left alone for a moment and not for longer each time.
+    void refused(std::string const& server, boot_clock::time_point now)
+    {
+        auto& state = failures_[server];
+        state.until = std::max(state.until, now + options_.refused_pause);
+    }
+
     bool suspect(std::string const& server, boot_clock::time_point now) const
     {
         auto const found = failures_.find(server);
--- /dev/null
+++ b/src/policy/work_meter.hpp
@@ -0,0 +1,92 @@
+// Measures what model calls ask of engines, from the calls of this VM.
+//
+// Index: 1 work_demand, 2 work_meter
+#ifndef MARIGOLDCRANK_POLICY_WORK_METER_HPP
+#define MARIGOLDCRANK_POLICY_WORK_METER_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace marigoldcrank
+{
+
+/// Engines kept busy, as far as this VM's calls tell; 0 while nothing is known.
+struct work_demand
+{
+    double prefill_engines = 0; // reading prompts all the time
+    double streams = 0;         // running at once, on engines that only decode
+
+    bool operator==(work_demand const&) const = default;
+};
+
+/// Rates decay exponentially, so that a swing is seen within seconds. Speeds are the best
+/// seen lately: a slow sample has waited in a queue and says nothing about the engine. Pure.
+class work_meter
+{
+public:
+    /// A prompt is about to be read; `tokens` that no cache is likely to hold.
+    void prompt(std::int64_t tokens, boot_clock::time_point now)
+    {
+        fade(now);
+        prompt_rate_ += static_cast<double>(tokens) / decay_s;
+    }
+
+    /// An engine has read a prompt.
+    void prompt_read(std::int64_t tokens, boot_clock::duration took)
+    {
+        auto const seconds = std::chrono::duration<double>(took).count();
+        if (tokens >= least_tokens && seconds > 0)
+        {
+            prefill_speed_ = std::max(prefill_speed_ * keep_best,
+                                      static_cast<double>(tokens) / seconds);
+        }
+    }
+
+    /// A stream has ended; time from its first to its last event.
+    void stream(std::int64_t events, boot_clock::duration took, boot_clock::time_point now)
+    {
+        fade(now);
+        event_rate_ += static_cast<double>(events) / decay_s;
+        if (events >= least_events)
+        {
+            auto const gap = std::chrono::duration<double>(took).count() /
+                             static_cast<double>(events - 1);
+            best_gap_ = best_gap_ == 0 ? gap : std::min(best_gap_ / keep_best, gap);
+        }
+    }
+
+    work_demand demand(boot_clock::time_point now)
+    {
+        fade(now);
+        return {prefill_speed_ > 0 ? prompt_rate_ / prefill_speed_ : 0,
+                event_rate_ * best_gap_};
+    }
+
+private:
+    static constexpr double       decay_s = 8;      // s; shorter than a swing, longer than a burst
+    static constexpr double       keep_best = 0.98; // of a best value, with each new sample
+    static constexpr std::int64_t least_tokens = 1000; // shorter reads are mostly overhead
+    static constexpr std::int64_t least_events = 4;    // fewer don't show a pace
+
+    void fade(boot_clock::time_point now)
+    {
+        auto const passed = std::chrono::duration<double>(now - seen_).count();
+        auto const factor = std::exp(-std::max(passed, 0.0) / decay_s);
+        prompt_rate_ *= factor;
+        event_rate_ *= factor;
+        seen_ = now;
+    }
+
+    boot_clock::time_point seen_{};
+    double                 prompt_rate_ = 0;   // tokens a second
+    double                 event_rate_ = 0;    // events a second
+    double                 prefill_speed_ = 0; // tokens a second, one engine
+    double                 best_gap_ = 0;      // s between events
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/ports/duty_port.hpp
+++ b/src/ports/duty_port.hpp
@@ -1,9 +1,10 @@
 // Calls to the platform that only the holder of the duty lease makes.
 //
-// Index: 1 duty_sender, 2 duty_outcome, 3 duty_port
+// Index: 1 duty_sender, 2 duty_outcome, 3 server_order, 4 duty_port
 #ifndef MARIGOLDCRANK_PORTS_DUTY_PORT_HPP
 #define MARIGOLDCRANK_PORTS_DUTY_PORT_HPP
 
+#include "domain/backend_server.hpp"
 #include "ledger/duty_log.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -45,13 +46,17 @@
 
 template <class Duties>
 concept duty_port = requires(Duties& duties, duty_sender const& sender, std::int64_t window,
-                             usage_counts const& counts, server_order const& order) {
+                             usage_counts const& counts, server_order const& order,
+                             backend_server const& engine, engine_role role) {
     {
         duties.report_usage(sender, window, counts)
     } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
     {
         duties.order_servers(sender, order)
     } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
+    {
+        duties.order_role(sender, engine, role)
+    } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -91,6 +91,9 @@
     static constexpr unsigned first_server_error = 500;
     // 20  ms; with less left no server can answer in time
     static constexpr millis least_left{20};
+    // 1     further send after a server has turned the call away: a second refusal says that
+    //       the service is full, and the caller is told to come back
+    static constexpr std::int64_t most_refused_sends = 1;
     // 2000  ms; a caller's connection that takes no answer for so long is given up
     static constexpr millis write_time{2000};
 
@@ -231,8 +234,14 @@
 
     // Model calls
 
+    work_meter& meter()
+    {
+        return state_.meters[service_name_];
+    }
+
     boost::asio::awaitable<void> serve_model()
     {
+        meter().prompt(call_.own_tokens(), arrived_);
         while (true)
         {
             auto const first = place_first();
@@ -308,6 +317,7 @@
         in_use     use{*this, link};
         load_share share{state_, server.id, call_.prompt_tokens()};
         note_send(server, call_.prompt_tokens());
+        auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
         auto const fate = co_await send_message(link, message, true, deadline_);
@@ -325,6 +335,7 @@
             co_return std::string{};
         }
         state_.health.succeeded(server.id);
+        meter().prompt_read(call_.own_tokens(), boot_clock::now() - began);
         co_return server.host + ":" + std::to_string(server.port) + "/" + *handle;
     }
 
@@ -385,6 +396,8 @@
         if (step == body_step::whole)
         {
             state_.health.succeeded(link.server().id);
+            auto const now = boot_clock::now();
+            meter().stream(events_, now - first_event_, now);
             end_ = "served";
             after_ = keep_ && chunked() ? link_after::keep : link_after::close;
             co_return true;
@@ -413,6 +426,7 @@
         {
             out += chunked() ? format_chunk(events.bytes) : events.bytes;
         }
+        events_ += events.bytes.empty() ? 0 : 1;
         if (!events.last_id.empty())
         {
             last_event_ = events.last_id;
@@ -484,11 +498,12 @@
             last_fault_ = "deadline";
             return false;
         }
-        if (runs_ == 0)
+        if (runs_ + refused_sends_ == 0)
         {
             return true;
         }
-        return !(maybe_run_ && !repeatable_) && runs_ < route_->max_servers && take_retry();
+        return !(maybe_run_ && !repeatable_) && runs_ < route_->max_servers &&
+               refused_sends_ <= most_refused_sends && take_retry();
     }
 
     /// Whether a failed answer is worth another send; what may_send asks is asked again.
@@ -631,9 +646,14 @@
     {
         tried_.insert(link.server().id);
         last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
-        if (fate == exchange_fate::not_sent && runs_ > 0)
+        if (fate == exchange_fate::not_sent || fate == exchange_fate::not_run)
         {
-            --runs_; // nothing has reached that server
+            --runs_; // that server hasn't run it
+        }
+        if (fate == exchange_fate::not_run)
+        {
+            ++refused_sends_;
+            state_.health.refused(link.server().id, boot_clock::now());
         }
         if (fate == exchange_fate::unknown)
         {
@@ -658,6 +678,11 @@
         {
             state_.health.failed(link.server().id, false, boot_clock::now());
         }
+        if (fate == exchange_fate::not_run)
+        {
+            ++refused_sends_;
+            state_.health.refused(link.server().id, boot_clock::now());
+        }
         note_failure("prefill_failed", link, fate);
     }
 
@@ -729,7 +754,8 @@
     bool                                 repeatable_ = false;
     loop_time                            deadline_{};
     std::set<std::string>                tried_;
-    std::int64_t                         runs_ = 0; // sends that may have reached a server
+    std::int64_t                         runs_ = 0; // servers that may have run it
+    std::int64_t                         refused_sends_ = 0;
     bool                                 maybe_run_ = false;
     bool                                 prefilled_ = false;
     bool                                 started_ = false; // the caller has the stream's head
@@ -737,6 +763,7 @@
     std::string                          kept_failure_; // a server's own, in bytes
     unsigned                             kept_status_ = 0;
     std::string                          last_event_;
+    std::int64_t                         events_ = 0; // pieces passed on
     std::string_view                     last_fault_ = "no_server";
     std::string_view                     end_;
     unsigned                             status_ = 0;
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -1,15 +1,19 @@
 // Usage on every VM, and the duties of the one that holds the lease.
 //
-// Index: 1 duty_times, 2 duty_worker: usage, lease, sealing, reporting
+// Index: 1 duty_times, 2 duty_worker: usage, lease, sealing, reporting, ordering
 #ifndef MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
 #define MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
 
 #include "ledger/usage_windows.hpp"
+#include "policy/fleet_plan.hpp"
+#include "policy/role_split.hpp"
 #include "ports/duty_port.hpp"
 #include "ports/log_store_port.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/loop_sleep.hpp"
 
+#include <cmath>
+
 namespace marigoldcrank
 {
 
@@ -23,6 +27,10 @@
     millis too_old{14000}; // 14000 ms after its end a window is not sealed any more: an
                            //      earlier seal of it could be lost from the history
     millis call_slack{300}; // 300 ms of the lease that must be left to begin a call
+    millis announce{2200}; // 2200 ms; all VMs have read of a change before its order
+    millis change{7500};   // 7500 ms from its announcement until a changed engine is back
+    millis order_again{3000}; // 3000 ms; before an order for servers is given again: those
+                              //      of the last one need their time to start
 
     bool operator==(duty_times const&) const = default;
 };
@@ -83,6 +91,7 @@
                 co_await follow();
             }
             note_change();
+            share_changes();
             auto const now_held = log_.held_until(boot_clock::now()).has_value();
             co_await loop_sleep(now_held ? times_.renew : times_.look);
         }
@@ -91,8 +100,17 @@
 private:
     static constexpr unsigned duty_lane = 2;
     static constexpr unsigned usage_lane = 3;
+    static constexpr double   milli = 1000;
     static constexpr millis   usage_look{500}; // 500  ms; between looks for a closed window
 
+    /// A change that this VM has decided on as the holder.
+    struct role_change
+    {
+        boot_clock::time_point planned{};
+        engine_role            role = engine_role::mixed;
+        bool                   ordered = false;
+    };
+
     static std::string duty_topic()
     {
         return "duty";
@@ -130,8 +148,15 @@
         {
             records.push_back(std::move(seal));
         }
+        for (auto& announcement : due_announcements())
+        {
+            records.push_back(std::move(announcement));
+        }
         if (co_await append(std::move(records)))
         {
+            co_await order_servers();
+            plan_roles();
+            co_await send_role_orders();
             co_await report_sealed();
         }
     }
@@ -247,6 +272,7 @@
         for (auto window = first; window <= last; ++window)
         {
             auto counts = sum_.of(window);
+            scale_by(window, counts);
             if (!counts.empty() && log_.sealed().count(window) == 0)
             {
                 seals.push_back({.kind = duty_kind::seal,
@@ -258,6 +284,27 @@
         return seals;
     }
 
+    /// This VM's measures stand for the fleet's in proportion of the calls in a window.
+    void scale_by(std::int64_t window, usage_counts const& counts)
+    {
+        auto const own = state_.usage.handed_over(window);
+        auto const all = total(counts);
+        if (own > 0 && all >= own)
+        {
+            fleet_scale_ = static_cast<double>(all) / static_cast<double>(own);
+        }
+    }
+
+    static std::int64_t total(usage_counts const& counts)
+    {
+        std::int64_t sum = 0;
+        for (auto const& [workspace, count] : counts)
+        {
+            sum += count;
+        }
+        return sum;
+    }
+
     // Reporting
 
     boost::asio::awaitable<void> report_sealed()
@@ -289,6 +336,160 @@
         }
     }
 
+    // Ordering
+
+    boost::asio::awaitable<void> order_servers()
+    {
+        auto const rules = state_.view.rules;
+        if (!rules || boot_clock::now() - ordered_ < times_.order_again)
+        {
+            co_return;
+        }
+        ordered_ = boot_clock::now();
+        for (auto const& value : rules->services())
+        {
+            auto const present = count_fleet(value.name, state_.servers.servers());
+            for (auto const& order : plan_fleet(value, present))
+            {
+                auto const sender = authority();
+                if (!sender)
+                {
+                    co_return;
+                }
+                auto const outcome = co_await duties_.order_servers(*sender, order);
+                state_.log.write(event_line{"server_order"}
+                                     .add("service", order.service)
+                                     .add("data_centre", order.data_centre)
+                                     .add("count", order.count)
+                                     .add("present", present.at(order.data_centre).cheap)
+                                     .add("outcome", static_cast<std::int64_t>(outcome)),
+                                 boot_clock::now());
+            }
+        }
+    }
+
+    void plan_roles()
+    {
+        auto const rules = state_.view.rules;
+        if (!rules)
+        {
+            return;
+        }
+        for (auto const& value : rules->services())
+        {
+            if (value.has_engines)
+            {
+                plan_roles_of(value);
+            }
+        }
+    }
+
+    void plan_roles_of(service const& value)
+    {
+        auto const now = boot_clock::now();
+        auto const engines = split_engines(value.name);
+        if (engines.empty() || fleet_scale_ == 0)
+        {
+            return;
+        }
+        auto demand = state_.meters[value.name].demand(now);
+        demand.prefill_engines *= fleet_scale_;
+        demand.streams *= fleet_scale_;
+        role_split_options const options;
+        auto const need = need_of(demand, engines.front().server->slots, options);
+        for (auto const* engine : plan_role_changes(engines, need, now, options))
+        {
+            auto const role = engine->role == engine_role::prefill ? engine_role::decode
+                                                                   : engine_role::prefill;
+            role_changes_[engine->id] = {now, role, false};
+            state_.log.write(event_line{"role_change"}
+                                 .add("server", engine->id)
+                                 .add("role", static_cast<std::int64_t>(role))
+                                 .add("prefill_need_milli", std::llround(need.prefill * milli))
+                                 .add("decode_need_milli", std::llround(need.decode * milli)),
+                             now);
+        }
+    }
+
+    /// Announces of changes that no record tells of yet.
+    std::vector<duty_record> due_announcements()
+    {
+        std::vector<duty_record> records;
+        for (auto const& [id, change] : role_changes_)
+        {
+            bool const told = log_.changing().count(id) > 0;
+            if (!change.ordered && !told)
+            {
+                records.push_back({.kind = duty_kind::change,
+                                   .holder = state_.incarnation,
+                                   .server = id});
+            }
+        }
+        return records;
+    }
+
+    /// Orders whose announcement all VMs have had time to read.
+    boost::asio::awaitable<void> send_role_orders()
+    {
+        std::vector<std::pair<std::string, engine_role>> due;
+        auto const                                       now = boot_clock::now();
+        for (auto& [id, change] : role_changes_)
+        {
+            auto const told = log_.changing().find(id);
+            bool const read =
+                told != log_.changing().end() && now - told->second >= times_.announce;
+            if (!change.ordered && read)
+            {
+                change.ordered = true;
+                due.emplace_back(id, change.role);
+            }
+        }
+        for (auto const& [id, role] : due)
+        {
+            auto const found = state_.servers.servers().find(id);
+            auto const sender = authority();
+            if (found == state_.servers.servers().end() || !sender)
+            {
+                continue;
+            }
+            auto const engine = found->second; // a copy: the list changes meanwhile
+            auto const outcome = co_await duties_.order_role(*sender, engine, role);
+            state_.log.write(event_line{"role_order"}
+                                 .add("server", id)
+                                 .add("role", static_cast<std::int64_t>(role))
+                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
+                                 .add("outcome", static_cast<std::int64_t>(outcome)),
+                             boot_clock::now());
+        }
+    }
+
+    /// Engines that are about to change, or do, take no new work on any VM.
+    void share_changes()
+    {
+        auto const now = boot_clock::now();
+        state_.changing.clear();
+        for (auto const& [id, heard] : log_.changing())
+        {
+            if (now - heard < times_.change)
+            {
+                state_.changing.insert(id);
+            }
+        }
+    }
+
+    std::vector<split_engine> split_engines(std::string const& name) const
+    {
+        std::vector<split_engine> engines;
+        for (auto const& each : state_.candidates(name, {}, boot_clock::now()))
+        {
+            auto const changed = role_changes_.find(each.server->id);
+            engines.push_back({each.server, each.running,
+                               changed == role_changes_.end() ? boot_clock::time_point{}
+                                                              : changed->second.planned});
+        }
+        return engines;
+    }
+
     /// The right to call now; nothing if too little of the lease is left.
     std::optional<duty_sender> authority() const
     {
@@ -304,14 +505,9 @@
     void note_report(std::int64_t window, usage_counts const& counts,
                      duty_sender const& sender, duty_outcome outcome)
     {
-        std::int64_t sum = 0;
-        for (auto const& [workspace, count] : counts)
-        {
-            sum += count;
-        }
         state_.log.write(event_line{"usage_report"}
                              .add("window", window)
-                             .add("requests", sum)
+                             .add("requests", total(counts))
                              .add("epoch", static_cast<std::int64_t>(sender.epoch))
                              .add("outcome", static_cast<std::int64_t>(outcome)),
                          boot_clock::now());
@@ -327,6 +523,9 @@
     bool         usage_read_ = false;
     bool         held_ = false;
     std::int64_t reported_ = 0;
+    boot_clock::time_point ordered_{};
+    std::map<std::string, role_change> role_changes_; // by engine
+    double       fleet_scale_ = 0; // 0: not known yet
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -44,7 +44,9 @@
     std::vector<candidate> result;
     for (auto const& [id, server] : servers.servers())
     {
-        if (server.group != service || server.leaving || tried.count(id) > 0)
+        bool const barred =
+            server.leaving || tried.count(id) > 0 || changing.count(id) > 0;
+        if (server.group != service || barred)
         {
             continue;
         }
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -16,6 +16,7 @@
 #include "policy/placement.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
+#include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
 #include <map>
@@ -69,9 +70,11 @@
     rules_view                         view;
     server_list                        servers;
     std::map<std::string, server_load> loads;
+    std::set<std::string>              changing; // engines that are given another role
     server_health                      health;
     connection_pool                    pool;
     usage_counter                      usage;
+    std::map<std::string, work_meter>  meters; // by service
     event_log                          log;
     metrics                            counters;
     bool                               draining = false; // not ready; still serving
