--- a/src/ledger/duty_log.cpp
+++ b/src/ledger/duty_log.cpp
@@ -29,6 +29,7 @@
     if (value.kind == duty_kind::change)
     {
         document["server"] = value.server;
+        document["prefill"] = value.prefill;
     }
     return document.dump();
 }
@@ -59,6 +60,7 @@
         if (record.kind == duty_kind::change)
         {
             record.server = document.at("server").get<std::string>();
+            record.prefill = document.at("prefill").get<bool>();
         }
         return record;
     }
@@ -107,8 +109,8 @@
     if (record.kind == duty_kind::change)
     {
         std::erase_if(changing_, [&](auto const& entry)
-                      { return now - entry.second > change_kept; });
-        changing_[record.server] = now;
+                      { return now - entry.second.heard > change_kept; });
+        changing_[record.server] = {now, record.prefill};
     }
     if (record.kind == duty_kind::renew)
     {
@@ -162,7 +164,7 @@
     return holder_;
 }
 
-std::map<std::string, boot_clock::time_point> const& duty_log::changing() const noexcept
+std::map<std::string, announced_change> const& duty_log::changing() const noexcept
 {
     return changing_;
 }
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -1,6 +1,6 @@
 // One lease for the duties of which there may be one holder, decided by conditional appends.
 //
-// Index: 1 duty_record, 2 formats, 3 duty_lease_options, 4 duty_log
+// Index: 1 duty_record, 2 formats, 3 duty_lease_options, 4 announced_change, 5 duty_log
 //
 // Every record is appended on the condition that the topic ends where its writer has read
 // to. So of two rivals one finds another end, nothing is appended unseen, and an append that
@@ -44,6 +44,7 @@
     std::int64_t  window = 0;   // seal: the window. renew: the last window that is reported
     usage_counts  counts;       // seal
     std::string   server;       // change: the engine
+    bool          prefill = false; // change: it is to read prompts; else it is to decode
 
     bool operator==(duty_record const&) const = default;
 };
@@ -59,6 +60,15 @@
     bool operator==(duty_lease_options const&) const = default;
 };
 
+/// An engine that is about to change its role, or does.
+struct announced_change
+{
+    boot_clock::time_point heard{}; // when this VM read of it
+    bool                   prefill = false;
+
+    bool operator==(announced_change const&) const = default;
+};
+
 /// The fold of the duty topic as one VM sees it. Pure: time is passed in.
 class duty_log
 {
@@ -86,8 +96,8 @@
     std::uint64_t      epoch() const noexcept;
     std::string const& holder() const noexcept;
 
-    /// Engines that were announced to change, and when this VM heard of it.
-    std::map<std::string, boot_clock::time_point> const& changing() const noexcept;
+    /// Engines that were announced to change lately.
+    std::map<std::string, announced_change> const& changing() const noexcept;
 
     std::map<std::int64_t, usage_counts> const& sealed() const noexcept;
     std::int64_t                                reported() const noexcept;
@@ -106,7 +116,7 @@
     std::map<std::uint64_t, boot_clock::time_point>  sent_;
     boot_clock::time_point                           valid_until_{};
     std::map<std::int64_t, usage_counts>             sealed_;
-    std::map<std::string, boot_clock::time_point>    changing_;
+    std::map<std::string, announced_change>          changing_;
     std::int64_t                                     reported_ = 0;
 };
 
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace marigoldcrank
 {
 
@@ -53,6 +55,11 @@
 std::vector<usage_record> usage_counter::take_before(std::int64_t window)
 {
     std::vector<usage_record> records;
+    if (taken_before_ < window)
+    {
+        taken_before_ = window;
+        open_.try_emplace(window - 1); // an idle VM says so, else it would be waited for
+    }
     while (!open_.empty() && open_.begin()->first < window)
     {
         auto const first = open_.begin();
@@ -95,6 +102,23 @@
     return found == windows_.end() ? usage_counts{} : found->second.counts;
 }
 
+bool usage_sum::complete(std::int64_t window) const
+{
+    auto const before = windows_.find(window - 1);
+    auto const now = windows_.find(window);
+    if (before == windows_.end() || now == windows_.end())
+    {
+        return false;
+    }
+    auto const wrote = [&](std::string const& writer)
+    {
+        auto const at = now->second.seen.lower_bound({writer, 0});
+        return at != now->second.seen.end() && at->first == writer;
+    };
+    return std::all_of(before->second.seen.begin(), before->second.seen.end(),
+                       [&](auto const& entry) { return wrote(entry.first); });
+}
+
 void usage_sum::forget_before(std::int64_t window)
 {
     windows_.erase(windows_.begin(), windows_.lower_bound(window));
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -40,7 +40,8 @@
 
     void add(std::string const& workspace, std::int64_t unix_ms);
 
-    /// Records of the windows before `window`; they count as handed over.
+    /// Records of the windows before `window`, an empty one for the last of them if nothing
+    /// ran in it; they count as handed over.
     std::vector<usage_record> take_before(std::int64_t window);
 
     /// Calls in the records of this window so far; 0 for one long past.
@@ -52,6 +53,7 @@
     std::uint64_t                        number_ = 0;
     std::map<std::int64_t, usage_counts> open_;
     std::map<std::int64_t, std::int64_t> handed_;
+    std::int64_t                         taken_before_ = 0;
 
     static constexpr std::size_t most_handed = 16; // windows; far more than are ever asked for
 };
@@ -65,6 +67,10 @@
     /// The sum so far; empty if nobody counted anything.
     usage_counts of(std::int64_t window) const;
 
+    /// True if every VM that wrote for the window before has written for this one, so that
+    /// no VM known to live is missing from the sum.
+    bool complete(std::int64_t window) const;
+
     void forget_before(std::int64_t window);
 
 private:
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -43,7 +43,7 @@
     std::int64_t                        changing = 0;
     for (auto const& each : engines)
     {
-        bool const reads = each.server->role == engine_role::prefill;
+        bool const reads = each.role == engine_role::prefill;
         prefill += reads ? 1 : 0;
         by_centre[each.server->data_centre] += reads ? 1 : 0;
         changing += now - each.changed < options.settle ? 1 : 0;
@@ -59,7 +59,7 @@
     bool const more = off > 0;
     auto const movable = [&](split_engine const& each)
     {
-        bool const reads = each.server->role == engine_role::prefill;
+        bool const reads = each.role == engine_role::prefill;
         return reads != more && now - each.changed >= options.settle;
     };
     std::vector<backend_server const*> result;
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -41,6 +41,7 @@
 struct split_engine
 {
     backend_server const*  server = nullptr;
+    engine_role            role = engine_role::mixed; // now, or after a change in progress
     std::int64_t           running = 0; // calls of this VM
     boot_clock::time_point changed{};   // last order; epoch: never
 };
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -27,11 +27,12 @@
 class work_meter
 {
 public:
-    /// A prompt is about to be read; `tokens` that no cache is likely to hold.
+    /// A prompt is about to be read; `tokens` that no cache is likely to hold. Short ones
+    /// are read where they are decoded and don't ask for engines that read.
     void prompt(std::int64_t tokens, boot_clock::time_point now)
     {
         fade(now);
-        prompt_rate_ += static_cast<double>(tokens) / decay_s;
+        prompt_rate_ += tokens < least_tokens ? 0 : static_cast<double>(tokens) / decay_s;
     }
 
     /// An engine has read a prompt.
@@ -67,7 +68,9 @@
 
 private:
     static constexpr double       decay_s = 8;      // s; shorter than a swing, longer than a burst
-    static constexpr double       keep_best = 0.98; // of a best value, with each new sample
+    // Of a best value, with each new sample: some thousand samples, all of them slow, are
+    // needed to believe in a slower engine. Faster forgetting takes a queue for slowness.
+    static constexpr double       keep_best = 0.9998;
     static constexpr std::int64_t least_tokens = 1000; // shorter reads are mostly overhead
     static constexpr std::int64_t least_events = 4;    // fewer don't show a pace
 
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -23,7 +23,9 @@
     millis look{1500};    // 1500  ms; between looks of a VM that doesn't hold the lease
     millis margin{400};   // 400   ms; drift of clocks and packets in flight
     millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
-    millis seal{3000};    // 3000  ms after a window's end: all VMs have handed over
+    millis seal{1500};    // 1500  ms after a window's end, if all VMs have handed over
+    millis seal_at_last{7500}; // 7500 ms after it without those that are missing: the report
+                               //      is due 10 s after the end, and may need a second try
     millis too_old{14000}; // 14000 ms after its end a window is not sealed any more: an
                            //      earlier seal of it could be lost from the history
     millis call_slack{300}; // 300 ms of the lease that must be left to begin a call
@@ -51,31 +53,21 @@
     /// got no answer are sent again; readers count each once.
     boost::asio::awaitable<void> run_usage()
     {
-        std::vector<std::string> waiting;
         while (true)
         {
             auto const past = static_cast<std::int64_t>(unix_millis()) -
                               times_.hand_over.count();
-            for (auto const& record :
-                 state_.usage.take_before(state_.usage.window_of(past)))
-            {
-                waiting.push_back(format_usage_record(record));
-            }
-            if (!waiting.empty())
-            {
-                auto const result = co_await store_.append(usage_lane, usage_topic(), waiting,
-                                                           std::nullopt);
-                if (std::holds_alternative<std::uint64_t>(result))
-                {
-                    waiting.clear();
-                }
-                state_.counters.add(waiting.empty() ? "usage_appends_total"
-                                                    : "usage_append_failures_total");
-            }
+            co_await hand_over(state_.usage.window_of(past));
             co_await loop_sleep(usage_look);
         }
     }
 
+    /// Hands over all counts, those of the open window too: the process is about to end.
+    boost::asio::awaitable<void> hand_over_all()
+    {
+        return hand_over(state_.usage.window_of(static_cast<std::int64_t>(unix_millis())) + 1);
+    }
+
     /// Follows the lease, takes it when it is free, and does the duties while it is held.
     boost::asio::awaitable<void> run_duties()
     {
@@ -98,8 +90,37 @@
     }
 
 private:
+    boost::asio::awaitable<void> hand_over(std::int64_t before)
+    {
+        while (handing_over_) // the lane serves one call at a time
+        {
+            co_await loop_sleep(lane_look);
+        }
+        for (auto const& record : state_.usage.take_before(before))
+        {
+            waiting_.push_back(format_usage_record(record));
+        }
+        if (waiting_.empty())
+        {
+            co_return;
+        }
+        auto const count = waiting_.size();
+        handing_over_ = true;
+        auto const result =
+            co_await store_.append(usage_lane, usage_topic(), waiting_, std::nullopt);
+        handing_over_ = false;
+        bool const taken = std::holds_alternative<std::uint64_t>(result);
+        if (taken)
+        {
+            waiting_.erase(waiting_.begin(),
+                           waiting_.begin() + static_cast<std::ptrdiff_t>(count));
+        }
+        state_.counters.add(taken ? "usage_appends_total" : "usage_append_failures_total");
+    }
+
     static constexpr unsigned duty_lane = 2;
     static constexpr unsigned usage_lane = 3;
+    static constexpr millis   lane_look{20}; // 20   ms; between looks for the lane to be free
     static constexpr double   milli = 1000;
     static constexpr millis   usage_look{500}; // 500  ms; between looks for a closed window
 
@@ -273,7 +294,9 @@
         {
             auto counts = sum_.of(window);
             scale_by(window, counts);
-            if (!counts.empty() && log_.sealed().count(window) == 0)
+            bool const late = now - (window + 1) * length >= times_.seal_at_last.count();
+            bool const due = late || sum_.complete(window);
+            if (due && !counts.empty() && log_.sealed().count(window) == 0)
             {
                 seals.push_back({.kind = duty_kind::seal,
                                  .holder = state_.incarnation,
@@ -422,7 +445,8 @@
             {
                 records.push_back({.kind = duty_kind::change,
                                    .holder = state_.incarnation,
-                                   .server = id});
+                                   .server = id,
+                                   .prefill = change.role == engine_role::prefill});
             }
         }
         return records;
@@ -437,13 +461,15 @@
         {
             auto const told = log_.changing().find(id);
             bool const read =
-                told != log_.changing().end() && now - told->second >= times_.announce;
+                told != log_.changing().end() && now - told->second.heard >= times_.announce;
             if (!change.ordered && read)
             {
                 change.ordered = true;
                 due.emplace_back(id, change.role);
             }
         }
+        std::erase_if(role_changes_, [&](auto const& entry)
+                      { return now - entry.second.planned > times_.change; });
         for (auto const& [id, role] : due)
         {
             auto const found = state_.servers.servers().find(id);
@@ -468,24 +494,49 @@
     {
         auto const now = boot_clock::now();
         state_.changing.clear();
-        for (auto const& [id, heard] : log_.changing())
+        for (auto const& [id, change] : log_.changing())
         {
-            if (now - heard < times_.change)
+            if (in_change(change, now))
             {
                 state_.changing.insert(id);
             }
         }
     }
 
+    bool in_change(announced_change const& change, boot_clock::time_point now) const
+    {
+        return now - change.heard < times_.change;
+    }
+
+    /// All engines of a service that stay, those in a change with the role they will have.
     std::vector<split_engine> split_engines(std::string const& name) const
     {
         std::vector<split_engine> engines;
-        for (auto const& each : state_.candidates(name, {}, boot_clock::now()))
+        auto const                now = boot_clock::now();
+        for (auto const& [id, server] : state_.servers.servers())
         {
-            auto const changed = role_changes_.find(each.server->id);
-            engines.push_back({each.server, each.running,
-                               changed == role_changes_.end() ? boot_clock::time_point{}
-                                                              : changed->second.planned});
+            if (server.group != name || server.leaving)
+            {
+                continue;
+            }
+            split_engine each{.server = &server, .role = server.role};
+            auto const   load = state_.loads.find(id);
+            each.running = load == state_.loads.end() ? 0 : load->second.running;
+            auto const told = log_.changing().find(id);
+            if (told != log_.changing().end())
+            {
+                each.changed = told->second.heard;
+                each.role = !in_change(told->second, now) ? server.role
+                            : told->second.prefill        ? engine_role::prefill
+                                                          : engine_role::decode;
+            }
+            auto const planned = role_changes_.find(id);
+            if (planned != role_changes_.end() && !planned->second.ordered)
+            {
+                each.changed = now;
+                each.role = planned->second.role;
+            }
+            engines.push_back(each);
         }
         return engines;
     }
@@ -519,8 +570,10 @@
     duty_times   times_;
     duty_log     log_;
     usage_sum    sum_;
+    std::vector<std::string> waiting_; // usage records that aren't known to be appended
     std::uint64_t usage_next_ = 0;
     bool         usage_read_ = false;
+    bool         handing_over_ = false;
     bool         held_ = false;
     std::int64_t reported_ = 0;
     boot_clock::time_point ordered_{};
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -162,6 +162,7 @@
             end_idle_links();
             co_await loop_sleep(drain_look);
         }
+        co_await worker_.hand_over_all();
         state_.log.write(event_line{"stopped"}
                              .add("calls", state_.calls_in_work)
                              .add("took_ms", boot_clock::now() - began),
