--- a/src/ledger/duty_log.cpp
+++ b/src/ledger/duty_log.cpp
@@ -142,9 +142,14 @@
     return end_;
 }
 
+boot_clock::duration duty_log::silence(boot_clock::time_point now) const
+{
+    return now - heard_;
+}
+
 bool duty_log::may_claim(boot_clock::time_point now) const
 {
-    return now - heard_ > options_.lease + options_.margin;
+    return silence(now) > options_.lease + options_.margin;
 }
 
 std::optional<boot_clock::time_point>
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -87,6 +87,9 @@
     /// Where the next append must find the end, and from where to read on.
     std::uint64_t end() const noexcept;
 
+    /// Time since the newest record was read, or since the start.
+    boot_clock::duration silence(boot_clock::time_point now) const;
+
     /// True once the holder has been silent for the lease and the margin.
     bool may_claim(boot_clock::time_point now) const;
 
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -21,6 +21,7 @@
 {
     millis renew{900};    // 900   ms; three renewals fit into a lease
     millis look{1500};    // 1500  ms; between looks of a VM that doesn't hold the lease
+    millis close_look{400}; // 400 ms; the same while the holder is silent
     millis margin{400};   // 400   ms; drift of clocks and packets in flight
     millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
     millis seal{1500};    // 1500  ms after a window's end, if all VMs have handed over
@@ -84,8 +85,7 @@
             }
             note_change();
             share_changes();
-            auto const now_held = log_.held_until(boot_clock::now()).has_value();
-            co_await loop_sleep(now_held ? times_.renew : times_.look);
+            co_await loop_sleep(next_look());
         }
     }
 
@@ -144,6 +144,18 @@
 
     // Lease
 
+    /// A holder that has fallen silent is watched more closely, to take over soon after
+    /// its lease.
+    millis next_look() const
+    {
+        auto const now = boot_clock::now();
+        if (log_.held_until(now))
+        {
+            return times_.renew;
+        }
+        return log_.silence(now) > times_.renew * 2 ? times_.close_look : times_.look;
+    }
+
     boost::asio::awaitable<void> follow()
     {
         bool const known = co_await catch_up();
@@ -296,7 +308,12 @@
             scale_by(window, counts);
             bool const late = now - (window + 1) * length >= times_.seal_at_last.count();
             bool const due = late || sum_.complete(window);
-            if (due && !counts.empty() && log_.sealed().count(window) == 0)
+            bool const sealed = log_.sealed().count(window) > 0;
+            if (!due && !sealed && !counts.empty())
+            {
+                break; // in order, so that one mark tells which windows are reported
+            }
+            if (!counts.empty() && !sealed)
             {
                 seals.push_back({.kind = duty_kind::seal,
                                  .holder = state_.incarnation,
