--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -381,30 +381,52 @@
     boost::asio::awaitable<void> order_servers()
     {
         auto const rules = state_.view.rules;
-        if (!rules || boot_clock::now() - ordered_ < times_.order_again)
+        auto const now = boot_clock::now();
+        if (!rules || now - ordered_ < times_.order_again)
         {
             co_return;
         }
-        ordered_ = boot_clock::now();
+        ordered_ = now;
         for (auto const& value : rules->services())
         {
-            auto const present = count_fleet(value.name, state_.servers.servers());
-            for (auto const& order : plan_fleet(value, present))
+            for (auto const& [data_centre, present] :
+                 count_fleet(value.name, state_.servers.servers()))
+            {
+                auto& fleet = fleets_[{value.name, data_centre}];
+                fleet.present = present;
+                fleet.bought = std::max(fleet.bought, present.full);
+                co_await send_server_orders(
+                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> send_server_orders(std::vector<server_order> orders)
+    {
+        for (auto const& order : orders)
+        {
+            auto const sender = authority();
+            if (!sender)
+            {
+                co_return;
+            }
+            auto const outcome = co_await duties_.order_servers(*sender, order);
+            auto const now = boot_clock::now();
+            auto&      fleet = fleets_[{order.service, order.data_centre}];
+            if (order.cheap && outcome == duty_outcome::refused)
             {
-                auto const sender = authority();
-                if (!sender)
-                {
-                    co_return;
-                }
-                auto const outcome = co_await duties_.order_servers(*sender, order);
-                state_.log.write(event_line{"server_order"}
-                                     .add("service", order.service)
-                                     .add("data_centre", order.data_centre)
-                                     .add("count", order.count)
-                                     .add("present", present.at(order.data_centre).cheap)
-                                     .add("outcome", static_cast<std::int64_t>(outcome)),
-                                 boot_clock::now());
+                fleet.refused = now;
             }
+            state_.log.write(event_line{"server_order"}
+                                 .add("service", order.service)
+                                 .add("data_centre", order.data_centre)
+                                 .add("cheap", order.cheap ? 1 : 0)
+                                 .add("count", order.count)
+                                 .add("full_present", fleet.present.full)
+                                 .add("cheap_present", fleet.present.cheap)
+                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
+                                 .add("outcome", static_cast<std::int64_t>(outcome)),
+                             now);
         }
     }
 
@@ -594,6 +616,7 @@
     bool         held_ = false;
     std::int64_t reported_ = 0;
     boot_clock::time_point ordered_{};
+    std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
     std::map<std::string, role_change> role_changes_; // by engine
     double       fleet_scale_ = 0; // 0: not known yet
 };
