--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -127,6 +127,7 @@
         address("node", "callers", true, &entry_settings::callers),
         address("node", "readiness", true, &entry_settings::readiness),
         address("node", "metrics", false, &entry_settings::metrics),
+        address("node", "peers", false, &entry_settings::peers),
         flag("node", "first_start", &entry_settings::first_start),
         address("platform", "store", true, &entry_settings::store),
         address("platform", "duties", false, &entry_settings::duties),
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -13,7 +13,8 @@
     return nlohmann::json{{"writer", value.writer},
                           {"number", value.number},
                           {"window", value.window},
-                          {"counts", value.counts}}
+                          {"counts", value.counts},
+                          {"address", value.address}}
         .dump();
 }
 
@@ -29,7 +30,8 @@
         return usage_record{.writer = document.at("writer").get<std::string>(),
                             .number = document.at("number").get<std::uint64_t>(),
                             .window = document.at("window").get<std::int64_t>(),
-                            .counts = document.at("counts").get<usage_counts>()};
+                            .counts = document.at("counts").get<usage_counts>(),
+                            .address = document.at("address").get<std::string>()};
     }
     catch (nlohmann::json::exception const&)
     {
@@ -37,8 +39,8 @@
     }
 }
 
-usage_counter::usage_counter(std::string writer, millis window)
-    : writer_(std::move(writer)), window_(window)
+usage_counter::usage_counter(std::string writer, std::string address, millis window)
+    : writer_(std::move(writer)), address_(std::move(address)), window_(window)
 {
 }
 
@@ -67,7 +69,8 @@
         {
             handed_[first->first] += count;
         }
-        records.push_back({writer_, ++number_, first->first, std::move(first->second)});
+        records.push_back(
+            {writer_, ++number_, first->first, std::move(first->second), address_});
         open_.erase(first);
     }
     while (handed_.size() > most_handed)
@@ -90,6 +93,10 @@
     {
         return;
     }
+    if (!record.address.empty())
+    {
+        sum.addresses.insert(record.address);
+    }
     for (auto const& [workspace, count] : record.counts)
     {
         sum.counts[workspace] += count;
@@ -102,6 +109,17 @@
     return found == windows_.end() ? usage_counts{} : found->second.counts;
 }
 
+std::set<std::string> usage_sum::addresses() const
+{
+    std::set<std::string> result;
+    int                   windows = 0;
+    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2; ++at, ++windows)
+    {
+        result.insert(at->second.addresses.begin(), at->second.addresses.end());
+    }
+    return result;
+}
+
 bool usage_sum::complete(std::int64_t window) const
 {
     auto const before = windows_.find(window - 1);
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -16,13 +16,15 @@
 namespace marigoldcrank
 {
 
-/// What one VM counted for one window since its last record.
+/// What one VM counted for one window since its last record. Since every VM writes one a
+/// window, the records also tell who lives and where.
 struct usage_record
 {
     std::string   writer;     // VM and incarnation
     std::uint64_t number = 0; // counts the writer's records, so that a repeat is dropped
     std::int64_t  window = 0;
     usage_counts  counts;
+    std::string   address; // where the writer publishes its load digests; empty: nowhere
 
     bool operator==(usage_record const&) const = default;
 };
@@ -34,7 +36,7 @@
 class usage_counter
 {
 public:
-    usage_counter(std::string writer, millis window);
+    usage_counter(std::string writer, std::string address, millis window);
 
     std::int64_t window_of(std::int64_t unix_ms) const noexcept;
 
@@ -49,6 +51,7 @@
 
 private:
     std::string                          writer_;
+    std::string                          address_;
     millis                               window_;
     std::uint64_t                        number_ = 0;
     std::map<std::int64_t, usage_counts> open_;
@@ -67,6 +70,9 @@
     /// The sum so far; empty if nobody counted anything.
     usage_counts of(std::int64_t window) const;
 
+    /// Addresses of the VMs that wrote for the last two windows known.
+    std::set<std::string> addresses() const;
+
     /// True if every VM that wrote for the window before has written for this one, so that
     /// no VM known to live is missing from the sum.
     bool complete(std::int64_t window) const;
@@ -78,6 +84,7 @@
     {
         std::set<std::pair<std::string, std::uint64_t>> seen;
         usage_counts                                    counts;
+        std::set<std::string>                           addresses;
     };
 
     std::map<std::int64_t, window_sum> windows_;
--- /dev/null
+++ b/src/policy/peer_loads.hpp
@@ -0,0 +1,93 @@
+// What the other entry VMs have in work at each server, from their digests.
+//
+// Index: 1 server_load, 2 peer_loads_options, 3 peer_loads
+#ifndef MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
+#define MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Calls in work at one server.
+struct server_load
+{
+    std::int64_t running = 0;
+    std::int64_t prompt_backlog = 0; // tokens
+
+    auto operator<=>(server_load const&) const = default;
+};
+
+using server_loads = std::map<std::string, server_load>;
+
+struct peer_loads_options
+{
+    millis life{1000}; // 1000  ms; a peer that has been silent for longer is not counted
+
+    bool operator==(peer_loads_options const&) const = default;
+};
+
+/// Pure; time is passed in.
+class peer_loads
+{
+public:
+    explicit peer_loads(peer_loads_options options = {}) : options_(options) {}
+
+    /// Takes a VM's newest digest.
+    void absorb(std::string const& vm, server_loads loads, boot_clock::time_point now)
+    {
+        peers_[vm] = {now, std::move(loads)};
+    }
+
+    /// Work of all VMs heard of lately at one server.
+    server_load at(std::string const& server, boot_clock::time_point now) const
+    {
+        server_load sum;
+        for (auto const& [vm, digest] : peers_)
+        {
+            auto const found = digest.loads.find(server);
+            if (now - digest.heard <= options_.life && found != digest.loads.end())
+            {
+                sum.running += found->second.running;
+                sum.prompt_backlog += found->second.prompt_backlog;
+            }
+        }
+        return sum;
+    }
+
+    /// VMs heard of lately.
+    std::int64_t heard(boot_clock::time_point now) const
+    {
+        std::int64_t count = 0;
+        for (auto const& [vm, digest] : peers_)
+        {
+            count += now - digest.heard <= options_.life ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Forgets VMs that have been silent for long.
+    void expire(boot_clock::time_point now)
+    {
+        std::erase_if(peers_, [&](auto const& entry)
+                      { return now - entry.second.heard > options_.life; });
+    }
+
+private:
+    struct heard_digest
+    {
+        boot_clock::time_point heard{};
+        server_loads           loads;
+    };
+
+    peer_loads_options            options_;
+    std::map<std::string, heard_digest> peers_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -103,7 +103,7 @@
     double waiting(candidate const& each) const
     {
         auto const streams = static_cast<double>(each.running * options_.stream_tokens);
-        return options_.peer_factor * (static_cast<double>(each.prompt_backlog) + streams);
+        return static_cast<double>(each.prompt_backlog) + streams;
     }
 
     double distance(candidate const& each) const
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -1,4 +1,4 @@
-// Which server a call goes to, from what this VM knows itself.
+// Which server a call goes to, from the work that all VMs heard of have there.
 //
 // Index: 1 placement_options, 2 candidate, 3 placement, 4 place_plain, 5 place_model,
 //        6 place_decode
@@ -23,8 +23,6 @@
 {
     // 2     a decode engine reads prompts at half the speed of a prefill engine
     double decode_reads_slower = 2;
-    // 4     tokens in work seen by this VM stand for so many over all VMs
-    double peer_factor = 4;
     // 1000  tokens; handing a prompt over costs a call and a transfer, so a prompt with
     //       fewer own tokens is read where it is decoded
     std::int64_t handover_tokens = 1000;
@@ -36,12 +34,12 @@
     bool operator==(placement_options const&) const = default;
 };
 
-/// A server with what this VM has in work there.
+/// A server with what is in work there, of this VM and of those it has heard of.
 struct candidate
 {
     backend_server const* server = nullptr;
-    std::int64_t          running = 0;        // calls of this VM
-    std::int64_t          prompt_backlog = 0; // prompt tokens of this VM not read yet
+    std::int64_t          running = 0;        // calls
+    std::int64_t          prompt_backlog = 0; // prompt tokens not read yet
     bool                  suspect = false;    // has failed lately: last choice
 };
 
--- /dev/null
+++ b/src/serving/digest_link.hpp
@@ -0,0 +1,50 @@
+// Load digests between entry VMs over ZeroMQ, on the event loop.
+//
+// Index: digest_link
+#ifndef MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
+#define MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
+
+#include "domain/entry_settings.hpp"
+#include "policy/peer_loads.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace marigoldcrank
+{
+
+/// Publishes to whoever subscribes and subscribes to the peers it is told of. Digests are
+/// dropped rather than queued for a peer that doesn't take them: only the newest counts.
+class digest_link
+{
+public:
+    /// Called on the loop for each digest.
+    using handler = std::function<void(std::string const& vm, server_loads loads)>;
+
+    /// Throws zmq::error_t if the address can't be bound.
+    digest_link(boost::asio::io_context& loop, socket_address const& own, handler on_digest);
+    ~digest_link();
+    digest_link(digest_link const&) = delete;
+    digest_link& operator=(digest_link const&) = delete;
+
+    /// Connects to new peers and leaves those that are no longer named.
+    void follow(std::set<socket_address> const& peers);
+
+    void publish(std::string const& vm, server_loads const& loads);
+
+    /// Takes in what has arrived; also called now and then by the owner, since the socket's
+    /// descriptor tells of changes only.
+    void drain();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -13,6 +13,7 @@
 #include "serving/loop_sleep.hpp"
 
 #include <cmath>
+#include <set>
 
 namespace marigoldcrank
 {
@@ -24,6 +25,7 @@
     millis close_look{400}; // 400 ms; the same while the holder is silent
     millis margin{400};   // 400   ms; drift of clocks and packets in flight
     millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
+    millis meeting{15000}; // 15000 ms after the start: other VMs are looked for more often
     millis seal{1500};    // 1500  ms after a window's end, if all VMs have handed over
     millis seal_at_last{7500}; // 7500 ms after it without those that are missing: the report
                                //      is due 10 s after the end, and may need a second try
@@ -54,19 +56,48 @@
     /// got no answer are sent again; readers count each once.
     boost::asio::awaitable<void> run_usage()
     {
+        auto const started = boot_clock::now();
+        co_await hand_over(current_window());
         while (true)
         {
             auto const past = static_cast<std::int64_t>(unix_millis()) -
                               times_.hand_over.count();
             co_await hand_over(state_.usage.window_of(past));
+            auto const now = boot_clock::now();
+            bool const often =
+                log_.held_until(now) || now - started < times_.meeting;
+            if (now - usage_looked_ >= (often ? times_.renew : state_.settings.usage_window))
+            {
+                usage_looked_ = now;
+                co_await read_usage();
+            }
             co_await loop_sleep(usage_look);
         }
     }
 
+    /// Addresses at which the VMs that hand over usage publish their load digests.
+    std::set<socket_address> peers() const
+    {
+        std::set<socket_address> result;
+        for (auto const& text : sum_.addresses())
+        {
+            leaf::try_handle_all(
+                [&]() -> leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(address, parse_socket_address(text));
+                    result.insert(address);
+                    return {};
+                },
+                [] {}); // a record of another writer; it names no peer
+        }
+        result.erase(state_.settings.peers);
+        return result;
+    }
+
     /// Hands over all counts, those of the open window too: the process is about to end.
     boost::asio::awaitable<void> hand_over_all()
     {
-        return hand_over(state_.usage.window_of(static_cast<std::int64_t>(unix_millis())) + 1);
+        return hand_over(current_window() + 1);
     }
 
     /// Follows the lease, takes it when it is free, and does the duties while it is held.
@@ -90,9 +121,14 @@
     }
 
 private:
+    std::int64_t current_window() const
+    {
+        return state_.usage.window_of(static_cast<std::int64_t>(unix_millis()));
+    }
+
     boost::asio::awaitable<void> hand_over(std::int64_t before)
     {
-        while (handing_over_) // the lane serves one call at a time
+        while (usage_lane_busy_) // the lane serves one call at a time
         {
             co_await loop_sleep(lane_look);
         }
@@ -105,10 +141,10 @@
             co_return;
         }
         auto const count = waiting_.size();
-        handing_over_ = true;
+        usage_lane_busy_ = true;
         auto const result =
             co_await store_.append(usage_lane, usage_topic(), waiting_, std::nullopt);
-        handing_over_ = false;
+        usage_lane_busy_ = false;
         bool const taken = std::holds_alternative<std::uint64_t>(result);
         if (taken)
         {
@@ -120,6 +156,7 @@
 
     static constexpr unsigned duty_lane = 2;
     static constexpr unsigned usage_lane = 3;
+    static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
     static constexpr millis   lane_look{20}; // 20   ms; between looks for the lane to be free
     static constexpr double   milli = 1000;
     static constexpr millis   usage_look{500}; // 500  ms; between looks for a closed window
@@ -176,7 +213,6 @@
         }
         std::vector<duty_record> records{duty_record{
             .kind = duty_kind::renew, .holder = state_.incarnation, .window = reported_}};
-        co_await read_usage();
         for (auto& seal : due_seals())
         {
             records.push_back(std::move(seal));
@@ -268,8 +304,14 @@
 
     boost::asio::awaitable<void> read_usage()
     {
+        while (usage_lane_busy_) // the lane serves one call at a time
+        {
+            co_await loop_sleep(lane_look);
+        }
+        usage_lane_busy_ = true;
         auto result =
-            co_await store_.read(duty_lane, usage_topic(), usage_next_, millis{0});
+            co_await store_.read(usage_lane, usage_topic(), usage_next_, millis{0});
+        usage_lane_busy_ = false;
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             usage_next_ = failure->fault == store_fault::trimmed ? failure->offset
@@ -287,6 +329,8 @@
         }
         usage_next_ = chunk.from + chunk.records.size();
         usage_read_ = usage_next_ >= chunk.end;
+        auto const window = current_window();
+        sum_.forget_before(window - kept_windows);
     }
 
     /// Windows whose counts are in and that nobody has sealed yet.
@@ -297,7 +341,6 @@
         auto const now = static_cast<std::int64_t>(unix_millis());
         auto const last = (now - times_.seal.count()) / length - 1;
         auto const first = (now - times_.too_old.count()) / length;
-        sum_.forget_before(first - 1);
         if (!usage_read_)
         {
             return seals;
@@ -611,8 +654,9 @@
     usage_sum    sum_;
     std::vector<std::string> waiting_; // usage records that aren't known to be appended
     std::uint64_t usage_next_ = 0;
+    boot_clock::time_point usage_looked_{};
     bool         usage_read_ = false;
-    bool         handing_over_ = false;
+    bool         usage_lane_busy_ = false;
     bool         held_ = false;
     std::int64_t reported_ = 0;
     boot_clock::time_point ordered_{};
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
 #include "serving/caller_session.hpp"
+#include "serving/digest_link.hpp"
 #include "serving/duty_worker.hpp"
 #include "serving/listener.hpp"
 #include "serving/status_server.hpp"
@@ -40,6 +41,7 @@
         spawn(worker_.run_usage());
         spawn(worker_.run_duties());
         spawn(keep_house());
+        spawn(exchange_digests());
         spawn(await_signals());
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
@@ -54,6 +56,9 @@
 private:
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
+    // 150   ms; between digests. A prompt of 8,000 tokens is read in as long: placement must
+    //       not rest on much older knowledge
+    static constexpr millis digest_pause{150};
     // 50    ms; between looks at whether all calls have ended
     static constexpr millis drain_look{50};
     // 300   ms of the grace are left for the last answers to be taken
@@ -100,6 +105,24 @@
         }
     }
 
+    boost::asio::awaitable<void> exchange_digests()
+    {
+        if (state_.settings.peers.port == 0)
+        {
+            co_return;
+        }
+        digest_link link{loop_, state_.settings.peers,
+                         [this](std::string const& vm, server_loads loads)
+                         { state_.peers.absorb(vm, std::move(loads), boot_clock::now()); }};
+        while (true)
+        {
+            link.follow(worker_.peers());
+            link.publish(state_.incarnation, state_.loads);
+            state_.peers.expire(boot_clock::now());
+            co_await loop_sleep(digest_pause);
+        }
+    }
+
     void note_readiness()
     {
         auto const now = boot_clock::now();
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -17,9 +17,19 @@
 
 } // namespace
 
+namespace
+{
+
+std::string format_address(socket_address const& value)
+{
+    return value.port == 0 ? "" : value.host + ":" + std::to_string(value.port);
+}
+
+} // namespace
+
 entry_state::entry_state(entry_settings value, std::string incarnation_name)
     : settings(std::move(value)), incarnation(std::move(incarnation_name)),
-      usage(incarnation, settings.usage_window),
+      usage(incarnation, format_address(settings.peers), settings.usage_window),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
       random_(std::random_device{}())
 {
@@ -51,11 +61,15 @@
             continue;
         }
         auto const load = loads.find(id);
-        candidate  each{.server = &server, .suspect = health.suspect(id, now)};
+        auto const others = peers.at(id, now);
+        candidate  each{.server = &server,
+                        .running = others.running,
+                        .prompt_backlog = others.prompt_backlog,
+                        .suspect = health.suspect(id, now)};
         if (load != loads.end())
         {
-            each.running = load->second.running;
-            each.prompt_backlog = load->second.prompt_backlog;
+            each.running += load->second.running;
+            each.prompt_backlog += load->second.prompt_backlog;
         }
         result.push_back(each);
     }
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -1,6 +1,6 @@
 // What one daemon believes and counts: rules, servers, loads, budgets, usage.
 //
-// Index: 1 server_load, 2 rules_view, 3 entry_state
+// Index: 1 rules_view, 2 entry_state, 3 load_share
 //
 // Confined to the event loop's thread, which is the one that an entry VM's quarter of a core
 // feeds: it has no locks because nothing else may touch it.
@@ -13,6 +13,7 @@
 #include "domain/serving_rules.hpp"
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
+#include "policy/peer_loads.hpp"
 #include "policy/placement.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
@@ -28,13 +29,6 @@
 namespace marigoldcrank
 {
 
-/// Calls of this VM at one server.
-struct server_load
-{
-    std::int64_t running = 0;
-    std::int64_t prompt_backlog = 0; // tokens
-};
-
 /// The rules in force and how old the knowledge is.
 struct rules_view
 {
@@ -69,7 +63,8 @@
     std::string                        incarnation;
     rules_view                         view;
     server_list                        servers;
-    std::map<std::string, server_load> loads;
+    server_loads                       loads; // calls of this VM
+    peer_loads                         peers; // calls of the others
     std::set<std::string>              changing; // engines that are given another role
     server_health                      health;
     connection_pool                    pool;
