--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -160,7 +160,12 @@
     }
     bool const apart = call.own_tokens() >= options.handover_tokens &&
                        first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
-    return apart ? placement{first.server, true} : placement{whole.server, false};
+    auto const tokens = [&](backend_server const* server, backend_server const* home)
+    {
+        return server == home && !shared.empty() ? call.own_tokens() : call.prompt_tokens();
+    };
+    return apart ? placement{first.server, true, tokens(first.server, prefill_home)}
+                 : placement{whole.server, false, tokens(whole.server, decode_home)};
 }
 
 backend_server const* place_decode(std::vector<candidate> const& candidates,
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -48,6 +48,7 @@
 {
     backend_server const* server = nullptr;
     bool                  prefill_only = false; // reads the prompt; another one runs the call
+    std::int64_t          unread = 0; // tokens to be read there, as far as caches are known
 };
 
 /// The least loaded server for a plain call, those of the own data centre first among
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -256,7 +256,7 @@
             {
                 prefilled_ = true;
                 reader = decode;
-                source = co_await read_prompt(reader);
+                source = co_await read_prompt(reader, first->unread);
                 if (!caller_.left() && !choose_decode(decode))
                 {
                     co_await give_up();
@@ -267,7 +267,8 @@
                     co_return;
                 }
             }
-            if (co_await run_stream(decode, source))
+            auto const unread = source.empty() ? first->unread : 0;
+            if (co_await run_stream(decode, source, unread))
             {
                 co_return;
             }
@@ -288,7 +289,7 @@
         }
         auto const* server = place_decode(candidates, state_.settings.data_centre,
                                           state_.ticket(), placement_options{});
-        return server == nullptr ? std::nullopt : std::optional{placement{server, false}};
+        return server == nullptr ? std::nullopt : std::optional{placement{server, false, call_.prompt_tokens()}};
     }
 
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
@@ -311,12 +312,13 @@
     }
 
     /// Has a prefill engine read the prompt. Gives where its cache lies; empty if nowhere.
-    boost::asio::awaitable<std::string> read_prompt(backend_server server)
+    boost::asio::awaitable<std::string> read_prompt(backend_server server,
+                                                    std::int64_t   unread)
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, call_.prompt_tokens()};
-        note_send(server, call_.prompt_tokens());
+        load_share share{state_, server.id, unread};
+        note_send(server, unread);
         auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
@@ -340,14 +342,15 @@
     }
 
     /// Runs the call at `server`. True if its final answer has been given.
-    boost::asio::awaitable<bool> run_stream(backend_server server, std::string source)
+    boost::asio::awaitable<bool> run_stream(backend_server server, std::string source,
+                                            std::int64_t unread)
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, source.empty() ? call_.prompt_tokens() : 0};
+        load_share share{state_, server.id, unread};
         auto       message = onward(server);
         message.cache_source = source;
-        note_send(server, source.empty() ? call_.prompt_tokens() : 0);
+        note_send(server, unread);
         ++runs_;
         auto const fate = co_await send_message(link, message, false, deadline_);
         if (caller_.left())
