--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -6,6 +6,8 @@
 
 #include "domain/boot_clock.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,13 +15,42 @@
 namespace marigoldcrank
 {
 
+/// Ranks that are told apart, most urgent first; all further ones count as the last.
+constexpr std::size_t rank_count = 4;
+
+/// Where a rank is counted.
+constexpr std::size_t rank_index(std::int64_t rank)
+{
+    return static_cast<std::size_t>(std::clamp<std::int64_t>(rank, 0, rank_count - 1));
+}
+
 /// Calls in work at one server.
 struct server_load
 {
-    std::int64_t running = 0;
-    std::int64_t prompt_backlog = 0; // tokens
+    std::int64_t                         running = 0;
+    std::array<std::int64_t, rank_count> prompt_backlog{}; // tokens not read yet, by rank
 
     auto operator<=>(server_load const&) const = default;
+
+    /// Tokens that are read before a call of this rank gets its turn.
+    std::int64_t backlog_before(std::int64_t rank) const
+    {
+        std::int64_t sum = 0;
+        for (std::size_t at = 0; at <= rank_index(rank); ++at)
+        {
+            sum += prompt_backlog[at];
+        }
+        return sum;
+    }
+
+    void add(server_load const& other)
+    {
+        running += other.running;
+        for (std::size_t at = 0; at < rank_count; ++at)
+        {
+            prompt_backlog[at] += other.prompt_backlog[at];
+        }
+    }
 };
 
 using server_loads = std::map<std::string, server_load>;
@@ -52,8 +83,7 @@
             auto const found = digest.loads.find(server);
             if (now - digest.heard <= options_.life && found != digest.loads.end())
             {
-                sum.running += found->second.running;
-                sum.prompt_backlog += found->second.prompt_backlog;
+                sum.add(found->second);
             }
         }
         return sum;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -79,7 +79,7 @@
     return cheapest(candidates, ticket,
                     [&](candidate const& each)
                     {
-                        return static_cast<double>(each.running) +
+                        return static_cast<double>(each.load.running) +
                                (each.server->data_centre == data_centre ? 0 : other_centre) +
                                (each.suspect ? suspect_cost : 0);
                     })
@@ -95,15 +95,16 @@
 class model_costs
 {
 public:
-    model_costs(std::string const& data_centre, placement_options const& options)
-        : data_centre_(data_centre), options_(options)
+    model_costs(std::string const& data_centre, std::int64_t rank,
+                placement_options const& options)
+        : data_centre_(data_centre), rank_(rank), options_(options)
     {
     }
 
     double waiting(candidate const& each) const
     {
-        auto const streams = static_cast<double>(each.running * options_.stream_tokens);
-        return static_cast<double>(each.prompt_backlog) + streams;
+        auto const streams = each.load.running * options_.stream_tokens;
+        return static_cast<double>(each.load.backlog_before(rank_) + streams);
     }
 
     double distance(candidate const& each) const
@@ -115,19 +116,29 @@
 
 private:
     std::string const&       data_centre_;
+    std::int64_t             rank_;
     placement_options const& options_;
 };
 
+std::int64_t backlog_at(std::vector<candidate> const& candidates,
+                        backend_server const* server, std::int64_t rank)
+{
+    auto const found = std::find_if(candidates.begin(), candidates.end(),
+                                    [&](candidate const& each)
+                                    { return each.server == server; });
+    return found == candidates.end() ? 0 : found->load.backlog_before(rank);
+}
+
 constexpr double unfit = std::numeric_limits<double>::infinity();
 
 } // namespace
 
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
-                                     caller_call const&            call,
+                                     caller_call const& call, std::int64_t rank,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options)
 {
-    model_costs const costs{data_centre, options};
+    model_costs const costs{data_centre, rank, options};
     auto const        shared = call.shared_part();
     auto const        all = static_cast<double>(call.prompt_tokens());
     auto const        own = static_cast<double>(call.own_tokens());
@@ -160,19 +171,21 @@
     }
     bool const apart = call.own_tokens() >= options.handover_tokens &&
                        first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
-    auto const tokens = [&](backend_server const* server, backend_server const* home)
-    {
-        return server == home && !shared.empty() ? call.own_tokens() : call.prompt_tokens();
-    };
-    return apart ? placement{first.server, true, tokens(first.server, prefill_home)}
-                 : placement{whole.server, false, tokens(whole.server, decode_home)};
+    auto const& chosen = apart ? first : whole;
+    auto const* home = apart ? prefill_home : decode_home;
+    bool const  cached = chosen.server == home && !shared.empty();
+    return placement{.server = chosen.server,
+                     .prefill_only = apart,
+                     .unread = cached ? call.own_tokens() : call.prompt_tokens(),
+                     .ahead = backlog_at(candidates, chosen.server, rank)};
 }
 
 backend_server const* place_decode(std::vector<candidate> const& candidates,
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options)
 {
-    model_costs const costs{data_centre, options};
+    constexpr auto    least_urgent = static_cast<std::int64_t>(rank_count);
+    model_costs const costs{data_centre, least_urgent, options};
     return cheapest(candidates, ticket,
                     [&](candidate const& each)
                     {
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -10,6 +10,7 @@
 
 #include "domain/backend_server.hpp"
 #include "domain/caller_call.hpp"
+#include "policy/peer_loads.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -38,8 +39,7 @@
 struct candidate
 {
     backend_server const* server = nullptr;
-    std::int64_t          running = 0;        // calls
-    std::int64_t          prompt_backlog = 0; // prompt tokens not read yet
+    server_load           load;
     bool                  suspect = false;    // has failed lately: last choice
 };
 
@@ -49,6 +49,7 @@
     backend_server const* server = nullptr;
     bool                  prefill_only = false; // reads the prompt; another one runs the call
     std::int64_t          unread = 0; // tokens to be read there, as far as caches are known
+    std::int64_t          ahead = 0;  // tokens that are read there before these
 };
 
 /// The least loaded server for a plain call, those of the own data centre first among
@@ -58,7 +59,7 @@
 
 /// The first engine for a model call; nothing if no engine can decode.
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
-                                     caller_call const&            call,
+                                     caller_call const& call, std::int64_t rank,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options);
 
--- /dev/null
+++ b/src/policy/wait_judgement.hpp
@@ -0,0 +1,71 @@
+// Whether a model call may wait for its prompt to be read, or is turned away at once.
+//
+// Index: 1 wait_options, 2 wait_input, 3 judge_wait
+//
+// Load answered: a swing that asks for more reading than the engines can do. Queues for
+// reading then grow until every call in them is late, and each call that is given up in the
+// queue has held up those behind it. A call that would be served far too late is refused
+// while its caller still has time to come back.
+#ifndef MARIGOLDCRANK_POLICY_WAIT_JUDGEMENT_HPP
+#define MARIGOLDCRANK_POLICY_WAIT_JUDGEMENT_HPP
+
+#include "domain/boot_clock.hpp"
+#include "policy/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace marigoldcrank
+{
+
+struct wait_options
+{
+    // 2.5   times its objective, the first token's longest predicted wait: later answers are
+    //       still worth something to their callers, but cost those behind them more
+    double longest_wait = 2.5;
+    // 250 and 2000  ms; bounds of the time after which a caller is asked to come back
+    millis soonest{250};
+    millis latest{2000};
+
+    bool operator==(wait_options const&) const = default;
+};
+
+struct wait_input
+{
+    placement placed;
+    double    read_speed = 0; // tokens a second of the engine; 0: not known
+    millis    objective{0};   // to the first token; 0: none
+    millis    left{0};        // until the caller gives up
+
+
+};
+
+/// When the caller should come back; nothing if the call may wait. The time is that after
+/// which the tokens ahead will have been read down to the objective.
+inline std::optional<millis> judge_wait(wait_input const& input, wait_options const& options)
+{
+    if (input.read_speed <= 0 || input.objective.count() == 0)
+    {
+        return std::nullopt;
+    }
+    constexpr double second_ms = 1000;
+    auto const       ahead = static_cast<double>(input.placed.ahead);
+    auto const       all = ahead + static_cast<double>(input.placed.unread);
+    auto const       wait_ms = all / input.read_speed * second_ms;
+    auto const       objective = static_cast<double>(input.objective.count());
+    auto const       limit = std::min(objective * options.longest_wait,
+                                      static_cast<double>(input.left.count()));
+    // A prompt that is long by itself is served whenever it is next.
+    bool const next = ahead / input.read_speed * second_ms < objective;
+    if (wait_ms <= limit || next)
+    {
+        return std::nullopt;
+    }
+    auto const excess = millis{std::llround(wait_ms - objective)};
+    return std::clamp(excess, options.soonest, options.latest);
+}
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Tokens a second that one engine reads when it does nothing else; 0: not known yet.
+    double prefill_speed() const
+    {
+        return prefill_speed_;
+    }
+
     work_demand demand(boot_clock::time_point now)
     {
         fade(now);
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -11,6 +11,7 @@
 #include "serving/caller_link.hpp"
 #include "serving/event_splitter.hpp"
 #include "serving/own_reply.hpp"
+#include "policy/wait_judgement.hpp"
 #include "serving/server_exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -179,7 +180,7 @@
             }
             exchange   link{state_, *server};
             in_use     use{*this, link};
-            load_share share{state_, server->id, 0};
+            load_share share{state_, server->id, rank_, 0};
             note_send(*server, 0);
             auto const fate = co_await send(link, {}, attempt_end());
             if (caller_.left())
@@ -249,6 +250,11 @@
             {
                 co_return co_await give_up();
             }
+            if (auto const back = too_late(*first))
+            {
+                own_reply const refusal{503, call_fate::not_run, "queue", back};
+                co_return co_await reply(refusal);
+            }
             auto           decode = *first->server; // copies: the list changes meanwhile
             backend_server reader;
             std::string    source;
@@ -276,6 +282,24 @@
         }
     }
 
+    /// When to come back, if the call would wait too long; a call is judged once.
+    std::optional<millis> too_late(placement const& first)
+    {
+        if (std::exchange(judged_, true))
+        {
+            return std::nullopt;
+        }
+        placement_options const places;
+        auto const speed = meter().prefill_speed() /
+                           (first.prefill_only ? 1.0 : places.decode_reads_slower);
+        return judge_wait({.placed = first,
+                           .read_speed = speed,
+                           .objective = route_->objective,
+                           .left = std::chrono::duration_cast<millis>(
+                               deadline_ - loop_clock::now())},
+                          wait_options{});
+    }
+
     /// Where the call goes next. A prompt is read apart at most once a call: a second time
     /// would count as one more send.
     std::optional<placement> place_first()
@@ -284,7 +308,7 @@
             state_.candidates(service_name_, tried_, boot_clock::now());
         if (!prefilled_ && !started_)
         {
-            return place_model(candidates, call_, state_.settings.data_centre,
+            return place_model(candidates, call_, rank_, state_.settings.data_centre,
                                state_.ticket(), placement_options{});
         }
         auto const* server = place_decode(candidates, state_.settings.data_centre,
@@ -317,7 +341,7 @@
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, unread};
+        load_share share{state_, server.id, rank_, unread};
         note_send(server, unread);
         auto const began = boot_clock::now();
         auto       message = onward(server);
@@ -347,7 +371,7 @@
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, unread};
+        load_share share{state_, server.id, rank_, unread};
         auto       message = onward(server);
         message.cache_source = source;
         note_send(server, unread);
@@ -760,6 +784,7 @@
     std::int64_t                         runs_ = 0; // servers that may have run it
     std::int64_t                         refused_sends_ = 0;
     bool                                 maybe_run_ = false;
+    bool                                 judged_ = false;
     bool                                 prefilled_ = false;
     bool                                 started_ = false; // the caller has the stream's head
     bool                                 counted_ = false;
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -100,8 +100,11 @@
         auto* entry = digest.add_servers();
         entry->set_server(server);
         entry->set_running(static_cast<std::uint64_t>(std::max<std::int64_t>(load.running, 0)));
-        entry->set_prompt_backlog(
-            static_cast<std::uint64_t>(std::max<std::int64_t>(load.prompt_backlog, 0)));
+        for (auto const tokens : load.prompt_backlog)
+        {
+            entry->add_prompt_backlog(
+                static_cast<std::uint64_t>(std::max<std::int64_t>(tokens, 0)));
+        }
     }
     auto const bytes = digest.SerializeAsString();
     // A PUB socket drops for a peer whose queue is full; that is what is wanted.
@@ -121,8 +124,13 @@
         server_loads loads;
         for (auto const& entry : digest.servers())
         {
-            loads[entry.server()] = {static_cast<std::int64_t>(entry.running()),
-                                     static_cast<std::int64_t>(entry.prompt_backlog())};
+            auto& load = loads[entry.server()];
+            load.running = static_cast<std::int64_t>(entry.running());
+            for (int rank = 0; rank < entry.prompt_backlog_size(); ++rank)
+            {
+                load.prompt_backlog[rank_index(rank)] +=
+                    static_cast<std::int64_t>(entry.prompt_backlog(rank));
+            }
         }
         state_->told(digest.vm(), std::move(loads));
     }
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -14,6 +14,7 @@
 
 #include <cmath>
 #include <set>
+#include <tuple>
 
 namespace marigoldcrank
 {
@@ -169,6 +170,13 @@
         bool                   ordered = false;
     };
 
+    /// The newest order for one kind of server of a service in a data centre.
+    struct last_order
+    {
+        std::int64_t           count = -1;
+        boot_clock::time_point at{};
+    };
+
     static std::string duty_topic()
     {
         return "duty";
@@ -425,11 +433,10 @@
     {
         auto const rules = state_.view.rules;
         auto const now = boot_clock::now();
-        if (!rules || now - ordered_ < times_.order_again)
+        if (!rules)
         {
             co_return;
         }
-        ordered_ = now;
         for (auto const& value : rules->services())
         {
             for (auto const& [data_centre, present] :
@@ -440,6 +447,9 @@
                 fleet.bought = std::max(fleet.bought, present.full);
                 co_await send_server_orders(
                     plan_fleet(value, data_centre, fleet, now, fleet_options{}));
+                // A refusal of cheap servers decides on those of full price at once.
+                co_await send_server_orders(
+                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
             }
         }
     }
@@ -453,6 +463,13 @@
             {
                 co_return;
             }
+            auto& last = orders_[{order.service, order.data_centre, order.cheap}];
+            if (last.count == order.count &&
+                boot_clock::now() - last.at < times_.order_again)
+            {
+                continue;
+            }
+            last = {order.count, boot_clock::now()};
             auto const outcome = co_await duties_.order_servers(*sender, order);
             auto const now = boot_clock::now();
             auto&      fleet = fleets_[{order.service, order.data_centre}];
@@ -659,7 +676,7 @@
     bool         usage_lane_busy_ = false;
     bool         held_ = false;
     std::int64_t reported_ = 0;
-    boot_clock::time_point ordered_{};
+    std::map<std::tuple<std::string, std::string, bool>, last_order> orders_;
     std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
     std::map<std::string, role_change> role_changes_; // by engine
     double       fleet_scale_ = 0; // 0: not known yet
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -61,15 +61,12 @@
             continue;
         }
         auto const load = loads.find(id);
-        auto const others = peers.at(id, now);
-        candidate  each{.server = &server,
-                        .running = others.running,
-                        .prompt_backlog = others.prompt_backlog,
-                        .suspect = health.suspect(id, now)};
+        candidate each{.server = &server,
+                       .load = peers.at(id, now),
+                       .suspect = health.suspect(id, now)};
         if (load != loads.end())
         {
-            each.running += load->second.running;
-            each.prompt_backlog += load->second.prompt_backlog;
+            each.load.add(load->second);
         }
         result.push_back(each);
     }
@@ -89,12 +86,14 @@
     return random_();
 }
 
-load_share::load_share(entry_state& state, std::string server, std::int64_t prompt_tokens)
-    : state_(state), server_(std::move(server)), tokens_(prompt_tokens)
+load_share::load_share(entry_state& state, std::string server, std::int64_t rank,
+                       std::int64_t prompt_tokens)
+    : state_(state), server_(std::move(server)), rank_(rank_index(rank)),
+      tokens_(prompt_tokens)
 {
     auto& load = state_.loads[server_];
     ++load.running;
-    load.prompt_backlog += tokens_;
+    load.prompt_backlog[rank_] += tokens_;
 }
 
 load_share::~load_share()
@@ -109,7 +108,7 @@
 
 void load_share::prompt_read()
 {
-    state_.loads[server_].prompt_backlog -= tokens_;
+    state_.loads[server_].prompt_backlog[rank_] -= tokens_;
     tokens_ = 0;
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -85,7 +85,8 @@
 class load_share
 {
 public:
-    load_share(entry_state& state, std::string server, std::int64_t prompt_tokens);
+    load_share(entry_state& state, std::string server, std::int64_t rank,
+               std::int64_t prompt_tokens);
     ~load_share();
     load_share(load_share const&) = delete;
     load_share& operator=(load_share const&) = delete;
@@ -96,6 +97,7 @@
 private:
     entry_state& state_;
     std::string  server_;
+    std::size_t  rank_;
     std::int64_t tokens_;
 };
 
