--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -153,7 +153,10 @@
         [&](candidate const& each)
         {
             bool const fits = each.server->role != engine_role::prefill;
-            auto const tokens = costs.waiting(each) + unread(each, decode_home);
+            auto const held_up = 1 + static_cast<double>(each.load.running) /
+                                         options.streams_a_share;
+            auto const tokens =
+                costs.waiting(each) + held_up * unread(each, decode_home);
             return fits ? options.decode_reads_slower * tokens + costs.distance(each)
                         : unfit;
         });
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -24,6 +24,10 @@
 {
     // 2     a decode engine reads prompts at half the speed of a prefill engine
     double decode_reads_slower = 2;
+    // 8     streams; a prompt that is read between the tokens of so many others costs them
+    //       together as much as the prompt itself waits. Without this a swing fills the
+    //       engines that decode with prompts, and every stream on them stalls
+    double streams_a_share = 8;
     // 1000  tokens; handing a prompt over costs a call and a transfer, so a prompt with
     //       fewer own tokens is read where it is decoded
     std::int64_t handover_tokens = 1000;
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -313,7 +313,8 @@
         }
         auto const* server = place_decode(candidates, state_.settings.data_centre,
                                           state_.ticket(), placement_options{});
-        return server == nullptr ? std::nullopt : std::optional{placement{server, false, call_.prompt_tokens()}};
+        return server == nullptr ? std::nullopt : std::optional{placement{.server = server,
+                                                  .unread = call_.prompt_tokens()}};
     }
 
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
