--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -15,12 +15,14 @@
 namespace
 {
 
-constexpr std::size_t pipe_atomic_bytes = 4096; // a pipe that polls writable takes so many
+constexpr std::size_t pipe_atomic_bytes =
+    4096; // a pipe that polls writable takes so many
 
 bool plain(std::string_view value)
 {
     return !value.empty() && std::all_of(value.begin(), value.end(),
-                                         [](unsigned char letter) {
+                                         [](unsigned char letter)
+                                         {
                                              return letter > ' ' && letter < 0x7f &&
                                                     letter != '"' && letter != '=' &&
                                                     letter != '\\';
@@ -96,10 +98,9 @@
 
 bool event_log::sampled(std::string_view id) const noexcept
 {
-    return options_.sample > 0 &&
-           XXH3_64bits(id.data(), id.size()) %
-                   static_cast<std::uint64_t>(options_.sample) ==
-               0;
+    return options_.sample > 0 && XXH3_64bits(id.data(), id.size()) %
+                                          static_cast<std::uint64_t>(options_.sample) ==
+                                      0;
 }
 
 bool event_log::admit(boot_clock::time_point now)
--- a/src/adapters/event_log.hpp
+++ b/src/adapters/event_log.hpp
@@ -2,8 +2,9 @@
 //
 // Index: 1 event_line, 2 event_log_options, 3 event_log
 //
-// A reader of the pipe that stalls must not stall the serving path: lines wait in a bounded
-// buffer, are written only while the pipe takes them, and are counted once they are dropped.
+// A reader of the pipe that stalls must not stall the serving path: lines wait in a
+// bounded buffer, are written only while the pipe takes them, and are counted once they
+// are dropped.
 #ifndef MARIGOLDCRANK_ADAPTERS_EVENT_LOG_HPP
 #define MARIGOLDCRANK_ADAPTERS_EVENT_LOG_HPP
 
@@ -56,7 +57,8 @@
     void write(event_line const& line, boot_clock::time_point now);
 
     /// A step of a call: written for sampled ids only.
-    void write_step(std::string_view id, event_line const& line, boot_clock::time_point now);
+    void write_step(std::string_view id, event_line const& line,
+                    boot_clock::time_point now);
 
     /// Hands to the pipe what it takes at once.
     void flush(boot_clock::time_point now);
--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -23,18 +23,18 @@
 /// One backend server of the platform's list.
 struct backend_server
 {
-    std::string id;
-    std::string host;
-    int         port = 0;
-    std::string data_centre;
-    std::string group;            // engines or services that serve the same
-    bool        cheap = false;    // may be reclaimed with its whole zone
-    bool        leaving = false;  // gets no new work
-    std::string order_id;         // of the order that bought it, if it was bought
-    bool        starting = false; // bought, and not yet live
-    engine_role role = engine_role::mixed; // as the server last stated it
-    std::int64_t slots = 0;                // requests it runs at once; 0: not stated
-    std::int64_t born_unix_ms = 0;         // start of this incarnation; 0: not stated
+    std::string  id;
+    std::string  host;
+    int          port = 0;
+    std::string  data_centre;
+    std::string  group;            // engines or services that serve the same
+    bool         cheap = false;    // may be reclaimed with its whole zone
+    bool         leaving = false;  // gets no new work
+    std::string  order_id;         // of the order that bought it, if it was bought
+    bool         starting = false; // bought, and not yet live
+    engine_role  role = engine_role::mixed; // as the server last stated it
+    std::int64_t slots = 0;                 // requests it runs at once; 0: not stated
+    std::int64_t born_unix_ms = 0;          // start of this incarnation; 0: not stated
 
     auto operator<=>(backend_server const&) const = default;
 };
--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -49,7 +49,8 @@
     store_value store;
 };
 
-entry_option text(char const* section, char const* key, std::string entry_settings::*field)
+entry_option text(char const* section, char const* key,
+                  std::string entry_settings::*field)
 {
     return {section, key, "text", true,
             [field](entry_settings& value, std::string const& content)
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -37,7 +37,7 @@
     socket_address callers;     //          listens for callers here
     socket_address readiness;   //          answers the balancer here
     socket_address metrics;     //          serves metrics here; port 0: not at all
-    socket_address peers;       //          publishes load digests here; port 0: not at all
+    socket_address peers; //          publishes load digests here; port 0: not at all
     bool           first_start = false; //  no VM has run before
     // [platform]
     socket_address store;  //               the log that keeps what must last
--- a/src/domain/serving_rules.cpp
+++ b/src/domain/serving_rules.cpp
@@ -56,16 +56,17 @@
     {
         return nullptr;
     }
-    auto const match = std::find_if(found->second.begin(), found->second.end(),
-                                    [&](std::size_t at)
-                                    { return path.starts_with(routes_[at].path_prefix); });
+    auto const match = std::find_if(
+        found->second.begin(), found->second.end(),
+        [&](std::size_t at) { return path.starts_with(routes_[at].path_prefix); });
     return match == found->second.end() ? nullptr : &routes_[*match];
 }
 
 service const* serving_rules::find_service(std::string_view name) const
 {
-    auto const found = std::find_if(services_.begin(), services_.end(),
-                                    [&](service const& each) { return each.name == name; });
+    auto const found =
+        std::find_if(services_.begin(), services_.end(),
+                     [&](service const& each) { return each.name == name; });
     return found == services_.end() ? nullptr : &*found;
 }
 
--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -43,14 +43,14 @@
     std::string               host;        // lower case, without port
     std::string               path_prefix; // begins and ends with a slash
     call_kind                 kind = call_kind::non_idempotent;
-    std::vector<route_target> targets;      //        one, or the branches of a split
-    millis                    timeout{0};   // 0      longest a caller is kept waiting; 0: none
-    millis                    objective{0}; // 0      to a whole answer or the first event
-    millis                    event_gap{0}; // 0      longest pause between two events
-    std::int64_t              max_servers = 1; // 1   servers that one call may be sent to
-    std::int64_t              rank = 0;        // 0   most urgent first
-    bool                      open = false;    //     needs no key
-    bool                      resumable = false; //   a stream may go on at another server
+    std::vector<route_target> targets; //        one, or the branches of a split
+    millis       timeout{0};           // 0      longest a caller is kept waiting; 0: none
+    millis       objective{0};         // 0      to a whole answer or the first event
+    millis       event_gap{0};         // 0      longest pause between two events
+    std::int64_t max_servers = 1;      // 1   servers that one call may be sent to
+    std::int64_t rank = 0;             // 0   most urgent first
+    bool         open = false;         //     needs no key
+    bool         resumable = false;    //   a stream may go on at another server
 
     bool operator==(route const&) const = default;
 };
@@ -69,9 +69,9 @@
 struct service
 {
     std::string  name;
-    std::int64_t connections = 0;   // 0  most connections one server accepts; 0: not stated
+    std::int64_t connections = 0; // 0  most connections one server accepts; 0: not stated
     bool         has_engines = false; //  its servers are model engines
-    millis       handle_life{0};    // 0  a prefilled prompt is kept this long at its engine
+    millis       handle_life{0}; // 0  a prefilled prompt is kept this long at its engine
     std::optional<fleet_bounds> fleet; // none: its servers can't be ordered
 
     bool operator==(service const&) const = default;
@@ -90,10 +90,10 @@
 /// What a caller may send, and how long it may take.
 struct caller_limits
 {
-    std::int64_t header_bytes = 16384;  // 16384    of one request head
-    std::int64_t body_bytes = 4194304;  // 4194304  of one request body
-    millis       header_time{3000};     // 3000     from the first byte of a head to its last
-    millis       idle_time{15000};      // 15000    a connection without a request
+    std::int64_t header_bytes = 16384; // 16384    of one request head
+    std::int64_t body_bytes = 4194304; // 4194304  of one request body
+    millis       header_time{3000}; // 3000     from the first byte of a head to its last
+    millis       idle_time{15000};  // 15000    a connection without a request
 
     bool operator==(caller_limits const&) const = default;
 };
@@ -135,8 +135,9 @@
     std::vector<workspace> workspaces_;
     bool                   keyed_ = false;
     caller_limits          limits_;
-    std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_; // longest first
-    std::map<std::string, std::size_t, std::less<>>              by_key_;
+    std::map<std::string, std::vector<std::size_t>, std::less<>>
+                                                    by_host_; // longest first
+    std::map<std::string, std::size_t, std::less<>> by_key_;
 };
 
 /// The branch of a split that `ticket` falls on; tickets spread evenly give the weights.
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -1,11 +1,12 @@
-// One lease for the duties of which there may be one holder, decided by conditional appends.
+// One lease for the duties of which there may be one holder, decided by conditional
+// appends.
 //
 // Index: 1 duty_record, 2 formats, 3 duty_lease_options, 4 announced_change, 5 duty_log
 //
 // Every record is appended on the condition that the topic ends where its writer has read
-// to. So of two rivals one finds another end, nothing is appended unseen, and an append that
-// takes effect late does so only if nobody has written since. The epoch is the offset of the
-// claim plus one: it only rises, and serves as fencing token.
+// to. So of two rivals one finds another end, nothing is appended unseen, and an append
+// that takes effect late does so only if nobody has written since. The epoch is the
+// offset of the claim plus one: it only rises, and serves as fencing token.
 //
 // Failure guarded against: two holders acting at once. The holder counts its lease from
 // before it sent the append; a successor counts from when it read the newest record and
@@ -39,11 +40,11 @@
 struct duty_record
 {
     duty_kind     kind = duty_kind::claim;
-    std::string   holder;       // VM and incarnation
-    std::uint64_t number = 0;   // counts the holder's appends; tells its own ones apart
-    std::int64_t  window = 0;   // seal: the window. renew: the last window that is reported
-    usage_counts  counts;       // seal
-    std::string   server;       // change: the engine
+    std::string   holder;     // VM and incarnation
+    std::uint64_t number = 0; // counts the holder's appends; tells its own ones apart
+    std::int64_t  window = 0; // seal: the window. renew: the last window that is reported
+    usage_counts  counts;     // seal
+    std::string   server;     // change: the engine
     bool          prefill = false; // change: it is to read prompts; else it is to decode
 
     bool operator==(duty_record const&) const = default;
@@ -54,8 +55,8 @@
 
 struct duty_lease_options
 {
-    millis lease{3000};  // 3000  ms; validity of one renewal
-    millis margin{400};  // 400   ms; drift of clocks and packets in flight
+    millis lease{3000}; // 3000  ms; validity of one renewal
+    millis margin{400}; // 400   ms; drift of clocks and packets in flight
 
     bool operator==(duty_lease_options const&) const = default;
 };
@@ -73,13 +74,15 @@
 class duty_log
 {
 public:
-    duty_log(std::string self, duty_lease_options options, boot_clock::time_point started);
+    duty_log(std::string self, duty_lease_options options,
+             boot_clock::time_point started);
 
     /// Remembers when an append was sent; its number goes into its records.
     std::uint64_t begin_append(boot_clock::time_point now);
 
     /// Takes in the record at `offset`, read or acknowledged. Older ones are ignored.
-    void absorb(duty_record const& record, std::uint64_t offset, boot_clock::time_point now);
+    void absorb(duty_record const& record, std::uint64_t offset,
+                boot_clock::time_point now);
 
     /// Records up to `offset` can't be read any more, or aren't of the form of ours.
     void skip(std::uint64_t offset, boot_clock::time_point now);
@@ -107,20 +110,20 @@
 
 private:
     static constexpr std::size_t most_windows = 64; // far more than are ever due at once
-    static constexpr millis      change_kept{30000}; // 30000  ms; longer than any change takes
-
-    std::string                                      self_;
-    duty_lease_options                               options_;
-    boot_clock::time_point                           heard_;
-    std::uint64_t                                    end_ = 0;
-    std::uint64_t                                    epoch_ = 0;
-    std::string                                      holder_;
-    std::uint64_t                                    number_ = 0;
-    std::map<std::uint64_t, boot_clock::time_point>  sent_;
-    boot_clock::time_point                           valid_until_{};
-    std::map<std::int64_t, usage_counts>             sealed_;
-    std::map<std::string, announced_change>          changing_;
-    std::int64_t                                     reported_ = 0;
+    static constexpr millis change_kept{30000}; // 30000  ms; longer than any change takes
+
+    std::string                                     self_;
+    duty_lease_options                              options_;
+    boot_clock::time_point                          heard_;
+    std::uint64_t                                   end_ = 0;
+    std::uint64_t                                   epoch_ = 0;
+    std::string                                     holder_;
+    std::uint64_t                                   number_ = 0;
+    std::map<std::uint64_t, boot_clock::time_point> sent_;
+    boot_clock::time_point                          valid_until_{};
+    std::map<std::int64_t, usage_counts>            sealed_;
+    std::map<std::string, announced_change>         changing_;
+    std::int64_t                                    reported_ = 0;
 };
 
 } // namespace marigoldcrank
--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -37,7 +37,8 @@
     return true;
 }
 
-void server_list::replace(std::vector<backend_server> const& all, boot_clock::time_point now)
+void server_list::replace(std::vector<backend_server> const& all,
+                          boot_clock::time_point             now)
 {
     std::set<std::string> present;
     for (auto const& server : all)
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -3,9 +3,9 @@
 // Index: 1 server_list_options, 2 server_list
 //
 // Failure guarded against: entries lapse while the store is away, because servers can't
-// renew them. Read back at once, the list would be empty and every call refused though all
-// servers run. So entries that vanish during an outage, or within `hold` of its end, stay
-// usable until `hold` after its end; those still missing then are gone.
+// renew them. Read back at once, the list would be empty and every call refused though
+// all servers run. So entries that vanish during an outage, or within `hold` of its end,
+// stay usable until `hold` after its end; those still missing then are gone.
 #ifndef MARIGOLDCRANK_LEDGER_SERVER_LIST_HPP
 #define MARIGOLDCRANK_LEDGER_SERVER_LIST_HPP
 
@@ -54,11 +54,11 @@
 private:
     bool holding(boot_clock::time_point now) const;
 
-    server_list_options                    options_;
-    std::map<std::string, backend_server>  servers_;
-    std::set<std::string>                  lapsed_;
-    bool                                   lost_ = false;
-    std::optional<boot_clock::time_point>  back_;
+    server_list_options                   options_;
+    std::map<std::string, backend_server> servers_;
+    std::set<std::string>                 lapsed_;
+    bool                                  lost_ = false;
+    std::optional<boot_clock::time_point> back_;
 };
 
 } // namespace marigoldcrank
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -113,7 +113,8 @@
 {
     std::set<std::string> result;
     int                   windows = 0;
-    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2; ++at, ++windows)
+    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2;
+         ++at, ++windows)
     {
         result.insert(at->second.addresses.begin(), at->second.addresses.end());
     }
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -42,8 +42,8 @@
 
     void add(std::string const& workspace, std::int64_t unix_ms);
 
-    /// Records of the windows before `window`, an empty one for the last of them if nothing
-    /// ran in it; they count as handed over.
+    /// Records of the windows before `window`, an empty one for the last of them if
+    /// nothing ran in it; they count as handed over.
     std::vector<usage_record> take_before(std::int64_t window);
 
     /// Calls in the records of this window so far; 0 for one long past.
@@ -58,7 +58,8 @@
     std::map<std::int64_t, std::int64_t> handed_;
     std::int64_t                         taken_before_ = 0;
 
-    static constexpr std::size_t most_handed = 16; // windows; far more than are ever asked for
+    static constexpr std::size_t most_handed =
+        16; // windows; far more than are ever asked for
 };
 
 /// Adds up records; each counts once, however often it was appended or read.
@@ -73,8 +74,8 @@
     /// Addresses of the VMs that wrote for the last two windows known.
     std::set<std::string> addresses() const;
 
-    /// True if every VM that wrote for the window before has written for this one, so that
-    /// no VM known to live is missing from the sum.
+    /// True if every VM that wrote for the window before has written for this one, so
+    /// that no VM known to live is missing from the sum.
     bool complete(std::int64_t window) const;
 
     void forget_before(std::int64_t window);
--- a/src/policy/fleet_plan.cpp
+++ b/src/policy/fleet_plan.cpp
@@ -7,7 +7,8 @@
 {
 
 std::map<std::string, fleet_count>
-count_fleet(std::string const& service, std::map<std::string, backend_server> const& servers)
+count_fleet(std::string const&                           service,
+            std::map<std::string, backend_server> const& servers)
 {
     std::map<std::string, fleet_count> result;
     for (auto const& [id, server] : servers)
@@ -32,11 +33,11 @@
         return orders;
     }
     auto const& bounds = *value.fleet;
-    bool const  dry = state.refused != boot_clock::time_point{} &&
-                     now - state.refused < options.dry;
-    auto const floor =
-        std::max({bounds.least, (bounds.most + options.full_floor - 1) / options.full_floor,
-                  std::int64_t{1}});
+    bool const  dry =
+        state.refused != boot_clock::time_point{} && now - state.refused < options.dry;
+    auto const floor = std::max(
+        {bounds.least, (bounds.most + options.full_floor - 1) / options.full_floor,
+         std::int64_t{1}});
     auto const full = dry ? std::max(floor, state.bought) : std::min(floor, state.bought);
     auto const cheap = std::max<std::int64_t>(bounds.most - full, 0);
     if (state.present.full != full)
--- a/src/policy/fleet_plan.hpp
+++ b/src/policy/fleet_plan.hpp
@@ -3,8 +3,8 @@
 // Index: 1 fleet_count, 2 count_fleet, 3 fleet_options, 4 fleet_state, 5 plan_fleet
 //
 // Load answered: swings above what the bought servers carry. Cheap servers cost about a
-// fifth and can be taken back, a data centre at a time; the ones of full price are the floor
-// that stays, so cheap ones are added to them and never replace them.
+// fifth and can be taken back, a data centre at a time; the ones of full price are the
+// floor that stays, so cheap ones are added to them and never replace them.
 #ifndef MARIGOLDCRANK_POLICY_FLEET_PLAN_HPP
 #define MARIGOLDCRANK_POLICY_FLEET_PLAN_HPP
 
@@ -30,11 +30,13 @@
 
 /// Counts the servers of a service by data centre, those that leave left out.
 std::map<std::string, fleet_count>
-count_fleet(std::string const& service, std::map<std::string, backend_server> const& servers);
+count_fleet(std::string const&                           service,
+            std::map<std::string, backend_server> const& servers);
 
 struct fleet_options
 {
-    // 4     of the most servers that a data centre may have, one in so many is kept at full
+    // 4     of the most servers that a data centre may have, one in so many is kept at
+    // full
     //       price: these are what is left when the cheap ones are taken back
     std::int64_t full_floor = 4;
     // 10000 ms; cheap servers count as not to be had so long after a refusal
@@ -53,9 +55,9 @@
     bool operator==(fleet_state const&) const = default;
 };
 
-/// Orders that are still open in one data centre: as few servers of full price as the floor
-/// allows while cheap ones are sold, cheap ones up to the bound. Where cheap ones are not
-/// to be had, the servers of full price are kept, and bought back.
+/// Orders that are still open in one data centre: as few servers of full price as the
+/// floor allows while cheap ones are sold, cheap ones up to the bound. Where cheap ones
+/// are not to be had, the servers of full price are kept, and bought back.
 std::vector<server_order> plan_fleet(service const& value, std::string const& data_centre,
                                      fleet_state const& state, boot_clock::time_point now,
                                      fleet_options const& options);
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -114,7 +114,7 @@
         server_loads           loads;
     };
 
-    peer_loads_options            options_;
+    peer_loads_options                  options_;
     std::map<std::string, heard_digest> peers_;
 };
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -50,10 +50,11 @@
     double                cost = std::numeric_limits<double>::infinity();
 };
 
-/// The cheapest candidate; the one that `ticket` points to is looked at first, so that equal
-/// ones share the calls.
+/// The cheapest candidate; the one that `ticket` points to is looked at first, so that
+/// equal ones share the calls.
 template <class Cost>
-choice cheapest(std::vector<candidate> const& candidates, std::uint64_t ticket, Cost&& cost)
+choice cheapest(std::vector<candidate> const& candidates, std::uint64_t ticket,
+                Cost&& cost)
 {
     choice best;
     for (std::size_t step = 0; step < candidates.size(); ++step)
@@ -75,12 +76,14 @@
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const& data_centre, std::uint64_t ticket)
 {
-    constexpr double other_centre = 1.5; // calls in work that a way to another one is worth
+    constexpr double other_centre =
+        1.5; // calls in work that a way to another one is worth
     return cheapest(candidates, ticket,
                     [&](candidate const& each)
                     {
                         return static_cast<double>(each.load.running) +
-                               (each.server->data_centre == data_centre ? 0 : other_centre) +
+                               (each.server->data_centre == data_centre ? 0
+                                                                        : other_centre) +
                                (each.suspect ? suspect_cost : 0);
                     })
         .server;
@@ -123,9 +126,9 @@
 std::int64_t backlog_at(std::vector<candidate> const& candidates,
                         backend_server const* server, std::int64_t rank)
 {
-    auto const found = std::find_if(candidates.begin(), candidates.end(),
-                                    [&](candidate const& each)
-                                    { return each.server == server; });
+    auto const found =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&](candidate const& each) { return each.server == server; });
     return found == candidates.end() ? 0 : found->load.backlog_before(rank);
 }
 
@@ -153,27 +156,27 @@
         [&](candidate const& each)
         {
             bool const fits = each.server->role != engine_role::prefill;
-            auto const held_up = 1 + static_cast<double>(each.load.running) /
-                                         options.streams_a_share;
-            auto const tokens =
-                costs.waiting(each) + held_up * unread(each, decode_home);
+            auto const held_up =
+                1 + static_cast<double>(each.load.running) / options.streams_a_share;
+            auto const tokens = costs.waiting(each) + held_up * unread(each, decode_home);
             return fits ? options.decode_reads_slower * tokens + costs.distance(each)
                         : unfit;
         });
-    auto const first = cheapest(
-        candidates, ticket,
-        [&](candidate const& each)
-        {
-            bool const fits = each.server->role == engine_role::prefill;
-            auto const tokens = costs.waiting(each) + unread(each, prefill_home);
-            return fits ? tokens + costs.distance(each) : unfit;
-        });
+    auto const first =
+        cheapest(candidates, ticket,
+                 [&](candidate const& each)
+                 {
+                     bool const fits = each.server->role == engine_role::prefill;
+                     auto const tokens = costs.waiting(each) + unread(each, prefill_home);
+                     return fits ? tokens + costs.distance(each) : unfit;
+                 });
     if (whole.server == nullptr)
     {
         return std::nullopt;
     }
-    bool const apart = call.own_tokens() >= options.handover_tokens &&
-                       first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
+    bool const apart =
+        call.own_tokens() >= options.handover_tokens &&
+        first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
     auto const& chosen = apart ? first : whole;
     auto const* home = apart ? prefill_home : decode_home;
     bool const  cached = chosen.server == home && !shared.empty();
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -24,7 +24,8 @@
 {
     // 2     a decode engine reads prompts at half the speed of a prefill engine
     double decode_reads_slower = 2;
-    // 8     streams; a prompt that is read between the tokens of so many others costs them
+    // 8     streams; a prompt that is read between the tokens of so many others costs
+    // them
     //       together as much as the prompt itself waits. Without this a swing fills the
     //       engines that decode with prompts, and every stream on them stalls
     double streams_a_share = 8;
@@ -44,20 +45,21 @@
 {
     backend_server const* server = nullptr;
     server_load           load;
-    bool                  suspect = false;    // has failed lately: last choice
+    bool                  suspect = false; // has failed lately: last choice
 };
 
 /// Where a model call goes first.
 struct placement
 {
     backend_server const* server = nullptr;
-    bool                  prefill_only = false; // reads the prompt; another one runs the call
-    std::int64_t          unread = 0; // tokens to be read there, as far as caches are known
-    std::int64_t          ahead = 0;  // tokens that are read there before these
+    bool         prefill_only = false; // reads the prompt; another one runs the call
+    std::int64_t unread = 0; // tokens to be read there, as far as caches are known
+    std::int64_t ahead = 0;  // tokens that are read there before these
 };
 
 /// The least loaded server for a plain call, those of the own data centre first among
-/// equals. `ticket` breaks ties, so that VMs don't all pick the same. Null if there is none.
+/// equals. `ticket` breaks ties, so that VMs don't all pick the same. Null if there is
+/// none.
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const& data_centre, std::uint64_t ticket);
 
@@ -67,8 +69,9 @@
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options);
 
-/// The engine that runs a call whose prompt another one has read. Asked only then: reading
-/// can take seconds, in which engines begin to leave and loads change. Null if there is none.
+/// The engine that runs a call whose prompt another one has read. Asked only then:
+/// reading can take seconds, in which engines begin to leave and loads change. Null if
+/// there is none.
 backend_server const* place_decode(std::vector<candidate> const& candidates,
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options);
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -21,7 +21,8 @@
     auto const load = [&](std::int64_t count)
     {
         auto const rest = static_cast<double>(engines - count);
-        return std::max(need.prefill / static_cast<double>(std::max<std::int64_t>(count, 1)),
+        return std::max(need.prefill /
+                            static_cast<double>(std::max<std::int64_t>(count, 1)),
                         need.decode / std::max(rest, 1.0));
     };
     auto best = prefill;
@@ -34,9 +35,10 @@
     return overloaded && helps ? best : prefill;
 }
 
-std::vector<backend_server const*>
-plan_role_changes(std::vector<split_engine> engines, role_need const& need,
-                  boot_clock::time_point now, role_split_options const& options)
+std::vector<backend_server const*> plan_role_changes(std::vector<split_engine> engines,
+                                                     role_need const&          need,
+                                                     boot_clock::time_point    now,
+                                                     role_split_options const& options)
 {
     std::map<std::string, std::int64_t> by_centre; // engines that read prompts
     std::int64_t                        prefill = 0;
@@ -50,8 +52,7 @@
     }
     auto const count = static_cast<std::int64_t>(engines.size());
     auto const off = wanted_prefill(count, prefill, need, options) - prefill;
-    auto const room =
-        std::max<std::int64_t>(1, count / options.at_once) - changing;
+    auto const room = std::max<std::int64_t>(1, count / options.at_once) - changing;
     if (off == 0 || room <= 0)
     {
         return {};
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -4,8 +4,8 @@
 //        5 plan_role_changes
 //
 // Load answered: a mix of prompts and outputs that swings within seconds. Engines that
-// decode read prompts at half the speed and make every stream on them wait, so too few that
-// read prompts cost more than too few that decode.
+// decode read prompts at half the speed and make every stream on them wait, so too few
+// that read prompts cost more than too few that decode.
 #ifndef MARIGOLDCRANK_POLICY_ROLE_SPLIT_HPP
 #define MARIGOLDCRANK_POLICY_ROLE_SPLIT_HPP
 
@@ -26,7 +26,8 @@
     double stream_share = 0.25;
     // 0.6   of an engine's time; above it a queue for reading grows within a burst
     double prefill_load = 0.6;
-    // 0.8   of the fuller role's load that must be left after a change: each takes an engine
+    // 0.8   of the fuller role's load that must be left after a change: each takes an
+    // engine
     //       out for seconds, and a swing back would take it out again
     double gain = 0.8;
     // 9000  ms; before the same engine may be changed again
@@ -40,10 +41,10 @@
 /// An engine that may be changed.
 struct split_engine
 {
-    backend_server const*  server = nullptr;
-    engine_role            role = engine_role::mixed; // now, or after a change in progress
-    std::int64_t           running = 0; // calls of this VM
-    boot_clock::time_point changed{};   // last order; epoch: never
+    backend_server const* server = nullptr;
+    engine_role           role = engine_role::mixed; // now, or after a change in progress
+    std::int64_t          running = 0;               // calls of this VM
+    boot_clock::time_point changed{};                // last order; epoch: never
 };
 
 /// What each role has to carry, in engines at their comfortable load.
@@ -58,16 +59,17 @@
 role_need need_of(work_demand const& fleet, std::int64_t slots,
                   role_split_options const& options);
 
-/// Engines that should read prompts, of `engines` that there are. Stays at `prefill` while
-/// neither role is overloaded or no change would help; both roles keep one engine.
+/// Engines that should read prompts, of `engines` that there are. Stays at `prefill`
+/// while neither role is overloaded or no change would help; both roles keep one engine.
 std::int64_t wanted_prefill(std::int64_t engines, std::int64_t prefill,
                             role_need const& need, role_split_options const& options);
 
-/// Engines to change now, at most a few: from the data centre that has most of the role in
-/// excess, and there the one with least work.
-std::vector<backend_server const*>
-plan_role_changes(std::vector<split_engine> engines, role_need const& need,
-                  boot_clock::time_point now, role_split_options const& options);
+/// Engines to change now, at most a few: from the data centre that has most of the role
+/// in excess, and there the one with least work.
+std::vector<backend_server const*> plan_role_changes(std::vector<split_engine> engines,
+                                                     role_need const&          need,
+                                                     boot_clock::time_point    now,
+                                                     role_split_options const& options);
 
 } // namespace marigoldcrank
 
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -15,16 +15,17 @@
 
 struct server_health_options
 {
-    int    tolerated = 2;    // 2     failures in a row before a server is avoided
-    millis first_pause{500}; // 500   ms; doubles with each further failure
+    int    tolerated = 2;       // 2     failures in a row before a server is avoided
+    millis first_pause{500};    // 500   ms; doubles with each further failure
     millis refused_pause{250};  // 250   ms; a full server has places again within this
     millis longest_pause{4000}; // 4000 ms; a server that is back is found within this
 
     bool operator==(server_health_options const&) const = default;
 };
 
-/// A server's own health answer may be false, so only outcomes count. A suspect is the last
-/// choice and not excluded: if all fail, calls still go somewhere. Pure; time is passed in.
+/// A server's own health answer may be false, so only outcomes count. A suspect is the
+/// last choice and not excluded: if all fail, calls still go somewhere. Pure; time is
+/// passed in.
 class server_health
 {
 public:
@@ -39,18 +40,19 @@
     void failed(std::string const& server, bool unreachable, boot_clock::time_point now)
     {
         auto& state = failures_[server];
-        state.count = unreachable ? std::max(state.count + 1, options_.tolerated)
-                                  : state.count + 1;
+        state.count =
+            unreachable ? std::max(state.count + 1, options_.tolerated) : state.count + 1;
         if (state.count >= options_.tolerated)
         {
-            auto const doublings = std::min(state.count - options_.tolerated, most_doublings);
-            state.until =
-                now + std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
+            auto const doublings =
+                std::min(state.count - options_.tolerated, most_doublings);
+            state.until = now + std::min(options_.first_pause * (1 << doublings),
+                                         options_.longest_pause);
         }
     }
 
-    /// The server has turned a call away: it is full or about to change, not unwell. It is
-    /// left alone for a moment and not for longer each time.
+    /// The server has turned a call away: it is full or about to change, not unwell. It
+    /// is left alone for a moment and not for longer each time.
     void refused(std::string const& server, boot_clock::time_point now)
     {
         auto& state = failures_[server];
--- a/src/policy/wait_judgement.hpp
+++ b/src/policy/wait_judgement.hpp
@@ -3,9 +3,9 @@
 // Index: 1 wait_options, 2 wait_input, 3 judge_wait
 //
 // Load answered: a swing that asks for more reading than the engines can do. Queues for
-// reading then grow until every call in them is late, and each call that is given up in the
-// queue has held up those behind it. A call that would be served far too late is refused
-// while its caller still has time to come back.
+// reading then grow until every call in them is late, and each call that is given up in
+// the queue has held up those behind it. A call that would be served far too late is
+// refused while its caller still has time to come back.
 #ifndef MARIGOLDCRANK_POLICY_WAIT_JUDGEMENT_HPP
 #define MARIGOLDCRANK_POLICY_WAIT_JUDGEMENT_HPP
 
@@ -21,7 +21,8 @@
 
 struct wait_options
 {
-    // 2.5   times its objective, the first token's longest predicted wait: later answers are
+    // 2.5   times its objective, the first token's longest predicted wait: later answers
+    // are
     //       still worth something to their callers, but cost those behind them more
     double longest_wait = 2.5;
     // 250 and 2000  ms; bounds of the time after which a caller is asked to come back
@@ -37,13 +38,12 @@
     double    read_speed = 0; // tokens a second of the engine; 0: not known
     millis    objective{0};   // to the first token; 0: none
     millis    left{0};        // until the caller gives up
-
-
 };
 
 /// When the caller should come back; nothing if the call may wait. The time is that after
 /// which the tokens ahead will have been read down to the objective.
-inline std::optional<millis> judge_wait(wait_input const& input, wait_options const& options)
+inline std::optional<millis> judge_wait(wait_input const&   input,
+                                        wait_options const& options)
 {
     if (input.read_speed <= 0 || input.objective.count() == 0)
     {
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -23,7 +23,8 @@
 };
 
 /// Rates decay exponentially, so that a swing is seen within seconds. Speeds are the best
-/// seen lately: a slow sample has waited in a queue and says nothing about the engine. Pure.
+/// seen lately: a slow sample has waited in a queue and says nothing about the engine.
+/// Pure.
 class work_meter
 {
 public:
@@ -47,7 +48,8 @@
     }
 
     /// A stream has ended; time from its first to its last event.
-    void stream(std::int64_t events, boot_clock::duration took, boot_clock::time_point now)
+    void stream(std::int64_t events, boot_clock::duration took,
+                boot_clock::time_point now)
     {
         fade(now);
         event_rate_ += static_cast<double>(events) / decay_s;
@@ -73,12 +75,13 @@
     }
 
 private:
-    static constexpr double       decay_s = 8;      // s; shorter than a swing, longer than a burst
+    static constexpr double decay_s = 8; // s; shorter than a swing, longer than a burst
     // Of a best value, with each new sample: some thousand samples, all of them slow, are
     // needed to believe in a slower engine. Faster forgetting takes a queue for slowness.
     static constexpr double       keep_best = 0.9998;
-    static constexpr std::int64_t least_tokens = 1000; // shorter reads are mostly overhead
-    static constexpr std::int64_t least_events = 4;    // fewer don't show a pace
+    static constexpr std::int64_t least_tokens =
+        1000;                                       // shorter reads are mostly overhead
+    static constexpr std::int64_t least_events = 4; // fewer don't show a pace
 
     void fade(boot_clock::time_point now)
     {
--- a/src/ports/duty_port.hpp
+++ b/src/ports/duty_port.hpp
@@ -19,7 +19,7 @@
 /// Who calls, under which authority, and until when.
 struct duty_sender
 {
-    std::string                           holder; // name of the VM
+    std::string                           holder;    // name of the VM
     std::uint64_t                         epoch = 0; // fencing token
     std::chrono::steady_clock::time_point until{};   // no byte leaves later
 
@@ -45,18 +45,20 @@
 };
 
 template <class Duties>
-concept duty_port = requires(Duties& duties, duty_sender const& sender, std::int64_t window,
-                             usage_counts const& counts, server_order const& order,
-                             backend_server const& engine, engine_role role) {
+concept duty_port = requires(Duties& duties, duty_sender const& sender,
+                             std::int64_t window, usage_counts const& counts,
+                             server_order const& order, backend_server const& engine,
+                             engine_role role)
+{
     {
         duties.report_usage(sender, window, counts)
-    } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
+        } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
     {
         duties.order_servers(sender, order)
-    } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
+        } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
     {
         duties.order_role(sender, engine, role)
-    } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
+        } -> std::same_as<boost::asio::awaitable<duty_outcome>>;
 };
 
 } // namespace marigoldcrank
--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -3,7 +3,8 @@
 // Index: 1 records, 2 outcomes, 3 log_store_port
 //
 // Topics have one partition here. An append may be made conditional on the topic's end;
-// one without an answer may have taken effect, or may do so later while its condition holds.
+// one without an answer may have taken effect, or may do so later while its condition
+// holds.
 #ifndef MARIGOLDCRANK_PORTS_LOG_STORE_PORT_HPP
 #define MARIGOLDCRANK_PORTS_LOG_STORE_PORT_HPP
 
@@ -80,16 +81,17 @@
 concept log_store_port = requires(Store& store, std::string const& topic,
                                   std::vector<std::string> const& records,
                                   std::optional<std::uint64_t> at, std::uint64_t from,
-                                  millis wait, unsigned lane) {
+                                  millis wait, unsigned lane)
+{
     {
         store.append(lane, topic, records, at)
-    } -> std::same_as<boost::asio::awaitable<store_result<std::uint64_t>>>;
+        } -> std::same_as<boost::asio::awaitable<store_result<std::uint64_t>>>;
     {
         store.read(lane, topic, from, wait)
-    } -> std::same_as<boost::asio::awaitable<store_result<log_chunk>>>;
+        } -> std::same_as<boost::asio::awaitable<store_result<log_chunk>>>;
     {
         store.newest(lane, topic, topic)
-    } -> std::same_as<boost::asio::awaitable<store_result<keyed_page>>>;
+        } -> std::same_as<boost::asio::awaitable<store_result<keyed_page>>>;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -2,16 +2,16 @@
 //
 // Index: 1 call_order, 2 call_runner: admit, plain calls, model calls, relaying, ends
 //
-// A call that may not be repeated is sent again only after a server has said that it did not
-// run it, or if no byte of it has left. 503 is said only if that holds for all its sends;
-// else 502, or 504 once its time is over.
+// A call that may not be repeated is sent again only after a server has said that it did
+// not run it, or if no byte of it has left. 503 is said only if that holds for all its
+// sends; else 502, or 504 once its time is over.
 #ifndef MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 #define MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 
+#include "policy/wait_judgement.hpp"
 #include "serving/caller_link.hpp"
 #include "serving/event_splitter.hpp"
 #include "serving/own_reply.hpp"
-#include "policy/wait_judgement.hpp"
 #include "serving/server_exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,9 +52,9 @@
         else
         {
             caller_.watch([this] { stop(); });
-            if (model_call())
+            if (streamed() || reads_prompt())
             {
-                co_await serve_model();
+                co_await serve_stream();
             }
             else
             {
@@ -92,7 +92,8 @@
     static constexpr unsigned first_server_error = 500;
     // 20  ms; with less left no server can answer in time
     static constexpr millis least_left{20};
-    // 1     further send after a server has turned the call away: a second refusal says that
+    // 1     further send after a server has turned the call away: a second refusal says
+    // that
     //       the service is full, and the caller is told to come back
     static constexpr std::int64_t most_refused_sends = 1;
     // 2000  ms; a caller's connection that takes no answer for so long is given up
@@ -111,7 +112,8 @@
         route_ = rules_->find_route(call_.host, call_.path());
         if (route_ == nullptr)
         {
-            return fresh ? own_reply{404, call_fate::final_refusal, "no_route", std::nullopt}
+            return fresh ? own_reply{404, call_fate::final_refusal, "no_route",
+                                     std::nullopt}
                          : own_reply{503, call_fate::not_run, "stale_rules", soon};
         }
         if (auto const refusal = check_key(fresh))
@@ -159,7 +161,13 @@
         deadline_ = loop_clock::now() + patience;
     }
 
-    bool model_call() const
+    bool streamed() const
+    {
+        return route_->kind == call_kind::stream;
+    }
+
+    /// Whether engines read a prompt for this call, which decides on its place.
+    bool reads_prompt() const
     {
         return service_ != nullptr && service_->has_engines && !call_.prompt.empty();
     }
@@ -170,7 +178,7 @@
     {
         while (true)
         {
-            auto const now = boot_clock::now();
+            auto const  now = boot_clock::now();
             auto const  candidates = state_.candidates(service_name_, tried_, now);
             auto const* server =
                 place_plain(candidates, state_.settings.data_centre, state_.ticket());
@@ -204,13 +212,17 @@
     {
         std::string body;
         bool const  head_only = request_.method_string() == "HEAD";
-        if (!head_only && !co_await link.read_whole(body, attempt_end()))
+        if (!head_only)
         {
-            if (!caller_.left())
+            bool const whole = co_await link.read_whole(body, attempt_end());
+            if (!whole && !caller_.left())
             {
                 note_failed_send(link, exchange_fate::unknown);
             }
-            co_return caller_.left();
+            if (!whole)
+            {
+                co_return caller_.left();
+            }
         }
         auto const status = link.facts().status;
         auto       bytes = format_answer(link.head(), body, !keep_, head_only);
@@ -221,7 +233,8 @@
             co_await answer(std::move(bytes), status);
             co_return true;
         }
-        // A server's own failure is kept: it is the answer if no other server does better.
+        // A server's own failure is kept: it is the answer if no other server does
+        // better.
         note_failed_answer(link);
         kept_failure_ = std::move(bytes);
         kept_status_ = status;
@@ -233,16 +246,19 @@
         co_return true;
     }
 
-    // Model calls
+    // Streams and model calls
 
     work_meter& meter()
     {
         return state_.meters[service_name_];
     }
 
-    boost::asio::awaitable<void> serve_model()
+    boost::asio::awaitable<void> serve_stream()
     {
-        meter().prompt(call_.own_tokens(), arrived_);
+        if (reads_prompt())
+        {
+            meter().prompt(call_.own_tokens(), arrived_);
+        }
         while (true)
         {
             auto const first = place_first();
@@ -285,36 +301,45 @@
     /// When to come back, if the call would wait too long; a call is judged once.
     std::optional<millis> too_late(placement const& first)
     {
-        if (std::exchange(judged_, true))
+        if (std::exchange(judged_, true) || !reads_prompt())
         {
             return std::nullopt;
         }
         placement_options const places;
-        auto const speed = meter().prefill_speed() /
+        auto const              speed = meter().prefill_speed() /
                            (first.prefill_only ? 1.0 : places.decode_reads_slower);
-        return judge_wait({.placed = first,
-                           .read_speed = speed,
-                           .objective = route_->objective,
-                           .left = std::chrono::duration_cast<millis>(
-                               deadline_ - loop_clock::now())},
-                          wait_options{});
+        return judge_wait(
+            {.placed = first,
+             .read_speed = speed,
+             .objective = route_->objective,
+             .left = std::chrono::duration_cast<millis>(deadline_ - loop_clock::now())},
+            wait_options{});
     }
 
-    /// Where the call goes next. A prompt is read apart at most once a call: a second time
-    /// would count as one more send.
+    /// Where the call goes next. A prompt is read apart at most once a call: a second
+    /// time would count as one more send.
     std::optional<placement> place_first()
     {
         auto const candidates =
             state_.candidates(service_name_, tried_, boot_clock::now());
+        auto const& centre = state_.settings.data_centre;
+        if (!reads_prompt())
+        {
+            auto const* server = place_plain(candidates, centre, state_.ticket());
+            return server == nullptr ? std::nullopt
+                                     : std::optional{placement{.server = server}};
+        }
         if (!prefilled_ && !started_)
         {
-            return place_model(candidates, call_, rank_, state_.settings.data_centre,
-                               state_.ticket(), placement_options{});
+            return place_model(candidates, call_, rank_, centre, state_.ticket(),
+                               placement_options{});
         }
-        auto const* server = place_decode(candidates, state_.settings.data_centre,
-                                          state_.ticket(), placement_options{});
-        return server == nullptr ? std::nullopt : std::optional{placement{.server = server,
-                                                  .unread = call_.prompt_tokens()}};
+        auto const* server =
+            place_decode(candidates, centre, state_.ticket(), placement_options{});
+        return server == nullptr
+                   ? std::nullopt
+                   : std::optional{
+                         placement{.server = server, .unread = call_.prompt_tokens()}};
     }
 
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
@@ -325,7 +350,7 @@
             last_fault_ = "deadline";
             return false;
         }
-        auto const  candidates =
+        auto const candidates =
             state_.candidates(service_name_, tried_, boot_clock::now());
         auto const* server = place_decode(candidates, state_.settings.data_centre,
                                           state_.ticket(), placement_options{});
@@ -336,7 +361,8 @@
         return server != nullptr;
     }
 
-    /// Has a prefill engine read the prompt. Gives where its cache lies; empty if nowhere.
+    /// Has a prefill engine read the prompt. Gives where its cache lies; empty if
+    /// nowhere.
     boost::asio::awaitable<std::string> read_prompt(backend_server server,
                                                     std::int64_t   unread)
     {
@@ -347,11 +373,14 @@
         auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
-        auto const fate = co_await send_message(link, message, true, deadline_);
-        std::string body;
+        auto const         fate = co_await send_message(link, message, true, deadline_);
+        std::string        body;
         constexpr unsigned ok = 200;
-        bool const answered = fate == exchange_fate::answered && link.facts().status == ok &&
-                              co_await link.read_whole(body, deadline_);
+        bool answered = fate == exchange_fate::answered && link.facts().status == ok;
+        if (answered)
+        {
+            answered = co_await link.read_whole(body, deadline_);
+        }
         auto const handle = answered ? Dialect::read_handle(body) : std::nullopt;
         if (!handle)
         {
@@ -391,8 +420,11 @@
         constexpr unsigned first_redirect = 300;
         if (link.facts().status >= first_redirect)
         {
-            co_return started_ ? co_await break_off("resume_refused")
-                               : co_await relay_plain(link);
+            if (started_)
+            {
+                co_return co_await break_off("resume_refused");
+            }
+            co_return co_await relay_plain(link);
         }
         co_return co_await relay_events(link);
     }
@@ -431,12 +463,15 @@
             co_return true;
         }
         note_failed_send(link, exchange_fate::unknown);
-        co_return started_ && !(repeatable_ && may_send_again())
-            ? co_await break_off(link.fault())
-            : false;
+        if (started_ && !(repeatable_ && may_send_again()))
+        {
+            co_return co_await break_off(last_fault_);
+        }
+        co_return false;
     }
 
-    /// Writes events, behind the stream's head if they are the first. False: caller is gone.
+    /// Writes events, behind the stream's head if they are the first. False: caller is
+    /// gone.
     boost::asio::awaitable<bool> pass_on(exchange& link, whole_events const& events,
                                          bool last)
     {
@@ -463,7 +498,11 @@
         {
             out += last_chunk;
         }
-        co_return out.empty() || co_await caller_.write(out, deadline_);
+        if (out.empty())
+        {
+            co_return true;
+        }
+        co_return co_await caller_.write(out, deadline_);
     }
 
     /// Ends a stream that can't go on, so that it doesn't look whole.
@@ -502,8 +541,8 @@
         return send_message(link, message, false, until);
     }
 
-    boost::asio::awaitable<exchange_fate> send_message(exchange& link, onward_call message,
-                                                       bool for_us, loop_time until)
+    boost::asio::awaitable<exchange_fate>
+    send_message(exchange& link, onward_call message, bool for_us, loop_time until)
     {
         exchange_request request{.message = Dialect::build_onward(request_, message),
                                  .call_id = call_.id,
@@ -576,12 +615,13 @@
             return;
         }
         auto message = Dialect::build_release(source.substr(slash + 1), server.host);
-        auto run = [](backend_server to, http_request freeing) -> boost::asio::awaitable<void>
+        auto run = [](backend_server to,
+                      http_request   freeing) -> boost::asio::awaitable<void>
         {
-            constexpr millis patience{1000};
-            auto const       executor = co_await boost::asio::this_coro::executor;
-            auto const       link = std::make_shared<http_connection>(executor);
-            auto const       until = loop_clock::now() + patience;
+            constexpr millis     patience{1000};
+            auto const           executor = co_await boost::asio::this_coro::executor;
+            auto const           link = std::make_shared<http_connection>(executor);
+            auto const           until = loop_clock::now() + patience;
             socket_address const address{to.host, static_cast<std::uint16_t>(to.port)};
             auto const           opened = co_await link->connect(address, until);
             if (opened == link_step::ok)
@@ -624,9 +664,9 @@
     {
         status_ = value.status;
         end_ = value.cause.empty() ? "refused" : value.cause;
-        state_.counters.add("refusals_total",
-                            "cause=\"" + std::string{end_} + "\",status=\"" +
-                                std::to_string(value.status) + "\"");
+        state_.counters.add("refusals_total", "cause=\"" + std::string{end_} +
+                                                  "\",status=\"" +
+                                                  std::to_string(value.status) + "\"");
         co_await write_out(format_reply(value, !keep_));
     }
 
@@ -787,17 +827,17 @@
     bool                                 maybe_run_ = false;
     bool                                 judged_ = false;
     bool                                 prefilled_ = false;
-    bool                                 started_ = false; // the caller has the stream's head
-    bool                                 counted_ = false;
-    std::string                          kept_failure_; // a server's own, in bytes
-    unsigned                             kept_status_ = 0;
-    std::string                          last_event_;
-    std::int64_t                         events_ = 0; // pieces passed on
-    std::string_view                     last_fault_ = "no_server";
-    std::string_view                     end_;
-    unsigned                             status_ = 0;
-    exchange*                            current_ = nullptr;
-    link_after                           after_ = link_after::close;
+    bool             started_ = false; // the caller has the stream's head
+    bool             counted_ = false;
+    std::string      kept_failure_; // a server's own, in bytes
+    unsigned         kept_status_ = 0;
+    std::string      last_event_;
+    std::int64_t     events_ = 0; // pieces passed on
+    std::string_view last_fault_ = "no_server";
+    std::string_view end_;
+    unsigned         status_ = 0;
+    exchange*        current_ = nullptr;
+    link_after       after_ = link_after::close;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/caller_link.cpp
+++ b/src/serving/caller_link.cpp
@@ -122,7 +122,8 @@
     {
         buffer_.clear();
         read += co_await stream_.async_read_some(
-            buffer_.prepare(linger_piece), asio::redirect_error(asio::use_awaitable, error));
+            buffer_.prepare(linger_piece),
+            asio::redirect_error(asio::use_awaitable, error));
     }
     error_code ignored; // closing what is closed already changes nothing
     stream_.socket().close(ignored);
--- a/src/serving/caller_link.hpp
+++ b/src/serving/caller_link.hpp
@@ -34,8 +34,8 @@
     /// Ends the connection so that what was sent can't look whole.
     void abort();
 
-    /// Ends it in order: what is unread is read off first, since closing over unread bytes
-    /// resets the connection and can take the answer with it.
+    /// Ends it in order: what is unread is read off first, since closing over unread
+    /// bytes resets the connection and can take the answer with it.
     boost::asio::awaitable<void> finish();
 
     boost::beast::tcp_stream&  stream() noexcept;
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -24,7 +24,8 @@
 class caller_session
 {
 public:
-    caller_session(entry_state& state, idle_links& idle, boost::asio::ip::tcp::socket socket)
+    caller_session(entry_state& state, idle_links& idle,
+                   boost::asio::ip::tcp::socket socket)
         : state_(state), idle_(idle),
           link_(std::make_shared<caller_link>(std::move(socket)))
     {
@@ -77,7 +78,8 @@
         }
         if (state_.closed)
         {
-            // Too late to be sure of an end within the grace; another VM serves it at once.
+            // Too late to be sure of an end within the grace; another VM serves it at
+            // once.
             constexpr millis at_once{50};
             co_return co_await refuse({503, call_fate::not_run, "stopping", at_once});
         }
@@ -85,9 +87,8 @@
         auto       call = Dialect::read_call(request.base());
         if (auto const* fault = std::get_if<call_fault>(&call))
         {
-            co_return co_await refuse(bad(*fault == call_fault::bad_number
-                                              ? "bad_number"
-                                              : "repeated_field"));
+            co_return co_await refuse(
+                bad(*fault == call_fault::bad_number ? "bad_number" : "repeated_field"));
         }
         call_runner<Dialect> runner{state_, *link_, request,
                                     std::move(std::get<caller_call>(call))};
@@ -114,8 +115,8 @@
         co_return !error && !ended;
     }
 
-    boost::asio::awaitable<std::optional<own_reply>> read_head(request_parser& parser,
-                                                               caller_limits const& limits)
+    boost::asio::awaitable<std::optional<own_reply>>
+    read_head(request_parser& parser, caller_limits const& limits)
     {
         boost::system::error_code error;
         link_->stream().expires_after(limits.header_time);
@@ -134,10 +135,11 @@
         co_return std::nullopt;
     }
 
-    boost::asio::awaitable<std::optional<own_reply>> read_body(request_parser& parser,
-                                                               caller_limits const& limits)
+    boost::asio::awaitable<std::optional<own_reply>>
+    read_body(request_parser& parser, caller_limits const& limits)
     {
-        if (parser.get().count(boost::beast::http::field::expect) > 0 && !parser.is_done())
+        if (parser.get().count(boost::beast::http::field::expect) > 0 &&
+            !parser.is_done())
         {
             auto const until = loop_clock::now() + write_time;
             if (!co_await link_->write("HTTP/1.1 100 Continue\r\n\r\n", until))
@@ -178,13 +180,14 @@
             return {408, call_fate::not_run, "slow_request", std::nullopt};
         }
         bool const parsing =
-            error.category() == http::make_error_code(http::error::bad_method).category() &&
+            error.category() ==
+                http::make_error_code(http::error::bad_method).category() &&
             error != http::error::end_of_stream && error != http::error::partial_message;
         return bad(parsing ? "malformed" : "closed");
     }
 
-    /// Answers a request that can't be served as it is, and ends the connection: where the
-    /// next request begins is not certain any more.
+    /// Answers a request that can't be served as it is, and ends the connection: where
+    /// the next request begins is not certain any more.
     boost::asio::awaitable<link_after> refuse(own_reply refusal)
     {
         if (refusal.cause == "closed" || !link_->stream().socket().is_open())
@@ -199,8 +202,7 @@
                              .add("status", static_cast<std::int64_t>(refusal.status)),
                          boot_clock::now());
         auto const bytes = format_reply(refusal, true);
-        bool const written =
-            co_await link_->write(bytes, loop_clock::now() + write_time);
+        bool const written = co_await link_->write(bytes, loop_clock::now() + write_time);
         co_return written ? link_after::close : link_after::aborted;
     }
 
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -15,10 +15,10 @@
 
 struct pool_options
 {
-    std::size_t most_idle = 16;     // 16    a server; more are closed
-    millis      unstated_idle{3000}; // 3000  ms; kept so long if the server states no limit
-    millis      race_margin{1000}; // 1000  ms before the stated limit: a request that
-                                    //       crosses the server's close has an unknown fate
+    std::size_t most_idle = 16; // 16    a server; more are closed
+    millis unstated_idle{3000}; // 3000  ms; kept so long if the server states no limit
+    millis race_margin{1000};   // 1000  ms before the stated limit: a request that
+                                //       crosses the server's close has an unknown fate
 
     bool operator==(pool_options const&) const = default;
 };
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -40,8 +40,8 @@
 struct digest_link::state
 {
     state(asio::io_context& loop, handler on_digest)
-        : context(1), out(context, zmq::socket_type::pub), in(context, zmq::socket_type::sub),
-          readable(loop), told(std::move(on_digest))
+        : context(1), out(context, zmq::socket_type::pub),
+          in(context, zmq::socket_type::sub), readable(loop), told(std::move(on_digest))
     {
     }
 
@@ -53,7 +53,8 @@
     std::set<socket_address>       peers;
 };
 
-digest_link::digest_link(asio::io_context& loop, socket_address const& own, handler on_digest)
+digest_link::digest_link(asio::io_context& loop, socket_address const& own,
+                         handler on_digest)
     : state_(std::make_unique<state>(loop, std::move(on_digest)))
 {
     set_options(state_->out);
@@ -99,7 +100,8 @@
     {
         auto* entry = digest.add_servers();
         entry->set_server(server);
-        entry->set_running(static_cast<std::uint64_t>(std::max<std::int64_t>(load.running, 0)));
+        entry->set_running(
+            static_cast<std::uint64_t>(std::max<std::int64_t>(load.running, 0)));
         for (auto const tokens : load.prompt_backlog)
         {
             entry->add_prompt_backlog(
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -26,7 +26,8 @@
     using handler = std::function<void(std::string const& vm, server_loads loads)>;
 
     /// Throws zmq::error_t if the address can't be bound.
-    digest_link(boost::asio::io_context& loop, socket_address const& own, handler on_digest);
+    digest_link(boost::asio::io_context& loop, socket_address const& own,
+                handler on_digest);
     ~digest_link();
     digest_link(digest_link const&) = delete;
     digest_link& operator=(digest_link const&) = delete;
@@ -36,8 +37,8 @@
 
     void publish(std::string const& vm, server_loads const& loads);
 
-    /// Takes in what has arrived; also called now and then by the owner, since the socket's
-    /// descriptor tells of changes only.
+    /// Takes in what has arrived; also called now and then by the owner, since the
+    /// socket's descriptor tells of changes only.
     void drain();
 
 private:
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -21,22 +21,25 @@
 
 struct duty_times
 {
-    millis renew{900};    // 900   ms; three renewals fit into a lease
-    millis look{1500};    // 1500  ms; between looks of a VM that doesn't hold the lease
+    millis renew{900};      // 900   ms; three renewals fit into a lease
+    millis look{1500};      // 1500  ms; between looks of a VM that doesn't hold the lease
     millis close_look{400}; // 400 ms; the same while the holder is silent
-    millis margin{400};   // 400   ms; drift of clocks and packets in flight
-    millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
-    millis meeting{15000}; // 15000 ms after the start: other VMs are looked for more often
-    millis seal{1500};    // 1500  ms after a window's end, if all VMs have handed over
-    millis seal_at_last{7500}; // 7500 ms after it without those that are missing: the report
-                               //      is due 10 s after the end, and may need a second try
-    millis too_old{14000}; // 14000 ms after its end a window is not sealed any more: an
-                           //      earlier seal of it could be lost from the history
+    millis margin{400};     // 400   ms; drift of clocks and packets in flight
+    millis hand_over{600};  // 600  ms after a window's end: its last calls are counted
+    millis meeting{
+        15000};        // 15000 ms after the start: other VMs are looked for more often
+    millis seal{1500}; // 1500  ms after a window's end, if all VMs have handed over
+    millis seal_at_last{
+        7500};              // 7500 ms after it without those that are missing: the report
+                            //      is due 10 s after the end, and may need a second try
+    millis too_old{14000};  // 14000 ms after its end a window is not sealed any more: an
+                            //      earlier seal of it could be lost from the history
     millis call_slack{300}; // 300 ms of the lease that must be left to begin a call
-    millis announce{2200}; // 2200 ms; all VMs have read of a change before its order
-    millis change{7500};   // 7500 ms from its announcement until a changed engine is back
-    millis order_again{3000}; // 3000 ms; before an order for servers is given again: those
-                              //      of the last one need their time to start
+    millis announce{2200};  // 2200 ms; all VMs have read of a change before its order
+    millis change{7500}; // 7500 ms from its announcement until a changed engine is back
+    millis order_again{
+        3000}; // 3000 ms; before an order for servers is given again: those
+               //      of the last one need their time to start
 
     bool operator==(duty_times const&) const = default;
 };
@@ -47,8 +50,7 @@
 public:
     duty_worker(entry_state& state, Store& store, Duties& duties, duty_times times = {})
         : state_(state), store_(store), duties_(duties), times_(times),
-          log_(state.incarnation,
-               duty_lease_options{state.settings.lease, times.margin},
+          log_(state.incarnation, duty_lease_options{state.settings.lease, times.margin},
                boot_clock::now())
     {
     }
@@ -61,13 +63,13 @@
         co_await hand_over(current_window());
         while (true)
         {
-            auto const past = static_cast<std::int64_t>(unix_millis()) -
-                              times_.hand_over.count();
+            auto const past =
+                static_cast<std::int64_t>(unix_millis()) - times_.hand_over.count();
             co_await hand_over(state_.usage.window_of(past));
             auto const now = boot_clock::now();
-            bool const often =
-                log_.held_until(now) || now - started < times_.meeting;
-            if (now - usage_looked_ >= (often ? times_.renew : state_.settings.usage_window))
+            bool const often = log_.held_until(now) || now - started < times_.meeting;
+            if (now - usage_looked_ >=
+                (often ? times_.renew : state_.settings.usage_window))
             {
                 usage_looked_ = now;
                 co_await read_usage();
@@ -152,15 +154,17 @@
             waiting_.erase(waiting_.begin(),
                            waiting_.begin() + static_cast<std::ptrdiff_t>(count));
         }
-        state_.counters.add(taken ? "usage_appends_total" : "usage_append_failures_total");
+        state_.counters.add(taken ? "usage_appends_total"
+                                  : "usage_append_failures_total");
     }
 
-    static constexpr unsigned duty_lane = 2;
-    static constexpr unsigned usage_lane = 3;
+    static constexpr unsigned     duty_lane = 2;
+    static constexpr unsigned     usage_lane = 3;
     static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
-    static constexpr millis   lane_look{20}; // 20   ms; between looks for the lane to be free
-    static constexpr double   milli = 1000;
-    static constexpr millis   usage_look{500}; // 500  ms; between looks for a closed window
+    static constexpr millis       lane_look{
+        20}; // 20   ms; between looks for the lane to be free
+    static constexpr double milli = 1000;
+    static constexpr millis usage_look{500}; // 500  ms; between looks for a closed window
 
     /// A change that this VM has decided on as the holder.
     struct role_change
@@ -267,7 +271,8 @@
 
     boost::asio::awaitable<bool> catch_up()
     {
-        auto result = co_await store_.read(duty_lane, duty_topic(), log_.end(), millis{0});
+        auto result =
+            co_await store_.read(duty_lane, duty_topic(), log_.end(), millis{0});
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             if (failure->fault == store_fault::trimmed && failure->offset > 0)
@@ -322,8 +327,8 @@
         usage_lane_busy_ = false;
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
-            usage_next_ = failure->fault == store_fault::trimmed ? failure->offset
-                                                                 : usage_next_;
+            usage_next_ =
+                failure->fault == store_fault::trimmed ? failure->offset : usage_next_;
             usage_read_ = false;
             co_return;
         }
@@ -345,10 +350,10 @@
     std::vector<duty_record> due_seals()
     {
         std::vector<duty_record> seals;
-        auto const length = state_.settings.usage_window.count();
-        auto const now = static_cast<std::int64_t>(unix_millis());
-        auto const last = (now - times_.seal.count()) / length - 1;
-        auto const first = (now - times_.too_old.count()) / length;
+        auto const               length = state_.settings.usage_window.count();
+        auto const               now = static_cast<std::int64_t>(unix_millis());
+        auto const               last = (now - times_.seal.count()) / length - 1;
+        auto const               first = (now - times_.too_old.count()) / length;
         if (!usage_read_)
         {
             return seals;
@@ -524,12 +529,13 @@
             auto const role = engine->role == engine_role::prefill ? engine_role::decode
                                                                    : engine_role::prefill;
             role_changes_[engine->id] = {now, role, false};
-            state_.log.write(event_line{"role_change"}
-                                 .add("server", engine->id)
-                                 .add("role", static_cast<std::int64_t>(role))
-                                 .add("prefill_need_milli", std::llround(need.prefill * milli))
-                                 .add("decode_need_milli", std::llround(need.decode * milli)),
-                             now);
+            state_.log.write(
+                event_line{"role_change"}
+                    .add("server", engine->id)
+                    .add("role", static_cast<std::int64_t>(role))
+                    .add("prefill_need_milli", std::llround(need.prefill * milli))
+                    .add("decode_need_milli", std::llround(need.decode * milli)),
+                now);
         }
     }
 
@@ -559,8 +565,8 @@
         for (auto& [id, change] : role_changes_)
         {
             auto const told = log_.changing().find(id);
-            bool const read =
-                told != log_.changing().end() && now - told->second.heard >= times_.announce;
+            bool const read = told != log_.changing().end() &&
+                              now - told->second.heard >= times_.announce;
             if (!change.ordered && read)
             {
                 change.ordered = true;
@@ -607,7 +613,8 @@
         return now - change.heard < times_.change;
     }
 
-    /// All engines of a service that stay, those in a change with the role they will have.
+    /// All engines of a service that stay, those in a change with the role they will
+    /// have.
     std::vector<split_engine> split_engines(std::string const& name) const
     {
         std::vector<split_engine> engines;
@@ -649,7 +656,8 @@
         {
             return std::nullopt;
         }
-        return duty_sender{state_.settings.name, log_.epoch(), loop_clock::now() + (*until - now)};
+        return duty_sender{state_.settings.name, log_.epoch(),
+                           loop_clock::now() + (*until - now)};
     }
 
     void note_report(std::int64_t window, usage_counts const& counts,
@@ -663,23 +671,23 @@
                          boot_clock::now());
     }
 
-    entry_state& state_;
-    Store&       store_;
-    Duties&      duties_;
-    duty_times   times_;
-    duty_log     log_;
-    usage_sum    sum_;
+    entry_state&             state_;
+    Store&                   store_;
+    Duties&                  duties_;
+    duty_times               times_;
+    duty_log                 log_;
+    usage_sum                sum_;
     std::vector<std::string> waiting_; // usage records that aren't known to be appended
-    std::uint64_t usage_next_ = 0;
-    boot_clock::time_point usage_looked_{};
-    bool         usage_read_ = false;
-    bool         usage_lane_busy_ = false;
-    bool         held_ = false;
-    std::int64_t reported_ = 0;
+    std::uint64_t            usage_next_ = 0;
+    boot_clock::time_point   usage_looked_{};
+    bool                     usage_read_ = false;
+    bool                     usage_lane_busy_ = false;
+    bool                     held_ = false;
+    std::int64_t             reported_ = 0;
     std::map<std::tuple<std::string, std::string, bool>, last_order> orders_;
     std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
-    std::map<std::string, role_change> role_changes_; // by engine
-    double       fleet_scale_ = 0; // 0: not known yet
+    std::map<std::string, role_change>                         role_changes_; // by engine
+    double fleet_scale_ = 0; // 0: not known yet
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -56,7 +56,8 @@
 private:
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
-    // 150   ms; between digests. A prompt of 8,000 tokens is read in as long: placement must
+    // 150   ms; between digests. A prompt of 8,000 tokens is read in as long: placement
+    // must
     //       not rest on much older knowledge
     static constexpr millis digest_pause{150};
     // 50    ms; between looks at whether all calls have ended
@@ -75,7 +76,10 @@
                   [this](boost::asio::ip::tcp::socket socket)
                   {
                       auto run = [](std::shared_ptr<caller_session<Dialect>> session)
-                          -> boost::asio::awaitable<void> { co_await session->run(); };
+                          -> boost::asio::awaitable<void>
+                      {
+                          co_await session->run();
+                      };
                       spawn(run(std::make_shared<caller_session<Dialect>>(
                           state_, idle_, std::move(socket))));
                   });
@@ -88,7 +92,9 @@
         if (state_.settings.metrics.port != 0)
         {
             serve_status(loop_, state_.settings.metrics,
-                         [this] { return status_answer{200, state_.counters.exposition()}; });
+                         [this] {
+                             return status_answer{200, state_.counters.exposition()};
+                         });
         }
         state_.counters.watch("log_lines_dropped_total", "",
                               [this] { return state_.log.dropped(); });
@@ -113,7 +119,9 @@
         }
         digest_link link{loop_, state_.settings.peers,
                          [this](std::string const& vm, server_loads loads)
-                         { state_.peers.absorb(vm, std::move(loads), boot_clock::now()); }};
+                         {
+                             state_.peers.absorb(vm, std::move(loads), boot_clock::now());
+                         }};
         while (true)
         {
             link.follow(worker_.peers());
@@ -168,8 +176,8 @@
         state_.log.write(event_line{"reload"}.add("taken", taken ? 1 : 0), now);
     }
 
-    /// Not ready at once, but serving until the balancer has noticed; then idle connections
-    /// end, and calls in work get the rest of the grace.
+    /// Not ready at once, but serving until the balancer has noticed; then idle
+    /// connections end, and calls in work get the rest of the grace.
     boost::asio::awaitable<void> drain()
     {
         auto const began = boot_clock::now();
@@ -199,22 +207,22 @@
         for (auto const& link : links)
         {
             boost::system::error_code ignored; // it may have closed by itself
-            link->stream().socket().shutdown(
-                boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            link->stream().socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                                             ignored);
         }
     }
 
-    std::string                      file_;
-    boost::asio::io_context          loop_{1};
-    entry_state                      state_;
-    Store                            store_;
-    Duties                           duties_;
-    rules_follower<Store, Codec>     rules_;
-    servers_follower<Store, Codec>   servers_;
-    duty_worker<Store, Duties>       worker_;
-    idle_links                       idle_;
-    boost::asio::signal_set          signals_;
-    bool                             ready_ = false;
+    std::string                    file_;
+    boost::asio::io_context        loop_{1};
+    entry_state                    state_;
+    Store                          store_;
+    Duties                         duties_;
+    rules_follower<Store, Codec>   rules_;
+    servers_follower<Store, Codec> servers_;
+    duty_worker<Store, Duties>     worker_;
+    idle_links                     idle_;
+    boost::asio::signal_set        signals_;
+    bool                           ready_ = false;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -10,7 +10,8 @@
 // 8  tenths of a key's life are used; the rest covers the way of a call to its server
 constexpr std::int64_t used_tenths = 8;
 constexpr std::int64_t tenths = 10;
-// 16  VMs among which the deployment's retries are divided: above any number of entry VMs of
+// 16  VMs among which the deployment's retries are divided: above any number of entry VMs
+// of
 //     today, so that the sum of all shares stays below the bound. A larger deployment is
 //     divided by its own number once VMs know each other.
 constexpr std::int64_t sharing_vms = 16;
@@ -61,9 +62,9 @@
             continue;
         }
         auto const load = loads.find(id);
-        candidate each{.server = &server,
-                       .load = peers.at(id, now),
-                       .suspect = health.suspect(id, now)};
+        candidate  each{.server = &server,
+                        .load = peers.at(id, now),
+                        .suspect = health.suspect(id, now)};
         if (load != loads.end())
         {
             each.load.add(load->second);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -2,8 +2,8 @@
 //
 // Index: 1 rules_view, 2 entry_state, 3 load_share
 //
-// Confined to the event loop's thread, which is the one that an entry VM's quarter of a core
-// feeds: it has no locks because nothing else may touch it.
+// Confined to the event loop's thread, which is the one that an entry VM's quarter of a
+// core feeds: it has no locks because nothing else may touch it.
 #ifndef MARIGOLDCRANK_SERVING_ENTRY_STATE_HPP
 #define MARIGOLDCRANK_SERVING_ENTRY_STATE_HPP
 
@@ -32,7 +32,7 @@
 /// The rules in force and how old the knowledge is.
 struct rules_view
 {
-    std::shared_ptr<serving_rules const> rules; // null: none known yet
+    std::shared_ptr<serving_rules const> rules;       // null: none known yet
     boot_clock::time_point               read_sent{}; // of the newest answered read
 };
 
@@ -41,9 +41,9 @@
 public:
     entry_state(entry_settings value, std::string incarnation_name);
 
-    /// True while keys may be believed: a read sent within the safe part of their life was
-    /// answered. Failure guarded against: a withdrawn key that goes on working at a VM which
-    /// can't reach the store.
+    /// True while keys may be believed: a read sent within the safe part of their life
+    /// was answered. Failure guarded against: a withdrawn key that goes on working at a
+    /// VM which can't reach the store.
     bool keys_fresh(boot_clock::time_point now) const;
 
     /// Whether the balancer should send new connections here.
@@ -59,22 +59,22 @@
 
     std::uint64_t ticket();
 
-    entry_settings                     settings;
-    std::string                        incarnation;
-    rules_view                         view;
-    server_list                        servers;
-    server_loads                       loads; // calls of this VM
-    peer_loads                         peers; // calls of the others
-    std::set<std::string>              changing; // engines that are given another role
-    server_health                      health;
-    connection_pool                    pool;
-    usage_counter                      usage;
-    std::map<std::string, work_meter>  meters; // by service
-    event_log                          log;
-    metrics                            counters;
-    bool                               draining = false; // not ready; still serving
-    bool                               closed = false; // takes no new calls any more
-    std::int64_t                       calls_in_work = 0;
+    entry_settings                    settings;
+    std::string                       incarnation;
+    rules_view                        view;
+    server_list                       servers;
+    server_loads                      loads;    // calls of this VM
+    peer_loads                        peers;    // calls of the others
+    std::set<std::string>             changing; // engines that are given another role
+    server_health                     health;
+    connection_pool                   pool;
+    usage_counter                     usage;
+    std::map<std::string, work_meter> meters; // by service
+    event_log                         log;
+    metrics                           counters;
+    bool                              draining = false; // not ready; still serving
+    bool                              closed = false;   // takes no new calls any more
+    std::int64_t                      calls_in_work = 0;
 
 private:
     std::map<std::string, retry_budget> budgets_;
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -19,8 +19,8 @@
     bool operator==(whole_events const&) const = default;
 };
 
-/// A server may break off in the middle of an event. Only whole ones are passed on, so that
-/// a stream that goes on at another server neither repeats nor tears one.
+/// A server may break off in the middle of an event. Only whole ones are passed on, so
+/// that a stream that goes on at another server neither repeats nor tears one.
 class event_splitter
 {
 public:
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -97,7 +97,7 @@
     }
     writing_ = true;
     auto write = [](std::shared_ptr<http_connection> self,
-                    http_request message) -> asio::awaitable<void>
+                    http_request                     message) -> asio::awaitable<void>
     {
         error_code error;
         co_await http::async_write(self->stream_, message,
@@ -123,12 +123,13 @@
         parser_->skip(head_only);
         stream_.expires_at(until);
         error_code error;
-        co_await http::async_read_header(stream_, buffer_, *parser_,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(
+            stream_, buffer_, *parser_, asio::redirect_error(asio::use_awaitable, error));
         if (error)
         {
-            bool const ours = error.category() ==
-                              http::make_error_code(http::error::end_of_stream).category();
+            bool const ours =
+                error.category() ==
+                http::make_error_code(http::error::end_of_stream).category();
             bool const ended = error == http::error::end_of_stream ||
                                error == http::error::partial_message;
             co_return ours && !ended ? link_step::malformed : step_of(error);
@@ -163,7 +164,8 @@
     body.data = nullptr;
     if (error && error != http::error::need_buffer)
     {
-        co_return error == beast::error::timeout ? body_step::timed_out : body_step::broken;
+        co_return error == beast::error::timeout ? body_step::timed_out
+                                                 : body_step::broken;
     }
     whole_ = parser_->is_done();
     co_return whole_ ? body_step::whole : body_step::more;
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -45,7 +45,8 @@
 
 struct connection_options
 {
-    // 1  s; probes on an idle connection find one that has gone silent, and each later one
+    // 1  s; probes on an idle connection find one that has gone silent, and each later
+    // one
     int probe_idle_s = 1;
     int probe_every_s = 1;
     int probe_count = 2;
@@ -55,9 +56,10 @@
     bool operator==(connection_options const&) const = default;
 };
 
-/// Sets no-delay, probes and the bound on unacknowledged bytes. Failure guarded against: a
-/// peer that vanishes without a reset; without these the connection hangs for minutes.
-void set_link_options(boost::asio::ip::tcp::socket& socket, connection_options const& options);
+/// Sets no-delay, probes and the bound on unacknowledged bytes. Failure guarded against:
+/// a peer that vanishes without a reset; without these the connection hangs for minutes.
+void set_link_options(boost::asio::ip::tcp::socket& socket,
+                      connection_options const&     options);
 
 /// At most one request at a time. Closing it ends any step in progress with `broken`.
 class http_connection : public std::enable_shared_from_this<http_connection>
@@ -65,10 +67,11 @@
 public:
     explicit http_connection(boost::asio::any_io_executor executor);
 
-    boost::asio::awaitable<link_step> connect(socket_address const& address, loop_time until);
+    boost::asio::awaitable<link_step> connect(socket_address const& address,
+                                              loop_time             until);
 
-    /// Sends a request. A long body goes on in the background: a server may answer before it
-    /// has read it, and one that doesn't read on must not hold up its answer.
+    /// Sends a request. A long body goes on in the background: a server may answer before
+    /// it has read it, and one that doesn't read on must not hold up its answer.
     boost::asio::awaitable<link_step> send(http_request request, loop_time until);
 
     /// Reads the head of the next answer, past informational ones.
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -25,7 +25,8 @@
 bool bad_target(std::string_view target)
 {
     return target.empty() || target.front() != '/' ||
-           std::any_of(target.begin(), target.end(), [](unsigned char letter)
+           std::any_of(target.begin(), target.end(),
+                       [](unsigned char letter)
                        { return letter <= ' ' || letter == 0x7f || letter == '#'; });
 }
 
@@ -33,7 +34,8 @@
 
 head_fault check_head(request_head const& head)
 {
-    if (head.count(http::field::host) != 1 || bare_host(view(head[http::field::host])).empty())
+    if (head.count(http::field::host) != 1 ||
+        bare_host(view(head[http::field::host])).empty())
     {
         return head_fault::host;
     }
@@ -45,7 +47,8 @@
         return head_fault::length;
     }
     if (codings > 1 ||
-        (codings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")))
+        (codings == 1 &&
+         !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")))
     {
         return head_fault::transfer_coding;
     }
@@ -75,14 +78,16 @@
     static constexpr std::array<std::string_view, 10> names{
         "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
         "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",     "Expect"};
-    return std::any_of(names.begin(), names.end(), [&](std::string_view each)
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view each)
                        { return boost::beast::iequals(each, name); });
 }
 
 bool named_by_connection(http::fields const& fields, std::string_view name)
 {
     auto const [first, last] = fields.equal_range(http::field::connection);
-    return std::any_of(first, last, [&](auto const& field)
+    return std::any_of(first, last,
+                       [&](auto const& field)
                        { return http::token_list{field.value()}.exists(name); });
 }
 
@@ -90,8 +95,8 @@
 {
     auto const  colon = host.rfind(':');
     bool const  bracketed = !host.empty() && host.back() == ']';
-    std::string result{colon == std::string_view::npos || bracketed ? host
-                                                                    : host.substr(0, colon)};
+    std::string result{
+        colon == std::string_view::npos || bracketed ? host : host.substr(0, colon)};
     std::transform(result.begin(), result.end(), result.begin(),
                    [](unsigned char letter) { return std::tolower(letter); });
     return result;
@@ -100,7 +105,8 @@
 std::optional<std::int64_t> parse_whole_number(std::string_view text)
 {
     std::int64_t value = 0;
-    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    auto const [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
     bool const whole = error == std::errc{} && end == text.data() + text.size() &&
                        !text.empty() && text.front() != '-';
     return whole ? std::optional{value} : std::nullopt;
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -18,10 +18,10 @@
 enum class head_fault
 {
     none,
-    host,             // missing, repeated or empty
-    length,           // repeated lengths, or a length beside a transfer coding
-    transfer_coding,  // anything but chunked, once
-    target            // neither begins with a slash nor can be forwarded as it is
+    host,            // missing, repeated or empty
+    length,          // repeated lengths, or a length beside a transfer coding
+    transfer_coding, // anything but chunked, once
+    target           // neither begins with a slash nor can be forwarded as it is
 };
 
 /// Heads that two parsers could read differently. Passed on, such a request lets a second
@@ -30,8 +30,9 @@
 
 char const* head_fault_name(head_fault value);
 
-/// Copies the fields that go from end to end. Fields that concern one connection, and those
-/// that Connection names, stay behind; `kept` tells names that Connection can't take away.
+/// Copies the fields that go from end to end. Fields that concern one connection, and
+/// those that Connection names, stay behind; `kept` tells names that Connection can't
+/// take away.
 template <class Kept>
 void copy_end_to_end(boost::beast::http::fields const& from,
                      boost::beast::http::fields& to, Kept&& kept);
--- a/src/serving/listener.cpp
+++ b/src/serving/listener.cpp
@@ -15,7 +15,8 @@
 namespace
 {
 
-// 1024  connections; a full queue drops the opening packet, which is sent again only after a
+// 1024  connections; a full queue drops the opening packet, which is sent again only
+// after a
 //       second
 constexpr int backlog = 1024;
 // 100   ms; without descriptors the next try of accepting waits for one to be closed
@@ -27,8 +28,8 @@
     while (true)
     {
         boost::system::error_code error;
-        auto socket = co_await acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        auto                      socket = co_await acceptor.async_accept(
+                                 asio::redirect_error(asio::use_awaitable, error));
         if (error)
         {
             co_await loop_sleep(no_descriptor_pause);
@@ -49,7 +50,8 @@
     acceptor.set_option(asio::socket_base::reuse_address(true));
     acceptor.bind(endpoint);
     acceptor.listen(backlog);
-    asio::co_spawn(loop, accept_all(std::move(acceptor), std::move(handler)), asio::detached);
+    asio::co_spawn(loop, accept_all(std::move(acceptor), std::move(handler)),
+                   asio::detached);
 }
 
 } // namespace marigoldcrank
--- a/src/serving/loop_sleep.hpp
+++ b/src/serving/loop_sleep.hpp
@@ -19,7 +19,8 @@
 {
     boost::asio::steady_timer timer{co_await boost::asio::this_coro::executor, time};
     boost::system::error_code error;
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
 }
 
 } // namespace marigoldcrank
--- a/src/serving/own_reply.cpp
+++ b/src/serving/own_reply.cpp
@@ -64,7 +64,7 @@
     out += std::to_string(body.size());
     if (reply.retry_after)
     {
-        constexpr double second_ms = 1000;
+        constexpr double     second_ms = 1000;
         std::array<char, 32> seconds{};
         std::snprintf(seconds.data(), seconds.size(), "%.3f",
                       static_cast<double>(reply.retry_after->count()) / second_ms);
--- a/src/serving/own_reply.hpp
+++ b/src/serving/own_reply.hpp
@@ -1,4 +1,5 @@
-// Answers that the system gives itself: refusals, failures, and the caller's chunk framing.
+// Answers that the system gives itself: refusals, failures, and the caller's chunk
+// framing.
 //
 // Index: 1 own_reply, 2 format functions
 #ifndef MARIGOLDCRANK_SERVING_OWN_REPLY_HPP
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -18,10 +18,10 @@
 /// What is known of a send.
 enum class exchange_fate
 {
-    answered,  // an answer of this call, by this server
-    not_sent,  // no byte of it has left: no connection could be had
-    not_run,   // the server states that it has not run it
-    unknown    // sent, and no valid answer came: it may have run
+    answered, // an answer of this call, by this server
+    not_sent, // no byte of it has left: no connection could be had
+    not_run,  // the server states that it has not run it
+    unknown   // sent, and no valid answer came: it may have run
 };
 
 inline char const* exchange_fate_name(exchange_fate value)
@@ -45,12 +45,13 @@
 {
     http_request message;
     std::string  call_id;
-    bool         careful = false; // can't be sent again: takes only a surely open connection
-    bool         for_us = false;  // the answer isn't the caller's, and bears no signature
-    loop_time    until{};
+    bool      careful = false; // can't be sent again: takes only a surely open connection
+    bool      for_us = false;  // the answer isn't the caller's, and bears no signature
+    loop_time until{};
 };
 
-/// Keeps the connection while the answer's body is read. Closing it stops the server's work.
+/// Keeps the connection while the answer's body is read. Closing it stops the server's
+/// work.
 template <wire_dialect Dialect>
 class server_exchange
 {
@@ -177,7 +178,8 @@
         connection_ = std::make_shared<http_connection>(executor);
         state_.counters.add("server_connections_total");
         auto const until = std::min(request.until, loop_clock::now() + connect_time);
-        socket_address const address{server_.host, static_cast<std::uint16_t>(server_.port)};
+        socket_address const address{server_.host,
+                                     static_cast<std::uint16_t>(server_.port)};
         auto const           step = co_await connection_->connect(address, until);
         if (step != link_step::ok)
         {
@@ -199,7 +201,7 @@
         }
         constexpr unsigned first_success = 200;
         constexpr unsigned first_redirect = 300;
-        bool const success =
+        bool const         success =
             facts_.status >= first_success && facts_.status < first_redirect;
         // A success counts only as its server's own bytes and signed by it.
         if ((success && !facts_.signed_whole && !for_us_) || facts_.encoded)
--- a/src/serving/status_server.cpp
+++ b/src/serving/status_server.cpp
@@ -61,11 +61,10 @@
 void serve_status(asio::io_context& loop, socket_address const& address,
                   std::function<status_answer()> answer)
 {
-    listen_on(loop, address,
-              [&loop, answer = std::move(answer)](tcp::socket socket)
-              {
-                  asio::co_spawn(loop, serve_one(std::move(socket), answer), asio::detached);
-              });
+    listen_on(
+        loop, address,
+        [&loop, answer = std::move(answer)](tcp::socket socket)
+        { asio::co_spawn(loop, serve_one(std::move(socket), answer), asio::detached); });
 }
 
 } // namespace marigoldcrank
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -18,25 +18,26 @@
 
 /// Names and forms of the topics that others write.
 template <class Codec>
-concept store_codec = requires(std::string const& text, std::uint64_t offset) {
+concept store_codec = requires(std::string const& text, std::uint64_t offset)
+{
     {
         Codec::rules_topic()
-    } -> std::convertible_to<std::string>;
+        } -> std::convertible_to<std::string>;
     {
         Codec::rules_key()
-    } -> std::convertible_to<std::string>;
+        } -> std::convertible_to<std::string>;
     {
         Codec::servers_topic()
-    } -> std::convertible_to<std::string>;
+        } -> std::convertible_to<std::string>;
     {
         Codec::keyed(text, offset)
-    } -> std::same_as<std::optional<keyed_record>>;
+        } -> std::same_as<std::optional<keyed_record>>;
     {
         Codec::rules(text)
-    } -> std::same_as<std::optional<serving_rules>>;
+        } -> std::same_as<std::optional<serving_rules>>;
     {
         Codec::server(text, text)
-    } -> std::same_as<std::optional<backend_server>>;
+        } -> std::same_as<std::optional<backend_server>>;
 };
 
 struct follow_options
@@ -68,9 +69,11 @@
     {
         auto const pause = next_;
         next_ = std::min(next_ * 2, options_.longest_retry);
-        // Spread over half to whole, so that VMs that failed together don't return together.
-        return pause / 2 + millis{static_cast<std::int64_t>(
-                               ticket % static_cast<std::uint64_t>(pause.count() / 2 + 1))};
+        // Spread over half to whole, so that VMs that failed together don't return
+        // together.
+        return pause / 2 +
+               millis{static_cast<std::int64_t>(
+                   ticket % static_cast<std::uint64_t>(pause.count() / 2 + 1))};
     }
 
     void reset()
@@ -97,8 +100,7 @@
         while (true)
         {
             auto const sent = boot_clock::now();
-            auto const failure =
-                known_ ? co_await read_on() : co_await read_newest();
+            auto const failure = co_await next_read();
             if (!failure)
             {
                 state_.view.read_sent = sent;
@@ -115,6 +117,11 @@
 private:
     static constexpr unsigned lane = 0;
 
+    boost::asio::awaitable<std::optional<store_failure>> next_read()
+    {
+        return known_ ? read_on() : read_newest();
+    }
+
     boost::asio::awaitable<std::optional<store_failure>> read_newest()
     {
         std::string after;
@@ -130,7 +137,8 @@
             {
                 take(record);
             }
-            next_ = after.empty() ? page.end : next_; // later pages may miss changes to it
+            next_ =
+                after.empty() ? page.end : next_; // later pages may miss changes to it
             if (!page.more || page.records.empty())
             {
                 known_ = true;
@@ -143,7 +151,7 @@
     boost::asio::awaitable<std::optional<store_failure>> read_on()
     {
         auto const wait = lost_ ? millis{0} : options_.rules_wait;
-        auto result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
+        auto       result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
@@ -176,17 +184,19 @@
                              now);
             return;
         }
-        bool const newer = !state_.view.rules || rules->version() > state_.view.rules->version();
+        bool const newer =
+            !state_.view.rules || rules->version() > state_.view.rules->version();
         if (!newer)
         {
             return;
         }
         auto const version = static_cast<std::int64_t>(rules->version());
-        state_.log.write(event_line{"rules"}
-                             .add("version", version)
-                             .add("offset", static_cast<std::int64_t>(record.offset))
-                             .add("routes", static_cast<std::int64_t>(rules->routes().size())),
-                         now);
+        state_.log.write(
+            event_line{"rules"}
+                .add("version", version)
+                .add("offset", static_cast<std::int64_t>(record.offset))
+                .add("routes", static_cast<std::int64_t>(rules->routes().size())),
+            now);
         state_.view.rules = std::make_shared<serving_rules const>(std::move(*rules));
     }
 
@@ -227,8 +237,7 @@
     {
         while (true)
         {
-            auto const failure =
-                known_ ? co_await read_on() : co_await read_newest();
+            auto const failure = co_await next_read();
             auto const now = boot_clock::now();
             if (failure)
             {
@@ -250,6 +259,11 @@
 private:
     static constexpr unsigned lane = 1;
 
+    boost::asio::awaitable<std::optional<store_failure>> next_read()
+    {
+        return known_ ? read_on() : read_newest();
+    }
+
     boost::asio::awaitable<std::optional<store_failure>> read_newest()
     {
         std::vector<backend_server> all;
@@ -269,7 +283,8 @@
                     all.push_back(std::move(*server));
                 }
             }
-            next_ = after.empty() ? page.end : next_; // later pages may miss changes to it
+            next_ =
+                after.empty() ? page.end : next_; // later pages may miss changes to it
             if (!page.more || page.records.empty())
             {
                 break;
@@ -280,15 +295,16 @@
         // The listing is believed only now that the store is known to be back.
         state_.servers.store_answered(boot_clock::now());
         state_.servers.replace(all, boot_clock::now());
-        state_.log.write(event_line{"servers"}.add("count",
-                                                   static_cast<std::int64_t>(all.size())),
-                         boot_clock::now());
+        state_.log.write(
+            event_line{"servers"}.add("count", static_cast<std::int64_t>(all.size())),
+            boot_clock::now());
         co_return std::nullopt;
     }
 
     boost::asio::awaitable<std::optional<store_failure>> read_on()
     {
-        auto result = co_await store_.read(lane, Codec::servers_topic(), next_, millis{0});
+        auto result =
+            co_await store_.read(lane, Codec::servers_topic(), next_, millis{0});
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -33,10 +33,10 @@
 /// What one send to a backend server adds to the caller's own request.
 struct onward_call
 {
-    std::string  server_id;    // any other server turns the request away
-    std::string  workspace;    // empty: the call needs no key and has none
-    millis       left{0};      // the server stops at this
-    std::int64_t rank = 0;     // most urgent first
+    std::string  server_id; // any other server turns the request away
+    std::string  workspace; // empty: the call needs no key and has none
+    millis       left{0};   // the server stops at this
+    std::int64_t rank = 0;  // most urgent first
     bool         prefill_only = false;
     std::string  cache_source; // ADDRESS/HANDLE of a prefilled prompt; empty: none
     std::string  resume_after; // go on behind this event; empty: from the start
@@ -62,22 +62,23 @@
 template <class Dialect>
 concept wire_dialect = requires(request_head const& head, answer_head const& answer,
                                 http_request const& request, onward_call const& onward,
-                                std::string const& text) {
+                                std::string const& text)
+{
     {
         Dialect::read_call(head)
-    } -> std::same_as<std::variant<caller_call, call_fault>>;
+        } -> std::same_as<std::variant<caller_call, call_fault>>;
     {
         Dialect::build_onward(request, onward)
-    } -> std::same_as<http_request>;
+        } -> std::same_as<http_request>;
     {
         Dialect::read_answer(answer)
-    } -> std::same_as<answer_facts>;
+        } -> std::same_as<answer_facts>;
     {
         Dialect::read_handle(text)
-    } -> std::same_as<std::optional<std::string>>;
+        } -> std::same_as<std::optional<std::string>>;
     {
         Dialect::build_release(text, text)
-    } -> std::same_as<http_request>;
+        } -> std::same_as<http_request>;
 };
 
 } // namespace marigoldcrank
--- /dev/null
+++ b/tests/platform/beliefs_test.cpp
@@ -0,0 +1,329 @@
+// What a daemon believes of the store, and what its callers see when that fails.
+//
+// Index: 1 rules and keys, 2 servers, 3 shutdown, 4 duties, 5 log lines
+#include "platform/support/entry_world.hpp"
+#include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <csignal>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+int status_of(entry_world const& world, request_options const& options, int daemon = 0)
+{
+    return ask(world.callers_port(daemon), options).status;
+}
+
+// 1. Rules and keys
+
+// A clerk leaves the firm and the operator takes the key away. It must stop working
+// within seconds, while the other workspace goes on.
+TEST(platform_beliefs, withdrawn_key_stops_working)
+{
+    entry_world world;
+    EXPECT_EQ(status_of(world, {}), 200);
+    world.configure(2, {"key-other"});
+    EXPECT_TRUE(eventually([&] { return status_of(world, {}) == 401; }, 2000));
+    EXPECT_EQ(status_of(world, {.key = "key-south"}), 200);
+    EXPECT_EQ(status_of(world, {.key = "key-other"}), 200);
+}
+
+// The store stops answering this VM, and keys are withdrawn meanwhile. The VM can't know
+// which, so once its knowledge is too old it must refuse keyed calls as not run, and go
+// on serving those that need no key.
+TEST(platform_beliefs, keyed_calls_are_refused_when_keys_can_not_be_checked)
+{
+    entry_world world({.bounds = "key_life_ms = 3000\n"});
+    world.store().trouble(store_trouble::silent);
+    ASSERT_TRUE(eventually([&] { return status_of(world, {}) == 503; }, 8000));
+    auto const answer = ask(world.callers_port(), {});
+    EXPECT_NE(answer.body.find("stale_keys"), std::string::npos);
+    EXPECT_EQ(answer.fields.count("retry-after"), 1U);
+    EXPECT_EQ(status_of(world, {.path = "/open/x", .key = ""}), 200);
+    EXPECT_FALSE(world.ready());
+    world.store().trouble(store_trouble::none);
+    EXPECT_TRUE(eventually([&] { return status_of(world, {}) == 200; }, 8000));
+}
+
+// An old version is read after a newer one, as when a VM reads pages of a store that is
+// being written. It must never come back into force.
+TEST(platform_beliefs, older_rules_never_replace_newer_ones)
+{
+    entry_world world;
+    world.configure(7, {"key-new"});
+    ASSERT_TRUE(eventually([&] { return status_of(world, {.key = "key-new"}) == 200; }));
+    world.configure(6, {"key-north"});
+    world.store().put("keyed.op", "config", "{ this is no configuration");
+    std::this_thread::sleep_for(milliseconds{300});
+    EXPECT_EQ(status_of(world, {}), 401);
+    EXPECT_EQ(status_of(world, {.key = "key-new"}), 200);
+}
+
+// The store drops its history while a VM follows it. The newest records must be read
+// anew.
+TEST(platform_beliefs, rules_are_found_again_after_the_history_is_gone)
+{
+    entry_world world;
+    world.store().trouble(store_trouble::refusing);
+    std::this_thread::sleep_for(milliseconds{1800}); // the read in progress has ended
+    world.configure(2, {"key-new"});
+    world.store().trouble(store_trouble::forgetting);
+    EXPECT_TRUE(
+        eventually([&] { return status_of(world, {.key = "key-new"}) == 200; }, 8000));
+}
+
+// A path that no rule names is answered at once, and so is a call without its key.
+TEST(platform_beliefs, unknown_paths_and_keys_are_told_apart)
+{
+    entry_world world;
+    EXPECT_EQ(status_of(world, {.path = "/nowhere/x"}), 404);
+    EXPECT_EQ(status_of(world, {.key = ""}), 401);
+    EXPECT_EQ(status_of(world, {.key = "key-nobody"}), 401);
+}
+
+// 2. Servers
+
+// The store is away; servers can't renew their entries, and these lapse. Read back at
+// once the list would be empty and every call refused, though all servers live.
+TEST(platform_beliefs, servers_outlive_the_lapse_of_their_entries)
+{
+    entry_world world;
+    world.store().trouble(store_trouble::refusing);
+    std::this_thread::sleep_for(milliseconds{1500});
+    world.store().drop("keyed.servers", "i-0");
+    world.store().drop("keyed.servers", "i-1");
+    world.store().trouble(store_trouble::none);
+    auto const until = steady_clock::now() + milliseconds{1500};
+    while (steady_clock::now() < until)
+    {
+        EXPECT_EQ(status_of(world, {.path = "/open/x", .key = ""}), 200);
+    }
+    world.list_server(world.server(1)); // one is back, the other stays away: it is gone
+    std::this_thread::sleep_for(milliseconds{3500});
+    auto const before = world.server(0).arrivals().size();
+    for (int call = 0; call < 6; ++call)
+    {
+        EXPECT_EQ(status_of(world, {.id = std::to_string(call)}), 200);
+    }
+    EXPECT_EQ(world.server(0).arrivals().size(), before);
+}
+
+// A server says that it leaves. New work sent there dies with it.
+TEST(platform_beliefs, leaving_server_gets_no_new_work)
+{
+    entry_world world;
+    world.list_server(world.server(0), "draining");
+    std::this_thread::sleep_for(milliseconds{1900});
+    auto const before = world.server(0).arrivals().size();
+    for (int call = 0; call < 6; ++call)
+    {
+        EXPECT_EQ(status_of(world, {.id = std::to_string(call)}), 200);
+    }
+    EXPECT_EQ(world.server(0).arrivals().size(), before);
+}
+
+// Another writer spoils a server's entry. It names no server to use, and must not end the
+// process or the use of the others.
+TEST(platform_beliefs, unreadable_entries_leave_the_others_in_use)
+{
+    entry_world world;
+    world.store().put("keyed.servers", "i-0", "\xff\xfe not json");
+    world.store().put("keyed.servers", "i-9",
+                      R"({"service":7,"address":[],"state":"ready"})");
+    std::this_thread::sleep_for(milliseconds{1500});
+    for (int call = 0; call < 4; ++call)
+    {
+        EXPECT_EQ(status_of(world, {.id = std::to_string(call)}), 200);
+    }
+    EXPECT_TRUE(world.server(0).arrivals().empty());
+}
+
+// 3. Shutdown
+
+// A VM is stopped for an update while a wording is being written. The balancer must be
+// told, the stream must end whole, and the process must then go by itself.
+TEST(platform_beliefs, planned_stop_cuts_no_call)
+{
+    entry_world       world;
+    std::atomic<bool> go_on{false};
+    auto const        slow = [&](wire_request const& request, wire_connection& connection)
+    {
+        connection.send(server_standin::stream_head(request) +
+                        server_standin::chunk(server_standin::event(1)));
+        eventually([&] { return go_on.load(); });
+        connection.send(server_standin::chunk(server_standin::event(2)) + "0\r\n\r\n");
+        return true;
+    };
+    world.server(0).always(slow);
+    world.server(1).always(slow);
+    raw_caller caller(world.callers_port());
+    raw_caller idle(world.callers_port());
+    caller.send(make_request({.path = "/stream/x", .deadline_ms = 20000}));
+    caller.read_until("data: piece 1");
+    world.daemon().signal(SIGTERM);
+    EXPECT_TRUE(eventually([&] { return !world.ready(); }, 1000));
+    EXPECT_TRUE(idle.closed(5000));
+    go_on = true;
+    auto const answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, server_standin::event(1) + server_standin::event(2));
+    EXPECT_EQ(world.daemon().wait(9000), 0);
+}
+
+// 4. Duties
+
+std::vector<duty_call> reports_of(entry_world const& world)
+{
+    std::vector<duty_call> result;
+    for (auto const& call : world.duty_calls())
+    {
+        if (call.path == "/usage")
+        {
+            result.push_back(call);
+        }
+    }
+    return result;
+}
+
+/// Bounds that let a window pass quickly.
+world_options quick_duties(int daemons)
+{
+    return {.daemons = daemons,
+            .bounds = "usage_window_s = 1\nlease_ms = 1500\nkey_life_ms = 5000\n"};
+}
+
+// The VM that reports usage is paused for longer than its lease and then goes on. Two VMs
+// that both report could bill a window twice with different figures. Its successor must
+// bear a higher token, the woken one must not use its old one any more, and no window may
+// be reported with two figures.
+TEST(platform_beliefs, paused_holder_reports_nothing_after_its_successor)
+{
+    entry_world world(quick_duties(2));
+    int         id = 0;
+    auto const  call_both = [&]
+    {
+        for (int daemon = 0; daemon < 2; ++daemon)
+        {
+            status_of(world, {.id = std::to_string(++id)}, daemon);
+        }
+    };
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            call_both();
+            return !reports_of(world).empty();
+        },
+        30000));
+    auto const first = reports_of(world).back();
+    auto const paused = first.holder == "vm-0" ? 0 : 1;
+    world.daemon(paused).signal(SIGSTOP);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            status_of(world, {.id = std::to_string(++id)}, 1 - paused);
+            return reports_of(world).back().holder != first.holder;
+        },
+        30000));
+    world.daemon(paused).signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds{2500});
+    std::uint64_t                          token = 0;
+    std::map<std::uint64_t, std::string>   holder_of;
+    std::map<std::int64_t, nlohmann::json> figures;
+    for (auto const& report : reports_of(world))
+    {
+        EXPECT_GE(report.token, token);
+        token = report.token;
+        EXPECT_EQ(holder_of.try_emplace(token, report.holder).first->second,
+                  report.holder);
+        auto const window = report.body.at("window_id").get<std::int64_t>();
+        EXPECT_EQ(figures.try_emplace(window, report.body.at("counts")).first->second,
+                  report.body.at("counts"));
+    }
+    EXPECT_GT(token, first.token);
+}
+
+// Answers of the store are lost after its appends took effect. A VM that sends its counts
+// again must not have them billed twice.
+TEST(platform_beliefs, counts_whose_append_got_no_answer_are_billed_once)
+{
+    entry_world world(quick_duties(1));
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            status_of(world, {.id = "warm"});
+            return !reports_of(world).empty();
+        },
+        30000));
+    world.store().trouble(store_trouble::losing);
+    int const calls = 20;
+    for (int call = 0; call < calls; ++call)
+    {
+        EXPECT_EQ(status_of(world, {.id = std::to_string(call), .key = "key-south"}),
+                  200);
+    }
+    std::this_thread::sleep_for(milliseconds{1800});
+    world.store().trouble(store_trouble::none);
+    auto const billed = [&]
+    {
+        std::int64_t sum = 0;
+        for (auto const& report : reports_of(world))
+        {
+            sum += report.body.at("counts").value("south", std::int64_t{0});
+        }
+        return sum;
+    };
+    EXPECT_TRUE(eventually([&] { return billed() >= calls; }, 20000));
+    std::this_thread::sleep_for(milliseconds{2500});
+    EXPECT_EQ(billed(), calls);
+}
+
+// 5. Log lines
+
+// On-call engineers find the cause of a failed call by its id alone. Each way in which a
+// call ends must leave exactly one final line with the id, and no line may hold a key.
+TEST(platform_beliefs, every_call_leaves_one_final_line_and_no_line_holds_a_key)
+{
+    entry_world world;
+    status_of(world, {.id = "served"});
+    status_of(world, {.path = "/nowhere/x", .id = "lost-way"});
+    status_of(world, {.id = "bad-key", .key = "key-nobody"});
+    auto const lose = [](wire_request const&, wire_connection& connection)
+    {
+        connection.reset();
+        return false;
+    };
+    world.server(0).always(lose);
+    world.server(1).always(lose);
+    status_of(world, {.path = "/once/x", .id = "reset"});
+    auto const lines = [&](std::string const& id)
+    {
+        auto const  text = world.output();
+        std::size_t count = 0;
+        std::string wanted{"ev=end id="};
+        wanted += id;
+        wanted += ' ';
+        for (auto at = text.find(wanted); at != std::string::npos;
+             at = text.find(wanted, at + 1))
+        {
+            ++count;
+        }
+        return count;
+    };
+    for (auto const* id : {"served", "lost-way", "bad-key", "reset"})
+    {
+        EXPECT_TRUE(eventually([&] { return lines(id) == 1; }, 3000)) << id;
+    }
+    EXPECT_EQ(world.output().find("key-no"), std::string::npos);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/platform/support/entry_world.cpp
@@ -0,0 +1,218 @@
+// Settings, rules and processes of the world.
+#include "platform/support/entry_world.hpp"
+
+#include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace marigoldcrank::tests
+{
+
+namespace
+{
+
+std::string at(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+nlohmann::json make_route(std::string const& path, std::string const& type, int attempts)
+{
+    return {{"name", path},
+            {"host", "shop.example"},
+            {"path_prefix", path},
+            {"route_type", type},
+            {"timeout_ms", 6000},
+            {"target_latency_ms", 300},
+            {"service", "desk"},
+            {"max_attempts", attempts},
+            {"priority", 1},
+            {"public", path == "/open/"},
+            {"resumable", path == "/resume/"}};
+}
+
+} // namespace
+
+entry_world::entry_world(world_options options) : options_(std::move(options))
+{
+    folder_ = std::filesystem::temp_directory_path() /
+              ("marigoldcrank-" + std::to_string(::getpid()) + "-" +
+               std::to_string(reinterpret_cast<std::uintptr_t>(this)));
+    std::filesystem::create_directories(folder_);
+    store_port_ = ports_.next();
+    duty_port_ = ports_.next();
+    store_ = std::make_unique<store_standin>(store_port_);
+    duties_ = std::make_unique<wire_server>(
+        duty_port_, [this](wire_request const& request, wire_connection& connection)
+        { return record_duty(request, connection); });
+    for (int index = 0; index < options_.servers; ++index)
+    {
+        servers_.push_back(std::make_unique<server_standin>(
+            ports_.next(), "i-" + std::to_string(index)));
+        list_server(*servers_.back());
+    }
+    configure(1, {"key-north"});
+    for (int index = 0; index < options_.daemons; ++index)
+    {
+        callers_.push_back(ports_.next());
+        readiness_.push_back(ports_.next());
+        peers_.push_back(ports_.next());
+        daemons_.emplace_back();
+        start(index);
+    }
+    for (int index = 0; index < options_.daemons; ++index)
+    {
+        if (!eventually([&] { return ready(index); }))
+        {
+            throw std::runtime_error("daemon does not get ready: " + output(index));
+        }
+    }
+}
+
+entry_world::~entry_world()
+{
+    daemons_.clear();
+    std::filesystem::remove_all(folder_);
+}
+
+void entry_world::configure(std::uint64_t                   version,
+                            std::vector<std::string> const& north_keys)
+{
+    auto routes = nlohmann::json::array({make_route("/repeat/", "idempotent", 2),
+                                         make_route("/once/", "non_idempotent", 1),
+                                         make_route("/stream/", "streaming", 1),
+                                         make_route("/resume/", "streaming", 2),
+                                         make_route("/open/", "idempotent", 2)});
+    routes.push_back(make_route("/model/", "streaming", 1));
+    routes.back()["service"] = "models";
+    if (!options_.route_fields.empty())
+    {
+        for (auto& entry : routes)
+        {
+            entry.update(nlohmann::json::parse(options_.route_fields));
+        }
+    }
+    nlohmann::json const rules{
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         nlohmann::json::array({{{"name", "desk"}, {"max_connections", 100}},
+                                {{"name", "models"}, {"engine", {{"kv_hold_s", 5.0}}}}})},
+        {"limits",
+         {{"max_header_bytes", 8192},
+          {"max_body_bytes", 100000},
+          {"header_timeout_ms", 2000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants",
+         nlohmann::json::array({{{"name", "north"}, {"api_keys", north_keys}},
+                                {{"name", "south"}, {"api_keys", {"key-south"}}}})}};
+    store_->put("keyed.op", "config", rules.dump());
+}
+
+void entry_world::list_server(server_standin const& server, std::string const& state)
+{
+    nlohmann::json const entry{{"service", "desk"}, {"address", at(server.port())},
+                               {"zone", "here"},    {"slots", 6},
+                               {"state", state},    {"sequence", 1}};
+    store_->put("keyed.servers", server.id(), entry.dump());
+}
+
+void entry_world::list_engine(server_standin const& server, std::string const& stage)
+{
+    nlohmann::json const entry{{"service", "models"}, {"address", at(server.port())},
+                               {"zone", "here"},      {"slots", 8},
+                               {"state", "ready"},    {"stage", stage},
+                               {"sequence", 1}};
+    store_->put("keyed.servers", server.id(), entry.dump());
+}
+
+server_standin& entry_world::server(int index)
+{
+    return *servers_.at(static_cast<std::size_t>(index));
+}
+
+store_standin& entry_world::store()
+{
+    return *store_;
+}
+
+child_process& entry_world::daemon(int index)
+{
+    return *daemons_.at(static_cast<std::size_t>(index));
+}
+
+int entry_world::callers_port(int index) const
+{
+    return callers_.at(static_cast<std::size_t>(index));
+}
+
+int entry_world::readiness_port(int index) const
+{
+    return readiness_.at(static_cast<std::size_t>(index));
+}
+
+void entry_world::start(int index)
+{
+    auto const    slot = static_cast<std::size_t>(index);
+    auto const    file = folder_ + "/entry-" + std::to_string(index) + ".ini";
+    std::ofstream settings(file);
+    settings << "[node]\nname = vm-" << index
+             << "\ndata_centre = here\ncallers = " << at(callers_[slot])
+             << "\nreadiness = " << at(readiness_[slot])
+             << "\npeers = " << at(peers_[slot])
+             << "\n[platform]\nstore = " << at(store_port_)
+             << "\nduties = " << at(duty_port_) << "\n[logs]\nsample = 1\n[bounds]\n"
+             << options_.bounds;
+    settings.close();
+    daemons_[slot] = std::make_unique<child_process>(
+        std::vector<std::string>{MARIGOLDCRANK_BINARIES "/marigoldcrankd", "--entry",
+                                 file},
+        folder_ + "/output-" + std::to_string(index));
+}
+
+void entry_world::restart(int index)
+{
+    daemons_.at(static_cast<std::size_t>(index)).reset();
+    start(index);
+}
+
+std::string entry_world::output(int index) const
+{
+    std::ifstream      file(folder_ + "/output-" + std::to_string(index));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+bool entry_world::ready(int index) const
+{
+    raw_caller caller(readiness_port(index));
+    caller.send("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    return caller.read().status == 200;
+}
+
+std::vector<duty_call> entry_world::duty_calls() const
+{
+    std::lock_guard lock{mutex_};
+    return duty_calls_;
+}
+
+bool entry_world::record_duty(wire_request const& request, wire_connection& connection)
+{
+    {
+        std::lock_guard lock{mutex_};
+        duty_calls_.push_back({request.path(), request.field("duty-holder"),
+                               std::stoull(request.field("fencing-token")),
+                               nlohmann::json::parse(request.body)});
+    }
+    connection.send(wire_answer(200, "", ""));
+    return true;
+}
+
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/platform/support/entry_world.hpp
@@ -0,0 +1,91 @@
+// Real daemons before stand-ins of the platform: what a failure test starts.
+//
+// Index: 1 duty_call, 2 world_options, 3 entry_world
+#ifndef MARIGOLDCRANK_TESTS_PLATFORM_ENTRY_WORLD_HPP
+#define MARIGOLDCRANK_TESTS_PLATFORM_ENTRY_WORLD_HPP
+
+#include "platform/support/server_standin.hpp"
+#include "platform/support/store_standin.hpp"
+#include "support/child_process.hpp"
+#include "support/port_block.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+namespace marigoldcrank::tests
+{
+
+/// A call that the platform got from a holder of duties.
+struct duty_call
+{
+    std::string    path;
+    std::string    holder;
+    std::uint64_t  token = 0;
+    nlohmann::json body;
+};
+
+struct world_options
+{
+    int         daemons = 1;
+    int         servers = 2;  // of the service "desk"
+    std::string bounds;       // further lines of the settings' section
+    std::string route_fields; // further JSON fields of all routes, after a comma
+};
+
+/// Routes: /repeat/ may run more than once, /once/ at most once, /stream/ not resumable,
+/// /resume/ resumable, /open/ needs no key; all on host `shop.example`, workspace `north`
+/// with key `key-north`, workspace `south` with key `key-south`.
+class entry_world
+{
+public:
+    explicit entry_world(world_options options = {});
+    ~entry_world();
+
+    /// Puts a configuration in force: these keys of workspace north.
+    void configure(std::uint64_t version, std::vector<std::string> const& north_keys);
+
+    /// Writes the entry of a server anew.
+    void list_server(server_standin const& server, std::string const& state = "ready");
+
+    /// Lists a server as a model engine of the service "models", route /model/.
+    void list_engine(server_standin const& server, std::string const& stage);
+
+    server_standin& server(int index);
+    store_standin&  store();
+    child_process&  daemon(int index = 0);
+    int             callers_port(int index = 0) const;
+    int             readiness_port(int index = 0) const;
+
+    /// Starts daemon `index` again, as a new process.
+    void restart(int index);
+
+    /// What it has written to standard output.
+    std::string output(int index = 0) const;
+
+    bool                   ready(int index = 0) const;
+    std::vector<duty_call> duty_calls() const;
+
+private:
+    bool record_duty(wire_request const& request, wire_connection& connection);
+    void start(int index);
+
+    world_options                                options_;
+    port_block                                   ports_;
+    std::string                                  folder_;
+    std::unique_ptr<store_standin>               store_;
+    std::vector<std::unique_ptr<server_standin>> servers_;
+    std::unique_ptr<wire_server>                 duties_;
+    int                                          store_port_ = 0;
+    int                                          duty_port_ = 0;
+    std::vector<int>                             callers_;
+    std::vector<int>                             readiness_;
+    std::vector<int>                             peers_;
+    std::vector<std::unique_ptr<child_process>>  daemons_;
+    mutable std::mutex                           mutex_;
+    std::vector<duty_call>                       duty_calls_;
+};
+
+} // namespace marigoldcrank::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/support/raw_caller.cpp
@@ -0,0 +1,162 @@
+// Sockets and the reading of answers.
+#include "platform/support/raw_caller.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace marigoldcrank::tests
+{
+
+raw_caller::raw_caller(int port)
+{
+    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+    {
+        close();
+    }
+}
+
+raw_caller::~raw_caller()
+{
+    close();
+}
+
+void raw_caller::close()
+{
+    if (socket_ >= 0)
+    {
+        ::close(socket_);
+        socket_ = -1;
+    }
+}
+
+void raw_caller::send(std::string const& bytes)
+{
+    if (socket_ >= 0)
+    {
+        static_cast<void>(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    }
+}
+
+bool raw_caller::more(int timeout_ms)
+{
+    pollfd state{socket_, POLLIN, 0};
+    if (socket_ < 0 || ::poll(&state, 1, timeout_ms) != 1)
+    {
+        return false;
+    }
+    char       piece[8192];
+    auto const count = ::recv(socket_, piece, sizeof piece, 0);
+    if (count > 0)
+    {
+        buffer_.append(piece, static_cast<std::size_t>(count));
+    }
+    return count > 0;
+}
+
+raw_answer raw_caller::read(int timeout_ms)
+{
+    raw_answer answer;
+    while (buffer_.find("\r\n\r\n") == std::string::npos)
+    {
+        if (!more(timeout_ms))
+        {
+            return answer;
+        }
+    }
+    auto const head_end = buffer_.find("\r\n\r\n") + 4;
+    auto const head = buffer_.substr(0, head_end);
+    buffer_.erase(0, head_end);
+    answer.status = std::stoi(head.substr(9, 3));
+    for (auto at = head.find("\r\n") + 2; at + 2 < head.size();)
+    {
+        auto const end = head.find("\r\n", at);
+        auto const colon = head.find(": ", at);
+        auto       name = head.substr(at, colon - at);
+        std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+        answer.fields[name] = head.substr(colon + 2, end - colon - 2);
+        at = end + 2;
+    }
+    if (answer.fields["transfer-encoding"] == "chunked")
+    {
+        while (true)
+        {
+            while (buffer_.find("\r\n") == std::string::npos)
+            {
+                if (!more(timeout_ms))
+                {
+                    return answer;
+                }
+            }
+            auto const line = buffer_.find("\r\n");
+            auto const length = std::stoul(buffer_.substr(0, line), nullptr, 16);
+            while (buffer_.size() < line + 2 + length + 2)
+            {
+                if (!more(timeout_ms))
+                {
+                    return answer;
+                }
+            }
+            answer.body += buffer_.substr(line + 2, length);
+            buffer_.erase(0, line + 2 + length + 2);
+            if (length == 0)
+            {
+                answer.whole = true;
+                return answer;
+            }
+        }
+    }
+    auto const length = std::stoul("0" + answer.fields["content-length"]);
+    while (buffer_.size() < length && more(timeout_ms))
+    {
+    }
+    answer.whole = buffer_.size() >= length;
+    answer.body = buffer_.substr(0, length);
+    buffer_.erase(0, length);
+    return answer;
+}
+
+std::string raw_caller::read_until(std::string const& text, int timeout_ms)
+{
+    while (buffer_.find(text) == std::string::npos && more(timeout_ms))
+    {
+    }
+    return buffer_;
+}
+
+bool raw_caller::closed(int timeout_ms)
+{
+    auto const before = buffer_.size();
+    while (more(timeout_ms))
+    {
+    }
+    return buffer_.size() == before;
+}
+
+std::string make_request(request_options const& options)
+{
+    auto const length = std::to_string(options.body.size());
+    return options.method + " " + options.path +
+           " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + options.id +
+           "\r\nDeadline-Ms: " + std::to_string(options.deadline_ms) + "\r\n" +
+           (options.key.empty() ? "" : "Authorization: Bearer " + options.key + "\r\n") +
+           options.fields + "Content-Length: " + length + "\r\n\r\n" + options.body;
+}
+
+raw_answer ask(int port, request_options const& options)
+{
+    raw_caller caller(port);
+    caller.send(make_request(options));
+    return caller.read();
+}
+
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/platform/support/server_standin.cpp
@@ -0,0 +1,108 @@
+// Default behaviour and recording.
+#include "platform/support/server_standin.hpp"
+
+#include <cstdio>
+
+namespace marigoldcrank::tests
+{
+
+server_standin::server_standin(int port, std::string id)
+    : id_(std::move(id)), port_(port),
+      server_(port, [this](wire_request const& request, wire_connection& connection)
+              { return handle(request, connection); })
+{
+}
+
+void server_standin::next(behaviour handle)
+{
+    std::lock_guard lock{mutex_};
+    next_.push_back(std::move(handle));
+}
+
+void server_standin::always(behaviour handle)
+{
+    std::lock_guard lock{mutex_};
+    always_ = std::move(handle);
+}
+
+std::vector<wire_request> server_standin::arrivals() const
+{
+    std::lock_guard lock{mutex_};
+    return arrivals_;
+}
+
+std::string const& server_standin::id() const
+{
+    return id_;
+}
+
+int server_standin::port() const
+{
+    return port_;
+}
+
+std::size_t server_standin::connections() const
+{
+    return server_.connections();
+}
+
+std::string server_standin::served(wire_request const& request, std::string const& body,
+                                   int status)
+{
+    return wire_answer(status,
+                       "Request-Id: " + request.field("request-id") +
+                           "\r\nInstance-Signature: signed\r\n",
+                       body);
+}
+
+std::string server_standin::stream_head(wire_request const& request)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " +
+           request.field("request-id") +
+           "\r\nInstance-Signature: signed\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string server_standin::chunk(std::string const& bytes)
+{
+    char length[20];
+    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
+    return length + bytes + "\r\n";
+}
+
+std::string server_standin::event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
+           "\n\n";
+}
+
+bool server_standin::handle(wire_request const& request, wire_connection& connection)
+{
+    behaviour act;
+    {
+        std::lock_guard lock{mutex_};
+        arrivals_.push_back(request);
+        if (!next_.empty())
+        {
+            act = std::move(next_.front());
+            next_.pop_front();
+        }
+        else
+        {
+            act = always_;
+        }
+    }
+    auto const expected = request.field("expect-instance");
+    if (!expected.empty() && expected != id_)
+    {
+        connection.send(wire_answer(421, "Instance-Id: " + id_ + "\r\n", ""));
+        return true;
+    }
+    if (act)
+    {
+        return act(request, connection);
+    }
+    connection.send(served(request, "served by " + id_));
+    return true;
+}
+
+} // namespace marigoldcrank::tests
--- /dev/null
+++ b/tests/platform/support/store_standin.cpp
@@ -0,0 +1,242 @@
+// Calls of the store, as its page says them.
+#include "platform/support/store_standin.hpp"
+
+#include "platform/log_codec.hpp"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <chrono>
+
+namespace marigoldcrank::tests
+{
+
+namespace
+{
+
+constexpr int         ok = 200;
+constexpr int         gone = 410;
+constexpr int         precondition = 412;
+constexpr int         unavailable = 503;
+constexpr std::size_t length_bytes = 4;
+
+std::string big_endian(std::uint64_t value)
+{
+    std::string out;
+    for (int shift = 56; shift >= 0; shift -= 8)
+    {
+        out.push_back(static_cast<char>(value >> shift));
+    }
+    return out;
+}
+
+std::string base64(std::string const& bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    auto const  length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<unsigned char const*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(length));
+    return out;
+}
+
+std::vector<std::string> unframe(std::string const& body)
+{
+    std::vector<std::string> records;
+    for (std::size_t at = 0; at + length_bytes <= body.size();)
+    {
+        std::uint32_t length = 0;
+        for (std::size_t byte = 0; byte < length_bytes; ++byte)
+        {
+            length = (length << 8U) | static_cast<unsigned char>(body[at + byte]);
+        }
+        records.push_back(body.substr(at + length_bytes, length));
+        at += length_bytes + length;
+    }
+    return records;
+}
+
+std::string keyed(std::string const& key, std::string const& value)
+{
+    return std::string(1, static_cast<char>(key.size())) + key + value;
+}
+
+std::string json_answer(int status, nlohmann::json const& body)
+{
+    return wire_answer(status, "Content-Type: application/json\r\n", body.dump());
+}
+
+} // namespace
+
+store_standin::store_standin(int port)
+    : server_(port, [this](wire_request const& request, wire_connection& connection)
+              { return handle(request, connection); })
+{
+}
+
+store_standin::~store_standin()
+{
+    {
+        std::lock_guard lock{mutex_};
+        stopping_ = true;
+    }
+    appended_.notify_all();
+}
+
+void store_standin::trouble(store_trouble kind)
+{
+    std::lock_guard lock{mutex_};
+    trouble_ = kind;
+    if (kind == store_trouble::forgetting)
+    {
+        for (auto& [name, topic] : topics_)
+        {
+            topic.first = topic.records.size();
+        }
+    }
+}
+
+void store_standin::put(std::string const& topic, std::string const& key,
+                        std::string const& value)
+{
+    {
+        std::lock_guard lock{mutex_};
+        topics_[topic].records.push_back(keyed(key, value));
+    }
+    appended_.notify_all();
+}
+
+void store_standin::drop(std::string const& topic, std::string const& key)
+{
+    put(topic, key, "");
+}
+
+std::vector<std::string> store_standin::records(std::string const& topic) const
+{
+    std::lock_guard lock{mutex_};
+    auto const      found = topics_.find(topic);
+    return found == topics_.end() ? std::vector<std::string>{} : found->second.records;
+}
+
+std::size_t store_standin::calls() const
+{
+    std::lock_guard lock{mutex_};
+    return calls_;
+}
+
+bool store_standin::handle(wire_request const& request, wire_connection& connection)
+{
+    auto kind = store_trouble::none;
+    {
+        std::lock_guard lock{mutex_};
+        ++calls_;
+        kind = trouble_;
+    }
+    if (kind == store_trouble::silent)
+    {
+        while (!connection.closed_by_peer())
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+            std::lock_guard lock{mutex_};
+            if (stopping_)
+            {
+                break;
+            }
+        }
+        return false;
+    }
+    if (kind == store_trouble::refusing)
+    {
+        connection.send(json_answer(unavailable, {{"error", "down"}}));
+        return true;
+    }
+    auto const path = request.path();
+    auto const answer = path == "/api/log-append" ? append(request)
+                        : path == "/api/log-read" ? read(request)
+                                                  : newest(request);
+    if (kind == store_trouble::losing && path == "/api/log-append")
+    {
+        return false;
+    }
+    connection.send(answer);
+    return true;
+}
+
+std::string store_standin::append(wire_request const& request)
+{
+    std::uint64_t end = 0;
+    {
+        std::lock_guard lock{mutex_};
+        auto&           topic = topics_[request.query("topic")];
+        auto const      at = request.query("at");
+        end = topic.records.size();
+        if (!at.empty() && std::stoull(at) != end)
+        {
+            return json_answer(precondition, {{"end_offset", end}});
+        }
+        for (auto& record : unframe(request.body))
+        {
+            topic.records.push_back(std::move(record));
+        }
+        auto const first = end;
+        end = topic.records.size();
+        appended_.notify_all();
+        return json_answer(ok, {{"offset", first}, {"end_offset", end}});
+    }
+}
+
+std::string store_standin::read(wire_request const& request)
+{
+    std::unique_lock lock{mutex_};
+    auto&            topic = topics_[request.query("topic")];
+    auto const       from = std::stoull(request.query("source"));
+    auto const       wait = request.query("wait_ms");
+    if (from < topic.first)
+    {
+        return json_answer(gone, {{"first_offset", topic.first}});
+    }
+    if (!wait.empty())
+    {
+        appended_.wait_for(lock, std::chrono::milliseconds{std::stoi(wait)},
+                           [&] { return stopping_ || topic.records.size() > from; });
+    }
+    std::vector<std::string> records;
+    for (auto at = from; at < topic.records.size(); ++at)
+    {
+        records.push_back(topic.records[at]);
+    }
+    return wire_answer(ok, "",
+                       big_endian(topic.records.size()) + big_endian(topic.first) +
+                           platform::frame_records(records));
+}
+
+std::string store_standin::newest(wire_request const& request)
+{
+    std::lock_guard lock{mutex_};
+    auto&           topic = topics_[request.query("topic")];
+    std::map<std::string, std::pair<std::string, std::size_t>> values;
+    for (std::size_t at = 0; at < topic.records.size(); ++at)
+    {
+        auto const record = platform::decode_keyed(topic.records[at], at);
+        if (record && record->value)
+        {
+            values[record->key] = {*record->value, at};
+        }
+        else if (record)
+        {
+            values.erase(record->key);
+        }
+    }
+    auto items = nlohmann::json::array();
+    for (auto const& [key, value] : values)
+    {
+        items.push_back(
+            {{"key", key}, {"value", base64(value.first)}, {"offset", value.second}});
+    }
+    return json_answer(
+        ok,
+        {{"items", items}, {"has_more", false}, {"end_offset", topic.records.size()}});
+}
+
+} // namespace marigoldcrank::tests
