--- a/src/ledger/duty_log.cpp
+++ b/src/ledger/duty_log.cpp
@@ -159,6 +159,11 @@
     return held ? std::optional{valid_until_} : std::nullopt;
 }
 
+std::string const& duty_log::self() const noexcept
+{
+    return self_;
+}
+
 std::uint64_t duty_log::epoch() const noexcept
 {
     return epoch_;
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -99,6 +99,7 @@
     /// Until when this VM may act; nothing if it isn't the holder or its lease is over.
     std::optional<boot_clock::time_point> held_until(boot_clock::time_point now) const;
 
+    std::string const& self() const noexcept;
     std::uint64_t      epoch() const noexcept;
     std::string const& holder() const noexcept;
 
--- /dev/null
+++ b/tests/property/duty_log_property_test.cpp
@@ -0,0 +1,313 @@
+// The duty lease under lost, late and repeated appends, pauses and restarts.
+//
+// Index: 1 a store and its VMs, 2 properties
+#include "ledger/duty_log.hpp"
+#include "ledger/server_list.hpp"
+#include "ledger/usage_windows.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+// 1. A store and its VMs
+
+constexpr millis lease{3000};
+constexpr millis margin{400};
+constexpr millis step{100};
+
+/// An append on its way: it takes effect at `due`, if the end is still where it was.
+struct flying_append
+{
+    std::uint64_t          at = 0;
+    duty_record            record;
+    boot_clock::time_point due{};
+    std::size_t            vm = 0;
+    bool                   answered = false; // its VM hears of the outcome
+};
+
+struct vm_state
+{
+    duty_log               log;
+    boot_clock::time_point paused_until{};
+    boot_clock::time_point next_look{};
+    bool                   waiting = false; // for the answer of an append
+};
+
+/// Moves a few VMs and a log in steps of 100 ms; each step's troubles are drawn.
+class duty_world
+{
+public:
+    explicit duty_world(std::size_t vms)
+    {
+        for (std::size_t index = 0; index < vms; ++index)
+        {
+            vms_.push_back({make_log(index, 0)});
+        }
+    }
+
+    void advance()
+    {
+        now_ += step;
+        land_appends();
+        for (std::size_t index = 0; index < vms_.size(); ++index)
+        {
+            trouble(index);
+            act(index);
+        }
+        check();
+    }
+
+private:
+    static duty_log make_log(std::size_t index, int incarnation)
+    {
+        return duty_log{"vm-" + std::to_string(index) + "/" + std::to_string(incarnation),
+                        {lease, margin},
+                        boot_clock::time_point{}};
+    }
+
+    void trouble(std::size_t index)
+    {
+        auto const dice = *rc::gen::inRange(0, 200);
+        if (dice == 0)
+        {
+            vms_[index].paused_until = now_ + step * *rc::gen::inRange(1, 80);
+        }
+        else if (dice == 1)
+        {
+            ++incarnations_;
+            vms_[index] = {duty_log{"vm-" + std::to_string(index) + "/" +
+                                        std::to_string(incarnations_),
+                                    {lease, margin},
+                                    now_}};
+        }
+    }
+
+    void act(std::size_t index)
+    {
+        auto& vm = vms_[index];
+        if (now_ < vm.paused_until || now_ < vm.next_look || vm.waiting)
+        {
+            return;
+        }
+        vm.next_look = now_ + millis{900};
+        bool const reads = *rc::gen::inRange(0, 10) != 0;
+        if (reads)
+        {
+            catch_up(vm);
+        }
+        bool const holds = vm.log.held_until(now_).has_value();
+        bool const claims = reads && !holds && vm.log.may_claim(now_);
+        if (holds || claims)
+        {
+            send(index, claims ? duty_kind::claim : duty_kind::renew);
+        }
+    }
+
+    void send(std::size_t index, duty_kind kind)
+    {
+        auto&         vm = vms_[index];
+        flying_append append{.at = vm.log.end(), .vm = index};
+        append.record = {.kind = kind, .holder = self_of(index)};
+        append.record.number = vm.log.begin_append(now_);
+        append.due = now_ + step * *rc::gen::weightedElement<int>({{9, 0}, {1, 40}});
+        append.answered = *rc::gen::inRange(0, 8) != 0;
+        vm.waiting = append.answered;
+        flying_.push_back(append);
+    }
+
+    std::string self_of(std::size_t index) const
+    {
+        return vms_[index].log.self();
+    }
+
+    void land_appends()
+    {
+        for (auto at = flying_.begin(); at != flying_.end();)
+        {
+            if (at->due > now_)
+            {
+                ++at;
+                continue;
+            }
+            auto& vm = vms_[at->vm];
+            bool const taken = at->at == records_.size();
+            bool const same = at->record.holder == vm.log.self();
+            if (taken)
+            {
+                records_.push_back(at->record);
+            }
+            if (at->answered && same)
+            {
+                vm.waiting = false;
+                if (taken && now_ >= vm.paused_until)
+                {
+                    vm.log.absorb(at->record, at->at, now_);
+                }
+            }
+            at = flying_.erase(at);
+        }
+    }
+
+    void catch_up(vm_state& vm)
+    {
+        for (auto offset = vm.log.end(); offset < records_.size(); ++offset)
+        {
+            vm.log.absorb(records_[offset], offset, now_);
+        }
+    }
+
+    /// What a VM would do if it looked at its lease now.
+    void check()
+    {
+        std::size_t holders = 0;
+        for (auto const& vm : vms_)
+        {
+            if (now_ >= vm.paused_until && vm.log.held_until(now_))
+            {
+                ++holders;
+                RC_ASSERT(vm.log.epoch() >= highest_);
+                highest_ = vm.log.epoch();
+            }
+        }
+        RC_ASSERT(holders <= 1U);
+    }
+
+    boot_clock::time_point     now_{std::chrono::hours{1}};
+    std::vector<vm_state>      vms_;
+    std::vector<duty_record>   records_;
+    std::vector<flying_append> flying_;
+    std::uint64_t              highest_ = 0;
+    int                        incarnations_ = 0;
+};
+
+// 2. Properties
+
+RC_GTEST_PROP(duty_log, never_two_holders_and_epochs_only_rise, ())
+{
+    duty_world world(3);
+    for (int count = 0; count < 250; ++count)
+    {
+        world.advance();
+    }
+}
+
+RC_GTEST_PROP(duty_log, records_come_back_from_their_form,
+              (std::string const& holder, std::uint64_t number, std::int64_t window))
+{
+    std::string name;
+    for (unsigned char const letter : holder)
+    {
+        name.push_back(letter < 0x80 ? static_cast<char>(letter) : 'x');
+    }
+    for (auto const kind :
+         {duty_kind::claim, duty_kind::renew, duty_kind::seal, duty_kind::change})
+    {
+        duty_record record{.kind = kind, .holder = name, .number = number, .window = window};
+        if (kind == duty_kind::seal)
+        {
+            record.counts = {{name, 3}};
+        }
+        if (kind == duty_kind::change)
+        {
+            record.server = name;
+            record.prefill = true;
+        }
+        RC_ASSERT(parse_duty_record(format_duty_record(record)) == record);
+    }
+}
+
+RC_GTEST_PROP(duty_log, any_text_is_a_record_or_nothing, (std::string const& text))
+{
+    static_cast<void>(parse_duty_record(text));
+    static_cast<void>(parse_usage_record(text));
+}
+
+// Two VMs that seal the same window race: the first record decides for all readers.
+TEST(duty_log, first_seal_of_a_window_stands)
+{
+    duty_log               log("a", {lease, margin}, {});
+    boot_clock::time_point now{std::chrono::seconds{9}};
+    duty_record            seal{.kind = duty_kind::seal, .window = 4, .counts = {{"w", 1}}};
+    log.absorb(seal, 0, now);
+    seal.counts = {{"w", 2}};
+    log.absorb(seal, 1, now);
+    EXPECT_EQ(log.sealed().at(4).at("w"), 1);
+}
+
+RC_GTEST_PROP(usage_sum, order_and_repeats_change_nothing, ())
+{
+    usage_counter             counter("vm", "", millis{1000});
+    std::vector<usage_record> records;
+    std::int64_t              calls = 0;
+    for (std::int64_t window = 1; window <= 3; ++window)
+    {
+        auto const count = *rc::gen::inRange(0, 5);
+        for (int call = 0; call < count; ++call)
+        {
+            counter.add("w", window * 1000 + call);
+            ++calls;
+        }
+        for (auto& record : counter.take_before(window + 1))
+        {
+            records.push_back(record);
+        }
+    }
+    usage_sum sum;
+    for (int repeat = 0; repeat < 3; ++repeat)
+    {
+        for (auto const index : *rc::gen::container<std::vector<std::size_t>>(
+                 6, rc::gen::inRange<std::size_t>(0, records.size())))
+        {
+            sum.absorb(records[index]);
+        }
+    }
+    for (auto const& record : records)
+    {
+        sum.absorb(*parse_usage_record(format_usage_record(record)));
+    }
+    std::int64_t billed = 0;
+    for (std::int64_t window = 1; window <= 3; ++window)
+    {
+        for (auto const& [workspace, count] : sum.of(window))
+        {
+            billed += count;
+        }
+    }
+    RC_ASSERT(billed == calls);
+}
+
+RC_GTEST_PROP(server_list, live_servers_are_never_lost_to_an_outage, ())
+{
+    server_list            list;
+    boot_clock::time_point now{std::chrono::hours{1}};
+    list.put({.id = "a", .group = "s"});
+    list.store_lost();
+    now += step * *rc::gen::inRange(0, 300);
+    if (*rc::gen::arbitrary<bool>())
+    {
+        list.drop("a", now);
+    }
+    list.store_answered(now);
+    list.drop("a", now);
+    auto const within = millis{*rc::gen::inRange(0, 1999)};
+    RC_ASSERT(list.expire(now + within).empty());
+    RC_ASSERT(list.servers().count("a") == 1U);
+    if (*rc::gen::arbitrary<bool>())
+    {
+        list.put({.id = "a", .group = "s"});
+        list.expire(now + millis{2001});
+        RC_ASSERT(list.servers().count("a") == 1U);
+    }
+    else
+    {
+        RC_ASSERT(list.expire(now + millis{2001}).size() == 1U);
+        RC_ASSERT(list.servers().empty());
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank
