--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -132,6 +132,8 @@
     return found == candidates.end() ? 0 : found->load.backlog_before(rank);
 }
 
+constexpr auto least_urgent = static_cast<std::int64_t>(rank_count);
+
 constexpr double unfit = std::numeric_limits<double>::infinity();
 
 } // namespace
@@ -151,14 +153,24 @@
     {
         return each.server == home && !shared.empty() ? own : all;
     };
+    bool const some_read_only =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [](candidate const& each) {
+                        return each.server->role == engine_role::prefill && !each.suspect;
+                    });
+    auto const may_read = [&](candidate const& each)
+    {
+        auto const tokens = static_cast<double>(each.load.backlog_before(least_urgent)) +
+                            unread(each, decode_home);
+        return each.server->role != engine_role::prefill &&
+               (!some_read_only || tokens <= static_cast<double>(options.decode_reads));
+    };
     auto const whole = cheapest(
         candidates, ticket,
         [&](candidate const& each)
         {
-            bool const fits = each.server->role != engine_role::prefill;
-            auto const held_up =
-                1 + static_cast<double>(each.load.running) / options.streams_a_share;
-            auto const tokens = costs.waiting(each) + held_up * unread(each, decode_home);
+            bool const fits = may_read(each);
+            auto const tokens = costs.waiting(each) + unread(each, decode_home);
             return fits ? options.decode_reads_slower * tokens + costs.distance(each)
                         : unfit;
         });
@@ -170,13 +182,14 @@
                      auto const tokens = costs.waiting(each) + unread(each, prefill_home);
                      return fits ? tokens + costs.distance(each) : unfit;
                  });
-    if (whole.server == nullptr)
+    if (whole.server == nullptr && first.server == nullptr)
     {
         return std::nullopt;
     }
-    bool const apart =
+    bool const sooner =
         call.own_tokens() >= options.handover_tokens &&
         first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
+    bool const  apart = whole.server == nullptr || sooner;
     auto const& chosen = apart ? first : whole;
     auto const* home = apart ? prefill_home : decode_home;
     bool const  cached = chosen.server == home && !shared.empty();
@@ -190,7 +203,6 @@
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options)
 {
-    constexpr auto    least_urgent = static_cast<std::int64_t>(rank_count);
     model_costs const costs{data_centre, least_urgent, options};
     return cheapest(candidates, ticket,
                     [&](candidate const& each)
--- a/tests/property/duty_log_property_test.cpp
+++ b/tests/property/duty_log_property_test.cpp
@@ -133,7 +133,7 @@
                 ++at;
                 continue;
             }
-            auto& vm = vms_[at->vm];
+            auto&      vm = vms_[at->vm];
             bool const taken = at->at == records_.size();
             bool const same = at->record.holder == vm.log.self();
             if (taken)
@@ -206,7 +206,8 @@
     for (auto const kind :
          {duty_kind::claim, duty_kind::renew, duty_kind::seal, duty_kind::change})
     {
-        duty_record record{.kind = kind, .holder = name, .number = number, .window = window};
+        duty_record record{
+            .kind = kind, .holder = name, .number = number, .window = window};
         if (kind == duty_kind::seal)
         {
             record.counts = {{name, 3}};
@@ -231,7 +232,7 @@
 {
     duty_log               log("a", {lease, margin}, {});
     boot_clock::time_point now{std::chrono::seconds{9}};
-    duty_record            seal{.kind = duty_kind::seal, .window = 4, .counts = {{"w", 1}}};
+    duty_record seal{.kind = duty_kind::seal, .window = 4, .counts = {{"w", 1}}};
     log.absorb(seal, 0, now);
     seal.counts = {{"w", 2}};
     log.absorb(seal, 1, now);
--- a/tests/property/platform_decoders_property_test.cpp
+++ b/tests/property/platform_decoders_property_test.cpp
@@ -31,7 +31,8 @@
 
 // 1. Any bytes
 
-RC_GTEST_PROP(platform_decoders, any_bytes_give_a_value_or_nothing, (std::string const& bytes))
+RC_GTEST_PROP(platform_decoders, any_bytes_give_a_value_or_nothing,
+              (std::string const& bytes))
 {
     static_cast<void>(decode_rules(bytes));
     static_cast<void>(decode_server("id", bytes));
@@ -126,7 +127,8 @@
 
 // 3. Round trips
 
-RC_GTEST_PROP(platform_decoders, framed_records_come_back, (std::vector<std::string> const& records))
+RC_GTEST_PROP(platform_decoders, framed_records_come_back,
+              (std::vector<std::string> const& records))
 {
     std::string const offsets(16, '\0');
     auto const        chunk = decode_read(offsets + frame_records(records), 9);
--- /dev/null
+++ b/tests/unit/entry_settings_test.cpp
@@ -0,0 +1,87 @@
+// Settings of an entry VM: what is taken, what is refused, and with which error.
+#include "domain/entry_settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+std::string const good =
+    "[node]\nname = vm\ndata_centre = here\ncallers = 10.0.0.1:80\nreadiness = "
+    "10.0.0.1:81\n"
+    "metrics =\nfrom_the_future = 7\n[platform]\nstore = 10.0.0.2:90\n"
+    "[bounds]\ngrace_s = 8.5\nkeys_fail_closed = false\nretry_ratio = 0.2\n[new]\na = "
+    "b\n";
+
+std::optional<setting_failure> failure_of(std::string const& text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<setting_failure>>
+        {
+            BOOST_LEAF_CHECK(parse_entry_settings(text, "f"));
+            return std::nullopt;
+        },
+        [](setting_failure const& failure) { return std::optional{failure}; },
+        [] { return std::optional{setting_failure{}}; });
+}
+
+std::string with(std::string const& from, std::string const& to)
+{
+    auto text = good;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(entry_settings, known_keys_are_read_and_unknown_ones_ignored)
+{
+    ASSERT_FALSE(failure_of(good));
+    auto const value = leaf::try_handle_all(
+        [&] { return parse_entry_settings(good, "f"); }, [] { return entry_settings{}; });
+    EXPECT_EQ(value.callers, (socket_address{"10.0.0.1", 80}));
+    EXPECT_EQ(value.metrics.port, 0);
+    EXPECT_EQ(value.grace, millis{8500});
+    EXPECT_EQ(value.retry_percent, 20);
+    EXPECT_FALSE(value.keys_fail_closed);
+    EXPECT_EQ(value.lease, millis{3000});
+}
+
+TEST(entry_settings, a_missing_key_is_named)
+{
+    auto const failure = failure_of(with("store = 10.0.0.2:90", ""));
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->fault, setting_fault::missing);
+    EXPECT_EQ(failure->key, "store");
+    EXPECT_EQ(failure->allowed, "IP:PORT");
+}
+
+TEST(entry_settings, bad_values_are_refused_with_what_is_allowed)
+{
+    struct bad_value
+    {
+        char const* from;
+        char const* to;
+        char const* key;
+    };
+    for (auto const& bad :
+         {bad_value{"grace_s = 8.5", "grace_s = -1", "grace_s"},
+          bad_value{"grace_s = 8.5", "grace_s = nan", "grace_s"},
+          bad_value{"grace_s = 8.5", "grace_s = 8.5s", "grace_s"},
+          bad_value{"grace_s = 8.5", "grace_s = 1e99", "grace_s"},
+          bad_value{"= false", "= maybe", "keys_fail_closed"},
+          bad_value{"callers = 10.0.0.1:80", "callers = 10.0.0.1", "callers"},
+          bad_value{"callers = 10.0.0.1:80", "callers = :80", "callers"},
+          bad_value{"callers = 10.0.0.1:80", "callers = a:65536", "callers"},
+          bad_value{"retry_ratio = 0.2", "retry_ratio = x", "retry_ratio"}})
+    {
+        auto const failure = failure_of(with(bad.from, bad.to));
+        ASSERT_TRUE(failure) << bad.to;
+        EXPECT_EQ(failure->fault, setting_fault::out_of_range) << bad.to;
+        EXPECT_EQ(failure->key, bad.key) << bad.to;
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank
--- /dev/null
+++ b/tests/unit/event_log_test.cpp
@@ -0,0 +1,120 @@
+// Log lines: bounded, quoted, and never in the way of a call.
+#include "adapters/event_log.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+/// A pipe that nobody reads until asked.
+class quiet_pipe
+{
+public:
+    quiet_pipe()
+    {
+        EXPECT_EQ(::pipe2(ends_, O_NONBLOCK), 0);
+        ::fcntl(ends_[1], F_SETPIPE_SZ, 4096);
+        ::fcntl(ends_[1], F_SETFL, 0); // a write that can't go on would block
+    }
+
+    ~quiet_pipe()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+
+    int write_end() const
+    {
+        return ends_[1];
+    }
+
+    std::string read_all()
+    {
+        std::string text;
+        char        piece[4096];
+        for (auto count = ::read(ends_[0], piece, sizeof piece); count > 0;
+             count = ::read(ends_[0], piece, sizeof piece))
+        {
+            text.append(piece, static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+private:
+    int ends_[2]{};
+};
+
+boot_clock::time_point at(int second)
+{
+    return boot_clock::time_point{std::chrono::seconds{second}};
+}
+
+// The reader of the logs hangs. A daemon that blocks on its log serves nobody; it must
+// drop, count, and go on, and say later how many lines are missing.
+TEST(event_log, reader_that_stalls_costs_lines_and_no_time)
+{
+    quiet_pipe pipe;
+    event_log  log({.lines_per_s = 100'000, .sample = 1, .buffer_bytes = 8192},
+                   pipe.write_end());
+    for (int line = 0; line < 2000; ++line)
+    {
+        log.write(event_line{"x"}.add("n", line), at(1));
+        log.flush(at(1));
+    }
+    EXPECT_GT(log.dropped(), 1000U);
+    for (int round = 0; round < 20; ++round)
+    {
+        pipe.read_all();
+        log.flush(at(2));
+    }
+    log.flush(at(2));
+    log.write(event_line{"after"}, at(2));
+    log.flush(at(2));
+    EXPECT_NE(pipe.read_all().find("ev=after"), std::string::npos);
+}
+
+TEST(event_log, lines_a_second_are_bounded_and_the_rest_is_told)
+{
+    quiet_pipe pipe;
+    event_log  log({.lines_per_s = 10, .sample = 1}, pipe.write_end());
+    for (int line = 0; line < 50; ++line)
+    {
+        log.write(event_line{"x"}, at(1));
+    }
+    EXPECT_EQ(log.dropped(), 40U);
+    log.write(event_line{"y"}, at(2));
+    log.flush(at(2));
+    EXPECT_NE(pipe.read_all().find("ev=lines_dropped count=40"), std::string::npos);
+}
+
+// A header value with a line break must not forge a line of its own.
+TEST(event_log, values_can_not_forge_lines)
+{
+    event_line line{"end"};
+    line.add("id", "a b\n ev=forged").add("empty", "").add("quote", "\"=\\");
+    EXPECT_EQ(line.text(),
+              "ev=end id=\"a b\\x0a ev=forged\" empty=\"\" quote=\"\\\"=\\\\\"");
+}
+
+TEST(event_log, a_sampled_call_is_sampled_everywhere)
+{
+    event_log const one({.sample = 4});
+    event_log const other({.sample = 4});
+    int             sampled = 0;
+    for (int id = 0; id < 1000; ++id)
+    {
+        auto const text = std::to_string(id);
+        EXPECT_EQ(one.sampled(text), other.sampled(text));
+        sampled += one.sampled(text) ? 1 : 0;
+    }
+    EXPECT_GT(sampled, 150);
+    EXPECT_LT(sampled, 350);
+}
+
+} // namespace
+} // namespace marigoldcrank
