--- a/apps/marigoldcrankd.cpp
+++ b/apps/marigoldcrankd.cpp
@@ -60,7 +60,8 @@
                                      {nullptr, 0, nullptr, 0}};
     command_line        result;
     exit_code = exit_usage;
-    for (int flag = 0; (flag = getopt_long(argc, argv, "s:e:cph", options, nullptr)) != -1;)
+    for (int flag = 0;
+         (flag = getopt_long(argc, argv, "s:e:cph", options, nullptr)) != -1;)
     {
         switch (flag)
         {
@@ -87,7 +88,8 @@
     bool const without_file = result.settings_file.empty() && result.entry_file.empty();
     if (without_file && !result.print)
     {
-        std::cerr << "marigoldcrankd: --settings or --entry FILE is missing; see --help\n";
+        std::cerr
+            << "marigoldcrankd: --settings or --entry FILE is missing; see --help\n";
         return std::nullopt;
     }
     return result;
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace marigoldcrank
 {
@@ -22,7 +23,12 @@
     std::string   host;
     std::uint16_t port = 0;
 
-    auto operator<=>(socket_address const&) const = default;
+    bool operator==(socket_address const&) const = default;
+
+    bool operator<(socket_address const& other) const
+    {
+        return std::tie(host, port) < std::tie(other.host, other.port);
+    }
 };
 
 /// Parses "10.1.0.31:8368"; an empty text gives an address with port 0.
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -25,9 +25,9 @@
     // 2     a decode engine reads prompts at half the speed of a prefill engine
     double decode_reads_slower = 2;
     // 2500  tokens; most that may wait to be read at an engine that decodes, while others
-    //       read only. Without this a swing to long prompts fills the decoding engines, and
-    //       every stream on them stalls: they were given 34,000 tokens a second to read, of
-    //       27,000 that they can read when they do nothing else
+    //       read only. Without this a swing to long prompts fills the decoding engines,
+    //       and every stream on them stalls: they were given 34,000 tokens a second to
+    //       read, of 27,000 that they can read when they do nothing else
     std::int64_t decode_reads = 2500;
     // 1000  tokens; handing a prompt over costs a call and a transfer, so a prompt with
     //       fewer own tokens is read where it is decoded
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -35,10 +35,9 @@
     return overloaded && helps ? best : prefill;
 }
 
-std::vector<backend_server const*> plan_role_changes(std::vector<split_engine> engines,
-                                                     role_need const&          need,
-                                                     boot_clock::time_point    now,
-                                                     role_split_options const& options)
+std::vector<backend_server const*>
+plan_role_changes(std::vector<split_engine> const& engines, role_need const& need,
+                  boot_clock::time_point now, role_split_options const& options)
 {
     std::map<std::string, std::int64_t> by_centre; // engines that read prompts
     std::int64_t                        prefill = 0;
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -66,10 +66,9 @@
 
 /// Engines to change now, at most a few: from the data centre that has most of the role
 /// in excess, and there the one with least work.
-std::vector<backend_server const*> plan_role_changes(std::vector<split_engine> engines,
-                                                     role_need const&          need,
-                                                     boot_clock::time_point    now,
-                                                     role_split_options const& options);
+std::vector<backend_server const*>
+plan_role_changes(std::vector<split_engine> const& engines, role_need const& need,
+                  boot_clock::time_point now, role_split_options const& options);
 
 } // namespace marigoldcrank
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -626,7 +626,7 @@
             auto const           opened = co_await link->connect(address, until);
             if (opened == link_step::ok)
             {
-                co_await link->send(std::move(freeing), until);
+                co_await link->send(freeing, until);
                 co_await link->read_head(false, until);
             }
             link->close();
@@ -674,7 +674,7 @@
     {
         status_ = status;
         end_ = "served";
-        co_await write_out(std::move(bytes));
+        return write_out(std::move(bytes));
     }
 
     boost::asio::awaitable<void> write_out(std::string bytes)
