--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -96,6 +96,10 @@
     // that
     //       the service is full, and the caller is told to come back
     static constexpr std::int64_t most_refused_sends = 1;
+    // 4     connections that couldn't be had: then the service is out of reach, and the
+    // caller
+    //       is told so while it still has time to come back
+    static constexpr std::int64_t most_failed_connects = 4;
     // 2000  ms; a caller's connection that takes no answer for so long is given up
     static constexpr millis write_time{2000};
 
@@ -178,8 +182,7 @@
     {
         while (true)
         {
-            auto const  now = boot_clock::now();
-            auto const  candidates = state_.candidates(service_name_, tried_, now);
+            auto const  candidates = servers_to_try();
             auto const* server =
                 place_plain(candidates, state_.settings.data_centre, state_.ticket());
             if (server == nullptr || !may_send())
@@ -320,8 +323,7 @@
     /// time would count as one more send.
     std::optional<placement> place_first()
     {
-        auto const candidates =
-            state_.candidates(service_name_, tried_, boot_clock::now());
+        auto const  candidates = servers_to_try();
         auto const& centre = state_.settings.data_centre;
         if (!reads_prompt())
         {
@@ -350,8 +352,7 @@
             last_fault_ = "deadline";
             return false;
         }
-        auto const candidates =
-            state_.candidates(service_name_, tried_, boot_clock::now());
+        auto const  candidates = servers_to_try();
         auto const* server = place_decode(candidates, state_.settings.data_centre,
                                           state_.ticket(), placement_options{});
         if (server != nullptr)
@@ -557,6 +558,16 @@
         co_return fate;
     }
 
+    /// Servers for the next send: those that haven't had the call, or all of them if none
+    /// is left. The only server of a service is tried again rather than not at all.
+    std::vector<candidate> servers_to_try()
+    {
+        auto const now = boot_clock::now();
+        auto       untried = state_.candidates(service_name_, tried_, now);
+        more_servers_ = untried.size() > 1;
+        return untried.empty() ? state_.candidates(service_name_, {}, now) : untried;
+    }
+
     /// Sends this call may still take: time, number of servers, and its share of retries.
     bool may_send()
     {
@@ -565,6 +576,10 @@
             last_fault_ = "deadline";
             return false;
         }
+        if (failed_connects_ >= most_failed_connects)
+        {
+            return false;
+        }
         if (runs_ + refused_sends_ == 0)
         {
             return true;
@@ -593,7 +608,7 @@
     /// A repeatable call leaves time for a second server; any other waits to its end.
     loop_time attempt_end() const
     {
-        bool const last = !repeatable_ || runs_ >= route_->max_servers;
+        bool const last = !repeatable_ || runs_ >= route_->max_servers || !more_servers_;
         auto const now = loop_clock::now();
         return last ? deadline_ : now + (deadline_ - now) / 2;
     }
@@ -714,6 +729,7 @@
     {
         tried_.insert(link.server().id);
         last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
+        failed_connects_ += fate == exchange_fate::not_sent ? 1 : 0;
         if (fate == exchange_fate::not_sent || fate == exchange_fate::not_run)
         {
             --runs_; // that server hasn't run it
@@ -824,14 +840,16 @@
     std::set<std::string>                tried_;
     std::int64_t                         runs_ = 0; // servers that may have run it
     std::int64_t                         refused_sends_ = 0;
+    std::int64_t                         failed_connects_ = 0;
     bool                                 maybe_run_ = false;
-    bool                                 judged_ = false;
-    bool                                 prefilled_ = false;
-    bool             started_ = false; // the caller has the stream's head
-    bool             counted_ = false;
-    std::string      kept_failure_; // a server's own, in bytes
-    unsigned         kept_status_ = 0;
-    std::string      last_event_;
+    bool        more_servers_ = false; // another one could still be tried after this send
+    bool        judged_ = false;
+    bool        prefilled_ = false;
+    bool        started_ = false; // the caller has the stream's head
+    bool        counted_ = false;
+    std::string kept_failure_; // a server's own, in bytes
+    unsigned    kept_status_ = 0;
+    std::string last_event_;
     std::int64_t     events_ = 0; // pieces passed on
     std::string_view last_fault_ = "no_server";
     std::string_view end_;
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -207,6 +207,41 @@
     EXPECT_EQ(answer.body, "served by i-1");
 }
 
+// A service has one server, which answers a lookup slowly. Cutting the first try short to
+// leave time for another server, which there isn't, would turn a late answer into a
+// failure.
+TEST(platform_calls, only_server_of_a_service_gets_all_the_time_there_is)
+{
+    entry_world world(one_server());
+    world.server(0).always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            std::this_thread::sleep_for(milliseconds{1300});
+            connection.send(server_standin::served(request, "late"));
+            return true;
+        });
+    EXPECT_EQ(ask(world.callers_port(), {.deadline_ms = 2000}).body, "late");
+    EXPECT_EQ(world.server(0).arrivals().size(), 1U);
+}
+
+// No server of a service can be reached. The caller is told at once that nothing has run;
+// connecting over and over until its deadline would leave it no time to come back.
+TEST(platform_calls, service_out_of_reach_is_refused_at_once)
+{
+    entry_world world({.servers = 0});
+    world.store().put(
+        "keyed.servers", "i-7",
+        R"({"service":"desk","address":"127.0.0.1:1","zone":"here","slots":1,)"
+        R"("state":"ready","sequence":1})");
+    ASSERT_TRUE(eventually([&] { return world.ready(); }));
+    auto const begin = steady_clock::now();
+    auto const answer = ask(world.callers_port(), {.path = "/once/x"});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("not_run"), std::string::npos);
+    EXPECT_LT(steady_clock::now() - begin,
+              milliseconds{2500}); // of the 5000 it would wait
+}
+
 // A server takes an order and never answers. The caller's time ends: the answer is that
 // the outcome is unknown, given at once and not left to the caller's own clock.
 TEST(platform_calls, silent_server_ends_in_a_timely_unknown_outcome)
