--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -96,6 +96,11 @@
     // that
     //       the service is full, and the caller is told to come back
     static constexpr std::int64_t most_refused_sends = 1;
+    // 3     times the expected time, and 600 ms, for a prompt to be read: later its
+    // answer is
+    //       lost, or the engine is so slow that reading it elsewhere is sooner
+    static constexpr int    reading_factor = 3;
+    static constexpr millis least_reading{600};
     // 4     connections that couldn't be had: then the service is out of reach, and the
     // caller
     //       is told so while it still has time to come back
@@ -281,7 +286,7 @@
             {
                 prefilled_ = true;
                 reader = decode;
-                source = co_await read_prompt(reader, first->unread);
+                source = co_await read_prompt(reader, *first);
                 if (!caller_.left() && !choose_decode(decode))
                 {
                     co_await give_up();
@@ -365,22 +370,23 @@
     /// Has a prefill engine read the prompt. Gives where its cache lies; empty if
     /// nowhere.
     boost::asio::awaitable<std::string> read_prompt(backend_server server,
-                                                    std::int64_t   unread)
+                                                    placement      placed)
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, rank_, unread};
-        note_send(server, unread);
+        load_share share{state_, server.id, rank_, placed.unread};
+        note_send(server, placed.unread);
+        auto const until = reading_end(placed);
         auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
-        auto const         fate = co_await send_message(link, message, true, deadline_);
+        auto const         fate = co_await send_message(link, message, true, until);
         std::string        body;
         constexpr unsigned ok = 200;
         bool answered = fate == exchange_fate::answered && link.facts().status == ok;
         if (answered)
         {
-            answered = co_await link.read_whole(body, deadline_);
+            answered = co_await link.read_whole(body, until);
         }
         auto const handle = answered ? Dialect::read_handle(body) : std::nullopt;
         if (!handle)
@@ -396,6 +402,23 @@
         co_return server.host + ":" + std::to_string(server.port) + "/" + *handle;
     }
 
+    /// When a prompt should have been read. Failure guarded against: the answer to a read
+    /// is lost without a reset; the call would wait for it until its caller gives up,
+    /// though a read may be repeated.
+    loop_time reading_end(placement const& placed)
+    {
+        auto const now = loop_clock::now();
+        auto const speed = meter().prefill_speed();
+        if (speed <= 0)
+        {
+            return now + (deadline_ - now) / 2;
+        }
+        auto const tokens = static_cast<double>(placed.ahead + placed.unread);
+        auto const expected = std::chrono::duration_cast<millis>(
+            std::chrono::duration<double>(tokens / speed));
+        return std::min(deadline_, now + expected * reading_factor + least_reading);
+    }
+
     /// Runs the call at `server`. True if its final answer has been given.
     boost::asio::awaitable<bool> run_stream(backend_server server, std::string source,
                                             std::int64_t unread)
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -375,6 +375,29 @@
     EXPECT_EQ(run.field("prefix-hash"), "aa:1000,bb:8000");
 }
 
+// An engine reads a prompt and its answer is lost without a reset. A read may be
+// repeated, so the call must go on elsewhere in time, and not wait for the answer until
+// its caller leaves.
+TEST(platform_calls, lost_answer_of_a_read_does_not_use_up_the_callers_time)
+{
+    entry_world world;
+    world.list_engine(world.server(0), "prefill");
+    world.list_engine(world.server(1), "decode");
+    world.server(0).always(
+        [](wire_request const&, wire_connection& connection)
+        {
+            eventually([&] { return connection.closed_by_peer(); });
+            return false;
+        });
+    std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
+    auto const answer =
+        ask(world.callers_port(), {.path = "/model/x",
+                                   .fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                                             "Prefix-Hash: aa:1000,bb:8000\r\n"});
+    EXPECT_EQ(answer.body, "served by i-1");
+    EXPECT_EQ(world.server(1).arrivals().at(0).field("kv-source"), "");
+}
+
 // 4. Leaving callers
 
 // A teacher closes the page while the engine works. The engine must be let go at once,
