--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -2,15 +2,30 @@
 #include "ledger/server_list.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace marigoldcrank
 {
 
 server_list::server_list(server_list_options options) : options_(options) {}
 
-bool server_list::holding(boot_clock::time_point now) const
+boot_clock::time_point server_list::hold_until(boot_clock::time_point now) const
 {
-    return lost_ || (back_ && now - *back_ < options_.hold);
+    if (lost_)
+    {
+        return boot_clock::time_point::max();
+    }
+    if (!back_)
+    {
+        return now;
+    }
+    auto const end = *back_ + options_.hold;
+    if (catching_up_)
+    {
+        return std::max(end, now);
+    }
+    bool const late = now - *back_ < options_.late_lapse;
+    return late ? std::min(end, now + options_.late_hold) : now;
 }
 
 bool server_list::put(backend_server const& server)
@@ -28,9 +43,10 @@
     {
         return false;
     }
-    if (holding(now))
+    auto const until = hold_until(now);
+    if (until > now)
     {
-        return lapsed_.insert(id).second;
+        return lapsed_.try_emplace(id, until).second;
     }
     lapsed_.erase(id);
     servers_.erase(id);
@@ -67,24 +83,44 @@
 
 void server_list::store_answered(boot_clock::time_point now)
 {
-    if (lost_)
+    if (!lost_)
+    {
+        return;
+    }
+    lost_ = false;
+    catching_up_ = true;
+    back_ = now;
+    for (auto& [id, until] : lapsed_)
     {
-        lost_ = false;
-        back_ = now;
+        until = now + options_.hold;
     }
 }
 
+void server_list::caught_up()
+{
+    catching_up_ = false;
+}
+
+bool server_list::usable(std::string const& id, boot_clock::time_point now) const
+{
+    auto const lapsed = lapsed_.find(id);
+    return lapsed == lapsed_.end() || now < lapsed->second;
+}
+
 std::vector<std::string> server_list::expire(boot_clock::time_point now)
 {
     std::vector<std::string> gone;
-    if (!holding(now))
+    for (auto const& [id, until] : lapsed_)
     {
-        gone.assign(lapsed_.begin(), lapsed_.end());
-        for (auto const& id : gone)
+        if (until <= now)
         {
-            servers_.erase(id);
+            gone.push_back(id);
         }
-        lapsed_.clear();
+    }
+    for (auto const& id : gone)
+    {
+        lapsed_.erase(id);
+        servers_.erase(id);
     }
     return gone;
 }
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -55,8 +55,8 @@
     std::vector<candidate> result;
     for (auto const& [id, server] : servers.servers())
     {
-        bool const barred =
-            server.leaving || tried.count(id) > 0 || changing.count(id) > 0;
+        bool const barred = server.leaving || tried.count(id) > 0 ||
+                            changing.count(id) > 0 || !servers.usable(id, now);
         if (server.group != service || barred)
         {
             continue;
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -295,6 +295,7 @@
         // The listing is believed only now that the store is known to be back.
         state_.servers.store_answered(boot_clock::now());
         state_.servers.replace(all, boot_clock::now());
+        state_.servers.caught_up();
         state_.log.write(
             event_line{"servers"}.add("count", static_cast<std::int64_t>(all.size())),
             boot_clock::now());
@@ -319,6 +320,10 @@
             }
         }
         next_ = chunk.from + chunk.records.size();
+        if (next_ >= chunk.end)
+        {
+            state_.servers.caught_up();
+        }
         co_return std::nullopt;
     }
 
--- a/tests/property/duty_log_property_test.cpp
+++ b/tests/property/duty_log_property_test.cpp
@@ -310,5 +310,31 @@
     }
 }
 
+// A VM gets its way to the store back, and a moment later a server that never says that
+// it leaves removes its entry. Held as a lapsed entry until the next read of the list, it
+// got new work 2.2 s after its removal, when it may be gone.
+TEST(server_list, removal_after_an_outage_is_not_held_like_a_lapse)
+{
+    auto const in_use = [](server_list const& list, boot_clock::time_point at)
+    {
+        return list.servers().count("a") > 0 && list.usable("a", at);
+    };
+    for (auto const after_return : {millis{100}, millis{560}, millis{900}, millis{1500}})
+    {
+        server_list            list;
+        boot_clock::time_point now{std::chrono::hours{1}};
+        list.put({.id = "a", .group = "s"});
+        list.store_lost();
+        now += millis{9000};
+        list.store_answered(now);
+        list.caught_up();
+        auto const removed = now + after_return;
+        auto const read = removed + millis{940}; // the longest between two reads
+        EXPECT_TRUE(in_use(list, read));
+        list.drop("a", read);
+        EXPECT_FALSE(in_use(list, removed + millis{1900})) << after_return.count();
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank
