--- a/tests/property/duty_log_property_test.cpp
+++ b/tests/property/duty_log_property_test.cpp
@@ -319,8 +319,11 @@
     {
         return list.servers().count("a") > 0 && list.usable("a", at);
     };
-    for (auto const after_return : {millis{100}, millis{560}, millis{900}, millis{1500}})
+    for (int tenths = 0; tenths < 160; ++tenths)
     {
+        auto const after_return = millis{100} * (tenths % 16);
+        auto const read_after =
+            millis{94} * (tenths / 16 + 1); // 940 ms between two reads
         server_list            list;
         boot_clock::time_point now{std::chrono::hours{1}};
         list.put({.id = "a", .group = "s"});
@@ -329,7 +332,7 @@
         list.store_answered(now);
         list.caught_up();
         auto const removed = now + after_return;
-        auto const read = removed + millis{940}; // the longest between two reads
+        auto const read = removed + read_after;
         EXPECT_TRUE(in_use(list, read));
         list.drop("a", read);
         EXPECT_FALSE(in_use(list, removed + millis{1900})) << after_return.count();
