--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -121,6 +121,21 @@
     return result;
 }
 
+std::size_t usage_sum::writers() const
+{
+    std::set<std::string> names;
+    int                   windows = 0;
+    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2;
+         ++at, ++windows)
+    {
+        for (auto const& [name, number] : at->second.seen)
+        {
+            names.insert(name);
+        }
+    }
+    return names.size();
+}
+
 bool usage_sum::complete(std::int64_t window) const
 {
     auto const before = windows_.find(window - 1);
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -74,6 +74,9 @@
     /// Addresses of the VMs that wrote for the last two windows known.
     std::set<std::string> addresses() const;
 
+    /// Number of VMs and incarnations that wrote for the last two windows known.
+    std::size_t writers() const;
+
     /// True if every VM that wrote for the window before has written for this one, so
     /// that no VM known to live is missing from the sum.
     bool complete(std::int64_t window) const;
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -29,6 +29,13 @@
     {
     }
 
+    /// Takes over another share; what is saved up stays within it.
+    void limit(retry_budget_options options) noexcept
+    {
+        options_ = options;
+        hundredths_ = std::min(hundredths_, options_.burst * per_retry);
+    }
+
     void admit() noexcept
     {
         hundredths_ =
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -113,6 +113,7 @@
     std::optional<own_reply> admit()
     {
         rules_ = state_.view.rules;
+        content_ = content_of(call_, request_.body());
         bool const fresh = state_.keys_fresh(arrived_);
         if (!rules_)
         {
@@ -129,6 +130,10 @@
         {
             return refusal;
         }
+        if (state_.poison.judge(content_, arrived_) == poison_verdict::guilty)
+        {
+            return own_reply{503, call_fate::not_run, "poison", poison_pause};
+        }
         set_deadline();
         auto const* target = pick_target(*route_, state_.ticket());
         service_ = rules_->find_service(target->service);
@@ -482,6 +487,7 @@
             state_.health.succeeded(link.server().id);
             auto const now = boot_clock::now();
             meter().stream(events_, now - first_event_, now);
+            state_.poison.clear(content_);
             end_ = "served";
             after_ = keep_ && chunked() ? link_after::keep : link_after::close;
             co_return true;
@@ -729,7 +735,7 @@
         if (workspace_ != nullptr && !counted_)
         {
             counted_ = true;
-            state_.usage.add(workspace_->name, static_cast<std::int64_t>(unix_millis()));
+            state_.usage.add(workspace_->name, state_.day_ms());
         }
     }
 
@@ -766,10 +772,25 @@
         {
             maybe_run_ = true;
             state_.health.failed(link.server().id, false, boot_clock::now());
+            note_suspicion(link);
         }
         note_failure("send_failed", link, fate);
     }
 
+    /// A connection that ended under a call may mean that the call has crashed its
+    /// server; one that ran into a time-out, or whose server was leaving, doesn't.
+    void note_suspicion(exchange& link)
+    {
+        bool const ended = last_fault_ == "broken";
+        auto const listed = state_.servers.servers().find(link.server().id);
+        bool const leaving =
+            listed == state_.servers.servers().end() || listed->second.leaving;
+        if (ended && !leaving)
+        {
+            state_.suspect(content_, link.server().id, boot_clock::now());
+        }
+    }
+
     void note_failed_answer(exchange& link)
     {
         tried_.insert(link.server().id);
@@ -842,6 +863,9 @@
         return rules_ ? static_cast<std::int64_t>(rules_->version()) : 0;
     }
 
+    // 5000 ms; a request that has crashed two servers isn't run again, but its caller may
+    //      have changed it by then
+    static constexpr millis poison_pause{5000};
     // 300  ms; a refused caller comes back once a short disturbance is over
     static constexpr millis soon{300};
 
@@ -872,6 +896,7 @@
     bool        counted_ = false;
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
+    std::string content_; // hash of path, caller and body
     std::string last_event_;
     std::int64_t     events_ = 0; // pieces passed on
     std::string_view last_fault_ = "no_server";
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -92,7 +92,8 @@
     drain();
 }
 
-void digest_link::publish(std::string const& vm, server_loads const& loads)
+void digest_link::publish(std::string const& vm, server_loads const& loads,
+                          std::vector<crash_report> const& reports)
 {
     wire::load_digest digest;
     digest.set_vm(vm);
@@ -108,6 +109,12 @@
                 static_cast<std::uint64_t>(std::max<std::int64_t>(tokens, 0)));
         }
     }
+    for (auto const& report : reports)
+    {
+        auto* entry = digest.add_suspicions();
+        entry->set_content(report.content);
+        entry->set_server(report.server);
+    }
     auto const bytes = digest.SerializeAsString();
     // A PUB socket drops for a peer whose queue is full; that is what is wanted.
     static_cast<void>(state_->out.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
@@ -134,7 +141,12 @@
                     static_cast<std::int64_t>(entry.prompt_backlog(rank));
             }
         }
-        state_->told(digest.vm(), std::move(loads));
+        std::vector<crash_report> reports;
+        for (auto const& entry : digest.suspicions())
+        {
+            reports.push_back({entry.content(), entry.server()});
+        }
+        state_->told(digest.vm(), std::move(loads), reports);
     }
     state_->readable.cancel();
     state_->readable.async_wait(asio::posix::stream_descriptor::wait_read,
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace marigoldcrank
 {
@@ -23,7 +24,8 @@
 {
 public:
     /// Called on the loop for each digest.
-    using handler = std::function<void(std::string const& vm, server_loads loads)>;
+    using handler = std::function<void(std::string const& vm, server_loads loads,
+                                       std::vector<crash_report> const& reports)>;
 
     /// Throws zmq::error_t if the address can't be bound.
     digest_link(boost::asio::io_context& loop, socket_address const& own,
@@ -35,7 +37,8 @@
     /// Connects to new peers and leaves those that are no longer named.
     void follow(std::set<socket_address> const& peers);
 
-    void publish(std::string const& vm, server_loads const& loads);
+    void publish(std::string const& vm, server_loads const& loads,
+                 std::vector<crash_report> const& reports);
 
     /// Takes in what has arrived; also called now and then by the owner, since the
     /// socket's descriptor tells of changes only.
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -63,8 +63,7 @@
         co_await hand_over(current_window());
         while (true)
         {
-            auto const past =
-                static_cast<std::int64_t>(unix_millis()) - times_.hand_over.count();
+            auto const past = state_.day_ms() - times_.hand_over.count();
             co_await hand_over(state_.usage.window_of(past));
             auto const now = boot_clock::now();
             bool const often = log_.held_until(now) || now - started < times_.meeting;
@@ -126,7 +125,7 @@
 private:
     std::int64_t current_window() const
     {
-        return state_.usage.window_of(static_cast<std::int64_t>(unix_millis()));
+        return state_.usage.window_of(state_.day_ms());
     }
 
     boost::asio::awaitable<void> hand_over(std::int64_t before)
@@ -344,6 +343,7 @@
         usage_read_ = usage_next_ >= chunk.end;
         auto const window = current_window();
         sum_.forget_before(window - kept_windows);
+        state_.vms_known = static_cast<std::int64_t>(sum_.writers());
     }
 
     /// Windows whose counts are in and that nobody has sealed yet.
@@ -351,7 +351,7 @@
     {
         std::vector<duty_record> seals;
         auto const               length = state_.settings.usage_window.count();
-        auto const               now = static_cast<std::int64_t>(unix_millis());
+        auto const               now = state_.day_ms();
         auto const               last = (now - times_.seal.count()) / length - 1;
         auto const               first = (now - times_.too_old.count()) / length;
         if (!usage_read_)
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -118,19 +118,32 @@
             co_return;
         }
         digest_link link{loop_, state_.settings.peers,
-                         [this](std::string const& vm, server_loads loads)
+                         [this](std::string const& vm, server_loads loads,
+                                std::vector<crash_report> const& reports)
                          {
-                             state_.peers.absorb(vm, std::move(loads), boot_clock::now());
+                             take_digest(vm, std::move(loads), reports);
                          }};
         while (true)
         {
             link.follow(worker_.peers());
-            link.publish(state_.incarnation, state_.loads);
+            link.publish(state_.incarnation, state_.loads,
+                         state_.fresh_reports(boot_clock::now()));
             state_.peers.expire(boot_clock::now());
             co_await loop_sleep(digest_pause);
         }
     }
 
+    void take_digest(std::string const& vm, server_loads loads,
+                     std::vector<crash_report> const& reports)
+    {
+        auto const now = boot_clock::now();
+        state_.peers.absorb(vm, std::move(loads), now);
+        for (auto const& report : reports)
+        {
+            state_.poison.note(report.content, report.server, now);
+        }
+    }
+
     void note_readiness()
     {
         auto const now = boot_clock::now();
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -1,6 +1,11 @@
 // Beliefs of the daemon.
 #include "serving/entry_state.hpp"
 
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
 namespace marigoldcrank
 {
 
@@ -10,11 +15,18 @@
 // 8  tenths of a key's life are used; the rest covers the way of a call to its server
 constexpr std::int64_t used_tenths = 8;
 constexpr std::int64_t tenths = 10;
-// 16  VMs among which the deployment's retries are divided: above any number of entry VMs
-// of
-//     today, so that the sum of all shares stays below the bound. A larger deployment is
-//     divided by its own number once VMs know each other.
-constexpr std::int64_t sharing_vms = 16;
+// 3000  ms; a suspicion is told in some twenty digests, so that one that is lost is no
+// loss
+constexpr millis told_for{3000};
+// 64    suspicions in a digest; after the loss of a crowded server most of them are
+// innocent
+constexpr std::size_t most_reports = 64;
+// 5/4  of the VMs known, among which the deployment's retries are divided: VMs that start
+//      are counted by the others only after their first window
+constexpr std::int64_t known_parts = 4;
+constexpr std::int64_t shared_parts = 5;
+// 100  VMs while none is known: more than any deployment of today has
+constexpr std::int64_t unknown_vms = 100;
 
 } // namespace
 
@@ -76,10 +88,58 @@
 
 retry_budget& entry_state::budget(std::string const& service)
 {
+    auto const vms =
+        vms_known == 0 ? unknown_vms : vms_known * shared_parts / known_parts;
     retry_budget_options const share{
         .percent = settings.retry_percent * used_tenths / tenths,
-        .burst = std::max<std::int64_t>(settings.retry_slack / sharing_vms, 1)};
-    return budgets_.try_emplace(service, share).first->second;
+        .burst = std::max<std::int64_t>(
+            settings.retry_slack / std::max<std::int64_t>(vms, 1), 1)};
+    auto& budget = budgets_.try_emplace(service, share).first->second;
+    budget.limit(share);
+    return budget;
+}
+
+std::int64_t entry_state::day_ms()
+{
+    return day.read(boot_clock::now(), static_cast<std::int64_t>(unix_millis()));
+}
+
+void entry_state::suspect(std::string const& content, std::string const& server,
+                          boot_clock::time_point now)
+{
+    if (poison.note(content, server, now))
+    {
+        reports_.push_back({now, {content, server}});
+        log.write(event_line{"suspect"}.add("content", content).add("server", server),
+                  now);
+    }
+}
+
+std::vector<crash_report> entry_state::fresh_reports(boot_clock::time_point now)
+{
+    while (!reports_.empty() &&
+           (now - reports_.front().first > told_for || reports_.size() > most_reports))
+    {
+        reports_.pop_front();
+    }
+    std::vector<crash_report> result;
+    for (auto const& [at, report] : reports_)
+    {
+        result.push_back(report);
+    }
+    return result;
+}
+
+std::string content_of(caller_call const& call, std::string const& body)
+{
+    constexpr std::size_t digits = 17;
+    auto const            start = XXH3_64bits(call.target.data(), call.target.size());
+    auto const caller = XXH3_64bits_withSeed(call.key.data(), call.key.size(), start);
+    auto const all = XXH3_64bits_withSeed(body.data(), body.size(), caller);
+    std::array<char, digits> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(all));
+    return text.data();
 }
 
 std::uint64_t entry_state::ticket()
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -11,15 +11,18 @@
 #include "adapters/metrics.hpp"
 #include "domain/entry_settings.hpp"
 #include "domain/serving_rules.hpp"
+#include "domain/true_clock.hpp"
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
 #include "policy/peer_loads.hpp"
 #include "policy/placement.hpp"
+#include "policy/poison_list.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -54,11 +57,22 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
+    /// Notes that a server was lost while it ran a call of this content, and tells the
+    /// other VMs of it.
+    void suspect(std::string const& content, std::string const& server,
+                 boot_clock::time_point now);
+
+    /// Suspicions of this VM that are still told.
+    std::vector<crash_report> fresh_reports(boot_clock::time_point now);
+
     /// The bucket of retries for a service, this VM's share of it.
     retry_budget& budget(std::string const& service);
 
     std::uint64_t ticket();
 
+    /// The time of day that usage windows are cut by, in ms since 1970.
+    std::int64_t day_ms();
+
     entry_settings                    settings;
     std::string                       incarnation;
     rules_view                        view;
@@ -72,15 +86,22 @@
     std::map<std::string, work_meter> meters; // by service
     event_log                         log;
     metrics                           counters;
-    bool                              draining = false; // not ready; still serving
-    bool                              closed = false;   // takes no new calls any more
-    std::int64_t                      calls_in_work = 0;
+    true_clock                        day;
+    poison_list                       poison{poison_options{}};
+    std::int64_t vms_known = 0;    // that handed over usage lately; 0: none
+    bool         draining = false; // not ready; still serving
+    bool         closed = false;   // takes no new calls any more
+    std::int64_t calls_in_work = 0;
 
 private:
-    std::map<std::string, retry_budget> budgets_;
-    std::mt19937_64                     random_;
+    std::map<std::string, retry_budget>                         budgets_;
+    std::deque<std::pair<boot_clock::time_point, crash_report>> reports_;
+    std::mt19937_64                                             random_;
 };
 
+/// Identifies a call that is sent again: the same path, caller and body.
+std::string content_of(caller_call const& call, std::string const& body);
+
 /// Holds a call's share of a server's load for as long as it lives.
 class load_share
 {
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -242,6 +242,46 @@
               milliseconds{2500}); // of the 5000 it would wait
 }
 
+// A request crashes each server that runs it, and its caller sends it again, to any VM.
+// Two servers are lost to it at most; after that no VM lets it through, and others are
+// served.
+TEST(platform_calls, request_that_crashes_servers_is_stopped_after_two)
+{
+    entry_world world({.daemons = 2, .servers = 4});
+    auto const  crash = [](wire_request const& request, wire_connection& connection)
+    {
+        if (request.body != "crash")
+        {
+            connection.send(server_standin::served(request, "fine"));
+            return true;
+        }
+        connection.reset();
+        return false;
+    };
+    for (int index = 0; index < 4; ++index)
+    {
+        world.server(index).always(crash);
+    }
+    std::this_thread::sleep_for(milliseconds{2500}); // the VMs have found each other
+    for (int call = 0; call < 8; ++call)
+    {
+        ask(world.callers_port(call % 2),
+            {.path = "/once/x", .id = std::to_string(call), .body = "crash"});
+        std::this_thread::sleep_for(milliseconds{400});
+    }
+    std::size_t crashes = 0;
+    for (int index = 0; index < 4; ++index)
+    {
+        crashes += world.server(index).arrivals().size();
+    }
+    EXPECT_EQ(crashes, 2U);
+    auto const last = ask(world.callers_port(0), {.path = "/once/x", .body = "crash"});
+    EXPECT_EQ(last.status, 503);
+    EXPECT_NE(last.body.find("poison"), std::string::npos);
+    EXPECT_EQ(ask(world.callers_port(1), {.path = "/once/x", .body = "other"}).status,
+              200);
+}
+
 // A server takes an order and never answers. The caller's time ends: the answer is that
 // the outcome is unknown, given at once and not left to the caller's own clock.
 TEST(platform_calls, silent_server_ends_in_a_timely_unknown_outcome)
