--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -1,15 +1,14 @@
 // Usage on every VM, and the duties of the one that holds the lease.
 //
-// Index: 1 duty_times, 2 duty_worker: usage, lease, sealing, reporting, ordering
+// Index: duty_worker: usage, lease, sealing, reporting
 #ifndef MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
 #define MARIGOLDCRANK_SERVING_DUTY_WORKER_HPP
 
 #include "ledger/usage_windows.hpp"
-#include "policy/fleet_plan.hpp"
-#include "policy/role_split.hpp"
 #include "ports/duty_port.hpp"
 #include "ports/log_store_port.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/fleet_orders.hpp"
 #include "serving/loop_sleep.hpp"
 
 #include <cmath>
@@ -19,31 +18,6 @@
 namespace marigoldcrank
 {
 
-struct duty_times
-{
-    millis renew{900};      // 900   ms; three renewals fit into a lease
-    millis look{1500};      // 1500  ms; between looks of a VM that doesn't hold the lease
-    millis close_look{400}; // 400 ms; the same while the holder is silent
-    millis margin{400};     // 400   ms; drift of clocks and packets in flight
-    millis hand_over{600};  // 600  ms after a window's end: its last calls are counted
-    millis meeting{
-        15000};        // 15000 ms after the start: other VMs are looked for more often
-    millis seal{1500}; // 1500  ms after a window's end, if all VMs have handed over
-    millis seal_at_last{
-        7500};              // 7500 ms after it without those that are missing: the report
-                            //      is due 10 s after the end, and may need a second try
-    millis too_old{14000};  // 14000 ms after its end a window is not sealed any more: an
-                            //      earlier seal of it could be lost from the history
-    millis call_slack{300}; // 300 ms of the lease that must be left to begin a call
-    millis announce{2200};  // 2200 ms; all VMs have read of a change before its order
-    millis change{7500}; // 7500 ms from its announcement until a changed engine is back
-    millis order_again{
-        3000}; // 3000 ms; before an order for servers is given again: those
-               //      of the last one need their time to start
-
-    bool operator==(duty_times const&) const = default;
-};
-
 template <log_store_port Store, duty_port Duties>
 class duty_worker
 {
@@ -51,7 +25,8 @@
     duty_worker(entry_state& state, Store& store, Duties& duties, duty_times times = {})
         : state_(state), store_(store), duties_(duties), times_(times),
           log_(state.incarnation, duty_lease_options{state.settings.lease, times.margin},
-               boot_clock::now())
+               boot_clock::now()),
+          fleet_(state, duties, log_, times)
     {
     }
 
@@ -117,7 +92,7 @@
                 co_await follow();
             }
             note_change();
-            share_changes();
+            fleet_.share_changes();
             co_await loop_sleep(next_look());
         }
     }
@@ -162,24 +137,8 @@
     static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
     static constexpr millis       lane_look{
         20}; // 20   ms; between looks for the lane to be free
-    static constexpr double milli = 1000;
     static constexpr millis usage_look{500}; // 500  ms; between looks for a closed window
 
-    /// A change that this VM has decided on as the holder.
-    struct role_change
-    {
-        boot_clock::time_point planned{};
-        engine_role            role = engine_role::mixed;
-        bool                   ordered = false;
-    };
-
-    /// The newest order for one kind of server of a service in a data centre.
-    struct last_order
-    {
-        std::int64_t           count = -1;
-        boot_clock::time_point at{};
-    };
-
     static std::string duty_topic()
     {
         return "duty";
@@ -228,15 +187,13 @@
         {
             records.push_back(std::move(seal));
         }
-        for (auto& announcement : due_announcements())
+        for (auto& announcement : fleet_.announcements())
         {
             records.push_back(std::move(announcement));
         }
         if (co_await append(std::move(records)))
         {
-            co_await order_servers();
-            plan_roles();
-            co_await send_role_orders();
+            co_await fleet_.act();
             co_await report_sealed();
         }
     }
@@ -387,7 +344,7 @@
         auto const all = total(counts);
         if (own > 0 && all >= own)
         {
-            fleet_scale_ = static_cast<double>(all) / static_cast<double>(own);
+            fleet_.scale(static_cast<double>(all) / static_cast<double>(own));
         }
     }
 
@@ -417,7 +374,8 @@
         reported_ = done;
         for (auto const& [window, counts] : due)
         {
-            auto const sender = authority();
+            auto const sender =
+                duty_authority(log_, state_.settings.name, times_.call_slack);
             if (!sender)
             {
                 co_return;
@@ -432,234 +390,6 @@
         }
     }
 
-    // Ordering
-
-    boost::asio::awaitable<void> order_servers()
-    {
-        auto const rules = state_.view.rules;
-        auto const now = boot_clock::now();
-        if (!rules)
-        {
-            co_return;
-        }
-        for (auto const& value : rules->services())
-        {
-            for (auto const& [data_centre, present] :
-                 count_fleet(value.name, state_.servers.servers()))
-            {
-                auto& fleet = fleets_[{value.name, data_centre}];
-                fleet.present = present;
-                fleet.bought = std::max(fleet.bought, present.full);
-                co_await send_server_orders(
-                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
-                // A refusal of cheap servers decides on those of full price at once.
-                co_await send_server_orders(
-                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
-            }
-        }
-    }
-
-    boost::asio::awaitable<void> send_server_orders(std::vector<server_order> orders)
-    {
-        for (auto const& order : orders)
-        {
-            auto const sender = authority();
-            if (!sender)
-            {
-                co_return;
-            }
-            auto& last = orders_[{order.service, order.data_centre, order.cheap}];
-            if (last.count == order.count &&
-                boot_clock::now() - last.at < times_.order_again)
-            {
-                continue;
-            }
-            last = {order.count, boot_clock::now()};
-            auto const outcome = co_await duties_.order_servers(*sender, order);
-            auto const now = boot_clock::now();
-            auto&      fleet = fleets_[{order.service, order.data_centre}];
-            if (order.cheap && outcome == duty_outcome::refused)
-            {
-                fleet.refused = now;
-            }
-            state_.log.write(event_line{"server_order"}
-                                 .add("service", order.service)
-                                 .add("data_centre", order.data_centre)
-                                 .add("cheap", order.cheap ? 1 : 0)
-                                 .add("count", order.count)
-                                 .add("full_present", fleet.present.full)
-                                 .add("cheap_present", fleet.present.cheap)
-                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
-                                 .add("outcome", static_cast<std::int64_t>(outcome)),
-                             now);
-        }
-    }
-
-    void plan_roles()
-    {
-        auto const rules = state_.view.rules;
-        if (!rules)
-        {
-            return;
-        }
-        for (auto const& value : rules->services())
-        {
-            if (value.has_engines)
-            {
-                plan_roles_of(value);
-            }
-        }
-    }
-
-    void plan_roles_of(service const& value)
-    {
-        auto const now = boot_clock::now();
-        auto const engines = split_engines(value.name);
-        if (engines.empty() || fleet_scale_ == 0)
-        {
-            return;
-        }
-        auto demand = state_.meters[value.name].demand(now);
-        demand.prefill_engines *= fleet_scale_;
-        demand.streams *= fleet_scale_;
-        role_split_options const options;
-        auto const need = need_of(demand, engines.front().server->slots, options);
-        for (auto const* engine : plan_role_changes(engines, need, now, options))
-        {
-            auto const role = engine->role == engine_role::prefill ? engine_role::decode
-                                                                   : engine_role::prefill;
-            role_changes_[engine->id] = {now, role, false};
-            state_.log.write(
-                event_line{"role_change"}
-                    .add("server", engine->id)
-                    .add("role", static_cast<std::int64_t>(role))
-                    .add("prefill_need_milli", std::llround(need.prefill * milli))
-                    .add("decode_need_milli", std::llround(need.decode * milli)),
-                now);
-        }
-    }
-
-    /// Announces of changes that no record tells of yet.
-    std::vector<duty_record> due_announcements()
-    {
-        std::vector<duty_record> records;
-        for (auto const& [id, change] : role_changes_)
-        {
-            bool const told = log_.changing().count(id) > 0;
-            if (!change.ordered && !told)
-            {
-                records.push_back({.kind = duty_kind::change,
-                                   .holder = state_.incarnation,
-                                   .server = id,
-                                   .prefill = change.role == engine_role::prefill});
-            }
-        }
-        return records;
-    }
-
-    /// Orders whose announcement all VMs have had time to read.
-    boost::asio::awaitable<void> send_role_orders()
-    {
-        std::vector<std::pair<std::string, engine_role>> due;
-        auto const                                       now = boot_clock::now();
-        for (auto& [id, change] : role_changes_)
-        {
-            auto const told = log_.changing().find(id);
-            bool const read = told != log_.changing().end() &&
-                              now - told->second.heard >= times_.announce;
-            if (!change.ordered && read)
-            {
-                change.ordered = true;
-                due.emplace_back(id, change.role);
-            }
-        }
-        std::erase_if(role_changes_, [&](auto const& entry)
-                      { return now - entry.second.planned > times_.change; });
-        for (auto const& [id, role] : due)
-        {
-            auto const found = state_.servers.servers().find(id);
-            auto const sender = authority();
-            if (found == state_.servers.servers().end() || !sender)
-            {
-                continue;
-            }
-            auto const engine = found->second; // a copy: the list changes meanwhile
-            auto const outcome = co_await duties_.order_role(*sender, engine, role);
-            state_.log.write(event_line{"role_order"}
-                                 .add("server", id)
-                                 .add("role", static_cast<std::int64_t>(role))
-                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
-                                 .add("outcome", static_cast<std::int64_t>(outcome)),
-                             boot_clock::now());
-        }
-    }
-
-    /// Engines that are about to change, or do, take no new work on any VM.
-    void share_changes()
-    {
-        auto const now = boot_clock::now();
-        state_.changing.clear();
-        for (auto const& [id, change] : log_.changing())
-        {
-            if (in_change(change, now))
-            {
-                state_.changing.insert(id);
-            }
-        }
-    }
-
-    bool in_change(announced_change const& change, boot_clock::time_point now) const
-    {
-        return now - change.heard < times_.change;
-    }
-
-    /// All engines of a service that stay, those in a change with the role they will
-    /// have.
-    std::vector<split_engine> split_engines(std::string const& name) const
-    {
-        std::vector<split_engine> engines;
-        auto const                now = boot_clock::now();
-        for (auto const& [id, server] : state_.servers.servers())
-        {
-            if (server.group != name || server.leaving)
-            {
-                continue;
-            }
-            split_engine each{.server = &server, .role = server.role};
-            auto const   load = state_.loads.find(id);
-            each.running = load == state_.loads.end() ? 0 : load->second.running;
-            auto const told = log_.changing().find(id);
-            if (told != log_.changing().end())
-            {
-                each.changed = told->second.heard;
-                each.role = !in_change(told->second, now) ? server.role
-                            : told->second.prefill        ? engine_role::prefill
-                                                          : engine_role::decode;
-            }
-            auto const planned = role_changes_.find(id);
-            if (planned != role_changes_.end() && !planned->second.ordered)
-            {
-                each.changed = now;
-                each.role = planned->second.role;
-            }
-            engines.push_back(each);
-        }
-        return engines;
-    }
-
-    /// The right to call now; nothing if too little of the lease is left.
-    std::optional<duty_sender> authority() const
-    {
-        auto const now = boot_clock::now();
-        auto const until = log_.held_until(now);
-        if (!until || *until - now < times_.call_slack)
-        {
-            return std::nullopt;
-        }
-        return duty_sender{state_.settings.name, log_.epoch(),
-                           loop_clock::now() + (*until - now)};
-    }
-
     void note_report(std::int64_t window, usage_counts const& counts,
                      duty_sender const& sender, duty_outcome outcome)
     {
@@ -684,10 +414,7 @@
     bool                     usage_lane_busy_ = false;
     bool                     held_ = false;
     std::int64_t             reported_ = 0;
-    std::map<std::tuple<std::string, std::string, bool>, last_order> orders_;
-    std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
-    std::map<std::string, role_change>                         role_changes_; // by engine
-    double fleet_scale_ = 0; // 0: not known yet
+    fleet_orders<Duties>     fleet_;
 };
 
 } // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/fleet_orders.hpp
@@ -0,0 +1,304 @@
+// What the holder of the duties orders: servers, and other roles for engines.
+//
+// Index: fleet_orders: act, announcements, servers, roles
+#ifndef MARIGOLDCRANK_SERVING_FLEET_ORDERS_HPP
+#define MARIGOLDCRANK_SERVING_FLEET_ORDERS_HPP
+
+#include "policy/fleet_plan.hpp"
+#include "policy/role_split.hpp"
+#include "serving/duty_times.hpp"
+#include "serving/entry_state.hpp"
+
+#include <cmath>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// Part of the duty worker, which owns the log of the duties and appends to it.
+template <duty_port Duties>
+class fleet_orders
+{
+public:
+    fleet_orders(entry_state& state, Duties& duties, duty_log const& log,
+                 duty_times times)
+        : state_(state), duties_(duties), log_(log), times_(times)
+    {
+    }
+
+    /// One pass, while the lease is held. Each call checks what is left of the lease.
+    boost::asio::awaitable<void> act()
+    {
+        silent_ = false;
+        co_await order_servers();
+        plan_roles();
+        co_await send_role_orders();
+    }
+
+    /// This VM's measures stand for so many times as much over all VMs.
+    void scale(double times)
+    {
+        scale_ = times;
+    }
+
+    /// Announces of changes that no record tells of yet.
+    std::vector<duty_record> announcements()
+    {
+        std::vector<duty_record> records;
+        for (auto const& [id, change] : role_changes_)
+        {
+            bool const told = announced(id, change);
+            if (!change.ordered && !told)
+            {
+                records.push_back({.kind = duty_kind::change,
+                                   .holder = state_.incarnation,
+                                   .server = id,
+                                   .prefill = change.role == engine_role::prefill});
+            }
+        }
+        return records;
+    }
+
+    /// Engines that are about to change, or do, take no new work on any VM.
+    void share_changes()
+    {
+        auto const now = boot_clock::now();
+        state_.changing.clear();
+        for (auto const& [id, change] : log_.changing())
+        {
+            if (in_change(change, now))
+            {
+                state_.changing.insert(id);
+            }
+        }
+    }
+
+private:
+    static constexpr double milli = 1000;
+
+    /// The newest order for one kind of server of a service in a data centre.
+    struct last_order
+    {
+        std::int64_t           count = -1;
+        boot_clock::time_point at{};
+    };
+
+    /// A change that this VM has decided on as the holder.
+    struct role_change
+    {
+        boot_clock::time_point planned{};
+        engine_role            role = engine_role::mixed;
+        bool                   ordered = false;
+    };
+
+    /// Whether the log tells of this change, and not only of an earlier one of the
+    /// engine.
+    bool announced(std::string const& id, role_change const& change) const
+    {
+        auto const told = log_.changing().find(id);
+        return told != log_.changing().end() && told->second.heard >= change.planned;
+    }
+
+    boost::asio::awaitable<void> order_servers()
+    {
+        auto const rules = state_.view.rules;
+        auto const now = boot_clock::now();
+        if (!rules)
+        {
+            co_return;
+        }
+        for (auto const& value : rules->services())
+        {
+            for (auto const& [data_centre, present] :
+                 count_fleet(value.name, state_.servers.servers()))
+            {
+                auto& fleet = fleets_[{value.name, data_centre}];
+                fleet.present = present;
+                fleet.bought = std::max(fleet.bought, present.full);
+                co_await send_server_orders(
+                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
+                // A refusal of cheap servers decides on those of full price at once.
+                co_await send_server_orders(
+                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> send_server_orders(std::vector<server_order> orders)
+    {
+        for (auto const& order : orders)
+        {
+            auto const sender =
+                duty_authority(log_, state_.settings.name, times_.call_slack);
+            if (!sender || silent_)
+            {
+                co_return;
+            }
+            auto& last = orders_[{order.service, order.data_centre, order.cheap}];
+            if (last.count == order.count &&
+                boot_clock::now() - last.at < times_.order_again)
+            {
+                continue;
+            }
+            last = {order.count, boot_clock::now()};
+            auto const outcome = co_await duties_.order_servers(*sender, order);
+            auto const now = boot_clock::now();
+            auto&      fleet = fleets_[{order.service, order.data_centre}];
+            if (order.cheap && outcome == duty_outcome::refused)
+            {
+                fleet.refused = now;
+            }
+            state_.log.write(event_line{"server_order"}
+                                 .add("service", order.service)
+                                 .add("data_centre", order.data_centre)
+                                 .add("cheap", order.cheap ? 1 : 0)
+                                 .add("count", order.count)
+                                 .add("full_present", fleet.present.full)
+                                 .add("cheap_present", fleet.present.cheap)
+                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
+                                 .add("outcome", static_cast<std::int64_t>(outcome)),
+                             now);
+            silent_ = silent_ || outcome == duty_outcome::no_answer;
+        }
+    }
+
+    void plan_roles()
+    {
+        auto const rules = state_.view.rules;
+        if (!rules)
+        {
+            return;
+        }
+        for (auto const& value : rules->services())
+        {
+            if (value.has_engines)
+            {
+                plan_roles_of(value);
+            }
+        }
+    }
+
+    void plan_roles_of(service const& value)
+    {
+        auto const now = boot_clock::now();
+        auto const engines = split_engines(value.name);
+        if (engines.empty() || scale_ == 0)
+        {
+            return;
+        }
+        auto demand = state_.meters[value.name].demand(now);
+        demand.prefill_engines *= scale_;
+        demand.streams *= scale_;
+        role_split_options const options;
+        auto const need = need_of(demand, engines.front().server->slots, options);
+        for (auto const* engine : plan_role_changes(engines, need, now, options))
+        {
+            auto const role = engine->role == engine_role::prefill ? engine_role::decode
+                                                                   : engine_role::prefill;
+            role_changes_[engine->id] = {now, role, false};
+            state_.log.write(
+                event_line{"role_change"}
+                    .add("server", engine->id)
+                    .add("role", static_cast<std::int64_t>(role))
+                    .add("prefill_need_milli", std::llround(need.prefill * milli))
+                    .add("decode_need_milli", std::llround(need.decode * milli)),
+                now);
+        }
+    }
+
+    /// Orders whose announcement all VMs have had time to read.
+    boost::asio::awaitable<void> send_role_orders()
+    {
+        std::vector<std::pair<std::string, engine_role>> due;
+        auto const                                       now = boot_clock::now();
+        for (auto& [id, change] : role_changes_)
+        {
+            bool const read = announced(id, change) &&
+                              now - log_.changing().at(id).heard >= times_.announce;
+            if (!change.ordered && read)
+            {
+                change.ordered = true;
+                due.emplace_back(id, change.role);
+            }
+        }
+        std::erase_if(role_changes_, [&](auto const& entry)
+                      { return now - entry.second.planned > times_.change; });
+        for (auto const& [id, role] : due)
+        {
+            auto const found = state_.servers.servers().find(id);
+            auto const sender =
+                duty_authority(log_, state_.settings.name, times_.call_slack);
+            if (found == state_.servers.servers().end() || !sender || silent_)
+            {
+                continue;
+            }
+            auto const engine = found->second; // a copy: the list changes meanwhile
+            auto const outcome = co_await duties_.order_role(*sender, engine, role);
+            state_.log.write(event_line{"role_order"}
+                                 .add("server", id)
+                                 .add("role", static_cast<std::int64_t>(role))
+                                 .add("epoch", static_cast<std::int64_t>(sender->epoch))
+                                 .add("outcome", static_cast<std::int64_t>(outcome)),
+                             boot_clock::now());
+            silent_ = silent_ || outcome == duty_outcome::no_answer;
+        }
+    }
+
+    bool in_change(announced_change const& change, boot_clock::time_point now) const
+    {
+        return now - change.heard < times_.change;
+    }
+
+    /// All engines of a service that stay, those in a change with the role they will
+    /// have.
+    std::vector<split_engine> split_engines(std::string const& name) const
+    {
+        std::vector<split_engine> engines;
+        auto const                now = boot_clock::now();
+        for (auto const& [id, server] : state_.servers.servers())
+        {
+            if (server.group != name || server.leaving)
+            {
+                continue;
+            }
+            split_engine each{.server = &server, .role = server.role};
+            auto const   load = state_.loads.find(id);
+            each.running = load == state_.loads.end() ? 0 : load->second.running;
+            auto const told = log_.changing().find(id);
+            if (told != log_.changing().end())
+            {
+                each.changed = told->second.heard;
+                each.role = !in_change(told->second, now) ? server.role
+                            : told->second.prefill        ? engine_role::prefill
+                                                          : engine_role::decode;
+            }
+            auto const planned = role_changes_.find(id);
+            if (planned != role_changes_.end() && !planned->second.ordered)
+            {
+                each.changed = now;
+                each.role = planned->second.role;
+            }
+            engines.push_back(each);
+        }
+        return engines;
+    }
+
+    entry_state&                                                     state_;
+    Duties&                                                          duties_;
+    duty_log const&                                                  log_;
+    duty_times                                                       times_;
+    std::map<std::tuple<std::string, std::string, bool>, last_order> orders_;
+    std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
+    std::map<std::string, role_change>                         role_changes_; // by engine
+    double scale_ = 0; // 0: not known yet
+    // A call of this pass got no answer: the lease must not run out over further ones.
+    bool silent_ = false;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -45,8 +45,7 @@
 
 struct connection_options
 {
-    // 1  s; probes on an idle connection find one that has gone silent, and each later
-    // one
+    // 1  s; an idle connection is probed after this, and again after each further one
     int probe_idle_s = 1;
     int probe_every_s = 1;
     int probe_count = 2;
