--- /dev/null
+++ b/tests/unit/fleet_orders_test.cpp
@@ -0,0 +1,141 @@
+// Orders of the holder against a platform that is silent, and announcements of changes.
+#include "serving/fleet_orders.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+/// Counts what it is asked, and answers all calls alike.
+class counting_duties
+{
+public:
+    boost::asio::awaitable<duty_outcome> report_usage(duty_sender, std::int64_t,
+                                                      usage_counts)
+    {
+        co_return outcome;
+    }
+
+    boost::asio::awaitable<duty_outcome> order_servers(duty_sender, server_order order)
+    {
+        orders.push_back(order);
+        co_return outcome;
+    }
+
+    boost::asio::awaitable<duty_outcome> order_role(duty_sender, backend_server engine,
+                                                    engine_role)
+    {
+        changed.push_back(engine.id);
+        co_return outcome;
+    }
+
+    duty_outcome              outcome = duty_outcome::accepted;
+    std::vector<server_order> orders;
+    std::vector<std::string>  changed;
+};
+
+/// A holder of the lease over twelve engines, four of which read prompts.
+struct holder
+{
+    holder() : state(entry_settings{.name = "vm"}, "vm/1"), log("vm/1", {}, {})
+    {
+        auto const now = boot_clock::now();
+        log.absorb(
+            {.kind = duty_kind::claim, .holder = "vm/1", .number = log.begin_append(now)},
+            0, now);
+        std::vector<service> services{
+            {.name = "m",
+             .has_engines = true,
+             .fleet = fleet_bounds{.least = 1, .most = 8, .reclaimable = true}}};
+        state.view.rules = std::make_shared<serving_rules const>(
+            1, std::vector<route>{}, services, std::vector<workspace>{}, false,
+            caller_limits{});
+        for (int index = 0; index < 12; ++index)
+        {
+            state.servers.put(
+                {.id = std::to_string(index),
+                 .data_centre = std::to_string(index % 3),
+                 .group = "m",
+                 .role = index < 4 ? engine_role::prefill : engine_role::decode,
+                 .slots = 64});
+        }
+        fleet.scale(1);
+    }
+
+    void act()
+    {
+        boost::asio::io_context loop;
+        boost::asio::co_spawn(loop, fleet.act(), boost::asio::detached);
+        loop.run();
+    }
+
+    /// Prompts arrive that keep ten engines reading.
+    void overload()
+    {
+        auto&      meter = state.meters["m"];
+        auto const now = boot_clock::now();
+        meter.prompt_read(50'000, std::chrono::seconds{1});
+        meter.prompt(4'000'000, now);
+    }
+
+    entry_state                   state;
+    duty_log                      log;
+    counting_duties               duties;
+    fleet_orders<counting_duties> fleet{state, duties, log, duty_times{}};
+};
+
+// The platform takes orders and never answers. Each unanswered call takes half a second
+// of a lease of three; a pass that tries all data centres would let it run out, and the
+// next holder's too.
+TEST(fleet_orders, pass_ends_with_the_first_call_that_gets_no_answer)
+{
+    holder vm;
+    vm.duties.outcome = duty_outcome::no_answer;
+    vm.act();
+    EXPECT_EQ(vm.duties.orders.size(), 1U);
+    vm.duties.outcome = duty_outcome::accepted;
+    vm.act();
+    EXPECT_EQ(vm.duties.orders.size(), 6U);
+}
+
+// Nobody may call without the lease.
+TEST(fleet_orders, nothing_is_ordered_without_the_lease)
+{
+    holder vm;
+    vm.log.absorb({.kind = duty_kind::claim, .holder = "other"}, 1, boot_clock::now());
+    vm.overload();
+    vm.act();
+    EXPECT_TRUE(vm.duties.orders.empty());
+    EXPECT_TRUE(vm.duties.changed.empty());
+}
+
+// An engine that was changed half a minute ago is to be changed again. Its old
+// announcement doesn't count: other VMs would go on sending calls there, and it would
+// turn them away.
+TEST(fleet_orders, an_earlier_announcement_does_not_count_for_a_new_change)
+{
+    holder vm;
+    for (int index = 0; index < 12; ++index)
+    {
+        vm.log.absorb({.kind = duty_kind::change,
+                       .holder = "vm/1",
+                       .server = std::to_string(index),
+                       .prefill = true},
+                      static_cast<std::uint64_t>(index + 1),
+                      boot_clock::now() - std::chrono::seconds{20});
+    }
+    vm.overload();
+    vm.act();
+    auto const announced = vm.fleet.announcements();
+    EXPECT_EQ(announced.size(), 2U);
+    vm.act();
+    EXPECT_TRUE(vm.duties.changed.empty());
+}
+
+} // namespace
+} // namespace marigoldcrank
