Reads that are turned away draw on the shared retries

Cause (read in review): a call whose read was refused went on at another engine without a share of the retries; before a full fleet each call would have become two arrivals. Test failed before.

--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -228,7 +228,7 @@
                 prefilled_ = true;
                 reader = decode;
                 source = co_await read_prompt(reader, *first);
-                if (!caller_.left() && !choose_decode(decode))
+                if (!caller_.left() && !goes_on(decode))
                 {
                     co_await give_up();
                 }
@@ -290,6 +290,13 @@
                          placement{.server = server, .unread = call_.prompt_tokens()}};
     }
 
+    /// Whether the call goes on after its read, and where. A read that was turned away
+    /// has been an arrival, so what follows is a retry.
+    bool goes_on(backend_server& decode)
+    {
+        return (!read_refused_ || take_retry()) && choose_decode(decode);
+    }
+
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
     bool choose_decode(backend_server& decode)
     {
@@ -751,6 +758,7 @@
         if (fate == exchange_fate::not_run)
         {
             ++refused_sends_;
+            read_refused_ = true;
             state_.health.refused(link.server().id, boot_clock::now());
         }
         note_failure("prefill_failed", link, fate);
@@ -822,7 +830,8 @@
     bool        more_servers_ = false; // another one could still be tried after this send
     bool        judged_ = false;
     bool        prefilled_ = false;
-    bool        started_ = false; // the caller has the stream's head
+    bool        read_refused_ = false; // an engine has turned the read away
+    bool        started_ = false;      // the caller has the stream's head
     bool        counted_ = false;
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -415,6 +415,32 @@
     EXPECT_EQ(run.field("prefix-hash"), "aa:1000,bb:8000");
 }
 
+// Engines that read prompts turn them all away. Each such call goes on at another engine
+// and is one arrival more; without a bound a full fleet gets twice the calls. Beyond this
+// VM's share of retries the caller is told to come back.
+TEST(platform_calls, reads_that_are_turned_away_draw_on_the_retries)
+{
+    entry_world world({.bounds = "retry_ratio = 0\nretry_slack = 1\n"});
+    world.list_engine(world.server(0), "prefill");
+    world.list_engine(world.server(1), "decode");
+    world.server(0).always(
+        [](wire_request const&, wire_connection& connection)
+        {
+            connection.send(wire_answer(503, "Not-Executed: 1\r\n", ""));
+            return true;
+        });
+    std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
+    request_options const options{.path = "/model/x",
+                                  .fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                                            "Prefix-Hash: aa:1000,bb:8000\r\n"};
+    EXPECT_EQ(ask(world.callers_port(), options).body, "served by i-1");
+    std::this_thread::sleep_for(milliseconds{400}); // the full engine is tried again
+    auto const second = ask(world.callers_port(), options);
+    EXPECT_EQ(second.status, 503);
+    EXPECT_NE(second.body.find("budget"), std::string::npos);
+    EXPECT_EQ(world.server(1).arrivals().size(), 1U);
+}
+
 // An engine reads a prompt and its answer is lost without a reset. A read may be
 // repeated, so the call must go on elsewhere in time, and not wait for the answer until
 // its caller leaves.
