--- a/src/policy/wait_judgement.hpp
+++ b/src/policy/wait_judgement.hpp
@@ -21,10 +21,10 @@
 
 struct wait_options
 {
-    // 4     times its objective, the first token's longest predicted wait: later answers
+    // 2.5   times its objective, the first token's longest predicted wait: later answers
     //       are still worth something, but cost those behind them more. At 1.5 as many
-    //       calls are late and more are refused
-    double longest_wait = 4;
+    //       calls are late and more are refused; at 4 no fewer are late
+    double longest_wait = 2.5;
     // 250 and 2000  ms; bounds of the time after which a caller is asked to come back
     millis soonest{250};
     millis latest{2000};
