--- a/src/policy/wait_judgement.hpp
+++ b/src/policy/wait_judgement.hpp
@@ -22,8 +22,9 @@
 struct wait_options
 {
     // 2.5   times its objective, the first token's longest predicted wait: later answers
-    //       are still worth something, but cost those behind them more. At 1.5 as many
-    //       calls are late and more are refused; at 4 no fewer are late
+    //       are still worth something, but cost those behind them more. At 1.5 the share
+    //       of worth served in a day fell from 0.852 to 0.847, and the share refused rose
+    //       from 0.001 to 0.005
     double longest_wait = 2.5;
     // 250 and 2000  ms; bounds of the time after which a caller is asked to come back
     millis soonest{250};
