Two crashes of a server that starts again under its id count as two

A crash bore only the server's id, so that a request which met the same server twice counted one. Test without luck (one server, six arrivals instead of two) failed before.

--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -59,7 +59,7 @@
 struct crash_report
 {
     std::string content;
-    std::string server;
+    std::string crash; // server and attempt: a server may start again under its id
 
     auto operator<=>(crash_report const&) const = default;
 };
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -736,7 +736,8 @@
             listed == state_.servers.servers().end() || listed->second.leaving;
         if (ended && !leaving)
         {
-            state_.suspect(admitted_.content, link.server().id, boot_clock::now());
+            state_.suspect(admitted_.content, link.server().id, call_.id,
+                           boot_clock::now());
         }
     }
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -113,7 +113,7 @@
     {
         auto* entry = digest.add_suspicions();
         entry->set_content(report.content);
-        entry->set_server(report.server);
+        entry->set_crash(report.crash);
     }
     auto const bytes = digest.SerializeAsString();
     // A PUB socket drops for a peer whose queue is full; that is what is wanted.
@@ -144,7 +144,7 @@
         std::vector<crash_report> reports;
         for (auto const& entry : digest.suspicions())
         {
-            reports.push_back({entry.content(), entry.server()});
+            reports.push_back({entry.content(), entry.crash()});
         }
         state_->told(digest.vm(), std::move(loads), reports);
     }
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -139,7 +139,7 @@
         state_.peers.absorb(vm, std::move(loads), now);
         for (auto const& report : reports)
         {
-            state_.poison.note(report.content, report.server, now);
+            state_.poison.note(report.content, report.crash, now);
         }
     }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -103,12 +103,16 @@
 }
 
 void entry_state::suspect(std::string const& content, std::string const& server,
-                          boot_clock::time_point now)
+                          std::string const& call_id, boot_clock::time_point now)
 {
-    if (poison.note(content, server, now))
+    auto const crash = server + "/" + call_id;
+    if (poison.note(content, crash, now))
     {
-        reports_.push_back({now, {content, server}});
-        log.write(event_line{"suspect"}.add("content", content).add("server", server),
+        reports_.push_back({now, {content, crash}});
+        log.write(event_line{"suspect"}
+                      .add("content", content)
+                      .add("server", server)
+                      .add("id", call_id),
                   now);
     }
 }
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -60,7 +60,7 @@
     /// Notes that a server was lost while it ran a call of this content, and tells the
     /// other VMs of it.
     void suspect(std::string const& content, std::string const& server,
-                 boot_clock::time_point now);
+                 std::string const& call_id, boot_clock::time_point now);
 
     /// Suspicions of this VM that are still told.
     std::vector<crash_report> fresh_reports(boot_clock::time_point now);
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -224,6 +224,24 @@
     EXPECT_EQ(world.server(0).arrivals().size(), 1U);
 }
 
+// The same where a crashed server starts again under the id that it had, and the request
+// meets it there a second time: two crashes are two, though they bear one server's name.
+TEST(platform_calls, two_crashes_of_one_server_count_as_two)
+{
+    entry_world world(one_server());
+    world.server(0).always(
+        [](wire_request const&, wire_connection& connection)
+        {
+            connection.reset();
+            return false;
+        });
+    for (int call = 0; call < 6; ++call)
+    {
+        ask(world.callers_port(), {.path = "/once/x", .id = std::to_string(call)});
+    }
+    EXPECT_EQ(world.server(0).arrivals().size(), 2U);
+}
+
 // No server of a service can be reached. The caller is told at once that nothing has run;
 // connecting over and over until its deadline would leave it no time to come back.
 TEST(platform_calls, service_out_of_reach_is_refused_at_once)
