--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -1,6 +1,6 @@
 // What the other entry VMs have in work at each server, from their digests.
 //
-// Index: 1 server_load, 2 crash_report, 3 peer_loads_options, 4 peer_loads
+// Index: 1 server_load, 2 peer_loads_options, 3 peer_loads
 #ifndef MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 #define MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 
@@ -55,15 +55,6 @@
 
 using server_loads = std::map<std::string, server_load>;
 
-/// A server was lost while it ran a call of this content.
-struct crash_report
-{
-    std::string content;
-    std::string crash; // server and attempt: a server may start again under its id
-
-    auto operator<=>(crash_report const&) const = default;
-};
-
 struct peer_loads_options
 {
     millis life{1000}; // 1000  ms; a peer that has been silent for longer is not counted
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -71,7 +71,7 @@
     {
         return refusal;
     }
-    if (state.poison.judge(admitted.content, arrived) == poison_verdict::guilty)
+    if (state.crashes.guilty(admitted.content, arrived))
     {
         return own_reply{503, call_fate::not_run, "poison", poison_pause};
     }
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -179,6 +179,7 @@
         if (status < first_server_error)
         {
             state_.health.succeeded(link.server().id);
+            state_.crashes.answered(admitted_.content, boot_clock::now());
             co_await answer(std::move(bytes), status);
             co_return true;
         }
@@ -431,7 +432,7 @@
             state_.health.succeeded(link.server().id);
             auto const now = boot_clock::now();
             meter().stream(events_, now - first_event_, now);
-            state_.poison.clear(admitted_.content);
+            state_.crashes.answered(admitted_.content, now);
             end_ = "served";
             after_ = keep_ && chunked() ? link_after::keep : link_after::close;
             co_return true;
@@ -734,10 +735,17 @@
         auto const listed = state_.servers.servers().find(link.server().id);
         bool const leaving =
             listed == state_.servers.servers().end() || listed->second.leaving;
-        if (ended && !leaving)
-        {
-            state_.suspect(admitted_.content, link.server().id, call_.id,
-                           boot_clock::now());
+        auto const       now = boot_clock::now();
+        crash_news const crash{.content = admitted_.content,
+                               .server = link.server().id,
+                               .call_id = call_.id};
+        if (ended && !leaving && state_.crashes.crashed(crash, now))
+        {
+            state_.log.write(event_line{"suspect"}
+                                 .add("content", crash.content)
+                                 .add("server", crash.server)
+                                 .add("id", crash.call_id),
+                             now);
         }
     }
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -93,7 +93,7 @@
 }
 
 void digest_link::publish(std::string const& vm, server_loads const& loads,
-                          std::vector<crash_report> const& reports)
+                          std::vector<crash_news> const& news)
 {
     wire::load_digest digest;
     digest.set_vm(vm);
@@ -109,11 +109,13 @@
                 static_cast<std::uint64_t>(std::max<std::int64_t>(tokens, 0)));
         }
     }
-    for (auto const& report : reports)
+    for (auto const& each : news)
     {
         auto* entry = digest.add_suspicions();
-        entry->set_content(report.content);
-        entry->set_crash(report.crash);
+        entry->set_content(each.content);
+        entry->set_server(each.server);
+        entry->set_call_id(each.call_id);
+        entry->set_cleared(each.cleared);
     }
     auto const bytes = digest.SerializeAsString();
     // A PUB socket drops for a peer whose queue is full; that is what is wanted.
@@ -141,12 +143,13 @@
                     static_cast<std::int64_t>(entry.prompt_backlog(rank));
             }
         }
-        std::vector<crash_report> reports;
+        std::vector<crash_news> news;
         for (auto const& entry : digest.suspicions())
         {
-            reports.push_back({entry.content(), entry.crash()});
+            news.push_back(
+                {entry.content(), entry.server(), entry.call_id(), entry.cleared()});
         }
-        state_->told(digest.vm(), std::move(loads), reports);
+        state_->told(digest.vm(), std::move(loads), news);
     }
     state_->readable.cancel();
     state_->readable.async_wait(asio::posix::stream_descriptor::wait_read,
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
 
 #include "domain/entry_settings.hpp"
+#include "policy/crash_watch.hpp"
 #include "policy/peer_loads.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -25,7 +26,7 @@
 public:
     /// Called on the loop for each digest.
     using handler = std::function<void(std::string const& vm, server_loads loads,
-                                       std::vector<crash_report> const& reports)>;
+                                       std::vector<crash_news> const& news)>;
 
     /// Throws zmq::error_t if the address can't be bound.
     digest_link(boost::asio::io_context& loop, socket_address const& own,
@@ -38,7 +39,7 @@
     void follow(std::set<socket_address> const& peers);
 
     void publish(std::string const& vm, server_loads const& loads,
-                 std::vector<crash_report> const& reports);
+                 std::vector<crash_news> const& news);
 
     /// Takes in what has arrived; also called now and then by the owner, since the
     /// socket's descriptor tells of changes only.
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -118,28 +118,28 @@
         }
         digest_link link{loop_, state_.settings.peers,
                          [this](std::string const& vm, server_loads loads,
-                                std::vector<crash_report> const& reports)
+                                std::vector<crash_news> const& news)
                          {
-                             take_digest(vm, std::move(loads), reports);
+                             take_digest(vm, std::move(loads), news);
                          }};
         while (true)
         {
             link.follow(worker_.peers());
             link.publish(state_.incarnation, state_.loads,
-                         state_.fresh_reports(boot_clock::now()));
+                         state_.crashes.news(boot_clock::now()));
             state_.peers.expire(boot_clock::now());
             co_await loop_sleep(digest_pause);
         }
     }
 
     void take_digest(std::string const& vm, server_loads loads,
-                     std::vector<crash_report> const& reports)
+                     std::vector<crash_news> const& news)
     {
         auto const now = boot_clock::now();
         state_.peers.absorb(vm, std::move(loads), now);
-        for (auto const& report : reports)
+        for (auto const& each : news)
         {
-            state_.poison.note(report.content, report.crash, now);
+            state_.crashes.absorb(each, now);
         }
     }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -15,10 +15,6 @@
 // 8  tenths of a key's life are used; the rest covers the way of a call to its server
 constexpr std::int64_t used_tenths = 8;
 constexpr std::int64_t tenths = 10;
-// 3000  ms; a suspicion is told in some twenty digests: a lost one is no loss
-constexpr millis told_for{3000};
-// 64    suspicions in a digest; after a crowded server is lost most are innocent
-constexpr std::size_t most_reports = 64;
 // 5/4  of the VMs known, among which the deployment's retries are divided: VMs that start
 //      are counted by the others only after their first window
 constexpr std::int64_t known_parts = 4;
@@ -102,36 +98,6 @@
     return day.read(boot_clock::now(), static_cast<std::int64_t>(unix_millis()));
 }
 
-void entry_state::suspect(std::string const& content, std::string const& server,
-                          std::string const& call_id, boot_clock::time_point now)
-{
-    auto const crash = server + "/" + call_id;
-    if (poison.note(content, crash, now))
-    {
-        reports_.push_back({now, {content, crash}});
-        log.write(event_line{"suspect"}
-                      .add("content", content)
-                      .add("server", server)
-                      .add("id", call_id),
-                  now);
-    }
-}
-
-std::vector<crash_report> entry_state::fresh_reports(boot_clock::time_point now)
-{
-    while (!reports_.empty() &&
-           (now - reports_.front().first > told_for || reports_.size() > most_reports))
-    {
-        reports_.pop_front();
-    }
-    std::vector<crash_report> result;
-    for (auto const& [at, report] : reports_)
-    {
-        result.push_back(report);
-    }
-    return result;
-}
-
 std::string content_of(caller_call const& call, std::string const& body)
 {
     constexpr std::size_t digits = 17;
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -14,15 +14,14 @@
 #include "domain/true_clock.hpp"
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
+#include "policy/crash_watch.hpp"
 #include "policy/peer_loads.hpp"
 #include "policy/placement.hpp"
-#include "policy/poison_list.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -57,14 +56,6 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
-    /// Notes that a server was lost while it ran a call of this content, and tells the
-    /// other VMs of it.
-    void suspect(std::string const& content, std::string const& server,
-                 std::string const& call_id, boot_clock::time_point now);
-
-    /// Suspicions of this VM that are still told.
-    std::vector<crash_report> fresh_reports(boot_clock::time_point now);
-
     /// The bucket of retries for a service, this VM's share of it.
     retry_budget& budget(std::string const& service);
 
@@ -87,16 +78,15 @@
     event_log                         log;
     metrics                           counters;
     true_clock                        day;
-    poison_list                       poison{poison_options{}};
+    crash_watch                       crashes;
     std::int64_t vms_known = 0;    // that handed over usage lately; 0: none
     bool         draining = false; // not ready; still serving
     bool         closed = false;   // takes no new calls any more
     std::int64_t calls_in_work = 0;
 
 private:
-    std::map<std::string, retry_budget>                         budgets_;
-    std::deque<std::pair<boot_clock::time_point, crash_report>> reports_;
-    std::mt19937_64                                             random_;
+    std::map<std::string, retry_budget> budgets_;
+    std::mt19937_64                     random_;
 };
 
 /// Identifies a call that is sent again: the same path, caller and body.
--- a/tests/platform/calls_test.cpp
+++ b/tests/platform/calls_test.cpp
@@ -238,6 +238,7 @@
     for (int call = 0; call < 6; ++call)
     {
         ask(world.callers_port(), {.path = "/once/x", .id = std::to_string(call)});
+        std::this_thread::sleep_for(milliseconds{300}); // the server starts again
     }
     EXPECT_EQ(world.server(0).arrivals().size(), 2U);
 }
--- /dev/null
+++ b/tests/unit/crash_watch_test.cpp
@@ -0,0 +1,98 @@
+// Requests that crash servers, and those that only were there when one crashed.
+#include "policy/crash_watch.hpp"
+
+#include <gtest/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+boot_clock::time_point at(int ms)
+{
+    return boot_clock::time_point{std::chrono::hours{1} + millis{ms}};
+}
+
+crash_news crash(std::string const& server, std::string const& call)
+{
+    return {.content = "c", .server = server, .call_id = call};
+}
+
+/// All that `from` tells reaches `to`.
+void tell(crash_watch& from, crash_watch& to, int ms)
+{
+    for (auto const& each : from.news(at(ms)))
+    {
+        to.absorb(each, at(ms));
+    }
+}
+
+TEST(crash_watch, two_crashes_on_two_vms_stop_a_request_on_all)
+{
+    crash_watch one;
+    crash_watch other;
+    EXPECT_TRUE(one.crashed(crash("s1", "1"), at(0)));
+    tell(one, other, 150);
+    EXPECT_FALSE(other.guilty("c", at(150)));
+    EXPECT_TRUE(other.crashed(crash("s1", "2"), at(1000))); // started again under its id
+    tell(other, one, 1150);
+    EXPECT_TRUE(one.guilty("c", at(1150)));
+    EXPECT_TRUE(other.guilty("c", at(1150)));
+    EXPECT_FALSE(one.guilty("c", at(62'000)));
+}
+
+// Two clerks look at the same claim when its server crashes for another reason. Both
+// calls end at once, at two VMs. Counted as two crashes, the lookup would be refused for
+// a minute.
+TEST(crash_watch, calls_that_end_together_at_one_server_are_one_crash)
+{
+    crash_watch one;
+    crash_watch other;
+    one.crashed(crash("s1", "1"), at(0));
+    EXPECT_FALSE(one.crashed(crash("s1", "2"), at(3)));
+    other.crashed(crash("s1", "3"), at(5));
+    for (int ms = 150; ms < 3000; ms += 150)
+    {
+        tell(one, other, ms);
+        tell(other, one, ms);
+        EXPECT_FALSE(one.guilty("c", at(ms)));
+        EXPECT_FALSE(other.guilty("c", at(ms)));
+    }
+}
+
+// A lookup is reset now and then, and each time answered by another server. It crashes
+// nothing; without the answers counting, the second reset within a minute would stop it.
+TEST(crash_watch, a_whole_answer_clears_a_suspicion_on_all_vms)
+{
+    crash_watch one;
+    crash_watch other;
+    for (int round = 0; round < 5; ++round)
+    {
+        auto const begin = round * 5000;
+        auto const call = std::to_string(round);
+        EXPECT_TRUE(one.crashed(crash("s1", call), at(begin)));
+        tell(one, other, begin + 150);
+        one.answered("c", at(begin + 200));
+        for (int ms = begin + 300; ms < begin + 3000; ms += 150)
+        {
+            tell(one, other, ms);
+            tell(other, one, ms);
+        }
+        EXPECT_FALSE(one.guilty("c", at(begin + 3000)));
+        EXPECT_FALSE(other.guilty("c", at(begin + 3000)));
+    }
+}
+
+TEST(crash_watch, news_is_bounded_in_time_and_number)
+{
+    crash_watch watch;
+    for (int call = 0; call < 500; ++call)
+    {
+        watch.crashed({std::to_string(call), "s", std::to_string(call)}, at(0));
+    }
+    EXPECT_EQ(watch.news(at(1)).size(), 64U);
+    EXPECT_TRUE(watch.news(at(4000)).empty());
+}
+
+} // namespace
+} // namespace marigoldcrank
