The runner of a call without its accounts, log lines and framing, each a module of its own

send_account decides on further sends, stream_relay frames streams, call_notes writes lines, handle_release frees caches.

--- /dev/null
+++ b/src/serving/call_notes.cpp
@@ -0,0 +1,86 @@
+// Lines of a call.
+#include "serving/call_notes.hpp"
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+std::int64_t version_of(admitted_call const& admitted)
+{
+    return admitted.rules ? static_cast<std::int64_t>(admitted.rules->version()) : 0;
+}
+
+} // namespace
+
+call_notes::call_notes(entry_state& state, std::string const& id,
+                       boot_clock::time_point arrived)
+    : state_(state), id_(id), arrived_(arrived)
+{
+}
+
+void call_notes::sent(std::string const& server, std::int64_t run, std::int64_t tokens,
+                      admitted_call const& admitted)
+{
+    state_.log.write_step(id_,
+                          event_line{"send"}
+                              .add("id", id_)
+                              .add("server", server)
+                              .add("run", run)
+                              .add("tokens", tokens)
+                              .add("rules", version_of(admitted))
+                              .add("left_ms", admitted.deadline - loop_clock::now()),
+                          boot_clock::now());
+}
+
+void call_notes::failed(send_failure const& failure)
+{
+    auto const now = boot_clock::now();
+    auto const fate = exchange_fate_name(failure.fate);
+    state_.counters.add("failed_sends_total", std::string{"fate=\""} + fate + "\"");
+    state_.log.write(event_line{failure.event}
+                         .add("id", id_)
+                         .add("server", failure.server)
+                         .add("fate", fate)
+                         .add("fault", failure.fault)
+                         .add("status", static_cast<std::int64_t>(failure.status))
+                         .add("age_ms", now - arrived_),
+                     now);
+}
+
+void call_notes::suspected(std::string const& content, std::string const& server)
+{
+    state_.log.write(event_line{"suspect"}
+                         .add("content", content)
+                         .add("server", server)
+                         .add("id", id_),
+                     boot_clock::now());
+}
+
+void call_notes::ended(call_end const& end, admitted_call const& admitted)
+{
+    auto const now = boot_clock::now();
+    event_line line{"end"};
+    line.add("id", id_)
+        .add("outcome", end.outcome)
+        .add("status", static_cast<std::int64_t>(end.status))
+        .add("route", admitted.matched == nullptr ? "" : admitted.matched->name)
+        .add("runs", end.runs)
+        .add("fault", end.fault)
+        .add("rules", version_of(admitted))
+        .add("keys_age_ms", now - state_.view.read_sent)
+        .add("took_ms", now - arrived_);
+    state_.counters.observe("call_seconds", now - arrived_);
+    state_.counters.add("calls_total", "outcome=\"" + std::string{end.outcome} + "\"");
+    if (end.outcome == "served")
+    {
+        state_.log.write_step(id_, line, now);
+    }
+    else
+    {
+        state_.log.write(line, now);
+    }
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/call_notes.hpp
@@ -0,0 +1,61 @@
+// Log lines and counters of one call.
+//
+// Index: 1 call_end, 2 call_notes
+#ifndef MARIGOLDCRANK_SERVING_CALL_NOTES_HPP
+#define MARIGOLDCRANK_SERVING_CALL_NOTES_HPP
+
+#include "policy/send_account.hpp"
+#include "serving/call_admission.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace marigoldcrank
+{
+
+/// How a call ended.
+struct call_end
+{
+    std::string_view outcome; // one word
+    unsigned         status = 0;
+    std::int64_t     runs = 0;
+    std::string_view fault; // the last one before the end
+};
+
+/// What is known of a failed send.
+struct send_failure
+{
+    std::string_view event; // the line's own name
+    std::string_view server;
+    exchange_fate    fate = exchange_fate::unknown;
+    std::string_view fault;
+    unsigned         status = 0;
+};
+
+class call_notes
+{
+public:
+    call_notes(entry_state& state, std::string const& id, boot_clock::time_point arrived);
+
+    /// A step, written for sampled calls.
+    void sent(std::string const& server, std::int64_t run, std::int64_t tokens,
+              admitted_call const& admitted);
+
+    void failed(send_failure const& failure);
+
+    /// A call of this content may have crashed its server.
+    void suspected(std::string const& content, std::string const& server);
+
+    /// The call's one final line.
+    void ended(call_end const& end, admitted_call const& admitted);
+
+private:
+    entry_state&           state_;
+    std::string const&     id_;
+    boot_clock::time_point arrived_;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -1,6 +1,7 @@
 // The serving of one call: from its head to its one final answer.
 //
-// Index: 1 call_order, 2 call_runner: plain calls, model calls, relaying, ends
+// Index: 1 link_after, 2 call_runner: plain calls, streams, prompts, sends, outcomes,
+// ends
 //
 // A call that may not be repeated is sent again only after a server has said that it did
 // not run it, or if no byte of it has left. 503 is said only if that holds for all its
@@ -10,13 +11,12 @@
 
 #include "policy/wait_judgement.hpp"
 #include "serving/call_admission.hpp"
+#include "serving/call_notes.hpp"
 #include "serving/caller_link.hpp"
-#include "serving/event_splitter.hpp"
+#include "serving/handle_release.hpp"
 #include "serving/own_reply.hpp"
 #include "serving/server_exchange.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "serving/stream_relay.hpp"
 
 #include <set>
 
@@ -38,7 +38,9 @@
     call_runner(entry_state& state, caller_link& caller, http_request const& request,
                 caller_call call)
         : state_(state), caller_(caller), request_(request), call_(std::move(call)),
-          arrived_(boot_clock::now()), keep_(request.keep_alive() && !state.draining)
+          arrived_(boot_clock::now()), notes_(state, call_.id, arrived_),
+          keep_(request.keep_alive() && !state.draining),
+          stream_(!keep_, knows_chunks(request))
     {
     }
 
@@ -95,16 +97,10 @@
     static constexpr unsigned first_server_error = 500;
     // 20  ms; with less left no server can answer in time
     static constexpr millis least_left{20};
-    // 1     further send after a server has turned the call away: a second refusal says
-    //       that the service is full, and the caller is told to come back
-    static constexpr std::int64_t most_refused_sends = 1;
     // 3     times the expected time, and 600 ms, for a prompt to be read: later its
     //       answer is lost, or the engine so slow that reading it elsewhere is sooner
     static constexpr int    reading_factor = 3;
     static constexpr millis least_reading{600};
-    // 4     connections that couldn't be had: then the service is out of reach, and the
-    //       caller is told so while it still has time to come back
-    static constexpr std::int64_t most_failed_connects = 4;
     // 2000  ms; a caller's connection that takes no answer for so long is given up
     static constexpr millis write_time{2000};
 
@@ -138,21 +134,21 @@
             exchange   link{state_, *server};
             in_use     use{*this, link};
             load_share share{state_, server->id, admitted_.rank, 0};
-            note_send(*server, 0);
-            auto const fate = co_await send(link, {}, attempt_end());
+            notes_.sent(server->id, sends_.runs(), 0, admitted_);
+            auto const fate = co_await run_at(link, {}, attempt_end());
             if (caller_.left())
             {
                 co_return;
             }
-            if (fate == exchange_fate::answered)
+            settle(link, fate);
+            if (fate != exchange_fate::answered)
             {
-                if (co_await relay_plain(link))
-                {
-                    co_return;
-                }
                 continue;
             }
-            note_failed_send(link, fate);
+            if (co_await relay_plain(link))
+            {
+                co_return;
+            }
         }
     }
 
@@ -166,7 +162,7 @@
             bool const whole = co_await link.read_whole(body, attempt_end());
             if (!whole && !caller_.left())
             {
-                note_failed_send(link, exchange_fate::unknown);
+                settle(link, exchange_fate::unknown);
             }
             if (!whole)
             {
@@ -185,10 +181,10 @@
         }
         // A server's own failure is kept: it is the answer if no other server does
         // better.
-        note_failed_answer(link);
+        settle_failure(link);
         kept_failure_ = std::move(bytes);
         kept_status_ = status;
-        if (admitted_.repeatable && may_send_again())
+        if (may_send_again())
         {
             co_return false;
         }
@@ -278,7 +274,7 @@
             return server == nullptr ? std::nullopt
                                      : std::optional{placement{.server = server}};
         }
-        if (!prefilled_ && !started_)
+        if (!prefilled_ && !stream_.started())
         {
             return place_model(candidates, call_, admitted_.rank, centre, state_.ticket(),
                                placement_options{});
@@ -301,7 +297,7 @@
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
     bool choose_decode(backend_server& decode)
     {
-        if (admitted_.deadline - loop_clock::now() < least_left)
+        if (!time_left())
         {
             last_fault_ = "deadline";
             return false;
@@ -324,7 +320,7 @@
         exchange   link{state_, server};
         in_use     use{*this, link};
         load_share share{state_, server.id, admitted_.rank, placed.unread};
-        note_send(server, placed.unread);
+        notes_.sent(server.id, sends_.runs(), placed.unread, admitted_);
         auto const until = reading_end(placed);
         auto const began = boot_clock::now();
         auto       message = onward(server);
@@ -342,7 +338,7 @@
         {
             if (!caller_.left())
             {
-                note_prefill_failure(link, fate);
+                settle_read(link, fate);
             }
             co_return std::string{};
         }
@@ -376,25 +372,22 @@
         exchange   link{state_, server};
         in_use     use{*this, link};
         load_share share{state_, server.id, admitted_.rank, unread};
-        auto       message = onward(server);
-        message.cache_source = source;
-        note_send(server, unread);
-        ++runs_;
-        auto const fate = co_await send_message(link, message, false, admitted_.deadline);
+        notes_.sent(server.id, sends_.runs(), unread, admitted_);
+        auto const fate = co_await run_at(link, source, admitted_.deadline);
         if (caller_.left())
         {
             co_return true;
         }
+        settle(link, fate);
         if (fate != exchange_fate::answered)
         {
-            note_failed_send(link, fate);
             co_return false;
         }
         share.prompt_read();
         constexpr unsigned first_redirect = 300;
         if (link.facts().status >= first_redirect)
         {
-            if (started_)
+            if (stream_.started())
             {
                 co_return co_await break_off("resume_refused");
             }
@@ -406,9 +399,9 @@
     /// Passes whole events on as they arrive.
     boost::asio::awaitable<bool> relay_events(exchange& link)
     {
-        event_splitter splitter;
-        std::string    bytes;
-        auto           step = body_step::more;
+        std::string bytes;
+        auto        step = body_step::more;
+        stream_.begin_server();
         while (step == body_step::more)
         {
             bytes.clear();
@@ -417,61 +410,37 @@
             {
                 co_return true;
             }
-            auto events = splitter.feed(bytes);
-            if (step == body_step::whole)
-            {
-                events.bytes += splitter.rest();
-            }
-            if (!co_await pass_on(link, events, step == body_step::whole))
+            bool const whole = step == body_step::whole;
+            if (!co_await pass_on(link, bytes, whole))
             {
                 co_return true;
             }
         }
         if (step == body_step::whole)
         {
-            state_.health.succeeded(link.server().id);
-            auto const now = boot_clock::now();
-            meter().stream(events_, now - first_event_, now);
-            state_.crashes.answered(admitted_.content, now);
-            end_ = "served";
-            after_ = keep_ && chunked() ? link_after::keep : link_after::close;
+            end_stream(link);
             co_return true;
         }
-        note_failed_send(link, exchange_fate::unknown);
-        if (started_ && !(admitted_.repeatable && may_send_again()))
+        settle(link, exchange_fate::unknown);
+        if (stream_.started() && !may_send_again())
         {
             co_return co_await break_off(last_fault_);
         }
         co_return false;
     }
 
-    /// Writes events, behind the stream's head if they are the first. False: caller is
-    /// gone.
-    boost::asio::awaitable<bool> pass_on(exchange& link, whole_events const& events,
-                                         bool last)
+    /// Writes what has become whole. False: the caller is gone.
+    boost::asio::awaitable<bool> pass_on(exchange& link, std::string const& bytes,
+                                         bool whole)
     {
-        std::string out;
-        if (!started_ && (last || !events.bytes.empty()))
+        bool const began = stream_.started();
+        auto const out = stream_.take(link.head(), bytes, whole);
+        if (stream_.started() && !began)
         {
-            started_ = true;
             first_event_ = boot_clock::now();
             state_.counters.observe("first_event_seconds", first_event_ - arrived_);
             status_ = link.facts().status;
             count_usage();
-            out = format_stream_head(link.head(), !keep_, chunked());
-        }
-        if (!events.bytes.empty())
-        {
-            out += chunked() ? format_chunk(events.bytes) : events.bytes;
-        }
-        events_ += events.bytes.empty() ? 0 : 1;
-        if (!events.last_id.empty())
-        {
-            last_event_ = events.last_id;
-        }
-        if (last && chunked())
-        {
-            out += last_chunk;
         }
         if (out.empty())
         {
@@ -480,6 +449,16 @@
         co_return co_await caller_.write(out, admitted_.deadline);
     }
 
+    void end_stream(exchange& link)
+    {
+        auto const now = boot_clock::now();
+        state_.health.succeeded(link.server().id);
+        state_.crashes.answered(admitted_.content, now);
+        meter().stream(stream_.pieces(), now - first_event_, now);
+        end_ = "served";
+        after_ = keep_ && knows_chunks(request_) ? link_after::keep : link_after::close;
+    }
+
     /// Ends a stream that can't go on, so that it doesn't look whole.
     boost::asio::awaitable<bool> break_off(std::string_view cause)
     {
@@ -490,10 +469,10 @@
         co_return true;
     }
 
-    bool chunked() const
+    static bool knows_chunks(http_request const& request)
     {
         constexpr unsigned http_1_1 = 11;
-        return request_.version() >= http_1_1;
+        return request.version() >= http_1_1;
     }
 
     // Sends
@@ -505,15 +484,17 @@
                 .left = std::chrono::duration_cast<millis>(admitted_.deadline -
                                                            loop_clock::now()),
                 .rank = admitted_.rank,
-                .resume_after = last_event_};
+                .resume_after = stream_.last_event()};
     }
 
-    boost::asio::awaitable<exchange_fate> send(exchange& link, std::string const& source,
-                                               loop_time until)
+    /// Sends the call to be run; `source` is where its prompt's cache lies, if it was
+    /// read.
+    boost::asio::awaitable<exchange_fate> run_at(exchange& link, std::string source,
+                                                 loop_time until)
     {
-        ++runs_;
+        sends_.begin();
         auto message = onward(link.server());
-        message.cache_source = source;
+        message.cache_source = std::move(source);
         return send_message(link, message, false, until);
     }
 
@@ -525,12 +506,7 @@
                                  .careful = !admitted_.repeatable && !for_us,
                                  .for_us = for_us,
                                  .until = until};
-        auto const       fate = co_await link.start(std::move(request));
-        if (fate == exchange_fate::unknown && !for_us)
-        {
-            maybe_run_ = true;
-        }
-        co_return fate;
+        co_return co_await link.start(std::move(request));
     }
 
     /// Servers for the next send: those that haven't had the call, or all of them if none
@@ -544,32 +520,32 @@
                                : untried;
     }
 
-    /// Sends this call may still take: time, number of servers, and its share of retries.
+    send_terms terms() const
+    {
+        return {admitted_.repeatable, admitted_.matched->max_servers};
+    }
+
+    bool time_left() const
+    {
+        return admitted_.deadline - loop_clock::now() >= least_left;
+    }
+
+    /// Whether the call goes to a server now: time, its earlier sends, its share of
+    /// retries.
     bool may_send()
     {
-        if (admitted_.deadline - loop_clock::now() < least_left)
+        if (!time_left())
         {
             last_fault_ = "deadline";
             return false;
         }
-        if (failed_connects_ >= most_failed_connects)
-        {
-            return false;
-        }
-        if (runs_ + refused_sends_ == 0)
-        {
-            return true;
-        }
-        return !(maybe_run_ && !admitted_.repeatable) &&
-               runs_ < admitted_.matched->max_servers &&
-               refused_sends_ <= most_refused_sends && take_retry();
+        return sends_.allows(terms()) && (!sends_.is_retry() || take_retry());
     }
 
-    /// Whether a failed answer is worth another send; what may_send asks is asked again.
+    /// Whether another send is worth a thought; may_send asks for the share of retries.
     bool may_send_again() const
     {
-        return runs_ < admitted_.matched->max_servers &&
-               admitted_.deadline - loop_clock::now() > least_left;
+        return sends_.allows(terms()) && time_left();
     }
 
     bool take_retry()
@@ -587,7 +563,8 @@
     loop_time attempt_end() const
     {
         bool const last = !admitted_.repeatable ||
-                          runs_ >= admitted_.matched->max_servers || !more_servers_;
+                          sends_.runs() >= admitted_.matched->max_servers ||
+                          !more_servers_;
         auto const now = loop_clock::now();
         return last ? admitted_.deadline : now + (admitted_.deadline - now) / 2;
     }
@@ -600,33 +577,16 @@
         }
     }
 
-    /// Frees a cached prompt that won't be fetched. Best effort: it lapses by itself.
+    /// Frees a cached prompt that won't be fetched; `source` is empty if there is none.
     void release(backend_server const& server, std::string const& source)
     {
         auto const slash = source.find('/');
-        if (slash == std::string::npos)
+        if (slash != std::string::npos)
         {
-            return;
+            release_handle(caller_.stream().get_executor(),
+                           {server.host, static_cast<std::uint16_t>(server.port)},
+                           Dialect::build_release(source.substr(slash + 1), server.host));
         }
-        auto message = Dialect::build_release(source.substr(slash + 1), server.host);
-        auto run = [](backend_server to,
-                      http_request   freeing) -> boost::asio::awaitable<void>
-        {
-            constexpr millis     patience{1000};
-            auto const           executor = co_await boost::asio::this_coro::executor;
-            auto const           link = std::make_shared<http_connection>(executor);
-            auto const           until = loop_clock::now() + patience;
-            socket_address const address{to.host, static_cast<std::uint16_t>(to.port)};
-            auto const           opened = co_await link->connect(address, until);
-            if (opened == link_step::ok)
-            {
-                co_await link->send(freeing, until);
-                co_await link->read_head(false, until);
-            }
-            link->close();
-        };
-        boost::asio::co_spawn(caller_.stream().get_executor(),
-                              run(server, std::move(message)), boost::asio::detached);
     }
 
     // Ends
@@ -634,7 +594,7 @@
     /// No send is left: the refusal or failure that is true.
     boost::asio::awaitable<void> give_up()
     {
-        if (started_)
+        if (stream_.started())
         {
             co_await break_off(last_fault_);
             co_return;
@@ -643,8 +603,8 @@
         {
             co_return co_await answer(std::move(kept_failure_), kept_status_);
         }
-        bool const late = admitted_.deadline - loop_clock::now() < least_left;
-        if (maybe_run_)
+        bool const late = !time_left();
+        if (sends_.maybe_run())
         {
             own_reply const unknown{late ? 504U : 502U, call_fate::outcome_unknown,
                                     last_fault_, std::nullopt};
@@ -689,138 +649,92 @@
         }
     }
 
-    // Notes for logs
+    // Outcomes
 
-    void note_send(backend_server const& server, std::int64_t tokens)
+    /// What a send to be run has come to. Also for one whose answer broke off after its
+    /// head.
+    void settle(exchange& link, exchange_fate fate)
     {
-        state_.log.write_step(call_.id,
-                              event_line{"send"}
-                                  .add("id", call_.id)
-                                  .add("server", server.id)
-                                  .add("run", runs_)
-                                  .add("tokens", tokens)
-                                  .add("rules", version())
-                                  .add("left_ms", admitted_.deadline - loop_clock::now()),
-                              boot_clock::now());
-    }
-
-    void note_failed_send(exchange& link, exchange_fate fate)
-    {
-        tried_.insert(link.server().id);
-        last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
-        failed_connects_ += fate == exchange_fate::not_sent ? 1 : 0;
-        if (fate == exchange_fate::not_sent || fate == exchange_fate::not_run)
+        sends_.end(fate);
+        if (fate == exchange_fate::answered)
         {
-            --runs_; // that server hasn't run it
+            return;
         }
+        auto const now = boot_clock::now();
+        tried_.insert(link.server().id);
+        last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
         if (fate == exchange_fate::not_run)
         {
-            ++refused_sends_;
-            state_.health.refused(link.server().id, boot_clock::now());
+            state_.health.refused(link.server().id, now);
         }
         if (fate == exchange_fate::unknown)
         {
-            maybe_run_ = true;
-            state_.health.failed(link.server().id, false, boot_clock::now());
-            note_suspicion(link);
+            state_.health.failed(link.server().id, false, now);
+            suspect(link);
         }
         note_failure("send_failed", link, fate);
     }
 
-    /// A connection that ended under a call may mean that the call has crashed its
-    /// server; one that ran into a time-out, or whose server was leaving, doesn't.
-    void note_suspicion(exchange& link)
-    {
-        bool const ended = last_fault_ == "broken";
-        auto const listed = state_.servers.servers().find(link.server().id);
-        bool const leaving =
-            listed == state_.servers.servers().end() || listed->second.leaving;
-        auto const       now = boot_clock::now();
-        crash_news const crash{.content = admitted_.content,
-                               .server = link.server().id,
-                               .call_id = call_.id};
-        if (ended && !leaving && state_.crashes.crashed(crash, now))
-        {
-            state_.log.write(event_line{"suspect"}
-                                 .add("content", crash.content)
-                                 .add("server", crash.server)
-                                 .add("id", crash.call_id),
-                             now);
-        }
-    }
-
-    void note_failed_answer(exchange& link)
+    /// A server has answered with a failure of its own.
+    void settle_failure(exchange& link)
     {
         tried_.insert(link.server().id);
         last_fault_ = "server_error";
-        maybe_run_ = true;
         state_.health.failed(link.server().id, false, boot_clock::now());
         note_failure("server_error", link, exchange_fate::answered);
     }
 
-    void note_prefill_failure(exchange& link, exchange_fate fate)
+    /// A read has brought no handle.
+    void settle_read(exchange& link, exchange_fate fate)
     {
+        auto const now = boot_clock::now();
         if (fate == exchange_fate::unknown)
         {
-            state_.health.failed(link.server().id, false, boot_clock::now());
+            state_.health.failed(link.server().id, false, now);
         }
         if (fate == exchange_fate::not_run)
         {
-            ++refused_sends_;
+            sends_.read_refused();
             read_refused_ = true;
-            state_.health.refused(link.server().id, boot_clock::now());
+            state_.health.refused(link.server().id, now);
         }
         note_failure("prefill_failed", link, fate);
     }
 
     void note_failure(std::string_view event, exchange& link, exchange_fate fate)
     {
-        state_.counters.add("failed_sends_total",
-                            std::string{"fate=\""} + exchange_fate_name(fate) + "\"");
-        state_.log.write(event_line{event}
-                             .add("id", call_.id)
-                             .add("server", link.server().id)
-                             .add("fate", exchange_fate_name(fate))
-                             .add("fault", link.fault())
-                             .add("status", link.facts().status)
-                             .add("age_ms", boot_clock::now() - arrived_),
-                         boot_clock::now());
+        notes_.failed({.event = event,
+                       .server = link.server().id,
+                       .fate = fate,
+                       .fault = link.fault(),
+                       .status = link.facts().status});
+    }
+
+    /// A connection that ended under a call may mean that the call has crashed its
+    /// server; one that ran into a time-out, or whose server was leaving, doesn't.
+    void suspect(exchange& link)
+    {
+        auto const& server = link.server().id;
+        auto const  listed = state_.servers.servers().find(server);
+        bool const  leaving =
+            listed == state_.servers.servers().end() || listed->second.leaving;
+        crash_news const crash{
+            .content = admitted_.content, .server = server, .call_id = call_.id};
+        bool const ended = last_fault_ == "broken";
+        if (ended && !leaving && state_.crashes.crashed(crash, boot_clock::now()))
+        {
+            notes_.suspected(crash.content, crash.server);
+        }
     }
 
     void note_end()
     {
-        auto const now = boot_clock::now();
         if (caller_.left() && end_.empty())
         {
             end_ = "caller_left";
             after_ = link_after::aborted;
         }
-        event_line line{"end"};
-        line.add("id", call_.id)
-            .add("outcome", end_)
-            .add("status", static_cast<std::int64_t>(status_))
-            .add("route", admitted_.matched == nullptr ? "" : admitted_.matched->name)
-            .add("runs", runs_)
-            .add("fault", last_fault_)
-            .add("rules", version())
-            .add("keys_age_ms", now - state_.view.read_sent)
-            .add("took_ms", now - arrived_);
-        state_.counters.observe("call_seconds", now - arrived_);
-        state_.counters.add("calls_total", "outcome=\"" + std::string{end_} + "\"");
-        if (end_ == "served")
-        {
-            state_.log.write_step(call_.id, line, now);
-        }
-        else
-        {
-            state_.log.write(line, now);
-        }
-    }
-
-    std::int64_t version() const
-    {
-        return admitted_.rules ? static_cast<std::int64_t>(admitted_.rules->version())
-                               : 0;
+        notes_.ended({end_, status_, sends_.runs(), last_fault_}, admitted_);
     }
 
     entry_state&           state_;
@@ -828,24 +742,20 @@
     http_request const&    request_;
     caller_call            call_;
     boot_clock::time_point arrived_;
+    call_notes             notes_;
     admitted_call          admitted_;
     boot_clock::time_point first_event_{};
     bool                   keep_;
+    stream_relay           stream_;
+    send_account           sends_;
     std::set<std::string>  tried_;
-    std::int64_t           runs_ = 0; // servers that may have run it
-    std::int64_t           refused_sends_ = 0;
-    std::int64_t           failed_connects_ = 0;
-    bool                   maybe_run_ = false;
     bool        more_servers_ = false; // another one could still be tried after this send
     bool        judged_ = false;
     bool        prefilled_ = false;
     bool        read_refused_ = false; // an engine has turned the read away
-    bool        started_ = false;      // the caller has the stream's head
     bool        counted_ = false;
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
-    std::string last_event_;
-    std::int64_t     events_ = 0; // pieces passed on
     std::string_view last_fault_ = "no_server";
     std::string_view end_;
     unsigned         status_ = 0;
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -11,6 +11,8 @@
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
--- /dev/null
+++ b/src/serving/handle_release.cpp
@@ -0,0 +1,41 @@
+// One request in the background.
+#include "serving/handle_release.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr millis patience{1000}; // 1000  ms; after that the handle is left to lapse
+
+asio::awaitable<void> send_release(std::shared_ptr<http_connection> link,
+                                   socket_address engine, http_request request)
+{
+    auto const until = loop_clock::now() + patience;
+    auto const opened = co_await link->connect(engine, until);
+    if (opened == link_step::ok)
+    {
+        co_await link->send(request, until);
+        co_await link->read_head(false, until);
+    }
+    link->close();
+}
+
+} // namespace
+
+void release_handle(asio::any_io_executor const& executor, socket_address const& engine,
+                    http_request request)
+{
+    asio::co_spawn(executor,
+                   send_release(std::make_shared<http_connection>(executor), engine,
+                                std::move(request)),
+                   asio::detached);
+}
+
+} // namespace marigoldcrank
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -1,9 +1,10 @@
 // One send of a call to one backend server, up to the head of its answer.
 //
-// Index: 1 exchange_fate, 2 exchange_request, 3 server_exchange
+// Index: 1 exchange_request, 2 server_exchange
 #ifndef MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 #define MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 
+#include "policy/send_account.hpp"
 #include "serving/entry_state.hpp"
 
 #include <boost/asio/this_coro.hpp>
@@ -15,31 +16,6 @@
 namespace marigoldcrank
 {
 
-/// What is known of a send.
-enum class exchange_fate
-{
-    answered, // an answer of this call, by this server
-    not_sent, // no byte of it has left: no connection could be had
-    not_run,  // the server states that it has not run it
-    unknown   // sent, and no valid answer came: it may have run
-};
-
-inline char const* exchange_fate_name(exchange_fate value)
-{
-    switch (value)
-    {
-    case exchange_fate::answered:
-        return "answered";
-    case exchange_fate::not_sent:
-        return "not_sent";
-    case exchange_fate::not_run:
-        return "not_run";
-    case exchange_fate::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 /// One send.
 struct exchange_request
 {
