--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -9,11 +9,11 @@
 #ifndef MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 #define MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 
-#include "policy/wait_judgement.hpp"
 #include "serving/call_admission.hpp"
 #include "serving/call_notes.hpp"
 #include "serving/caller_link.hpp"
 #include "serving/handle_release.hpp"
+#include "serving/model_placing.hpp"
 #include "serving/own_reply.hpp"
 #include "serving/server_exchange.hpp"
 #include "serving/stream_relay.hpp"
@@ -39,6 +39,7 @@
                 caller_call call)
         : state_(state), caller_(caller), request_(request), call_(std::move(call)),
           arrived_(boot_clock::now()), notes_(state, call_.id, arrived_),
+          placing_(state, call_, admitted_),
           keep_(request.keep_alive() && !state.draining),
           stream_(!keep_, knows_chunks(request))
     {
@@ -57,7 +58,7 @@
         else
         {
             caller_.watch([this] { stop(); });
-            if (streamed() || reads_prompt())
+            if (streamed() || placing_.reads_prompt())
             {
                 co_await serve_stream();
             }
@@ -97,10 +98,6 @@
     static constexpr unsigned first_server_error = 500;
     // 20  ms; with less left no server can answer in time
     static constexpr millis least_left{20};
-    // 3     times the expected time, and 600 ms, for a prompt to be read: later its
-    //       answer is lost, or the engine so slow that reading it elsewhere is sooner
-    static constexpr int    reading_factor = 3;
-    static constexpr millis least_reading{600};
     // 2000  ms; a caller's connection that takes no answer for so long is given up
     static constexpr millis write_time{2000};
 
@@ -111,13 +108,6 @@
         return admitted_.matched->kind == call_kind::stream;
     }
 
-    /// Whether engines read a prompt for this call, which decides on its place.
-    bool reads_prompt() const
-    {
-        return admitted_.target != nullptr && admitted_.target->has_engines &&
-               !call_.prompt.empty();
-    }
-
     // Plain calls
 
     boost::asio::awaitable<void> serve_plain()
@@ -194,25 +184,20 @@
 
     // Streams and model calls
 
-    work_meter& meter()
-    {
-        return state_.meters[admitted_.service_name];
-    }
-
     boost::asio::awaitable<void> serve_stream()
     {
-        if (reads_prompt())
-        {
-            meter().prompt(call_.own_tokens(), arrived_);
-        }
+        placing_.count_demand(arrived_);
         while (true)
         {
-            auto const first = place_first();
+            auto const first =
+                placing_.first(servers_to_try(), !prefilled_ && !stream_.started());
             if (!first || !may_send())
             {
                 co_return co_await give_up();
             }
-            if (auto const back = too_late(*first))
+            auto const back = judged_ ? std::nullopt : placing_.too_late(*first);
+            judged_ = true;
+            if (back)
             {
                 own_reply const refusal{503, call_fate::not_run, "queue", back};
                 co_return co_await reply(refusal);
@@ -244,49 +229,6 @@
         }
     }
 
-    /// When to come back, if the call would wait too long; a call is judged once.
-    std::optional<millis> too_late(placement const& first)
-    {
-        if (std::exchange(judged_, true) || !reads_prompt())
-        {
-            return std::nullopt;
-        }
-        placement_options const places;
-        auto const              speed = meter().prefill_speed() /
-                           (first.prefill_only ? 1.0 : places.decode_reads_slower);
-        return judge_wait({.placed = first,
-                           .read_speed = speed,
-                           .objective = admitted_.matched->objective,
-                           .left = std::chrono::duration_cast<millis>(admitted_.deadline -
-                                                                      loop_clock::now())},
-                          wait_options{});
-    }
-
-    /// Where the call goes next. A prompt is read apart at most once a call: a second
-    /// time would count as one more send.
-    std::optional<placement> place_first()
-    {
-        auto const  candidates = servers_to_try();
-        auto const& centre = state_.settings.data_centre;
-        if (!reads_prompt())
-        {
-            auto const* server = place_plain(candidates, centre, state_.ticket());
-            return server == nullptr ? std::nullopt
-                                     : std::optional{placement{.server = server}};
-        }
-        if (!prefilled_ && !stream_.started())
-        {
-            return place_model(candidates, call_, admitted_.rank, centre, state_.ticket(),
-                               placement_options{});
-        }
-        auto const* server =
-            place_decode(candidates, centre, state_.ticket(), placement_options{});
-        return server == nullptr
-                   ? std::nullopt
-                   : std::optional{
-                         placement{.server = server, .unread = call_.prompt_tokens()}};
-    }
-
     /// Whether the call goes on after its read, and where. A read that was turned away
     /// has been an arrival, so what follows is a retry.
     bool goes_on(backend_server& decode)
@@ -303,8 +245,7 @@
             return false;
         }
         auto const  candidates = servers_to_try();
-        auto const* server = place_decode(candidates, state_.settings.data_centre,
-                                          state_.ticket(), placement_options{});
+        auto const* server = placing_.takeover(candidates);
         if (server != nullptr)
         {
             decode = *server;
@@ -321,7 +262,7 @@
         in_use     use{*this, link};
         load_share share{state_, server.id, admitted_.rank, placed.unread};
         notes_.sent(server.id, sends_.runs(), placed.unread, admitted_);
-        auto const until = reading_end(placed);
+        auto const until = placing_.reading_end(placed);
         auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
@@ -343,31 +284,13 @@
             co_return std::string{};
         }
         state_.health.succeeded(server.id);
-        meter().prompt_read(call_.own_tokens(), boot_clock::now() - began);
+        placing_.prompt_read(boot_clock::now() - began);
         co_return server.host + ":" + std::to_string(server.port) + "/" + *handle;
     }
 
-    /// When a prompt should have been read. Failure guarded against: the answer to a read
-    /// is lost without a reset; the call would wait for it until its caller gives up,
-    /// though a read may be repeated.
-    loop_time reading_end(placement const& placed)
-    {
-        auto const now = loop_clock::now();
-        auto const speed = meter().prefill_speed();
-        if (speed <= 0)
-        {
-            return now + (admitted_.deadline - now) / 2;
-        }
-        auto const tokens = static_cast<double>(placed.ahead + placed.unread);
-        auto const expected = std::chrono::duration_cast<millis>(
-            std::chrono::duration<double>(tokens / speed));
-        return std::min(admitted_.deadline,
-                        now + expected * reading_factor + least_reading);
-    }
-
     /// Runs the call at `server`. True if its final answer has been given.
-    boost::asio::awaitable<bool> run_stream(backend_server server, std::string source,
-                                            std::int64_t unread)
+    boost::asio::awaitable<bool>
+    run_stream(backend_server server, std::string const& source, std::int64_t unread)
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
@@ -454,7 +377,7 @@
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
         state_.crashes.answered(admitted_.content, now);
-        meter().stream(stream_.pieces(), now - first_event_, now);
+        placing_.stream_ended(stream_.pieces(), now - first_event_);
         end_ = "served";
         after_ = keep_ && knows_chunks(request_) ? link_after::keep : link_after::close;
     }
@@ -744,6 +667,7 @@
     boot_clock::time_point arrived_;
     call_notes             notes_;
     admitted_call          admitted_;
+    model_placing          placing_;
     boot_clock::time_point first_event_{};
     bool                   keep_;
     stream_relay           stream_;
--- /dev/null
+++ b/tests/property/send_account_property_test.cpp
@@ -0,0 +1,140 @@
+// Sends of one call, whatever becomes of each.
+//
+// Index: 1 send_account, 2 stream_relay
+#include "policy/send_account.hpp"
+#include "serving/stream_relay.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+// 1. send_account
+
+exchange_fate any_fate()
+{
+    return *rc::gen::element(exchange_fate::answered, exchange_fate::not_sent,
+                             exchange_fate::not_run, exchange_fate::unknown);
+}
+
+RC_GTEST_PROP(send_account, a_call_that_may_not_be_repeated_never_runs_twice, ())
+{
+    send_terms const terms{.repeatable = false, .max_servers = *rc::gen::inRange(1, 6)};
+    send_account     account;
+    int              ran = 0;
+    int              sends = 0;
+    while (account.allows(terms) && sends < 100)
+    {
+        account.begin();
+        auto const fate = any_fate();
+        account.end(fate);
+        ran += fate == exchange_fate::unknown || fate == exchange_fate::answered ? 1 : 0;
+        ++sends;
+        RC_ASSERT(account.maybe_run() == (ran > 0));
+    }
+    RC_ASSERT(ran <= 1);
+}
+
+RC_GTEST_PROP(send_account, sends_end_however_they_fail, ())
+{
+    send_terms const terms{.repeatable = true, .max_servers = *rc::gen::inRange(1, 6)};
+    send_account     account;
+    int              sends = 0;
+    while (account.allows(terms))
+    {
+        account.begin();
+        account.end(any_fate());
+        ++sends;
+        RC_ASSERT(sends <= terms.max_servers + 2 + 4); // runs, refusals, failed connects
+        RC_ASSERT(account.runs() <= terms.max_servers);
+    }
+}
+
+// An answer breaks off after its head: the send is settled a second time, and is still
+// one.
+TEST(send_account, answer_that_breaks_off_counts_once)
+{
+    send_account account;
+    account.begin();
+    account.end(exchange_fate::answered);
+    account.end(exchange_fate::unknown);
+    EXPECT_EQ(account.runs(), 1);
+    EXPECT_TRUE(account.allows({.repeatable = true, .max_servers = 2}));
+    EXPECT_FALSE(account.allows({.repeatable = false, .max_servers = 2}));
+}
+
+TEST(send_account, reads_that_are_turned_away_are_retries_and_no_runs)
+{
+    send_account account;
+    EXPECT_FALSE(account.is_retry());
+    account.read_refused();
+    EXPECT_TRUE(account.is_retry());
+    EXPECT_FALSE(account.maybe_run());
+    account.read_refused();
+    EXPECT_FALSE(account.allows({.repeatable = true, .max_servers = 9}));
+}
+
+// 2. stream_relay
+
+answer_head any_head()
+{
+    answer_head head;
+    head.result(200U);
+    return head;
+}
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+/// The text without its head.
+std::string body_of(std::string const& text)
+{
+    auto const end = text.find("\r\n\r\n");
+    return end == std::string::npos ? text : text.substr(end + 4);
+}
+
+// A server breaks off within an event, at any byte; another one goes on behind the last
+// whole one. The caller must get each event once, and one head.
+RC_GTEST_PROP(stream_relay, streams_of_two_servers_have_no_seam, ())
+{
+    stream_relay relay(true, false);
+    std::string  first;
+    for (int number = 1; number <= 5; ++number)
+    {
+        first += event(number);
+    }
+    auto const cut = *rc::gen::inRange<std::size_t>(0, first.size());
+    relay.begin_server();
+    auto       out = relay.take(any_head(), first.substr(0, cut), false);
+    auto const last = relay.last_event().empty() ? 0 : std::stoi(relay.last_event());
+    RC_ASSERT(relay.started() == (last > 0));
+    std::string second;
+    for (int number = last + 1; number <= 5; ++number)
+    {
+        second += event(number);
+    }
+    relay.begin_server();
+    out += relay.take(any_head(), second, true);
+    RC_ASSERT(body_of(out) == first);
+    RC_ASSERT(out.find("HTTP/1.1") == out.rfind("HTTP/1.1"));
+}
+
+TEST(stream_relay, nothing_goes_out_before_the_first_whole_event)
+{
+    stream_relay relay(false, true);
+    relay.begin_server();
+    EXPECT_EQ(relay.take(any_head(), "id: 1\ndata: ", false), "");
+    EXPECT_FALSE(relay.started());
+    auto const out = relay.take(any_head(), "x\n\n", false);
+    EXPECT_TRUE(relay.started());
+    EXPECT_NE(out.find("Transfer-Encoding: chunked"), std::string::npos);
+    EXPECT_EQ(relay.take(any_head(), "", true), "0\r\n\r\n");
+}
+
+} // namespace
+} // namespace marigoldcrank
