Large fleets: relays in each data centre add up load digests and read the store for their members

Cause: with 84 VMs every VM heard every other one (46,000 digests a second, four fifths of the processor time) and read the store itself (3.1 calls a second each).

Up to 16 VMs nothing changes. Records of servers that only say that they live aren't passed on.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -25,6 +25,7 @@
 constexpr std::int64_t most_count = 1'000'000;
 constexpr double       per_second = 1000;
 constexpr double       per_cent = 100;
+constexpr double       per_mille = 1000;
 
 /// A number, fractions allowed; whole text or nothing.
 bool parse_number(std::string const& text, double& value)
@@ -129,6 +130,9 @@
         address("node", "readiness", true, &entry_settings::readiness),
         address("node", "metrics", false, &entry_settings::metrics),
         address("node", "peers", false, &entry_settings::peers),
+        address("node", "records", false, &entry_settings::records),
+        count("node", "cores", per_mille, &entry_settings::capacity),
+        count("node", "mesh", 1, &entry_settings::mesh),
         flag("node", "first_start", &entry_settings::first_start),
         address("platform", "store", true, &entry_settings::store),
         address("platform", "duties", false, &entry_settings::duties),
@@ -172,6 +176,11 @@
         setting_failure{setting_fault::malformed, "", "", text, "IP:PORT"});
 }
 
+std::string format_address(socket_address const& value)
+{
+    return value.port == 0 ? "" : value.host + ":" + std::to_string(value.port);
+}
+
 leaf::result<entry_settings> parse_entry_settings(std::string const& text,
                                                   std::string const& file)
 {
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -34,6 +34,9 @@
 /// Parses "10.1.0.31:8368"; an empty text gives an address with port 0.
 leaf::result<socket_address> parse_socket_address(std::string const& text);
 
+/// The reverse; empty for port 0.
+std::string format_address(socket_address const& value);
+
 /// All options of one daemon. Times come from the deployment's own bounds.
 struct entry_settings
 {
@@ -43,7 +46,10 @@
     socket_address callers;     //          listens for callers here
     socket_address readiness;   //          answers the balancer here
     socket_address metrics;     //          serves metrics here; port 0: not at all
-    socket_address peers; //          publishes load digests here; port 0: not at all
+    socket_address peers;   //          publishes load digests here; port 0: not at all
+    socket_address records; //          answers other VMs here; port 0: not at all
+    std::int64_t   capacity = 0; // 0   thousandths of a core; larger VMs are relays
+    std::int64_t   mesh = 16;    // 16 VMs; above it, relays pass on what they hear
     bool           first_start = false; //  no VM has run before
     // [platform]
     socket_address store;  //               the log that keeps what must last
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -14,7 +14,10 @@
                           {"number", value.number},
                           {"window", value.window},
                           {"counts", value.counts},
-                          {"address", value.address}}
+                          {"address", value.contact.digests},
+                          {"records", value.contact.records},
+                          {"data_centre", value.contact.data_centre},
+                          {"capacity", value.contact.capacity}}
         .dump();
 }
 
@@ -27,11 +30,15 @@
     }
     try
     {
-        return usage_record{.writer = document.at("writer").get<std::string>(),
-                            .number = document.at("number").get<std::uint64_t>(),
-                            .window = document.at("window").get<std::int64_t>(),
-                            .counts = document.at("counts").get<usage_counts>(),
-                            .address = document.at("address").get<std::string>()};
+        return usage_record{
+            .writer = document.at("writer").get<std::string>(),
+            .number = document.at("number").get<std::uint64_t>(),
+            .window = document.at("window").get<std::int64_t>(),
+            .counts = document.at("counts").get<usage_counts>(),
+            .contact = {.digests = document.at("address").get<std::string>(),
+                        .records = document.value("records", ""),
+                        .data_centre = document.value("data_centre", ""),
+                        .capacity = document.value("capacity", std::int64_t{0})}};
     }
     catch (nlohmann::json::exception const&)
     {
@@ -39,8 +46,8 @@
     }
 }
 
-usage_counter::usage_counter(std::string writer, std::string address, millis window)
-    : writer_(std::move(writer)), address_(std::move(address)), window_(window)
+usage_counter::usage_counter(std::string writer, vm_contact contact, millis window)
+    : writer_(std::move(writer)), contact_(std::move(contact)), window_(window)
 {
 }
 
@@ -70,7 +77,7 @@
             handed_[first->first] += count;
         }
         records.push_back(
-            {writer_, ++number_, first->first, std::move(first->second), address_});
+            {writer_, ++number_, first->first, std::move(first->second), contact_});
         open_.erase(first);
     }
     while (handed_.size() > most_handed)
@@ -93,9 +100,9 @@
     {
         return;
     }
-    if (!record.address.empty())
+    if (!record.contact.digests.empty())
     {
-        sum.addresses.insert(record.address);
+        sum.contacts.insert(record.contact);
     }
     for (auto const& [workspace, count] : record.counts)
     {
@@ -109,14 +116,14 @@
     return found == windows_.end() ? usage_counts{} : found->second.counts;
 }
 
-std::set<std::string> usage_sum::addresses() const
+std::set<vm_contact> usage_sum::contacts() const
 {
-    std::set<std::string> result;
-    int                   windows = 0;
+    std::set<vm_contact> result;
+    int                  windows = 0;
     for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2;
          ++at, ++windows)
     {
-        result.insert(at->second.addresses.begin(), at->second.addresses.end());
+        result.insert(at->second.contacts.begin(), at->second.contacts.end());
     }
     return result;
 }
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_LEDGER_USAGE_WINDOWS_HPP
 #define MARIGOLDCRANK_LEDGER_USAGE_WINDOWS_HPP
 
+#include "domain/vm_contact.hpp"
 #include "ledger/duty_log.hpp"
 
 #include <optional>
@@ -24,7 +25,7 @@
     std::uint64_t number = 0; // counts the writer's records, so that a repeat is dropped
     std::int64_t  window = 0;
     usage_counts  counts;
-    std::string   address; // where the writer publishes its load digests; empty: nowhere
+    vm_contact    contact; // where the writer is found
 
     bool operator==(usage_record const&) const = default;
 };
@@ -36,7 +37,7 @@
 class usage_counter
 {
 public:
-    usage_counter(std::string writer, std::string address, millis window);
+    usage_counter(std::string writer, vm_contact contact, millis window);
 
     std::int64_t window_of(std::int64_t unix_ms) const noexcept;
 
@@ -51,7 +52,7 @@
 
 private:
     std::string                          writer_;
-    std::string                          address_;
+    vm_contact                           contact_;
     millis                               window_;
     std::uint64_t                        number_ = 0;
     std::map<std::int64_t, usage_counts> open_;
@@ -71,8 +72,8 @@
     /// The sum so far; empty if nobody counted anything.
     usage_counts of(std::int64_t window) const;
 
-    /// Addresses of the VMs that wrote for the last two windows known.
-    std::set<std::string> addresses() const;
+    /// The VMs that wrote for the last two windows known.
+    std::set<vm_contact> contacts() const;
 
     /// Number of VMs and incarnations that wrote for the last two windows known.
     std::size_t writers() const;
@@ -88,7 +89,7 @@
     {
         std::set<std::pair<std::string, std::uint64_t>> seen;
         usage_counts                                    counts;
-        std::set<std::string>                           addresses;
+        std::set<vm_contact>                            contacts;
     };
 
     std::map<std::int64_t, window_sum> windows_;
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -51,6 +51,17 @@
             prompt_backlog[at] += other.prompt_backlog[at];
         }
     }
+
+    /// Takes off a part of this sum that may be a little newer than the sum.
+    void take_off(server_load const& part)
+    {
+        running = std::max<std::int64_t>(running - part.running, 0);
+        for (std::size_t at = 0; at < rank_count; ++at)
+        {
+            prompt_backlog[at] =
+                std::max<std::int64_t>(prompt_backlog[at] - part.prompt_backlog[at], 0);
+        }
+    }
 };
 
 using server_loads = std::map<std::string, server_load>;
@@ -89,15 +100,22 @@
         return sum;
     }
 
-    /// VMs heard of lately.
-    std::int64_t heard(boot_clock::time_point now) const
+    /// Work at all servers of the peers whose names begin with `first`.
+    server_loads sum(char first, boot_clock::time_point now) const
     {
-        std::int64_t count = 0;
+        server_loads result;
         for (auto const& [vm, digest] : peers_)
         {
-            count += now - digest.heard <= options_.life ? 1 : 0;
+            if (vm.front() != first || now - digest.heard > options_.life)
+            {
+                continue;
+            }
+            for (auto const& [server, load] : digest.loads)
+            {
+                result[server].add(load);
+            }
         }
-        return count;
+        return result;
     }
 
     /// Forgets VMs that have been silent for long.
--- /dev/null
+++ b/src/policy/relay_plan.hpp
@@ -0,0 +1,54 @@
+// Which entry VMs pass knowledge on to the others, and whom this one listens to.
+//
+// Index: 1 relay_plan_options, 2 relay_plan, 3 plan_relays
+//
+// Load answered: fleets of tens to hundreds of VMs. If each VM hears every other one, the
+// messages grow with the square of their number (84 VMs sent 46,000 digests a second and
+// spent four fifths of their processor time on them), and if each reads the store, its
+// calls grow with their number. Above a size, a few VMs a data centre hear its members,
+// add their work up, and read the store for them.
+#ifndef MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
+#define MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
+
+#include "domain/vm_contact.hpp"
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+struct relay_plan_options
+{
+    // 16    VMs; up to so many hear each other directly: fewer hops, and 16 * 15 digests
+    //       every 150 ms cost each of them some thousandths of a core
+    std::size_t mesh = 16;
+    // 2     a data centre; one may be lost without its members hearing nothing
+    std::size_t relays = 2;
+
+    bool operator==(relay_plan_options const&) const = default;
+};
+
+/// Whom one VM listens to.
+struct relay_plan
+{
+    bool                     mesh = true;   // every VM hears every other one
+    bool                     relay = false; // this VM passes on what it hears
+    std::set<std::string>    digests;       // digests are heard from here
+    std::vector<std::string> records; // reads go here, in this order; empty: to the store
+
+    bool operator==(relay_plan const&) const = default;
+};
+
+/// Plans for the VM `own`, which need not be among `vms`. The relays of a data centre are
+/// its VMs with most capacity; among equals a hash decides, so that all VMs that know the
+/// same members choose the same. The first of them reads the store; the second asks it,
+/// and stands in for it.
+relay_plan plan_relays(std::set<vm_contact> const& vms, vm_contact const& own,
+                       relay_plan_options const& options);
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -28,7 +28,9 @@
     std::uint64_t            from = 0;  // offset of the first record here
     std::uint64_t            end = 0;   // the topic's end when the read was answered
     std::uint64_t            first = 0; // oldest that is still kept
-    std::vector<std::string> records;
+    std::vector<std::string> records;   // an empty one tells nothing new
+    bool                     relayed = false; // by another VM, which has waited for news
+    millis age{0}; // relayed: since that VM's read of the store was sent
 
     bool operator==(log_chunk const&) const = default;
 };
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -4,9 +4,8 @@
 #ifndef MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
 #define MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
 
-#include "domain/entry_settings.hpp"
 #include "policy/crash_watch.hpp"
-#include "policy/peer_loads.hpp"
+#include "policy/load_relay.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -16,6 +15,11 @@
 #include <string>
 #include <vector>
 
+namespace zmq
+{
+class context_t;
+}
+
 namespace marigoldcrank
 {
 
@@ -25,21 +29,20 @@
 {
 public:
     /// Called on the loop for each digest.
-    using handler = std::function<void(std::string const& vm, server_loads loads,
-                                       std::vector<crash_news> const& news)>;
+    using handler =
+        std::function<void(load_digest digest, std::vector<crash_news> const& news)>;
 
-    /// Throws zmq::error_t if the address can't be bound.
-    digest_link(boost::asio::io_context& loop, socket_address const& own,
-                handler on_digest);
+    /// `own`: "IP:PORT". Throws zmq::error_t if the address can't be bound.
+    digest_link(boost::asio::io_context& loop, zmq::context_t& context,
+                std::string const& own, handler on_digest);
     ~digest_link();
     digest_link(digest_link const&) = delete;
     digest_link& operator=(digest_link const&) = delete;
 
-    /// Connects to new peers and leaves those that are no longer named.
-    void follow(std::set<socket_address> const& peers);
+    /// Hears digests of these scopes from these peers, and from nobody else.
+    void follow(std::set<std::string> const& peers, std::set<digest_scope> const& scopes);
 
-    void publish(std::string const& vm, server_loads const& loads,
-                 std::vector<crash_news> const& news);
+    void publish(load_digest const& digest, std::vector<crash_news> const& news);
 
     /// Takes in what has arrived; also called now and then by the owner, since the
     /// socket's descriptor tells of changes only.
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -52,23 +52,10 @@
         }
     }
 
-    /// Addresses at which the VMs that hand over usage publish their load digests.
-    std::set<socket_address> peers() const
+    /// The VMs that hand over usage.
+    std::set<vm_contact> vms() const
     {
-        std::set<socket_address> result;
-        for (auto const& text : sum_.addresses())
-        {
-            leaf::try_handle_all(
-                [&]() -> leaf::result<void>
-                {
-                    BOOST_LEAF_AUTO(address, parse_socket_address(text));
-                    result.insert(address);
-                    return {};
-                },
-                [] {}); // a record of another writer; it names no peer
-        }
-        result.erase(state_.settings.peers);
-        return result;
+        return sum_.contacts();
     }
 
     /// Hands over all counts, those of the open window too: the process is about to end.
@@ -166,7 +153,10 @@
     boost::asio::awaitable<void> follow()
     {
         bool const known = co_await catch_up();
-        if (!known || !log_.may_claim(boot_clock::now()) || state_.draining)
+        // Read through another VM the log may be older than the last renewal, and a
+        // conditional append would mostly fail.
+        bool const behind = !known || state_.relayed;
+        if (behind || !log_.may_claim(boot_clock::now()) || state_.draining)
         {
             co_return;
         }
@@ -262,6 +252,7 @@
             return;
         }
         held_ = held;
+        state_.holds_duties = held;
         state_.log.write(event_line{held ? "lease_held" : "lease_lost"}
                              .add("epoch", static_cast<std::int64_t>(log_.epoch()))
                              .add("holder", log_.holder())
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -5,9 +5,10 @@
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
 #include "serving/caller_session.hpp"
-#include "serving/digest_link.hpp"
 #include "serving/duty_worker.hpp"
 #include "serving/listener.hpp"
+#include "serving/peer_exchange.hpp"
+#include "serving/shared_store.hpp"
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
 
@@ -27,9 +28,9 @@
     entry_node(entry_settings settings, std::string settings_file)
         : file_(std::move(settings_file)),
           state_(settings, settings.name + "/" + std::to_string(unix_millis())),
-          store_(settings.store), duties_(settings.duties), rules_(state_, store_),
-          servers_(state_, store_), worker_(state_, store_, duties_),
-          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          store_(settings.store), shared_(store_), duties_(settings.duties),
+          rules_(state_, shared_), servers_(state_, shared_),
+          worker_(state_, shared_, duties_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
     }
 
@@ -43,7 +44,7 @@
         spawn(worker_.run_usage());
         spawn(worker_.run_duties());
         spawn(keep_house());
-        spawn(exchange_digests());
+        spawn(exchange_with_peers());
         spawn(await_signals());
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
@@ -112,37 +113,30 @@
         }
     }
 
-    boost::asio::awaitable<void> exchange_digests()
+    boost::asio::awaitable<void> exchange_with_peers()
     {
         if (state_.settings.peers.port == 0)
         {
             co_return;
         }
-        digest_link link{loop_, state_.settings.peers,
-                         [this](std::string const& vm, server_loads loads,
-                                std::vector<crash_news> const& news)
-                         {
-                             take_digest(vm, std::move(loads), news);
-                         }};
+        peer_exchange exchange{loop_, state_, server_news()};
+        shared_.share(exchange.records());
         while (true)
         {
-            link.follow(worker_.peers());
-            link.publish(state_.incarnation, state_.loads,
-                         state_.crashes.news(boot_clock::now()));
-            state_.peers.expire(boot_clock::now());
+            exchange.pass(worker_.vms());
             co_await loop_sleep(digest_pause);
         }
     }
 
-    void take_digest(std::string const& vm, server_loads loads,
-                     std::vector<crash_news> const& news)
+    /// What tells something new of the servers: most of their records only say that they
+    /// live.
+    static peer_exchange::news_judge server_news()
     {
-        auto const now = boot_clock::now();
-        state_.peers.absorb(vm, std::move(loads), now);
-        for (auto const& each : news)
+        return [](std::string const& topic)
         {
-            state_.crashes.absorb(each, now);
-        }
+            return topic == Codec::servers_topic() ? changed_entries<Codec>()
+                                                   : topic_mirror::judge{};
+        };
     }
 
     void note_readiness()
@@ -226,17 +220,18 @@
         }
     }
 
-    std::string                    file_;
-    boost::asio::io_context        loop_{1};
-    entry_state                    state_;
-    Store                          store_;
-    Duties                         duties_;
-    rules_follower<Store, Codec>   rules_;
-    servers_follower<Store, Codec> servers_;
-    duty_worker<Store, Duties>     worker_;
-    idle_links                     idle_;
-    boost::asio::signal_set        signals_;
-    bool                           ready_ = false;
+    std::string                                  file_;
+    boost::asio::io_context                      loop_{1};
+    entry_state                                  state_;
+    Store                                        store_;
+    shared_store<Store>                          shared_;
+    Duties                                       duties_;
+    rules_follower<shared_store<Store>, Codec>   rules_;
+    servers_follower<shared_store<Store>, Codec> servers_;
+    duty_worker<shared_store<Store>, Duties>     worker_;
+    idle_links                                   idle_;
+    boost::asio::signal_set                      signals_;
+    bool                                         ready_ = false;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -27,16 +27,19 @@
 namespace
 {
 
-std::string format_address(socket_address const& value)
+vm_contact contact_of(entry_settings const& settings)
 {
-    return value.port == 0 ? "" : value.host + ":" + std::to_string(value.port);
+    return {.digests = format_address(settings.peers),
+            .records = format_address(settings.records),
+            .data_centre = settings.data_centre,
+            .capacity = settings.capacity};
 }
 
 } // namespace
 
 entry_state::entry_state(entry_settings value, std::string incarnation_name)
     : settings(std::move(value)), incarnation(std::move(incarnation_name)),
-      usage(incarnation, format_address(settings.peers), settings.usage_window),
+      contact(contact_of(settings)), usage(incarnation, contact, settings.usage_window),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
       random_(std::random_device{}())
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -15,7 +15,7 @@
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
-#include "policy/peer_loads.hpp"
+#include "policy/load_relay.hpp"
 #include "policy/placement.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
@@ -69,17 +69,21 @@
     rules_view                        view;
     server_list                       servers;
     server_loads                      loads;    // calls of this VM
-    peer_loads                        peers;    // calls of the others
+    load_relay                        peers;    // calls of the others
     std::set<std::string>             changing; // engines that are given another role
     server_health                     health;
     connection_pool                   pool;
+    vm_contact                        contact; // of this VM
     usage_counter                     usage;
     std::map<std::string, work_meter> meters; // by service
     event_log                         log;
     metrics                           counters;
     true_clock                        day;
     crash_watch                       crashes;
-    std::int64_t vms_known = 0;    // that handed over usage lately; 0: none
+    std::int64_t vms_known = 0;   // that handed over usage lately; 0: none
+    bool         relayed = false; // records of the store come through other VMs
+    bool         relays = false;  // other VMs hear of the store through this one
+    bool         holds_duties = false;
     bool         draining = false; // not ready; still serving
     bool         closed = false;   // takes no new calls any more
     std::int64_t calls_in_work = 0;
--- /dev/null
+++ b/src/serving/peer_exchange.cpp
@@ -0,0 +1,103 @@
+// Following the plan.
+#include "serving/peer_exchange.hpp"
+
+#include <zmq.hpp>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+std::set<digest_scope> scopes_of(relay_plan const& plan)
+{
+    if (plan.mesh)
+    {
+        return {digest_scope::vm};
+    }
+    return plan.relay ? std::set{digest_scope::vm, digest_scope::centre}
+                      : std::set{digest_scope::fleet};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(boost::asio::io_context& loop, entry_state& state,
+                             news_judge news_of)
+    : state_(state), context_(std::make_unique<zmq::context_t>(1)),
+      records_(state.contact.records.empty()
+                   ? nullptr
+                   : std::make_unique<record_link>(loop, *context_, state.contact.records,
+                                                   std::move(news_of))),
+      digests_(loop, *context_, state.contact.digests,
+               [this](load_digest digest, std::vector<crash_news> const& news)
+               { take(std::move(digest), news); })
+{
+}
+
+peer_exchange::~peer_exchange() = default;
+
+void peer_exchange::pass(std::set<vm_contact> const& vms)
+{
+    follow(vms);
+    auto const now = boot_clock::now();
+    auto const news = state_.crashes.news(now);
+    for (auto const& digest : state_.peers.digests(state_.loads, now))
+    {
+        digests_.publish(digest, news);
+    }
+    if (records_)
+    {
+        records_->tick();
+        state_.relayed = records_->relayed();
+    }
+}
+
+void peer_exchange::take(load_digest digest, std::vector<crash_news> const& news)
+{
+    auto const now = boot_clock::now();
+    if (!state_.peers.absorb(std::move(digest), now))
+    {
+        return;
+    }
+    for (auto const& each : news)
+    {
+        state_.crashes.absorb(each, now);
+    }
+}
+
+void peer_exchange::follow(std::set<vm_contact> const& vms)
+{
+    auto plan = plan_relays(vms, state_.contact,
+                            {.mesh = static_cast<std::size_t>(state_.settings.mesh)});
+    if (state_.holds_duties)
+    {
+        plan.records.clear(); // its appends need the end of the log as it is now
+    }
+    note_plan(plan);
+    digests_.follow(plan.digests, scopes_of(plan));
+    state_.relays = plan.relay;
+    state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
+    if (records_)
+    {
+        records_->follow(plan.records);
+    }
+    plan_ = std::move(plan);
+}
+
+void peer_exchange::note_plan(relay_plan const& plan)
+{
+    if (plan.mesh == plan_.mesh && plan.relay == plan_.relay &&
+        plan.records == plan_.records)
+    {
+        return;
+    }
+    state_.log.write(
+        event_line{"relays"}
+            .add("mesh", plan.mesh ? 1 : 0)
+            .add("relay", plan.relay ? 1 : 0)
+            .add("digests_from", static_cast<std::int64_t>(plan.digests.size()))
+            .add("records_from", plan.records.empty() ? "" : plan.records.front()),
+        boot_clock::now());
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/peer_exchange.hpp
@@ -0,0 +1,78 @@
+// What an entry VM exchanges with the others: load digests, and records of the store.
+//
+// Index: 1 peer_exchange, 2 changed_entries
+#ifndef MARIGOLDCRANK_SERVING_PEER_EXCHANGE_HPP
+#define MARIGOLDCRANK_SERVING_PEER_EXCHANGE_HPP
+
+#include "serving/digest_link.hpp"
+#include "serving/entry_state.hpp"
+#include "serving/record_link.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace marigoldcrank
+{
+
+class peer_exchange
+{
+public:
+    using news_judge = std::function<topic_mirror::judge(std::string const&)>;
+
+    /// Throws zmq::error_t if an address can't be bound.
+    peer_exchange(boost::asio::io_context& loop, entry_state& state, news_judge news_of);
+    ~peer_exchange();
+    peer_exchange(peer_exchange const&) = delete;
+    peer_exchange& operator=(peer_exchange const&) = delete;
+
+    /// Follows whom the plan for these VMs names, and tells them of this one.
+    void pass(std::set<vm_contact> const& vms);
+
+    /// Null if this VM offers no records.
+    record_link* records()
+    {
+        return records_.get();
+    }
+
+private:
+    void take(load_digest digest, std::vector<crash_news> const& news);
+    void follow(std::set<vm_contact> const& vms);
+    void note_plan(relay_plan const& plan);
+
+    entry_state&                    state_;
+    std::unique_ptr<zmq::context_t> context_;
+    std::unique_ptr<record_link>    records_;
+    digest_link                     digests_;
+    relay_plan                      plan_;
+};
+
+/// A judge for entries of servers: a record is news if it changes what is believed of its
+/// server. Without this every VM would decode each sign of life of each server, which was
+/// most of what 84 VMs beside 94 servers read.
+template <class Codec>
+topic_mirror::judge changed_entries()
+{
+    return [known = std::map<std::string, std::optional<backend_server>>{}](
+               std::string const& text) mutable
+    {
+        auto const record = Codec::keyed(text, 0);
+        if (!record)
+        {
+            return false;
+        }
+        auto server =
+            record->value ? Codec::server(record->key, *record->value) : std::nullopt;
+        auto const [entry, added] = known.try_emplace(record->key, server);
+        if (!added && entry->second == server)
+        {
+            return false;
+        }
+        entry->second = std::move(server);
+        return true;
+    };
+}
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/src/serving/record_link.cpp
@@ -0,0 +1,322 @@
+// ROUTER and DEALER sockets.
+//
+// Index: 1 asking, 2 answering, 3 record_link
+#include "serving/record_link.hpp"
+
+#include "serving/watched_socket.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <wire.pb.h>
+
+#include <algorithm>
+#include <list>
+#include <map>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// 64    messages waiting for one VM; each asks for one topic at a time
+constexpr int queue_limit = 64;
+// 250   ms beyond the wait asked for, until a relay counts as silent: it is found out,
+// and
+//       the store read, before what is known of keys is too old
+constexpr millis patience{250};
+// 2000 to 8000  ms; a relay that was silent or knew nothing fresh is left alone for so
+// long
+constexpr millis first_pause{2000};
+constexpr millis longest_pause{8000};
+// 2000  ms; an older answer isn't taken: the relay may be cut off from the store. Two of
+//       its own waits of 700 ms are usual
+constexpr millis oldest{2000};
+
+} // namespace
+
+// 1. Asking
+
+namespace
+{
+
+/// A relay and its connection.
+struct relay_peer
+{
+    std::string                     address;
+    std::unique_ptr<watched_socket> socket;
+    boot_clock::time_point          shunned{}; // until then
+    millis                          pause = first_pause;
+};
+
+/// A question that waits for its answer.
+struct open_ask
+{
+    explicit open_ask(asio::io_context& loop) : timer(loop) {}
+
+    asio::steady_timer                  timer;
+    std::optional<wire::records_answer> answer;
+};
+
+/// A question of another VM that waits for news.
+struct parked_ask
+{
+    std::string            asker;
+    wire::records_ask      ask;
+    boot_clock::time_point until{};
+};
+
+log_chunk chunk_of(wire::records_answer const& answer)
+{
+    log_chunk chunk{.from = answer.from(), .end = answer.end(), .first = answer.from()};
+    chunk.records.assign(answer.records().begin(), answer.records().end());
+    chunk.relayed = true;
+    chunk.age = millis{static_cast<std::int64_t>(answer.age_ms())};
+    return chunk;
+}
+
+} // namespace
+
+struct record_link::state
+{
+    using news_judge = std::function<topic_mirror::judge(std::string const&)>;
+
+    state(asio::io_context& loop_, zmq::context_t& context_, news_judge news)
+        : loop(loop_), context(context_), news_of(std::move(news)),
+          server(loop, context, zmq::socket_type::router, queue_limit,
+                 [this](std::vector<zmq::message_t>& parts) { take_ask(parts); })
+    {
+    }
+
+    relay_peer* next_relay(boot_clock::time_point now)
+    {
+        auto const found =
+            std::find_if(relays.begin(), relays.end(),
+                         [&](relay_peer const& each) { return now >= each.shunned; });
+        return found == relays.end() ? nullptr : &*found;
+    }
+
+    relay_peer* find(std::string const& address)
+    {
+        auto const found =
+            std::find_if(relays.begin(), relays.end(),
+                         [&](relay_peer const& each) { return each.address == address; });
+        return found == relays.end() ? nullptr : &*found;
+    }
+
+    /// The relay, if it is still one, is left alone: longer each time, since every try
+    /// costs time in which knowledge gets older.
+    void shun(std::string const& address)
+    {
+        if (auto* relay = find(address))
+        {
+            relay->shunned = boot_clock::now() + relay->pause;
+            relay->pause = std::min(relay->pause * 2, longest_pause);
+        }
+    }
+
+    void trust(std::string const& address)
+    {
+        if (auto* relay = find(address))
+        {
+            relay->pause = first_pause;
+        }
+    }
+
+    void send(relay_peer& relay, wire::records_ask const& ask)
+    {
+        auto const bytes = ask.SerializeAsString();
+        static_cast<void>(
+            relay.socket->socket().send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+        relay.socket->drain();
+    }
+
+    void take_answer(std::vector<zmq::message_t>& parts)
+    {
+        wire::records_answer answer;
+        auto const&          bytes = parts.back();
+        if (!answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        {
+            return; // the question runs into its time-out
+        }
+        auto const found = open.find(answer.number());
+        if (found != open.end())
+        {
+            found->second->answer = std::move(answer);
+            found->second->timer.cancel();
+        }
+    }
+
+    // Answering
+
+    void take_ask(std::vector<zmq::message_t>& parts)
+    {
+        parked_ask       parked;
+        auto const&      bytes = parts.back();
+        constexpr millis longest{5000}; // a reader's own wait is far shorter
+        if (parts.size() != 2 ||
+            !parked.ask.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        {
+            return;
+        }
+        parked.asker = parts.front().to_string();
+        auto const wait = std::min(millis{parked.ask.wait_ms()}, longest);
+        parked.until = boot_clock::now() + wait;
+        if (!answer_if_due(parked, boot_clock::now()))
+        {
+            waiting.push_back(std::move(parked));
+        }
+    }
+
+    bool answer_if_due(parked_ask const& parked, boot_clock::time_point now)
+    {
+        auto const mirror = mirrors.find(parked.ask.topic());
+        auto const from = parked.ask.from();
+        bool const held = mirror != mirrors.end() && mirror->second.read(from);
+        if (held && !mirror->second.has_news(from) && now < parked.until)
+        {
+            return false;
+        }
+        wire::records_answer answer;
+        answer.set_number(parked.ask.number());
+        answer.set_known(held);
+        if (held)
+        {
+            fill(answer, mirror->second, from, now);
+        }
+        auto const bytes = answer.SerializeAsString();
+        auto&      socket = server.socket();
+        static_cast<void>(
+            socket.send(zmq::buffer(parked.asker),
+                        zmq::send_flags::dontwait | zmq::send_flags::sndmore));
+        static_cast<void>(socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+        return true;
+    }
+
+    static void fill(wire::records_answer& answer, topic_mirror const& mirror,
+                     std::uint64_t from, boot_clock::time_point now)
+    {
+        auto const chunk = mirror.read(from);
+        answer.set_from(from);
+        answer.set_end(chunk->end);
+        auto const age = std::chrono::ceil<millis>(mirror.age(now));
+        answer.set_age_ms(static_cast<std::uint64_t>(age.count()));
+        for (auto const& record : chunk->records)
+        {
+            answer.add_records(record);
+        }
+    }
+
+    void answer_waiting()
+    {
+        auto const now = boot_clock::now();
+        std::erase_if(waiting, [&](parked_ask const& parked)
+                      { return answer_if_due(parked, now); });
+        server.drain();
+    }
+
+    asio::io_context&                                  loop;
+    zmq::context_t&                                    context;
+    news_judge                                         news_of;
+    std::vector<relay_peer>                            relays;
+    std::map<std::uint64_t, std::shared_ptr<open_ask>> open;
+    std::uint64_t                                      number = 0;
+    std::map<std::string, topic_mirror>                mirrors;
+    std::list<parked_ask>                              waiting;
+    watched_socket                                     server;
+};
+
+// 3. record_link
+
+record_link::record_link(asio::io_context& loop, zmq::context_t& context,
+                         std::string const& own, state::news_judge news_of)
+    : state_(std::make_unique<state>(loop, context, std::move(news_of)))
+{
+    state_->server.socket().bind(zmq_endpoint(own));
+}
+
+record_link::~record_link() = default;
+
+void record_link::follow(std::vector<std::string> const& relays)
+{
+    auto const same = [](relay_peer const& peer, std::string const& address)
+    {
+        return peer.address == address;
+    };
+    if (std::equal(state_->relays.begin(), state_->relays.end(), relays.begin(),
+                   relays.end(), same))
+    {
+        return;
+    }
+    state_->relays.clear();
+    for (auto const& address : relays)
+    {
+        auto socket = std::make_unique<watched_socket>(
+            state_->loop, state_->context, zmq::socket_type::dealer, queue_limit,
+            [this](std::vector<zmq::message_t>& parts) { state_->take_answer(parts); });
+        socket->socket().connect(zmq_endpoint(address));
+        state_->relays.push_back({address, std::move(socket), {}});
+    }
+}
+
+bool record_link::has_relays() const
+{
+    return !state_->relays.empty();
+}
+
+bool record_link::relayed() const
+{
+    return state_->next_relay(boot_clock::now()) != nullptr;
+}
+
+asio::awaitable<std::optional<log_chunk>> record_link::ask(records_query query)
+{
+    auto* const relay = state_->next_relay(boot_clock::now());
+    if (relay == nullptr)
+    {
+        co_return std::nullopt;
+    }
+    auto const        address = relay->address;
+    auto const        number = ++state_->number;
+    auto const        open = std::make_shared<open_ask>(state_->loop);
+    wire::records_ask message;
+    message.set_number(number);
+    message.set_topic(query.topic);
+    message.set_from(query.from);
+    message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
+    state_->open[number] = open;
+    open->timer.expires_after(query.wait + patience);
+    state_->send(*relay, message);
+    boost::system::error_code error; // cancelled by the answer, or over
+    co_await open->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    state_->open.erase(number);
+    if (!open->answer || millis{open->answer->age_ms()} > oldest)
+    {
+        state_->shun(address);
+        co_return std::nullopt;
+    }
+    if (!open->answer->known())
+    {
+        co_return std::nullopt; // only the store has it
+    }
+    state_->trust(address);
+    co_return chunk_of(*open->answer);
+}
+
+void record_link::absorb(std::string const& topic, log_chunk const& chunk,
+                         boot_clock::time_point sent)
+{
+    auto const mirror = state_->mirrors.try_emplace(topic, state_->news_of(topic)).first;
+    mirror->second.absorb(chunk, sent);
+    state_->answer_waiting();
+}
+
+void record_link::tick()
+{
+    state_->answer_waiting();
+}
+
+} // namespace marigoldcrank
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -46,6 +46,9 @@
     //       seconds from the sending of the last answered read, so two of these and a
     //       second try on a new connection must fit into that time.
     millis rules_wait{1500};
+    // 700   ms; the same where other VMs ask this one: until the next answer its knowledge
+    //       gets twice as old as this, and theirs by two waits of their own more
+    millis relay_wait{700};
     // 900   ms; pause between reads of the servers' entries, which change all the time.
     //       A leaving server gets no new work within two seconds of its notice.
     millis servers_pause{900};
@@ -103,7 +106,7 @@
             auto const failure = co_await next_read();
             if (!failure)
             {
-                state_.view.read_sent = sent;
+                state_.view.read_sent = std::max(state_.view.read_sent, sent - age_);
                 note_reachable(true, store_fault::unreachable);
                 pause_.reset();
                 continue;
@@ -125,6 +128,7 @@
     boost::asio::awaitable<std::optional<store_failure>> read_newest()
     {
         std::string after;
+        age_ = millis{0};
         while (true)
         {
             auto result = co_await store_.newest(lane, Codec::rules_topic(), after);
@@ -150,13 +154,15 @@
 
     boost::asio::awaitable<std::optional<store_failure>> read_on()
     {
-        auto const wait = lost_ ? millis{0} : options_.rules_wait;
+        auto const longest = state_.relays ? options_.relay_wait : options_.rules_wait;
+        auto const wait = lost_ ? millis{0} : longest;
         auto       result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
         }
         auto const& chunk = std::get<log_chunk>(result);
+        age_ = chunk.age;
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
             if (auto const record = Codec::keyed(chunk.records[at], chunk.from + at))
@@ -220,6 +226,7 @@
     follow_options options_;
     retry_pause    pause_;
     std::uint64_t  next_ = 0;
+    millis         age_{0}; // of the newest answer when it was asked for
     bool           known_ = false;
     bool           lost_ = false;
 };
@@ -252,7 +259,10 @@
             {
                 forget(id, "lapsed");
             }
-            co_await loop_sleep(options_.servers_pause);
+            if (!relayed_) // a relay has waited for news
+            {
+                co_await loop_sleep(options_.servers_pause);
+            }
         }
     }
 
@@ -305,12 +315,14 @@
     boost::asio::awaitable<std::optional<store_failure>> read_on()
     {
         auto result =
-            co_await store_.read(lane, Codec::servers_topic(), next_, millis{0});
+            co_await store_.read(lane, Codec::servers_topic(), next_,
+                                 state_.relayed ? options_.servers_pause : millis{0});
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
         }
         auto const& chunk = std::get<log_chunk>(result);
+        relayed_ = chunk.relayed;
         state_.servers.store_answered(boot_clock::now());
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
@@ -370,6 +382,7 @@
     retry_pause    pause_;
     std::uint64_t  next_ = 0;
     bool           known_ = false;
+    bool           relayed_ = false;
 };
 
 } // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/topic_mirror.cpp
@@ -0,0 +1,61 @@
+// Keeping a run of records.
+#include "serving/topic_mirror.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+void topic_mirror::absorb(log_chunk const& chunk, boot_clock::time_point sent)
+{
+    bool const continues =
+        sent_ != boot_clock::time_point{} && chunk.from >= first_ && chunk.from <= next();
+    if (!continues)
+    {
+        records_.clear();
+        bytes_ = 0;
+        first_ = chunk.from;
+        newest_ = chunk.from;
+    }
+    auto const known = static_cast<std::size_t>(next() - chunk.from);
+    for (auto at = known; at < chunk.records.size(); ++at)
+    {
+        auto const& record = chunk.records[at];
+        bool const  tells = !news_ || news_(record);
+        records_.push_back(tells ? record : std::string{});
+        bytes_ += records_.back().size();
+        newest_ = tells ? next() : newest_;
+    }
+    end_ = std::max(end_, chunk.end);
+    sent_ = std::max(sent_, sent);
+    trim();
+}
+
+std::optional<log_chunk> topic_mirror::read(std::uint64_t from) const
+{
+    if (sent_ == boot_clock::time_point{} || from < first_ || from > next())
+    {
+        return std::nullopt;
+    }
+    log_chunk chunk{.from = from, .end = end_, .first = first_};
+    chunk.records.assign(records_.begin() + static_cast<std::ptrdiff_t>(from - first_),
+                         records_.end());
+    return chunk;
+}
+
+bool topic_mirror::has_news(std::uint64_t from) const
+{
+    return from < newest_;
+}
+
+void topic_mirror::trim()
+{
+    while (records_.size() > options_.most_records || bytes_ > options_.most_bytes)
+    {
+        bytes_ -= records_.front().size();
+        records_.pop_front();
+        ++first_;
+    }
+}
+
+} // namespace marigoldcrank
--- /dev/null
+++ b/src/serving/watched_socket.hpp
@@ -0,0 +1,55 @@
+// A ZeroMQ socket whose messages are taken on the event loop.
+//
+// Index: watched_socket
+#ifndef MARIGOLDCRANK_SERVING_WATCHED_SOCKET_HPP
+#define MARIGOLDCRANK_SERVING_WATCHED_SOCKET_HPP
+
+#include "domain/entry_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <zmq.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// Bounded queues, no lingering, and heartbeats that find a connection gone silent.
+class watched_socket
+{
+public:
+    /// Called on the loop with the parts of each message; empty for a socket that only
+    /// sends (asking a PUB socket for messages throws).
+    using handler = std::function<void(std::vector<zmq::message_t>& parts)>;
+
+    watched_socket(boost::asio::io_context& loop, zmq::context_t& context,
+                   zmq::socket_type type, int queue_limit, handler on_message);
+    ~watched_socket();
+    watched_socket(watched_socket const&) = delete;
+    watched_socket& operator=(watched_socket const&) = delete;
+
+    zmq::socket_t& socket()
+    {
+        return socket_;
+    }
+
+    /// Takes all messages that have arrived. Must follow each send: the socket's
+    /// descriptor tells of changes only, and a send may use up such a change.
+    void drain();
+
+private:
+    void arm();
+
+    zmq::socket_t                         socket_;
+    boost::asio::posix::stream_descriptor readable_; // borrowed from the socket
+    handler                               on_message_;
+};
+
+std::string zmq_endpoint(std::string const& address);
+
+} // namespace marigoldcrank
+
+#endif
--- /dev/null
+++ b/tests/platform/relays_test.cpp
@@ -0,0 +1,245 @@
+// Fleets above the mesh's size: records of the store that come through other VMs.
+//
+// Index: 1 a link between two VMs, 2 daemons
+#include "platform/support/entry_world.hpp"
+#include "platform/support/raw_caller.hpp"
+#include "serving/record_link.hpp"
+#include "support/eventually.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <zmq.hpp>
+
+#include <csignal>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+// 1. A link between two VMs
+
+/// A relay and a VM that asks it, on one event loop.
+struct linked_vms
+{
+    linked_vms()
+    {
+        member.follow({relay_address});
+    }
+
+    /// What the member is told; nothing if it has to read the store.
+    std::optional<log_chunk> ask(records_query query)
+    {
+        std::optional<log_chunk> answer;
+        bool                     done = false;
+        auto                     asking = [&]() -> boost::asio::awaitable<void>
+        {
+            answer = co_await member.ask(query);
+            done = true;
+        };
+        boost::asio::co_spawn(loop, asking(), boost::asio::detached);
+        auto const limit = boot_clock::now() + millis{5000};
+        while (!done && boot_clock::now() < limit)
+        {
+            loop.run_for(millis{20});
+            loop.restart();
+            relay.tick();
+        }
+        EXPECT_TRUE(done);
+        return answer;
+    }
+
+    static topic_mirror::judge all_news(std::string const&)
+    {
+        return {};
+    }
+
+    port_block              ports;
+    std::string             relay_address = "127.0.0.1:" + std::to_string(ports.next());
+    std::string             own_address = "127.0.0.1:" + std::to_string(ports.next());
+    boost::asio::io_context loop;
+    zmq::context_t          context{1};
+    record_link             relay{loop, context, relay_address, all_news};
+    record_link             member{loop, context, own_address, all_news};
+};
+
+log_chunk one_record()
+{
+    return {.from = 7, .end = 8, .records = {"version 2"}};
+}
+
+TEST(record_link, relay_passes_on_what_it_has_read)
+{
+    linked_vms vms;
+    vms.relay.absorb("rules", one_record(), boot_clock::now() - millis{300});
+    auto const answer = vms.ask({"rules", 7, millis{500}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->records, std::vector<std::string>{"version 2"});
+    EXPECT_TRUE(answer->relayed);
+    EXPECT_GE(answer->age, millis{300});
+}
+
+// The relay has lost the store and doesn't know it yet. A member that took its old
+// knowledge for fresh would let a withdrawn key work.
+TEST(record_link, answer_that_is_too_old_is_not_taken)
+{
+    linked_vms vms;
+    vms.relay.absorb("rules", one_record(), boot_clock::now() - millis{2500});
+    EXPECT_FALSE(vms.ask({"rules", 8, millis{100}}));
+    EXPECT_FALSE(vms.member.relayed()); // the relay is left alone for a while
+}
+
+// A relay that has just started doesn't hold the records from before. Its members must
+// read them from the store rather than miss them.
+TEST(record_link, records_that_the_relay_does_not_hold_come_from_the_store)
+{
+    linked_vms vms;
+    vms.relay.absorb("rules", one_record(), boot_clock::now());
+    EXPECT_FALSE(vms.ask({"rules", 3, millis{500}}));
+    EXPECT_TRUE(vms.member.relayed()); // it may be asked for what comes next
+}
+
+// A relay dies, or the network swallows its answers.
+TEST(record_link, silent_relay_is_given_up_in_time)
+{
+    linked_vms vms;
+    vms.member.follow({"127.0.0.1:1"});
+    auto const began = boot_clock::now();
+    EXPECT_FALSE(vms.ask({"rules", 7, millis{200}}));
+    EXPECT_LT(boot_clock::now() - began, millis{2000});
+    EXPECT_FALSE(vms.member.relayed());
+}
+
+TEST(record_link, news_ends_the_wait)
+{
+    linked_vms vms;
+    vms.relay.absorb("rules", {.from = 0, .end = 7}, boot_clock::now());
+    vms.relay.absorb("rules", {.from = 7, .end = 7}, boot_clock::now());
+    boost::asio::steady_timer later{vms.loop, millis{200}};
+    later.async_wait([&](auto)
+                     { vms.relay.absorb("rules", one_record(), boot_clock::now()); });
+    auto const began = boot_clock::now();
+    auto const answer = vms.ask({"rules", 7, millis{3000}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->records.size(), 1U);
+    EXPECT_LT(boot_clock::now() - began, millis{2500});
+}
+
+// 2. Daemons
+
+constexpr int fleet_size = 5; // with a mesh of two: one VM reads the store for the others
+
+/// What a VM has logged last of its place among the others.
+std::string last_plan(entry_world const& world, int index)
+{
+    auto const text = world.output(index);
+    auto const last = text.rfind("ev=relays");
+    return last == std::string::npos ? ""
+                                     : text.substr(last, text.find('\n', last) - last);
+}
+
+bool is_relay(entry_world const& world, int index)
+{
+    return last_plan(world, index).find("relay=1") != std::string::npos;
+}
+
+/// Whether all VMs know of each other: two relays, of which one asks the other.
+bool planned(entry_world const& world)
+{
+    int relays = 0;
+    int askers = 0;
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        relays += is_relay(world, index) ? 1 : 0;
+        bool const asks =
+            last_plan(world, index).find("records_from=127") != std::string::npos;
+        askers += asks ? 1 : 0;
+    }
+    return relays == 2 && askers == fleet_size - 1;
+}
+
+/// A fleet whose members have found their relays.
+std::unique_ptr<entry_world> fleet(std::string bounds = "")
+{
+    auto world = std::make_unique<entry_world>(
+        world_options{.daemons = fleet_size, .bounds = std::move(bounds), .mesh = 2});
+    EXPECT_TRUE(eventually([&] { return planned(*world); }, 10000));
+    return world;
+}
+
+int status_at(entry_world const& world, int index)
+{
+    return ask(world.callers_port(index), {}).status;
+}
+
+bool all_answer(entry_world const& world, int status)
+{
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        if (status_at(world, index) != status)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+// A key is withdrawn. It must stop working also at VMs that only hear of the store.
+TEST(platform_relays, withdrawn_key_stops_working_on_all_vms)
+{
+    auto const world = fleet();
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 200); }));
+    world->configure(2, {"key-other"});
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 401); }, 3000));
+}
+
+// The store falls silent for everybody. Members still get answers from their relays,
+// which must not make them believe in their keys for longer than the relays do.
+TEST(platform_relays, members_refuse_keyed_calls_when_relays_have_lost_the_store)
+{
+    auto const world = fleet("key_life_ms = 5000\n");
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 200); }));
+    world->store().trouble(store_trouble::silent);
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 503); }, 6000));
+    world->store().trouble(store_trouble::none);
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 200); }, 10000));
+}
+
+// Both relays freeze. Their members must find the store by themselves before their
+// knowledge of the keys is too old, so that no caller notices.
+TEST(platform_relays, members_go_on_without_their_relays)
+{
+    auto const       world = fleet();
+    std::vector<int> members;
+    EXPECT_TRUE(eventually([&] { return all_answer(*world, 200); }));
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        if (is_relay(*world, index))
+        {
+            world->daemon(index).signal(SIGSTOP);
+        }
+        else
+        {
+            members.push_back(index);
+        }
+    }
+    ASSERT_EQ(members.size(), 3U);
+    auto const until = std::chrono::steady_clock::now() + std::chrono::seconds{6};
+    while (std::chrono::steady_clock::now() < until)
+    {
+        for (auto const index : members)
+        {
+            ASSERT_EQ(status_at(*world, index), 200) << world->output(index);
+        }
+        std::this_thread::sleep_for(millis{100});
+    }
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        world->daemon(index).signal(SIGCONT);
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/platform/support/entry_world.cpp
+++ b/tests/platform/support/entry_world.cpp
@@ -63,6 +63,7 @@
         callers_.push_back(ports_.next());
         readiness_.push_back(ports_.next());
         peers_.push_back(ports_.next());
+        records_.push_back(ports_.next());
         daemons_.emplace_back();
         start(index);
     }
@@ -165,7 +166,8 @@
     settings << "[node]\nname = vm-" << index
              << "\ndata_centre = here\ncallers = " << at(callers_[slot])
              << "\nreadiness = " << at(readiness_[slot])
-             << "\npeers = " << at(peers_[slot])
+             << "\npeers = " << at(peers_[slot]) << "\nrecords = " << at(records_[slot])
+             << "\nmesh = " << options_.mesh
              << "\n[platform]\nstore = " << at(store_port_)
              << "\nduties = " << at(duty_port_) << "\n[logs]\nsample = 1\n[bounds]\n"
              << options_.bounds;
--- a/tests/platform/support/entry_world.hpp
+++ b/tests/platform/support/entry_world.hpp
@@ -30,6 +30,7 @@
     int         daemons = 1;
     int         servers = 2;  // of the service "desk"
     std::string bounds;       // further lines of the settings' section
+    int         mesh = 16;    // VMs; above it, relays pass on what they hear
     std::string route_fields; // further JSON fields of all routes, after a comma
 };
 
@@ -87,6 +88,7 @@
     std::vector<int>                             callers_;
     std::vector<int>                             readiness_;
     std::vector<int>                             peers_;
+    std::vector<int>                             records_;
     std::vector<std::unique_ptr<child_process>>  daemons_;
     mutable std::mutex                           mutex_;
     std::vector<duty_call>                       duty_calls_;
--- a/tests/property/duty_log_property_test.cpp
+++ b/tests/property/duty_log_property_test.cpp
@@ -241,7 +241,7 @@
 
 RC_GTEST_PROP(usage_sum, order_and_repeats_change_nothing, ())
 {
-    usage_counter             counter("vm", "", millis{1000});
+    usage_counter             counter("vm", {}, millis{1000});
     std::vector<usage_record> records;
     std::int64_t              calls = 0;
     for (std::int64_t window = 1; window <= 3; ++window)
