--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -28,8 +28,9 @@
 // and
 //       the store read, before what is known of keys is too old
 constexpr millis patience{250};
-// 2000 to 8000  ms; a relay that was silent or knew nothing fresh is left alone for so
-// long
+// 500   ms; a relay that knew nothing fresh is left alone for so long
+constexpr millis stale_pause{500};
+// 2000 to 8000  ms; the same for one that was silent
 constexpr millis first_pause{2000};
 constexpr millis longest_pause{8000};
 // 2000  ms; an older answer isn't taken: the relay may be cut off from the store. Two of
@@ -107,9 +108,20 @@
         return found == relays.end() ? nullptr : &*found;
     }
 
-    /// The relay, if it is still one, is left alone: longer each time, since every try
-    /// costs time in which knowledge gets older.
-    void shun(std::string const& address)
+    /// A relay that answers without knowing better has lost the store, maybe for all. It
+    /// is asked again soon: it costs no time, and if it stayed away its members would go
+    /// on reading the store for seconds after an outage.
+    void shun_stale(std::string const& address)
+    {
+        if (auto* relay = find(address))
+        {
+            relay->shunned = boot_clock::now() + stale_pause;
+        }
+    }
+
+    /// A silent relay, if it is still one, is left alone: longer each time, since every
+    /// try costs time in which knowledge gets older.
+    void shun_silent(std::string const& address)
     {
         if (auto* relay = find(address))
         {
@@ -176,7 +188,9 @@
         auto const mirror = mirrors.find(parked.ask.topic());
         auto const from = parked.ask.from();
         bool const held = mirror != mirrors.end() && mirror->second.read(from);
-        if (held && !mirror->second.has_news(from) && now < parked.until)
+        bool const waits =
+            held && !mirror->second.has_news(from) && mirror->second.age(now) <= oldest;
+        if (waits && now < parked.until)
         {
             return false;
         }
@@ -293,9 +307,14 @@
     boost::system::error_code error; // cancelled by the answer, or over
     co_await open->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     state_->open.erase(number);
-    if (!open->answer || millis{open->answer->age_ms()} > oldest)
+    if (!open->answer)
+    {
+        state_->shun_silent(address);
+        co_return std::nullopt;
+    }
+    if (millis{open->answer->age_ms()} > oldest)
     {
-        state_->shun(address);
+        state_->shun_stale(address);
         co_return std::nullopt;
     }
     if (!open->answer->known())
