One server in six at full price; relays look at the duties' log often enough for their members

And a relay that looked at the duties' log every 1,500 ms, for members that ask every 1,500 ms, could pass a change of role on only after its order (2,200 ms).

--- a/src/domain/vm_contact.hpp
+++ b/src/domain/vm_contact.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace marigoldcrank
 {
@@ -18,7 +19,13 @@
     std::string  data_centre;  // where it stands
     std::int64_t capacity = 0; // thousandths of a core
 
-    auto operator<=>(vm_contact const&) const = default;
+    bool operator==(vm_contact const&) const = default;
+
+    bool operator<(vm_contact const& other) const
+    {
+        return std::tie(digests, records, data_centre, capacity) <
+               std::tie(other.digests, other.records, other.data_centre, other.capacity);
+    }
 };
 
 } // namespace marigoldcrank
--- a/src/policy/fleet_plan.hpp
+++ b/src/policy/fleet_plan.hpp
@@ -35,9 +35,12 @@
 
 struct fleet_options
 {
-    // 4     of the most servers that a data centre may have, one in so many is kept at
-    //       full price: these are what is left when the cheap ones are taken back
-    std::int64_t full_floor = 4;
+    // 6     of the most servers that a data centre may have, one in so many is kept at
+    //       full price: these are what is left when the cheap ones are taken back. At 4,
+    //       where a data centre may have six, 0.913 of the worth was served, as at 8, for
+    //       0.03 of it more in servers; where it may have eight, at 8 only 0.840 was
+    //       served instead of 0.868 (means of six days)
+    std::int64_t full_floor = 6;
     // 10000 ms; cheap servers count as not to be had so long after a refusal
     millis dry{10000};
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -412,12 +412,12 @@
 
     /// Sends the call to be run; `source` is where its prompt's cache lies, if it was
     /// read.
-    boost::asio::awaitable<exchange_fate> run_at(exchange& link, std::string source,
-                                                 loop_time until)
+    boost::asio::awaitable<exchange_fate>
+    run_at(exchange& link, std::string const& source, loop_time until)
     {
         sends_.begin();
         auto message = onward(link.server());
-        message.cache_source = std::move(source);
+        message.cache_source = source;
         return send_message(link, message, false, until);
     }
 
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -41,7 +41,8 @@
             auto const past = state_.day_ms() - times_.hand_over.count();
             co_await hand_over(state_.usage.window_of(past));
             auto const now = boot_clock::now();
-            bool const often = log_.held_until(now) || now - started < times_.meeting;
+            bool const often =
+                log_.held_until(now) || state_.relays || now - started < times_.meeting;
             if (now - usage_looked_ >=
                 (often ? times_.renew : state_.settings.usage_window))
             {
@@ -147,6 +148,10 @@
         {
             return times_.renew;
         }
+        if (state_.relays)
+        {
+            return times_.relay_look;
+        }
         return log_.silence(now) > times_.renew * 2 ? times_.close_look : times_.look;
     }
 
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -85,8 +85,8 @@
 {
     using news_judge = std::function<topic_mirror::judge(std::string const&)>;
 
-    state(asio::io_context& loop_, zmq::context_t& context_, news_judge news)
-        : loop(loop_), context(context_), news_of(std::move(news)),
+    state(asio::io_context& io, zmq::context_t& zmq, news_judge news)
+        : loop(io), context(zmq), news_of(std::move(news)),
           server(loop, context, zmq::socket_type::router, queue_limit,
                  [this](std::vector<zmq::message_t>& parts) { take_ask(parts); })
     {
--- a/src/serving/topic_mirror.hpp
+++ b/src/serving/topic_mirror.hpp
@@ -20,7 +20,7 @@
     // 256 KiB and 4000 records; a VM that asks is seconds behind at most, in which a
     // fleet of 200 servers writes a few hundred records. One further behind reads the
     // store
-    std::size_t most_bytes = 256 * 1024;
+    std::size_t most_bytes = std::size_t{256} * 1024;
     std::size_t most_records = 4000;
 
     bool operator==(topic_mirror_options const&) const = default;
