--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -61,8 +61,7 @@
             plan.digests.insert(vm.digests);
         }
     }
-    // The second relay asks the first one, so that one VM of a data centre reads the
-    // store.
+    // The second relay asks the first, so that one VM of a data centre reads the store.
     for (auto const& vm : home)
     {
         if (plan.mesh || vm == own)
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -48,7 +48,7 @@
     if (records_)
     {
         records_->tick();
-        state_.relayed = records_->relayed();
+        note_relayed(records_->relayed());
     }
 }
 
@@ -84,6 +84,19 @@
     plan_ = std::move(plan);
 }
 
+void peer_exchange::note_relayed(bool relayed)
+{
+    if (relayed == state_.relayed)
+    {
+        return;
+    }
+    state_.relayed = relayed;
+    state_.log.write(event_line{relayed ? "relays_regained" : "relays_lost"}
+                         .add("keys_age_ms", boot_clock::now() - state_.view.read_sent)
+                         .add("relays", static_cast<std::int64_t>(plan_.records.size())),
+                     boot_clock::now());
+}
+
 void peer_exchange::note_plan(relay_plan const& plan)
 {
     if (plan.mesh == plan_.mesh && plan.relay == plan_.relay &&
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -39,6 +39,7 @@
     void take(load_digest digest, std::vector<crash_news> const& news);
     void follow(std::set<vm_contact> const& vms);
     void note_plan(relay_plan const& plan);
+    void note_relayed(bool relayed);
 
     entry_state&                    state_;
     std::unique_ptr<zmq::context_t> context_;
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -1,6 +1,6 @@
 // ROUTER and DEALER sockets.
 //
-// Index: 1 asking, 2 answering, 3 record_link
+// Index: 1 relays and questions, 2 state: asking, answering, 3 record_link
 #include "serving/record_link.hpp"
 
 #include "serving/watched_socket.hpp"
@@ -24,9 +24,8 @@
 
 // 64    messages waiting for one VM; each asks for one topic at a time
 constexpr int queue_limit = 64;
-// 250   ms beyond the wait asked for, until a relay counts as silent: it is found out,
-// and
-//       the store read, before what is known of keys is too old
+// 250   ms beyond the wait asked for, until a relay counts as silent: the store is read
+//       before what is known of keys is too old
 constexpr millis patience{250};
 // 500   ms; a relay that knew nothing fresh is left alone for so long
 constexpr millis stale_pause{500};
@@ -39,7 +38,7 @@
 
 } // namespace
 
-// 1. Asking
+// 1. Relays and questions
 
 namespace
 {
@@ -81,6 +80,8 @@
 
 } // namespace
 
+// 2. State
+
 struct record_link::state
 {
     using news_judge = std::function<topic_mirror::judge(std::string const&)>;
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -135,7 +135,7 @@
 std::string last_plan(entry_world const& world, int index)
 {
     auto const text = world.output(index);
-    auto const last = text.rfind("ev=relays");
+    auto const last = text.rfind("ev=relays ");
     return last == std::string::npos ? ""
                                      : text.substr(last, text.find('\n', last) - last);
 }
@@ -235,6 +235,10 @@
         }
         std::this_thread::sleep_for(millis{100});
     }
+    for (auto const index : members)
+    {
+        EXPECT_NE(world->output(index).find("ev=relays_lost"), std::string::npos);
+    }
     for (int index = 0; index < fleet_size; ++index)
     {
         world->daemon(index).signal(SIGCONT);
