Servers bought by what callers ask; engines read in order of arrival; when and why a stream was late

Change: demand summed in digests, rates right from the start; full price by need, with the next loss of a data centre provided for; cheap ones by demand where there is room; all of the backlog counts; prompts from 300 own tokens on may be handed over. Final line of a call: server, first_ms, pause_ms.

--- a/src/policy/fleet_plan.cpp
+++ b/src/policy/fleet_plan.cpp
@@ -2,15 +2,165 @@
 #include "policy/fleet_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldcrank
 {
 
-std::map<std::string, fleet_count>
-count_fleet(std::string const&                           service,
-            std::map<std::string, backend_server> const& servers)
+namespace
 {
-    std::map<std::string, fleet_count> result;
+
+// 8000  ms; longer than the time between two bursts of a swing, and than a server's start
+constexpr millis memory{8000};
+
+// 1.5   times the need: it is a mean over seconds, and bursts go above it
+constexpr double reserve = 1.5;
+
+std::int64_t divide_up(std::int64_t value, std::int64_t parts)
+{
+    return (value + parts - 1) / parts;
+}
+
+/// How many servers of each kind every data centre should have.
+class fleet_targets
+{
+public:
+    fleet_targets(fleet_bounds const& bounds, fleet_state const& state,
+                  boot_clock::time_point now, fleet_options const& options)
+        : bounds_(bounds), state_(state), now_(now), options_(options),
+          floor_(std::max({bounds.least, divide_up(bounds.most, options.full_floor),
+                           std::int64_t{1}}))
+    {
+        for (auto const& [name, centre] : state.centres)
+        {
+            full_[name] = sold(centre) ? floor_ : std::max(floor_, floor_if_dry());
+            present_ += centre.present.full + centre.present.cheap;
+        }
+        buy_full();
+        keep_full();
+        plan_cheap();
+    }
+
+    std::int64_t full(std::string const& data_centre) const
+    {
+        return full_.at(data_centre);
+    }
+
+    std::int64_t cheap(std::string const& data_centre) const
+    {
+        return std::min(cheap_, room(data_centre));
+    }
+
+private:
+    bool sold(centre_state const& centre) const
+    {
+        return centre.refused == boot_clock::time_point{} ||
+               now_ - centre.refused >= options_.dry;
+    }
+
+    std::int64_t room(std::string const& data_centre) const
+    {
+        return std::max<std::int64_t>(bounds_.most - full_.at(data_centre), 0);
+    }
+
+    /// An even share of what is wanted, at most a part of the places.
+    std::int64_t floor_if_dry() const
+    {
+        auto const centres = static_cast<std::int64_t>(state_.centres.size());
+        auto const most = bounds_.most / options_.dry_floor;
+        return state_.wanted == 0 ? most
+                                  : std::min(most, divide_up(state_.wanted, centres));
+    }
+
+    /// Servers that will be left, without more of full price, once the cheap ones of
+    /// another data centre are taken back: that comes with less notice than a start
+    /// takes.
+    std::int64_t left_after_next() const
+    {
+        std::int64_t sum = 0;
+        std::int64_t most_cheap = 0;
+        for (auto const& [name, centre] : state_.centres)
+        {
+            auto const cheap = sold(centre) ? room(name) : centre.present.cheap;
+            sum += full_.at(name) + cheap;
+            most_cheap = std::max(most_cheap, cheap);
+        }
+        return sum - most_cheap;
+    }
+
+    /// Shares what is missing among the data centres that sell no cheap servers.
+    void buy_full()
+    {
+        auto missing = state_.wanted - left_after_next();
+        bool found = true;
+        while (missing > 0 && found)
+        {
+            found = false;
+            for (auto const& [name, centre] : state_.centres)
+            {
+                auto const kept = std::max(centre.present.cheap, options_.cheap_places);
+                if (missing > 0 && !sold(centre) && full_[name] < bounds_.most - kept)
+                {
+                    ++full_[name];
+                    --missing;
+                    found = true;
+                }
+            }
+        }
+    }
+
+    /// Keeps those that are present as long as they are needed.
+    void keep_full()
+    {
+        auto spare = present_ - state_.wanted;
+        for (auto const& [name, centre] : state_.centres)
+        {
+            auto&      target = full_[name];
+            auto const over = std::max<std::int64_t>(centre.present.full - target, 0);
+            auto const released = std::clamp<std::int64_t>(spare, 0, over);
+            target += over - released;
+            spare -= released;
+        }
+    }
+
+    /// Shares what is wanted of cheap servers among the data centres that sell them, so
+    /// that it is still there without one of these.
+    void plan_cheap()
+    {
+        cheap_ = bounds_.most;
+        if (!state_.settled(now_))
+        {
+            return;
+        }
+        auto         rest = options_.cheap_reserve * state_.wanted;
+        std::int64_t sellers = 0;
+        for (auto const& [name, centre] : state_.centres)
+        {
+            sellers += sold(centre) ? 1 : 0;
+            rest -= full_.at(name);
+        }
+        auto const parts = std::max<std::int64_t>(sellers - 1, 1);
+        auto const step = divide_up(bounds_.most, options_.steps);
+        auto const share = divide_up(std::max<std::int64_t>(rest, 1), parts);
+        cheap_ = divide_up(share, step) * step;
+    }
+
+    fleet_bounds const&                 bounds_;
+    fleet_state const&                  state_;
+    boot_clock::time_point              now_;
+    fleet_options const&                options_;
+    std::int64_t                        floor_;
+    std::int64_t                        present_ = 0;
+    std::int64_t                        cheap_ = 0; // in each data centre that has room
+    std::map<std::string, std::int64_t> full_;
+};
+
+} // namespace
+
+fleet_counts count_fleet(std::string const&                           service,
+                         std::map<std::string, backend_server> const& servers)
+{
+    fleet_counts result;
     for (auto const& [id, server] : servers)
     {
         if (server.group == service)
@@ -23,30 +173,66 @@
     return result;
 }
 
-std::vector<server_order> plan_fleet(service const& value, std::string const& data_centre,
-                                     fleet_state const& state, boot_clock::time_point now,
-                                     fleet_options const& options)
+void fleet_state::count(fleet_counts const& present)
 {
-    std::vector<server_order> orders;
-    if (!value.fleet || !value.fleet->reclaimable || state.bought == 0)
+    for (auto& [name, centre] : centres)
     {
-        return orders;
+        centre.present = {};
     }
-    auto const& bounds = *value.fleet;
-    bool const  dry =
-        state.refused != boot_clock::time_point{} && now - state.refused < options.dry;
-    auto const floor = std::max(
-        {bounds.least, (bounds.most + options.full_floor - 1) / options.full_floor,
-         std::int64_t{1}});
-    auto const full = dry ? std::max(floor, state.bought) : std::min(floor, state.bought);
-    auto const cheap = std::max<std::int64_t>(bounds.most - full, 0);
-    if (state.present.full != full)
+    for (auto const& [name, counted] : present)
+    {
+        centres[name].present = counted;
+    }
+}
+
+void fleet_state::want(std::int64_t servers, boot_clock::time_point now)
+{
+    if (known_since == boot_clock::time_point{} && servers > 0)
     {
-        orders.push_back({value.name, data_centre, full, false});
+        known_since = now;
     }
-    if (state.present.cheap < cheap)
+    if (servers >= wanted || now - wanted_at >= memory)
     {
-        orders.push_back({value.name, data_centre, cheap, true});
+        wanted = servers;
+        wanted_at = now;
+    }
+}
+
+bool fleet_state::settled(boot_clock::time_point now) const
+{
+    return known_since != boot_clock::time_point{} && now - known_since >= memory;
+}
+
+std::int64_t servers_for(role_need const& need)
+{
+    return static_cast<std::int64_t>(std::ceil(reserve * (need.prefill + need.decode)));
+}
+
+std::vector<server_order> plan_fleet(service const& value, fleet_state const& state,
+                                     boot_clock::time_point now,
+                                     fleet_options const&   options)
+{
+    std::vector<server_order> orders;
+    if (!value.fleet || !value.fleet->reclaimable)
+    {
+        return orders;
+    }
+    fleet_targets const targets(*value.fleet, state, now, options);
+    auto const          step = divide_up(value.fleet->most, options.steps);
+    for (auto const& [name, centre] : state.centres)
+    {
+        auto const full = targets.full(name);
+        auto const cheap = targets.cheap(name);
+        if (centre.present.full != full)
+        {
+            orders.push_back({value.name, name, full, false});
+        }
+        bool const short_of = centre.present.cheap < cheap;
+        bool const spare = centre.present.cheap > cheap + step;
+        if (short_of || spare)
+        {
+            orders.push_back({value.name, name, cheap, true});
+        }
     }
     return orders;
 }
--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -28,7 +28,7 @@
     digest_scope scope = digest_scope::vm;
     std::string  vm; // the sender
     std::string  data_centre;
-    server_loads loads;
+    vm_work      work;
 
     bool operator==(load_digest const&) const = default;
 };
@@ -61,14 +61,16 @@
         }
         if (digest.scope == digest_scope::fleet)
         {
-            subtract(digest.loads, told_before_);
+            // A sum over all VMs holds this VM's work as it was told about two digests
+            // ago.
+            digest.work.take_off(told_before_);
         }
-        peers_.absorb(key, std::move(digest.loads), now);
+        peers_.absorb(key, std::move(digest.work), now);
         return true;
     }
 
     /// Digests to be sent now; `own` is the work of this VM.
-    std::vector<load_digest> digests(server_loads const& own, boot_clock::time_point now)
+    std::vector<load_digest> digests(vm_work const& own, boot_clock::time_point now)
     {
         peers_.expire(now);
         told_before_ = std::exchange(told_, own);
@@ -76,15 +78,21 @@
         if (plan_.relay)
         {
             auto centre = own;
-            add(centre, peers_.sum(vm_key, now));
+            centre.add(peers_.sum(vm_key, now));
             auto fleet = centre;
-            add(fleet, peers_.sum(centre_key, now));
+            fleet.add(peers_.sum(centre_key, now));
             result.push_back({digest_scope::centre, vm_, centre_, std::move(centre)});
             result.push_back({digest_scope::fleet, vm_, centre_, std::move(fleet)});
         }
         return result;
     }
 
+    /// What callers ask of a service at all others, as far as heard lately.
+    work_demand demand(std::string const& service, boot_clock::time_point now) const
+    {
+        return peers_.demand(service, now);
+    }
+
     /// Work of all others at one server, as far as heard lately.
     server_load at(std::string const& server, boot_clock::time_point now) const
     {
@@ -120,33 +128,12 @@
                    : "";
     }
 
-    static void add(server_loads& sum, server_loads const& other)
-    {
-        for (auto const& [server, load] : other)
-        {
-            sum[server].add(load);
-        }
-    }
-
-    /// A sum over all VMs holds this VM's work as it was told about two digests ago.
-    static void subtract(server_loads& sum, server_loads const& own)
-    {
-        for (auto const& [server, load] : own)
-        {
-            auto const found = sum.find(server);
-            if (found != sum.end())
-            {
-                found->second.take_off(load);
-            }
-        }
-    }
-
-    relay_plan   plan_;
-    std::string  vm_;
-    std::string  centre_;
-    peer_loads   peers_;
-    server_loads told_;
-    server_loads told_before_;
+    relay_plan  plan_;
+    std::string vm_;
+    std::string centre_;
+    peer_loads  peers_;
+    vm_work     told_;
+    vm_work     told_before_;
 };
 
 } // namespace marigoldcrank
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -1,13 +1,13 @@
 // What the other entry VMs have in work at each server, from their digests.
 //
-// Index: 1 server_load, 2 peer_loads_options, 3 peer_loads
+// Index: 1 server_load, 2 vm_work, 3 peer_loads_options, 4 peer_loads
 #ifndef MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 #define MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/work_meter.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -15,57 +15,74 @@
 namespace marigoldcrank
 {
 
-/// Ranks that are told apart, most urgent first; all further ones count as the last.
-constexpr std::size_t rank_count = 4;
-
-/// Where a rank is counted.
-constexpr std::size_t rank_index(std::int64_t rank)
-{
-    return static_cast<std::size_t>(std::clamp<std::int64_t>(rank, 0, rank_count - 1));
-}
-
-/// Calls in work at one server.
+/// Calls in work at one server. Engines read prompts in the order of their arrival,
+/// whatever their rank, so what is unread counts for all who come later.
 struct server_load
 {
-    std::int64_t                         running = 0;
-    std::array<std::int64_t, rank_count> prompt_backlog{}; // tokens not read yet, by rank
+    std::int64_t running = 0;
+    std::int64_t unread = 0; // tokens of prompts that are not read yet
 
     auto operator<=>(server_load const&) const = default;
 
-    /// Tokens that are read before a call of this rank gets its turn.
-    std::int64_t backlog_before(std::int64_t rank) const
+    void add(server_load const& other)
     {
-        std::int64_t sum = 0;
-        for (std::size_t at = 0; at <= rank_index(rank); ++at)
-        {
-            sum += prompt_backlog[at];
-        }
-        return sum;
+        running += other.running;
+        unread += other.unread;
     }
 
-    void add(server_load const& other)
+    /// Takes off a part of this sum that may be a little newer than the sum.
+    void take_off(server_load const& part)
     {
-        running += other.running;
-        for (std::size_t at = 0; at < rank_count; ++at)
+        running = std::max<std::int64_t>(running - part.running, 0);
+        unread = std::max<std::int64_t>(unread - part.unread, 0);
+    }
+};
+
+using server_loads = std::map<std::string, server_load>;
+using service_demands = std::map<std::string, work_demand>;
+
+/// What one or more VMs have in work at servers, and are asked for by callers.
+struct vm_work
+{
+    server_loads    loads;   // by server
+    service_demands demands; // by service
+
+    bool operator==(vm_work const&) const = default;
+
+    void add(vm_work const& other)
+    {
+        for (auto const& [server, load] : other.loads)
+        {
+            loads[server].add(load);
+        }
+        for (auto const& [service, demand] : other.demands)
         {
-            prompt_backlog[at] += other.prompt_backlog[at];
+            demands[service].add(demand);
         }
     }
 
     /// Takes off a part of this sum that may be a little newer than the sum.
-    void take_off(server_load const& part)
+    void take_off(vm_work const& part)
     {
-        running = std::max<std::int64_t>(running - part.running, 0);
-        for (std::size_t at = 0; at < rank_count; ++at)
+        for (auto const& [server, load] : part.loads)
         {
-            prompt_backlog[at] =
-                std::max<std::int64_t>(prompt_backlog[at] - part.prompt_backlog[at], 0);
+            auto const found = loads.find(server);
+            if (found != loads.end())
+            {
+                found->second.take_off(load);
+            }
+        }
+        for (auto const& [service, demand] : part.demands)
+        {
+            auto const found = demands.find(service);
+            if (found != demands.end())
+            {
+                found->second.take_off(demand);
+            }
         }
     }
 };
 
-using server_loads = std::map<std::string, server_load>;
-
 struct peer_loads_options
 {
     millis life{1000}; // 1000  ms; a peer that has been silent for longer is not counted
@@ -80,9 +97,9 @@
     explicit peer_loads(peer_loads_options options = {}) : options_(options) {}
 
     /// Takes a VM's newest digest.
-    void absorb(std::string const& vm, server_loads loads, boot_clock::time_point now)
+    void absorb(std::string const& vm, vm_work work, boot_clock::time_point now)
     {
-        peers_[vm] = {now, std::move(loads)};
+        peers_[vm] = {now, std::move(work)};
     }
 
     /// Work of all VMs heard of lately at one server.
@@ -91,8 +108,8 @@
         server_load sum;
         for (auto const& [vm, digest] : peers_)
         {
-            auto const found = digest.loads.find(server);
-            if (now - digest.heard <= options_.life && found != digest.loads.end())
+            auto const found = digest.work.loads.find(server);
+            if (now - digest.heard <= options_.life && found != digest.work.loads.end())
             {
                 sum.add(found->second);
             }
@@ -100,19 +117,30 @@
         return sum;
     }
 
-    /// Work at all servers of the peers whose names begin with `first`.
-    server_loads sum(char first, boot_clock::time_point now) const
+    /// What callers ask of a service at all VMs heard of lately.
+    work_demand demand(std::string const& service, boot_clock::time_point now) const
     {
-        server_loads result;
+        work_demand sum;
         for (auto const& [vm, digest] : peers_)
         {
-            if (vm.front() != first || now - digest.heard > options_.life)
+            auto const found = digest.work.demands.find(service);
+            if (now - digest.heard <= options_.life && found != digest.work.demands.end())
             {
-                continue;
+                sum.add(found->second);
             }
-            for (auto const& [server, load] : digest.loads)
+        }
+        return sum;
+    }
+
+    /// Work of the peers whose names begin with `first`.
+    vm_work sum(char first, boot_clock::time_point now) const
+    {
+        vm_work result;
+        for (auto const& [vm, digest] : peers_)
+        {
+            if (vm.front() == first && now - digest.heard <= options_.life)
             {
-                result[server].add(load);
+                result.add(digest.work);
             }
         }
         return result;
@@ -129,7 +157,7 @@
     struct heard_digest
     {
         boot_clock::time_point heard{};
-        server_loads           loads;
+        vm_work                work;
     };
 
     peer_loads_options                  options_;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -98,16 +98,15 @@
 class model_costs
 {
 public:
-    model_costs(std::string const& data_centre, std::int64_t rank,
-                placement_options const& options)
-        : data_centre_(data_centre), rank_(rank), options_(options)
+    model_costs(std::string const& data_centre, placement_options const& options)
+        : data_centre_(data_centre), options_(options)
     {
     }
 
     double waiting(candidate const& each) const
     {
         auto const streams = each.load.running * options_.stream_tokens;
-        return static_cast<double>(each.load.backlog_before(rank_) + streams);
+        return static_cast<double>(each.load.unread + streams);
     }
 
     double distance(candidate const& each) const
@@ -119,31 +118,28 @@
 
 private:
     std::string const&       data_centre_;
-    std::int64_t             rank_;
     placement_options const& options_;
 };
 
 std::int64_t backlog_at(std::vector<candidate> const& candidates,
-                        backend_server const* server, std::int64_t rank)
+                        backend_server const*         server)
 {
     auto const found =
         std::find_if(candidates.begin(), candidates.end(),
                      [&](candidate const& each) { return each.server == server; });
-    return found == candidates.end() ? 0 : found->load.backlog_before(rank);
+    return found == candidates.end() ? 0 : found->load.unread;
 }
 
-constexpr auto least_urgent = static_cast<std::int64_t>(rank_count);
-
 constexpr double unfit = std::numeric_limits<double>::infinity();
 
 } // namespace
 
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
-                                     caller_call const& call, std::int64_t rank,
+                                     caller_call const&            call,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options)
 {
-    model_costs const costs{data_centre, rank, options};
+    model_costs const costs{data_centre, options};
     auto const        shared = call.shared_part();
     auto const        all = static_cast<double>(call.prompt_tokens());
     auto const        own = static_cast<double>(call.own_tokens());
@@ -161,8 +157,8 @@
                     });
     auto const may_read = [&](candidate const& each)
     {
-        auto const tokens = static_cast<double>(each.load.backlog_before(least_urgent)) +
-                            unread(each, decode_home);
+        auto const tokens =
+            static_cast<double>(each.load.unread) + unread(each, decode_home);
         return each.server->role != engine_role::prefill &&
                (!some_read_only || tokens <= static_cast<double>(options.decode_reads));
     };
@@ -188,8 +184,8 @@
         return std::nullopt;
     }
     bool const sooner =
-        call.own_tokens() >= options.handover_tokens &&
-        first.cost + static_cast<double>(options.handover_tokens) < whole.cost;
+        call.own_tokens() >= options.handover_least &&
+        first.cost + static_cast<double>(options.handover_cost) < whole.cost;
     bool const  apart = whole.server == nullptr || sooner;
     auto const& chosen = apart ? first : whole;
     auto const* home = apart ? prefill_home : decode_home;
@@ -197,14 +193,14 @@
     return placement{.server = chosen.server,
                      .prefill_only = apart,
                      .unread = cached ? call.own_tokens() : call.prompt_tokens(),
-                     .ahead = backlog_at(candidates, chosen.server, rank)};
+                     .ahead = backlog_at(candidates, chosen.server)};
 }
 
 backend_server const* place_decode(std::vector<candidate> const& candidates,
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options)
 {
-    model_costs const costs{data_centre, least_urgent, options};
+    model_costs const costs{data_centre, options};
     return cheapest(candidates, ticket,
                     [&](candidate const& each)
                     {
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -33,10 +33,12 @@
     //       read only. Without this a swing to long prompts fills the decoding engines,
     //       and every stream on them stalls: they were given 34,000 tokens a second to
     //       read, of 27,000 that they can read when they do nothing else
-    std::int64_t decode_reads = 2500;
-    // 1000  tokens; handing a prompt over costs a call and a transfer, so a prompt with
-    //       fewer own tokens is read where it is decoded
-    std::int64_t handover_tokens = 1000;
+    std::int64_t decode_reads = 1500;
+    // 300   tokens; a prompt with fewer own ones is read where it is decoded
+    std::int64_t handover_least = 300;
+    // 800   tokens; what handing a prompt over costs: a call, a transfer, often a
+    //       connection. With less, short prompts are handed over between idle engines too
+    std::int64_t handover_cost = 800;
     // 60    tokens; a running stream slows an engine's step like so many tokens to read
     std::int64_t stream_tokens = 60;
     // 100   tokens; what a way between data centres costs in time and bytes
@@ -70,7 +72,7 @@
 
 /// The first engine for a model call; nothing if no engine can decode.
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
-                                     caller_call const& call, std::int64_t rank,
+                                     caller_call const&            call,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options);
 
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -12,7 +12,7 @@
                   role_split_options const& options)
 {
     auto const places = std::max(1.0, static_cast<double>(slots) * options.stream_share);
-    return {fleet.prefill_engines / options.prefill_load, fleet.streams / places};
+    return {fleet.prefill_engines() / options.prefill_load, fleet.streams / places};
 }
 
 std::int64_t wanted_prefill(std::int64_t engines, std::int64_t prefill,
@@ -30,7 +30,7 @@
     {
         best = load(count) < load(best) ? count : best;
     }
-    bool const overloaded = load(prefill) > 1;
+    bool const overloaded = load(prefill) > options.busy;
     bool const helps = load(best) < options.gain * load(prefill);
     return overloaded && helps ? best : prefill;
 }
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -26,6 +26,9 @@
     double stream_share = 0.25;
     // 0.6   of an engine's time; above it a queue for reading grows within a burst
     double prefill_load = 0.6;
+    // 0.5   of the comfortable load of the fuller role; below it no change is worth the
+    //       seconds that it takes an engine out for
+    double busy = 0.5;
     // 0.8   of the fuller role's load that must be left after a change: each takes an
     //       engine out for seconds, and a swing back would take it out again
     double gain = 0.8;
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -13,13 +13,34 @@
 namespace marigoldcrank
 {
 
-/// Engines kept busy, as far as this VM's calls tell; 0 while nothing is known.
+/// What callers ask of the engines of a service, as measured at one or more VMs.
 struct work_demand
 {
-    double prefill_engines = 0; // reading prompts all the time
-    double streams = 0;         // running at once, on engines that only decode
+    double prompt_rate = 0;   // tokens a second to be read by engines that only read
+    double prefill_speed = 0; // tokens a second, of one such engine; 0: not known yet
+    double streams = 0;       // running at once, on engines that only decode
 
     bool operator==(work_demand const&) const = default;
+
+    /// Engines that are kept busy reading; 0 while their speed isn't known.
+    double prefill_engines() const
+    {
+        return prefill_speed > 0 ? prompt_rate / prefill_speed : 0;
+    }
+
+    void add(work_demand const& other)
+    {
+        prompt_rate += other.prompt_rate;
+        prefill_speed = std::max(prefill_speed, other.prefill_speed);
+        streams += other.streams;
+    }
+
+    /// Takes off a part of this sum that may be a little newer than the sum.
+    void take_off(work_demand const& part)
+    {
+        prompt_rate = std::max(prompt_rate - part.prompt_rate, 0.0);
+        streams = std::max(streams - part.streams, 0.0);
+    }
 };
 
 /// Rates decay exponentially, so that a swing is seen within seconds. Speeds are the best
@@ -28,12 +49,11 @@
 class work_meter
 {
 public:
-    /// A prompt is about to be read; `tokens` that no cache is likely to hold. Short ones
-    /// are read where they are decoded and don't ask for engines that read.
+    /// A prompt is about to be read; `tokens` that no cache is likely to hold.
     void prompt(std::int64_t tokens, boot_clock::time_point now)
     {
         fade(now);
-        prompt_rate_ += tokens < least_tokens ? 0 : static_cast<double>(tokens) / decay_s;
+        prompt_rate_ += static_cast<double>(tokens) / decay_s;
     }
 
     /// An engine has read a prompt.
@@ -70,12 +90,14 @@
     work_demand demand(boot_clock::time_point now)
     {
         fade(now);
-        return {prefill_speed_ > 0 ? prompt_rate_ / prefill_speed_ : 0,
-                event_rate_ * best_gap_};
+        auto const known = share_known(now);
+        return {prompt_rate_ / known, prefill_speed_, event_rate_ / known * best_gap_};
     }
 
 private:
     static constexpr double decay_s = 8; // s; shorter than a swing, longer than a burst
+    // 2     s; a rate that was measured for less isn't extrapolated further
+    static constexpr double least_measured_s = 2;
     // Of a best value, with each new sample: some thousand samples, all of them slow, are
     // needed to believe in a slower engine. Faster forgetting takes a queue for slowness.
     static constexpr double       keep_best = 0.9998;
@@ -83,8 +105,19 @@
         1000;                                       // shorter reads are mostly overhead
     static constexpr std::int64_t least_events = 4; // fewer don't show a pace
 
+    /// A rate that decays is too low until it has been measured for a while: by so much.
+    double share_known(boot_clock::time_point now) const
+    {
+        auto const measured = std::chrono::duration<double>(now - began_).count();
+        return 1 - std::exp(-std::max(measured, least_measured_s) / decay_s);
+    }
+
     void fade(boot_clock::time_point now)
     {
+        if (began_ == boot_clock::time_point{})
+        {
+            began_ = now;
+        }
         auto const passed = std::chrono::duration<double>(now - seen_).count();
         auto const factor = std::exp(-std::max(passed, 0.0) / decay_s);
         prompt_rate_ *= factor;
@@ -92,6 +125,7 @@
         seen_ = now;
     }
 
+    boot_clock::time_point began_{};
     boot_clock::time_point seen_{};
     double                 prompt_rate_ = 0;   // tokens a second
     double                 event_rate_ = 0;    // events a second
--- a/src/serving/call_notes.cpp
+++ b/src/serving/call_notes.cpp
@@ -68,8 +68,11 @@
         .add("route", admitted.matched == nullptr ? "" : admitted.matched->name)
         .add("runs", end.runs)
         .add("fault", end.fault)
+        .add("server", end.server)
         .add("rules", version_of(admitted))
         .add("keys_age_ms", now - state_.view.read_sent)
+        .add("first_ms", end.pace.wait())
+        .add("pause_ms", end.pace.longest_pause())
         .add("took_ms", now - arrived_);
     state_.counters.observe("call_seconds", now - arrived_);
     state_.counters.add("calls_total", "outcome=\"" + std::string{end.outcome} + "\"");
--- a/src/serving/call_notes.hpp
+++ b/src/serving/call_notes.hpp
@@ -6,6 +6,7 @@
 
 #include "policy/send_account.hpp"
 #include "serving/call_admission.hpp"
+#include "serving/stream_pace.hpp"
 
 #include <cstdint>
 #include <string>
@@ -20,7 +21,9 @@
     std::string_view outcome; // one word
     unsigned         status = 0;
     std::int64_t     runs = 0;
-    std::string_view fault; // the last one before the end
+    std::string_view fault;  // the last one before the end
+    std::string_view server; // the last one that was to run it
+    stream_pace      pace;
 };
 
 /// What is known of a failed send.
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -16,6 +16,7 @@
 #include "serving/model_placing.hpp"
 #include "serving/own_reply.hpp"
 #include "serving/server_exchange.hpp"
+#include "serving/stream_pace.hpp"
 #include "serving/stream_relay.hpp"
 
 #include <set>
@@ -39,7 +40,7 @@
                 caller_call call)
         : state_(state), caller_(caller), request_(request), call_(std::move(call)),
           arrived_(boot_clock::now()), notes_(state, call_.id, arrived_),
-          placing_(state, call_, admitted_),
+          placing_(state, call_, admitted_), pace_(arrived_),
           keep_(request.keep_alive() && !state.draining),
           stream_(!keep_, knows_chunks(request))
     {
@@ -123,7 +124,7 @@
             }
             exchange   link{state_, *server};
             in_use     use{*this, link};
-            load_share share{state_, server->id, admitted_.rank, 0};
+            load_share share{state_, server->id, 0};
             notes_.sent(server->id, sends_.runs(), 0, admitted_);
             auto const fate = co_await run_at(link, {}, attempt_end());
             if (caller_.left())
@@ -260,7 +261,7 @@
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, admitted_.rank, placed.unread};
+        load_share share{state_, server.id, placed.unread};
         notes_.sent(server.id, sends_.runs(), placed.unread, admitted_);
         auto const until = placing_.reading_end(placed);
         auto const began = boot_clock::now();
@@ -294,7 +295,7 @@
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, admitted_.rank, unread};
+        load_share share{state_, server.id, unread};
         notes_.sent(server.id, sends_.runs(), unread, admitted_);
         auto const fate = co_await run_at(link, source, admitted_.deadline);
         if (caller_.left())
@@ -357,11 +358,15 @@
                                          bool whole)
     {
         bool const began = stream_.started();
+        auto const events = stream_.pieces();
         auto const out = stream_.take(link.head(), bytes, whole);
+        if (stream_.pieces() > events)
+        {
+            pace_.passed(boot_clock::now());
+        }
         if (stream_.started() && !began)
         {
-            first_event_ = boot_clock::now();
-            state_.counters.observe("first_event_seconds", first_event_ - arrived_);
+            state_.counters.observe("first_event_seconds", pace_.wait());
             status_ = link.facts().status;
             count_usage();
         }
@@ -377,7 +382,8 @@
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
         state_.crashes.answered(admitted_.content, now);
-        placing_.stream_ended(stream_.pieces(), now - first_event_);
+        placing_.stream_ended(stream_.pieces(), now - pace_.first());
+        state_.counters.observe("longest_pause_seconds", pace_.longest_pause());
         end_ = "served";
         after_ = keep_ && knows_chunks(request_) ? link_after::keep : link_after::close;
     }
@@ -416,6 +422,7 @@
     run_at(exchange& link, std::string const& source, loop_time until)
     {
         sends_.begin();
+        last_server_ = link.server().id;
         auto message = onward(link.server());
         message.cache_source = source;
         return send_message(link, message, false, until);
@@ -657,7 +664,8 @@
             end_ = "caller_left";
             after_ = link_after::aborted;
         }
-        notes_.ended({end_, status_, sends_.runs(), last_fault_}, admitted_);
+        notes_.ended({end_, status_, sends_.runs(), last_fault_, last_server_, pace_},
+                     admitted_);
     }
 
     entry_state&           state_;
@@ -668,7 +676,7 @@
     call_notes             notes_;
     admitted_call          admitted_;
     model_placing          placing_;
-    boot_clock::time_point first_event_{};
+    stream_pace            pace_;
     bool                   keep_;
     stream_relay           stream_;
     send_account           sends_;
@@ -681,6 +689,7 @@
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
     std::string_view last_fault_ = "no_server";
+    std::string      last_server_; // that was to run the call
     std::string_view end_;
     unsigned         status_ = 0;
     exchange*        current_ = nullptr;
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -31,17 +31,22 @@
     message.set_vm(digest.vm);
     message.set_data_centre(digest.data_centre);
     message.set_scope(static_cast<std::uint32_t>(digest.scope));
-    for (auto const& [server, load] : digest.loads)
+    for (auto const& [server, load] : digest.work.loads)
     {
         auto* entry = message.add_servers();
         entry->set_server(server);
         entry->set_running(
             static_cast<std::uint64_t>(std::max<std::int64_t>(load.running, 0)));
-        for (auto const tokens : load.prompt_backlog)
-        {
-            entry->add_prompt_backlog(
-                static_cast<std::uint64_t>(std::max<std::int64_t>(tokens, 0)));
-        }
+        entry->set_unread(
+            static_cast<std::uint64_t>(std::max<std::int64_t>(load.unread, 0)));
+    }
+    for (auto const& [service, demand] : digest.work.demands)
+    {
+        auto* entry = message.add_demands();
+        entry->set_service(service);
+        entry->set_prompt_rate(demand.prompt_rate);
+        entry->set_prefill_speed(demand.prefill_speed);
+        entry->set_streams(demand.streams);
     }
     for (auto const& each : news)
     {
@@ -54,20 +59,22 @@
     return message;
 }
 
-server_loads loads_of(wire::load_digest const& message)
+vm_work work_of(wire::load_digest const& message)
 {
-    server_loads loads;
+    vm_work work;
     for (auto const& entry : message.servers())
     {
-        auto& load = loads[entry.server()];
-        load.running = static_cast<std::int64_t>(entry.running());
-        for (int rank = 0; rank < entry.prompt_backlog_size(); ++rank)
-        {
-            load.prompt_backlog[rank_index(rank)] +=
-                static_cast<std::int64_t>(entry.prompt_backlog(rank));
-        }
+        work.loads[entry.server()] = {
+            .running = static_cast<std::int64_t>(entry.running()),
+            .unread = static_cast<std::int64_t>(entry.unread())};
+    }
+    for (auto const& entry : message.demands())
+    {
+        work.demands[entry.service()] = {.prompt_rate = entry.prompt_rate(),
+                                         .prefill_speed = entry.prefill_speed(),
+                                         .streams = entry.streams()};
     }
-    return loads;
+    return work;
 }
 
 std::vector<crash_news> news_of(wire::load_digest const& message)
@@ -105,7 +112,7 @@
         if (read && message.scope() <= last)
         {
             load_digest digest{static_cast<digest_scope>(message.scope()), message.vm(),
-                               message.data_centre(), loads_of(message)};
+                               message.data_centre(), work_of(message)};
             told(std::move(digest), news_of(message));
         }
     }
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -313,8 +313,7 @@
         }
         for (auto window = first; window <= last; ++window)
         {
-            auto counts = sum_.of(window);
-            scale_by(window, counts);
+            auto       counts = sum_.of(window);
             bool const late = now - (window + 1) * length >= times_.seal_at_last.count();
             bool const due = late || sum_.complete(window);
             bool const sealed = log_.sealed().count(window) > 0;
@@ -333,17 +332,6 @@
         return seals;
     }
 
-    /// This VM's measures stand for the fleet's in proportion of the calls in a window.
-    void scale_by(std::int64_t window, usage_counts const& counts)
-    {
-        auto const own = state_.usage.handed_over(window);
-        auto const all = total(counts);
-        if (own > 0 && all >= own)
-        {
-            fleet_.scale(static_cast<double>(all) / static_cast<double>(own));
-        }
-    }
-
     static std::int64_t total(usage_counts const& counts)
     {
         std::int64_t sum = 0;
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -83,6 +83,23 @@
     return result;
 }
 
+vm_work entry_state::own_work(boot_clock::time_point now)
+{
+    vm_work work{.loads = loads};
+    for (auto& [service, meter] : meters)
+    {
+        work.demands[service] = meter.demand(now);
+    }
+    return work;
+}
+
+work_demand entry_state::demand(std::string const& service, boot_clock::time_point now)
+{
+    auto sum = peers.demand(service, now);
+    sum.add(meters[service].demand(now));
+    return sum;
+}
+
 retry_budget& entry_state::budget(std::string const& service)
 {
     auto const vms =
@@ -118,14 +135,12 @@
     return random_();
 }
 
-load_share::load_share(entry_state& state, std::string server, std::int64_t rank,
-                       std::int64_t prompt_tokens)
-    : state_(state), server_(std::move(server)), rank_(rank_index(rank)),
-      tokens_(prompt_tokens)
+load_share::load_share(entry_state& state, std::string server, std::int64_t prompt_tokens)
+    : state_(state), server_(std::move(server)), tokens_(prompt_tokens)
 {
     auto& load = state_.loads[server_];
     ++load.running;
-    load.prompt_backlog[rank_] += tokens_;
+    load.unread += tokens_;
 }
 
 load_share::~load_share()
@@ -140,7 +155,7 @@
 
 void load_share::prompt_read()
 {
-    state_.loads[server_].prompt_backlog[rank_] -= tokens_;
+    state_.loads[server_].unread -= tokens_;
     tokens_ = 0;
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -56,6 +56,12 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
+    /// What this VM has in work and is asked for.
+    vm_work own_work(boot_clock::time_point now);
+
+    /// What callers ask of a service at all VMs.
+    work_demand demand(std::string const& service, boot_clock::time_point now);
+
     /// The bucket of retries for a service, this VM's share of it.
     retry_budget& budget(std::string const& service);
 
@@ -100,8 +106,7 @@
 class load_share
 {
 public:
-    load_share(entry_state& state, std::string server, std::int64_t rank,
-               std::int64_t prompt_tokens);
+    load_share(entry_state& state, std::string server, std::int64_t prompt_tokens);
     ~load_share();
     load_share(load_share const&) = delete;
     load_share& operator=(load_share const&) = delete;
@@ -112,7 +117,6 @@
 private:
     entry_state& state_;
     std::string  server_;
-    std::size_t  rank_;
     std::int64_t tokens_;
 };
 
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -39,12 +39,6 @@
         co_await send_role_orders();
     }
 
-    /// This VM's measures stand for so many times as much over all VMs.
-    void scale(double times)
-    {
-        scale_ = times;
-    }
-
     /// Announces of changes that no record tells of yet.
     std::vector<duty_record> announcements()
     {
@@ -106,30 +100,32 @@
     boost::asio::awaitable<void> order_servers()
     {
         auto const rules = state_.view.rules;
-        auto const now = boot_clock::now();
         if (!rules)
         {
             co_return;
         }
         for (auto const& value : rules->services())
         {
-            for (auto const& [data_centre, present] :
-                 count_fleet(value.name, state_.servers.servers()))
-            {
-                auto& fleet = fleets_[{value.name, data_centre}];
-                fleet.present = present;
-                fleet.bought = std::max(fleet.bought, present.full);
-                co_await send_server_orders(
-                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
-                // A refusal of cheap servers decides on those of full price at once.
-                co_await send_server_orders(
-                    plan_fleet(value, data_centre, fleet, now, fleet_options{}));
-            }
+            auto& fleet = fleets_[value.name];
+            fleet.count(count_fleet(value.name, state_.servers.servers()));
+            fleet.want(wanted_servers(value), boot_clock::now());
+            co_await send_server_orders(value);
+            // A refusal of cheap servers decides on those of full price at once.
+            co_await send_server_orders(value);
         }
     }
 
-    boost::asio::awaitable<void> send_server_orders(std::vector<server_order> orders)
+    /// Servers of a service that carry what callers ask; 0 if that isn't known.
+    std::int64_t wanted_servers(service const& value)
     {
+        return value.has_engines ? servers_for(need_of(value, split_engines(value.name)))
+                                 : 0;
+    }
+
+    boost::asio::awaitable<void> send_server_orders(service const& value)
+    {
+        auto&      fleet = fleets_[value.name];
+        auto const orders = plan_fleet(value, fleet, boot_clock::now(), fleet_options{});
         for (auto const& order : orders)
         {
             auto const sender =
@@ -147,18 +143,23 @@
             last = {order.count, boot_clock::now()};
             auto const outcome = co_await duties_.order_servers(*sender, order);
             auto const now = boot_clock::now();
-            auto&      fleet = fleets_[{order.service, order.data_centre}];
+            auto&      centre = fleet.centres[order.data_centre];
             if (order.cheap && outcome == duty_outcome::refused)
             {
-                fleet.refused = now;
+                centre.refused = now;
+            }
+            if (order.cheap && outcome == duty_outcome::accepted)
+            {
+                centre.refused = boot_clock::time_point{};
             }
             state_.log.write(event_line{"server_order"}
                                  .add("service", order.service)
                                  .add("data_centre", order.data_centre)
                                  .add("cheap", order.cheap ? 1 : 0)
                                  .add("count", order.count)
-                                 .add("full_present", fleet.present.full)
-                                 .add("cheap_present", fleet.present.cheap)
+                                 .add("full_present", centre.present.full)
+                                 .add("cheap_present", centre.present.cheap)
+                                 .add("wanted", fleet.wanted)
                                  .add("epoch", static_cast<std::int64_t>(sender->epoch))
                                  .add("outcome", static_cast<std::int64_t>(outcome)),
                              now);
@@ -184,17 +185,10 @@
 
     void plan_roles_of(service const& value)
     {
-        auto const now = boot_clock::now();
-        auto const engines = split_engines(value.name);
-        if (engines.empty() || scale_ == 0)
-        {
-            return;
-        }
-        auto demand = state_.meters[value.name].demand(now);
-        demand.prefill_engines *= scale_;
-        demand.streams *= scale_;
+        auto const               now = boot_clock::now();
+        auto const               engines = split_engines(value.name);
         role_split_options const options;
-        auto const need = need_of(demand, engines.front().server->slots, options);
+        auto const               need = need_of(value, engines);
         for (auto const* engine : plan_role_changes(engines, need, now, options))
         {
             auto const role = engine->role == engine_role::prefill ? engine_role::decode
@@ -210,6 +204,18 @@
         }
     }
 
+    /// What callers ask of a service at all VMs, in engines.
+    role_need need_of(service const& value, std::vector<split_engine> const& engines)
+    {
+        if (engines.empty())
+        {
+            return {};
+        }
+        auto const demand = state_.demand(value.name, boot_clock::now());
+        return marigoldcrank::need_of(demand, engines.front().server->slots,
+                                      role_split_options{});
+    }
+
     /// Orders whose announcement all VMs have had time to read.
     boost::asio::awaitable<void> send_role_orders()
     {
@@ -292,9 +298,8 @@
     duty_log const&                                                  log_;
     duty_times                                                       times_;
     std::map<std::tuple<std::string, std::string, bool>, last_order> orders_;
-    std::map<std::pair<std::string, std::string>, fleet_state> fleets_; // service, centre
-    std::map<std::string, role_change>                         role_changes_; // by engine
-    double scale_ = 0; // 0: not known yet
+    std::map<std::string, fleet_state> fleets_;       // by service
+    std::map<std::string, role_change> role_changes_; // by engine
     // A call of this pass got no answer: the lease must not run out over further ones.
     bool silent_ = false;
 };
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -38,7 +38,8 @@
 
 void model_placing::count_demand(boot_clock::time_point arrived)
 {
-    if (reads_prompt())
+    // Short prompts are read where they are decoded.
+    if (reads_prompt() && call_.own_tokens() >= placement_options{}.handover_least)
     {
         meter().prompt(call_.own_tokens(), arrived);
     }
@@ -50,7 +51,7 @@
     auto const& centre = state_.settings.data_centre;
     if (reads_prompt() && apart)
     {
-        return place_model(candidates, call_, admitted_.rank, centre, state_.ticket(),
+        return place_model(candidates, call_, centre, state_.ticket(),
                            placement_options{});
     }
     auto const* server = reads_prompt()
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -41,7 +41,7 @@
     follow(vms);
     auto const now = boot_clock::now();
     auto const news = state_.crashes.news(now);
-    for (auto const& digest : state_.peers.digests(state_.loads, now))
+    for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
     {
         digests_.publish(digest, news);
     }
--- /dev/null
+++ b/src/serving/stream_pace.hpp
@@ -0,0 +1,76 @@
+// How an answer came along: its first event and the longest pause after it.
+//
+// Index: stream_pace
+#ifndef MARIGOLDCRANK_SERVING_STREAM_PACE_HPP
+#define MARIGOLDCRANK_SERVING_STREAM_PACE_HPP
+
+#include "domain/boot_clock.hpp"
+#include "domain/serving_rules.hpp"
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+/// Pure; time is passed in. Shows which answers were late, and on what: the wait for the
+/// first event (reading, queues) or a pause in between (a server that does other work).
+class stream_pace
+{
+public:
+    explicit stream_pace(boot_clock::time_point arrived) : arrived_(arrived) {}
+
+    /// Events were passed on now.
+    void passed(boot_clock::time_point now)
+    {
+        if (!started())
+        {
+            first_ = now;
+        }
+        else
+        {
+            pause_ = std::max(pause_, now - last_);
+        }
+        last_ = now;
+    }
+
+    bool started() const noexcept
+    {
+        return first_ != boot_clock::time_point{};
+    }
+
+    /// When the first event was passed on; epoch: none was.
+    boot_clock::time_point first() const noexcept
+    {
+        return first_;
+    }
+
+    /// From the call's arrival to its first event; 0 if there was none.
+    boot_clock::duration wait() const noexcept
+    {
+        return started() ? first_ - arrived_ : boot_clock::duration::zero();
+    }
+
+    boot_clock::duration longest_pause() const noexcept
+    {
+        return pause_;
+    }
+
+    /// Whether the route's caller was promised more.
+    bool late(route const& terms) const noexcept
+    {
+        bool const waited = terms.objective.count() > 0 && wait() > terms.objective;
+        bool const paused =
+            terms.event_gap.count() > 0 && longest_pause() > terms.event_gap;
+        return waited || paused;
+    }
+
+private:
+    boot_clock::time_point arrived_;
+    boot_clock::time_point first_{};
+    boot_clock::time_point last_{};
+    boot_clock::duration   pause_{};
+};
+
+} // namespace marigoldcrank
+
+#endif
