--- a/bench/entry_soak/soak_callers.cpp
+++ b/bench/entry_soak/soak_callers.cpp
@@ -64,10 +64,12 @@
     auto const    key = draw / 8 % 3 == 0 ? "key-south" : "key-north";
     constexpr int deadline_ms = 4000;
     ledger_.asked(id, kind, key);
-    caller.send(tests::make_request({.path = std::string{kind.path} + "x",
-                                     .id = id,
-                                     .key = key,
-                                     .deadline_ms = deadline_ms}));
+    caller.send(tests::make_request(
+        {.path = std::string{kind.path} + "x",
+         .id = id,
+         .key = key,
+         .body = id, // alike calls may be taken for one that crashes servers
+         .deadline_ms = deadline_ms}));
     auto const answer = caller.read(deadline_ms);
     ledger_.answered(id, answer);
     bool const cut = answer.status != 0 && !answer.whole;
--- a/src/policy/retry_gate.hpp
+++ b/src/policy/retry_gate.hpp
@@ -50,6 +50,15 @@
         pause_ = options_.first;
     }
 
+    /// Whether a VM that asks relays has to wait before it reads the store in their
+    /// place. Only if the store is away for the relays as well: a VM that was cut off
+    /// alone must be back at once, before it sends calls to servers that have left
+    /// meanwhile.
+    bool holds_back(bool relays_lost_store, boot_clock::time_point now) const noexcept
+    {
+        return relays_lost_store && !open(now);
+    }
+
 private:
     retry_gate_options     options_;
     millis                 pause_;
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -66,6 +66,8 @@
     static constexpr millis drain_look{50};
     // 300   ms of the grace are left for the last answers to be taken
     static constexpr millis drain_reserve{300};
+    // 100   ms of the grace are left to exit
+    static constexpr millis exit_reserve{100};
 
     void spawn(boost::asio::awaitable<void> work)
     {
@@ -201,13 +203,32 @@
             end_idle_links();
             co_await loop_sleep(drain_look);
         }
-        co_await worker_.hand_over_all();
+        co_await hand_over_until(began + state_.settings.grace - exit_reserve);
         state_.log.write(event_line{"stopped"}
                              .add("calls", state_.calls_in_work)
                              .add("took_ms", boot_clock::now() - began),
                          boot_clock::now());
     }
 
+    /// Failure guarded against: a silent store takes seconds for an append, and the
+    /// process would be killed at the end of its grace. What isn't handed over by then
+    /// has been told in digests.
+    boost::asio::awaitable<void> hand_over_until(boot_clock::time_point until)
+    {
+        auto const done = std::make_shared<bool>(false);
+        spawn(hand_over(done));
+        while (!*done && boot_clock::now() < until)
+        {
+            co_await loop_sleep(drain_look);
+        }
+    }
+
+    boost::asio::awaitable<void> hand_over(std::shared_ptr<bool> done)
+    {
+        co_await worker_.hand_over_all();
+        *done = true;
+    }
+
     /// Closing our side first lets a request that crosses it be told apart by its sender.
     void end_idle_links()
     {
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -239,9 +239,10 @@
     std::vector<relay_peer>                            relays;
     std::map<std::uint64_t, std::shared_ptr<open_ask>> open;
     std::uint64_t                                      number = 0;
-    std::map<std::string, topic_mirror>                mirrors;
-    std::list<parked_ask>                              waiting;
-    watched_socket                                     server;
+    bool stale = false; // the last relay that was asked has lost the store
+    std::map<std::string, topic_mirror> mirrors;
+    std::list<parked_ask>               waiting;
+    watched_socket                      server;
 };
 
 // 3. record_link
@@ -287,6 +288,11 @@
     return state_->next_relay(boot_clock::now()) != nullptr;
 }
 
+bool record_link::relays_lost_store() const
+{
+    return state_->stale;
+}
+
 asio::awaitable<std::optional<log_chunk>> record_link::ask(records_query query)
 {
     auto* const relay = state_->next_relay(boot_clock::now());
@@ -308,12 +314,13 @@
     boost::system::error_code error; // cancelled by the answer, or over
     co_await open->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     state_->open.erase(number);
+    state_->stale = open->answer && millis{open->answer->age_ms()} > oldest;
     if (!open->answer)
     {
         state_->shun_silent(address);
         co_return std::nullopt;
     }
-    if (millis{open->answer->age_ms()} > oldest)
+    if (state_->stale)
     {
         state_->shun_stale(address);
         co_return std::nullopt;
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -57,6 +57,10 @@
     /// True while other VMs are asked.
     bool relayed() const;
 
+    /// Whether the relay asked last has answered, and has itself lost the store: it is
+    /// away for more VMs than this one. False if the relay is silent.
+    bool relays_lost_store() const;
+
     /// The answer of the first relay that isn't left alone; nothing if the store is to be
     /// read. One relay is tried at a time: trying several would let knowledge get old.
     boost::asio::awaitable<std::optional<log_chunk>> ask(records_query query);
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -67,8 +67,9 @@
         }
         auto const sent = boot_clock::now();
         auto&      gate = gates_[topic];
-        bool const member = link_ != nullptr && link_->has_relays();
-        if (member && !gate.open(sent))
+        bool const lost =
+            link_ != nullptr && link_->has_relays() && link_->relays_lost_store();
+        if (gate.holds_back(lost, sent))
         {
             co_return store_failure{store_fault::unreachable, 0};
         }
--- a/tests/platform/beliefs_test.cpp
+++ b/tests/platform/beliefs_test.cpp
@@ -179,6 +179,31 @@
     EXPECT_EQ(world.daemon().wait(9000), 0);
 }
 
+// A VM is stopped while the store is silent and a call never ends. Handing over the
+// counts of usage then takes seconds beyond the grace, and the process would be killed.
+TEST(platform_beliefs, planned_stop_ends_within_the_grace_while_the_store_is_silent)
+{
+    entry_world world({.bounds = "grace_s = 4\n"});
+    world.server(0).always(
+        [](wire_request const&, wire_connection& connection)
+        { return eventually([&] { return connection.closed_by_peer(); }); });
+    world.server(1).always(
+        [](wire_request const&, wire_connection& connection)
+        { return eventually([&] { return connection.closed_by_peer(); }); });
+    raw_caller caller(world.callers_port());
+    caller.send(make_request({.path = "/stream/x", .deadline_ms = 20000}));
+    std::this_thread::sleep_for(milliseconds{200});
+    world.store().trouble(store_trouble::silent);
+    world.daemon().signal(SIGTERM);
+    EXPECT_GE(world.daemon().wait(15000), 0);
+    auto const output = world.output();
+    auto const line = output.find("ev=stopped");
+    ASSERT_NE(line, std::string::npos);
+    auto const took = output.find("took_ms=", line);
+    EXPECT_LT(std::stoi(output.substr(took + 8)), 4500);
+    caller.close();
+}
+
 // 4. Duties
 
 std::vector<duty_call> reports_of(entry_world const& world)
--- a/tests/unit/retry_gate_test.cpp
+++ b/tests/unit/retry_gate_test.cpp
@@ -39,5 +39,20 @@
     EXPECT_TRUE(gate.open(now));
 }
 
+// A VM is cut off from the store and from its relays, and a server leaves meanwhile. Back
+// again, it has to learn of that before it counts as in touch: held back for two seconds
+// more, it sent calls there 13 s after the notice.
+TEST(retry_gate, a_vm_that_was_cut_off_alone_is_not_held_back)
+{
+    retry_gate             gate;
+    boot_clock::time_point now{std::chrono::hours{1}};
+    for (int failure = 0; failure < 5; ++failure)
+    {
+        gate.failed(now);
+    }
+    EXPECT_FALSE(gate.holds_back(false, now));
+    EXPECT_TRUE(gate.holds_back(true, now));
+}
+
 } // namespace
 } // namespace marigoldcrank
