Renewals name the later windows that are reported, so that a lost seal is never sealed anew

Cause (reading the change): since windows are sealed as they are complete, the mark of reported windows may stay behind one that is reported. Its holder dies, its seal is dropped from the history: a successor would seal it again, maybe with another figure.

--- a/src/ledger/duty_log.cpp
+++ b/src/ledger/duty_log.cpp
@@ -26,6 +26,10 @@
     {
         document["counts"] = value.counts;
     }
+    if (value.kind == duty_kind::renew)
+    {
+        document["later"] = value.later;
+    }
     if (value.kind == duty_kind::change)
     {
         document["server"] = value.server;
@@ -57,6 +61,10 @@
         {
             record.counts = document.at("counts").get<usage_counts>();
         }
+        if (record.kind == duty_kind::renew)
+        {
+            record.later = document.value("later", std::set<std::int64_t>{});
+        }
         if (record.kind == duty_kind::change)
         {
             record.server = document.at("server").get<std::string>();
@@ -115,6 +123,7 @@
     if (record.kind == duty_kind::renew)
     {
         reported_ = std::max(reported_, record.window);
+        later_ = record.later;
     }
     while (sealed_.size() > most_windows)
     {
@@ -184,7 +193,12 @@
     return sealed_;
 }
 
-std::int64_t duty_log::reported() const noexcept
+bool duty_log::reported(std::int64_t window) const
+{
+    return window <= reported_ || later_.count(window) > 0;
+}
+
+std::int64_t duty_log::reported_up_to() const noexcept
 {
     return reported_;
 }
--- a/src/ledger/duty_log.hpp
+++ b/src/ledger/duty_log.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -44,8 +45,9 @@
     std::uint64_t number = 0; // counts the holder's appends; tells its own ones apart
     std::int64_t  window = 0; // seal: the window. renew: the last window that is reported
     usage_counts  counts;     // seal
-    std::string   server;     // change: the engine
-    bool          prefill = false; // change: it is to read prompts; else it is to decode
+    std::set<std::int64_t> later;  // renew: windows after `window` that are reported too
+    std::string            server; // change: the engine
+    bool prefill = false;          // change: it is to read prompts; else it is to decode
 
     bool operator==(duty_record const&) const = default;
 };
@@ -107,7 +109,12 @@
     std::map<std::string, announced_change> const& changing() const noexcept;
 
     std::map<std::int64_t, usage_counts> const& sealed() const noexcept;
-    std::int64_t                                reported() const noexcept;
+
+    /// Whether this window is reported, as far as the records tell.
+    bool reported(std::int64_t window) const;
+
+    /// All windows up to this one are.
+    std::int64_t reported_up_to() const noexcept;
 
 private:
     static constexpr std::size_t most_windows = 64; // far more than are ever due at once
@@ -124,7 +131,8 @@
     boot_clock::time_point                          valid_until_{};
     std::map<std::int64_t, usage_counts>            sealed_;
     std::map<std::string, announced_change>         changing_;
-    std::int64_t                                    reported_ = 0;
+    std::int64_t                                    reported_ = 0; // all up to this one
+    std::set<std::int64_t>                          later_;        // reported after it
 };
 
 } // namespace marigoldcrank
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -29,7 +29,7 @@
     //       were read again in a day of 13 million, 1.4 million are left (mean of six
     //       days)
     double read_again = 5;
-    // 2500  tokens; most that may wait to be read at an engine that decodes, while others
+    // 1500  tokens; most that may wait to be read at an engine that decodes, while others
     //       read only. Without this a swing to long prompts fills the decoding engines,
     //       and every stream on them stalls: they were given 34,000 tokens a second to
     //       read, of 27,000 that they can read when they do nothing else
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -199,8 +199,10 @@
         {
             co_return; // the lease runs out, and another VM takes over
         }
-        std::vector<duty_record> records{duty_record{
-            .kind = duty_kind::renew, .holder = state_.incarnation, .window = reported_}};
+        std::vector<duty_record> records{duty_record{.kind = duty_kind::renew,
+                                                     .holder = state_.incarnation,
+                                                     .window = reported_,
+                                                     .later = done_}};
         for (auto& seal : due_seals())
         {
             records.push_back(std::move(seal));
@@ -339,8 +341,9 @@
             auto       counts = state_.usage_known.of(window);
             bool const late = now - (window + 1) * length >= times_.seal_at_last.count();
             bool const due = late || state_.usage_known.complete(window);
-            bool const sealed = log_.sealed().count(window) > 0 ||
-                                window <= std::max(reported_, log_.reported());
+            // A seal can be lost from the history; reports of this VM, and those that the
+            // newest renewal tells of, can't. Two figures must not be reported.
+            bool const sealed = log_.sealed().count(window) > 0 || done(window);
             bool const known = state_.usage_known.known(window);
             // Also without a single call: a window that isn't reported is missing.
             if (due && known && !sealed)
@@ -368,11 +371,11 @@
 
     boost::asio::awaitable<void> report_sealed()
     {
-        reported_ = std::max(reported_, log_.reported());
+        reported_ = std::max(reported_, log_.reported_up_to());
         std::vector<std::pair<std::int64_t, usage_counts>> due;
         for (auto const& [window, counts] : log_.sealed())
         {
-            if (window > reported_ && done_.count(window) == 0)
+            if (!done(window))
             {
                 due.emplace_back(window, counts);
             }
@@ -396,6 +399,12 @@
         advance_mark();
     }
 
+    /// Whether a window was reported, by this VM or by the holder before it.
+    bool done(std::int64_t window) const
+    {
+        return window <= reported_ || done_.count(window) > 0 || log_.reported(window);
+    }
+
     /// The mark that a successor goes by: all windows up to it are reported. One that
     /// still waits for counts holds it back, but not the reports of later ones.
     void advance_mark()
@@ -407,7 +416,7 @@
             auto const next = *done_.begin();
             for (auto window = std::max(reported_ + 1, oldest); window < next; ++window)
             {
-                if (state_.usage_known.known(window))
+                if (state_.usage_known.known(window) && !done(window))
                 {
                     return;
                 }
--- a/tests/property/duty_log_property_test.cpp
+++ b/tests/property/duty_log_property_test.cpp
@@ -212,6 +212,10 @@
         {
             record.counts = {{name, 3}};
         }
+        if (kind == duty_kind::renew)
+        {
+            record.later = {window + 2, window + 5};
+        }
         if (kind == duty_kind::change)
         {
             record.server = name;
@@ -239,6 +243,22 @@
     EXPECT_EQ(log.sealed().at(4).at("w"), 1);
 }
 
+// A window was reported while an earlier one still waited for counts. Then the holder
+// dies and its seal is lost from the history: a successor that seals the window anew
+// would report it with another figure. The newest renewal tells that it is done.
+TEST(duty_log, later_windows_that_are_reported_are_known_without_their_seals)
+{
+    duty_log               log("b", {lease, margin}, {});
+    boot_clock::time_point now{std::chrono::seconds{9}};
+    log.skip(6, now); // the seal of window 7 among them
+    log.absorb({.kind = duty_kind::renew, .holder = "a", .window = 5, .later = {7}}, 7,
+               now);
+    EXPECT_TRUE(log.reported(5));
+    EXPECT_FALSE(log.reported(6));
+    EXPECT_TRUE(log.reported(7));
+    EXPECT_EQ(log.reported_up_to(), 5);
+}
+
 RC_GTEST_PROP(usage_sum, order_and_repeats_change_nothing, ())
 {
     usage_counter             counter("vm", {}, millis{1000});
