--- a/bench/entry_soak/soak_troubles.cpp
+++ b/bench/entry_soak/soak_troubles.cpp
@@ -21,6 +21,61 @@
 constexpr milliseconds key_grace{5000};
 constexpr int          stop_ms = 12000; // a daemon drains for eight seconds at most
 
+struct store_spoil
+{
+    char const*          name;
+    tests::store_trouble kind;
+};
+
+constexpr std::array<store_spoil, 4> store_spoils{
+    {{"store-silent", tests::store_trouble::silent},
+     {"store-refuses", tests::store_trouble::refusing},
+     {"store-loses", tests::store_trouble::losing},
+     {"store-forgets", tests::store_trouble::forgetting}}};
+
+} // namespace
+
+/// What is done to the connections through one relay, and how it ends.
+struct relay_spoil
+{
+    char const* at_store;
+    char const* at_server;
+    void (*on)(tests::tcp_relay&);
+    void (*off)(tests::tcp_relay&);
+};
+
+namespace
+{
+
+constexpr std::array<relay_spoil, 5> relay_spoils{
+    {{"store-delay", "server-delay",
+      [](tests::tcp_relay& relay) { relay.delay(milliseconds{400}); },
+      [](tests::tcp_relay& relay)
+      {
+          relay.delay(milliseconds{0});
+      }},
+     {"store-silence", "server-silence",
+      [](tests::tcp_relay& relay) { relay.silence_all(true); },
+      [](tests::tcp_relay& relay)
+      {
+          relay.silence_all(false);
+      }},
+     {"store-forgotten", "server-forgotten",
+      [](tests::tcp_relay& relay) { relay.silence_open(); },
+      [](tests::tcp_relay&) {
+      }},
+     {"store-one-way", "server-one-way",
+      [](tests::tcp_relay& relay) { relay.cut_one_way(true); },
+      [](tests::tcp_relay& relay)
+      {
+          relay.cut_one_way(false);
+      }},
+     {"store-cut", "server-cut", [](tests::tcp_relay& relay) { relay.cut(true); },
+      [](tests::tcp_relay& relay)
+      {
+          relay.cut(false);
+      }}}};
+
 } // namespace
 
 soak_troubles::soak_troubles(tests::entry_world& world, soak_ledger& ledger,
@@ -42,162 +97,76 @@
 
 std::vector<soak_troubles::trouble> soak_troubles::kinds()
 {
-    using tests::store_trouble;
-    auto const at_server = [this](auto on, auto off)
-    {
-        auto& relay = world_.server_relay(draw(servers));
-        on(relay);
-        return std::function<void()>{[&relay, off]
-                                     {
-                                         off(relay);
-                                     }};
-    };
-    auto const at_store = [this](auto on, auto off)
-    {
-        auto& relay = world_.store_relay(draw(daemons));
-        on(relay);
-        return std::function<void()>{[&relay, off]
-                                     {
-                                         off(relay);
-                                     }};
-    };
-    auto const delay = [](auto& relay)
-    {
-        relay.delay(milliseconds{400});
-    };
-    auto const no_delay = [](auto& relay)
-    {
-        relay.delay(milliseconds{0});
-    };
-    auto const silence = [](auto& relay)
+    std::vector<trouble> all{{"stop", true,
+                              [this]
+                              {
+                                  return stop_daemon();
+                              }},
+                             {"withdraw", true,
+                              [this]
+                              {
+                                  return withdraw_key();
+                              }},
+                             {"kill", false,
+                              [this]
+                              {
+                                  return kill_daemon();
+                              }},
+                             {"pause", false,
+                              [this]
+                              {
+                                  return pause_daemon();
+                              }},
+                             {"servers-crash", false,
+                              [this]
+                              {
+                                  return set(mood_.crashing);
+                              }},
+                             {"servers-full", false,
+                              [this]
+                              {
+                                  return set(mood_.full);
+                              }}};
+    for (auto const& spoil : store_spoils)
     {
-        relay.silence_all(true);
-    };
-    auto const no_silence = [](auto& relay)
-    {
-        relay.silence_all(false);
-    };
-    auto const forget = [](auto& relay)
-    {
-        relay.silence_open();
-    };
-    auto const cut = [](auto& relay)
-    {
-        relay.cut(true);
-    };
-    auto const no_cut = [](auto& relay)
+        all.push_back({spoil.name, false,
+                       [&]
+                       {
+                           return spoil_store(spoil.kind);
+                       }});
+    }
+    for (auto const& spoil : relay_spoils)
     {
-        relay.cut(false);
-    };
-    auto const one_way = [](auto& relay)
+        all.push_back({spoil.at_store, false,
+                       [&]
+                       {
+                           return spoil_relay(world_.store_relay(draw(daemons)), spoil);
+                       }});
+        all.push_back({spoil.at_server, false,
+                       [&]
+                       {
+                           return spoil_relay(world_.server_relay(draw(servers)), spoil);
+                       }});
+    }
+    return all;
+}
+
+std::function<void()> soak_troubles::set(std::atomic<bool>& mood)
+{
+    mood = true;
+    return [&mood]
     {
-        relay.cut_one_way(true);
+        mood = false;
     };
-    auto const both_ways = [](auto& relay)
+}
+
+std::function<void()> soak_troubles::spoil_relay(tests::tcp_relay&  relay,
+                                                 relay_spoil const& spoil)
+{
+    spoil.on(relay);
+    return [&relay, &spoil]
     {
-        relay.cut_one_way(false);
-    };
-    auto const nothing = [](auto&) {
-    };
-    return {
-        {"stop", true,
-         [this]
-         {
-             return stop_daemon();
-         }},
-        {"withdraw", true,
-         [this]
-         {
-             return withdraw_key();
-         }},
-        {"kill", false,
-         [this]
-         {
-             return kill_daemon();
-         }},
-        {"pause", false,
-         [this]
-         {
-             return pause_daemon();
-         }},
-        {"store-silent", false,
-         [this]
-         {
-             return spoil_store(store_trouble::silent);
-         }},
-        {"store-refuses", false,
-         [this]
-         {
-             return spoil_store(store_trouble::refusing);
-         }},
-        {"store-loses", false,
-         [this]
-         {
-             return spoil_store(store_trouble::losing);
-         }},
-        {"store-forgets", false,
-         [this]
-         {
-             return spoil_store(store_trouble::forgetting);
-         }},
-        {"store-delay", false,
-         [=]
-         {
-             return at_store(delay, no_delay);
-         }},
-        {"store-silence", false,
-         [=]
-         {
-             return at_store(silence, no_silence);
-         }},
-        {"store-one-way", false,
-         [=]
-         {
-             return at_store(one_way, both_ways);
-         }},
-        {"store-cut", false,
-         [=]
-         {
-             return at_store(cut, no_cut);
-         }},
-        {"server-delay", false,
-         [=]
-         {
-             return at_server(delay, no_delay);
-         }},
-        {"server-forgotten", false,
-         [=]
-         {
-             return at_server(forget, nothing);
-         }},
-        {"server-one-way", false,
-         [=]
-         {
-             return at_server(one_way, both_ways);
-         }},
-        {"server-cut", false,
-         [=]
-         {
-             return at_server(cut, no_cut);
-         }},
-        {"servers-crash", false,
-         [this]
-         {
-             mood_.crashing = true;
-             return std::function<void()>{[this]
-                                          {
-                                              mood_.crashing = false;
-                                          }};
-         }},
-        {"servers-full", false,
-         [this]
-         {
-             mood_.full = true;
-             return std::function<void()>{[this]
-                                          {
-                                              mood_.full = false;
-                                          }};
-         }},
+        spoil.off(relay);
     };
 }
 
--- a/bench/entry_soak/soak_troubles.hpp
+++ b/bench/entry_soak/soak_troubles.hpp
@@ -17,6 +17,8 @@
 namespace marigoldcrank::soak
 {
 
+struct relay_spoil;
+
 /// Runs in one thread. Everything is done from outside the daemons: by signals, at the
 /// relays, in the stand-ins.
 class soak_troubles
@@ -49,6 +51,8 @@
     std::function<void()> pause_daemon();
     std::function<void()> spoil_store(tests::store_trouble kind);
     std::function<void()> withdraw_key();
+    std::function<void()> set(std::atomic<bool>& mood);
+    std::function<void()> spoil_relay(tests::tcp_relay& relay, relay_spoil const& spoil);
 
     tests::entry_world&                                          world_;
     soak_ledger&                                                 ledger_;
