--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -30,9 +30,9 @@
     {
         best = load(count) < load(best) ? count : best;
     }
-    bool const overloaded = load(prefill) > options.busy;
+    bool const busy = load(prefill) > options.busy;
     bool const helps = load(best) < options.gain * load(prefill);
-    return overloaded && helps ? best : prefill;
+    return busy && helps ? best : prefill;
 }
 
 std::vector<backend_server const*>
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -62,7 +62,7 @@
                   role_split_options const& options);
 
 /// Engines that should read prompts, of `engines` that there are. Stays at `prefill`
-/// while neither role is overloaded or no change would help; both roles keep one engine.
+/// while neither role is busy or no change would help; both roles keep one engine.
 std::int64_t wanted_prefill(std::int64_t engines, std::int64_t prefill,
                             role_need const& need, role_split_options const& options);
 
