--- a/bench/entry_soak/soak_ledger.cpp
+++ b/bench/entry_soak/soak_ledger.cpp
@@ -67,7 +67,7 @@
     {
         violations_.push_back("not the whole answer to " + id + ": " + answer.body);
     }
-    if (good && answer.fields.count("instance-signature") == 0)
+    if (good && !tests::signed_by_server(answer))
     {
         violations_.push_back("an answer without its signature: " + id);
     }
--- a/bench/entry_soak/soak_servers.cpp
+++ b/bench/entry_soak/soak_servers.cpp
@@ -78,8 +78,7 @@
     auto const kind = class_of(request);
     if (mood.full)
     {
-        connection.send(
-            tests::wire_answer(503, "Not-Executed: 1\r\nRequest-Id: " + id + "\r\n", ""));
+        connection.send(server_standin::turned_away(request));
         return true;
     }
     ledger.ran(request);
--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -12,6 +12,11 @@
 namespace marigoldcrank::tests
 {
 
+bool signed_by_server(raw_answer const& answer)
+{
+    return answer.fields.count("instance-signature") > 0;
+}
+
 raw_caller::raw_caller(int port)
 {
     socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/platform/support/raw_caller.hpp
+++ b/tests/platform/support/raw_caller.hpp
@@ -1,6 +1,6 @@
 // A caller that sends raw bytes and says exactly what came back.
 //
-// Index: 1 raw_answer, 2 raw_caller, 3 make_request
+// Index: 1 raw_answer, 2 signed_by_server, 3 raw_caller, 4 make_request
 #ifndef MARIGOLDCRANK_TESTS_PLATFORM_RAW_CALLER_HPP
 #define MARIGOLDCRANK_TESTS_PLATFORM_RAW_CALLER_HPP
 
@@ -18,6 +18,9 @@
     std::string                        body;   // without chunk framing
 };
 
+/// Whether an answer bears the signature of a server.
+bool signed_by_server(raw_answer const& answer);
+
 class raw_caller
 {
 public:
--- a/tests/platform/support/server_standin.cpp
+++ b/tests/platform/support/server_standin.cpp
@@ -55,6 +55,13 @@
                        body);
 }
 
+std::string server_standin::turned_away(wire_request const& request)
+{
+    return wire_answer(
+        503, "Not-Executed: 1\r\nRequest-Id: " + request.field("request-id") + "\r\n",
+        "");
+}
+
 std::string server_standin::stream_head(wire_request const& request)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " +
--- a/tests/platform/support/server_standin.hpp
+++ b/tests/platform/support/server_standin.hpp
@@ -35,6 +35,9 @@
     static std::string served(wire_request const& request, std::string const& body,
                               int status = 200);
 
+    /// A server's word that it hasn't run the request.
+    static std::string turned_away(wire_request const& request);
+
     /// The head of a signed event stream in chunks.
     static std::string stream_head(wire_request const& request);
 
