--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -145,6 +145,9 @@
         time("bounds", "usage_due_s", per_second, &entry_settings::usage_due),
         count("bounds", "retry_ratio", per_cent, &entry_settings::retry_percent),
         count("bounds", "retry_slack", 1, &entry_settings::retry_slack),
+        flag("policy", "directory", &entry_settings::directory),
+        flag("policy", "fetch", &entry_settings::fetch),
+        flag("policy", "beside", &entry_settings::beside),
         count("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -64,6 +64,10 @@
     millis       usage_due{10000};   // 10000 a window is reported this long after its end
     std::int64_t retry_percent = 20; // 20   retries a hundred calls, over all VMs
     std::int64_t retry_slack = 58;   // 58   retries besides, over all VMs
+    // [policy]
+    bool directory = true; // true    calls go where their prompt's parts are cached
+    bool fetch = true;     // true    engines fetch cached parts from each other
+    bool beside = true;    // true    decoding engines read more where streams bear it
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400 most lines a second; more are counted
     std::int64_t log_sample = 8; // 8        one call in so many has all its lines written
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,4 +1,4 @@
-// Costs of candidates, in prompt tokens to be read before the call's first one.
+// Costs of candidates, in milliseconds until the call's prompt is read.
 //
 // Index: 1 shared, 2 plain, 3 model
 #include "policy/placement.hpp"
@@ -46,8 +46,8 @@
 
 struct choice
 {
-    backend_server const* server = nullptr;
-    double                cost = std::numeric_limits<double>::infinity();
+    candidate const* chosen = nullptr;
+    double           cost = std::numeric_limits<double>::infinity();
 };
 
 /// The cheapest candidate; the one that `ticket` points to is looked at first, so that
@@ -63,7 +63,7 @@
         auto const  value = cost(each);
         if (value < best.cost)
         {
-            best = {each.server, value};
+            best = {&each, value};
         }
     }
     return best;
@@ -78,15 +78,15 @@
 {
     constexpr double other_centre =
         1.5; // calls in work that a way to another one is worth
-    return cheapest(candidates, ticket,
-                    [&](candidate const& each)
-                    {
-                        return static_cast<double>(each.load.running) +
-                               (each.server->data_centre == data_centre ? 0
-                                                                        : other_centre) +
-                               (each.suspect ? suspect_cost : 0);
-                    })
-        .server;
+    auto const best =
+        cheapest(candidates, ticket,
+                 [&](candidate const& each)
+                 {
+                     bool const near = each.server->data_centre == data_centre;
+                     return static_cast<double>(each.load.running) +
+                            (near ? 0 : other_centre) + (each.suspect ? suspect_cost : 0);
+                 });
+    return best.chosen == nullptr ? nullptr : best.chosen->server;
 }
 
 // 3. Model
@@ -94,120 +94,173 @@
 namespace
 {
 
-/// Costs that all model placements share.
-class model_costs
+constexpr double unfit = std::numeric_limits<double>::infinity();
+
+bool reads_only(candidate const& each)
+{
+    return each.server->role == engine_role::prefill;
+}
+
+/// Ways of having one prompt read.
+class reading_costs
 {
 public:
-    model_costs(std::string const& data_centre, placement_options const& options)
-        : data_centre_(data_centre), options_(options)
+    reading_costs(std::vector<candidate> const& candidates, caller_call const& call,
+                  engine_costs const& engines, std::string const& data_centre,
+                  placement_options const& options)
+        : engines_(engines), data_centre_(data_centre), options_(options),
+          own_(call.own_tokens()), shared_(call.prompt_tokens() - call.own_tokens())
+    {
+        for (auto const& each : candidates)
+        {
+            some_read_only_ = some_read_only_ || (reads_only(each) && !each.suspect);
+            known_ = known_ || each.kept > 0;
+            bool const better = holder_ == nullptr || each.ready > holder_->ready;
+            if (!each.suspect && each.ready > 0 && better)
+            {
+                holder_ = &each;
+            }
+        }
+        if (!known_ && !call.shared_part().empty())
+        {
+            prefill_home_ = home_of(candidates, call.shared_part(), true);
+            decode_home_ = home_of(candidates, call.shared_part(), false);
+        }
+    }
+
+    /// How the prompt would be read at `each`.
+    placement at(candidate const& each) const
+    {
+        placement  result{.server = each.server,
+                          .prefill_only = reads_only(each),
+                          .unread = own_ + shared_ - each.kept,
+                          .wait_ms = waiting(each)};
+        auto const read_own = reading(each, own_);
+        auto const read_rest = reading(each, shared_ - each.kept);
+        auto const fetched = fetchable(each);
+        auto const fetch =
+            fetching(each, fetched) + reading(each, shared_ - each.kept - fetched);
+        result.read_ms = engines_.read_fixed_ms + read_own + read_rest;
+        if (fetched > 0 && fetch < read_rest)
+        {
+            result.fetch_from = holder_->server;
+            result.unread -= fetched;
+            result.read_ms = engines_.read_fixed_ms + read_own + fetch;
+        }
+        return result;
+    }
+
+    /// What a placement costs: its time, and what it takes from others.
+    double of(candidate const& each, placement const& placed) const
+    {
+        auto const shared = placed.read_ms - engines_.read_fixed_ms - reading(each, own_);
+        bool const home =
+            each.server == (reads_only(each) ? prefill_home_ : decode_home_);
+        auto const discount = home ? options_.home * reading(each, shared_) : 0.0;
+        return placed.wait_ms + placed.read_ms + (options_.read_again - 1) * shared -
+               discount + distance(each);
+    }
+
+    /// Whether an engine that decodes may read the prompt beside its streams.
+    bool may_read(candidate const& each, placement const& placed) const
     {
+        return !reads_only(each) &&
+               (!some_read_only_ ||
+                each.load.unread + placed.unread <= engines_.beside_streams);
     }
 
     double waiting(candidate const& each) const
     {
-        auto const streams = each.load.running * options_.stream_tokens;
-        return static_cast<double>(each.load.unread + streams);
+        return reading(each, each.load.unread) +
+               static_cast<double>(each.load.running) * options_.stream_ms;
     }
 
     double distance(candidate const& each) const
     {
         bool const near = each.server->data_centre == data_centre_;
-        return (near ? 0.0 : static_cast<double>(options_.distance_tokens)) +
-               (each.suspect ? suspect_cost : 0.0);
+        return (near ? 0.0 : options_.distance_ms) + (each.suspect ? suspect_cost : 0.0);
     }
 
 private:
+    double reading(candidate const& each, std::int64_t tokens) const
+    {
+        auto const slower = reads_only(each) ? 1.0 : options_.decode_reads_slower;
+        return static_cast<double>(tokens) * slower / engines_.read_speed;
+    }
+
+    /// Tokens that the engine could fetch from the one that keeps most of the prompt.
+    std::int64_t fetchable(candidate const& each) const
+    {
+        bool const other = options_.fetch && holder_ != nullptr && &each != holder_;
+        auto const tokens = other ? holder_->ready - each.kept : 0;
+        return tokens >= options_.fetch_least ? tokens : 0;
+    }
+
+    double fetching(candidate const& each, std::int64_t tokens) const
+    {
+        constexpr double far = 2; // times as long between data centres
+        bool const       near = holder_ == nullptr ||
+                          each.server->data_centre == holder_->server->data_centre;
+        return options_.fetch_setup_ms +
+               static_cast<double>(tokens) / options_.fetch_speed * (near ? 1.0 : far);
+    }
+
+    engine_costs const&      engines_;
     std::string const&       data_centre_;
     placement_options const& options_;
+    std::int64_t             own_;
+    std::int64_t             shared_;
+    bool                     some_read_only_ = false;
+    bool                     known_ = false;    // some engine keeps a part of the prompt
+    candidate const*         holder_ = nullptr; // has read most of the prompt
+    backend_server const*    prefill_home_ = nullptr;
+    backend_server const*    decode_home_ = nullptr;
 };
 
-std::int64_t backlog_at(std::vector<candidate> const& candidates,
-                        backend_server const*         server)
-{
-    auto const found =
-        std::find_if(candidates.begin(), candidates.end(),
-                     [&](candidate const& each) { return each.server == server; });
-    return found == candidates.end() ? 0 : found->load.unread;
-}
-
-constexpr double unfit = std::numeric_limits<double>::infinity();
-
 } // namespace
 
 std::optional<placement> place_model(std::vector<candidate> const& candidates,
-                                     caller_call const&            call,
+                                     caller_call const& call, engine_costs const& costs,
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options)
 {
-    model_costs const costs{data_centre, options};
-    auto const        shared = call.shared_part();
-    auto const        all = static_cast<double>(call.prompt_tokens());
-    auto const        own = static_cast<double>(call.own_tokens());
-    auto const*       prefill_home = home_of(candidates, shared, true);
-    auto const*       decode_home = home_of(candidates, shared, false);
-    auto const        unread = [&](candidate const& each, backend_server const* home)
+    reading_costs const    ways{candidates, call, costs, data_centre, options};
+    std::vector<placement> placed(candidates.size());
+    std::transform(candidates.begin(), candidates.end(), placed.begin(),
+                   [&](candidate const& each) { return ways.at(each); });
+    auto const way = [&](candidate const& each) -> placement const&
     {
-        bool const cached = each.server == home && !shared.empty();
-        return cached ? own : own + options.read_again * (all - own);
-    };
-    bool const some_read_only =
-        std::any_of(candidates.begin(), candidates.end(),
-                    [](candidate const& each) {
-                        return each.server->role == engine_role::prefill && !each.suspect;
-                    });
-    auto const may_read = [&](candidate const& each)
-    {
-        auto const tokens =
-            static_cast<double>(each.load.unread) + unread(each, decode_home);
-        return each.server->role != engine_role::prefill &&
-               (!some_read_only || tokens <= static_cast<double>(options.decode_reads));
+        return placed[static_cast<std::size_t>(&each - candidates.data())];
     };
     auto const whole = cheapest(
         candidates, ticket,
         [&](candidate const& each)
-        {
-            bool const fits = may_read(each);
-            auto const tokens = costs.waiting(each) + unread(each, decode_home);
-            return fits ? options.decode_reads_slower * tokens + costs.distance(each)
-                        : unfit;
-        });
-    auto const first =
+        { return ways.may_read(each, way(each)) ? ways.of(each, way(each)) : unfit; });
+    auto const apart =
         cheapest(candidates, ticket,
                  [&](candidate const& each)
-                 {
-                     bool const fits = each.server->role == engine_role::prefill;
-                     auto const tokens = costs.waiting(each) + unread(each, prefill_home);
-                     return fits ? tokens + costs.distance(each) : unfit;
-                 });
-    if (whole.server == nullptr && first.server == nullptr)
+                 { return reads_only(each) ? ways.of(each, way(each)) : unfit; });
+    if (whole.chosen == nullptr && apart.chosen == nullptr)
     {
         return std::nullopt;
     }
     bool const sooner =
         call.own_tokens() >= options.handover_least &&
-        first.cost + static_cast<double>(options.handover_cost) < whole.cost;
-    bool const  apart = whole.server == nullptr || sooner;
-    auto const& chosen = apart ? first : whole;
-    auto const* home = apart ? prefill_home : decode_home;
-    bool const  cached = chosen.server == home && !shared.empty();
-    return placement{.server = chosen.server,
-                     .prefill_only = apart,
-                     .unread = cached ? call.own_tokens() : call.prompt_tokens(),
-                     .ahead = backlog_at(candidates, chosen.server)};
+        apart.cost + costs.handover_ms + options.handover_cost_ms < whole.cost;
+    return way(whole.chosen == nullptr || sooner ? *apart.chosen : *whole.chosen);
 }
 
 backend_server const* place_decode(std::vector<candidate> const& candidates,
+                                   engine_costs const&           costs,
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options)
 {
-    model_costs const costs{data_centre, options};
-    return cheapest(candidates, ticket,
-                    [&](candidate const& each)
-                    {
-                        bool const fits = each.server->role != engine_role::prefill;
-                        return fits ? costs.waiting(each) + costs.distance(each) : unfit;
-                    })
-        .server;
+    reading_costs const ways{candidates, caller_call{}, costs, data_centre, options};
+    auto const          best = cheapest(
+                 candidates, ticket,
+                 [&](candidate const& each)
+                 { return reads_only(each) ? unfit : ways.waiting(each) + ways.distance(each); });
+    return best.chosen == nullptr ? nullptr : best.chosen->server;
 }
 
 } // namespace marigoldcrank
--- /dev/null
+++ b/src/policy/read_model.hpp
@@ -0,0 +1,139 @@
+// How long engines take to read prompts, learned from reads.
+//
+// Index: 1 read_model_options, 2 read_sample, 3 read_model
+//
+// Load answered: engines that differ from deployment to deployment by a factor of ten,
+// and in what they take before a first token however short the prompt is. A time for each
+// token and a fixed one are told apart, so that a short prompt doesn't make an engine
+// look slow, and samples that waited in a queue don't count.
+#ifndef MARIGOLDCRANK_POLICY_READ_MODEL_HPP
+#define MARIGOLDCRANK_POLICY_READ_MODEL_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace marigoldcrank
+{
+
+struct read_model_options
+{
+    // 50, 5 and 2000  tokens a ms: start and bounds of an engine's speed
+    double first_speed = 50;
+    double least_speed = 5;
+    double most_speed = 2000;
+    // 50 and 1000  ms; start and bound of the time that every read takes
+    double first_fixed = 50;
+    double most_fixed = 1000;
+    // 30 and 2000  ms; start and bound of the time from a hand-over to the first event
+    double first_handover = 30;
+    double most_handover = 2000;
+    // 0.06  of the speed, and 0.08 of the fixed times; steps of one sample
+    double speed_step = 0.06;
+    double fixed_step = 0.08;
+    // 800 and 3000  tokens; shorter reads tell of the fixed time only, longer ones of the
+    //               speed only
+    std::int64_t short_read = 800;
+    std::int64_t long_read = 3000;
+    // 20    ms of waiting that was expected; a sample that waited longer doesn't count
+    double most_wait = 20;
+
+    bool operator==(read_model_options const&) const = default;
+};
+
+/// One prompt, read by an engine that does nothing else.
+struct read_sample
+{
+    std::int64_t         tokens = 0;  // that weren't cached, as far as known
+    double               wait_ms = 0; // expected before them
+    boot_clock::duration took{};
+};
+
+/// Follows medians by steps of a fixed size, so that no single sample moves it far. Pure.
+class read_model
+{
+public:
+    explicit read_model(read_model_options options = {})
+        : options_(options), token_ms_(1 / options.first_speed),
+          fixed_ms_(options.first_fixed), handover_ms_(options.first_handover)
+    {
+    }
+
+    void read(read_sample const& sample)
+    {
+        if (sample.tokens <= 0 || sample.wait_ms > options_.most_wait)
+        {
+            return;
+        }
+        auto const took = milliseconds(sample.took);
+        auto const tokens = static_cast<double>(sample.tokens);
+        bool const slower = took > fixed_ms_ + tokens * token_ms_;
+        if (sample.tokens < options_.long_read)
+        {
+            fixed_ms_ = follow(fixed_ms_, slower, options_.fixed_step);
+            fixed_ms_ = std::clamp(fixed_ms_, 1.0, options_.most_fixed);
+        }
+        if (sample.tokens >= options_.short_read)
+        {
+            token_ms_ = follow(token_ms_, slower, options_.speed_step);
+            token_ms_ =
+                std::clamp(token_ms_, 1 / options_.most_speed, 1 / options_.least_speed);
+            ++samples_;
+        }
+    }
+
+    /// A call whose prompt another engine had read gave its first event after `took`.
+    void handed_over(boot_clock::duration took)
+    {
+        bool const slower = milliseconds(took) > handover_ms_;
+        handover_ms_ = follow(handover_ms_, slower, options_.fixed_step);
+        handover_ms_ = std::clamp(handover_ms_, 1.0, options_.most_handover);
+    }
+
+    /// Tokens a ms that an engine reads.
+    double speed() const noexcept
+    {
+        return 1 / token_ms_;
+    }
+
+    /// What a read takes besides, in ms.
+    double fixed_ms() const noexcept
+    {
+        return fixed_ms_;
+    }
+
+    /// From a hand-over to the first event, in ms.
+    double handover_ms() const noexcept
+    {
+        return handover_ms_;
+    }
+
+    /// Whether enough reads were seen to go by the speed.
+    bool observed() const noexcept
+    {
+        constexpr std::int64_t enough = 10;
+        return samples_ >= enough;
+    }
+
+private:
+    static double milliseconds(boot_clock::duration value)
+    {
+        return std::chrono::duration<double, std::milli>(value).count();
+    }
+
+    static double follow(double value, bool up, double step)
+    {
+        return up ? value * (1 + step) : value / (1 + step);
+    }
+
+    read_model_options options_;
+    double             token_ms_;
+    double             fixed_ms_;
+    double             handover_ms_;
+    std::int64_t       samples_ = 0;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -21,6 +21,12 @@
     auto const load = [&](std::int64_t count)
     {
         auto const rest = static_cast<double>(engines - count);
+        if (need.beside)
+        {
+            // An engine that decodes reads at half the speed of one that reads only.
+            return (need.prefill + need.decode / 2) /
+                   (static_cast<double>(count) + rest / 2);
+        }
         return std::max(need.prefill /
                             static_cast<double>(std::max<std::int64_t>(count, 1)),
                         need.decode / std::max(rest, 1.0));
@@ -30,7 +36,7 @@
     {
         best = load(count) < load(best) ? count : best;
     }
-    bool const busy = load(prefill) > options.busy;
+    bool const busy = load(prefill) > (need.beside ? options.busy_beside : options.busy);
     bool const helps = load(best) < options.gain * load(prefill);
     return busy && helps ? best : prefill;
 }
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -29,6 +29,9 @@
     // 0.5   of the comfortable load of the fuller role; below it no change is worth the
     //       seconds that it takes an engine out for
     double busy = 0.5;
+    // 0.8   the same where engines that decode take over reading: what one role lacks is
+    //       found at the other, and all must be busy before a change is worth it
+    double busy_beside = 0.8;
     // 0.8   of the fuller role's load that must be left after a change: each takes an
     //       engine out for seconds, and a swing back would take it out again
     double gain = 0.8;
@@ -54,6 +57,7 @@
 {
     double prefill = 0;
     double decode = 0;
+    bool   beside = false; // engines that decode may read beside their streams
 
     bool operator==(role_need const&) const = default;
 };
@@ -62,7 +66,8 @@
                   role_split_options const& options);
 
 /// Engines that should read prompts, of `engines` that there are. Stays at `prefill`
-/// while neither role is busy or no change would help; both roles keep one engine.
+/// while neither role is busy or no change would help; both roles keep one engine. Where
+/// engines that decode may read, what one role lacks the other one takes over.
 std::int64_t wanted_prefill(std::int64_t engines, std::int64_t prefill,
                             role_need const& need, role_split_options const& options);
 
--- a/src/policy/send_account.hpp
+++ b/src/policy/send_account.hpp
@@ -87,8 +87,8 @@
         maybe_run_ = maybe_run_ || ran;
     }
 
-    /// A server has turned away the read of the prompt, which runs nothing.
-    void read_refused()
+    /// A server got the read of the prompt, which runs nothing, and brought no handle.
+    void read_failed()
     {
         ++refused_;
     }
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_POLICY_SERVER_HEALTH_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/news_source.hpp"
 
 #include <algorithm>
 #include <map>
@@ -19,6 +20,10 @@
     millis first_pause{500};    // 500   ms; doubles with each further failure
     millis refused_pause{250};  // 250   ms; a full server has places again within this
     millis longest_pause{4000}; // 4000 ms; a server that is back is found within this
+    // 1000  ms; a server that doesn't do what its entry says writes a new one within this
+    millis changed_pause{1000};
+    // 50    ms; a shorter rest of a pause isn't worth telling other VMs of
+    millis least_told{50};
 
     bool operator==(server_health_options const&) const = default;
 };
@@ -33,15 +38,16 @@
 
     void succeeded(std::string const& server)
     {
-        failures_.erase(server);
+        states_.erase(server);
     }
 
-    /// A failure that says the server is unwell. `unreachable` counts at once.
-    void failed(std::string const& server, bool unreachable, boot_clock::time_point now)
+    /// A failure that says the server is unwell. `lost`: its connection could not be had
+    /// or has ended, which counts at once and is told to other VMs.
+    void failed(std::string const& server, bool lost, boot_clock::time_point now)
     {
-        auto& state = failures_[server];
+        auto& state = states_[server];
         state.count =
-            unreachable ? std::max(state.count + 1, options_.tolerated) : state.count + 1;
+            lost ? std::max(state.count + 1, options_.tolerated) : state.count + 1;
         if (state.count >= options_.tolerated)
         {
             auto const doublings =
@@ -49,38 +55,85 @@
             state.until = now + std::min(options_.first_pause * (1 << doublings),
                                          options_.longest_pause);
         }
+        if (lost)
+        {
+            state.told[news_source::own] = state.until;
+        }
     }
 
     /// The server has turned a call away: it is full or about to change, not unwell. It
     /// is left alone for a moment and not for longer each time.
     void refused(std::string const& server, boot_clock::time_point now)
     {
-        auto& state = failures_[server];
-        state.until = std::max(state.until, now + options_.refused_pause);
+        pause(server, now + options_.refused_pause);
+    }
+
+    /// The server isn't the one, or not in the role, that its entry names.
+    void changed(std::string const& server, boot_clock::time_point now)
+    {
+        pause(server, now + options_.changed_pause);
+        states_[server].told[news_source::own] = now + options_.changed_pause;
+    }
+
+    /// Another VM has found the server lost, and leaves it alone for so long.
+    void hear(std::string const& server, millis left, news_source source,
+              boot_clock::time_point now)
+    {
+        auto const until = now + std::clamp(left, millis{0}, options_.longest_pause);
+        pause(server, until);
+        states_[server].told[source] = until;
+    }
+
+    /// Servers that other VMs should leave alone, and for how long, as far as `widest`
+    /// goes.
+    std::map<std::string, millis> news(news_source            widest,
+                                       boot_clock::time_point now) const
+    {
+        std::map<std::string, millis> result;
+        for (auto const& [server, state] : states_)
+        {
+            for (auto const& [source, until] : state.told)
+            {
+                auto const left = std::chrono::duration_cast<millis>(until - now);
+                if (source <= widest && left >= options_.least_told)
+                {
+                    auto& told = result[server];
+                    told = std::max(told, left);
+                }
+            }
+        }
+        return result;
     }
 
     bool suspect(std::string const& server, boot_clock::time_point now) const
     {
-        auto const found = failures_.find(server);
-        return found != failures_.end() && now < found->second.until;
+        auto const found = states_.find(server);
+        return found != states_.end() && now < found->second.until;
     }
 
     void forget(std::string const& server)
     {
-        failures_.erase(server);
+        states_.erase(server);
     }
 
 private:
     static constexpr int most_doublings = 10;
 
-    struct failures
+    struct server_state
     {
-        int                    count = 0;
-        boot_clock::time_point until{};
+        int                                           count = 0; // failures in a row
+        boot_clock::time_point                        until{};   // left alone
+        std::map<news_source, boot_clock::time_point> told; // what others should hear
     };
 
-    server_health_options           options_;
-    std::map<std::string, failures> failures_;
+    void pause(std::string const& server, boot_clock::time_point until)
+    {
+        auto& state = states_[server];
+        state.until = std::max(state.until, until);
+    }
+
+    server_health_options               options_;
+    std::map<std::string, server_state> states_;
 };
 
 } // namespace marigoldcrank
--- a/src/policy/wait_judgement.hpp
+++ b/src/policy/wait_judgement.hpp
@@ -36,9 +36,9 @@
 struct wait_input
 {
     placement placed;
-    double    read_speed = 0; // tokens a second of the engine; 0: not known
-    millis    objective{0};   // to the first token; 0: none
-    millis    left{0};        // until the caller gives up
+    bool      observed = false; // the placement's times come from an observed speed
+    millis    objective{0};     // to the first token; 0: none
+    millis    left{0};          // until the caller gives up
 };
 
 /// When the caller should come back; nothing if the call may wait. The time is that after
@@ -46,19 +46,16 @@
 inline std::optional<millis> judge_wait(wait_input const&   input,
                                         wait_options const& options)
 {
-    if (input.read_speed <= 0 || input.objective.count() == 0)
+    if (!input.observed || input.objective.count() == 0)
     {
         return std::nullopt;
     }
-    constexpr double second_ms = 1000;
-    auto const       ahead = static_cast<double>(input.placed.ahead);
-    auto const       all = ahead + static_cast<double>(input.placed.unread);
-    auto const       wait_ms = all / input.read_speed * second_ms;
-    auto const       objective = static_cast<double>(input.objective.count());
-    auto const       limit = std::min(objective * options.longest_wait,
-                                      static_cast<double>(input.left.count()));
+    auto const wait_ms = input.placed.wait_ms + input.placed.read_ms;
+    auto const objective = static_cast<double>(input.objective.count());
+    auto const limit = std::min(objective * options.longest_wait,
+                                static_cast<double>(input.left.count()));
     // A prompt that is long by itself is served whenever it is next.
-    bool const next = ahead / input.read_speed * second_ms < objective;
+    bool const next = input.placed.wait_ms < objective;
     if (wait_ms <= limit || next)
     {
         return std::nullopt;
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_POLICY_WORK_METER_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/read_model.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -43,9 +44,8 @@
     }
 };
 
-/// Rates decay exponentially, so that a swing is seen within seconds. Speeds are the best
-/// seen lately: a slow sample has waited in a queue and says nothing about the engine.
-/// Pure.
+/// Rates decay exponentially, so that a swing is seen within seconds. The pace of streams
+/// is the best seen lately: a slow one has shared its engine. Pure.
 class work_meter
 {
 public:
@@ -57,14 +57,20 @@
     }
 
     /// An engine has read a prompt.
-    void prompt_read(std::int64_t tokens, boot_clock::duration took)
+    void prompt_read(read_sample const& sample)
     {
-        auto const seconds = std::chrono::duration<double>(took).count();
-        if (tokens >= least_tokens && seconds > 0)
-        {
-            prefill_speed_ = std::max(prefill_speed_ * keep_best,
-                                      static_cast<double>(tokens) / seconds);
-        }
+        reads_.read(sample);
+    }
+
+    /// A call whose prompt another engine had read gave its first event after `took`.
+    void handed_over(boot_clock::duration took)
+    {
+        reads_.handed_over(took);
+    }
+
+    read_model const& reads() const noexcept
+    {
+        return reads_;
     }
 
     /// A stream has ended; time from its first to its last event.
@@ -84,14 +90,15 @@
     /// Tokens a second that one engine reads when it does nothing else; 0: not known yet.
     double prefill_speed() const
     {
-        return prefill_speed_;
+        constexpr double second_ms = 1000;
+        return reads_.observed() ? reads_.speed() * second_ms : 0;
     }
 
     work_demand demand(boot_clock::time_point now)
     {
         fade(now);
         auto const known = share_known(now);
-        return {prompt_rate_ / known, prefill_speed_, event_rate_ / known * best_gap_};
+        return {prompt_rate_ / known, prefill_speed(), event_rate_ / known * best_gap_};
     }
 
 private:
@@ -101,8 +108,6 @@
     // Of a best value, with each new sample: some thousand samples, all of them slow, are
     // needed to believe in a slower engine. Faster forgetting takes a queue for slowness.
     static constexpr double       keep_best = 0.9998;
-    static constexpr std::int64_t least_tokens =
-        1000;                                       // shorter reads are mostly overhead
     static constexpr std::int64_t least_events = 4; // fewer don't show a pace
 
     /// A rate that decays is too low until it has been measured for a while: by so much.
@@ -125,12 +130,12 @@
         seen_ = now;
     }
 
+    read_model             reads_;
     boot_clock::time_point began_{};
     boot_clock::time_point seen_{};
-    double                 prompt_rate_ = 0;   // tokens a second
-    double                 event_rate_ = 0;    // events a second
-    double                 prefill_speed_ = 0; // tokens a second, one engine
-    double                 best_gap_ = 0;      // s between events
+    double                 prompt_rate_ = 0; // tokens a second
+    double                 event_rate_ = 0;  // events a second
+    double                 best_gap_ = 0;    // s between events
 };
 
 } // namespace marigoldcrank
--- a/src/serving/call_notes.cpp
+++ b/src/serving/call_notes.cpp
@@ -1,6 +1,8 @@
 // Lines of a call.
 #include "serving/call_notes.hpp"
 
+#include <cmath>
+
 namespace marigoldcrank
 {
 
@@ -20,18 +22,21 @@
 {
 }
 
-void call_notes::sent(std::string const& server, std::int64_t run, std::int64_t tokens,
-                      admitted_call const& admitted)
+void call_notes::sent(send_step const& step, admitted_call const& admitted)
 {
-    state_.log.write_step(id_,
-                          event_line{"send"}
-                              .add("id", id_)
-                              .add("server", server)
-                              .add("run", run)
-                              .add("tokens", tokens)
-                              .add("rules", version_of(admitted))
-                              .add("left_ms", admitted.deadline - loop_clock::now()),
-                          boot_clock::now());
+    auto const& planned = step.planned;
+    event_line  line{"send"};
+    line.add("id", id_)
+        .add("server", step.server)
+        .add("work", step.work)
+        .add("run", step.run)
+        .add("tokens", planned.unread)
+        .add("wait_ms", std::llround(planned.wait_ms))
+        .add("read_ms", std::llround(planned.read_ms))
+        .add("fetch", planned.fetch_from == nullptr ? "" : planned.fetch_from->id)
+        .add("rules", version_of(admitted))
+        .add("left_ms", admitted.deadline - loop_clock::now());
+    state_.log.write_step(id_, line, boot_clock::now());
 }
 
 void call_notes::failed(send_failure const& failure)
--- a/src/serving/call_notes.hpp
+++ b/src/serving/call_notes.hpp
@@ -1,9 +1,10 @@
 // Log lines and counters of one call.
 //
-// Index: 1 call_end, 2 call_notes
+// Index: 1 call_end, 2 send_failure, 3 send_step, 4 call_notes
 #ifndef MARIGOLDCRANK_SERVING_CALL_NOTES_HPP
 #define MARIGOLDCRANK_SERVING_CALL_NOTES_HPP
 
+#include "policy/placement.hpp"
 #include "policy/send_account.hpp"
 #include "serving/call_admission.hpp"
 #include "serving/stream_pace.hpp"
@@ -36,14 +37,22 @@
     unsigned         status = 0;
 };
 
+/// What one send to a server is for, and what was expected of it.
+struct send_step
+{
+    std::string_view server;
+    std::string_view work;    // "call", "prompt" or "run": with a prompt read elsewhere
+    std::int64_t     run = 0; // number of the run of this call
+    placement        planned; // tokens to be read there, and the time that takes
+};
+
 class call_notes
 {
 public:
     call_notes(entry_state& state, std::string const& id, boot_clock::time_point arrived);
 
     /// A step, written for sampled calls.
-    void sent(std::string const& server, std::int64_t run, std::int64_t tokens,
-              admitted_call const& admitted);
+    void sent(send_step const& step, admitted_call const& admitted);
 
     void failed(send_failure const& failure);
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -125,7 +125,7 @@
             exchange   link{state_, *server};
             in_use     use{*this, link};
             load_share share{state_, server->id, 0};
-            notes_.sent(server->id, sends_.runs(), 0, admitted_);
+            notes_.sent({server->id, "call", sends_.runs(), {}}, admitted_);
             auto const fate = co_await run_at(link, {}, attempt_end());
             if (caller_.left())
             {
@@ -206,11 +206,15 @@
             auto           decode = *first->server; // copies: the list changes meanwhile
             backend_server reader;
             std::string    source;
+            auto           planned = *first;
+            fetch_from_ = address_of(first->fetch_from);
             if (first->prefill_only)
             {
                 prefilled_ = true;
                 reader = decode;
-                source = co_await read_prompt(reader, *first);
+                source = co_await read_prompt(reader, planned);
+                // The servers that it points to may be gone by now.
+                planned = placement{.unread = source.empty() ? planned.unread : 0};
                 if (!caller_.left() && !goes_on(decode))
                 {
                     co_await give_up();
@@ -221,8 +225,7 @@
                     co_return;
                 }
             }
-            auto const unread = source.empty() ? first->unread : 0;
-            if (co_await run_stream(decode, source, unread))
+            if (co_await run_stream(decode, source, planned))
             {
                 co_return;
             }
@@ -230,11 +233,11 @@
         }
     }
 
-    /// Whether the call goes on after its read, and where. A read that was turned away
-    /// has been an arrival, so what follows is a retry.
+    /// Whether the call goes on after its read, and where. A read that failed has been an
+    /// arrival, so what follows is a retry.
     bool goes_on(backend_server& decode)
     {
-        return (!read_refused_ || take_retry()) && choose_decode(decode);
+        return (!read_failed_ || take_retry()) && choose_decode(decode);
     }
 
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
@@ -262,11 +265,13 @@
         exchange   link{state_, server};
         in_use     use{*this, link};
         load_share share{state_, server.id, placed.unread};
-        notes_.sent(server.id, sends_.runs(), placed.unread, admitted_);
+        notes_.sent({server.id, "prompt", sends_.runs(), placed}, admitted_);
+        placing_.sent(server.id, placed);
         auto const until = placing_.reading_end(placed);
         auto const began = boot_clock::now();
         auto       message = onward(server);
         message.prefill_only = true;
+        message.fetch_from = fetch_from_;
         auto const         fate = co_await send_message(link, message, true, until);
         std::string        body;
         constexpr unsigned ok = 200;
@@ -285,18 +290,21 @@
             co_return std::string{};
         }
         state_.health.succeeded(server.id);
-        placing_.prompt_read(boot_clock::now() - began);
-        co_return server.host + ":" + std::to_string(server.port) + "/" + *handle;
+        placing_.prompt_read(placed, boot_clock::now() - began);
+        co_return address_of(&server) + "/" + *handle;
     }
 
     /// Runs the call at `server`. True if its final answer has been given.
-    boost::asio::awaitable<bool>
-    run_stream(backend_server server, std::string const& source, std::int64_t unread)
+    boost::asio::awaitable<bool> run_stream(backend_server     server,
+                                            std::string const& source, placement planned)
     {
         exchange   link{state_, server};
         in_use     use{*this, link};
-        load_share share{state_, server.id, unread};
-        notes_.sent(server.id, sends_.runs(), unread, admitted_);
+        load_share share{state_, server.id, planned.unread};
+        notes_.sent({server.id, source.empty() ? "call" : "run", sends_.runs(), planned},
+                    admitted_);
+        placing_.sent(server.id, planned);
+        handed_over_at_ = source.empty() ? boot_clock::time_point{} : boot_clock::now();
         auto const fate = co_await run_at(link, source, admitted_.deadline);
         if (caller_.left())
         {
@@ -367,6 +375,10 @@
         if (stream_.started() && !began)
         {
             state_.counters.observe("first_event_seconds", pace_.wait());
+            if (handed_over_at_ != boot_clock::time_point{})
+            {
+                placing_.handed_over(boot_clock::now() - handed_over_at_);
+            }
             status_ = link.facts().status;
             count_usage();
         }
@@ -382,7 +394,8 @@
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
         state_.crashes.answered(admitted_.content, now);
-        placing_.stream_ended(stream_.pieces(), now - pace_.first());
+        placing_.stream_ended(stream_.pieces(), now - pace_.first(),
+                              pace_.longest_pause());
         state_.counters.observe("longest_pause_seconds", pace_.longest_pause());
         end_ = "served";
         after_ = keep_ && knows_chunks(request_) ? link_after::keep : link_after::close;
@@ -425,6 +438,7 @@
         last_server_ = link.server().id;
         auto message = onward(link.server());
         message.cache_source = source;
+        message.fetch_from = source.empty() ? fetch_from_ : std::string{};
         return send_message(link, message, false, until);
     }
 
@@ -439,6 +453,12 @@
         co_return co_await link.start(std::move(request));
     }
 
+    static std::string address_of(backend_server const* server)
+    {
+        return server == nullptr ? std::string{}
+                                 : server->host + ":" + std::to_string(server->port);
+    }
+
     /// Servers for the next send: those that haven't had the call, or all of them if none
     /// is left. The only server of a service is tried again rather than not at all.
     std::vector<candidate> servers_to_try()
@@ -593,13 +613,9 @@
         auto const now = boot_clock::now();
         tried_.insert(link.server().id);
         last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
-        if (fate == exchange_fate::not_run)
-        {
-            state_.health.refused(link.server().id, now);
-        }
+        note_health(link, fate, now);
         if (fate == exchange_fate::unknown)
         {
-            state_.health.failed(link.server().id, false, now);
             suspect(link);
         }
         note_failure("send_failed", link, fate);
@@ -614,19 +630,35 @@
         note_failure("server_error", link, exchange_fate::answered);
     }
 
-    /// A read has brought no handle.
-    void settle_read(exchange& link, exchange_fate fate)
+    /// What a failed send says about its server.
+    void note_health(exchange& link, exchange_fate fate, boot_clock::time_point now)
     {
-        auto const now = boot_clock::now();
-        if (fate == exchange_fate::unknown)
+        constexpr unsigned misdirected = 421;
+        auto const&        server = link.server().id;
+        if (fate == exchange_fate::not_run && link.facts().status == misdirected)
         {
-            state_.health.failed(link.server().id, false, now);
+            state_.health.changed(server, now);
         }
-        if (fate == exchange_fate::not_run)
+        else if (fate == exchange_fate::not_run)
+        {
+            state_.health.refused(server, now);
+        }
+        else if (fate == exchange_fate::unknown)
+        {
+            state_.health.failed(server, std::string_view{link.fault()} == "broken", now);
+        }
+    }
+
+    /// A read has brought no handle. Unless it was never sent it has been an arrival, and
+    /// whether the server took it can't be known.
+    void settle_read(exchange& link, exchange_fate fate)
+    {
+        auto const now = boot_clock::now();
+        note_health(link, fate, now);
+        if (fate != exchange_fate::not_sent)
         {
-            sends_.read_refused();
-            read_refused_ = true;
-            state_.health.refused(link.server().id, now);
+            sends_.read_failed();
+            read_failed_ = true;
         }
         note_failure("prefill_failed", link, fate);
     }
@@ -684,12 +716,14 @@
     bool        more_servers_ = false; // another one could still be tried after this send
     bool        judged_ = false;
     bool        prefilled_ = false;
-    bool        read_refused_ = false; // an engine has turned the read away
+    bool        read_failed_ = false; // an engine got the read and brought no handle
     bool        counted_ = false;
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
-    std::string_view last_fault_ = "no_server";
-    std::string      last_server_; // that was to run the call
+    std::string_view       last_fault_ = "no_server";
+    std::string            last_server_;      // that was to run the call
+    boot_clock::time_point handed_over_at_{}; // the run with a prompt read elsewhere
+    std::string      fetch_from_; // address of the engine that keeps its shared parts
     std::string_view end_;
     unsigned         status_ = 0;
     exchange*        current_ = nullptr;
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -56,6 +56,18 @@
         message.set_records(each.contact.records);
         message.set_capacity(each.contact.capacity);
     }
+    for (auto const& each : notes.prefixes)
+    {
+        auto* entry = message.add_prefixes();
+        entry->set_server(each.server);
+        entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
+    }
+    for (auto const& [server, left] : notes.unwell)
+    {
+        auto* entry = message.add_unwell();
+        entry->set_server(server);
+        entry->set_left_ms(static_cast<std::uint32_t>(left.count()));
+    }
     for (auto const& each : notes.crashes)
     {
         auto* entry = message.add_suspicions();
@@ -93,6 +105,15 @@
         notes.crashes.push_back(
             {entry.content(), entry.server(), entry.call_id(), entry.cleared()});
     }
+    for (auto const& entry : message.unwell())
+    {
+        notes.unwell.emplace(entry.server(), millis{entry.left_ms()});
+    }
+    for (auto const& entry : message.prefixes())
+    {
+        notes.prefixes.push_back(
+            {entry.server(), {entry.parts().begin(), entry.parts().end()}});
+    }
     vm_contact const contact{message.address(), message.records(), message.data_centre(),
                              message.capacity()};
     for (auto const& entry : message.usage())
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -7,6 +7,7 @@
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/load_relay.hpp"
+#include "policy/prefix_directory.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,8 +28,10 @@
 /// What a digest tells besides work: nothing of it is summed up by relays.
 struct digest_notes
 {
-    std::vector<crash_news>   crashes;
-    std::vector<usage_record> usage; // of the sender
+    std::vector<crash_news>       crashes;
+    std::vector<usage_record>     usage; // of the sender
+    std::vector<prefix_news>      prefixes;
+    std::map<std::string, millis> unwell; // servers to be left alone, and for how long
 };
 
 /// Publishes to whoever subscribes and subscribes to the peers it is told of. Digests are
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -140,6 +140,13 @@
     return random_();
 }
 
+placement_options entry_state::placing() const
+{
+    placement_options options;
+    options.fetch = settings.fetch;
+    return options;
+}
+
 load_share::load_share(entry_state& state, std::string server, std::int64_t prompt_tokens)
     : state_(state), server_(std::move(server)), tokens_(prompt_tokens)
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -16,7 +16,9 @@
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/load_relay.hpp"
+#include "policy/pause_watch.hpp"
 #include "policy/placement.hpp"
+#include "policy/prefix_directory.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
 #include "policy/work_meter.hpp"
@@ -70,26 +72,31 @@
 
     std::uint64_t ticket();
 
+    /// How model calls are placed, as the settings allow.
+    placement_options placing() const;
+
     /// The time of day that usage windows are cut by, in ms since 1970.
     std::int64_t day_ms();
 
-    entry_settings                    settings;
-    std::string                       incarnation;
-    rules_view                        view;
-    server_list                       servers;
-    server_loads                      loads;    // calls of this VM
-    load_relay                        peers;    // calls of the others
-    std::set<std::string>             changing; // engines that are given another role
-    server_health                     health;
-    connection_pool                   pool;
-    vm_contact                        contact; // of this VM
-    usage_counter                     usage;
-    usage_sum                         usage_known; // of all VMs
-    std::map<std::string, work_meter> meters;      // by service
-    event_log                         log;
-    metrics                           counters;
-    true_clock                        day;
-    crash_watch                       crashes;
+    entry_settings                     settings;
+    std::string                        incarnation;
+    rules_view                         view;
+    server_list                        servers;
+    server_loads                       loads;    // calls of this VM
+    load_relay                         peers;    // calls of the others
+    std::set<std::string>              changing; // engines that are given another role
+    server_health                      health;
+    connection_pool                    pool;
+    vm_contact                         contact; // of this VM
+    usage_counter                      usage;
+    usage_sum                          usage_known; // of all VMs
+    std::map<std::string, work_meter>  meters;      // by service
+    std::map<std::string, pause_watch> pauses;      // by service
+    prefix_directory                   prefixes;
+    event_log                          log;
+    metrics                            counters;
+    true_clock                         day;
+    crash_watch                        crashes;
     std::int64_t vms_known = 0;   // that handed over usage lately; 0: none
     bool         relayed = false; // records of the store come through other VMs
     bool         relays = false;  // other VMs hear of the store through this one
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -212,8 +212,10 @@
             return {};
         }
         auto const demand = state_.demand(value.name, boot_clock::now());
-        return marigoldcrank::need_of(demand, engines.front().server->slots,
-                                      role_split_options{});
+        auto       need = marigoldcrank::need_of(demand, engines.front().server->slots,
+                                                 role_split_options{});
+        need.beside = state_.pauses[value.name].bears_reading(state_.settings.beside);
+        return need;
     }
 
     /// Orders whose announcement all VMs have had time to read.
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -4,6 +4,7 @@
 #include "policy/wait_judgement.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldcrank
 {
@@ -51,8 +52,8 @@
     auto const& centre = state_.settings.data_centre;
     if (reads_prompt() && apart)
     {
-        return place_model(candidates, call_, centre, state_.ticket(),
-                           placement_options{});
+        return place_model(with_kept(candidates), call_, costs(), centre, state_.ticket(),
+                           state_.placing());
     }
     auto const* server = reads_prompt()
                              ? takeover(candidates)
@@ -66,8 +67,8 @@
 
 backend_server const* model_placing::takeover(std::vector<candidate> const& candidates)
 {
-    return place_decode(candidates, state_.settings.data_centre, state_.ticket(),
-                        placement_options{});
+    return place_decode(candidates, costs(), state_.settings.data_centre, state_.ticket(),
+                        state_.placing());
 }
 
 std::optional<millis> model_placing::too_late(placement const& placed) const
@@ -76,11 +77,9 @@
     {
         return std::nullopt;
     }
-    auto const slower =
-        placed.prefill_only ? 1.0 : placement_options{}.decode_reads_slower;
     auto const left = admitted_.deadline - loop_clock::now();
     return judge_wait({.placed = placed,
-                       .read_speed = meter().prefill_speed() / slower,
+                       .observed = meter().prefill_speed() > 0,
                        .objective = admitted_.matched->objective,
                        .left = std::chrono::duration_cast<millis>(left)},
                       wait_options{});
@@ -89,24 +88,70 @@
 loop_time model_placing::reading_end(placement const& placed) const
 {
     auto const now = loop_clock::now();
-    auto const speed = meter().prefill_speed();
-    if (speed <= 0)
+    if (meter().prefill_speed() <= 0)
     {
         return now + (admitted_.deadline - now) / 2;
     }
-    auto const tokens = static_cast<double>(placed.ahead + placed.unread);
     auto const expected =
-        std::chrono::duration_cast<millis>(std::chrono::duration<double>(tokens / speed));
+        millis{std::llround(std::ceil(placed.wait_ms + placed.read_ms))};
     return std::min(admitted_.deadline, now + expected * reading_factor + least_reading);
 }
 
-void model_placing::prompt_read(boot_clock::duration took)
+engine_costs model_placing::costs() const
 {
-    meter().prompt_read(call_.own_tokens(), took);
+    auto const& reads = meter().reads();
+    auto const& pauses = state_.pauses[admitted_.service_name];
+    return {.read_speed = reads.speed(),
+            .read_fixed_ms = reads.fixed_ms(),
+            .handover_ms = reads.handover_ms(),
+            .beside_streams = pauses.beside_streams(state_.settings.beside),
+            .observed = reads.observed()};
 }
 
-void model_placing::stream_ended(std::int64_t pieces, boot_clock::duration took)
+std::vector<candidate> model_placing::with_kept(std::vector<candidate> candidates) const
 {
+    if (!state_.settings.directory)
+    {
+        return candidates;
+    }
+    auto const kept = state_.prefixes.kept(call_.prompt, boot_clock::now());
+    for (auto& each : candidates)
+    {
+        auto const found = kept.find(each.server->id);
+        if (found != kept.end())
+        {
+            each.kept = found->second.all;
+            each.ready = found->second.ready;
+        }
+    }
+    return candidates;
+}
+
+void model_placing::sent(std::string const& server, placement const& planned)
+{
+    if (reads_prompt())
+    {
+        auto const reading = millis{std::llround(planned.wait_ms + planned.read_ms)};
+        state_.prefixes.sent(server, call_.prompt, reading, boot_clock::now());
+    }
+}
+
+void model_placing::prompt_read(placement const& planned, boot_clock::duration took)
+{
+    meter().prompt_read(
+        {.tokens = planned.unread, .wait_ms = planned.wait_ms, .took = took});
+}
+
+void model_placing::handed_over(boot_clock::duration took)
+{
+    meter().handed_over(took);
+}
+
+void model_placing::stream_ended(std::int64_t pieces, boot_clock::duration took,
+                                 boot_clock::duration longest_pause)
+{
+    state_.pauses[admitted_.service_name].ended(pieces, longest_pause,
+                                                admitted_.matched->event_gap);
     meter().stream(pieces, took, boot_clock::now());
 }
 
--- a/src/serving/model_placing.hpp
+++ b/src/serving/model_placing.hpp
@@ -41,14 +41,25 @@
     /// up, though a read may be repeated.
     loop_time reading_end(placement const& placed) const;
 
+    /// The call goes to `server`, which keeps its prompt from then on.
+    void sent(std::string const& server, placement const& planned);
+
     /// An engine has read the prompt.
-    void prompt_read(boot_clock::duration took);
+    void prompt_read(placement const& planned, boot_clock::duration took);
+
+    /// The engine that runs the call has taken over its prompt and begun to answer.
+    void handed_over(boot_clock::duration took);
 
     /// A stream has ended whole.
-    void stream_ended(std::int64_t pieces, boot_clock::duration took);
+    void stream_ended(std::int64_t pieces, boot_clock::duration took,
+                      boot_clock::duration longest_pause);
 
 private:
-    work_meter& meter() const;
+    work_meter&  meter() const;
+    engine_costs costs() const;
+
+    /// The candidates with what they keep of this call's prompt.
+    std::vector<candidate> with_kept(std::vector<candidate> candidates) const;
 
     entry_state&         state_;
     caller_call const&   call_;
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -12,6 +12,8 @@
 // 3     one digest in so many tells of usage: a VM that is killed loses 450 ms of its
 //       counts, a tenth of a window, of which 0.05 may be missing over all VMs
 constexpr std::uint64_t usage_every = 3;
+// 16    digests between two looks for what is too old in the directory of caches
+constexpr std::uint64_t expire_every = 16;
 
 std::set<digest_scope> scopes_of(relay_plan const& plan)
 {
@@ -23,6 +25,35 @@
                       : std::set{digest_scope::fleet};
 }
 
+/// Whose observations a digest tells of: that of one VM its own, that of a data centre
+/// those of its VMs, that of the fleet all.
+news_source widest_in(digest_scope scope)
+{
+    switch (scope)
+    {
+    case digest_scope::vm:
+        return news_source::own;
+    case digest_scope::centre:
+        return news_source::centre;
+    case digest_scope::fleet:
+        break;
+    }
+    return news_source::others;
+}
+
+std::vector<prefix_news> prefixes_for(digest_scope scope, prefix_tidings const& tidings)
+{
+    std::vector<prefix_news> result;
+    for (auto const& [source, news] : tidings)
+    {
+        if (source <= widest_in(scope))
+        {
+            result.insert(result.end(), news.begin(), news.end());
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(boost::asio::io_context& loop, entry_state& state,
@@ -45,12 +76,19 @@
     follow(vms);
     auto const   now = boot_clock::now();
     digest_notes notes{.crashes = state_.crashes.news(now)};
+    auto const   tidings = state_.prefixes.take_tidings();
     ++passes_;
+    if (passes_ % expire_every == 0)
+    {
+        state_.prefixes.expire(now);
+    }
     for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
     {
         bool const own = digest.scope == digest_scope::vm;
         notes.usage = own && passes_ % usage_every == 0 ? state_.recent_usage()
                                                         : std::vector<usage_record>{};
+        notes.prefixes = prefixes_for(digest.scope, tidings);
+        notes.unwell = state_.health.news(widest_in(digest.scope), now);
         digests_.publish(digest, notes);
     }
     if (records_)
@@ -63,6 +101,7 @@
 void peer_exchange::take(load_digest digest, digest_notes const& notes)
 {
     auto const now = boot_clock::now();
+    auto const scope = digest.scope;
     if (!state_.peers.absorb(std::move(digest), now))
     {
         return;
@@ -71,6 +110,16 @@
     {
         state_.crashes.absorb(each, now);
     }
+    auto const source =
+        scope == digest_scope::vm ? news_source::centre : news_source::others;
+    for (auto const& [server, left] : notes.unwell)
+    {
+        state_.health.hear(server, left, source, now);
+    }
+    for (auto const& each : notes.prefixes)
+    {
+        state_.prefixes.hear(each, source, now);
+    }
     for (auto const& each : notes.usage)
     {
         state_.usage_known.hear(each);
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -340,6 +340,19 @@
         co_return std::nullopt;
     }
 
+    /// An engine that has started anew, or reads in another role, keeps no prompts.
+    void forget_cache(backend_server const& server)
+    {
+        auto const& known = state_.servers.servers();
+        auto const  before = known.find(server.id);
+        bool const  same = before != known.end() && before->second.role == server.role &&
+                          before->second.born_unix_ms == server.born_unix_ms;
+        if (!same)
+        {
+            state_.prefixes.forget(server.id);
+        }
+    }
+
     void take(keyed_record const& record)
     {
         auto const server =
@@ -353,6 +366,7 @@
             }
             return;
         }
+        forget_cache(*server);
         if (state_.servers.put(*server))
         {
             state_.log.write(event_line{"server"}
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -39,6 +39,7 @@
     std::int64_t rank = 0;  // most urgent first
     bool         prefill_only = false;
     std::string  cache_source; // ADDRESS/HANDLE of a prefilled prompt; empty: none
+    std::string  fetch_from;   // ADDRESS of an engine that keeps parts; empty: none
     std::string  resume_after; // go on behind this event; empty: from the start
 
     bool operator==(onward_call const&) const = default;
--- a/tests/property/send_account_property_test.cpp
+++ b/tests/property/send_account_property_test.cpp
@@ -70,10 +70,10 @@
 {
     send_account account;
     EXPECT_FALSE(account.is_retry());
-    account.read_refused();
+    account.read_failed();
     EXPECT_TRUE(account.is_retry());
     EXPECT_FALSE(account.maybe_run());
-    account.read_refused();
+    account.read_failed();
     EXPECT_FALSE(account.allows({.repeatable = true, .max_servers = 9}));
 }
 
--- a/tests/replay/load_policy_test.cpp
+++ b/tests/replay/load_policy_test.cpp
@@ -2,7 +2,9 @@
 //
 // Index: 1 a fleet of engines, 2 placing, 3 waiting, 4 roles, 5 buying
 #include "policy/fleet_plan.hpp"
+#include "policy/pause_watch.hpp"
 #include "policy/placement.hpp"
+#include "policy/prefix_directory.hpp"
 #include "policy/role_split.hpp"
 #include "policy/wait_judgement.hpp"
 
@@ -22,12 +24,21 @@
 constexpr double prefill_speed = 55'000; // tokens a second
 constexpr double decode_speed = prefill_speed / 2;
 
+engine_costs observed_costs()
+{
+    constexpr double second_ms = 1000;
+    return {.read_speed = prefill_speed / second_ms, .observed = true};
+}
+
 /// Engines that read what they are given, in order; streams run for a fixed time.
 struct engine_fleet
 {
     std::vector<backend_server> servers;
     std::vector<server_load>    loads;
     std::vector<double>         unread; // tokens, as a fluid
+    prefix_directory            caches;
+    boot_clock::time_point      now{std::chrono::hours{1}};
+    engine_costs                costs = observed_costs();
 
     engine_fleet(int prefill, int decode)
     {
@@ -54,6 +65,23 @@
         return result;
     }
 
+    std::optional<placement> place(caller_call const& call, std::uint64_t ticket,
+                                   placement_options const& options = {}) const
+    {
+        auto       each = candidates();
+        auto const kept = caches.kept(call.prompt, now);
+        for (auto& engine : each)
+        {
+            auto const found = kept.find(engine.server->id);
+            if (found != kept.end())
+            {
+                engine.kept = found->second.all;
+                engine.ready = found->second.ready;
+            }
+        }
+        return place_model(each, call, costs, "here", ticket, options);
+    }
+
     std::size_t index_of(backend_server const* server) const
     {
         return static_cast<std::size_t>(server - servers.data());
@@ -61,6 +89,8 @@
 
     void pass(double time_s)
     {
+        now += std::chrono::duration_cast<boot_clock::duration>(
+            std::chrono::duration<double>(time_s));
         for (std::size_t index = 0; index < servers.size(); ++index)
         {
             bool const   reads = servers[index].role == engine_role::prefill;
@@ -96,13 +126,14 @@
 };
 
 /// Long prompts arrive faster than all prefill engines together can read them.
-swing_result play_swing(placement_options const& options, wait_options const& waits)
+swing_result play_swing(std::int64_t beside_streams, wait_options const& waits)
 {
     constexpr double step_s = 0.01;
     constexpr double length_s = 10;
     constexpr double calls_a_s = 90;
     engine_fleet     fleet(6, 9);
-    std::mt19937_64  random(7);
+    fleet.costs.beside_streams = beside_streams;
+    std::mt19937_64 random(7);
     for (auto& load : fleet.loads)
     {
         load.running = 12;
@@ -118,11 +149,10 @@
         for (due += calls_a_s * step_s; due >= 1; due -= 1)
         {
             auto const call = long_prompt(static_cast<int>(random() % 62));
-            auto const placed =
-                place_model(fleet.candidates(), call, "here", random(), options);
+            auto const placed = fleet.place(call, random());
             ++calls;
             auto const speed = placed->prefill_only ? prefill_speed : decode_speed;
-            if (judge_wait({*placed, speed, millis{800}, millis{8000}}, waits))
+            if (judge_wait({*placed, true, millis{800}, millis{8000}}, waits))
             {
                 ++refused;
                 continue;
@@ -130,6 +160,7 @@
             auto const index = fleet.index_of(placed->server);
             waited += (fleet.unread[index] + static_cast<double>(placed->unread)) / speed;
             fleet.unread[index] += static_cast<double>(placed->unread);
+            fleet.caches.sent(placed->server->id, call.prompt, millis{0}, fleet.now);
             decode_tokens +=
                 placed->prefill_only ? 0 : static_cast<double>(placed->unread);
         }
@@ -145,10 +176,8 @@
 // stalls.
 TEST(load_policy, swing_of_long_prompts_leaves_decode_engines_to_their_streams)
 {
-    placement_options without;
-    without.decode_reads = 1'000'000'000;
-    auto const before = play_swing(without, {});
-    auto const after = play_swing({}, {});
+    auto const before = play_swing(1'000'000'000, {});
+    auto const after = play_swing(pause_watch_options{}.least, {});
     EXPECT_GT(before.reading_share, 0.30);
     EXPECT_LT(after.reading_share, 0.15);
 }
@@ -160,27 +189,67 @@
     engine_fleet fleet(6, 9);
     for (int subject = 0; subject < 62; ++subject)
     {
-        auto const first =
-            place_model(fleet.candidates(), long_prompt(subject), "here", 1, {});
+        auto const call = long_prompt(subject);
+        auto const first = fleet.place(call, 1);
+        fleet.caches.sent(first->server->id, call.prompt, millis{0}, fleet.now);
         for (std::uint64_t ticket = 2; ticket < 20; ++ticket)
         {
-            auto const again =
-                place_model(fleet.candidates(), long_prompt(subject), "here", ticket, {});
+            auto const again = fleet.place(call, ticket);
             EXPECT_EQ(again->server, first->server);
             EXPECT_EQ(again->unread, 6610);
         }
     }
 }
 
-// That engine is so busy that reading all of the prompt elsewhere is done sooner.
-TEST(load_policy, a_part_is_read_again_rather_than_waited_for)
+// Two VMs get calls for a part that no engine keeps before either has told the other.
+TEST(load_policy, calls_for_an_unknown_part_meet_without_a_directory)
+{
+    engine_fleet fleet(6, 9);
+    for (int subject = 0; subject < 62; ++subject)
+    {
+        auto const first = fleet.place(long_prompt(subject), 1);
+        auto const other = fleet.place(long_prompt(subject), 7);
+        EXPECT_EQ(other->server, first->server);
+    }
+}
+
+// That engine is so busy that the call is served sooner elsewhere: with the part fetched
+// from there, or read again where engines can't fetch.
+TEST(load_policy, a_part_is_fetched_or_read_again_rather_than_waited_for)
 {
     engine_fleet fleet(6, 9);
-    auto const   home = place_model(fleet.candidates(), long_prompt(3), "here", 1, {});
+    auto const   call = long_prompt(3);
+    auto const   home = fleet.place(call, 1);
+    fleet.caches.sent(home->server->id, call.prompt, millis{0}, fleet.now);
     fleet.loads[fleet.index_of(home->server)].unread = 60'000;
-    auto const other = place_model(fleet.candidates(), long_prompt(3), "here", 1, {});
-    EXPECT_NE(other->server, home->server);
-    EXPECT_EQ(other->unread, 512 + 4870 + 6610);
+    auto const fetched = fleet.place(call, 1);
+    EXPECT_NE(fetched->server, home->server);
+    EXPECT_EQ(fetched->fetch_from, home->server);
+    EXPECT_EQ(fetched->unread, 6610);
+    auto const read_again = fleet.place(call, 1, {.fetch = false});
+    EXPECT_NE(read_again->server, home->server);
+    EXPECT_EQ(read_again->fetch_from, nullptr);
+    EXPECT_EQ(read_again->unread, 512 + 4870 + 6610);
+}
+
+// Streams of long events bear no reading beside them, those of short events do. Where
+// they do, a fleet that leaves reading to a third of its engines queues there while the
+// others idle.
+TEST(load_policy, decoding_engines_read_as_much_as_their_streams_bear)
+{
+    pause_watch bears;
+    pause_watch stalls;
+    for (int stream = 0; stream < 200; ++stream)
+    {
+        bears.ended(20, millis{stream % 10 == 0 ? 170 : 90}, millis{300});
+        stalls.ended(20, millis{stream % 5 == 0 ? 255 : 90}, millis{250});
+    }
+    EXPECT_EQ(bears.beside_streams(true), pause_watch_options{}.most);
+    EXPECT_EQ(stalls.beside_streams(true), pause_watch_options{}.least);
+    auto const queued = play_swing(stalls.beside_streams(true), {});
+    auto const shared = play_swing(bears.beside_streams(true), {});
+    EXPECT_LT(shared.waited_s, queued.waited_s / 2);
+    EXPECT_LT(shared.refused, queued.refused / 2);
 }
 
 // Engines read in the order of arrival, whatever the rank: an urgent call of 1,000 tokens
@@ -193,13 +262,13 @@
     {
         load.unread = 500'000;
     }
-    auto const placed = place_model(fleet.candidates(), long_prompt(1), "here", 1, {});
-    EXPECT_EQ(placed->ahead, 500'000);
-    EXPECT_TRUE(judge_wait({*placed, prefill_speed, millis{400}, millis{2500}}, {}));
+    auto const placed = fleet.place(long_prompt(1), 1);
+    EXPECT_GE(placed->wait_ms, 500'000 / fleet.costs.read_speed);
+    EXPECT_TRUE(judge_wait({*placed, true, millis{400}, millis{2500}}, {}));
     fleet.loads[1].unread = 0;
-    auto const free = place_model(fleet.candidates(), long_prompt(1), "here", 1, {});
+    auto const free = fleet.place(long_prompt(1), 1);
     EXPECT_EQ(free->server, &fleet.servers[1]);
-    EXPECT_FALSE(judge_wait({*free, prefill_speed, millis{400}, millis{2500}}, {}));
+    EXPECT_FALSE(judge_wait({*free, true, millis{400}, millis{2500}}, {}));
 }
 
 // Short prompts come faster than the decoding engines can read them beside their streams.
@@ -208,14 +277,15 @@
 TEST(load_policy, short_prompts_are_handed_over_while_decoding_engines_read)
 {
     engine_fleet fleet(4, 2);
+    fleet.costs.beside_streams = pause_watch_options{}.least; // pauses near the promise
     auto const short_prompt = caller_call{.id = "c", .prompt = {{"t", 198}, {"o", 628}}};
-    auto const idle = place_model(fleet.candidates(), short_prompt, "here", 1, {});
+    auto const idle = fleet.place(short_prompt, 1);
     EXPECT_FALSE(idle->prefill_only);
     for (auto& load : fleet.loads)
     {
         load.unread = 900;
     }
-    auto const busy = place_model(fleet.candidates(), short_prompt, "here", 1, {});
+    auto const busy = fleet.place(short_prompt, 1);
     EXPECT_TRUE(busy->prefill_only);
 }
 
@@ -228,7 +298,7 @@
     {
         each.suspect = true;
     }
-    EXPECT_TRUE(place_model(candidates, long_prompt(1), "here", 1, {}));
+    EXPECT_TRUE(place_model(candidates, long_prompt(1), {}, "here", 1, {}));
     candidates[1].suspect = false;
     EXPECT_EQ(place_plain(candidates, "here", 0), candidates[1].server);
 }
@@ -239,9 +309,10 @@
 // the rest is told at once when to come back.
 TEST(load_policy, swing_is_refused_at_once_beyond_what_can_be_read_in_time)
 {
-    auto const         result = play_swing({}, {});
+    auto const         least = pause_watch_options{}.least;
+    auto const         result = play_swing(least, {});
     wait_options const endless{.longest_wait = 1e9};
-    auto const         without = play_swing({}, endless);
+    auto const         without = play_swing(least, endless);
     EXPECT_GT(result.refused, 0.05);
     EXPECT_LT(result.refused, 0.5);
     EXPECT_LT(without.refused, result.refused); // only what can't be read by its deadline
@@ -251,13 +322,13 @@
 
 TEST(load_policy, time_to_come_back_is_when_the_queue_will_be_short)
 {
-    placement const placed{.unread = 6000, .ahead = 220'000};
-    auto const back = judge_wait({placed, prefill_speed, millis{800}, millis{8000}}, {});
+    placement const placed{.unread = 6000, .wait_ms = 4000, .read_ms = 110};
+    auto const      back = judge_wait({placed, true, millis{800}, millis{8000}}, {});
     ASSERT_TRUE(back);
     EXPECT_EQ(*back, wait_options{}.latest);
-    EXPECT_FALSE(judge_wait({placed, 0, millis{800}, millis{8000}}, {})); // speed unknown
-    placement const next{.unread = 500'000, .ahead = 0};
-    EXPECT_FALSE(judge_wait({next, prefill_speed, millis{800}, millis{8000}}, {}));
+    EXPECT_FALSE(judge_wait({placed, false, millis{800}, millis{8000}}, {}));
+    placement const next{.unread = 500'000, .read_ms = 9000};
+    EXPECT_FALSE(judge_wait({next, true, millis{800}, millis{8000}}, {}));
 }
 
 // 4. Roles
@@ -295,6 +366,18 @@
     EXPECT_TRUE(plan_role_changes({}, {9, 9}, now, {}).empty());
 }
 
+// The same swing where engines that decode read beside their streams: they take over what
+// the others lack, and no engine is out for seconds.
+TEST(load_policy, roles_stay_while_decoding_engines_take_over_reading)
+{
+    engine_fleet const           fleet(6, 12);
+    boot_clock::time_point const now{std::chrono::hours{1}};
+    role_need const              need{.prefill = 5.5, .decode = 1.3, .beside = true};
+    EXPECT_TRUE(plan_role_changes(engines_of(fleet), need, now, {}).empty());
+    role_need const apart{.prefill = 5.5, .decode = 1.3};
+    EXPECT_FALSE(plan_role_changes(engines_of(fleet), apart, now, {}).empty());
+}
+
 // The swing goes back before the changed engines have served: they aren't changed again.
 TEST(load_policy, an_engine_is_not_changed_again_before_it_has_settled)
 {
@@ -314,12 +397,15 @@
 {
     work_meter             meter;
     boot_clock::time_point now{std::chrono::hours{1}};
-    meter.prompt_read(11'000, millis{200});
+    for (int call = 0; call < 60; ++call)
+    {
+        meter.prompt_read({.tokens = 11'000, .took = millis{200}});
+    }
     for (int call = 0; call < 300; ++call)
     {
         now += millis{30};
         meter.prompt(6000, now);
-        meter.prompt_read(6000, seconds{3});
+        meter.prompt_read({.tokens = 6000, .wait_ms = 2800, .took = seconds{3}});
     }
     EXPECT_GT(meter.prefill_speed(), 50'000);
     EXPECT_LT(meter.demand(now).prefill_engines(), 5);
@@ -465,7 +551,10 @@
 {
     work_meter meter;
     auto       now = at;
-    meter.prompt_read(50'000, seconds{1});
+    for (int read = 0; read < 100; ++read)
+    {
+        meter.prompt_read({.tokens = 50'000, .took = seconds{1}});
+    }
     for (int call = 0; call < 200; ++call)
     {
         meter.prompt(5000, now);
--- a/tests/unit/fleet_orders_test.cpp
+++ b/tests/unit/fleet_orders_test.cpp
@@ -78,7 +78,10 @@
     {
         auto&      meter = state.meters["m"];
         auto const now = boot_clock::now();
-        meter.prompt_read(50'000, std::chrono::seconds{1});
+        for (int read = 0; read < 100; ++read)
+        {
+            meter.prompt_read({.tokens = 50'000, .took = std::chrono::seconds{1}});
+        }
         meter.prompt(4'000'000, now);
     }
 
--- /dev/null
+++ b/tests/unit/prefix_directory_test.cpp
@@ -0,0 +1,121 @@
+// Which engines are believed to keep which parts.
+//
+// Index: 1 chains, 2 news, 3 forgetting
+#include "policy/prefix_directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+using prompt = std::vector<prompt_part>;
+
+boot_clock::time_point at(int ms)
+{
+    return boot_clock::time_point{std::chrono::hours{1}} + millis{ms};
+}
+
+std::map<std::string, kept_tokens> only(std::string const& server, std::int64_t tokens)
+{
+    return {{server, {tokens, tokens}}};
+}
+
+// 1. Chains
+
+TEST(prefix_directory, a_part_counts_only_behind_all_before_it)
+{
+    prefix_directory caches;
+    caches.sent("e", {{"a", 100}, {"b", 1000}, {"own", 10}}, millis{0}, at(0));
+    EXPECT_EQ(caches.kept({{"a", 100}, {"b", 1000}, {"x", 7}}, at(1)), only("e", 1100));
+    EXPECT_EQ(caches.kept({{"a", 100}, {"c", 1000}, {"x", 7}}, at(1)), only("e", 100));
+    EXPECT_TRUE(caches.kept({{"c", 50}, {"b", 1000}, {"x", 7}}, at(1)).empty());
+    EXPECT_TRUE(caches.kept({{"own", 10}, {"x", 7}}, at(1)).empty()); // a caller's own
+    EXPECT_TRUE(caches.kept({}, at(1)).empty());
+}
+
+TEST(prefix_directory, engines_that_keep_less_are_listed_with_less)
+{
+    prefix_directory caches;
+    caches.sent("e", {{"a", 100}, {"b", 1000}, {"own", 10}}, millis{0}, at(0));
+    caches.sent("f", {{"a", 100}, {"own", 10}}, millis{0}, at(0));
+    auto const kept = caches.kept({{"a", 100}, {"b", 1000}, {"x", 7}}, at(1));
+    EXPECT_EQ(kept.at("e").all, 1100);
+    EXPECT_EQ(kept.at("f").all, 100);
+}
+
+// A part that is fetched while it is still being read is read a second time.
+TEST(prefix_directory, a_part_is_ready_once_it_has_been_read)
+{
+    prefix_directory caches;
+    prompt const     call{{"a", 100}, {"b", 1000}, {"own", 10}};
+    caches.sent("e", {{"a", 100}, {"own", 10}}, millis{0}, at(0));
+    caches.sent("e", call, millis{300}, at(10));
+    EXPECT_EQ(caches.kept(call, at(100)).at("e"), (kept_tokens{1100, 100}));
+    caches.sent("e", call, millis{300}, at(200)); // waits for the same read
+    EXPECT_EQ(caches.kept(call, at(310)).at("e"), (kept_tokens{1100, 1100}));
+}
+
+// 2. News
+
+TEST(prefix_directory, other_vms_hear_of_a_part_once_and_again_after_a_while)
+{
+    prefix_directory teller;
+    prefix_directory hearer;
+    prompt const     call{{"a", 100}, {"own", 10}};
+    teller.sent("e", call, millis{0}, at(0));
+    teller.sent("e", call, millis{0}, at(10));
+    auto const news = teller.take_tidings()[news_source::own];
+    ASSERT_EQ(news.size(), 1U);
+    EXPECT_EQ(news.front().parts.size(), 1U);
+    hearer.hear(news.front(), news_source::centre, at(100));
+    EXPECT_EQ(hearer.kept(call, at(101)).at("e").ready, 0); // still being read
+    EXPECT_EQ(hearer.kept(call, at(600)), only("e", 100));
+    EXPECT_TRUE(teller.take_tidings().empty());
+    teller.sent("e", call, millis{0}, at(5000));
+    EXPECT_EQ(teller.take_tidings()[news_source::own].size(), 1U);
+}
+
+// Two relays that pass on what they hear from each other tell it for ever: links and
+// memory of small VMs fill up within seconds.
+TEST(prefix_directory, what_was_heard_is_told_apart_and_once)
+{
+    prefix_directory relay;
+    relay.hear({"e", {1, 2}}, news_source::centre, at(0));
+    relay.hear({"f", {3}}, news_source::others, at(0));
+    auto const tidings = relay.take_tidings();
+    EXPECT_EQ(tidings.at(news_source::centre),
+              (std::vector<prefix_news>{{"e", {1, 2}}}));
+    EXPECT_EQ(tidings.at(news_source::others), (std::vector<prefix_news>{{"f", {3}}}));
+    relay.hear({"e", {1, 2}}, news_source::others, at(150));
+    EXPECT_TRUE(relay.take_tidings().empty());
+}
+
+// 3. Forgetting
+
+// An engine that has started anew under its old id would be believed to keep prompts, and
+// calls would go to it for nothing.
+TEST(prefix_directory, an_engine_that_starts_anew_keeps_nothing)
+{
+    prefix_directory caches;
+    prompt const     call{{"a", 100}, {"own", 10}};
+    caches.sent("e", call, millis{0}, at(0));
+    caches.forget("e");
+    EXPECT_TRUE(caches.kept(call, at(1)).empty());
+}
+
+TEST(prefix_directory, what_nobody_used_for_long_is_forgotten)
+{
+    prefix_directory caches;
+    prompt const     call{{"a", 100}, {"own", 10}};
+    caches.sent("e", call, millis{0}, at(0));
+    auto const later = at(0) + prefix_directory_options{}.life + millis{1};
+    EXPECT_TRUE(caches.kept(call, later).empty());
+    EXPECT_EQ(caches.size(), 1U);
+    caches.expire(later);
+    EXPECT_EQ(caches.size(), 0U);
+}
+
+} // namespace
+} // namespace marigoldcrank
