--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -148,6 +148,13 @@
         flag("policy", "directory", &entry_settings::directory),
         flag("policy", "fetch", &entry_settings::fetch),
         flag("policy", "beside", &entry_settings::beside),
+        flag("policy", "handover", &entry_settings::handover),
+        flag("policy", "home", &entry_settings::home),
+        flag("policy", "learn", &entry_settings::learn),
+        flag("policy", "refuse", &entry_settings::refuse),
+        flag("policy", "roles", &entry_settings::roles),
+        flag("policy", "spread", &entry_settings::spread),
+        flag("policy", "warn", &entry_settings::warn),
         count("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -68,6 +68,13 @@
     bool directory = true; // true    calls go where their prompt's parts are cached
     bool fetch = true;     // true    engines fetch cached parts from each other
     bool beside = true;    // true    decoding engines read more where streams bear it
+    bool handover = true;  // true    prompts may be read apart and handed over
+    bool home = true;      // true    calls for parts that no engine keeps meet at one
+    bool learn = true;     // true    times of reading are learned from reads
+    bool refuse = true;    // true    calls that would wait far too long are turned away
+    bool roles = true;     // true    engines change their role with the load
+    bool spread = true;    // true    VMs don't all choose the engine that was idlest
+    bool warn = true;      // true    lost servers are heard of from other VMs
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400 most lines a second; more are counted
     std::int64_t log_sample = 8; // 8        one call in so many has all its lines written
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -44,6 +44,13 @@
     return best;
 }
 
+/// From 0 to 1; the same for a call and an engine however often it is asked for.
+double chance_of(std::uint64_t ticket, std::string const& id)
+{
+    constexpr double most = 18446744073709551615.0; // of 64 bits
+    return static_cast<double>(XXH3_64bits_withSeed(id.data(), id.size(), ticket)) / most;
+}
+
 struct choice
 {
     candidate const* chosen = nullptr;
@@ -94,6 +101,9 @@
 namespace
 {
 
+// ms; above any real wait, so that an engine that wasn't drawn is taken only if no other
+//     one is sound
+constexpr double undrawn = 1e6;
 constexpr double unfit = std::numeric_limits<double>::infinity();
 
 bool reads_only(candidate const& each)
@@ -107,13 +117,16 @@
 public:
     reading_costs(std::vector<candidate> const& candidates, caller_call const& call,
                   engine_costs const& engines, std::string const& data_centre,
-                  placement_options const& options)
-        : engines_(engines), data_centre_(data_centre), options_(options),
-          own_(call.own_tokens()), shared_(call.prompt_tokens() - call.own_tokens())
+                  std::uint64_t ticket, placement_options const& options)
+        : engines_(engines), data_centre_(data_centre), ticket_(ticket),
+          options_(options), own_(call.own_tokens()),
+          shared_(call.prompt_tokens() - call.own_tokens())
     {
         for (auto const& each : candidates)
         {
             some_read_only_ = some_read_only_ || (reads_only(each) && !each.suspect);
+            readers_ += reads_only(each) && !each.suspect ? 1 : 0;
+            decoders_ += !reads_only(each) && !each.suspect ? 1 : 0;
             known_ = known_ || each.kept > 0;
             bool const better = holder_ == nullptr || each.ready > holder_->ready;
             if (!each.suspect && each.ready > 0 && better)
@@ -140,12 +153,12 @@
         auto const fetched = fetchable(each);
         auto const fetch =
             fetching(each, fetched) + reading(each, shared_ - each.kept - fetched);
-        result.read_ms = engines_.read_fixed_ms + read_own + read_rest;
+        result.read_ms = fixed(each) + read_own + read_rest;
         if (fetched > 0 && fetch < read_rest)
         {
             result.fetch_from = holder_->server;
             result.unread -= fetched;
-            result.read_ms = engines_.read_fixed_ms + read_own + fetch;
+            result.read_ms = fixed(each) + read_own + fetch;
         }
         return result;
     }
@@ -153,12 +166,12 @@
     /// What a placement costs: its time, and what it takes from others.
     double of(candidate const& each, placement const& placed) const
     {
-        auto const shared = placed.read_ms - engines_.read_fixed_ms - reading(each, own_);
+        auto const shared = placed.read_ms - fixed(each) - reading(each, own_);
         bool const home =
             each.server == (reads_only(each) ? prefill_home_ : decode_home_);
         auto const discount = home ? options_.home * reading(each, shared_) : 0.0;
         return placed.wait_ms + placed.read_ms + (options_.read_again - 1) * shared -
-               discount + distance(each);
+               discount + distance(each) + spread(each) + (drawn(each) ? 0.0 : undrawn);
     }
 
     /// Whether an engine that decodes may read the prompt beside its streams.
@@ -181,11 +194,34 @@
         return (near ? 0.0 : options_.distance_ms) + (each.suspect ? suspect_cost : 0.0);
     }
 
+    /// Whether the call may go there: to an engine that keeps its prompt, or should, or
+    /// was drawn.
+    bool drawn(candidate const& each) const
+    {
+        auto const role = reads_only(each) ? readers_ : decoders_;
+        bool const few = engines_.choices <= 0 || role <= engines_.choices;
+        bool const home = each.server == prefill_home_ || each.server == decode_home_;
+        return few || home || each.kept > 0 ||
+               chance_of(~ticket_, each.server->id) * static_cast<double>(role) <
+                   static_cast<double>(engines_.choices);
+    }
+
+    double spread(candidate const& each) const
+    {
+        auto const most = options_.spread * engines_.unheard_ms;
+        return most <= 0 ? 0.0 : most * chance_of(ticket_, each.server->id);
+    }
+
 private:
     double reading(candidate const& each, std::int64_t tokens) const
     {
-        auto const slower = reads_only(each) ? 1.0 : options_.decode_reads_slower;
-        return static_cast<double>(tokens) * slower / engines_.read_speed;
+        auto const speed = reads_only(each) ? engines_.read_speed : engines_.beside_speed;
+        return static_cast<double>(tokens) / speed;
+    }
+
+    double fixed(candidate const& each) const
+    {
+        return reads_only(each) ? engines_.read_fixed_ms : engines_.beside_fixed_ms;
     }
 
     /// Tokens that the engine could fetch from the one that keeps most of the prompt.
@@ -207,10 +243,13 @@
 
     engine_costs const&      engines_;
     std::string const&       data_centre_;
+    std::uint64_t            ticket_;
     placement_options const& options_;
     std::int64_t             own_;
     std::int64_t             shared_;
     bool                     some_read_only_ = false;
+    std::int64_t             readers_ = 0;      // engines that read only
+    std::int64_t             decoders_ = 0;     // the others
     bool                     known_ = false;    // some engine keeps a part of the prompt
     candidate const*         holder_ = nullptr; // has read most of the prompt
     backend_server const*    prefill_home_ = nullptr;
@@ -224,7 +263,7 @@
                                      std::string const& data_centre, std::uint64_t ticket,
                                      placement_options const& options)
 {
-    reading_costs const    ways{candidates, call, costs, data_centre, options};
+    reading_costs const    ways{candidates, call, costs, data_centre, ticket, options};
     std::vector<placement> placed(candidates.size());
     std::transform(candidates.begin(), candidates.end(), placed.begin(),
                    [&](candidate const& each) { return ways.at(each); });
@@ -245,7 +284,7 @@
         return std::nullopt;
     }
     bool const sooner =
-        call.own_tokens() >= options.handover_least &&
+        options.handover && call.own_tokens() >= options.handover_least &&
         apart.cost + costs.handover_ms + options.handover_cost_ms < whole.cost;
     return way(whole.chosen == nullptr || sooner ? *apart.chosen : *whole.chosen);
 }
@@ -255,11 +294,16 @@
                                    std::string const& data_centre, std::uint64_t ticket,
                                    placement_options const& options)
 {
-    reading_costs const ways{candidates, caller_call{}, costs, data_centre, options};
-    auto const          best = cheapest(
-                 candidates, ticket,
-                 [&](candidate const& each)
-                 { return reads_only(each) ? unfit : ways.waiting(each) + ways.distance(each); });
+    reading_costs const ways{candidates,  caller_call{}, costs,
+                             data_centre, ticket,        options};
+    auto const          best = cheapest(candidates, ticket,
+                                        [&](candidate const& each)
+                                        {
+                                   return reads_only(each)
+                                                       ? unfit
+                                                       : ways.waiting(each) + ways.distance(each) +
+                                                    ways.spread(each);
+                               });
     return best.chosen == nullptr ? nullptr : best.chosen->server;
 }
 
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -28,6 +28,10 @@
 {
     // 50    tokens a ms that an engine reads when it does nothing else, until observed
     double read_speed = 50;
+    // 25    the same of an engine that decodes
+    double beside_speed = 25;
+    // 50    ms that every read takes besides there
+    double beside_fixed_ms = 50;
     // 50 and 30  ms that every read takes besides, and from a hand-over to the first
     // event
     double read_fixed_ms = 50;
@@ -36,14 +40,18 @@
     //       only; more where the streams there bear it
     std::int64_t beside_streams = 2000;
     bool         observed = false; // read_speed comes from reads
+    // 0     ms of reading that an engine has been given, on the mean, since this VM last
+    //       heard of it
+    double unheard_ms = 0;
+    // 0     engines of a role, drawn for each call, among which it looks for an idle one
+    //       besides those that keep its prompt; 0: all
+    std::int64_t choices = 0;
 
     bool operator==(engine_costs const&) const = default;
 };
 
 struct placement_options
 {
-    // 2     a decode engine reads prompts at half the speed of a prefill engine
-    double decode_reads_slower = 2;
     // 2     times its time, the weight of reading a shared part that an engine keeps: the
     //       time is taken from all who wait for an engine
     double read_again = 2;
@@ -64,7 +72,11 @@
     // 10    ms to begin a transfer, and tokens a ms of its way between engines
     double fetch_setup_ms = 10;
     double fetch_speed = 500;
-    bool   fetch = true; // cached parts may be fetched from other engines
+    // 2     times what is unheard of; the costs of engines are spread by so much, or all
+    //       VMs would choose the one that was idle when they last heard of it
+    double spread = 2;
+    bool   fetch = true;    // cached parts may be fetched from other engines
+    bool   handover = true; // prompts may be read apart while an engine can do both
 
     bool operator==(placement_options const&) const = default;
 };
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -68,11 +68,26 @@
         reads_.handed_over(took);
     }
 
+    /// An engine that decodes has read a prompt beside its streams and given the first
+    /// event.
+    void read_beside(read_sample const& sample)
+    {
+        beside_.read(sample);
+    }
+
+    /// Reading at engines that do nothing else.
     read_model const& reads() const noexcept
     {
         return reads_;
     }
 
+    /// Reading at engines that decode. What a queue that no VM has heard of adds shows in
+    /// the fixed part of either, so that calls move to the role that has room.
+    read_model const& beside() const noexcept
+    {
+        return beside_;
+    }
+
     /// A stream has ended; time from its first to its last event.
     void stream(std::int64_t events, boot_clock::duration took,
                 boot_clock::time_point now)
@@ -131,6 +146,7 @@
     }
 
     read_model             reads_;
+    read_model             beside_{{.first_speed = read_model_options{}.first_speed / 2}};
     boot_clock::time_point began_{};
     boot_clock::time_point seen_{};
     double                 prompt_rate_ = 0; // tokens a second
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -304,7 +304,8 @@
         notes_.sent({server.id, source.empty() ? "call" : "run", sends_.runs(), planned},
                     admitted_);
         placing_.sent(server.id, planned);
-        handed_over_at_ = source.empty() ? boot_clock::time_point{} : boot_clock::now();
+        run_sent_ = boot_clock::now();
+        run_planned_ = planned;
         auto const fate = co_await run_at(link, source, admitted_.deadline);
         if (caller_.left())
         {
@@ -375,10 +376,7 @@
         if (stream_.started() && !began)
         {
             state_.counters.observe("first_event_seconds", pace_.wait());
-            if (handed_over_at_ != boot_clock::time_point{})
-            {
-                placing_.handed_over(boot_clock::now() - handed_over_at_);
-            }
+            learn_from_first_event();
             status_ = link.facts().status;
             count_usage();
         }
@@ -389,6 +387,21 @@
         co_return co_await caller_.write(out, admitted_.deadline);
     }
 
+    /// How long the engine took tells of reading or of taking over what another one read.
+    void learn_from_first_event()
+    {
+        auto const took = boot_clock::now() - run_sent_;
+        bool const plain = placing_.reads_prompt() && sends_.runs() == 1;
+        if (plain && run_planned_.unread > 0 && !prefilled_)
+        {
+            placing_.read_beside(run_planned_, took);
+        }
+        else if (plain && run_planned_.unread == 0 && prefilled_)
+        {
+            placing_.handed_over(took);
+        }
+    }
+
     void end_stream(exchange& link)
     {
         auto const now = boot_clock::now();
@@ -721,8 +734,9 @@
     std::string kept_failure_; // a server's own, in bytes
     unsigned    kept_status_ = 0;
     std::string_view       last_fault_ = "no_server";
-    std::string            last_server_;      // that was to run the call
-    boot_clock::time_point handed_over_at_{}; // the run with a prompt read elsewhere
+    std::string            last_server_; // that was to run the call
+    boot_clock::time_point run_sent_{};
+    placement              run_planned_; // of the newest run; only its figures are used
     std::string      fetch_from_; // address of the engine that keeps its shared parts
     std::string_view end_;
     unsigned         status_ = 0;
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -59,9 +59,6 @@
 private:
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
-    // 150   ms; between digests. A prompt of 8,000 tokens is read in as long: placement
-    //       must not rest on much older knowledge
-    static constexpr millis digest_pause{150};
     // 50    ms; between looks at whether all calls have ended
     static constexpr millis drain_look{50};
     // 300   ms of the grace are left for the last answers to be taken
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t shared_parts = 5;
 // 100  VMs while none is known: more than any deployment of today has
 constexpr std::int64_t unknown_vms = 100;
+// 450  ms; from a member to its relay, to another relay and to its members
+constexpr millis relayed_digest_age = digest_pause * 3;
 
 } // namespace
 
@@ -83,6 +85,16 @@
     return result;
 }
 
+millis entry_state::digest_age() const
+{
+    return relays_used() ? relayed_digest_age : digest_pause;
+}
+
+bool entry_state::relays_used() const
+{
+    return vms_known > settings.mesh;
+}
+
 vm_work entry_state::own_work(boot_clock::time_point now)
 {
     vm_work work{.loads = loads};
@@ -144,6 +156,8 @@
 {
     placement_options options;
     options.fetch = settings.fetch;
+    options.home = settings.home ? options.home : 0;
+    options.handover = settings.handover;
     return options;
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -33,6 +33,10 @@
 namespace marigoldcrank
 {
 
+// 150   ms; between digests. A prompt of 8,000 tokens is read in as long: placement must
+//       not rest on much older knowledge
+inline constexpr millis digest_pause{150};
+
 /// The rules in force and how old the knowledge is.
 struct rules_view
 {
@@ -58,6 +62,12 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
+    /// Whether VMs hear of each other through relays.
+    bool relays_used() const;
+
+    /// How old what this VM knows of others' work is.
+    millis digest_age() const;
+
     /// What this VM has in work and is asked for.
     vm_work own_work(boot_clock::time_point now);
 
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -176,7 +176,7 @@
         }
         for (auto const& value : rules->services())
         {
-            if (value.has_engines)
+            if (value.has_engines && state_.settings.roles)
             {
                 plan_roles_of(value);
             }
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -15,8 +15,10 @@
 // 3  times the expected time, and 600 ms, for a prompt to be read: later its answer is
 // lost,
 //    or the engine so slow that reading it elsewhere is sooner
-constexpr int    reading_factor = 3;
-constexpr millis least_reading{600};
+constexpr int reading_factor = 3;
+// 4     engines of a role that a call chooses from where what is known of them is old
+constexpr std::int64_t choices = 4;
+constexpr millis       least_reading{600};
 
 } // namespace
 
@@ -73,7 +75,7 @@
 
 std::optional<millis> model_placing::too_late(placement const& placed) const
 {
-    if (!reads_prompt())
+    if (!reads_prompt() || !state_.settings.refuse)
     {
         return std::nullopt;
     }
@@ -100,12 +102,27 @@
 engine_costs model_placing::costs() const
 {
     auto const& reads = meter().reads();
+    auto const& beside = meter().beside();
     auto const& pauses = state_.pauses[admitted_.service_name];
     return {.read_speed = reads.speed(),
+            .beside_speed = beside.speed(),
+            .beside_fixed_ms = beside.fixed_ms(),
             .read_fixed_ms = reads.fixed_ms(),
             .handover_ms = reads.handover_ms(),
             .beside_streams = pauses.beside_streams(state_.settings.beside),
-            .observed = reads.observed()};
+            .observed = reads.observed(),
+            .unheard_ms = state_.settings.spread ? unheard_ms() : 0,
+            .choices = state_.settings.spread && state_.relays_used() ? choices : 0};
+}
+
+double model_placing::unheard_ms() const
+{
+    auto const now = boot_clock::now();
+    auto const engines =
+        static_cast<double>(state_.candidates(admitted_.service_name, {}, now).size());
+    auto const busy = state_.demand(admitted_.service_name, now).prefill_engines();
+    auto const age = state_.digest_age().count();
+    return engines > 0 ? busy / engines * static_cast<double>(age) : 0;
 }
 
 std::vector<candidate> model_placing::with_kept(std::vector<candidate> candidates) const
@@ -138,8 +155,20 @@
 
 void model_placing::prompt_read(placement const& planned, boot_clock::duration took)
 {
-    meter().prompt_read(
-        {.tokens = planned.unread, .wait_ms = planned.wait_ms, .took = took});
+    if (state_.settings.learn)
+    {
+        meter().prompt_read(
+            {.tokens = planned.unread, .wait_ms = planned.wait_ms, .took = took});
+    }
+}
+
+void model_placing::read_beside(placement const& planned, boot_clock::duration took)
+{
+    if (state_.settings.learn)
+    {
+        meter().read_beside(
+            {.tokens = planned.unread, .wait_ms = planned.wait_ms, .took = took});
+    }
 }
 
 void model_placing::handed_over(boot_clock::duration took)
--- a/src/serving/model_placing.hpp
+++ b/src/serving/model_placing.hpp
@@ -47,6 +47,9 @@
     /// An engine has read the prompt.
     void prompt_read(placement const& planned, boot_clock::duration took);
 
+    /// The engine that runs the call has read its prompt itself and begun to answer.
+    void read_beside(placement const& planned, boot_clock::duration took);
+
     /// The engine that runs the call has taken over its prompt and begun to answer.
     void handed_over(boot_clock::duration took);
 
@@ -57,6 +60,7 @@
 private:
     work_meter&  meter() const;
     engine_costs costs() const;
+    double       unheard_ms() const;
 
     /// The candidates with what they keep of this call's prompt.
     std::vector<candidate> with_kept(std::vector<candidate> candidates) const;
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -114,7 +114,10 @@
         scope == digest_scope::vm ? news_source::centre : news_source::others;
     for (auto const& [server, left] : notes.unwell)
     {
-        state_.health.hear(server, left, source, now);
+        if (state_.settings.warn)
+        {
+            state_.health.hear(server, left, source, now);
+        }
     }
     for (auto const& each : notes.prefixes)
     {
--- a/tests/platform/streams_test.cpp
+++ b/tests/platform/streams_test.cpp
@@ -157,6 +157,26 @@
     EXPECT_EQ(world.server(1).arrivals().size(), 1U);
 }
 
+// Engines that go down and up cut the reads of a large fleet. Each of these has been an
+// arrival: not counted, the deployment's retries are overspent by all VMs together.
+TEST(platform_calls, reads_that_break_off_draw_on_the_retries)
+{
+    entry_world world({.bounds = "retry_ratio = 0\nretry_slack = 1\n"});
+    world.list_engine(world.server(0), "prefill");
+    world.list_engine(world.server(1), "decode");
+    world.server(0).always([](wire_request const&, wire_connection&) { return false; });
+    std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
+    request_options const options{.path = "/model/x",
+                                  .fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                                            "Prefix-Hash: aa:1000,bb:8000\r\n"};
+    EXPECT_EQ(ask(world.callers_port(), options).body, "served by i-1");
+    std::this_thread::sleep_for(milliseconds{700}); // the lost engine is tried again
+    auto const second = ask(world.callers_port(), options);
+    EXPECT_EQ(second.status, 503);
+    EXPECT_NE(second.body.find("budget"), std::string::npos);
+    EXPECT_EQ(world.server(1).arrivals().size(), 1U);
+}
+
 // An engine reads a prompt and its answer is lost without a reset. A read may be
 // repeated, so the call must go on elsewhere in time, and not wait for the answer until
 // its caller leaves.
--- a/tests/replay/load_policy_test.cpp
+++ b/tests/replay/load_policy_test.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 
 namespace marigoldcrank
@@ -27,7 +28,9 @@
 engine_costs observed_costs()
 {
     constexpr double second_ms = 1000;
-    return {.read_speed = prefill_speed / second_ms, .observed = true};
+    return {.read_speed = prefill_speed / second_ms,
+            .beside_speed = decode_speed / second_ms,
+            .observed = true};
 }
 
 /// Engines that read what they are given, in order; streams run for a fixed time.
@@ -252,6 +255,41 @@
     EXPECT_LT(shared.refused, queued.refused / 2);
 }
 
+/// Most calls that one engine gets if many VMs decide by the same old news, in which one
+/// engine was idle and the others had some work.
+std::size_t most_at_one_engine(double unheard_ms, std::int64_t choices)
+{
+    constexpr int calls = 90;
+    engine_fleet  fleet(30, 60);
+    for (auto& load : fleet.loads)
+    {
+        load.unread = 4000;
+    }
+    fleet.loads[7].unread = 0;
+    fleet.costs.unheard_ms = unheard_ms;
+    fleet.costs.choices = choices;
+    std::mt19937_64                    random(11);
+    std::map<std::string, std::size_t> given;
+    std::size_t                        most = 0;
+    for (int call = 0; call < calls; ++call)
+    {
+        auto const alone = caller_call{.id = "c", .prompt = {{"own", 6000}}};
+        auto const placed = fleet.place(alone, random());
+        most = std::max(most, ++given[placed->server->id]);
+    }
+    return most;
+}
+
+// Eighty VMs hear of each other through relays, 450 ms late. All of them choose the
+// engine that was idle then, which gets the prompts of half a second at once while others
+// idle.
+TEST(load_policy, old_news_sends_no_herd_to_one_engine)
+{
+    EXPECT_EQ(most_at_one_engine(0, 0), 90U);
+    EXPECT_LT(most_at_one_engine(130, 0), 45U);
+    EXPECT_LT(most_at_one_engine(130, 4), 25U);
+}
+
 // Engines read in the order of arrival, whatever the rank: an urgent call of 1,000 tokens
 // that came 57 ms after a prompt of 45,000 waited 670 ms for it. All that waits counts,
 // so an urgent call goes where least waits, and is refused where all would be too late.
--- /dev/null
+++ b/tests/unit/server_health_news_test.cpp
@@ -0,0 +1,76 @@
+// What VMs tell each other of lost servers.
+//
+// Index: 1 telling, 2 hearing
+#include "policy/server_health.hpp"
+
+#include <gtest/gtest.h>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+boot_clock::time_point at(int ms)
+{
+    return boot_clock::time_point{std::chrono::hours{1}} + millis{ms};
+}
+
+// 1. Telling
+
+// Engines that go down and up by turns cost every VM of a large fleet two failed sends
+// each, and the retries that all VMs share are gone within seconds.
+TEST(server_health_news, a_lost_server_is_avoided_and_told_at_once)
+{
+    server_health health;
+    health.failed("e", true, at(0));
+    EXPECT_TRUE(health.suspect("e", at(1)));
+    auto const news = health.news(news_source::own, at(100));
+    ASSERT_EQ(news.count("e"), 1U);
+    EXPECT_EQ(news.at("e"), server_health_options{}.first_pause - millis{100});
+    EXPECT_TRUE(health.news(news_source::own, at(499)).empty());
+}
+
+// A full server has places again soon, and one failed answer says little: other VMs would
+// leave sound servers alone.
+TEST(server_health_news, full_servers_and_single_failures_are_not_told)
+{
+    server_health health;
+    health.refused("full", at(0));
+    health.failed("grey", false, at(0));
+    EXPECT_TRUE(health.news(news_source::others, at(1)).empty());
+    health.changed("other_role", at(0));
+    EXPECT_EQ(health.news(news_source::own, at(1)).count("other_role"), 1U);
+}
+
+// 2. Hearing
+
+// Relays that tell each other what they heard would keep a server out for ever.
+TEST(server_health_news, what_was_heard_elsewhere_goes_no_further_than_the_own_centre)
+{
+    server_health relay;
+    relay.hear("e", millis{400}, news_source::others, at(0));
+    EXPECT_TRUE(relay.suspect("e", at(1)));
+    EXPECT_TRUE(relay.news(news_source::own, at(1)).empty());
+    EXPECT_TRUE(relay.news(news_source::centre, at(1)).empty());
+    EXPECT_EQ(relay.news(news_source::others, at(1)).count("e"), 1U);
+    EXPECT_FALSE(relay.suspect("e", at(401)));
+}
+
+TEST(server_health_news, an_answer_of_our_own_outweighs_what_was_heard)
+{
+    server_health health;
+    health.hear("e", millis{4000}, news_source::centre, at(0));
+    health.succeeded("e");
+    EXPECT_FALSE(health.suspect("e", at(1)));
+}
+
+TEST(server_health_news, no_news_keeps_a_server_out_for_longer_than_a_failure_would)
+{
+    server_health health;
+    health.hear("e", std::chrono::hours{5}, news_source::centre, at(0));
+    EXPECT_TRUE(health.suspect("e", at(3999)));
+    EXPECT_FALSE(health.suspect("e", at(4001)));
+}
+
+} // namespace
+} // namespace marigoldcrank
