--- a/tests/unit/prefix_directory_test.cpp
+++ b/tests/unit/prefix_directory_test.cpp
@@ -85,8 +85,7 @@
     relay.hear({"e", {1, 2}}, news_source::centre, at(0));
     relay.hear({"f", {3}}, news_source::others, at(0));
     auto const tidings = relay.take_tidings();
-    EXPECT_EQ(tidings.at(news_source::centre),
-              (std::vector<prefix_news>{{"e", {1, 2}}}));
+    EXPECT_EQ(tidings.at(news_source::centre), (std::vector<prefix_news>{{"e", {1, 2}}}));
     EXPECT_EQ(tidings.at(news_source::others), (std::vector<prefix_news>{{"f", {3}}}));
     relay.hear({"e", {1, 2}}, news_source::others, at(150));
     EXPECT_TRUE(relay.take_tidings().empty());
