--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -1,7 +1,6 @@
 // The serving of one call: from its head to its one final answer.
 //
-// Index: 1 link_after, 2 call_runner: plain calls, streams, prompts, sends, outcomes,
-// ends
+// Index: 1 link_after, 2 call_runner: plain calls, streams, prompts, sends, ends
 //
 // A call that may not be repeated is sent again only after a server has said that it did
 // not run it, or if no byte of it has left. 503 is said only if that holds for all its
@@ -11,6 +10,7 @@
 
 #include "serving/call_admission.hpp"
 #include "serving/call_notes.hpp"
+#include "serving/call_sends.hpp"
 #include "serving/caller_link.hpp"
 #include "serving/handle_release.hpp"
 #include "serving/model_placing.hpp"
@@ -19,8 +19,6 @@
 #include "serving/stream_pace.hpp"
 #include "serving/stream_relay.hpp"
 
-#include <set>
-
 namespace marigoldcrank
 {
 
@@ -42,7 +40,7 @@
           arrived_(boot_clock::now()), notes_(state, call_.id, arrived_),
           placing_(state, call_, admitted_), pace_(arrived_),
           keep_(request.keep_alive() && !state.draining),
-          stream_(!keep_, knows_chunks(request))
+          stream_(!keep_, knows_chunks(request)), sends_(state, notes_, call_, admitted_)
     {
     }
 
@@ -97,8 +95,6 @@
     };
 
     static constexpr unsigned first_server_error = 500;
-    // 20  ms; with less left no server can answer in time
-    static constexpr millis least_left{20};
     // 2000  ms; a caller's connection that takes no answer for so long is given up
     static constexpr millis write_time{2000};
 
@@ -115,23 +111,23 @@
     {
         while (true)
         {
-            auto const  candidates = servers_to_try();
+            auto const  candidates = sends_.servers_to_try();
             auto const* server =
                 place_plain(candidates, state_.settings.data_centre, state_.ticket());
-            if (server == nullptr || !may_send())
+            if (server == nullptr || !sends_.may_send())
             {
                 co_return co_await give_up();
             }
             exchange   link{state_, *server};
             in_use     use{*this, link};
             load_share share{state_, server->id, 0};
-            notes_.sent({server->id, "call", sends_.runs(), {}}, admitted_);
-            auto const fate = co_await run_at(link, {}, attempt_end());
+            notes_.sent({server->id, "call", sends_.account().runs(), {}}, admitted_);
+            auto const fate = co_await run_at(link, {}, sends_.attempt_end());
             if (caller_.left())
             {
                 co_return;
             }
-            settle(link, fate);
+            sends_.settle(result_of(link, fate));
             if (fate != exchange_fate::answered)
             {
                 continue;
@@ -150,10 +146,10 @@
         bool const  head_only = request_.method_string() == "HEAD";
         if (!head_only)
         {
-            bool const whole = co_await link.read_whole(body, attempt_end());
+            bool const whole = co_await link.read_whole(body, sends_.attempt_end());
             if (!whole && !caller_.left())
             {
-                settle(link, exchange_fate::unknown);
+                sends_.settle(result_of(link, exchange_fate::unknown));
             }
             if (!whole)
             {
@@ -172,10 +168,10 @@
         }
         // A server's own failure is kept: it is the answer if no other server does
         // better.
-        settle_failure(link);
+        sends_.settle_failure(result_of(link, exchange_fate::answered));
         kept_failure_ = std::move(bytes);
         kept_status_ = status;
-        if (may_send_again())
+        if (sends_.may_send_again())
         {
             co_return false;
         }
@@ -190,9 +186,9 @@
         placing_.count_demand(arrived_);
         while (true)
         {
-            auto const first =
-                placing_.first(servers_to_try(), !prefilled_ && !stream_.started());
-            if (!first || !may_send())
+            auto const first = placing_.first(sends_.servers_to_try(),
+                                              !prefilled_ && !stream_.started());
+            if (!first || !sends_.may_send())
             {
                 co_return co_await give_up();
             }
@@ -215,7 +211,7 @@
                 source = co_await read_prompt(reader, planned);
                 // The servers that it points to may be gone by now.
                 planned = placement{.unread = source.empty() ? planned.unread : 0};
-                if (!caller_.left() && !goes_on(decode))
+                if (!caller_.left() && !choose_decode(decode))
                 {
                     co_await give_up();
                 }
@@ -233,22 +229,14 @@
         }
     }
 
-    /// Whether the call goes on after its read, and where. A read that failed has been an
-    /// arrival, so what follows is a retry.
-    bool goes_on(backend_server& decode)
-    {
-        return (!read_failed_ || take_retry()) && choose_decode(decode);
-    }
-
     /// Where the call runs after its prompt was read, or couldn't be. False: nowhere.
     bool choose_decode(backend_server& decode)
     {
-        if (!time_left())
+        if (!sends_.may_run_after_read())
         {
-            last_fault_ = "deadline";
             return false;
         }
-        auto const  candidates = servers_to_try();
+        auto const  candidates = sends_.servers_to_try();
         auto const* server = placing_.takeover(candidates);
         if (server != nullptr)
         {
@@ -265,7 +253,7 @@
         exchange   link{state_, server};
         in_use     use{*this, link};
         load_share share{state_, server.id, placed.unread};
-        notes_.sent({server.id, "prompt", sends_.runs(), placed}, admitted_);
+        notes_.sent({server.id, "prompt", sends_.account().runs(), placed}, admitted_);
         placing_.sent(server.id, placed);
         auto const until = placing_.reading_end(placed);
         auto const began = boot_clock::now();
@@ -285,7 +273,7 @@
         {
             if (!caller_.left())
             {
-                settle_read(link, fate);
+                sends_.settle_read(result_of(link, fate));
             }
             co_return std::string{};
         }
@@ -301,7 +289,8 @@
         exchange   link{state_, server};
         in_use     use{*this, link};
         load_share share{state_, server.id, planned.unread};
-        notes_.sent({server.id, source.empty() ? "call" : "run", sends_.runs(), planned},
+        notes_.sent({server.id, source.empty() ? "call" : "run", sends_.account().runs(),
+                     planned},
                     admitted_);
         placing_.sent(server.id, planned);
         run_sent_ = boot_clock::now();
@@ -311,7 +300,7 @@
         {
             co_return true;
         }
-        settle(link, fate);
+        sends_.settle(result_of(link, fate));
         if (fate != exchange_fate::answered)
         {
             co_return false;
@@ -354,10 +343,10 @@
             end_stream(link);
             co_return true;
         }
-        settle(link, exchange_fate::unknown);
-        if (stream_.started() && !may_send_again())
+        sends_.settle(result_of(link, exchange_fate::unknown));
+        if (stream_.started() && !sends_.may_send_again())
         {
-            co_return co_await break_off(last_fault_);
+            co_return co_await break_off(sends_.fault());
         }
         co_return false;
     }
@@ -391,7 +380,7 @@
     void learn_from_first_event()
     {
         auto const took = boot_clock::now() - run_sent_;
-        bool const plain = placing_.reads_prompt() && sends_.runs() == 1;
+        bool const plain = placing_.reads_prompt() && sends_.account().runs() == 1;
         if (plain && run_planned_.unread > 0 && !prefilled_)
         {
             placing_.read_beside(run_planned_, took);
@@ -418,7 +407,7 @@
     boost::asio::awaitable<bool> break_off(std::string_view cause)
     {
         end_ = "broken_off";
-        last_fault_ = cause;
+        sends_.fault(cause);
         caller_.abort();
         after_ = link_after::aborted;
         co_return true;
@@ -447,8 +436,7 @@
     boost::asio::awaitable<exchange_fate>
     run_at(exchange& link, std::string const& source, loop_time until)
     {
-        sends_.begin();
-        last_server_ = link.server().id;
+        sends_.begin(link.server().id);
         auto message = onward(link.server());
         message.cache_source = source;
         message.fetch_from = source.empty() ? fetch_from_ : std::string{};
@@ -466,70 +454,18 @@
         co_return co_await link.start(std::move(request));
     }
 
-    static std::string address_of(backend_server const* server)
-    {
-        return server == nullptr ? std::string{}
-                                 : server->host + ":" + std::to_string(server->port);
-    }
-
-    /// Servers for the next send: those that haven't had the call, or all of them if none
-    /// is left. The only server of a service is tried again rather than not at all.
-    std::vector<candidate> servers_to_try()
-    {
-        auto const now = boot_clock::now();
-        auto       untried = state_.candidates(admitted_.service_name, tried_, now);
-        more_servers_ = untried.size() > 1;
-        return untried.empty() ? state_.candidates(admitted_.service_name, {}, now)
-                               : untried;
-    }
-
-    send_terms terms() const
+    static send_result result_of(exchange& link, exchange_fate fate)
     {
-        return {admitted_.repeatable, admitted_.matched->max_servers};
+        return {.server = link.server().id,
+                .fate = fate,
+                .fault = link.fault(),
+                .status = link.facts().status};
     }
 
-    bool time_left() const
-    {
-        return admitted_.deadline - loop_clock::now() >= least_left;
-    }
-
-    /// Whether the call goes to a server now: time, its earlier sends, its share of
-    /// retries.
-    bool may_send()
-    {
-        if (!time_left())
-        {
-            last_fault_ = "deadline";
-            return false;
-        }
-        return sends_.allows(terms()) && (!sends_.is_retry() || take_retry());
-    }
-
-    /// Whether another send is worth a thought; may_send asks for the share of retries.
-    bool may_send_again() const
-    {
-        return sends_.allows(terms()) && time_left();
-    }
-
-    bool take_retry()
-    {
-        bool const granted = state_.budget(admitted_.service_name).take();
-        state_.counters.add(granted ? "retries_total" : "retries_denied_total");
-        if (!granted)
-        {
-            last_fault_ = "budget";
-        }
-        return granted;
-    }
-
-    /// A repeatable call leaves time for a second server; any other waits to its end.
-    loop_time attempt_end() const
+    static std::string address_of(backend_server const* server)
     {
-        bool const last = !admitted_.repeatable ||
-                          sends_.runs() >= admitted_.matched->max_servers ||
-                          !more_servers_;
-        auto const now = loop_clock::now();
-        return last ? admitted_.deadline : now + (admitted_.deadline - now) / 2;
+        return server == nullptr ? std::string{}
+                                 : server->host + ":" + std::to_string(server->port);
     }
 
     void stop()
@@ -559,21 +495,21 @@
     {
         if (stream_.started())
         {
-            co_await break_off(last_fault_);
+            co_await break_off(sends_.fault());
             co_return;
         }
         if (!kept_failure_.empty())
         {
             co_return co_await answer(std::move(kept_failure_), kept_status_);
         }
-        bool const late = !time_left();
-        if (sends_.maybe_run())
+        bool const late = !sends_.time_left();
+        if (sends_.account().maybe_run())
         {
             own_reply const unknown{late ? 504U : 502U, call_fate::outcome_unknown,
-                                    last_fault_, std::nullopt};
+                                    sends_.fault(), std::nullopt};
             co_return co_await reply(unknown);
         }
-        own_reply const refusal{503, call_fate::not_run, last_fault_, soon};
+        own_reply const refusal{503, call_fate::not_run, sends_.fault(), soon};
         co_await reply(refusal);
     }
 
@@ -612,96 +548,6 @@
         }
     }
 
-    // Outcomes
-
-    /// What a send to be run has come to. Also for one whose answer broke off after its
-    /// head.
-    void settle(exchange& link, exchange_fate fate)
-    {
-        sends_.end(fate);
-        if (fate == exchange_fate::answered)
-        {
-            return;
-        }
-        auto const now = boot_clock::now();
-        tried_.insert(link.server().id);
-        last_fault_ = *link.fault() == '\0' ? "broken" : link.fault();
-        note_health(link, fate, now);
-        if (fate == exchange_fate::unknown)
-        {
-            suspect(link);
-        }
-        note_failure("send_failed", link, fate);
-    }
-
-    /// A server has answered with a failure of its own.
-    void settle_failure(exchange& link)
-    {
-        tried_.insert(link.server().id);
-        last_fault_ = "server_error";
-        state_.health.failed(link.server().id, false, boot_clock::now());
-        note_failure("server_error", link, exchange_fate::answered);
-    }
-
-    /// What a failed send says about its server.
-    void note_health(exchange& link, exchange_fate fate, boot_clock::time_point now)
-    {
-        constexpr unsigned misdirected = 421;
-        auto const&        server = link.server().id;
-        if (fate == exchange_fate::not_run && link.facts().status == misdirected)
-        {
-            state_.health.changed(server, now);
-        }
-        else if (fate == exchange_fate::not_run)
-        {
-            state_.health.refused(server, now);
-        }
-        else if (fate == exchange_fate::unknown)
-        {
-            state_.health.failed(server, std::string_view{link.fault()} == "broken", now);
-        }
-    }
-
-    /// A read has brought no handle. Unless it was never sent it has been an arrival, and
-    /// whether the server took it can't be known.
-    void settle_read(exchange& link, exchange_fate fate)
-    {
-        auto const now = boot_clock::now();
-        note_health(link, fate, now);
-        if (fate != exchange_fate::not_sent)
-        {
-            sends_.read_failed();
-            read_failed_ = true;
-        }
-        note_failure("prefill_failed", link, fate);
-    }
-
-    void note_failure(std::string_view event, exchange& link, exchange_fate fate)
-    {
-        notes_.failed({.event = event,
-                       .server = link.server().id,
-                       .fate = fate,
-                       .fault = link.fault(),
-                       .status = link.facts().status});
-    }
-
-    /// A connection that ended under a call may mean that the call has crashed its
-    /// server; one that ran into a time-out, or whose server was leaving, doesn't.
-    void suspect(exchange& link)
-    {
-        auto const& server = link.server().id;
-        auto const  listed = state_.servers.servers().find(server);
-        bool const  leaving =
-            listed == state_.servers.servers().end() || listed->second.leaving;
-        crash_news const crash{
-            .content = admitted_.content, .server = server, .call_id = call_.id};
-        bool const ended = last_fault_ == "broken";
-        if (ended && !leaving && state_.crashes.crashed(crash, boot_clock::now()))
-        {
-            notes_.suspected(crash.content, crash.server);
-        }
-    }
-
     void note_end()
     {
         if (caller_.left() && end_.empty())
@@ -709,7 +555,8 @@
             end_ = "caller_left";
             after_ = link_after::aborted;
         }
-        notes_.ended({end_, status_, sends_.runs(), last_fault_, last_server_, pace_},
+        notes_.ended({end_, status_, sends_.account().runs(), sends_.fault(),
+                      sends_.last_server(), pace_},
                      admitted_);
     }
 
@@ -724,17 +571,12 @@
     stream_pace            pace_;
     bool                   keep_;
     stream_relay           stream_;
-    send_account           sends_;
-    std::set<std::string>  tried_;
-    bool        more_servers_ = false; // another one could still be tried after this send
-    bool        judged_ = false;
-    bool        prefilled_ = false;
-    bool        read_failed_ = false; // an engine got the read and brought no handle
-    bool        counted_ = false;
-    std::string kept_failure_; // a server's own, in bytes
-    unsigned    kept_status_ = 0;
-    std::string_view       last_fault_ = "no_server";
-    std::string            last_server_; // that was to run the call
+    call_sends             sends_;
+    bool                   judged_ = false;
+    bool                   prefilled_ = false;
+    bool                   counted_ = false;
+    std::string            kept_failure_; // a server's own, in bytes
+    unsigned               kept_status_ = 0;
     boot_clock::time_point run_sent_{};
     placement              run_planned_; // of the newest run; only its figures are used
     std::string      fetch_from_; // address of the engine that keeps its shared parts
--- /dev/null
+++ b/src/serving/call_sends.cpp
@@ -0,0 +1,170 @@
+// Sends, their terms and their outcomes.
+#include "serving/call_sends.hpp"
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+// 20  ms; with less left no server can answer in time
+constexpr millis least_left{20};
+
+} // namespace
+
+call_sends::call_sends(entry_state& state, call_notes& notes, caller_call const& call,
+                       admitted_call const& admitted)
+    : state_(state), notes_(notes), call_(call), admitted_(admitted)
+{
+}
+
+std::vector<candidate> call_sends::servers_to_try()
+{
+    auto const now = boot_clock::now();
+    auto       untried = state_.candidates(admitted_.service_name, tried_, now);
+    more_servers_ = untried.size() > 1;
+    return untried.empty() ? state_.candidates(admitted_.service_name, {}, now) : untried;
+}
+
+bool call_sends::may_send()
+{
+    if (!time_left())
+    {
+        last_fault_ = "deadline";
+        return false;
+    }
+    return account_.allows(terms()) && (!account_.is_retry() || take_retry());
+}
+
+bool call_sends::may_send_again() const
+{
+    return account_.allows(terms()) && time_left();
+}
+
+bool call_sends::may_run_after_read()
+{
+    if (read_failed_ && !take_retry())
+    {
+        return false;
+    }
+    if (!time_left())
+    {
+        last_fault_ = "deadline";
+        return false;
+    }
+    return true;
+}
+
+bool call_sends::time_left() const
+{
+    return admitted_.deadline - loop_clock::now() >= least_left;
+}
+
+loop_time call_sends::attempt_end() const
+{
+    bool const last = !admitted_.repeatable ||
+                      account_.runs() >= admitted_.matched->max_servers || !more_servers_;
+    auto const now = loop_clock::now();
+    return last ? admitted_.deadline : now + (admitted_.deadline - now) / 2;
+}
+
+void call_sends::begin(std::string const& server)
+{
+    account_.begin();
+    last_server_ = server;
+}
+
+send_terms call_sends::terms() const
+{
+    return {admitted_.repeatable, admitted_.matched->max_servers};
+}
+
+bool call_sends::take_retry()
+{
+    bool const granted = state_.budget(admitted_.service_name).take();
+    state_.counters.add(granted ? "retries_total" : "retries_denied_total");
+    if (!granted)
+    {
+        last_fault_ = "budget";
+    }
+    return granted;
+}
+
+void call_sends::settle(send_result const& result)
+{
+    account_.end(result.fate);
+    if (result.fate == exchange_fate::answered)
+    {
+        return;
+    }
+    tried_.insert(result.server);
+    last_fault_ = result.fault.empty() ? "broken" : result.fault;
+    note_health(result);
+    if (result.fate == exchange_fate::unknown)
+    {
+        suspect(result.server);
+    }
+    note_failure("send_failed", result);
+}
+
+void call_sends::settle_failure(send_result const& result)
+{
+    tried_.insert(result.server);
+    last_fault_ = "server_error";
+    state_.health.failed(result.server, false, boot_clock::now());
+    note_failure("server_error", result);
+}
+
+void call_sends::settle_read(send_result const& result)
+{
+    note_health(result);
+    if (result.fate != exchange_fate::not_sent)
+    {
+        account_.read_failed();
+        read_failed_ = true;
+    }
+    note_failure("prefill_failed", result);
+}
+
+void call_sends::note_health(send_result const& result)
+{
+    constexpr unsigned misdirected = 421;
+    auto const         now = boot_clock::now();
+    if (result.fate == exchange_fate::not_run && result.status == misdirected)
+    {
+        state_.health.changed(result.server, now);
+    }
+    else if (result.fate == exchange_fate::not_run)
+    {
+        state_.health.refused(result.server, now);
+    }
+    else if (result.fate == exchange_fate::unknown)
+    {
+        state_.health.failed(result.server, result.fault == "broken", now);
+    }
+}
+
+void call_sends::suspect(std::string const& server)
+{
+    auto const listed = state_.servers.servers().find(server);
+    bool const leaving =
+        listed == state_.servers.servers().end() || listed->second.leaving;
+    crash_news const crash{
+        .content = admitted_.content, .server = server, .call_id = call_.id};
+    bool const ended = last_fault_ == "broken";
+    if (ended && !leaving && state_.crashes.crashed(crash, boot_clock::now()))
+    {
+        notes_.suspected(crash.content, crash.server);
+    }
+}
+
+void call_sends::note_failure(std::string_view event, send_result const& result)
+{
+    notes_.failed({.event = event,
+                   .server = result.server,
+                   .fate = result.fate,
+                   .fault = result.fault,
+                   .status = result.status});
+}
+
+} // namespace marigoldcrank
