One VM of the fleet reads the store; the others ask, and waits make no answer older

Change: the first relays ask one of them (a second one stands in); questions state how long they were held, and an empty read of the store holds up to the end of its wait, so a chain of waits makes knowledge no older; the duties' log is waited on instead of polled; the first relay of a data centre hands over usage for the second; calls are counted a topic in a log line (store_calls).

--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -32,6 +32,47 @@
     return members;
 }
 
+/// The first relay of each data centre, best first: the first reads the store for the
+/// fleet, the next one stands in for it.
+contacts store_readers(std::map<std::string, contacts> const& centres)
+{
+    contacts firsts;
+    for (auto const& [name, members] : centres)
+    {
+        for (auto& first : choose(members, 1))
+        {
+            firsts.push_back(std::move(first));
+        }
+    }
+    constexpr std::size_t reader_and_stand_in = 2;
+    return choose(std::move(firsts), reader_and_stand_in);
+}
+
+/// Whom `own` asks for records of the store. Nobody asks a VM that may ask it in turn.
+std::vector<std::string> whom_to_ask(std::map<std::string, contacts> const& centres,
+                                     contacts const& home, vm_contact const& own,
+                                     relay_plan const& plan)
+{
+    std::vector<std::string> records;
+    if (plan.mesh)
+    {
+        return records;
+    }
+    bool const leads = home.front() == own;
+    for (auto const& vm : leads ? store_readers(centres) : home)
+    {
+        if (vm == own)
+        {
+            break;
+        }
+        if (!vm.records.empty())
+        {
+            records.push_back(vm.records);
+        }
+    }
+    return records;
+}
+
 } // namespace
 
 relay_plan plan_relays(std::set<vm_contact> const& vms, vm_contact const& own,
@@ -61,18 +102,8 @@
             plan.digests.insert(vm.digests);
         }
     }
-    // The second relay asks the first, so that one VM of a data centre reads the store.
-    for (auto const& vm : home)
-    {
-        if (plan.mesh || vm == own)
-        {
-            break;
-        }
-        if (!vm.records.empty())
-        {
-            plan.records.push_back(vm.records);
-        }
-    }
+    plan.records = whom_to_ask(centres, home, own, plan);
+    plan.leads = plan.relay && home.front() == own;
     plan.digests.erase(own.digests);
     plan.digests.erase("");
     return plan;
--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -30,7 +30,8 @@
     std::uint64_t            first = 0; // oldest that is still kept
     std::vector<std::string> records;   // an empty one tells nothing new
     bool                     relayed = false; // by another VM, which has waited for news
-    millis age{0}; // relayed: since that VM's read of the store was sent
+    millis age{0}; // what it tells was true so long before the read was sent; negative:
+                   // still so long after
 
     bool operator==(log_chunk const&) const = default;
 };
--- a/src/serving/duty_times.hpp
+++ b/src/serving/duty_times.hpp
@@ -17,9 +17,6 @@
     millis renew{900};      // 900   ms; three renewals fit into a lease
     millis look{1500};      // 1500  ms; between looks of a VM that doesn't hold the lease
     millis close_look{400}; // 400 ms; the same while the holder is silent
-    millis relay_look{600}; // 600   ms; the same where other VMs ask this one: they look
-                            //       every 1500 ms, and both must fit into `announce`.
-                            //       Answers over 2 s old are taken for a lost store
     millis margin{400};     // 400   ms; drift of clocks and packets in flight
     millis hand_over{600};  // 600  ms after a window's end: its last calls are counted
     millis member_hand_over{
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -39,8 +39,8 @@
         co_await hand_over(current_window());
         while (true)
         {
-            auto const pause =
-                state_.relayed ? times_.member_hand_over : times_.hand_over;
+            auto const pause = state_.relayed && !state_.leads ? times_.member_hand_over
+                                                               : times_.hand_over;
             auto const past = state_.usage.window_of(state_.day_ms() - pause.count());
             auto const now = boot_clock::now();
             bool const often =
@@ -61,6 +61,11 @@
         }
     }
 
+    static std::string duty_topic()
+    {
+        return "duty";
+    }
+
     /// The VMs that hand over usage.
     std::set<vm_contact> vms() const
     {
@@ -79,17 +84,21 @@
         while (true)
         {
             bool const held = log_.held_until(boot_clock::now()).has_value();
+            bool       waited = false;
             if (held)
             {
                 co_await hold();
             }
             else
             {
-                co_await follow();
+                waited = co_await follow();
             }
             note_change();
             fleet_.share_changes();
-            co_await loop_sleep(next_look());
+            if (!waited)
+            {
+                co_await loop_sleep(next_look());
+            }
         }
     }
 
@@ -148,12 +157,7 @@
     static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
     static constexpr millis       lane_look{
         20}; // 20   ms; between looks for the lane to be free
-    static constexpr millis usage_look{500}; // 500  ms; between looks for a closed window
-
-    static std::string duty_topic()
-    {
-        return "duty";
-    }
+    static constexpr millis usage_look{300}; // 300  ms; between looks for a closed window
 
     static std::string usage_topic()
     {
@@ -171,26 +175,27 @@
         {
             return times_.renew;
         }
-        if (state_.relays)
-        {
-            return times_.relay_look;
-        }
         return log_.silence(now) > times_.renew * 2 ? times_.close_look : times_.look;
     }
 
-    boost::asio::awaitable<void> follow()
+    /// Whether the read has waited for news, or brought some: no pause is needed.
+    boost::asio::awaitable<bool> follow()
     {
-        bool const known = co_await catch_up();
+        bool const waits = state_.relays || state_.relayed;
+        auto const read = co_await catch_up(waits ? next_look() : millis{0});
+        bool const known = read == read_step::whole;
+        bool const waited = waits && read != read_step::failed;
         // Read through another VM the log may be older than the last renewal, and a
         // conditional append would mostly fail.
         bool const behind = !known || state_.relayed;
         if (behind || !log_.may_claim(boot_clock::now()) || state_.draining)
         {
-            co_return;
+            co_return waited;
         }
         std::vector<duty_record> claim{
             duty_record{.kind = duty_kind::claim, .holder = state_.incarnation}};
         co_await append(std::move(claim));
+        co_return false;
     }
 
     boost::asio::awaitable<void> hold()
@@ -235,7 +240,7 @@
         if (offset == nullptr)
         {
             // Without an answer it may have been appended: what was is read back.
-            co_await catch_up();
+            co_await catch_up(millis{0});
             co_return false;
         }
         for (std::size_t at = 0; at < records.size(); ++at)
@@ -245,17 +250,23 @@
         co_return true;
     }
 
-    boost::asio::awaitable<bool> catch_up()
+    enum class read_step
     {
-        auto result =
-            co_await store_.read(duty_lane, duty_topic(), log_.end(), millis{0});
+        failed,
+        part, // more records are there
+        whole // up to the end
+    };
+
+    boost::asio::awaitable<read_step> catch_up(millis wait)
+    {
+        auto result = co_await store_.read(duty_lane, duty_topic(), log_.end(), wait);
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             if (failure->fault == store_fault::trimmed && failure->offset > 0)
             {
                 log_.skip(failure->offset - 1, boot_clock::now());
             }
-            co_return false;
+            co_return read_step::failed;
         }
         auto const& chunk = std::get<log_chunk>(result);
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
@@ -270,7 +281,12 @@
                 log_.skip(chunk.from + at, boot_clock::now());
             }
         }
-        co_return chunk.from + chunk.records.size() >= chunk.end;
+        bool const whole = chunk.from + chunk.records.size() >= chunk.end;
+        if (whole)
+        {
+            co_return read_step::whole;
+        }
+        co_return read_step::part;
     }
 
     void note_change()
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -59,6 +59,8 @@
 private:
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
+    // 5000  ms; between lines that tell of calls to the store
+    static constexpr millis tally_pause{5000};
     // 50    ms; between looks at whether all calls have ended
     static constexpr millis drain_look{50};
     // 300   ms of the grace are left for the last answers to be taken
@@ -108,6 +110,7 @@
             state_.pool.trim(loop_clock::now());
             state_.log.flush(boot_clock::now());
             note_readiness();
+            note_store_calls();
             co_await loop_sleep(house_pause);
         }
     }
@@ -123,6 +126,7 @@
         while (true)
         {
             exchange.pass(worker_.vms());
+            shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
             co_await loop_sleep(digest_pause);
         }
     }
@@ -153,6 +157,27 @@
         }
     }
 
+    void note_store_calls()
+    {
+        auto const now = boot_clock::now();
+        if (now - tallied_ < tally_pause)
+        {
+            return;
+        }
+        tallied_ = now;
+        for (auto const& [topic, calls] : shared_.tally().take())
+        {
+            state_.log.write(event_line{"store_calls"}
+                                 .add("topic", topic)
+                                 .add("reads", calls.reads)
+                                 .add("listings", calls.listings)
+                                 .add("appends", calls.appends)
+                                 .add("failed", calls.failed)
+                                 .add("relayed", calls.relayed),
+                             now);
+        }
+    }
+
     boost::asio::awaitable<void> await_signals()
     {
         while (true)
@@ -249,6 +274,7 @@
     duty_worker<shared_store<Store>, Duties>     worker_;
     idle_links                                   idle_;
     boost::asio::signal_set                      signals_;
+    boot_clock::time_point                       tallied_{};
     bool                                         ready_ = false;
 };
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -110,6 +110,7 @@
     std::int64_t vms_known = 0;   // that handed over usage lately; 0: none
     bool         relayed = false; // records of the store come through other VMs
     bool         relays = false;  // other VMs hear of the store through this one
+    bool         leads = false;   // of its data centre's relays it is the first
     bool         holds_duties = false;
     bool         draining = false; // not ready; still serving
     bool         closed = false;   // takes no new calls any more
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -133,17 +133,15 @@
 {
     auto plan = plan_relays(vms, state_.contact,
                             {.mesh = static_cast<std::size_t>(state_.settings.mesh)});
-    if (state_.holds_duties)
-    {
-        plan.records.clear(); // its appends need the end of the log as it is now
-    }
     note_plan(plan);
     digests_.follow(plan.digests, scopes_of(plan));
     state_.relays = plan.relay;
+    state_.leads = plan.leads;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
     if (records_)
     {
         records_->follow(plan.records);
+        records_->serve(plan.relay);
     }
     plan_ = std::move(plan);
 }
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -32,9 +32,9 @@
 // 2000 to 8000  ms; the same for one that was silent
 constexpr millis first_pause{2000};
 constexpr millis longest_pause{8000};
-// 2000  ms; an older answer isn't taken: the relay may be cut off from the store. Two of
-//       its own waits of 700 ms are usual
-constexpr millis oldest{2000};
+// 2500  ms; an older answer isn't taken: the relay may be cut off from the store. Two
+//       pauses of 900 ms between reads of usage are usual, one at the fleet's reader
+constexpr millis oldest{2500};
 
 } // namespace
 
@@ -66,6 +66,7 @@
 {
     std::string            asker;
     wire::records_ask      ask;
+    boot_clock::time_point since{};
     boot_clock::time_point until{};
 };
 
@@ -74,7 +75,9 @@
     log_chunk chunk{.from = answer.from(), .end = answer.end(), .first = answer.from()};
     chunk.records.assign(answer.records().begin(), answer.records().end());
     chunk.relayed = true;
-    chunk.age = millis{static_cast<std::int64_t>(answer.age_ms())};
+    // The answer was made at least so long after the question was sent as it was held.
+    chunk.age = millis{static_cast<std::int64_t>(answer.age_ms())} -
+                millis{static_cast<std::int64_t>(answer.held_ms())};
     return chunk;
 }
 
@@ -177,7 +180,8 @@
         }
         parked.asker = parts.front().to_string();
         auto const wait = std::min(millis{parked.ask.wait_ms()}, longest);
-        parked.until = boot_clock::now() + wait;
+        parked.since = boot_clock::now();
+        parked.until = parked.since + wait;
         if (!answer_if_due(parked, boot_clock::now()))
         {
             waiting.push_back(std::move(parked));
@@ -200,6 +204,8 @@
         answer.set_known(held);
         if (held)
         {
+            auto const parked_for = std::chrono::floor<millis>(now - parked.since);
+            answer.set_held_ms(static_cast<std::uint64_t>(parked_for.count()));
             fill(answer, mirror->second, from, now);
         }
         auto const bytes = answer.SerializeAsString();
@@ -239,7 +245,8 @@
     std::vector<relay_peer>                            relays;
     std::map<std::uint64_t, std::shared_ptr<open_ask>> open;
     std::uint64_t                                      number = 0;
-    bool stale = false; // the last relay that was asked has lost the store
+    bool stale = false;  // the last relay that was asked has lost the store
+    bool serves = false; // other VMs ask this one
     std::map<std::string, topic_mirror> mirrors;
     std::list<parked_ask>               waiting;
     watched_socket                      server;
@@ -278,6 +285,11 @@
     }
 }
 
+void record_link::serve(bool asked)
+{
+    state_->serves = asked;
+}
+
 bool record_link::has_relays() const
 {
     return !state_->relays.empty();
@@ -334,10 +346,14 @@
 }
 
 void record_link::absorb(std::string const& topic, log_chunk const& chunk,
-                         boot_clock::time_point sent)
+                         boot_clock::time_point as_of)
 {
+    if (chunk.relayed && !state_->serves)
+    {
+        return;
+    }
     auto const mirror = state_->mirrors.try_emplace(topic, state_->news_of(topic)).first;
-    mirror->second.absorb(chunk, sent);
+    mirror->second.absorb(chunk, as_of);
     state_->answer_waiting();
 }
 
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -51,6 +51,9 @@
     /// VMs to be asked, in this order; none: the store is read.
     void follow(std::vector<std::string> const& relays);
 
+    /// Whether other VMs ask this one. If not, answers of relays aren't kept for them.
+    void serve(bool asked);
+
     /// Whether other VMs are there to be asked, be they silent or not.
     bool has_relays() const;
 
@@ -65,9 +68,9 @@
     /// read. One relay is tried at a time: trying several would let knowledge get old.
     boost::asio::awaitable<std::optional<log_chunk>> ask(records_query query);
 
-    /// This VM has read a chunk from the store; `sent` is when it asked.
+    /// This VM has read a chunk, which holds all records up to the time `as_of`.
     void absorb(std::string const& topic, log_chunk const& chunk,
-                boot_clock::time_point sent);
+                boot_clock::time_point as_of);
 
     /// Answers those who have waited long enough; called a few times a second.
     void tick();
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -6,9 +6,11 @@
 
 #include "policy/retry_gate.hpp"
 #include "serving/record_link.hpp"
+#include "serving/store_tally.hpp"
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace marigoldcrank
 {
@@ -27,6 +29,25 @@
         link_ = link;
     }
 
+    /// Reads of `topic` go to the store while `direct`: a VM that appends at its end must
+    /// know that end as it is now.
+    void read_directly(std::string const& topic, bool direct)
+    {
+        if (direct)
+        {
+            direct_.insert(topic);
+        }
+        else
+        {
+            direct_.erase(topic);
+        }
+    }
+
+    store_tally& tally()
+    {
+        return tally_;
+    }
+
     boost::asio::awaitable<store_result<std::uint64_t>>
     append(unsigned lane, std::string const& topic,
            std::vector<std::string> const& records, std::optional<std::uint64_t> at)
@@ -34,6 +55,8 @@
         auto const  sent = boot_clock::now();
         auto        result = co_await store_.append(lane, topic, records, at);
         auto const* offset = std::get_if<std::uint64_t>(&result);
+        ++tally_.of(topic).appends;
+        tally_.of(topic).failed += offset == nullptr ? 1 : 0;
         if (link_ != nullptr && offset != nullptr && at)
         {
             // Nothing was appended unseen, so VMs that ask this one learn of it here. A
@@ -49,47 +72,71 @@
     boost::asio::awaitable<store_result<keyed_page>>
     newest(unsigned lane, std::string const& topic, std::string const& after)
     {
+        ++tally_.of(topic).listings;
         return store_.newest(lane, topic, after);
     }
 
     boost::asio::awaitable<store_result<log_chunk>>
     read(unsigned lane, std::string const& topic, std::uint64_t from, millis wait)
     {
-        if (link_ != nullptr && link_->has_relays())
+        auto const sent = boot_clock::now();
+        if (asks_relays(topic))
         {
             wait = std::min(wait, relayed_wait);
             records_query query{topic, from, wait};
             auto          answer = co_await link_->ask(std::move(query));
             if (answer)
             {
+                ++tally_.of(topic).relayed;
+                link_->absorb(topic, *answer, sent - answer->age);
                 co_return std::move(*answer);
             }
         }
+        co_return co_await read_store(lane, topic, from, wait);
+    }
+
+private:
+    // 700   ms; longest wait for news at a relay. Of what a member knows, the oldest is
+    // as
+    //       old as this wait, the same of its relay and that of the fleet's reader at the
+    //       store: 2.4 s, of the 4 s after which keys aren't believed any more. The rest
+    //       is for a silent relay and a read of the store in its place
+    static constexpr millis relayed_wait{700};
+
+    bool asks_relays(std::string const& topic) const
+    {
+        return link_ != nullptr && link_->has_relays() && direct_.count(topic) == 0;
+    }
+
+    boost::asio::awaitable<store_result<log_chunk>>
+    read_store(unsigned lane, std::string const& topic, std::uint64_t from, millis wait)
+    {
         auto const sent = boot_clock::now();
         auto&      gate = gates_[topic];
-        bool const lost =
-            link_ != nullptr && link_->has_relays() && link_->relays_lost_store();
+        bool const lost = asks_relays(topic) && link_->relays_lost_store();
         if (gate.holds_back(lost, sent))
         {
             co_return store_failure{store_fault::unreachable, 0};
         }
-        auto        result = co_await store_.read(lane, topic, from, wait);
-        auto const* chunk = std::get_if<log_chunk>(&result);
+        auto  result = co_await store_.read(lane, topic, from, wait);
+        auto* chunk = std::get_if<log_chunk>(&result);
         note(gate, result);
+        ++tally_.of(topic).reads;
+        tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
+        if (chunk != nullptr)
+        {
+            // The store answers without records only after the whole wait.
+            bool const waited =
+                chunk->records.empty() && boot_clock::now() - sent >= wait;
+            chunk->age = waited ? -wait : millis{0};
+        }
         if (link_ != nullptr && chunk != nullptr)
         {
-            link_->absorb(topic, *chunk, sent);
+            link_->absorb(topic, *chunk, sent - chunk->age);
         }
         co_return result;
     }
 
-private:
-    // 500   ms; longest wait for news at a relay. What a reader knows gets as old as two
-    //       of these waits and two of the relay's own: 2.4 s, of the 4 s after which keys
-    //       aren't believed any more. The rest is for a silent relay and a read of the
-    //       store in its place. At 1500 ms one call in seven was refused for stale keys
-    static constexpr millis relayed_wait{500};
-
     /// History that is gone is an answer.
     static void note(retry_gate& gate, store_result<log_chunk> const& result)
     {
@@ -106,7 +153,9 @@
 
     Store&                            store_;
     record_link*                      link_ = nullptr;
-    std::map<std::string, retry_gate> gates_; // by topic; for reads beside the relays
+    std::set<std::string>             direct_; // topics
+    std::map<std::string, retry_gate> gates_;  // by topic; for reads beside the relays
+    store_tally                       tally_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/topic_mirror.cpp
+++ b/src/serving/topic_mirror.cpp
@@ -6,10 +6,10 @@
 namespace marigoldcrank
 {
 
-void topic_mirror::absorb(log_chunk const& chunk, boot_clock::time_point sent)
+void topic_mirror::absorb(log_chunk const& chunk, boot_clock::time_point as_of)
 {
-    bool const continues =
-        sent_ != boot_clock::time_point{} && chunk.from >= first_ && chunk.from <= next();
+    bool const continues = as_of_ != boot_clock::time_point{} && chunk.from >= first_ &&
+                           chunk.from <= next();
     if (!continues)
     {
         records_.clear();
@@ -27,13 +27,13 @@
         newest_ = tells ? next() : newest_;
     }
     end_ = std::max(end_, chunk.end);
-    sent_ = std::max(sent_, sent);
+    as_of_ = std::max(as_of_, as_of);
     trim();
 }
 
 std::optional<log_chunk> topic_mirror::read(std::uint64_t from) const
 {
-    if (sent_ == boot_clock::time_point{} || from < first_ || from > next())
+    if (as_of_ == boot_clock::time_point{} || from < first_ || from > next())
     {
         return std::nullopt;
     }
--- a/src/serving/topic_mirror.hpp
+++ b/src/serving/topic_mirror.hpp
@@ -39,9 +39,9 @@
     {
     }
 
-    /// Takes an answered read that was sent at `sent`. One that doesn't continue what is
-    /// held replaces it.
-    void absorb(log_chunk const& chunk, boot_clock::time_point sent);
+    /// Takes a chunk that holds all records up to the time `as_of`. One that doesn't
+    /// continue what is held replaces it.
+    void absorb(log_chunk const& chunk, boot_clock::time_point as_of);
 
     /// Everything from `from` on; nothing if that isn't held.
     std::optional<log_chunk> read(std::uint64_t from) const;
@@ -49,10 +49,10 @@
     /// Whether a reader at `from` has something to learn.
     bool has_news(std::uint64_t from) const;
 
-    /// How old this knowledge is: the time since the newest answered read was sent.
+    /// How old this knowledge is.
     boot_clock::duration age(boot_clock::time_point now) const
     {
-        return now - sent_;
+        return now - as_of_;
     }
 
 private:
@@ -70,7 +70,7 @@
     std::uint64_t           newest_ = 0; // one beyond the last record that told something
     std::deque<std::string> records_;
     std::size_t             bytes_ = 0;
-    boot_clock::time_point  sent_{};
+    boot_clock::time_point  as_of_{};
 };
 
 } // namespace marigoldcrank
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -91,6 +91,31 @@
     EXPECT_FALSE(vms.member.relayed()); // the relay is left alone for a while
 }
 
+// A question that waits for news at one VM after the other gets an answer that is as old
+// as all waits together, and keys are refused though the store answers.
+TEST(record_link, the_time_a_question_waited_makes_its_answer_no_older)
+{
+    linked_vms vms;
+    vms.relay.absorb("rules", {.from = 8, .end = 8}, boot_clock::now());
+    auto const answer = vms.ask({"rules", 8, millis{600}});
+    ASSERT_TRUE(answer);
+    EXPECT_LE(answer->age, millis{100}); // counted from the question, 600 ms before
+}
+
+// A member that was told by its relay must not pass that on as its own unless it is asked
+// by others: it would keep records that nobody reads.
+TEST(record_link, answers_of_relays_are_kept_by_vms_that_are_asked)
+{
+    linked_vms vms;
+    auto       heard = one_record();
+    heard.relayed = true;
+    vms.relay.absorb("rules", heard, boot_clock::now());
+    EXPECT_FALSE(vms.ask({"rules", 7, millis{50}}));
+    vms.relay.serve(true);
+    vms.relay.absorb("rules", heard, boot_clock::now());
+    EXPECT_TRUE(vms.ask({"rules", 7, millis{50}}));
+}
+
 // A relay that has just started doesn't hold the records from before. Its members must
 // read them from the store rather than miss them.
 TEST(record_link, records_that_the_relay_does_not_hold_come_from_the_store)
