VMs that start all at once look for each other before they read; relays are asked one after the other

Change: on the system's first start a VM tells of itself, hears who is there and only then follows the topics, from their first records on, which its relay holds; an answer that doesn't help is followed by the next relay; reads of usage through others every 600 ms.

--- a/src/serving/duty_times.hpp
+++ b/src/serving/duty_times.hpp
@@ -17,8 +17,17 @@
     millis renew{900};      // 900   ms; three renewals fit into a lease
     millis look{1500};      // 1500  ms; between looks of a VM that doesn't hold the lease
     millis close_look{400}; // 400 ms; the same while the holder is silent
-    millis margin{400};     // 400   ms; drift of clocks and packets in flight
-    millis hand_over{600};  // 600  ms after a window's end: its last calls are counted
+    millis relay_look{
+        900}; // 900   ms; longest wait for news of a VM that others ask: they
+              //       add two waits of their own, and answers over 2.5 s old
+              //       are taken for a lost store
+    millis relayed_usage{
+        600}; // 600  ms; between looks at usage through another VM; it and
+              //      the reader's pause must stay below those 2.5 s
+    millis join{
+        500}; // 500   ms; until VMs that start all at once have told of themselves
+    millis margin{400};    // 400   ms; drift of clocks and packets in flight
+    millis hand_over{600}; // 600  ms after a window's end: its last calls are counted
     millis member_hand_over{
         2500}; // 2500 ms; the same for a VM whose relay hands over for it, if it hasn't
     millis meeting{
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -37,6 +37,10 @@
     {
         auto const started = boot_clock::now();
         co_await hand_over(current_window());
+        if (state_.settings.first_start)
+        {
+            co_await loop_sleep(times_.join);
+        }
         while (true)
         {
             auto const pause = state_.relayed && !state_.leads ? times_.member_hand_over
@@ -46,8 +50,10 @@
             bool const often =
                 log_.held_until(now) || state_.relays || now - started < times_.meeting;
             bool const closing = past > handed_before_;
-            if (closing || now - usage_looked_ >=
-                               (often ? times_.renew : state_.settings.usage_window))
+            auto const pause_between = !often           ? state_.settings.usage_window
+                                       : state_.relayed ? times_.relayed_usage
+                                                        : times_.renew;
+            if (closing || now - usage_looked_ >= pause_between)
             {
                 usage_looked_ = now;
                 co_await read_usage();
@@ -175,7 +181,11 @@
         {
             return times_.renew;
         }
-        return log_.silence(now) > times_.renew * 2 ? times_.close_look : times_.look;
+        if (log_.silence(now) > times_.renew * 2)
+        {
+            return times_.close_look;
+        }
+        return state_.relays ? times_.relay_look : times_.look;
     }
 
     /// Whether the read has waited for news, or brought some: no pause is needed.
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -39,10 +39,8 @@
     void run()
     {
         listen();
-        spawn(rules_.run());
-        spawn(servers_.run());
         spawn(worker_.run_usage());
-        spawn(worker_.run_duties());
+        spawn(follow_store());
         spawn(keep_house());
         spawn(exchange_with_peers());
         spawn(await_signals());
@@ -59,6 +57,10 @@
 private:
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
+    // 1500  ms; longest wait for other VMs to be known when all start at once
+    static constexpr millis longest_placing{1500};
+    // 50    ms; between looks at whether they are
+    static constexpr millis placing_look{50};
     // 5000  ms; between lines that tell of calls to the store
     static constexpr millis tally_pause{5000};
     // 50    ms; between looks at whether all calls have ended
@@ -103,6 +105,23 @@
                               [this] { return state_.log.dropped(); });
     }
 
+    /// Load answered: all VMs of a large fleet start at once, and each would list and
+    /// read every topic before it knows whom to ask. Callers come seconds after such a
+    /// start, so a VM looks for the others first.
+    boost::asio::awaitable<void> follow_store()
+    {
+        auto const began = boot_clock::now();
+        bool const alone = state_.settings.peers.port == 0;
+        while (state_.settings.first_start && !alone && !placed_ &&
+               boot_clock::now() - began < longest_placing)
+        {
+            co_await loop_sleep(placing_look);
+        }
+        spawn(rules_.run());
+        spawn(servers_.run());
+        spawn(worker_.run_duties());
+    }
+
     boost::asio::awaitable<void> keep_house()
     {
         while (true)
@@ -126,6 +145,7 @@
         while (true)
         {
             exchange.pass(worker_.vms());
+            placed_ = placed_ || state_.vms_known > 0;
             shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
             co_await loop_sleep(digest_pause);
         }
@@ -275,6 +295,7 @@
     idle_links                                   idle_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_{};
+    bool                                         placed_ = false; // knows whom to ask
     bool                                         ready_ = false;
 };
 
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -150,6 +150,27 @@
         relay.socket->drain();
     }
 
+    /// The relay's answer; nothing if it is silent.
+    asio::awaitable<std::optional<wire::records_answer>> ask(relay_peer&   relay,
+                                                             records_query query)
+    {
+        auto const        asked = ++number;
+        auto const        asking = std::make_shared<open_ask>(loop);
+        wire::records_ask message;
+        message.set_number(asked);
+        message.set_topic(query.topic);
+        message.set_from(query.from);
+        message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
+        open[asked] = asking;
+        asking->timer.expires_after(query.wait + patience);
+        send(relay, message);
+        boost::system::error_code error; // cancelled by the answer, or over
+        co_await asking->timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, error));
+        open.erase(asked);
+        co_return std::move(asking->answer);
+    }
+
     void take_answer(std::vector<zmq::message_t>& parts)
     {
         wire::records_answer answer;
@@ -307,42 +328,33 @@
 
 asio::awaitable<std::optional<log_chunk>> record_link::ask(records_query query)
 {
-    auto* const relay = state_->next_relay(boot_clock::now());
-    if (relay == nullptr)
-    {
-        co_return std::nullopt;
-    }
-    auto const        address = relay->address;
-    auto const        number = ++state_->number;
-    auto const        open = std::make_shared<open_ask>(state_->loop);
-    wire::records_ask message;
-    message.set_number(number);
-    message.set_topic(query.topic);
-    message.set_from(query.from);
-    message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
-    state_->open[number] = open;
-    open->timer.expires_after(query.wait + patience);
-    state_->send(*relay, message);
-    boost::system::error_code error; // cancelled by the answer, or over
-    co_await open->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    state_->open.erase(number);
-    state_->stale = open->answer && millis{open->answer->age_ms()} > oldest;
-    if (!open->answer)
-    {
-        state_->shun_silent(address);
-        co_return std::nullopt;
-    }
-    if (state_->stale)
-    {
-        state_->shun_stale(address);
-        co_return std::nullopt;
-    }
-    if (!open->answer->known())
+    // Answers that don't help come at once, so there is time to ask the next relay.
+    for (std::size_t place = 0; place < state_->relays.size(); ++place)
     {
-        co_return std::nullopt; // only the store has it
+        auto& relay = state_->relays[place];
+        if (boot_clock::now() < relay.shunned)
+        {
+            continue;
+        }
+        auto const address = relay.address;
+        auto const answer = co_await state_->ask(relay, query);
+        if (!answer)
+        {
+            state_->shun_silent(address);
+            co_return std::nullopt;
+        }
+        state_->stale = millis{answer->age_ms()} > oldest;
+        if (state_->stale)
+        {
+            state_->shun_stale(address);
+        }
+        else if (answer->known())
+        {
+            state_->trust(address);
+            co_return chunk_of(*answer);
+        }
     }
-    state_->trust(address);
-    co_return chunk_of(*open->answer);
+    co_return std::nullopt;
 }
 
 void record_link::absorb(std::string const& topic, log_chunk const& chunk,
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -64,8 +64,9 @@
     /// away for more VMs than this one. False if the relay is silent.
     bool relays_lost_store() const;
 
-    /// The answer of the first relay that isn't left alone; nothing if the store is to be
-    /// read. One relay is tried at a time: trying several would let knowledge get old.
+    /// The answer of the first relay that isn't left alone and holds the records, fresh
+    /// enough; nothing if the store is to be read, also after one relay has been silent:
+    /// waiting for several would let knowledge get old.
     boost::asio::awaitable<std::optional<log_chunk>> ask(records_query query);
 
     /// This VM has read a chunk, which holds all records up to the time `as_of`.
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -2,7 +2,8 @@
 //
 // Index: 1 store_codec, 2 follow_options, 3 rules_follower, 4 servers_follower
 //
-// Both begin with the newest record of each key and then read on. Records may be dropped
+// Both begin with the newest record of each key and then read on; when the whole system
+// starts, with the first record of all, which other VMs hold too. Records may be dropped
 // from the history at any time; then the newest ones are read again.
 #ifndef MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
 #define MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
@@ -94,7 +95,8 @@
 {
 public:
     rules_follower(entry_state& state, Store& store, follow_options options = {})
-        : state_(state), store_(store), options_(options), pause_(options)
+        : state_(state), store_(store), options_(options), pause_(options),
+          known_(state.settings.first_start)
     {
     }
 
@@ -227,7 +229,7 @@
     retry_pause    pause_;
     std::uint64_t  next_ = 0;
     millis         age_{0}; // of the newest answer when it was asked for
-    bool           known_ = false;
+    bool           known_;  // `next_` continues what has been read
     bool           lost_ = false;
 };
 
@@ -236,7 +238,8 @@
 {
 public:
     servers_follower(entry_state& state, Store& store, follow_options options = {})
-        : state_(state), store_(store), options_(options), pause_(options)
+        : state_(state), store_(store), options_(options), pause_(options),
+          known_(state.settings.first_start)
     {
     }
 
@@ -395,7 +398,7 @@
     follow_options options_;
     retry_pause    pause_;
     std::uint64_t  next_ = 0;
-    bool           known_ = false;
+    bool           known_; // `next_` continues what has been read
     bool           relayed_ = false;
 };
 
