Dark engines: a resumable stream without a first event goes on elsewhere; outages of the store probed by few

Change: a repeatable stream waits for its first event three times its prediction and four objectives, then goes to another server within the shared retries; members of a relay probe an outage after 1 to 8 s; a new holder acts at once, and reports before it orders. The last of several sends of a plain call gets all the time that is left (it got half). The new test fails on the daemon before.

--- a/src/policy/retry_gate.hpp
+++ b/src/policy/retry_gate.hpp
@@ -1,6 +1,6 @@
 // Holds back calls to a dependency that fails, longer each time.
 //
-// Index: 1 retry_gate_options, 2 retry_gate
+// Index: 1 retry_gate_options, 2 patient_retries, 3 retry_gate
 //
 // Load answered: an outage of the store, in which every VM of a large fleet would call it
 // several times a second for each topic. Of 8,100 calls of a day with two outages at 84
@@ -24,6 +24,10 @@
     bool operator==(retry_gate_options const&) const = default;
 };
 
+/// For calls that other VMs make too, and tell this one of.
+constexpr retry_gate_options patient_retries{.first = millis{1000},
+                                             .longest = millis{8000}};
+
 /// Pure; time is passed in.
 class retry_gate
 {
@@ -38,6 +42,13 @@
         return now >= until_;
     }
 
+    /// Takes over other pauses, from the next failure on.
+    void limit(retry_gate_options const& options) noexcept
+    {
+        options_ = options;
+        pause_ = std::clamp(pause_, options.first, options.longest);
+    }
+
     void failed(boot_clock::time_point now)
     {
         until_ = now + pause_;
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -122,6 +122,7 @@
             in_use     use{*this, link};
             load_share share{state_, server->id, 0};
             notes_.sent({server->id, "call", sends_.account().runs(), {}}, admitted_);
+            sends_.begin(server->id);
             auto const fate = co_await run_at(link, {}, sends_.attempt_end());
             if (caller_.left())
             {
@@ -295,7 +296,10 @@
         placing_.sent(server.id, planned);
         run_sent_ = boot_clock::now();
         run_planned_ = planned;
-        auto const fate = co_await run_at(link, source, admitted_.deadline);
+        sends_.begin(server.id);
+        auto const until =
+            sends_.is_last() ? admitted_.deadline : placing_.first_event_end(planned);
+        auto const fate = co_await run_at(link, source, until);
         if (caller_.left())
         {
             co_return true;
@@ -436,7 +440,6 @@
     boost::asio::awaitable<exchange_fate>
     run_at(exchange& link, std::string const& source, loop_time until)
     {
-        sends_.begin(link.server().id);
         auto message = onward(link.server());
         message.cache_source = source;
         message.fetch_from = source.empty() ? fetch_from_ : std::string{};
--- a/src/serving/call_sends.cpp
+++ b/src/serving/call_sends.cpp
@@ -60,12 +60,16 @@
     return admitted_.deadline - loop_clock::now() >= least_left;
 }
 
+bool call_sends::is_last() const
+{
+    return !admitted_.repeatable || account_.runs() >= admitted_.matched->max_servers ||
+           !more_servers_;
+}
+
 loop_time call_sends::attempt_end() const
 {
-    bool const last = !admitted_.repeatable ||
-                      account_.runs() >= admitted_.matched->max_servers || !more_servers_;
     auto const now = loop_clock::now();
-    return last ? admitted_.deadline : now + (admitted_.deadline - now) / 2;
+    return is_last() ? admitted_.deadline : now + (admitted_.deadline - now) / 2;
 }
 
 void call_sends::begin(std::string const& server)
--- a/src/serving/call_sends.hpp
+++ b/src/serving/call_sends.hpp
@@ -51,7 +51,11 @@
 
     bool time_left() const;
 
-    /// A repeatable call leaves time for a second server; any other waits to its end.
+    /// Whether no other server may run the call after the one that it was last sent to.
+    bool is_last() const;
+
+    /// Until when the send that was begun last may take: a repeatable call leaves time
+    /// for a second server, any other waits to its end.
     loop_time attempt_end() const;
 
     /// The call goes to `server` to be run.
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -146,6 +146,9 @@
         bool const taken = std::holds_alternative<std::uint64_t>(result);
         if (!taken)
         {
+            // A member's relay has its counts from digests and appends them too.
+            bool const member = state_.relayed && !state_.leads;
+            append_gate_.limit(member ? patient_retries : retry_gate_options{});
             append_gate_.failed(boot_clock::now());
         }
         if (taken)
@@ -188,7 +191,7 @@
         return state_.relays ? times_.relay_look : times_.look;
     }
 
-    /// Whether the read has waited for news, or brought some: no pause is needed.
+    /// Whether no pause is needed: the read has waited for news, or the lease was taken.
     boost::asio::awaitable<bool> follow()
     {
         bool const waits = state_.relays || state_.relayed;
@@ -204,8 +207,8 @@
         }
         std::vector<duty_record> claim{
             duty_record{.kind = duty_kind::claim, .holder = state_.incarnation}};
-        co_await append(std::move(claim));
-        co_return false;
+        // The new holder acts at once: windows may be due since an outage of the store.
+        co_return co_await append(std::move(claim));
     }
 
     boost::asio::awaitable<void> hold()
@@ -228,8 +231,8 @@
         }
         if (co_await append(std::move(records)))
         {
-            co_await fleet_.act();
             co_await report_sealed();
+            co_await fleet_.act();
         }
     }
 
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -19,6 +19,10 @@
 // 4     engines of a role that a call chooses from where what is known of them is old
 constexpr std::int64_t choices = 4;
 constexpr millis       least_reading{600};
+// 4     objectives; a first event that is later by far is earned sooner elsewhere, and
+// its
+//       caller leaves soon
+constexpr int patient_objectives = 4;
 
 } // namespace
 
@@ -99,6 +103,13 @@
     return std::min(admitted_.deadline, now + expected * reading_factor + least_reading);
 }
 
+loop_time model_placing::first_event_end(placement const& placed) const
+{
+    auto const patience = admitted_.matched->objective * patient_objectives;
+    auto const end = std::max(reading_end(placed), loop_clock::now() + patience);
+    return std::min(admitted_.deadline, end);
+}
+
 engine_costs model_placing::costs() const
 {
     auto const& reads = meter().reads();
--- a/src/serving/model_placing.hpp
+++ b/src/serving/model_placing.hpp
@@ -41,6 +41,10 @@
     /// up, though a read may be repeated.
     loop_time reading_end(placement const& placed) const;
 
+    /// Until when the first event may come. Guards against an engine that has gone dark
+    /// with a call: nothing ends the connection, and the caller waits to its deadline.
+    loop_time first_event_end(placement const& placed) const;
+
     /// The call goes to `server`, which keeps its prompt from then on.
     void sent(std::string const& server, placement const& planned);
 
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -112,7 +112,7 @@
     read_store(unsigned lane, std::string const& topic, std::uint64_t from, millis wait)
     {
         auto const sent = boot_clock::now();
-        auto&      gate = gates_[topic];
+        auto&      gate = gates_.try_emplace(topic, patient_retries).first->second;
         bool const lost = asks_relays(topic) && link_->relays_lost_store();
         if (gate.holds_back(lost, sent))
         {
--- a/tests/platform/streams_test.cpp
+++ b/tests/platform/streams_test.cpp
@@ -68,6 +68,25 @@
     EXPECT_EQ(answer.body, events(1, 6));
 }
 
+// An engine goes dark with a stream that hasn't begun: no reset tells of it.
+TEST(platform_calls, resumable_stream_without_a_first_event_goes_to_another_server)
+{
+    entry_world world;
+    world.server(0).always(
+        [](wire_request const&, wire_connection& connection)
+        {
+            eventually([&] { return connection.closed_by_peer(); });
+            return false;
+        });
+    world.server(1).always(stream_of(1, 3, true));
+    for (int call = 0; call < 2; ++call)
+    {
+        auto const answer =
+            ask(world.callers_port(), {.path = "/resume/x", .id = std::to_string(call)});
+        EXPECT_EQ(answer.body, events(1, 3));
+    }
+}
+
 // Where a stream may not be resumed, it ends broken: it must not look whole, and the call
 // must not run a second time.
 TEST(platform_calls, broken_stream_does_not_look_whole)
--- a/tests/unit/retry_gate_test.cpp
+++ b/tests/unit/retry_gate_test.cpp
@@ -29,6 +29,42 @@
     EXPECT_TRUE(gate.open(now + retry_gate_options{}.longest));
 }
 
+// Hundreds of VMs that hear of the store through relays each probe an outage of the store
+// themselves; the relays alone find its return soon enough.
+TEST(retry_gate, patient_gates_probe_an_outage_rarely_and_open_at_once)
+{
+    retry_gate             gate{patient_retries};
+    boot_clock::time_point now{std::chrono::hours{1}};
+    int                    calls = 0;
+    for (int look = 0; look < 80; ++look)
+    {
+        calls += gate.open(now) ? 1 : 0;
+        if (gate.open(now))
+        {
+            gate.failed(now);
+        }
+        now += millis{100};
+    }
+    EXPECT_LE(calls, 4);
+    gate.succeeded();
+    EXPECT_TRUE(gate.open(now));
+}
+
+// A VM becomes a relay while its gate is patient: its pauses must follow at once, since
+// others wait for what it appends.
+TEST(retry_gate, limit_shortens_pauses_that_have_grown)
+{
+    retry_gate             gate{patient_retries};
+    boot_clock::time_point now{std::chrono::hours{1}};
+    for (int failure = 0; failure < 5; ++failure)
+    {
+        gate.failed(now);
+    }
+    gate.limit(retry_gate_options{});
+    gate.failed(now);
+    EXPECT_TRUE(gate.open(now + retry_gate_options{}.longest));
+}
+
 TEST(retry_gate, an_answer_opens_it_at_once)
 {
     retry_gate             gate;
