--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -53,12 +53,13 @@
             auto const pause_between = !often           ? state_.settings.usage_window
                                        : state_.relayed ? times_.relayed_usage
                                                         : times_.renew;
-            if (closing || now - usage_looked_ >= pause_between)
+            bool const retries = !waiting_.empty() && append_gate_.open(now);
+            if (closing || retries || now - usage_looked_ >= pause_between)
             {
                 usage_looked_ = now;
                 co_await read_usage();
             }
-            if (closing || (!waiting_.empty() && append_gate_.open(now)))
+            if (closing || retries)
             {
                 handed_before_ = past;
                 co_await hand_over(past);
@@ -124,24 +125,30 @@
         {
             if (!state_.relayed || !state_.usage_known.holds(record))
             {
-                waiting_.push_back(format_usage_record(record));
+                waiting_.push_back(record);
             }
         }
         if (state_.relays)
         {
             for (auto const& record : state_.usage_known.missing_before(before))
             {
-                waiting_.push_back(format_usage_record(record));
+                waiting_.push_back(record);
             }
         }
+        forget_handed_over();
         if (waiting_.empty())
         {
             co_return;
         }
-        auto const count = waiting_.size();
+        auto const               count = waiting_.size();
+        std::vector<std::string> texts;
+        for (auto const& record : waiting_)
+        {
+            texts.push_back(format_usage_record(record));
+        }
         usage_lane_busy_ = true;
         auto const result =
-            co_await store_.append(usage_lane, usage_topic(), waiting_, std::nullopt);
+            co_await store_.append(usage_lane, usage_topic(), texts, std::nullopt);
         usage_lane_busy_ = false;
         bool const taken = std::holds_alternative<std::uint64_t>(result);
         if (!taken)
@@ -161,6 +168,14 @@
                                   : "usage_append_failures_total");
     }
 
+    /// Load answered: after an outage of the store every VM of a large fleet would append
+    /// what its relay has appended for it meanwhile.
+    void forget_handed_over()
+    {
+        std::erase_if(waiting_, [&](usage_record const& record)
+                      { return state_.relayed && state_.usage_known.holds(record); });
+    }
+
     static constexpr unsigned     duty_lane = 2;
     static constexpr unsigned     usage_lane = 3;
     static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
@@ -466,22 +481,22 @@
                          boot_clock::now());
     }
 
-    entry_state&             state_;
-    Store&                   store_;
-    Duties&                  duties_;
-    duty_times               times_;
-    duty_log                 log_;
-    std::vector<std::string> waiting_; // usage records that aren't known to be appended
-    std::uint64_t            usage_next_ = 0;
-    boot_clock::time_point   usage_looked_{};
-    retry_gate               append_gate_; // for records that wait
-    bool                     usage_read_ = false;
-    std::int64_t             handed_before_ = 0; // windows before this one
-    bool                     usage_lane_busy_ = false;
-    bool                     held_ = false;
-    std::int64_t             reported_ = 0; // all windows up to this one
-    std::set<std::int64_t>   done_;         // reported later ones
-    fleet_orders<Duties>     fleet_;
+    entry_state&              state_;
+    Store&                    store_;
+    Duties&                   duties_;
+    duty_times                times_;
+    duty_log                  log_;
+    std::vector<usage_record> waiting_; // that aren't known to be appended
+    std::uint64_t             usage_next_ = 0;
+    boot_clock::time_point    usage_looked_{};
+    retry_gate                append_gate_; // for records that wait
+    bool                      usage_read_ = false;
+    std::int64_t              handed_before_ = 0; // windows before this one
+    bool                      usage_lane_busy_ = false;
+    bool                      held_ = false;
+    std::int64_t              reported_ = 0; // all windows up to this one
+    std::set<std::int64_t>    done_;         // reported later ones
+    fleet_orders<Duties>      fleet_;
 };
 
 } // namespace marigoldcrank
