--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -213,7 +213,7 @@
     {
         auto const mirror = mirrors.find(parked.ask.topic());
         auto const from = parked.ask.from();
-        bool const held = mirror != mirrors.end() && mirror->second.read(from);
+        bool const held = mirror != mirrors.end() && mirror->second.holds(from);
         bool const waits =
             held && !mirror->second.has_news(from) && mirror->second.age(now) <= oldest;
         if (waits && now < parked.until)
--- a/src/serving/topic_mirror.cpp
+++ b/src/serving/topic_mirror.cpp
@@ -33,7 +33,7 @@
 
 std::optional<log_chunk> topic_mirror::read(std::uint64_t from) const
 {
-    if (as_of_ == boot_clock::time_point{} || from < first_ || from > next())
+    if (!holds(from))
     {
         return std::nullopt;
     }
--- a/src/serving/topic_mirror.hpp
+++ b/src/serving/topic_mirror.hpp
@@ -43,6 +43,12 @@
     /// continue what is held replaces it.
     void absorb(log_chunk const& chunk, boot_clock::time_point as_of);
 
+    /// Whether everything from `from` on is held.
+    bool holds(std::uint64_t from) const
+    {
+        return as_of_ != boot_clock::time_point{} && from >= first_ && from <= next();
+    }
+
     /// Everything from `from` on; nothing if that isn't held.
     std::optional<log_chunk> read(std::uint64_t from) const;
 
