--- a/tests/unit/relay_plan_test.cpp
+++ b/tests/unit/relay_plan_test.cpp
@@ -105,7 +105,7 @@
 // each waits for the next.
 TEST(relay_plan, nobody_asks_a_vm_that_may_ask_it)
 {
-    auto const vms = fleet(5, 10, 2);
+    auto const                                      vms = fleet(5, 10, 2);
     std::map<std::string, std::vector<std::string>> asks; // by address
     for (auto const& own : vms)
     {
@@ -155,8 +155,8 @@
     EXPECT_EQ(plan.digests.size(), 2U);
 }
 
-// A data centre of which only one VM is left: it is its own relay, and still one VM of the
-// fleet reads the store.
+// A data centre of which only one VM is left: it is its own relay, and still one VM of
+// the fleet reads the store.
 TEST(relay_plan, lone_vm_of_a_data_centre_is_a_relay)
 {
     auto       vms = fleet(1, 20, 0);
