Directory of caches: an engine that leaves is forgotten by what it keeps, not by all parts

Change: the parts of each engine are indexed. The unit test checks that index and parts agree while engines are forgotten and parts expire. Not yet measured at full size.

--- a/src/policy/prefix_directory.cpp
+++ b/src/policy/prefix_directory.cpp
@@ -21,8 +21,13 @@
 bool prefix_directory::note(std::uint64_t part, std::string const& server, millis reading,
                             boot_clock::time_point now)
 {
-    auto&      entry = parts_[part][server];
-    bool const known = alive(entry, now);
+    auto const [held, added] = parts_[part].try_emplace(server);
+    auto&      entry = held->second;
+    bool const known = !added && alive(entry, now);
+    if (added)
+    {
+        held_[server].insert(part);
+    }
     bool const tell = !known || now - entry.told >= options_.tell_again;
     entry.ready = known ? entry.ready : now + reading;
     entry.told = tell ? now : entry.told;
@@ -58,9 +63,14 @@
 
 void prefix_directory::forget(std::string const& server)
 {
-    for (auto& [part, engines] : parts_)
+    auto const held = held_.extract(server);
+    if (held.empty())
+    {
+        return;
+    }
+    for (auto const part : held.mapped())
     {
-        engines.erase(server);
+        parts_.at(part).erase(server);
     }
 }
 
@@ -116,7 +126,15 @@
     for (auto part = parts_.begin(); part != parts_.end();)
     {
         std::erase_if(part->second,
-                      [&](auto const& holder) { return !alive(holder.second, now); });
+                      [&](auto const& holder)
+                      {
+                          bool const old = !alive(holder.second, now);
+                          if (old)
+                          {
+                              held_[holder.first].erase(part->first);
+                          }
+                          return old;
+                      });
         part = part->second.empty() ? parts_.erase(part) : std::next(part);
     }
 }
--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace marigoldcrank
@@ -103,6 +104,7 @@
     };
 
     using holders = std::map<std::string, use>;
+    using part_set = std::unordered_set<std::uint64_t>;
     using waiting = std::map<std::string, std::vector<std::uint64_t>>;
 
     /// Notes a use; true if others should be told of it.
@@ -118,7 +120,10 @@
 
     prefix_directory_options                   options_;
     std::unordered_map<std::uint64_t, holders> parts_;
-    std::map<news_source, waiting>             untold_;
+    // The parts of each engine: when a hundred engines leave at once, going through all
+    // parts for each of them would hold up a small VM for seconds.
+    std::unordered_map<std::string, part_set> held_;
+    std::map<news_source, waiting>            untold_;
 };
 
 /// The name by which VMs tell of a part.
--- a/tests/unit/prefix_directory_test.cpp
+++ b/tests/unit/prefix_directory_test.cpp
@@ -104,6 +104,30 @@
     EXPECT_TRUE(caches.kept(call, at(1)).empty());
 }
 
+// Engines leave and come back under their names while parts expire: what a part's engines
+// and an engine's parts tell must stay the same, or a call waits for a cache that is
+// gone.
+TEST(prefix_directory, an_engine_keeps_nothing_from_before_it_was_forgotten)
+{
+    prefix_directory caches;
+    prompt const     part{{"a", 100}, {"own", 10}};
+    auto const       life = prefix_directory_options{}.life;
+    for (int round = 0; round < 3; ++round)
+    {
+        auto const start = at(0) + life * 3 * round;
+        caches.sent("e", part, millis{0}, start);
+        caches.sent("f", part, millis{0}, start);
+        caches.forget("e");
+        caches.forget("e");
+        EXPECT_EQ(caches.kept(part, start), only("f", 100));
+        caches.sent("e", part, millis{0}, start);
+        EXPECT_EQ(caches.kept(part, start).size(), 2U);
+        caches.expire(start + life * 2);
+        EXPECT_EQ(caches.size(), 0U);
+        caches.forget("f");
+    }
+}
+
 TEST(prefix_directory, what_nobody_used_for_long_is_forgotten)
 {
     prefix_directory caches;
