--- a/src/policy/prefix_directory.cpp
+++ b/src/policy/prefix_directory.cpp
@@ -74,6 +74,16 @@
     }
 }
 
+void prefix_directory::drop_held(std::string const& server, std::uint64_t part)
+{
+    auto const held = held_.find(server);
+    held->second.erase(part);
+    if (held->second.empty())
+    {
+        held_.erase(held);
+    }
+}
+
 std::map<std::string, kept_tokens>
 prefix_directory::kept(std::vector<prompt_part> const& prompt,
                        boot_clock::time_point          now) const
@@ -131,7 +141,7 @@
                           bool const old = !alive(holder.second, now);
                           if (old)
                           {
-                              held_[holder.first].erase(part->first);
+                              drop_held(holder.first, part->first);
                           }
                           return old;
                       });
--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -111,6 +111,9 @@
     bool note(std::uint64_t part, std::string const& server, millis reading,
               boot_clock::time_point now);
 
+    /// The engine no longer keeps the part.
+    void drop_held(std::string const& server, std::uint64_t part);
+
     bool alive(use const& value, boot_clock::time_point now) const
     {
         return now - value.last <= options_.life;
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -59,10 +59,10 @@
     static constexpr millis house_pause{200};
     // 1500  ms; longest wait for other VMs to be known when all start at once
     static constexpr millis longest_placing{1500};
-    // 1000  ms; between plans of whom to listen to, each of which sorts all VMs
-    static constexpr millis plan_pause{1000};
     // 50    ms; between looks at whether they are
     static constexpr millis placing_look{50};
+    // 1000  ms; between plans of whom to listen to, each of which sorts all VMs
+    static constexpr millis plan_pause{1000};
     // 5000  ms; between lines that tell of calls to the store
     static constexpr millis tally_pause{5000};
     // 50    ms; between looks at whether all calls have ended
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -19,9 +19,7 @@
 // 4     engines of a role that a call chooses from where what is known of them is old
 constexpr std::int64_t choices = 4;
 constexpr millis       least_reading{600};
-// 4     objectives; a first event that is later by far is earned sooner elsewhere, and
-// its
-//       caller leaves soon
+// 4     objectives; a later first event is given up on where another engine may try
 constexpr int patient_objectives = 4;
 
 } // namespace
