--- a/bench/measure_slopes.cpp
+++ b/bench/measure_slopes.cpp
@@ -1,5 +1,5 @@
 // Slopes for docs/CAPACITY.md: what state and control traffic cost as sizes grow. Prints
-// `name@size value unit` lines; scripts/capacity turns them into the page.
+// `name@size value unit` lines.
 //
 // Index: 1 measuring, 2 configuration, 3 ledger, 4 directory, 5 fleets at rest, 6 main
 #include "app/ledger_store.hpp"
