--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -123,8 +123,8 @@
 
     prefix_directory_options                   options_;
     std::unordered_map<std::uint64_t, holders> parts_;
-    // The parts of each engine: when a hundred engines leave at once, going through all
-    // parts for each of them would hold up a small VM for seconds.
+    // The parts of each engine. Without it each engine that leaves costs a look at every
+    // part, and a fleet loses a hundred engines at once.
     std::unordered_map<std::string, part_set> held_;
     std::map<news_source, waiting>            untold_;
 };
