Names: news, subtract, avoided, retry_after_if_late, rendezvous_engine, cheap_available

The words they replace weren't the field's (tidings, take_off, unwell, judge_wait, home_of, sold, dry).

--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -59,8 +59,8 @@
 struct fleet_bounds
 {
     std::int64_t least = 0;
-    std::int64_t most = 0;            // of both kinds together
-    bool         reclaimable = false; // cheap servers, which may be taken back, are sold
+    std::int64_t most = 0;    // of both kinds together
+    bool reclaimable = false; // cheap servers, which may be taken back, can be ordered
 
     auto operator<=>(fleet_bounds const&) const = default;
 };
--- a/src/policy/fleet_plan.cpp
+++ b/src/policy/fleet_plan.cpp
@@ -33,7 +33,9 @@
     {
         for (auto const& [name, centre] : state.centres)
         {
-            full_[name] = sold(centre) ? floor_ : std::max(floor_, floor_if_dry());
+            full_[name] = cheap_available(centre)
+                              ? floor_
+                              : std::max(floor_, floor_without_cheap());
             present_ += centre.present.full + centre.present.cheap;
         }
         buy_full();
@@ -52,10 +54,10 @@
     }
 
 private:
-    bool sold(centre_state const& centre) const
+    bool cheap_available(centre_state const& centre) const
     {
         return centre.refused == boot_clock::time_point{} ||
-               now_ - centre.refused >= options_.dry;
+               now_ - centre.refused >= options_.refused_pause;
     }
 
     std::int64_t room(std::string const& data_centre) const
@@ -64,7 +66,7 @@
     }
 
     /// An even share of what is wanted, at most a part of the places.
-    std::int64_t floor_if_dry() const
+    std::int64_t floor_without_cheap() const
     {
         auto const centres = static_cast<std::int64_t>(state_.centres.size());
         auto const most = bounds_.most / options_.dry_floor;
@@ -81,7 +83,8 @@
         std::int64_t most_cheap = 0;
         for (auto const& [name, centre] : state_.centres)
         {
-            auto const cheap = sold(centre) ? room(name) : centre.present.cheap;
+            auto const cheap =
+                cheap_available(centre) ? room(name) : centre.present.cheap;
             sum += full_.at(name) + cheap;
             most_cheap = std::max(most_cheap, cheap);
         }
@@ -99,7 +102,8 @@
             for (auto const& [name, centre] : state_.centres)
             {
                 auto const kept = std::max(centre.present.cheap, options_.cheap_places);
-                if (missing > 0 && !sold(centre) && full_[name] < bounds_.most - kept)
+                if (missing > 0 && !cheap_available(centre) &&
+                    full_[name] < bounds_.most - kept)
                 {
                     ++full_[name];
                     --missing;
@@ -136,7 +140,7 @@
         std::int64_t sellers = 0;
         for (auto const& [name, centre] : state_.centres)
         {
-            sellers += sold(centre) ? 1 : 0;
+            sellers += cheap_available(centre) ? 1 : 0;
             rest -= full_.at(name);
         }
         auto const parts = std::max<std::int64_t>(sellers - 1, 1);
--- a/src/policy/fleet_plan.hpp
+++ b/src/policy/fleet_plan.hpp
@@ -44,12 +44,12 @@
     std::int64_t full_floor = 16;
     // 2     of the most servers that a data centre may have, at most one in so many is
     // held
-    //       at full price while cheap ones are not sold there
+    //       at full price while cheap ones are not available there
     std::int64_t dry_floor = 2;
     // 10000 ms; cheap servers count as not to be had so long after a refusal
-    millis dry{10000};
+    millis refused_pause{10000};
     // 2     places of a data centre that stay free for cheap servers, so that they are
-    //       asked for again and found out to be sold
+    //       asked for again and found available
     std::int64_t cheap_places = 2;
     // 2     times what is wanted, held in cheap servers: they cost a sixth, and with many
     //       of them queues are short
--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -63,7 +63,7 @@
         {
             // A sum over all VMs holds this VM's work as it was told about two digests
             // ago.
-            digest.work.take_off(told_before_);
+            digest.work.subtract(told_before_);
         }
         peers_.absorb(key, std::move(digest.work), now);
         return true;
@@ -100,7 +100,7 @@
     }
 
 private:
-    // First letters of the names under which digests are kept.
+    // Prefixes of the names under which digests are kept, by scope.
     static constexpr char vm_key = 'v';
     static constexpr char centre_key = 'c';
     static constexpr char fleet_key = 'f';
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -31,7 +31,7 @@
     }
 
     /// Takes off a part of this sum that may be a little newer than the sum.
-    void take_off(server_load const& part)
+    void subtract(server_load const& part)
     {
         running = std::max<std::int64_t>(running - part.running, 0);
         unread = std::max<std::int64_t>(unread - part.unread, 0);
@@ -62,14 +62,14 @@
     }
 
     /// Takes off a part of this sum that may be a little newer than the sum.
-    void take_off(vm_work const& part)
+    void subtract(vm_work const& part)
     {
         for (auto const& [server, load] : part.loads)
         {
             auto const found = loads.find(server);
             if (found != loads.end())
             {
-                found->second.take_off(load);
+                found->second.subtract(load);
             }
         }
         for (auto const& [service, demand] : part.demands)
@@ -77,7 +77,7 @@
             auto const found = demands.find(service);
             if (found != demands.end())
             {
-                found->second.take_off(demand);
+                found->second.subtract(demand);
             }
         }
     }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -26,8 +26,8 @@
 }
 
 /// The engine of `role` on which the shared part of prompts is kept.
-backend_server const* home_of(std::vector<candidate> const& candidates,
-                              std::string_view part, bool prefill)
+backend_server const* rendezvous_engine(std::vector<candidate> const& candidates,
+                                        std::string_view part, bool prefill)
 {
     backend_server const* best = nullptr;
     std::uint64_t         best_rank = 0;
@@ -136,8 +136,8 @@
         }
         if (!known_ && !call.shared_part().empty())
         {
-            prefill_home_ = home_of(candidates, call.shared_part(), true);
-            decode_home_ = home_of(candidates, call.shared_part(), false);
+            prefill_home_ = rendezvous_engine(candidates, call.shared_part(), true);
+            decode_home_ = rendezvous_engine(candidates, call.shared_part(), false);
         }
     }
 
--- a/src/policy/prefix_directory.cpp
+++ b/src/policy/prefix_directory.cpp
@@ -116,9 +116,9 @@
     return result;
 }
 
-prefix_tidings prefix_directory::take_tidings()
+prefix_news_by_source prefix_directory::take_news()
 {
-    prefix_tidings result;
+    prefix_news_by_source result;
     for (auto& [source, engines] : untold_)
     {
         for (auto& [server, parts] : engines)
--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -1,6 +1,7 @@
 // Which engines keep which parts of prompts in their KV cache.
 //
-// Index: 1 prefix_news, 2 prefix_tidings, 3 kept_tokens, 4 prefix_directory_options,
+// Index: 1 prefix_news, 2 prefix_news_by_source, 3 kept_tokens, 4
+// prefix_directory_options,
 //        5 prefix_directory
 //
 // Load answered: prompts that share parts of thousands of tokens. Reading such a part
@@ -36,7 +37,7 @@
 };
 
 /// News by whose sends they tell of.
-using prefix_tidings = std::map<news_source, std::vector<prefix_news>>;
+using prefix_news_by_source = std::map<news_source, std::vector<prefix_news>>;
 
 /// Tokens of one prompt at one engine.
 struct kept_tokens
@@ -85,7 +86,7 @@
                                             boot_clock::time_point          now) const;
 
     /// What has become known since the last time. Only a relay passes on what it heard.
-    prefix_tidings take_tidings();
+    prefix_news_by_source take_news();
 
     /// Drops what is too old.
     void expire(boot_clock::time_point now);
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -41,8 +41,8 @@
         states_.erase(server);
     }
 
-    /// A failure that says the server is unwell. `lost`: its connection could not be had
-    /// or has ended, which counts at once and is told to other VMs.
+    /// A failure that says something of the server. `lost`: its connection could not be
+    /// had or has ended, which counts at once and is told to other VMs.
     void failed(std::string const& server, bool lost, boot_clock::time_point now)
     {
         auto& state = states_[server];
@@ -61,7 +61,7 @@
         }
     }
 
-    /// The server has turned a call away: it is full or about to change, not unwell. It
+    /// The server has turned a call away: it is full or about to change, not faulty. It
     /// is left alone for a moment and not for longer each time.
     void refused(std::string const& server, boot_clock::time_point now)
     {
--- a/src/policy/wait_judgement.hpp
+++ b/src/policy/wait_judgement.hpp
@@ -1,6 +1,6 @@
 // Whether a model call may wait for its prompt to be read, or is turned away at once.
 //
-// Index: 1 wait_options, 2 wait_input, 3 judge_wait
+// Index: 1 wait_options, 2 wait_input, 3 retry_after_if_late
 //
 // Load answered: a swing that asks for more reading than the engines can do. Queues for
 // reading then grow until every call in them is late, and each call that is given up in
@@ -43,8 +43,8 @@
 
 /// When the caller should come back; nothing if the call may wait. The time is that after
 /// which the tokens ahead will have been read down to the objective.
-inline std::optional<millis> judge_wait(wait_input const&   input,
-                                        wait_options const& options)
+inline std::optional<millis> retry_after_if_late(wait_input const&   input,
+                                                 wait_options const& options)
 {
     if (!input.observed || input.objective.count() == 0)
     {
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -37,7 +37,7 @@
     }
 
     /// Takes off a part of this sum that may be a little newer than the sum.
-    void take_off(work_demand const& part)
+    void subtract(work_demand const& part)
     {
         prompt_rate = std::max(prompt_rate - part.prompt_rate, 0.0);
         streams = std::max(streams - part.streams, 0.0);
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -1,6 +1,6 @@
 // PUB and SUB sockets.
 //
-// A message has two parts: a letter for its scope, by which subscribers choose, and the
+// A message has two frames: one byte for its scope, by which subscribers choose, and the
 // digest.
 #include "serving/digest_link.hpp"
 
@@ -63,9 +63,9 @@
         entry->set_server(each.server);
         entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
     }
-    for (auto const& [server, left] : notes.unwell)
+    for (auto const& [server, left] : notes.avoided)
     {
-        auto* entry = message.add_unwell();
+        auto* entry = message.add_avoided();
         entry->set_server(server);
         entry->set_left_ms(static_cast<std::uint32_t>(left.count()));
     }
@@ -107,9 +107,9 @@
         notes.crashes.push_back(
             {entry.content(), entry.server(), entry.call_id(), entry.cleared()});
     }
-    for (auto const& entry : message.unwell())
+    for (auto const& entry : message.avoided())
     {
-        notes.unwell.emplace(entry.server(), millis{entry.left_ms()});
+        notes.avoided.emplace(entry.server(), millis{entry.left_ms()});
     }
     for (auto const& entry : message.prefixes())
     {
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -31,7 +31,7 @@
     std::vector<crash_news>       crashes;
     std::vector<usage_record>     usage; // of the sender
     std::vector<prefix_news>      prefixes;
-    std::map<std::string, millis> unwell; // servers to be left alone, and for how long
+    std::map<std::string, millis> avoided; // servers to be left alone, and for how long
 };
 
 /// Publishes to whoever subscribes and subscribes to the peers it is told of. Digests are
--- a/src/serving/model_placing.cpp
+++ b/src/serving/model_placing.cpp
@@ -82,11 +82,11 @@
         return std::nullopt;
     }
     auto const left = admitted_.deadline - loop_clock::now();
-    return judge_wait({.placed = placed,
-                       .observed = meter().prefill_speed() > 0,
-                       .objective = admitted_.matched->objective,
-                       .left = std::chrono::duration_cast<millis>(left)},
-                      wait_options{});
+    return retry_after_if_late({.placed = placed,
+                                .observed = meter().prefill_speed() > 0,
+                                .objective = admitted_.matched->objective,
+                                .left = std::chrono::duration_cast<millis>(left)},
+                               wait_options{});
 }
 
 loop_time model_placing::reading_end(placement const& placed) const
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -41,10 +41,11 @@
     return news_source::others;
 }
 
-std::vector<prefix_news> prefixes_for(digest_scope scope, prefix_tidings const& tidings)
+std::vector<prefix_news> prefixes_for(digest_scope                 scope,
+                                      prefix_news_by_source const& prefix_news_told)
 {
     std::vector<prefix_news> result;
-    for (auto const& [source, news] : tidings)
+    for (auto const& [source, news] : prefix_news_told)
     {
         if (source <= widest_in(scope))
         {
@@ -76,7 +77,7 @@
     digests_.drain();
     auto const   now = boot_clock::now();
     digest_notes notes{.crashes = state_.crashes.news(now)};
-    auto const   tidings = state_.prefixes.take_tidings();
+    auto const   prefix_news_told = state_.prefixes.take_news();
     ++passes_;
     if (passes_ % expire_every == 0)
     {
@@ -87,8 +88,8 @@
         bool const own = digest.scope == digest_scope::vm;
         notes.usage = own && passes_ % usage_every == 0 ? state_.recent_usage()
                                                         : std::vector<usage_record>{};
-        notes.prefixes = prefixes_for(digest.scope, tidings);
-        notes.unwell = state_.health.news(widest_in(digest.scope), now);
+        notes.prefixes = prefixes_for(digest.scope, prefix_news_told);
+        notes.avoided = state_.health.news(widest_in(digest.scope), now);
         digests_.publish(digest, notes);
     }
     if (records_)
@@ -112,7 +113,7 @@
     }
     auto const source =
         scope == digest_scope::vm ? news_source::centre : news_source::others;
-    for (auto const& [server, left] : notes.unwell)
+    for (auto const& [server, left] : notes.avoided)
     {
         if (state_.settings.warn)
         {
--- a/tests/replay/load_policy_test.cpp
+++ b/tests/replay/load_policy_test.cpp
@@ -155,7 +155,7 @@
             auto const placed = fleet.place(call, random());
             ++calls;
             auto const speed = placed->prefill_only ? prefill_speed : decode_speed;
-            if (judge_wait({*placed, true, millis{800}, millis{8000}}, waits))
+            if (retry_after_if_late({*placed, true, millis{800}, millis{8000}}, waits))
             {
                 ++refused;
                 continue;
@@ -302,11 +302,11 @@
     }
     auto const placed = fleet.place(long_prompt(1), 1);
     EXPECT_GE(placed->wait_ms, 500'000 / fleet.costs.read_speed);
-    EXPECT_TRUE(judge_wait({*placed, true, millis{400}, millis{2500}}, {}));
+    EXPECT_TRUE(retry_after_if_late({*placed, true, millis{400}, millis{2500}}, {}));
     fleet.loads[1].unread = 0;
     auto const free = fleet.place(long_prompt(1), 1);
     EXPECT_EQ(free->server, &fleet.servers[1]);
-    EXPECT_FALSE(judge_wait({*free, true, millis{400}, millis{2500}}, {}));
+    EXPECT_FALSE(retry_after_if_late({*free, true, millis{400}, millis{2500}}, {}));
 }
 
 // Short prompts come faster than the decoding engines can read them beside their streams.
@@ -361,12 +361,12 @@
 TEST(load_policy, time_to_come_back_is_when_the_queue_will_be_short)
 {
     placement const placed{.unread = 6000, .wait_ms = 4000, .read_ms = 110};
-    auto const      back = judge_wait({placed, true, millis{800}, millis{8000}}, {});
+    auto const back = retry_after_if_late({placed, true, millis{800}, millis{8000}}, {});
     ASSERT_TRUE(back);
     EXPECT_EQ(*back, wait_options{}.latest);
-    EXPECT_FALSE(judge_wait({placed, false, millis{800}, millis{8000}}, {}));
+    EXPECT_FALSE(retry_after_if_late({placed, false, millis{800}, millis{8000}}, {}));
     placement const next{.unread = 500'000, .read_ms = 9000};
-    EXPECT_FALSE(judge_wait({next, true, millis{800}, millis{8000}}, {}));
+    EXPECT_FALSE(retry_after_if_late({next, true, millis{800}, millis{8000}}, {}));
 }
 
 // 4. Roles
@@ -485,8 +485,8 @@
 
 constexpr boot_clock::time_point at{seconds{99}};
 
-// Nothing is known of demand yet and cheap servers are sold: they will carry the load,
-// and full-price ones stay as a floor.
+// Nothing is known of demand yet and cheap servers are available: they will carry the
+// load, and full-price ones stay as a floor.
 TEST(load_policy, cheap_servers_are_bought_up_to_the_bound_above_a_floor)
 {
     auto state = three_centres({.full = 4}, 0);
@@ -511,7 +511,8 @@
 }
 
 // All cheap servers of a data centre are taken back and none is to be had there: half of
-// its places are filled at full price, and given back once cheap ones are sold again.
+// its places are filled at full price, and given back once cheap ones are available
+// again.
 TEST(load_policy, full_price_servers_come_back_while_cheap_ones_are_not_sold)
 {
     auto state = three_centres({.full = 1, .cheap = 7}, 12);
@@ -534,8 +535,8 @@
     EXPECT_EQ(full_price_of(orders, "c"), 6); // 1 and 8 elsewhere; two places for cheap
 }
 
-// The holder of the duties dies while cheap servers are not sold. Its successor has never
-// seen more of full price than the floor, and buys all the same.
+// The holder of the duties dies while cheap servers are not available. Its successor has
+// never seen more of full price than the floor, and buys all the same.
 TEST(load_policy, what_is_bought_does_not_depend_on_what_a_holder_has_seen)
 {
     fleet_state fresh;
--- a/tests/unit/prefix_directory_test.cpp
+++ b/tests/unit/prefix_directory_test.cpp
@@ -66,15 +66,15 @@
     prompt const     call{{"a", 100}, {"own", 10}};
     teller.sent("e", call, millis{0}, at(0));
     teller.sent("e", call, millis{0}, at(10));
-    auto const news = teller.take_tidings()[news_source::own];
+    auto const news = teller.take_news()[news_source::own];
     ASSERT_EQ(news.size(), 1U);
     EXPECT_EQ(news.front().parts.size(), 1U);
     hearer.hear(news.front(), news_source::centre, at(100));
     EXPECT_EQ(hearer.kept(call, at(101)).at("e").ready, 0); // still being read
     EXPECT_EQ(hearer.kept(call, at(600)), only("e", 100));
-    EXPECT_TRUE(teller.take_tidings().empty());
+    EXPECT_TRUE(teller.take_news().empty());
     teller.sent("e", call, millis{0}, at(5000));
-    EXPECT_EQ(teller.take_tidings()[news_source::own].size(), 1U);
+    EXPECT_EQ(teller.take_news()[news_source::own].size(), 1U);
 }
 
 // Two relays that pass on what they hear from each other tell it for ever: links and
@@ -84,11 +84,13 @@
     prefix_directory relay;
     relay.hear({"e", {1, 2}}, news_source::centre, at(0));
     relay.hear({"f", {3}}, news_source::others, at(0));
-    auto const tidings = relay.take_tidings();
-    EXPECT_EQ(tidings.at(news_source::centre), (std::vector<prefix_news>{{"e", {1, 2}}}));
-    EXPECT_EQ(tidings.at(news_source::others), (std::vector<prefix_news>{{"f", {3}}}));
+    auto const prefix_news_told = relay.take_news();
+    EXPECT_EQ(prefix_news_told.at(news_source::centre),
+              (std::vector<prefix_news>{{"e", {1, 2}}}));
+    EXPECT_EQ(prefix_news_told.at(news_source::others),
+              (std::vector<prefix_news>{{"f", {3}}}));
     relay.hear({"e", {1, 2}}, news_source::others, at(150));
-    EXPECT_TRUE(relay.take_tidings().empty());
+    EXPECT_TRUE(relay.take_news().empty());
 }
 
 // 3. Forgetting
