One VM reads the store for the fleet at any size, not only above the mesh's

Cause: who reads the store was tied to `mesh`, the size from which digests go through relays.

Change: `plan_relays` chooses the VMs that answer for records from two VMs on (`answers`), apart from the relays that sum up digests.

--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -50,15 +50,10 @@
 
 /// Whom `own` asks for records of the store. Nobody asks a VM that may ask it in turn.
 std::vector<std::string> whom_to_ask(std::map<std::string, contacts> const& centres,
-                                     contacts const& home, vm_contact const& own,
-                                     relay_plan const& plan)
+                                     contacts const& home, vm_contact const& own)
 {
     std::vector<std::string> records;
-    if (plan.mesh)
-    {
-        return records;
-    }
-    bool const leads = home.front() == own;
+    bool const               leads = home.front() == own;
     for (auto const& vm : leads ? store_readers(centres) : home)
     {
         if (vm == own)
@@ -88,7 +83,9 @@
     auto const home = choose(centres[own.data_centre], options.relays);
     relay_plan plan;
     plan.mesh = all.size() <= options.mesh;
-    plan.relay = !plan.mesh && std::find(home.begin(), home.end(), own) != home.end();
+    plan.answers = std::find(home.begin(), home.end(), own) != home.end();
+    plan.leads = home.front() == own;
+    plan.relay = !plan.mesh && plan.answers;
     for (auto const& [name, members] : centres)
     {
         bool const at_home = name == own.data_centre;
@@ -102,8 +99,7 @@
             plan.digests.insert(vm.digests);
         }
     }
-    plan.records = whom_to_ask(centres, home, own, plan);
-    plan.leads = plan.relay && home.front() == own;
+    plan.records = whom_to_ask(centres, home, own);
     plan.digests.erase(own.digests);
     plan.digests.erase("");
     return plan;
--- a/src/policy/relay_plan.hpp
+++ b/src/policy/relay_plan.hpp
@@ -4,9 +4,9 @@
 //
 // Load answered: fleets of tens to hundreds of VMs. If each VM hears every other one, the
 // messages grow with the square of their number (84 VMs, at 46,000 digests a second by
-// count, spent four fifths of their processor time on them), and if each reads the store,
-// its calls grow with their number. Above a size, a few VMs a data centre hear its
-// members and add their work up, and one VM reads the store for all.
+// count, spent four fifths of their processor time on them). Above a size, a few VMs a
+// data centre hear its members and add their work up. If each VM reads the store, the
+// calls grow with the VMs at any size, so one VM reads it for all from two VMs on.
 #ifndef MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
 #define MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
 
@@ -34,10 +34,11 @@
 /// Whom one VM listens to.
 struct relay_plan
 {
-    bool                     mesh = true;   // every VM hears every other one
-    bool                     relay = false; // this VM passes on what it hears
-    bool                     leads = false; // it is the first relay of its data centre
-    std::set<std::string>    digests;       // digests are heard from here
+    bool                     mesh = true;     // every VM hears every other one
+    bool                     relay = false;   // this VM sums up digests that it hears
+    bool                     answers = false; // others ask this VM for records
+    bool                     leads = false;   // the first that its data centre asks
+    std::set<std::string>    digests;         // digests are heard from here
     std::vector<std::string> records; // reads go here, in this order; empty: to the store
 
     bool operator==(relay_plan const&) const = default;
@@ -45,9 +46,10 @@
 
 /// Plans for the VM `own`, which need not be among `vms`. The relays of a data centre are
 /// its VMs with most capacity; among equals a hash decides, so that all VMs that know the
-/// same members choose the same. Of the first relays of all data centres one reads the
-/// store for the fleet and a second one stands in for it; the others ask these two, and
-/// each data centre asks its own relays. A VM that gets no answer reads the store.
+/// same members choose the same. In a mesh they answer for records only. Of the first
+/// relays of all data centres one reads the store for the fleet and a second one stands
+/// in for it; the others ask these two, and each data centre asks its own relays. A VM
+/// that gets no answer reads the store.
 relay_plan plan_relays(std::set<vm_contact> const& vms, vm_contact const& own,
                        relay_plan_options const& options);
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -136,13 +136,13 @@
                             {.mesh = static_cast<std::size_t>(state_.settings.mesh)});
     note_plan(plan);
     digests_.follow(plan.digests, scopes_of(plan));
-    state_.relays = plan.relay;
+    state_.relays = plan.answers;
     state_.leads = plan.leads;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
     if (records_)
     {
         records_->follow(plan.records);
-        records_->serve(plan.relay);
+        records_->serve(plan.answers);
     }
     plan_ = std::move(plan);
 }
@@ -162,7 +162,7 @@
 
 void peer_exchange::note_plan(relay_plan const& plan)
 {
-    if (plan.mesh == plan_.mesh && plan.relay == plan_.relay &&
+    if (plan.mesh == plan_.mesh && plan.answers == plan_.answers &&
         plan.records == plan_.records)
     {
         return;
@@ -171,6 +171,7 @@
         event_line{"relays"}
             .add("mesh", plan.mesh ? 1 : 0)
             .add("relay", plan.relay ? 1 : 0)
+            .add("answers", plan.answers ? 1 : 0)
             .add("digests_from", static_cast<std::int64_t>(plan.digests.size()))
             .add("records_from", plan.records.empty() ? "" : plan.records.front()),
         boot_clock::now());
