--- a/src/domain/caller_call.hpp
+++ b/src/domain/caller_call.hpp
@@ -26,14 +26,15 @@
 /// What the serving path needs to know of a call; the bytes themselves go on unchanged.
 struct caller_call
 {
-    std::string              id;       // one an attempt of the caller
-    std::string              host;     // lower case, without port
-    std::string              target;   // path and query as sent
-    std::string              key;      // empty: none was sent
-    std::optional<millis>    patience; // how long the caller will wait; none stated
-    std::vector<prompt_part> prompt;   // in order; the last is the caller's own
-    std::int64_t             output_tokens = 0; // most that the caller wants
-    std::string              resume_after; // id of the last event it has; empty: none
+    std::string                 id;       // one an attempt of the caller
+    std::string                 host;     // lower case, without port
+    std::string                 target;   // path and query as sent
+    std::string                 key;      // empty: none was sent
+    std::optional<millis>       patience; // how long the caller will wait; none stated
+    std::vector<prompt_part>    prompt;   // in order; the last is the caller's own
+    std::int64_t                output_tokens = 0; // most that the caller wants
+    std::optional<std::int64_t> stated_tokens;     // prompt and most output; none stated
+    std::string                 resume_after; // id of the last event it has; empty: none
 
     bool operator==(caller_call const&) const = default;
 
--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -23,6 +23,7 @@
 
 constexpr double       most_seconds = 86'400;
 constexpr std::int64_t most_count = 1'000'000;
+constexpr double       most_units = 1e12;
 constexpr double       per_second = 1000;
 constexpr double       per_cent = 100;
 constexpr double       per_mille = 1000;
@@ -121,6 +122,23 @@
             }};
 }
 
+/// A number of tokens or calls, which may be far above other counts.
+entry_option units(char const* section, char const* key,
+                   std::int64_t entry_settings::*field)
+{
+    return {section, key, "0 to 1000000000000", false,
+            [field](entry_settings& value, std::string const& content)
+            {
+                double number = 0;
+                if (!parse_number(content, number) || number > most_units)
+                {
+                    return false;
+                }
+                value.*field = std::llround(number);
+                return true;
+            }};
+}
+
 std::vector<entry_option> const& options()
 {
     static std::vector<entry_option> const table{
@@ -145,6 +163,9 @@
         time("bounds", "usage_due_s", per_second, &entry_settings::usage_due),
         count("bounds", "retry_ratio", per_cent, &entry_settings::retry_percent),
         count("bounds", "retry_slack", 1, &entry_settings::retry_slack),
+        time("bounds", "quota_window_s", per_second, &entry_settings::quota_window),
+        count("bounds", "quota_overage", per_mille, &entry_settings::quota_permille),
+        units("bounds", "quota_slack", &entry_settings::quota_slack),
         flag("policy", "directory", &entry_settings::directory),
         flag("policy", "fetch", &entry_settings::fetch),
         flag("policy", "beside", &entry_settings::beside),
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -64,6 +64,9 @@
     millis       usage_due{10000};   // 10000 a window is reported this long after its end
     std::int64_t retry_percent = 20; // 20   retries a hundred calls, over all VMs
     std::int64_t retry_slack = 58;   // 58   retries besides, over all VMs
+    millis       quota_window{0};    // 0    window in which quotas are judged; 0: none
+    std::int64_t quota_permille = 0; // 0    thousandths of a quota tolerated beyond it
+    std::int64_t quota_slack = 0;    // 0    units tolerated besides, over all VMs
     // [policy]
     bool directory = true; // true    calls go where their prompt's parts are cached
     bool fetch = true;     // true    engines fetch cached parts from each other
--- a/src/domain/serving_rules.cpp
+++ b/src/domain/serving_rules.cpp
@@ -49,6 +49,32 @@
     return limits_;
 }
 
+workspace const* serving_rules::find_workspace_named(std::string_view name) const
+{
+    auto const found =
+        std::find_if(workspaces_.begin(), workspaces_.end(),
+                     [&](workspace const& each) { return each.name == name; });
+    return found == workspaces_.end() ? nullptr : &*found;
+}
+
+std::vector<std::string> serving_rules::keep_quotas(serving_rules const& last)
+{
+    std::vector<std::string> kept;
+    for (auto& each : workspaces_)
+    {
+        if (each.quota_readable)
+        {
+            continue;
+        }
+        auto const known =
+            std::find_if(last.workspaces_.begin(), last.workspaces_.end(),
+                         [&](workspace const& other) { return other.name == each.name; });
+        each.quota = known == last.workspaces_.end() ? std::nullopt : known->quota;
+        kept.push_back(each.name);
+    }
+    return kept;
+}
+
 route const* serving_rules::find_route(std::string_view host, std::string_view path) const
 {
     auto const found = by_host_.find(host);
--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -1,7 +1,7 @@
 // What the operators have put in force: routes, services, workspaces and limits.
 //
-// Index: 1 call_kind, 2 route, 3 service with fleet_bounds, 4 workspace, 5 caller_limits,
-//        6 serving_rules
+// Index: 1 call_kind, 2 route, 3 service with fleet_bounds, 4 workspace with
+//        workspace_quota, 5 caller_limits, 6 serving_rules
 //
 // Values only. An adapter fills them; the serving path looks things up in them.
 #ifndef MARIGOLDCRANK_DOMAIN_SERVING_RULES_HPP
@@ -77,12 +77,25 @@
     bool operator==(service const&) const = default;
 };
 
+/// What a workspace may ask for, over all VMs together.
+struct workspace_quota
+{
+    std::int64_t rate = 0;       // 0  units a second
+    std::int64_t burst = 0;      // 0  units besides, saved up while less is asked
+    bool         tokens = false; //    a unit is a token; else a call
+    std::int64_t unstated = 1;   // 1  units of a call that states no tokens
+
+    auto operator<=>(workspace_quota const&) const = default;
+};
+
 /// A workspace and the keys that act for it.
 struct workspace
 {
-    std::string              name;
-    std::vector<std::string> keys;
-    std::int64_t             rank = -1; // -1  goes before the route's rank; -1: none
+    std::string                    name;
+    std::vector<std::string>       keys;
+    std::int64_t                   rank = -1; // -1  goes before the route's; -1: none
+    std::optional<workspace_quota> quota = std::nullopt; // none: no limit
+    bool quota_readable = true; // true  false: what was written can't be a quota
 
     bool operator==(workspace const&) const = default;
 };
@@ -122,6 +135,13 @@
     /// The workspace for which `key` acts; null if no workspace has it.
     workspace const* find_workspace(std::string_view key) const;
 
+    /// The workspace of this name; null if there is none.
+    workspace const* find_workspace_named(std::string_view name) const;
+
+    /// Takes the quotas of `last` where those of this version can't be read, and gives
+    /// the names of their workspaces. To be called before the rules are shared.
+    std::vector<std::string> keep_quotas(serving_rules const& last);
+
     std::vector<route> const&     routes() const noexcept;
     std::vector<service> const&   services() const noexcept;
     std::vector<workspace> const& workspaces() const noexcept;
--- /dev/null
+++ b/src/policy/fleet_share.hpp
@@ -0,0 +1,76 @@
+// The part of the fleet that a VM hears.
+//
+// Index: fleet_share
+#ifndef MARIGOLDCRANK_POLICY_FLEET_SHARE_HPP
+#define MARIGOLDCRANK_POLICY_FLEET_SHARE_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+
+namespace marigoldcrank
+{
+
+/// VMs that can't hear each other must not both give out the whole of a limit: each side
+/// gives out the part of the VMs that it hears, of the most that were known lately. VMs
+/// that ended count as cut off until they are forgotten. Pure; time is passed in.
+class fleet_share
+{
+public:
+    /// `heard`: VMs heard now, this one included; `listed`: VMs that the store knows.
+    void note(std::int64_t heard, std::int64_t listed, boot_clock::time_point now)
+    {
+        heard_ = std::max<std::int64_t>(heard, 1);
+        listed_ = listed;
+        while (!most_.empty() && most_.back().vms <= heard_)
+        {
+            most_.pop_back();
+        }
+        most_.push_back({now, heard_});
+        while (now - most_.front().at > memory)
+        {
+            most_.pop_front();
+        }
+    }
+
+    /// All VMs, as far as known.
+    std::int64_t vms() const
+    {
+        auto const heard = most_.empty() ? heard_ : most_.front().vms;
+        return listed_ == 0 ? std::max(heard, unknown_vms) : std::max(heard, listed_);
+    }
+
+    double value() const
+    {
+        return static_cast<double>(heard_) / static_cast<double>(vms());
+    }
+
+    /// The part of this VM alone.
+    double alone() const
+    {
+        return 1.0 / static_cast<double>(vms());
+    }
+
+private:
+    // 10000 ms; longer than a window in which limits are judged, and than the time after
+    //       which a VM that is cut off from the store refuses its callers
+    static constexpr millis memory{10'000};
+    // 100   VMs while the store has told of none
+    static constexpr std::int64_t unknown_vms = 100;
+
+    struct count
+    {
+        boot_clock::time_point at;
+        std::int64_t           vms;
+    };
+
+    std::int64_t      heard_ = 1;
+    std::int64_t      listed_ = 0;
+    std::deque<count> most_; // falling counts, each the most since the one before
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -93,6 +93,12 @@
         return peers_.demand(service, now);
     }
 
+    /// The other VMs that were heard lately, be it through relays.
+    std::int64_t vms(boot_clock::time_point now) const
+    {
+        return peers_.vms(now);
+    }
+
     /// Work of all others at one server, as far as heard lately.
     server_load at(std::string const& server, boot_clock::time_point now) const
     {
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -46,11 +46,13 @@
 {
     server_loads    loads;   // by server
     service_demands demands; // by service
+    std::int64_t    vms = 0; // 0  whose work this is
 
     bool operator==(vm_work const&) const = default;
 
     void add(vm_work const& other)
     {
+        vms += other.vms;
         for (auto const& [server, load] : other.loads)
         {
             loads[server].add(load);
@@ -64,6 +66,7 @@
     /// Takes off a part of this sum that may be a little newer than the sum.
     void subtract(vm_work const& part)
     {
+        vms = std::max<std::int64_t>(vms - part.vms, 0);
         for (auto const& [server, load] : part.loads)
         {
             auto const found = loads.find(server);
@@ -132,6 +135,17 @@
         return sum;
     }
 
+    /// VMs behind the digests heard of lately.
+    std::int64_t vms(boot_clock::time_point now) const
+    {
+        std::int64_t sum = 0;
+        for (auto const& [vm, digest] : peers_)
+        {
+            sum += now - digest.heard <= options_.life ? digest.work.vms : 0;
+        }
+        return sum;
+    }
+
     /// Work of the peers whose names begin with `first`.
     vm_work sum(char first, boot_clock::time_point now) const
     {
--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -100,6 +100,14 @@
         }
     }
     plan.records = whom_to_ask(centres, home, own);
+    for (auto const& [name, members] : centres)
+    {
+        for (auto const& vm : choose(members, options.relays))
+        {
+            plan.homes.push_back(vm.records);
+        }
+    }
+    std::erase(plan.homes, "");
     plan.digests.erase(own.digests);
     plan.digests.erase("");
     return plan;
--- a/src/policy/relay_plan.hpp
+++ b/src/policy/relay_plan.hpp
@@ -40,6 +40,7 @@
     bool                     leads = false;   // the first that its data centre asks
     std::set<std::string>    digests;         // digests are heard from here
     std::vector<std::string> records; // reads go here, in this order; empty: to the store
+    std::vector<std::string> homes;   // VMs that keep what is shared by all, in any order
 
     bool operator==(relay_plan const&) const = default;
 };
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -15,6 +15,7 @@
 #include "serving/handle_release.hpp"
 #include "serving/model_placing.hpp"
 #include "serving/own_reply.hpp"
+#include "serving/quota_gate.hpp"
 #include "serving/server_exchange.hpp"
 #include "serving/stream_pace.hpp"
 #include "serving/stream_relay.hpp"
@@ -48,8 +49,11 @@
     boost::asio::awaitable<link_after> run()
     {
         ++state_.calls_in_work;
-        auto const refusal =
-            admit_call(state_, call_, request_.body(), arrived_, admitted_);
+        auto refusal = admit_call(state_, call_, request_.body(), arrived_, admitted_);
+        if (!refusal && has_quota())
+        {
+            refusal = co_await state_.quotas->admit(call_, *admitted_.owner, held_);
+        }
         if (refusal)
         {
             co_await reply(*refusal);
@@ -68,6 +72,10 @@
             caller_.unwatch();
         }
         --state_.calls_in_work;
+        if (held_.units > 0 && !sends_.account().maybe_run() && state_.quotas != nullptr)
+        {
+            state_.quotas->give_back(held_);
+        }
         note_end();
         co_return after_;
     }
@@ -100,6 +108,12 @@
 
     // Kinds of calls
 
+    bool has_quota() const
+    {
+        return admitted_.owner != nullptr && admitted_.owner->quota &&
+               state_.quotas != nullptr;
+    }
+
     bool streamed() const
     {
         return admitted_.matched->kind == call_kind::stream;
@@ -578,6 +592,7 @@
     bool                   judged_ = false;
     bool                   prefilled_ = false;
     bool                   counted_ = false;
+    quota_hold             held_;
     std::string            kept_failure_; // a server's own, in bytes
     unsigned               kept_status_ = 0;
     boot_clock::time_point run_sent_{};
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -31,6 +31,9 @@
     message.set_vm(digest.vm);
     message.set_data_centre(digest.data_centre);
     message.set_scope(static_cast<std::uint32_t>(digest.scope));
+    message.set_vms(digest.work.vms);
+    message.set_records(notes.records);
+    message.mutable_heard()->Add(notes.heard.begin(), notes.heard.end());
     for (auto const& [server, load] : digest.work.loads)
     {
         auto* entry = message.add_servers();
@@ -54,7 +57,6 @@
         entry->set_window(each.window);
         entry->mutable_counts()->insert(each.counts.begin(), each.counts.end());
         message.set_address(each.contact.digests);
-        message.set_records(each.contact.records);
         message.set_capacity(each.contact.capacity);
     }
     for (auto const& each : notes.prefixes)
@@ -83,6 +85,7 @@
 vm_work work_of(wire::load_digest const& message)
 {
     vm_work work;
+    work.vms = message.vms();
     for (auto const& entry : message.servers())
     {
         // The sender names its servers in order.
@@ -102,6 +105,8 @@
 digest_notes notes_of(wire::load_digest const& message)
 {
     digest_notes notes;
+    notes.records = message.records();
+    notes.heard.assign(message.heard().begin(), message.heard().end());
     for (auto const& entry : message.suspicions())
     {
         notes.crashes.push_back(
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -32,6 +32,8 @@
     std::vector<usage_record>     usage; // of the sender
     std::vector<prefix_news>      prefixes;
     std::map<std::string, millis> avoided; // servers to be left alone, and for how long
+    std::string                   records; // where the sender answers other VMs
+    std::vector<std::string>      heard;   // such VMs that the sender has heard lately
 };
 
 /// Publishes to whoever subscribes and subscribes to the peers it is told of. Digests are
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -106,9 +106,18 @@
     return vms_known > settings.mesh;
 }
 
+bool entry_state::heard_lately(std::string const&     records,
+                               boot_clock::time_point now) const
+{
+    constexpr millis lately = digest_pause * 3 + digest_pause / 3;
+    auto const       found = heard.find(records);
+    return records == contact.records ||
+           (found != heard.end() && now - found->second <= lately);
+}
+
 vm_work entry_state::own_work(boot_clock::time_point now)
 {
-    vm_work work{.loads = loads};
+    vm_work work{.loads = loads, .vms = 1};
     for (auto& [service, meter] : meters)
     {
         work.demands[service] = meter.demand(now);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -15,6 +15,7 @@
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
+#include "policy/fleet_share.hpp"
 #include "policy/load_relay.hpp"
 #include "policy/pause_watch.hpp"
 #include "policy/placement.hpp"
@@ -37,6 +38,8 @@
 //       not rest on much older knowledge
 inline constexpr millis digest_pause{150};
 
+class quota_gate;
+
 /// The rules in force and how old the knowledge is.
 struct rules_view
 {
@@ -71,6 +74,9 @@
     /// How old what this VM knows of others' work is.
     millis digest_age() const;
 
+    /// Whether the VM that answers others at `records` lives, by its digests.
+    bool heard_lately(std::string const& records, boot_clock::time_point now) const;
+
     /// What this VM has in work and is asked for.
     vm_work own_work(boot_clock::time_point now);
 
@@ -110,10 +116,14 @@
     metrics                            counters;
     true_clock                         day;
     crash_watch                        crashes;
-    std::int64_t vms_known = 0;   // that handed over usage lately; 0: none
-    bool         relayed = false; // records of the store come through other VMs
-    bool         relays = false;  // other VMs hear of the store through this one
-    bool         leads = false;   // of its data centre's relays it is the first
+    std::map<std::string, boot_clock::time_point>
+                 heard; // VMs, by where they answer others
+    fleet_share  fleet;
+    quota_gate*  quotas = nullptr; // null: nobody can be asked yet
+    std::int64_t vms_known = 0;    // that handed over usage lately; 0: none
+    bool         relayed = false;  // records of the store come through other VMs
+    bool         relays = false;   // other VMs hear of the store through this one
+    bool         leads = false;    // of its data centre's relays it is the first
     bool         holds_duties = false;
     bool         draining = false; // not ready; still serving
     bool         closed = false;   // takes no new calls any more
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -64,20 +64,28 @@
                    ? nullptr
                    : std::make_unique<record_link>(loop, *context_, state.contact.records,
                                                    std::move(news_of))),
+      quotas_(records_ ? std::make_unique<quota_gate>(loop, *context_, state, *records_)
+                       : nullptr),
       digests_(loop, *context_, state.contact.digests,
                [this](load_digest digest, digest_notes const& notes)
                { take(std::move(digest), notes); })
 {
+    state_.quotas = quotas_.get();
 }
 
-peer_exchange::~peer_exchange() = default;
+peer_exchange::~peer_exchange()
+{
+    state_.quotas = nullptr;
+}
 
 void peer_exchange::pass()
 {
     digests_.drain();
     auto const   now = boot_clock::now();
-    digest_notes notes{.crashes = state_.crashes.news(now)};
-    auto const   prefix_news_told = state_.prefixes.take_news();
+    digest_notes notes{.crashes = state_.crashes.news(now),
+                       .records = state_.contact.records};
+    state_.fleet.note(state_.peers.vms(now) + 1, listed_, now);
+    auto const prefix_news_told = state_.prefixes.take_news();
     ++passes_;
     if (passes_ % expire_every == 0)
     {
@@ -90,6 +98,9 @@
                                                         : std::vector<usage_record>{};
         notes.prefixes = prefixes_for(digest.scope, prefix_news_told);
         notes.avoided = state_.health.news(widest_in(digest.scope), now);
+        notes.heard = digest.scope == digest_scope::fleet && quotas_
+                          ? quotas_->homes_heard(now)
+                          : std::vector<std::string>{};
         digests_.publish(digest, notes);
     }
     if (records_)
@@ -107,6 +118,11 @@
     {
         return;
     }
+    state_.heard[notes.records] = now;
+    for (auto const& each : notes.heard)
+    {
+        state_.heard[each] = now;
+    }
     for (auto const& each : notes.crashes)
     {
         state_.crashes.absorb(each, now);
@@ -139,6 +155,11 @@
     state_.relays = plan.answers;
     state_.leads = plan.leads;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
+    listed_ = static_cast<std::int64_t>(vms.size());
+    if (quotas_)
+    {
+        quotas_->follow(plan.homes);
+    }
     if (records_)
     {
         records_->follow(plan.records);
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include "serving/digest_link.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/quota_gate.hpp"
 #include "serving/record_link.hpp"
 
 #include <map>
@@ -46,9 +47,11 @@
     entry_state&                    state_;
     std::unique_ptr<zmq::context_t> context_;
     std::unique_ptr<record_link>    records_;
+    std::unique_ptr<quota_gate>     quotas_; // null if this VM offers no records
     digest_link                     digests_;
     relay_plan                      plan_;
     std::uint64_t                   passes_ = 0;
+    std::int64_t                    listed_ = 0; // VMs that the store knows
 };
 
 /// A judge for entries of servers: a record is news if it changes what is believed of its
--- /dev/null
+++ b/src/serving/quota_gate.cpp
@@ -0,0 +1,344 @@
+// Asking the VM that keeps a quota, and answering as that VM.
+//
+// Index: 1 cost, 2 links, 3 asking, 4 answering, 5 refusing
+#include "serving/quota_gate.hpp"
+
+#include "serving/record_link.hpp"
+#include "serving/watched_socket.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <wire.pb.h>
+
+#include <algorithm>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+
+// 1. Cost
+
+std::int64_t quota_cost(workspace_quota const& quota, caller_call const& call)
+{
+    if (!quota.tokens)
+    {
+        return 1;
+    }
+    return call.stated_tokens.value_or(quota.unstated);
+}
+
+// 2. Links
+
+namespace
+{
+
+// 256   questions waiting for one VM
+constexpr int queue_limit = 256;
+// 150   ms; a VM that doesn't answer in this time is silent. Half of the time in which
+//       the quickest calls are to be answered
+constexpr millis patience{150};
+// 1000  ms; a silent VM is asked last for so long, unless another one knows it to live
+constexpr millis silent_pause{1000};
+// 300   ms; a caller whom nobody could answer comes back when a stand-in may have taken
+//       over
+constexpr millis           back_later{500};
+constexpr std::string_view question_kind = "quota";
+
+struct open_question
+{
+    explicit open_question(asio::io_context& loop) : timer(loop) {}
+
+    asio::steady_timer               timer;
+    std::optional<wire::quota_reply> reply;
+};
+
+quota_answer answer_of(wire::quota_reply const& reply)
+{
+    auto const last = static_cast<std::uint32_t>(quota_outcome::declined);
+    return {.outcome = static_cast<quota_outcome>(std::min(reply.outcome(), last)),
+            .retry_after = millis{reply.retry_after_ms()},
+            .left = reply.left(),
+            .home = reply.home()};
+}
+
+} // namespace
+
+/// Questions to other VMs.
+struct quota_gate::links
+{
+    links(asio::io_context& io, zmq::context_t& zmq) : loop(io), context(zmq) {}
+
+    watched_socket& socket_to(std::string const& address)
+    {
+        auto& socket = sockets[address];
+        if (!socket)
+        {
+            socket = std::make_unique<watched_socket>(
+                loop, context, zmq::socket_type::dealer, queue_limit,
+                [this](std::vector<zmq::message_t>& parts) { take(parts); });
+            socket->socket().connect(zmq_endpoint(address));
+        }
+        return *socket;
+    }
+
+    void send(std::string const& address, wire::quota_question const& question)
+    {
+        auto const bytes = question.SerializeAsString();
+        auto&      socket = socket_to(address);
+        static_cast<void>(
+            socket.socket().send(zmq::buffer(question_kind),
+                                 zmq::send_flags::dontwait | zmq::send_flags::sndmore));
+        static_cast<void>(
+            socket.socket().send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+        socket.drain();
+    }
+
+    void take(std::vector<zmq::message_t>& parts)
+    {
+        wire::quota_reply reply;
+        auto const&       bytes = parts.back();
+        if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        {
+            return; // the question runs into its time-out
+        }
+        auto const found = open.find(reply.number());
+        if (found != open.end())
+        {
+            found->second->reply = std::move(reply);
+            found->second->timer.cancel();
+        }
+    }
+
+    asio::io_context&                                       loop;
+    zmq::context_t&                                         context;
+    std::map<std::string, std::unique_ptr<watched_socket>>  sockets; // by address
+    std::map<std::uint64_t, std::shared_ptr<open_question>> open;
+    std::uint64_t                                           number = 0;
+};
+
+// 3. Asking
+
+quota_gate::quota_gate(asio::io_context& loop, zmq::context_t& context,
+                       entry_state& state, record_link& records)
+    : state_(state), links_(std::make_unique<links>(loop, context))
+{
+    records.answer_others([this](std::string const& question)
+                          { return answer_other(question); });
+}
+
+quota_gate::~quota_gate() = default;
+
+void quota_gate::follow(std::vector<std::string> const& homes)
+{
+    home_.terms({state_.settings.quota_window, state_.settings.quota_permille,
+                 state_.settings.quota_slack});
+    homes_ = homes;
+    auto const gone = [&](auto const& each)
+    {
+        return std::find(homes.begin(), homes.end(), each.first) == homes.end();
+    };
+    std::erase_if(links_->sockets, gone);
+    std::erase_if(silent_, gone);
+}
+
+std::vector<std::string> quota_gate::homes_heard(boot_clock::time_point now) const
+{
+    std::vector<std::string> result;
+    std::copy_if(homes_.begin(), homes_.end(), std::back_inserter(result),
+                 [&](std::string const& each) { return state_.heard_lately(each, now); });
+    return result;
+}
+
+std::vector<std::string> quota_gate::order(std::string const& workspace) const
+{
+    auto const now = boot_clock::now();
+    auto       homes = order_homes(workspace, homes_heard(now));
+    std::stable_partition(homes.begin(), homes.end(),
+                          [&](std::string const& each)
+                          {
+                              auto const found = silent_.find(each);
+                              return found == silent_.end() || now >= found->second;
+                          });
+    return homes;
+}
+
+asio::awaitable<std::optional<quota_answer>> quota_gate::ask(std::string address,
+                                                             quota_ask   question)
+{
+    if (address == state_.contact.records)
+    {
+        co_return answer_own(question);
+    }
+    auto const           number = ++links_->number;
+    auto const           asking = std::make_shared<open_question>(links_->loop);
+    wire::quota_question message;
+    message.set_number(number);
+    message.set_workspace(question.workspace);
+    message.set_units(question.units);
+    message.set_left(question.left);
+    links_->open[number] = asking;
+    asking->timer.expires_after(patience);
+    links_->send(address, message);
+    boost::system::error_code error; // cancelled by the answer, or over
+    co_await asking->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    links_->open.erase(number);
+    state_.counters.add(asking->reply ? "quota_answers_total" : "quota_silences_total");
+    if (!asking->reply)
+    {
+        silent_[address] = boot_clock::now() + silent_pause;
+        co_return std::nullopt;
+    }
+    silent_.erase(address);
+    co_return answer_of(*asking->reply);
+}
+
+asio::awaitable<std::optional<own_reply>>
+quota_gate::admit(caller_call const& call, workspace const& owner, quota_hold& hold)
+{
+    auto const   began = boot_clock::now();
+    auto const   units = quota_cost(*owner.quota, call);
+    quota_answer answer;
+    hold = {.workspace = owner.name};
+    quota_course course{order(owner.name)};
+    while (!course.address().empty())
+    {
+        hold.keeper = course.address();
+        quota_ask  question{owner.name, units, course.left()};
+        auto const heard = co_await ask(hold.keeper, std::move(question));
+        answer = heard.value_or(quota_answer{});
+        bool const declined = answer.outcome == quota_outcome::declined;
+        course.take(!heard     ? quota_reply::silent
+                    : declined ? quota_reply::declined
+                               : quota_reply::decided,
+                    answer.home);
+    }
+    if (!course.decided())
+    {
+        hold.keeper.clear();
+        answer = take_alone(owner.name, units, *owner.quota);
+    }
+    state_.counters.observe("quota_seconds", boot_clock::now() - began);
+    if (answer.outcome == quota_outcome::granted)
+    {
+        hold.units = units;
+        co_return std::nullopt;
+    }
+    note_refusal(call, owner, hold, answer);
+    co_return own_reply{429, call_fate::not_run, "quota", answer.retry_after};
+}
+
+quota_answer quota_gate::take_alone(std::string const& workspace, std::int64_t units,
+                                    workspace_quota const& quota)
+{
+    auto const        now = boot_clock::now();
+    quota_terms const terms{state_.settings.quota_window, state_.settings.quota_permille,
+                            state_.settings.quota_slack};
+    auto const        bounds = bounds_alone(quota, terms, state_.fleet.alone());
+    auto const        bucket = alone_.try_emplace(workspace, bounds, now).first;
+    bucket->second.limit(bounds, now);
+    bool const over = bucket->second.take(units, now).has_value();
+    return {.outcome = over ? quota_outcome::over_quota : quota_outcome::granted,
+            .retry_after = back_later,
+            .left = static_cast<std::int64_t>(bucket->second.level())};
+}
+
+void quota_gate::give_back(quota_hold const& hold)
+{
+    auto const now = boot_clock::now();
+    if (hold.keeper == state_.contact.records)
+    {
+        home_.give_back(hold.workspace, hold.units, now);
+        return;
+    }
+    if (hold.keeper.empty())
+    {
+        auto const bucket = alone_.find(hold.workspace);
+        if (bucket != alone_.end())
+        {
+            bucket->second.give_back(hold.units, now);
+        }
+        return;
+    }
+    wire::quota_question message;
+    message.set_workspace(hold.workspace);
+    message.set_units(-hold.units);
+    links_->send(hold.keeper, message);
+}
+
+// 4. Answering
+
+quota_answer quota_gate::answer_own(quota_ask const& ask)
+{
+    auto const  now = boot_clock::now();
+    auto const& rules = state_.view.rules;
+    auto const* owner = rules ? rules->find_workspace_named(ask.workspace) : nullptr;
+    if (owner == nullptr)
+    {
+        return {};
+    }
+    if (!owner->quota)
+    {
+        return {.outcome = quota_outcome::granted};
+    }
+    auto const& own = state_.contact.records;
+    home_view   view{.stops = state_.draining, .share = state_.fleet.value()};
+    for (auto const& each : order_homes(ask.workspace, homes_))
+    {
+        view.listed = view.listed || each == own;
+        bool const before = !view.listed && view.ahead.empty() && each != ask.left;
+        view.ahead = before && state_.heard_lately(each, now) ? each : view.ahead;
+    }
+    return home_.answer(ask, *owner->quota, view, now);
+}
+
+std::string quota_gate::answer_other(std::string const& question)
+{
+    wire::quota_question message;
+    if (!message.ParseFromString(question))
+    {
+        state_.counters.add("quota_questions_unreadable_total");
+        return "";
+    }
+    if (message.units() < 0)
+    {
+        home_.give_back(message.workspace(), -message.units(), boot_clock::now());
+        return "";
+    }
+    auto const answer =
+        answer_own({message.workspace(), message.units(), message.left()});
+    wire::quota_reply reply;
+    reply.set_number(message.number());
+    reply.set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    reply.set_retry_after_ms(static_cast<std::uint32_t>(answer.retry_after.count()));
+    reply.set_left(answer.left);
+    reply.set_home(answer.home);
+    return reply.SerializeAsString();
+}
+
+// 5. Refusing
+
+void quota_gate::note_refusal(caller_call const& call, workspace const& owner,
+                              quota_hold const& hold, quota_answer const& answer)
+{
+    state_.log.write(
+        event_line{"over_quota"}
+            .add("id", call.id)
+            .add("workspace", owner.name)
+            .add("units", quota_cost(*owner.quota, call))
+            .add("rate", owner.quota->rate)
+            .add("burst", owner.quota->burst)
+            .add("left", answer.left)
+            .add("keeper", hold.keeper.empty() ? "alone" : hold.keeper)
+            .add("vms", state_.fleet.vms())
+            .add("rules", state_.view.rules
+                              ? static_cast<std::int64_t>(state_.view.rules->version())
+                              : 0)
+            .add("rules_age_ms", boot_clock::now() - state_.view.read_sent)
+            .add("retry_ms", answer.retry_after),
+        boot_clock::now());
+}
+
+} // namespace marigoldcrank
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -191,6 +191,11 @@
 
     void take_ask(std::vector<zmq::message_t>& parts)
     {
+        constexpr std::size_t with_kind = 3;
+        if (parts.size() == with_kind)
+        {
+            return answer_other(parts);
+        }
         parked_ask       parked;
         auto const&      bytes = parts.back();
         constexpr millis longest{5000}; // a reader's own wait is far shorter
@@ -209,6 +214,23 @@
         }
     }
 
+    void answer_other(std::vector<zmq::message_t> const& parts)
+    {
+        auto const answer = others ? others(parts.back().to_string()) : std::string{};
+        if (!answer.empty())
+        {
+            send_answer(parts.front().to_string(), answer);
+        }
+    }
+
+    void send_answer(std::string const& asker, std::string const& bytes)
+    {
+        auto& socket = server.socket();
+        static_cast<void>(socket.send(zmq::buffer(asker), zmq::send_flags::dontwait |
+                                                              zmq::send_flags::sndmore));
+        static_cast<void>(socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+    }
+
     bool answer_if_due(parked_ask const& parked, boot_clock::time_point now)
     {
         auto const mirror = mirrors.find(parked.ask.topic());
@@ -229,12 +251,7 @@
             answer.set_held_ms(static_cast<std::uint64_t>(parked_for.count()));
             fill(answer, mirror->second, from, now);
         }
-        auto const bytes = answer.SerializeAsString();
-        auto&      socket = server.socket();
-        static_cast<void>(
-            socket.send(zmq::buffer(parked.asker),
-                        zmq::send_flags::dontwait | zmq::send_flags::sndmore));
-        static_cast<void>(socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+        send_answer(parked.asker, answer.SerializeAsString());
         return true;
     }
 
@@ -268,6 +285,7 @@
     std::uint64_t                                      number = 0;
     bool stale = false;  // the last relay that was asked has lost the store
     bool serves = false; // other VMs ask this one
+    record_link::other_answers          others;
     std::map<std::string, topic_mirror> mirrors;
     std::list<parked_ask>               waiting;
     watched_socket                      server;
@@ -311,6 +329,11 @@
     state_->serves = asked;
 }
 
+void record_link::answer_others(other_answers answer)
+{
+    state_->others = std::move(answer);
+}
+
 bool record_link::has_relays() const
 {
     return !state_->relays.empty();
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,6 +55,11 @@
     /// Whether other VMs ask this one. If not, answers of relays aren't kept for them.
     void serve(bool asked);
 
+    /// Answers questions of another kind that come to the same address; an empty answer
+    /// isn't sent.
+    using other_answers = std::function<std::string(std::string const& question)>;
+    void answer_others(other_answers answer);
+
     /// Whether other VMs are there to be asked, be they silent or not.
     bool has_relays() const;
 
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -198,6 +198,7 @@
         {
             return;
         }
+        keep_quotas(*rules);
         auto const version = static_cast<std::int64_t>(rules->version());
         state_.log.write(
             event_line{"rules"}
@@ -208,6 +209,21 @@
         state_.view.rules = std::make_shared<serving_rules const>(std::move(*rules));
     }
 
+    /// A quota that can't be read must not set its workspace free.
+    void keep_quotas(serving_rules& rules)
+    {
+        auto const none = std::make_shared<serving_rules const>();
+        auto const last = state_.view.rules ? state_.view.rules : none;
+        for (auto const& name : rules.keep_quotas(*last))
+        {
+            state_.log.write(
+                event_line{"quota_unreadable"}
+                    .add("workspace", name)
+                    .add("version", static_cast<std::int64_t>(rules.version())),
+                boot_clock::now());
+        }
+    }
+
     void note_reachable(bool reachable, store_fault fault)
     {
         if (lost_ == !reachable)
--- /dev/null
+++ b/tests/platform/quotas_test.cpp
@@ -0,0 +1,186 @@
+// Quotas of workspaces over several daemons, as callers and servers see them.
+#include "platform/support/entry_world.hpp"
+#include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+// 300 tokens a second and 1,200 at once.
+constexpr char const* small_quota =
+    R"({"rate_per_s":300,"burst":1200,"unit":"token_accounting","uncached_tokens":50})";
+constexpr char const* quota_bounds =
+    "quota_window_s = 8\nquota_overage = 0.1\nquota_slack = 400\n";
+
+world_options three_with(std::string fields)
+{
+    return {.daemons = 3, .bounds = quota_bounds, .north_fields = std::move(fields)};
+}
+
+raw_answer call(entry_world const& world, int daemon, std::string const& id,
+                std::string const& tokens = "50,50")
+{
+    std::string const stated = tokens.empty() ? "" : "Token-Count: " + tokens + "\r\n";
+    return ask(world.callers_port(daemon), {.id = id, .fields = stated});
+}
+
+/// Tokens of the calls that were let in, each of 100, sent to all daemons in turn.
+int tokens_let_in(entry_world const& world, int calls)
+{
+    int served = 0;
+    for (int index = 0; index < calls; ++index)
+    {
+        auto const answer = call(world, index % 3, "call-" + std::to_string(index));
+        served += answer.status == 200 ? 1 : 0;
+    }
+    constexpr int tokens_each = 100;
+    return served * tokens_each;
+}
+
+/// Two small calls at each daemon, one after the other.
+bool lets_in_two_each(entry_world const& world)
+{
+    bool all = true;
+    for (int daemon = 0; daemon < 3; ++daemon)
+    {
+        all = call(world, daemon, "probe", "20,20").status == 200 && all;
+        all = call(world, daemon, "again", "20,20").status == 200 && all;
+    }
+    return all;
+}
+
+/// Until the daemons know each other, each keeps a small part of the quota, in which the
+/// second call finds no room. The pause lets the quota fill again.
+bool shares_settle(entry_world const& world)
+{
+    constexpr int most_looks = 15;
+    for (int look = 0; look < most_looks; ++look)
+    {
+        if (lets_in_two_each(world))
+        {
+            std::this_thread::sleep_for(std::chrono::seconds{4});
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::seconds{1});
+    }
+    return false;
+}
+
+// A workspace spreads its calls over all VMs. If each VM let in a quota of its own, three
+// times the quota would run.
+TEST(platform_quotas, one_quota_holds_over_all_vms)
+{
+    entry_world world{three_with(small_quota)};
+    ASSERT_TRUE(shares_settle(world));
+    auto const     began = std::chrono::steady_clock::now();
+    auto const     tokens = tokens_let_in(world, 120);
+    auto const     took = std::chrono::steady_clock::now() - began;
+    constexpr auto rate = 300;
+    constexpr auto bound = 8 * rate + 1200;
+    EXPECT_LE(tokens, bound + bound / 10 + 400);
+    EXPECT_LT(took, std::chrono::seconds{8});
+    EXPECT_LT(tokens, 120 * 100);
+    auto const refused = call(world, 1, "refused", "5000,5000");
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_NE(refused.body.find("not_run"), std::string::npos);
+    EXPECT_EQ(refused.fields.count("retry-after"), 1U);
+    EXPECT_EQ(ask(world.callers_port(1), {.key = "key-south"}).status, 200);
+}
+
+// Refused calls must cost no server anything, and a refused one says that it has not run.
+TEST(platform_quotas, refused_calls_reach_no_server)
+{
+    entry_world world{three_with(small_quota)};
+    ASSERT_TRUE(shares_settle(world));
+    static_cast<void>(tokens_let_in(world, 60));
+    auto const before =
+        world.server(0).arrivals().size() + world.server(1).arrivals().size();
+    EXPECT_EQ(call(world, 0, "large", "4000,4000").status, 429);
+    EXPECT_EQ(call(world, 2, "large-too", "4000,4000").status, 429);
+    EXPECT_EQ(world.server(0).arrivals().size() + world.server(1).arrivals().size(),
+              before);
+}
+
+// The VM that keeps the quota is killed. The others must neither stop serving the
+// workspace nor let in what they like.
+TEST(platform_quotas, quota_outlives_the_vm_that_kept_it)
+{
+    entry_world world{three_with(small_quota)};
+    ASSERT_TRUE(shares_settle(world));
+    world.daemon(0).signal(SIGKILL);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return call(world, 1, "after", "10,10").status == 200 &&
+                   call(world, 2, "after-too", "10,10").status == 200;
+        },
+        5000));
+    int refused = 0;
+    for (int index = 0; index < 60; ++index)
+    {
+        refused +=
+            call(world, 1 + index % 2, "more-" + std::to_string(index)).status == 429 ? 1
+                                                                                      : 0;
+    }
+    EXPECT_GT(refused, 20);
+}
+
+// A quota is written with a wrong type. The workspace must not be free of any limit, and
+// the operators must find out.
+TEST(platform_quotas, quota_that_can_not_be_read_leaves_the_last_one)
+{
+    entry_world world{three_with(small_quota)};
+    ASSERT_TRUE(shares_settle(world));
+    world.configure_north(2, R"({"rate_per_s":-3,"burst":"many"})");
+    ASSERT_TRUE(eventually(
+        [&] { return world.output(1).find("ev=quota_unreadable") != std::string::npos; },
+        5000));
+    static_cast<void>(call(world, 1, "large", "4000,4000")); // may run from a full bucket
+    EXPECT_EQ(call(world, 1, "large-too", "4000,4000").status, 429);
+    world.configure_north(3, "{}");
+    EXPECT_TRUE(eventually(
+        [&] { return call(world, 1, "free", "4000,4000").status == 200; }, 5000));
+}
+
+// No server is there to run calls. What they hold of the quota must come back, or the
+// workspace is refused once there are servers again.
+TEST(platform_quotas, calls_that_did_not_run_give_their_tokens_back)
+{
+    entry_world world{three_with(small_quota)};
+    ASSERT_TRUE(shares_settle(world));
+    for (int index = 0; index < 2; ++index)
+    {
+        world.server(index).always(
+            [](wire_request const& request, wire_connection& connection)
+            {
+                connection.send(server_standin::turned_away(request));
+                return true;
+            });
+    }
+    for (int index = 0; index < 30; ++index)
+    {
+        EXPECT_EQ(call(world, index % 3, "full-" + std::to_string(index)).status, 503);
+    }
+}
+
+// A field that holds no token counts can't be charged; a caller must not get round its
+// quota with it.
+TEST(platform_quotas, token_counts_that_are_no_numbers_are_refused)
+{
+    entry_world world{three_with(small_quota)};
+    for (auto const* text : {"many", "5", "5,", ",5", "-1,5", "5,5,5", "9999999999999,1"})
+    {
+        EXPECT_EQ(call(world, 0, "bad", text).status, 400) << text;
+    }
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/platform/support/entry_world.cpp
+++ b/tests/platform/support/entry_world.cpp
@@ -112,6 +112,11 @@
             entry.update(nlohmann::json::parse(options_.route_fields));
         }
     }
+    nlohmann::json north{{"name", "north"}, {"api_keys", north_keys}};
+    if (!options_.north_fields.empty())
+    {
+        north.update(nlohmann::json::parse(options_.north_fields));
+    }
     nlohmann::json const rules{
         {"version", version},
         {"routes", routes},
@@ -123,12 +128,17 @@
           {"max_body_bytes", 100000},
           {"header_timeout_ms", 2000},
           {"idle_timeout_ms", 15000}}},
-        {"tenants",
-         nlohmann::json::array({{{"name", "north"}, {"api_keys", north_keys}},
-                                {{"name", "south"}, {"api_keys", {"key-south"}}}})}};
+        {"tenants", nlohmann::json::array(
+                        {north, {{"name", "south"}, {"api_keys", {"key-south"}}}})}};
     store_->put("keyed.op", "config", rules.dump());
 }
 
+void entry_world::configure_north(std::uint64_t version, std::string const& fields)
+{
+    options_.north_fields = fields;
+    configure(version, {"key-north"});
+}
+
 void entry_world::list_server(server_standin const& server, std::string const& state)
 {
     nlohmann::json const entry{{"service", "desk"}, {"address", at(address_of(server))},
--- a/tests/platform/support/entry_world.hpp
+++ b/tests/platform/support/entry_world.hpp
@@ -34,6 +34,7 @@
     int         mesh = 16;       // VMs; above it, relays pass on what they hear
     bool        relayed = false; // connections to store and servers go through relays
     std::string route_fields;    // further JSON fields of all routes, after a comma
+    std::string north_fields;    // a JSON object: further fields of workspace north
 };
 
 /// A service with one server, so that it is certain which one a call reaches.
@@ -54,6 +55,9 @@
     /// Puts a configuration in force: these keys of workspace north.
     void configure(std::uint64_t version, std::vector<std::string> const& north_keys);
 
+    /// The same, with other fields of workspace north from now on.
+    void configure_north(std::uint64_t version, std::string const& fields);
+
     /// Writes the entry of a server anew.
     void list_server(server_standin const& server, std::string const& state = "ready");
 
--- a/tests/property/platform_decoders_property_test.cpp
+++ b/tests/property/platform_decoders_property_test.cpp
@@ -23,7 +23,8 @@
     R"("max_attempts":2,"public":false,"resumable":true,"split":[{"service":"s","weight":9},)"
     R"({"service":"t","weight":1}]}],"services":[{"name":"s","max_connections":9,"engine":)"
     R"({"kv_hold_s":5.0},"scaling":{"min":1,"max":8,"spot_price":0.18}}],"limits":)"
-    R"({"max_header_bytes":100,"idle_timeout_ms":9},"tenants":[{"name":"w","api_keys":["k"]}]})";
+    R"({"max_header_bytes":100,"idle_timeout_ms":9},"tenants":[{"name":"w","api_keys":["k"],)"
+    R"("unit":"token_accounting","uncached_tokens":200,"rate_per_s":36000,"burst":72000}]})";
 
 std::string const good_server =
     R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready",)"
@@ -84,6 +85,25 @@
     static_cast<void>(decode_server("id", damaged(good_server)));
 }
 
+// A limit of the wrong type or size, or in an unknown unit, must never be taken for none.
+RC_GTEST_PROP(platform_decoders, quotas_are_whole_or_marked_as_unreadable, ())
+{
+    auto              document = nlohmann::json::parse(good_rules);
+    auto&             entry = document["tenants"][0];
+    auto const* const field =
+        *rc::gen::element("rate_per_s", "burst", "unit", "uncached_tokens");
+    entry[field] = any_value();
+    auto const rules = decode_rules(
+        document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    RC_ASSERT(rules.has_value());
+    auto const& owner = rules->workspaces().front();
+    bool const  free = !owner.quota && owner.quota_readable;
+    bool const  no_rate = entry["rate_per_s"].is_null() || entry["rate_per_s"] == 0;
+    RC_ASSERT(!free || no_rate || entry["rate_per_s"] < 1);
+    RC_ASSERT(!owner.quota || (owner.quota->rate > 0 && owner.quota->burst >= 0 &&
+                               owner.quota->unstated >= 0));
+}
+
 TEST(platform_decoders, whole_rules_are_read)
 {
     auto const rules = decode_rules(good_rules);
@@ -96,6 +116,9 @@
     EXPECT_TRUE(route->resumable);
     EXPECT_EQ(rules->find_route("a.example", "/q/x"), nullptr);
     EXPECT_EQ(rules->find_workspace("k")->name, "w");
+    workspace_quota const quota{
+        .rate = 36'000, .burst = 72'000, .tokens = true, .unstated = 200};
+    EXPECT_EQ(rules->find_workspace("k")->quota, quota);
     EXPECT_EQ(rules->find_workspace("l"), nullptr);
     EXPECT_TRUE(rules->find_service("s")->has_engines);
     EXPECT_EQ(rules->find_service("s")->fleet->most, 8);
--- /dev/null
+++ b/tests/unit/quota_test.cpp
@@ -0,0 +1,231 @@
+// Quotas of workspaces: the bucket, who keeps it, whom a VM asks.
+//
+// Index: 1 bucket, 2 fleet share, 3 homes, 4 course of questions, 5 cost
+#include "policy/fleet_share.hpp"
+#include "policy/quota_bucket.hpp"
+#include "policy/quota_course.hpp"
+#include "policy/quota_home.hpp"
+#include "serving/quota_gate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace marigoldcrank
+{
+namespace
+{
+
+boot_clock::time_point at_ms(std::int64_t value)
+{
+    return boot_clock::time_point{millis{value}};
+}
+
+constexpr quota_terms     terms{millis{8000}, 100, 140'000};
+constexpr workspace_quota small_quota{
+    .rate = 36'000, .burst = 36'000, .tokens = true, .unstated = 200};
+
+// 1. Bucket
+
+// A prompt twice as large as a second of the quota would never run.
+TEST(quota_bucket, call_larger_than_the_capacity_runs_from_a_full_bucket)
+{
+    quota_bucket bucket({.rate = 1000, .capacity = 1000, .start = 1000}, at_ms(0));
+    EXPECT_FALSE(bucket.take(3000, at_ms(0)));
+    EXPECT_TRUE(bucket.take(1, at_ms(1900))); // its debt isn't paid back yet
+    EXPECT_FALSE(bucket.take(1, at_ms(2100)));
+}
+
+// Callers who are all told the same time come back together and are refused again.
+TEST(quota_bucket, those_refused_are_told_times_one_after_the_other)
+{
+    quota_bucket bucket({.rate = 1000, .capacity = 1000, .start = 0}, at_ms(0));
+    EXPECT_EQ(bucket.take(500, at_ms(0)), millis{500});
+    EXPECT_EQ(bucket.take(500, at_ms(0)), millis{1000});
+    EXPECT_EQ(bucket.take(500, at_ms(0)), millis{1500});
+    EXPECT_FALSE(bucket.take(500, at_ms(500)));
+}
+
+TEST(quota_bucket, what_has_not_run_is_there_again)
+{
+    quota_bucket bucket({.rate = 0, .capacity = 1000, .start = 1000}, at_ms(0));
+    EXPECT_FALSE(bucket.take(1000, at_ms(0)));
+    EXPECT_TRUE(bucket.take(1000, at_ms(0)));
+    bucket.give_back(1000, at_ms(0));
+    EXPECT_FALSE(bucket.take(1000, at_ms(0)));
+}
+
+// A limit is lowered while the workspace has saved up units under the higher one.
+TEST(quota_bucket, lowered_limit_takes_what_was_saved_up)
+{
+    quota_bucket bucket({.rate = 1000, .capacity = 9000, .start = 9000}, at_ms(0));
+    bucket.limit({.rate = 10, .capacity = 100, .start = 0}, at_ms(0));
+    EXPECT_FALSE(bucket.take(100, at_ms(0)));
+    EXPECT_TRUE(bucket.take(1, at_ms(0)));
+}
+
+// Hundreds of VMs that can ask nobody would each run one large call.
+TEST(quota_bucket, vms_without_a_home_hold_less_than_one_start_together)
+{
+    constexpr int vms = 300;
+    auto const    alone = bounds_alone(small_quota, terms, 1.0 / vms);
+    auto const    start = bounds_of(small_quota, terms, 1).start;
+    EXPECT_LE(alone.capacity * vms, start * 1.001);
+    quota_bucket bucket(alone, at_ms(0));
+    EXPECT_TRUE(bucket.take(12'000, at_ms(60'000)));
+}
+
+TEST(quota_bucket, full_window_stays_within_the_tolerance)
+{
+    auto const bounds = bounds_of(small_quota, terms, 1);
+    auto const window_s = 8.0;
+    auto const most = bounds.capacity + bounds.rate * window_s;
+    auto const bound = static_cast<double>(small_quota.rate) * window_s +
+                       static_cast<double>(small_quota.burst) +
+                       static_cast<double>(terms.tolerance(small_quota));
+    EXPECT_LT(most + 2 * bounds.start, bound);
+    EXPECT_GE(most, static_cast<double>(small_quota.rate) * window_s +
+                        static_cast<double>(small_quota.burst));
+}
+
+// 2. Fleet share
+
+// A cut fleet whose sides both give out the whole of a limit gives out twice of it.
+TEST(fleet_share, sides_of_a_cut_share_what_there_is)
+{
+    fleet_share left;
+    fleet_share right;
+    left.note(90, 90, at_ms(0));
+    right.note(90, 90, at_ms(0));
+    left.note(60, 90, at_ms(150));
+    right.note(30, 90, at_ms(150));
+    EXPECT_LE(left.value() + right.value(), 1.0);
+    EXPECT_GT(left.value(), 0.6);
+}
+
+// VMs that end together leave too small a limit to those that stay, but not for long.
+TEST(fleet_share, vms_that_ended_are_forgotten)
+{
+    fleet_share share;
+    share.note(90, 90, at_ms(0));
+    share.note(45, 90, at_ms(150));
+    EXPECT_DOUBLE_EQ(share.value(), 0.5);
+    share.note(45, 45, at_ms(11'000));
+    EXPECT_DOUBLE_EQ(share.value(), 1.0);
+}
+
+// A VM that has just started and knows nobody gives out little.
+TEST(fleet_share, unknown_fleet_is_taken_for_a_large_one)
+{
+    fleet_share share;
+    share.note(1, 0, at_ms(0));
+    EXPECT_LE(share.value(), 0.01);
+    share.note(1, 1, at_ms(150));
+    EXPECT_DOUBLE_EQ(share.value(), 1.0);
+}
+
+// 3. Homes
+
+std::vector<std::string> const offered{"a", "b", "c", "d", "e", "f"};
+
+TEST(quota_home, workspaces_are_spread_and_few_move_when_a_vm_leaves)
+{
+    auto fewer = offered;
+    fewer.pop_back();
+    std::map<std::string, int> homes;
+    int                        moved = 0;
+    constexpr int              workspaces = 600;
+    for (int index = 0; index < workspaces; ++index)
+    {
+        std::string name = "workspace-";
+        name += std::to_string(index);
+        auto const home = order_homes(name, offered).front();
+        ++homes[home];
+        moved += home != "f" && order_homes(name, fewer).front() != home ? 1 : 0;
+    }
+    EXPECT_EQ(moved, 0);
+    for (auto const& [home, count] : homes)
+    {
+        EXPECT_GT(count, workspaces / 12) << home;
+    }
+}
+
+// Two VMs that both take themselves for the home grant twice the quota.
+TEST(quota_home, vm_that_hears_one_before_it_names_that_one)
+{
+    quota_home home{terms};
+    home_view  view{.listed = true, .stops = false, .ahead = "a", .share = 1};
+    auto const answer = home.answer({"w", 10, ""}, small_quota, view, at_ms(0));
+    EXPECT_EQ(answer.outcome, quota_outcome::declined);
+    EXPECT_EQ(answer.home, "a");
+    auto const left = home.answer({"w", 10, "a"}, small_quota, view, at_ms(0));
+    EXPECT_EQ(left.outcome, quota_outcome::granted); // "a" has said that it stops
+}
+
+TEST(quota_home, vm_that_stops_keeps_nothing)
+{
+    quota_home home{terms};
+    home_view  view{.listed = true, .stops = true, .ahead = {}, .share = 1};
+    auto const answer = home.answer({"w", 10, ""}, small_quota, view, at_ms(0));
+    EXPECT_EQ(answer.outcome, quota_outcome::declined);
+    EXPECT_TRUE(answer.home.empty());
+}
+
+// 4. Course of questions
+
+TEST(quota_course, silent_home_is_asked_again_when_the_next_vm_knows_it_to_live)
+{
+    quota_course course{{"a", "b", "c"}};
+    EXPECT_EQ(course.address(), "a");
+    course.take(quota_reply::silent);
+    EXPECT_EQ(course.address(), "b");
+    course.take(quota_reply::declined, "a");
+    EXPECT_EQ(course.address(), "a");
+    course.take(quota_reply::decided);
+    EXPECT_TRUE(course.decided());
+    EXPECT_TRUE(course.address().empty());
+}
+
+TEST(quota_course, home_that_stops_is_named_to_the_next)
+{
+    quota_course course{{"a", "b"}};
+    course.take(quota_reply::declined);
+    EXPECT_EQ(course.address(), "b");
+    EXPECT_EQ(course.left(), "a");
+}
+
+// Questions that go round would hold a call until its caller's time is over.
+TEST(quota_course, ends_after_three_questions)
+{
+    quota_course course{{"a", "b", "c", "d"}};
+    int          questions = 0;
+    while (!course.address().empty())
+    {
+        course.take(quota_reply::silent);
+        ++questions;
+    }
+    EXPECT_EQ(questions, 3);
+    EXPECT_FALSE(course.decided());
+}
+
+TEST(quota_course, nobody_to_ask_is_known_at_once)
+{
+    quota_course const course{{}};
+    EXPECT_TRUE(course.address().empty());
+    EXPECT_FALSE(course.decided());
+}
+
+// 5. Cost
+
+TEST(quota_cost, is_what_the_call_states_or_a_fixed_cost)
+{
+    caller_call call;
+    EXPECT_EQ(quota_cost(small_quota, call), 200);
+    call.stated_tokens = 1540;
+    EXPECT_EQ(quota_cost(small_quota, call), 1540);
+    EXPECT_EQ(quota_cost({.rate = 5, .burst = 5, .tokens = false, .unstated = 1}, call),
+              1);
+}
+
+} // namespace
+} // namespace marigoldcrank
