--- a/src/app/limit_shares.cpp
+++ b/src/app/limit_shares.cpp
@@ -8,10 +8,10 @@
 
 namespace
 {
-constexpr std::int64_t millionths = 1'000'000;
 constexpr std::int64_t millis_per_minute = 60'000;
-constexpr std::int64_t burst_ms = 10'000; // of the share that an idle workspace saves up
-constexpr std::int64_t longest_retry_s = 60;
+constexpr double       seconds_per_minute = 60;
+constexpr double       burst_s = 10; // of the share that an idle workspace saves up
+constexpr std::int64_t second_ms = 1000;
 constexpr std::int64_t memory = 4; // heartbeats that the demand is averaged over
 
 std::int64_t millis_between(boot_clock::time_point from, boot_clock::time_point to)
@@ -19,10 +19,13 @@
     return std::chrono::duration_cast<millis>(to - from).count();
 }
 
-std::int64_t filled_in(std::int64_t per_minute, std::int64_t elapsed_ms)
+/// `per_minute`: this VM's share, in tokens a minute.
+quota_bounds bounds_of_share(std::int64_t per_minute)
 {
-    return per_minute * elapsed_ms * (millionths / 1'000) / (millis_per_minute / 1'000);
+    auto const rate = static_cast<double>(per_minute) / seconds_per_minute;
+    return {.rate = rate, .capacity = rate * burst_s, .start = rate * burst_s};
 }
+
 } // namespace
 
 limit_shares::limit_shares(limit_terms terms, std::uint64_t first_ask)
@@ -44,19 +47,16 @@
     }
 }
 
-void limit_shares::fill(std::string const& workspace, meter& own,
-                        boot_clock::time_point now)
+quota_bucket& limit_shares::bucket_of(std::string const& workspace, meter& own,
+                                      boot_clock::time_point now)
 {
-    auto const share = book_.usable(workspace, now);
-    auto const most = filled_in(share, burst_ms);
-    auto const elapsed = own.filled_at == boot_clock::time_point{}
-                             ? burst_ms
-                             : std::min(burst_ms, millis_between(own.filled_at, now));
-    if (elapsed > 0)
+    auto const bounds = bounds_of_share(book_.usable(workspace, now));
+    if (!own.bucket)
     {
-        own.level = std::min(most, own.level + filled_in(share, elapsed));
-        own.filled_at = now;
+        own.bucket.emplace(bounds, now);
     }
+    own.bucket->limit(bounds, now);
+    return *own.bucket;
 }
 
 leaf::result<void> limit_shares::admit(std::string const& workspace, std::int64_t tokens,
@@ -70,17 +70,15 @@
     }
     auto& own = found->second;
     own.offered += tokens;
-    fill(workspace, own, now);
-    if (own.level > 0)
+    auto& bucket = bucket_of(workspace, own, now);
+    if (auto const wait = bucket.take(1, now))
     {
-        own.level -= tokens * millionths;
-        return {};
+        auto const seconds = wait->count() / second_ms + 1;
+        return leaf::new_error(refusal{refusal_cause::over_limit, call_fate::not_run,
+                                       static_cast<int>(seconds)});
     }
-    auto const a_second =
-        std::max<std::int64_t>(1, filled_in(book_.usable(workspace, now), 1'000));
-    auto const seconds = std::min(longest_retry_s, -own.level / a_second + 1);
-    return leaf::new_error(refusal{refusal_cause::over_limit, call_fate::not_run,
-                                   static_cast<int>(seconds)});
+    bucket.charge(tokens - 1, now);
+    return {};
 }
 
 void limit_shares::charge(std::string const& workspace, std::int64_t tokens)
@@ -89,7 +87,8 @@
     auto const            found = meters_.find(workspace);
     if (found != meters_.end() && found->second.limit != 0)
     {
-        found->second.level -= tokens * millionths;
+        auto const now = boot_clock::now();
+        bucket_of(workspace, found->second, now).charge(tokens, now);
         found->second.offered += tokens;
     }
 }
--- a/src/app/limit_shares.hpp
+++ b/src/app/limit_shares.hpp
@@ -6,6 +6,7 @@
 
 #include "domain/configuration.hpp"
 #include "policy/limit_book.hpp"
+#include "policy/quota_bucket.hpp"
 
 #include <cstdint>
 #include <map>
@@ -45,15 +46,16 @@
 private:
     struct meter
     {
-        std::int64_t           limit = 0;   // tokens a minute; 0 for none
-        std::int64_t           level = 0;   // millionths of a token; negative: in debt
-        std::int64_t           offered = 0; // tokens since the last ask
-        std::int64_t           demand = 0;  // tokens a minute, smoothed
-        boot_clock::time_point filled_at{}; // epoch: not used yet
-        boot_clock::time_point asked_at{};
+        std::int64_t                limit = 0;   // tokens a minute; 0 for none
+        std::int64_t                offered = 0; // tokens since the last ask
+        std::int64_t                demand = 0;  // tokens a minute, smoothed
+        std::optional<quota_bucket> bucket;      // none: not used yet
+        boot_clock::time_point      asked_at{};
     };
 
-    void fill(std::string const& workspace, meter& own, boot_clock::time_point now);
+    /// The bucket of this VM's share as it is now.
+    quota_bucket& bucket_of(std::string const& workspace, meter& own,
+                            boot_clock::time_point now);
 
     std::mutex                   mutex_;
     limit_book                   book_;
