Quotas: VMs that have just started meet before they answer; homes that aren't heard are asked too

Change: a call waits until its VM hears three quarters of the VMs that the store lists, 1.5 s after the start at the most; VMs that aren't heard are asked after those that are, silent ones last; 300 ms; an unknown bucket starts with a fifth of the tolerance (was 0.07), the bucket of a VM alone with half of that and fills at half its part, normal use takes half of the tolerance (was 0.6).

--- a/bench/model/quota_replay.cpp
+++ b/bench/model/quota_replay.cpp
@@ -1,10 +1,9 @@
 // A workspace's calls, call by call.
 //
-// Index: 1 calls, 2 audit, 3 homes, 4 estimates
+// Index: 1 calls, 2 audit, 3 homes
 #include "quota_replay.hpp"
 
 #include "policy/quota_course.hpp"
-#include "policy/quota_estimate.hpp"
 #include "policy/quota_home.hpp"
 
 #include <map>
@@ -333,63 +332,4 @@
     return audit.figures(fleet.messages);
 }
 
-// 4. Estimates
-
-quota_figures play_estimates(quota_load const& load, quota_trouble const& trouble,
-                             std::uint64_t seed)
-{
-    constexpr millis            digest_pause{150};
-    auto const                  bounds = bounds_of(load.quota, replayed_terms, 1);
-    auto const                  start = time_of(millis{0});
-    std::vector<quota_estimate> vms(static_cast<std::size_t>(trouble.vms),
-                                    quota_estimate{bounds, start});
-    std::deque<std::pair<millis, std::vector<quota_use>>> told;
-    quota_audit                                           audit(load);
-    millis                                                next{0};
-    bool                                                  restarted = false;
-    for (auto const& call : draw_calls(load, trouble.vms, seed))
-    {
-        for (; next <= call.at; next += digest_pause)
-        {
-            std::vector<quota_use> uses;
-            for (auto& vm : vms)
-            {
-                uses.push_back(vm.own(time_of(next)));
-            }
-            told.emplace_back(next, std::move(uses));
-            while (told.size() > 1 && told[1].first <= next - trouble.news)
-            {
-                told.pop_front();
-            }
-            bool const cut = within(next, trouble.cut_begin, trouble.cut_end);
-            for (std::size_t vm = 0; vm < vms.size(); ++vm)
-            {
-                quota_use others;
-                for (std::size_t other = 0; other < vms.size(); ++other)
-                {
-                    bool const apart = cut && (vm % 3 == 2) != (other % 3 == 2);
-                    if (other != vm && !apart)
-                    {
-                        others.asked += told.front().second[other].asked;
-                        others.granted += told.front().second[other].granted;
-                    }
-                }
-                vms[vm].hear(others, time_of(next));
-            }
-        }
-        bool const off = trouble.restart.count() > 0;
-        bool const dark =
-            off && within(call.at, trouble.restart, trouble.restart + power_off);
-        if (off && !restarted && call.at >= trouble.restart + power_off)
-        {
-            restarted = true;
-            vms.assign(vms.size(), quota_estimate{bounds, time_of(call.at)});
-        }
-        auto&      vm = vms[static_cast<std::size_t>(call.vm)];
-        bool const ran = !dark && !vm.take(call.units, time_of(call.at));
-        audit.add(call, ran, 0);
-    }
-    return audit.figures(0);
-}
-
 } // namespace marigoldcrank
--- a/bench/model/quota_replay.hpp
+++ b/bench/model/quota_replay.hpp
@@ -1,6 +1,6 @@
-// Replays a workspace's calls over a fleet of VMs against forms of its quota.
+// Replays a workspace's calls over a fleet of VMs against its quota.
 //
-// Index: 1 quota_load, 2 quota_trouble, 3 quota_figures, 4 play functions
+// Index: 1 quota_load, 2 quota_trouble, 3 quota_figures, 4 play_homes
 #ifndef MARIGOLDCRANK_BENCH_QUOTA_REPLAY_HPP
 #define MARIGOLDCRANK_BENCH_QUOTA_REPLAY_HPP
 
@@ -33,7 +33,6 @@
 struct quota_trouble
 {
     int    vms = 90;      // 90
-    millis news{150};     // 150  ms; age of what VMs have heard of each other
     millis round_trip{4}; // 4    ms; from a VM to another one and back
     double lost_asks = 0; // 0    share of asks that get no answer
     millis home_lost{0};  // 0    ms; the home loses power then; 0: never
@@ -62,10 +61,6 @@
 quota_figures play_homes(quota_load const& load, quota_trouble const& trouble,
                          std::uint64_t seed);
 
-/// Each VM estimates the fleet's bucket from digests.
-quota_figures play_estimates(quota_load const& load, quota_trouble const& trouble,
-                             std::uint64_t seed);
-
 } // namespace marigoldcrank
 
 #endif
--- a/src/policy/fleet_share.hpp
+++ b/src/policy/fleet_share.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace marigoldcrank
 {
@@ -24,6 +25,7 @@
     {
         heard_ = std::max<std::int64_t>(heard, 1);
         listed_ = listed;
+        begun_ = begun_.value_or(now);
         while (!most_.empty() && most_.back().vms <= heard_)
         {
             most_.pop_back();
@@ -35,6 +37,15 @@
         }
     }
 
+    /// Whether a VM that has just started has met the others, or had the time to.
+    bool settled(boot_clock::time_point now) const
+    {
+        constexpr std::int64_t quarters = 4;
+        constexpr std::int64_t enough = 3;
+        bool const             met = listed_ > 0 && heard_ * quarters >= listed_ * enough;
+        return met || (begun_ && now - *begun_ >= longest_meeting);
+    }
+
     /// All VMs, as far as known.
     std::int64_t vms() const
     {
@@ -57,6 +68,8 @@
     // 10000 ms; longer than a window in which limits are judged, and than the time after
     //       which a VM that is cut off from the store refuses its callers
     static constexpr millis memory{10'000};
+    // 1500  ms; after a start the others are known by then, or can't be heard
+    static constexpr millis longest_meeting{1500};
     // 100   VMs while the store has told of none
     static constexpr std::int64_t unknown_vms = 100;
 
@@ -66,8 +79,9 @@
         std::int64_t           vms;
     };
 
-    std::int64_t      heard_ = 1;
-    std::int64_t      listed_ = 0;
+    std::int64_t                          heard_ = 1;
+    std::int64_t                          listed_ = 0;
+    std::optional<boot_clock::time_point> begun_; // of the first count
     std::deque<count> most_; // falling counts, each the most since the one before
 };
 
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/quota_bucket.hpp
@@ -52,16 +52,16 @@
     bool operator==(quota_bounds const&) const = default;
 };
 
-/// Most of the tolerance is used while one VM keeps the bucket, so that calls within the
+/// Half of the tolerance is used while one VM keeps the bucket, so that calls within the
 /// quota aren't refused for a difference of clocks or order: half of that as rate, half
 /// as capacity. The rest is for changes of the VM that keeps it: an unknown bucket starts
 /// with a part. `share` is the part of the fleet that this bucket serves.
 inline quota_bounds bounds_of(workspace_quota const& quota, quota_terms const& terms,
                               double share)
 {
-    constexpr double as_rate = 0.3;
-    constexpr double as_capacity = 0.3;
-    constexpr double at_start = 0.07;
+    constexpr double as_rate = 0.25;
+    constexpr double as_capacity = 0.25;
+    constexpr double at_start = 0.2;
     constexpr double second_ms = 1000;
     auto const       tolerance = static_cast<double>(terms.tolerance(quota));
     auto const       window_s = static_cast<double>(terms.window.count()) / second_ms;
@@ -74,15 +74,17 @@
 }
 
 /// The bucket of one VM that can ask nobody. `share` is its even part of the fleet: all
-/// VMs' buckets together hold no more than a bucket of which nothing is known starts
-/// with, so hundreds of VMs without a home don't run a large call each. They fill at half
-/// of their part: until both sides of a cut know of it, one still gives out the whole.
+/// VMs' buckets together hold no more than half of what a bucket of which nothing is
+/// known starts with, so hundreds of VMs without a home don't run a large call each. They
+/// fill at half of their part: until both sides of a cut know of it, one still gives out
+/// the whole.
 inline quota_bounds bounds_alone(workspace_quota const& quota, quota_terms const& terms,
                                  double share)
 {
     constexpr double half = 0.5;
     auto             bounds = bounds_of(quota, terms, share);
     bounds.rate *= half;
+    bounds.start *= half;
     bounds.capacity = bounds.start;
     bounds.strict = true;
     return bounds;
@@ -114,7 +116,7 @@
         fill(now);
         auto const cost = static_cast<double>(units);
         auto const needed = bounds_.strict ? cost : std::min(cost, bounds_.capacity);
-        if (level_ >= needed)
+        if (bounds_.capacity > 0 && level_ >= needed)
         {
             level_ -= cost;
             return std::nullopt;
@@ -124,6 +126,13 @@
         return wait;
     }
 
+    /// Units that are known only after the call was let in.
+    void charge(std::int64_t units, boot_clock::time_point now)
+    {
+        fill(now);
+        level_ -= static_cast<double>(units);
+    }
+
     /// What was taken has not run.
     void give_back(std::int64_t units, boot_clock::time_point now)
     {
@@ -137,9 +146,11 @@
     }
 
 private:
-    // 50 and 4000  ms; callers neither come back at once nor after their time
+    // 50 and 60000  ms; callers neither come back at once nor are told a time that can't
+    // be
+    //               known
     static constexpr double least_wait = 50;
-    static constexpr double longest_wait = 4000;
+    static constexpr double longest_wait = 60'000;
     static constexpr double second_ms = 1000;
 
     void fill(boot_clock::time_point now)
--- a/src/serving/quota_gate.cpp
+++ b/src/serving/quota_gate.cpp
@@ -3,6 +3,7 @@
 // Index: 1 cost, 2 links, 3 asking, 4 answering, 5 refusing
 #include "serving/quota_gate.hpp"
 
+#include "serving/loop_sleep.hpp"
 #include "serving/record_link.hpp"
 #include "serving/watched_socket.hpp"
 
@@ -44,7 +45,9 @@
 constexpr millis silent_pause{1000};
 // 300   ms; a caller whom nobody could answer comes back when a stand-in may have taken
 //       over
-constexpr millis           back_later{500};
+constexpr millis back_later{300};
+// 50    ms; between looks at whether the other VMs are known
+constexpr millis           settle_look{50};
 constexpr std::string_view question_kind = "quota";
 
 struct open_question
@@ -155,13 +158,22 @@
 std::vector<std::string> quota_gate::order(std::string const& workspace) const
 {
     auto const now = boot_clock::now();
-    auto       homes = order_homes(workspace, homes_heard(now));
-    std::stable_partition(homes.begin(), homes.end(),
-                          [&](std::string const& each)
-                          {
-                              auto const found = silent_.find(each);
-                              return found == silent_.end() || now >= found->second;
-                          });
+    auto const silent = [&](std::string const& home)
+    {
+        auto const found = silent_.find(home);
+        return found != silent_.end() && now < found->second;
+    };
+    // Whoever isn't heard may still answer: digests come through relays.
+    auto const doubt = [&](std::string const& home)
+    {
+        return (silent(home) ? 2 : 0) + (state_.heard_lately(home, now) ? 0 : 1);
+    };
+    constexpr int lost = 3; // neither heard nor answering
+    auto          homes = order_homes(workspace, homes_);
+    std::erase_if(homes, [&](std::string const& each) { return doubt(each) == lost; });
+    std::stable_sort(homes.begin(), homes.end(),
+                     [&](std::string const& left, std::string const& right)
+                     { return doubt(left) < doubt(right); });
     return homes;
 }
 
@@ -195,6 +207,17 @@
     co_return answer_of(*asking->reply);
 }
 
+/// Load answered: all VMs lose power and start at once, and their callers are there
+/// before they know each other. Each would let in its part of a fleet of unknown size,
+/// next to nothing, and refuse the rest.
+asio::awaitable<void> quota_gate::settle() const
+{
+    while (!state_.fleet.settled(boot_clock::now()))
+    {
+        co_await loop_sleep(settle_look);
+    }
+}
+
 asio::awaitable<std::optional<own_reply>>
 quota_gate::admit(caller_call const& call, workspace const& owner, quota_hold& hold)
 {
@@ -202,6 +225,7 @@
     auto const   units = quota_cost(*owner.quota, call);
     quota_answer answer;
     hold = {.workspace = owner.name};
+    co_await settle();
     quota_course course{order(owner.name)};
     while (!course.address().empty())
     {
--- a/src/serving/quota_gate.hpp
+++ b/src/serving/quota_gate.hpp
@@ -60,7 +60,8 @@
     std::vector<std::string> homes_heard(boot_clock::time_point now) const;
 
     /// Fills `hold`, or gives the refusal: nothing has run, and there will be room after
-    /// the time that it states. Takes up to three times the patience with a silent VM.
+    /// the time that it states. Takes up to three times the patience with a silent
+    /// VM, and after a start the time in which VMs meet.
     boost::asio::awaitable<std::optional<own_reply>>
     admit(caller_call const& call, workspace const& owner, quota_hold& hold);
 
@@ -73,6 +74,9 @@
     /// VMs to ask for a workspace, the home first.
     std::vector<std::string> order(std::string const& workspace) const;
 
+    /// Waits until a VM that has just started knows what part of the fleet it hears.
+    boost::asio::awaitable<void> settle() const;
+
     quota_answer answer_own(quota_ask const& ask);
     std::string  answer_other(std::string const& question);
 
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -46,6 +46,21 @@
     EXPECT_FALSE(bucket.take(500, at_ms(500)));
 }
 
+TEST(quota_bucket, bucket_that_holds_nothing_lets_nothing_in)
+{
+    quota_bucket bucket({.rate = 0, .capacity = 0, .start = 0}, at_ms(0));
+    EXPECT_TRUE(bucket.take(1, at_ms(0)));
+}
+
+TEST(quota_bucket, what_is_charged_afterwards_is_paid_back_first)
+{
+    quota_bucket bucket({.rate = 100, .capacity = 100, .start = 100}, at_ms(0));
+    EXPECT_FALSE(bucket.take(1, at_ms(0)));
+    bucket.charge(299, at_ms(0));
+    EXPECT_TRUE(bucket.take(1, at_ms(1900)));
+    EXPECT_FALSE(bucket.take(1, at_ms(2100)));
+}
+
 TEST(quota_bucket, what_has_not_run_is_there_again)
 {
     quota_bucket bucket({.rate = 0, .capacity = 1000, .start = 1000}, at_ms(0));
@@ -70,7 +85,7 @@
     constexpr int vms = 300;
     auto const    alone = bounds_alone(small_quota, terms, 1.0 / vms);
     auto const    start = bounds_of(small_quota, terms, 1).start;
-    EXPECT_LE(alone.capacity * vms, start * 1.001);
+    EXPECT_LE(alone.capacity * vms, start / 2 * 1.001);
     quota_bucket bucket(alone, at_ms(0));
     EXPECT_TRUE(bucket.take(12'000, at_ms(60'000)));
 }
@@ -124,6 +139,21 @@
     EXPECT_DOUBLE_EQ(share.value(), 1.0);
 }
 
+// All VMs start at once with callers already there.
+TEST(fleet_share, vm_that_has_just_started_settles_when_it_hears_the_others)
+{
+    fleet_share share;
+    share.note(1, 0, at_ms(0));
+    EXPECT_FALSE(share.settled(at_ms(100)));
+    share.note(20, 90, at_ms(150));
+    EXPECT_FALSE(share.settled(at_ms(150)));
+    share.note(80, 90, at_ms(300));
+    EXPECT_TRUE(share.settled(at_ms(300)));
+    fleet_share cut_off;
+    cut_off.note(1, 0, at_ms(0));
+    EXPECT_TRUE(cut_off.settled(at_ms(2000)));
+}
+
 // 3. Homes
 
 std::vector<std::string> const offered{"a", "b", "c", "d", "e", "f"};
