A VM that starts again reads only the end of the usage log

Each of 295 VMs read the whole history of counts from its first record, a megabyte a read, from a store that gives all of them 80 MB a second, with a time-out of 1.2 s: the repeats kept it so.

Change: a VM begins 400 records before its own first one, whose append tells where the log ends; that names who is there. Only VMs that others ask, and the holder of the duties, read the rest, and only who has read all of it seals. `platform_relays.vm_that_starts_again_reads_only_the_end_of_the_usage_log`.

--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -36,6 +36,10 @@
     boost::asio::awaitable<void> run_usage()
     {
         auto const started = boot_clock::now();
+        if (state_.settings.first_start)
+        {
+            begin_usage(0);
+        }
         co_await hand_over(current_window());
         if (state_.settings.first_start)
         {
@@ -150,7 +154,12 @@
         auto const result =
             co_await store_.append(usage_lane, usage_topic(), texts, std::nullopt);
         usage_lane_busy_ = false;
-        bool const taken = std::holds_alternative<std::uint64_t>(result);
+        auto const* offset = std::get_if<std::uint64_t>(&result);
+        bool const  taken = offset != nullptr;
+        if (taken && !usage_begun_)
+        {
+            begin_usage(*offset > recent_records ? *offset - recent_records : 0);
+        }
         if (!taken)
         {
             // A member's relay has its counts from digests and appends them too.
@@ -179,7 +188,10 @@
     static constexpr unsigned     duty_lane = 2;
     static constexpr unsigned     usage_lane = 3;
     static constexpr std::int64_t kept_windows = 8; // windows; more than are ever due
-    static constexpr millis       lane_look{
+    // 400 records; more than the VMs of a fleet, each of which tells of itself once a
+    // window
+    static constexpr std::uint64_t recent_records = 400;
+    static constexpr millis        lane_look{
         20}; // 20   ms; between looks for the lane to be free
     static constexpr millis usage_look{300}; // 300  ms; between looks for a closed window
 
@@ -336,8 +348,35 @@
 
     // Sealing
 
+    void begin_usage(std::uint64_t from)
+    {
+        usage_begun_ = true;
+        usage_whole_ = from == 0;
+        usage_next_ = from;
+        usage_read_ = false;
+        state_.log.write(event_line{"usage_log"}
+                             .add("from", static_cast<std::int64_t>(from))
+                             .add("whole", usage_whole_ ? 1 : 0),
+                         boot_clock::now());
+    }
+
+    /// Load answered: hundreds of VMs lose power and start at once. If each read the
+    /// whole history of counts, the store's bandwidth would be used up, reads of rules
+    /// would run into their time-out, and their repeats would keep it so. A VM begins
+    /// shortly before its own first record, which tells who is there; only the VMs that
+    /// others ask, and the holder of the duties, read the rest.
     boost::asio::awaitable<void> read_usage()
     {
+        bool const placed = state_.relays && state_.vms_known > 0;
+        bool const held = log_.held_until(boot_clock::now()).has_value();
+        if (usage_begun_ && !usage_whole_ && (placed || held))
+        {
+            begin_usage(0);
+        }
+        if (!usage_begun_)
+        {
+            co_return; // the first append tells where the log ends
+        }
         while (usage_lane_busy_) // the lane serves one call at a time
         {
             co_await loop_sleep(lane_look);
@@ -376,7 +415,7 @@
         auto const               now = state_.day_ms();
         auto const               last = (now - times_.seal.count()) / length - 1;
         auto const               first = (now - times_.too_old.count()) / length;
-        if (!usage_read_)
+        if (!usage_read_ || !usage_whole_)
         {
             return seals;
         }
@@ -489,9 +528,11 @@
     std::vector<usage_record> waiting_; // that aren't known to be appended
     std::uint64_t             usage_next_ = 0;
     boot_clock::time_point    usage_looked_{};
-    retry_gate                append_gate_; // for records that wait
-    bool                      usage_read_ = false;
-    std::int64_t              handed_before_ = 0; // windows before this one
+    retry_gate                append_gate_;         // for records that wait
+    bool                      usage_read_ = false;  // up to its end
+    bool                      usage_begun_ = false; // `usage_next_` is known
+    bool                      usage_whole_ = false; // read from the first record kept
+    std::int64_t              handed_before_ = 0;   // windows before this one
     bool                      usage_lane_busy_ = false;
     bool                      held_ = false;
     std::int64_t              reported_ = 0; // all windows up to this one
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -270,5 +270,22 @@
     }
 }
 
+// All VMs of a large fleet lose power and start at once. If each read the whole history
+// of counts, the store would answer nobody in time.
+TEST(platform_relays, vm_that_starts_again_reads_only_the_end_of_the_usage_log)
+{
+    constexpr int kept = 3000;
+    entry_world   world({.daemons = 2});
+    for (int index = 0; index < kept; ++index)
+    {
+        world.store().append("usage", "not a record");
+    }
+    world.restart(1);
+    EXPECT_TRUE(eventually(
+        [&] { return world.output(1).find("ev=usage_log from=2") != std::string::npos; },
+        5000));
+    EXPECT_TRUE(eventually([&] { return world.ready(1); }, 5000));
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -107,6 +107,15 @@
     appended_.notify_all();
 }
 
+void store_standin::append(std::string const& topic, std::string const& record)
+{
+    {
+        std::lock_guard lock{mutex_};
+        topics_[topic].records.push_back(record);
+    }
+    appended_.notify_all();
+}
+
 void store_standin::drop(std::string const& topic, std::string const& key)
 {
     put(topic, key, "");
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -34,6 +34,9 @@
     void put(std::string const& topic, std::string const& key, std::string const& value);
     void drop(std::string const& topic, std::string const& key);
 
+    /// A record that some VM has appended.
+    void append(std::string const& topic, std::string const& record);
+
     std::vector<std::string> records(std::string const& topic) const;
     std::size_t              calls() const;
 
