Servers that leave: what another VM says of them counts only up to 1.3 s

The store turned away the VM that reads for the others, which went on with its answers of up to 2.5 s of age; since one VM reads at any size, this reached fleets with short notices.

Change: a question names the age up to which an answer helps; for servers 1.3 s, then the asker reads the store. record_link.answer_older_than_the_asker_allows.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -32,6 +32,7 @@
           rules_(state_, shared_), servers_(state_, shared_),
           worker_(state_, shared_, duties_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
+        shared_.limit_age(Codec::servers_topic(), oldest_servers);
     }
 
     /// Serves until a signal has drained it. Throws boost::system::system_error if an
@@ -55,6 +56,11 @@
     }
 
 private:
+    // 1300  ms; a leaving server must be out of use two seconds after its notice. The VM
+    // that
+    //       reads for the others does so every 900 ms; if the store turns it away, they
+    //       read for themselves
+    static constexpr millis oldest_servers{1300};
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
     // 1500  ms; longest wait for other VMs to be known when all start at once
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -22,6 +22,9 @@
 constexpr std::int64_t shared_parts = 5;
 // 100  VMs while none is known: more than any deployment of today has
 constexpr std::int64_t unknown_vms = 100;
+// 500  ms; a VM that has told nothing for so long, three digests and a late one, isn't
+//      counted on
+constexpr millis heard_for{500};
 // 450  ms; from a member to its relay, to another relay and to its members
 constexpr millis relayed_digest_age = digest_pause * 3;
 
@@ -109,10 +112,14 @@
 bool entry_state::heard_lately(std::string const&     records,
                                boot_clock::time_point now) const
 {
-    constexpr millis lately = digest_pause * 3 + digest_pause / 3;
-    auto const       found = heard.find(records);
+    auto const found = heard.find(records);
     return records == contact.records ||
-           (found != heard.end() && now - found->second <= lately);
+           (found != heard.end() && now - found->second <= heard_for);
+}
+
+void entry_state::forget_silent(boot_clock::time_point now)
+{
+    std::erase_if(heard, [&](auto const& each) { return now - each.second > heard_for; });
 }
 
 vm_work entry_state::own_work(boot_clock::time_point now)
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -77,6 +77,9 @@
     /// Whether the VM that answers others at `records` lives, by its digests.
     bool heard_lately(std::string const& records, boot_clock::time_point now) const;
 
+    /// Forgets VMs that weren't heard lately.
+    void forget_silent(boot_clock::time_point now);
+
     /// What this VM has in work and is asked for.
     vm_work own_work(boot_clock::time_point now);
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -12,7 +12,7 @@
 // 3     one digest in so many tells of usage: a VM that is killed loses 450 ms of its
 //       counts, a tenth of a window, of which 0.05 may be missing over all VMs
 constexpr std::uint64_t usage_every = 3;
-// 16    digests between two looks for what is too old in the directory of caches
+// 16    digests between two looks for what is too old to be kept
 constexpr std::uint64_t expire_every = 16;
 
 std::set<digest_scope> scopes_of(relay_plan const& plan)
@@ -90,6 +90,7 @@
     if (passes_ % expire_every == 0)
     {
         state_.prefixes.expire(now);
+        state_.forget_silent(now);
     }
     for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
     {
--- a/src/serving/quota_gate.cpp
+++ b/src/serving/quota_gate.cpp
@@ -145,6 +145,22 @@
     };
     std::erase_if(links_->sockets, gone);
     std::erase_if(silent_, gone);
+    forget_workspaces();
+}
+
+void quota_gate::forget_workspaces()
+{
+    auto const rules = state_.view.rules;
+    if (!rules)
+    {
+        return;
+    }
+    auto const known = [&](std::string const& workspace)
+    {
+        return rules->find_workspace_named(workspace) != nullptr;
+    };
+    home_.forget_unless(known);
+    std::erase_if(alone_, [&](auto const& each) { return !known(each.first); });
 }
 
 std::vector<std::string> quota_gate::homes_heard(boot_clock::time_point now) const
--- a/src/serving/quota_gate.hpp
+++ b/src/serving/quota_gate.hpp
@@ -71,6 +71,9 @@
 private:
     struct links;
 
+    /// Drops buckets of workspaces that the rules don't have any more.
+    void forget_workspaces();
+
     /// VMs to ask for a workspace, the home first.
     std::vector<std::string> order(std::string const& workspace) const;
 
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -32,9 +32,6 @@
 // 2000 to 8000  ms; the same for one that was silent
 constexpr millis first_pause{2000};
 constexpr millis longest_pause{8000};
-// 2500  ms; an older answer isn't taken: the relay may be cut off from the store. Two
-//       pauses of 900 ms between reads of usage are usual, one at the fleet's reader
-constexpr millis oldest{2500};
 
 } // namespace
 
@@ -161,6 +158,7 @@
         message.set_topic(query.topic);
         message.set_from(query.from);
         message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
+        message.set_oldest_ms(static_cast<std::uint32_t>(query.oldest.count()));
         open[asked] = asking;
         asking->timer.expires_after(query.wait + patience);
         send(relay, message);
@@ -236,8 +234,8 @@
         auto const mirror = mirrors.find(parked.ask.topic());
         auto const from = parked.ask.from();
         bool const held = mirror != mirrors.end() && mirror->second.holds(from);
-        bool const waits =
-            held && !mirror->second.has_news(from) && mirror->second.age(now) <= oldest;
+        bool const waits = held && !mirror->second.has_news(from) &&
+                           mirror->second.age(now) <= millis{parked.ask.oldest_ms()};
         if (waits && now < parked.until)
         {
             return false;
@@ -366,12 +364,13 @@
             state_->shun_silent(address);
             co_return std::nullopt;
         }
-        state_->stale = millis{answer->age_ms()} > oldest;
+        millis const age{answer->age_ms()};
+        state_->stale = age > records_query{}.oldest;
         if (state_->stale)
         {
             state_->shun_stale(address);
         }
-        else if (answer->known())
+        else if (answer->known() && age <= query.oldest)
         {
             state_->trust(address);
             co_return chunk_of(*answer);
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -33,7 +33,10 @@
 {
     std::string   topic;
     std::uint64_t from = 0;
-    millis        wait{0}; // longest time for a record that tells something
+    millis        wait{0};      // longest time for a record that tells something
+    millis        oldest{2500}; // 2500 ms; an older answer isn't taken. Two pauses of 900
+                                //      ms between reads of usage are usual, one at the
+                                //      fleet's reader
 };
 
 /// Answers what this VM has read from the store, and asks other VMs for theirs.
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Answers of other VMs for `topic` count only up to this age.
+    void limit_age(std::string const& topic, millis oldest)
+    {
+        oldest_[topic] = oldest;
+    }
+
     store_tally& tally()
     {
         return tally_;
@@ -84,7 +90,9 @@
         {
             wait = std::min(wait, relayed_wait);
             records_query query{topic, from, wait};
-            auto          answer = co_await link_->ask(std::move(query));
+            auto const    limit = oldest_.find(topic);
+            query.oldest = limit == oldest_.end() ? query.oldest : limit->second;
+            auto answer = co_await link_->ask(std::move(query));
             if (answer)
             {
                 ++tally_.of(topic).relayed;
@@ -154,6 +162,7 @@
     Store&                            store_;
     record_link*                      link_ = nullptr;
     std::set<std::string>             direct_; // topics
+    std::map<std::string, millis>     oldest_; // by topic
     std::map<std::string, retry_gate> gates_;  // by topic; for reads beside the relays
     store_tally                       tally_;
 };
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -91,6 +91,20 @@
     EXPECT_FALSE(vms.member.relayed()); // the relay is left alone for a while
 }
 
+// The store turns the VM away that reads for the others. Servers that leave must not get
+// work for longer than their notice says, so the others read the store for themselves.
+TEST(record_link, answer_older_than_the_asker_allows_is_not_taken)
+{
+    linked_vms    vms;
+    records_query query{"servers", 8, millis{2000}};
+    query.oldest = millis{1300};
+    vms.relay.absorb("servers", one_record(), boot_clock::now() - millis{900});
+    auto const began = boot_clock::now();
+    EXPECT_FALSE(vms.ask(query)); // it waited for news until its knowledge was too old
+    EXPECT_LT(boot_clock::now() - began, millis{1000});
+    EXPECT_TRUE(vms.member.relayed()); // what it knows of other topics is fresh enough
+}
+
 // A question that waits for news at one VM after the other gets an answer that is as old
 // as all waits together, and keys are refused though the store answers.
 TEST(record_link, the_time_a_question_waited_makes_its_answer_no_older)
