Rules: what another VM says of them counts only up to 1.4 s

Change: answers about rules count up to 1.4 s; a VM that others ask waits for news at the store for 600 ms at a time (was 1,000), so that what they know is not that old while nothing is wrong.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -33,6 +33,7 @@
           worker_(state_, shared_, duties_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
         shared_.limit_age(Codec::servers_topic(), oldest_servers);
+        shared_.limit_age(Codec::rules_topic(), oldest_rules);
     }
 
     /// Serves until a signal has drained it. Throws boost::system::system_error if an
@@ -61,6 +62,11 @@
     //       reads for the others does so every 900 ms; if the store turns it away, they
     //       read for themselves
     static constexpr millis oldest_servers{1300};
+    // 1400  ms; new rules must be in force two seconds after they were written. The VM
+    // that
+    //       reads for the others waits up to 600 ms for them at the store, those that
+    //       pass them on up to 700 ms
+    static constexpr millis oldest_rules{1400};
     // 200   ms; lines wait no longer, and idle connections are looked through
     static constexpr millis house_pause{200};
     // 1500  ms; longest wait for other VMs to be known when all start at once
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -47,9 +47,9 @@
     //       seconds from the sending of the last answered read, so two of these and a
     //       second try on a new connection must fit into that time.
     millis rules_wait{1500};
-    // 1000  ms; the same where other VMs ask this one: what it knows is so old at the
+    // 600   ms; the same where other VMs ask this one: what it knows is so old at the
     //       most, and theirs by two waits of their own more
-    millis relay_wait{1000};
+    millis relay_wait{600};
     // 900   ms; pause between reads of the servers' entries, which change all the time.
     //       A leaving server gets no new work within two seconds of its notice.
     millis servers_pause{900};
