--- a/src/serving/quota_gate.cpp
+++ b/src/serving/quota_gate.cpp
@@ -136,8 +136,7 @@
 
 void quota_gate::follow(std::vector<std::string> const& homes)
 {
-    home_.terms({state_.settings.quota_window, state_.settings.quota_permille,
-                 state_.settings.quota_slack});
+    home_.terms(terms());
     homes_ = homes;
     auto const gone = [&](auto const& each)
     {
@@ -148,6 +147,12 @@
     forget_workspaces();
 }
 
+quota_terms quota_gate::terms() const
+{
+    return {state_.settings.quota_window, state_.settings.quota_permille,
+            state_.settings.quota_slack};
+}
+
 void quota_gate::forget_workspaces()
 {
     auto const rules = state_.view.rules;
@@ -273,11 +278,9 @@
 quota_answer quota_gate::take_alone(std::string const& workspace, std::int64_t units,
                                     workspace_quota const& quota)
 {
-    auto const        now = boot_clock::now();
-    quota_terms const terms{state_.settings.quota_window, state_.settings.quota_permille,
-                            state_.settings.quota_slack};
-    auto const        bounds = bounds_alone(quota, terms, state_.fleet.alone());
-    auto const        bucket = alone_.try_emplace(workspace, bounds, now).first;
+    auto const now = boot_clock::now();
+    auto const bounds = bounds_alone(quota, terms(), state_.fleet.alone());
+    auto const bucket = alone_.try_emplace(workspace, bounds, now).first;
     bucket->second.limit(bounds, now);
     bool const over = bucket->second.take(units, now).has_value();
     return {.outcome = over ? quota_outcome::over_quota : quota_outcome::granted,
--- a/src/serving/quota_gate.hpp
+++ b/src/serving/quota_gate.hpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,6 +72,8 @@
 private:
     struct links;
 
+    quota_terms terms() const;
+
     /// Drops buckets of workspaces that the rules don't have any more.
     void forget_workspaces();
 
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -104,11 +104,10 @@
     }
 
 private:
-    // 700   ms; longest wait for news at a relay. Of what a member knows, the oldest is
-    // as
-    //       old as this wait, the same of its relay and that of the fleet's reader at the
-    //       store: 2.4 s, of the 4 s after which keys aren't believed any more. The rest
-    //       is for a silent relay and a read of the store in its place
+    // 700   ms; longest wait for news at a relay. What a member knows is no older than
+    //       this wait, the same of its relay and 600 ms of the fleet's reader: 2 s, of
+    //       the 4 s after which keys aren't believed any more. The rest is for a silent
+    //       relay and a read of the store in its place
     static constexpr millis relayed_wait{700};
 
     bool asks_relays(std::string const& topic) const
