Only VMs that pass records on read the store for themselves when answers are too old

Change: the limits of age hold at the VMs that others ask, at most two a data centre; members hear from these.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -168,6 +168,7 @@
             exchange.pass();
             placed_ = placed_ || state_.vms_known > 0;
             shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
+            shared_.passes_on(state_.relays);
             co_await loop_sleep(digest_pause);
         }
     }
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -43,12 +43,22 @@
         }
     }
 
-    /// Answers of other VMs for `topic` count only up to this age.
+    /// Answers of other VMs for `topic` count only up to this age, at a VM that passes
+    /// them on.
     void limit_age(std::string const& topic, millis oldest)
     {
         oldest_[topic] = oldest;
     }
 
+    /// Whether other VMs ask this one. Load answered: the VM that reads for hundreds of
+    /// others is slow for once. If all found its answers too old and read the store,
+    /// they would use up its bandwidth and stay at it; so only the few do that the
+    /// others hear from.
+    void passes_on(bool asked)
+    {
+        passes_on_ = asked;
+    }
+
     store_tally& tally()
     {
         return tally_;
@@ -91,7 +101,8 @@
             wait = std::min(wait, relayed_wait);
             records_query query{topic, from, wait};
             auto const    limit = oldest_.find(topic);
-            query.oldest = limit == oldest_.end() ? query.oldest : limit->second;
+            bool const    strict = passes_on_ && limit != oldest_.end();
+            query.oldest = strict ? limit->second : query.oldest;
             auto answer = co_await link_->ask(std::move(query));
             if (answer)
             {
@@ -162,7 +173,8 @@
     record_link*                      link_ = nullptr;
     std::set<std::string>             direct_; // topics
     std::map<std::string, millis>     oldest_; // by topic
-    std::map<std::string, retry_gate> gates_;  // by topic; for reads beside the relays
+    bool                              passes_on_ = false;
+    std::map<std::string, retry_gate> gates_; // by topic; for reads beside the relays
     store_tally                       tally_;
 };
 
