Rules and servers are read by each VM where digests don't go through relays

Where there are relays, a member asks the next relay when the first one's answer is too old, and takes an older one only if nobody knows better; VMs that pass records on read the store. record_link.fresher_answer_of_the_next_relay_is_taken, older_answer_is_taken_*.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -169,6 +169,7 @@
             placed_ = placed_ || state_.vms_known > 0;
             shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
             shared_.passes_on(state_.relays);
+            shared_.relays_used(state_.relays_used());
             co_await loop_sleep(digest_pause);
         }
     }
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -350,6 +350,7 @@
 asio::awaitable<std::optional<log_chunk>> record_link::ask(records_query query)
 {
     // Answers that don't help come at once, so there is time to ask the next relay.
+    std::optional<wire::records_answer> older;
     for (std::size_t place = 0; place < state_->relays.size(); ++place)
     {
         auto& relay = state_->relays[place];
@@ -358,11 +359,11 @@
             continue;
         }
         auto const address = relay.address;
-        auto const answer = co_await state_->ask(relay, query);
+        auto       answer = co_await state_->ask(relay, query);
         if (!answer)
         {
             state_->shun_silent(address);
-            co_return std::nullopt;
+            break;
         }
         millis const age{answer->age_ms()};
         state_->stale = age > records_query{}.oldest;
@@ -375,6 +376,14 @@
             state_->trust(address);
             co_return chunk_of(*answer);
         }
+        else if (answer->known() && query.or_older)
+        {
+            older = std::move(answer);
+        }
+    }
+    if (older)
+    {
+        co_return chunk_of(*older);
     }
     co_return std::nullopt;
 }
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -37,6 +37,7 @@
     millis        oldest{2500}; // 2500 ms; an older answer isn't taken. Two pauses of 900
                                 //      ms between reads of usage are usual, one at the
                                 //      fleet's reader
+    bool or_older = false;      // an older one, up to 2500 ms, is if nobody knows better
 };
 
 /// Answers what this VM has read from the store, and asks other VMs for theirs.
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -59,6 +59,15 @@
         passes_on_ = asked;
     }
 
+    /// Whether digests go through relays. If not, the fleet is small: topics with a limit
+    /// of age are read by each VM for itself. Failure guarded against: the store turns
+    /// away the VM that reads for the others, and they use a leaving server, or rules
+    /// that have been replaced, for longer than is allowed.
+    void relays_used(bool used)
+    {
+        relays_used_ = used;
+    }
+
     store_tally& tally()
     {
         return tally_;
@@ -101,8 +110,8 @@
             wait = std::min(wait, relayed_wait);
             records_query query{topic, from, wait};
             auto const    limit = oldest_.find(topic);
-            bool const    strict = passes_on_ && limit != oldest_.end();
-            query.oldest = strict ? limit->second : query.oldest;
+            query.oldest = limit == oldest_.end() ? query.oldest : limit->second;
+            query.or_older = !passes_on_;
             auto answer = co_await link_->ask(std::move(query));
             if (answer)
             {
@@ -123,7 +132,9 @@
 
     bool asks_relays(std::string const& topic) const
     {
-        return link_ != nullptr && link_->has_relays() && direct_.count(topic) == 0;
+        bool const own = !relays_used_ && oldest_.count(topic) > 0;
+        return link_ != nullptr && link_->has_relays() && direct_.count(topic) == 0 &&
+               !own;
     }
 
     boost::asio::awaitable<store_result<log_chunk>>
@@ -174,6 +185,7 @@
     std::set<std::string>             direct_; // topics
     std::map<std::string, millis>     oldest_; // by topic
     bool                              passes_on_ = false;
+    bool                              relays_used_ = false;
     std::map<std::string, retry_gate> gates_; // by topic; for reads beside the relays
     store_tally                       tally_;
 };
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -156,7 +156,8 @@
 
     boost::asio::awaitable<std::optional<store_failure>> read_on()
     {
-        auto const longest = state_.relays ? options_.relay_wait : options_.rules_wait;
+        bool const asked = state_.relays && state_.relays_used();
+        auto const longest = asked ? options_.relay_wait : options_.rules_wait;
         auto const wait = lost_ ? millis{0} : longest;
         auto       result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
         if (auto const* failure = std::get_if<store_failure>(&result))
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -105,6 +105,36 @@
     EXPECT_TRUE(vms.member.relayed()); // what it knows of other topics is fresh enough
 }
 
+// The first relay's knowledge is old, the second one has read the store for itself.
+// Members must hear of a leaving server from that one.
+TEST(record_link, fresher_answer_of_the_next_relay_is_taken)
+{
+    linked_vms  vms;
+    auto const  address = "127.0.0.1:" + std::to_string(vms.ports.next());
+    record_link second{vms.loop, vms.context, address, linked_vms::all_news};
+    vms.member.follow({vms.relay_address, address});
+    vms.relay.absorb("servers", {.from = 7, .end = 7}, boot_clock::now() - millis{1500});
+    second.absorb("servers", one_record(), boot_clock::now());
+    records_query query{"servers", 7, millis{300}};
+    query.oldest = millis{1300};
+    query.or_older = true;
+    auto const answer = vms.ask(query);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->records.size(), 1U);
+}
+
+// Hundreds of members must not all read the store because their relays are slow for once.
+TEST(record_link, older_answer_is_taken_where_nobody_knows_better)
+{
+    linked_vms vms;
+    vms.relay.absorb("servers", one_record(), boot_clock::now() - millis{1500});
+    records_query query{"servers", 7, millis{300}};
+    query.oldest = millis{1300};
+    EXPECT_FALSE(vms.ask(query));
+    query.or_older = true;
+    EXPECT_TRUE(vms.ask(query));
+}
+
 // A question that waits for news at one VM after the other gets an answer that is as old
 // as all waits together, and keys are refused though the store answers.
 TEST(record_link, the_time_a_question_waited_makes_its_answer_no_older)
