--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -331,5 +331,31 @@
     EXPECT_TRUE(eventually([&] { return world.ready(1); }, 5000));
 }
 
+// The store turns one VM of a small fleet away, whichever reads for the others. They must
+// learn of new rules in time all the same.
+TEST(platform_relays, small_fleet_learns_of_rules_while_one_vm_has_lost_the_store)
+{
+    entry_world   world({.daemons = 3, .relayed = true});
+    std::uint64_t version = 1;
+    for (int lost = 0; lost < 3; ++lost)
+    {
+        world.store_relay(lost).cut(true);
+        auto const key = "key-" + std::to_string(lost);
+        world.configure(++version, {key});
+        auto const serves = [&](int daemon)
+        {
+            return ask(world.callers_port(daemon), {.key = key}).status == 200;
+        };
+        for (int daemon = 0; daemon < 3; ++daemon)
+        {
+            EXPECT_TRUE(daemon == lost ||
+                        eventually([&] { return serves(daemon); }, 2000))
+                << lost << " lost, " << daemon << " asked";
+        }
+        world.store_relay(lost).cut(false);
+        EXPECT_TRUE(eventually([&] { return serves(lost); }, 8000));
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
