--- a/src/policy/relay_plan.hpp
+++ b/src/policy/relay_plan.hpp
@@ -6,7 +6,8 @@
 // messages grow with the square of their number (84 VMs, at 46,000 digests a second by
 // count, spent four fifths of their processor time on them). Above a size, a few VMs a
 // data centre hear its members and add their work up. If each VM reads the store, the
-// calls grow with the VMs at any size, so one VM reads it for all from two VMs on.
+// calls grow with the VMs at any size, so from two VMs on one VM reads it for all: every
+// topic above that size, below it those whose age bears a few seconds.
 #ifndef MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
 #define MARIGOLDCRANK_POLICY_RELAY_PLAN_HPP
 
