Observability: what servers state about their limits, and requests to limited servers

The output of a run could not tell whether a limit that a server states (response field of the platform, read in platform/) is unread, applied by each VM alone, or bypassed by some requests. Now every response is recorded: log line server_limit (server, limited, rate_milli, from), metric limited_server_requests_total by work, server_field_unreadable and unreadable_server_fields_total for fields that can't be parsed. Observations are ordered by the sending and arrival of their exchange, since responses overtake each other; of two unordered ones the lower limit holds. Nothing is decided by it yet.

--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -482,6 +482,9 @@
         exchange_request request{.message =
                                      Dialect::build_attempt_request(request_, message),
                                  .call_id = call_.id,
+                                 .work = internal                       ? "prompt"
+                                         : message.cache_source.empty() ? "call"
+                                                                        : "run",
                                  .not_repeatable = !admitted_.repeatable && !internal,
                                  .internal = internal,
                                  .until = until};
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -71,6 +71,15 @@
         entry->set_server(server);
         entry->set_left_ms(static_cast<std::uint32_t>(left.count()));
     }
+    for (auto const& each : extras.limits)
+    {
+        auto* entry = message.add_limits();
+        entry->set_server(each.server);
+        entry->set_limited(each.rate.has_value());
+        entry->set_rate(each.rate.value_or(0));
+        entry->set_sent_age_ms(each.sent_age.count());
+        entry->set_arrived_age_ms(each.arrived_age.count());
+    }
     for (auto const& each : extras.crashes)
     {
         auto* entry = message.add_suspicions();
@@ -117,6 +126,14 @@
     {
         extras.avoided.emplace(entry.server(), millis{entry.left_ms()});
     }
+    for (auto const& entry : message.limits())
+    {
+        extras.limits.push_back(
+            {.server = entry.server(),
+             .rate = entry.limited() ? std::optional{entry.rate()} : std::nullopt,
+             .sent_age = millis{entry.sent_age_ms()},
+             .arrived_age = millis{entry.arrived_age_ms()}});
+    }
     for (auto const& entry : message.prefixes())
     {
         extras.prefixes.push_back(
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -8,6 +8,7 @@
 #include "policy/crash_watch.hpp"
 #include "policy/load_relay.hpp"
 #include "policy/prefix_directory.hpp"
+#include "policy/server_limits.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -34,6 +35,7 @@
     std::map<std::string, millis> avoided; // by server: remaining backoff
     std::string                   records; // address where the sender answers other VMs
     std::vector<std::string> heard; // the same of VMs that the sender has heard lately
+    std::vector<limit_update> limits; // that servers state
 };
 
 /// Publishes to all subscribers and subscribes to the given peers. Digests for a peer
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace marigoldcrank
@@ -159,6 +160,52 @@
     return budget;
 }
 
+void entry_state::record_response(std::string const& server, response_facts const& facts,
+                                  boot_clock::time_point sent)
+{
+    auto const now = boot_clock::now();
+    if (!facts.unreadable.empty())
+    {
+        counters.add("unreadable_server_fields_total");
+        log.write(event_line{"server_field_unreadable"}
+                      .add("server", server)
+                      .add("field", facts.unreadable),
+                  now);
+        return;
+    }
+    if (limits.record(server, {.rate = facts.rate_limit, .sent = sent, .arrived = now}))
+    {
+        log_limit(server, "response");
+    }
+}
+
+void entry_state::receive(limit_update const& update, update_source source,
+                          boot_clock::time_point now)
+{
+    if (limits.receive(update, source, now))
+    {
+        log_limit(update.server, "peer");
+    }
+}
+
+void entry_state::log_limit(std::string const& server, std::string_view learned_from)
+{
+    constexpr double milli = 1000;
+    auto const       rate = limits.rate(server);
+    log.write(event_line{"server_limit"}
+                  .add("server", server)
+                  .add("limited", rate ? 1 : 0)
+                  .add("rate_milli", rate ? std::llround(*rate * milli) : 0)
+                  .add("from", learned_from),
+              boot_clock::now());
+}
+
+void entry_state::forget_server(std::string const& server)
+{
+    health.forget(server);
+    limits.forget(server);
+}
+
 std::int64_t entry_state::unix_ms()
 {
     return day.read(boot_clock::now(), static_cast<std::int64_t>(unix_millis()));
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -22,6 +22,7 @@
 #include "policy/prefix_directory.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/server_health.hpp"
+#include "policy/server_limits.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
@@ -94,6 +95,18 @@
     /// Retry budget for a service: this VM's share of the deployment's budget.
     retry_budget& budget(std::string const& service);
 
+    /// Records what a server's response to a request sent at `sent` states about the
+    /// server.
+    void record_response(std::string const& server, response_facts const& facts,
+                         boot_clock::time_point sent);
+
+    /// Merges another VM's update about a server's limit.
+    void receive(limit_update const& update, update_source source,
+                 boot_clock::time_point now);
+
+    /// Drops what is known about a server that is gone or has restarted.
+    void forget_server(std::string const& server);
+
     /// Random number for decisions that must differ between VMs, such as ties.
     std::uint64_t tie_break();
 
@@ -111,6 +124,7 @@
     load_relay                         peers;    // from calls of the other VMs
     std::set<std::string>              changing; // engines in a change of role
     server_health                      health;
+    server_limits                      limits;
     connection_pool                    pool;
     vm_contact                         contact; // addresses of this VM
     usage_counter                      usage;
@@ -136,6 +150,8 @@
     std::int64_t active_calls = 0;
 
 private:
+    void log_limit(std::string const& server, std::string_view learned_from);
+
     std::map<std::string, retry_budget> budgets_;
     std::mt19937_64                     random_;
 };
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -99,6 +99,7 @@
                                                             : std::vector<usage_record>{};
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
+        extras.limits = state_.limits.updates(widest_source(digest.scope), now);
         extras.heard = digest.scope == digest_scope::fleet && quotas_
                            ? quotas_->live_owners(now)
                            : std::vector<std::string>{};
@@ -137,6 +138,10 @@
             state_.health.receive(server, left, source, now);
         }
     }
+    for (auto const& each : extras.limits)
+    {
+        state_.receive(each, source, now);
+    }
     for (auto const& each : extras.prefixes)
     {
         state_.prefixes.receive(each, source, now);
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace marigoldcrank
 {
@@ -19,11 +20,12 @@
 /// The request of one exchange.
 struct exchange_request
 {
-    http_request message;
-    std::string  call_id;
-    bool         not_repeatable = false; // reuses only recently used connections
-    bool         internal = false; // the response isn't relayed and needs no signature
-    loop_time    until{};
+    http_request     message;
+    std::string      call_id;
+    std::string_view work; // "call", "prompt" or "run", as in attempt_plan; "release"
+    bool             not_repeatable = false; // reuses only recently used connections
+    bool             internal = false; // response isn't relayed and needs no signature
+    loop_time        until{};
 };
 
 /// Holds the connection until the response has been read, then returns it to the pool or
@@ -59,6 +61,8 @@
         {
             co_return attempt_outcome::not_sent;
         }
+        count_request(request);
+        auto const sent_at = boot_clock::now();
         auto const sent =
             co_await connection_->send(std::move(request.message), request.until);
         if (sent != io_result::ok)
@@ -79,6 +83,7 @@
             facts_ = Dialect::parse_response(connection_->head());
             if (facts_.call_id.empty() || facts_.call_id == request.call_id)
             {
+                state_.record_response(server_.id, facts_, sent_at);
                 co_return evaluate_head();
             }
             // This is a late response to an earlier call. It is skipped, and the
@@ -169,6 +174,16 @@
         co_return true;
     }
 
+    /// Counts the requests to servers that state a limit, by the work they are for.
+    void count_request(exchange_request const& request)
+    {
+        if (state_.limits.rate(server_.id))
+        {
+            state_.counters.add("limited_server_requests_total",
+                                "work=\"" + std::string{request.work} + "\"");
+        }
+    }
+
     attempt_outcome evaluate_head()
     {
         connection_->idle_limit = facts_.idle_limit;
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -363,17 +363,23 @@
         co_return std::nullopt;
     }
 
-    /// Forgets the cached prompts of an engine that has restarted or changed its role.
-    void forget_cache(backend_server const& server)
+    /// Forgets the cached prompts of an engine that has restarted or changed its role,
+    /// and all that is known about one that has restarted.
+    void forget_former(backend_server const& server)
     {
         auto const& known = state_.servers.servers();
         auto const  before = known.find(server.id);
-        bool const  same = before != known.end() && before->second.role == server.role &&
-                          before->second.born_unix_ms == server.born_unix_ms;
-        if (!same)
+        bool const  listed = before != known.end();
+        bool const  restarted =
+            listed && before->second.born_unix_ms != server.born_unix_ms;
+        if (!listed || restarted || before->second.role != server.role)
         {
             state_.prefixes.forget(server.id);
         }
+        if (restarted)
+        {
+            state_.forget_server(server.id);
+        }
     }
 
     void apply(keyed_record const& record)
@@ -389,7 +395,7 @@
             }
             return;
         }
-        forget_cache(*server);
+        forget_former(*server);
         if (state_.servers.put(*server))
         {
             state_.log.write(event_line{"server"}
@@ -410,7 +416,7 @@
         if (state_.servers.servers().count(id) == 0)
         {
             state_.pool.drop(id);
-            state_.health.forget(id);
+            state_.forget_server(id);
         }
     }
 
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -55,6 +55,9 @@
     bool        closes = false;       // the connection closes after this response
     bool        encoded = false;      // the body is encoded: not the server's own bytes
     std::optional<millis> idle_limit; // the server's timeout of idle connections
+    std::optional<double> rate_limit; // requests per second that it takes from all VMs
+    std::string           unreadable; // NAME=VALUE of a field about the server, if it
+                                      // can't be parsed
 
     bool operator==(response_facts const&) const = default;
 };
