Owners of token buckets serve any kind of bucket

quota_bucket, quota_owner and quota_queries become token_bucket, bucket_owner and owner_queries; the queries between VMs move out of quota_gate into owner_link, and a query says which kind of bucket it is for. A fleet-wide rate of another kind can then be kept by the same code. No change of behaviour; on the wire bucket_question replaces quota_question, so all VMs of a fleet are updated together.

--- a/bench/model/quota_replay.cpp
+++ b/bench/model/quota_replay.cpp
@@ -3,8 +3,8 @@
 // Index: 1 calls, 2 audit, 3 owners
 #include "quota_replay.hpp"
 
-#include "policy/quota_owner.hpp"
-#include "policy/quota_queries.hpp"
+#include "policy/bucket_owner.hpp"
+#include "policy/owner_queries.hpp"
 
 #include <map>
 
@@ -111,7 +111,7 @@
 
 private:
     quota_load                 load_;
-    quota_bucket               exact_;
+    token_bucket               exact_;
     std::deque<simulated_call> recent_; // calls of the current window
     double                     window_ = 0;
     double                     max_window_ = 0;
@@ -147,9 +147,9 @@
 public:
     simulated_owners(quota_load const& load, quota_faults const& faults,
                      std::uint64_t seed)
-        : load_(load), faults_(faults), random_(seed),
-          owners_(owner_count, quota_owner{replayed_terms}), share_(owner_count),
-          silent_(static_cast<std::size_t>(faults.vms)), owner_partitioned_(seed % 2 == 0)
+        : load_(load), faults_(faults), random_(seed), owners_(owner_count),
+          share_(owner_count), silent_(static_cast<std::size_t>(faults.vms)),
+          owner_partitioned_(seed % 2 == 0)
     {
         update_shares(millis{0});
     }
@@ -159,7 +159,7 @@
     {
         restart_if_due(call.at);
         update_shares(call.at);
-        quota_queries queries{order(call.vm, call.at)};
+        owner_queries queries{order(call.vm, call.at)};
         bool          granted = false;
         while (!queries.address().empty())
         {
@@ -168,14 +168,14 @@
             if (!answer)
             {
                 silent_[slot(call.vm)][owner] = call.at + silence_backoff;
-                queries.take(quota_reply::silent);
+                queries.take(query_result::silent);
                 continue;
             }
             silent_[slot(call.vm)].erase(owner);
-            granted = answer->outcome == quota_outcome::granted;
-            queries.take(answer->outcome == quota_outcome::declined
-                             ? quota_reply::declined
-                             : quota_reply::decided,
+            granted = answer->outcome == bucket_outcome::granted;
+            queries.take(answer->outcome == bucket_outcome::declined
+                             ? query_result::declined
+                             : query_result::decided,
                          answer->owner);
         }
         return queries.decided() ? granted : admit_isolated(call);
@@ -235,8 +235,8 @@
         return result;
     }
 
-    std::optional<quota_answer> query(simulated_call const& call, int owner,
-                                      std::string const& left, double& wait_ms)
+    std::optional<bucket_answer> query(simulated_call const& call, int owner,
+                                       std::string const& left, double& wait_ms)
     {
         bool const own = call.vm == owner;
         messages += own ? 0 : 1;
@@ -249,8 +249,11 @@
         }
         messages += own ? 0 : 1;
         wait_ms += own ? 0 : static_cast<double>(faults_.round_trip.count());
-        return owners_[slot(owner)].answer({"w", call.units, left}, load_.quota,
-                                           view(owner, call.at), time_of(call.at));
+        auto const here = view(owner, call.at);
+        return owners_[slot(owner)].answer(
+            {.key = "w", .units = call.units, .left = left},
+            shared_bounds(load_.quota, replayed_terms, here.share), here,
+            time_of(call.at));
     }
 
     owner_view view(int owner, millis at) const
@@ -304,17 +307,17 @@
             at >= faults_.restart + power_off)
         {
             restarted_ = true;
-            owners_.assign(owner_count, quota_owner{replayed_terms});
+            owners_.assign(owner_count, bucket_owner{});
         }
     }
 
     quota_load                         load_;
     quota_faults                       faults_;
     std::mt19937_64                    random_;
-    std::vector<quota_owner>           owners_;
+    std::vector<bucket_owner>          owners_;
     std::vector<fleet_share>           share_;
     std::vector<std::map<int, millis>> silent_; // by VM and owner: end of the backoff
-    std::map<int, quota_bucket>        isolated_buckets_;
+    std::map<int, token_bucket>        isolated_buckets_;
     millis                             shares_updated_{-1000};
     bool                               owner_partitioned_ = false;
     bool                               restarted_ = false;
--- a/bench/model/quota_replay.hpp
+++ b/bench/model/quota_replay.hpp
@@ -5,7 +5,7 @@
 #define MARIGOLDCRANK_BENCH_QUOTA_REPLAY_HPP
 
 #include "policy/fleet_share.hpp"
-#include "policy/quota_bucket.hpp"
+#include "policy/token_bucket.hpp"
 
 #include <random>
 #include <string>
--- a/src/app/limit_shares.cpp
+++ b/src/app/limit_shares.cpp
@@ -21,7 +21,7 @@
 }
 
 /// `per_minute`: this VM's share, in tokens per minute.
-quota_bounds bounds_of_share(std::int64_t per_minute)
+bucket_bounds bounds_of_share(std::int64_t per_minute)
 {
     auto const rate = static_cast<double>(per_minute) / seconds_per_minute;
     return {.rate = rate, .capacity = rate * burst_s, .start = rate * burst_s};
@@ -48,7 +48,7 @@
     }
 }
 
-quota_bucket& limit_shares::bucket_of(std::string const& workspace,
+token_bucket& limit_shares::bucket_of(std::string const& workspace,
                                       meter& workspace_meter, boot_clock::time_point now)
 {
     auto const bounds = bounds_of_share(book_.usable(workspace, now));
--- a/src/app/limit_shares.hpp
+++ b/src/app/limit_shares.hpp
@@ -6,7 +6,7 @@
 
 #include "domain/configuration.hpp"
 #include "policy/limit_book.hpp"
-#include "policy/quota_bucket.hpp"
+#include "policy/token_bucket.hpp"
 
 #include <cstdint>
 #include <map>
@@ -52,12 +52,12 @@
         std::int64_t                limit = 0;   // tokens per minute; 0: no limit
         std::int64_t                offered = 0; // tokens since asked_at
         std::int64_t                demand = 0;  // tokens per minute, smoothed
-        std::optional<quota_bucket> bucket;      // none: not used yet
+        std::optional<token_bucket> bucket;      // none: not used yet
         boot_clock::time_point      asked_at{};
     };
 
     /// The bucket of the workspace, adjusted to the current share of this VM.
-    quota_bucket& bucket_of(std::string const& workspace, meter& workspace_meter,
+    token_bucket& bucket_of(std::string const& workspace, meter& workspace_meter,
                             boot_clock::time_point now);
 
     std::mutex                   mutex_;
--- a/src/policy/quota_queries.hpp
+++ b/src/policy/owner_queries.hpp
@@ -1,8 +1,8 @@
 // Sequence of VMs that one call queries for units of a quota.
 //
-// Index: 1 quota_reply, 2 quota_queries
-#ifndef MARIGOLDCRANK_POLICY_QUOTA_QUERIES_HPP
-#define MARIGOLDCRANK_POLICY_QUOTA_QUERIES_HPP
+// Index: 1 query_result, 2 owner_queries
+#ifndef MARIGOLDCRANK_POLICY_OWNER_QUERIES_HPP
+#define MARIGOLDCRANK_POLICY_OWNER_QUERIES_HPP
 
 #include <algorithm>
 #include <cstddef>
@@ -14,7 +14,7 @@
 {
 
 /// Result of one query.
-enum class quota_reply
+enum class query_result
 {
     decided,  // granted, or over the quota
     declined, // another VM owns the quota, or the queried VM shuts down
@@ -24,12 +24,12 @@
 /// The queries of one call, in order. A lost packet must not make two VMs own the same
 /// quota, so an owner that didn't reply is queried once more if the next VM reports that
 /// it is alive.
-class quota_queries
+class owner_queries
 {
 public:
     /// `candidates`: addresses of the reachable VMs that may own the quota, the owner
     /// first.
-    explicit quota_queries(std::vector<std::string> candidates)
+    explicit owner_queries(std::vector<std::string> candidates)
         : candidates_(std::move(candidates)), current_address_(first_unqueried())
     {
     }
@@ -54,16 +54,16 @@
     /// Records the result of the current query and chooses the next VM. `known_owner` is
     /// the owner that a declining VM names; empty: the declining VM is shutting
     /// down.
-    void take(quota_reply reply, std::string const& known_owner = {})
+    void take(query_result reply, std::string const& known_owner = {})
     {
         auto const queried = std::exchange(current_address_, {});
         queried_.push_back(queried);
-        decided_ = reply == quota_reply::decided;
+        decided_ = reply == query_result::decided;
         if (decided_ || queried_.size() >= max_queries)
         {
             return;
         }
-        bool const declined = reply == quota_reply::declined;
+        bool const declined = reply == query_result::declined;
         if (declined && known_owner.empty())
         {
             left_ = queried;
--- a/src/policy/server_limits.hpp
+++ b/src/policy/server_limits.hpp
@@ -35,8 +35,8 @@
 struct limit_update
 {
     std::string           server;
-    std::optional<double> rate;          // requests per second; none: no limit
-    millis                sent_age{0};   // ms since the request was sent
+    std::optional<double> rate;           // requests per second; none: no limit
+    millis                sent_age{0};    // ms since the request was sent
     millis                arrived_age{0}; // ms since the response arrived
 
     bool operator==(limit_update const&) const = default;
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/token_bucket.hpp
@@ -1,12 +1,12 @@
-// Token bucket that enforces a workspace's quota for all VMs.
+// Token bucket that enforces a limit for all VMs, and its bounds for a workspace's quota.
 //
-// Index: 1 quota_terms, 2 quota_bounds, 3 quota_bucket
+// Index: 1 quota_terms, 2 bucket_bounds, 3 token_bucket
 //
 // A workspace may send many times its usual load within a second. Calls above its quota
 // are refused before they occupy a slot, with the time after which to retry. Units are
-// tokens or calls, as the quota says.
-#ifndef MARIGOLDCRANK_POLICY_QUOTA_BUCKET_HPP
-#define MARIGOLDCRANK_POLICY_QUOTA_BUCKET_HPP
+// tokens or calls, as the quota says, or requests to a server.
+#ifndef MARIGOLDCRANK_POLICY_TOKEN_BUCKET_HPP
+#define MARIGOLDCRANK_POLICY_TOKEN_BUCKET_HPP
 
 #include "domain/boot_clock.hpp"
 #include "domain/serving_rules.hpp"
@@ -43,14 +43,14 @@
 };
 
 /// Refill rate and limits of one bucket.
-struct quota_bounds
+struct bucket_bounds
 {
     double rate = 0;       // units per second
     double capacity = 0;   // most units in the bucket
     double start = 0;      // units in a bucket whose earlier use is unknown
     bool   strict = false; // a call larger than the capacity never runs
 
-    bool operator==(quota_bounds const&) const = default;
+    bool operator==(bucket_bounds const&) const = default;
 };
 
 /// Bounds of the bucket that a workspace's owner VM keeps for all VMs. They add half of
@@ -58,8 +58,8 @@
 /// within the quota aren't refused because of clock differences or reordering. The other
 /// half covers changes of the owner: a new owner's bucket, whose earlier use is unknown,
 /// starts with a part of it. `share` is the part of the fleet that this bucket serves.
-inline quota_bounds shared_bounds(workspace_quota const& quota, quota_terms const& terms,
-                                  double share)
+inline bucket_bounds shared_bounds(workspace_quota const& quota, quota_terms const& terms,
+                                   double share)
 {
     constexpr double as_rate = 0.25;
     constexpr double as_capacity = 0.25;
@@ -80,8 +80,8 @@
 /// an owner's bucket starts with, so that hundreds of VMs without an owner don't each run
 /// a large call. They refill at half of their part, because one side of a network
 /// partition grants the whole until both sides have noticed it.
-inline quota_bounds isolated_bounds(workspace_quota const& quota,
-                                    quota_terms const& terms, double share)
+inline bucket_bounds isolated_bounds(workspace_quota const& quota,
+                                     quota_terms const& terms, double share)
 {
     constexpr double half = 0.5;
     auto             bounds = shared_bounds(quota, terms, share);
@@ -95,16 +95,16 @@
 /// Grants at most capacity + rate * t units within any time t. Unless the bounds are
 /// strict, a call larger than the capacity runs from a full bucket and leaves a debt,
 /// which is paid back before the next call runs. No I/O; the caller passes the time.
-class quota_bucket
+class token_bucket
 {
 public:
-    quota_bucket(quota_bounds const& bounds, boot_clock::time_point now)
+    token_bucket(bucket_bounds const& bounds, boot_clock::time_point now)
         : bounds_(bounds), level_(bounds.start), filled_(now)
     {
     }
 
     /// Sets other bounds and limits the level to the new capacity.
-    void limit(quota_bounds const& bounds, boot_clock::time_point now)
+    void limit(bucket_bounds const& bounds, boot_clock::time_point now)
     {
         fill(now);
         bounds_ = bounds;
@@ -174,9 +174,9 @@
         return millis{std::llround(std::clamp(wait, min_wait, max_wait))};
     }
 
-    quota_bounds bounds_;
-    double       level_ = 0;
-    double       promised_units_ = 0; // units of refused callers with a time to retry
+    bucket_bounds bounds_;
+    double        level_ = 0;
+    double        promised_units_ = 0; // units of refused callers with a time to retry
     boot_clock::time_point filled_;
 };
 
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -34,7 +34,7 @@
     std::vector<prefix_update>    prefixes;
     std::map<std::string, millis> avoided; // by server: remaining backoff
     std::string                   records; // address where the sender answers other VMs
-    std::vector<std::string> heard; // the same of VMs that the sender has heard lately
+    std::vector<std::string>  heard;  // the same of VMs that the sender has heard lately
     std::vector<limit_update> limits; // that servers state
 };
 
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -116,11 +116,10 @@
 {
     bool const plain = !text.empty() && text.front() != '.' && text.back() != '.' &&
                        text.find_first_not_of("0123456789.") == std::string_view::npos;
-    double     value = 0;
+    double value = 0;
     auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(),
                                               value, std::chars_format::fixed);
-    bool const whole =
-        plain && error == std::errc{} && end == text.data() + text.size();
+    bool const whole = plain && error == std::errc{} && end == text.data() + text.size();
     return whole ? std::optional{value} : std::nullopt;
 }
 
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -1,7 +1,7 @@
 // HTTP rules common to all dialects: hop-by-hop fields, and checks for ambiguous heads.
 //
-// Index: 1 head_fault, 2 check_head, 3 copy_end_to_end, 4 bare_host, 5 parse_whole_number,
-// parse_decimal
+// Index: 1 head_fault, 2 check_head, 3 copy_end_to_end, 4 bare_host, 5
+// parse_whole_number, parse_decimal
 #ifndef MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
 
--- /dev/null
+++ b/src/serving/owner_link.cpp
@@ -0,0 +1,292 @@
+// Sockets to the owners of buckets, queries and replies.
+//
+// Index: 1 links, 2 queries, 3 replies
+#include "serving/owner_link.hpp"
+
+#include "policy/owner_queries.hpp"
+#include "serving/record_link.hpp"
+#include "serving/watched_socket.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <wire.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+
+// 1. Links
+
+namespace
+{
+
+// 256   queries queued for one VM
+constexpr int max_queued_queries = 256;
+// 150   ms; a VM that doesn't reply in this time is skipped. Half of the time in which
+//       the fastest calls must be served
+constexpr millis reply_timeout{150};
+// 1000  ms; a VM that has not replied is asked last for this time, unless another VM
+//       knows it to be alive
+constexpr millis           silence_backoff{1000};
+constexpr std::string_view query_kind = "bucket";
+
+struct open_query
+{
+    explicit open_query(asio::io_context& loop) : timer(loop) {}
+
+    asio::steady_timer                timer;
+    std::optional<wire::bucket_reply> reply;
+};
+
+bucket_answer answer_from(wire::bucket_reply const& reply)
+{
+    auto const last = static_cast<std::uint32_t>(bucket_outcome::declined);
+    return {.outcome = static_cast<bucket_outcome>(std::min(reply.outcome(), last)),
+            .retry_after = millis{reply.retry_after_ms()},
+            .left = reply.left(),
+            .owner = reply.owner()};
+}
+
+wire::bucket_question format_query(bucket_query const& query)
+{
+    wire::bucket_question message;
+    message.set_key(query.key);
+    message.set_units(query.units);
+    message.set_left(query.left);
+    message.set_kind(static_cast<std::uint32_t>(query.kind));
+    message.set_rate(query.rate);
+    return message;
+}
+
+bucket_query parse_query(wire::bucket_question const& message)
+{
+    return {.kind = static_cast<bucket_kind>(message.kind()),
+            .key = message.key(),
+            .units = message.units(),
+            .rate = message.rate(),
+            .left = message.left()};
+}
+
+} // namespace
+
+/// Sockets to other VMs, and the queries that wait for a reply.
+struct owner_link::links
+{
+    links(asio::io_context& io, zmq::context_t& zmq) : loop(io), context(zmq) {}
+
+    watched_socket& socket_to(std::string const& address)
+    {
+        auto& socket = sockets[address];
+        if (!socket)
+        {
+            socket = std::make_unique<watched_socket>(
+                loop, context, zmq::socket_type::dealer, max_queued_queries,
+                [this](std::vector<zmq::message_t>& parts) { take(parts); });
+            socket->socket().connect(zmq_endpoint(address));
+        }
+        return *socket;
+    }
+
+    void send(std::string const& address, wire::bucket_question const& query)
+    {
+        auto const bytes = query.SerializeAsString();
+        auto&      socket = socket_to(address);
+        static_cast<void>(
+            socket.socket().send(zmq::buffer(query_kind),
+                                 zmq::send_flags::dontwait | zmq::send_flags::sndmore));
+        static_cast<void>(
+            socket.socket().send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+        socket.receive_pending();
+    }
+
+    void take(std::vector<zmq::message_t>& parts)
+    {
+        wire::bucket_reply reply;
+        auto const&        bytes = parts.back();
+        if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        {
+            return; // the query times out
+        }
+        auto const found = open_queries.find(reply.number());
+        if (found != open_queries.end())
+        {
+            found->second->reply = std::move(reply);
+            found->second->timer.cancel();
+        }
+    }
+
+    asio::io_context&                                      loop;
+    zmq::context_t&                                        context;
+    std::map<std::string, std::unique_ptr<watched_socket>> sockets; // by address
+    std::map<std::uint64_t, std::shared_ptr<open_query>>   open_queries;
+    std::uint64_t                                          number = 0;
+};
+
+// 2. Queries
+
+owner_link::owner_link(asio::io_context& loop, zmq::context_t& context,
+                       entry_state& state, record_link& records)
+    : state_(state), links_(std::make_unique<links>(loop, context))
+{
+    records.reply_to_others([this](std::string const& serialized)
+                            { return reply_to_vm(serialized); });
+}
+
+owner_link::~owner_link() = default;
+
+void owner_link::handle(bucket_kind kind, query_handler handler)
+{
+    handlers_[kind] = std::move(handler);
+}
+
+void owner_link::follow(std::vector<std::string> const& owners)
+{
+    owners_ = owners;
+    auto const gone = [&](auto const& each)
+    {
+        return std::find(owners.begin(), owners.end(), each.first) == owners.end();
+    };
+    std::erase_if(links_->sockets, gone);
+    std::erase_if(backoff_until_, gone);
+}
+
+std::vector<std::string> owner_link::live_owners(boot_clock::time_point now) const
+{
+    std::vector<std::string> result;
+    std::copy_if(owners_.begin(), owners_.end(), std::back_inserter(result),
+                 [&](std::string const& each) { return state_.is_live(each, now); });
+    return result;
+}
+
+std::vector<std::string> owner_link::order(std::string const& key) const
+{
+    auto const now = boot_clock::now();
+    auto const silent = [&](std::string const& vm)
+    {
+        auto const found = backoff_until_.find(vm);
+        return found != backoff_until_.end() && now < found->second;
+    };
+    // A VM whose digests are missing may still reply, since digests come through relays.
+    auto const unreachability = [&](std::string const& vm)
+    {
+        return (silent(vm) ? 2 : 0) + (state_.is_live(vm, now) ? 0 : 1);
+    };
+    constexpr int unreachable = 3; // no digests and no replies
+    auto          owners = rank_owners(key, owners_);
+    std::erase_if(owners, [&](std::string const& each)
+                  { return unreachability(each) == unreachable; });
+    std::stable_sort(owners.begin(), owners.end(),
+                     [&](std::string const& left, std::string const& right)
+                     { return unreachability(left) < unreachability(right); });
+    return owners;
+}
+
+asio::awaitable<std::optional<owner_decision>> owner_link::query(bucket_query request)
+{
+    owner_queries  queries{order(request.key)};
+    owner_decision decision;
+    while (!queries.address().empty())
+    {
+        decision.granted_by = queries.address();
+        request.left = queries.left();
+        auto const reply = co_await query_vm(decision.granted_by, request);
+        decision.answer = reply.value_or(bucket_answer{});
+        bool const declined = decision.answer.outcome == bucket_outcome::declined;
+        queries.take(!reply     ? query_result::silent
+                     : declined ? query_result::declined
+                                : query_result::decided,
+                     decision.answer.owner);
+    }
+    co_return queries.decided() ? std::optional{decision} : std::nullopt;
+}
+
+asio::awaitable<std::optional<bucket_answer>> owner_link::query_vm(std::string  address,
+                                                                   bucket_query request)
+{
+    if (address == state_.contact.records)
+    {
+        co_return handle_query(request);
+    }
+    auto const number = ++links_->number;
+    auto const pending = std::make_shared<open_query>(links_->loop);
+    auto       message = format_query(request);
+    message.set_number(number);
+    links_->open_queries[number] = pending;
+    pending->timer.expires_after(reply_timeout);
+    links_->send(address, message);
+    boost::system::error_code error; // cancelled by the reply, or expired
+    co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    links_->open_queries.erase(number);
+    state_.counters.add(pending->reply ? "quota_answers_total" : "quota_silences_total");
+    if (!pending->reply)
+    {
+        backoff_until_[address] = boot_clock::now() + silence_backoff;
+        co_return std::nullopt;
+    }
+    backoff_until_.erase(address);
+    co_return answer_from(*pending->reply);
+}
+
+void owner_link::give_back(bucket_query granted, std::string const& granted_by)
+{
+    granted.units = -granted.units;
+    if (granted_by == state_.contact.records)
+    {
+        static_cast<void>(handle_query(granted));
+        return;
+    }
+    links_->send(granted_by, format_query(granted));
+}
+
+// 3. Replies
+
+owner_view owner_link::view_for(bucket_query const& query) const
+{
+    auto const  now = boot_clock::now();
+    auto const& own = state_.contact.records;
+    owner_view  view{.stopping = state_.draining, .share = state_.fleet.value()};
+    for (auto const& each : rank_owners(query.key, owners_))
+    {
+        view.listed = view.listed || each == own;
+        bool const before =
+            !view.listed && view.predecessor.empty() && each != query.left;
+        view.predecessor = before && state_.is_live(each, now) ? each : view.predecessor;
+    }
+    return view;
+}
+
+bucket_answer owner_link::handle_query(bucket_query const& request) const
+{
+    auto const handler = handlers_.find(request.kind);
+    return handler == handlers_.end() ? bucket_answer{} : handler->second(request);
+}
+
+std::string owner_link::reply_to_vm(std::string const& serialized)
+{
+    wire::bucket_question message;
+    if (!message.ParseFromString(serialized))
+    {
+        state_.counters.add("quota_questions_unreadable_total");
+        return "";
+    }
+    auto const answer = handle_query(parse_query(message));
+    if (message.units() < 0)
+    {
+        return "";
+    }
+    wire::bucket_reply reply;
+    reply.set_number(message.number());
+    reply.set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    reply.set_retry_after_ms(static_cast<std::uint32_t>(answer.retry_after.count()));
+    reply.set_left(answer.left);
+    reply.set_owner(answer.owner);
+    return reply.SerializeAsString();
+}
+
+} // namespace marigoldcrank
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -64,8 +64,9 @@
                    ? nullptr
                    : std::make_unique<record_link>(loop, *context_, state.contact.records,
                                                    std::move(make_filter))),
-      quotas_(records_ ? std::make_unique<quota_gate>(loop, *context_, state, *records_)
+      owners_(records_ ? std::make_unique<owner_link>(loop, *context_, state, *records_)
                        : nullptr),
+      quotas_(owners_ ? std::make_unique<quota_gate>(state, *owners_) : nullptr),
       digests_(loop, *context_, state.contact.digests,
                [this](load_digest digest, digest_extras const& extras)
                { receive(std::move(digest), extras); })
@@ -100,8 +101,8 @@
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
         extras.limits = state_.limits.updates(widest_source(digest.scope), now);
-        extras.heard = digest.scope == digest_scope::fleet && quotas_
-                           ? quotas_->live_owners(now)
+        extras.heard = digest.scope == digest_scope::fleet && owners_
+                           ? owners_->live_owners(now)
                            : std::vector<std::string>{};
         digests_.publish(digest, extras);
     }
@@ -162,9 +163,10 @@
     state_.is_first_relay = plan.first_relay;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
     listed_vms_ = static_cast<std::int64_t>(vms.size());
-    if (quotas_)
+    if (owners_)
     {
-        quotas_->follow(plan.owners);
+        owners_->follow(plan.owners);
+        quotas_->forget_workspaces();
     }
     if (records_)
     {
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -7,6 +7,7 @@
 
 #include "serving/digest_link.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/owner_link.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/record_link.hpp"
 
@@ -49,6 +50,7 @@
     entry_state&                    state_;
     std::unique_ptr<zmq::context_t> context_;
     std::unique_ptr<record_link>    records_;
+    std::unique_ptr<owner_link>     owners_; // null if `records_` is
     std::unique_ptr<quota_gate>     quotas_; // null if `records_` is
     digest_link                     digests_;
     relay_plan                      plan_;
--- a/tests/platform/support/arrival_times.hpp
+++ b/tests/platform/support/arrival_times.hpp
@@ -43,8 +43,9 @@
         std::size_t     most = 0;
         for (auto first = times_.begin(); first != times_.end(); ++first)
         {
-            auto const last = std::find_if(first, times_.end(), [&](time_point each)
-                                           { return each >= *first + span; });
+            auto const last =
+                std::find_if(first, times_.end(),
+                             [&](time_point each) { return each >= *first + span; });
             auto const count = static_cast<std::size_t>(last - first);
             most = *first < begin ? most : std::max(most, count);
         }
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -1,10 +1,10 @@
 // Tests quotas of workspaces: the bucket, its owner, and the queries for units.
 //
 // Index: 1 bucket, 2 fleet share, 3 owners, 4 sequence of queries, 5 cost
+#include "policy/bucket_owner.hpp"
 #include "policy/fleet_share.hpp"
-#include "policy/quota_bucket.hpp"
-#include "policy/quota_owner.hpp"
-#include "policy/quota_queries.hpp"
+#include "policy/owner_queries.hpp"
+#include "policy/token_bucket.hpp"
 #include "serving/quota_gate.hpp"
 
 #include <gtest/gtest.h>
@@ -28,42 +28,42 @@
 // 1. Bucket
 
 // A prompt larger than the bucket's capacity would otherwise never run.
-TEST(quota_bucket, call_larger_than_the_capacity_runs_from_a_full_bucket)
+TEST(token_bucket, call_larger_than_the_capacity_runs_from_a_full_bucket)
 {
-    quota_bucket bucket({.rate = 1000, .capacity = 1000, .start = 1000}, at_ms(0));
+    token_bucket bucket({.rate = 1000, .capacity = 1000, .start = 1000}, at_ms(0));
     EXPECT_FALSE(bucket.take(3000, at_ms(0)));
     EXPECT_TRUE(bucket.take(1, at_ms(1900))); // the debt isn't paid back yet
     EXPECT_FALSE(bucket.take(1, at_ms(2100)));
 }
 
 // Refused callers with the same time to retry would return together and be refused again.
-TEST(quota_bucket, refused_callers_get_successive_retry_times)
+TEST(token_bucket, refused_callers_get_successive_retry_times)
 {
-    quota_bucket bucket({.rate = 1000, .capacity = 1000, .start = 0}, at_ms(0));
+    token_bucket bucket({.rate = 1000, .capacity = 1000, .start = 0}, at_ms(0));
     EXPECT_EQ(bucket.take(500, at_ms(0)), millis{500});
     EXPECT_EQ(bucket.take(500, at_ms(0)), millis{1000});
     EXPECT_EQ(bucket.take(500, at_ms(0)), millis{1500});
     EXPECT_FALSE(bucket.take(500, at_ms(500)));
 }
 
-TEST(quota_bucket, bucket_without_capacity_admits_nothing)
+TEST(token_bucket, bucket_without_capacity_admits_nothing)
 {
-    quota_bucket bucket({.rate = 0, .capacity = 0, .start = 0}, at_ms(0));
+    token_bucket bucket({.rate = 0, .capacity = 0, .start = 0}, at_ms(0));
     EXPECT_TRUE(bucket.take(1, at_ms(0)));
 }
 
-TEST(quota_bucket, later_charges_are_paid_back_before_the_next_call)
+TEST(token_bucket, later_charges_are_paid_back_before_the_next_call)
 {
-    quota_bucket bucket({.rate = 100, .capacity = 100, .start = 100}, at_ms(0));
+    token_bucket bucket({.rate = 100, .capacity = 100, .start = 100}, at_ms(0));
     EXPECT_FALSE(bucket.take(1, at_ms(0)));
     bucket.charge(299, at_ms(0));
     EXPECT_TRUE(bucket.take(1, at_ms(1900)));
     EXPECT_FALSE(bucket.take(1, at_ms(2100)));
 }
 
-TEST(quota_bucket, units_of_calls_that_did_not_run_are_returned)
+TEST(token_bucket, units_of_calls_that_did_not_run_are_returned)
 {
-    quota_bucket bucket({.rate = 0, .capacity = 1000, .start = 1000}, at_ms(0));
+    token_bucket bucket({.rate = 0, .capacity = 1000, .start = 1000}, at_ms(0));
     EXPECT_FALSE(bucket.take(1000, at_ms(0)));
     EXPECT_TRUE(bucket.take(1000, at_ms(0)));
     bucket.give_back(1000, at_ms(0));
@@ -71,26 +71,26 @@
 }
 
 // A limit is lowered while the bucket holds units that were saved under the higher limit.
-TEST(quota_bucket, lowered_limit_removes_saved_units)
+TEST(token_bucket, lowered_limit_removes_saved_units)
 {
-    quota_bucket bucket({.rate = 1000, .capacity = 9000, .start = 9000}, at_ms(0));
+    token_bucket bucket({.rate = 1000, .capacity = 9000, .start = 9000}, at_ms(0));
     bucket.limit({.rate = 10, .capacity = 100, .start = 0}, at_ms(0));
     EXPECT_FALSE(bucket.take(100, at_ms(0)));
     EXPECT_TRUE(bucket.take(1, at_ms(0)));
 }
 
 // Hundreds of isolated VMs, which can query no other, would each run one large call.
-TEST(quota_bucket, isolated_vms_together_hold_less_than_an_owner_starts_with)
+TEST(token_bucket, isolated_vms_together_hold_less_than_an_owner_starts_with)
 {
     constexpr int vms = 300;
     auto const    alone = isolated_bounds(small_quota, terms, 1.0 / vms);
     auto const    start = shared_bounds(small_quota, terms, 1).start;
     EXPECT_LE(alone.capacity * vms, start / 2 * 1.001);
-    quota_bucket bucket(alone, at_ms(0));
+    token_bucket bucket(alone, at_ms(0));
     EXPECT_TRUE(bucket.take(12'000, at_ms(60'000)));
 }
 
-TEST(quota_bucket, full_window_stays_within_the_tolerance)
+TEST(token_bucket, full_window_stays_within_the_tolerance)
 {
     auto const bounds = shared_bounds(small_quota, terms, 1);
     auto const window_s = 8.0;
@@ -158,9 +158,14 @@
 
 // 3. Owners
 
+bucket_query query_from(std::string left)
+{
+    return {.key = "w", .units = 10, .left = std::move(left)};
+}
+
 std::vector<std::string> const offered{"a", "b", "c", "d", "e", "f"};
 
-TEST(quota_owner, workspaces_are_spread_and_few_move_when_a_vm_leaves)
+TEST(bucket_owner, workspaces_are_spread_and_few_move_when_a_vm_leaves)
 {
     auto fewer = offered;
     fewer.pop_back();
@@ -183,66 +188,69 @@
 }
 
 // Two VMs that both act as the owner would grant twice the quota.
-TEST(quota_owner, vm_with_a_reachable_predecessor_names_it_as_owner)
+TEST(bucket_owner, vm_with_a_reachable_predecessor_names_it_as_owner)
 {
-    quota_owner owner{terms};
-    owner_view  view{.listed = true, .stopping = false, .predecessor = "a", .share = 1};
-    auto const  answer = owner.answer({"w", 10, ""}, small_quota, view, at_ms(0));
-    EXPECT_EQ(answer.outcome, quota_outcome::declined);
+    bucket_owner owner;
+    owner_view   view{.listed = true, .stopping = false, .predecessor = "a", .share = 1};
+    auto const   answer = owner.answer(
+          query_from(""), shared_bounds(small_quota, terms, view.share), view, at_ms(0));
+    EXPECT_EQ(answer.outcome, bucket_outcome::declined);
     EXPECT_EQ(answer.owner, "a");
-    auto const left = owner.answer({"w", 10, "a"}, small_quota, view, at_ms(0));
-    EXPECT_EQ(left.outcome, quota_outcome::granted); // "a" replied that it stops
+    auto const left = owner.answer(
+        query_from("a"), shared_bounds(small_quota, terms, view.share), view, at_ms(0));
+    EXPECT_EQ(left.outcome, bucket_outcome::granted); // "a" replied that it stops
 }
 
-TEST(quota_owner, vm_that_stops_owns_no_quota)
+TEST(bucket_owner, vm_that_stops_owns_no_quota)
 {
-    quota_owner owner{terms};
-    owner_view  view{.listed = true, .stopping = true, .predecessor = {}, .share = 1};
-    auto const  answer = owner.answer({"w", 10, ""}, small_quota, view, at_ms(0));
-    EXPECT_EQ(answer.outcome, quota_outcome::declined);
+    bucket_owner owner;
+    owner_view   view{.listed = true, .stopping = true, .predecessor = {}, .share = 1};
+    auto const   answer = owner.answer(
+          query_from(""), shared_bounds(small_quota, terms, view.share), view, at_ms(0));
+    EXPECT_EQ(answer.outcome, bucket_outcome::declined);
     EXPECT_TRUE(answer.owner.empty());
 }
 
 // 4. Sequence of queries
 
-TEST(quota_queries, silent_owner_is_queried_again_if_the_next_vm_reports_it_alive)
+TEST(owner_queries, silent_owner_is_queried_again_if_the_next_vm_reports_it_alive)
 {
-    quota_queries queries{{"a", "b", "c"}};
+    owner_queries queries{{"a", "b", "c"}};
     EXPECT_EQ(queries.address(), "a");
-    queries.take(quota_reply::silent);
+    queries.take(query_result::silent);
     EXPECT_EQ(queries.address(), "b");
-    queries.take(quota_reply::declined, "a");
+    queries.take(query_result::declined, "a");
     EXPECT_EQ(queries.address(), "a");
-    queries.take(quota_reply::decided);
+    queries.take(query_result::decided);
     EXPECT_TRUE(queries.decided());
     EXPECT_TRUE(queries.address().empty());
 }
 
-TEST(quota_queries, owner_that_stops_is_named_to_the_next_vm)
+TEST(owner_queries, owner_that_stops_is_named_to_the_next_vm)
 {
-    quota_queries queries{{"a", "b"}};
-    queries.take(quota_reply::declined);
+    owner_queries queries{{"a", "b"}};
+    queries.take(query_result::declined);
     EXPECT_EQ(queries.address(), "b");
     EXPECT_EQ(queries.left(), "a");
 }
 
 // Queries without a bound would hold a call past its deadline.
-TEST(quota_queries, ends_after_three_queries)
+TEST(owner_queries, ends_after_three_queries)
 {
-    quota_queries queries{{"a", "b", "c", "d"}};
+    owner_queries queries{{"a", "b", "c", "d"}};
     int           questions = 0;
     while (!queries.address().empty())
     {
-        queries.take(quota_reply::silent);
+        queries.take(query_result::silent);
         ++questions;
     }
     EXPECT_EQ(questions, 3);
     EXPECT_FALSE(queries.decided());
 }
 
-TEST(quota_queries, is_empty_without_candidates)
+TEST(owner_queries, is_empty_without_candidates)
 {
-    quota_queries const queries{{}};
+    owner_queries const queries{{}};
     EXPECT_TRUE(queries.address().empty());
     EXPECT_FALSE(queries.decided());
 }
