Limits of servers: one owner counts the requests of all VMs to a server

Cause: nothing decided by what servers state; every VM chose servers by load alone. The class: a limit on the sum of all VMs that each VM could only have applied by itself. Change: each request to a server needs a send_permit, which server_exchange takes in its constructor, so prefills, runs, retries, plain calls and releases of KV caches all ask the same question; role orders ask it too. For a server with a limit the permit comes from the server's bucket at one VM (bucket_owner, as for quotas), refilled at the limit, with half a second of burst and empty at a new owner. A refused server is on hold for this VM and left out of the next choice. Calls whose servers are all on hold are refused at once with the time until the first hold ends, spread, unless that ends within a quarter of their objective.

--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -33,7 +33,7 @@
         .add("tokens", planned.prefill_tokens)
         .add("wait_ms", std::llround(planned.wait_ms))
         .add("read_ms", std::llround(planned.prefill_ms))
-        .add("fetch", planned.fetch_from == nullptr ? "" : planned.fetch_from->id)
+        .add("fetch", plan.fetch)
         .add("rules", version_of(admitted))
         .add("left_ms", admitted.deadline - loop_clock::now());
     state_.log.write_step(id_, line, boot_clock::now());
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -44,6 +44,7 @@
     std::string_view work;    // "call"; "prompt": prefill only; "run": decode only
     std::int64_t     run = 0; // attempts to run this call before this one
     placement        planned; // tokens to prefill there, and the expected times
+    std::string_view fetch;   // engine whose cached parts are fetched; empty: none
 };
 
 /// Lives as long as its call.
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -13,6 +13,7 @@
 #include "serving/call_log.hpp"
 #include "serving/caller_socket.hpp"
 #include "serving/handle_release.hpp"
+#include "serving/loop_sleep.hpp"
 #include "serving/model_placement.hpp"
 #include "serving/own_response.hpp"
 #include "serving/quota_gate.hpp"
@@ -20,6 +21,9 @@
 #include "serving/stream_relay.hpp"
 #include "serving/stream_timing.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace marigoldcrank
 {
 
@@ -130,18 +134,32 @@
         while (!caller_.check_disconnected())
         {
             auto const  candidates = attempts_.servers_to_try();
-            auto const* server =
+            auto const* chosen =
                 place_plain(candidates, state_.settings.data_centre, state_.tie_break());
-            if (server == nullptr || !attempts_.may_start_attempt())
+            if (chosen == nullptr && co_await wait_for_hold())
+            {
+                continue;
+            }
+            if (chosen == nullptr)
+            {
+                co_return co_await end_without_server();
+            }
+            backend_server const server = *chosen; // copy: the list may change
+            auto const           permit = co_await request_permit(state_, server.id);
+            if (!permit && attempts_.time_left())
+            {
+                continue; // the server is on hold, so another one is chosen
+            }
+            if (!permit || !attempts_.may_start_attempt())
             {
                 co_return co_await end_without_server();
             }
-            exchange               link{state_, *server};
+            exchange               link{state_, server, *permit};
             current_exchange_guard use{*this, link};
-            load_share             share{state_, server->id, 0};
-            log_.attempt_started({server->id, "call", attempts_.history().runs(), {}},
+            load_share             share{state_, server.id, 0};
+            log_.attempt_started({server.id, "call", attempts_.history().runs(), {}, ""},
                                  admitted_);
-            attempts_.record_start(server->id);
+            attempts_.record_start(server.id);
             auto const fate = co_await send_call(link, {}, attempts_.attempt_deadline());
             if (caller_.disconnected())
             {
@@ -208,7 +226,11 @@
         {
             auto const first = placement_.choose_first(
                 attempts_.servers_to_try(), !prefill_attempted_ && !stream_.started());
-            if (!first || !attempts_.may_start_attempt())
+            if (!first && co_await wait_for_hold())
+            {
+                continue;
+            }
+            if (!first)
             {
                 co_return co_await end_without_server();
             }
@@ -225,15 +247,32 @@
             std::string    source;
             auto           planned = *first;
             fetch_from_ = address_of(first->fetch_from);
-            if (first->prefill_only)
+            fetch_server_ = first->fetch_from == nullptr ? "" : first->fetch_from->id;
+            // The plan points to servers that may be removed while this waits.
+            planned.server = nullptr;
+            planned.fetch_from = nullptr;
+            auto permit = co_await request_permit(state_, decode_server.id);
+            if (!permit && attempts_.time_left())
+            {
+                continue; // the server is on hold, so another one is chosen
+            }
+            if (!permit || !attempts_.may_start_attempt())
+            {
+                co_return co_await end_without_server();
+            }
+            if (planned.prefill_only)
             {
                 prefill_attempted_ = true;
                 prefill_server = decode_server;
-                source = co_await run_prefill(prefill_server, planned);
-                // The plan points to servers that may have been removed meanwhile.
+                source = co_await run_prefill(prefill_server, planned, *permit);
                 planned = placement{.prefill_tokens =
                                         source.empty() ? planned.prefill_tokens : 0};
-                if (!caller_.check_disconnected() && !choose_decode_server(decode_server))
+                permit.reset();
+                if (!caller_.check_disconnected())
+                {
+                    permit = co_await choose_decode_server(decode_server);
+                }
+                if (!permit && !caller_.disconnected())
                 {
                     co_await end_without_server();
                 }
@@ -243,7 +282,7 @@
                     co_return;
                 }
             }
-            if (co_await run_stream(decode_server, source, planned))
+            if (co_await run_stream(decode_server, source, planned, *permit))
             {
                 co_return;
             }
@@ -252,32 +291,61 @@
     }
 
     /// Chooses the engine that runs the call after its prefill, also after a failed one.
-    /// Returns false if there is none.
-    bool choose_decode_server(backend_server& decode_server)
+    /// Returns nothing if there is none.
+    boost::asio::awaitable<std::optional<send_permit>>
+    choose_decode_server(backend_server& decode_server)
     {
-        if (!attempts_.may_run_after_prefill())
+        bool allowed = attempts_.may_run_after_prefill();
+        while (allowed)
         {
-            return false;
+            auto const  candidates = attempts_.servers_to_try();
+            auto const* chosen = placement_.choose_decode_engine(candidates);
+            if (chosen != nullptr)
+            {
+                decode_server = *chosen;
+                auto permit = co_await request_permit(state_, decode_server.id);
+                if (permit)
+                {
+                    co_return permit;
+                }
+            }
+            allowed =
+                (chosen != nullptr || co_await wait_for_hold()) && attempts_.time_left();
+        }
+        co_return std::nullopt;
+    }
+
+    /// Waits for the first server on hold if its hold ends soon. Returns false if there
+    /// is none, or if the call has waited before.
+    boost::asio::awaitable<bool> wait_for_hold()
+    {
+        constexpr int objective_part = 4; // waits for at most this part of the objective
+        auto const end = state_.first_hold_end(admitted_.service_name, boot_clock::now());
+        if (!end)
+        {
+            co_return false;
         }
-        auto const  candidates = attempts_.servers_to_try();
-        auto const* server = placement_.choose_decode_engine(candidates);
-        if (server != nullptr)
+        attempts_.fault("on_hold");
+        if (hold_waited_ || *end > admitted_.matched->objective / objective_part)
         {
-            decode_server = *server;
+            co_return false;
         }
-        return server != nullptr;
+        hold_waited_ = true;
+        co_await loop_sleep(*end);
+        co_return true;
     }
 
     /// Runs the prefill at `server`. Returns where the KV cache is (ADDRESS/HANDLE), or
     /// an empty string if the prefill failed.
-    boost::asio::awaitable<std::string> run_prefill(backend_server server,
-                                                    placement      placed)
+    boost::asio::awaitable<std::string>
+    run_prefill(backend_server server, placement placed, send_permit const& permit)
     {
-        exchange               link{state_, server};
+        exchange               link{state_, server, permit};
         current_exchange_guard use{*this, link};
         load_share             share{state_, server.id, placed.prefill_tokens};
-        log_.attempt_started({server.id, "prompt", attempts_.history().runs(), placed},
-                             admitted_);
+        log_.attempt_started(
+            {server.id, "prompt", attempts_.history().runs(), placed, fetch_server_},
+            admitted_);
         placement_.record_attempt(server.id, placed);
         auto const until = placement_.prefill_deadline(placed);
         auto const began = boot_clock::now();
@@ -309,13 +377,15 @@
     /// Runs the call at `server`. Returns true if the call has ended, false if another
     /// server should be tried.
     boost::asio::awaitable<bool> run_stream(backend_server     server,
-                                            std::string const& source, placement planned)
+                                            std::string const& source, placement planned,
+                                            send_permit const& permit)
     {
-        exchange               link{state_, server};
+        exchange               link{state_, server, permit};
         current_exchange_guard use{*this, link};
         load_share             share{state_, server.id, planned.prefill_tokens};
         log_.attempt_started({server.id, source.empty() ? "call" : "run",
-                              attempts_.history().runs(), planned},
+                              attempts_.history().runs(), planned,
+                              source.empty() ? fetch_server_ : std::string_view{}},
                              admitted_);
         placement_.record_attempt(server.id, planned);
         run_sent_at_ = boot_clock::now();
@@ -519,10 +589,10 @@
         auto const slash = source.find('/');
         if (slash != std::string::npos)
         {
-            release_handle(
+            boost::asio::co_spawn(
                 caller_.stream().get_executor(),
-                {server.host, static_cast<std::uint16_t>(server.port)},
-                Dialect::build_release_request(source.substr(slash + 1), server.host));
+                release_handle<Dialect>(state_, server, source.substr(slash + 1)),
+                boost::asio::detached);
         }
     }
 
@@ -550,10 +620,21 @@
             co_return co_await send_own_response(unknown);
         }
         own_response const refusal{503, call_fate::not_run, attempts_.fault(),
-                                   refusal_retry_after};
+                                   retry_after()};
         co_await send_own_response(refusal);
     }
 
+    /// When a refused caller should return. If all servers of the service are on hold,
+    /// that is after the first hold, spread so that callers don't return all at once.
+    millis retry_after()
+    {
+        auto const now = boot_clock::now();
+        auto const hold = state_.first_hold_end(admitted_.service_name, now);
+        bool const all_held =
+            hold && state_.candidates(admitted_.service_name, {}, now).empty();
+        return all_held ? spread_return(*hold, state_.tie_break()) : refusal_retry_after;
+    }
+
     boost::asio::awaitable<void> send_own_response(own_response value)
     {
         status_ = value.status;
@@ -621,7 +702,9 @@
     unsigned               server_failure_status_ = 0;
     boot_clock::time_point run_sent_at_{};
     placement              run_plan_; // of the latest attempt; its pointers may dangle
-    std::string fetch_from_; // address of an engine that has parts of the prompt cached
+    std::string fetch_from_;   // address of an engine that has parts of the prompt cached
+    std::string fetch_server_; // id of that engine
+    bool        hold_waited_ = false;
     std::string_view       outcome_;
     unsigned               status_ = 0;
     exchange*              current_exchange_ = nullptr;
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -74,7 +74,8 @@
     for (auto const& [id, server] : servers.servers())
     {
         bool const unavailable = server.leaving || tried.count(id) > 0 ||
-                                 changing.count(id) > 0 || !servers.usable(id, now);
+                                 changing.count(id) > 0 || !servers.usable(id, now) ||
+                                 holds.held(id, now);
         if (server.group != service || unavailable)
         {
             continue;
@@ -92,6 +93,23 @@
     return result;
 }
 
+std::optional<millis> entry_state::first_hold_end(std::string const&     service,
+                                                  boot_clock::time_point now) const
+{
+    std::optional<millis> first;
+    for (auto const& [id, server] : servers.servers())
+    {
+        auto const end = holds.end(id, now);
+        if (server.group != service || server.leaving || !end)
+        {
+            continue;
+        }
+        auto const left = std::chrono::ceil<millis>(*end - now);
+        first = first ? std::min(*first, left) : left;
+    }
+    return first;
+}
+
 std::int64_t entry_state::staying_servers(std::string const& service) const
 {
     auto const& all = servers.servers();
@@ -204,6 +222,8 @@
 {
     health.forget(server);
     limits.forget(server);
+    holds.forget(server);
+    isolated_limits.erase(server);
 }
 
 std::int64_t entry_state::unix_ms()
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -21,8 +21,10 @@
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
+#include "policy/token_bucket.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
@@ -39,6 +41,7 @@
 //       placement must not use much older loads
 inline constexpr millis digest_interval{150};
 
+class owner_link;
 class quota_gate;
 
 /// The rules in force, and the time from which their age counts.
@@ -67,6 +70,11 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
+    /// The time until the first server of `service` that is on hold may be sent to again;
+    /// nothing if none is on hold.
+    std::optional<millis> first_hold_end(std::string const&     service,
+                                         boot_clock::time_point now) const;
+
     /// Number of servers of `service` that are not leaving.
     std::int64_t staying_servers(std::string const& service) const;
 
@@ -116,30 +124,33 @@
     /// Time in ms since 1970 that divides usage windows.
     std::int64_t unix_ms();
 
-    entry_settings                     settings;
-    std::string                        incarnation;
-    rules_view                         view;
-    server_list                        servers;
-    server_loads                       loads;    // from calls of this VM
-    load_relay                         peers;    // from calls of the other VMs
-    std::set<std::string>              changing; // engines in a change of role
-    server_health                      health;
-    server_limits                      limits;
-    connection_pool                    pool;
-    vm_contact                         contact; // addresses of this VM
-    usage_counter                      usage;
-    usage_sum                          usage_known; // of all VMs
-    std::map<std::string, work_meter>  meters;      // by service
-    std::map<std::string, pause_watch> pauses;      // by service
-    prefix_directory                   prefixes;
-    event_log                          log;
-    metrics                            counters;
-    step_filtered_clock                day;
-    crash_watch                        crashes;
+    entry_settings                      settings;
+    std::string                         incarnation;
+    rules_view                          view;
+    server_list                         servers;
+    server_loads                        loads;    // from calls of this VM
+    load_relay                          peers;    // from calls of the other VMs
+    std::set<std::string>               changing; // engines in a change of role
+    server_health                       health;
+    server_limits                       limits;
+    send_holds                          holds;           // of servers
+    std::map<std::string, token_bucket> isolated_limits; // while no owner replies
+    connection_pool                     pool;
+    vm_contact                          contact; // addresses of this VM
+    usage_counter                       usage;
+    usage_sum                           usage_known; // of all VMs
+    std::map<std::string, work_meter>   meters;      // by service
+    std::map<std::string, pause_watch>  pauses;      // by service
+    prefix_directory                    prefixes;
+    event_log                           log;
+    metrics                             counters;
+    step_filtered_clock                 day;
+    crash_watch                         crashes;
     std::map<std::string, boot_clock::time_point>
                  last_heard; // by the address where a VM answers
     fleet_share  fleet;
     quota_gate*  quotas = nullptr;        // null: no VM can be queried yet
+    owner_link*  owners = nullptr;        // null: no VM can be queried yet
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -12,6 +12,7 @@
 #include "policy/role_split.hpp"
 #include "serving/duty_times.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/send_permit.hpp"
 
 #include <cmath>
 #include <map>
@@ -251,6 +252,12 @@
                       });
         for (auto const& [id, role] : due)
         {
+            auto const permit = co_await request_permit(state_, id);
+            if (!permit)
+            {
+                postpone(id);
+                continue;
+            }
             auto const found = state_.servers.servers().find(id);
             auto const sender =
                 duty_authority(log_, state_.settings.name, times_.min_lease_left);
@@ -271,6 +278,17 @@
         }
     }
 
+    /// Orders a role change in a later pass, because its engine must not get a request
+    /// now.
+    void postpone(std::string const& id)
+    {
+        auto const change = role_changes_.find(id);
+        if (change != role_changes_.end())
+        {
+            change->second.ordered = false;
+        }
+    }
+
     bool in_change(announced_change const& change, boot_clock::time_point now) const
     {
         return now - change.read_at < times_.role_change_timeout;
--- a/src/serving/handle_release.hpp
+++ b/src/serving/handle_release.hpp
@@ -4,15 +4,43 @@
 #ifndef MARIGOLDCRANK_SERVING_HANDLE_RELEASE_HPP
 #define MARIGOLDCRANK_SERVING_HANDLE_RELEASE_HPP
 
-#include "serving/http_connection.hpp"
+#include "serving/server_exchange.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <utility>
 
 namespace marigoldcrank
 {
 
-/// Sends `request` to the engine that holds the KV cache, in the background and without
-/// retries: a handle that isn't released expires within seconds.
-void release_handle(boost::asio::any_io_executor const& executor,
-                    socket_address const& engine, http_request request);
+/// Sends the request that releases `handle` at `engine`, without retries. A handle that
+/// isn't released, also because the engine must not get a request now, expires within
+/// seconds.
+template <wire_dialect Dialect>
+boost::asio::awaitable<void> release_handle(entry_state& state, backend_server engine,
+                                            std::string handle)
+{
+    constexpr millis timeout{1000}; // 1000  ms; then the handle expires by itself
+    auto const       permit = co_await request_permit(state, engine.id);
+    if (!permit)
+    {
+        co_return;
+    }
+    exchange_request         request{.message =
+                                 Dialect::build_release_request(handle, engine.host),
+                                     .call_id = {},
+                                     .work = "release",
+                                     .internal = true,
+                                     .until = loop_clock::now() + timeout};
+    server_exchange<Dialect> link{state, std::move(engine), *permit};
+    auto const               until = request.until;
+    if (co_await link.start(std::move(request)) == attempt_outcome::answered)
+    {
+        std::string ignored;
+        co_await link.read_complete_body(ignored, until);
+    }
+}
 
 } // namespace marigoldcrank
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -67,16 +67,19 @@
       owners_(records_ ? std::make_unique<owner_link>(loop, *context_, state, *records_)
                        : nullptr),
       quotas_(owners_ ? std::make_unique<quota_gate>(state, *owners_) : nullptr),
+      limits_(owners_ ? std::make_unique<limit_owner>(state, *owners_) : nullptr),
       digests_(loop, *context_, state.contact.digests,
                [this](load_digest digest, digest_extras const& extras)
                { receive(std::move(digest), extras); })
 {
     state_.quotas = quotas_.get();
+    state_.owners = owners_.get();
 }
 
 peer_exchange::~peer_exchange()
 {
     state_.quotas = nullptr;
+    state_.owners = nullptr;
 }
 
 void peer_exchange::publish_digests()
@@ -167,6 +170,7 @@
     {
         owners_->follow(plan.owners);
         quotas_->forget_workspaces();
+        limits_->forget_servers();
     }
     if (records_)
     {
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -10,6 +10,7 @@
 #include "serving/owner_link.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/record_link.hpp"
+#include "serving/send_permit.hpp"
 
 #include <map>
 #include <memory>
@@ -52,6 +53,7 @@
     std::unique_ptr<record_link>    records_;
     std::unique_ptr<owner_link>     owners_; // null if `records_` is
     std::unique_ptr<quota_gate>     quotas_; // null if `records_` is
+    std::unique_ptr<limit_owner>    limits_; // null if `records_` is
     digest_link                     digests_;
     relay_plan                      plan_;
     std::uint64_t                   rounds_ = 0;
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -6,10 +6,12 @@
 
 #include "policy/attempt_history.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/send_permit.hpp"
 
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,9 +36,12 @@
 class server_exchange
 {
 public:
-    server_exchange(entry_state& state, backend_server server)
+    server_exchange(entry_state& state, backend_server server, send_permit const& permit)
         : state_(state), server_(std::move(server))
     {
+        assert(permit.server() == server_.id &&
+               "request a permit for the server that the exchange goes to");
+        static_cast<void>(permit);
     }
 
     ~server_exchange()
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -140,12 +140,17 @@
     configure(version, {"key-north"});
 }
 
-void entry_cluster::list_server(server_standin const& server, std::string const& state)
+void entry_cluster::list_server(server_standin const& server, std::string const& state,
+                                std::int64_t born)
 {
-    nlohmann::json const entry{
+    nlohmann::json entry{
         {"service", "desk"}, {"address", loopback_address(port_of(server))},
         {"zone", "here"},    {"slots", 6},
         {"state", state},    {"sequence", 1}};
+    if (born > 0)
+    {
+        entry["born"] = born;
+    }
     store_->put("keyed.servers", server.id(), entry.dump());
 }
 
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -64,8 +64,10 @@
     /// configurations keep.
     void configure_north(std::uint64_t version, std::string const& fields);
 
-    /// Writes a server's entry in the list of servers to the store.
-    void list_server(server_standin const& server, std::string const& state = "ready");
+    /// Writes a server's entry in the list of servers to the store. `born`: start of its
+    /// incarnation, Unix ms; 0: not stated.
+    void list_server(server_standin const& server, std::string const& state = "ready",
+                     std::int64_t born = 0);
 
     /// Lists a server as an engine of the service "models", which route /model/ uses.
     void list_engine(server_standin const& server, std::string const& stage);
