Observability: pauses that servers ask for

The dialect now parses it (seconds with fractions, or a date, bounded by 600 s); log line server_pause (server, for_ms) and metric server_pauses_total stand beside send_failed. Nothing is decided by it yet.

--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -36,6 +36,19 @@
 namespace
 {
 
+/// The pause that a response asks for. Its end is compared with the time of day only
+/// here; the pause itself runs by the boot clock.
+std::optional<millis> pause_of(response_facts const& facts)
+{
+    constexpr millis max_pause{600'000}; // 600000  ms
+    if (!facts.pause_end_unix_ms)
+    {
+        return facts.pause;
+    }
+    auto const now = static_cast<std::int64_t>(unix_millis());
+    return std::clamp(millis{*facts.pause_end_unix_ms - now}, millis{0}, max_pause);
+}
+
 vm_contact contact_of(entry_settings const& settings)
 {
     return {.digests = format_address(settings.peers),
@@ -191,6 +204,12 @@
                   now);
         return;
     }
+    if (auto const pause = pause_of(facts))
+    {
+        counters.add("server_pauses_total");
+        log.write(event_line{"server_pause"}.add("server", server).add("for_ms", *pause),
+                  now);
+    }
     if (limits.record(server, {.rate = facts.rate_limit, .sent = sent, .arrived = now}))
     {
         log_limit(server, "response");
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <ctime>
 
 namespace marigoldcrank
 {
@@ -123,4 +124,15 @@
     return whole ? std::optional{value} : std::nullopt;
 }
 
+std::optional<std::int64_t> parse_http_date(std::string const& text)
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    std::tm                parts{};
+    char const* const      end = ::strptime(text.c_str(), "%a, %d %b %Y %T GMT", &parts);
+    bool const             whole = end != nullptr && *end == '\0';
+    return whole ? std::optional{static_cast<std::int64_t>(::timegm(&parts)) *
+                                 ms_per_second}
+                 : std::nullopt;
+}
+
 } // namespace marigoldcrank
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -1,7 +1,7 @@
 // HTTP rules common to all dialects: hop-by-hop fields, and checks for ambiguous heads.
 //
-// Index: 1 head_fault, 2 check_head, 3 copy_end_to_end, 4 bare_host, 5
-// parse_whole_number, parse_decimal
+// Index: 1 head_fault, 2 check_head, 3 copy_end_to_end, 4 bare_host,
+//        5 parse_whole_number, parse_decimal, parse_http_date
 #ifndef MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
 
@@ -54,6 +54,9 @@
 /// Parses a decimal number such as "2" or "0.5", without sign, exponent or blanks.
 std::optional<double> parse_decimal(std::string_view text);
 
+/// Parses a date such as "Sun, 06 Nov 1994 08:49:37 GMT" as Unix ms.
+std::optional<std::int64_t> parse_http_date(std::string const& text);
+
 template <class Kept>
 void copy_end_to_end(boost::beast::http::fields const& from,
                      boost::beast::http::fields& to, Kept&& kept)
