A malformed limit of a server hides no other field of its response

Fault of the observability of limits: a response with a malformed limit was dropped as a whole. Now the response says whether its limit can be parsed, and only that is left out; the limit known before stays.

--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -202,7 +202,6 @@
                       .add("server", server)
                       .add("field", facts.unreadable),
                   now);
-        return;
     }
     if (auto const pause = pause_of(facts))
     {
@@ -210,7 +209,8 @@
         log.write(event_line{"server_pause"}.add("server", server).add("for_ms", *pause),
                   now);
     }
-    if (limits.record(server, {.rate = facts.rate_limit, .sent = sent, .arrived = now}))
+    if (facts.rate_limit_valid &&
+        limits.record(server, {.rate = facts.rate_limit, .sent = sent, .arrived = now}))
     {
         log_limit(server, "response");
     }
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -56,6 +56,7 @@
     bool        encoded = false;      // the body is encoded: not the server's own bytes
     std::optional<millis> idle_limit; // the server's timeout of idle connections
     std::optional<double> rate_limit; // requests per second that it takes from all VMs
+    bool rate_limit_valid = true;     // false: it states one that can't be parsed
     std::optional<millis> pause;      // after a refusal: it wants no requests for so long
     // The same as Unix ms, if the server states a time and not its own time of day.
     std::optional<std::int64_t> pause_end_unix_ms;
