Pauses of servers: a refusal with Retry-After holds the server until its end

The class: what a server asks for was a preference of the first placement, not a condition of sending. Change: the pause goes into the same holds that request_permit() checks before every request, so retries, the decode stage after a prefill, releases and role orders keep to it as first attempts do. It runs by the boot clock, ends with a new life of the server, and counts 600 s at most. After it the VM sends 1, 2, 4, 8 and 16 requests in steps of 250 ms, since the VMs that were refused together come back together. Why it works: there is no send without a permit, and no permit for a server on hold.

--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -208,6 +208,8 @@
         counters.add("server_pauses_total");
         log.write(event_line{"server_pause"}.add("server", server).add("for_ms", *pause),
                   now);
+        holds.hold(server, now + *pause);
+        ramps.insert_or_assign(server, return_ramp{holds.end(server, now).value_or(now)});
     }
     if (facts.rate_limit_valid &&
         limits.record(server, {.rate = facts.rate_limit, .sent = sent, .arrived = now}))
@@ -242,6 +244,7 @@
     health.forget(server);
     limits.forget(server);
     holds.forget(server);
+    ramps.erase(server);
     isolated_limits.erase(server);
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -21,6 +21,7 @@
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/return_ramp.hpp"
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
@@ -135,6 +136,7 @@
     server_limits                       limits;
     send_holds                          holds;           // of servers
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
+    std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
     connection_pool                     pool;
     vm_contact                          contact; // addresses of this VM
     usage_counter                       usage;
--- a/src/serving/send_permit.cpp
+++ b/src/serving/send_permit.cpp
@@ -1,4 +1,4 @@
-// Queries for units of servers' limits, and replies as their owner.
+// Pauses of servers, queries for units of their limits, and replies as their owner.
 #include "serving/send_permit.hpp"
 
 #include "policy/limit_bounds.hpp"
@@ -49,11 +49,34 @@
     co_return decide_isolated(state, query);
 }
 
+/// Holds a server whose pause has just ended if it has got as many requests as it should.
+void limit_return(entry_state& state, std::string const& server,
+                  boot_clock::time_point now)
+{
+    auto const ramp = state.ramps.find(server);
+    if (ramp == state.ramps.end())
+    {
+        return;
+    }
+    if (ramp->second.done(now))
+    {
+        state.ramps.erase(ramp);
+    }
+    else if (auto const wait = ramp->second.take(now))
+    {
+        state.holds.hold(server, now + *wait);
+    }
+}
+
 } // namespace
 
 asio::awaitable<std::optional<send_permit>> request_permit(entry_state& state,
                                                            std::string  server)
 {
+    if (!state.holds.held(server, boot_clock::now()))
+    {
+        limit_return(state, server, boot_clock::now());
+    }
     auto const rate = state.limits.rate(server);
     if (rate && !state.holds.held(server, boot_clock::now()))
     {
--- a/src/serving/send_permit.hpp
+++ b/src/serving/send_permit.hpp
@@ -1,4 +1,4 @@
-// Permission to send a request to a backend server, within the limit that it states.
+// Permission to send a request to a backend server, by what the server has stated.
 //
 // Index: 1 send_permit, 2 request_permit, 3 limit_owner
 #ifndef MARIGOLDCRANK_SERVING_SEND_PERMIT_HPP
@@ -39,7 +39,8 @@
     std::string server_;
 };
 
-/// Returns nothing if the server must not get a request now. It is then on hold in
+/// Returns nothing if the server must not get a request now: it has asked for a pause,
+/// gets its first requests after one, or has reached its limit. It is then on hold in
 /// `state.holds`, so that the next choice leaves it out. Queries the owner of the
 /// server's limit if the server states one.
 boost::asio::awaitable<std::optional<send_permit>> request_permit(entry_state& state,
--- a/tests/platform/server_fields_test.cpp
+++ b/tests/platform/server_fields_test.cpp
@@ -45,5 +45,33 @@
     EXPECT_FALSE(platform_dialect::parse_response(twice).rate_limit_valid);
 }
 
+TEST(server_fields, pause_is_in_seconds_with_fractions_and_bounded)
+{
+    EXPECT_EQ(facts_of(503, "Retry-After", "3").pause, millis{3000});
+    EXPECT_EQ(facts_of(503, "Retry-After", "0.25").pause, millis{250});
+    EXPECT_EQ(facts_of(429, "Retry-After", "0").pause, millis{0});
+    EXPECT_EQ(facts_of(503, "Retry-After", "99999999999999").pause, millis{600'000});
+    EXPECT_FALSE(facts_of(200, "Retry-After", "3").pause);
+    for (auto const* text : {"soon", "-3", "1e9", ""})
+    {
+        EXPECT_FALSE(facts_of(503, "Retry-After", text).pause) << text;
+        EXPECT_EQ(facts_of(503, "Retry-After", text).unreadable,
+                  "pause=" + std::string{text});
+    }
+}
+
+// The server's clock may differ from ours.
+TEST(server_fields, pause_until_a_date_is_compared_with_the_servers_own_clock)
+{
+    response_head head;
+    head.result(503U);
+    head.set("Retry-After", "Sun, 06 Nov 1994 08:49:40 GMT");
+    EXPECT_EQ(platform_dialect::parse_response(head).pause_end_unix_ms, 784'111'780'000);
+    head.set("Date", "Sun, 06 Nov 1994 08:49:37 GMT");
+    EXPECT_EQ(platform_dialect::parse_response(head).pause, millis{3000});
+    head.set("Date", "Sun, 06 Nov 1994 09:49:37 GMT");
+    EXPECT_EQ(platform_dialect::parse_response(head).pause, millis{0});
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
