Leaving servers: what a server says in its responses takes it out of use

Cause: the field was unread, so a VM knew of a departure only from the server's entry in the store, which can be old. The class is that of the pauses: what a server states was no condition of sending. Change: server_list marks the server as leaving from the arrival of the response. The mark overrides entries that the store still has, and ends when an entry with another start shows a new life. Placement, plans of servers and of roles read the same list, and request_permit() refuses a leaving server to requests that were placed before. Running streams are relayed to their end. Tests: platform_leaving.* (older entry, new life, running stream, malformed field).

--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -31,12 +31,33 @@
 bool server_list::put(backend_server const& server)
 {
     hold_ends_.erase(server.id);
-    auto const [at, added] = servers_.try_emplace(server.id, server);
-    bool const changed = added || at->second != server;
-    at->second = server;
+    auto       entry = server;
+    auto const marked = leaving_.find(server.id);
+    if (marked != leaving_.end() && marked->second == server.born_unix_ms)
+    {
+        entry.leaving = true;
+    }
+    else if (marked != leaving_.end())
+    {
+        leaving_.erase(marked);
+    }
+    auto const [at, added] = servers_.try_emplace(server.id, entry);
+    bool const changed = added || at->second != entry;
+    at->second = entry;
     return changed;
 }
 
+bool server_list::mark_leaving(std::string const& id)
+{
+    auto const found = servers_.find(id);
+    if (found == servers_.end())
+    {
+        return false;
+    }
+    found->second.leaving = true;
+    return leaving_.insert_or_assign(id, found->second.born_unix_ms).second;
+}
+
 bool server_list::drop(std::string const& id, boot_clock::time_point now)
 {
     if (servers_.count(id) == 0)
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -54,6 +54,10 @@
     /// Applies a complete listing; entries that it lacks are dropped.
     void replace(std::vector<backend_server> const& all, boot_clock::time_point now);
 
+    /// Marks a server that says itself that it is leaving. Its entries count as leaving
+    /// until it restarts, since the store may have older ones. True if that is new.
+    bool mark_leaving(std::string const& id);
+
     /// Called when a read of the store fails: an outage begins.
     void store_lost();
 
@@ -78,8 +82,9 @@
     server_list_options                           options_;
     std::map<std::string, backend_server>         servers_;
     std::map<std::string, boot_clock::time_point> hold_ends_; // of missing entries
-    bool                                          store_lost_ = false; // an outage is on
-    bool                                          catching_up_ = false;
+    std::map<std::string, std::int64_t> leaving_; // start of the incarnation that leaves
+    bool                                store_lost_ = false; // an outage is on
+    bool                                catching_up_ = false;
     std::optional<boot_clock::time_point> store_returned_at_; // end of the last outage
 };
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -203,6 +203,10 @@
                       .add("field", facts.unreadable),
                   now);
     }
+    if (facts.leaving && servers.mark_leaving(server))
+    {
+        log.write(event_line{"server_leaving"}.add("server", server), now);
+    }
     if (auto const pause = pause_of(facts))
     {
         counters.add("server_pauses_total");
--- a/src/serving/send_permit.cpp
+++ b/src/serving/send_permit.cpp
@@ -49,6 +49,13 @@
     co_return decide_isolated(state, query);
 }
 
+bool is_leaving(entry_state const& state, std::string const& server)
+{
+    auto const& listed = state.servers.servers();
+    auto const  found = listed.find(server);
+    return found != listed.end() && found->second.leaving;
+}
+
 /// Holds a server whose pause has just ended if it has got as many requests as it should.
 void limit_return(entry_state& state, std::string const& server,
                   boot_clock::time_point now)
@@ -92,7 +99,7 @@
                                                                     min_hold, max_hold));
         }
     }
-    if (state.holds.held(server, boot_clock::now()))
+    if (state.holds.held(server, boot_clock::now()) || is_leaving(state, server))
     {
         co_return std::nullopt;
     }
--- a/src/serving/send_permit.hpp
+++ b/src/serving/send_permit.hpp
@@ -39,10 +39,10 @@
     std::string server_;
 };
 
-/// Returns nothing if the server must not get a request now: it has asked for a pause,
-/// gets its first requests after one, or has reached its limit. It is then on hold in
-/// `state.holds`, so that the next choice leaves it out. Queries the owner of the
-/// server's limit if the server states one.
+/// Returns nothing if the server must not get a request now: it is leaving, has asked for
+/// a pause, gets its first requests after one, or has reached its limit. It is then on
+/// hold in `state.holds`, or listed as leaving, so that the next choice leaves it out.
+/// Queries the owner of the server's limit if the server states one.
 boost::asio::awaitable<std::optional<send_permit>> request_permit(entry_state& state,
                                                                   std::string  server);
 
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -55,6 +55,7 @@
     bool        closes = false;       // the connection closes after this response
     bool        encoded = false;      // the body is encoded: not the server's own bytes
     std::optional<millis> idle_limit; // the server's timeout of idle connections
+    bool                  leaving = false; // it says that it is going away
     std::optional<double> rate_limit; // requests per second that it takes from all VMs
     bool rate_limit_valid = true;     // false: it states one that can't be parsed
     std::optional<millis> pause;      // after a refusal: it wants no requests for so long
--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -49,5 +49,55 @@
     EXPECT_EQ(arrivals.count(begin + drain, steady_clock::now()), 0U);
 }
 
+// A new server at the same address and id has not said that it leaves.
+TEST(platform_leaving, new_life_of_a_server_gets_requests_again)
+{
+    arrival_times arrivals;
+    entry_cluster cluster(one_server());
+    cluster.list_server(cluster.server(0), "ready", 1'767'000'000'000);
+    std::this_thread::sleep_for(seconds{2});
+    cluster.server(0).handle_next(headed_response(arrivals, "Server-Leaving: 1\r\n"));
+    ASSERT_EQ(ask(cluster.caller_port(), {.id = "last"}).status, 200);
+    ASSERT_EQ(ask(cluster.caller_port(), {.id = "none"}).status, 503);
+    cluster.list_server(cluster.server(0), "ready", 1'767'000'009'000);
+    EXPECT_TRUE(eventually(
+        [&] { return ask(cluster.caller_port(), {.id = "new"}).status == 200; }));
+}
+
+// A stream that began before must reach its caller whole.
+TEST(platform_leaving, running_stream_is_relayed_to_its_end)
+{
+    entry_cluster cluster(one_server());
+    cluster.server(0).handle_next(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            auto head = server_standin::stream_head(request);
+            head.insert(head.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+            connection.send(head + server_standin::chunk(server_standin::event(1)));
+            std::this_thread::sleep_for(seconds{1});
+            connection.send(server_standin::chunk(server_standin::event(2)) +
+                            "0\r\n\r\n");
+            return true;
+        });
+    auto const response = ask(cluster.caller_port(), {.path = "/stream/x"});
+    EXPECT_TRUE(response.complete);
+    EXPECT_NE(response.body.find("piece 2"), std::string::npos);
+}
+
+// Text in the field is no notice: the server would be lost for good.
+TEST(platform_leaving, notice_that_can_not_be_parsed_changes_nothing)
+{
+    arrival_times arrivals;
+    entry_cluster cluster(one_server());
+    for (auto const* text : {"yes", "0", "11", "-1", ""})
+    {
+        cluster.server(0).handle_next(
+            headed_response(arrivals, "Server-Leaving: " + std::string{text} + "\r\n"));
+        EXPECT_EQ(ask(cluster.caller_port(), {.id = "c-" + std::string{text}}).status,
+                  200)
+            << text;
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
