Entry soak: servers state limits, pauses and departures

The schedule lets servers name limits of 0, 0.8, 2.5 and 12 requests a second for 8 s and more, ask for pauses of 0.7, 2 and 3 s, and leave until a new life, overlapping with stops, kills, freezes and outages. The checks are made from what servers receive and which daemon a caller used.

--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -88,6 +88,7 @@
 {
     soak_checker         checker;
     server_faults        injected;
+    soak_notices         notices(checker);
     tests::entry_cluster cluster({.daemons = vms,
                                   .servers = 3,
                                   .bounds = "usage_window_s = 2\nlease_ms = 1500\n"
@@ -96,10 +97,15 @@
     for (int index = 0; index < 3; ++index)
     {
         cluster.server(index).handle_always(
-            [&](tests::wire_request const& request, tests::wire_connection& connection)
-            { return serve_soak(checker, injected, request, connection); });
+            [&, index](tests::wire_request const& request,
+                       tests::wire_connection&    connection)
+            {
+                auto const stated =
+                    notices.on_arrival(index, request.field("request-id"));
+                return serve_soak(checker, injected, stated, request, connection);
+            });
     }
-    soak_fault_schedule schedule(cluster, checker, injected, seed);
+    soak_fault_schedule schedule(cluster, checker, injected, notices, seed);
     {
         soak_callers const load(cluster, checker, callers, seed,
                                 [&](int) { return schedule.planned_only(); });
--- a/bench/entry_soak/soak_callers.cpp
+++ b/bench/entry_soak/soak_callers.cpp
@@ -64,7 +64,7 @@
     auto const&   kind = classes[draw % classes.size()];
     auto const    key = draw / 8 % 3 == 0 ? "key-south" : "key-north";
     constexpr int deadline_ms = 4000;
-    checker_.on_sent(id, kind, key);
+    checker_.on_sent(id, kind, key, daemon);
     caller.send(tests::make_request(
         {.path = std::string{kind.path} + "x",
          .id = id,
--- a/bench/entry_soak/soak_checker.cpp
+++ b/bench/entry_soak/soak_checker.cpp
@@ -47,13 +47,20 @@
 }
 
 void soak_checker::on_sent(std::string const& id, call_class const& kind,
-                           std::string const& key)
+                           std::string const& key, int daemon)
 {
     std::lock_guard const lock{mutex_};
-    calls_[id] = {.kind = kind, .key = key};
+    calls_[id] = {.kind = kind, .key = key, .origin = {daemon, soak_clock::now()}};
     ++sent_;
 }
 
+std::optional<call_origin> soak_checker::origin(std::string const& id) const
+{
+    std::lock_guard const lock{mutex_};
+    auto const            found = calls_.find(id);
+    return found == calls_.end() ? std::nullopt : std::optional{found->second.origin};
+}
+
 void soak_checker::on_response(std::string const& id, tests::raw_response const& response)
 {
     std::lock_guard const lock{mutex_};
--- a/bench/entry_soak/soak_checker.hpp
+++ b/bench/entry_soak/soak_checker.hpp
@@ -1,6 +1,6 @@
 // Checks of the entry soak: compares what servers and callers see, and lists violations.
 //
-// Index: 1 call_class, 2 soak_checker
+// Index: 1 call_class, 2 call_origin, 3 soak_checker
 #ifndef MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_CHECKER_HPP
 #define MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_CHECKER_HPP
 
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,13 @@
 /// The classes of all calls that callers send.
 std::vector<call_class> const& call_classes();
 
+/// Where and when a call was sent.
+struct call_origin
+{
+    int                    daemon = 0;
+    soak_clock::time_point sent{};
+};
+
 /// Thread-safe. A call is checked whenever its server or its caller reports something.
 class soak_checker
 {
@@ -36,8 +44,12 @@
     /// A server begins to run a request.
     void on_run(tests::wire_request const& request);
 
-    /// A caller is about to send a call with this key.
-    void on_sent(std::string const& id, call_class const& kind, std::string const& key);
+    /// A caller is about to send a call with this key to a daemon.
+    void on_sent(std::string const& id, call_class const& kind, std::string const& key,
+                 int daemon);
+
+    /// Nothing if no caller has sent the call.
+    std::optional<call_origin> origin(std::string const& id) const;
 
     /// A caller has received a response, or none (status 0).
     void on_response(std::string const& id, tests::raw_response const& response);
@@ -71,6 +83,7 @@
     {
         call_class  kind;
         std::string key;
+        call_origin origin;
         int         runs = 0;
         bool        refused = false; // as not run: 429 or 503
     };
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -80,8 +80,9 @@
 
 soak_fault_schedule::soak_fault_schedule(tests::entry_cluster& cluster,
                                          soak_checker& checker, server_faults& injected,
-                                         std::uint64_t seed)
-    : cluster_(cluster), checker_(checker), server_faults_(injected), random_(seed)
+                                         soak_notices& notices, std::uint64_t seed)
+    : cluster_(cluster), checker_(checker), server_faults_(injected), notices_(notices),
+      random_(seed)
 {
 }
 
@@ -128,6 +129,21 @@
                                       {
                                           return set(server_faults_.full);
                                       }}};
+    // Long enough for a limit to bind and to fill a window.
+    constexpr milliseconds limit_time{8000};
+    for (double const limit : {0.0, 0.8, 2.5, 12.0})
+    {
+        all.push_back({"server-limit", true,
+                       [this, limit] { return state({.limit = limit}); }, limit_time});
+    }
+    for (double const pause_s : {0.7, 2.0, 3.0})
+    {
+        all.push_back({"server-pause", true,
+                       [this, pause_s] { return state({.pause_s = pause_s}); },
+                       milliseconds{2000}});
+    }
+    all.push_back({"server-leaving", true, [this] { return state({.leaving = true}); },
+                   milliseconds{4000}});
     for (auto const& fault : store_faults)
     {
         all.push_back({fault.name, false,
@@ -147,8 +163,15 @@
         all.push_back({fault.at_server, false,
                        [&]
                        {
-                           return begin_relay_fault(
-                               cluster_.server_relay(random_below(servers)), fault);
+                           auto const server = random_below(servers);
+                           notices_.on_network_changed(server);
+                           auto end =
+                               begin_relay_fault(cluster_.server_relay(server), fault);
+                           return [this, server, end]
+                           {
+                               end();
+                               notices_.on_network_changed(server);
+                           };
                        }});
     }
     return all;
@@ -163,6 +186,26 @@
     };
 }
 
+/// A server states `notice` until its end, at which a leaving server starts a new life.
+std::function<void()> soak_fault_schedule::state(server_notice const& notice)
+{
+    auto const server = random_below(servers);
+    if (!notices_.begin(server, notice))
+    {
+        return [] {
+        };
+    }
+    bool const leaving = notice.leaving;
+    return [this, server, leaving]
+    {
+        notices_.end(server);
+        if (leaving)
+        {
+            cluster_.list_server(cluster_.server(server), "ready", ++born_);
+        }
+    };
+}
+
 std::function<void()> soak_fault_schedule::begin_relay_fault(tests::tcp_relay&  relay,
                                                              relay_fault const& fault)
 {
@@ -183,6 +226,7 @@
     }
     disrupted_[static_cast<std::size_t>(index)] = true;
     cluster_.daemon(index).signal(SIGTERM);
+    notices_.on_daemon_disrupted(index);
     return [this, index]
     {
         if (cluster_.daemon(index).wait(stop_timeout_ms) < 0)
@@ -191,6 +235,7 @@
                                    std::to_string(index));
         }
         cluster_.restart(index);
+        notices_.on_daemon_disrupted(index);
         disrupted_[static_cast<std::size_t>(index)] = false;
     };
 }
@@ -205,9 +250,11 @@
     }
     disrupted_[static_cast<std::size_t>(index)] = true;
     cluster_.daemon(index).signal(SIGKILL);
+    notices_.on_daemon_disrupted(index);
     return [this, index]
     {
         cluster_.restart(index);
+        notices_.on_daemon_disrupted(index);
         disrupted_[static_cast<std::size_t>(index)] = false;
     };
 }
@@ -222,9 +269,11 @@
     }
     disrupted_[static_cast<std::size_t>(index)] = true;
     cluster_.daemon(index).signal(SIGSTOP);
+    notices_.on_daemon_disrupted(index);
     return [this, index]
     {
         cluster_.daemon(index).signal(SIGCONT);
+        notices_.on_daemon_disrupted(index);
         disrupted_[static_cast<std::size_t>(index)] = false;
     };
 }
@@ -254,7 +303,8 @@
     auto const  all = all_faults();
     auto const& kind =
         all[static_cast<std::size_t>(random_below(static_cast<int>(all.size())))];
-    auto const length = min_fault_time + milliseconds{random_below(max_extra_fault_ms)};
+    auto const length =
+        min_fault_time + milliseconds{random_below(max_extra_fault_ms)} + kind.longer;
     auto const now = soak_clock::now();
     std::cout << "fault " << kind.name << " for " << length.count() << " ms\n";
     auto end = kind.begin();
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -26,7 +26,8 @@
 {
 public:
     soak_fault_schedule(tests::entry_cluster& cluster, soak_checker& checker,
-                        server_faults& injected, std::uint64_t seed);
+                        server_faults& injected, soak_notices& notices,
+                        std::uint64_t seed);
 
     /// Begins and ends faults for `length`, then ends those that are still active.
     void run(std::chrono::seconds length);
@@ -39,7 +40,8 @@
     {
         char const*                            name;
         bool                                   planned;
-        std::function<std::function<void()>()> begin; // returns what ends it
+        std::function<std::function<void()>()> begin;     // returns what ends it
+        std::chrono::milliseconds              longer{0}; // added to its random length
     };
 
     std::vector<scheduled_fault> all_faults();
@@ -53,16 +55,19 @@
     std::function<void()> begin_store_fault(tests::store_fault_kind kind);
     std::function<void()> withdraw_key();
     std::function<void()> set(std::atomic<bool>& flag);
+    std::function<void()> state(server_notice const& notice);
     std::function<void()> begin_relay_fault(tests::tcp_relay&  relay,
                                             relay_fault const& fault);
 
     tests::entry_cluster&                                        cluster_;
     soak_checker&                                                checker_;
     server_faults&                                               server_faults_;
+    soak_notices&                                                notices_;
     std::mt19937_64                                              random_;
     std::multimap<soak_clock::time_point, std::function<void()>> pending_ends_;
     std::array<bool, 3>          disrupted_{}; // by daemon
     std::uint64_t                version_ = 1;
+    std::int64_t                 born_ = 1'767'000'000'000; // of servers' next lives
     std::atomic<soak_clock::rep> unplanned_until_{0};
 };
 
--- a/bench/entry_soak/soak_servers.cpp
+++ b/bench/entry_soak/soak_servers.cpp
@@ -30,12 +30,31 @@
     return std::chrono::milliseconds{std::hash<std::string>{}(id) % longest_ms};
 }
 
-bool serve_stream(server_faults const& faults, tests::wire_request const& request,
-                  tests::wire_connection& connection)
+/// The response with the header fields that state a notice.
+std::string with_notice(std::string response, server_notice const& stated)
+{
+    std::string fields;
+    if (stated.limit)
+    {
+        fields += "Server-Limit: " + std::to_string(*stated.limit) + "\r\n";
+    }
+    if (stated.pause_s > 0)
+    {
+        fields += "Retry-After: " + std::to_string(stated.pause_s) + "\r\n";
+    }
+    if (stated.leaving)
+    {
+        fields += "Server-Leaving: 1\r\n";
+    }
+    return response.insert(response.find("\r\n") + 2, fields);
+}
+
+bool serve_stream(server_faults const& faults, server_notice const& stated,
+                  tests::wire_request const& request, tests::wire_connection& connection)
 {
     auto const after = request.field("last-event-id");
     int const  first = after.empty() ? 1 : std::stoi(after) + 1;
-    connection.send(server_standin::stream_head(request));
+    connection.send(with_notice(server_standin::stream_head(request), stated));
     for (int number = first; number <= event_count; ++number)
     {
         if (faults.crashing && number == event_count / 2)
@@ -72,27 +91,30 @@
 }
 
 bool serve_soak(soak_checker& checker, server_faults const& faults,
-                tests::wire_request const& request, tests::wire_connection& connection)
+                server_notice const& stated, tests::wire_request const& request,
+                tests::wire_connection& connection)
 {
     auto const id = request.field("request-id");
     auto const kind = class_of(request);
-    if (faults.full)
+    if (faults.full || stated.pause_s > 0)
     {
-        connection.send(server_standin::not_executed_response(request));
+        connection.send(
+            with_notice(server_standin::not_executed_response(request), stated));
         return true;
     }
     checker.on_run(request);
     std::this_thread::sleep_for(service_time(id));
     if (kind.streamed)
     {
-        return serve_stream(faults, request, connection);
+        return serve_stream(faults, stated, request, connection);
     }
     if (faults.crashing)
     {
         connection.reset();
         return false;
     }
-    connection.send(server_standin::signed_response(request, body_of(id, kind)));
+    connection.send(
+        with_notice(server_standin::signed_response(request, body_of(id, kind)), stated));
     return true;
 }
 
--- a/bench/entry_soak/soak_servers.hpp
+++ b/bench/entry_soak/soak_servers.hpp
@@ -6,6 +6,7 @@
 
 #include "platform/support/server_standin.hpp"
 #include "soak_checker.hpp"
+#include "soak_notices.hpp"
 
 #include <atomic>
 #include <string>
@@ -27,8 +28,10 @@
 std::string body_of(std::string const& id, call_class const& kind);
 
 /// Records the run of a call and responds after 0 to 59 ms, depending on the call's id.
+/// The response has what `stated` says about the server.
 bool serve_soak(soak_checker& checker, server_faults const& faults,
-                tests::wire_request const& request, tests::wire_connection& connection);
+                server_notice const& stated, tests::wire_request const& request,
+                tests::wire_connection& connection);
 
 } // namespace marigoldcrank::soak
 
