A misdirected response says nothing about the listed server

A response with 421 is of another server, which has got the address. Its limit or departure was taken for that of the listed server: the listed one got no calls until it was listed anew (test: 503 instead of 200, twice), and a 421 without a limit could have ended the limit of the listed one. Such responses aren't recorded any more. The bound of pauses is defined once.

--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -40,13 +40,13 @@
 /// here; the pause itself runs by the boot clock.
 std::optional<millis> pause_of(response_facts const& facts)
 {
-    constexpr millis max_pause{600'000}; // 600000  ms
     if (!facts.pause_end_unix_ms)
     {
         return facts.pause;
     }
     auto const now = static_cast<std::int64_t>(unix_millis());
-    return std::clamp(millis{*facts.pause_end_unix_ms - now}, millis{0}, max_pause);
+    return std::clamp(millis{*facts.pause_end_unix_ms - now}, millis{0},
+                      max_server_pause);
 }
 
 vm_contact contact_of(entry_settings const& settings)
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -88,7 +88,10 @@
             facts_ = Dialect::parse_response(connection_->head());
             if (facts_.call_id.empty() || facts_.call_id == request.call_id)
             {
-                state_.record_response(server_.id, facts_, sent_at);
+                if (facts_.status != status_misdirected)
+                {
+                    state_.record_response(server_.id, facts_, sent_at);
+                }
                 co_return evaluate_head();
             }
             // This is a late response to an earlier call. It is skipped, and the
@@ -148,6 +151,8 @@
     }
 
 private:
+    // The response is of another server, which has got the address.
+    static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
     static constexpr std::size_t max_body_size = 16U << 20U; // 16 MiB; plain responses
     // 400  ms; far above any round trip within a region: the server is unreachable or its
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -45,6 +45,9 @@
     bool operator==(attempt_options const&) const = default;
 };
 
+// 600000  ms; a longer pause that a server asks for is taken for this long
+inline constexpr millis max_server_pause{600'000};
+
 /// What a response head says about the server and the state of the call.
 struct response_facts
 {
--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -99,5 +99,26 @@
     }
 }
 
+// The response of another server, which has got the address, was taken for the listed
+// one's.
+TEST(platform_leaving, misdirected_response_says_nothing_about_the_listed_server)
+{
+    entry_cluster cluster(one_server());
+    cluster.server(0).handle_next(
+        [](wire_request const&, wire_connection& connection)
+        {
+            connection.send(wire_response(421,
+                                          "Instance-Id: i-other\r\nServer-Leaving: 1\r\n"
+                                          "Server-Limit: 0\r\n",
+                                          ""));
+            return true;
+        });
+    static_cast<void>(ask(cluster.caller_port(), {.path = "/once/x", .id = "other"}));
+    EXPECT_EQ(ask(cluster.caller_port(), {.id = "first"}).status, 200);
+    EXPECT_EQ(ask(cluster.caller_port(), {.id = "second"}).status, 200);
+    EXPECT_EQ(cluster.output().find("ev=server_leaving"), std::string::npos);
+    EXPECT_EQ(cluster.output().find("ev=server_limit"), std::string::npos);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
