--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -129,21 +129,8 @@
                                       {
                                           return set(server_faults_.full);
                                       }}};
-    // Long enough for a limit to bind and to fill a window.
-    constexpr milliseconds limit_time{8000};
-    for (double const limit : {0.0, 0.8, 2.5, 12.0})
-    {
-        all.push_back({"server-limit", true,
-                       [this, limit] { return state({.limit = limit}); }, limit_time});
-    }
-    for (double const pause_s : {0.7, 2.0, 3.0})
-    {
-        all.push_back({"server-pause", true,
-                       [this, pause_s] { return state({.pause_s = pause_s}); },
-                       milliseconds{2000}});
-    }
-    all.push_back({"server-leaving", true, [this] { return state({.leaving = true}); },
-                   milliseconds{4000}});
+    auto const                   notices = notice_faults();
+    all.insert(all.end(), notices.begin(), notices.end());
     for (auto const& fault : store_faults)
     {
         all.push_back({fault.name, false,
@@ -177,6 +164,27 @@
     return all;
 }
 
+std::vector<soak_fault_schedule::scheduled_fault> soak_fault_schedule::notice_faults()
+{
+    std::vector<scheduled_fault> all;
+    // Long enough for a limit to bind and to fill a window.
+    constexpr milliseconds limit_time{8000};
+    for (double const limit : {0.0, 0.8, 2.5, 12.0})
+    {
+        all.push_back({"server-limit", true,
+                       [this, limit] { return state({.limit = limit}); }, limit_time});
+    }
+    for (double const pause_s : {0.7, 2.0, 3.0})
+    {
+        all.push_back({"server-pause", true,
+                       [this, pause_s] { return state({.pause_s = pause_s}); },
+                       milliseconds{2000}});
+    }
+    all.push_back({"server-leaving", true, [this] { return state({.leaving = true}); },
+                   milliseconds{4000}});
+    return all;
+}
+
 std::function<void()> soak_fault_schedule::set(std::atomic<bool>& flag)
 {
     flag = true;
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -45,6 +45,7 @@
     };
 
     std::vector<scheduled_fault> all_faults();
+    std::vector<scheduled_fault> notice_faults();
     void                         begin_random_fault();
     void                         end_due(soak_clock::time_point now);
     int                          random_below(int count);
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -136,12 +136,13 @@
             auto const  candidates = attempts_.servers_to_try();
             auto const* chosen =
                 place_plain(candidates, state_.settings.data_centre, state_.tie_break());
-            if (chosen == nullptr && co_await wait_for_hold())
-            {
-                continue;
-            }
             if (chosen == nullptr)
             {
+                bool const waited = co_await wait_for_hold();
+                if (waited)
+                {
+                    continue;
+                }
                 co_return co_await end_without_server();
             }
             backend_server const server = *chosen; // copy: the list may change
@@ -226,12 +227,13 @@
         {
             auto const first = placement_.choose_first(
                 attempts_.servers_to_try(), !prefill_attempted_ && !stream_.started());
-            if (!first && co_await wait_for_hold())
-            {
-                continue;
-            }
             if (!first)
             {
+                bool const waited = co_await wait_for_hold();
+                if (waited)
+                {
+                    continue;
+                }
                 co_return co_await end_without_server();
             }
             auto const retry_after =
@@ -295,22 +297,29 @@
     boost::asio::awaitable<std::optional<send_permit>>
     choose_decode_server(backend_server& decode_server)
     {
-        bool allowed = attempts_.may_run_after_prefill();
-        while (allowed)
+        if (!attempts_.may_run_after_prefill())
+        {
+            co_return std::nullopt;
+        }
+        while (attempts_.time_left())
         {
             auto const  candidates = attempts_.servers_to_try();
             auto const* chosen = placement_.choose_decode_engine(candidates);
-            if (chosen != nullptr)
+            if (chosen == nullptr)
             {
-                decode_server = *chosen;
-                auto permit = co_await request_permit(state_, decode_server.id);
-                if (permit)
+                bool const waited = co_await wait_for_hold();
+                if (waited)
                 {
-                    co_return permit;
+                    continue;
                 }
+                break;
+            }
+            decode_server = *chosen;
+            auto permit = co_await request_permit(state_, decode_server.id);
+            if (permit)
+            {
+                co_return permit;
             }
-            allowed =
-                (chosen != nullptr || co_await wait_for_hold()) && attempts_.time_left();
         }
         co_return std::nullopt;
     }
--- a/tests/unit/server_limits_test.cpp
+++ b/tests/unit/server_limits_test.cpp
@@ -153,6 +153,39 @@
     }
 }
 
+// Each side of a network partition has an owner, and neither knows what the other grants.
+TEST(server_limits, sides_of_a_partition_together_stay_within_a_limit)
+{
+    for (double const limit : {0.5, 2.2, 20.0})
+    {
+        for (double const share : {0.5, 0.67, 0.9})
+        {
+            token_bucket large(shared_limit_bounds(limit, share), at_ms(0));
+            token_bucket small(shared_limit_bounds(limit, 1 - share), at_ms(0));
+            std::deque<std::int64_t> granted;
+            std::size_t              most = 0;
+            for (std::int64_t now = 0; now < 60'000; now += 5)
+            {
+                while (!large.take(1, at_ms(now)))
+                {
+                    granted.push_back(now);
+                }
+                while (!small.take(1, at_ms(now)))
+                {
+                    granted.push_back(now);
+                }
+                while (!granted.empty() && granted.front() <= now - 4000)
+                {
+                    granted.pop_front();
+                }
+                most = std::max(most, granted.size());
+            }
+            EXPECT_LE(most, static_cast<std::size_t>(1.5 * limit * 4 + 5)) << share;
+            EXPECT_GE(most, static_cast<std::size_t>(limit * 3)) << share;
+        }
+    }
+}
+
 // A VM without replies must not use the whole limit, since the others do so too.
 TEST(server_limits, isolated_vm_sends_its_part_only)
 {
