Permits: a VM without a link to the others uses its part; callers that left send nothing

Two faults of the limits found while reading the change. A VM that has other VMs in its settings but no link to their owners took the whole limit, as a single VM may; it now takes its part. A caller that left while its call waited for a permit was noticed only after the call had been sent.

--- a/src/policy/return_ramp.hpp
+++ b/src/policy/return_ramp.hpp
@@ -32,11 +32,6 @@
     {
     }
 
-    boot_clock::time_point end() const noexcept
-    {
-        return end_;
-    }
-
     /// Whether the ramp is over.
     bool done(boot_clock::time_point now) const
     {
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -147,6 +147,10 @@
             }
             backend_server const server = *chosen; // copy: the list may change
             auto const           permit = co_await request_permit(state_, server.id);
+            if (caller_.check_disconnected())
+            {
+                co_return;
+            }
             if (!permit && attempts_.time_left())
             {
                 continue; // the server is on hold, so another one is chosen
@@ -254,6 +258,10 @@
             planned.server = nullptr;
             planned.fetch_from = nullptr;
             auto permit = co_await request_permit(state_, decode_server.id);
+            if (caller_.check_disconnected())
+            {
+                co_return;
+            }
             if (!permit && attempts_.time_left())
             {
                 continue; // the server is on hold, so another one is chosen
--- a/src/serving/send_permit.cpp
+++ b/src/serving/send_permit.cpp
@@ -23,7 +23,7 @@
 bucket_answer decide_isolated(entry_state& state, bucket_query const& query)
 {
     auto const now = boot_clock::now();
-    bool const alone = state.owners == nullptr;
+    bool const alone = state.settings.peers.port == 0;
     auto const bounds =
         alone ? shared_limit_bounds(query.rate, 1)
               : isolated_limit_bounds(query.rate, state.fleet.single_vm_share());
