--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -1,6 +1,7 @@
 // Serves one call: admits and places it, sends it to servers, relays the response.
 //
-// Index: 1 connection_disposition, 2 call_runner: plain calls, streams, prefill, ends
+// Index: 1 connection_disposition, 2 call_runner: permits, plain calls, streams, prefill,
+//        ends
 //
 // A call that may not be repeated is sent again only if the server has stated that it did
 // not run it, or if no byte of it was sent. The caller gets 503 only if that holds for
@@ -127,37 +128,82 @@
         return admitted_.matched->kind == call_kind::stream;
     }
 
+    /// Whether the final response has been sent, or the connection aborted.
+    bool ended() const
+    {
+        return !outcome_.empty();
+    }
+
+    // Permits
+
+    /// Asks for a permit and starts an attempt. Returns nothing if another server is to
+    /// be chosen, since this one must not get the call now, or if the call has ended.
+    boost::asio::awaitable<std::optional<send_permit>> begin_attempt(std::string server)
+    {
+        auto       permit = co_await request_permit(state_, std::move(server));
+        bool const choose_again =
+            caller_.check_disconnected() || (!permit && attempts_.time_left());
+        if (choose_again)
+        {
+            co_return std::nullopt;
+        }
+        if (permit && attempts_.may_start_attempt())
+        {
+            co_return permit;
+        }
+        co_await end_without_server();
+        co_return std::nullopt;
+    }
+
+    /// Waits for the first server on hold if its hold ends soon. Returns false if there
+    /// is none, or if the call has waited before.
+    boost::asio::awaitable<bool> wait_for_hold()
+    {
+        constexpr int objective_part = 4; // waits for at most this part of the objective
+        auto const end = state_.first_hold_end(admitted_.service_name, boot_clock::now());
+        if (!end)
+        {
+            co_return false;
+        }
+        attempts_.fault("on_hold");
+        if (hold_waited_ || *end > admitted_.matched->objective / objective_part)
+        {
+            co_return false;
+        }
+        hold_waited_ = true;
+        co_await loop_sleep(*end);
+        co_return true;
+    }
+
+    /// Waits for the first server on hold if its hold ends soon, or ends the call.
+    boost::asio::awaitable<void> wait_or_end()
+    {
+        bool const waited = co_await wait_for_hold();
+        if (!waited)
+        {
+            co_await end_without_server();
+        }
+    }
+
     // Plain calls
 
     boost::asio::awaitable<void> serve_plain()
     {
-        while (!caller_.check_disconnected())
+        while (!ended() && !caller_.check_disconnected())
         {
             auto const  candidates = attempts_.servers_to_try();
             auto const* chosen =
                 place_plain(candidates, state_.settings.data_centre, state_.tie_break());
             if (chosen == nullptr)
             {
-                bool const waited = co_await wait_for_hold();
-                if (waited)
-                {
-                    continue;
-                }
-                co_return co_await end_without_server();
+                co_await wait_or_end();
+                continue;
             }
             backend_server const server = *chosen; // copy: the list may change
-            auto const           permit = co_await request_permit(state_, server.id);
-            if (caller_.check_disconnected())
-            {
-                co_return;
-            }
-            if (!permit && attempts_.time_left())
+            auto const           permit = co_await begin_attempt(server.id);
+            if (!permit)
             {
-                continue; // the server is on hold, so another one is chosen
-            }
-            if (!permit || !attempts_.may_start_attempt())
-            {
-                co_return co_await end_without_server();
+                continue;
             }
             exchange               link{state_, server, *permit};
             current_exchange_guard use{*this, link};
@@ -227,18 +273,14 @@
     boost::asio::awaitable<void> serve_stream()
     {
         placement_.count_demand(arrived_);
-        while (!caller_.check_disconnected())
+        while (!ended() && !caller_.check_disconnected())
         {
             auto const first = placement_.choose_first(
                 attempts_.servers_to_try(), !prefill_attempted_ && !stream_.started());
             if (!first)
             {
-                bool const waited = co_await wait_for_hold();
-                if (waited)
-                {
-                    continue;
-                }
-                co_return co_await end_without_server();
+                co_await wait_or_end();
+                continue;
             }
             auto const retry_after =
                 wait_checked_ ? std::nullopt : placement_.queue_retry_after(*first);
@@ -257,18 +299,10 @@
             // The plan points to servers that may be removed while this waits.
             planned.server = nullptr;
             planned.fetch_from = nullptr;
-            auto permit = co_await request_permit(state_, decode_server.id);
-            if (caller_.check_disconnected())
-            {
-                co_return;
-            }
-            if (!permit && attempts_.time_left())
-            {
-                continue; // the server is on hold, so another one is chosen
-            }
-            if (!permit || !attempts_.may_start_attempt())
+            auto permit = co_await begin_attempt(decode_server.id);
+            if (!permit)
             {
-                co_return co_await end_without_server();
+                continue;
             }
             if (planned.prefill_only)
             {
@@ -286,7 +320,7 @@
                 {
                     co_await end_without_server();
                 }
-                if (caller_.disconnected() || !outcome_.empty())
+                if (caller_.disconnected() || ended())
                 {
                     release(prefill_server, source);
                     co_return;
@@ -332,26 +366,6 @@
         co_return std::nullopt;
     }
 
-    /// Waits for the first server on hold if its hold ends soon. Returns false if there
-    /// is none, or if the call has waited before.
-    boost::asio::awaitable<bool> wait_for_hold()
-    {
-        constexpr int objective_part = 4; // waits for at most this part of the objective
-        auto const end = state_.first_hold_end(admitted_.service_name, boot_clock::now());
-        if (!end)
-        {
-            co_return false;
-        }
-        attempts_.fault("on_hold");
-        if (hold_waited_ || *end > admitted_.matched->objective / objective_part)
-        {
-            co_return false;
-        }
-        hold_waited_ = true;
-        co_await loop_sleep(*end);
-        co_return true;
-    }
-
     /// Runs the prefill at `server`. Returns where the KV cache is (ADDRESS/HANDLE), or
     /// an empty string if the prefill failed.
     boost::asio::awaitable<std::string>
