--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -136,8 +136,8 @@
 
     // Permits
 
-    /// Asks for a permit and starts an attempt. Returns nothing if another server is to
-    /// be chosen, since this one must not get the call now, or if the call has ended.
+    /// Asks for a permit and starts an attempt. Returns nothing if the server must not
+    /// get the call now, so that another one is tried, or if the call has ended.
     boost::asio::awaitable<std::optional<send_permit>> begin_attempt(std::string server)
     {
         auto       permit = co_await request_permit(state_, std::move(server));
