A repeat under an idempotency key gets the result that its VM has not read yet

Callers saw 409 in_progress instead of the stored answer when they repeated a call at another VM right after the first answer. The first VM answers once it has read its own result back; the other one follows the log by its own long poll and may know only the claim. A claim of another VM that has no result here is now followed by the intent of the repeat, which the log puts behind all earlier records: once it is read back, the result is known if there is one. While the log fails, the answer is in_progress as before.

idempotency_log.repeat_gets_the_result_that_its_vm_has_not_read_yet plays a VM that has not read the result; the code before answers in_progress each time.

--- a/src/app/idempotency_log.hpp
+++ b/src/app/idempotency_log.hpp
@@ -75,13 +75,15 @@
     call_claim claim(wire::call_intent intent)
     {
         intent.set_owner(self_);
-        if (auto const earlier = find(intent.key_hash()))
+        auto const earlier = find(intent.key_hash());
+        auto const verdict = earlier ? decide(*earlier, intent) : call_claim{};
+        if (earlier && !may_be_outdated(*earlier))
         {
-            return decide(*earlier, intent);
+            return verdict;
         }
         if (log_is_failing())
         {
-            return {};
+            return verdict;
         }
         {
             std::lock_guard const lock(mutex_);
@@ -94,7 +96,7 @@
             // The intent may still reach the log later. The call was not and never will
             // be dispatched, so a release lets the next attempt with this key run.
             withdraw_claim(intent, sent);
-            return {};
+            return verdict;
         }
         auto const holder = find(intent.key_hash());
         if (holder && holder->request_id == intent.request_id())
@@ -180,6 +182,15 @@
         return {running ? claim_verdict::in_progress : claim_verdict::owner_lost, entry};
     }
 
+    /// Whether the log may hold the result of an earlier attempt that was not read yet.
+    /// Another VM returns its response once it has read its own result back, and a repeat
+    /// may arrive here sooner. The intent of the repeat, once read back, shows that every
+    /// earlier record was read.
+    bool may_be_outdated(call_entry const& entry) const
+    {
+        return entry.phase == call_phase::intended && entry.owner != self_;
+    }
+
     bool is_running_here(std::string const& request_id) const
     {
         std::lock_guard const lock(mutex_);
