Token sequencer: the missing token is taken while the buffer is full

With 256 tokens held out of order, the one that they waited for was taken for a duplicate and dropped, so the stream could not become whole in this attempt. The limit now applies only to tokens ahead of the next one. token_sequencer_value.missing_token_is_taken_when_the_buffer_is_full.

--- a/src/app/token_sequencer.hpp
+++ b/src/app/token_sequencer.hpp
@@ -30,7 +30,7 @@
 struct sequenced_event
 {
     std::vector<std::string> tokens; // that are now in order, each returned once
-    bool dropped = false;            // of another request or attempt, or a duplicate
+    bool dropped = false; // of another request or attempt, a duplicate, or too far ahead
 
     bool operator==(sequenced_event const&) const = default;
 };
@@ -67,9 +67,11 @@
                 engine_count{event.prompt_tokens, event.output_tokens, event.cancelled});
             return {{}, !first};
         }
-        bool const duplicate =
-            event.sequence < next_ || out_of_order_.size() >= max_ahead;
-        if (duplicate || !out_of_order_.emplace(event.sequence, event.text).second)
+        // The next token is always accepted: it empties the buffer.
+        bool const no_room =
+            event.sequence != next_ && out_of_order_.size() >= max_ahead;
+        bool const unusable = event.sequence < next_ || no_room;
+        if (unusable || !out_of_order_.emplace(event.sequence, event.text).second)
         {
             return {{}, true};
         }
--- a/tests/property/request_values_property_test.cpp
+++ b/tests/property/request_values_property_test.cpp
@@ -109,6 +109,29 @@
     RC_ASSERT(!sequencer.is_complete() || expected == count);
 }
 
+// The buffer of early tokens is full when the missing one arrives.
+TEST(token_sequencer_value, missing_token_is_taken_when_the_buffer_is_full)
+{
+    constexpr std::uint64_t count = 300;
+    token_sequencer         sequencer("own");
+    sequencer.begin_attempt(1);
+    auto const take = [&](std::uint64_t sequence)
+    {
+        stream_event event;
+        event.request_id = "own";
+        event.attempt = 1;
+        event.sequence = sequence;
+        event.text = std::to_string(sequence);
+        return sequencer.take(event).tokens.size();
+    };
+    for (std::uint64_t sequence = 1; sequence < count; ++sequence)
+    {
+        EXPECT_EQ(take(sequence), 0U);
+    }
+    EXPECT_EQ(take(0), 257U); // 256 were buffered, later ones were dropped
+    EXPECT_EQ(sequencer.next(), 257U);
+}
+
 RC_GTEST_PROP(retry_budget_value, retries_stay_under_the_share_and_the_burst, ())
 {
     retry_budget_options const options{.percent = *rc::gen::inRange(0, 101),
