--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -22,13 +22,17 @@
 
 contacts choose_best(contacts members, std::size_t count)
 {
-    std::sort(members.begin(), members.end(),
-              [](vm_contact const& left, vm_contact const& right)
-              {
-                  return std::tuple{-left.capacity, rank_of(left), left} <
-                         std::tuple{-right.capacity, rank_of(right), right};
-              });
-    members.resize(std::min(members.size(), count));
+    auto const kept = std::min(members.size(), count);
+    std::partial_sort(members.begin(),
+                      members.begin() + static_cast<std::ptrdiff_t>(kept), members.end(),
+                      [](vm_contact const& left, vm_contact const& right)
+                      {
+                          using order =
+                              std::tuple<std::int64_t, std::uint64_t, vm_contact const&>;
+                          return order{-left.capacity, rank_of(left), left} <
+                                 order{-right.capacity, rank_of(right), right};
+                      });
+    members.resize(kept);
     return members;
 }
 
@@ -69,6 +73,35 @@
     return records;
 }
 
+/// Relays of other data centres in an order that differs between the VMs, so that the
+/// members of a data centre without relays spread over all of them.
+std::vector<std::string> backup_sources(std::map<std::string, contacts> const& centres,
+                                        vm_contact const&         own,
+                                        relay_plan_options const& options)
+{
+    std::map<std::uint64_t, std::string> ranked;
+    for (auto const& [name, members] : centres)
+    {
+        for (auto const& vm : name == own.data_centre
+                                  ? contacts{}
+                                  : choose_best(members, options.relays))
+        {
+            auto const seed = rank_of(own);
+            ranked[XXH3_64bits_withSeed(vm.records.data(), vm.records.size(), seed)] =
+                vm.records;
+        }
+    }
+    std::vector<std::string> result;
+    for (auto const& [rank, address] : ranked)
+    {
+        if (!address.empty() && result.size() < options.backups)
+        {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 relay_plan plan_relays(std::set<vm_contact> const& vms, vm_contact const& own,
@@ -83,7 +116,7 @@
     }
     auto const own_relays = choose_best(centres[own.data_centre], options.relays);
     relay_plan plan;
-    plan.mesh = all.size() <= options.mesh;
+    plan.mesh = std::max(all.size(), options.vms) <= options.mesh;
     plan.serves_records =
         std::find(own_relays.begin(), own_relays.end(), own) != own_relays.end();
     plan.first_relay = own_relays.front() == own;
@@ -102,6 +135,10 @@
         }
     }
     plan.records = record_sources(centres, own_relays, own);
+    if (!plan.mesh && !plan.relay)
+    {
+        plan.backups = backup_sources(centres, own, options);
+    }
     for (auto const& [name, members] : centres)
     {
         for (auto const& vm : choose_best(members, options.relays))
@@ -115,4 +152,19 @@
     return plan;
 }
 
+bool would_be_relay(std::set<vm_contact> const& listed, vm_contact const& own,
+                    relay_plan_options const& options)
+{
+    contacts members{own};
+    for (auto const& vm : listed)
+    {
+        if (vm.data_centre == own.data_centre && vm != own)
+        {
+            members.push_back(vm);
+        }
+    }
+    auto const best = choose_best(std::move(members), options.relays);
+    return std::find(best.begin(), best.end(), own) != best.end();
+}
+
 } // namespace marigoldcrank
--- a/tests/unit/relay_plan_test.cpp
+++ b/tests/unit/relay_plan_test.cpp
@@ -194,5 +194,57 @@
     EXPECT_EQ(store_readers(vms).size(), 1U);
 }
 
+// Both relays of a data centre are lost at once. If its members all read the store or all
+// asked the same relays, these would be lost next.
+TEST(relay_plan, members_have_backups_that_spread_over_other_data_centres)
+{
+    auto const                 vms = fleet(5, 190, 10);
+    std::map<std::string, int> members; // by backup
+    for (auto const& own : vms)
+    {
+        auto const plan = plan_relays(vms, own, {});
+        if (own.data_centre != "centre-0" || plan.relay)
+        {
+            EXPECT_EQ(plan.backups.empty(), plan.relay);
+            continue;
+        }
+        ASSERT_EQ(plan.backups.size(), 2U);
+        for (auto const& each : plan.backups)
+        {
+            EXPECT_NE(each.substr(0, 5), "10.0.");
+        }
+        ++members[plan.backups.front()];
+    }
+    EXPECT_EQ(members.size(), 8U);
+    for (auto const& [relay, count] : members)
+    {
+        EXPECT_LT(count, 2 * 198 / 8) << relay;
+    }
+}
+
+// A VM that has just started knows only the relays. It must not take the fleet for a small
+// one, in which every VM receives from every other.
+TEST(relay_plan, vm_that_knows_only_the_relays_of_a_large_fleet_is_a_member)
+{
+    auto const           vms = fleet(5, 190, 10);
+    std::set<vm_contact> relays;
+    for (auto const& each : vms)
+    {
+        if (plan_relays(vms, each, {}).relay)
+        {
+            relays.insert(each);
+        }
+    }
+    ASSERT_EQ(relays.size(), 10U);
+    vm_contact const own{.digests = "10.0.9.9:7780",
+                         .records = "10.0.9.9:7795",
+                         .data_centre = "centre-0",
+                         .capacity = 120};
+    EXPECT_TRUE(plan_relays(relays, own, {}).mesh);
+    auto all = vms;
+    all.insert(own);
+    EXPECT_EQ(plan_relays(relays, own, {.vms = 985}), plan_relays(all, own, {}));
+}
+
 } // namespace
 } // namespace marigoldcrank
