Calls consider a few servers, drawn from an index, where a service has hundreds

Cause: each attempt looked at every server of its service, by name in six tables: 3,000 servers are 3 ms of a core, 25 ms on 0.12 of one, two or three times a call. Above 256 servers a call now draws some at random, some in its own data centre, the rendezvous engine of its prompt and a few that have parts of it cached. Services up to 256 servers are placed as before.

--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -43,7 +43,12 @@
     }
     auto const [at, added] = servers_.try_emplace(server.id, entry);
     bool const changed = added || at->second != entry;
-    at->second = entry;
+    if (changed)
+    {
+        index_.erase(at->second);
+        at->second = entry;
+        index_.insert(at->second);
+    }
     return changed;
 }
 
@@ -54,7 +59,9 @@
     {
         return false;
     }
+    index_.erase(found->second);
     found->second.leaving = true;
+    index_.insert(found->second);
     return leaving_.insert_or_assign(id, found->second.born_unix_ms).second;
 }
 
@@ -69,11 +76,21 @@
     {
         return hold_ends_.try_emplace(id, until).second;
     }
-    hold_ends_.erase(id);
-    servers_.erase(id);
+    erase(id);
     return true;
 }
 
+void server_list::erase(std::string const& id)
+{
+    hold_ends_.erase(id);
+    auto const found = servers_.find(id);
+    if (found != servers_.end())
+    {
+        index_.erase(found->second);
+        servers_.erase(found);
+    }
+}
+
 void server_list::replace(std::vector<backend_server> const& all,
                           boot_clock::time_point             now)
 {
@@ -140,8 +157,7 @@
     }
     for (auto const& id : gone)
     {
-        hold_ends_.erase(id);
-        servers_.erase(id);
+        erase(id);
     }
     return gone;
 }
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -13,6 +13,7 @@
 #define MARIGOLDCRANK_LEDGER_SERVER_LIST_HPP
 
 #include "domain/backend_server.hpp"
+#include "ledger/server_index.hpp"
 
 #include <map>
 #include <optional>
@@ -42,6 +43,8 @@
 {
 public:
     explicit server_list(server_list_options options = {});
+    server_list(server_list const&) = delete; // the index points into it
+    server_list& operator=(server_list const&) = delete;
 
     /// Adds or replaces a server's entry, which ends its hold. True if the entry is new
     /// or has changed.
@@ -75,12 +78,21 @@
 
     std::map<std::string, backend_server> const& servers() const noexcept;
 
+    /// The same servers by service and role.
+    server_index const& index() const noexcept
+    {
+        return index_;
+    }
+
 private:
+    void erase(std::string const& id);
+
     /// Until when an entry that is dropped now stays usable; `now` if it isn't held.
     boot_clock::time_point hold_until(boot_clock::time_point now) const;
 
     server_list_options                           options_;
     std::map<std::string, backend_server>         servers_;
+    server_index                                  index_;
     std::map<std::string, boot_clock::time_point> hold_ends_; // of missing entries
     std::map<std::string, std::int64_t> leaving_; // start of the incarnation that leaves
     bool                                store_lost_ = false; // an outage is on
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -133,13 +133,24 @@
             prefill_engines_ += is_prefill_engine(each) && !each.avoided ? 1 : 0;
             decode_engines_ += !is_prefill_engine(each) && !each.avoided ? 1 : 0;
             cached_anywhere_ = cached_anywhere_ || each.cached > 0;
+            if (each.rendezvous && !each.avoided)
+            {
+                (is_prefill_engine(each) ? prefill_rendezvous_ : decode_rendezvous_) =
+                    each.server;
+            }
             bool const better = best_cache_ == nullptr || each.ready > best_cache_->ready;
             if (!each.avoided && each.ready > 0 && better)
             {
                 best_cache_ = &each;
             }
         }
-        if (!cached_anywhere_ && !call.shared_prefix_id().empty())
+        bool const drawn = prefill_rendezvous_ != nullptr || decode_rendezvous_ != nullptr;
+        if (drawn && cached_anywhere_)
+        {
+            prefill_rendezvous_ = nullptr;
+            decode_rendezvous_ = nullptr;
+        }
+        else if (!drawn && !cached_anywhere_ && !call.shared_prefix_id().empty())
         {
             prefill_rendezvous_ =
                 rendezvous_engine(candidates, call.shared_prefix_id(), true);
--- a/src/policy/prefix_directory.cpp
+++ b/src/policy/prefix_directory.cpp
@@ -117,6 +117,62 @@
     return result;
 }
 
+cached_tokens prefix_directory::cached_at(std::string const&              server,
+                                          std::vector<prompt_part> const& prompt,
+                                          boot_clock::time_point          now) const
+{
+    cached_tokens result;
+    bool          ready = true;
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index)
+    {
+        auto const part = parts_.find(part_hash(prompt[index].id));
+        if (part == parts_.end())
+        {
+            break;
+        }
+        auto const held = part->second.find(server);
+        if (held == part->second.end() || !alive(held->second, now))
+        {
+            break;
+        }
+        ready = ready && held->second.ready <= now;
+        result.all += prompt[index].tokens;
+        result.ready += ready ? prompt[index].tokens : 0;
+    }
+    return result;
+}
+
+std::vector<std::string>
+prefix_directory::holders_of(std::vector<prompt_part> const& prompt,
+                             std::string const& start, std::size_t count,
+                             boot_clock::time_point now) const
+{
+    std::vector<std::string> result;
+    for (std::size_t index = prompt.empty() ? 0 : prompt.size() - 1; index > 0; --index)
+    {
+        auto const part = parts_.find(part_hash(prompt[index - 1].id));
+        if (part == parts_.end())
+        {
+            continue;
+        }
+        auto const& uses = part->second;
+        auto const  looked_at = std::min(uses.size(), count * 2);
+        auto        at = uses.lower_bound(start);
+        for (std::size_t step = 0; step < looked_at && result.size() < count; ++step)
+        {
+            at = at == uses.end() ? uses.begin() : at;
+            bool const listed =
+                std::find(result.begin(), result.end(), at->first) != result.end();
+            if (!listed && cached_at(at->first, prompt, now).all > 0)
+            {
+                result.push_back(at->first);
+            }
+            ++at;
+        }
+    }
+    return result;
+}
+
 prefix_updates_by_source prefix_directory::take_updates()
 {
     prefix_updates_by_source result;
--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -89,6 +89,18 @@
     std::map<std::string, cached_tokens> cached(std::vector<prompt_part> const& prompt,
                                                 boot_clock::time_point now) const;
 
+    /// Cached tokens of the prompt's shared parts at one engine.
+    cached_tokens cached_at(std::string const&              server,
+                            std::vector<prompt_part> const& prompt,
+                            boot_clock::time_point          now) const;
+
+    /// Some engines that have shared parts of the prompt cached, those with the longest
+    /// parts first; at most `count`. Thousands of engines may hold a part that most
+    /// prompts share, so the search among them begins at the id `start`.
+    std::vector<std::string> holders_of(std::vector<prompt_part> const& prompt,
+                                        std::string const& start, std::size_t count,
+                                        boot_clock::time_point now) const;
+
     /// Takes the updates since the last call. Only a relay passes on what it received.
     prefix_updates_by_source take_updates();
 
@@ -108,7 +120,7 @@
         boot_clock::time_point ready{}; // end of the prefill
     };
 
-    using holders = std::map<std::string, use>;
+    using uses_by_server = std::map<std::string, use>;
     using part_set = std::unordered_set<std::uint64_t>;
     using pending_parts = std::map<std::string, std::vector<std::uint64_t>>;
 
@@ -126,8 +138,8 @@
 
     std::vector<prefix_update> take(pending_parts& from) const;
 
-    prefix_directory_options                   options_;
-    std::unordered_map<std::uint64_t, holders> parts_;
+    prefix_directory_options                          options_;
+    std::unordered_map<std::uint64_t, uses_by_server> parts_;
     // The parts of each engine. Without this index, removing an engine would search every
     // part, and a fleet can lose a hundred engines at once.
     std::unordered_map<std::string, part_set> parts_by_server_;
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -20,10 +20,19 @@
 
 std::vector<candidate> call_attempts::servers_to_try()
 {
-    auto const now = boot_clock::now();
-    auto       untried = state_.candidates(admitted_.service_name, tried_, now);
+    auto untried = candidates_except(tried_);
     more_servers_ = untried.size() > 1;
-    return untried.empty() ? state_.candidates(admitted_.service_name, {}, now) : untried;
+    return untried.empty() ? candidates_except({}) : untried;
+}
+
+std::vector<candidate>
+call_attempts::candidates_except(std::set<std::string> const& tried)
+{
+    auto const  now = boot_clock::now();
+    auto const& service = admitted_.service_name;
+    return state_.draws_candidates(service)
+               ? state_.draw_candidates(service, tried, call_, now)
+               : state_.candidates(service, tried, now);
 }
 
 bool call_attempts::may_start_attempt()
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -100,6 +100,8 @@
     }
 
 private:
+    std::vector<candidate> candidates_except(std::set<std::string> const& tried);
+
     attempt_limits terms() const;
     /// Takes one retry from the budget of the service; false if it is exhausted.
     bool take_retry();
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -24,6 +24,14 @@
 constexpr std::int64_t assumed_vms_parts = 5;
 // 100   VMs assumed while none is known; more than present deployments have
 constexpr std::int64_t default_vms = 100;
+// 256   servers of a service; of more a call considers a few: the time to look at all of
+//       them would be a large part of its objective on a tenth of a core
+constexpr std::size_t max_considered_servers = 256;
+// 4, 2 and 8 servers of a role that a call considers at random from the whole service and
+//       from its own data centre, and of those that have parts of its prompt cached
+constexpr int         drawn_anywhere = 4;
+constexpr int         drawn_near = 2;
+constexpr std::size_t drawn_holders = 8;
 // 500   ms; a VM without a digest for so long, the time of three digests and a late one,
 //       is taken for silent
 constexpr millis peer_timeout{500};
@@ -79,6 +87,29 @@
            keys_fresh(now);
 }
 
+bool entry_state::may_get_work(backend_server const&        server,
+                               std::set<std::string> const& tried,
+                               boot_clock::time_point       now) const
+{
+    return !server.leaving && tried.count(server.id) == 0 &&
+           changing.count(server.id) == 0 && servers.usable(server.id, now) &&
+           !holds.held(server.id, now);
+}
+
+candidate entry_state::candidate_of(backend_server const&  server,
+                                    boot_clock::time_point now) const
+{
+    candidate  result{.server = &server,
+                     .load = peers.at(server.id, now),
+                     .avoided = health.avoided(server.id, now)};
+    auto const load = loads.find(server.id);
+    if (load != loads.end())
+    {
+        result.load.add(load->second);
+    }
+    return result;
+}
+
 std::vector<candidate> entry_state::candidates(std::string const&           service,
                                                std::set<std::string> const& tried,
                                                boot_clock::time_point       now) const
@@ -86,21 +117,89 @@
     std::vector<candidate> result;
     for (auto const& [id, server] : servers.servers())
     {
-        bool const unavailable = server.leaving || tried.count(id) > 0 ||
-                                 changing.count(id) > 0 || !servers.usable(id, now) ||
-                                 holds.held(id, now);
-        if (server.group != service || unavailable)
+        if (server.group == service && may_get_work(server, tried, now))
         {
-            continue;
+            result.push_back(candidate_of(server, now));
+        }
+    }
+    return result;
+}
+
+bool entry_state::draws_candidates(std::string const& service) const
+{
+    auto const& index = servers.index();
+    return index.size(service, engine_ring::prefill) +
+               index.size(service, engine_ring::others) >
+           max_considered_servers;
+}
+
+std::vector<candidate> entry_state::draw_candidates(std::string const&           service,
+                                                    std::set<std::string> const& tried,
+                                                    caller_call const&           call,
+                                                    boot_clock::time_point       now)
+{
+    std::map<std::string, candidate> drawn;
+    std::string                      any; // a server at random
+    auto const                       add = [&](backend_server const* server)
+    {
+        return server == nullptr
+                   ? nullptr
+                   : &drawn.try_emplace(server->id, candidate_of(*server, now))
+                          .first->second;
+    };
+    auto const usable = [&](backend_server const& server)
+    {
+        return may_get_work(server, tried, now);
+    };
+    auto const near = [&](backend_server const& server)
+    {
+        return server.data_centre == settings.data_centre && usable(server);
+    };
+    auto const sound = [&](backend_server const& server)
+    {
+        return usable(server) && !health.avoided(server.id, now);
+    };
+    auto const& index = servers.index();
+    for (auto const ring : {engine_ring::prefill, engine_ring::others})
+    {
+        for (int count = 0; count < drawn_anywhere; ++count)
+        {
+            auto const* server = index.first_from(service, ring, tie_break(), usable);
+            add(server);
+            any = server == nullptr ? any : server->id;
         }
-        auto const load = loads.find(id);
-        candidate  each{.server = &server,
-                        .load = peers.at(id, now),
-                        .avoided = health.avoided(id, now)};
-        if (load != loads.end())
+        for (int count = 0; count < drawn_near; ++count)
         {
-            each.load.add(load->second);
+            add(index.first_from(service, ring, tie_break(), near));
         }
+        auto const  shared = call.shared_prefix_id();
+        auto const  hash = part_hash(shared);
+        auto* const chosen =
+            shared.empty() ? nullptr : add(index.first_from(service, ring, hash, sound));
+        if (chosen != nullptr)
+        {
+            chosen->rendezvous = true;
+        }
+    }
+    auto const holders =
+        settings.directory ? prefixes.holders_of(call.prompt, any, drawn_holders, now)
+                           : std::vector<std::string>{};
+    for (auto const& id : holders)
+    {
+        auto const listed = servers.servers().find(id);
+        if (listed != servers.servers().end() && listed->second.group == service &&
+            usable(listed->second))
+        {
+            add(&listed->second);
+        }
+    }
+    std::vector<candidate> result;
+    for (auto& [id, each] : drawn)
+    {
+        auto const cached =
+            settings.directory ? prefixes.cached_at(id, call.prompt, now) : cached_tokens{};
+        each.cached = cached.all;
+        each.ready = cached.ready;
         result.push_back(each);
     }
     return result;
@@ -125,12 +224,7 @@
 
 std::int64_t entry_state::staying_servers(std::string const& service) const
 {
-    auto const& all = servers.servers();
-    return std::count_if(all.begin(), all.end(),
-                         [&](auto const& entry) {
-                             return !entry.second.leaving &&
-                                    entry.second.group == service;
-                         });
+    return servers.index().staying(service);
 }
 
 millis entry_state::digest_age() const
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -71,6 +71,17 @@
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
+    /// Whether a service has so many servers that a call considers only a few of them.
+    bool draws_candidates(std::string const& service) const;
+
+    /// A few servers of `service` that may get new work, other than those in `tried`: some
+    /// at random, some in this data centre, and those that suit the prompt by what they
+    /// have cached or by its hash.
+    std::vector<candidate> draw_candidates(std::string const&           service,
+                                           std::set<std::string> const& tried,
+                                           caller_call const&           call,
+                                           boot_clock::time_point       now);
+
     /// The time until the first server of `service` that is on hold may be sent to again;
     /// nothing if none is on hold.
     std::optional<millis> first_hold_end(std::string const&     service,
@@ -165,6 +176,10 @@
 private:
     void log_limit(std::string const& server, std::string_view learned_from);
 
+    bool may_get_work(backend_server const& server, std::set<std::string> const& tried,
+                      boot_clock::time_point now) const;
+    candidate candidate_of(backend_server const& server, boot_clock::time_point now) const;
+
     std::map<std::string, retry_budget> budgets_;
     std::mt19937_64                     random_;
 };
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -116,6 +116,7 @@
     auto const& prefills = meter().dedicated();
     auto const& colocated = meter().colocated();
     auto const& pauses = state_.pauses[admitted_.service_name];
+    bool const  drawn = state_.draws_candidates(admitted_.service_name);
     return {
         .prefill_rate = prefills.speed(),
         .colocated_rate = colocated.speed(),
@@ -126,7 +127,9 @@
         .observed = prefills.observed(),
         .unreported_ms = state_.settings.spread_choices ? unreported_ms() : 0,
         .sampled_engines =
-            state_.settings.spread_choices && state_.relays_used() ? sampled_engines : 0};
+            state_.settings.spread_choices && state_.relays_used() && !drawn
+                ? sampled_engines
+                : 0};
 }
 
 double model_placement::unreported_ms() const
@@ -142,7 +145,8 @@
 std::vector<candidate>
 model_placement::with_cached_tokens(std::vector<candidate> candidates) const
 {
-    if (!state_.settings.directory)
+    bool const known = state_.draws_candidates(admitted_.service_name);
+    if (!state_.settings.directory || known)
     {
         return candidates;
     }
