--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -32,6 +32,22 @@
     bool   relayed = false;           // sent by another VM, which has waited for updates
     millis age{0}; // ms; the content was current this long before the read was sent;
                    // negative: it was still current this long after
+    std::vector<std::uint64_t> offsets; // of `records`; empty: they are consecutive
+    std::optional<std::uint64_t>
+         covered; // where to read on, if records without a change are left out
+    bool trimmed =
+        false; // the sender can't tell the changes since `from`, only the state
+
+    std::uint64_t offset_at(std::size_t place) const
+    {
+        return offsets.empty() ? from + place : offsets[place];
+    }
+
+    /// The offset from which to read on.
+    std::uint64_t next() const
+    {
+        return covered.value_or(from + records.size());
+    }
 
     bool operator==(log_chunk const&) const = default;
 };
@@ -50,8 +66,10 @@
 struct keyed_page
 {
     std::vector<keyed_record> records;
-    std::uint64_t             end = 0;      // offset from which to read on
-    bool                      more = false; // further pages follow
+    std::uint64_t             end = 0;         // offset from which to read on
+    bool                      more = false;    // further pages follow
+    millis                    age{0};          // ms; as of log_chunk
+    bool                      relayed = false; // sent by another VM
 
     bool operator==(keyed_page const&) const = default;
 };
@@ -80,21 +98,25 @@
 template <class Value>
 using store_result = std::variant<Value, store_failure>;
 
+/// Size of a response to a read, unless the reader asks for less.
+inline constexpr std::size_t default_read_kb = 1024;
+
 /// Append, read and listing of the newest record per key. Each concurrent user has a lane
 /// (a connection) of its own, given by number. `append` returns the offset of the new
 /// records; with `at`, it appends only if the topic ends there. `read` waits up to `wait`
-/// for a record. `newest` returns the page of records after a key.
+/// for a record, and returns about `max_kb` of them. `newest` returns the page of records
+/// after a key.
 template <class Store>
 concept log_store_port = requires(Store& store, std::string const& topic,
                                   std::vector<std::string> const& records,
                                   std::optional<std::uint64_t> at, std::uint64_t from,
-                                  millis wait, unsigned lane)
+                                  millis wait, std::size_t max_kb, unsigned lane)
 {
     {
         store.append(lane, topic, records, at)
         } -> std::same_as<boost::asio::awaitable<store_result<std::uint64_t>>>;
     {
-        store.read(lane, topic, from, wait)
+        store.read(lane, topic, from, wait, max_kb)
         } -> std::same_as<boost::asio::awaitable<store_result<log_chunk>>>;
     {
         store.newest(lane, topic, topic)
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -65,7 +65,11 @@
             if (closing || retries || now - usage_read_at_ >= pause_between)
             {
                 usage_read_at_ = now;
-                co_await read_usage();
+                bool more = true;
+                while (more)
+                {
+                    more = co_await read_usage();
+                }
             }
             if (closing || retries)
             {
@@ -81,6 +85,11 @@
         return "duty";
     }
 
+    static std::string usage_topic()
+    {
+        return "usage";
+    }
+
     /// The VMs that append usage.
     std::set<vm_contact> vms() const
     {
@@ -163,6 +172,7 @@
         bool const  appended = offset != nullptr;
         if (appended && !usage_started_)
         {
+            usage_anchor_ = *offset;
             start_usage_log(*offset > recent_records ? *offset - recent_records : 0);
         }
         if (!appended)
@@ -196,19 +206,19 @@
     static constexpr unsigned     duty_lane = 2;
     static constexpr unsigned     usage_lane = 3;
     static constexpr std::int64_t retained_windows = 8; // windows; more than are ever due
-    // 400   records; more than the fleet has VMs, each of which appends a record every
-    //       window
-    static constexpr std::uint64_t recent_records = 400;
-    static constexpr millis        lane_poll{
+    // 64    records before its first one from which a VM reads: four windows of the
+    // largest
+    //       fleet without relays. Larger ones are known by more writers
+    static constexpr std::uint64_t recent_records = 64;
+    // 32    KiB of records per read of a VM that doesn't know the size of the fleet
+    static constexpr std::size_t first_read_kb = 32;
+    // 4     windows; older ones are sealed
+    static constexpr std::int64_t sealed_after = 4;
+    static constexpr millis       lane_poll{
         20}; // 20   ms; between checks whether the lane is free
     static constexpr millis usage_poll{
         300}; // 300  ms; between checks for a closed window
 
-    static std::string usage_topic()
-    {
-        return "usage";
-    }
-
     // Lease
 
     /// Time until the next read of the duty log. It is shorter while the holder is
@@ -328,14 +338,14 @@
             auto const record = parse_duty_record(chunk.records[at]);
             if (record)
             {
-                log_.apply(*record, chunk.from + at, boot_clock::now());
+                log_.apply(*record, chunk.offset_at(at), boot_clock::now());
             }
             else
             {
-                log_.skip(chunk.from + at, boot_clock::now());
+                log_.skip(chunk.offset_at(at), boot_clock::now());
             }
         }
-        bool const whole = chunk.from + chunk.records.size() >= chunk.end;
+        bool const whole = chunk.next() >= chunk.end;
         if (whole)
         {
             co_return read_step::complete;
@@ -374,24 +384,24 @@
                          boot_clock::now());
     }
 
-    /// Reads new records of the usage log.
+    /// Reads new records of the usage log. True if more follow.
     ///
-    /// When hundreds of VMs lose power and start at once, and each reads the whole usage
-    /// log, the reads use up the store's bandwidth, reads of rules time out, and their
-    /// retries keep the store overloaded. A VM therefore starts reading shortly before
-    /// its own first record, which is enough to learn the other VMs. Only VMs that others
-    /// query, and the holder of the lease, read the whole log.
-    boost::asio::awaitable<void> read_usage()
+    /// When hundreds of VMs start at once, and each reads the records of all, the reads
+    /// use up the store's bandwidth, reads of rules time out, and their retries keep the
+    /// store overloaded. A VM therefore starts reading shortly before its own first
+    /// record, and goes on at the store only in a small fleet. Only VMs that others
+    /// query, and the holder of the lease, read the windows that are not sealed yet.
+    boost::asio::awaitable<bool> read_usage()
     {
         bool const serves_others = state_.serves_peers && state_.known_vms > 0;
         bool const held = log_.held_until(boot_clock::now()).has_value();
         if (usage_started_ && !usage_complete_ && (serves_others || held))
         {
-            start_usage_log(0);
+            extend_usage_log();
         }
         if (!usage_started_)
         {
-            co_return; // the first append returns the end of the log
+            co_return false; // the first append returns the end of the log
         }
         while (usage_lane_busy_) // a lane allows one call at a time
         {
@@ -399,28 +409,50 @@
         }
         usage_lane_busy_ = true;
         auto result =
-            co_await store_.read(usage_lane, usage_topic(), usage_next_, millis{0});
+            co_await store_.read(usage_lane, usage_topic(), usage_next_, millis{0},
+                                 reads_whole_log() ? default_read_kb : first_read_kb);
         usage_lane_busy_ = false;
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             usage_next_ =
                 failure->fault == store_fault::trimmed ? failure->offset : usage_next_;
             usage_read_ = false;
-            co_return;
+            co_return false;
         }
         auto const& chunk = std::get<log_chunk>(result);
         for (auto const& text : chunk.records)
         {
             if (auto const record = parse_usage_record(text))
             {
+                usage_complete_ =
+                    usage_complete_ || record->window < current_window() - sealed_after;
                 state_.usage_known.apply(*record);
             }
         }
-        usage_next_ = chunk.from + chunk.records.size();
+        bool const progress = chunk.next() > usage_next_;
+        usage_next_ = chunk.next();
         usage_read_ = usage_next_ >= chunk.end;
         auto const window = current_window();
         state_.usage_known.forget_before(window - retained_windows);
         state_.known_vms = static_cast<std::int64_t>(state_.usage_known.writers());
+        // A member of a large fleet reads on through its relays.
+        bool const may_read_on =
+            !state_.relays_used() || reads_whole_log() || state_.reads_via_peers;
+        co_return progress && !usage_read_ && may_read_on;
+    }
+
+    /// Whether this VM passes the records of a large fleet on, and has found the first
+    /// one.
+    bool reads_whole_log() const
+    {
+        return usage_complete_ && state_.relays_used() && state_.serves_peers;
+    }
+
+    /// Reads the usage log again from further back, until it has a sealed window.
+    void extend_usage_log()
+    {
+        usage_back_ *= 4;
+        start_usage_log(usage_anchor_ > usage_back_ ? usage_anchor_ - usage_back_ : 0);
     }
 
     /// Builds the seals of the windows that are due: all VMs have appended their counts
@@ -550,14 +582,16 @@
     std::vector<usage_record> pending_;        // not known to be appended
     std::uint64_t             usage_next_ = 0; // next offset to read
     boot_clock::time_point    usage_read_at_{};
-    retry_gate                append_gate_;            // limits retries of `pending_`
-    bool                      usage_read_ = false;     // the log is read up to its end
-    bool                      usage_started_ = false;  // `usage_next_` is set
-    bool                      usage_complete_ = false; // read from the oldest record on
-    std::int64_t              appended_before_ = 0;    // windows before it are appended
-    bool                      usage_lane_busy_ = false;
-    bool                      held_ = false;
-    std::int64_t reported_up_to_ = 0; // last of the windows reported without a gap
+    retry_gate                append_gate_;           // limits retries of `pending_`
+    bool                      usage_read_ = false;    // the log is read up to its end
+    bool                      usage_started_ = false; // `usage_next_` is set
+    bool          usage_complete_ = false;      // read from the first unsealed window on
+    std::uint64_t usage_anchor_ = 0;            // offset of the first own record
+    std::uint64_t usage_back_ = recent_records; // records before it that are read
+    std::int64_t  appended_before_ = 0;         // windows before it are appended
+    bool          usage_lane_busy_ = false;
+    bool          held_ = false;
+    std::int64_t  reported_up_to_ = 0; // last of the windows reported without a gap
     std::set<std::int64_t> reported_windows_; // reported windows after that one
     fleet_orders<Duties>   fleet_;
 };
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -8,6 +8,7 @@
 #include "serving/duty_worker.hpp"
 #include "serving/listener.hpp"
 #include "serving/peer_exchange.hpp"
+#include "serving/relay_registry.hpp"
 #include "serving/shared_store.hpp"
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
@@ -30,8 +31,14 @@
           state_(settings, settings.name + "/" + std::to_string(unix_millis())),
           store_(settings.store), shared_(store_), duties_(settings.duties),
           rules_(state_, shared_), servers_(state_, shared_),
-          worker_(state_, shared_, duties_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          worker_(state_, shared_, duties_), registry_(state_, shared_),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
+        shared_.read_directly(relay_registry<shared_store<Store>, Codec>::topic(), true);
+        shared_.set_fallback(Codec::servers_topic(), store_fallback::relays_silent);
+        shared_.set_fallback(worker_.duty_topic(), store_fallback::relays_silent);
+        shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
+        shared_.set_formats(&entry_node::format_of);
         shared_.limit_age(Codec::servers_topic(), max_servers_age);
         shared_.limit_age(Codec::rules_topic(), max_rules_age);
     }
@@ -45,6 +52,7 @@
         spawn(follow_store());
         spawn(run_housekeeping());
         spawn(exchange_with_peers());
+        spawn(run_registry());
         spawn(await_signals());
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
@@ -68,8 +76,8 @@
     static constexpr millis max_rules_age{1400};
     // 200   ms; between flushes of the log and checks for idle connections
     static constexpr millis housekeeping_interval{200};
-    // 1500  ms; longest wait to discover other VMs when all start at once
-    static constexpr millis max_discovery{1500};
+    // 4000  ms; longest wait to discover other VMs when all start at once
+    static constexpr millis max_discovery{4000};
     // 50    ms; between checks whether any are known
     static constexpr millis discovery_poll{50};
     // 1000  ms; between relay plans, each of which sorts all VMs
@@ -118,16 +126,14 @@
                                      [this] { return state_.log.dropped(); });
     }
 
-    /// Starts the readers of the store; on a first start only once other VMs are known,
-    /// or `max_discovery` has passed. When all VMs of a large fleet start at once, each
-    /// would otherwise list and read every topic before it knows which VM to query.
-    /// Callers come seconds after such a start, so there is time to wait.
+    /// Starts the readers of the store once other VMs are known, or `max_discovery` has
+    /// passed. When all VMs of a large fleet start at once, each would otherwise list and
+    /// read every topic before it knows which VM to query.
     boost::asio::awaitable<void> follow_store()
     {
         auto const began = boot_clock::now();
         bool const alone = state_.settings.peers.port == 0;
-        while (state_.settings.first_start && !alone && !peers_known_ &&
-               boot_clock::now() - began < max_discovery)
+        while (!alone && !peers_known_ && boot_clock::now() - began < max_discovery)
         {
             co_await loop_sleep(discovery_poll);
         }
@@ -136,6 +142,15 @@
         spawn(worker_.run_duties());
     }
 
+    boost::asio::awaitable<void> run_registry()
+    {
+        bool const alone = state_.settings.peers.port == 0;
+        if (!alone)
+        {
+            co_await registry_.run();
+        }
+    }
+
     boost::asio::awaitable<void> run_housekeeping()
     {
         while (true)
@@ -154,19 +169,26 @@
         {
             co_return;
         }
-        peer_exchange exchange{loop_, state_, change_filters()};
+        peer_exchange exchange{loop_, state_, &entry_node::format_of};
         shared_.set_link(exchange.records());
         while (true)
         {
             auto const now = boot_clock::now();
-            if (now - planned_at_ >= plan_interval || state_.known_vms != planned_vms_)
+            if (now - planned_at_ >= plan_interval || state_.known_vms != planned_vms_ ||
+                registry_.listed() != planned_listed_)
             {
                 planned_at_ = now;
+                planned_listed_ = registry_.listed();
+                auto const told = state_.relays_used()
+                                      ? std::max(registry_.vms(), state_.known_vms)
+                                      : 0;
+                state_.known_vms = std::max(state_.known_vms, told);
                 planned_vms_ = state_.known_vms;
-                exchange.follow(worker_.vms());
+                exchange.follow(registry_.contacts(worker_.vms()), told);
             }
             exchange.publish_digests();
-            peers_known_ = peers_known_ || state_.known_vms > 0;
+            bool const small = state_.known_vms > 0 && !state_.relays_used();
+            peers_known_ = peers_known_ || small || registry_.listed();
             shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
             shared_.passes_on(state_.serves_peers);
             shared_.relays_used(state_.relays_used());
@@ -174,15 +196,13 @@
         }
     }
 
-    /// Filters that pass only records with a change: most records of servers only report
-    /// that the server is alive.
-    static peer_exchange::filter_factory change_filters()
+    static topic_format format_of(std::string const& topic)
     {
-        return [](std::string const& topic)
+        if (topic == Codec::servers_topic())
         {
-            return topic == Codec::servers_topic() ? changed_entries<Codec>()
-                                                   : topic_mirror::change_filter{};
-        };
+            return server_entries_format<Codec>();
+        }
+        return topic == Codec::rules_topic() ? keyed_format<Codec>() : topic_format{};
     }
 
     void log_readiness()
@@ -316,12 +336,14 @@
     rules_follower<shared_store<Store>, Codec>   rules_;
     servers_follower<shared_store<Store>, Codec> servers_;
     duty_worker<shared_store<Store>, Duties>     worker_;
+    relay_registry<shared_store<Store>, Codec>   registry_;
     idle_connections                             idle_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_at_{};
     boot_clock::time_point                       planned_at_{}; // the last relay plan
     std::int64_t planned_vms_ = -1;                             // VMs known at that time
-    bool         peers_known_ = false; // other VMs can be queried
+    bool         planned_listed_ = false; // whether relays were listed at that time
+    bool         peers_known_ = false;    // other VMs can be queried
     bool         ready_ = false;
 };
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -58,12 +58,12 @@
 } // namespace
 
 peer_exchange::peer_exchange(boost::asio::io_context& loop, entry_state& state,
-                             filter_factory make_filter)
+                             record_link::format_source format_of)
     : state_(state), context_(std::make_unique<zmq::context_t>(1)),
       records_(state.contact.records.empty()
                    ? nullptr
                    : std::make_unique<record_link>(loop, *context_, state.contact.records,
-                                                   std::move(make_filter))),
+                                                   std::move(format_of))),
       owners_(records_ ? std::make_unique<owner_link>(loop, *context_, state, *records_)
                        : nullptr),
       quotas_(owners_ ? std::make_unique<quota_gate>(state, *owners_) : nullptr),
@@ -156,16 +156,19 @@
     }
 }
 
-void peer_exchange::follow(std::set<vm_contact> const& vms)
+void peer_exchange::follow(std::set<vm_contact> const& vms, std::int64_t told)
 {
     auto plan = plan_relays(vms, state_.contact,
-                            {.mesh = static_cast<std::size_t>(state_.settings.mesh)});
+                            {.mesh = static_cast<std::size_t>(state_.settings.mesh),
+                             .vms = static_cast<std::size_t>(told)});
     log_plan(plan);
     digests_.follow(plan.digests, scopes_of(plan));
-    state_.serves_peers = plan.serves_records;
-    state_.is_first_relay = plan.first_relay;
+    // A VM of a large fleet that knows no other is no relay yet.
+    bool const alone = vms.empty() && told > state_.settings.mesh;
+    state_.serves_peers = plan.serves_records && !alone;
+    state_.is_first_relay = plan.first_relay && !alone;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
-    listed_vms_ = static_cast<std::int64_t>(vms.size());
+    listed_vms_ = std::max(static_cast<std::int64_t>(vms.size()), told);
     if (owners_)
     {
         owners_->follow(plan.owners);
@@ -174,8 +177,10 @@
     }
     if (records_)
     {
-        records_->follow(plan.records);
-        records_->serve(plan.serves_records);
+        auto sources = plan.records;
+        sources.insert(sources.end(), plan.backups.begin(), plan.backups.end());
+        records_->follow(sources);
+        records_->serve(state_.serves_peers);
     }
     plan_ = std::move(plan);
 }
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -1,7 +1,7 @@
 // Exchanges load digests and records of the store with other entry VMs, as the relay plan
 // says.
 //
-// Index: 1 peer_exchange, 2 changed_entries
+// Index: 1 peer_exchange, 2 server_entries_format, 3 keyed_format
 #ifndef MARIGOLDCRANK_SERVING_PEER_EXCHANGE_HPP
 #define MARIGOLDCRANK_SERVING_PEER_EXCHANGE_HPP
 
@@ -22,17 +22,16 @@
 class peer_exchange
 {
 public:
-    using filter_factory = std::function<topic_mirror::change_filter(std::string const&)>;
-
     /// Throws zmq::error_t if an address can't be bound.
     peer_exchange(boost::asio::io_context& loop, entry_state& state,
-                  filter_factory make_filter);
+                  record_link::format_source format_of);
     ~peer_exchange();
     peer_exchange(peer_exchange const&) = delete;
     peer_exchange& operator=(peer_exchange const&) = delete;
 
-    /// Makes the relay plan for these VMs, and connects to the VMs that it names.
-    void follow(std::set<vm_contact> const& vms);
+    /// Makes the relay plan for these VMs, and connects to the VMs that it names. `told`
+    /// is the number of VMs as relays tell it, 0 if they don't.
+    void follow(std::set<vm_contact> const& vms, std::int64_t told);
 
     /// Publishes digests, and replies to queries that have waited long enough.
     void publish_digests();
@@ -60,29 +59,30 @@
     std::int64_t                    listed_vms_ = 0; // VMs in the last relay plan
 };
 
-/// Filter for entries of servers: passes records that change what is known of their
-/// server. Without it every VM would decode each heartbeat of each server.
+/// Format of the topic of servers' entries. Most records only report that the server is
+/// alive, so they aren't passed on.
 template <class Codec>
-topic_mirror::change_filter changed_entries()
+topic_format server_entries_format()
 {
-    return [known = std::map<std::string, std::optional<backend_server>>{}](
-               std::string const& text) mutable
-    {
-        auto const record = Codec::keyed(text, 0);
-        if (!record)
-        {
-            return false;
-        }
-        auto server =
-            record->value ? Codec::server(record->key, *record->value) : std::nullopt;
-        auto const [entry, added] = known.try_emplace(record->key, server);
-        if (!added && entry->second == server)
-        {
-            return false;
-        }
-        entry->second = std::move(server);
-        return true;
-    };
+    return {.read = &Codec::keyed,
+            .write = &Codec::keyed_text,
+            .is_change = [](keyed_record const& before, keyed_record const& after)
+            {
+                auto const server = [](keyed_record const& record)
+                {
+                    return record.value ? Codec::server(record.key, *record.value)
+                                        : std::nullopt;
+                };
+                return before.value.has_value() != after.value.has_value() ||
+                       server(before) != server(after);
+            }};
+}
+
+/// Format of a topic of which every record counts as a change of its key.
+template <class Codec>
+topic_format keyed_format()
+{
+    return {.read = &Codec::keyed, .write = &Codec::keyed_text};
 }
 
 } // namespace marigoldcrank
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -4,6 +4,8 @@
 // Index: 1 relays and queries, 2 state: querying, replying, 3 record_link
 #include "serving/record_link.hpp"
 
+#include "serving/keyed_mirror.hpp"
+#include "serving/topic_mirror.hpp"
 #include "serving/watched_socket.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -12,8 +14,11 @@
 #include <wire.pb.h>
 
 #include <algorithm>
+#include <iterator>
 #include <list>
 #include <map>
+#include <utility>
+#include <variant>
 
 namespace marigoldcrank
 {
@@ -30,6 +35,14 @@
 constexpr millis reply_margin{250};
 // 500   ms; backoff for a relay without fresh records
 constexpr millis stale_backoff{500};
+// 32    KiB of records in a reply; a slow link passes them on well within the margin. The
+//       rest follows in further replies
+constexpr std::size_t max_reply_bytes = std::size_t{32} * 1024;
+// 1000  ms; until a relay that is asked for a part of a state counts as silent. Many VMs
+//       may ask at once, and no key gets older by the wait
+constexpr millis state_margin{1000};
+// 3     tries to get all parts of a state from one copy
+constexpr int max_state_tries = 3;
 // 2000 to 8000 ms; backoff for a silent relay
 constexpr millis min_backoff{2000};
 constexpr millis max_backoff{8000};
@@ -45,9 +58,10 @@
 struct relay_peer
 {
     std::string                     address;
-    std::unique_ptr<watched_socket> socket;
+    std::unique_ptr<watched_socket> socket;          // null until the first query
     boot_clock::time_point          avoided_until{}; // not queried until then
     millis                          backoff = min_backoff;
+    bool                            silent = false; // since the last query
 };
 
 /// A query of this VM that waits for its reply.
@@ -68,10 +82,26 @@
     boot_clock::time_point until{};
 };
 
+/// Appends a part of a state to the parts before it.
+void append(log_chunk& state, log_chunk part)
+{
+    state.end = part.end;
+    state.covered = part.next();
+    std::move(part.records.begin(), part.records.end(),
+              std::back_inserter(state.records));
+    state.offsets.insert(state.offsets.end(), part.offsets.begin(), part.offsets.end());
+}
+
 log_chunk chunk_of(wire::records_answer const& answer)
 {
     log_chunk chunk{.from = answer.from(), .end = answer.end(), .first = answer.from()};
     chunk.records.assign(answer.records().begin(), answer.records().end());
+    chunk.offsets.assign(answer.offsets().begin(), answer.offsets().end());
+    if (answer.covered() > 0)
+    {
+        chunk.covered = answer.covered();
+    }
+    chunk.trimmed = answer.trimmed();
     chunk.relayed = true;
     // The relay held the query for `held_ms` before it replied, so the reply was made at
     // least that long after the query was sent.
@@ -86,10 +116,10 @@
 
 struct record_link::state
 {
-    using filter_factory = std::function<topic_mirror::change_filter(std::string const&)>;
+    using mirror = std::variant<topic_mirror, keyed_mirror>;
 
-    state(asio::io_context& io, zmq::context_t& zmq, filter_factory make_change_filter)
-        : loop(io), context(zmq), make_filter(std::move(make_change_filter)),
+    state(asio::io_context& io, zmq::context_t& zmq, format_source formats)
+        : loop(io), context(zmq), format_of(std::move(formats)),
           server(loop, context, zmq::socket_type::router, queue_limit,
                  [this](std::vector<zmq::message_t>& parts) { receive_query(parts); })
     {
@@ -123,16 +153,27 @@
     }
 
     /// Avoids a silent relay, if it is still in use. The backoff doubles each time, since
-    /// each attempt costs time in which the records get older.
+    /// each attempt costs time in which the records get older; for a VM that others query
+    /// it is long at once.
     void avoid_silent(std::string const& address)
     {
         if (auto* relay = find(address))
         {
-            relay->avoided_until = boot_clock::now() + relay->backoff;
+            relay->silent = true;
+            relay->avoided_until =
+                boot_clock::now() + (serves ? max_backoff : relay->backoff);
             relay->backoff = std::min(relay->backoff * 2, max_backoff);
         }
     }
 
+    void heard(std::string const& address)
+    {
+        if (auto* relay = find(address))
+        {
+            relay->silent = false;
+        }
+    }
+
     void reset_backoff(std::string const& address)
     {
         if (auto* relay = find(address))
@@ -143,6 +184,13 @@
 
     void send(relay_peer& relay, wire::records_ask const& ask)
     {
+        if (!relay.socket)
+        {
+            relay.socket = std::make_unique<watched_socket>(
+                loop, context, zmq::socket_type::dealer, queue_limit,
+                [this](std::vector<zmq::message_t>& parts) { receive_reply(parts); });
+            relay.socket->socket().connect(zmq_endpoint(relay.address));
+        }
         auto const bytes = ask.SerializeAsString();
         static_cast<void>(
             relay.socket->socket().send(zmq::buffer(bytes), zmq::send_flags::dontwait));
@@ -161,8 +209,10 @@
         message.set_from(query.from);
         message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
         message.set_oldest_ms(static_cast<std::uint32_t>(query.max_age.count()));
+        message.set_state(query.state);
         pending_queries[query_number] = pending;
-        pending->timer.expires_after(query.wait + reply_margin);
+        pending->timer.expires_after(query.wait +
+                                     (query.state ? state_margin : reply_margin));
         send(relay, message);
         boost::system::error_code error; // timer cancelled by the reply, or expired
         co_await pending->timer.async_wait(
@@ -171,6 +221,71 @@
         co_return std::move(pending->answer);
     }
 
+    /// The reply of the first relay that has the records, fresh enough.
+    asio::awaitable<std::optional<wire::records_answer>> fetch_usable(records_query query)
+    {
+        // Replies without usable records come at once, so there is time to query the next
+        // relay.
+        std::optional<wire::records_answer> older;
+        std::string                         older_from;
+        for (std::size_t place = 0; place < relays.size(); ++place)
+        {
+            auto& relay = relays[place];
+            if (boot_clock::now() < relay.avoided_until)
+            {
+                continue;
+            }
+            auto const address = relay.address;
+            auto       answer = co_await fetch(relay, query);
+            if (!answer)
+            {
+                avoid_silent(address);
+                break;
+            }
+            heard(address);
+            millis const age{answer->age_ms()};
+            bool const   known = answer->known() || answer->trimmed();
+            stale = age > records_query{}.max_age;
+            if (stale)
+            {
+                avoid_stale(address);
+            }
+            else if (known && age <= query.max_age)
+            {
+                reset_backoff(address);
+                co_return answer;
+            }
+            else if (known && query.accept_older)
+            {
+                older = std::move(answer);
+                older_from = address;
+            }
+        }
+        bool const has_news =
+            older && (older->records_size() > 0 || older->trimmed() || query.state);
+        auto* const relay = older ? find(older_from) : nullptr;
+        if (has_news || relay == nullptr)
+        {
+            co_return older;
+        }
+        // The relay is behind and has nothing new yet. Waiting there, instead of asking
+        // again at once, keeps hundreds of VMs from slowing it down further.
+        query.max_age = records_query{}.max_age;
+        auto answer = co_await fetch(*relay, query);
+        if (!answer)
+        {
+            avoid_silent(older_from);
+            co_return older;
+        }
+        stale = millis{answer->age_ms()} > query.max_age;
+        if (stale)
+        {
+            avoid_stale(older_from);
+            co_return older;
+        }
+        co_return answer;
+    }
+
     void receive_reply(std::vector<zmq::message_t>& parts)
     {
         wire::records_answer answer;
@@ -235,11 +350,11 @@
 
     bool reply_if_due(waiting_query const& waiter, boot_clock::time_point now)
     {
-        auto const mirror = mirrors.find(waiter.ask.topic());
-        auto const from = waiter.ask.from();
-        bool const held = mirror != mirrors.end() && mirror->second.holds(from);
-        bool const waits = held && !mirror->second.has_changes(from) &&
-                           mirror->second.age(now) <= millis{waiter.ask.oldest_ms()};
+        auto const found = mirrors.find(waiter.ask.topic());
+        auto const kind = found == mirrors.end() ? mirror_answer::unknown
+                                                 : answer_to(found->second, waiter.ask);
+        bool const held = kind == mirror_answer::held;
+        bool const waits = held && must_wait(found->second, waiter.ask, now);
         if (waits && now < waiter.until)
         {
             return false;
@@ -247,28 +362,80 @@
         wire::records_answer answer;
         answer.set_number(waiter.ask.number());
         answer.set_known(held);
-        if (held)
+        answer.set_trimmed(kind == mirror_answer::trimmed);
+        if (kind != mirror_answer::unknown)
         {
             auto const waited = std::chrono::floor<millis>(now - waiter.since);
             answer.set_held_ms(static_cast<std::uint64_t>(waited.count()));
-            fill(answer, mirror->second, from, now);
+            set_age(answer, found->second, now);
+        }
+        if (held)
+        {
+            fill(answer, found->second, waiter.ask.from());
         }
         send_reply(waiter.requester, answer.SerializeAsString());
         return true;
     }
 
-    static void fill(wire::records_answer& answer, topic_mirror const& mirror,
-                     std::uint64_t from, boot_clock::time_point now)
+    static mirror_answer answer_to(mirror const& copy, wire::records_ask const& ask)
+    {
+        return std::visit([&](auto const& each)
+                          { return each.answer_to(ask.from(), ask.state()); },
+                          copy);
+    }
+
+    /// Whether there is nothing to tell yet, and the copy is fresh enough to wait.
+    static bool must_wait(mirror const& copy, wire::records_ask const& ask,
+                          boot_clock::time_point now)
+    {
+        return std::visit(
+            [&](auto const& each)
+            {
+                return !ask.state() && !each.has_changes(ask.from()) &&
+                       each.age(now) <= millis{ask.oldest_ms()};
+            },
+            copy);
+    }
+
+    static void set_age(wire::records_answer& answer, mirror const& copy,
+                        boot_clock::time_point now)
+    {
+        auto const age =
+            std::visit([&](auto const& each) { return each.age(now); }, copy);
+        answer.set_age_ms(
+            static_cast<std::uint64_t>(std::chrono::ceil<millis>(age).count()));
+    }
+
+    static void fill(wire::records_answer& answer, mirror const& copy, std::uint64_t from)
     {
-        auto const chunk = mirror.read(from);
+        auto const chunk = std::visit(
+            [&](auto const& each) { return each.read(from, max_reply_bytes); }, copy);
         answer.set_from(from);
-        answer.set_end(chunk->end);
-        auto const age = std::chrono::ceil<millis>(mirror.age(now));
-        answer.set_age_ms(static_cast<std::uint64_t>(age.count()));
-        for (auto const& record : chunk->records)
+        answer.set_end(chunk.end);
+        answer.set_covered(chunk.covered.value_or(0));
+        answer.mutable_offsets()->Add(chunk.offsets.begin(), chunk.offsets.end());
+        for (auto const& record : chunk.records)
         {
             answer.add_records(record);
         }
+        if (auto const* keyed = std::get_if<keyed_mirror>(&copy))
+        {
+            answer.set_generation(keyed->generation());
+        }
+    }
+
+    /// The copy of a topic; created when it is first read.
+    mirror& mirror_of(std::string const& topic)
+    {
+        auto const found = mirrors.find(topic);
+        if (found != mirrors.end())
+        {
+            return found->second;
+        }
+        auto format = format_of(topic);
+        auto copy = format.read ? mirror{keyed_mirror{std::move(format)}}
+                                : mirror{topic_mirror{}};
+        return mirrors.emplace(topic, std::move(copy)).first->second;
     }
 
     void reply_to_waiting()
@@ -281,24 +448,23 @@
 
     asio::io_context&                                       loop;
     zmq::context_t&                                         context;
-    filter_factory                                          make_filter;
+    format_source                                           format_of;
     std::vector<relay_peer>                                 relays;
     std::map<std::uint64_t, std::shared_ptr<pending_query>> pending_queries;
     std::uint64_t                                           number = 0;
     bool stale = false;  // the relay that replied last has lost the store
     bool serves = false; // other VMs query this one
-    record_link::other_query_handler    handle_other;
-    std::map<std::string, topic_mirror> mirrors;
-    std::list<waiting_query>            waiting;
-    watched_socket                      server;
+    record_link::other_query_handler handle_other;
+    std::map<std::string, mirror>    mirrors;
+    std::list<waiting_query>         waiting;
+    watched_socket                   server;
 };
 
 // 3. record_link
 
 record_link::record_link(asio::io_context& loop, zmq::context_t& context,
-                         std::string const&    bind_address,
-                         state::filter_factory make_filter)
-    : state_(std::make_unique<state>(loop, context, std::move(make_filter)))
+                         std::string const& bind_address, format_source format_of)
+    : state_(std::make_unique<state>(loop, context, std::move(format_of)))
 {
     state_->server.socket().bind(zmq_endpoint(bind_address));
 }
@@ -316,14 +482,20 @@
     {
         return;
     }
-    state_->relays.clear();
+    // Relays that stay keep their connection and what is known of them.
+    auto known = std::exchange(state_->relays, {});
     for (auto const& address : relays)
     {
-        auto socket = std::make_unique<watched_socket>(
-            state_->loop, state_->context, zmq::socket_type::dealer, queue_limit,
-            [this](std::vector<zmq::message_t>& parts) { state_->receive_reply(parts); });
-        socket->socket().connect(zmq_endpoint(address));
-        state_->relays.push_back({address, std::move(socket), {}});
+        auto const found =
+            std::find_if(known.begin(), known.end(),
+                         [&](relay_peer const& each) { return each.address == address; });
+        if (found != known.end())
+        {
+            state_->relays.push_back(std::move(*found));
+            known.erase(found);
+            continue;
+        }
+        state_->relays.push_back({.address = address});
     }
 }
 
@@ -344,7 +516,16 @@
 
 bool record_link::relayed() const
 {
-    return state_->next_relay(boot_clock::now()) != nullptr;
+    auto const now = boot_clock::now();
+    return std::any_of(state_->relays.begin(), state_->relays.end(),
+                       [&](relay_peer const& each)
+                       { return !each.silent && now >= each.avoided_until; });
+}
+
+bool record_link::replied() const
+{
+    return std::any_of(state_->relays.begin(), state_->relays.end(),
+                       [](relay_peer const& each) { return !each.silent; });
 }
 
 bool record_link::relays_lost_store() const
@@ -354,56 +535,76 @@
 
 asio::awaitable<std::optional<log_chunk>> record_link::fetch(records_query query)
 {
-    // Replies without usable records come at once, so there is time to query the next
-    // relay.
-    std::optional<wire::records_answer> older;
-    for (std::size_t place = 0; place < state_->relays.size(); ++place)
+    auto const answer = co_await state_->fetch_usable(std::move(query));
+    if (!answer)
     {
-        auto& relay = state_->relays[place];
-        if (boot_clock::now() < relay.avoided_until)
-        {
-            continue;
-        }
-        auto const address = relay.address;
-        auto       answer = co_await state_->fetch(relay, query);
-        if (!answer)
-        {
-            state_->avoid_silent(address);
-            break;
-        }
-        millis const age{answer->age_ms()};
-        state_->stale = age > records_query{}.max_age;
-        if (state_->stale)
-        {
-            state_->avoid_stale(address);
-        }
-        else if (answer->known() && age <= query.max_age)
-        {
-            state_->reset_backoff(address);
-            co_return chunk_of(*answer);
-        }
-        else if (answer->known() && query.accept_older)
+        co_return std::nullopt;
+    }
+    co_return chunk_of(*answer);
+}
+
+asio::awaitable<std::optional<keyed_state>> record_link::fetch_state(std::string topic)
+{
+    for (int tries = 0; tries < max_state_tries; ++tries)
+    {
+        keyed_state                  result;
+        std::optional<std::uint64_t> generation;
+        std::uint64_t                next = 0;
+        while (true)
         {
-            older = std::move(answer);
+            records_query query{.topic = topic, .from = next, .state = true};
+            auto const    answer = co_await state_->fetch_usable(std::move(query));
+            if (!answer)
+            {
+                co_return std::nullopt;
+            }
+            auto part = chunk_of(*answer);
+            if (generation.value_or(answer->generation()) != answer->generation())
+            {
+                break; // of another copy: begin anew
+            }
+            generation = answer->generation();
+            result.age = std::max(result.age, part.age);
+            append(result.records, std::move(part));
+            next = result.records.next();
+            if (answer->records().empty() || next >= result.records.end)
+            {
+                co_return result;
+            }
         }
     }
-    if (older)
+    co_return std::nullopt;
+}
+
+bool record_link::holds_state(std::string const& topic) const
+{
+    auto const  found = state_->mirrors.find(topic);
+    auto const* keyed = found == state_->mirrors.end()
+                            ? nullptr
+                            : std::get_if<keyed_mirror>(&found->second);
+    return keyed != nullptr && keyed->complete();
+}
+
+void record_link::replace(std::string const& topic, log_chunk const& listing,
+                          boot_clock::time_point as_of)
+{
+    if (auto* keyed = std::get_if<keyed_mirror>(&state_->mirror_of(topic)))
     {
-        co_return chunk_of(*older);
+        keyed->replace(listing, as_of);
+        state_->reply_to_waiting();
     }
-    co_return std::nullopt;
 }
 
 void record_link::merge(std::string const& topic, log_chunk const& chunk,
                         boot_clock::time_point as_of)
 {
-    if (chunk.relayed && !state_->serves)
+    bool const follows = !state_->relays.empty() || chunk.relayed;
+    if (follows && !state_->serves)
     {
+        state_->mirrors.erase(topic);
         return;
     }
-    auto const mirror =
-        state_->mirrors.try_emplace(topic, state_->make_filter(topic)).first;
-    mirror->second.merge(chunk, as_of);
+    std::visit([&](auto& copy) { copy.merge(chunk, as_of); }, state_->mirror_of(topic));
     state_->reply_to_waiting();
 }
 
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -10,7 +10,7 @@
 #define MARIGOLDCRANK_SERVING_RECORD_LINK_HPP
 
 #include "ports/log_store_port.hpp"
-#include "serving/topic_mirror.hpp"
+#include "serving/topic_format.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -38,6 +38,14 @@
                                //      900 ms between reads of usage are usual, one of
                                //      them at the VM that reads for the fleet
     bool accept_older = false; // accept up to 2500 ms if no relay has newer records
+    bool state = false;        // the newest record of each key instead of the changes
+};
+
+/// The newest record of each key of a topic, as relays hold it.
+struct keyed_state
+{
+    log_chunk records; // `next()` is the offset from which changes follow
+    millis    age{0};  // ms; as of log_chunk
 };
 
 /// Replies to other VMs with the records that this VM has read, and queries other VMs for
@@ -45,12 +53,11 @@
 class record_link
 {
 public:
-    /// `bind_address`: "IP:PORT"; `make_filter` makes the change filter of a topic.
-    /// Throws zmq::error_t if the address can't be bound.
-    record_link(
-        boost::asio::io_context& loop, zmq::context_t& context,
-        std::string const&                                             bind_address,
-        std::function<topic_mirror::change_filter(std::string const&)> make_filter);
+    using format_source = std::function<topic_format(std::string const& topic)>;
+
+    /// `bind_address`: "IP:PORT". Throws zmq::error_t if the address can't be bound.
+    record_link(boost::asio::io_context& loop, zmq::context_t& context,
+                std::string const& bind_address, format_source format_of);
     ~record_link();
     record_link(record_link const&) = delete;
     record_link& operator=(record_link const&) = delete;
@@ -73,6 +80,9 @@
     /// True while at least one relay isn't avoided.
     bool relayed() const;
 
+    /// True while at least one relay replies, even with old records.
+    bool replied() const;
+
     /// Whether the relay that replied last has lost the store itself, so that the store
     /// is lost for more VMs than this one. A silent relay doesn't change this.
     bool relays_lost_store() const;
@@ -82,6 +92,16 @@
     /// waiting for several would let the records get old.
     boost::asio::awaitable<std::optional<log_chunk>> fetch(records_query query);
 
+    /// The state of a keyed topic, part by part; nothing if no relay has it whole.
+    boost::asio::awaitable<std::optional<keyed_state>> fetch_state(std::string topic);
+
+    /// Whether this VM holds the state of a topic for the VMs that query it.
+    bool holds_state(std::string const& topic) const;
+
+    /// Stores a listing of the newest record of each key that this VM has read.
+    void replace(std::string const& topic, log_chunk const& listing,
+                 boot_clock::time_point as_of);
+
     /// Stores a chunk that this VM has read, which has all records up to the time
     /// `as_of`.
     void merge(std::string const& topic, log_chunk const& chunk,
--- /dev/null
+++ b/src/serving/relay_registry.hpp
@@ -0,0 +1,239 @@
+// The relays of a large fleet as the store lists them, for VMs that start.
+//
+// Index: relay_registry
+//
+// A VM learns all others from the usage log, to which each of them adds a record in every
+// window. When all VMs start at once, reading it takes the square of their number, and
+// the reads time out and are repeated for ever. The registry has a few entries a data
+// centre, so a VM that starts knows whom to ask after one or two calls, whatever the size
+// of the fleet.
+#ifndef MARIGOLDCRANK_SERVING_RELAY_REGISTRY_HPP
+#define MARIGOLDCRANK_SERVING_RELAY_REGISTRY_HPP
+
+#include "ledger/relay_entry.hpp"
+#include "policy/relay_candidacy.hpp"
+#include "policy/relay_plan.hpp"
+#include "ports/log_store_port.hpp"
+#include "serving/entry_state.hpp"
+#include "serving/loop_sleep.hpp"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace marigoldcrank
+{
+
+template <log_store_port Store, class Codec>
+class relay_registry
+{
+public:
+    relay_registry(entry_state& state, Store& store) : state_(state), store_(store) {}
+
+    /// Lists the relays of a large fleet until the usage log tells of the VMs, and enters
+    /// this VM while it is one, or there are too few.
+    boost::asio::awaitable<void> run()
+    {
+        auto const  started = boot_clock::now();
+        auto const  delay = candidacy_delay(state_.contact, state_.tie_break());
+        std::size_t place = 0;
+        while (true)
+        {
+            auto const now = boot_clock::now();
+            bool const first_start = state_.settings.first_start && listings_ == 0;
+            auto const due =
+                first_start ? started + delay : listed_at_ + listing_pauses[place];
+            bool const again = place > 0;
+            bool const needed = wanted() && (!again || unsettled());
+            if (state_.relays_used() && needed && now >= due)
+            {
+                place = std::min(place + 1, listing_pauses.size() - 1);
+                co_await list();
+                co_await enter_if_needed();
+            }
+            bool const relay = state_.relays_used() && state_.serves_peers && !wanted();
+            if (relay && boot_clock::now() - entered_at_ >= entry_pause)
+            {
+                co_await enter();
+                co_await drop_former();
+            }
+            co_await loop_sleep(look_interval);
+        }
+    }
+
+    /// The VMs to plan with: those that the usage log tells of, or the listed relays
+    /// while it doesn't tell of most VMs of a large fleet. A relay needs the others as
+    /// well.
+    std::set<vm_contact> contacts(std::set<vm_contact> const& logged)
+    {
+        update(logged);
+        if (!state_.relays_used() || !wanted())
+        {
+            return logged;
+        }
+        std::set<vm_contact> result;
+        for (auto const& [name, entry] : known_)
+        {
+            result.insert(entry.contact);
+        }
+        bool const entered = known_.count(state_.settings.name) > 0;
+        if (entered && would_be_relay(result, state_.contact, {}))
+        {
+            result.insert(logged.begin(), logged.end());
+        }
+        return result;
+    }
+
+    /// The size of the fleet as its relays tell it; 0 if not known.
+    std::int64_t vms() const
+    {
+        std::int64_t most = 0;
+        for (auto const& [name, entry] : known_)
+        {
+            most = std::max(most, entry.vms);
+        }
+        return most;
+    }
+
+    /// Whether this VM knows whom to query, so far as the store tells.
+    bool listed() const
+    {
+        return !known_.empty();
+    }
+
+    static std::string topic()
+    {
+        return "keyed.relays";
+    }
+
+private:
+    using entries = std::map<std::string, relay_entry>; // by name of the VM
+
+    static constexpr unsigned lane = 4;
+    // 150   ms; between looks
+    static constexpr millis look_interval{150};
+    // 0 to 10000 ms; pauses between listings. The first candidates may enter while others
+    //       list; later the list only changes when relays are replaced
+    static constexpr std::array<millis, 4> listing_pauses{millis{0}, millis{700},
+                                                          millis{2000}, millis{10000}};
+    // 6000  ms; a window of usage and its delay, until the log has told of every VM
+    static constexpr millis log_time{6000};
+    // 10000 ms; between entries of a relay
+    static constexpr millis entry_pause{10000};
+
+    /// Notes when the usage log began to tell of most VMs.
+    void update(std::set<vm_contact> const& logged)
+    {
+        auto const now = boot_clock::now();
+        auto const told = std::max(vms(), state_.peers.vms(now));
+        bool const most = static_cast<std::int64_t>(logged.size()) * 2 > told;
+        logged_ = logged;
+        if (!most)
+        {
+            complete_since_.reset();
+        }
+        else if (!complete_since_)
+        {
+            complete_since_ = now;
+        }
+    }
+
+    /// Whether the registry is needed: the usage log has told of most VMs for too short a
+    /// time, or doesn't.
+    bool wanted() const
+    {
+        return !complete_since_ || boot_clock::now() - *complete_since_ < log_time;
+    }
+
+    /// Whether the list may lack relays that matter to this VM: it entered itself, as
+    /// others may have done since, or none of the listed relays replies.
+    bool unsettled() const
+    {
+        return known_.count(state_.settings.name) > 0 || !state_.reads_via_peers;
+    }
+
+    boost::asio::awaitable<void> list()
+    {
+        listed_at_ = boot_clock::now();
+        auto        result = co_await store_.newest(lane, topic(), "");
+        auto const* page = std::get_if<keyed_page>(&result);
+        if (page == nullptr)
+        {
+            co_return;
+        }
+        ++listings_;
+        known_.clear();
+        for (auto const& record : page->records)
+        {
+            if (auto entry = parse_relay_entry(record.value.value_or("")))
+            {
+                known_.insert_or_assign(record.key, std::move(*entry));
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> enter_if_needed()
+    {
+        std::set<vm_contact> listed;
+        for (auto const& [name, entry] : known_)
+        {
+            listed.insert(entry.contact);
+        }
+        bool const entered = known_.count(state_.settings.name) > 0;
+        if (listings_ > 0 && !entered && would_be_relay(listed, state_.contact, {}))
+        {
+            co_await enter();
+        }
+    }
+
+    boost::asio::awaitable<void> enter()
+    {
+        entered_at_ = boot_clock::now();
+        relay_entry const entry{.contact = state_.contact, .vms = state_.known_vms};
+        keyed_record      record{.key = state_.settings.name};
+        record.value = format_relay_entry(entry);
+        co_await append(std::move(record));
+        known_.insert_or_assign(state_.settings.name, entry);
+    }
+
+    /// Removes entries of this data centre that the usage log no longer tells of.
+    boost::asio::awaitable<void> drop_former()
+    {
+        if (!state_.is_first_relay)
+        {
+            co_return;
+        }
+        co_await list();
+        for (auto const& [name, entry] : entries{known_})
+        {
+            bool const near = entry.contact.data_centre == state_.settings.data_centre;
+            if (near && logged_.count(entry.contact) == 0 && name != state_.settings.name)
+            {
+                keyed_record record{.key = name};
+                co_await append(std::move(record));
+                known_.erase(name);
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> append(keyed_record record)
+    {
+        std::vector<std::string> const records{Codec::keyed_text(record)};
+        auto const result = co_await store_.append(lane, topic(), records, std::nullopt);
+        static_cast<void>(result); // appended again after the pause
+    }
+
+    entry_state&                          state_;
+    Store&                                store_;
+    entries                               known_;
+    std::set<vm_contact>                  logged_; // VMs that the usage log tells of
+    std::optional<boot_clock::time_point> complete_since_; // it has told of most VMs
+    boot_clock::time_point                listed_at_{};
+    boot_clock::time_point                entered_at_{};
+    int                                   listings_ = 0;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -1,6 +1,6 @@
 // Access to the store that reads records through other VMs in a large fleet.
 //
-// Index: shared_store
+// Index: 1 store_fallback, 2 shared_store
 #ifndef MARIGOLDCRANK_SERVING_SHARED_STORE_HPP
 #define MARIGOLDCRANK_SERVING_SHARED_STORE_HPP
 
@@ -15,6 +15,15 @@
 namespace marigoldcrank
 {
 
+/// When a member of a large fleet reads a topic from the store. Every VM or server adds
+/// to some topics; if each VM also read them from the store, the bytes would grow with
+/// the square of the size of the fleet.
+enum class store_fallback
+{
+    relays_silent, // if no relay replies
+    never
+};
+
 /// Reads go to relays while there are any, else to the store. The records are then kept
 /// for the VMs that query this one. Appends and complete listings always go to the store.
 template <log_store_port Store>
@@ -30,6 +39,12 @@
         link_ = link;
     }
 
+    /// Sets how the records of topics are read. Required before the first listing.
+    void set_formats(record_link::format_source format_of)
+    {
+        format_of_ = std::move(format_of);
+    }
+
     /// Sends reads of `topic` to the store while `direct`: a VM that appends at the end
     /// of the topic must know its current end.
     void read_directly(std::string const& topic, bool direct)
@@ -44,6 +59,13 @@
         }
     }
 
+    /// Sets when a member of a large fleet may read `topic` from the store instead of its
+    /// relays; by default always.
+    void set_fallback(std::string const& topic, store_fallback when)
+    {
+        fallbacks_[topic] = when;
+    }
+
     /// Sets the maximum age of relayed records of `topic` at a VM that passes them on.
     void limit_age(std::string const& topic, millis max_age)
     {
@@ -94,17 +116,50 @@
         co_return result;
     }
 
+    /// The newest record of each key; from relays in one page, from the store in several.
     boost::asio::awaitable<store_result<keyed_page>>
     newest(unsigned lane, std::string const& topic, std::string const& after)
     {
+        auto const sent = boot_clock::now();
+        if (after.empty() && reads_via_relays(topic))
+        {
+            auto state = co_await link_->fetch_state(topic);
+            if (state)
+            {
+                ++tally_.of(topic).relayed;
+                state->records.relayed = true;
+                if (passes_on_)
+                {
+                    link_->replace(topic, state->records, sent - state->age);
+                }
+                co_return page_of(topic, *state);
+            }
+        }
+        if (must_wait(topic, sent) || !may_fall_back(topic))
+        {
+            co_return store_failure{store_fault::unreachable, 0};
+        }
         ++tally_.of(topic).listings;
-        return store_.newest(lane, topic, after);
+        auto        result = co_await store_.newest(lane, topic, after);
+        auto const* page = std::get_if<keyed_page>(&result);
+        update_gate(topic, page != nullptr);
+        tally_.of(topic).failed += page == nullptr ? 1 : 0;
+        if (page != nullptr)
+        {
+            collect(topic, *page, after.empty(), sent);
+        }
+        co_return result;
     }
 
     boost::asio::awaitable<store_result<log_chunk>>
-    read(unsigned lane, std::string const& topic, std::uint64_t from, millis wait)
+    read(unsigned lane, std::string const& topic, std::uint64_t from, millis wait,
+         std::size_t max_kb = default_read_kb)
     {
         auto const sent = boot_clock::now();
+        if (lacks_state(topic))
+        {
+            co_return store_failure{store_fault::trimmed, 0};
+        }
         if (reads_via_relays(topic))
         {
             wait = std::min(wait, max_relay_wait);
@@ -113,6 +168,10 @@
             query.max_age = limit == max_ages_.end() ? query.max_age : limit->second;
             query.accept_older = !passes_on_;
             auto answer = co_await link_->fetch(std::move(query));
+            if (answer && answer->trimmed)
+            {
+                co_return store_failure{store_fault::trimmed, 0};
+            }
             if (answer)
             {
                 ++tally_.of(topic).relayed;
@@ -120,7 +179,11 @@
                 co_return std::move(*answer);
             }
         }
-        co_return co_await read_store(lane, topic, from, wait);
+        if (!may_fall_back(topic))
+        {
+            co_return store_failure{store_fault::unreachable, 0};
+        }
+        co_return co_await read_store(lane, topic, from, wait, max_kb);
     }
 
 private:
@@ -130,6 +193,11 @@
     //       The rest is for a silent relay and the read of the store that replaces it
     static constexpr millis max_relay_wait{700};
 
+    // 500 and 2000 ms; pause of a member between failed reads of the store. Hundreds of
+    //       members may have lost their relays at once
+    static constexpr retry_gate_options member_retries{.initial_pause = millis{500},
+                                                       .max_pause = millis{2000}};
+
     bool reads_via_relays(std::string const& topic) const
     {
         bool const reads_itself = !relays_used_ && max_ages_.count(topic) > 0;
@@ -137,19 +205,35 @@
                direct_topics_.count(topic) == 0 && !reads_itself;
     }
 
+    /// Relays that reply with old records read the store themselves, so their members
+    /// need only wait. If hundreds of members read records of thousands of servers,
+    /// nobody would get them in time.
+    bool may_fall_back(std::string const& topic) const
+    {
+        auto const found = fallbacks_.find(topic);
+        bool const member = relays_used_ && !passes_on_;
+        if (!member || found == fallbacks_.end())
+        {
+            return true;
+        }
+        bool const silent = link_ == nullptr || !link_->replied();
+        return found->second == store_fallback::relays_silent && silent;
+    }
+
     boost::asio::awaitable<store_result<log_chunk>>
-    read_store(unsigned lane, std::string const& topic, std::uint64_t from, millis wait)
+    read_store(unsigned lane, std::string const& topic, std::uint64_t from, millis wait,
+               std::size_t max_kb)
     {
         auto const sent = boot_clock::now();
-        auto&      gate = gates_.try_emplace(topic, slow_retries).first->second;
-        bool const lost = reads_via_relays(topic) && link_->relays_lost_store();
-        if (gate.must_wait(lost, sent))
+        if (must_wait(topic, sent))
         {
             co_return store_failure{store_fault::unreachable, 0};
         }
-        auto  result = co_await store_.read(lane, topic, from, wait);
-        auto* chunk = std::get_if<log_chunk>(&result);
-        update_gate(gate, result);
+        auto        result = co_await store_.read(lane, topic, from, wait, max_kb);
+        auto*       chunk = std::get_if<log_chunk>(&result);
+        auto const* failure = std::get_if<store_failure>(&result);
+        // A read of trimmed records was answered.
+        update_gate(topic, failure == nullptr || failure->fault == store_fault::trimmed);
         ++tally_.of(topic).reads;
         tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
         if (chunk != nullptr)
@@ -166,28 +250,99 @@
         co_return result;
     }
 
-    /// A read of trimmed records counts as answered.
-    static void update_gate(retry_gate& gate, store_result<log_chunk> const& result)
+    /// Whether a call to the store must wait after one that failed. VMs that pass records
+    /// on retry at once, unless their relays have lost the store too.
+    bool must_wait(std::string const& topic, boot_clock::time_point now)
     {
-        auto const* failure = std::get_if<store_failure>(&result);
-        if (failure != nullptr && failure->fault != store_fault::trimmed)
+        bool const follows = reads_via_relays(topic);
+        bool const lost = follows && link_->relays_lost_store();
+        bool const member = relays_used_ && !passes_on_;
+        auto&      gate = gates_.try_emplace(topic, slow_retries).first->second;
+        gate.limit(member && !lost ? member_retries : slow_retries);
+        return gate.must_wait(lost || member, now);
+    }
+
+    void update_gate(std::string const& topic, bool answered)
+    {
+        auto& gate = gates_.try_emplace(topic, slow_retries).first->second;
+        if (answered)
         {
-            gate.failed(boot_clock::now());
+            gate.succeeded();
         }
         else
         {
-            gate.succeeded();
+            gate.failed(boot_clock::now());
+        }
+    }
+
+    /// Whether other VMs query this one for a topic of which it doesn't hold the state,
+    /// as after it became a relay. The follower then lists the state.
+    bool lacks_state(std::string const& topic) const
+    {
+        return link_ != nullptr && passes_on_ && relays_used_ && format_of_(topic).read &&
+               !link_->holds_state(topic);
+    }
+
+    keyed_page page_of(std::string const& topic, keyed_state const& state) const
+    {
+        auto const format = format_of_(topic);
+        keyed_page page{.end = state.records.next(), .age = state.age, .relayed = true};
+        for (std::size_t at = 0; at < state.records.records.size(); ++at)
+        {
+            auto record =
+                format.read(state.records.records[at], state.records.offset_at(at));
+            if (record && record->value)
+            {
+                page.records.push_back(std::move(*record));
+            }
         }
+        return page;
     }
 
-    Store&                            store_;
-    record_link*                      link_ = nullptr;
-    std::set<std::string>             direct_topics_; // read from the store
-    std::map<std::string, millis>     max_ages_;      // by topic
-    bool                              passes_on_ = false;
-    bool                              relays_used_ = false;
-    std::map<std::string, retry_gate> gates_; // by topic; for reads of the store
-    store_tally                       tally_;
+    /// Collects the pages of a listing for the VMs that query this one.
+    void collect(std::string const& topic, keyed_page const& page, bool first,
+                 boot_clock::time_point sent)
+    {
+        auto const format = format_of_(topic);
+        if (link_ == nullptr || !format.write)
+        {
+            return;
+        }
+        auto& listing = listings_[topic];
+        if (first)
+        {
+            // Later pages may lack changes up to their end.
+            listing = {log_chunk{.end = page.end, .covered = page.end}, sent};
+        }
+        for (auto const& record : page.records)
+        {
+            listing.records.records.push_back(format.write(record));
+            listing.records.offsets.push_back(record.offset);
+        }
+        if (!page.more || page.records.empty())
+        {
+            link_->replace(topic, listing.records, listing.sent);
+            listings_.erase(topic);
+        }
+    }
+
+    struct partial_listing
+    {
+        log_chunk              records;
+        boot_clock::time_point sent{}; // of the first page
+    };
+
+    Store&                                 store_;
+    record_link*                           link_ = nullptr;
+    std::set<std::string>                  direct_topics_; // read from the store
+    std::map<std::string, store_fallback>  fallbacks_;     // by topic
+    std::map<std::string, millis>          max_ages_;      // by topic
+    bool                                   passes_on_ = false;
+    bool                                   relays_used_ = false;
+    std::map<std::string, retry_gate>      gates_;    // by topic; for reads of the store
+    std::map<std::string, partial_listing> listings_; // by topic
+    record_link::format_source             format_of_;
+    store_tally                            tally_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -14,6 +14,8 @@
 #include "serving/loop_sleep.hpp"
 
 #include <concepts>
+#include <utility>
+#include <vector>
 
 namespace marigoldcrank
 {
@@ -54,6 +56,8 @@
     // 900   ms; between reads of the servers' entries, which change all the time. A
     //       leaving server must get no new work two seconds after its notice
     millis servers_pause{900};
+    // 100   ms; the same while relays tell of changes
+    millis relayed_pause{100};
     // 150 to 800 ms; pause after a failed read, doubled each time
     millis min_retry{150};
     millis max_retry{800};
@@ -140,6 +144,7 @@
                 co_return *failure;
             }
             auto const& page = std::get<keyed_page>(result);
+            age_ = std::max(age_, page.age);
             for (auto const& record : page.records)
             {
                 apply(record);
@@ -170,12 +175,12 @@
         age_ = chunk.age;
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
-            if (auto const record = Codec::keyed(chunk.records[at], chunk.from + at))
+            if (auto const record = Codec::keyed(chunk.records[at], chunk.offset_at(at)))
             {
                 apply(*record);
             }
         }
-        next_ = chunk.from + chunk.records.size();
+        next_ = chunk.next();
         co_return std::nullopt;
     }
 
@@ -282,10 +287,11 @@
             {
                 forget(id, "lapsed");
             }
-            if (!relayed_) // a relay has already waited for new records
-            {
-                co_await loop_sleep(options_.servers_pause);
-            }
+            write_lines();
+            // A relay has already waited for new records; the pause gathers those that
+            // follow.
+            co_await loop_sleep(relayed_ ? options_.relayed_pause
+                                         : options_.servers_pause);
         }
     }
 
@@ -309,6 +315,11 @@
                 co_return *failure;
             }
             auto const& page = std::get<keyed_page>(result);
+            if (page.relayed && page.end < next_)
+            {
+                // An older state would take a leaving server back into use.
+                co_return store_failure{store_fault::unreachable, 0};
+            }
             for (auto const& record : page.records)
             {
                 if (auto server = Codec::server(record.key, *record.value))
@@ -350,12 +361,12 @@
         state_.servers.store_answered(boot_clock::now());
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
-            if (auto const record = Codec::keyed(chunk.records[at], chunk.from + at))
+            if (auto const record = Codec::keyed(chunk.records[at], chunk.offset_at(at)))
             {
                 apply(*record);
             }
         }
-        next_ = chunk.from + chunk.records.size();
+        next_ = chunk.next();
         if (next_ >= chunk.end)
         {
             state_.servers.caught_up();
@@ -398,21 +409,20 @@
         forget_former(*server);
         if (state_.servers.put(*server))
         {
-            state_.log.write(event_line{"server"}
-                                 .add("server", server->id)
-                                 .add("service", server->group)
-                                 .add("data_centre", server->data_centre)
-                                 .add("leaving", server->leaving ? 1 : 0)
-                                 .add("role", static_cast<std::int64_t>(server->role))
-                                 .add("offset", static_cast<std::int64_t>(record.offset)),
-                             now);
+            lines_.push_back(
+                event_line{"server"}
+                    .add("server", server->id)
+                    .add("service", server->group)
+                    .add("data_centre", server->data_centre)
+                    .add("leaving", server->leaving ? 1 : 0)
+                    .add("role", static_cast<std::int64_t>(server->role))
+                    .add("offset", static_cast<std::int64_t>(record.offset)));
         }
     }
 
     void forget(std::string const& id, std::string_view cause)
     {
-        state_.log.write(event_line{"server_gone"}.add("server", id).add("cause", cause),
-                         boot_clock::now());
+        lines_.push_back(event_line{"server_gone"}.add("server", id).add("cause", cause));
         if (state_.servers.servers().count(id) == 0)
         {
             state_.pool.drop(id);
@@ -420,13 +430,33 @@
         }
     }
 
-    entry_state&   state_;
-    Store&         store_;
-    follow_options options_;
-    retry_backoff  backoff_;
-    std::uint64_t  next_ = 0;
-    bool           synced_; // `next_` continues the last read
-    bool           relayed_ = false;
+    /// Writes the lines about the servers of the last read. Many at once, as at a start,
+    /// become one line.
+    void write_lines()
+    {
+        auto const now = boot_clock::now();
+        if (lines_.size() > max_lines)
+        {
+            auto const changed = static_cast<std::int64_t>(lines_.size());
+            auto const known = static_cast<std::int64_t>(state_.servers.servers().size());
+            lines_ = {event_line{"servers"}.add("count", known).add("changed", changed)};
+        }
+        for (auto const& line : std::exchange(lines_, {}))
+        {
+            state_.log.write(line, now);
+        }
+    }
+
+    static constexpr std::size_t max_lines = 32; // of single servers per read
+
+    entry_state&            state_;
+    Store&                  store_;
+    follow_options          options_;
+    retry_backoff           backoff_;
+    std::uint64_t           next_ = 0;
+    bool                    synced_; // `next_` continues the last read
+    bool                    relayed_ = false;
+    std::vector<event_line> lines_; // about servers, not written yet
 };
 
 } // namespace marigoldcrank
--- a/src/serving/topic_mirror.cpp
+++ b/src/serving/topic_mirror.cpp
@@ -15,44 +15,43 @@
         records_.clear();
         bytes_ = 0;
         first_ = chunk.from;
-        changes_end_ = chunk.from;
     }
     auto const skipped = static_cast<std::size_t>(next() - chunk.from);
     for (auto at = skipped; at < chunk.records.size(); ++at)
     {
-        auto const& record = chunk.records[at];
-        bool const  is_change = !is_change_ || is_change_(record);
-        records_.push_back(is_change ? record : std::string{});
-        bytes_ += records_.back().size();
-        changes_end_ = is_change ? next() : changes_end_;
+        records_.push_back({chunk.records[at], as_of});
+        bytes_ += chunk.records[at].size();
     }
     end_ = std::max(end_, chunk.end);
     as_of_ = std::max(as_of_, as_of);
     trim();
 }
 
-std::optional<log_chunk> topic_mirror::read(std::uint64_t from) const
+log_chunk topic_mirror::read(std::uint64_t from, std::size_t max_bytes) const
 {
-    if (!holds(from))
+    log_chunk   chunk{.from = from, .end = end_, .first = first_};
+    std::size_t bytes = 0;
+    for (auto at = static_cast<std::size_t>(from - first_);
+         at < records_.size() && (bytes == 0 || bytes < max_bytes); ++at)
     {
-        return std::nullopt;
+        chunk.records.push_back(records_[at].text);
+        bytes += records_[at].text.size();
     }
-    log_chunk chunk{.from = from, .end = end_, .first = first_};
-    chunk.records.assign(records_.begin() + static_cast<std::ptrdiff_t>(from - first_),
-                         records_.end());
     return chunk;
 }
 
-bool topic_mirror::has_changes(std::uint64_t from) const
-{
-    return from < changes_end_;
-}
-
 void topic_mirror::trim()
 {
-    while (records_.size() > options_.max_records || bytes_ > options_.max_bytes)
+    while (!records_.empty())
     {
-        bytes_ -= records_.front().size();
+        bool const over =
+            records_.size() > options_.max_records || bytes_ > options_.max_bytes;
+        bool const old = as_of_ - records_.front().merged_at >= options_.min_life;
+        if (!(over && old) && bytes_ <= options_.byte_cap)
+        {
+            return;
+        }
+        bytes_ -= records_.front().text.size();
         records_.pop_front();
         ++first_;
     }
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -9,10 +9,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 #include <zmq.hpp>
 
 #include <csignal>
+#include <future>
 
 namespace marigoldcrank::tests
 {
@@ -51,7 +53,7 @@
         return reply;
     }
 
-    static topic_mirror::change_filter keep_all(std::string const&)
+    static topic_format keep_all(std::string const&)
     {
         return {};
     }
@@ -196,6 +198,106 @@
     EXPECT_LT(boot_clock::now() - began, millis{2500});
 }
 
+/// Records "KEY=VALUE" of a keyed topic.
+topic_format keyed_text(std::string const&)
+{
+    return {.read = [](std::string const& record, std::uint64_t offset)
+            {
+                auto const sign = record.find('=');
+                return std::optional{keyed_record{.key = record.substr(0, sign),
+                                                  .value = record.substr(sign + 1),
+                                                  .offset = offset}};
+            }};
+}
+
+/// Two VMs that hold the state of a keyed topic.
+struct keyed_vms
+{
+    keyed_vms()
+    {
+        member.follow({address});
+    }
+
+    template <class Call>
+    auto run(Call call)
+    {
+        auto       done = boost::asio::co_spawn(loop, call(), boost::asio::use_future);
+        auto const limit = boot_clock::now() + millis{5000};
+        while (done.wait_for(millis{0}) != std::future_status::ready &&
+               boot_clock::now() < limit)
+        {
+            loop.run_for(millis{5});
+            loop.restart();
+            relay.tick();
+        }
+        return done.get();
+    }
+
+    std::optional<keyed_state> state()
+    {
+        return run([&] { return member.fetch_state("servers"); });
+    }
+
+    port_block              ports;
+    std::string             address = "127.0.0.1:" + std::to_string(ports.next());
+    std::string             own = "127.0.0.1:" + std::to_string(ports.next());
+    boost::asio::io_context loop;
+    zmq::context_t          context{1};
+    record_link             relay{loop, context, address, keyed_text};
+    record_link             member{loop, context, own, keyed_text};
+};
+
+// A fleet has thousands of servers. Their state in one reply would take longer on a slow
+// link than a relay may be silent.
+TEST(record_link, state_of_a_large_topic_comes_in_parts)
+{
+    keyed_vms vms;
+    log_chunk servers{.end = 3000};
+    for (int server = 0; server < 3000; ++server)
+    {
+        servers.records.push_back("server-" + std::to_string(server) + "=" +
+                                  std::string(250, 'x'));
+    }
+    vms.relay.merge("servers", servers, boot_clock::now() - millis{100});
+    auto const state = vms.state();
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->records.records.size(), 3000U);
+    EXPECT_EQ(state->records.next(), 3000U);
+    EXPECT_GE(state->age, millis{100});
+}
+
+// A VM that became a relay after the start has only the changes since then. A member that
+// took them for the state would miss most servers.
+TEST(record_link, relay_without_the_whole_state_is_not_asked_for_it)
+{
+    keyed_vms vms;
+    vms.relay.merge("servers", {.from = 5, .end = 6, .records = {"a=1"}},
+                    boot_clock::now());
+    EXPECT_FALSE(vms.relay.holds_state("servers"));
+    EXPECT_FALSE(vms.state());
+    log_chunk const listing{.end = 6, .records = {"a=1", "b=1"}, .offsets = {5, 2}};
+    vms.relay.replace("servers", listing, boot_clock::now());
+    auto const state = vms.state();
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->records.records.size(), 2U);
+}
+
+// The relay lags behind. Members that asked again at once would slow it down further, and
+// it would never catch up.
+TEST(record_link, member_of_a_lagging_relay_waits_between_its_queries)
+{
+    keyed_vms vms;
+    vms.relay.merge("servers", {.from = 0, .end = 7, .covered = 7},
+                    boot_clock::now() - millis{1500});
+    records_query query{"servers", 7, millis{600}};
+    query.max_age = millis{1300};
+    query.accept_older = true;
+    auto const began = boot_clock::now();
+    auto const reply = vms.run([&] { return vms.member.fetch(query); });
+    EXPECT_TRUE(reply);
+    EXPECT_GE(boot_clock::now() - began, millis{500});
+}
+
 // 2. Daemons
 
 constexpr int fleet_size = 5; // with a mesh of two, one VM reads the store for all
@@ -333,6 +435,34 @@
     EXPECT_TRUE(eventually([&] { return cluster.ready(1); }, 5000));
 }
 
+// VMs start again one after the other, or all at once. If each listed all servers at the
+// store, thousands of servers times hundreds of VMs would use up its bandwidth.
+TEST(platform_relays, vm_that_starts_again_gets_the_state_from_its_relays)
+{
+    auto const cluster = fleet();
+    EXPECT_TRUE(eventually([&] { return all_answer(*cluster, 200); }));
+    EXPECT_TRUE(eventually(
+        [&] { return cluster->store().request_count("log-append", "keyed.relays") >= 2; },
+        8000));
+    auto const listings = [&](std::string const& topic)
+    {
+        return cluster->store().request_count("log-newest", topic);
+    };
+    auto const servers = listings("keyed.servers");
+    auto const rules = listings("keyed.op");
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        if (!is_relay(*cluster, index))
+        {
+            cluster->restart(index);
+            EXPECT_TRUE(eventually([&] { return cluster->ready(index); }, 5000));
+            EXPECT_TRUE(eventually([&] { return status_at(*cluster, index) == 200; }));
+        }
+    }
+    EXPECT_EQ(listings("keyed.servers"), servers);
+    EXPECT_EQ(listings("keyed.op"), rules);
+}
+
 // The store is lost for one VM of a small fleet, which may be the one that reads for the
 // others. The others must still learn of new rules in time.
 TEST(platform_relays, small_fleet_learns_of_rules_while_one_vm_has_lost_the_store)
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -134,12 +134,21 @@
     return request_count_;
 }
 
+std::size_t store_standin::request_count(std::string const& operation,
+                                         std::string const& topic) const
+{
+    std::lock_guard lock{mutex_};
+    auto const      found = counts_.find({"/api/" + operation, topic});
+    return found == counts_.end() ? 0 : found->second;
+}
+
 bool store_standin::handle(wire_request const& request, wire_connection& connection)
 {
     auto kind = store_fault_kind::none;
     {
         std::lock_guard lock{mutex_};
         ++request_count_;
+        ++counts_[{request.path(), request.query("topic")}];
         kind = fault_;
     }
     if (kind == store_fault_kind::silent)
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -42,6 +42,9 @@
 
     std::vector<std::string> records(std::string const& topic) const;
     std::size_t              request_count() const;
+    /// Requests of one operation ("log-read") for one topic.
+    std::size_t request_count(std::string const& operation,
+                              std::string const& topic) const;
 
 private:
     struct topic_log
@@ -60,8 +63,9 @@
     std::map<std::string, topic_log> topics_;
     store_fault_kind                 fault_ = store_fault_kind::none;
     std::size_t                      request_count_ = 0;
-    bool                             stopping_ = false;
-    wire_server                      server_; // last: its threads use the members above
+    std::map<std::pair<std::string, std::string>, std::size_t> counts_; // path, topic
+    bool                                                       stopping_ = false;
+    wire_server server_; // last: its threads use the members above
 
 public:
     ~store_standin();
