--- a/src/app/token_sequencer.hpp
+++ b/src/app/token_sequencer.hpp
@@ -68,8 +68,7 @@
             return {{}, !first};
         }
         // The next token is always accepted: it empties the buffer.
-        bool const no_room =
-            event.sequence != next_ && out_of_order_.size() >= max_ahead;
+        bool const no_room = event.sequence != next_ && out_of_order_.size() >= max_ahead;
         bool const unusable = event.sequence < next_ || no_room;
         if (unusable || !out_of_order_.emplace(event.sequence, event.text).second)
         {
--- a/src/ledger/server_index.hpp
+++ b/src/ledger/server_index.hpp
@@ -72,7 +72,7 @@
     using servers_by_hash = std::map<position, backend_server const*>;
 
     std::map<std::pair<std::string, engine_ring>, servers_by_hash> rings_;
-    std::map<std::string, std::int64_t> staying_; // by service
+    std::map<std::string, std::int64_t>                            staying_; // by service
 };
 
 } // namespace marigoldcrank
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -144,7 +144,8 @@
                 best_cache_ = &each;
             }
         }
-        bool const drawn = prefill_rendezvous_ != nullptr || decode_rendezvous_ != nullptr;
+        bool const drawn =
+            prefill_rendezvous_ != nullptr || decode_rendezvous_ != nullptr;
         if (drawn && cached_anywhere_)
         {
             prefill_rendezvous_ = nullptr;
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -86,10 +86,10 @@
     backend_server const* server = nullptr;
     server_load           load;
     bool                  avoided = false; // avoided after failures; last choice
-    bool                  rendezvous = false; // of the prompt, as the index tells; if none
-                                              // is, the rank among the candidates decides
-    std::int64_t          cached = 0; // tokens of shared parts cached or being computed
-    std::int64_t          ready = 0;  // of these, already computed
+    bool rendezvous = false;               // of the prompt, as the index tells; if none
+                                           // is, the rank among the candidates decides
+    std::int64_t cached = 0; // tokens of shared parts cached or being computed
+    std::int64_t ready = 0;  // of these, already computed
 };
 
 /// The first server of a model call and the predicted times there.
--- a/src/policy/relay_candidacy.hpp
+++ b/src/policy/relay_candidacy.hpp
@@ -2,10 +2,10 @@
 //
 // Index: 1 candidacy_options, 2 candidacy_delay
 //
-// Answers the start of all VMs at once, when none of them knows another. If each read what
-// all others wrote, the reads would grow with the square of the number of VMs. The largest
-// VMs enter first; the others find them in the list and stay out of it, so the list has a
-// few entries a data centre whatever the size of the fleet.
+// Answers the start of all VMs at once, when none of them knows another. If each read
+// what all others wrote, the reads would grow with the square of the number of VMs. The
+// largest VMs enter first; the others find them in the list and stay out of it, so the
+// list has a few entries a data centre whatever the size of the fleet.
 #ifndef MARIGOLDCRANK_POLICY_RELAY_CANDIDACY_HPP
 #define MARIGOLDCRANK_POLICY_RELAY_CANDIDACY_HPP
 
@@ -32,7 +32,8 @@
 inline millis candidacy_delay(vm_contact const& own, std::uint64_t random,
                               candidacy_options const& options = {})
 {
-    auto const capacity = std::clamp<std::int64_t>(own.capacity, 0, options.full_capacity);
+    auto const capacity =
+        std::clamp<std::int64_t>(own.capacity, 0, options.full_capacity);
     auto const missing = options.full_capacity - capacity;
     auto const range = static_cast<std::uint64_t>(options.spread.count()) + 1;
     return millis{options.longest.count() * missing / options.full_capacity +
--- a/src/policy/relay_plan.cpp
+++ b/src/policy/relay_plan.cpp
@@ -76,15 +76,14 @@
 /// Relays of other data centres in an order that differs between the VMs, so that the
 /// members of a data centre without relays spread over all of them.
 std::vector<std::string> backup_sources(std::map<std::string, contacts> const& centres,
-                                        vm_contact const&         own,
-                                        relay_plan_options const& options)
+                                        vm_contact const&                      own,
+                                        relay_plan_options const&              options)
 {
     std::map<std::uint64_t, std::string> ranked;
     for (auto const& [name, members] : centres)
     {
-        for (auto const& vm : name == own.data_centre
-                                  ? contacts{}
-                                  : choose_best(members, options.relays))
+        for (auto const& vm :
+             name == own.data_centre ? contacts{} : choose_best(members, options.relays))
         {
             auto const seed = rank_of(own);
             ranked[XXH3_64bits_withSeed(vm.records.data(), vm.records.size(), seed)] =
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -100,8 +100,8 @@
                                     boot_clock::time_point now) const
 {
     candidate  result{.server = &server,
-                     .load = peers.at(server.id, now),
-                     .avoided = health.avoided(server.id, now)};
+                      .load = peers.at(server.id, now),
+                      .avoided = health.avoided(server.id, now)};
     auto const load = loads.find(server.id);
     if (load != loads.end())
     {
@@ -181,9 +181,9 @@
             chosen->rendezvous = true;
         }
     }
-    auto const holders =
-        settings.directory ? prefixes.holders_of(call.prompt, any, drawn_holders, now)
-                           : std::vector<std::string>{};
+    auto const holders = settings.directory
+                             ? prefixes.holders_of(call.prompt, any, drawn_holders, now)
+                             : std::vector<std::string>{};
     for (auto const& id : holders)
     {
         auto const listed = servers.servers().find(id);
@@ -196,8 +196,8 @@
     std::vector<candidate> result;
     for (auto& [id, each] : drawn)
     {
-        auto const cached =
-            settings.directory ? prefixes.cached_at(id, call.prompt, now) : cached_tokens{};
+        auto const cached = settings.directory ? prefixes.cached_at(id, call.prompt, now)
+                                               : cached_tokens{};
         each.cached = cached.all;
         each.ready = cached.ready;
         result.push_back(each);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -74,9 +74,9 @@
     /// Whether a service has so many servers that a call considers only a few of them.
     bool draws_candidates(std::string const& service) const;
 
-    /// A few servers of `service` that may get new work, other than those in `tried`: some
-    /// at random, some in this data centre, and those that suit the prompt by what they
-    /// have cached or by its hash.
+    /// A few servers of `service` that may get new work, other than those in `tried`:
+    /// some at random, some in this data centre, and those that suit the prompt by what
+    /// they have cached or by its hash.
     std::vector<candidate> draw_candidates(std::string const&           service,
                                            std::set<std::string> const& tried,
                                            caller_call const&           call,
@@ -178,7 +178,8 @@
 
     bool may_get_work(backend_server const& server, std::set<std::string> const& tried,
                       boot_clock::time_point now) const;
-    candidate candidate_of(backend_server const& server, boot_clock::time_point now) const;
+    candidate candidate_of(backend_server const&  server,
+                           boot_clock::time_point now) const;
 
     std::map<std::string, retry_budget> budgets_;
     std::mt19937_64                     random_;
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -117,19 +117,19 @@
     auto const& colocated = meter().colocated();
     auto const& pauses = state_.pauses[admitted_.service_name];
     bool const  drawn = state_.draws_candidates(admitted_.service_name);
-    return {
-        .prefill_rate = prefills.speed(),
-        .colocated_rate = colocated.speed(),
-        .colocated_fixed_ms = colocated.fixed_ms(),
-        .prefill_fixed_ms = prefills.fixed_ms(),
-        .handoff_ms = prefills.handoff_ms(),
-        .max_colocated_tokens = pauses.max_colocated_tokens(state_.settings.colocated),
-        .observed = prefills.observed(),
-        .unreported_ms = state_.settings.spread_choices ? unreported_ms() : 0,
-        .sampled_engines =
-            state_.settings.spread_choices && state_.relays_used() && !drawn
-                ? sampled_engines
-                : 0};
+    return {.prefill_rate = prefills.speed(),
+            .colocated_rate = colocated.speed(),
+            .colocated_fixed_ms = colocated.fixed_ms(),
+            .prefill_fixed_ms = prefills.fixed_ms(),
+            .handoff_ms = prefills.handoff_ms(),
+            .max_colocated_tokens =
+                pauses.max_colocated_tokens(state_.settings.colocated),
+            .observed = prefills.observed(),
+            .unreported_ms = state_.settings.spread_choices ? unreported_ms() : 0,
+            .sampled_engines =
+                state_.settings.spread_choices && state_.relays_used() && !drawn
+                    ? sampled_engines
+                    : 0};
 }
 
 double model_placement::unreported_ms() const
--- a/tests/unit/idempotency_log_test.cpp
+++ b/tests/unit/idempotency_log_test.cpp
@@ -68,9 +68,9 @@
     log.records.push_back(record_of(settled)); // stored, not read by this VM
 
     log_writer<lagging_log>      writer(log, store);
-    idempotency_log<lagging_log> idempotency(
-        writer, store, "vm-1/1", [](std::string const&) { return true; }, {});
-    auto const claim = idempotency.claim(intent("repeat", ""));
+    idempotency_log<lagging_log> idempotency(writer, store, "vm-1/1",
+                                             [](std::string const&) { return true; }, {});
+    auto const                   claim = idempotency.claim(intent("repeat", ""));
     EXPECT_EQ(claim.verdict, claim_verdict::answered);
     EXPECT_EQ(claim.entry.request_id, "first");
     EXPECT_EQ(claim.entry.status, 200);
@@ -87,8 +87,8 @@
     *claimed.add_intents() = intent("first", "vm-0/1");
     log.append(record_of(claimed));
     log_writer<lagging_log>      writer(log, store);
-    idempotency_log<lagging_log> idempotency(
-        writer, store, "vm-1/1", [](std::string const&) { return true; }, {});
+    idempotency_log<lagging_log> idempotency(writer, store, "vm-1/1",
+                                             [](std::string const&) { return true; }, {});
     EXPECT_EQ(idempotency.claim(intent("repeat", "")).verdict,
               claim_verdict::in_progress);
 }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -27,8 +27,7 @@
         std::vector<candidate> drawn;
         for (std::size_t number = 0; number < engines.size(); ++number)
         {
-            drawn.push_back(
-                {.server = &engines[number], .rendezvous = number == chosen});
+            drawn.push_back({.server = &engines[number], .rendezvous = number == chosen});
         }
         for (std::uint64_t tie_break = 0; tie_break < 20; ++tie_break)
         {
--- a/tests/unit/prefix_directory_test.cpp
+++ b/tests/unit/prefix_directory_test.cpp
@@ -148,13 +148,13 @@
     prefix_directory caches;
     caches.sent("e", {{"a", 100}, {"b", 1000}, {"x", 7}}, millis{0}, at(0));
     caches.sent("f", {{"a", 100}, {"y", 7}}, millis{50}, at(0));
-    std::vector<prompt_part> const prompt{{"a", 100}, {"b", 1000}, {"z", 7}};
-    for (auto const& [server, cached] : caches.cached(prompt, at(10)))
+    std::vector<prompt_part> const shared{{"a", 100}, {"b", 1000}, {"z", 7}};
+    for (auto const& [server, cached] : caches.cached(shared, at(10)))
     {
-        EXPECT_EQ(caches.cached_at(server, prompt, at(10)), cached);
+        EXPECT_EQ(caches.cached_at(server, shared, at(10)), cached);
     }
-    EXPECT_EQ(caches.cached_at("f", prompt, at(10)), (cached_tokens{100, 0}));
-    EXPECT_EQ(caches.cached_at("g", prompt, at(10)), cached_tokens{});
+    EXPECT_EQ(caches.cached_at("f", shared, at(10)), (cached_tokens{100, 0}));
+    EXPECT_EQ(caches.cached_at("g", shared, at(10)), cached_tokens{});
 }
 
 // Thousands of engines hold a part that most prompts share. A call looks at a few, those
@@ -164,15 +164,15 @@
     prefix_directory caches;
     for (int engine = 1000; engine < 4000; ++engine)
     {
-        caches.sent("e" + std::to_string(engine), {{"a", 100}, {"x", 7}}, millis{0},
-                    at(0));
+        caches.sent(std::string{"e"}.append(std::to_string(engine)),
+                    {{"a", 100}, {"x", 7}}, millis{0}, at(0));
     }
     caches.sent("e1500", {{"a", 100}, {"b", 1000}, {"x", 7}}, millis{0}, at(0));
-    std::vector<prompt_part> const prompt{{"a", 100}, {"b", 1000}, {"z", 7}};
-    auto const                     some = caches.holders_of(prompt, "e2000", 8, at(10));
+    std::vector<prompt_part> const shared{{"a", 100}, {"b", 1000}, {"z", 7}};
+    auto const                     some = caches.holders_of(shared, "e2000", 8, at(10));
     ASSERT_EQ(some.size(), 8U);
     EXPECT_EQ(some.front(), "e1500");
-    auto const others = caches.holders_of(prompt, "e3000", 8, at(10));
+    auto const others = caches.holders_of(shared, "e3000", 8, at(10));
     EXPECT_EQ(others.front(), "e1500");
     EXPECT_NE(others[1], some[1]);
     EXPECT_TRUE(caches.holders_of({{"q", 1}, {"z", 7}}, "", 8, at(10)).empty());
--- a/tests/unit/relay_candidacy_test.cpp
+++ b/tests/unit/relay_candidacy_test.cpp
@@ -17,7 +17,7 @@
 /// that looked at least `delay` earlier.
 std::set<vm_contact> candidates(int vms, int large, millis delay)
 {
-    std::mt19937_64                    random{20261202};
+    std::mt19937_64                   random{20261202};
     std::multimap<millis, vm_contact> looks;
     for (int number = 0; number < vms; ++number)
     {
@@ -32,8 +32,8 @@
     for (auto const& [at, vm] : looks)
     {
         std::set<vm_contact> listed;
-        for (auto each = entered.begin(); each != entered.end() && each->first <= at - delay;
-             ++each)
+        for (auto each = entered.begin();
+             each != entered.end() && each->first <= at - delay; ++each)
         {
             listed.insert(each->second);
         }
--- a/tests/unit/relay_plan_test.cpp
+++ b/tests/unit/relay_plan_test.cpp
@@ -222,8 +222,8 @@
     }
 }
 
-// A VM that has just started knows only the relays. It must not take the fleet for a small
-// one, in which every VM receives from every other.
+// A VM that has just started knows only the relays. It must not take the fleet for a
+// small one, in which every VM receives from every other.
 TEST(relay_plan, vm_that_knows_only_the_relays_of_a_large_fleet_is_a_member)
 {
     auto const           vms = fleet(5, 190, 10);
--- a/tests/unit/server_index_test.cpp
+++ b/tests/unit/server_index_test.cpp
@@ -25,8 +25,8 @@
 {
     for (int number = 0; number < count; ++number)
     {
-        list.put(engine(number, number % 3 == 0 ? engine_role::prefill
-                                                : engine_role::decode));
+        list.put(
+            engine(number, number % 3 == 0 ? engine_role::prefill : engine_role::decode));
     }
 }
 
@@ -112,8 +112,8 @@
     server_list other;
     for (int number = 299; number >= 0; --number)
     {
-        other.put(engine(number, number % 3 == 0 ? engine_role::prefill
-                                                 : engine_role::decode));
+        other.put(
+            engine(number, number % 3 == 0 ? engine_role::prefill : engine_role::decode));
     }
     auto const chosen = first(list);
     EXPECT_EQ(first(other), chosen);
