--- a/src/app/idempotency_log.hpp
+++ b/src/app/idempotency_log.hpp
@@ -76,7 +76,7 @@
     {
         intent.set_owner(self_);
         auto const earlier = find(intent.key_hash());
-        auto const verdict = earlier ? decide(*earlier, intent) : call_claim{};
+        auto       verdict = earlier ? decide(*earlier, intent) : call_claim{};
         if (earlier && !may_be_outdated(*earlier))
         {
             return verdict;
