--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -442,10 +442,11 @@
     }
 
     /// Whether this VM passes the records of a large fleet on, and has found the first
-    /// one.
+    /// one. A VM that knows no other yet is no relay: it must not read what all have
+    /// written.
     bool reads_whole_log() const
     {
-        return usage_complete_ && state_.relays_used() && state_.serves_peers;
+        return usage_complete_ && state_.is_relay;
     }
 
     /// Reads the usage log again from further back, until it has a sealed window.
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -167,6 +167,7 @@
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
+    bool         is_relay = false;        // adds up the digests of its data centre
     bool         is_first_relay = false;  // the first of its data centre's relays
     bool         holds_duties = false;
     bool         draining = false; // reports not ready, still serves
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -166,6 +166,7 @@
     // A VM of a large fleet that knows no other is no relay yet.
     bool const alone = vms.empty() && told > state_.settings.mesh;
     state_.serves_peers = plan.serves_records && !alone;
+    state_.is_relay = plan.relay && !alone;
     state_.is_first_relay = plan.first_relay && !alone;
     state_.peers.follow(plan, state_.incarnation, state_.settings.data_centre);
     listed_vms_ = std::max(static_cast<std::int64_t>(vms.size()), told);
