Registry of relays: listings keep their pauses while the store refuses them

A VM that starts with all others listed the registry at every look, 150 ms apart, until a listing succeeded, so that an outage of the store at the start would have met hundreds of VMs asking seven times a second. When a listing or an entry is due is decided in functions of their own now.

--- a/src/serving/relay_registry.hpp
+++ b/src/serving/relay_registry.hpp
@@ -29,31 +29,24 @@
 class relay_registry
 {
 public:
-    relay_registry(entry_state& state, Store& store) : state_(state), store_(store) {}
+    relay_registry(entry_state& state, Store& store)
+        : state_(state), store_(store), started_(boot_clock::now()),
+          first_delay_(candidacy_delay(state.contact, state.tie_break()))
+    {
+    }
 
     /// Lists the relays of a large fleet until the usage log tells of the VMs, and enters
     /// this VM while it is one, or there are too few.
     boost::asio::awaitable<void> run()
     {
-        auto const  started = boot_clock::now();
-        auto const  delay = candidacy_delay(state_.contact, state_.tie_break());
-        std::size_t place = 0;
         while (true)
         {
-            auto const now = boot_clock::now();
-            bool const first_start = state_.settings.first_start && listings_ == 0;
-            auto const due =
-                first_start ? started + delay : listed_at_ + listing_pauses[place];
-            bool const again = place > 0;
-            bool const needed = wanted() && (!again || unsettled());
-            if (state_.relays_used() && needed && now >= due)
+            if (listing_due(boot_clock::now()))
             {
-                place = std::min(place + 1, listing_pauses.size() - 1);
                 co_await list();
                 co_await enter_if_needed();
             }
-            bool const relay = state_.relays_used() && state_.serves_peers && !wanted();
-            if (relay && boot_clock::now() - entered_at_ >= entry_pause)
+            if (entry_due(boot_clock::now()))
             {
                 co_await enter();
                 co_await drop_former();
@@ -113,15 +106,35 @@
     static constexpr unsigned lane = 4;
     // 150   ms; between looks
     static constexpr millis look_interval{150};
-    // 0 to 10000 ms; pauses between listings. The first candidates may enter while others
+    // 700 to 5000 ms; pauses between listings. The first candidates may enter while
+    // others
     //       list; later the list only changes when relays are replaced
-    static constexpr std::array<millis, 4> listing_pauses{millis{0}, millis{700},
-                                                          millis{2000}, millis{10000}};
+    static constexpr std::array<millis, 3> listing_pauses{millis{700}, millis{2000},
+                                                          millis{5000}};
     // 6000  ms; a window of usage and its delay, until the log has told of every VM
     static constexpr millis log_time{6000};
     // 10000 ms; between entries of a relay
     static constexpr millis entry_pause{10000};
 
+    bool listing_due(boot_clock::time_point now) const
+    {
+        bool const again = listed_at_ != boot_clock::time_point{};
+        if (!state_.relays_used() || !wanted() || (again && !unsettled()))
+        {
+            return false;
+        }
+        if (again)
+        {
+            return now - listed_at_ >= listing_pauses[place_];
+        }
+        return !state_.settings.first_start || now - started_ >= first_delay_;
+    }
+
+    bool entry_due(boot_clock::time_point now) const
+    {
+        return state_.is_relay && !wanted() && now - entered_at_ >= entry_pause;
+    }
+
     /// Notes when the usage log began to tell of most VMs.
     void update(std::set<vm_contact> const& logged)
     {
@@ -155,6 +168,8 @@
 
     boost::asio::awaitable<void> list()
     {
+        bool const again = listed_at_ != boot_clock::time_point{};
+        place_ = again ? std::min(place_ + 1, listing_pauses.size() - 1) : 0;
         listed_at_ = boot_clock::now();
         auto        result = co_await store_.newest(lane, topic(), "");
         auto const* page = std::get_if<keyed_page>(&result);
@@ -162,7 +177,7 @@
         {
             co_return;
         }
-        ++listings_;
+        has_list_ = true;
         known_.clear();
         for (auto const& record : page->records)
         {
@@ -181,7 +196,7 @@
             listed.insert(entry.contact);
         }
         bool const entered = known_.count(state_.settings.name) > 0;
-        if (listings_ > 0 && !entered && would_be_relay(listed, state_.contact, {}))
+        if (has_list_ && !entered && would_be_relay(listed, state_.contact, {}))
         {
             co_await enter();
         }
@@ -224,14 +239,17 @@
         static_cast<void>(result); // appended again after the pause
     }
 
-    entry_state&                          state_;
-    Store&                                store_;
-    entries                               known_;
-    std::set<vm_contact>                  logged_; // VMs that the usage log tells of
+    entry_state&           state_;
+    Store&                 store_;
+    boot_clock::time_point started_;
+    millis                 first_delay_; // of the first listing, if all start
+    entries                known_;
+    std::set<vm_contact>   logged_; // VMs that the usage log tells of
     std::optional<boot_clock::time_point> complete_since_; // it has told of most VMs
     boot_clock::time_point                listed_at_{};
     boot_clock::time_point                entered_at_{};
-    int                                   listings_ = 0;
+    std::size_t                           place_ = 0;        // in listing_pauses
+    bool                                  has_list_ = false; // a listing succeeded
 };
 
 } // namespace marigoldcrank
