VMs that start ask relays again soon, and plan by the usage log once it tells of all

A relay that was silent once wasn't asked for the state for 2 to 8 s, and one that had no records yet counted as replying, so that its members didn't read the store either. Now a query for the state is repeated after half a second, at the next relay; a relay without the records counts as none; a listing at the store waits 5 s for the relays' state.

--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -96,6 +96,15 @@
         return state_.usage_known.contacts();
     }
 
+    /// Whether the usage log was read up to its end, from far enough back to tell of all
+    /// VMs. Otherwise VMs would choose different relays.
+    bool knows_vms() const
+    {
+        bool const window_passed =
+            usage_started_ && boot_clock::now() - usage_started_at_ >= window_time;
+        return usage_read_once_ && (usage_complete_ || window_passed);
+    }
+
     /// Appends all counts, including those of the open window, before the process ends.
     boost::asio::awaitable<void> append_all_usage()
     {
@@ -212,6 +221,8 @@
     static constexpr std::uint64_t recent_records = 64;
     // 32    KiB of records per read of a VM that doesn't know the size of the fleet
     static constexpr std::size_t first_read_kb = 32;
+    // 6000  ms; a window of usage and its delay, in which every VM adds a record
+    static constexpr millis window_time{6000};
     // 4     windows; older ones are sealed
     static constexpr std::int64_t sealed_after = 4;
     static constexpr millis       lane_poll{
@@ -374,6 +385,7 @@
 
     void start_usage_log(std::uint64_t from)
     {
+        usage_started_at_ = usage_started_ ? usage_started_at_ : boot_clock::now();
         usage_started_ = true;
         usage_complete_ = from == 0;
         usage_next_ = from;
@@ -432,6 +444,7 @@
         bool const progress = chunk.next() > usage_next_;
         usage_next_ = chunk.next();
         usage_read_ = usage_next_ >= chunk.end;
+        usage_read_once_ = usage_read_once_ || usage_read_;
         auto const window = current_window();
         state_.usage_known.forget_before(window - retained_windows);
         state_.known_vms = static_cast<std::int64_t>(state_.usage_known.writers());
@@ -583,8 +596,10 @@
     std::vector<usage_record> pending_;        // not known to be appended
     std::uint64_t             usage_next_ = 0; // next offset to read
     boot_clock::time_point    usage_read_at_{};
-    retry_gate                append_gate_;           // limits retries of `pending_`
-    bool                      usage_read_ = false;    // the log is read up to its end
+    retry_gate                append_gate_;             // limits retries of `pending_`
+    bool                      usage_read_ = false;      // the log is read up to its end
+    bool                      usage_read_once_ = false; // it was, at some time
+    boot_clock::time_point    usage_started_at_{};
     bool                      usage_started_ = false; // `usage_next_` is set
     bool          usage_complete_ = false;      // read from the first unsealed window on
     std::uint64_t usage_anchor_ = 0;            // offset of the first own record
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -175,20 +175,24 @@
         {
             auto const now = boot_clock::now();
             if (now - planned_at_ >= plan_interval || state_.known_vms != planned_vms_ ||
-                registry_.listed() != planned_listed_)
+                registry_.listed() != planned_listed_ ||
+                worker_.knows_vms() != planned_log_)
             {
                 planned_at_ = now;
                 planned_listed_ = registry_.listed();
+                planned_log_ = worker_.knows_vms();
                 auto const told = state_.relays_used()
                                       ? std::max(registry_.vms(), state_.known_vms)
                                       : 0;
                 state_.known_vms = std::max(state_.known_vms, told);
                 planned_vms_ = state_.known_vms;
-                exchange.follow(registry_.contacts(worker_.vms()), told);
+                exchange.follow(registry_.contacts(worker_.vms(), worker_.knows_vms()),
+                                told);
             }
             exchange.publish_digests();
             bool const small = state_.known_vms > 0 && !state_.relays_used();
-            peers_known_ = peers_known_ || small || registry_.listed();
+            peers_known_ =
+                peers_known_ || small || registry_.listed() || worker_.knows_vms();
             shared_.read_directly(worker_.duty_topic(), state_.holds_duties);
             shared_.passes_on(state_.serves_peers);
             shared_.relays_used(state_.relays_used());
@@ -343,6 +347,7 @@
     boot_clock::time_point                       planned_at_{}; // the last relay plan
     std::int64_t planned_vms_ = -1;                             // VMs known at that time
     bool         planned_listed_ = false; // whether relays were listed at that time
+    bool         planned_log_ = false;    // whether the usage log told of all VMs then
     bool         peers_known_ = false;    // other VMs can be queried
     bool         ready_ = false;
 };
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -61,7 +61,8 @@
     std::unique_ptr<watched_socket> socket;          // null until the first query
     boot_clock::time_point          avoided_until{}; // not queried until then
     millis                          backoff = min_backoff;
-    bool                            silent = false; // since the last query
+    bool                            silent = false;  // since the last query
+    bool                            unknown = false; // it replied that it lacks the topic
 };
 
 /// A query of this VM that waits for its reply.
@@ -166,11 +167,23 @@
         }
     }
 
-    void heard(std::string const& address)
+    /// A relay that starts again is silent for a second or two. Queries for the state go
+    /// on meanwhile.
+    void retry_soon(std::string const& address)
+    {
+        if (auto* relay = find(address))
+        {
+            relay->silent = true;
+            relay->avoided_until = boot_clock::now() + stale_backoff;
+        }
+    }
+
+    void heard(std::string const& address, bool known)
     {
         if (auto* relay = find(address))
         {
             relay->silent = false;
+            relay->unknown = !known;
         }
     }
 
@@ -237,14 +250,20 @@
             }
             auto const address = relay.address;
             auto       answer = co_await fetch(relay, query);
+            if (!answer && query.state)
+            {
+                // A VM without the state has nothing that gets old by the next query.
+                retry_soon(address);
+                continue;
+            }
             if (!answer)
             {
                 avoid_silent(address);
                 break;
             }
-            heard(address);
             millis const age{answer->age_ms()};
             bool const   known = answer->known() || answer->trimmed();
+            heard(address, known);
             stale = age > records_query{}.max_age;
             if (stale)
             {
@@ -525,7 +544,8 @@
 bool record_link::replied() const
 {
     return std::any_of(state_->relays.begin(), state_->relays.end(),
-                       [](relay_peer const& each) { return !each.silent; });
+                       [](relay_peer const& each)
+                       { return !each.silent && !each.unknown; });
 }
 
 bool record_link::relays_lost_store() const
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -80,7 +80,7 @@
     /// True while at least one relay isn't avoided.
     bool relayed() const;
 
-    /// True while at least one relay replies, even with old records.
+    /// True while at least one relay replies with records, even with old ones.
     bool replied() const;
 
     /// Whether the relay that replied last has lost the store itself, so that the store
--- a/src/serving/relay_registry.hpp
+++ b/src/serving/relay_registry.hpp
@@ -19,7 +19,6 @@
 
 #include <array>
 #include <map>
-#include <optional>
 #include <set>
 
 namespace marigoldcrank
@@ -56,12 +55,13 @@
     }
 
     /// The VMs to plan with: those that the usage log tells of, or the listed relays
-    /// while it doesn't tell of most VMs of a large fleet. A relay needs the others as
-    /// well.
-    std::set<vm_contact> contacts(std::set<vm_contact> const& logged)
+    /// while this VM of a large fleet hasn't read the log (`complete` is false). A relay
+    /// needs the others as well.
+    std::set<vm_contact> contacts(std::set<vm_contact> const& logged, bool complete)
     {
-        update(logged);
-        if (!state_.relays_used() || !wanted())
+        logged_ = logged;
+        log_complete_ = complete;
+        if (!state_.relays_used() || complete)
         {
             return logged;
         }
@@ -111,15 +111,13 @@
     //       list; later the list only changes when relays are replaced
     static constexpr std::array<millis, 3> listing_pauses{millis{700}, millis{2000},
                                                           millis{5000}};
-    // 6000  ms; a window of usage and its delay, until the log has told of every VM
-    static constexpr millis log_time{6000};
     // 10000 ms; between entries of a relay
     static constexpr millis entry_pause{10000};
 
     bool listing_due(boot_clock::time_point now) const
     {
         bool const again = listed_at_ != boot_clock::time_point{};
-        if (!state_.relays_used() || !wanted() || (again && !unsettled()))
+        if (!state_.relays_used() || log_complete_ || (again && !unsettled()))
         {
             return false;
         }
@@ -132,31 +130,7 @@
 
     bool entry_due(boot_clock::time_point now) const
     {
-        return state_.is_relay && !wanted() && now - entered_at_ >= entry_pause;
-    }
-
-    /// Notes when the usage log began to tell of most VMs.
-    void update(std::set<vm_contact> const& logged)
-    {
-        auto const now = boot_clock::now();
-        auto const told = std::max(vms(), state_.peers.vms(now));
-        bool const most = static_cast<std::int64_t>(logged.size()) * 2 > told;
-        logged_ = logged;
-        if (!most)
-        {
-            complete_since_.reset();
-        }
-        else if (!complete_since_)
-        {
-            complete_since_ = now;
-        }
-    }
-
-    /// Whether the registry is needed: the usage log has told of most VMs for too short a
-    /// time, or doesn't.
-    bool wanted() const
-    {
-        return !complete_since_ || boot_clock::now() - *complete_since_ < log_time;
+        return state_.is_relay && log_complete_ && now - entered_at_ >= entry_pause;
     }
 
     /// Whether the list may lack relays that matter to this VM: it entered itself, as
@@ -245,11 +219,11 @@
     millis                 first_delay_; // of the first listing, if all start
     entries                known_;
     std::set<vm_contact>   logged_; // VMs that the usage log tells of
-    std::optional<boot_clock::time_point> complete_since_; // it has told of most VMs
-    boot_clock::time_point                listed_at_{};
-    boot_clock::time_point                entered_at_{};
-    std::size_t                           place_ = 0;        // in listing_pauses
-    bool                                  has_list_ = false; // a listing succeeded
+    boot_clock::time_point listed_at_{};
+    boot_clock::time_point entered_at_{};
+    std::size_t            place_ = 0;            // in listing_pauses
+    bool                   log_complete_ = false; // the usage log has told of all VMs
+    bool                   has_list_ = false;     // a listing succeeded
 };
 
 } // namespace marigoldcrank
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -126,6 +126,7 @@
             auto state = co_await link_->fetch_state(topic);
             if (state)
             {
+                state_wanted_.erase(topic);
                 ++tally_.of(topic).relayed;
                 state->records.relayed = true;
                 if (passes_on_)
@@ -135,7 +136,7 @@
                 co_return page_of(topic, *state);
             }
         }
-        if (must_wait(topic, sent) || !may_fall_back(topic))
+        if (must_wait(topic, sent) || !may_list(topic, sent))
         {
             co_return store_failure{store_fault::unreachable, 0};
         }
@@ -193,6 +194,9 @@
     //       The rest is for a silent relay and the read of the store that replaces it
     static constexpr millis max_relay_wait{700};
 
+    // 5000  ms; a VM that starts waits for its relays to have the state of a topic
+    static constexpr millis max_state_wait{5000};
+
     // 500 and 2000 ms; pause of a member between failed reads of the store. Hundreds of
     //       members may have lost their relays at once
     static constexpr retry_gate_options member_retries{.initial_pause = millis{500},
@@ -220,6 +224,20 @@
         return found->second == store_fallback::relays_silent && silent;
     }
 
+    /// Whether this VM may list a topic at the store. A listing of thousands of servers
+    /// is large, and after a loss of all VMs each of them needs one, so members wait for
+    /// their relays to have it.
+    bool may_list(std::string const& topic, boot_clock::time_point now)
+    {
+        bool const member = relays_used_ && !passes_on_;
+        if (!member || fallbacks_.count(topic) == 0)
+        {
+            return true;
+        }
+        auto const since = state_wanted_.try_emplace(topic, now).first->second;
+        return now - since >= max_state_wait;
+    }
+
     boost::asio::awaitable<store_result<log_chunk>>
     read_store(unsigned lane, std::string const& topic, std::uint64_t from, millis wait,
                std::size_t max_kb)
@@ -341,8 +359,10 @@
     bool                                   relays_used_ = false;
     std::map<std::string, retry_gate>      gates_;    // by topic; for reads of the store
     std::map<std::string, partial_listing> listings_; // by topic
-    record_link::format_source             format_of_;
-    store_tally                            tally_;
+    std::map<std::string, boot_clock::time_point>
+        state_wanted_; // by topic; since when the relays lack the state
+    record_link::format_source format_of_;
+    store_tally                tally_;
 };
 
 } // namespace marigoldcrank
