A few early usage records no longer pass for the whole fleet

VMs that stop add their record to the open window, and VMs that start add one to the last window before the others do (planned restarts of 63 VMs); the plan took the VMs of the newest two windows that had any record, so eight to thirteen of 985. Windows to which less than a quarter of the VMs have added a record are read but not counted now.

usage_sum.few_early_records_do_not_hide_the_fleet fails on the code before by its rule (two newest windows with records: 3 VMs).

--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -198,14 +198,31 @@
     return records;
 }
 
+std::vector<usage_sum::records_by_writer const*> usage_sum::recent_records() const
+{
+    std::size_t largest = 0;
+    for (auto const& [number, sum] : windows_)
+    {
+        largest = std::max(largest, sum.logged.size());
+    }
+    constexpr std::size_t                 sparse_share = 4;
+    std::vector<records_by_writer const*> result;
+    int                                   whole = 0;
+    for (auto at = windows_.rbegin(); at != windows_.rend() && whole < 2; ++at)
+    {
+        auto const& logged = at->second.logged;
+        whole += !logged.empty() && logged.size() * sparse_share >= largest ? 1 : 0;
+        result.push_back(&logged);
+    }
+    return result;
+}
+
 std::set<vm_contact> usage_sum::contacts() const
 {
     std::set<vm_contact> result;
-    int                  windows = 0;
-    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2; ++at)
+    for (auto const* records : recent_records())
     {
-        windows += at->second.logged.empty() ? 0 : 1;
-        for (auto const& [writer, record] : at->second.logged)
+        for (auto const& [writer, record] : *records)
         {
             if (!record.contact.digests.empty())
             {
@@ -219,11 +236,9 @@
 std::size_t usage_sum::writers() const
 {
     std::set<std::string> names;
-    int                   windows = 0;
-    for (auto at = windows_.rbegin(); at != windows_.rend() && windows < 2; ++at)
+    for (auto const* records : recent_records())
     {
-        windows += at->second.logged.empty() ? 0 : 1;
-        for (auto const& [writer, record] : at->second.logged)
+        for (auto const& [writer, record] : *records)
         {
             names.insert(writer);
         }
--- a/src/ledger/usage_windows.hpp
+++ b/src/ledger/usage_windows.hpp
@@ -124,6 +124,11 @@
         records_by_writer received; // from digests
     };
 
+    /// Records in the log for the last two windows to which at least a quarter of the VMs
+    /// have added theirs, and for the windows after these. VMs that stop or start add
+    /// records before all others do.
+    std::vector<records_by_writer const*> recent_records() const;
+
     static void merge(records_by_writer& known, usage_record const& record);
 
     /// True if the writer counts nothing more in this window.
