A VM that returns from a cut lists the servers at the store at once

Their relays count as silent for up to 8 s, and a listing at the store waited 5 s for the relays' state, a rule of that is meant for VMs that start. It now holds only for topics that the VM has never read.

--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -126,7 +126,7 @@
             auto state = co_await link_->fetch_state(topic);
             if (state)
             {
-                state_wanted_.erase(topic);
+                held_topics_.insert(topic);
                 ++tally_.of(topic).relayed;
                 state->records.relayed = true;
                 if (passes_on_)
@@ -147,6 +147,7 @@
         tally_.of(topic).failed += page == nullptr ? 1 : 0;
         if (page != nullptr)
         {
+            held_topics_.insert(topic);
             collect(topic, *page, after.empty(), sent);
         }
         co_return result;
@@ -175,6 +176,7 @@
             }
             if (answer)
             {
+                held_topics_.insert(topic);
                 ++tally_.of(topic).relayed;
                 link_->merge(topic, *answer, sent - answer->age);
                 co_return std::move(*answer);
@@ -230,7 +232,8 @@
     bool may_list(std::string const& topic, boot_clock::time_point now)
     {
         bool const member = relays_used_ && !passes_on_;
-        if (!member || fallbacks_.count(topic) == 0)
+        // A VM that returns from a cut may still use servers that have left meanwhile.
+        if (!member || fallbacks_.count(topic) == 0 || held_topics_.count(topic) > 0)
         {
             return true;
         }
@@ -360,7 +363,8 @@
     std::map<std::string, retry_gate>      gates_;    // by topic; for reads of the store
     std::map<std::string, partial_listing> listings_; // by topic
     std::map<std::string, boot_clock::time_point>
-        state_wanted_; // by topic; since when the relays lack the state
+                          state_wanted_; // by topic; since when the relays lack the state
+    std::set<std::string> held_topics_;  // read by this VM before
     record_link::format_source format_of_;
     store_tally                tally_;
 };
