Keyed mirror: the check that a change is seen, lost when the test moved

topic_mirror.records_without_a_change_keep_their_offsets had it (has_changes(1)); its other checks stand in keyed_mirror.reports_of_life_are_not_told as offsets and next().

--- a/tests/unit/keyed_mirror_test.cpp
+++ b/tests/unit/keyed_mirror_test.cpp
@@ -56,6 +56,7 @@
     auto const told = mirror.read(0, whole);
     EXPECT_EQ(told.records, (texts{"a=ready/1", "b=ready/1"}));
     EXPECT_EQ(told.next(), 3U);
+    EXPECT_TRUE(mirror.has_changes(1));
     EXPECT_FALSE(mirror.has_changes(2));
     mirror.merge(chunk(3, {"b=leaving/2"}), at_ms(2));
     EXPECT_EQ(mirror.read(3, whole).records, texts{"b=leaving/2"});
