Failing test: callers of VMs without links to the servers are refused

Three of four daemons, one after the other, lose their links to all servers, in three shapes: connections hang, are reset, or live on while new ones are refused. First tries are counted from 3 s after the loss, against the users' bounds (two thirds of the share of the others; no more than 10 and one in 50 failed).

The relays of the tests can now refuse new connections or let them hang, and a store stand-in shows each daemon the servers behind relays of its own.

--- /dev/null
+++ b/tests/platform/lost_links_test.cpp
@@ -0,0 +1,197 @@
+// VMs that lose their links to all servers while callers, the store and the other VMs
+// still reach them.
+#include "platform/support/entry_cluster.hpp"
+#include "platform/support/raw_caller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <thread>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int vms = 4; // three in one data centre, one in another
+constexpr int centre_vms = 3;
+
+/// First tries at one VM: calls that are not repeated, whatever becomes of them.
+struct first_tries
+{
+    std::atomic<int> asked{0};
+    std::atomic<int> served{0};
+};
+
+/// Callers at each VM, until destruction.
+class callers
+{
+public:
+    explicit callers(entry_cluster const& cluster)
+    {
+        for (int thread = 0; thread < vms * 2; ++thread)
+        {
+            threads_.emplace_back([this, &cluster, thread] { run(cluster, thread); });
+        }
+    }
+
+    ~callers()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_)
+        {
+            thread.join();
+        }
+    }
+
+    /// First tries that were sent within `duration` from now, by VM.
+    std::array<first_tries, vms> const& count(milliseconds duration)
+    {
+        for (auto& each : tries_)
+        {
+            each.asked = 0;
+            each.served = 0;
+        }
+        ++round_;
+        std::this_thread::sleep_for(duration);
+        return tries_;
+    }
+
+private:
+    void run(entry_cluster const& cluster, int thread)
+    {
+        constexpr milliseconds pause{25};
+        auto const             vm = thread % vms;
+        for (int call = 0; !stopping_; ++call)
+        {
+            auto&      tries = tries_.at(static_cast<std::size_t>(vm));
+            auto const sent_in = round_.load();
+            ++tries.asked;
+            auto const id = "c-" + std::to_string(thread) + "-" + std::to_string(call);
+            auto const response = ask(cluster.caller_port(vm),
+                                      {.path = call % 2 == 0 ? "/repeat/x" : "/once/x",
+                                       .id = id,
+                                       .body = id,
+                                       .deadline_ms = 4000});
+            bool const served = response.status == 200 && response.complete;
+            tries.served += served && sent_in == round_ ? 1 : 0;
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    std::atomic<bool>            stopping_{false};
+    std::atomic<int>             round_{0};
+    std::array<first_tries, vms> tries_;
+    std::vector<std::thread>     threads_;
+};
+
+/// Responds, and closes every fourth connection, so that new ones are needed.
+server_standin::behaviour closing_responses()
+{
+    auto const count = std::make_shared<std::atomic<int>>(0);
+    return [count](wire_request const& request, wire_connection& connection)
+    {
+        bool const closes = ++*count % 4 == 0;
+        auto       response = server_standin::signed_response(request, "served");
+        if (closes)
+        {
+            response.insert(response.find("\r\n") + 2, "Connection: close\r\n");
+        }
+        connection.send(response);
+        return !closes;
+    };
+}
+
+/// Breaks the links of the first `lost` VMs and checks the first tries from the time on
+/// at which VMs must have noticed.
+void expect_calls_served(entry_cluster& cluster, callers& load, int lost,
+                         link_fault fault)
+{
+    constexpr seconds notice{3};
+    constexpr seconds counted{3};
+    constexpr seconds recovery{2};
+    for (int vm = 0; vm < lost; ++vm)
+    {
+        cluster.break_links(vm, fault);
+    }
+    std::this_thread::sleep_for(notice);
+    auto const& tries = load.count(counted);
+    int         asked = 0;
+    int         asked_lost = 0;
+    int         served = 0;
+    int         served_lost = 0;
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        auto const& each = tries.at(static_cast<std::size_t>(vm));
+        (vm < lost ? asked_lost : asked) += each.asked;
+        (vm < lost ? served_lost : served) += each.served;
+    }
+    EXPECT_GT(asked_lost, 20 * lost) << "VMs without links: " << lost;
+    EXPECT_GE(served_lost * 3 * asked, served * 2 * asked_lost)
+        << "VMs without links: " << lost << ", served " << served_lost << " of "
+        << asked_lost << ", the others " << served << " of " << asked;
+    EXPECT_LE(asked_lost - served_lost, 10 + (asked + asked_lost) / 50)
+        << "VMs without links: " << lost;
+    for (int vm = 0; vm < lost; ++vm)
+    {
+        cluster.restore_links(vm);
+    }
+    std::this_thread::sleep_for(recovery);
+}
+
+/// One, most and all VMs of a data centre lose their links, one after the other.
+void expect_calls_served_whoever_is_cut_off(link_fault fault)
+{
+    entry_cluster cluster(
+        {.daemons = vms, .servers = 3, .own_links = true, .distant = vms - centre_vms});
+    for (int server = 0; server < 3; ++server)
+    {
+        cluster.server(server).handle_always(closing_responses());
+    }
+    {
+        callers load(cluster);
+        std::this_thread::sleep_for(seconds{1});
+        for (int lost = 1; lost <= centre_vms; ++lost)
+        {
+            expect_calls_served(cluster, load, lost, fault);
+        }
+    }
+    std::map<std::string, int> runs; // of calls that must not run twice
+    for (int server = 0; server < 3; ++server)
+    {
+        for (auto const& request : cluster.server(server).received_requests())
+        {
+            runs[request.field("request-id")] += request.path() == "/once/x" ? 1 : 0;
+        }
+    }
+    for (auto const& [id, count] : runs)
+    {
+        EXPECT_LE(count, 1) << id;
+    }
+}
+
+// Each call waited for four connects and was refused, although other VMs had links.
+TEST(platform_lost_links, calls_are_served_while_links_hang)
+{
+    expect_calls_served_whoever_is_cut_off(link_fault::hang);
+}
+
+// Each call was refused after four refused connects, although other VMs had links.
+TEST(platform_lost_links, calls_are_served_while_links_are_reset)
+{
+    expect_calls_served_whoever_is_cut_off(link_fault::reset);
+}
+
+// Calls beyond those that the open connections carry were refused.
+TEST(platform_lost_links, calls_are_served_while_new_connections_are_refused)
+{
+    expect_calls_served_whoever_is_cut_off(link_fault::refuse_new);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -78,6 +78,10 @@
             store_relays_.push_back(
                 std::make_unique<tcp_relay>(store_ports_.back(), store_port_));
         }
+        if (options_.own_links)
+        {
+            add_links();
+        }
         start(index);
     }
     for (int index = 0; index < options_.daemons && options_.servers > 0; ++index)
@@ -170,6 +174,61 @@
     return relayed == server_ports_.end() ? server.port() : relayed->second;
 }
 
+void entry_cluster::add_links()
+{
+    std::map<std::string, int> ports; // of this daemon's relays, by server id
+    links_.emplace_back();
+    for (auto const& server : servers_)
+    {
+        ports[server->id()] = ports_.next();
+        links_.back().push_back(
+            std::make_unique<tcp_relay>(ports[server->id()], server->port()));
+    }
+    store_ports_.back() = ports_.next();
+    store_->add_view(store_ports_.back(),
+                     [ports](std::string const& topic, std::string const& key,
+                             std::string const& value)
+                     {
+                         auto const relay = ports.find(key);
+                         if (topic != "keyed.servers" || value.empty() ||
+                             relay == ports.end())
+                         {
+                             return value;
+                         }
+                         auto entry = nlohmann::json::parse(value);
+                         entry["address"] = loopback_address(relay->second);
+                         return entry.dump();
+                     });
+}
+
+void entry_cluster::break_links(int index, link_fault fault)
+{
+    for (auto const& link : links_.at(static_cast<std::size_t>(index)))
+    {
+        link->silence_all(fault == link_fault::hang);
+        if (fault == link_fault::hang)
+        {
+            link->hang_new(true);
+            continue;
+        }
+        link->refuse_new(true);
+        if (fault == link_fault::reset)
+        {
+            link->reset_open();
+        }
+    }
+}
+
+void entry_cluster::restore_links(int index)
+{
+    for (auto const& link : links_.at(static_cast<std::size_t>(index)))
+    {
+        link->silence_all(false);
+        link->refuse_new(false);
+        link->hang_new(false);
+    }
+}
+
 tcp_relay& entry_cluster::store_relay(int index)
 {
     return *store_relays_.at(static_cast<std::size_t>(index));
@@ -210,8 +269,9 @@
     auto const    slot = static_cast<std::size_t>(index);
     auto const    file = directory_ + "/entry-" + std::to_string(index) + ".ini";
     std::ofstream settings(file);
-    settings << "[node]\nname = vm-" << index << "\ndata_centre = here\ncallers = "
-             << loopback_address(caller_ports_[slot])
+    settings << "[node]\nname = vm-" << index << "\ndata_centre = "
+             << (index < options_.daemons - options_.distant ? "here" : "there")
+             << "\ncallers = " << loopback_address(caller_ports_[slot])
              << "\nreadiness = " << loopback_address(readiness_ports_[slot])
              << "\npeers = " << loopback_address(peer_ports_[slot])
              << "\nrecords = " << loopback_address(record_ports_[slot])
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -34,10 +34,20 @@
     std::string bounds;          // further lines of the settings' [bounds] section
     int         mesh = 16;       // VMs; larger fleets pass updates on through relays
     bool        relayed = false; // connections to the store and servers pass TCP relays
+    bool own_links = false;      // each daemon reaches each server through its own relay
+    int  distant = 0;            // daemons, the last ones, in another data centre
     std::string route_fields;    // a JSON object: further fields of all routes
     std::string north_fields;    // a JSON object: further fields of workspace north
 };
 
+/// What becomes of the connections between a VM and the servers.
+enum class link_fault
+{
+    hang,      // open ones become silent, new ones get no reply
+    reset,     // open ones are closed, new ones are refused
+    refuse_new // open ones work, new ones are refused
+};
+
 /// Options for one server, for tests that must know which server a call reaches.
 inline cluster_options one_server()
 {
@@ -77,6 +87,10 @@
     tcp_relay& store_relay(int index);
     tcp_relay& server_relay(int index);
 
+    /// Breaks the links between daemon `index` and all servers; only with `own_links`.
+    void break_links(int index, link_fault fault);
+    void restore_links(int index);
+
     server_standin& server(int index);
     store_standin&  store();
     child_process&  daemon(int index = 0);
@@ -96,6 +110,7 @@
     int  port_of(server_standin const& server) const;
     bool record_duty_request(wire_request const& request, wire_connection& connection);
     void start(int index);
+    void add_links();
 
     cluster_options                              options_;
     port_block                                   ports_;
@@ -106,16 +121,17 @@
     std::vector<std::unique_ptr<tcp_relay>>      server_relays_; // by server
     std::vector<int>                             store_ports_;   // by daemon
     std::map<std::string, int>                   server_ports_;  // of relays, by id
-    std::unique_ptr<wire_server>                 duty_server_;
-    int                                          store_port_ = 0;
-    int                                          duty_port_ = 0;
-    std::vector<int>                             caller_ports_;
-    std::vector<int>                             readiness_ports_;
-    std::vector<int>                             peer_ports_;
-    std::vector<int>                             record_ports_;
-    std::vector<std::unique_ptr<child_process>>  daemons_;
-    mutable std::mutex                           mutex_;
-    std::vector<duty_request>                    duty_requests_;
+    std::vector<std::vector<std::unique_ptr<tcp_relay>>> links_; // by daemon and server
+    std::unique_ptr<wire_server>                         duty_server_;
+    int                                                  store_port_ = 0;
+    int                                                  duty_port_ = 0;
+    std::vector<int>                                     caller_ports_;
+    std::vector<int>                                     readiness_ports_;
+    std::vector<int>                                     peer_ports_;
+    std::vector<int>                                     record_ports_;
+    std::vector<std::unique_ptr<child_process>>          daemons_;
+    mutable std::mutex                                   mutex_;
+    std::vector<duty_request>                            duty_requests_;
 };
 
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -71,10 +71,18 @@
 
 store_standin::store_standin(int port)
     : server_(port, [this](wire_request const& request, wire_connection& connection)
-              { return handle(request, connection); })
+              { return handle(request, connection, {}); })
 {
 }
 
+void store_standin::add_view(int port, value_view view)
+{
+    view_servers_.push_back(std::make_unique<wire_server>(
+        port, [this, view = std::move(view)](wire_request const& request,
+                                             wire_connection&    connection)
+        { return handle(request, connection, view); }));
+}
+
 store_standin::~store_standin()
 {
     {
@@ -142,7 +150,8 @@
     return found == counts_.end() ? 0 : found->second;
 }
 
-bool store_standin::handle(wire_request const& request, wire_connection& connection)
+bool store_standin::handle(wire_request const& request, wire_connection& connection,
+                           value_view const& view)
 {
     auto kind = store_fault_kind::none;
     {
@@ -171,8 +180,8 @@
     }
     auto const path = request.path();
     auto const response = path == "/api/log-append" ? append(request)
-                          : path == "/api/log-read" ? read(request)
-                                                    : newest_by_key(request);
+                          : path == "/api/log-read" ? read(request, view)
+                                                    : newest_by_key(request, view);
     if (kind == store_fault_kind::losing_responses && path == "/api/log-append")
     {
         return false;
@@ -204,7 +213,7 @@
     }
 }
 
-std::string store_standin::read(wire_request const& request)
+std::string store_standin::read(wire_request const& request, value_view const& view)
 {
     std::unique_lock lock{mutex_};
     auto&            topic = topics_[request.query("topic")];
@@ -222,7 +231,13 @@
     std::vector<std::string> records;
     for (auto at = from; at < topic.records.size(); ++at)
     {
-        records.push_back(topic.records[at]);
+        auto const record =
+            view ? platform::decode_keyed(topic.records[at], at) : std::nullopt;
+        records.push_back(
+            record && record->value
+                ? encode_keyed(record->key,
+                               view(request.query("topic"), record->key, *record->value))
+                : topic.records[at]);
     }
     return wire_response(ok, "",
                          big_endian(topic.records.size()) +
@@ -230,7 +245,8 @@
                              platform::frame_records(records));
 }
 
-std::string store_standin::newest_by_key(wire_request const& request)
+std::string store_standin::newest_by_key(wire_request const& request,
+                                         value_view const&   view)
 {
     std::lock_guard lock{mutex_};
     auto&           topic = topics_[request.query("topic")];
@@ -250,8 +266,10 @@
     auto items = nlohmann::json::array();
     for (auto const& [key, value] : values)
     {
+        auto const seen =
+            view ? view(request.query("topic"), key, value.first) : value.first;
         items.push_back(
-            {{"key", key}, {"value", base64(value.first)}, {"offset", value.second}});
+            {{"key", key}, {"value", base64(seen)}, {"offset", value.second}});
     }
     return json_response(
         ok,
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -30,6 +30,13 @@
 public:
     explicit store_standin(int port);
 
+    /// Changes the value of a key of a topic for one reader.
+    using value_view = std::function<std::string(
+        std::string const& topic, std::string const& key, std::string const& value)>;
+
+    /// Also listens on `port`, where readers see all values through `view`.
+    void add_view(int port, value_view view);
+
     /// Sets the fault of all requests from now on.
     void trouble(store_fault_kind kind);
 
@@ -53,10 +60,11 @@
         std::uint64_t            first_offset = 0;
     };
 
-    bool        handle(wire_request const& request, wire_connection& connection);
+    bool        handle(wire_request const& request, wire_connection& connection,
+                       value_view const& view);
     std::string append(wire_request const& request);
-    std::string read(wire_request const& request);
-    std::string newest_by_key(wire_request const& request);
+    std::string read(wire_request const& request, value_view const& view);
+    std::string newest_by_key(wire_request const& request, value_view const& view);
 
     mutable std::mutex               mutex_;
     std::condition_variable          appended_;
@@ -65,7 +73,9 @@
     std::size_t                      request_count_ = 0;
     std::map<std::pair<std::string, std::string>, std::size_t> counts_; // path, topic
     bool                                                       stopping_ = false;
-    wire_server server_; // last: its threads use the members above
+    // Last: their threads use the members above.
+    wire_server                               server_;
+    std::vector<std::unique_ptr<wire_server>> view_servers_;
 
 public:
     ~store_standin();
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -47,25 +47,43 @@
 }
 } // namespace
 
-tcp_relay::tcp_relay(int port, int target_port)
-    : listener_(open_socket()), target_port_(target_port)
+tcp_relay::tcp_relay(int port, int target_port) : port_(port), target_port_(target_port)
 {
-    auto const address = loopback(port);
+    listen_again();
+    thread_ = std::thread([this] { run(); });
+}
+
+tcp_relay::~tcp_relay()
+{
+    stopping_ = true;
+    thread_.join();
+    cut(true);
+    close_fillers();
+    if (listener_ >= 0)
+    {
+        ::close(listener_);
+    }
+}
+
+void tcp_relay::listen_again()
+{
+    listener_ = open_socket();
+    auto const address = loopback(port_);
     if (::bind(listener_, reinterpret_cast<sockaddr const*>(&address), sizeof address) !=
             0 ||
         ::listen(listener_, backlog) != 0)
     {
         throw std::runtime_error("a test relay cannot listen on its port");
     }
-    thread_ = std::thread([this] { run(); });
 }
 
-tcp_relay::~tcp_relay()
+void tcp_relay::close_fillers()
 {
-    stopping_ = true;
-    thread_.join();
-    cut(true);
-    ::close(listener_);
+    for (int const each : fillers_)
+    {
+        ::close(each);
+    }
+    fillers_.clear();
 }
 
 // 2. Controls
@@ -104,6 +122,11 @@
 {
     std::lock_guard const lock(mutex_);
     cut_ = on;
+    close_open();
+}
+
+void tcp_relay::close_open()
+{
     for (auto& own : connections_)
     {
         drop(own.caller);
@@ -111,6 +134,45 @@
     }
 }
 
+void tcp_relay::reset_open()
+{
+    std::lock_guard const lock(mutex_);
+    close_open();
+}
+
+void tcp_relay::refuse_new(bool on)
+{
+    std::lock_guard const lock(mutex_);
+    if (on && listener_ >= 0)
+    {
+        ::close(listener_);
+        listener_ = -1;
+    }
+    if (!on && listener_ < 0)
+    {
+        listen_again();
+    }
+}
+
+void tcp_relay::hang_new(bool on)
+{
+    std::lock_guard const lock(mutex_);
+    hangs_new_ = on;
+    // The kernel drops attempts to connect while the accept queue is full.
+    constexpr int queue_length = 2; // with a backlog of 0, and one to spare
+    ::listen(listener_, on ? 0 : backlog);
+    close_fillers();
+    for (int count = 0; on && count < queue_length; ++count)
+    {
+        fillers_.push_back(
+            ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        auto const address = loopback(port_);
+        static_cast<void>(::connect(fillers_.back(),
+                                    reinterpret_cast<sockaddr const*>(&address),
+                                    sizeof address));
+    }
+}
+
 void tcp_relay::delay(std::chrono::milliseconds value)
 {
     std::lock_guard const lock(mutex_);
@@ -135,9 +197,10 @@
 {
     while (!stopping_)
     {
-        std::vector<pollfd> items{{listener_, POLLIN, 0}};
+        std::vector<pollfd> items;
         {
             std::lock_guard const lock(mutex_);
+            items.push_back({hangs_new_ ? -1 : listener_, POLLIN, 0});
             connections_.remove_if(
                 [](connection const& own)
                 { return own.caller.socket < 0 && own.target.socket < 0; });
@@ -161,7 +224,7 @@
             serve(own, own.target, own.caller, items[index + 1].revents);
             index += 2;
         }
-        if ((items[0].revents & POLLIN) != 0)
+        if ((items[0].revents & POLLIN) != 0 && listener_ >= 0 && !hangs_new_)
         {
             accept_one();
         }
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace marigoldcrank::tests
 {
@@ -48,6 +49,15 @@
     /// Closes all open connections; closes new ones at once while this is on.
     void cut(bool on);
 
+    /// Closes all open connections; new ones work.
+    void reset_open();
+
+    /// Refuses connections from now on while this is on; open ones are relayed.
+    void refuse_new(bool on);
+
+    /// Lets attempts to connect hang while this is on; open connections are relayed.
+    void hang_new(bool on);
+
     /// Delays all data by this time, in both directions.
     void delay(std::chrono::milliseconds value);
 
@@ -85,8 +95,14 @@
     void flush(connection& own, half& to);
     void parse_sender(connection& own, std::string const& bytes) const;
     void drop(half& end) const;
+    void close_open();
+    void listen_again();
+    void close_fillers();
 
+    int                       port_;
     int                       listener_ = -1;
+    std::vector<int>          fillers_; // connections that fill the accept queue
+    bool                      hangs_new_ = false;
     int                       target_port_;
     mutable std::mutex        mutex_;
     std::list<connection>     connections_;
