Losses of servers are logged with where they were found

During the incident of lost links, no line showed whether VMs avoid a server for a failure of their own or for another VM's report, so that the hypothesis that cut VMs mislead the others could not be judged. New log line server_lost and metric server_losses_total, on each change from used to avoided.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -124,7 +124,7 @@
 {
     tried_.insert(result.server);
     last_fault_ = "server_error";
-    state_.health.failed(result.server, false, boot_clock::now());
+    state_.record_failure(result.server, false, boot_clock::now());
     log_failure("server_error", result);
 }
 
@@ -153,7 +153,7 @@
     }
     else if (result.fate == attempt_outcome::unknown)
     {
-        state_.health.failed(result.server, result.fault == "broken", now);
+        state_.record_failure(result.server, result.fault == "broken", now);
     }
 }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -316,6 +316,37 @@
     }
 }
 
+void entry_state::record_failure(std::string const& server, bool lost,
+                                 boot_clock::time_point now)
+{
+    bool const avoided = health.avoided(server, now);
+    health.failed(server, lost, now);
+    if (lost && !avoided)
+    {
+        log_loss(server, update_source::own, now);
+    }
+}
+
+void entry_state::receive_loss(std::string const& server, millis left,
+                               update_source source, boot_clock::time_point now)
+{
+    bool const avoided = health.avoided(server, now);
+    health.receive(server, left, source, now);
+    if (!avoided)
+    {
+        log_loss(server, source, now);
+    }
+}
+
+void entry_state::log_loss(std::string const& server, update_source learned_from,
+                           boot_clock::time_point now)
+{
+    constexpr std::array<std::string_view, 3> names{"own", "centre", "others"};
+    auto const name = names.at(static_cast<std::size_t>(learned_from));
+    counters.add("server_losses_total", "from=\"" + std::string{name} + "\"");
+    log.write(event_line{"server_lost"}.add("server", server).add("from", name), now);
+}
+
 void entry_state::receive(limit_update const& update, update_source source,
                           boot_clock::time_point now)
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -120,6 +120,14 @@
     void record_response(std::string const& server, response_facts const& facts,
                          boot_clock::time_point sent);
 
+    /// Records a failed call or connection that is attributed to the server; `lost` as
+    /// for server_health::failed().
+    void record_failure(std::string const& server, bool lost, boot_clock::time_point now);
+
+    /// Merges another VM's update that it avoids a server for `left`.
+    void receive_loss(std::string const& server, millis left, update_source source,
+                      boot_clock::time_point now);
+
     /// Merges another VM's update about a server's limit.
     void receive(limit_update const& update, update_source source,
                  boot_clock::time_point now);
@@ -176,6 +184,8 @@
 
 private:
     void log_limit(std::string const& server, std::string_view learned_from);
+    void log_loss(std::string const& server, update_source learned_from,
+                  boot_clock::time_point now);
 
     bool may_get_work(backend_server const& server, std::set<std::string> const& tried,
                       boot_clock::time_point now) const;
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -139,7 +139,7 @@
     {
         if (state_.settings.share_server_losses)
         {
-            state_.health.receive(server, left, source, now);
+            state_.receive_loss(server, left, source, now);
         }
     }
     for (auto const& each : extras.limits)
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -177,7 +177,7 @@
         if (step != io_result::ok)
         {
             fault_ = "connect";
-            state_.health.failed(server_.id, true, boot_clock::now());
+            state_.record_failure(server_.id, true, boot_clock::now());
             connection_->close();
             co_return false;
         }
