VMs that have lost their links to the servers reach them through other VMs

Cause: a call had no way to a server but the own link of its VM. Each connect took 400 ms to fail, four ended the call, and the next call tried again, since a failed connection was always taken for a failure of the server. Evidence: in the output of a cut VM all failures from 3 s on are fate=not_sent fault=connect, and calls end after 1,602 or 2,003 ms. The class: a fault of the observer's own path that is taken for a fault of what it observes.

Now each VM judges its own links, by service: connections to several servers that fail without one that is made in between mean that the links are lost (policy/link_watch). New connections are then asked of another VM, of the same data centre if possible (policy/proxy_list, offers in digests), which relays bytes and nothing else: call, attempts, fate, permits, retries and usage stay where the caller is. Kept connections that respond are used on; those that may be silent are not. Probes without calls find the links again, two in a row restore them. A server that two VMs can't reach counts as lost. Where no VM has links, calls are refused at once.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -153,6 +153,7 @@
         address_option("node", "metrics", false, &entry_settings::metrics),
         address_option("node", "peers", false, &entry_settings::peers),
         address_option("node", "records", false, &entry_settings::records),
+        address_option("node", "tunnels", false, &entry_settings::tunnels),
         count_option("node", "cores", permille_scale, &entry_settings::capacity),
         count_option("node", "mesh", 1, &entry_settings::mesh),
         flag_option("node", "first_start", &entry_settings::first_start),
@@ -247,6 +248,11 @@
                                                    option.allowed});
         }
     }
+    if (value.tunnels.port == 0 && value.peers.port != 0)
+    {
+        value.tunnels = {value.peers.host,
+                         static_cast<std::uint16_t>(value.peers.port + 1)};
+    }
     return value;
 }
 
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -43,13 +43,15 @@
 struct entry_settings
 {
     // [node]
-    std::string    name;         // unique among the VMs
-    std::string    data_centre;  // data centre of this VM
-    socket_address callers;      // where callers connect
-    socket_address readiness;    // where the balancer reads readiness
-    socket_address metrics;      // where metrics are served; port 0: nowhere
-    socket_address peers;        // where load digests are published; port 0: nowhere
-    socket_address records;      // where other VMs send queries; port 0: nowhere
+    std::string    name;        // unique among the VMs
+    std::string    data_centre; // data centre of this VM
+    socket_address callers;     // where callers connect
+    socket_address readiness;   // where the balancer reads readiness
+    socket_address metrics;     // where metrics are served; port 0: nowhere
+    socket_address peers;       // where load digests are published; port 0: nowhere
+    socket_address records;     // where other VMs send queries; port 0: nowhere
+    // where other VMs ask for connections to servers; by default the port after `peers`
+    socket_address tunnels;
     std::int64_t   capacity = 0; // 0  thousandths of a core; larger VMs become relays
     std::int64_t   mesh = 16;    // 16  VMs; with more, relays forward digests
     bool           first_start = false; //  no VM of the deployment has run before
--- /dev/null
+++ b/src/policy/link_watch.hpp
@@ -0,0 +1,128 @@
+// Detects that this VM has lost its links to the servers of a service.
+//
+// Index: 1 link_failure, 2 link_watch_options, 3 link_watch
+//
+// A connection that fails doesn't tell whether the server is gone or the link to it. If
+// connections to several servers fail and none succeeds in between, the link is the
+// likelier cause, and another VM may reach the servers.
+#ifndef MARIGOLDCRANK_POLICY_LINK_WATCH_HPP
+#define MARIGOLDCRANK_POLICY_LINK_WATCH_HPP
+
+#include "domain/boot_clock.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// How an attempt to connect failed.
+enum class link_failure
+{
+    refused,  // at once: open connections may still work
+    timed_out // without a reply: open connections may have become silent too
+};
+
+struct link_watch_options
+{
+    // 2     servers to which connections must fail, or all of a smaller service
+    std::size_t min_servers = 2;
+    // 2000  ms; failures further apart don't count together
+    millis window{2000};
+    // 2     connections in a row after which the links count as restored
+    int min_connections = 2;
+
+    bool operator==(link_watch_options const&) const = default;
+};
+
+/// Only new connections count: those that were open before may outlive the links, and
+/// their responses say nothing about new ones. Value type without I/O; the caller passes
+/// the time.
+class link_watch
+{
+public:
+    explicit link_watch(link_watch_options options = {}) : options_(options) {}
+
+    /// Records that a connection to `server` that was begun at `began` has failed.
+    /// `servers`: number of servers of the service. True if the links are lost from now
+    /// on.
+    bool record_failure(std::string const& server, std::size_t servers,
+                        link_failure failure, boot_clock::time_point began,
+                        boot_clock::time_point now)
+    {
+        std::erase_if(failures_, [&](auto const& each)
+                      { return now - each.second > options_.window; });
+        failures_[server] = now;
+        connections_ = 0;
+        if (failure == link_failure::timed_out && !silent_since_)
+        {
+            silent_since_ = began;
+        }
+        auto const needed =
+            std::min(options_.min_servers, std::max<std::size_t>(servers, 1));
+        bool const was_lost = lost_;
+        lost_ = lost_ || failures_.size() >= needed;
+        return lost_ && !was_lost;
+    }
+
+    /// Records that a connection was made. True if the links are restored from now on.
+    bool record_connection()
+    {
+        failures_.clear();
+        ++connections_;
+        bool const restored = lost_ && connections_ >= options_.min_connections;
+        if (!lost_ || restored)
+        {
+            lost_ = false;
+            silent_since_.reset();
+        }
+        return restored;
+    }
+
+    bool lost() const noexcept
+    {
+        return lost_;
+    }
+
+    /// The servers to which connections have failed, without one that was made since.
+    std::vector<std::string> failed_servers() const
+    {
+        std::vector<std::string> result;
+        for (auto const& [server, at] : failures_)
+        {
+            result.push_back(server);
+        }
+        return result;
+    }
+
+    /// Whether the last attempt to connect to `server` has failed lately.
+    bool failed_lately(std::string const& server, boot_clock::time_point now) const
+    {
+        auto const found = failures_.find(server);
+        return found != failures_.end() && now - found->second <= options_.window;
+    }
+
+    /// Whether a connection whose last response was complete at `last_used` may have
+    /// become silent with the links.
+    bool may_be_silent(boot_clock::time_point last_used) const
+    {
+        return lost_ && silent_since_ && last_used < *silent_since_;
+    }
+
+    bool operator==(link_watch const&) const = default;
+
+private:
+    link_watch_options                            options_;
+    std::map<std::string, boot_clock::time_point> failures_;        // by server
+    int                                           connections_ = 0; // since a failure
+    std::optional<boot_clock::time_point>         silent_since_;
+    bool                                          lost_ = false;
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -112,6 +112,18 @@
         return found != states_.end() && now < found->second.until;
     }
 
+    /// Whether the server is avoided because of a loss that this VM has found itself.
+    bool found_lost(std::string const& server, boot_clock::time_point now) const
+    {
+        auto const found = states_.find(server);
+        if (found == states_.end())
+        {
+            return false;
+        }
+        auto const own = found->second.published.find(update_source::own);
+        return own != found->second.published.end() && now < own->second;
+    }
+
     void forget(std::string const& server)
     {
         states_.erase(server);
--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -23,13 +23,23 @@
 }
 
 std::shared_ptr<http_connection> connection_pool::take(std::string const& server,
-                                                       bool not_repeatable, loop_time now)
+                                                       bool not_repeatable, loop_time now,
+                                                       condition const& suits)
 {
     auto const found = idle_.find(server);
-    while (found != idle_.end() && !found->second.empty())
+    if (found == idle_.end())
+    {
+        return nullptr;
+    }
+    auto& list = found->second;
+    for (auto index = list.size(); index > 0; --index)
     {
-        auto connection = std::move(found->second.back());
-        found->second.pop_back();
+        if (!suits(*list[index - 1]))
+        {
+            continue;
+        }
+        auto connection = std::move(list[index - 1]);
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(index - 1));
         if (is_usable(*connection, not_repeatable, now))
         {
             return connection;
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -6,6 +6,7 @@
 
 #include "serving/http_connection.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,11 +30,14 @@
 public:
     explicit connection_pool(pool_options options = {});
 
-    /// Takes the most recently used connection to `server`, or null if none can be reused
-    /// safely. With `not_repeatable`, for calls that can't be sent again, it must have
-    /// been idle for less than half of the allowed time.
+    using condition = std::function<bool(http_connection const& connection)>;
+
+    /// Takes the most recently used connection to `server` that fulfils `suits`, or null
+    /// if none can be reused safely; the others are kept. With `not_repeatable`, for
+    /// calls that can't be sent again, it must have been idle for less than half of the
+    /// allowed time.
     std::shared_ptr<http_connection> take(std::string const& server, bool not_repeatable,
-                                          loop_time now);
+                                          loop_time now, condition const& suits);
 
     /// Keeps a connection for reuse.
     void give_back(std::string const& server, std::shared_ptr<http_connection> connection,
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -80,6 +80,13 @@
         entry->set_sent_age_ms(each.sent_age.count());
         entry->set_arrived_age_ms(each.arrived_age.count());
     }
+    for (auto const& each : extras.proxies)
+    {
+        auto* entry = message.add_proxies();
+        entry->set_address(each.address);
+        entry->set_data_centre(each.data_centre);
+        entry->mutable_without()->Add(each.without.begin(), each.without.end());
+    }
     for (auto const& each : extras.crashes)
     {
         auto* entry = message.add_suspicions();
@@ -134,6 +141,12 @@
              .sent_age = millis{entry.sent_age_ms()},
              .arrived_age = millis{entry.arrived_age_ms()}});
     }
+    for (auto const& entry : message.proxies())
+    {
+        extras.proxies.push_back({entry.address(),
+                                  entry.data_centre(),
+                                  {entry.without().begin(), entry.without().end()}});
+    }
     for (auto const& entry : message.prefixes())
     {
         extras.prefixes.push_back(
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -8,6 +8,7 @@
 #include "policy/crash_watch.hpp"
 #include "policy/load_relay.hpp"
 #include "policy/prefix_directory.hpp"
+#include "policy/proxy_list.hpp"
 #include "policy/server_limits.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -36,6 +37,7 @@
     std::string                   records; // address where the sender answers other VMs
     std::vector<std::string>  heard;  // the same of VMs that the sender has heard lately
     std::vector<limit_update> limits; // that servers state
+    std::vector<server_proxy> proxies;
 };
 
 /// Publishes to all subscribers and subscribes to the given peers. Digests for a peer
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -12,6 +12,7 @@
 #include "serving/shared_store.hpp"
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
+#include "serving/tunnel_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -53,6 +54,7 @@
         spawn(run_housekeeping());
         spawn(exchange_with_peers());
         spawn(run_registry());
+        spawn(run_link_probes(state_));
         spawn(await_signals());
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
@@ -122,6 +124,10 @@
                              return status_response{200, state_.counters.exposition()};
                          });
         }
+        if (state_.settings.tunnels.port != 0)
+        {
+            serve_tunnels(loop_, state_);
+        }
         state_.counters.add_callback("log_lines_dropped_total", "",
                                      [this] { return state_.log.dropped(); });
     }
@@ -287,7 +293,7 @@
         close_idle_links();
         auto const limit = state_.settings.grace - drain_reserve;
         while (boot_clock::now() - began < limit &&
-               (state_.active_calls > 0 || !idle_.empty()))
+               (state_.active_calls > 0 || state_.tunnels > 0 || !idle_.empty()))
         {
             close_idle_links();
             co_await loop_sleep(drain_poll);
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -327,6 +327,63 @@
     }
 }
 
+bool entry_state::links_lost(std::string const& service) const
+{
+    auto const found = links.find(service);
+    return found != links.end() && found->second.lost();
+}
+
+std::set<std::string> entry_state::services_without_links() const
+{
+    std::set<std::string> result;
+    for (auto const& [service, watch] : links)
+    {
+        if (watch.lost())
+        {
+            result.insert(service);
+        }
+    }
+    return result;
+}
+
+void entry_state::record_connection(std::string const& service)
+{
+    if (links[service].record_connection())
+    {
+        log.write(event_line{"links_restored"}.add("service", service),
+                  boot_clock::now());
+    }
+}
+
+void entry_state::record_connect_failure(backend_server const&  server,
+                                         link_failure           failure,
+                                         boot_clock::time_point began)
+{
+    auto const now = boot_clock::now();
+    auto const servers_listed = static_cast<std::size_t>(
+        std::max<std::int64_t>(staying_servers(server.group), 1));
+    auto& watch = links[server.group];
+    if (watch.record_failure(server.id, servers_listed, failure, began, now))
+    {
+        // The failures before this one were taken for the servers'.
+        auto const failed = watch.failed_servers();
+        for (auto const& each : failed)
+        {
+            health.forget(each);
+        }
+        log.write(
+            event_line{"links_lost"}
+                .add("service", server.group)
+                .add("servers", static_cast<std::int64_t>(failed.size()))
+                .add("fault", failure == link_failure::refused ? "refused" : "timeout"),
+            now);
+    }
+    if (!watch.lost())
+    {
+        record_failure(server.id, true, now);
+    }
+}
+
 void entry_state::receive_loss(std::string const& server, millis left,
                                update_source source, boot_clock::time_point now)
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -16,10 +16,12 @@
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/fleet_share.hpp"
+#include "policy/link_watch.hpp"
 #include "policy/load_relay.hpp"
 #include "policy/pause_watch.hpp"
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
+#include "policy/proxy_list.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
 #include "policy/send_holds.hpp"
@@ -124,6 +126,19 @@
     /// for server_health::failed().
     void record_failure(std::string const& server, bool lost, boot_clock::time_point now);
 
+    /// Whether this VM has lost its links to the servers of `service`.
+    bool links_lost(std::string const& service) const;
+
+    std::set<std::string> services_without_links() const;
+
+    /// Records that a connection to a server of `service` was made over an own link.
+    void record_connection(std::string const& service);
+
+    /// Records that a connection to `server` that was begun at `began` has failed. It
+    /// counts against the server only while the links to its service aren't lost.
+    void record_connect_failure(backend_server const& server, link_failure failure,
+                                boot_clock::time_point began);
+
     /// Merges another VM's update that it avoids a server for `left`.
     void receive_loss(std::string const& server, millis left, update_source source,
                       boot_clock::time_point now);
@@ -152,6 +167,9 @@
     load_relay                          peers;    // from calls of the other VMs
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
+    std::map<std::string, link_watch>   links; // by service
+    proxy_list                          proxies;
+    std::int64_t                        tunnels = 0; // open for other VMs
     server_limits                       limits;
     send_holds                          holds;           // of servers
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -168,6 +168,13 @@
                                                  : body_result::broken;
     }
     complete_ = parser_->is_done();
+    // The end of a relayed connection may be that of the VM that relays it.
+    bool const ends_with_connection =
+        !parser_->chunked() && !parser_->content_length().has_value();
+    if (complete_ && !proxy.empty() && ends_with_connection)
+    {
+        co_return body_result::broken;
+    }
     co_return complete_ ? body_result::complete : body_result::more;
 }
 
@@ -192,6 +199,11 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+tcp::socket http_connection::release_socket()
+{
+    return stream_.release_socket();
+}
+
 void http_connection::close()
 {
     error_code ignored; // it may be closed already
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -92,8 +92,13 @@
 
     void close();
 
+    /// Gives up the socket, to which nothing has been sent and from which nothing has
+    /// been read.
+    boost::asio::ip::tcp::socket release_socket();
+
     loop_time             last_used{};
     std::optional<millis> idle_limit;
+    std::string           proxy; // address of the VM that relays it; empty: own link
 
 private:
     using message_parser =
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -1,6 +1,8 @@
 // Applies the relay plan, and publishes and receives digests.
 #include "serving/peer_exchange.hpp"
 
+#include "serving/tunnel_server.hpp"
+
 #include <zmq.hpp>
 
 namespace marigoldcrank
@@ -41,6 +43,30 @@
     return update_source::others;
 }
 
+// 16    offers in a digest of several VMs; the next digests have others
+constexpr std::size_t max_offers = 16;
+
+/// The VMs that open connections for others: this one, and those whose digests the scope
+/// adds up.
+std::vector<server_proxy> proxies_for(digest_scope scope, entry_state& state,
+                                      boot_clock::time_point now)
+{
+    auto const&               centre = state.settings.data_centre;
+    std::vector<server_proxy> result;
+    if (scope != digest_scope::vm)
+    {
+        result =
+            state.proxies.sample(max_offers, scope == digest_scope::centre ? centre : "",
+                                 state.tie_break(), now);
+    }
+    if (offers_tunnels(state))
+    {
+        result.push_back({format_address(state.settings.tunnels), centre,
+                          state.services_without_links()});
+    }
+    return result;
+}
+
 std::vector<prefix_update> prefixes_for(digest_scope                    scope,
                                         prefix_updates_by_source const& prefix_updates)
 {
@@ -95,6 +121,7 @@
     {
         state_.prefixes.expire(now);
         state_.forget_silent_peers(now);
+        state_.proxies.expire(now);
     }
     for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
     {
@@ -104,6 +131,7 @@
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
         extras.limits = state_.limits.updates(widest_source(digest.scope), now);
+        extras.proxies = proxies_for(digest.scope, state_, now);
         extras.heard = digest.scope == digest_scope::fleet && owners_
                            ? owners_->live_owners(now)
                            : std::vector<std::string>{};
@@ -146,6 +174,13 @@
     {
         state_.receive(each, source, now);
     }
+    for (auto const& each : extras.proxies)
+    {
+        if (each.address != format_address(state_.settings.tunnels))
+        {
+            state_.proxies.receive(each, now);
+        }
+    }
     for (auto const& each : extras.prefixes)
     {
         state_.prefixes.receive(each, source, now);
--- /dev/null
+++ b/src/serving/server_connector.cpp
@@ -0,0 +1,239 @@
+// Connections over own links and through other VMs, and probes of lost links.
+//
+// Index: 1 own links, 2 other VMs, 3 choice, 4 probes
+#include "serving/server_connector.hpp"
+
+#include "serving/loop_sleep.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr connect_options options;
+
+/// What another VM replied to the request for a connection.
+enum class proxy_reply
+{
+    connected,
+    unreachable, // it can't reach the server either
+    full,        // it opens no connection to this server now
+    silent
+};
+
+proxy_reply reply_of(io_result read, unsigned status)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned bad_gateway = 502;
+    if (read != io_result::ok)
+    {
+        return proxy_reply::silent;
+    }
+    return status == ok            ? proxy_reply::connected
+           : status == bad_gateway ? proxy_reply::unreachable
+                                   : proxy_reply::full;
+}
+
+} // namespace
+
+// 1. Own links
+
+asio::awaitable<open_connection> connect_directly(entry_state&   state,
+                                                  backend_server server, loop_time until)
+{
+    auto const executor = co_await asio::this_coro::executor;
+    auto const connection = std::make_shared<http_connection>(executor);
+    auto const began = boot_clock::now();
+    state.counters.add("server_connections_total");
+    socket_address const address{server.host, static_cast<std::uint16_t>(server.port)};
+    auto const end = std::min(until, loop_clock::now() + options.connect_timeout);
+    auto const step = co_await connection->connect(address, end);
+    if (step == io_result::ok)
+    {
+        state.record_connection(server.group);
+        co_return open_connection{connection};
+    }
+    connection->close();
+    state.record_connect_failure(server,
+                                 step == io_result::timed_out ? link_failure::timed_out
+                                                              : link_failure::refused,
+                                 began);
+    co_return open_connection{nullptr, "connect"};
+}
+
+// 2. Other VMs
+
+namespace
+{
+
+/// Asks the VM at `address` for a connection to `server`. Sets `connection` if the VM has
+/// made it.
+asio::awaitable<proxy_reply> ask_proxy(std::string address, std::string server,
+                                       loop_time                         until,
+                                       std::shared_ptr<http_connection>& connection)
+{
+    auto const executor = co_await asio::this_coro::executor;
+    auto       link = std::make_shared<http_connection>(executor);
+    auto const parsed = leaf::try_handle_all([&]() -> leaf::result<socket_address>
+                                             { return parse_socket_address(address); },
+                                             [] { return socket_address{}; });
+    auto       step = co_await link->connect(parsed, until);
+    if (step == io_result::ok)
+    {
+        http_request request{boost::beast::http::verb::connect, server, 11};
+        request.set(boost::beast::http::field::host, address);
+        step = co_await link->send(std::move(request), until);
+    }
+    if (step == io_result::ok)
+    {
+        step = co_await link->read_head(true, until);
+    }
+    auto const reply =
+        reply_of(step, step == io_result::ok ? link->head().result_int() : 0U);
+    if (reply == proxy_reply::connected)
+    {
+        link->proxy = address;
+        connection = std::move(link);
+    }
+    else
+    {
+        link->close();
+    }
+    co_return reply;
+}
+
+asio::awaitable<open_connection>
+connect_through_proxy(entry_state& state, backend_server server, loop_time until)
+{
+    open_connection       result{nullptr, "no_path"};
+    std::set<std::string> tried;
+    auto const end = std::min(until, loop_clock::now() + options.proxy_timeout);
+    while (tried.size() < options.max_proxies && loop_clock::now() < end)
+    {
+        auto const* chosen =
+            state.proxies.choose(server.group, state.settings.data_centre, tried,
+                                 state.tie_break(), boot_clock::now());
+        if (chosen == nullptr)
+        {
+            break;
+        }
+        std::string const address = chosen->address; // copy: the list may change
+        tried.insert(address);
+        auto const reply = co_await ask_proxy(address, server.id, end, result.connection);
+        auto const now = boot_clock::now();
+        state.counters.add("proxied_connections_total",
+                           reply == proxy_reply::connected     ? "outcome=\"connected\""
+                           : reply == proxy_reply::unreachable ? "outcome=\"unreachable\""
+                           : reply == proxy_reply::full        ? "outcome=\"full\""
+                                                               : "outcome=\"silent\"");
+        if (reply == proxy_reply::connected)
+        {
+            break;
+        }
+        if (reply == proxy_reply::unreachable)
+        {
+            // Two VMs can't reach it: the server is lost, not a link.
+            state.record_failure(server.id, true, now);
+            result.fault = "connect";
+            break;
+        }
+        state.proxies.avoid(address,
+                            now + (reply == proxy_reply::full ? options.full_pause
+                                                              : options.silent_pause));
+    }
+    co_return result;
+}
+
+} // namespace
+
+// 3. Choice
+
+asio::awaitable<open_connection> connect_server(entry_state& state, backend_server server,
+                                                loop_time until)
+{
+    if (!state.links_lost(server.group))
+    {
+        auto own = co_await connect_directly(state, server, until);
+        if (own.connection != nullptr || !state.links_lost(server.group))
+        {
+            co_return own;
+        }
+    }
+    auto       proxied = co_await connect_through_proxy(state, server, until);
+    bool const no_proxy =
+        proxied.connection == nullptr && std::string_view{proxied.fault} == "no_path";
+    if (no_proxy &&
+        !state.links[server.group].failed_lately(server.id, boot_clock::now()))
+    {
+        co_return co_await connect_directly(state, server, until);
+    }
+    co_return proxied;
+}
+
+bool may_reuse(entry_state const& state, std::string const& service,
+               http_connection const& connection)
+{
+    auto const now = boot_clock::now();
+    if (!connection.proxy.empty())
+    {
+        return state.links_lost(service) && state.proxies.offers(connection.proxy, now);
+    }
+    auto const found = state.links.find(service);
+    auto const idle = loop_clock::now() - connection.last_used;
+    return found == state.links.end() || !found->second.may_be_silent(now - idle);
+}
+
+// 4. Probes
+
+namespace
+{
+
+/// One server of each service whose links are lost, at random.
+std::vector<backend_server> servers_to_probe(entry_state& state)
+{
+    std::map<std::string, std::vector<backend_server const*>> by_service;
+    for (auto const& [id, server] : state.servers.servers())
+    {
+        if (state.links_lost(server.group) && !server.leaving)
+        {
+            by_service[server.group].push_back(&server);
+        }
+    }
+    std::vector<backend_server> result;
+    for (auto const& [service, servers] : by_service)
+    {
+        result.push_back(*servers[state.tie_break() % servers.size()]);
+    }
+    return result;
+}
+
+} // namespace
+
+asio::awaitable<void> run_link_probes(entry_state& state)
+{
+    while (true)
+    {
+        co_await loop_sleep(options.probe_interval);
+        for (auto const& server : servers_to_probe(state))
+        {
+            auto const until = loop_clock::now() + options.connect_timeout;
+            auto       probe = co_await connect_directly(state, server, until);
+            if (probe.connection != nullptr)
+            {
+                state.pool.give_back(server.id, std::move(probe.connection),
+                                     loop_clock::now());
+            }
+        }
+    }
+}
+
+} // namespace marigoldcrank
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -7,10 +7,8 @@
 #include "policy/attempt_history.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/send_permit.hpp"
+#include "serving/server_connector.hpp"
 
-#include <boost/asio/this_coro.hpp>
-
-#include <algorithm>
 #include <cassert>
 #include <optional>
 #include <string>
@@ -155,33 +153,21 @@
     static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
     static constexpr std::size_t max_body_size = 16U << 20U; // 16 MiB; plain responses
-    // 400  ms; far above any round trip within a region: the server is unreachable or its
-    //      accept queue is full, and another one is tried
-    static constexpr millis connect_timeout{400};
 
     boost::asio::awaitable<bool> open(exchange_request const& request)
     {
         connection_ =
-            state_.pool.take(server_.id, request.not_repeatable, loop_clock::now());
+            state_.pool.take(server_.id, request.not_repeatable, loop_clock::now(),
+                             [this](http_connection const& kept)
+                             { return may_reuse(state_, server_.group, kept); });
         if (connection_)
         {
             co_return true;
         }
-        auto const executor = co_await boost::asio::this_coro::executor;
-        connection_ = std::make_shared<http_connection>(executor);
-        state_.counters.add("server_connections_total");
-        auto const until = std::min(request.until, loop_clock::now() + connect_timeout);
-        socket_address const address{server_.host,
-                                     static_cast<std::uint16_t>(server_.port)};
-        auto const           step = co_await connection_->connect(address, until);
-        if (step != io_result::ok)
-        {
-            fault_ = "connect";
-            state_.record_failure(server_.id, true, boot_clock::now());
-            connection_->close();
-            co_return false;
-        }
-        co_return true;
+        auto const opened = co_await connect_server(state_, server_, request.until);
+        connection_ = opened.connection;
+        fault_ = opened.fault;
+        co_return connection_ != nullptr;
     }
 
     /// Counts the requests to servers that state a limit, by the work they are for.
--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -2,13 +2,17 @@
 // still reach them.
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
 
 #include <gtest/gtest.h>
 
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <map>
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace marigoldcrank::tests
 {
@@ -193,5 +197,100 @@
     expect_calls_served_whoever_is_cut_off(link_fault::refuse_new);
 }
 
+// Calls failed until the VM that relayed them was back.
+TEST(platform_lost_links, calls_are_served_after_the_relaying_vm_is_killed)
+{
+    entry_cluster cluster({.daemons = vms, .servers = 3, .own_links = true});
+    cluster.break_links(0, link_fault::reset);
+    cluster.break_links(1, link_fault::reset);
+    callers load(cluster);
+    std::this_thread::sleep_for(seconds{2});
+    cluster.daemon(2).signal(SIGKILL);
+    std::this_thread::sleep_for(seconds{2});
+    auto const& tries = load.count(seconds{2});
+    for (int vm = 0; vm < 2; ++vm)
+    {
+        auto const& each = tries.at(static_cast<std::size_t>(vm));
+        EXPECT_GE(each.served + 3, each.asked) << vm;
+    }
+}
+
+// Each call waited for four timeouts although no VM reached a server.
+TEST(platform_lost_links, calls_are_refused_at_once_while_no_vm_has_links)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 3, .own_links = true});
+    cluster.break_links(0, link_fault::hang);
+    cluster.break_links(1, link_fault::hang);
+    auto const refusal = [&](int call)
+    {
+        return ask(cluster.caller_port(call % 2), {.id = "c-" + std::to_string(call)});
+    };
+    EXPECT_TRUE(eventually(
+        [&, call = 0]() mutable
+        {
+            auto const begin = std::chrono::steady_clock::now();
+            auto const response = refusal(++call);
+            bool const at_once =
+                std::chrono::steady_clock::now() - begin < milliseconds{100};
+            return at_once && response.status == 503 &&
+                   response.fields.count("retry-after") > 0;
+        },
+        8000));
+    cluster.restore_links(0);
+    EXPECT_TRUE(eventually([&, call = 100]() mutable
+                           { return refusal(call += 2).status == 200; }));
+}
+
+// A killed VM's end of a connection was taken for the end of the server's response.
+TEST(platform_lost_links, relayed_response_without_length_is_not_taken_for_complete)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 1, .own_links = true});
+    cluster.break_links(0, link_fault::reset);
+    ASSERT_TRUE(eventually(
+        [&, call = 0]() mutable
+        {
+            return ask(cluster.caller_port(0), {.id = "w-" + std::to_string(++call)})
+                       .status == 200;
+        }));
+    cluster.server(0).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(
+                "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("request-id") +
+                "\r\nInstance-Signature: signed\r\n\r\npart");
+            return false;
+        });
+    EXPECT_EQ(ask(cluster.caller_port(0), {.path = "/once/x", .id = "cut"}).status, 502);
+    EXPECT_EQ(ask(cluster.caller_port(1), {.path = "/once/x", .id = "own"}).status, 200);
+}
+
+// A server worked on for callers that had left, because the relaying VM kept its
+// connection.
+TEST(platform_lost_links, call_whose_caller_has_left_is_dropped_behind_the_relay)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 1, .own_links = true});
+    cluster.break_links(0, link_fault::reset);
+    ASSERT_TRUE(eventually(
+        [&, call = 0]() mutable
+        {
+            return ask(cluster.caller_port(0), {.id = "w-" + std::to_string(++call)})
+                       .status == 200;
+        }));
+    std::atomic<bool> dropped{false};
+    std::atomic<bool> begun{false};
+    cluster.server(0).handle_always(
+        [&](wire_request const&, wire_connection& connection)
+        {
+            begun = true;
+            dropped = eventually([&] { return connection.closed_by_peer(); }, 3000);
+            return false;
+        });
+    raw_caller caller(cluster.caller_port(0));
+    caller.send(make_request({.path = "/once/x", .id = "left"}));
+    ASSERT_TRUE(eventually([&] { return begun.load(); }));
+    caller.close();
+    EXPECT_TRUE(eventually([&] { return dropped.load(); }, 1000));
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -71,6 +71,7 @@
         readiness_ports_.push_back(ports_.next());
         peer_ports_.push_back(ports_.next());
         record_ports_.push_back(ports_.next());
+        tunnel_ports_.push_back(ports_.next());
         daemons_.emplace_back();
         store_ports_.push_back(options_.relayed ? ports_.next() : store_port_);
         if (options_.relayed)
@@ -275,6 +276,7 @@
              << "\nreadiness = " << loopback_address(readiness_ports_[slot])
              << "\npeers = " << loopback_address(peer_ports_[slot])
              << "\nrecords = " << loopback_address(record_ports_[slot])
+             << "\ntunnels = " << loopback_address(tunnel_ports_[slot])
              << "\nmesh = " << options_.mesh
              << "\n[platform]\nstore = " << loopback_address(store_ports_[slot])
              << "\nduties = " << loopback_address(duty_port_)
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -129,6 +129,7 @@
     std::vector<int>                                     readiness_ports_;
     std::vector<int>                                     peer_ports_;
     std::vector<int>                                     record_ports_;
+    std::vector<int>                                     tunnel_ports_;
     std::vector<std::unique_ptr<child_process>>          daemons_;
     mutable std::mutex                                   mutex_;
     std::vector<duty_request>                            duty_requests_;
