Connections that end with a VM's links say nothing about servers

Seen by callers: contents that were in flight at a VM when it lost its links, twice within a minute, were refused as poison on all VMs; VMs with links avoided sound servers.

Cause: the end of a connection was always taken for the server's.

platform_lost_links.calls_that_end_with_lost_links_are_not_suspected failed before (503 instead of 200 after three losses of links) and passes now.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -2,6 +2,7 @@
 #include "policy/crash_watch.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace marigoldcrank
 {
@@ -68,6 +69,24 @@
     published_.emplace_back(now, crash_update{.content = content, .cleared = true});
 }
 
+void crash_watch::withdraw_since(boot_clock::time_point time, boot_clock::time_point now)
+{
+    std::set<std::string> contents;
+    for (auto const& [at, update] : published_)
+    {
+        if (at >= time && !update.cleared)
+        {
+            contents.insert(update.content);
+        }
+    }
+    for (auto const& each : contents)
+    {
+        poison_.clear(each);
+        stop_publishing(each);
+        published_.emplace_back(now, crash_update{.content = each, .cleared = true});
+    }
+}
+
 void crash_watch::merge(crash_update const& updates, boot_clock::time_point now)
 {
     if (!updates.cleared)
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -60,6 +60,10 @@
     /// Records a complete response to a call with this content.
     void record_response(std::string const& content, boot_clock::time_point now);
 
+    /// Withdraws what this VM has recorded since `time`: its connections ended because
+    /// it lost its links, not because servers crashed.
+    void withdraw_since(boot_clock::time_point time, boot_clock::time_point now);
+
     /// Merges an update of another VM.
     void merge(crash_update const& updates, boot_clock::time_point now);
 
--- a/src/policy/link_watch.hpp
+++ b/src/policy/link_watch.hpp
@@ -15,7 +15,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace marigoldcrank
 {
@@ -88,17 +87,6 @@
         return lost_;
     }
 
-    /// The servers to which connections have failed, without one that was made since.
-    std::vector<std::string> failed_servers() const
-    {
-        std::vector<std::string> result;
-        for (auto const& [server, at] : failures_)
-        {
-            result.push_back(server);
-        }
-        return result;
-    }
-
     /// Whether the last attempt to connect to `server` has failed lately.
     bool failed_lately(std::string const& server, boot_clock::time_point now) const
     {
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -115,7 +115,7 @@
     report_health(result);
     if (result.fate == attempt_outcome::unknown)
     {
-        report_suspected_crash(result.server);
+        report_suspected_crash(result);
     }
     log_failure("send_failed", result);
 }
@@ -151,20 +151,27 @@
     {
         state_.health.refused(result.server, now);
     }
-    else if (result.fate == attempt_outcome::unknown)
+    else if (result.fate == attempt_outcome::unknown && !over_lost_link(result))
     {
-        state_.record_failure(result.server, result.fault == "broken", now);
+        state_.record_failure(result.server, result.fault == "broken" && !result.proxied,
+                              now);
     }
 }
 
-void call_attempts::report_suspected_crash(std::string const& server)
+bool call_attempts::over_lost_link(attempt_result const& result) const
 {
-    auto const listed = state_.servers.servers().find(server);
-    bool const leaving =
+    return !result.proxied && state_.links_lost(admitted_.service_name);
+}
+
+void call_attempts::report_suspected_crash(attempt_result const& result)
+{
+    auto const& server = result.server;
+    auto const  listed = state_.servers.servers().find(server);
+    bool const  leaving =
         listed == state_.servers.servers().end() || listed->second.leaving;
     crash_update const crash{
         .content = admitted_.content, .server = server, .call_id = call_.id};
-    bool const ended = last_fault_ == "broken";
+    bool const ended = last_fault_ == "broken" && !over_lost_link(result);
     if (ended && !leaving && state_.crashes.record_crash(crash, boot_clock::now()))
     {
         log_.crash_suspected(crash.content, crash.server);
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -23,6 +23,7 @@
     attempt_outcome  fate = attempt_outcome::unknown;
     std::string_view fault; // of a fixed set of words; empty: response interrupted
     unsigned         status = 0;
+    bool             proxied = false; // over a connection that another VM relays
 };
 
 /// Decides on attempts from the rules, the deadline, the service's retry budget and the
@@ -106,12 +107,18 @@
     /// Takes one retry from the budget of the service; false if it is exhausted.
     bool take_retry();
 
-    /// Reports a failed attempt to the health of its server.
+    /// Whether the attempt may have failed because this VM has lost its links.
+    bool over_lost_link(attempt_result const& result) const;
+
+    /// Reports a failed attempt to the health of its server. The end of a connection over
+    /// a lost link says nothing about the server, and that of a relayed one may be the
+    /// relaying VM's, so it isn't passed on to other VMs as a loss.
     void report_health(attempt_result const& result);
 
-    /// Reports that the call may have crashed `server`. Only a connection that broke
-    /// counts: not a timeout, and not a server that is leaving or unlisted.
-    void report_suspected_crash(std::string const& server);
+    /// Reports that the call may have crashed its server. Only a connection that broke
+    /// counts: not a timeout, not one over a lost link, and not a server that is leaving
+    /// or unlisted.
+    void report_suspected_crash(attempt_result const& result);
 
     void log_failure(std::string_view event, attempt_result const& result);
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -597,7 +597,8 @@
         return {.server = link.server().id,
                 .fate = fate,
                 .fault = link.fault(),
-                .status = link.facts().status};
+                .status = link.facts().status,
+                .proxied = link.proxied()};
     }
 
     static std::string address_of(backend_server const* server)
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -365,16 +365,18 @@
     auto& watch = links[server.group];
     if (watch.record_failure(server.id, servers_listed, failure, began, now))
     {
-        // The failures before this one were taken for the servers'.
-        auto const failed = watch.failed_servers();
-        for (auto const& each : failed)
+        // Earlier failures over these links were taken for failures of servers.
+        for (auto const& [id, each] : servers.servers())
         {
-            health.forget(each);
+            if (each.group == server.group)
+            {
+                health.forget(id);
+            }
         }
+        crashes.withdraw_since(now - link_watch_options{}.window, now);
         log.write(
             event_line{"links_lost"}
                 .add("service", server.group)
-                .add("servers", static_cast<std::int64_t>(failed.size()))
                 .add("fault", failure == link_failure::refused ? "refused" : "timeout"),
             now);
     }
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -122,6 +122,12 @@
         return fault_;
     }
 
+    /// Whether another VM relays the connection.
+    bool proxied() const noexcept
+    {
+        return connection_ && !connection_->proxy.empty();
+    }
+
     boost::asio::awaitable<body_result> read_body(std::string& out, loop_time until)
     {
         return connection_->read_body(out, until);
--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -197,6 +197,39 @@
     expect_calls_served_whoever_is_cut_off(link_fault::refuse_new);
 }
 
+// A call in flight whenever a VM lost its links was taken for one that crashes servers,
+// and refused on all VMs.
+TEST(platform_lost_links, calls_that_end_with_lost_links_are_not_suspected)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 2, .own_links = true});
+    for (int server = 0; server < 2; ++server)
+    {
+        cluster.server(server).handle_always(
+            [](wire_request const& request, wire_connection& connection)
+            {
+                std::this_thread::sleep_for(milliseconds{300});
+                connection.send(server_standin::signed_response(request, "served"));
+                return true;
+            });
+    }
+    request_options const same{.path = "/once/x", .body = "same"};
+    for (int round = 0; round < 3; ++round)
+    {
+        std::thread in_flight([&] { ask(cluster.caller_port(0), same); });
+        std::this_thread::sleep_for(milliseconds{150});
+        cluster.break_links(0, link_fault::reset);
+        in_flight.join();
+        for (int call = 0; call < 4; ++call)
+        {
+            auto const id = std::to_string(round) + "-" + std::to_string(call);
+            static_cast<void>(ask(cluster.caller_port(0), {.id = id, .body = id}));
+        }
+        cluster.restore_links(0);
+        std::this_thread::sleep_for(milliseconds{1500});
+    }
+    EXPECT_EQ(ask(cluster.caller_port(1), same).status, 200);
+}
+
 // Calls failed until the VM that relayed them was back.
 TEST(platform_lost_links, calls_are_served_after_the_relaying_vm_is_killed)
 {
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -97,5 +97,31 @@
     EXPECT_TRUE(watch.updates(at(4000)).empty());
 }
 
+// A VM that lost its links suspected every content in flight, and told the others.
+TEST(crash_watch, withdrawn_crashes_are_cleared_on_all_vms)
+{
+    crash_watch one;
+    crash_watch other;
+    one.record_crash(crash("s1", "1"), at(0));
+    deliver(one, other, 150);
+    one.record_crash(crash("s2", "2"), at(3000));
+    deliver(one, other, 3100);
+    EXPECT_TRUE(other.blocked("c", at(3100)));
+    one.withdraw_since(at(2900), at(3200));
+    deliver(one, other, 3300);
+    EXPECT_FALSE(one.blocked("c", at(3300)));
+    EXPECT_FALSE(other.blocked("c", at(3300)));
+}
+
+// Crashes from before the loss of the links count on.
+TEST(crash_watch, earlier_crashes_are_not_withdrawn)
+{
+    crash_watch one;
+    one.record_crash(crash("s1", "1"), at(0));
+    one.record_crash(crash("s2", "2"), at(500));
+    one.withdraw_since(at(2900), at(3200));
+    EXPECT_TRUE(one.blocked("c", at(3300)));
+}
+
 } // namespace
 } // namespace marigoldcrank
