--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -2,7 +2,6 @@
 #include "policy/crash_watch.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace marigoldcrank
 {
@@ -71,24 +70,35 @@
 
 void crash_watch::withdraw_since(boot_clock::time_point time, boot_clock::time_point now)
 {
-    std::set<std::string> contents;
-    for (auto const& [at, update] : published_)
+    std::vector<crash_update> withdrawn;
+    std::erase_if(published_,
+                  [&](auto const& entry)
+                  {
+                      auto const& [at, update] = entry;
+                      bool const ended =
+                          at >= time && !update.cleared && !update.withdrawn;
+                      if (ended)
+                      {
+                          withdrawn.push_back(update);
+                      }
+                      return ended;
+                  });
+    for (auto& each : withdrawn)
     {
-        if (at >= time && !update.cleared)
-        {
-            contents.insert(update.content);
-        }
-    }
-    for (auto const& each : contents)
-    {
-        poison_.clear(each);
-        stop_publishing(each);
-        published_.emplace_back(now, crash_update{.content = each, .cleared = true});
+        each.withdrawn = true;
+        merge(each, now);
+        published_.emplace_back(now, each);
     }
 }
 
 void crash_watch::merge(crash_update const& updates, boot_clock::time_point now)
 {
+    if (updates.withdrawn)
+    {
+        last_crash_.erase({updates.content, updates.server});
+        poison_.withdraw(updates.content, updates.server + "/" + updates.call_id);
+        return;
+    }
     if (!updates.cleared)
     {
         note(updates, now);
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -24,10 +24,11 @@
 /// An update on one content that a VM publishes to the other VMs.
 struct crash_update
 {
-    std::string content;         // hash of path, caller and body
-    std::string server;          // lost while it ran a call with this content
-    std::string call_id;         // that call; a restarted server may keep its id
-    bool        cleared = false; // a call with this content got a complete response
+    std::string content;           // hash of path, caller and body
+    std::string server;            // lost while it ran a call with this content
+    std::string call_id;           // that call; a restarted server may keep its id
+    bool        cleared = false;   // a call with this content got a complete response
+    bool        withdrawn = false; // the server was not lost, but the VM's link to it
 
     auto operator<=>(crash_update const&) const = default;
 };
--- a/src/policy/poison_list.hpp
+++ b/src/policy/poison_list.hpp
@@ -70,6 +70,17 @@
         return true;
     }
 
+    /// Removes a crash that was none.
+    void withdraw(std::string const& content, std::string const& crash)
+    {
+        auto const found = entries_.find(content);
+        if (found != entries_.end() && found->second.crashes.erase(crash) > 0 &&
+            found->second.crashes.empty())
+        {
+            entries_.erase(found);
+        }
+    }
+
     /// Lets a suspect whose server was lost together with others run like any request.
     /// The crash still counts, so that poison which ran at such a moment is blocked after
     /// two.
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -94,6 +94,7 @@
         entry->set_server(each.server);
         entry->set_call_id(each.call_id);
         entry->set_cleared(each.cleared);
+        entry->set_withdrawn(each.withdrawn);
     }
     return message;
 }
@@ -126,8 +127,8 @@
     extras.heard.assign(message.heard().begin(), message.heard().end());
     for (auto const& entry : message.suspicions())
     {
-        extras.crashes.push_back(
-            {entry.content(), entry.server(), entry.call_id(), entry.cleared()});
+        extras.crashes.push_back({entry.content(), entry.server(), entry.call_id(),
+                                  entry.cleared(), entry.withdrawn()});
     }
     for (auto const& entry : message.avoided())
     {
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -108,6 +108,7 @@
     deliver(one, other, 3100);
     EXPECT_TRUE(other.blocked("c", at(3100)));
     one.withdraw_since(at(2900), at(3200));
+    one.withdraw_since(at(2900), at(3250)); // links to another service are lost too
     deliver(one, other, 3300);
     EXPECT_FALSE(one.blocked("c", at(3300)));
     EXPECT_FALSE(other.blocked("c", at(3300)));
