A lease holder without links announces and orders no role changes

Seen by callers: engines would be out of use on all VMs for up to 7.5 s (a change that is announced gets no new work), because the holder of the duty lease announced changes of role that it could not order over its lost links.

Cause: announcements and orders didn't depend on the holder's links. Orders can't go through another VM, since a holder is one VM to the engines. Now the holder plans no changes for a service to which its links are lost, and keeps announced ones until the links are back; usage reports and orders for servers go on.

fleet_orders.holder_without_links_announces_no_changes and fleet_orders.announced_change_waits_for_the_links failed before this change.

--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -186,7 +186,9 @@
         }
         for (auto const& value : rules->services())
         {
-            if (value.has_engines && state_.settings.change_roles)
+            // A VM without links can't order the changes that it would announce.
+            bool const reachable = !state_.links_lost(value.name);
+            if (value.has_engines && state_.settings.change_roles && reachable)
             {
                 plan_roles_of(value);
             }
@@ -252,6 +254,13 @@
                       });
         for (auto const& [id, role] : due)
         {
+            auto const listed = state_.servers.servers().find(id);
+            if (listed != state_.servers.servers().end() &&
+                state_.links_lost(listed->second.group))
+            {
+                postpone(id);
+                continue;
+            }
             auto const permit = co_await request_permit(state_, id);
             if (!permit)
             {
--- a/tests/unit/fleet_orders_test.cpp
+++ b/tests/unit/fleet_orders_test.cpp
@@ -43,7 +43,9 @@
 /// A holder of the lease with twelve engines, four of them for prefill.
 struct holder
 {
-    holder() : state(entry_settings{.name = "vm"}, "vm/1"), log("vm/1", {}, {})
+    explicit holder(duty_times times = {})
+        : state(entry_settings{.name = "vm"}, "vm/1"), log("vm/1", {}, {}),
+          fleet(state, duties, log, times)
     {
         auto const now = boot_clock::now();
         log.apply(
@@ -89,7 +91,7 @@
     entry_state                   state;
     duty_log                      log;
     counting_duties               duties;
-    fleet_orders<counting_duties> fleet{state, duties, log, duty_times{}};
+    fleet_orders<counting_duties> fleet;
 };
 
 // The platform accepts connections and never responds. Each such call takes half a second
@@ -139,5 +141,52 @@
     EXPECT_TRUE(vm.duties.changed.empty());
 }
 
+// A holder without links took engines out of use for changes that it could not order.
+TEST(fleet_orders, holder_without_links_announces_no_changes)
+{
+    holder     vm;
+    auto const now = boot_clock::now();
+    for (auto const* id : {"0", "1"})
+    {
+        vm.state.record_connect_failure(vm.state.servers.servers().at(id),
+                                        link_failure::refused, now);
+    }
+    ASSERT_TRUE(vm.state.links_lost("m"));
+    vm.overload();
+    vm.act();
+    EXPECT_TRUE(vm.fleet.announcements().empty());
+    EXPECT_FALSE(vm.duties.orders.empty()); // orders to the platform go on
+}
+
+// A change that was announced before the links were lost is ordered once they are back.
+TEST(fleet_orders, announced_change_waits_for_the_links)
+{
+    holder vm({.announcement_delay = millis{0}});
+    vm.overload();
+    vm.act();
+    auto const announced = vm.fleet.announcements();
+    ASSERT_FALSE(announced.empty());
+    std::uint64_t offset = 1;
+    for (auto const& each : announced)
+    {
+        vm.log.apply(each, offset++, boot_clock::now());
+    }
+    auto const now = boot_clock::now();
+    for (auto const* id : {"0", "1"})
+    {
+        vm.state.record_connect_failure(vm.state.servers.servers().at(id),
+                                        link_failure::refused, now);
+    }
+    vm.log.apply(
+        {.kind = duty_kind::renew, .holder = "vm/1", .number = vm.log.begin_append(now)},
+        offset++, now);
+    vm.act();
+    EXPECT_TRUE(vm.duties.changed.empty());
+    vm.state.record_connection("m");
+    vm.state.record_connection("m");
+    vm.act();
+    EXPECT_EQ(vm.duties.changed.size(), announced.size());
+}
+
 } // namespace
 } // namespace marigoldcrank
