--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -93,7 +93,8 @@
                                   .servers = 3,
                                   .bounds = "usage_window_s = 2\nlease_ms = 1500\n"
                                             "key_life_ms = 5000\ngrace_s = 8\n",
-                                  .relayed = true});
+                                  .relayed = true,
+                                  .own_links = true});
     for (int index = 0; index < 3; ++index)
     {
         cluster.server(index).handle_always(
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 namespace marigoldcrank::soak
 {
@@ -129,7 +130,9 @@
                                       {
                                           return set(server_faults_.full);
                                       }}};
-    auto const                   notices = notice_faults();
+    auto const                   links = link_faults();
+    all.insert(all.end(), links.begin(), links.end());
+    auto const notices = notice_faults();
     all.insert(all.end(), notices.begin(), notices.end());
     for (auto const& fault : store_faults)
     {
@@ -185,6 +188,54 @@
     return all;
 }
 
+std::vector<soak_fault_schedule::scheduled_fault> soak_fault_schedule::link_faults()
+{
+    constexpr milliseconds link_time{
+        4000}; // long enough to be noticed and to go on after
+    constexpr std::array<std::pair<char const*, tests::link_fault>, 3> kinds{
+        {{"links-hang", tests::link_fault::hang},
+         {"links-reset", tests::link_fault::reset},
+         {"links-refuse-new", tests::link_fault::refuse_new}}};
+    std::vector<scheduled_fault> all;
+    for (auto const& [name, kind] : kinds)
+    {
+        all.push_back({name, false, [this, fault = kind] { return break_links(fault); },
+                       link_time});
+    }
+    return all;
+}
+
+/// One, most or all daemons lose their links to all servers.
+std::function<void()> soak_fault_schedule::break_links(tests::link_fault fault)
+{
+    std::vector<int> broken;
+    auto const       count = 1 + random_below(daemons);
+    for (int index = 0; index < count; ++index)
+    {
+        if (!std::exchange(links_broken_[static_cast<std::size_t>(index)], true))
+        {
+            cluster_.break_links(index, fault);
+            broken.push_back(index);
+        }
+    }
+    for (int server = 0; server < servers; ++server)
+    {
+        notices_.on_network_changed(server);
+    }
+    return [this, broken]
+    {
+        for (int const index : broken)
+        {
+            cluster_.restore_links(index);
+            links_broken_[static_cast<std::size_t>(index)] = false;
+        }
+        for (int server = 0; server < servers; ++server)
+        {
+            notices_.on_network_changed(server);
+        }
+    };
+}
+
 std::function<void()> soak_fault_schedule::set(std::atomic<bool>& flag)
 {
     flag = true;
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -46,6 +46,7 @@
 
     std::vector<scheduled_fault> all_faults();
     std::vector<scheduled_fault> notice_faults();
+    std::vector<scheduled_fault> link_faults();
     void                         begin_random_fault();
     void                         end_due(soak_clock::time_point now);
     int                          random_below(int count);
@@ -55,6 +56,7 @@
     std::function<void()> pause_daemon();
     std::function<void()> begin_store_fault(tests::store_fault_kind kind);
     std::function<void()> withdraw_key();
+    std::function<void()> break_links(tests::link_fault fault);
     std::function<void()> set(std::atomic<bool>& flag);
     std::function<void()> state(server_notice const& notice);
     std::function<void()> begin_relay_fault(tests::tcp_relay&  relay,
@@ -66,7 +68,8 @@
     soak_notices&                                                notices_;
     std::mt19937_64                                              random_;
     std::multimap<soak_clock::time_point, std::function<void()>> pending_ends_;
-    std::array<bool, 3>          disrupted_{}; // by daemon
+    std::array<bool, 3>          disrupted_{};    // by daemon
+    std::array<bool, 3>          links_broken_{}; // by daemon
     std::uint64_t                version_ = 1;
     std::int64_t                 born_ = 1'767'000'000'000; // of servers' next lives
     std::atomic<soak_clock::rep> unplanned_until_{0};
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 namespace marigoldcrank::tests
 {
@@ -73,15 +74,12 @@
         record_ports_.push_back(ports_.next());
         tunnel_ports_.push_back(ports_.next());
         daemons_.emplace_back();
-        store_ports_.push_back(options_.relayed ? ports_.next() : store_port_);
+        store_ports_.push_back(options_.own_links ? add_links() : store_port_);
         if (options_.relayed)
         {
+            auto const target = std::exchange(store_ports_.back(), ports_.next());
             store_relays_.push_back(
-                std::make_unique<tcp_relay>(store_ports_.back(), store_port_));
-        }
-        if (options_.own_links)
-        {
-            add_links();
+                std::make_unique<tcp_relay>(store_ports_.back(), target));
         }
         start(index);
     }
@@ -175,7 +173,7 @@
     return relayed == server_ports_.end() ? server.port() : relayed->second;
 }
 
-void entry_cluster::add_links()
+int entry_cluster::add_links()
 {
     std::map<std::string, int> ports; // of this daemon's relays, by server id
     links_.emplace_back();
@@ -183,10 +181,10 @@
     {
         ports[server->id()] = ports_.next();
         links_.back().push_back(
-            std::make_unique<tcp_relay>(ports[server->id()], server->port()));
+            std::make_unique<tcp_relay>(ports[server->id()], port_of(*server)));
     }
-    store_ports_.back() = ports_.next();
-    store_->add_view(store_ports_.back(),
+    auto const view_port = ports_.next();
+    store_->add_view(view_port,
                      [ports](std::string const& topic, std::string const& key,
                              std::string const& value)
                      {
@@ -200,6 +198,7 @@
                          entry["address"] = loopback_address(relay->second);
                          return entry.dump();
                      });
+    return view_port;
 }
 
 void entry_cluster::break_links(int index, link_fault fault)
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -110,7 +110,9 @@
     int  port_of(server_standin const& server) const;
     bool record_duty_request(wire_request const& request, wire_connection& connection);
     void start(int index);
-    void add_links();
+    /// Adds the links of the next daemon; returns the port of the store where it sees
+    /// the servers behind them.
+    int add_links();
 
     cluster_options                              options_;
     port_block                                   ports_;
