--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -197,6 +197,7 @@
          {"links-reset", tests::link_fault::reset},
          {"links-refuse-new", tests::link_fault::refuse_new}}};
     std::vector<scheduled_fault> all;
+    all.reserve(kinds.size());
     for (auto const& [name, kind] : kinds)
     {
         all.push_back({name, false, [this, fault = kind] { return break_links(fault); },
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -25,6 +25,17 @@
     return std::string(1, static_cast<char>('0' + static_cast<int>(scope)));
 }
 
+void add_proxies(wire::load_digest& message, std::vector<server_proxy> const& proxies)
+{
+    for (auto const& each : proxies)
+    {
+        auto* entry = message.add_proxies();
+        entry->set_address(each.address);
+        entry->set_data_centre(each.data_centre);
+        entry->mutable_without()->Add(each.without.begin(), each.without.end());
+    }
+}
+
 wire::load_digest format_digest(load_digest const& digest, digest_extras const& extras)
 {
     wire::load_digest message;
@@ -80,13 +91,7 @@
         entry->set_sent_age_ms(each.sent_age.count());
         entry->set_arrived_age_ms(each.arrived_age.count());
     }
-    for (auto const& each : extras.proxies)
-    {
-        auto* entry = message.add_proxies();
-        entry->set_address(each.address);
-        entry->set_data_centre(each.data_centre);
-        entry->mutable_without()->Add(each.without.begin(), each.without.end());
-    }
+    add_proxies(message, extras.proxies);
     for (auto const& each : extras.crashes)
     {
         auto* entry = message.add_suspicions();
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -209,6 +209,7 @@
         }
     }
     std::vector<backend_server> result;
+    result.reserve(by_service.size());
     for (auto const& [service, servers] : by_service)
     {
         result.push_back(*servers[state.tie_break() % servers.size()]);
