Silent connections: the test tells what the failing call got

The known red test said only that its last call was not whole. It now prints status, fate, bytes and the transport's error, local ports, TIME_WAIT and overflows of accept queues before and after, and the processes' output. Not mended; no check changed.

--- a/tests/failure/silent_connections_test.cpp
+++ b/tests/failure/silent_connections_test.cpp
@@ -12,6 +12,12 @@
 namespace
 {
 
+std::string last_lines(std::string const& text)
+{
+    constexpr std::size_t most = 20'000;
+    return text.size() <= most ? text : text.substr(text.size() - most);
+}
+
 fleet_options one_engine()
 {
     fleet_options options;
@@ -174,7 +180,9 @@
     options.engines = 2;
     options.node_settings["progress_ms"] = "200";
     options.node_settings["max_attempts"] = "10";
+    options.keep_output = true;
     fleet                    system(options);
+    auto const               tcp_before = describe_tcp();
     auto const               pid = system.node(0).pid();
     auto const               threads = process_count(pid, "task");
     std::atomic<bool>        over{false};
@@ -216,7 +224,11 @@
     EXPECT_EQ(process_count(pid, "task"), threads);
     EXPECT_TRUE(eventually([&] { return process_count(pid, "fd") < 60; }));
     chat_request const chat;
-    EXPECT_TRUE(call_model(system, 0, chat).whole(chat));
+    auto const         last = call_model(system, 0, chat);
+    EXPECT_TRUE(last.whole(chat))
+        << describe(last) << "\nbefore: " << tcp_before << "\nafter: " << describe_tcp()
+        << "\n"
+        << (last.whole(chat) ? "" : last_lines(system.outputs()));
     RecordProperty("refused", refused);
 }
 
--- a/tests/support/model_caller.cpp
+++ b/tests/support/model_caller.cpp
@@ -7,7 +7,10 @@
 #include <httplib.h>
 #include <xxhash.h>
 
+#include <cerrno>
 #include <filesystem>
+#include <fstream>
+#include <sstream>
 
 namespace marigoldcrank::tests
 {
@@ -116,7 +119,10 @@
         answer.connection = response.get_header_value("Connection");
         return true;
     };
-    client.send(request);
+    errno = 0;
+    auto const result = client.send(request);
+    answer.transport =
+        httplib::to_string(result.error()) + ", errno " + std::to_string(errno);
     if (!chat.stream || answer.status != 200)
     {
         take_body(rest, answer);
@@ -124,6 +130,49 @@
     return answer;
 }
 
+std::string describe(model_response const& response)
+{
+    std::ostringstream text;
+    text << "status " << response.status << ", fate " << response.fate << ", id "
+         << response.request_id << ", " << response.text.size() << " of "
+         << response.expected.size() << " bytes, ended " << response.ended
+         << ", transport: " << response.transport;
+    return text.str();
+}
+
+std::string describe_tcp()
+{
+    std::ifstream sockets("/proc/net/sockstat");
+    std::ifstream range("/proc/sys/net/ipv4/ip_local_port_range");
+    std::ifstream statistics("/proc/net/netstat");
+    std::string   first;
+    std::string   last;
+    range >> first >> last;
+    std::ostringstream text;
+    text << "local ports " << first << " to " << last << "; ";
+    for (std::string line; std::getline(sockets, line);)
+    {
+        text << (line.starts_with("TCP:") ? line : "");
+    }
+    std::string names;
+    std::string values;
+    while (std::getline(statistics, names) && std::getline(statistics, values))
+    {
+        std::istringstream name_words(names);
+        std::istringstream value_words(values);
+        std::string        name;
+        std::string        value;
+        while (name_words >> name && value_words >> value)
+        {
+            bool const wanted = name == "ListenOverflows" || name == "ListenDrops" ||
+                                name == "TCPTimeWaitOverflow" ||
+                                name == "TCPAbortOnMemory";
+            text << (wanted ? "; " + name + " " + value : "");
+        }
+    }
+    return text.str();
+}
+
 std::string expected_text(chat_request const& chat)
 {
     auto const  prompt = messages_of(chat).dump();
--- a/tests/support/model_caller.hpp
+++ b/tests/support/model_caller.hpp
@@ -39,6 +39,7 @@
     std::string   request_id;
     std::string   connection; // header Connection
     std::string   expected;   // the text that every engine generates for it
+    std::string   transport;  // what became of the connection, for failure texts
 
     bool whole(chat_request const& chat) const;
 };
@@ -48,6 +49,13 @@
     fleet const& system, int node, chat_request const& chat = {},
     std::function<void()> const& on_bytes = [] {});
 
+/// What a caller received, for failure texts.
+std::string describe(model_response const& response);
+
+/// The state of the kernel's TCP connections, for failure texts: local ports in use and
+/// available, connections in TIME_WAIT, and overflows of accept queues since the boot.
+std::string describe_tcp();
+
 /// The text that every engine generates for the request.
 std::string expected_text(chat_request const& chat);
 
