Servers that no VM reaches stay the last choice

Cause, from the VMs' logs: two VMs took their links for lost, and each asked the other. A proxy without links replied that the server can't be reached, for sound servers too, so that these were avoided like the others; and a VM that took its links for lost forgot which servers to avoid. Now a proxy without links declines, which says nothing about the server; losses are withdrawn from the digests only, and a connection that neither the VM nor another one can make is avoided at this VM, with the usual pauses.

--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -62,6 +62,24 @@
         }
     }
 
+    /// Records that no connection to the server can be made, which may be due to a lost
+    /// link of this VM. The server is avoided, and other VMs aren't informed.
+    void failed_here(std::string const& server, boot_clock::time_point now)
+    {
+        failed(server, true, now);
+        withdraw_loss(server);
+    }
+
+    /// Stops informing other VMs of a loss that this VM has found.
+    void withdraw_loss(std::string const& server)
+    {
+        auto const found = states_.find(server);
+        if (found != states_.end())
+        {
+            found->second.published.erase(update_source::own);
+        }
+    }
+
     /// Records that the server refused a call: it is full or about to change, not faulty.
     /// It is avoided for a fixed short pause without backoff.
     void refused(std::string const& server, boot_clock::time_point now)
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -370,7 +370,7 @@
         {
             if (each.group == server.group)
             {
-                health.forget(id);
+                health.withdraw_loss(id);
             }
         }
         crashes.withdraw_since(now - link_watch_options{}.window, now);
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -168,15 +168,22 @@
             co_return own;
         }
     }
-    auto       proxied = co_await connect_through_proxy(state, server, until);
-    bool const no_proxy =
-        proxied.connection == nullptr && std::string_view{proxied.fault} == "no_path";
-    if (no_proxy &&
-        !state.links[server.group].failed_lately(server.id, boot_clock::now()))
+    auto opened = co_await connect_through_proxy(state, server, until);
+    if (opened.connection != nullptr || std::string_view{opened.fault} != "no_path")
     {
-        co_return co_await connect_directly(state, server, until);
+        co_return opened;
     }
-    co_return proxied;
+    // No other VM offers a connection: perhaps this server alone is reachable.
+    if (!state.links[server.group].failed_lately(server.id, boot_clock::now()))
+    {
+        opened = co_await connect_directly(state, server, until);
+    }
+    auto const now = boot_clock::now();
+    if (opened.connection == nullptr && !state.health.avoided(server.id, now))
+    {
+        state.health.failed_here(server.id, now);
+    }
+    co_return opened;
 }
 
 bool may_reuse(entry_state const& state, std::string const& service,
--- a/src/serving/tunnel_server.cpp
+++ b/src/serving/tunnel_server.cpp
@@ -164,23 +164,27 @@
         co_return;
     }
     auto const* listed = find_server(state, std::string{parser.get().target()});
-    bool const  may_open = listed != nullptr && offers_tunnels(state);
+    bool const  may_open =
+        listed != nullptr && offers_tunnels(state) && !state.links_lost(listed->group);
     if (!may_open)
     {
         co_return co_await respond(stream, "503 Service Unavailable",
                                    "Content-Length: 0\r\n");
     }
     backend_server const server = *listed; // copy: the list may change
-    bool const           lost = state.links_lost(server.group) ||
-                      state.health.found_lost(server.id, boot_clock::now());
-    open_connection opened;
-    if (!lost)
+    open_connection      opened;
+    if (!state.health.found_lost(server.id, boot_clock::now()))
     {
         opened = co_await connect_directly(state, server, loop_time::max());
     }
     if (opened.connection == nullptr)
     {
-        co_return co_await respond(stream, "502 Bad Gateway", "Content-Length: 0\r\n");
+        // Without links, this VM can't tell whether the server is reachable.
+        co_return co_await respond(stream,
+                                   state.links_lost(server.group)
+                                       ? "503 Service Unavailable"
+                                       : "502 Bad Gateway",
+                                   "Content-Length: 0\r\n");
     }
     co_await respond(stream, "200 OK", "");
     stream.expires_never();
--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -274,6 +274,28 @@
                            { return refusal(call += 2).status == 200; }));
 }
 
+// Calls were refused although two of six servers went on, because the four that no VM
+// reached were chosen again and again.
+TEST(platform_lost_links, servers_that_no_vm_reaches_are_the_last_choice)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 6, .own_links = true});
+    for (int server = 0; server < 6; ++server)
+    {
+        cluster.server(server).handle_always(closing_responses());
+    }
+    cluster.break_links(0, link_fault::reset, 4);
+    cluster.break_links(1, link_fault::reset, 4);
+    int failed = 0;
+    for (int call = 0; call < 400; ++call)
+    {
+        auto const id = "c-" + std::to_string(call);
+        auto const response = ask(cluster.caller_port(call % 2), {.id = id, .body = id});
+        failed += response.status == 200 ? 0 : 1;
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    EXPECT_LE(failed, 8); // four tries of each VM, after pauses that double
+}
+
 // A killed VM's end of a connection was taken for the end of the server's response.
 TEST(platform_lost_links, relayed_response_without_length_is_not_taken_for_complete)
 {
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -201,20 +202,22 @@
     return view_port;
 }
 
-void entry_cluster::break_links(int index, link_fault fault)
+void entry_cluster::break_links(int index, link_fault fault, std::size_t count)
 {
-    for (auto const& link : links_.at(static_cast<std::size_t>(index)))
+    auto const& links = links_.at(static_cast<std::size_t>(index));
+    for (std::size_t server = 0; server < std::min(count, links.size()); ++server)
     {
-        link->silence_all(fault == link_fault::hang);
+        auto& link = *links[server];
+        link.silence_all(fault == link_fault::hang);
         if (fault == link_fault::hang)
         {
-            link->hang_new(true);
+            link.hang_new(true);
             continue;
         }
-        link->refuse_new(true);
+        link.refuse_new(true);
         if (fault == link_fault::reset)
         {
-            link->reset_open();
+            link.reset_open();
         }
     }
 }
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -87,8 +87,9 @@
     tcp_relay& store_relay(int index);
     tcp_relay& server_relay(int index);
 
-    /// Breaks the links between daemon `index` and all servers; only with `own_links`.
-    void break_links(int index, link_fault fault);
+    /// Breaks the links between daemon `index` and the first `count` servers, or all if
+    /// there are fewer; only with `own_links`.
+    void break_links(int index, link_fault fault, std::size_t count = 1000);
     void restore_links(int index);
 
     server_standin& server(int index);
