Calls: the log says how a server's response was framed

No line told a response that ends with its connection from one that states its end, so the hypotheses about answers that end early couldn't be told apart. The field framing (length, chunks, connection) is in the lines of failed attempts and of ends of calls.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -184,6 +184,7 @@
                          .server = result.server,
                          .fate = result.fate,
                          .fault = result.fault,
+                         .framing = result.framing,
                          .status = result.status});
 }
 
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -24,6 +24,7 @@
     std::string_view fault; // of a fixed set of words; empty: response interrupted
     unsigned         status = 0;
     bool             proxied = false; // over a connection that another VM relays
+    std::string_view framing;         // of the response, for logs; empty: none
 };
 
 /// Decides on attempts from the rules, the deadline, the service's retry budget and the
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -49,6 +49,7 @@
                          .add("server", failure.server)
                          .add("fate", fate)
                          .add("fault", failure.fault)
+                         .add("framing", failure.framing)
                          .add("status", static_cast<std::int64_t>(failure.status))
                          .add("age_ms", now - arrived_),
                      now);
@@ -74,6 +75,7 @@
         .add("runs", summary.runs)
         .add("fault", summary.fault)
         .add("server", summary.server)
+        .add("framing", summary.framing)
         .add("rules", version_of(admitted))
         .add("keys_age_ms", now - state_.view.read_sent)
         .add("first_ms", summary.timing.time_to_first_event())
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -22,8 +22,9 @@
     std::string_view outcome; // "served", or the reason in one word
     unsigned         status = 0;
     std::int64_t     runs = 0;
-    std::string_view fault;  // why the last failed attempt failed
-    std::string_view server; // the last server that the call was sent to, to be run
+    std::string_view fault;   // why the last failed attempt failed
+    std::string_view server;  // the last server that the call was sent to, to be run
+    std::string_view framing; // of the last response of a server; empty: none
     stream_timing    timing;
 };
 
@@ -34,6 +35,7 @@
     std::string_view server;
     attempt_outcome  fate = attempt_outcome::unknown;
     std::string_view fault;
+    std::string_view framing; // of the response; empty: none
     unsigned         status = 0;
 };
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -216,6 +216,7 @@
             {
                 co_return;
             }
+            framing_ = link.framing();
             attempts_.record_result(result_of(link, fate));
             if (fate != attempt_outcome::answered)
             {
@@ -430,6 +431,7 @@
         {
             co_return true;
         }
+        framing_ = link.framing();
         attempts_.record_result(result_of(link, fate));
         if (fate != attempt_outcome::answered)
         {
@@ -598,7 +600,8 @@
                 .fate = fate,
                 .fault = link.fault(),
                 .status = link.facts().status,
-                .proxied = link.proxied()};
+                .proxied = link.proxied(),
+                .framing = link.framing()};
     }
 
     static std::string address_of(backend_server const* server)
@@ -710,7 +713,7 @@
             disposition_ = connection_disposition::aborted;
         }
         log_.call_ended({outcome_, status_, attempts_.history().runs(), attempts_.fault(),
-                         attempts_.last_server(), timing_},
+                         attempts_.last_server(), framing_, timing_},
                         admitted_);
     }
 
@@ -738,6 +741,7 @@
     std::string fetch_server_; // id of that engine
     bool        hold_waited_ = false;
     std::string_view       outcome_;
+    std::string_view       framing_; // of the last response, for logs
     unsigned               status_ = 0;
     exchange*              current_exchange_ = nullptr;
     connection_disposition disposition_ = connection_disposition::close;
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -47,6 +47,20 @@
 
 } // namespace
 
+char const* response_framing_name(response_framing value)
+{
+    switch (value)
+    {
+    case response_framing::length:
+        return "length";
+    case response_framing::chunks:
+        return "chunks";
+    case response_framing::connection:
+        break;
+    }
+    return "connection";
+}
+
 // 1. Options
 
 void set_tcp_options(tcp::socket& socket, tcp_options const& options)
@@ -144,6 +158,16 @@
     return parser_->get().base();
 }
 
+response_framing http_connection::framing() const
+{
+    if (parser_->chunked())
+    {
+        return response_framing::chunks;
+    }
+    return parser_->get().need_eof() ? response_framing::connection
+                                     : response_framing::length;
+}
+
 asio::awaitable<body_result> http_connection::read_body(std::string& out, loop_time until)
 {
     if (parser_->is_done())
@@ -169,9 +193,7 @@
     }
     complete_ = parser_->is_done();
     // The end of a relayed connection may be that of the VM that relays it.
-    bool const ends_with_connection =
-        !parser_->chunked() && !parser_->content_length().has_value();
-    if (complete_ && !proxy.empty() && ends_with_connection)
+    if (complete_ && !proxy.empty() && framing() == response_framing::connection)
     {
         co_return body_result::broken;
     }
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -1,6 +1,6 @@
 // An HTTP/1.1 client connection to a backend server or to the platform, for coroutines.
 //
-// Index: 1 io_result, 2 body_result, 3 tcp_options, 4 http_connection
+// Index: 1 io_result, 2 body_result, 3 response_framing, 4 tcp_options, 5 http_connection
 #ifndef MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 
@@ -43,6 +43,17 @@
     timed_out
 };
 
+/// What marks the end of a response.
+enum class response_framing
+{
+    length, // a Content-Length, or a status or method without a body
+    chunks,
+    connection // nothing but the end of the connection
+};
+
+/// The name of the framing for logs.
+char const* response_framing_name(response_framing value);
+
 /// TCP options of connections to callers and servers.
 struct tcp_options
 {
@@ -80,6 +91,9 @@
 
     response_head const& head() const;
 
+    /// How the response is framed whose head has been read.
+    response_framing framing() const;
+
     /// Waits for the next bytes of the body and appends them to `out`.
     boost::asio::awaitable<body_result> read_body(std::string& out, loop_time until);
 
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -84,6 +84,7 @@
                 co_return attempt_outcome::unknown;
             }
             facts_ = Dialect::parse_response(connection_->head());
+            framing_ = response_framing_name(connection_->framing());
             if (facts_.call_id.empty() || facts_.call_id == request.call_id)
             {
                 if (facts_.status != status_misdirected)
@@ -122,6 +123,12 @@
         return fault_;
     }
 
+    /// How the response is framed, for logs; empty if there is none.
+    char const* framing() const noexcept
+    {
+        return framing_;
+    }
+
     /// Whether another VM relays the connection.
     bool proxied() const noexcept
     {
@@ -238,6 +245,7 @@
     std::shared_ptr<http_connection> connection_;
     response_facts                   facts_;
     char const*                      fault_ = "";
+    char const*                      framing_ = "";
     bool                             stray_ = false;
     bool                             internal_ = false;
 };
