--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldcrank::tests
 {
@@ -65,6 +66,7 @@
     {
         buffer_.append(piece, static_cast<std::size_t>(count));
     }
+    ended_ = count == 0;
     return count > 0;
 }
 
@@ -120,6 +122,19 @@
             }
         }
     }
+    constexpr int no_content = 204;
+    response.framed = response.fields.count("content-length") > 0 ||
+                      response.fields["connection"] != "close" ||
+                      response.status == no_content;
+    if (!response.framed)
+    {
+        while (receive_some(timeout_ms))
+        {
+        }
+        response.complete = ended_;
+        response.body = std::exchange(buffer_, {});
+        return response;
+    }
     auto const length = std::stoul("0" + response.fields["content-length"]);
     while (buffer_.size() < length && receive_some(timeout_ms))
     {
--- a/tests/platform/support/raw_caller.hpp
+++ b/tests/platform/support/raw_caller.hpp
@@ -13,8 +13,9 @@
 
 struct raw_response
 {
-    int  status = 0;                           // 0: no response
-    bool complete = false;                     // false: it ended before its framing says
+    int  status = 0;       // 0: no response
+    bool complete = false; // false: it ended before its framing says, or with a reset
+    bool framed = true;    // false: only the end of the connection ends it
     std::map<std::string, std::string> fields; // header fields; names in lower case
     std::string                        body;   // without chunk framing
 };
@@ -50,6 +51,7 @@
     bool receive_some(int timeout_ms);
 
     int         socket_ = -1;
+    bool        ended_ = false; // the peer has closed the connection in order
     std::string buffer_;
 };
 
