Streams that end inside an event are interrupted, whatever their framing says

Callers saw answers with 200, the engine's signature and the last chunk of a complete body, although the engine had crashed and pieces were missing, the last one cut in two.

Cause: the end of a server's connection was taken for the end of its response where nothing framed it, and the relay then sent the incomplete event and a last chunk: a hop asserted an end that nobody had vouched for. The same happened with chunks and a length around an incomplete event. A stream cut short also counted as a success of its server, for its health and for contents that crash servers.

The end of a body now has a type (framed, unframed, broken, timed_out), and one function decides whether a stream that ended so is complete: not inside an event, and without framing not without events. An interrupted one goes on at another server after its last complete event where the route allows it; else the caller's connection is reset, or gets 502 if no event was sent. A response that declares something else than events is complete when its framing says so.

--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -455,7 +455,7 @@
     {
         std::string bytes;
         auto        step = body_result::more;
-        stream_.begin_server();
+        stream_.begin_server(link.head());
         while (step == body_result::more)
         {
             bytes.clear();
@@ -464,18 +464,20 @@
             {
                 co_return true;
             }
-            bool const complete = step == body_result::complete;
-            if (!co_await relay_complete_events(link, bytes, complete))
+            auto const out = take_bytes(link, bytes, step);
+            if (!out.empty() && !co_await caller_.write(out, admitted_.deadline))
             {
                 co_return true;
             }
         }
-        if (step == body_result::complete)
+        if (is_complete_stream(step, stream_.position()))
         {
             end_stream(link);
             co_return true;
         }
-        attempts_.record_result(result_of(link, attempt_outcome::unknown));
+        auto result = result_of(link, attempt_outcome::unknown);
+        result.fault = step == body_result::framed ? "torn" : result.fault;
+        attempts_.record_result(result);
         if (stream_.started() && !attempts_.may_retry())
         {
             co_return co_await abort_stream(attempts_.fault());
@@ -483,13 +485,17 @@
         co_return false;
     }
 
-    /// Writes the events that `bytes` completes. Returns false if the write fails.
-    boost::asio::awaitable<bool>
-    relay_complete_events(exchange& link, std::string const& bytes, bool complete)
+    /// Takes bytes of a stream, and its end if `step` is one. Returns the bytes to send
+    /// to the caller now.
+    std::string take_bytes(exchange& link, std::string const& bytes, body_result step)
     {
         bool const began = stream_.started();
         auto const events = stream_.chunk_count();
-        auto const out = stream_.take(link.head(), bytes, complete);
+        auto       out = stream_.take(link.head(), bytes);
+        if (is_complete_stream(step, stream_.position()))
+        {
+            out += stream_.finish(link.head());
+        }
         if (stream_.chunk_count() > events)
         {
             timing_.record_events(boot_clock::now());
@@ -501,11 +507,7 @@
             status_ = link.facts().status;
             count_usage();
         }
-        if (out.empty())
-        {
-            co_return true;
-        }
-        co_return co_await caller_.write(out, admitted_.deadline);
+        return out;
     }
 
     /// Records the time to the first event, as a colocated prefill or as a handoff.
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,6 +1,9 @@
-// Finds the ends of events: blank lines, with LF or CRLF line endings.
+// Finds the ends of events: blank lines, with LF, CRLF or CR line endings.
 #include "serving/event_splitter.hpp"
 
+#include <algorithm>
+#include <array>
+
 namespace marigoldcrank
 {
 
@@ -12,18 +15,17 @@
 /// Offset of the end of the last complete event; 0 if there is none.
 std::size_t complete_length(std::string_view text)
 {
-    std::size_t end = 0;
-    auto const  feeds = text.rfind("\n\n");
-    if (feeds != std::string_view::npos)
-    {
-        end = feeds + 2;
-    }
-    auto const returns = text.rfind("\r\n\r\n");
-    if (returns != std::string_view::npos && returns + 4 > end)
+    static constexpr std::array<std::string_view, 3> event_ends{"\n\n", "\n\r\n", "\r\r"};
+    std::size_t                                      length = 0;
+    for (auto const event_end : event_ends)
     {
-        end = returns + 4;
+        auto const found = text.rfind(event_end);
+        if (found != std::string_view::npos)
+        {
+            length = std::max(length, found + event_end.size());
+        }
     }
-    return end;
+    return length;
 }
 
 std::string last_id_of(std::string_view events)
@@ -63,4 +65,9 @@
     return rest_;
 }
 
+bool event_splitter::inside_event() const noexcept
+{
+    return rest_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 } // namespace marigoldcrank
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -30,6 +30,9 @@
     /// The bytes after the last complete event.
     std::string const& rest() const noexcept;
 
+    /// Whether these bytes are a part of an event, and not only ends of lines.
+    bool inside_event() const noexcept;
+
 private:
     std::string rest_;
 };
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -173,7 +173,7 @@
     if (parser_->is_done())
     {
         complete_ = true;
-        co_return body_result::complete;
+        co_return end_of_body();
     }
     std::array<char, body_chunk_size> chunk;
     auto&                             body = parser_->get().body();
@@ -192,12 +192,17 @@
                                                  : body_result::broken;
     }
     complete_ = parser_->is_done();
-    // The end of a relayed connection may be that of the VM that relays it.
-    if (complete_ && !proxy.empty() && framing() == response_framing::connection)
+    co_return complete_ ? end_of_body() : body_result::more;
+}
+
+body_result http_connection::end_of_body() const
+{
+    if (framing() != response_framing::connection)
     {
-        co_return body_result::broken;
+        return body_result::framed;
     }
-    co_return complete_ ? body_result::complete : body_result::more;
+    // The end of a relayed connection may be that of the VM that relays it.
+    return proxy.empty() ? body_result::unframed : body_result::broken;
 }
 
 // 4. State
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -1,10 +1,11 @@
 // An HTTP/1.1 client connection to a backend server or to the platform, for coroutines.
 //
-// Index: 1 io_result, 2 body_result, 3 response_framing, 4 tcp_options, 5 http_connection
+// Index: 1 io_result, 2 response_framing, 3 tcp_options, 4 http_connection
 #ifndef MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 
 #include "domain/entry_settings.hpp"
+#include "policy/response_end.hpp"
 #include "serving/wire_dialect.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,15 +35,6 @@
     malformed // the bytes are not an HTTP response
 };
 
-/// Result of reading a part of a body.
-enum class body_result
-{
-    more,
-    complete,
-    broken,
-    timed_out
-};
-
 /// What marks the end of a response.
 enum class response_framing
 {
@@ -119,6 +111,9 @@
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     static constexpr std::size_t body_chunk_size = 16384;
 
+    /// How the body ended, once the parser has reached its end.
+    body_result end_of_body() const;
+
     boost::beast::tcp_stream      stream_;
     boost::beast::flat_buffer     buffer_;
     std::optional<message_parser> parser_;
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -148,7 +148,7 @@
         {
             step = co_await connection_->read_body(out, until);
         }
-        co_return step == body_result::complete;
+        co_return is_complete_body(step);
     }
 
     /// Closes the connection, which aborts the operation in progress and makes the server
--- a/src/serving/stream_relay.hpp
+++ b/src/serving/stream_relay.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_SERVING_STREAM_RELAY_HPP
 #define MARIGOLDCRANK_SERVING_STREAM_RELAY_HPP
 
+#include "policy/response_end.hpp"
 #include "serving/event_splitter.hpp"
 #include "serving/wire_dialect.hpp"
 
@@ -26,11 +27,17 @@
     stream_relay(bool close, bool chunked);
 
     /// Starts the stream of the next server; drops a partial event of the previous one.
-    void begin_server();
+    void begin_server(response_head const& head);
 
-    /// Takes bytes of the server's body; `complete` if it ends with them. Returns the
-    /// bytes to send to the caller now.
-    std::string take(response_head const& head, std::string_view bytes, bool complete);
+    /// Takes bytes of the server's body. Returns the bytes to send to the caller now.
+    std::string take(response_head const& head, std::string_view bytes);
+
+    /// Ends a complete stream. Returns the last bytes to send to the caller, with those
+    /// of a body that isn't a stream of events.
+    std::string finish(response_head const& head);
+
+    /// Where the stream of the current server stands.
+    stream_position position() const noexcept;
 
     /// Whether the head has been returned; the status can't change from then on.
     bool started() const noexcept;
@@ -42,9 +49,14 @@
     std::int64_t chunk_count() const noexcept;
 
 private:
+    /// The head, unless it has been returned before.
+    std::string take_head(response_head const& head);
+
     bool           close_;
     bool           chunked_;
     bool           started_ = false;
+    bool           is_event_stream_ = false; // of the current server, as the next
+    bool           has_events_ = false;
     event_splitter splitter_;
     std::string    last_event_;
     std::int64_t   chunk_count_ = 0;
--- a/tests/platform/answer_ends_test.cpp
+++ b/tests/platform/answer_ends_test.cpp
@@ -3,11 +3,13 @@
 // Index: 1 server responses, 2 streams, 3 plain responses, 4 prefills, 5 other VMs
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
 
 #include <gtest/gtest.h>
 
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <string>
 
 namespace marigoldcrank::tests
@@ -32,23 +34,22 @@
     reset
 };
 
-/// Sends a signed event stream with this body, and ends the connection after it.
+/// Sends a signed event stream with this body.
 server_standin::behaviour stream_response(framing frame, std::string const& body,
                                           ending end = ending::in_order)
 {
     return [=](wire_request const& request, wire_connection& connection)
     {
-        constexpr milliseconds step{
-            20}; // sends the head, the body and its end separately
-        auto              head = server_standin::stream_head(request);
-        std::string const chunked = "Transfer-Encoding: chunked\r\n";
+        constexpr milliseconds step{20}; // between the head, the body and its end
+        auto                   head = server_standin::stream_head(request);
         if (frame != framing::chunks)
         {
-            auto const field =
-                frame == framing::length
-                    ? "Content-Length: " + std::to_string(body.size()) + "\r\n"
-                    : std::string{};
-            head.replace(head.find(chunked), chunked.size(), field);
+            head = server_standin::without_framing(head);
+        }
+        if (frame == framing::length)
+        {
+            head.insert(head.find("\r\n") + 2,
+                        "Content-Length: " + std::to_string(body.size()) + "\r\n");
         }
         connection.send(head);
         std::this_thread::sleep_for(step);
@@ -63,7 +64,7 @@
         {
             connection.send("0\r\n\r\n");
         }
-        return false;
+        return end == ending::in_order && frame != framing::connection;
     };
 }
 
@@ -93,6 +94,14 @@
     return caller.read();
 }
 
+/// A request with a content of its own: one that crashed two servers is refused.
+request_options new_request(std::string const& path)
+{
+    static int number = 0;
+    auto const id = "call-" + std::to_string(++number);
+    return {.path = path, .id = id, .body = id};
+}
+
 void handle_always(entry_cluster& cluster, server_standin::behaviour const& respond)
 {
     for (int server = 0; server < 2; ++server)
@@ -125,7 +134,8 @@
             handle_always(cluster, stream_response(frame, events(1, 3) + torn));
             for (auto const call : {ask, ask_http_1_0})
             {
-                auto const response = call(cluster.caller_port(), {.path = "/stream/x"});
+                auto const response =
+                    call(cluster.caller_port(), new_request("/stream/x"));
                 EXPECT_EQ(response.status, 200);
                 EXPECT_FALSE(response.complete)
                     << "framing " << static_cast<int>(frame) << ", torn after " << torn;
@@ -145,7 +155,7 @@
             cluster,
             torn_then_resumed(stream_response(frame, events(1, 3) + "id: 4\ndata: pie"),
                               stream_response(framing::chunks, events(4, 6))));
-        auto const response = ask(cluster.caller_port(), {.path = "/resume/x"});
+        auto const response = ask(cluster.caller_port(), new_request("/resume/x"));
         EXPECT_EQ(response.body, events(1, 6)) << static_cast<int>(frame);
         EXPECT_TRUE(response.complete);
     }
@@ -158,17 +168,223 @@
     for (auto const frame : framings)
     {
         handle_always(cluster, stream_response(frame, "id: 1\nda"));
-        EXPECT_EQ(ask(cluster.caller_port(), {.path = "/stream/x"}).status, 502);
+        EXPECT_EQ(ask(cluster.caller_port(), new_request("/stream/x")).status, 502);
         cluster.server(1).handle_always(stream_response(framing::chunks, events(1, 3)));
         for (int call = 0; call < 2; ++call)
         {
-            EXPECT_EQ(ask(cluster.caller_port(),
-                          {.path = "/resume/x", .id = std::to_string(call)})
-                          .body,
+            EXPECT_EQ(ask(cluster.caller_port(), new_request("/resume/x")).body,
                       events(1, 3));
         }
     }
 }
 
+// A stream without a length or chunks is complete if its connection ends between events.
+TEST(platform_answer_ends, unframed_stream_that_ends_in_order_is_a_failure)
+{
+    entry_cluster cluster;
+    handle_always(cluster, stream_response(framing::connection, events(1, 3)));
+    for (std::string const path : {"/stream/x", "/resume/x"})
+    {
+        for (auto const call : {ask, ask_http_1_0})
+        {
+            auto const response = call(cluster.caller_port(), new_request(path));
+            EXPECT_EQ(response.status, 200);
+            EXPECT_TRUE(response.complete);
+            EXPECT_EQ(response.body, events(1, 3));
+        }
+    }
+}
+
+// A connection that is reset, or that ends before its framing says, looks complete.
+TEST(platform_answer_ends, stream_that_is_broken_off_between_events_looks_complete)
+{
+    entry_cluster cluster;
+    for (auto const frame : {framing::chunks, framing::connection})
+    {
+        handle_always(cluster, stream_response(frame, events(1, 3), ending::reset));
+        for (auto const call : {ask, ask_http_1_0})
+        {
+            auto const response = call(cluster.caller_port(), new_request("/stream/x"));
+            EXPECT_FALSE(response.complete) << static_cast<int>(frame);
+        }
+    }
+    for (std::string const frame :
+         {"Content-Length: 500\r\n", "Transfer-Encoding: chunked\r\n"})
+    {
+        handle_always(
+            cluster,
+            [&](wire_request const& request, wire_connection& connection)
+            {
+                auto head =
+                    server_standin::without_framing(server_standin::stream_head(request));
+                head.insert(head.find("\r\n") + 2, frame);
+                connection.send(head + (frame.starts_with("T")
+                                            ? server_standin::chunk(events(1, 3))
+                                            : events(1, 3)));
+                return false;
+            });
+        auto const response = ask(cluster.caller_port(), new_request("/stream/x"));
+        EXPECT_FALSE(response.complete) << frame;
+        EXPECT_EQ(response.body, events(1, 3));
+    }
+}
+
+// Without framing, a stream without events may have ended before its first one.
+TEST(platform_answer_ends, unframed_stream_without_events_is_a_whole_answer)
+{
+    entry_cluster cluster;
+    handle_always(cluster, stream_response(framing::connection, ""));
+    EXPECT_EQ(ask(cluster.caller_port(), new_request("/stream/x")).status, 502);
+    handle_always(cluster, stream_response(framing::chunks, ""));
+    auto const response = ask(cluster.caller_port(), new_request("/stream/x"));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_TRUE(response.complete);
+}
+
+// A server that resumed a stream broke it off too, and the stream ended as complete.
+TEST(platform_answer_ends, resumed_stream_that_is_torn_again_looks_complete)
+{
+    entry_cluster cluster;
+    for (auto const first : framings)
+    {
+        for (auto const second : framings)
+        {
+            handle_always(
+                cluster,
+                torn_then_resumed(stream_response(first, events(1, 3) + "id: 4\nda"),
+                                  stream_response(second, events(4, 5) + "id: 6\nda")));
+            for (auto const call : {ask, ask_http_1_0})
+            {
+                auto const response =
+                    call(cluster.caller_port(), new_request("/resume/x"));
+                EXPECT_FALSE(response.complete);
+                EXPECT_EQ(response.body, events(1, 5));
+            }
+        }
+    }
+}
+
+// A VM that is killed closes its connections in order, like a server without framing.
+TEST(platform_answer_ends, unframed_stream_of_a_killed_vm_looks_complete)
+{
+    entry_cluster cluster;
+    handle_always(cluster,
+                  [](wire_request const& request, wire_connection& connection)
+                  {
+                      connection.send(server_standin::without_framing(
+                                          server_standin::stream_head(request)) +
+                                      events(1, 3));
+                      eventually([&] { return connection.closed_by_peer(); });
+                      return false;
+                  });
+    raw_caller caller(cluster.caller_port());
+    caller.send(make_request(new_request("/stream/x")));
+    caller.read_until(server_standin::event(3));
+    cluster.daemon(0).signal(SIGKILL);
+    auto const response = caller.read();
+    EXPECT_EQ(response.body, events(1, 3));
+    EXPECT_FALSE(response.complete);
+}
+
+// 3. Plain responses
+
+/// A signed response without framing, which ends with its connection.
+server_standin::behaviour unframed_response(int status, std::string const& body,
+                                            ending end = ending::in_order)
+{
+    return [=](wire_request const& request, wire_connection& connection)
+    {
+        connection.send(server_standin::without_framing(
+            server_standin::signed_response(request, body, status)));
+        std::this_thread::sleep_for(milliseconds{20});
+        if (end == ending::reset)
+        {
+            connection.reset();
+        }
+        return false;
+    };
+}
+
+// Responses without framing are complete when their connection ends in order, also
+// failures of servers, and are not when it is reset.
+TEST(platform_answer_ends, unframed_response_that_is_reset_looks_complete)
+{
+    entry_cluster cluster;
+    for (auto const status : {200, 404, 500})
+    {
+        for (auto const call : {ask, ask_http_1_0})
+        {
+            handle_always(cluster, unframed_response(status, "a body"));
+            auto response = call(cluster.caller_port(), new_request("/once/x"));
+            EXPECT_EQ(response.status, status);
+            EXPECT_EQ(response.body, "a body");
+            EXPECT_TRUE(response.complete);
+            handle_always(cluster, unframed_response(status, "a bo", ending::reset));
+            response = call(cluster.caller_port(), new_request("/once/x"));
+            EXPECT_EQ(response.status, 502);
+            EXPECT_FALSE(signed_by_server(response));
+        }
+    }
+}
+
+// 4. Prefills
+
+// A handle in a response that was torn was fetched by the decoding engine.
+TEST(platform_answer_ends, torn_handle_of_a_prefill_is_fetched)
+{
+    entry_cluster cluster;
+    cluster.list_engine(cluster.server(0), "prefill");
+    cluster.list_engine(cluster.server(1), "decode");
+    std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
+    std::string const whole = R"({"kv_handle":"h1","tokens":9000,"version":1})";
+    for (auto const& body : {whole, whole.substr(0, 20), whole.substr(0, 16)})
+    {
+        cluster.server(0).handle_next(unframed_response(200, body));
+        auto request = new_request("/model/x");
+        request.fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                         "Prefix-Hash: aa:1000,bb:8000\r\n";
+        EXPECT_EQ(ask(cluster.caller_port(), request).body, "served by i-1");
+        EXPECT_EQ(cluster.server(1).received_requests().back().field("kv-source"),
+                  body == whole
+                      ? "127.0.0.1:" + std::to_string(cluster.server(0).port()) + "/h1"
+                      : "");
+        std::this_thread::sleep_for(milliseconds{700}); // its backoff is over
+    }
+}
+
+// 5. Other VMs
+
+// The end of a relayed connection may be that of the VM in the middle.
+TEST(platform_answer_ends, unframed_response_through_another_vm_looks_complete)
+{
+    entry_cluster cluster({.daemons = 2, .own_links = true});
+    cluster.break_links(0, link_fault::refuse_new);
+    handle_always(cluster, stream_response(framing::chunks, events(1, 3)));
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const response = ask(cluster.caller_port(0), new_request("/stream/x"));
+            return response.complete && response.body == events(1, 3);
+        }));
+    for (auto const end : {ending::in_order, ending::reset})
+    {
+        handle_always(cluster, unframed_response(200, "a body", end));
+        for (int call = 0; call < 4; ++call)
+        {
+            auto const response = ask(cluster.caller_port(0), new_request("/once/x"));
+            EXPECT_NE(response.status, 200);
+        }
+        handle_always(cluster, stream_response(framing::connection, events(1, 3), end));
+        for (int call = 0; call < 4; ++call)
+        {
+            auto const response = ask(cluster.caller_port(0), new_request("/stream/x"));
+            EXPECT_FALSE(response.status == 200 && response.complete);
+        }
+    }
+    handle_always(cluster, stream_response(framing::chunks, events(1, 3) + "id: 4\nda"));
+    auto const response = ask(cluster.caller_port(0), new_request("/stream/x"));
+    EXPECT_FALSE(response.status == 200 && response.complete);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/server_standin.cpp
+++ b/tests/platform/support/server_standin.cpp
@@ -69,6 +69,19 @@
            "\r\nInstance-Signature: signed\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+std::string server_standin::without_framing(std::string response)
+{
+    for (std::string const name : {"Transfer-Encoding: ", "Content-Length: "})
+    {
+        auto const field = response.find(name);
+        if (field < response.find("\r\n\r\n"))
+        {
+            response.erase(field, response.find("\r\n", field) + 2 - field);
+        }
+    }
+    return response;
+}
+
 std::string server_standin::chunk(std::string const& bytes)
 {
     char length[20];
--- a/tests/platform/support/server_standin.hpp
+++ b/tests/platform/support/server_standin.hpp
@@ -42,6 +42,10 @@
     /// The head of a signed event stream in chunked transfer coding.
     static std::string stream_head(wire_request const& request);
 
+    /// A response or its head without the field that frames its body, so that the end of
+    /// the connection ends it.
+    static std::string without_framing(std::string response);
+
     /// One chunk of the chunked transfer coding.
     static std::string chunk(std::string const& bytes);
 
--- a/tests/property/attempt_history_property_test.cpp
+++ b/tests/property/attempt_history_property_test.cpp
@@ -2,6 +2,7 @@
 //
 // Index: 1 attempt_history, 2 stream_relay
 #include "policy/attempt_history.hpp"
+#include "serving/own_response.hpp"
 #include "serving/stream_relay.hpp"
 
 #include <gtest/gtest.h>
@@ -87,6 +88,7 @@
 {
     response_head head;
     head.result(200U);
+    head.set("Content-Type", "text/event-stream; charset=utf-8");
     return head;
 }
 
@@ -113,8 +115,8 @@
         first += event(number);
     }
     auto const cut = *rc::gen::inRange<std::size_t>(0, first.size());
-    relay.begin_server();
-    auto       out = relay.take(any_head(), first.substr(0, cut), false);
+    relay.begin_server(any_head());
+    auto       out = relay.take(any_head(), first.substr(0, cut));
     auto const last = relay.last_event().empty() ? 0 : std::stoi(relay.last_event());
     RC_ASSERT(relay.started() == (last > 0));
     std::string second;
@@ -122,22 +124,57 @@
     {
         second += event(number);
     }
-    relay.begin_server();
-    out += relay.take(any_head(), second, true);
+    relay.begin_server(any_head());
+    out += relay.take(any_head(), second);
+    out += relay.finish(any_head());
     RC_ASSERT(body_of(out) == first);
     RC_ASSERT(out.find("HTTP/1.1") == out.rfind("HTTP/1.1"));
 }
 
+// A stream cut at any byte was ended with the last chunk, behind a partial event.
+TEST(stream_relay, stream_cut_at_any_byte_ends_as_complete)
+{
+    for (std::string const line_end : {"\n", "\r\n", "\r"})
+    {
+        std::string              stream;
+        std::vector<std::size_t> ends; // of events; a cut there is between events
+        for (int number = 1; number <= 3; ++number)
+        {
+            stream += ": comment" + line_end + "id: " + std::to_string(number) +
+                      line_end + "data: x" + line_end + line_end;
+            ends.push_back(stream.size());
+        }
+        for (std::size_t cut = 0; cut <= stream.size(); ++cut)
+        {
+            auto const whole =
+                std::upper_bound(ends.begin(), ends.end(), cut) - ends.begin();
+            auto const events =
+                whole == 0 ? 0 : ends[static_cast<std::size_t>(whole) - 1];
+            stream_relay relay(false, true);
+            relay.begin_server(any_head());
+            auto const out = relay.take(any_head(), stream.substr(0, cut));
+            EXPECT_EQ(body_of(out),
+                      events == 0 ? "" : format_chunk(stream.substr(0, events)));
+            bool const between = cut == events;
+            auto const at = relay.position();
+            EXPECT_EQ(is_complete_stream(body_result::framed, at), between) << cut;
+            EXPECT_EQ(is_complete_stream(body_result::unframed, at), between && cut > 0);
+            EXPECT_FALSE(is_complete_stream(body_result::broken, at));
+            EXPECT_FALSE(is_complete_stream(body_result::timed_out, at));
+        }
+    }
+}
+
 TEST(stream_relay, nothing_is_sent_before_the_first_complete_event)
 {
     stream_relay relay(false, true);
-    relay.begin_server();
-    EXPECT_EQ(relay.take(any_head(), "id: 1\ndata: ", false), "");
+    relay.begin_server(any_head());
+    EXPECT_EQ(relay.take(any_head(), "id: 1\ndata: "), "");
     EXPECT_FALSE(relay.started());
-    auto const out = relay.take(any_head(), "x\n\n", false);
+    auto const out = relay.take(any_head(), "x\n\n");
     EXPECT_TRUE(relay.started());
     EXPECT_NE(out.find("Transfer-Encoding: chunked"), std::string::npos);
-    EXPECT_EQ(relay.take(any_head(), "", true), "0\r\n\r\n");
+    EXPECT_EQ(relay.finish(any_head()), "0\r\n\r\n");
 }
 
 } // namespace
