--- a/bench/entry_soak/soak_servers.cpp
+++ b/bench/entry_soak/soak_servers.cpp
@@ -49,22 +49,42 @@
     return response.insert(response.find("\r\n") + 2, fields);
 }
 
+/// Whether the responses to this call have no framing and end with their connection.
+bool is_unframed(std::string const& id)
+{
+    constexpr std::size_t framings = 3;
+    return std::hash<std::string>{}("framing " + id) % framings == 0;
+}
+
 bool serve_stream(server_faults const& faults, server_notice const& stated,
                   tests::wire_request const& request, tests::wire_connection& connection)
 {
     auto const after = request.field("last-event-id");
     int const  first = after.empty() ? 1 : std::stoi(after) + 1;
-    connection.send(with_notice(server_standin::stream_head(request), stated));
+    bool const unframed = is_unframed(request.field("request-id"));
+    auto const head = with_notice(server_standin::stream_head(request), stated);
+    connection.send(unframed ? server_standin::without_framing(head) : head);
     for (int number = first; number <= event_count; ++number)
     {
+        auto const event = server_standin::event(number);
         if (faults.crashing && number == event_count / 2)
         {
+            if (unframed)
+            {
+                // A process that ends closes its connections in order.
+                connection.send(event.substr(0, event.size() / 2));
+                return false;
+            }
             connection.reset();
             return false;
         }
-        connection.send(server_standin::chunk(server_standin::event(number)));
+        connection.send(unframed ? event : server_standin::chunk(event));
         std::this_thread::sleep_for(std::chrono::milliseconds{3});
     }
+    if (unframed)
+    {
+        return false;
+    }
     connection.send("0\r\n\r\n");
     return true;
 }
@@ -113,9 +133,11 @@
         connection.reset();
         return false;
     }
-    connection.send(
-        with_notice(server_standin::signed_response(request, body_of(id, kind)), stated));
-    return true;
+    auto const response =
+        with_notice(server_standin::signed_response(request, body_of(id, kind)), stated);
+    bool const unframed = is_unframed(id);
+    connection.send(unframed ? server_standin::without_framing(response) : response);
+    return !unframed;
 }
 
 } // namespace marigoldcrank::soak
