Calls: the log says which software version served and which try is taken up

The send lines have version (of the server's entry) and resumes (the id that the caller names), the end lines resumes, so that the three hypotheses about streams of two versions can be told apart. The version of a server's entry is read for this; nothing is decided by it.

--- a/src/domain/backend_server.hpp
+++ b/src/domain/backend_server.hpp
@@ -35,6 +35,7 @@
     engine_role  role = engine_role::mixed; // as the server last reported it
     std::int64_t slots = 0;                 // requests it runs at once; 0: not reported
     std::int64_t born_unix_ms = 0; // start of this incarnation, Unix ms; 0: not reported
+    std::string  version;          // of its software; versions have no order
 
     auto operator<=>(backend_server const&) const = default;
 };
--- a/src/domain/caller_call.hpp
+++ b/src/domain/caller_call.hpp
@@ -36,6 +36,7 @@
     std::int64_t             output_tokens = 0; // max. tokens to generate
     std::optional<std::int64_t> stated_tokens; // prompt and max. output; none: not stated
     std::string resume_after; // last event id that the caller has; empty: none
+    std::string resumes;      // id of the try that brought its first event; empty: none
 
     bool operator==(caller_call const&) const = default;
 
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -16,9 +16,9 @@
 
 } // namespace
 
-call_log::call_log(entry_state& state, std::string const& id,
+call_log::call_log(entry_state& state, caller_call const& call,
                    boot_clock::time_point arrived)
-    : state_(state), id_(id), arrived_(arrived)
+    : state_(state), call_(call), arrived_(arrived)
 {
 }
 
@@ -26,8 +26,10 @@
 {
     auto const& planned = plan.planned;
     event_line  line{"send"};
-    line.add("id", id_)
+    line.add("id", call_.id)
         .add("server", plan.server)
+        .add("version", plan.version)
+        .add("resumes", call_.resumes)
         .add("work", plan.work)
         .add("run", plan.run)
         .add("tokens", planned.prefill_tokens)
@@ -36,7 +38,7 @@
         .add("fetch", plan.fetch)
         .add("rules", version_of(admitted))
         .add("left_ms", admitted.deadline - loop_clock::now());
-    state_.log.write_step(id_, line, boot_clock::now());
+    state_.log.write_step(call_.id, line, boot_clock::now());
 }
 
 void call_log::attempt_failed(attempt_failure const& failure)
@@ -45,7 +47,7 @@
     auto const fate = attempt_outcome_name(failure.fate);
     state_.counters.add("failed_sends_total", std::string{"fate=\""} + fate + "\"");
     state_.log.write(event_line{failure.event}
-                         .add("id", id_)
+                         .add("id", call_.id)
                          .add("server", failure.server)
                          .add("fate", fate)
                          .add("fault", failure.fault)
@@ -60,7 +62,7 @@
     state_.log.write(event_line{"suspect"}
                          .add("content", content)
                          .add("server", server)
-                         .add("id", id_),
+                         .add("id", call_.id),
                      boot_clock::now());
 }
 
@@ -68,7 +70,7 @@
 {
     auto const now = boot_clock::now();
     event_line line{"end"};
-    line.add("id", id_)
+    line.add("id", call_.id)
         .add("outcome", summary.outcome)
         .add("status", static_cast<std::int64_t>(summary.status))
         .add("route", admitted.matched == nullptr ? "" : admitted.matched->name)
@@ -76,6 +78,7 @@
         .add("fault", summary.fault)
         .add("server", summary.server)
         .add("framing", summary.framing)
+        .add("resumes", call_.resumes)
         .add("rules", version_of(admitted))
         .add("keys_age_ms", now - state_.view.read_sent)
         .add("first_ms", summary.timing.time_to_first_event())
@@ -86,7 +89,7 @@
                         "outcome=\"" + std::string{summary.outcome} + "\"");
     if (summary.outcome == "served")
     {
-        state_.log.write_step(id_, line, now);
+        state_.log.write_step(call_.id, line, now);
     }
     else
     {
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -43,6 +43,7 @@
 struct attempt_plan
 {
     std::string_view server;
+    std::string_view version; // of the server's software
     std::string_view work;    // "call"; "prompt": prefill only; "run": decode only
     std::int64_t     run = 0; // attempts to run this call before this one
     placement        planned; // tokens to prefill there, and the expected times
@@ -53,7 +54,7 @@
 class call_log
 {
 public:
-    call_log(entry_state& state, std::string const& id, boot_clock::time_point arrived);
+    call_log(entry_state& state, caller_call const& call, boot_clock::time_point arrived);
 
     /// Logs the start of an attempt, for sampled calls only.
     void attempt_started(attempt_plan const& plan, admitted_call const& admitted);
@@ -69,7 +70,7 @@
 
 private:
     entry_state&           state_;
-    std::string const&     id_;
+    caller_call const&     call_;
     boot_clock::time_point arrived_;
 };
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -44,7 +44,7 @@
     call_runner(entry_state& state, caller_socket& caller, http_request const& request,
                 caller_call call)
         : state_(state), caller_(caller), request_(request), call_(std::move(call)),
-          arrived_(boot_clock::now()), log_(state, call_.id, arrived_),
+          arrived_(boot_clock::now()), log_(state, call_, arrived_),
           placement_(state, call_, admitted_), timing_(arrived_),
           keep_alive_(request.keep_alive() && !state.draining),
           stream_(!keep_alive_, supports_chunks(request)),
@@ -208,8 +208,9 @@
             exchange               link{state_, server, *permit};
             current_exchange_guard use{*this, link};
             load_share             share{state_, server.id, 0};
-            log_.attempt_started({server.id, "call", attempts_.history().runs(), {}, ""},
-                                 admitted_);
+            log_.attempt_started(
+                {server.id, server.version, "call", attempts_.history().runs(), {}, ""},
+                admitted_);
             attempts_.record_start(server.id);
             auto const fate = co_await send_call(link, {}, attempts_.attempt_deadline());
             if (caller_.disconnected())
@@ -375,9 +376,9 @@
         exchange               link{state_, server, permit};
         current_exchange_guard use{*this, link};
         load_share             share{state_, server.id, placed.prefill_tokens};
-        log_.attempt_started(
-            {server.id, "prompt", attempts_.history().runs(), placed, fetch_server_},
-            admitted_);
+        log_.attempt_started({server.id, server.version, "prompt",
+                              attempts_.history().runs(), placed, fetch_server_},
+                             admitted_);
         placement_.record_attempt(server.id, placed);
         auto const until = placement_.prefill_deadline(placed);
         auto const began = boot_clock::now();
@@ -415,7 +416,7 @@
         exchange               link{state_, server, permit};
         current_exchange_guard use{*this, link};
         load_share             share{state_, server.id, planned.prefill_tokens};
-        log_.attempt_started({server.id, source.empty() ? "call" : "run",
+        log_.attempt_started({server.id, server.version, source.empty() ? "call" : "run",
                               attempts_.history().runs(), planned,
                               source.empty() ? fetch_server_ : std::string_view{}},
                              admitted_);
