--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -145,12 +145,13 @@
 }
 
 void entry_cluster::list_server(server_standin const& server, std::string const& state,
-                                std::int64_t born)
+                                std::int64_t born, std::string const& version)
 {
     nlohmann::json entry{
         {"service", "desk"}, {"address", loopback_address(port_of(server))},
         {"zone", "here"},    {"slots", 6},
-        {"state", state},    {"sequence", 1}};
+        {"state", state},    {"sequence", 1},
+        {"version", version}};
     if (born > 0)
     {
         entry["born"] = born;
@@ -158,13 +159,14 @@
     store_->put("keyed.servers", server.id(), entry.dump());
 }
 
-void entry_cluster::list_engine(server_standin const& server, std::string const& stage)
+void entry_cluster::list_engine(server_standin const& server, std::string const& stage,
+                                std::string const& version)
 {
     nlohmann::json const entry{
         {"service", "models"}, {"address", loopback_address(server.port())},
         {"zone", "here"},      {"slots", 8},
         {"state", "ready"},    {"stage", stage},
-        {"sequence", 1}};
+        {"sequence", 1},       {"version", version}};
     store_->put("keyed.servers", server.id(), entry.dump());
 }
 
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -75,12 +75,13 @@
     void configure_north(std::uint64_t version, std::string const& fields);
 
     /// Writes a server's entry in the list of servers to the store. `born`: start of its
-    /// incarnation, Unix ms; 0: not stated.
+    /// incarnation, Unix ms; 0: not stated. `version`: of its software.
     void list_server(server_standin const& server, std::string const& state = "ready",
-                     std::int64_t born = 0);
+                     std::int64_t born = 0, std::string const& version = "v1");
 
     /// Lists a server as an engine of the service "models", which route /model/ uses.
-    void list_engine(server_standin const& server, std::string const& stage);
+    void list_engine(server_standin const& server, std::string const& stage,
+                     std::string const& version = "v1");
 
     /// The relays between daemon `index` and the store, and between all daemons and
     /// server `index`; only with `relayed`.
