Queries between VMs: the transport stands apart from the buckets it was written for

vm_queries sends messages of one kind to other VMs and matches replies by number; record_link hands queries to the handler of their kind. No change of logic for quotas and limits.

--- a/src/serving/owner_link.cpp
+++ b/src/serving/owner_link.cpp
@@ -1,15 +1,10 @@
-// Sockets to the owners of buckets, queries and replies.
+// Queries to the owners of buckets, and replies.
 //
-// Index: 1 links, 2 queries, 3 replies
+// Index: 1 messages, 2 queries, 3 replies
 #include "serving/owner_link.hpp"
 
 #include "policy/owner_queries.hpp"
 #include "serving/record_link.hpp"
-#include "serving/watched_socket.hpp"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <wire.pb.h>
 
@@ -21,28 +16,15 @@
 
 namespace asio = boost::asio;
 
-// 1. Links
+// 1. Messages
 
 namespace
 {
 
-// 256   queries queued for one VM
-constexpr int max_queued_queries = 256;
-// 150   ms; a VM that doesn't reply in this time is skipped. Half of the time in which
-//       the fastest calls must be served
-constexpr millis reply_timeout{150};
 // 1000  ms; a VM that has not replied is asked last for this time, unless another VM
 //       knows it to be alive
-constexpr millis           silence_backoff{1000};
-constexpr std::string_view query_kind = "bucket";
-
-struct open_query
-{
-    explicit open_query(asio::io_context& loop) : timer(loop) {}
-
-    asio::steady_timer                timer;
-    std::optional<wire::bucket_reply> reply;
-};
+constexpr millis      silence_backoff{1000};
+constexpr char const* query_kind = "bucket";
 
 bucket_answer answer_from(wire::bucket_reply const& reply)
 {
@@ -75,71 +57,16 @@
 
 } // namespace
 
-/// Sockets to other VMs, and the queries that wait for a reply.
-struct owner_link::links
-{
-    links(asio::io_context& io, zmq::context_t& zmq) : loop(io), context(zmq) {}
-
-    watched_socket& socket_to(std::string const& address)
-    {
-        auto& socket = sockets[address];
-        if (!socket)
-        {
-            socket = std::make_unique<watched_socket>(
-                loop, context, zmq::socket_type::dealer, max_queued_queries,
-                [this](std::vector<zmq::message_t>& parts) { take(parts); });
-            socket->socket().connect(zmq_endpoint(address));
-        }
-        return *socket;
-    }
-
-    void send(std::string const& address, wire::bucket_question const& query)
-    {
-        auto const bytes = query.SerializeAsString();
-        auto&      socket = socket_to(address);
-        static_cast<void>(
-            socket.socket().send(zmq::buffer(query_kind),
-                                 zmq::send_flags::dontwait | zmq::send_flags::sndmore));
-        static_cast<void>(
-            socket.socket().send(zmq::buffer(bytes), zmq::send_flags::dontwait));
-        socket.receive_pending();
-    }
-
-    void take(std::vector<zmq::message_t>& parts)
-    {
-        wire::bucket_reply reply;
-        auto const&        bytes = parts.back();
-        if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        {
-            return; // the query times out
-        }
-        auto const found = open_queries.find(reply.number());
-        if (found != open_queries.end())
-        {
-            found->second->reply = std::move(reply);
-            found->second->timer.cancel();
-        }
-    }
-
-    asio::io_context&                                      loop;
-    zmq::context_t&                                        context;
-    std::map<std::string, std::unique_ptr<watched_socket>> sockets; // by address
-    std::map<std::uint64_t, std::shared_ptr<open_query>>   open_queries;
-    std::uint64_t                                          number = 0;
-};
-
 // 2. Queries
 
 owner_link::owner_link(asio::io_context& loop, zmq::context_t& context,
                        entry_state& state, record_link& records)
-    : state_(state), links_(std::make_unique<links>(loop, context))
+    : state_(state), queries_(loop, context, query_kind)
 {
-    records.reply_to_others([this](std::string const& serialized)
+    records.reply_to_others(query_kind, [this](std::string const& serialized)
                             { return reply_to_vm(serialized); });
 }
 
-owner_link::~owner_link() = default;
-
 void owner_link::handle(bucket_kind kind, query_handler handler)
 {
     handlers_[kind] = std::move(handler);
@@ -152,7 +79,7 @@
     {
         return std::find(owners.begin(), owners.end(), each.first) == owners.end();
     };
-    std::erase_if(links_->sockets, gone);
+    queries_.follow(owners);
     std::erase_if(backoff_until_, gone);
 }
 
@@ -213,24 +140,21 @@
     {
         co_return handle_query(request);
     }
-    auto const number = ++links_->number;
-    auto const pending = std::make_shared<open_query>(links_->loop);
+    auto const number = queries_.next_number();
     auto       message = format_query(request);
     message.set_number(number);
-    links_->open_queries[number] = pending;
-    pending->timer.expires_after(reply_timeout);
-    links_->send(address, message);
-    boost::system::error_code error; // cancelled by the reply, or expired
-    co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    links_->open_queries.erase(number);
-    state_.counters.add(pending->reply ? "quota_answers_total" : "quota_silences_total");
-    if (!pending->reply)
+    auto const bytes =
+        co_await queries_.query(address, number, message.SerializeAsString());
+    wire::bucket_reply reply;
+    bool const         replied = bytes && reply.ParseFromString(*bytes);
+    state_.counters.add(replied ? "quota_answers_total" : "quota_silences_total");
+    if (!replied)
     {
         backoff_until_[address] = boot_clock::now() + silence_backoff;
         co_return std::nullopt;
     }
     backoff_until_.erase(address);
-    co_return answer_from(*pending->reply);
+    co_return answer_from(reply);
 }
 
 void owner_link::give_back(bucket_query granted, std::string const& granted_by)
@@ -241,7 +165,7 @@
         static_cast<void>(handle_query(granted));
         return;
     }
-    links_->send(granted_by, format_query(granted));
+    queries_.send(granted_by, format_query(granted).SerializeAsString());
 }
 
 // 3. Replies
--- a/src/serving/owner_link.hpp
+++ b/src/serving/owner_link.hpp
@@ -9,13 +9,13 @@
 
 #include "policy/bucket_owner.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/vm_queries.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -50,7 +50,6 @@
     /// Replies to other VMs through `records`. All arguments must outlive this object.
     owner_link(boost::asio::io_context& loop, zmq::context_t& context, entry_state& state,
                record_link& records);
-    ~owner_link();
     owner_link(owner_link const&) = delete;
     owner_link& operator=(owner_link const&) = delete;
 
@@ -63,6 +62,11 @@
     /// The possible owners whose digests this VM has received lately.
     std::vector<std::string> live_owners(boot_clock::time_point now) const;
 
+    /// The VMs to query for `key` in order: the owner first, but VMs that have not
+    /// replied or whose digests are missing later. VMs of which both is true are left
+    /// out.
+    std::vector<std::string> order(std::string const& key) const;
+
     /// Returns nothing if no VM replies. Takes up to three reply timeouts then.
     boost::asio::awaitable<std::optional<owner_decision>> query(bucket_query request);
 
@@ -74,13 +78,6 @@
     owner_view view_for(bucket_query const& query) const;
 
 private:
-    struct links;
-
-    /// The VMs to query for a bucket in order: the owner first, but VMs that have not
-    /// replied or whose digests are missing later. VMs of which both is true are left
-    /// out.
-    std::vector<std::string> order(std::string const& key) const;
-
     /// Queries a VM, or decides here if it is this one; nothing if it doesn't reply in
     /// time.
     boost::asio::awaitable<std::optional<bucket_answer>> query_vm(std::string  address,
@@ -94,7 +91,7 @@
     std::vector<std::string>                      owners_;
     std::map<std::string, boot_clock::time_point> backoff_until_; // asked last until then
     std::map<bucket_kind, query_handler>          handlers_;
-    std::unique_ptr<links>                        links_;
+    vm_queries                                    queries_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -350,8 +350,10 @@
 
     void reply_other(std::vector<zmq::message_t> const& parts)
     {
-        auto const answer =
-            handle_other ? handle_other(parts.back().to_string()) : std::string{};
+        auto const handler = other_handlers.find(parts[1].to_string());
+        auto const answer = handler == other_handlers.end()
+                                ? std::string{}
+                                : handler->second(parts.back().to_string());
         if (!answer.empty())
         {
             send_reply(parts.front().to_string(), answer);
@@ -473,10 +475,10 @@
     std::uint64_t                                           number = 0;
     bool stale = false;  // the relay that replied last has lost the store
     bool serves = false; // other VMs query this one
-    record_link::other_query_handler handle_other;
-    std::map<std::string, mirror>    mirrors;
-    std::list<waiting_query>         waiting;
-    watched_socket                   server;
+    std::map<std::string, record_link::other_query_handler> other_handlers;
+    std::map<std::string, mirror>                           mirrors;
+    std::list<waiting_query>                                waiting;
+    watched_socket                                          server;
 };
 
 // 3. record_link
@@ -523,9 +525,9 @@
     state_->serves = queried;
 }
 
-void record_link::reply_to_others(other_query_handler answer)
+void record_link::reply_to_others(std::string const& kind, other_query_handler answer)
 {
-    state_->handle_other = std::move(answer);
+    state_->other_handlers[kind] = std::move(answer);
 }
 
 bool record_link::has_relays() const
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -69,10 +69,10 @@
     /// them.
     void serve(bool queried);
 
-    /// Handles queries of another kind that arrive at the same address. An empty reply
-    /// isn't sent.
+    /// Handles the queries of a further kind, which arrive at the same address. An empty
+    /// reply isn't sent.
     using other_query_handler = std::function<std::string(std::string const& query)>;
-    void reply_to_others(other_query_handler answer);
+    void reply_to_others(std::string const& kind, other_query_handler answer);
 
     /// Whether there are relays, silent or not.
     bool has_relays() const;
