Framed responses before a close aren't taken for unframed ones

Callers at a VM without links to the servers got 502 for framed responses with Connection: close that came through another VM, and the log called them unframed.

--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -130,6 +130,7 @@
 {
     constexpr unsigned informational = 200;
     complete_ = false;
+    head_only_ = head_only;
     do
     {
         parser_.emplace();
@@ -164,8 +165,12 @@
     {
         return response_framing::chunks;
     }
-    return parser_->get().need_eof() ? response_framing::connection
-                                     : response_framing::length;
+    auto const status = parser_->get().result();
+    bool const bodiless = head_only_ || status == http::status::no_content ||
+                          status == http::status::not_modified;
+    return bodiless || parser_->content_length().has_value()
+               ? response_framing::length
+               : response_framing::connection;
 }
 
 asio::awaitable<body_result> http_connection::read_body(std::string& out, loop_time until)
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -120,6 +120,7 @@
     bool                          writing_ = false;
     bool                          write_failed_ = false;
     bool                          complete_ = false;
+    bool                          head_only_ = false; // the response has no body
 };
 
 } // namespace marigoldcrank
--- a/tests/platform/answer_ends_test.cpp
+++ b/tests/platform/answer_ends_test.cpp
@@ -286,6 +286,36 @@
     EXPECT_FALSE(response.complete);
 }
 
+// A framed response whose connection closes after it was taken for an unframed one.
+TEST(platform_answer_ends, framed_response_before_a_close_is_taken_for_unframed)
+{
+    entry_cluster cluster({.daemons = 2, .own_links = true});
+    auto const    closing = [](std::string response)
+    {
+        return response.insert(response.find("\r\n") + 2, "Connection: close\r\n");
+    };
+    handle_always(cluster,
+                  [=](wire_request const& request, wire_connection& connection)
+                  {
+                      bool const streamed = request.path().starts_with("/stream/");
+                      connection.send(closing(
+                          streamed ? server_standin::stream_head(request) + "0\r\n\r\n"
+                                   : server_standin::signed_response(request, "a body")));
+                      return false;
+                  });
+    auto const expect_served = [&]
+    {
+        auto const plain = ask(cluster.caller_port(0), new_request("/once/x"));
+        auto const stream = ask(cluster.caller_port(0), new_request("/stream/x"));
+        return plain.complete && plain.body == "a body" && stream.status == 200 &&
+               stream.complete;
+    };
+    EXPECT_TRUE(expect_served());
+    cluster.break_links(0, link_fault::refuse_new);
+    EXPECT_TRUE(eventually(expect_served)); // through the other VM
+    EXPECT_TRUE(expect_served());
+}
+
 // 3. Plain responses
 
 /// A signed response without framing, which ends with its connection.
