Streams go on only at the software version that began them

Callers got streams whose events came from two versions of one service: within a call, and when they took a stream up at another VM.

Cause: state that one server wrote was used at another without a check that the two fit. A VM didn't know the versions of servers, and nothing told another VM what had begun a stream.

Now the first event binds a call to the version of its server; if no server of it is left, the call ends at once. A caller that takes a stream up names its first try: the VM asks what began it, allows only that version, and refuses at once as not run (version, version_unknown) what can't go on or isn't known. Without a record a stream goes on only if no VM that replies knows of a second version within that time, and one has followed the list so long or sees no server younger.

--- a/src/ledger/server_index.cpp
+++ b/src/ledger/server_index.cpp
@@ -26,6 +26,7 @@
 {
     rings_[{server.group, ring_of(server)}][{hash_of(server.id), server.id}] = &server;
     staying_[server.group] += server.leaving ? 0 : 1;
+    ++versions_[server.group][server.version];
 }
 
 void server_index::erase(backend_server const& server)
@@ -34,6 +35,11 @@
     if (ring != rings_.end() && ring->second.erase({hash_of(server.id), server.id}) > 0)
     {
         staying_[server.group] -= server.leaving ? 0 : 1;
+        auto& counts = versions_[server.group];
+        if (--counts[server.version] == 0)
+        {
+            counts.erase(server.version);
+        }
     }
 }
 
--- a/src/ledger/server_index.hpp
+++ b/src/ledger/server_index.hpp
@@ -1,6 +1,6 @@
 // Index of the listed servers by service and role, from which a call draws a few.
 //
-// Index: 1 engine_ring, 2 server_index
+// Index: 1 version_counts, 2 engine_ring, 3 server_index
 //
 // With thousands of servers, a call that looks at each of them takes longer than it may.
 // The servers of a service lie on two rings, the prefill engines and the others, in the
@@ -19,6 +19,9 @@
 namespace marigoldcrank
 {
 
+/// Number of servers by the version of their software.
+using version_counts = std::map<std::string, std::int64_t>;
+
 /// The two rings of a service.
 enum class engine_ring
 {
@@ -39,6 +42,12 @@
     /// Servers of a service that are not leaving.
     std::int64_t staying(std::string const& service) const;
 
+    /// Servers by service and version, including leaving ones.
+    std::map<std::string, version_counts> const& versions() const noexcept
+    {
+        return versions_;
+    }
+
     /// The first server on the ring at or after `hash` for which `usable` holds; null if
     /// there is none among the next `max_steps`.
     template <class Usable>
@@ -73,6 +82,7 @@
 
     std::map<std::pair<std::string, engine_ring>, servers_by_hash> rings_;
     std::map<std::string, std::int64_t>                            staying_; // by service
+    std::map<std::string, version_counts>                          versions_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -50,6 +50,13 @@
 
 } // namespace
 
+millis caller_patience(caller_call const& call, route const& matched)
+{
+    auto const per_try = matched.timeout.count() > 0 ? matched.timeout : default_timeout;
+    auto const stated = call.caller_timeout.value_or(default_timeout);
+    return std::max(std::min(stated, default_timeout), per_try);
+}
+
 std::optional<own_response> admit_call(entry_state& state, caller_call const& call,
                                        std::string const&     body,
                                        boot_clock::time_point arrived,
--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -32,6 +32,10 @@
     loop_time    deadline{};         // of the final response
 };
 
+/// The longest time for which the caller may go on trying: what it states, within bounds,
+/// and at least the time that the route gives one try.
+millis caller_patience(caller_call const& call, route const& matched);
+
 /// Checks rules, route, key and content in this order, and fills `admitted` up to the
 /// first check that fails. Returns the refusal, or nothing if the call is admitted. An
 /// admitted call is counted into its service's retry budget.
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -30,9 +30,22 @@
 {
     auto const  now = boot_clock::now();
     auto const& service = admitted_.service_name;
-    return state_.draws_candidates(service)
-               ? state_.draw_candidates(service, tried, call_, now)
-               : state_.candidates(service, tried, now);
+    // A few servers drawn from all may miss those of the version.
+    bool const drawn = !version_ && state_.draws_candidates(service);
+    auto       found = drawn ? state_.draw_candidates(service, tried, call_, now)
+                             : state_.candidates(scope(), tried, now);
+    last_fault_ = version_ && found.empty() ? "version" : last_fault_;
+    return found;
+}
+
+void call_attempts::require_version(std::string version)
+{
+    version_ = std::move(version);
+}
+
+server_scope call_attempts::scope() const
+{
+    return {admitted_.service_name, version_};
 }
 
 bool call_attempts::may_start_attempt()
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -8,6 +8,7 @@
 #include "serving/call_admission.hpp"
 #include "serving/call_log.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -42,6 +43,13 @@
     /// since the only server of a service may be tried again.
     std::vector<candidate> servers_to_try();
 
+    /// Allows only servers of one version from now on: another one can't go on with what
+    /// the first has written. An empty version allows none.
+    void require_version(std::string version);
+
+    /// The servers that the call may go to.
+    server_scope scope() const;
+
     /// Decides whether an attempt starts now, from the time left, the earlier attempts
     /// and the retry budget. A retry is taken from the budget.
     bool may_start_attempt();
@@ -123,12 +131,13 @@
 
     void log_failure(std::string_view event, attempt_result const& result);
 
-    entry_state&          state_;
-    call_log&             log_;
-    caller_call const&    call_;
-    admitted_call const&  admitted_;
-    attempt_history       history_;
-    std::set<std::string> tried_;
+    entry_state&               state_;
+    call_log&                  log_;
+    caller_call const&         call_;
+    admitted_call const&       admitted_;
+    attempt_history            history_;
+    std::set<std::string>      tried_;
+    std::optional<std::string> version_; // required; none: any
     bool more_servers_ = false;   // another server can be tried after the current one
     bool prefill_failed_ = false; // a prefill was sent and returned no handle
     std::string_view last_fault_ = "no_server";
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -16,6 +16,7 @@
 #include "serving/handle_release.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/model_placement.hpp"
+#include "serving/origin_link.hpp"
 #include "serving/own_response.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/server_exchange.hpp"
@@ -160,7 +161,7 @@
     boost::asio::awaitable<bool> wait_for_hold()
     {
         constexpr int objective_part = 4; // waits for at most this part of the objective
-        auto const end = state_.first_hold_end(admitted_.service_name, boot_clock::now());
+        auto const    end = state_.first_hold_end(attempts_.scope(), boot_clock::now());
         if (!end)
         {
             co_return false;
@@ -274,6 +275,11 @@
 
     boost::asio::awaitable<void> serve_stream()
     {
+        if (!call_.resume_after.empty() && is_stream() && !co_await find_origin())
+        {
+            attempts_.fault("version_unknown");
+            co_return co_await end_without_server();
+        }
         placement_.count_demand(arrived_);
         while (!ended() && !caller_.check_disconnected())
         {
@@ -336,6 +342,68 @@
         }
     }
 
+    /// Finds what began the stream that the caller takes up, and allows only servers that
+    /// can go on with it. Returns false if that isn't known.
+    boost::asio::awaitable<bool> find_origin()
+    {
+        origin_query const wanted{.key = origin_key(),
+                                  .service = admitted_.service_name,
+                                  .span = stream_span()};
+        auto               origin = conclude_origin(own_knowledge(state_, wanted), "");
+        if (state_.origin_keepers != nullptr)
+        {
+            origin = co_await state_.origin_keepers->find(wanted);
+        }
+        if (!origin)
+        {
+            co_return false;
+        }
+        // Another service's servers can't go on either, whatever their version.
+        bool const same =
+            origin->service.empty() || origin->service == admitted_.service_name;
+        attempts_.require_version(same ? origin->version : "");
+        co_return true;
+    }
+
+    /// Keeps the call at the version of the server that wrote its first event, and
+    /// records it for the caller's further tries.
+    void record_origin(backend_server const& server)
+    {
+        bool const known = state_.has_kept_version(server);
+        attempts_.require_version(known ? server.version : "");
+        bool const may_be_resumed = admitted_.matched->resumable && known && is_stream();
+        if (!may_be_resumed)
+        {
+            return;
+        }
+        origin_record const record{.key = origin_key(),
+                                   .origin = {server.group, server.version},
+                                   .life = stream_span()};
+        if (state_.origin_keepers != nullptr)
+        {
+            state_.origin_keepers->record(record);
+        }
+        else
+        {
+            state_.origins.record(record, boot_clock::now());
+        }
+    }
+
+    /// The key of the stream: of the try that brought its first event.
+    std::uint64_t origin_key() const
+    {
+        auto const& workspace = admitted_.caller_workspace;
+        bool const  again = !call_.resume_after.empty();
+        return stream_key(workspace == nullptr ? "" : workspace->name,
+                          again ? call_.resumes : call_.id);
+    }
+
+    millis stream_span()
+    {
+        return state_.stream_span(admitted_.service_name,
+                                  caller_patience(call_, *admitted_.matched));
+    }
+
     /// Chooses the engine that runs the call after its prefill, also after a failed one.
     /// Returns nothing if there is none.
     boost::asio::awaitable<std::optional<send_permit>>
@@ -507,6 +575,7 @@
             record_first_event_time();
             status_ = link.facts().status;
             count_usage();
+            record_origin(link.server());
         }
         return out;
     }
@@ -667,9 +736,9 @@
     millis retry_after()
     {
         auto const now = boot_clock::now();
-        auto const hold = state_.first_hold_end(admitted_.service_name, now);
+        auto const hold = state_.first_hold_end(attempts_.scope(), now);
         bool const all_held =
-            hold && state_.candidates(admitted_.service_name, {}, now).empty();
+            hold && state_.candidates(attempts_.scope(), {}, now).empty();
         return all_held ? spread_return(*hold, state_.tie_break()) : refusal_retry_after;
     }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -110,14 +110,14 @@
     return result;
 }
 
-std::vector<candidate> entry_state::candidates(std::string const&           service,
+std::vector<candidate> entry_state::candidates(server_scope const&          scope,
                                                std::set<std::string> const& tried,
                                                boot_clock::time_point       now) const
 {
     std::vector<candidate> result;
     for (auto const& [id, server] : servers.servers())
     {
-        if (server.group == service && may_get_work(server, tried, now))
+        if (scope.contains(server) && may_get_work(server, tried, now))
         {
             result.push_back(candidate_of(server, now));
         }
@@ -205,14 +205,20 @@
     return result;
 }
 
-std::optional<millis> entry_state::first_hold_end(std::string const&     service,
+bool entry_state::has_kept_version(backend_server const& server) const
+{
+    auto const listed = servers.servers().find(server.id);
+    return listed == servers.servers().end() || listed->second.version == server.version;
+}
+
+std::optional<millis> entry_state::first_hold_end(server_scope const&    scope,
                                                   boot_clock::time_point now) const
 {
     std::optional<millis> first;
     for (auto const& [id, server] : servers.servers())
     {
         auto const end = holds.end(id, now);
-        if (server.group != service || server.leaving || !end)
+        if (!scope.contains(server) || server.leaving || !end)
         {
             continue;
         }
@@ -227,6 +233,50 @@
     return servers.index().staying(service);
 }
 
+void entry_state::record_versions(boot_clock::time_point now)
+{
+    for (auto const& [service, counts] : servers.index().versions())
+    {
+        versions.record(service, counts, now);
+    }
+}
+
+millis entry_state::stream_span(std::string const& service, millis life)
+{
+    auto& longest = stream_spans[service];
+    longest = std::max(longest, life);
+    return longest;
+}
+
+std::optional<std::string> entry_state::only_version(std::string const&     service,
+                                                     millis                 span,
+                                                     boot_clock::time_point now)
+{
+    record_versions(now);
+    auto const listed = servers.index().versions().find(service);
+    if (listed == servers.index().versions().end() || listed->second.size() != 1)
+    {
+        return std::nullopt;
+    }
+    if (versions.mixed(service, span, now))
+    {
+        return std::nullopt;
+    }
+    // A VM that has just started knows no earlier lists. If no server has been replaced
+    // within the span, the servers were the same all the time.
+    auto const began = unix_ms() - span.count();
+    auto const older = [&](auto const& each)
+    {
+        auto const& server = each.second;
+        return server.group != service ||
+               (server.born_unix_ms > 0 && server.born_unix_ms < began);
+    };
+    auto const& all = servers.servers();
+    bool const  unchanged = std::all_of(all.begin(), all.end(), older);
+    return unchanged ? std::optional{listed->second.begin()->first}
+                     : versions.only_version(service, span, now);
+}
+
 millis entry_state::digest_age() const
 {
     return relays_used() ? relayed_digest_age : digest_interval;
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -1,6 +1,6 @@
 // State of one daemon: rules, servers, loads, retry budgets and usage.
 //
-// Index: 1 rules_view, 2 entry_state, 3 load_share
+// Index: 1 rules_view, 2 server_scope, 3 entry_state, 4 load_share
 //
 // Used only on the thread of the event loop, so it needs no locks. An entry VM has a
 // quarter of a core, which suffices for one such thread.
@@ -27,7 +27,9 @@
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
+#include "policy/stream_origins.hpp"
 #include "policy/token_bucket.hpp"
+#include "policy/version_history.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/connection_pool.hpp"
 
@@ -44,6 +46,7 @@
 //       placement must not use much older loads
 inline constexpr millis digest_interval{150};
 
+class origin_link;
 class owner_link;
 class quota_gate;
 
@@ -54,6 +57,21 @@
     boot_clock::time_point read_sent{};         // sending of the newest answered read
 };
 
+/// Servers that a call may go to.
+struct server_scope
+{
+    std::string service;
+    // Of their software; none: any. An empty one is that of no server.
+    std::optional<std::string> version;
+
+    bool operator==(server_scope const&) const = default;
+
+    bool contains(backend_server const& server) const
+    {
+        return server.group == service && (!version || server.version == *version);
+    }
+};
+
 class entry_state
 {
 public:
@@ -67,9 +85,9 @@
     /// Whether the balancer should send new connections to this VM.
     bool ready(boot_clock::time_point now) const;
 
-    /// Servers of `service` that may get new work, with their load from all VMs, except
+    /// Servers of `scope` that may get new work, with their load from all VMs, except
     /// those in `tried`.
-    std::vector<candidate> candidates(std::string const&           service,
+    std::vector<candidate> candidates(server_scope const&          scope,
                                       std::set<std::string> const& tried,
                                       boot_clock::time_point       now) const;
 
@@ -84,11 +102,15 @@
                                            caller_call const&           call,
                                            boot_clock::time_point       now);
 
-    /// The time until the first server of `service` that is on hold may be sent to again;
+    /// The time until the first server of `scope` that is on hold may be sent to again;
     /// nothing if none is on hold.
-    std::optional<millis> first_hold_end(std::string const&     service,
+    std::optional<millis> first_hold_end(server_scope const&    scope,
                                          boot_clock::time_point now) const;
 
+    /// Whether an answer that `server` has given since this copy of its entry was read
+    /// came from the version in the entry: its id may have started again with another.
+    bool has_kept_version(backend_server const& server) const;
+
     /// Number of servers of `service` that are not leaving.
     std::int64_t staying_servers(std::string const& service) const;
 
@@ -102,6 +124,18 @@
     /// was alive lately.
     bool is_live(std::string const& records, boot_clock::time_point now) const;
 
+    /// Records which versions are listed now, of all services.
+    void record_versions(boot_clock::time_point now);
+
+    /// For how long a caller may take a stream of `service` up again: the longest time
+    /// that a caller of it has stated, `life` included.
+    millis stream_span(std::string const& service, millis life);
+
+    /// The version of every stream of `service` that began within the last `span`;
+    /// nothing if several versions may have begun them.
+    std::optional<std::string> only_version(std::string const& service, millis span,
+                                            boot_clock::time_point now);
+
     /// Forgets VMs without a recent digest.
     void forget_silent_peers(boot_clock::time_point now);
 
@@ -186,10 +220,14 @@
     step_filtered_clock                 day;
     crash_watch                         crashes;
     std::map<std::string, boot_clock::time_point>
-                 last_heard; // by the address where a VM answers
-    fleet_share  fleet;
-    quota_gate*  quotas = nullptr;        // null: no VM can be queried yet
-    owner_link*  owners = nullptr;        // null: no VM can be queried yet
+                                  last_heard; // by the address where a VM answers
+    version_history               versions;
+    stream_origins                origins;      // of streams that this VM knows
+    std::map<std::string, millis> stream_spans; // by service
+    fleet_share                   fleet;
+    quota_gate*                   quotas = nullptr; // null: no VM can be queried yet
+    owner_link*                   owners = nullptr; // null: no VM can be queried yet
+    origin_link* origin_keepers = nullptr;          // null: no VM can be queried yet
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -94,18 +94,23 @@
                        : nullptr),
       quotas_(owners_ ? std::make_unique<quota_gate>(state, *owners_) : nullptr),
       limits_(owners_ ? std::make_unique<limit_owner>(state, *owners_) : nullptr),
+      origins_(owners_ ? std::make_unique<origin_link>(loop, *context_, state, *owners_,
+                                                       *records_)
+                       : nullptr),
       digests_(loop, *context_, state.contact.digests,
                [this](load_digest digest, digest_extras const& extras)
                { receive(std::move(digest), extras); })
 {
     state_.quotas = quotas_.get();
     state_.owners = owners_.get();
+    state_.origin_keepers = origins_.get();
 }
 
 peer_exchange::~peer_exchange()
 {
     state_.quotas = nullptr;
     state_.owners = nullptr;
+    state_.origin_keepers = nullptr;
 }
 
 void peer_exchange::publish_digests()
@@ -137,6 +142,10 @@
                            : std::vector<std::string>{};
         digests_.publish(digest, extras);
     }
+    if (origins_)
+    {
+        origins_->update();
+    }
     if (records_)
     {
         records_->tick();
@@ -208,6 +217,7 @@
     if (owners_)
     {
         owners_->follow(plan.owners);
+        origins_->follow(plan.owners);
         quotas_->forget_workspaces();
         limits_->forget_servers();
     }
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -7,6 +7,7 @@
 
 #include "serving/digest_link.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/origin_link.hpp"
 #include "serving/owner_link.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/record_link.hpp"
@@ -50,9 +51,10 @@
     entry_state&                    state_;
     std::unique_ptr<zmq::context_t> context_;
     std::unique_ptr<record_link>    records_;
-    std::unique_ptr<owner_link>     owners_; // null if `records_` is
-    std::unique_ptr<quota_gate>     quotas_; // null if `records_` is
-    std::unique_ptr<limit_owner>    limits_; // null if `records_` is
+    std::unique_ptr<owner_link>     owners_;  // null if `records_` is
+    std::unique_ptr<quota_gate>     quotas_;  // null if `records_` is
+    std::unique_ptr<limit_owner>    limits_;  // null if `records_` is
+    std::unique_ptr<origin_link>    origins_; // null if `records_` is
     digest_link                     digests_;
     relay_plan                      plan_;
     std::uint64_t                   rounds_ = 0;
