--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <functional>
@@ -135,9 +136,10 @@
 {
     std::vector<std::pair<std::string, std::string>> begun; // id and version
     std::vector<std::unique_ptr<raw_caller>>         open;
+    static int                                       last_number = 0;
     for (int number = 0; number < count; ++number)
     {
-        auto const id = "first-" + std::to_string(number);
+        auto const id = "first-" + std::to_string(++last_number);
         open.push_back(std::make_unique<raw_caller>(cluster.caller_port(0)));
         auto const version = begin_stream(*open.back(), id);
         if (!version.empty())
@@ -256,5 +258,156 @@
     EXPECT_GE(2 * result.went_on, result.taken_up);
 }
 
+/// Two servers of each of two versions, which hold their first tries open.
+void run_two_versions(entry_cluster& cluster)
+{
+    for (int index = 0; index < 4; ++index)
+    {
+        run_version(cluster, index, index < 2 ? "v1" : "v1.2", hold);
+    }
+    std::this_thread::sleep_for(list_read);
+}
+
+// A VM that had just started knew no streams and took them up anywhere.
+TEST(platform_versions, stream_taken_up_at_a_started_vm_goes_on_at_another_version)
+{
+    entry_cluster cluster({.daemons = 3, .servers = 4, .distant = 1});
+    run_two_versions(cluster);
+    auto const result = take_streams_up(cluster, 16, 1,
+                                        [&]
+                                        {
+                                            cluster.restart(1);
+                                            eventually([&] { return cluster.ready(1); });
+                                        });
+    EXPECT_GE(result.taken_up, 8);
+    EXPECT_EQ(result.mixed, 0);
+    EXPECT_GE(2 * result.went_on, result.taken_up);
+}
+
+// A VM without contact to the others guessed. It has to refuse at once, as not run.
+TEST(platform_versions, stream_of_unknown_origin_goes_on_anywhere)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 4});
+    run_two_versions(cluster);
+    raw_caller caller(cluster.caller_port(0));
+    ASSERT_NE(begin_stream(caller, "first"), "");
+    cluster.daemon(0).signal(SIGSTOP);
+    cluster.restart(1);
+    ASSERT_TRUE(eventually([&] { return cluster.ready(1); }));
+    std::this_thread::sleep_for(list_read); // the other VM is known not to reply
+    auto const began = std::chrono::steady_clock::now();
+    auto const response = ask(cluster.caller_port(1), resuming_request("first", "again"));
+    auto const took = std::chrono::steady_clock::now() - began;
+    cluster.daemon(0).signal(SIGCONT);
+    EXPECT_EQ(response.status, 503);
+    EXPECT_NE(response.body.find("not_run"), std::string::npos);
+    EXPECT_EQ(response.fields.count("retry-after"), 1U);
+    EXPECT_LT(took / milliseconds{1}, quick_ms);
+}
+
+// Names from outside widened what a caller may get, or were refused as improper.
+TEST(platform_versions, false_names_of_streams_are_taken_for_true_ones)
+{
+    entry_cluster cluster({.servers = 4});
+    run_two_versions(cluster);
+    raw_caller caller(cluster.caller_port());
+    ASSERT_NE(begin_stream(caller, "first"), "");
+    auto const port = cluster.caller_port();
+    EXPECT_EQ(ask(port, resuming_request("first", "a")).status, 200);
+    EXPECT_EQ(ask(port, resuming_request("never", "b")).status, 503);
+    EXPECT_EQ(ask(port, resuming_request("fir%st\xff, \"x", "c")).status, 503);
+    auto other = resuming_request("first", "d");
+    other.key = "key-south"; // of another workspace
+    EXPECT_EQ(ask(port, other).status, 503);
+    auto unnamed = resuming_request("first", "e");
+    unnamed.fields = "Last-Event-Id: 3\r\n";
+    EXPECT_EQ(ask(port, unnamed).status, 503);
+    auto twice = resuming_request("first", "f");
+    twice.fields += "Resumes: first\r\n";
+    EXPECT_EQ(ask(port, twice).status, 400);
+}
+
+// With one version, callers were refused although any server can go on.
+TEST(platform_versions, stream_of_an_only_version_is_refused)
+{
+    entry_cluster cluster({.daemons = 3, .servers = 2, .distant = 1});
+    auto const    born = std::chrono::duration_cast<milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    constexpr std::int64_t age_ms = 100'000;
+    for (int index = 0; index < 2; ++index)
+    {
+        cluster.server(index).handle_always(versioned_stream("v1", hold));
+        cluster.list_server(cluster.server(index), "ready", born - age_ms);
+    }
+    std::this_thread::sleep_for(list_read);
+    auto const result = take_streams_up(cluster, 8, 1,
+                                        [&]
+                                        {
+                                            cluster.daemon(0).signal(SIGKILL);
+                                            cluster.restart(1);
+                                            eventually([&] { return cluster.ready(1); });
+                                        });
+    EXPECT_EQ(result.taken_up, 8);
+    EXPECT_EQ(result.went_on, 8);
+}
+
+// An id started again with another version, and its old streams went on there.
+TEST(platform_versions, stream_goes_on_at_its_server_after_a_start_with_another_version)
+{
+    entry_cluster     cluster(one_server());
+    std::atomic<bool> released{false};
+    run_version(cluster, 0, "v1",
+                [&](wire_connection& connection)
+                {
+                    eventually([&] { return released.load(); });
+                    connection.reset();
+                });
+    std::this_thread::sleep_for(list_read);
+    raw_caller caller(cluster.caller_port());
+    ASSERT_EQ(begin_stream(caller, "first"), "v1");
+    run_version(cluster, 0, "v1.2", reset);
+    std::this_thread::sleep_for(list_read);
+    released = true;
+    auto const response = caller.read();
+    EXPECT_FALSE(response.complete);
+    EXPECT_EQ(versions_in(response.body), std::set<std::string>{"v1"});
+    EXPECT_EQ(ask(cluster.caller_port(), resuming_request("first", "again")).status, 503);
+}
+
+// While a whole service was replaced, callers that took streams up got both versions.
+TEST(platform_versions, streams_are_mixed_during_a_release)
+{
+    entry_cluster cluster({.daemons = 3, .servers = 8, .distant = 1});
+    for (int index = 0; index < 8; ++index)
+    {
+        cluster.server(index).handle_always(
+            versioned_stream(index < 4 ? "v1" : "v1.2", hold));
+        cluster.list_server(cluster.server(index), index < 4 ? "ready" : "draining", 0,
+                            index < 4 ? "v1" : "v1.2");
+        if (index >= 4)
+        {
+            cluster.store().remove("keyed.servers", cluster.server(index).id());
+        }
+    }
+    std::this_thread::sleep_for(list_read);
+    resumed_streams all;
+    for (int step = 0; step < 4; ++step)
+    {
+        cluster.list_server(cluster.server(4 + step), "ready", 0, "v1.2");
+        cluster.list_server(cluster.server(step), "draining", 0, "v1");
+        auto const result =
+            take_streams_up(cluster, 12, 1 + step % 2,
+                            [] { std::this_thread::sleep_for(milliseconds{300}); });
+        all.taken_up += result.taken_up;
+        all.went_on += result.went_on;
+        all.mixed += result.mixed;
+        cluster.store().remove("keyed.servers", cluster.server(step).id());
+    }
+    EXPECT_GE(all.taken_up, 24);
+    EXPECT_EQ(all.mixed, 0);
+    EXPECT_GE(2 * all.went_on, all.taken_up);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
