Tests: a relay that is cut resets its connections instead of ending them in order

An end in order comes from the other end only; cuts and resets are passed on as resets. Found by the soak's versioned streams.

--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -129,8 +129,8 @@
 {
     for (auto& own : connections_)
     {
-        drop(own.caller);
-        drop(own.target);
+        reset(own.caller);
+        reset(own.target);
     }
 }
 
@@ -290,9 +290,15 @@
         {
             parse_sender(own, bytes);
         }
+        if (size < 0 && errno != EAGAIN)
+        {
+            reset(own.caller);
+            reset(own.target);
+            return;
+        }
         bool const lost = own.one_way && &from == &own.caller && size > 0;
         // An empty piece marks the end of the stream.
-        if (!lost && (size >= 0 || errno != EAGAIN))
+        if (!lost && size >= 0)
         {
             to.waiting.push_back({clock::now() + delay_, std::move(bytes)});
         }
@@ -351,6 +357,14 @@
     }
 }
 
+void tcp_relay::reset(half& end) const
+{
+    linger const abort_on_close{1, 0};
+    ::setsockopt(end.socket, SOL_SOCKET, SO_LINGER, &abort_on_close,
+                 sizeof abort_on_close);
+    drop(end);
+}
+
 void tcp_relay::drop(half& end) const
 {
     if (end.socket >= 0)
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -46,10 +46,10 @@
     /// to the target for good, and relay everything the other way.
     void drop_to_target(bool on);
 
-    /// Closes all open connections; closes new ones at once while this is on.
+    /// Resets all open connections; closes new ones at once while this is on.
     void cut(bool on);
 
-    /// Closes all open connections; new ones work.
+    /// Resets all open connections; new ones work.
     void reset_open();
 
     /// Refuses connections from now on while this is on; open ones are relayed.
@@ -94,6 +94,8 @@
     void serve(connection& own, half& from, half& to, short events);
     void flush(connection& own, half& to);
     void parse_sender(connection& own, std::string const& bytes) const;
+    /// Closes this side with a reset: an end in order comes from the other end only.
+    void reset(half& end) const;
     void drop(half& end) const;
     void close_open();
     void listen_again();
