Entry soak: servers of several versions, single servers that crash, callers that take streams up

Events name the version that wrote them; the checker looks at each stream over all tries of its caller.

--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -33,6 +33,7 @@
 };
 
 constexpr int    vms = 3;
+constexpr int    servers = 3;
 constexpr int    callers = 16;
 constexpr int    recovery_ms = 20000;
 constexpr double min_served_share = 0.9;
@@ -83,6 +84,14 @@
     }
 }
 
+/// The versions of the servers: one, or several in one service.
+std::array<std::string, servers> versions_for(std::uint64_t seed)
+{
+    static std::array<std::array<std::string, servers>, 4> const mixes{
+        {{"v1", "v1", "v2"}, {"v1", "v2", "v2"}, {"v1", "v2", "v3"}, {"v1", "v1", "v1"}}};
+    return mixes.at(seed % mixes.size());
+}
+
 /// Runs the soak with one seed. Returns true if no check failed.
 bool run_seed(std::uint64_t seed, soak_options const& options)
 {
@@ -90,23 +99,28 @@
     server_faults        injected;
     soak_notices         notices(checker);
     tests::entry_cluster cluster({.daemons = vms,
-                                  .servers = 3,
+                                  .servers = servers,
                                   .bounds = "usage_window_s = 2\nlease_ms = 1500\n"
                                             "key_life_ms = 5000\ngrace_s = 8\n",
                                   .relayed = true,
                                   .own_links = true});
-    for (int index = 0; index < 3; ++index)
+    auto const           versions = versions_for(seed);
+    for (int index = 0; index < servers; ++index)
     {
+        soak_server const server{index, versions.at(static_cast<std::size_t>(index))};
+        cluster.list_server(cluster.server(index), "ready", 0, server.version);
         cluster.server(index).handle_always(
-            [&, index](tests::wire_request const& request,
-                       tests::wire_connection&    connection)
+            [&, server](tests::wire_request const& request,
+                        tests::wire_connection&    connection)
             {
                 auto const stated =
-                    notices.on_arrival(index, request.field("request-id"));
-                return serve_soak(checker, injected, stated, request, connection);
+                    notices.on_arrival(server.index, request.field("request-id"));
+                return serve_soak(checker, injected, stated, server, request, connection);
             });
     }
-    soak_fault_schedule schedule(cluster, checker, injected, notices, seed);
+    constexpr std::chrono::seconds list_read{2}; // every VM has read the versions
+    std::this_thread::sleep_for(list_read);
+    soak_fault_schedule schedule(cluster, checker, injected, notices, versions, seed);
     {
         soak_callers const load(cluster, checker, callers, seed,
                                 [&](int) { return schedule.planned_only(); });
@@ -120,7 +134,8 @@
     {
         std::cout << "  " << status << ": " << count;
     }
-    std::cout << std::endl;
+    auto const [taken_up, went_on] = checker.resumptions();
+    std::cout << "  taken up: " << taken_up << "  went on: " << went_on << std::endl;
     for (auto const& each : violations)
     {
         std::cout << "  " << each << std::endl;
--- a/bench/entry_soak/soak_callers.cpp
+++ b/bench/entry_soak/soak_callers.cpp
@@ -1,6 +1,8 @@
 // Callers of the entry soak, one thread each.
 #include "soak_callers.hpp"
 
+#include "soak_servers.hpp"
+
 #include <memory>
 #include <random>
 
@@ -78,9 +80,36 @@
     {
         checker_.on_planned_interruption(id);
     }
+    if (interrupted && kind.streamed && kind.repeatable)
+    {
+        take_up(id, key, response, static_cast<int>(draw / 32 % daemons));
+    }
     auto const closes = response.fields.find("connection");
     return response.complete &&
            (closes == response.fields.end() || closes->second.find("close") != 0);
 }
 
+void soak_callers::take_up(std::string const& id, std::string const& key,
+                           tests::raw_response const& interrupted, int daemon)
+{
+    constexpr int deadline_ms = 3000;
+    auto const    part = parse_stream(interrupted.body);
+    if (part.last == 0)
+    {
+        return;
+    }
+    auto const again = id + "-again";
+    checker_.on_sent(again, {"/resume/", true, true}, key, daemon);
+    auto const resumed =
+        tests::ask(cluster_.caller_port(daemon),
+                   {.path = "/resume/x",
+                    .id = again,
+                    .key = key,
+                    .fields = "Last-Event-Id: " + std::to_string(part.last) +
+                              "\r\nResumes: " + id + "\r\n",
+                    .body = id,
+                    .deadline_ms = deadline_ms});
+    checker_.on_resumed(id, interrupted, resumed);
+}
+
 } // namespace marigoldcrank::soak
--- a/bench/entry_soak/soak_callers.hpp
+++ b/bench/entry_soak/soak_callers.hpp
@@ -31,6 +31,10 @@
     bool call_once(tests::raw_caller& caller, int daemon, std::string const& id,
                    std::uint64_t draw);
 
+    /// Takes an interrupted stream up at a daemon.
+    void take_up(std::string const& id, std::string const& key,
+                 tests::raw_response const& interrupted, int daemon);
+
     tests::entry_cluster&    cluster_;
     soak_checker&            checker_;
     std::function<bool(int)> planned_only_;
--- a/bench/entry_soak/soak_checker.cpp
+++ b/bench/entry_soak/soak_checker.cpp
@@ -70,7 +70,7 @@
     served_ += good && response.complete ? 1 : 0;
     call.refused = call.refused || response.status == 503 || response.status == 429;
     bool const incomplete =
-        good && response.complete && response.body != body_of(id, call.kind);
+        good && response.complete && !is_whole_body(id, call.kind, response.body);
     if (incomplete)
     {
         violations_.push_back("wrong response body for call " + id + ": " +
@@ -83,6 +83,40 @@
     check(id, call);
 }
 
+void soak_checker::on_resumed(std::string const&         id,
+                              tests::raw_response const& interrupted,
+                              tests::raw_response const& resumed)
+{
+    auto const            first = parse_stream(interrupted.body);
+    auto const            second = parse_stream(resumed.body);
+    auto                  versions = first.versions;
+    std::lock_guard const lock{mutex_};
+    bool const            good = resumed.status == 200;
+    ++statuses_[resumed.status];
+    versions.insert(second.versions.begin(), second.versions.end());
+    if (good && versions.size() > 1)
+    {
+        violations_.push_back("events of two versions in stream " + id + ": " +
+                              interrupted.body + resumed.body);
+    }
+    bool const follows =
+        second.valid && (second.first == 0 || second.first == first.last + 1);
+    if (good && !follows)
+    {
+        violations_.push_back("stream " + id +
+                              " doesn't go on where it broke off: " + resumed.body);
+    }
+    served_ += good && resumed.complete ? 1 : 0;
+    went_on_ += good && resumed.complete ? 1 : 0;
+    ++taken_up_;
+}
+
+std::pair<int, int> soak_checker::resumptions() const
+{
+    std::lock_guard const lock{mutex_};
+    return {taken_up_, went_on_};
+}
+
 void soak_checker::check(std::string const& id, call_record const& call)
 {
     if (!call.kind.repeatable && call.runs > 1)
--- a/bench/entry_soak/soak_checker.hpp
+++ b/bench/entry_soak/soak_checker.hpp
@@ -54,6 +54,13 @@
     /// A caller has received a response, or none (status 0).
     void on_response(std::string const& id, tests::raw_response const& response);
 
+    /// A caller took the interrupted stream `id` up with a call of its own.
+    void on_resumed(std::string const& id, tests::raw_response const& interrupted,
+                    tests::raw_response const& resumed);
+
+    /// Streams that were taken up, and those of them that went on to their end.
+    std::pair<int, int> resumptions() const;
+
     /// A call was interrupted in the middle of its response although only planned work,
     /// such as a stop of the daemon, was in progress.
     void on_planned_interruption(std::string const& id);
@@ -97,6 +104,8 @@
     std::vector<std::string>                      violations_;
     int                                           sent_ = 0;
     int                                           served_ = 0;
+    int                                           taken_up_ = 0;
+    int                                           went_on_ = 0;
 };
 
 } // namespace marigoldcrank::soak
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -81,9 +81,11 @@
 
 soak_fault_schedule::soak_fault_schedule(tests::entry_cluster& cluster,
                                          soak_checker& checker, server_faults& injected,
-                                         soak_notices& notices, std::uint64_t seed)
+                                         soak_notices&              notices,
+                                         std::array<std::string, 3> versions,
+                                         std::uint64_t              seed)
     : cluster_(cluster), checker_(checker), server_faults_(injected), notices_(notices),
-      random_(seed)
+      random_(seed), versions_(std::move(versions))
 {
 }
 
@@ -125,6 +127,16 @@
                                       {
                                           return set(server_faults_.crashing);
                                       }},
+                                     {"server-crash", false,
+                                      [this]
+                                      {
+                                          server_faults_.crashing_server =
+                                              random_below(servers);
+                                          return [this]
+                                          {
+                                              server_faults_.crashing_server = -1;
+                                          };
+                                      }},
                                      {"servers-full", false,
                                       [this]
                                       {
@@ -261,7 +273,8 @@
         notices_.end(server);
         if (leaving)
         {
-            cluster_.list_server(cluster_.server(server), "ready", ++born_);
+            cluster_.list_server(cluster_.server(server), "ready", ++born_,
+                                 versions_.at(static_cast<std::size_t>(server)));
         }
     };
 }
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -27,7 +27,7 @@
 public:
     soak_fault_schedule(tests::entry_cluster& cluster, soak_checker& checker,
                         server_faults& injected, soak_notices& notices,
-                        std::uint64_t seed);
+                        std::array<std::string, 3> versions, std::uint64_t seed);
 
     /// Begins and ends faults for `length`, then ends those that are still active.
     void run(std::chrono::seconds length);
@@ -71,6 +71,7 @@
     std::array<bool, 3>          disrupted_{};    // by daemon
     std::array<bool, 3>          links_broken_{}; // by daemon
     std::uint64_t                version_ = 1;
+    std::array<std::string, 3>   versions_;                 // of the servers
     std::int64_t                 born_ = 1'767'000'000'000; // of servers' next lives
     std::atomic<soak_clock::rep> unplanned_until_{0};
 };
--- a/bench/entry_soak/soak_servers.cpp
+++ b/bench/entry_soak/soak_servers.cpp
@@ -13,7 +13,8 @@
 
 using tests::server_standin;
 
-constexpr int event_count = 6;
+constexpr int                       event_count = 6;
+constexpr std::chrono::milliseconds event_interval{8};
 
 call_class class_of(tests::wire_request const& request)
 {
@@ -56,8 +57,14 @@
     return std::hash<std::string>{}("framing " + id) % framings == 0;
 }
 
+std::string event_of(std::string const& version, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + version + "\n\n";
+}
+
 bool serve_stream(server_faults const& faults, server_notice const& stated,
-                  tests::wire_request const& request, tests::wire_connection& connection)
+                  soak_server const& server, tests::wire_request const& request,
+                  tests::wire_connection& connection)
 {
     auto const after = request.field("last-event-id");
     int const  first = after.empty() ? 1 : std::stoi(after) + 1;
@@ -66,8 +73,8 @@
     connection.send(unframed ? server_standin::without_framing(head) : head);
     for (int number = first; number <= event_count; ++number)
     {
-        auto const event = server_standin::event(number);
-        if (faults.crashing && number == event_count / 2)
+        auto const event = event_of(server.version, number);
+        if (faults.crashes(server.index) && number == event_count / 2)
         {
             if (unframed)
             {
@@ -79,7 +86,7 @@
             return false;
         }
         connection.send(unframed ? event : server_standin::chunk(event));
-        std::this_thread::sleep_for(std::chrono::milliseconds{3});
+        std::this_thread::sleep_for(event_interval);
     }
     if (unframed)
     {
@@ -96,23 +103,45 @@
     return key.starts_with("key-north") ? "north" : "south";
 }
 
-std::string body_of(std::string const& id, call_class const& kind)
+stream_part parse_stream(std::string const& body)
 {
-    if (!kind.streamed)
+    std::string const id_field = "id: ";
+    std::string const data_field = "\ndata: ";
+    stream_part       part;
+    for (std::size_t at = 0; part.valid && at < body.size();)
     {
-        return "served " + id;
+        auto const data = body.find(data_field, at);
+        auto const end = body.find("\n\n", at);
+        part.valid = body.compare(at, id_field.size(), id_field) == 0 &&
+                     end != std::string::npos && data < end;
+        if (part.valid)
+        {
+            auto const value = data + data_field.size();
+            int const  number = std::stoi(body.substr(at + id_field.size()));
+            part.valid = part.first == 0 || number == part.last + 1;
+            part.first = part.first == 0 ? number : part.first;
+            part.last = number;
+            part.versions.insert(body.substr(value, end - value));
+            at = end + 2;
+        }
     }
-    std::string body;
-    for (int number = 1; number <= event_count; ++number)
+    return part;
+}
+
+bool is_whole_body(std::string const& id, call_class const& kind, std::string const& body)
+{
+    if (!kind.streamed)
     {
-        body += server_standin::event(number);
+        return body == "served " + id;
     }
-    return body;
+    auto const part = parse_stream(body);
+    return part.valid && part.first == 1 && part.last == event_count &&
+           part.versions.size() == 1;
 }
 
 bool serve_soak(soak_checker& checker, server_faults const& faults,
-                server_notice const& stated, tests::wire_request const& request,
-                tests::wire_connection& connection)
+                server_notice const& stated, soak_server const& server,
+                tests::wire_request const& request, tests::wire_connection& connection)
 {
     auto const id = request.field("request-id");
     auto const kind = class_of(request);
@@ -126,15 +155,15 @@
     std::this_thread::sleep_for(service_time(id));
     if (kind.streamed)
     {
-        return serve_stream(faults, stated, request, connection);
+        return serve_stream(faults, stated, server, request, connection);
     }
-    if (faults.crashing)
+    if (faults.crashes(server.index))
     {
         connection.reset();
         return false;
     }
     auto const response =
-        with_notice(server_standin::signed_response(request, body_of(id, kind)), stated);
+        with_notice(server_standin::signed_response(request, "served " + id), stated);
     bool const unframed = is_unframed(id);
     connection.send(unframed ? server_standin::without_framing(response) : response);
     return !unframed;
--- a/bench/entry_soak/soak_servers.hpp
+++ b/bench/entry_soak/soak_servers.hpp
@@ -1,6 +1,7 @@
 // Responses of the backend servers in the entry soak.
 //
-// Index: 1 server_faults, 2 workspace_of, 3 body_of, 4 serve_soak
+// Index: 1 server_faults, 2 soak_server, 3 stream_part, 4 workspace_of, 5 is_whole_body,
+//        6 serve_soak
 #ifndef MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_SERVERS_HPP
 #define MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_SERVERS_HPP
 
@@ -9,29 +10,57 @@
 #include "soak_notices.hpp"
 
 #include <atomic>
+#include <set>
 #include <string>
 
 namespace marigoldcrank::soak
 {
 
-/// Faults of all servers, switched on and off by the fault schedule.
+/// Faults of the servers, switched on and off by the fault schedule.
 struct server_faults
 {
-    std::atomic<bool> crashing{false}; // resets connections before or within responses
-    std::atomic<bool> full{false};     // refuses calls as not executed
+    std::atomic<bool> crashing{false};     // all break responses off, or before them
+    std::atomic<int>  crashing_server{-1}; // the only one that does; -1: none
+    std::atomic<bool> full{false};         // all refuse calls as not executed
+
+    bool crashes(int server) const
+    {
+        return crashing || crashing_server == server;
+    }
 };
 
+struct soak_server
+{
+    int         index = 0;
+    std::string version; // of its software; its events name it
+};
+
+/// Consecutive events of a stream, and the versions that wrote them.
+struct stream_part
+{
+    int                   first = 0; // 0  no event
+    int                   last = 0;
+    std::set<std::string> versions;
+    bool                  valid = true; // false: events are missing, repeated or torn
+
+    bool operator==(stream_part const&) const = default;
+};
+
+stream_part parse_stream(std::string const& body);
+
 /// The workspace that holds a key.
 std::string workspace_of(std::string const& key);
 
-/// The body that a complete response to the call has.
-std::string body_of(std::string const& id, call_class const& kind);
+/// Whether the body of a complete response to the call is whole. Streams have all their
+/// events, and those of one version.
+bool is_whole_body(std::string const& id, call_class const& kind,
+                   std::string const& body);
 
 /// Records the run of a call and responds after 0 to 59 ms, depending on the call's id.
 /// The response has what `stated` says about the server.
 bool serve_soak(soak_checker& checker, server_faults const& faults,
-                server_notice const& stated, tests::wire_request const& request,
-                tests::wire_connection& connection);
+                server_notice const& stated, soak_server const& server,
+                tests::wire_request const& request, tests::wire_connection& connection);
 
 } // namespace marigoldcrank::soak
 
