--- a/src/policy/version_history.hpp
+++ b/src/policy/version_history.hpp
@@ -66,6 +66,17 @@
         }
     }
 
+    /// Forgets the versions that were not listed within the last `span`.
+    void expire(std::string const& service, millis span, boot_clock::time_point now)
+    {
+        auto const found = services_.find(service);
+        if (found != services_.end())
+        {
+            std::erase_if(found->second.last_listed,
+                          [&](auto const& each) { return now - each.second > span; });
+        }
+    }
+
 private:
     using times_by_version = std::map<std::string, boot_clock::time_point>;
 
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -67,18 +67,15 @@
     return vms;
 }
 
-bool origin_link::is_mixed(std::string const& service, boot_clock::time_point now)
-{
-    return state_.versions.mixed(service, state_.stream_span(service, millis{0}), now);
-}
-
 void origin_link::update()
 {
     auto const now = boot_clock::now();
     state_.record_versions(now);
     for (auto const& [service, counts] : state_.servers.index().versions())
     {
-        if (!is_mixed(service, now))
+        auto const span = state_.stream_span(service, millis{0});
+        state_.versions.expire(service, span, now);
+        if (!state_.versions.mixed(service, span, now))
         {
             mixed_.erase(service);
         }
