--- a/src/policy/version_history.hpp
+++ b/src/policy/version_history.hpp
@@ -1,6 +1,6 @@
 // Software versions that the servers of each service have had lately.
 //
-// Index: version_history
+// Index: 1 max_stream_life, 2 version_history
 //
 // A stream may only go on at the version that began it. If all servers have had one
 // version for as long as a stream can live, that is the version of every stream.
@@ -17,6 +17,9 @@
 namespace marigoldcrank
 {
 
+// 600000  ms; no caller takes a stream up again later
+inline constexpr millis max_stream_life{600'000};
+
 /// Value type without I/O; the caller passes the time.
 class version_history
 {
@@ -35,6 +38,8 @@
         {
             known.last_listed[version] = now;
         }
+        std::erase_if(known.last_listed, [&](auto const& each)
+                      { return now - each.second > max_stream_life; });
     }
 
     /// Whether servers of several versions have been listed within the last `span`.
@@ -66,17 +71,6 @@
         }
     }
 
-    /// Forgets the versions that were not listed within the last `span`.
-    void expire(std::string const& service, millis span, boot_clock::time_point now)
-    {
-        auto const found = services_.find(service);
-        if (found != services_.end())
-        {
-            std::erase_if(found->second.last_listed,
-                          [&](auto const& each) { return now - each.second > span; });
-        }
-    }
-
 private:
     using times_by_version = std::map<std::string, boot_clock::time_point>;
 
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -54,7 +54,8 @@
 {
     auto const per_try = matched.timeout.count() > 0 ? matched.timeout : default_timeout;
     auto const stated = call.caller_timeout.value_or(default_timeout);
-    return std::max(std::min(stated, default_timeout), per_try);
+    return std::min(std::max(std::min(stated, default_timeout), per_try),
+                    max_stream_life);
 }
 
 std::optional<own_response> admit_call(entry_state& state, caller_call const& call,
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -74,7 +74,6 @@
     for (auto const& [service, counts] : state_.servers.index().versions())
     {
         auto const span = state_.stream_span(service, millis{0});
-        state_.versions.expire(service, span, now);
         if (!state_.versions.mixed(service, span, now))
         {
             mixed_.erase(service);
--- a/src/serving/origin_link.hpp
+++ b/src/serving/origin_link.hpp
@@ -60,7 +60,6 @@
     /// The other VMs that keep the records of a stream, the first ones first.
     std::vector<std::string> keepers_of(std::uint64_t key, std::size_t count) const;
 
-    bool        is_mixed(std::string const& service, boot_clock::time_point now);
     void        send(std::vector<origin_record> const& streams);
     std::string reply_to_vm(std::string const& serialized);
 
--- a/tests/property/stream_origins_property_test.cpp
+++ b/tests/property/stream_origins_property_test.cpp
@@ -40,6 +40,19 @@
     EXPECT_EQ(history.only_version("t", span, at(21'500)), std::nullopt);
 }
 
+// Versions that no stream can have any more were kept for ever, or others not long
+// enough.
+TEST(version_history, versions_are_forgotten_too_soon_or_never)
+{
+    version_history history;
+    history.record("s", {{"v1", 1}}, at(0));
+    auto const life = static_cast<int>(max_stream_life.count());
+    history.record("s", {{"v2", 1}}, at(life));
+    EXPECT_TRUE(history.mixed("s", max_stream_life, at(life)));
+    history.record("s", {{"v2", 1}}, at(life + 1));
+    EXPECT_FALSE(history.mixed("s", 2 * max_stream_life, at(life + 1)));
+}
+
 // 2. stream_origins
 
 // A later record of a stream replaced the version that began it.
