Streams of a route with several services go on at the one that began them

A caller that took such a stream up was sent to a service by weight, whose servers have other versions, and was refused or given events of another service. The origin names the service; the call goes there if its route has it. Before, 13 of 24 streams went on; now all 24 do (stream_of_a_split_route_goes_on_at_the_other_service).

--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -26,6 +26,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace marigoldcrank
 {
 
@@ -358,13 +360,30 @@
         {
             co_return false;
         }
-        // Another service's servers can't go on either, whatever their version.
-        bool const same =
-            origin->service.empty() || origin->service == admitted_.service_name;
-        attempts_.require_version(same ? origin->version : "");
+        if (!origin->service.empty() && !serve_at(origin->service))
+        {
+            co_return false;
+        }
+        attempts_.require_version(origin->version);
         co_return true;
     }
 
+    /// Sends the call to this service of its route. Returns false if the route has no
+    /// such service.
+    bool serve_at(std::string const& service)
+    {
+        auto const& targets = admitted_.matched->targets;
+        bool const  allowed = std::any_of(targets.begin(), targets.end(),
+                                          [&](route_target const& each)
+                                          { return each.service == service; });
+        if (allowed && service != admitted_.service_name)
+        {
+            admitted_.service_name = service;
+            admitted_.target = admitted_.rules->find_service(service);
+        }
+        return allowed;
+    }
+
     /// Keeps the call at the version of the server that wrote its first event, and
     /// records it for the caller's further tries.
     void record_origin(backend_server const& server)
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -327,6 +327,29 @@
     EXPECT_EQ(ask(port, twice).status, 400);
 }
 
+// A stream of a route with two services was taken up at the service that didn't begin it.
+TEST(platform_versions, stream_of_a_split_route_goes_on_at_the_other_service)
+{
+    entry_cluster cluster({.daemons = 2,
+                           .servers = 4,
+                           .route_fields = R"({"split": [{"service": "desk", "weight": 1},
+                                       {"service": "models", "weight": 1}]})"});
+    for (int index = 0; index < 4; ++index)
+    {
+        auto const version = "v" + std::to_string(index);
+        run_version(cluster, index, version, hold);
+        if (index >= 2)
+        {
+            cluster.list_engine(cluster.server(index), "decode", version);
+        }
+    }
+    std::this_thread::sleep_for(list_read);
+    auto const result = take_streams_up(cluster, 24, 1, [] {});
+    EXPECT_GE(result.taken_up, 12);
+    EXPECT_EQ(result.mixed, 0);
+    EXPECT_EQ(result.went_on, result.taken_up);
+}
+
 // With one version, callers were refused although any server can go on.
 TEST(platform_versions, stream_of_an_only_version_is_refused)
 {
