--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -121,28 +121,10 @@
                                       [this]
                                       {
                                           return pause_daemon();
-                                      }},
-                                     {"servers-crash", false,
-                                      [this]
-                                      {
-                                          return set(server_faults_.crashing);
-                                      }},
-                                     {"server-crash", false,
-                                      [this]
-                                      {
-                                          server_faults_.crashing_server =
-                                              random_below(servers);
-                                          return [this]
-                                          {
-                                              server_faults_.crashing_server = -1;
-                                          };
-                                      }},
-                                     {"servers-full", false,
-                                      [this]
-                                      {
-                                          return set(server_faults_.full);
                                       }}};
-    auto const                   links = link_faults();
+    auto const                   crashes = crash_faults();
+    all.insert(all.end(), crashes.begin(), crashes.end());
+    auto const links = link_faults();
     all.insert(all.end(), links.begin(), links.end());
     auto const notices = notice_faults();
     all.insert(all.end(), notices.begin(), notices.end());
@@ -179,6 +161,29 @@
     return all;
 }
 
+std::vector<soak_fault_schedule::scheduled_fault> soak_fault_schedule::crash_faults()
+{
+    auto const crash_one = [this]
+    {
+        server_faults_.crashing_server = random_below(servers);
+        return [this]
+        {
+            server_faults_.crashing_server = -1;
+        };
+    };
+    return {{"servers-crash", false,
+             [this]
+             {
+                 return set(server_faults_.crashing);
+             }},
+            {"server-crash", false, crash_one},
+            {"servers-full", false,
+             [this]
+             {
+                 return set(server_faults_.full);
+             }}};
+}
+
 std::vector<soak_fault_schedule::scheduled_fault> soak_fault_schedule::notice_faults()
 {
     std::vector<scheduled_fault> all;
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -45,6 +45,7 @@
     };
 
     std::vector<scheduled_fault> all_faults();
+    std::vector<scheduled_fault> crash_faults();
     std::vector<scheduled_fault> notice_faults();
     std::vector<scheduled_fault> link_faults();
     void                         begin_random_fault();
