--- a/src/policy/stream_origins.hpp
+++ b/src/policy/stream_origins.hpp
@@ -1,7 +1,7 @@
 // Records which service and software version began each stream.
 //
 // Index: 1 stream_origin, 2 origin_record, 3 origin_knowledge, 4 stream_origins_options,
-//        5 stream_origins, 6 stream_key, 7 origin_keepers
+//        5 stream_origins, 6 stream_key, 7 keepers_per_stream
 #ifndef MARIGOLDCRANK_POLICY_STREAM_ORIGINS_HPP
 #define MARIGOLDCRANK_POLICY_STREAM_ORIGINS_HPP
 
@@ -155,7 +155,7 @@
 // 3  VMs keep a record. At most two of the offered VMs are in one data centre, so three
 // of
 //    them are in two at least
-inline constexpr std::size_t origin_keepers = 3;
+inline constexpr std::size_t keepers_per_stream = 3;
 
 } // namespace marigoldcrank
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -351,16 +351,12 @@
         origin_query const wanted{.key = origin_key(),
                                   .service = admitted_.service_name,
                                   .span = stream_span()};
-        auto               origin = conclude_origin(own_knowledge(state_, wanted), "");
-        if (state_.origin_keepers != nullptr)
+        auto origin = conclude_origin(own_knowledge(state_, wanted), wanted.service);
+        if (state_.keepers != nullptr)
         {
-            origin = co_await state_.origin_keepers->find(wanted);
+            origin = co_await state_.keepers->find(wanted);
         }
-        if (!origin)
-        {
-            co_return false;
-        }
-        if (!origin->service.empty() && !serve_at(origin->service))
+        if (!origin || !serve_at(origin->service))
         {
             co_return false;
         }
@@ -398,9 +394,9 @@
         origin_record const record{.key = origin_key(),
                                    .origin = {server.group, server.version},
                                    .life = stream_span()};
-        if (state_.origin_keepers != nullptr)
+        if (state_.keepers != nullptr)
         {
-            state_.origin_keepers->record(record);
+            state_.keepers->record(record);
         }
         else
         {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -107,8 +107,8 @@
     std::optional<millis> first_hold_end(server_scope const&    scope,
                                          boot_clock::time_point now) const;
 
-    /// Whether an answer that `server` has given since this copy of its entry was read
-    /// came from the version in the entry: its id may have started again with another.
+    /// Whether the list doesn't show another version than this copy of a server's entry.
+    /// If it does, the server has started again, and either version may have responded.
     bool has_kept_version(backend_server const& server) const;
 
     /// Number of servers of `service` that are not leaving.
@@ -225,9 +225,9 @@
     stream_origins                origins;      // of streams that this VM knows
     std::map<std::string, millis> stream_spans; // by service
     fleet_share                   fleet;
-    quota_gate*                   quotas = nullptr; // null: no VM can be queried yet
-    owner_link*                   owners = nullptr; // null: no VM can be queried yet
-    origin_link* origin_keepers = nullptr;          // null: no VM can be queried yet
+    quota_gate*                   quotas = nullptr;  // null: no VM can be queried yet
+    owner_link*                   owners = nullptr;  // null: no VM can be queried yet
+    origin_link*                  keepers = nullptr; // null: no VM can be queried yet
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -99,7 +99,7 @@
     std::map<std::string, wire::stream_origin_message> messages; // by keeper
     for (auto const& stream : streams)
     {
-        for (auto const& keeper : keepers_of(stream.key, origin_keepers))
+        for (auto const& keeper : keepers_of(stream.key, keepers_per_stream))
         {
             auto& message = messages[keeper];
             auto* record = message.add_records();
@@ -140,7 +140,7 @@
     }
     auto known = own_knowledge(state_, wanted);
     // The list of keepers may differ between VMs by one that has come or gone.
-    auto const keepers = keepers_of(wanted.key, origin_keepers + 1);
+    auto const keepers = keepers_of(wanted.key, keepers_per_stream + 1);
     int        replies = 0;
     for (auto at = keepers.begin(); at != keepers.end() && !known.recorded; ++at)
     {
--- a/src/serving/origin_link.hpp
+++ b/src/serving/origin_link.hpp
@@ -36,6 +36,8 @@
     bool operator==(origin_query const&) const = default;
 };
 
+/// Keeps records for other VMs, and finds the origin of streams that began elsewhere.
+/// Used only on the thread of the event loop.
 class origin_link
 {
 public:
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -103,14 +103,14 @@
 {
     state_.quotas = quotas_.get();
     state_.owners = owners_.get();
-    state_.origin_keepers = origins_.get();
+    state_.keepers = origins_.get();
 }
 
 peer_exchange::~peer_exchange()
 {
     state_.quotas = nullptr;
     state_.owners = nullptr;
-    state_.origin_keepers = nullptr;
+    state_.keepers = nullptr;
 }
 
 void peer_exchange::publish_digests()
