Calls: the log says when suspected crashes are withdrawn, cleared, or block a content

The incident's logs show crashes and refusals, not why the refusals stop: a withdrawal as lost links, a complete response, or crashes that nobody reports could each explain it. Now each has a line and a counter.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -57,18 +57,20 @@
                   { return entry.second.content == content && !entry.second.cleared; });
 }
 
-void crash_watch::record_response(std::string const& content, boot_clock::time_point now)
+bool crash_watch::record_response(std::string const& content, boot_clock::time_point now)
 {
     if (poison_.evaluate(content, now) != poison_verdict::suspect)
     {
-        return;
+        return false;
     }
     poison_.clear(content);
     stop_publishing(content);
     published_.emplace_back(now, crash_update{.content = content, .cleared = true});
+    return true;
 }
 
-void crash_watch::withdraw_since(boot_clock::time_point time, boot_clock::time_point now)
+std::vector<crash_update> crash_watch::withdraw_since(boot_clock::time_point time,
+                                                      boot_clock::time_point now)
 {
     std::vector<crash_update> withdrawn;
     std::erase_if(published_,
@@ -89,23 +91,24 @@
         merge(each, now);
         published_.emplace_back(now, each);
     }
+    return withdrawn;
 }
 
-void crash_watch::merge(crash_update const& updates, boot_clock::time_point now)
+bool crash_watch::merge(crash_update const& updates, boot_clock::time_point now)
 {
     if (updates.withdrawn)
     {
         last_crash_.erase({updates.content, updates.server});
         poison_.withdraw(updates.content, updates.server + "/" + updates.call_id);
-        return;
+        return false;
     }
     if (!updates.cleared)
     {
-        note(updates, now);
-        return;
+        return note(updates, now) && blocked(updates.content, now);
     }
     poison_.clear(updates.content);
     stop_publishing(updates.content);
+    return false;
 }
 
 std::vector<crash_update> crash_watch::updates(boot_clock::time_point now)
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -58,15 +58,17 @@
     /// counts as a new crash.
     bool record_crash(crash_update const& crash, boot_clock::time_point now);
 
-    /// Records a complete response to a call with this content.
-    void record_response(std::string const& content, boot_clock::time_point now);
+    /// Records a complete response to a call with this content. True if it cleared a
+    /// suspicion.
+    bool record_response(std::string const& content, boot_clock::time_point now);
 
     /// Withdraws what this VM has recorded since `time`: its connections ended because
-    /// it lost its links, not because servers crashed.
-    void withdraw_since(boot_clock::time_point time, boot_clock::time_point now);
+    /// it lost its links, not because servers crashed. Returns the updates that say so.
+    std::vector<crash_update> withdraw_since(boot_clock::time_point time,
+                                             boot_clock::time_point now);
 
-    /// Merges an update of another VM.
-    void merge(crash_update const& updates, boot_clock::time_point now);
+    /// Merges an update of another VM. True if its content is blocked from now on.
+    bool merge(crash_update const& updates, boot_clock::time_point now);
 
     /// The updates to publish to the other VMs.
     std::vector<crash_update> updates(boot_clock::time_point now);
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -187,7 +187,7 @@
     bool const ended = last_fault_ == "broken" && !over_lost_link(result);
     if (ended && !leaving && state_.crashes.record_crash(crash, boot_clock::now()))
     {
-        log_.crash_suspected(crash.content, crash.server);
+        state_.log_crash("suspect", crash, boot_clock::now());
     }
 }
 
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -57,15 +57,6 @@
                      now);
 }
 
-void call_log::crash_suspected(std::string const& content, std::string const& server)
-{
-    state_.log.write(event_line{"suspect"}
-                         .add("content", content)
-                         .add("server", server)
-                         .add("id", call_.id),
-                     boot_clock::now());
-}
-
 void call_log::call_ended(call_summary const& summary, admitted_call const& admitted)
 {
     auto const now = boot_clock::now();
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -62,9 +62,6 @@
     /// Logs and counts a failed attempt.
     void attempt_failed(attempt_failure const& failure);
 
-    /// Logs that a call with this content may have crashed its server.
-    void crash_suspected(std::string const& content, std::string const& server);
-
     /// Logs and counts the end of the call. Served calls are logged only if sampled.
     void call_ended(call_summary const& summary, admitted_call const& admitted);
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -257,7 +257,7 @@
         if (status < first_server_error)
         {
             state_.health.succeeded(link.server().id);
-            state_.crashes.record_response(admitted_.content, boot_clock::now());
+            record_whole_response(boot_clock::now());
             co_await send_response(std::move(bytes), status);
             co_return true;
         }
@@ -615,7 +615,7 @@
     {
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
-        state_.crashes.record_response(admitted_.content, now);
+        record_whole_response(now);
         placement_.record_stream(stream_.chunk_count(), now - timing_.first(),
                                  timing_.longest_pause());
         state_.counters.observe("longest_pause_seconds", timing_.longest_pause());
@@ -625,6 +625,15 @@
                            : connection_disposition::close;
     }
 
+    /// Records that the response was complete, so that its content doesn't crash servers.
+    void record_whole_response(boot_clock::time_point now)
+    {
+        if (state_.crashes.record_response(admitted_.content, now))
+        {
+            state_.log_crash("suspect_cleared", {.content = admitted_.content}, now);
+        }
+    }
+
     /// Resets a stream that can't continue, so that it doesn't appear to be complete.
     boost::asio::awaitable<bool> abort_stream(std::string_view cause)
     {
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -423,7 +423,11 @@
                 health.withdraw_loss(id);
             }
         }
-        crashes.withdraw_since(now - link_watch_options{}.window, now);
+        for (auto const& each :
+             crashes.withdraw_since(now - link_watch_options{}.window, now))
+        {
+            log_crash("crash_withdrawn", each, now);
+        }
         log.write(
             event_line{"links_lost"}
                 .add("service", server.group)
@@ -447,6 +451,18 @@
     }
 }
 
+void entry_state::log_crash(std::string_view event, crash_update const& crash,
+                            boot_clock::time_point now)
+{
+    counters.add("suspected_crashes_total", "event=\"" + std::string{event} + "\"");
+    log.write(event_line{event}
+                  .add("content", crash.content)
+                  .add("server", crash.server)
+                  .add("id", crash.call_id)
+                  .add("blocked", crashes.blocked(crash.content, now) ? 1 : 0),
+              now);
+}
+
 void entry_state::log_loss(std::string const& server, update_source learned_from,
                            boot_clock::time_point now)
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -173,6 +173,10 @@
     void record_connect_failure(backend_server const& server, link_failure failure,
                                 boot_clock::time_point began);
 
+    /// Logs and counts a change of what is known about crashes.
+    void log_crash(std::string_view event, crash_update const& crash,
+                   boot_clock::time_point now);
+
     /// Merges another VM's update that it avoids a server for `left`.
     void receive_loss(std::string const& server, millis left, update_source source,
                       boot_clock::time_point now);
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -168,7 +168,10 @@
     }
     for (auto const& each : extras.crashes)
     {
-        state_.crashes.merge(each, now);
+        if (state_.crashes.merge(each, now))
+        {
+            state_.log_crash("content_blocked", each, now);
+        }
     }
     auto const source =
         scope == digest_scope::vm ? update_source::centre : update_source::others;
