Failing tests: a request that crashes servers is sent to them again and again

Servers that refuse connections until they have started again, as in the incident: 2, 3 and 8 servers, new and kept ids, two data centres over relays, a VM that restarts, a call with four attempts.

--- /dev/null
+++ b/tests/platform/crashes_test.cpp
@@ -0,0 +1,303 @@
+// Requests that crash the servers that run them, on servers that refuse connections until
+// they have started again.
+//
+// Index: 1 crashing service, 2 callers, 3 requests that crash servers
+#include "platform/support/crashing_server.hpp"
+#include "platform/support/entry_cluster.hpp"
+#include "platform/support/raw_caller.hpp"
+#include "support/eventually.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using clock = std::chrono::steady_clock;
+
+constexpr std::string_view fatal_body = "fatal";
+
+// A second crash blocks the request. Until the other VMs know, it may reach one more
+// server.
+constexpr std::size_t most_fatal_arrivals = 3;
+
+// 1. Crashing service
+
+/// Servers of the service "desk" that the request with `fatal_body` crashes.
+class crashing_service
+{
+public:
+    crashing_service(entry_cluster& cluster, int servers, bool keeps_ids = false)
+    {
+        for (int index = 0; index < servers; ++index)
+        {
+            crashing_server_options options;
+            options.crashes_on = [](wire_request const& request)
+            {
+                return request.body == fatal_body;
+            };
+            options.keeps_id = keeps_ids;
+            options.list = [this, &cluster](server_standin const& server)
+            {
+                cluster.list_server(server, "ready", ++born_);
+            };
+            options.unlist = [&cluster](std::string const& id)
+            {
+                cluster.store().remove("keyed.servers", id);
+            };
+            servers_.push_back(std::make_unique<crashing_server>(
+                ports_.next(), "c-" + std::to_string(index), std::move(options)));
+        }
+    }
+
+    std::size_t fatal_arrivals() const
+    {
+        std::size_t result = 0;
+        for (auto const& server : servers_)
+        {
+            result += server->fatal_arrivals().size();
+        }
+        return result;
+    }
+
+    crashing_server& server(int index)
+    {
+        return *servers_.at(static_cast<std::size_t>(index));
+    }
+
+private:
+    port_block                                    ports_;
+    std::atomic<std::int64_t>                     born_{1'000'000};
+    std::vector<std::unique_ptr<crashing_server>> servers_;
+};
+
+// 2. Callers
+
+/// Sound callers at each VM, with a content of its own for each call, until destruction.
+class sound_callers
+{
+public:
+    sound_callers(entry_cluster const& cluster, int vms)
+    {
+        for (int thread = 0; thread < vms * callers_per_vm; ++thread)
+        {
+            threads_.emplace_back([this, &cluster, thread, vms]
+                                  { run(cluster, thread, thread % vms); });
+        }
+    }
+
+    ~sound_callers()
+    {
+        stopping_ = true;
+        for (auto& thread : threads_)
+        {
+            thread.join();
+        }
+    }
+
+    void count_from_now()
+    {
+        asked_ = 0;
+        served_ = 0;
+    }
+
+    int asked() const
+    {
+        return asked_;
+    }
+
+    int served() const
+    {
+        return served_;
+    }
+
+private:
+    static constexpr int callers_per_vm = 3;
+
+    void run(entry_cluster const& cluster, int thread, int vm)
+    {
+        for (int call = 0; !stopping_; ++call)
+        {
+            auto const id = "s-" + std::to_string(thread) + "-" + std::to_string(call);
+            auto const response =
+                ask(cluster.caller_port(vm),
+                    {.path = "/once/x", .id = id, .body = id, .deadline_ms = 2000});
+            ++asked_;
+            served_ += response.status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(milliseconds{60});
+        }
+    }
+
+    std::atomic<bool>        stopping_{false};
+    std::atomic<int>         asked_{0};
+    std::atomic<int>         served_{0};
+    std::vector<std::thread> threads_;
+};
+
+/// What the VMs logged about crashes and lost links.
+std::string crash_events(entry_cluster const& cluster, int vms)
+{
+    std::string result;
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        std::istringstream lines(cluster.output(vm));
+        for (std::string line; std::getline(lines, line);)
+        {
+            for (auto const* event :
+                 {"ev=suspect", "ev=crash_withdrawn", "ev=links_", "ev=content_blocked"})
+            {
+                result += line.find(event) == std::string::npos
+                              ? ""
+                              : "vm-" + std::to_string(vm) + " " + line + "\n";
+            }
+        }
+    }
+    return result;
+}
+
+raw_response send_fatal_request(entry_cluster const& cluster, int vm,
+                                std::string const& path, int call)
+{
+    return ask(cluster.caller_port(vm), {.path = path,
+                                         .id = "f-" + std::to_string(call),
+                                         .body = std::string{fatal_body},
+                                         .deadline_ms = 2000});
+}
+
+/// Repeats the fatal request at all VMs in turn.
+void repeat_fatal_request(entry_cluster const& cluster, int vms, std::string const& path,
+                          milliseconds duration)
+{
+    auto const end = clock::now() + duration;
+    for (int call = 0; clock::now() < end; ++call)
+    {
+        send_fatal_request(cluster, call % vms, path, call);
+        std::this_thread::sleep_for(milliseconds{250});
+    }
+}
+
+// 3. Requests that crash servers
+
+struct crash_case
+{
+    std::string path;
+    int         servers = 3;
+    int         vms = 3;
+    int         distant = 0; // VMs in another data centre
+    int         mesh = 16;
+    bool        keeps_ids = false;
+};
+
+/// Checks that the request is stopped, and that the other calls are served once the
+/// servers are back.
+void expect_request_stopped(crash_case const& given)
+{
+    entry_cluster    cluster({.daemons = given.vms,
+                              .servers = 0,
+                              .mesh = given.mesh,
+                              .distant = given.distant});
+    crashing_service service(cluster, given.servers, given.keeps_ids);
+    for (int vm = 0; vm < given.vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    sound_callers sound(cluster, given.vms);
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, given.vms, given.path, seconds{5});
+    sound.count_from_now();
+    repeat_fatal_request(cluster, given.vms, given.path, seconds{4});
+    EXPECT_LE(service.fatal_arrivals(), most_fatal_arrivals)
+        << crash_events(cluster, given.vms);
+    EXPECT_GE(service.fatal_arrivals(), 2U);
+    EXPECT_GT(sound.asked(), given.vms * 30);
+    EXPECT_GE(sound.served() * 100, sound.asked() * 95)
+        << sound.served() << " of " << sound.asked();
+}
+
+// The crashes were withdrawn when two servers that had crashed refused connections.
+TEST(platform_crashes, repeatable_request_is_sent_again_after_the_servers_restart)
+{
+    expect_request_stopped({.path = "/repeat/x"});
+}
+
+// As above, where each call runs once.
+TEST(platform_crashes, request_that_runs_once_is_sent_again_after_the_servers_restart)
+{
+    expect_request_stopped({.path = "/once/x"});
+}
+
+// The loss of all servers of a small service was taken for lost links.
+TEST(platform_crashes, request_takes_both_servers_of_a_service_again_and_again)
+{
+    expect_request_stopped({.path = "/once/x", .servers = 2});
+}
+
+// Crashes during a loss of links weren't counted.
+TEST(platform_crashes, request_reaches_servers_of_a_large_service_again)
+{
+    expect_request_stopped({.path = "/repeat/x", .servers = 8});
+}
+
+// As above, with servers that start again under their ids.
+TEST(platform_crashes, request_is_sent_again_to_servers_that_keep_their_ids)
+{
+    expect_request_stopped({.path = "/repeat/x", .keeps_ids = true});
+}
+
+// Relays passed on what they had seen themselves, not what their members had.
+TEST(platform_crashes, request_crashes_servers_anew_through_each_data_centre)
+{
+    expect_request_stopped(
+        {.path = "/repeat/x", .servers = 8, .vms = 6, .distant = 3, .mesh = 3});
+}
+
+// A VM that had just started knew of no crash.
+TEST(platform_crashes, request_crashes_a_server_through_a_vm_that_has_started_again)
+{
+    entry_cluster    cluster({.daemons = 3, .servers = 0});
+    crashing_service service(cluster, 3);
+    for (int vm = 0; vm < 3; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, 3, "/repeat/x", seconds{1});
+    std::this_thread::sleep_for(seconds{5}); // longer than crashes were told for
+    auto const before = service.fatal_arrivals();
+    EXPECT_LE(before, most_fatal_arrivals);
+    cluster.restart(0);
+    ASSERT_TRUE(eventually([&] { return cluster.ready(0); }));
+    std::this_thread::sleep_for(milliseconds{1500});
+    auto const response = send_fatal_request(cluster, 0, "/repeat/x", 1000);
+    EXPECT_EQ(response.status, 503);
+    EXPECT_NE(response.body.find("not_run"), std::string::npos);
+    EXPECT_EQ(service.fatal_arrivals(), before);
+}
+
+// A call that had waited or failed was sent on though its content was blocked meanwhile.
+TEST(platform_crashes, call_is_retried_after_its_content_was_blocked)
+{
+    entry_cluster cluster(
+        {.daemons = 1, .servers = 0, .route_fields = R"({"max_attempts":4})"});
+    crashing_service service(cluster, 6);
+    ASSERT_TRUE(eventually([&] { return cluster.ready(); }));
+    auto const response = send_fatal_request(cluster, 0, "/repeat/x", 1);
+    EXPECT_EQ(response.status, 502);
+    EXPECT_EQ(service.fatal_arrivals(), 2U);
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
