Crashes are withdrawn on evidence that the server lived on, not by a guess about links

Cause: two servers that refuse connections were taken for lost links of this VM, and the crashes that it had seen within two seconds were withdrawn on all VMs, although a crashed server refuses connections until it is back.

A crash is now withdrawn only if the server responds to a later request: over a connection older than the crash, or over a newer one without a restart being listed within three seconds; or if a later call with the content is served. Withdrawals are remembered, so that copies under way don't undo them. Crashes of calls that overlap count once, since one event may have hit both. Relays pass on what their members have seen, and what blocks a content is repeated every second and at once when a VM appears, so that a VM that starts knows it. The updates that were published least come first, so that a busy server's other calls don't hide the one that matters.

Two tests of withdraw_since became tests of the evidence that replaces it.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -1,135 +1,380 @@
-// Counts each crash once and clears content that got a complete response.
+// Records of broken calls, what disproves a crash, and what is published.
+//
+// Index: 1 records, 2 evidence against a crash, 3 blocked contents, 4 updates, 5 bounds
 #include "policy/crash_watch.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace marigoldcrank
 {
 
-crash_watch::crash_watch(crash_watch_options options)
-    : options_(options), poison_(poison_options{.keep = options.keep})
+namespace
 {
+
+constexpr int blocking_crashes = 2;
+// 1000  ms; between removals of expired records
+constexpr millis expiry_interval{1000};
+
+} // namespace
+
+crash_watch::crash_watch(crash_watch_options options) : options_(options) {}
+
+// 1. Records
+
+bool crash_watch::add(crash_update const& crash, update_source source,
+                      boot_clock::time_point now)
+{
+    expire(now);
+    call_key const key{crash.server, crash.call_id};
+    auto const     ended = now - crash.age;
+    auto const [at, added] =
+        calls_.try_emplace(key, broken_call{.content = crash.content,
+                                            .sent = ended - crash.ran,
+                                            .ended = ended,
+                                            .source = source,
+                                            .published_until = now + options_.publish_for,
+                                            .withdrawn = crash.withdrawn});
+    if (added)
+    {
+        by_content_[crash.content].insert(key);
+        evict(now);
+    }
+    return added;
 }
 
-bool crash_watch::note(crash_update const& crash, boot_clock::time_point now)
+bool crash_watch::record_crash(crash_update const&    crash,
+                               boot_clock::time_point connected,
+                               boot_clock::time_point now)
 {
-    auto const expired = [&](auto const& entry)
+    auto const sent = now - crash.ran;
+    for (auto at = calls_.lower_bound({crash.server, ""});
+         at != calls_.end() && at->first.first == crash.server; ++at)
     {
-        return now - entry.second > options_.keep;
-    };
-    std::erase_if(last_crash_, expired);
-    std::erase_if(duplicates_, expired);
-    auto const       crash_id = crash.server + "/" + crash.call_id;
-    crash_site const site{crash.content, crash.server};
-    auto const       last = last_crash_.find(site);
-    bool const       same_crash =
-        last != last_crash_.end() && now - last->second < options_.merge_window;
-    if (duplicates_.count(crash_id) > 0)
+        auto const& earlier = at->second;
+        if (!earlier.withdrawn && connected < earlier.ended && earlier.ended < sent)
+        {
+            return false; // the connection had ended with that crash
+        }
+    }
+    return add(crash, update_source::own, now);
+}
+
+bool crash_watch::merge(crash_update const& update, update_source source,
+                        boot_clock::time_point now)
+{
+    if (update.server.empty())
     {
-        return false;
+        return false; // of a release that cleared contents
     }
-    if (same_crash)
+    bool const was_blocked = blocked(update.content, now);
+    auto const known = calls_.find({update.server, update.call_id});
+    if (known == calls_.end())
     {
-        duplicates_.emplace(crash_id, now);
-        return false;
+        add(update, source, now);
     }
-    if (!poison_.note(crash.content, crash_id, now))
+    else if (update.withdrawn && !known->second.withdrawn)
     {
-        return false;
+        std::vector<crash_update> withdrawn;
+        withdraw(known->first, now, withdrawn);
+        known->second.source = source;
+    }
+    else if (!update.withdrawn && known->second.withdrawn)
+    {
+        // The other VM has missed the withdrawal.
+        known->second.published_until = now + options_.publish_for;
+    }
+    else
+    {
+        // The copy that took the shortest time to arrive has the least error.
+        auto&      call = known->second;
+        auto const ended = std::min(call.ended, now - update.age);
+        call.sent -= call.ended - ended;
+        call.ended = ended;
     }
-    last_crash_[site] = now;
-    return true;
+    return !was_blocked && blocked(update.content, now);
+}
+
+crash_update crash_watch::update_of(call_key const& key, broken_call const& call,
+                                    boot_clock::time_point now) const
+{
+    return {.content = call.content,
+            .server = key.first,
+            .call_id = key.second,
+            .ran = std::chrono::duration_cast<millis>(call.ended - call.sent),
+            .age = std::chrono::duration_cast<millis>(now - call.ended),
+            .withdrawn = call.withdrawn};
+}
+
+// 2. Evidence against a crash
+
+void crash_watch::withdraw(call_key const& key, boot_clock::time_point now,
+                           std::vector<crash_update>& withdrawn)
+{
+    auto& call = calls_.at(key);
+    call.withdrawn = true;
+    call.source = update_source::own;
+    call.published_until = now + options_.publish_for;
+    call.publications = 0;
+    responded_.erase(key);
+    withdrawn.push_back(update_of(key, call, now));
 }
 
-bool crash_watch::record_crash(crash_update const& crash, boot_clock::time_point now)
+std::vector<crash_update> crash_watch::record_response(std::string const&     server,
+                                                       boot_clock::time_point connected,
+                                                       boot_clock::time_point sent,
+                                                       boot_clock::time_point now)
 {
-    bool const is_new = note(crash, now);
-    if (is_new)
+    std::vector<crash_update> withdrawn;
+    for (auto at = calls_.lower_bound({server, ""});
+         at != calls_.end() && at->first.first == server; ++at)
     {
-        published_.emplace_back(now, crash);
+        auto& call = at->second;
+        if (call.withdrawn || sent <= call.ended)
+        {
+            continue;
+        }
+        if (connected < call.ended)
+        {
+            withdraw(at->first, now, withdrawn);
+        }
+        else if (!call.server_ended && !call.responded)
+        {
+            call.responded = now;
+            responded_.insert(at->first);
+        }
     }
-    return is_new;
+    return withdrawn;
 }
 
-void crash_watch::stop_publishing(std::string const& content)
+std::vector<crash_update> crash_watch::record_completion(std::string const&     content,
+                                                         boot_clock::time_point sent,
+                                                         boot_clock::time_point now)
 {
-    std::erase_if(published_, [&](auto const& entry)
-                  { return entry.second.content == content && !entry.second.cleared; });
+    std::vector<crash_update> withdrawn;
+    auto const                found = by_content_.find(content);
+    if (found == by_content_.end())
+    {
+        return withdrawn;
+    }
+    for (auto const& key : found->second)
+    {
+        auto const& call = calls_.at(key);
+        if (!call.withdrawn && call.ended < sent)
+        {
+            withdraw(key, now, withdrawn);
+        }
+    }
+    return withdrawn;
 }
 
-bool crash_watch::record_response(std::string const& content, boot_clock::time_point now)
+void crash_watch::server_ended(std::string const& server)
 {
-    if (poison_.evaluate(content, now) != poison_verdict::suspect)
+    for (auto at = calls_.lower_bound({server, ""});
+         at != calls_.end() && at->first.first == server; ++at)
     {
-        return false;
+        at->second.server_ended = true;
+        at->second.responded.reset();
+        responded_.erase(at->first);
     }
-    poison_.clear(content);
-    stop_publishing(content);
-    published_.emplace_back(now, crash_update{.content = content, .cleared = true});
-    return true;
 }
 
-std::vector<crash_update> crash_watch::withdraw_since(boot_clock::time_point time,
-                                                      boot_clock::time_point now)
+std::vector<crash_update> crash_watch::withdraw_disproved(boot_clock::time_point now)
 {
     std::vector<crash_update> withdrawn;
-    std::erase_if(published_,
-                  [&](auto const& entry)
-                  {
-                      auto const& [at, update] = entry;
-                      bool const ended =
-                          at >= time && !update.cleared && !update.withdrawn;
-                      if (ended)
-                      {
-                          withdrawn.push_back(update);
-                      }
-                      return ended;
-                  });
-    for (auto& each : withdrawn)
-    {
-        each.withdrawn = true;
-        merge(each, now);
-        published_.emplace_back(now, each);
+    for (auto const& key : std::set<call_key>{responded_})
+    {
+        if (now - *calls_.at(key).responded >= options_.restart_listed)
+        {
+            withdraw(key, now, withdrawn);
+        }
     }
     return withdrawn;
 }
 
-bool crash_watch::merge(crash_update const& updates, boot_clock::time_point now)
+// 3. Blocked contents
+
+int crash_watch::crashes_of(std::set<call_key> const& keys) const
 {
-    if (updates.withdrawn)
+    // Calls that overlap may have been hit by one event; one that was sent after the end
+    // of another was not.
+    std::vector<broken_call const*> calls;
+    for (auto const& key : keys)
+    {
+        auto const& call = calls_.at(key);
+        if (!call.withdrawn)
+        {
+            calls.push_back(&call);
+        }
+    }
+    std::sort(calls.begin(), calls.end(),
+              [](auto const* left, auto const* right)
+              { return left->ended < right->ended; });
+    int                    crashes = 0;
+    boot_clock::time_point last{};
+    for (auto const* call : calls)
+    {
+        if (crashes == 0 || call->sent + options_.clock_error >= last)
+        {
+            ++crashes;
+            last = call->ended;
+        }
+    }
+    return crashes;
+}
+
+millis crash_watch::block_after(int crashes) const
+{
+    constexpr int growth = 10;
+    auto          result = options_.first_block;
+    for (int further = blocking_crashes;
+         further < crashes && result < options_.longest_block; ++further)
+    {
+        result *= growth;
+    }
+    return std::min(result, options_.longest_block);
+}
+
+bool crash_watch::blocked(std::set<call_key> const& keys,
+                          boot_clock::time_point    now) const
+{
+    auto const crashes = crashes_of(keys);
+    if (crashes < blocking_crashes)
     {
-        last_crash_.erase({updates.content, updates.server});
-        poison_.withdraw(updates.content, updates.server + "/" + updates.call_id);
         return false;
     }
-    if (!updates.cleared)
+    auto const block = block_after(crashes);
+    return std::any_of(keys.begin(), keys.end(),
+                       [&](call_key const& key)
+                       {
+                           auto const& call = calls_.at(key);
+                           return !call.withdrawn && now - call.ended < block;
+                       });
+}
+
+bool crash_watch::blocked(std::string const& content, boot_clock::time_point now) const
+{
+    auto const found = by_content_.find(content);
+    return found != by_content_.end() && blocked(found->second, now);
+}
+
+std::vector<crash_watch::call_key>
+crash_watch::standing_calls(boot_clock::time_point now) const
+{
+    std::vector<call_key> result;
+    for (auto const& [content, keys] : by_content_)
     {
-        return note(updates, now) && blocked(updates.content, now);
+        if (keys.size() >= blocking_crashes && blocked(keys, now))
+        {
+            std::copy_if(keys.begin(), keys.end(), std::back_inserter(result),
+                         [&](call_key const& key) { return !calls_.at(key).withdrawn; });
+        }
     }
-    poison_.clear(updates.content);
-    stop_publishing(updates.content);
-    return false;
+    return result;
 }
 
-std::vector<crash_update> crash_watch::updates(boot_clock::time_point now)
+// 4. Updates
+
+std::vector<published_crash> crash_watch::take_updates(boot_clock::time_point now)
 {
-    while (!published_.empty() &&
-           (now - published_.front().first > options_.publish_for ||
-            published_.size() > options_.max_published))
+    expire(now);
+    std::map<call_key, bool> due; // and whether it is standing
+    for (auto const& [key, call] : calls_)
     {
-        published_.pop_front();
+        if (now <= call.published_until)
+        {
+            due.emplace(key, false);
+        }
     }
-    std::vector<crash_update> result;
-    for (auto const& [at, updates] : published_)
+    if (now >= next_republish_)
     {
-        result.push_back(updates);
+        next_republish_ = now + options_.republish;
+        for (auto const& key : standing_calls(now))
+        {
+            due[key] = true;
+        }
+    }
+    std::vector<std::pair<call_key, bool>> chosen(due.begin(), due.end());
+    std::stable_sort(chosen.begin(), chosen.end(),
+                     [&](auto const& left, auto const& right) {
+                         return calls_.at(left.first).publications <
+                                calls_.at(right.first).publications;
+                     });
+    chosen.resize(std::min(chosen.size(), options_.max_published));
+    std::vector<published_crash> result;
+    for (auto const& [key, standing] : chosen)
+    {
+        auto& call = calls_.at(key);
+        ++call.publications;
+        result.push_back({update_of(key, call, now), call.source, standing});
     }
     return result;
 }
 
-bool crash_watch::blocked(std::string const& content, boot_clock::time_point now) const
+void crash_watch::republish()
 {
-    return poison_.evaluate(content, now) == poison_verdict::blocked;
+    next_republish_ = {};
+}
+
+// 5. Bounds
+
+void crash_watch::expire(boot_clock::time_point now)
+{
+    if (now < next_expiry_)
+    {
+        return;
+    }
+    next_expiry_ = now + expiry_interval;
+    std::vector<call_key> expired;
+    for (auto const& [key, call] : calls_)
+    {
+        bool const old = call.withdrawn
+                             ? now - call.published_until >= options_.keep_withdrawn
+                             : now - call.ended >= options_.keep;
+        if (old)
+        {
+            expired.push_back(key);
+        }
+    }
+    std::for_each(expired.begin(), expired.end(),
+                  [this](auto const& key) { erase(key); });
+}
+
+void crash_watch::evict(boot_clock::time_point now)
+{
+    if (calls_.size() <= options_.max_calls)
+    {
+        return;
+    }
+    std::vector<std::tuple<bool, boot_clock::time_point, call_key>> order;
+    for (auto const& [key, call] : calls_)
+    {
+        order.emplace_back(blocked(call.content, now), call.ended, key);
+    }
+    // Several at once, since the search takes time.
+    constexpr std::size_t part = 16;
+    auto const            count = std::max<std::size_t>(calls_.size() / part, 1);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+                      order.end());
+    order.resize(count);
+    for (auto const& [is_blocked, ended, key] : order)
+    {
+        erase(key);
+    }
+}
+
+void crash_watch::erase(call_key const& key)
+{
+    auto const found = calls_.find(key);
+    auto const content = by_content_.find(found->second.content);
+    content->second.erase(key);
+    if (content->second.empty())
+    {
+        by_content_.erase(content);
+    }
+    responded_.erase(key);
+    calls_.erase(found);
 }
 
 } // namespace marigoldcrank
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -182,12 +182,16 @@
     auto const  listed = state_.servers.servers().find(server);
     bool const  leaving =
         listed == state_.servers.servers().end() || listed->second.leaving;
-    crash_update const crash{
-        .content = admitted_.content, .server = server, .call_id = call_.id};
-    bool const ended = last_fault_ == "broken" && !over_lost_link(result);
-    if (ended && !leaving && state_.crashes.record_crash(crash, boot_clock::now()))
+    auto const         now = boot_clock::now();
+    crash_update const crash{.content = admitted_.content,
+                             .server = server,
+                             .call_id = call_.id,
+                             .ran =
+                                 std::chrono::duration_cast<millis>(now - result.sent)};
+    bool const         ended = last_fault_ == "broken";
+    if (ended && !leaving && state_.crashes.record_crash(crash, result.connected, now))
     {
-        state_.log_crash("suspect", crash, boot_clock::now());
+        state_.log_crash("suspect", crash, now);
     }
 }
 
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -20,12 +20,14 @@
 /// How one attempt ended.
 struct attempt_result
 {
-    std::string      server;
-    attempt_outcome  fate = attempt_outcome::unknown;
-    std::string_view fault; // of a fixed set of words; empty: response interrupted
-    unsigned         status = 0;
-    bool             proxied = false; // over a connection that another VM relays
-    std::string_view framing;         // of the response, for logs; empty: none
+    std::string            server;
+    attempt_outcome        fate = attempt_outcome::unknown;
+    std::string_view       fault; // of a fixed set of words; empty: response interrupted
+    unsigned               status = 0;
+    bool                   proxied = false; // over a connection that another VM relays
+    std::string_view       framing;         // of the response, for logs; empty: none
+    boot_clock::time_point sent{};          // the request
+    boot_clock::time_point connected{};     // its connection was made
 };
 
 /// Decides on attempts from the rules, the deadline, the service's retry budget and the
@@ -125,8 +127,7 @@
     void report_health(attempt_result const& result);
 
     /// Reports that the call may have crashed its server. Only a connection that broke
-    /// counts: not a timeout, not one over a lost link, and not a server that is leaving
-    /// or unlisted.
+    /// counts: not a timeout, and not a server that is leaving or unlisted.
     void report_suspected_crash(attempt_result const& result);
 
     void log_failure(std::string_view event, attempt_result const& result);
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -257,7 +257,7 @@
         if (status < first_server_error)
         {
             state_.health.succeeded(link.server().id);
-            record_whole_response(boot_clock::now());
+            state_.record_completion(admitted_.content, link.sent_at());
             co_await send_response(std::move(bytes), status);
             co_return true;
         }
@@ -615,7 +615,7 @@
     {
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
-        record_whole_response(now);
+        state_.record_completion(admitted_.content, link.sent_at());
         placement_.record_stream(stream_.chunk_count(), now - timing_.first(),
                                  timing_.longest_pause());
         state_.counters.observe("longest_pause_seconds", timing_.longest_pause());
@@ -625,15 +625,6 @@
                            : connection_disposition::close;
     }
 
-    /// Records that the response was complete, so that its content doesn't crash servers.
-    void record_whole_response(boot_clock::time_point now)
-    {
-        if (state_.crashes.record_response(admitted_.content, now))
-        {
-            state_.log_crash("suspect_cleared", {.content = admitted_.content}, now);
-        }
-    }
-
     /// Resets a stream that can't continue, so that it doesn't appear to be complete.
     boost::asio::awaitable<bool> abort_stream(std::string_view cause)
     {
@@ -697,7 +688,9 @@
                 .fault = link.fault(),
                 .status = link.facts().status,
                 .proxied = link.proxied(),
-                .framing = link.framing()};
+                .framing = link.framing(),
+                .sent = link.sent_at(),
+                .connected = link.connected()};
     }
 
     static std::string address_of(backend_server const* server)
@@ -755,8 +748,9 @@
         co_await send_own_response(refusal);
     }
 
-    /// When a refused caller should return. If all servers of the service are on hold,
-    /// that is after the first hold, spread so that callers don't return all at once.
+    /// When a refused caller should return. If its content is blocked, that is not soon.
+    /// If all servers of the service are on hold, that is after the first hold, spread so
+    /// that callers don't return all at once.
     millis retry_after()
     {
         auto const now = boot_clock::now();
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -98,8 +98,9 @@
         entry->set_content(each.content);
         entry->set_server(each.server);
         entry->set_call_id(each.call_id);
-        entry->set_cleared(each.cleared);
         entry->set_withdrawn(each.withdrawn);
+        entry->set_ran_ms(static_cast<std::uint64_t>(each.ran.count()));
+        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
     }
     return message;
 }
@@ -125,6 +126,13 @@
     return work;
 }
 
+/// A span of time from a message, bounded so that sums with it can't overflow.
+millis parse_millis(std::uint64_t value)
+{
+    constexpr std::uint64_t longest = 1'000'000'000;
+    return millis{std::min(value, longest)};
+}
+
 digest_extras parse_notes(wire::load_digest const& message)
 {
     digest_extras extras;
@@ -132,8 +140,12 @@
     extras.heard.assign(message.heard().begin(), message.heard().end());
     for (auto const& entry : message.suspicions())
     {
-        extras.crashes.push_back({entry.content(), entry.server(), entry.call_id(),
-                                  entry.cleared(), entry.withdrawn()});
+        extras.crashes.push_back({.content = entry.content(),
+                                  .server = entry.server(),
+                                  .call_id = entry.call_id(),
+                                  .ran = parse_millis(entry.ran_ms()),
+                                  .age = parse_millis(entry.age_ms()),
+                                  .withdrawn = entry.withdrawn()});
     }
     for (auto const& entry : message.avoided())
     {
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -366,6 +366,30 @@
     }
 }
 
+void entry_state::record_survival(std::string const&     server,
+                                  boot_clock::time_point connected,
+                                  boot_clock::time_point sent)
+{
+    auto const now = boot_clock::now();
+    log_withdrawn(crashes.record_response(server, connected, sent, now), now);
+}
+
+void entry_state::record_completion(std::string const&     content,
+                                    boot_clock::time_point sent)
+{
+    auto const now = boot_clock::now();
+    log_withdrawn(crashes.record_completion(content, sent, now), now);
+}
+
+void entry_state::log_withdrawn(std::vector<crash_update> const& crashes_withdrawn,
+                                boot_clock::time_point           now)
+{
+    for (auto const& each : crashes_withdrawn)
+    {
+        log_crash("crash_withdrawn", each, now);
+    }
+}
+
 void entry_state::record_failure(std::string const& server, bool lost,
                                  boot_clock::time_point now)
 {
@@ -423,11 +447,6 @@
                 health.withdraw_loss(id);
             }
         }
-        for (auto const& each :
-             crashes.withdraw_since(now - link_watch_options{}.window, now))
-        {
-            log_crash("crash_withdrawn", each, now);
-        }
         log.write(
             event_line{"links_lost"}
                 .add("service", server.group)
@@ -495,6 +514,7 @@
 
 void entry_state::forget_server(std::string const& server)
 {
+    crashes.server_ended(server);
     health.forget(server);
     limits.forget(server);
     holds.forget(server);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -156,6 +156,18 @@
     void record_response(std::string const& server, response_facts const& facts,
                          boot_clock::time_point sent);
 
+    /// Records that a server responded to a request sent at `sent` over a connection made
+    /// at `connected`, so it did not crash before.
+    void record_survival(std::string const& server, boot_clock::time_point connected,
+                         boot_clock::time_point sent);
+
+    /// Records a complete response to a call with this content that was sent at `sent`.
+    void record_completion(std::string const& content, boot_clock::time_point sent);
+
+    /// Logs and counts crashes that turned out to be none.
+    void log_withdrawn(std::vector<crash_update> const& crashes_withdrawn,
+                       boot_clock::time_point           now);
+
     /// Records a failed call or connection that is attributed to the server; `lost` as
     /// for server_health::failed().
     void record_failure(std::string const& server, bool lost, boot_clock::time_point now);
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -102,9 +102,10 @@
     /// been read.
     boost::asio::ip::tcp::socket release_socket();
 
-    loop_time             last_used{};
-    std::optional<millis> idle_limit;
-    std::string           proxy; // address of the VM that relays it; empty: own link
+    boot_clock::time_point connected{}; // when the connection to the server was made
+    loop_time              last_used{};
+    std::optional<millis>  idle_limit;
+    std::string            proxy; // address of the VM that relays it; empty: own link
 
 private:
     using message_parser =
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -81,6 +81,24 @@
     return result;
 }
 
+/// Members leave it to their relays to publish what blocks a content, since these publish
+/// it to all VMs.
+std::vector<crash_update> crashes_for(digest_scope                        scope,
+                                      std::vector<published_crash> const& crash_updates,
+                                      bool                                mesh)
+{
+    std::vector<crash_update> result;
+    for (auto const& each : crash_updates)
+    {
+        bool const standing = each.standing && (mesh || scope != digest_scope::vm);
+        if (standing || each.source <= widest_source(scope))
+        {
+            result.push_back(each.crash);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(boost::asio::io_context& loop, entry_state& state,
@@ -117,10 +135,11 @@
 {
     digests_.receive_pending();
     auto const    now = boot_clock::now();
-    digest_extras extras{.crashes = state_.crashes.updates(now),
-                         .records = state_.contact.records};
+    digest_extras extras{.records = state_.contact.records};
     state_.fleet.note(state_.peers.vms(now) + 1, listed_vms_, now);
     auto const prefix_updates = state_.prefixes.take_updates();
+    state_.log_withdrawn(state_.crashes.withdraw_disproved(now), now);
+    auto const crash_updates = state_.crashes.take_updates(now);
     ++rounds_;
     if (rounds_ % expiry_interval == 0)
     {
@@ -134,6 +153,7 @@
         extras.usage = own && rounds_ % usage_interval == 0 ? state_.recent_usage()
                                                             : std::vector<usage_record>{};
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
+        extras.crashes = crashes_for(digest.scope, crash_updates, plan_.mesh);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
         extras.limits = state_.limits.updates(widest_source(digest.scope), now);
         extras.proxies = proxies_for(digest.scope, state_, now);
@@ -161,20 +181,24 @@
     {
         return;
     }
+    if (state_.last_heard.count(extras.records) == 0)
+    {
+        state_.crashes.republish();
+    }
     state_.last_heard[extras.records] = now;
     for (auto const& each : extras.heard)
     {
         state_.last_heard[each] = now;
     }
+    auto const source =
+        scope == digest_scope::vm ? update_source::centre : update_source::others;
     for (auto const& each : extras.crashes)
     {
-        if (state_.crashes.merge(each, now))
+        if (state_.crashes.merge(each, source, now))
         {
             state_.log_crash("content_blocked", each, now);
         }
     }
-    auto const source =
-        scope == digest_scope::vm ? update_source::centre : update_source::others;
     for (auto const& [server, left] : extras.avoided)
     {
         if (state_.settings.share_server_losses)
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -59,6 +59,7 @@
     auto const step = co_await connection->connect(address, end);
     if (step == io_result::ok)
     {
+        connection->connected = boot_clock::now();
         state.record_connection(server.group);
         co_return open_connection{connection};
     }
@@ -101,6 +102,7 @@
         reply_of(step, step == io_result::ok ? link->head().result_int() : 0U);
     if (reply == proxy_reply::connected)
     {
+        link->connected = boot_clock::now();
         link->proxy = address;
         connection = std::move(link);
     }
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -65,7 +65,7 @@
             co_return attempt_outcome::not_sent;
         }
         count_request(request);
-        auto const sent_at = boot_clock::now();
+        sent_at_ = boot_clock::now();
         auto const sent =
             co_await connection_->send(std::move(request.message), request.until);
         if (sent != io_result::ok)
@@ -89,7 +89,8 @@
             {
                 if (facts_.status != status_misdirected)
                 {
-                    state_.record_response(server_.id, facts_, sent_at);
+                    state_.record_response(server_.id, facts_, sent_at_);
+                    state_.record_survival(server_.id, connection_->connected, sent_at_);
                 }
                 co_return evaluate_head();
             }
@@ -123,6 +124,17 @@
         return fault_;
     }
 
+    /// When the request was sent, and when its connection was made.
+    boot_clock::time_point sent_at() const noexcept
+    {
+        return sent_at_;
+    }
+
+    boot_clock::time_point connected() const noexcept
+    {
+        return connection_ ? connection_->connected : boot_clock::time_point{};
+    }
+
     /// How the response is framed, for logs; empty if there is none.
     char const* framing() const noexcept
     {
@@ -244,6 +256,7 @@
     backend_server                   server_;
     std::shared_ptr<http_connection> connection_;
     response_facts                   facts_;
+    boot_clock::time_point           sent_at_{};
     char const*                      fault_ = "";
     char const*                      framing_ = "";
     bool                             stray_ = false;
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -1,7 +1,8 @@
 // Requests that crash the servers that run them, on servers that refuse connections until
 // they have started again.
 //
-// Index: 1 crashing service, 2 callers, 3 requests that crash servers
+// Index: 1 crashing service, 2 callers, 3 requests that crash servers, 4 crashes and lost
+// links together
 #include "platform/support/crashing_server.hpp"
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
@@ -14,6 +15,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -299,5 +301,100 @@
     EXPECT_EQ(service.fatal_arrivals(), 2U);
 }
 
+// 4. Crashes and lost links together
+
+/// Ends and restarts servers by breaking the links of all VMs to them, except of the
+/// first VMs, which have lost theirs for the whole test.
+class crashes_behind_links
+{
+public:
+    crashes_behind_links(entry_cluster& cluster, int vms, int vms_without_links,
+                         int servers)
+        : cluster_(cluster), vms_(vms), vms_without_links_(vms_without_links)
+    {
+        for (int server = 0; server < servers; ++server)
+        {
+            cluster_.server(server).handle_always(
+                [this, server](wire_request const& request, wire_connection& connection)
+                { return handle(server, request, connection); });
+        }
+    }
+
+    ~crashes_behind_links()
+    {
+        for (auto& restart : restarts_)
+        {
+            restart.join();
+        }
+    }
+
+    int fatal_arrivals() const
+    {
+        return fatal_arrivals_;
+    }
+
+private:
+    bool handle(int server, wire_request const& request, wire_connection& connection)
+    {
+        if (request.body != fatal_body)
+        {
+            connection.send(server_standin::signed_response(request, "served"));
+            return true;
+        }
+        ++fatal_arrivals_;
+        std::this_thread::sleep_for(milliseconds{50});
+        for (int vm = vms_without_links_; vm < vms_; ++vm)
+        {
+            cluster_.break_link(vm, server, link_fault::reset);
+        }
+        std::lock_guard lock{mutex_};
+        restarts_.emplace_back([this, server] { restart(server); });
+        return false;
+    }
+
+    void restart(int server)
+    {
+        std::this_thread::sleep_for(milliseconds{1500});
+        cluster_.list_server(cluster_.server(server), "ready", ++born_);
+        for (int vm = vms_without_links_; vm < vms_; ++vm)
+        {
+            cluster_.restore_link(vm, server);
+        }
+    }
+
+    entry_cluster&            cluster_;
+    int                       vms_;
+    int                       vms_without_links_;
+    std::atomic<int>          fatal_arrivals_{0};
+    std::atomic<std::int64_t> born_{1'000'000};
+    std::mutex                mutex_;
+    std::vector<std::thread>  restarts_;
+};
+
+// Crashes that a VM without links of its own saw were withdrawn as soon as another VM
+// reached the server, which had started again meanwhile.
+TEST(platform_crashes, request_is_sent_again_through_vms_without_links)
+{
+    constexpr int        vms = 4;
+    constexpr int        servers = 4;
+    constexpr int        without_links = 2;
+    entry_cluster        cluster({.daemons = vms, .servers = servers, .own_links = true});
+    crashes_behind_links service(cluster, vms, without_links, servers);
+    for (int vm = 0; vm < without_links; ++vm)
+    {
+        cluster.break_links(vm, link_fault::reset);
+    }
+    sound_callers sound(cluster, vms);
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{5});
+    sound.count_from_now();
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{4});
+    EXPECT_LE(service.fatal_arrivals(), static_cast<int>(most_fatal_arrivals))
+        << crash_events(cluster, vms);
+    EXPECT_GE(service.fatal_arrivals(), 2);
+    EXPECT_GE(sound.served() * 100, sound.asked() * 95)
+        << sound.served() << " of " << sound.asked();
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -206,34 +206,48 @@
 
 void entry_cluster::break_links(int index, link_fault fault, std::size_t count)
 {
-    auto const& links = links_.at(static_cast<std::size_t>(index));
-    for (std::size_t server = 0; server < std::min(count, links.size()); ++server)
+    auto const servers = links_.at(static_cast<std::size_t>(index)).size();
+    for (std::size_t server = 0; server < std::min(count, servers); ++server)
     {
-        auto& link = *links[server];
-        link.silence_all(fault == link_fault::hang);
-        if (fault == link_fault::hang)
-        {
-            link.hang_new(true);
-            continue;
-        }
-        link.refuse_new(true);
-        if (fault == link_fault::reset)
-        {
-            link.reset_open();
-        }
+        break_link(index, static_cast<int>(server), fault);
     }
 }
 
 void entry_cluster::restore_links(int index)
 {
-    for (auto const& link : links_.at(static_cast<std::size_t>(index)))
+    auto const servers = links_.at(static_cast<std::size_t>(index)).size();
+    for (std::size_t server = 0; server < servers; ++server)
+    {
+        restore_link(index, static_cast<int>(server));
+    }
+}
+
+void entry_cluster::break_link(int index, int server, link_fault fault)
+{
+    auto& link =
+        *links_.at(static_cast<std::size_t>(index)).at(static_cast<std::size_t>(server));
+    link.silence_all(fault == link_fault::hang);
+    if (fault == link_fault::hang)
+    {
+        link.hang_new(true);
+        return;
+    }
+    link.refuse_new(true);
+    if (fault == link_fault::reset)
     {
-        link->silence_all(false);
-        link->refuse_new(false);
-        link->hang_new(false);
+        link.reset_open();
     }
 }
 
+void entry_cluster::restore_link(int index, int server)
+{
+    auto& link =
+        *links_.at(static_cast<std::size_t>(index)).at(static_cast<std::size_t>(server));
+    link.silence_all(false);
+    link.refuse_new(false);
+    link.hang_new(false);
+}
+
 tcp_relay& entry_cluster::store_relay(int index)
 {
     return *store_relays_.at(static_cast<std::size_t>(index));
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -93,6 +93,10 @@
     void break_links(int index, link_fault fault, std::size_t count = 1000);
     void restore_links(int index);
 
+    /// The same for the link between daemon `index` and one server.
+    void break_link(int index, int server, link_fault fault);
+    void restore_link(int index, int server);
+
     server_standin& server(int index);
     store_standin&  store();
     child_process&  daemon(int index = 0);
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -1,58 +1,89 @@
-// Detection of requests that crash servers, as opposed to those in flight at another
-// crash.
+// Detection of requests that crash servers, as opposed to calls that break off for other
+// reasons.
+//
+// Index: 1 helpers, 2 blocked contents, 3 evidence against a crash, 4 updates, 5 bounds
 #include "policy/crash_watch.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 namespace marigoldcrank
 {
 namespace
 {
 
+// 1. Helpers
+
 boot_clock::time_point at(int ms)
 {
     return boot_clock::time_point{std::chrono::hours{1} + millis{ms}};
 }
 
+/// A call of content "c" that broke off after 50 ms.
 crash_update crash(std::string const& server, std::string const& call)
 {
-    return {.content = "c", .server = server, .call_id = call};
+    return {.content = "c", .server = server, .call_id = call, .ran = millis{50}};
+}
+
+/// Records a crash of a call whose connection was new.
+bool record(crash_watch& watch, crash_update const& update, int ms)
+{
+    return watch.record_crash(update, at(ms) - update.ran, at(ms));
 }
 
 /// Delivers all updates that `from` publishes to `to`.
 void deliver(crash_watch& from, crash_watch& to, int ms)
 {
-    for (auto const& each : from.updates(at(ms)))
+    for (auto const& each : from.take_updates(at(ms)))
     {
-        to.merge(each, at(ms));
+        to.merge(each.crash, update_source::centre, at(ms));
     }
 }
 
+// 2. Blocked contents
+
 TEST(crash_watch, two_crashes_on_two_vms_block_a_request_on_all)
 {
     crash_watch one;
     crash_watch other;
-    EXPECT_TRUE(one.record_crash(crash("s1", "1"), at(0)));
+    EXPECT_TRUE(record(one, crash("s1", "1"), 0));
     deliver(one, other, 150);
     EXPECT_FALSE(other.blocked("c", at(150)));
-    EXPECT_TRUE(
-        other.record_crash(crash("s1", "2"), at(1000))); // restarted under the same id
+    EXPECT_TRUE(record(other, crash("s1", "2"), 1000)); // restarted under the same id
     deliver(other, one, 1150);
     EXPECT_TRUE(one.blocked("c", at(1150)));
     EXPECT_TRUE(other.blocked("c", at(1150)));
-    EXPECT_FALSE(one.blocked("c", at(62'000)));
+}
+
+// A blocked request crashed servers anew every minute.
+TEST(crash_watch, block_ends_after_a_minute)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 1000);
+    int crashes = 2;
+    for (int ms = 1000; ms < 86'400'000; ms += 1000)
+    {
+        if (!watch.blocked("c", at(ms)))
+        {
+            record(watch, crash("s3", std::to_string(++crashes)), ms);
+        }
+    }
+    EXPECT_LE(crashes, 6); // a day; three after the third
 }
 
 // Two callers send the same request when its server crashes for another reason, and both
 // calls end at once, at two VMs. If they counted as two crashes, the request would be
-// refused for a minute.
+// refused.
 TEST(crash_watch, calls_broken_by_one_server_crash_count_once)
 {
     crash_watch one;
     crash_watch other;
-    one.record_crash(crash("s1", "1"), at(0));
-    EXPECT_FALSE(one.record_crash(crash("s1", "2"), at(3)));
-    other.record_crash(crash("s1", "3"), at(5));
+    record(one, crash("s1", "1"), 0);
+    record(one, crash("s1", "2"), 3);
+    record(other, crash("s1", "3"), 5);
     for (int ms = 150; ms < 3000; ms += 150)
     {
         deliver(one, other, ms);
@@ -62,9 +93,49 @@
     }
 }
 
+// Several servers were lost at once, each with a call of a popular content.
+TEST(crash_watch, servers_lost_together_block_what_they_ran)
+{
+    crash_watch watch;
+    for (int server = 0; server < 10; ++server)
+    {
+        auto const name = std::to_string(server);
+        record(watch, crash(name, name), server);
+    }
+    EXPECT_FALSE(watch.blocked("c", at(10)));
+}
+
+// A call that is retried after its first server crashed, and crashes the next one.
+TEST(crash_watch, retry_within_a_call_counts_as_a_second_crash)
+{
+    crash_watch one;
+    crash_watch other;
+    record(one, crash("s1", "1"), 0);
+    deliver(one, other, 18); // arrives late, so it seems to have ended later
+    record(one, crash("s2", "1"), 50);
+    EXPECT_TRUE(one.blocked("c", at(50)));
+    deliver(one, other, 150);
+    EXPECT_TRUE(other.blocked("c", at(150)));
+}
+
+// The calls that were waiting at a server that had crashed before broke off when the VM
+// used its old connections.
+TEST(crash_watch, calls_over_connections_of_a_crashed_server_are_suspected)
+{
+    crash_watch  watch;
+    auto const   connected = at(-1000);
+    crash_update later = crash("s1", "2");
+    later.ran = millis{5};
+    EXPECT_TRUE(watch.record_crash(crash("s1", "1"), connected, at(0)));
+    EXPECT_FALSE(watch.record_crash(later, connected, at(100)));
+    EXPECT_TRUE(watch.record_crash(crash("s1", "3"), at(2000), at(2100)));
+}
+
+// 3. Evidence against a crash
+
 // A harmless request loses its connection now and then, and another server completes it
-// each time. If complete responses did not clear it, the second lost connection within a
-// minute would block it.
+// each time. If complete responses did not clear it, the second lost connection would
+// block it.
 TEST(crash_watch, a_complete_response_clears_a_suspect_on_all_vms)
 {
     crash_watch one;
@@ -73,9 +144,9 @@
     {
         auto const begin = round * 5000;
         auto const call = std::to_string(round);
-        EXPECT_TRUE(one.record_crash(crash("s1", call), at(begin)));
+        EXPECT_TRUE(record(one, crash("s1", call), begin));
         deliver(one, other, begin + 150);
-        one.record_response("c", at(begin + 200));
+        EXPECT_EQ(one.record_completion("c", at(begin + 10), at(begin + 200)).size(), 1U);
         for (int ms = begin + 300; ms < begin + 3000; ms += 150)
         {
             deliver(one, other, ms);
@@ -86,42 +157,142 @@
     }
 }
 
-TEST(crash_watch, published_updates_are_bounded_in_time_and_number)
+// A response to a call that had begun before the crash says nothing about it.
+TEST(crash_watch, response_to_an_earlier_call_clears_a_crash)
 {
     crash_watch watch;
-    for (int call = 0; call < 500; ++call)
-    {
-        watch.record_crash({std::to_string(call), "s", std::to_string(call)}, at(0));
-    }
-    EXPECT_EQ(watch.updates(at(1)).size(), 64U);
-    EXPECT_TRUE(watch.updates(at(4000)).empty());
+    record(watch, crash("s1", "1"), 0);
+    EXPECT_TRUE(watch.record_completion("c", at(-10), at(200)).empty());
+    record(watch, crash("s2", "2"), 500);
+    EXPECT_TRUE(watch.blocked("c", at(500)));
 }
 
 // A VM that lost its links suspected every content in flight, and told the others.
-TEST(crash_watch, withdrawn_crashes_are_cleared_on_all_vms)
+TEST(crash_watch, crash_of_a_server_that_responds_over_an_older_connection_is_withdrawn)
 {
     crash_watch one;
     crash_watch other;
-    one.record_crash(crash("s1", "1"), at(0));
+    record(one, crash("s1", "1"), 0);
     deliver(one, other, 150);
-    one.record_crash(crash("s2", "2"), at(3000));
+    record(one, crash("s2", "2"), 3000);
     deliver(one, other, 3100);
     EXPECT_TRUE(other.blocked("c", at(3100)));
-    one.withdraw_since(at(2900), at(3200));
-    one.withdraw_since(at(2900), at(3250)); // links to another service are lost too
-    deliver(one, other, 3300);
+    EXPECT_EQ(other.record_response("s2", at(1000), at(3150), at(3200)).size(), 1U);
+    deliver(other, one, 3300);
     EXPECT_FALSE(one.blocked("c", at(3300)));
     EXPECT_FALSE(other.blocked("c", at(3300)));
+    deliver(one, other, 3400); // copies that are under way don't bring it back
+    EXPECT_FALSE(other.blocked("c", at(3400)));
 }
 
-// Crashes from before the loss of the links count on.
-TEST(crash_watch, earlier_crashes_are_not_withdrawn)
+TEST(crash_watch, response_of_another_server_or_to_an_earlier_request_withdraws_a_crash)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 500);
+    EXPECT_TRUE(watch.record_response("s1", at(-900), at(-100), at(600)).empty());
+    EXPECT_TRUE(watch.record_response("s3", at(-900), at(510), at(600)).empty());
+    EXPECT_TRUE(watch.blocked("c", at(600)));
+}
+
+// A server that had started again under its id was taken for one that had never crashed.
+TEST(crash_watch, response_after_a_restart_withdraws_a_crash)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 500);
+    EXPECT_TRUE(watch.record_response("s1", at(2000), at(2000), at(2010)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(3000)).empty());
+    watch.server_ended("s1");
+    EXPECT_TRUE(watch.withdraw_disproved(at(9000)).empty());
+    EXPECT_TRUE(watch.blocked("c", at(9000)));
+}
+
+TEST(crash_watch,
+     response_over_a_new_connection_withdraws_a_crash_unless_a_restart_is_seen)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 500);
+    EXPECT_TRUE(watch.record_response("s1", at(600), at(600), at(610)).empty());
+    EXPECT_TRUE(watch.blocked("c", at(700)));
+    EXPECT_EQ(watch.withdraw_disproved(at(3700)).size(), 1U);
+    EXPECT_FALSE(watch.blocked("c", at(3700)));
+}
+
+// 4. Updates
+
+TEST(crash_watch, published_updates_are_bounded_in_time_and_number)
+{
+    crash_watch           watch;
+    std::set<std::string> published;
+    for (int call = 0; call < 500; ++call)
+    {
+        auto const name = std::to_string(call);
+        watch.record_crash({.content = name, .server = "s", .call_id = name}, at(0),
+                           at(0));
+    }
+    // Each is published early, whatever else broke off with it.
+    for (int ms = 1; ms < 8 * 150; ms += 150)
+    {
+        auto const updates = watch.take_updates(at(ms));
+        EXPECT_EQ(updates.size(), 64U);
+        for (auto const& each : updates)
+        {
+            published.insert(each.crash.content);
+        }
+    }
+    EXPECT_EQ(published.size(), 500U);
+    EXPECT_TRUE(watch.take_updates(at(4000)).empty());
+}
+
+// Blocks were published for three seconds only, so a VM that started later knew none.
+TEST(crash_watch, block_is_unknown_to_a_vm_that_started_later)
 {
     crash_watch one;
-    one.record_crash(crash("s1", "1"), at(0));
-    one.record_crash(crash("s2", "2"), at(500));
-    one.withdraw_since(at(2900), at(3200));
-    EXPECT_TRUE(one.blocked("c", at(3300)));
+    crash_watch later;
+    record(one, crash("s1", "1"), 0);
+    record(one, crash("s2", "2"), 1000);
+    one.take_updates(at(9'000));
+    EXPECT_TRUE(one.take_updates(at(9'150)).empty());
+    one.republish();
+    deliver(one, later, 9'300);
+    EXPECT_TRUE(later.blocked("c", at(60'500)));
+    EXPECT_FALSE(later.blocked("c", at(61'500))); // as at the VM that saw the crashes
+}
+
+// A VM that was frozen while a withdrawal was published blocked the content again.
+TEST(crash_watch, withdrawal_that_a_vm_has_missed_is_repeated)
+{
+    crash_watch one;
+    crash_watch frozen;
+    record(one, crash("s1", "1"), 0);
+    record(one, crash("s2", "2"), 500);
+    deliver(one, frozen, 600);
+    one.record_response("s1", at(-100), at(600), at(700));
+    one.take_updates(at(8000));
+    deliver(frozen, one, 8000);
+    EXPECT_FALSE(one.blocked("c", at(8000)));
+    deliver(one, frozen, 8150);
+    EXPECT_FALSE(frozen.blocked("c", at(8150)));
+}
+
+// 5. Bounds
+
+// A flood of other contents must not free one that is blocked.
+TEST(crash_watch, flood_of_contents_frees_a_blocked_one)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 500);
+    for (int call = 0; call < 20'000; ++call)
+    {
+        auto const name = std::to_string(call);
+        watch.merge({.content = name, .server = "s", .call_id = name},
+                    update_source::centre, at(1000 + call));
+        ASSERT_LE(watch.size(), crash_watch_options{}.max_calls + 1);
+    }
+    EXPECT_TRUE(watch.blocked("c", at(30'000)));
 }
 
 } // namespace
