Contents are checked before every attempt, not only on arrival

What callers saw: one repeatable call crashed four servers, as many as its route allows attempts, although its content was blocked after the second. A call that waits, is retried, resumed or goes from prefill to decode asks again before it is sent; it ends as not run, with the Retry-After of blocked contents, unless it may have run.

--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// 5000 ms; a request that has crashed two servers isn't run again, but its caller may
-//      have changed it by then
-constexpr millis poison_retry_after{5000};
 // 60000 ms; deadline of calls that state none
 constexpr millis default_timeout{60000};
 
--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -1,6 +1,6 @@
 // Decides whether a call is admitted, by rules, API key, content, and age of the rules.
 //
-// Index: 1 admitted_call, 2 admit_call, 3 refusal_retry_after
+// Index: 1 refusal_retry_after, poison_retry_after, 2 admitted_call, 3 admit_call
 #ifndef MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 #define MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 
@@ -16,6 +16,9 @@
 
 // 300  ms; Retry-After of refusals whose cause is expected to pass soon
 constexpr millis refusal_retry_after{300};
+// 5000 ms; a request that has crashed two servers isn't run again, but its caller may
+//      have changed it by then
+constexpr millis poison_retry_after{5000};
 
 /// What the rules in force at its arrival say about a call. The pointers lead into
 /// `rules`, which this struct keeps alive.
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -55,6 +55,10 @@
         last_fault_ = "deadline";
         return false;
     }
+    if (content_blocked())
+    {
+        return false;
+    }
     return history_.allows(terms()) && (!history_.is_retry() || take_retry());
 }
 
@@ -63,8 +67,19 @@
     return history_.allows(terms()) && time_left();
 }
 
+bool call_attempts::content_blocked()
+{
+    bool const blocked = state_.crashes.blocked(admitted_.content, boot_clock::now());
+    last_fault_ = blocked ? "poison" : last_fault_;
+    return blocked;
+}
+
 bool call_attempts::may_run_after_prefill()
 {
+    if (content_blocked())
+    {
+        return false;
+    }
     if (prefill_failed_ && !take_retry())
     {
         return false;
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -112,6 +112,9 @@
     }
 
 private:
+    /// Whether the content has been blocked since the call was admitted.
+    bool content_blocked();
+
     std::vector<candidate> candidates_except(std::set<std::string> const& tried);
 
     attempt_limits terms() const;
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -753,6 +753,10 @@
     /// that callers don't return all at once.
     millis retry_after()
     {
+        if (attempts_.fault() == "poison")
+        {
+            return poison_retry_after;
+        }
         auto const now = boot_clock::now();
         auto const hold = state_.first_hold_end(attempts_.scope(), now);
         bool const all_held =
