--- a/src/domain/caller_call.hpp
+++ b/src/domain/caller_call.hpp
@@ -32,6 +32,7 @@
     std::string              target; // path and query as received
     std::string              key;    // API key; empty: none was sent
     std::optional<millis>    caller_timeout; // caller's max. wait, ms; none: not stated
+    std::string              model;          // empty: not stated
     std::vector<prompt_part> prompt;         // in order; only this call has the last part
     std::int64_t             output_tokens = 0; // max. tokens to generate
     std::optional<std::int64_t> stated_tokens; // prompt and max. output; none: not stated
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -15,6 +15,7 @@
 #define MARIGOLDCRANK_POLICY_CRASH_WATCH_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/prompt_parts.hpp"
 #include "policy/update_source.hpp"
 
 #include <cstddef>
@@ -32,12 +33,13 @@
 /// A call that broke off at its server, as VMs publish it to each other.
 struct crash_update
 {
-    std::string content;           // hash of path, caller and body
-    std::string server;            // lost while it ran the call
-    std::string call_id;           // a restarted server may keep its id
-    millis      ran{0};            // from sending the call until its connection ended
-    millis      age{0};            // since then
-    bool        withdrawn = false; // the call did not crash the server
+    std::string           content; // hash of path, caller and body
+    std::string           server;  // lost while it ran the call
+    std::string           call_id; // a restarted server may keep its id
+    std::vector<part_key> parts{}; // shared ones of its prompt; none if it had events
+    millis                ran{0};  // from sending the call until its connection ended
+    millis                age{0};  // since then
+    bool                  withdrawn = false; // the call did not crash the server
 
     auto operator<=>(crash_update const&) const = default;
 };
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -63,6 +63,7 @@
     bool const fresh = state.keys_fresh(arrived);
     admitted.rules = state.view.rules;
     admitted.content = content_hash(call, body);
+    admitted.parts = shared_part_keys(call);
     if (!admitted.rules)
     {
         return own_response{503, call_fate::not_run, "no_rules", refusal_retry_after};
--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -29,10 +29,11 @@
     service const*   target = nullptr; // null: the rules don't describe the service
     workspace const* caller_workspace = nullptr; // null: the call carries no valid key
     std::string      service_name;
-    std::string  content;  // hash of path, caller and body; identifies crashing requests
-    std::int64_t rank = 0; // place in the order of urgency, most urgent first
-    bool         repeatable = false; // the call may run more than once
-    loop_time    deadline{};         // of the final response
+    std::string content; // hash of path, caller and body; identifies crashing requests
+    std::vector<part_key> parts;    // shared ones of its prompt
+    std::int64_t          rank = 0; // place in the order of urgency, most urgent first
+    bool                  repeatable = false; // the call may run more than once
+    loop_time             deadline{};         // of the final response
 };
 
 /// The longest time for which the caller may go on trying: what it states, within bounds,
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -9,6 +9,14 @@
 
 // 20  ms; with less time left no server can respond before the deadline
 constexpr millis min_time_left{20};
+// 250 ms; a server that crashes as it begins to write a response has ended within this
+constexpr millis crash_time{250};
+
+/// Whether the server may have ended because it began to write this response.
+bool may_have_just_begun(attempt_result const& result, boot_clock::time_point now)
+{
+    return !result.first_event || now - *result.first_event < crash_time;
+}
 
 } // namespace
 
@@ -197,13 +205,16 @@
     auto const  listed = state_.servers.servers().find(server);
     bool const  leaving =
         listed == state_.servers.servers().end() || listed->second.leaving;
-    auto const         now = boot_clock::now();
-    crash_update const crash{.content = admitted_.content,
-                             .server = server,
-                             .call_id = call_.id,
-                             .ran =
-                                 std::chrono::duration_cast<millis>(now - result.sent)};
-    bool const         ended = last_fault_ == "broken";
+    auto const   now = boot_clock::now();
+    crash_update crash{.content = admitted_.content,
+                       .server = server,
+                       .call_id = call_.id,
+                       .ran = std::chrono::duration_cast<millis>(now - result.sent)};
+    if (may_have_just_begun(result, now))
+    {
+        crash.parts = admitted_.parts;
+    }
+    bool const ended = last_fault_ == "broken";
     if (ended && !leaving && state_.crashes.record_crash(crash, result.connected, now))
     {
         state_.log_crash("suspect", crash, now);
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -28,6 +28,8 @@
     std::string_view       framing;         // of the response, for logs; empty: none
     boot_clock::time_point sent{};          // the request
     boot_clock::time_point connected{};     // its connection was made
+    // The first event of the server, if it has sent one.
+    std::optional<boot_clock::time_point> first_event{};
 };
 
 /// Decides on attempts from the rules, the deadline, the service's retry budget and the
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -499,6 +499,7 @@
         exchange               link{state_, server, permit};
         current_exchange_guard use{*this, link};
         load_share             share{state_, server.id, planned.prefill_tokens};
+        first_event_.reset();
         log_.attempt_started({server.id, server.version, source.empty() ? "call" : "run",
                               attempts_.history().runs(), planned,
                               source.empty() ? fetch_server_ : std::string_view{}},
@@ -582,7 +583,9 @@
         }
         if (stream_.chunk_count() > events)
         {
-            timing_.record_events(boot_clock::now());
+            auto const now = boot_clock::now();
+            timing_.record_events(now);
+            first_event_ = first_event_.value_or(now);
         }
         if (stream_.started() && !began)
         {
@@ -681,7 +684,7 @@
         co_return co_await link.start(std::move(request));
     }
 
-    static attempt_result result_of(exchange& link, attempt_outcome fate)
+    attempt_result result_of(exchange& link, attempt_outcome fate) const
     {
         return {.server = link.server().id,
                 .fate = fate,
@@ -690,7 +693,8 @@
                 .proxied = link.proxied(),
                 .framing = link.framing(),
                 .sent = link.sent_at(),
-                .connected = link.connected()};
+                .connected = link.connected(),
+                .first_event = first_event_};
     }
 
     static std::string address_of(backend_server const* server)
@@ -830,7 +834,8 @@
     std::string            server_failure_; // a server's own failure, as formatted bytes
     unsigned               server_failure_status_ = 0;
     boot_clock::time_point run_sent_at_{};
-    placement              run_plan_; // of the latest attempt; its pointers may dangle
+    std::optional<boot_clock::time_point> first_event_; // of the current attempt
+    placement   run_plan_;     // of the latest attempt; its pointers may dangle
     std::string fetch_from_;   // address of an engine that has parts of the prompt cached
     std::string fetch_server_; // id of that engine
     bool        hold_waited_ = false;
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -470,6 +470,25 @@
     }
 }
 
+namespace
+{
+
+/// Keys of parts, separated by commas.
+std::string format_parts(std::vector<part_key> const& parts)
+{
+    std::string result;
+    for (auto const part : parts)
+    {
+        std::array<char, 17> text{};
+        std::snprintf(text.data(), text.size(), "%016llx",
+                      static_cast<unsigned long long>(part));
+        result.append(result.empty() ? "" : ",").append(text.data());
+    }
+    return result;
+}
+
+} // namespace
+
 void entry_state::log_crash(std::string_view event, crash_update const& crash,
                             boot_clock::time_point now)
 {
@@ -478,6 +497,7 @@
                   .add("content", crash.content)
                   .add("server", crash.server)
                   .add("id", crash.call_id)
+                  .add("parts", format_parts(crash.parts))
                   .add("blocked", crashes.blocked(crash.content, now) ? 1 : 0),
               now);
 }
