--- a/tests/platform/support/crashing_server.cpp
+++ b/tests/platform/support/crashing_server.cpp
@@ -45,6 +45,10 @@
             std::lock_guard lock{mutex_};
             fatal_arrivals_.push_back(std::chrono::steady_clock::now());
         }
+        if (options_.begin_response)
+        {
+            options_.begin_response(request, connection);
+        }
         std::this_thread::sleep_for(options_.crash_after);
         crash();
         return false;
--- a/tests/platform/support/crashing_server.hpp
+++ b/tests/platform/support/crashing_server.hpp
@@ -22,6 +22,8 @@
 {
     // Whether a request crashes the server.
     std::function<bool(wire_request const&)> crashes_on;
+    // What it sends before it crashes; none: nothing.
+    std::function<void(wire_request const&, wire_connection&)> begin_response;
     // 50    ms from the arrival of such a request until the process ends
     std::chrono::milliseconds crash_after{50};
     // 1500  ms for which the address refuses connections
