Crashes that are heard of after a restart of the server aren't withdrawn

What callers saw: a request that crashes servers was sent to two servers more, on a VM that heard of its crashes late. Cause: a response over a new connection disproves a crash unless a restart is seen afterwards, but the restart had been seen before the crash was heard of. The end of a server is remembered for a minute, so that a crash before it is known to be real.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -39,6 +39,8 @@
     if (added)
     {
         by_content_[crash.content].insert(key);
+        auto const end = server_ends_.find(crash.server);
+        at->second.server_ended = end != server_ends_.end() && end->second >= ended;
         evict(now);
     }
     return added;
@@ -169,8 +171,9 @@
     return withdrawn;
 }
 
-void crash_watch::server_ended(std::string const& server)
+void crash_watch::server_ended(std::string const& server, boot_clock::time_point now)
 {
+    server_ends_[server] = now;
     for (auto at = calls_.lower_bound({server, ""});
          at != calls_.end() && at->first.first == server; ++at)
     {
@@ -326,6 +329,8 @@
         return;
     }
     next_expiry_ = now + expiry_interval;
+    std::erase_if(server_ends_, [&](auto const& each)
+                  { return now - each.second >= options_.keep_ends; });
     std::vector<call_key> expired;
     for (auto const& [key, call] : calls_)
     {
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -69,6 +69,8 @@
     //       further crash, up to a day, so that one that crashes servers does so rarely
     millis first_block{60'000};
     millis longest_block{86'400'000};
+    // 60000 ms; an update on a crash takes less time to arrive
+    millis keep_ends{60'000};
     // 86400000 ms; a crash is remembered unless it is withdrawn
     millis keep{86'400'000};
     // 20    ms; error of times that other VMs state
@@ -108,7 +110,7 @@
 
     /// Records that a server's incarnation has ended: responses under its id are of
     /// another one from now on.
-    void server_ended(std::string const& server);
+    void server_ended(std::string const& server, boot_clock::time_point now);
 
     /// Withdraws crashes at servers that have responded since, if no restart of them has
     /// become known meanwhile. Returns these crashes.
@@ -165,12 +167,13 @@
     void evict(boot_clock::time_point now);
     void erase(call_key const& key);
 
-    crash_watch_options                       options_;
-    std::map<call_key, broken_call>           calls_;
-    std::map<std::string, std::set<call_key>> by_content_;
-    std::set<call_key>                        responded_; // not yet withdrawn
-    boot_clock::time_point                    next_republish_{};
-    boot_clock::time_point                    next_expiry_{};
+    crash_watch_options                           options_;
+    std::map<call_key, broken_call>               calls_;
+    std::map<std::string, std::set<call_key>>     by_content_;
+    std::set<call_key>                            responded_;   // not yet withdrawn
+    std::map<std::string, boot_clock::time_point> server_ends_; // by server
+    boot_clock::time_point                        next_republish_{};
+    boot_clock::time_point                        next_expiry_{};
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -534,7 +534,7 @@
 
 void entry_state::forget_server(std::string const& server)
 {
-    crashes.server_ended(server);
+    crashes.server_ended(server, boot_clock::now());
     health.forget(server);
     limits.forget(server);
     holds.forget(server);
--- a/tests/property/crash_watch_property_test.cpp
+++ b/tests/property/crash_watch_property_test.cpp
@@ -246,7 +246,7 @@
             }
             for (auto& watch : watches_)
             {
-                watch.server_ended(former);
+                watch.server_ended(former, now_);
             }
         }
     }
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -203,11 +203,23 @@
     record(watch, crash("s2", "2"), 500);
     EXPECT_TRUE(watch.record_response("s1", at(2000), at(2000), at(2010)).empty());
     EXPECT_TRUE(watch.withdraw_disproved(at(3000)).empty());
-    watch.server_ended("s1");
+    watch.server_ended("s1", at(3100));
     EXPECT_TRUE(watch.withdraw_disproved(at(9000)).empty());
     EXPECT_TRUE(watch.blocked("c", at(9000)));
 }
 
+// The news of a crash arrived after the restart.
+TEST(crash_watch, response_after_a_restart_withdraws_a_crash_that_is_heard_late)
+{
+    crash_watch watch;
+    watch.server_ended("s1", at(1500));
+    auto late = crash("s1", "1");
+    late.age = millis{1600};
+    watch.merge(late, update_source::centre, at(1600));
+    EXPECT_TRUE(watch.record_response("s1", at(1700), at(1700), at(1710)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(9000)).empty());
+}
+
 TEST(crash_watch,
      response_over_a_new_connection_withdraws_a_crash_unless_a_restart_is_seen)
 {
