Prompt parts that crash engines are found and refused

Cause: what was suspected was the whole request, the finest of its features, so that requests which share a part never added up.

Now the shared parts of calls that break off before or as their response begins count as well. Parts that always stood together are suspected together: only calls that have all are refused, so that others tell them apart. Blocks end like those of contents, at different times on the VMs, with one call as trial. VMs publish which suspected parts are sound. Updates are repeated at growing intervals, five times instead of twenty, but what blocks calls for three seconds after each crash, and at once to a VM that has just started.

--- /dev/null
+++ b/src/policy/crash_update.hpp
@@ -0,0 +1,69 @@
+// What VMs tell each other about calls that broke off, and what calls have in common.
+//
+// Index: 1 crash_update, 2 published_crash, published_part, 3 call_features,
+//        4 crash_verdict
+#ifndef MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
+#define MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
+
+#include "policy/sound_parts.hpp"
+#include "policy/update_source.hpp"
+
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// A call that broke off at its server, as VMs publish it to each other.
+struct crash_update
+{
+    std::string           content; // hash of path, caller and body
+    std::string           server;  // lost while it ran the call
+    std::string           call_id; // a restarted server may keep its id
+    std::vector<part_key> parts{}; // shared ones of its prompt; none if it had events
+    millis                ran{0};  // from sending the call until its connection ended
+    millis                age{0};  // since then
+    bool                  withdrawn = false; // the call did not crash the server
+
+    auto operator<=>(crash_update const&) const = default;
+};
+
+/// An update to publish, and who needs it.
+struct published_crash
+{
+    crash_update  crash;
+    update_source source = update_source::own;
+    bool          standing = false; // blocks calls; also for VMs that have just started
+
+    bool operator==(published_crash const&) const = default;
+};
+
+struct published_part
+{
+    sound_part    part;
+    update_source source = update_source::own;
+
+    bool operator==(published_part const&) const = default;
+};
+
+/// What a call may have in common with one that crashed a server.
+struct call_features
+{
+    std::string           content; // hash of path, caller and body
+    std::vector<part_key> parts;   // shared ones of its prompt, in ascending order
+    std::string           call_id;
+
+    bool operator==(call_features const&) const = default;
+};
+
+/// Whether a call may run.
+enum class crash_verdict
+{
+    may_run,
+    content_blocked,
+    parts_blocked
+};
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -1,8 +1,11 @@
 // Records of broken calls, what disproves a crash, and what is published.
 //
-// Index: 1 records, 2 evidence against a crash, 3 blocked contents, 4 updates, 5 bounds
+// Index: 1 records, 2 evidence against a crash, 3 blocked contents and parts, 4 updates,
+//        5 bounds
 #include "policy/crash_watch.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -13,13 +16,53 @@
 namespace
 {
 
-constexpr int blocking_crashes = 2;
+constexpr int blocking_crashes = 2; // of a content
 // 1000  ms; between removals of expired records
 constexpr millis expiry_interval{1000};
 
+/// At most `count` of the parts. Which of many depends on the call, so that a part that
+/// many calls share is among those of some.
+std::vector<part_key> some_of(std::vector<part_key> parts, std::size_t count,
+                              std::string const& call_id)
+{
+    if (parts.size() > count)
+    {
+        auto const seed = XXH3_64bits(call_id.data(), call_id.size());
+        auto const rank = [&](part_key part)
+        {
+            return XXH3_64bits_withSeed(&part, sizeof part, seed);
+        };
+        std::sort(parts.begin(), parts.end(),
+                  [&](part_key left, part_key right)
+                  { return rank(left) < rank(right); });
+        parts.resize(count);
+        std::sort(parts.begin(), parts.end());
+    }
+    return parts;
+}
+
+/// The name of the block of these parts.
+std::string name_of(std::vector<part_key> const& parts)
+{
+    std::string result;
+    for (auto const part : parts)
+    {
+        result.append(std::to_string(part)).append(",");
+    }
+    return result;
+}
+
+bool has_all(std::vector<part_key> const& parts, std::vector<part_key> const& wanted)
+{
+    return std::includes(parts.begin(), parts.end(), wanted.begin(), wanted.end());
+}
+
 } // namespace
 
-crash_watch::crash_watch(crash_watch_options options) : options_(options) {}
+crash_watch::crash_watch(crash_watch_options options)
+    : options_(std::move(options)), sound_(options_.max_sound_parts)
+{
+}
 
 // 1. Records
 
@@ -29,21 +72,35 @@
     expire(now);
     call_key const key{crash.server, crash.call_id};
     auto const     ended = now - crash.age;
-    auto const [at, added] =
-        calls_.try_emplace(key, broken_call{.content = crash.content,
-                                            .sent = ended - crash.ran,
-                                            .ended = ended,
-                                            .source = source,
-                                            .published_until = now + options_.publish_for,
-                                            .withdrawn = crash.withdrawn});
-    if (added)
+    auto const [at, added] = calls_.try_emplace(
+        key, broken_call{.content = crash.content,
+                         .parts = some_of(crash.parts, options_.max_parts, crash.call_id),
+                         .sent = ended - crash.ran,
+                         .ended = ended,
+                         .source = source,
+                         .next_publication = now,
+                         .withdrawn = crash.withdrawn});
+    if (!added)
+    {
+        return false;
+    }
+    by_content_[crash.content].insert(key);
+    auto const end = server_ends_.find(crash.server);
+    at->second.server_ended = end != server_ends_.end() && end->second >= ended;
+    if (!crash.withdrawn)
     {
-        by_content_[crash.content].insert(key);
-        auto const end = server_ends_.find(crash.server);
-        at->second.server_ended = end != server_ends_.end() && end->second >= ended;
-        evict(now);
+        for (auto const part : at->second.parts)
+        {
+            by_part_[part].insert(key);
+            if (sound_.latest(part))
+            {
+                publish(part, update_source::own, now);
+            }
+        }
+        find_suspects(at->second.parts);
     }
-    return added;
+    evict();
+    return true;
 }
 
 bool crash_watch::record_crash(crash_update const&    crash,
@@ -70,8 +127,9 @@
     {
         return false; // of a release that cleared contents
     }
-    bool const was_blocked = blocked(update.content, now);
-    auto const known = calls_.find({update.server, update.call_id});
+    call_features const content{.content = update.content, .parts = {}, .call_id = ""};
+    bool const          was_blocked = evaluate(content, now) != crash_verdict::may_run;
+    auto const          known = calls_.find({update.server, update.call_id});
     if (known == calls_.end())
     {
         add(update, source, now);
@@ -85,7 +143,8 @@
     else if (!update.withdrawn && known->second.withdrawn)
     {
         // The other VM has missed the withdrawal.
-        known->second.published_until = now + options_.publish_for;
+        known->second.publications = 0;
+        known->second.next_publication = now;
     }
     else
     {
@@ -95,7 +154,13 @@
         call.sent -= call.ended - ended;
         call.ended = ended;
     }
-    return !was_blocked && blocked(update.content, now);
+    return !was_blocked && evaluate(content, now) != crash_verdict::may_run;
+}
+
+void crash_watch::merge(sound_part const& update, update_source source,
+                        boot_clock::time_point now)
+{
+    record_sound(update.part, source, now - update.age, now);
 }
 
 crash_update crash_watch::update_of(call_key const& key, broken_call const& call,
@@ -104,6 +169,7 @@
     return {.content = call.content,
             .server = key.first,
             .call_id = key.second,
+            .parts = call.withdrawn ? std::vector<part_key>{} : call.parts,
             .ran = std::chrono::duration_cast<millis>(call.ended - call.sent),
             .age = std::chrono::duration_cast<millis>(now - call.ended),
             .withdrawn = call.withdrawn};
@@ -115,9 +181,10 @@
                            std::vector<crash_update>& withdrawn)
 {
     auto& call = calls_.at(key);
+    forget_parts(key, call);
     call.withdrawn = true;
     call.source = update_source::own;
-    call.published_until = now + options_.publish_for;
+    call.next_publication = now;
     call.publications = 0;
     responded_.erase(key);
     withdrawn.push_back(update_of(key, call, now));
@@ -150,20 +217,24 @@
     return withdrawn;
 }
 
-std::vector<crash_update> crash_watch::record_completion(std::string const&     content,
+std::vector<crash_update> crash_watch::record_completion(call_features const&   call,
                                                          boot_clock::time_point sent,
                                                          boot_clock::time_point now)
 {
+    for (auto const part : call.parts)
+    {
+        record_sound(part, update_source::own, sent, now);
+    }
     std::vector<crash_update> withdrawn;
-    auto const                found = by_content_.find(content);
+    auto const                found = by_content_.find(call.content);
     if (found == by_content_.end())
     {
         return withdrawn;
     }
     for (auto const& key : found->second)
     {
-        auto const& call = calls_.at(key);
-        if (!call.withdrawn && call.ended < sent)
+        auto const& broken = calls_.at(key);
+        if (!broken.withdrawn && broken.ended < sent)
         {
             withdraw(key, now, withdrawn);
         }
@@ -171,6 +242,30 @@
     return withdrawn;
 }
 
+void crash_watch::record_sound(part_key part, update_source source,
+                               boot_clock::time_point sent, boot_clock::time_point now)
+{
+    auto const before = sound_.latest(part);
+    sound_.record(part, sent);
+    auto const suspected = by_part_.find(part);
+    if (suspected == by_part_.end())
+    {
+        return;
+    }
+    bool const is_news =
+        !before || std::any_of(suspected->second.begin(), suspected->second.end(),
+                               [&](call_key const& key)
+                               {
+                                   auto const ended = calls_.at(key).ended;
+                                   return *before <= ended && ended < sent;
+                               });
+    if (is_news)
+    {
+        publish(part, source, now);
+        find_suspects({part});
+    }
+}
+
 void crash_watch::server_ended(std::string const& server, boot_clock::time_point now)
 {
     server_ends_[server] = now;
@@ -196,7 +291,7 @@
     return withdrawn;
 }
 
-// 3. Blocked contents
+// 3. Blocked contents and parts
 
 int crash_watch::crashes_of(std::set<call_key> const& keys) const
 {
@@ -227,77 +322,232 @@
     return crashes;
 }
 
-millis crash_watch::block_after(int crashes) const
+boot_clock::time_point crash_watch::block_end(std::string const&     name,
+                                              boot_clock::time_point last, millis first,
+                                              int further) const
 {
-    constexpr int growth = 10;
-    auto          result = options_.first_block;
-    for (int further = blocking_crashes;
-         further < crashes && result < options_.longest_block; ++further)
+    constexpr int    growth = 10;
+    constexpr double steps = 1024;
+    auto             length = first;
+    for (int crash = 0; crash < further && length < options_.longest_block; ++crash)
     {
-        result *= growth;
+        length *= growth;
     }
-    return std::min(result, options_.longest_block);
+    length = std::min(length, options_.longest_block);
+    auto const own = options_.vm + '\n' + name;
+    auto const step = static_cast<double>(XXH3_64bits(own.data(), own.size()) %
+                                          static_cast<std::uint64_t>(steps));
+    return last + length +
+           std::chrono::duration_cast<boot_clock::duration>(length * (step / steps));
 }
 
-bool crash_watch::blocked(std::set<call_key> const& keys,
-                          boot_clock::time_point    now) const
+boot_clock::time_point crash_watch::block_end(std::string const&        content,
+                                              std::set<call_key> const& keys) const
 {
     auto const crashes = crashes_of(keys);
     if (crashes < blocking_crashes)
     {
-        return false;
+        return {};
     }
-    auto const block = block_after(crashes);
-    return std::any_of(keys.begin(), keys.end(),
-                       [&](call_key const& key)
-                       {
-                           auto const& call = calls_.at(key);
-                           return !call.withdrawn && now - call.ended < block;
-                       });
+    boot_clock::time_point last{};
+    for (auto const& key : keys)
+    {
+        auto const& call = calls_.at(key);
+        last = call.withdrawn ? last : std::max(last, call.ended);
+    }
+    return block_end(content, last, options_.first_block, crashes - blocking_crashes);
+}
+
+boot_clock::time_point crash_watch::block_end(part_suspect const& suspect) const
+{
+    auto const& limits = options_.suspects;
+    return block_end(name_of(suspect.parts), suspect.last,
+                     suspect.sound ? options_.first_block_of_sound : options_.first_block,
+                     suspect.crashes -
+                         (suspect.sound ? limits.sound_crashes : limits.crashes));
 }
 
-bool crash_watch::blocked(std::string const& content, boot_clock::time_point now) const
+bool crash_watch::in_trial(std::string const& name, std::string const& call_id,
+                           boot_clock::time_point now) const
 {
-    auto const found = by_content_.find(content);
-    return found != by_content_.end() && blocked(found->second, now);
+    auto const found = trials_.find(name);
+    return found != trials_.end() && now < found->second.until &&
+           found->second.call_id != call_id;
 }
 
-std::vector<crash_watch::call_key>
-crash_watch::standing_calls(boot_clock::time_point now) const
+crash_verdict crash_watch::evaluate(call_features const&   call,
+                                    boot_clock::time_point now) const
 {
-    std::vector<call_key> result;
+    auto const content = by_content_.find(call.content);
+    if (content != by_content_.end())
+    {
+        auto const end = block_end(call.content, content->second);
+        if (now < end || in_trial(call.content, call.call_id, now))
+        {
+            return crash_verdict::content_blocked;
+        }
+    }
+    bool const suspected =
+        std::any_of(suspects_.begin(), suspects_.end(),
+                    [&](part_suspect const& suspect)
+                    {
+                        return has_all(call.parts, suspect.parts) &&
+                               (now < block_end(suspect) ||
+                                in_trial(name_of(suspect.parts), call.call_id, now));
+                    });
+    return suspected ? crash_verdict::parts_blocked : crash_verdict::may_run;
+}
+
+crash_verdict crash_watch::begin_attempt(call_features const&   call,
+                                         boot_clock::time_point now)
+{
+    auto const verdict = evaluate(call, now);
+    if (verdict == crash_verdict::may_run)
+    {
+        for (auto const& name : blocks_of(call))
+        {
+            trials_[name] = {call.call_id, now + options_.trial};
+        }
+    }
+    return verdict;
+}
+
+std::vector<std::string> crash_watch::blocks_of(call_features const& call) const
+{
+    std::vector<std::string> names;
+    auto const               content = by_content_.find(call.content);
+    if (content != by_content_.end() && crashes_of(content->second) >= blocking_crashes)
+    {
+        names.push_back(call.content);
+    }
+    for (auto const& suspect : suspects_)
+    {
+        if (has_all(call.parts, suspect.parts))
+        {
+            names.push_back(name_of(suspect.parts));
+        }
+    }
+    return names;
+}
+
+void crash_watch::find_suspects(std::vector<part_key> const& changed)
+{
+    auto const enough = static_cast<std::size_t>(options_.suspects.crashes);
+    bool const concerns_suspects = std::any_of(
+        changed.begin(), changed.end(),
+        [&](part_key part)
+        {
+            auto const found = by_part_.find(part);
+            return (found != by_part_.end() && found->second.size() >= enough) ||
+                   crowded_.count(part) > 0;
+        });
+    if (!concerns_suspects)
+    {
+        return;
+    }
+    for (auto const part : changed)
+    {
+        auto const found = by_part_.find(part);
+        bool const crowded = found != by_part_.end() && found->second.size() >= enough;
+        if (crowded)
+        {
+            crowded_.insert(part);
+        }
+        else
+        {
+            crowded_.erase(part);
+        }
+    }
+    std::set<call_key> keys;
+    for (auto const part : crowded_)
+    {
+        auto const& calls = by_part_.at(part);
+        keys.insert(calls.begin(), calls.end());
+    }
+    std::vector<part_witness> witnesses;
+    for (auto const& key : keys)
+    {
+        auto const& call = calls_.at(key);
+        witnesses.push_back({call.content, key.first, call.ended, call.parts});
+    }
+    suspects_ = find_part_suspects(std::move(witnesses), sound_, options_.suspects);
+}
+
+std::map<crash_watch::call_key, boot_clock::time_point>
+crash_watch::standing_calls() const
+{
+    std::map<call_key, boot_clock::time_point> result;
+    auto const                                 add = [&](std::set<call_key> const& keys)
+    {
+        boot_clock::time_point last{};
+        for (auto const& key : keys)
+        {
+            last = std::max(last, calls_.at(key).ended);
+        }
+        for (auto const& key : keys)
+        {
+            result[key] = std::max(result[key], last);
+        }
+    };
     for (auto const& [content, keys] : by_content_)
     {
-        if (keys.size() >= blocking_crashes && blocked(keys, now))
+        if (keys.size() >= blocking_crashes && crashes_of(keys) >= blocking_crashes)
         {
-            std::copy_if(keys.begin(), keys.end(), std::back_inserter(result),
-                         [&](call_key const& key) { return !calls_.at(key).withdrawn; });
+            auto valid = keys;
+            std::erase_if(valid,
+                          [&](call_key const& key) { return calls_.at(key).withdrawn; });
+            add(valid);
         }
     }
+    for (auto const& suspect : suspects_)
+    {
+        std::vector<std::pair<boot_clock::time_point, call_key>> newest;
+        for (auto const& key : by_part_.at(suspect.parts.front()))
+        {
+            if (has_all(calls_.at(key).parts, suspect.parts))
+            {
+                newest.emplace_back(calls_.at(key).ended, key);
+            }
+        }
+        std::sort(newest.rbegin(), newest.rend());
+        // Some of them may have been lost together.
+        auto const enough = static_cast<std::size_t>(suspect.crashes) * 2;
+        newest.resize(std::min(newest.size(), enough));
+        std::set<call_key> keys;
+        std::for_each(newest.begin(), newest.end(),
+                      [&](auto const& each) { keys.insert(each.second); });
+        add(keys);
+    }
     return result;
 }
 
 // 4. Updates
 
+void crash_watch::publish(part_key part, update_source source, boot_clock::time_point now)
+{
+    unpublished_parts_[part] = {.source = source, .next_publication = now};
+}
+
 std::vector<published_crash> crash_watch::take_updates(boot_clock::time_point now)
 {
     expire(now);
     std::map<call_key, bool> due; // and whether it is standing
     for (auto const& [key, call] : calls_)
     {
-        if (now <= call.published_until)
+        if (call.publications < options_.publications && now >= call.next_publication)
         {
             due.emplace(key, false);
         }
     }
-    if (now >= next_republish_)
+    bool const republishes = now >= next_republish_;
+    for (auto const& [key, last_crash] : standing_calls())
     {
-        next_republish_ = now + options_.republish;
-        for (auto const& key : standing_calls(now))
+        if (republishes || now - last_crash < options_.publish_block_for)
         {
             due[key] = true;
         }
     }
+    next_republish_ = republishes ? now + options_.republish : next_republish_;
     std::vector<std::pair<call_key, bool>> chosen(due.begin(), due.end());
     std::stable_sort(chosen.begin(), chosen.end(),
                      [&](auto const& left, auto const& right) {
@@ -309,12 +559,38 @@
     for (auto const& [key, standing] : chosen)
     {
         auto& call = calls_.at(key);
-        ++call.publications;
+        if (call.publications < options_.publications)
+        {
+            call.next_publication =
+                now + options_.first_interval * (1 << call.publications);
+            ++call.publications;
+        }
         result.push_back({update_of(key, call, now), call.source, standing});
     }
     return result;
 }
 
+std::vector<published_part> crash_watch::take_part_updates(boot_clock::time_point now)
+{
+    std::vector<published_part> result;
+    for (auto& [part, each] : unpublished_parts_)
+    {
+        auto const sent = sound_.latest(part);
+        if (sent && now >= each.next_publication &&
+            result.size() < options_.max_published)
+        {
+            each.next_publication =
+                now + options_.first_interval * (1 << each.publications);
+            ++each.publications;
+            result.push_back(
+                {{part, std::chrono::duration_cast<millis>(now - *sent)}, each.source});
+        }
+    }
+    std::erase_if(unpublished_parts_, [&](auto const& each)
+                  { return each.second.publications >= options_.publications; });
+    return result;
+}
+
 void crash_watch::republish()
 {
     next_republish_ = {};
@@ -329,14 +605,18 @@
         return;
     }
     next_expiry_ = now + expiry_interval;
+    std::erase_if(trials_, [&](auto const& each) { return now >= each.second.until; });
+    std::erase_if(unpublished_parts_,
+                  [&](auto const& each) { return !sound_.latest(each.first); });
     std::erase_if(server_ends_, [&](auto const& each)
                   { return now - each.second >= options_.keep_ends; });
     std::vector<call_key> expired;
     for (auto const& [key, call] : calls_)
     {
-        bool const old = call.withdrawn
-                             ? now - call.published_until >= options_.keep_withdrawn
-                             : now - call.ended >= options_.keep;
+        bool const published = call.publications >= options_.publications;
+        bool const old = call.withdrawn ? published && now - call.next_publication >=
+                                                           options_.keep_withdrawn
+                                        : now - call.ended >= options_.keep;
         if (old)
         {
             expired.push_back(key);
@@ -346,16 +626,17 @@
                   [this](auto const& key) { erase(key); });
 }
 
-void crash_watch::evict(boot_clock::time_point now)
+void crash_watch::evict()
 {
     if (calls_.size() <= options_.max_calls)
     {
         return;
     }
+    auto const standing = standing_calls();
     std::vector<std::tuple<bool, boot_clock::time_point, call_key>> order;
     for (auto const& [key, call] : calls_)
     {
-        order.emplace_back(blocked(call.content, now), call.ended, key);
+        order.emplace_back(standing.count(key) > 0, call.ended, key);
     }
     // Several at once, since the search takes time.
     constexpr std::size_t part = 16;
@@ -363,12 +644,26 @@
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
                       order.end());
     order.resize(count);
-    for (auto const& [is_blocked, ended, key] : order)
+    for (auto const& [is_standing, ended, key] : order)
     {
         erase(key);
     }
 }
 
+void crash_watch::forget_parts(call_key const& key, broken_call const& call)
+{
+    for (auto const part : call.parts)
+    {
+        auto const found = by_part_.find(part);
+        if (found != by_part_.end() && found->second.erase(key) > 0 &&
+            found->second.empty())
+        {
+            by_part_.erase(found);
+        }
+    }
+    find_suspects(call.parts);
+}
+
 void crash_watch::erase(call_key const& key)
 {
     auto const found = calls_.find(key);
@@ -378,6 +673,7 @@
     {
         by_content_.erase(content);
     }
+    forget_parts(key, found->second);
     responded_.erase(key);
     calls_.erase(found);
 }
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -1,11 +1,12 @@
 // Detects requests that crash servers, from the calls that all VMs see break off.
 //
-// Index: 1 crash_update, 2 published_crash, 3 crash_watch_options, 4 crash_watch
+// Index: 1 crash_watch_options, 2 crash_watch
 //
 // A caller may repeat a request that crashes every server that runs it, at any VM, until
 // no server is left. Such a request shows as connections that end during calls with the
 // same content. Content is blocked after two crashes rather than one, because a request
 // that many callers send can be in flight at a server that crashes for another reason.
+// Different requests may also crash servers by a prompt part that they share.
 //
 // A connection also ends when a link is lost, or when a server resets it. That a VM can't
 // connect afterwards doesn't tell these from a crash. What does is a response to a later
@@ -14,12 +15,10 @@
 #ifndef MARIGOLDCRANK_POLICY_CRASH_WATCH_HPP
 #define MARIGOLDCRANK_POLICY_CRASH_WATCH_HPP
 
-#include "domain/boot_clock.hpp"
-#include "policy/prompt_parts.hpp"
-#include "policy/update_source.hpp"
+#include "policy/crash_update.hpp"
+#include "policy/part_suspects.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,45 +29,31 @@
 namespace marigoldcrank
 {
 
-/// A call that broke off at its server, as VMs publish it to each other.
-struct crash_update
-{
-    std::string           content; // hash of path, caller and body
-    std::string           server;  // lost while it ran the call
-    std::string           call_id; // a restarted server may keep its id
-    std::vector<part_key> parts{}; // shared ones of its prompt; none if it had events
-    millis                ran{0};  // from sending the call until its connection ended
-    millis                age{0};  // since then
-    bool                  withdrawn = false; // the call did not crash the server
-
-    auto operator<=>(crash_update const&) const = default;
-};
-
-/// An update to publish, and who needs it.
-struct published_crash
-{
-    crash_update  crash;
-    update_source source = update_source::own;
-    bool standing = false; // blocks a content; also for VMs that have just started
-
-    bool operator==(published_crash const&) const = default;
-};
-
 struct crash_watch_options
 {
-    // 3000  ms; each update is repeated in about 20 digests, so a lost one does no harm
-    millis publish_for{3000};
-    // 1000  ms; between the repetitions of those that block a content
-    millis republish{1000};
+    // 5     times that an update is published, at intervals that double from 150 ms, so
+    //       that a lost digest or a short pause of a VM does no harm
+    int    publications = 5;
+    millis first_interval{150};
+    // 3000  ms after a crash, what blocks calls because of it is in every digest; then
+    //       it is repeated every 5000 ms
+    millis publish_block_for{3000};
+    millis republish{5000};
     // 64    updates in a digest; those that were published least come first
     std::size_t max_published = 64;
+    // 128   parts in an update
+    std::size_t max_parts = 128;
     // 3000  ms; a restarted server is listed anew within this
     millis restart_listed{3000};
-    // 60000 ms from the second crash until a blocked content may run again, for contents
-    //       that were in flight at two crashes by chance; ten times as long after each
+    // 60000 ms from the last crash until a blocked content or part may run again, for
+    //       those that stood in several crashes by chance; ten times as long after each
     //       further crash, up to a day, so that one that crashes servers does so rarely
     millis first_block{60'000};
     millis longest_block{86'400'000};
+    // 5000  ms; the same for parts on which whole responses were written
+    millis first_block_of_sound{5'000};
+    // 2000  ms; then one call of a VM runs, and the others wait this long for its end
+    millis trial{2000};
     // 60000 ms; an update on a crash takes less time to arrive
     millis keep_ends{60'000};
     // 86400000 ms; a crash is remembered unless it is withdrawn
@@ -78,8 +63,14 @@
     // 10000 ms after its last publication; a withdrawn crash is remembered until no VM
     //       publishes it any more
     millis keep_withdrawn{10'000};
-    // 4096  calls; the oldest are dropped beyond it, those that block a content last
+    // 4096  calls; the oldest are dropped beyond it, those that block calls last
     std::size_t max_calls = 4096;
+    // 8192  parts on which whole responses were written
+    std::size_t          max_sound_parts = 8192;
+    part_suspect_options suspects;
+    // Name of this VM. Blocks end at different times on the VMs, so that a call that
+    // still crashes servers is blocked by the crash at the first of them.
+    std::string vm;
 
     bool operator==(crash_watch_options const&) const = default;
 };
@@ -90,6 +81,8 @@
 public:
     explicit crash_watch(crash_watch_options options = {});
 
+    // Observations of this VM
+
     /// Records a call whose connection, made at `connected`, ended now. False if it is
     /// known, or if the server had been lost before the call was sent.
     bool record_crash(crash_update const& crash, boot_clock::time_point connected,
@@ -102,9 +95,10 @@
                                               boot_clock::time_point sent,
                                               boot_clock::time_point now);
 
-    /// Records a complete response to a call with this content that was sent at `sent`.
-    /// Returns the crashes that it disproves.
-    std::vector<crash_update> record_completion(std::string const&     content,
+    /// Records a complete response to a call that was sent at `sent`. Returns the crashes
+    /// that it disproves. If the response was written on the call's prompt, `call` has
+    /// its parts.
+    std::vector<crash_update> record_completion(call_features const&   call,
                                                 boot_clock::time_point sent,
                                                 boot_clock::time_point now);
 
@@ -116,19 +110,36 @@
     /// become known meanwhile. Returns these crashes.
     std::vector<crash_update> withdraw_disproved(boot_clock::time_point now);
 
+    // Updates between VMs
+
     /// Merges an update of another VM. True if its content is blocked from now on.
     bool merge(crash_update const& update, update_source source,
                boot_clock::time_point now);
+    void merge(sound_part const& update, update_source source,
+               boot_clock::time_point now);
 
     /// The updates to publish in the next digests.
     std::vector<published_crash> take_updates(boot_clock::time_point now);
+    std::vector<published_part>  take_part_updates(boot_clock::time_point now);
 
-    /// Publishes all that blocks a content in the next digests, because a VM may have
+    /// Publishes all that blocks calls in the next digests, because a VM may have
     /// started.
     void republish();
 
-    /// True if calls with this content must not run.
-    bool blocked(std::string const& content, boot_clock::time_point now) const;
+    // Decisions
+
+    /// Whether a call may run. After a block has ended, one call of this VM may, until
+    /// its outcome is known.
+    crash_verdict evaluate(call_features const& call, boot_clock::time_point now) const;
+
+    /// The same for a call that is sent now if it may run.
+    crash_verdict begin_attempt(call_features const& call, boot_clock::time_point now);
+
+    /// The parts that crash servers.
+    std::vector<part_suspect> const& suspects() const noexcept
+    {
+        return suspects_;
+    }
 
     std::size_t size() const noexcept
     {
@@ -141,37 +152,81 @@
     struct broken_call
     {
         std::string                           content;
+        std::vector<part_key>                 parts;
         boot_clock::time_point                sent{};
         boot_clock::time_point                ended{};
         update_source                         source = update_source::own;
-        boot_clock::time_point                published_until{};
-        std::int64_t                          publications = 0;
+        boot_clock::time_point                next_publication{};
+        int                                   publications = 0;
         std::optional<boot_clock::time_point> responded; // the server, since then
         bool                                  server_ended = false;
         bool                                  withdrawn = false;
     };
 
+    /// A part that other VMs should hear of.
+    struct unpublished_part
+    {
+        update_source          source = update_source::own;
+        boot_clock::time_point next_publication{};
+        int                    publications = 0;
+    };
+
+    /// A call that runs although a block of its content or parts has just ended.
+    struct trial
+    {
+        std::string            call_id;
+        boot_clock::time_point until{};
+    };
+
+    // Records
+
     bool add(crash_update const& crash, update_source source, boot_clock::time_point now);
     void withdraw(call_key const& key, boot_clock::time_point now,
                   std::vector<crash_update>& withdrawn);
+    void record_sound(part_key part, update_source source, boot_clock::time_point sent,
+                      boot_clock::time_point now);
+    void publish(part_key part, update_source source, boot_clock::time_point now);
     crash_update update_of(call_key const& key, broken_call const& call,
                            boot_clock::time_point now) const;
+    void         expire(boot_clock::time_point now);
+    void         evict();
+    void         erase(call_key const& key);
+    void         forget_parts(call_key const& key, broken_call const& call);
+
+    // Blocked contents and parts
 
     /// Crashes of a content that one call after the other has suffered.
-    int    crashes_of(std::set<call_key> const& keys) const;
-    millis block_after(int crashes) const;
-    bool   blocked(std::set<call_key> const& keys, boot_clock::time_point now) const;
-    std::vector<call_key> standing_calls(boot_clock::time_point now) const;
-
-    void expire(boot_clock::time_point now);
-    void evict(boot_clock::time_point now);
-    void erase(call_key const& key);
-
-    crash_watch_options                           options_;
-    std::map<call_key, broken_call>               calls_;
-    std::map<std::string, std::set<call_key>>     by_content_;
-    std::set<call_key>                            responded_;   // not yet withdrawn
+    int crashes_of(std::set<call_key> const& keys) const;
+    /// When a content may run again; the epoch if it isn't blocked.
+    boot_clock::time_point block_end(std::string const&        content,
+                                     std::set<call_key> const& keys) const;
+    boot_clock::time_point block_end(part_suspect const& suspect) const;
+    /// When the block `name` ends at this VM if its last crash was at `last`, and
+    /// `further` crashes are known beyond those that it takes.
+    boot_clock::time_point block_end(std::string const& name, boot_clock::time_point last,
+                                     millis first, int further) const;
+    bool                   in_trial(std::string const& name, std::string const& call_id,
+                                    boot_clock::time_point now) const;
+    /// Names of the blocks, ended ones included, that concern a call.
+    std::vector<std::string> blocks_of(call_features const& call) const;
+    /// The calls that block others, of each part no more than it takes, with the last
+    /// crash of the block.
+    std::map<call_key, boot_clock::time_point> standing_calls() const;
+    /// Finds the parts that crash servers, after calls with the parts `changed` were
+    /// added, removed or served.
+    void find_suspects(std::vector<part_key> const& changed);
+
+    crash_watch_options                       options_;
+    std::map<call_key, broken_call>           calls_;
+    std::map<std::string, std::set<call_key>> by_content_;
+    std::map<part_key, std::set<call_key>>    by_part_; // without withdrawn ones
+    std::set<part_key> crowded_;   // parts of enough calls to be suspected
+    std::set<call_key> responded_; // not yet withdrawn
     std::map<std::string, boot_clock::time_point> server_ends_; // by server
+    sound_parts                                   sound_;
+    std::map<part_key, unpublished_part>          unpublished_parts_;
+    std::vector<part_suspect>                     suspects_;
+    std::map<std::string, trial>                  trials_; // by name of the block
     boot_clock::time_point                        next_republish_{};
     boot_clock::time_point                        next_expiry_{};
 };
--- /dev/null
+++ b/src/policy/part_suspects.hpp
@@ -0,0 +1,62 @@
+// Finds the prompt parts that crash servers, among the parts of all calls that broke off.
+//
+// Index: 1 part_witness, 2 part_suspect, 3 part_suspect_options, 4 find_part_suspects
+#ifndef MARIGOLDCRANK_POLICY_PART_SUSPECTS_HPP
+#define MARIGOLDCRANK_POLICY_PART_SUSPECTS_HPP
+
+#include "policy/sound_parts.hpp"
+
+#include <string>
+#include <vector>
+
+namespace marigoldcrank
+{
+
+/// A call that broke off before its response had begun, or as it began.
+struct part_witness
+{
+    std::string            content; // hash of path, caller and body
+    std::string            server;
+    boot_clock::time_point ended{};
+    std::vector<part_key>  parts; // shared ones of its prompt, in ascending order
+
+    bool operator==(part_witness const&) const = default;
+};
+
+/// Parts that crash servers. If there are several, it isn't known which of them does,
+/// and only calls that have all are suspected.
+struct part_suspect
+{
+    std::vector<part_key>  parts; // in ascending order
+    int                    crashes = 0;
+    boot_clock::time_point last{};        // crash
+    bool                   sound = false; // whole responses were written on it earlier
+
+    bool operator==(part_suspect const&) const = default;
+};
+
+struct part_suspect_options
+{
+    // 3     crashes with a part on which no response is known, until it is suspected
+    int crashes = 3;
+    // 6     crashes with any other part
+    int sound_crashes = 6;
+    // 250   ms; servers that are lost closer together count as one crash: they may have
+    //       one cause, such as a reclaimed data centre
+    millis apart{250};
+
+    bool operator==(part_suspect_options const&) const = default;
+};
+
+/// A server that crashes breaks off all its calls, so most witnesses are innocent. A part
+/// is no cause of a crash if a call with it that was sent later got a whole response.
+/// Of the others, the part that most crashes have in common is suspected, with all parts
+/// that stood beside it each time. Crashes that it explains say nothing about other
+/// parts. Retries of one call count once. Pure; `witnesses` may be in any order.
+std::vector<part_suspect> find_part_suspects(std::vector<part_witness>   witnesses,
+                                             sound_parts const&          sound,
+                                             part_suspect_options const& options);
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -55,6 +55,20 @@
                     max_stream_life);
 }
 
+std::string_view crash_cause(crash_verdict verdict)
+{
+    switch (verdict)
+    {
+    case crash_verdict::content_blocked:
+        return "poison";
+    case crash_verdict::parts_blocked:
+        return "poison_part";
+    case crash_verdict::may_run:
+        break;
+    }
+    return "";
+}
+
 std::optional<own_response> admit_call(entry_state& state, caller_call const& call,
                                        std::string const&     body,
                                        boot_clock::time_point arrived,
@@ -62,8 +76,7 @@
 {
     bool const fresh = state.keys_fresh(arrived);
     admitted.rules = state.view.rules;
-    admitted.content = content_hash(call, body);
-    admitted.parts = shared_part_keys(call);
+    admitted.features = {content_hash(call, body), shared_part_keys(call), call.id};
     if (!admitted.rules)
     {
         return own_response{503, call_fate::not_run, "no_rules", refusal_retry_after};
@@ -80,9 +93,10 @@
     {
         return refusal;
     }
-    if (state.crashes.blocked(admitted.content, arrived))
+    auto const cause = crash_cause(state.crashes.evaluate(admitted.features, arrived));
+    if (!cause.empty())
     {
-        return own_response{503, call_fate::not_run, "poison", poison_retry_after};
+        return own_response{503, call_fate::not_run, cause, poison_retry_after};
     }
     auto const& matched = *admitted.matched;
     bool const  ranked =
--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -1,6 +1,7 @@
 // Decides whether a call is admitted, by rules, API key, content, and age of the rules.
 //
-// Index: 1 refusal_retry_after, poison_retry_after, 2 admitted_call, 3 admit_call
+// Index: 1 refusal_retry_after, poison_retry_after, 2 admitted_call, 3 crash_cause,
+//        4 admit_call
 #ifndef MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 #define MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 
@@ -29,17 +30,19 @@
     service const*   target = nullptr; // null: the rules don't describe the service
     workspace const* caller_workspace = nullptr; // null: the call carries no valid key
     std::string      service_name;
-    std::string content; // hash of path, caller and body; identifies crashing requests
-    std::vector<part_key> parts;    // shared ones of its prompt
-    std::int64_t          rank = 0; // place in the order of urgency, most urgent first
-    bool                  repeatable = false; // the call may run more than once
-    loop_time             deadline{};         // of the final response
+    std::int64_t     rank = 0; // place in the order of urgency, most urgent first
+    call_features    features; // what identifies requests that crash servers
+    bool             repeatable = false; // the call may run more than once
+    loop_time        deadline{};         // of the final response
 };
 
 /// The longest time for which the caller may go on trying: what it states, within bounds,
 /// and at least the time that the route gives one try.
 millis caller_patience(caller_call const& call, route const& matched);
 
+/// The cause of a refusal by this verdict; empty if the call may run.
+std::string_view crash_cause(crash_verdict verdict);
+
 /// Checks rules, route, key and content in this order, and fills `admitted` up to the
 /// first check that fails. Returns the refusal, or nothing if the call is admitted. An
 /// admitted call is counted into its service's retry budget.
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -63,7 +63,7 @@
         last_fault_ = "deadline";
         return false;
     }
-    if (content_blocked())
+    if (would_crash())
     {
         return false;
     }
@@ -75,16 +75,17 @@
     return history_.allows(terms()) && time_left();
 }
 
-bool call_attempts::content_blocked()
+bool call_attempts::would_crash()
 {
-    bool const blocked = state_.crashes.blocked(admitted_.content, boot_clock::now());
-    last_fault_ = blocked ? "poison" : last_fault_;
-    return blocked;
+    auto const cause =
+        crash_cause(state_.crashes.begin_attempt(admitted_.features, boot_clock::now()));
+    last_fault_ = cause.empty() ? last_fault_ : cause;
+    return !cause.empty();
 }
 
 bool call_attempts::may_run_after_prefill()
 {
-    if (content_blocked())
+    if (would_crash())
     {
         return false;
     }
@@ -206,13 +207,13 @@
     bool const  leaving =
         listed == state_.servers.servers().end() || listed->second.leaving;
     auto const   now = boot_clock::now();
-    crash_update crash{.content = admitted_.content,
+    crash_update crash{.content = admitted_.features.content,
                        .server = server,
                        .call_id = call_.id,
                        .ran = std::chrono::duration_cast<millis>(now - result.sent)};
     if (may_have_just_begun(result, now))
     {
-        crash.parts = admitted_.parts;
+        crash.parts = admitted_.features.parts;
     }
     bool const ended = last_fault_ == "broken";
     if (ended && !leaving && state_.crashes.record_crash(crash, result.connected, now))
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -114,8 +114,8 @@
     }
 
 private:
-    /// Whether the content has been blocked since the call was admitted.
-    bool content_blocked();
+    /// Whether the content or parts of the call have been blocked since it was admitted.
+    bool would_crash();
 
     std::vector<candidate> candidates_except(std::set<std::string> const& tried);
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -257,7 +257,10 @@
         if (status < first_server_error)
         {
             state_.health.succeeded(link.server().id);
-            state_.record_completion(admitted_.content, link.sent_at());
+            // Perhaps refused by the server, so its prompt's parts may still crash it.
+            state_.record_completion(
+                {.content = admitted_.features.content, .parts = {}, .call_id = call_.id},
+                link.sent_at());
             co_await send_response(std::move(bytes), status);
             co_return true;
         }
@@ -618,7 +621,7 @@
     {
         auto const now = boot_clock::now();
         state_.health.succeeded(link.server().id);
-        state_.record_completion(admitted_.content, link.sent_at());
+        state_.record_completion(admitted_.features, link.sent_at());
         placement_.record_stream(stream_.chunk_count(), now - timing_.first(),
                                  timing_.longest_pause());
         state_.counters.observe("longest_pause_seconds", timing_.longest_pause());
@@ -752,12 +755,14 @@
         co_await send_own_response(refusal);
     }
 
-    /// When a refused caller should return. If its content is blocked, that is not soon.
+    /// When a refused caller should return. If the call would crash servers, that
+    /// is not soon.
     /// If all servers of the service are on hold, that is after the first hold, spread so
     /// that callers don't return all at once.
     millis retry_after()
     {
-        if (attempts_.fault() == "poison")
+        if (attempts_.fault() == crash_cause(crash_verdict::content_blocked) ||
+            attempts_.fault() == crash_cause(crash_verdict::parts_blocked))
         {
             return poison_retry_after;
         }
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -101,6 +101,13 @@
         entry->set_withdrawn(each.withdrawn);
         entry->set_ran_ms(static_cast<std::uint64_t>(each.ran.count()));
         entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+        entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
+    }
+    for (auto const& each : extras.sound_parts)
+    {
+        auto* entry = message.add_sound_parts();
+        entry->set_part(each.part);
+        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
     }
     return message;
 }
@@ -133,6 +140,15 @@
     return millis{std::min(value, longest)};
 }
 
+/// Parts in ascending order, each once, whatever the sender did.
+std::vector<part_key> parse_parts(wire::crash_suspicion const& entry)
+{
+    std::vector<part_key> parts(entry.parts().begin(), entry.parts().end());
+    std::sort(parts.begin(), parts.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+    return parts;
+}
+
 digest_extras parse_notes(wire::load_digest const& message)
 {
     digest_extras extras;
@@ -143,10 +159,15 @@
         extras.crashes.push_back({.content = entry.content(),
                                   .server = entry.server(),
                                   .call_id = entry.call_id(),
+                                  .parts = parse_parts(entry),
                                   .ran = parse_millis(entry.ran_ms()),
                                   .age = parse_millis(entry.age_ms()),
                                   .withdrawn = entry.withdrawn()});
     }
+    for (auto const& entry : message.sound_parts())
+    {
+        extras.sound_parts.push_back({entry.part(), parse_millis(entry.age_ms())});
+    }
     for (auto const& entry : message.avoided())
     {
         extras.avoided.emplace(entry.server(), millis{entry.left_ms()});
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -57,6 +57,27 @@
                       max_server_pause);
 }
 
+bool is_blocked(crash_watch const& crashes, std::string const& content,
+                boot_clock::time_point now)
+{
+    return crashes.evaluate({.content = content, .parts = {}, .call_id = ""}, now) !=
+           crash_verdict::may_run;
+}
+
+/// Keys of parts, separated by commas.
+std::string format_parts(std::vector<part_key> const& parts)
+{
+    std::string result;
+    for (auto const part : parts)
+    {
+        std::array<char, 17> text{};
+        std::snprintf(text.data(), text.size(), "%016llx",
+                      static_cast<unsigned long long>(part));
+        result.append(result.empty() ? "" : ",").append(text.data());
+    }
+    return result;
+}
+
 vm_contact contact_of(entry_settings const& settings)
 {
     return {.digests = format_address(settings.peers),
@@ -71,7 +92,7 @@
     : settings(std::move(value)), incarnation(std::move(incarnation_name)),
       contact(contact_of(settings)), usage(incarnation, contact, settings.usage_window),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
-      random_(std::random_device{}())
+      crashes({.vm = incarnation}), random_(std::random_device{}())
 {
 }
 
@@ -374,17 +395,46 @@
     log_withdrawn(crashes.record_response(server, connected, sent, now), now);
 }
 
-void entry_state::record_completion(std::string const&     content,
+void entry_state::record_completion(call_features const&   call,
                                     boot_clock::time_point sent)
 {
     auto const now = boot_clock::now();
-    log_withdrawn(crashes.record_completion(content, sent, now), now);
+    log_withdrawn(crashes.record_completion(call, sent, now), now);
 }
 
-void entry_state::log_withdrawn(std::vector<crash_update> const& crashes_withdrawn,
+void entry_state::update_crashes(boot_clock::time_point now)
+{
+    log_withdrawn(crashes.withdraw_disproved(now), now);
+    std::map<std::vector<part_key>, int> suspected;
+    for (auto const& each : crashes.suspects())
+    {
+        suspected[each.parts] = each.crashes;
+        auto const known = suspected_parts_.find(each.parts);
+        if (known == suspected_parts_.end() || known->second != each.crashes)
+        {
+            counters.add("suspected_parts_total", "event=\"parts_blocked\"");
+            log.write(event_line{"parts_blocked"}
+                          .add("parts", format_parts(each.parts))
+                          .add("crashes", each.crashes)
+                          .add("sound", each.sound ? 1 : 0),
+                      now);
+        }
+    }
+    for (auto const& [parts, count] : suspected_parts_)
+    {
+        if (suspected.count(parts) == 0)
+        {
+            counters.add("suspected_parts_total", "event=\"parts_freed\"");
+            log.write(event_line{"parts_freed"}.add("parts", format_parts(parts)), now);
+        }
+    }
+    suspected_parts_ = std::move(suspected);
+}
+
+void entry_state::log_withdrawn(std::vector<crash_update> const& withdrawn,
                                 boot_clock::time_point           now)
 {
-    for (auto const& each : crashes_withdrawn)
+    for (auto const& each : withdrawn)
     {
         log_crash("crash_withdrawn", each, now);
     }
@@ -470,25 +520,6 @@
     }
 }
 
-namespace
-{
-
-/// Keys of parts, separated by commas.
-std::string format_parts(std::vector<part_key> const& parts)
-{
-    std::string result;
-    for (auto const part : parts)
-    {
-        std::array<char, 17> text{};
-        std::snprintf(text.data(), text.size(), "%016llx",
-                      static_cast<unsigned long long>(part));
-        result.append(result.empty() ? "" : ",").append(text.data());
-    }
-    return result;
-}
-
-} // namespace
-
 void entry_state::log_crash(std::string_view event, crash_update const& crash,
                             boot_clock::time_point now)
 {
@@ -498,7 +529,7 @@
                   .add("server", crash.server)
                   .add("id", crash.call_id)
                   .add("parts", format_parts(crash.parts))
-                  .add("blocked", crashes.blocked(crash.content, now) ? 1 : 0),
+                  .add("blocked", is_blocked(crashes, crash.content, now) ? 1 : 0),
               now);
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -161,12 +161,13 @@
     void record_survival(std::string const& server, boot_clock::time_point connected,
                          boot_clock::time_point sent);
 
-    /// Records a complete response to a call with this content that was sent at `sent`.
-    void record_completion(std::string const& content, boot_clock::time_point sent);
+    /// Records a complete response to a call that was sent at `sent`. If the response was
+    /// written on the call's prompt, `call` has its parts.
+    void record_completion(call_features const& call, boot_clock::time_point sent);
 
-    /// Logs and counts crashes that turned out to be none.
-    void log_withdrawn(std::vector<crash_update> const& crashes_withdrawn,
-                       boot_clock::time_point           now);
+    /// Withdraws crashes that responses have disproved, and logs changes of the parts
+    /// that crash servers.
+    void update_crashes(boot_clock::time_point now);
 
     /// Records a failed call or connection that is attributed to the server; `lost` as
     /// for server_health::failed().
@@ -255,6 +256,8 @@
     std::int64_t active_calls = 0;
 
 private:
+    void log_withdrawn(std::vector<crash_update> const& withdrawn,
+                       boot_clock::time_point           now);
     void log_limit(std::string const& server, std::string_view learned_from);
     void log_loss(std::string const& server, update_source learned_from,
                   boot_clock::time_point now);
@@ -264,8 +267,9 @@
     candidate candidate_of(backend_server const&  server,
                            boot_clock::time_point now) const;
 
-    std::map<std::string, retry_budget> budgets_;
-    std::mt19937_64                     random_;
+    std::map<std::string, retry_budget>  budgets_;
+    std::map<std::vector<part_key>, int> suspected_parts_; // as logged; crashes by parts
+    std::mt19937_64                      random_;
 };
 
 /// Hash that identifies a repeated call: the same path, caller and body.
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -81,8 +81,8 @@
     return result;
 }
 
-/// Members leave it to their relays to publish what blocks a content, since these publish
-/// it to all VMs.
+/// Members leave it to their relays to publish what blocks calls, since these publish it
+/// to all VMs.
 std::vector<crash_update> crashes_for(digest_scope                        scope,
                                       std::vector<published_crash> const& crash_updates,
                                       bool                                mesh)
@@ -99,6 +99,20 @@
     return result;
 }
 
+std::vector<sound_part> sound_parts_for(digest_scope                       scope,
+                                        std::vector<published_part> const& part_updates)
+{
+    std::vector<sound_part> result;
+    for (auto const& each : part_updates)
+    {
+        if (each.source <= widest_source(scope))
+        {
+            result.push_back(each.part);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(boost::asio::io_context& loop, entry_state& state,
@@ -138,13 +152,16 @@
     digest_extras extras{.records = state_.contact.records};
     state_.fleet.note(state_.peers.vms(now) + 1, listed_vms_, now);
     auto const prefix_updates = state_.prefixes.take_updates();
-    state_.log_withdrawn(state_.crashes.withdraw_disproved(now), now);
+    state_.update_crashes(now);
     auto const crash_updates = state_.crashes.take_updates(now);
+    auto const part_updates = state_.crashes.take_part_updates(now);
     ++rounds_;
     if (rounds_ % expiry_interval == 0)
     {
         state_.prefixes.expire(now);
         state_.forget_silent_peers(now);
+        std::erase_if(incarnations_, [&](auto const& each)
+                      { return state_.last_heard.count(each.first) == 0; });
         state_.proxies.expire(now);
     }
     for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
@@ -154,6 +171,7 @@
                                                             : std::vector<usage_record>{};
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
         extras.crashes = crashes_for(digest.scope, crash_updates, plan_.mesh);
+        extras.sound_parts = sound_parts_for(digest.scope, part_updates);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
         extras.limits = state_.limits.updates(widest_source(digest.scope), now);
         extras.proxies = proxies_for(digest.scope, state_, now);
@@ -177,13 +195,14 @@
 {
     auto const now = boot_clock::now();
     auto const scope = digest.scope;
+    auto const vm = digest.vm;
     if (!state_.peers.merge(std::move(digest), now))
     {
         return;
     }
-    if (state_.last_heard.count(extras.records) == 0)
+    if (std::exchange(incarnations_[extras.records], vm) != vm)
     {
-        state_.crashes.republish();
+        state_.crashes.republish(); // it may have just started
     }
     state_.last_heard[extras.records] = now;
     for (auto const& each : extras.heard)
@@ -199,6 +218,10 @@
             state_.log_crash("content_blocked", each, now);
         }
     }
+    for (auto const& each : extras.sound_parts)
+    {
+        state_.crashes.merge(each, source, now);
+    }
     for (auto const& [server, left] : extras.avoided)
     {
         if (state_.settings.share_server_losses)
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -48,17 +48,18 @@
     void log_plan(relay_plan const& plan);
     void update_relayed(bool relayed);
 
-    entry_state&                    state_;
-    std::unique_ptr<zmq::context_t> context_;
-    std::unique_ptr<record_link>    records_;
-    std::unique_ptr<owner_link>     owners_;  // null if `records_` is
-    std::unique_ptr<quota_gate>     quotas_;  // null if `records_` is
-    std::unique_ptr<limit_owner>    limits_;  // null if `records_` is
-    std::unique_ptr<origin_link>    origins_; // null if `records_` is
-    digest_link                     digests_;
-    relay_plan                      plan_;
-    std::uint64_t                   rounds_ = 0;
-    std::int64_t                    listed_vms_ = 0; // VMs in the last relay plan
+    entry_state&                       state_;
+    std::unique_ptr<zmq::context_t>    context_;
+    std::unique_ptr<record_link>       records_;
+    std::unique_ptr<owner_link>        owners_;  // null if `records_` is
+    std::unique_ptr<quota_gate>        quotas_;  // null if `records_` is
+    std::unique_ptr<limit_owner>       limits_;  // null if `records_` is
+    std::unique_ptr<origin_link>       origins_; // null if `records_` is
+    digest_link                        digests_;
+    relay_plan                         plan_;
+    std::map<std::string, std::string> incarnations_; // of VMs heard, by address
+    std::uint64_t                      rounds_ = 0;
+    std::int64_t                       listed_vms_ = 0; // VMs in the last relay plan
 };
 
 /// Format of the topic of servers' entries. Most records only report that the server is
