Entry soak: a request and a prompt part that crash servers, beside the other faults

A crashed server closes its connections, refuses new ones for a second and starts again under its id.

--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -9,6 +9,7 @@
 // Index: 1 soak_options, 2 run_seed, 3 main
 #include "platform/support/entry_cluster.hpp"
 #include "soak_callers.hpp"
+#include "soak_crashes.hpp"
 #include "soak_fault_schedule.hpp"
 #include "soak_servers.hpp"
 #include "support/eventually.hpp"
@@ -105,27 +106,41 @@
                                   .relayed = true,
                                   .own_links = true});
     auto const           versions = versions_for(seed);
+    soak_fault_schedule  schedule(cluster, checker, injected, notices, versions, seed);
+    // Servers may still use it while the cluster is destroyed.
+    auto const crashes = std::make_shared<soak_crashes>(
+        cluster, checker, schedule,
+        std::vector<std::string>{versions.begin(), versions.end()});
     for (int index = 0; index < servers; ++index)
     {
         soak_server const server{index, versions.at(static_cast<std::size_t>(index))};
         cluster.list_server(cluster.server(index), "ready", 0, server.version);
         cluster.server(index).handle_always(
-            [&, server](tests::wire_request const& request,
-                        tests::wire_connection&    connection)
+            [&, server, crashes](tests::wire_request const& request,
+                                 tests::wire_connection&    connection)
             {
                 auto const stated =
                     notices.on_arrival(server.index, request.field("request-id"));
+                if (crashes->crash(server.index, request))
+                {
+                    return false;
+                }
                 return serve_soak(checker, injected, stated, server, request, connection);
             });
     }
     constexpr std::chrono::seconds list_read{2}; // every VM has read the versions
     std::this_thread::sleep_for(list_read);
-    soak_fault_schedule schedule(cluster, checker, injected, notices, versions, seed);
     {
+        if (seed % 2 == 0)
+        {
+            crashes->start(seed);
+        }
         soak_callers const load(cluster, checker, callers, seed,
                                 [&](int) { return schedule.planned_only(); });
         schedule.run(options.length);
         check_recovery(checker);
+        crashes->stop();
+        crashes->check();
     }
     check_reports(cluster, checker);
     auto const violations = checker.violations();
--- a/bench/entry_soak/soak_callers.cpp
+++ b/bench/entry_soak/soak_callers.cpp
@@ -71,6 +71,8 @@
         {.path = std::string{kind.path} + "x",
          .id = id,
          .key = key,
+         .fields =
+             kind.streamed ? "Model: m\r\nPrefix-Hash: aa:100," + id + ":10\r\n" : "",
          .body = id, // unique: equal bodies may be taken for a poison call
          .deadline_ms = deadline_ms}));
     auto const response = caller.read(deadline_ms);
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -95,11 +95,22 @@
 }
 
 bool soak_fault_schedule::planned_only() const
+{
+    auto const crash = soak_clock::time_point{soak_clock::duration{crashed_until_}};
+    return undisturbed() && soak_clock::now() - crash > settle_time;
+}
+
+bool soak_fault_schedule::undisturbed() const
 {
     auto const last = soak_clock::time_point{soak_clock::duration{unplanned_until_}};
     return soak_clock::now() - last > settle_time;
 }
 
+void soak_fault_schedule::on_crash(milliseconds down)
+{
+    crashed_until_ = (soak_clock::now() + down).time_since_epoch().count();
+}
+
 std::vector<soak_fault_schedule::scheduled_fault> soak_fault_schedule::all_faults()
 {
     std::vector<scheduled_fault> all{{"stop", true,
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -35,6 +35,12 @@
     /// True if no unplanned fault has affected a process or connection in the last 6 s.
     bool planned_only() const;
 
+    /// The same, leaving out servers that a request has crashed.
+    bool undisturbed() const;
+
+    /// A request has crashed a server, which is back after `down`.
+    void on_crash(std::chrono::milliseconds down);
+
 private:
     struct scheduled_fault
     {
@@ -75,6 +81,7 @@
     std::array<std::string, 3>   versions_;                 // of the servers
     std::int64_t                 born_ = 1'767'000'000'000; // of servers' next lives
     std::atomic<soak_clock::rep> unplanned_until_{0};
+    std::atomic<soak_clock::rep> crashed_until_{0};
 };
 
 } // namespace marigoldcrank::soak
