Unframed responses through another VM aren't taken for crashes

What callers saw: a call through a VM without links whose server responds without framing was refused as one that crashes servers, after two such responses. Cause: such an end can't be told from that of the connection, and counted as a crash.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -12,6 +12,14 @@
 // 250 ms; a server that crashes as it begins to write a response has ended within this
 constexpr millis crash_time{250};
 
+/// Whether the response may have ended in order: through another VM, its end can't be
+/// told from that of the connection if nothing else frames it.
+bool may_be_whole(attempt_result const& result)
+{
+    return result.proxied &&
+           result.framing == response_framing_name(response_framing::connection);
+}
+
 /// Whether the server may have ended because it began to write this response.
 bool may_have_just_begun(attempt_result const& result, boot_clock::time_point now)
 {
@@ -215,7 +223,7 @@
     {
         crash.parts = admitted_.features.parts;
     }
-    bool const ended = last_fault_ == "broken";
+    bool const ended = last_fault_ == "broken" && !may_be_whole(result);
     if (ended && !leaving && state_.crashes.record_crash(crash, result.connected, now))
     {
         state_.log_crash("suspect", crash, now);
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -139,6 +139,7 @@
                                                                : "outcome=\"silent\"");
         if (reply == proxy_reply::connected)
         {
+            result.fault = "";
             break;
         }
         if (reply == proxy_reply::unreachable)
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -396,5 +396,37 @@
         << sound.served() << " of " << sound.asked();
 }
 
+// Through another VM, the end of a response without framing can't be told from that of
+// its connection: a call whose responses end so was blocked.
+TEST(platform_crashes, unframed_responses_through_another_vm_are_taken_for_crashes)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 1, .own_links = true});
+    cluster.break_links(0, link_fault::reset);
+    ASSERT_TRUE(eventually(
+        [&, call = 0]() mutable
+        {
+            auto const id = "w-" + std::to_string(++call);
+            return ask(cluster.caller_port(0), {.id = id, .body = id}).status == 200;
+        }));
+    cluster.server(0).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::without_framing(
+                server_standin::signed_response(request, "whole")));
+            return false;
+        });
+    for (int call = 0; call < 3; ++call)
+    {
+        EXPECT_EQ(
+            ask(cluster.caller_port(0),
+                {.path = "/once/x", .id = "u-" + std::to_string(call), .body = "same"})
+                .status,
+            502)
+            << call;
+    }
+    EXPECT_EQ(ask(cluster.caller_port(1), {.path = "/once/x", .body = "same"}).status,
+              200);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
