Entry soak: a crashed server's notices end with it, and long faults aren't forgotten

A server that starts again has stated nothing, so its notice ends with the crash (the daemons forget it when the new life is listed). The checks themselves are unchanged.

--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -109,7 +109,7 @@
     soak_fault_schedule  schedule(cluster, checker, injected, notices, versions, seed);
     // Servers may still use it while the cluster is destroyed.
     auto const crashes = std::make_shared<soak_crashes>(
-        cluster, checker, schedule,
+        cluster, checker, schedule, notices,
         std::vector<std::string>{versions.begin(), versions.end()});
     for (int index = 0; index < servers; ++index)
     {
--- a/bench/entry_soak/soak_crashes.cpp
+++ b/bench/entry_soak/soak_crashes.cpp
@@ -23,9 +23,9 @@
 } // namespace
 
 soak_crashes::soak_crashes(tests::entry_cluster& cluster, soak_checker& checker,
-                           soak_fault_schedule&     schedule,
+                           soak_fault_schedule& schedule, soak_notices& notices,
                            std::vector<std::string> versions)
-    : cluster_(cluster), checker_(checker), schedule_(schedule),
+    : cluster_(cluster), checker_(checker), schedule_(schedule), notices_(notices),
       versions_(std::move(versions))
 {
 }
@@ -93,6 +93,7 @@
 void soak_crashes::restart(int server)
 {
     std::this_thread::sleep_for(down_time);
+    notices_.end(server); // what it stated before doesn't hold any more
     cluster_.list_server(cluster_.server(server), "ready", ++born_,
                          versions_.at(static_cast<std::size_t>(server)));
     for (int daemon = 0; daemon < daemons; ++daemon)
@@ -110,8 +111,8 @@
                         std::to_string(call);
         call_class const kind{same_content ? "/repeat/" : "/resume/", true,
                               !same_content};
-        checker_.on_sent(id, kind, "key-north", 0);
-        auto const daemon = static_cast<int>(random() % daemons);
+        auto const       daemon = static_cast<int>(random() % daemons);
+        checker_.on_sent(id, kind, "key-north", daemon);
         tests::ask(cluster_.caller_port(daemon),
                    {.path = std::string{kind.path} + "x",
                     .id = id,
--- a/bench/entry_soak/soak_crashes.hpp
+++ b/bench/entry_soak/soak_crashes.hpp
@@ -7,6 +7,7 @@
 #include "platform/support/entry_cluster.hpp"
 #include "soak_checker.hpp"
 #include "soak_fault_schedule.hpp"
+#include "soak_notices.hpp"
 
 #include <atomic>
 #include <mutex>
@@ -26,7 +27,8 @@
 {
 public:
     soak_crashes(tests::entry_cluster& cluster, soak_checker& checker,
-                 soak_fault_schedule& schedule, std::vector<std::string> versions);
+                 soak_fault_schedule& schedule, soak_notices& notices,
+                 std::vector<std::string> versions);
     ~soak_crashes();
     soak_crashes(soak_crashes const&) = delete;
     soak_crashes& operator=(soak_crashes const&) = delete;
@@ -61,6 +63,7 @@
     tests::entry_cluster&     cluster_;
     soak_checker&             checker_;
     soak_fault_schedule&      schedule_;
+    soak_notices&             notices_;
     std::vector<std::string>  versions_; // of the servers
     std::atomic<bool>         stopping_{false};
     std::atomic<std::int64_t> born_{1'768'000'000'000};
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -1,6 +1,7 @@
 // Kinds of faults and their schedule.
 #include "soak_fault_schedule.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -399,7 +400,8 @@
     auto end = kind.begin();
     if (!kind.planned)
     {
-        unplanned_until_ = (now + length).time_since_epoch().count();
+        unplanned_until_ =
+            std::max(unplanned_until_.load(), (now + length).time_since_epoch().count());
     }
     pending_ends_.emplace(now + length, std::move(end));
 }
