--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -36,6 +36,27 @@
     }
 }
 
+void add_crashes(wire::load_digest& message, digest_extras const& extras)
+{
+    for (auto const& each : extras.crashes)
+    {
+        auto* entry = message.add_suspicions();
+        entry->set_content(each.content);
+        entry->set_server(each.server);
+        entry->set_call_id(each.call_id);
+        entry->set_withdrawn(each.withdrawn);
+        entry->set_ran_ms(static_cast<std::uint64_t>(each.ran.count()));
+        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+        entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
+    }
+    for (auto const& each : extras.sound_parts)
+    {
+        auto* entry = message.add_sound_parts();
+        entry->set_part(each.part);
+        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+    }
+}
+
 wire::load_digest format_digest(load_digest const& digest, digest_extras const& extras)
 {
     wire::load_digest message;
@@ -92,23 +113,7 @@
         entry->set_arrived_age_ms(each.arrived_age.count());
     }
     add_proxies(message, extras.proxies);
-    for (auto const& each : extras.crashes)
-    {
-        auto* entry = message.add_suspicions();
-        entry->set_content(each.content);
-        entry->set_server(each.server);
-        entry->set_call_id(each.call_id);
-        entry->set_withdrawn(each.withdrawn);
-        entry->set_ran_ms(static_cast<std::uint64_t>(each.ran.count()));
-        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
-        entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
-    }
-    for (auto const& each : extras.sound_parts)
-    {
-        auto* entry = message.add_sound_parts();
-        entry->set_part(each.part);
-        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
-    }
+    add_crashes(message, extras);
     return message;
 }
 
