Blocks of contents end sooner, and lost links of one VM don't hide crashes

A crash wasn't counted if another VM had reported one at the same server shortly before, over a connection that is older than that: it was taken for a connection that had ended already. Now only calls that break off within 20 ms are taken for such. And what callers saw: a sound content that many send, hit twice in an outage of its service, was refused for one to two minutes, as nobody may disprove it.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -108,8 +108,9 @@
                                boot_clock::time_point now)
 {
     auto const sent = now - crash.ran;
+    bool const at_once = crash.ran < options_.stale_connection;
     for (auto at = calls_.lower_bound({crash.server, ""});
-         at != calls_.end() && at->first.first == crash.server; ++at)
+         at_once && at != calls_.end() && at->first.first == crash.server; ++at)
     {
         auto const& earlier = at->second;
         if (!earlier.withdrawn && connected < earlier.ended && earlier.ended < sent)
@@ -326,7 +327,7 @@
                                               boot_clock::time_point last, millis first,
                                               int further) const
 {
-    constexpr int    growth = 10;
+    constexpr int    growth = 12;
     constexpr double steps = 1024;
     auto             length = first;
     for (int crash = 0; crash < further && length < options_.longest_block; ++crash)
@@ -361,10 +362,10 @@
 boot_clock::time_point crash_watch::block_end(part_suspect const& suspect) const
 {
     auto const& limits = options_.suspects;
-    return block_end(name_of(suspect.parts), suspect.last,
-                     suspect.sound ? options_.first_block_of_sound : options_.first_block,
-                     suspect.crashes -
-                         (suspect.sound ? limits.sound_crashes : limits.crashes));
+    return block_end(
+        name_of(suspect.parts), suspect.last,
+        suspect.sound ? options_.first_block_of_sound : options_.first_block_of_parts,
+        suspect.crashes - (suspect.sound ? limits.sound_crashes : limits.crashes));
 }
 
 bool crash_watch::in_trial(std::string const& name, std::string const& call_id,
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -45,19 +45,24 @@
     std::size_t max_parts = 128;
     // 3000  ms; a restarted server is listed anew within this
     millis restart_listed{3000};
-    // 60000 ms from the last crash until a blocked content or part may run again, for
-    //       those that stood in several crashes by chance; ten times as long after each
-    //       further crash, up to a day, so that one that crashes servers does so rarely
-    millis first_block{60'000};
-    millis longest_block{86'400'000};
+    // 5000  ms from the last crash until a blocked content may run again, for those that
+    //       stood in two crashes by chance, such as an outage of their service; 12 times
+    //       as long after each further crash, up to a day, so that one that crashes
+    //       servers does so rarely
+    millis first_block{5'000};
+    // 60000 ms; the same for prompt parts
+    millis first_block_of_parts{60'000};
     // 5000  ms; the same for parts on which whole responses were written
     millis first_block_of_sound{5'000};
+    millis longest_block{86'400'000};
     // 2000  ms; then one call of a VM runs, and the others wait this long for its end
     millis trial{2000};
     // 60000 ms; an update on a crash takes less time to arrive
     millis keep_ends{60'000};
     // 86400000 ms; a crash is remembered unless it is withdrawn
     millis keep{86'400'000};
+    // 20    ms; a call breaks off within this if its connection had ended before
+    millis stale_connection{20};
     // 20    ms; error of times that other VMs state
     millis clock_error{20};
     // 10000 ms after its last publication; a withdrawn crash is remembered until no VM
