Parts aren't blocked while their service fails as a whole

Cause: a part was compared with its own past, not with the calls beside it. A part that was sound before is now suspected only if ten calls of the service without it were served since its first crash; one that nobody knows is blocked for 5 to 10 s at first unless that holds, else for one to two minutes as before. VMs tell each other (others_served), so that one which has just started agrees. Test failed before (sound_part_is_suspected_in_an_outage_of_its_service).

--- a/src/policy/crash_update.hpp
+++ b/src/policy/crash_update.hpp
@@ -17,13 +17,16 @@
 /// A call that broke off at its server, as VMs publish it to each other.
 struct crash_update
 {
-    std::string           content; // hash of path, caller and body
-    std::string           server;  // lost while it ran the call
-    std::string           call_id; // a restarted server may keep its id
-    std::vector<part_key> parts{}; // shared ones of its prompt; none if it had events
-    millis                ran{0};  // from sending the call until its connection ended
-    millis                age{0};  // since then
+    std::string           content;   // hash of path, caller and body
+    std::string           server;    // lost while it ran the call
+    std::string           service{}; // of the server
+    std::string           call_id;   // a restarted server may keep its id
+    std::vector<part_key> parts{};   // shared ones of its prompt; none if it had events
+    millis                ran{0};    // from sending the call until its connection ended
+    millis                age{0};    // since then
     bool                  withdrawn = false; // the call did not crash the server
+    // Calls without its suspected parts were served meanwhile.
+    bool others_served = false;
 
     auto operator<=>(crash_update const&) const = default;
 };
@@ -50,8 +53,9 @@
 struct call_features
 {
     std::string           content; // hash of path, caller and body
-    std::vector<part_key> parts;   // shared ones of its prompt, in ascending order
-    std::string           call_id;
+    std::string           service{};
+    std::vector<part_key> parts{}; // shared ones of its prompt, in ascending order
+    std::string           call_id{};
 
     bool operator==(call_features const&) const = default;
 };
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -74,12 +74,14 @@
     auto const     ended = now - crash.age;
     auto const [at, added] = calls_.try_emplace(
         key, broken_call{.content = crash.content,
+                         .service = crash.service,
                          .parts = some_of(crash.parts, options_.max_parts, crash.call_id),
                          .sent = ended - crash.ran,
                          .ended = ended,
                          .source = source,
                          .next_publication = now,
-                         .withdrawn = crash.withdrawn});
+                         .withdrawn = crash.withdrawn,
+                         .others_served = crash.others_served});
     if (!added)
     {
         return false;
@@ -128,7 +130,7 @@
     {
         return false; // of a release that cleared contents
     }
-    call_features const content{.content = update.content, .parts = {}, .call_id = ""};
+    call_features const content{.content = update.content};
     bool const          was_blocked = evaluate(content, now) != crash_verdict::may_run;
     auto const          known = calls_.find({update.server, update.call_id});
     if (known == calls_.end())
@@ -154,6 +156,11 @@
         auto const ended = std::min(call.ended, now - update.age);
         call.sent -= call.ended - ended;
         call.ended = ended;
+        if (update.others_served && !call.others_served)
+        {
+            call.others_served = true;
+            find_suspects(call.parts);
+        }
     }
     return !was_blocked && evaluate(content, now) != crash_verdict::may_run;
 }
@@ -169,11 +176,13 @@
 {
     return {.content = call.content,
             .server = key.first,
+            .service = call.service,
             .call_id = key.second,
             .parts = call.withdrawn ? std::vector<part_key>{} : call.parts,
             .ran = std::chrono::duration_cast<millis>(call.ended - call.sent),
             .age = std::chrono::duration_cast<millis>(now - call.ended),
-            .withdrawn = call.withdrawn};
+            .withdrawn = call.withdrawn,
+            .others_served = call.others_served};
 }
 
 // 2. Evidence against a crash
@@ -226,6 +235,7 @@
     {
         record_sound(part, update_source::own, sent, now);
     }
+    record_served(call, sent);
     std::vector<crash_update> withdrawn;
     auto const                found = by_content_.find(call.content);
     if (found == by_content_.end())
@@ -243,6 +253,25 @@
     return withdrawn;
 }
 
+void crash_watch::record_served(call_features const& call, boot_clock::time_point sent)
+{
+    if (crowded_.empty())
+    {
+        served_.clear();
+        return;
+    }
+    if (call.parts.empty())
+    {
+        return;
+    }
+    served_.push_back({call.service, sent, call.parts});
+    if (served_.size() > options_.max_served)
+    {
+        served_.pop_front();
+    }
+    served_changed_ = true;
+}
+
 void crash_watch::record_sound(part_key part, update_source source,
                                boot_clock::time_point sent, boot_clock::time_point now)
 {
@@ -364,7 +393,7 @@
     auto const& limits = options_.suspects;
     return block_end(
         name_of(suspect.parts), suspect.last,
-        suspect.sound ? options_.first_block_of_sound : options_.first_block_of_parts,
+        suspect.others_served ? options_.first_block_of_parts : options_.first_block,
         suspect.crashes - (suspect.sound ? limits.sound_crashes : limits.crashes));
 }
 
@@ -459,6 +488,7 @@
             crowded_.erase(part);
         }
     }
+    served_changed_ = false;
     std::set<call_key> keys;
     for (auto const part : crowded_)
     {
@@ -469,9 +499,21 @@
     for (auto const& key : keys)
     {
         auto const& call = calls_.at(key);
-        witnesses.push_back({call.content, key.first, call.ended, call.parts});
+        witnesses.push_back({call.content, key.first, call.service, call.ended,
+                             call.parts, call.others_served});
+    }
+    suspects_ = find_part_suspects(std::move(witnesses), {served_.begin(), served_.end()},
+                                   sound_, options_.suspects);
+    for (auto const& suspect : suspects_)
+    {
+        for (auto const& key : keys)
+        {
+            auto& call = calls_.at(key);
+            call.others_served =
+                call.others_served ||
+                (suspect.others_served && has_all(call.parts, suspect.parts));
+        }
     }
-    suspects_ = find_part_suspects(std::move(witnesses), sound_, options_.suspects);
 }
 
 std::map<crash_watch::call_key, boot_clock::time_point>
@@ -532,6 +574,10 @@
 std::vector<published_crash> crash_watch::take_updates(boot_clock::time_point now)
 {
     expire(now);
+    if (served_changed_ && !crowded_.empty())
+    {
+        find_suspects({*crowded_.begin()});
+    }
     std::map<call_key, bool> due; // and whether it is standing
     for (auto const& [key, call] : calls_)
     {
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -19,6 +19,7 @@
 #include "policy/part_suspects.hpp"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,15 +46,13 @@
     std::size_t max_parts = 128;
     // 3000  ms; a restarted server is listed anew within this
     millis restart_listed{3000};
-    // 5000  ms from the last crash until a blocked content may run again, for those that
-    //       stood in two crashes by chance, such as an outage of their service; 12 times
-    //       as long after each further crash, up to a day, so that one that crashes
-    //       servers does so rarely
+    // 5000  ms from the last crash until a blocked content or part may run again, for
+    //       those that stood in several crashes by chance, such as an outage of their
+    //       service; 12 times as long after each further crash, up to a day, so that one
+    //       that crashes servers does so rarely
     millis first_block{5'000};
-    // 60000 ms; the same for prompt parts
+    // 60000 ms; the same for parts if calls without them are served meanwhile
     millis first_block_of_parts{60'000};
-    // 5000  ms; the same for parts on which whole responses were written
-    millis first_block_of_sound{5'000};
     millis longest_block{86'400'000};
     // 2000  ms; then one call of a VM runs, and the others wait this long for its end
     millis trial{2000};
@@ -71,7 +70,9 @@
     // 4096  calls; the oldest are dropped beyond it, those that block calls last
     std::size_t max_calls = 4096;
     // 8192  parts on which whole responses were written
-    std::size_t          max_sound_parts = 8192;
+    std::size_t max_sound_parts = 8192;
+    // 512   calls that were served last, remembered while a part may be suspected
+    std::size_t          max_served = 512;
     part_suspect_options suspects;
     // Name of this VM. Blocks end at different times on the VMs, so that a call that
     // still crashes servers is blocked by the crash at the first of them.
@@ -157,6 +158,7 @@
     struct broken_call
     {
         std::string                           content;
+        std::string                           service;
         std::vector<part_key>                 parts;
         boot_clock::time_point                sent{};
         boot_clock::time_point                ended{};
@@ -166,6 +168,7 @@
         std::optional<boot_clock::time_point> responded; // the server, since then
         bool                                  server_ended = false;
         bool                                  withdrawn = false;
+        bool                                  others_served = false; // as in crash_update
     };
 
     /// A part that other VMs should hear of.
@@ -188,6 +191,7 @@
     bool add(crash_update const& crash, update_source source, boot_clock::time_point now);
     void withdraw(call_key const& key, boot_clock::time_point now,
                   std::vector<crash_update>& withdrawn);
+    void record_served(call_features const& call, boot_clock::time_point sent);
     void record_sound(part_key part, update_source source, boot_clock::time_point sent,
                       boot_clock::time_point now);
     void publish(part_key part, update_source source, boot_clock::time_point now);
@@ -229,11 +233,13 @@
     std::set<call_key> responded_; // not yet withdrawn
     std::map<std::string, boot_clock::time_point> server_ends_; // by server
     sound_parts                                   sound_;
-    std::map<part_key, unpublished_part>          unpublished_parts_;
-    std::vector<part_suspect>                     suspects_;
-    std::map<std::string, trial>                  trials_; // by name of the block
-    boot_clock::time_point                        next_republish_{};
-    boot_clock::time_point                        next_expiry_{};
+    std::deque<served_call>                       served_; // the last ones
+    bool served_changed_ = false; // since the suspects were found
+    std::map<part_key, unpublished_part> unpublished_parts_;
+    std::vector<part_suspect>            suspects_;
+    std::map<std::string, trial>         trials_; // by name of the block
+    boot_clock::time_point               next_republish_{};
+    boot_clock::time_point               next_expiry_{};
 };
 
 } // namespace marigoldcrank
--- a/src/policy/part_suspects.cpp
+++ b/src/policy/part_suspects.cpp
@@ -34,6 +34,27 @@
     return crashes;
 }
 
+/// Whether enough calls of the service were served that have not this part, sent after
+/// the first of its crashes.
+bool others_served(part_key part, witness_list const& witnesses,
+                   std::vector<served_call> const& served, int enough)
+{
+    if (std::any_of(witnesses.begin(), witnesses.end(),
+                    [](auto const* witness) { return witness->others_served; }))
+    {
+        return true;
+    }
+    auto const& first = *witnesses.front();
+    auto const  count = std::count_if(
+         served.begin(), served.end(),
+         [&](served_call const& call)
+         {
+            return call.service == first.service && call.sent > first.ended &&
+                   !std::binary_search(call.parts.begin(), call.parts.end(), part);
+        });
+    return count >= enough;
+}
+
 std::vector<part_key> common_parts(witness_list const& witnesses)
 {
     auto common = witnesses.front()->parts;
@@ -49,6 +70,7 @@
 
 /// The part that explains the most crashes; nothing if none explains enough.
 std::optional<part_suspect> strongest_suspect(std::vector<part_witness> const& witnesses,
+                                              std::vector<served_call> const&  served,
                                               sound_parts const&               sound,
                                               part_suspect_options const&      options)
 {
@@ -74,9 +96,14 @@
         bool const stronger =
             !strongest || std::tuple{!is_sound, crashes} >
                               std::tuple{!strongest->sound, strongest->crashes};
-        if (crashes >= needed && stronger)
+        if (crashes < needed || !stronger)
+        {
+            continue;
+        }
+        bool const apart = others_served(part, of_part, served, options.others_served);
+        if (apart || !is_sound)
         {
-            strongest = {{}, crashes, of_part.back()->ended, is_sound};
+            strongest = {{}, crashes, of_part.back()->ended, is_sound, apart};
             chosen = part;
         }
     }
@@ -91,9 +118,10 @@
 
 } // namespace
 
-std::vector<part_suspect> find_part_suspects(std::vector<part_witness>   witnesses,
-                                             sound_parts const&          sound,
-                                             part_suspect_options const& options)
+std::vector<part_suspect> find_part_suspects(std::vector<part_witness>       witnesses,
+                                             std::vector<served_call> const& served,
+                                             sound_parts const&              sound,
+                                             part_suspect_options const&     options)
 {
     for (auto& witness : witnesses)
     {
@@ -111,7 +139,7 @@
                          std::tie(right.ended, right.server, right.content);
               });
     std::vector<part_suspect> suspects;
-    while (auto const suspect = strongest_suspect(witnesses, sound, options))
+    while (auto const suspect = strongest_suspect(witnesses, served, sound, options))
     {
         suspects.push_back(*suspect);
         std::vector<std::pair<std::string, boot_clock::time_point>> explained;
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -76,7 +76,9 @@
 {
     bool const fresh = state.keys_fresh(arrived);
     admitted.rules = state.view.rules;
-    admitted.features = {content_hash(call, body), shared_part_keys(call), call.id};
+    admitted.features = {.content = content_hash(call, body),
+                         .parts = shared_part_keys(call),
+                         .call_id = call.id};
     if (!admitted.rules)
     {
         return own_response{503, call_fate::not_run, "no_rules", refusal_retry_after};
@@ -103,6 +105,7 @@
         admitted.caller_workspace != nullptr && admitted.caller_workspace->rank >= 0;
     admitted.deadline = deadline_of(call, matched);
     admitted.service_name = pick_target(matched, state.tie_break())->service;
+    admitted.features.service = admitted.service_name;
     admitted.target = admitted.rules->find_service(admitted.service_name);
     admitted.rank = ranked ? admitted.caller_workspace->rank : matched.rank;
     admitted.repeatable = matched.kind == call_kind::idempotent ||
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -217,6 +217,7 @@
     auto const   now = boot_clock::now();
     crash_update crash{.content = admitted_.features.content,
                        .server = server,
+                       .service = admitted_.service_name,
                        .call_id = call_.id,
                        .ran = std::chrono::duration_cast<millis>(now - result.sent)};
     if (may_have_just_begun(result, now))
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -258,9 +258,8 @@
         {
             state_.health.succeeded(link.server().id);
             // Perhaps refused by the server, so its prompt's parts may still crash it.
-            state_.record_completion(
-                {.content = admitted_.features.content, .parts = {}, .call_id = call_.id},
-                link.sent_at());
+            state_.record_completion({.content = admitted_.features.content},
+                                     link.sent_at());
             co_await send_response(std::move(bytes), status);
             co_return true;
         }
@@ -378,6 +377,7 @@
         if (allowed && service != admitted_.service_name)
         {
             admitted_.service_name = service;
+            admitted_.features.service = service;
             admitted_.target = admitted_.rules->find_service(service);
         }
         return allowed;
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -47,6 +47,8 @@
         entry->set_withdrawn(each.withdrawn);
         entry->set_ran_ms(static_cast<std::uint64_t>(each.ran.count()));
         entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+        entry->set_service(each.service);
+        entry->set_others_served(each.others_served);
         entry->mutable_parts()->Add(each.parts.begin(), each.parts.end());
     }
     for (auto const& each : extras.sound_parts)
@@ -163,11 +165,13 @@
     {
         extras.crashes.push_back({.content = entry.content(),
                                   .server = entry.server(),
+                                  .service = entry.service(),
                                   .call_id = entry.call_id(),
                                   .parts = parse_parts(entry),
                                   .ran = parse_millis(entry.ran_ms()),
                                   .age = parse_millis(entry.age_ms()),
-                                  .withdrawn = entry.withdrawn()});
+                                  .withdrawn = entry.withdrawn(),
+                                  .others_served = entry.others_served()});
     }
     for (auto const& entry : message.sound_parts())
     {
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -60,8 +60,7 @@
 bool is_blocked(crash_watch const& crashes, std::string const& content,
                 boot_clock::time_point now)
 {
-    return crashes.evaluate({.content = content, .parts = {}, .call_id = ""}, now) !=
-           crash_verdict::may_run;
+    return crashes.evaluate({.content = content}, now) != crash_verdict::may_run;
 }
 
 /// Keys of parts, separated by commas.
--- a/tests/platform/prompt_parts_test.cpp
+++ b/tests/platform/prompt_parts_test.cpp
@@ -305,6 +305,7 @@
     constexpr int    vms = 3;
     entry_cluster    cluster({.daemons = vms, .servers = 1});
     crashing_engines engines(cluster, 6);
+    model_callers    sound(cluster, vms, 6, "aa:300,bb:100", milliseconds{60});
     std::this_thread::sleep_for(seconds{4}); // the VMs have discovered each other
     send_bad_requests(cluster, vms, "aa:300,bad:100", "a", seconds{4});
     std::this_thread::sleep_for(seconds{4}); // longer than new crashes are published
