Servers: the log says when their list is lost, and which removed servers are held

The log of an incident didn't tell which read of the servers' entries had failed, nor that a removed server was kept in use. New lines: servers_lost with the fault, servers_regained, and server_held in place of server_gone for an entry that stays in use. The fault not_asked is new: no relay replied and the store wasn't asked. No change of behaviour.

--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -77,6 +77,7 @@
 /// Why a request to the store failed, and what is known about its effect.
 enum class store_fault
 {
+    not_asked,   // relays didn't reply, and this VM may not ask the store now
     unreachable, // no connection, or not in time: nothing was done
     refused,     // the store refused: nothing was done
     no_response, // sent, but no complete response: may be done now or later
@@ -85,6 +86,28 @@
     trimmed      // the requested records are no longer stored
 };
 
+inline char const* store_fault_name(store_fault value)
+{
+    switch (value)
+    {
+    case store_fault::not_asked:
+        return "not_asked";
+    case store_fault::unreachable:
+        return "unreachable";
+    case store_fault::refused:
+        return "refused";
+    case store_fault::no_response:
+        return "no_response";
+    case store_fault::malformed:
+        return "malformed";
+    case store_fault::moved:
+        return "moved";
+    case store_fault::trimmed:
+        break;
+    }
+    return "trimmed";
+}
+
 /// A failed request to the store.
 struct store_failure
 {
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -138,7 +138,7 @@
         }
         if (must_wait(topic, sent) || !may_list(topic, sent))
         {
-            co_return store_failure{store_fault::unreachable, 0};
+            co_return store_failure{store_fault::not_asked, 0};
         }
         ++tally_.of(topic).listings;
         auto        result = co_await store_.newest(lane, topic, after);
@@ -184,7 +184,7 @@
         }
         if (!may_fall_back(topic))
         {
-            co_return store_failure{store_fault::unreachable, 0};
+            co_return store_failure{store_fault::not_asked, 0};
         }
         co_return co_await read_store(lane, topic, from, wait, max_kb);
     }
@@ -248,7 +248,7 @@
         auto const sent = boot_clock::now();
         if (must_wait(topic, sent))
         {
-            co_return store_failure{store_fault::unreachable, 0};
+            co_return store_failure{store_fault::not_asked, 0};
         }
         auto        result = co_await store_.read(lane, topic, from, wait, max_kb);
         auto*       chunk = std::get_if<log_chunk>(&result);
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -14,6 +14,7 @@
 #include "serving/loop_sleep.hpp"
 
 #include <concepts>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -278,10 +279,12 @@
             {
                 synced_ = synced_ && failure->fault != store_fault::trimmed;
                 state_.servers.store_lost();
+                log_lost(*failure);
                 co_await loop_sleep(backoff_.next(state_.tie_break()));
                 continue;
             }
             state_.servers.store_answered(now);
+            log_regained();
             backoff_.reset();
             for (auto const& id : state_.servers.expire(now))
             {
@@ -318,7 +321,7 @@
             if (page.relayed && page.end < next_)
             {
                 // An older state would take a leaving server back into use.
-                co_return store_failure{store_fault::unreachable, 0};
+                co_return store_failure{store_fault::not_asked, 0};
             }
             for (auto const& record : page.records)
             {
@@ -422,14 +425,45 @@
 
     void forget(std::string const& id, std::string_view cause)
     {
-        lines_.push_back(event_line{"server_gone"}.add("server", id).add("cause", cause));
-        if (state_.servers.servers().count(id) == 0)
+        bool const held = state_.servers.servers().count(id) > 0;
+        lines_.push_back(event_line{held ? "server_held" : "server_gone"}
+                             .add("server", id)
+                             .add("cause", cause));
+        if (!held)
         {
             state_.pool.drop(id);
             state_.forget_server(id);
         }
     }
 
+    /// Logs the first failure after an answered read.
+    void log_lost(store_failure const& failure)
+    {
+        if (lost_since_)
+        {
+            return;
+        }
+        auto const now = boot_clock::now();
+        lost_since_ = now;
+        state_.log.write(event_line{"servers_lost"}
+                             .add("fault", store_fault_name(failure.fault))
+                             .add("after_ms", now - answered_at_),
+                         now);
+    }
+
+    void log_regained()
+    {
+        answered_at_ = boot_clock::now();
+        auto const since = std::exchange(lost_since_, std::nullopt);
+        if (since)
+        {
+            state_.log.write(event_line{"servers_regained"}
+                                 .add("lost_ms", answered_at_ - *since)
+                                 .add("relayed", relayed_ ? 1 : 0),
+                             answered_at_);
+        }
+    }
+
     /// Writes the lines about the servers of the last read. Many at once, as at a start,
     /// become one line.
     void write_lines()
@@ -457,6 +491,8 @@
     bool                    synced_; // `next_` continues the last read
     bool                    relayed_ = false;
     std::vector<event_line> lines_; // about servers, not written yet
+    boot_clock::time_point  answered_at_ = boot_clock::now(); // the last answered read
+    std::optional<boot_clock::time_point> lost_since_; // first failed read after it
 };
 
 } // namespace marigoldcrank
