Connections: the log says by which way they failed, and why no other VM was found

send_failed has the path of a new connection (own, proxy), and no_proxy the numbers of offers, of those without links and of those left out for a while, at most once a second and service. No change of behaviour.

--- a/src/policy/proxy_list.hpp
+++ b/src/policy/proxy_list.hpp
@@ -1,6 +1,6 @@
 // The VMs that open connections to servers for VMs without links of their own.
 //
-// Index: 1 server_proxy, 2 proxy_list_options, 3 proxy_list
+// Index: 1 server_proxy, 2 proxy_list_options, 3 proxy_tally, 4 proxy_list
 #ifndef MARIGOLDCRANK_POLICY_PROXY_LIST_HPP
 #define MARIGOLDCRANK_POLICY_PROXY_LIST_HPP
 
@@ -34,6 +34,16 @@
     bool operator==(proxy_list_options const&) const = default;
 };
 
+/// Numbers of current offers.
+struct proxy_tally
+{
+    std::int64_t current = 0;
+    std::int64_t without = 0; // of VMs without links to the service
+    std::int64_t avoided = 0; // of VMs with links that are left out for a while
+
+    bool operator==(proxy_tally const&) const = default;
+};
+
 /// Offers of other VMs. No I/O; the caller passes the time.
 class proxy_list
 {
@@ -81,6 +91,20 @@
         return from.empty() ? nullptr : from[random % from.size()];
     }
 
+    proxy_tally tally(std::string const& service, boot_clock::time_point now) const
+    {
+        proxy_tally result;
+        for (auto const& [address, entry] : entries_)
+        {
+            bool const without = entry.offer.without.count(service) > 0;
+            result.current += is_current(entry, now) ? 1 : 0;
+            result.without += is_current(entry, now) && without ? 1 : 0;
+            result.avoided +=
+                is_current(entry, now) && !without && now < entry.avoided_until ? 1 : 0;
+        }
+        return result;
+    }
+
     /// Whether the VM at `address` still offers to open connections.
     bool offers(std::string const& address, boot_clock::time_point now) const
     {
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -238,6 +238,7 @@
                          .fate = result.fate,
                          .fault = result.fault,
                          .framing = result.framing,
+                         .path = result.path,
                          .status = result.status});
 }
 
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -26,6 +26,7 @@
     unsigned               status = 0;
     bool                   proxied = false; // over a connection that another VM relays
     std::string_view       framing;         // of the response, for logs; empty: none
+    std::string_view       path;            // of a new connection, for logs
     boot_clock::time_point sent{};          // the request
     boot_clock::time_point connected{};     // its connection was made
     // The first event of the server, if it has sent one.
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -36,6 +36,7 @@
     attempt_outcome  fate = attempt_outcome::unknown;
     std::string_view fault;
     std::string_view framing; // of the response; empty: none
+    std::string_view path;    // of a new connection; empty: it was kept
     unsigned         status = 0;
 };
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -695,6 +695,7 @@
                 .status = link.facts().status,
                 .proxied = link.proxied(),
                 .framing = link.framing(),
+                .path = link.path(),
                 .sent = link.sent_at(),
                 .connected = link.connected(),
                 .first_event = first_event_};
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -236,6 +236,8 @@
     metrics                             counters;
     step_filtered_clock                 day;
     crash_watch                         crashes;
+    std::map<std::string, boot_clock::time_point>
+        no_proxy_logged_at; // by service; the last line about it
     std::map<std::string, boot_clock::time_point>
                                   last_heard; // by the address where a VM answers
     version_history               versions;
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -61,14 +61,14 @@
     {
         connection->connected = boot_clock::now();
         state.record_connection(server.group);
-        co_return open_connection{connection};
+        co_return open_connection{connection, "", "own"};
     }
     connection->close();
     state.record_connect_failure(server,
                                  step == io_result::timed_out ? link_failure::timed_out
                                                               : link_failure::refused,
                                  began);
-    co_return open_connection{nullptr, "connect"};
+    co_return open_connection{nullptr, "connect", "own"};
 }
 
 // 2. Other VMs
@@ -113,10 +113,31 @@
     co_return reply;
 }
 
+/// Logs why no other VM was found, at most once a second and service.
+void log_no_proxy(entry_state& state, std::string const& service, std::size_t tried)
+{
+    constexpr millis interval{1000};
+    auto const       now = boot_clock::now();
+    auto&            logged_at = state.no_proxy_logged_at[service];
+    if (now - logged_at < interval)
+    {
+        return;
+    }
+    logged_at = now;
+    auto const offers = state.proxies.tally(service, now);
+    state.log.write(event_line{"no_proxy"}
+                        .add("service", service)
+                        .add("offers", offers.current)
+                        .add("without_links", offers.without)
+                        .add("avoided", offers.avoided)
+                        .add("tried", static_cast<std::int64_t>(tried)),
+                    now);
+}
+
 asio::awaitable<open_connection>
 connect_through_proxy(entry_state& state, backend_server server, loop_time until)
 {
-    open_connection       result{nullptr, "no_path"};
+    open_connection       result{nullptr, "no_path", "proxy"};
     std::set<std::string> tried;
     auto const end = std::min(until, loop_clock::now() + options.proxy_timeout);
     while (tried.size() < options.max_proxies && loop_clock::now() < end)
@@ -126,6 +147,7 @@
                                  state.tie_break(), boot_clock::now());
         if (chosen == nullptr)
         {
+            log_no_proxy(state, server.group, tried.size());
             break;
         }
         std::string const address = chosen->address; // copy: the list may change
--- a/src/serving/server_connector.hpp
+++ b/src/serving/server_connector.hpp
@@ -42,6 +42,7 @@
 {
     std::shared_ptr<http_connection> connection; // null: there is none
     char const*                      fault = ""; // of a fixed set of words
+    char const* path = ""; // "own" link or "proxy", the way that was tried last
 };
 
 /// Connects over this VM's own link, and records what that shows about the links.
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -141,6 +141,12 @@
         return framing_;
     }
 
+    /// The way of a new connection, for logs; empty if the connection was kept.
+    char const* path() const noexcept
+    {
+        return path_;
+    }
+
     /// Whether another VM relays the connection.
     bool proxied() const noexcept
     {
@@ -192,6 +198,7 @@
         auto const opened = co_await connect_server(state_, server_, request.until);
         connection_ = opened.connection;
         fault_ = opened.fault;
+        path_ = opened.path;
         co_return connection_ != nullptr;
     }
 
@@ -259,6 +266,7 @@
     boot_clock::time_point           sent_at_{};
     char const*                      fault_ = "";
     char const*                      framing_ = "";
+    char const*                      path_ = "";
     bool                             stray_ = false;
     bool                             internal_ = false;
 };
