Failing tests: removed servers get requests after relays were silent

Daemons: both relays of a fleet of five are frozen for 1.2 s each before and after a server's entry is removed; members send to it later than 2 s after the removal. Follower on a scripted store: a removed server stays in use if the read before failed though the store wasn't asked, or had trimmed changes; the third test, an outage of the store, passes and has to.

--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -1,6 +1,7 @@
 // Fleets larger than the mesh, which read records of the store through other VMs.
 //
 // Index: 1 a link between two VMs, 2 daemons
+#include "platform/support/arrival_times.hpp"
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 #include "serving/record_link.hpp"
@@ -13,8 +14,10 @@
 #include <gtest/gtest.h>
 #include <zmq.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <future>
+#include <thread>
 
 namespace marigoldcrank::tests
 {
@@ -417,6 +420,54 @@
     }
 }
 
+/// Stops a VM's process for a time.
+void freeze(entry_cluster& cluster, int index, millis duration)
+{
+    cluster.daemon(index).signal(SIGSTOP);
+    std::this_thread::sleep_for(duration);
+    cluster.daemon(index).signal(SIGCONT);
+}
+
+// Silent relays were taken for an outage of the store, after which removed servers are
+// kept in use.
+TEST(platform_relays, removed_server_gets_no_requests_while_relays_fall_silent)
+{
+    constexpr std::chrono::seconds drain{2}; // requests may arrive for so long
+    constexpr millis               silence{1200};
+    constexpr millis               pause{1300};
+    arrival_times                  arrivals;
+    auto const                     cluster = fleet();
+    cluster->server(0).handle_always(headed_response(arrivals, ""));
+    std::vector<int> relays;
+    std::vector<int> members;
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        (is_relay(*cluster, index) ? relays : members).push_back(index);
+    }
+    ASSERT_EQ(relays.size(), 2U);
+    std::atomic<bool> stopping{false};
+    std::thread       caller(
+        [&]
+        {
+            for (std::size_t call = 0; !stopping; ++call)
+            {
+                static_cast<void>(status_at(*cluster, members[call % members.size()]));
+            }
+        });
+    freeze(*cluster, relays[0], silence);
+    freeze(*cluster, relays[1], silence);
+    cluster->store().remove("keyed.servers", cluster->server(0).id());
+    auto const removed = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(pause);
+    freeze(*cluster, relays[0], silence);
+    freeze(*cluster, relays[1], silence);
+    std::this_thread::sleep_for(drain);
+    stopping = true;
+    caller.join();
+    EXPECT_GE(arrivals.count(removed - drain, removed), 1U);
+    EXPECT_EQ(arrivals.count(removed + drain, std::chrono::steady_clock::now()), 0U);
+}
+
 // All VMs of a large fleet lose power and start at once. If each read the whole usage
 // log, the store would be overloaded and respond to none in time.
 TEST(platform_relays, vm_that_starts_again_reads_only_the_end_of_the_usage_log)
--- /dev/null
+++ b/tests/unit/servers_follower_test.cpp
@@ -0,0 +1,125 @@
+// Entries of servers that are removed after reads that failed.
+#include "serving/store_followers.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+constexpr char const* server_id = "i-1";
+
+/// Returns scripted results of reads, then waits.
+struct scripted_store
+{
+    boost::asio::awaitable<store_result<std::uint64_t>>
+    append(unsigned, std::string, std::vector<std::string>, std::optional<std::uint64_t>)
+    {
+        co_return store_failure{};
+    }
+
+    boost::asio::awaitable<store_result<log_chunk>>
+    read(unsigned, std::string, std::uint64_t, millis, std::size_t = default_read_kb)
+    {
+        while (reads.empty())
+        {
+            co_await loop_sleep(millis{5});
+        }
+        auto result = std::move(reads.front());
+        reads.pop_front();
+        co_return result;
+    }
+
+    boost::asio::awaitable<store_result<keyed_page>> newest(unsigned, std::string,
+                                                            std::string)
+    {
+        co_return keyed_page{.records = {{server_id, "listed", 0}}, .end = 1};
+    }
+
+    std::deque<store_result<log_chunk>> reads;
+};
+
+/// Records "KEY": the key was removed.
+struct removal_codec
+{
+    static std::string rules_topic()
+    {
+        return "rules";
+    }
+
+    static std::string rules_key()
+    {
+        return "rules";
+    }
+
+    static std::string servers_topic()
+    {
+        return "servers";
+    }
+
+    static std::optional<keyed_record> keyed(std::string const& record,
+                                             std::uint64_t      offset)
+    {
+        return keyed_record{record, std::nullopt, offset};
+    }
+
+    static std::optional<serving_rules> rules(std::string const&)
+    {
+        return std::nullopt;
+    }
+
+    static std::optional<backend_server> server(std::string const& id, std::string const&)
+    {
+        return backend_server{.id = id, .group = "desk"};
+    }
+};
+
+/// Whether a server stays in use after a read has failed and the next one removes it.
+bool in_use_after(store_fault fault)
+{
+    scripted_store  store;
+    log_chunk const removal{.from = 1, .end = 2, .records = {server_id}};
+    store.reads = {store_failure{fault, 0}, removal};
+    entry_state          state{entry_settings{}, "vm"};
+    follow_options const options{
+        .servers_pause = millis{10}, .min_retry = millis{10}, .max_retry = millis{10}};
+    servers_follower<scripted_store, removal_codec> follower{state, store, options};
+    boost::asio::io_context                         loop;
+    boost::asio::co_spawn(loop, follower.run(), boost::asio::detached);
+    auto const end = boot_clock::now() + millis{3000};
+    while (!store.reads.empty() && boot_clock::now() < end)
+    {
+        loop.run_for(millis{10});
+    }
+    loop.run_for(millis{50});
+    EXPECT_TRUE(store.reads.empty());
+    return state.servers.servers().count(server_id) > 0;
+}
+
+// A relay's silence was taken for an outage of the store.
+TEST(servers_follower, removed_server_is_not_kept_after_relays_were_silent)
+{
+    EXPECT_FALSE(in_use_after(store_fault::not_asked));
+}
+
+// Becoming a relay, or being behind one, was taken for an outage of the store.
+TEST(servers_follower, removed_server_is_not_kept_after_changes_were_trimmed)
+{
+    EXPECT_FALSE(in_use_after(store_fault::trimmed));
+}
+
+// Servers can't renew their entries during an outage, so all of them would be lost.
+TEST(servers_follower, removed_server_is_kept_after_the_store_was_away)
+{
+    EXPECT_TRUE(in_use_after(store_fault::unreachable));
+    EXPECT_TRUE(in_use_after(store_fault::no_response));
+    EXPECT_TRUE(in_use_after(store_fault::refused));
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
