Failing tests: idle tunnels use up the places of the VMs with links

Three VMs without links, one with links and 30 servers that keep connections open: the cut VMs keep a tunnel to each server, the fourth VM has 64 places and stops offering any, so that not even the idle tunnels are used again. With links that hang on both of two VMs, calls go on paying for timeouts.

--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -148,6 +148,44 @@
     std::this_thread::sleep_for(recovery);
 }
 
+/// Failed attempts to connect over the own links that VM `index` has logged.
+std::size_t own_connect_failures(entry_cluster const& cluster, int index)
+{
+    auto const  text = cluster.output(index);
+    std::size_t count = 0;
+    std::size_t at = 0;
+    while ((at = text.find("fault=connect framing=\"\" path=own", at)) !=
+           std::string::npos)
+    {
+        ++count;
+        ++at;
+    }
+    return count;
+}
+
+/// Three VMs without links, and one that opens fewer tunnels than each of them keeps
+/// connections to each server.
+void expect_calls_served_through_few_tunnels(link_fault fault)
+{
+    constexpr int servers = 30;
+    constexpr int lost = 3;
+    entry_cluster cluster({.daemons = vms, .servers = servers, .own_links = true});
+    for (int server = 0; server < servers; ++server)
+    {
+        cluster.server(server).handle_always(
+            [](wire_request const& request, wire_connection& connection)
+            {
+                auto response = server_standin::signed_response(request, "served");
+                response.insert(response.find("\r\n") + 2, "Keep-Alive: timeout=30\r\n");
+                connection.send(response);
+                return true;
+            });
+    }
+    callers load(cluster);
+    std::this_thread::sleep_for(seconds{1});
+    expect_calls_served(cluster, load, lost, fault);
+}
+
 /// One, most and all VMs of a data centre lose their links, one after the other.
 void expect_calls_served_whoever_is_cut_off(link_fault fault)
 {
@@ -197,6 +235,44 @@
     expect_calls_served_whoever_is_cut_off(link_fault::refuse_new);
 }
 
+// Idle tunnels to each of many servers used up the places of the only VM with links.
+TEST(platform_lost_links, idle_tunnels_leave_places_for_calls_while_links_hang)
+{
+    expect_calls_served_through_few_tunnels(link_fault::hang);
+}
+
+// The same, with links that fail at once.
+TEST(platform_lost_links, idle_tunnels_leave_places_for_calls_while_links_are_reset)
+{
+    expect_calls_served_through_few_tunnels(link_fault::reset);
+}
+
+// Calls waited for links that were known to hang, one timeout after the other.
+TEST(platform_lost_links, calls_do_not_wait_for_links_that_are_known_to_hang)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 6, .own_links = true});
+    cluster.break_links(0, link_fault::hang);
+    cluster.break_links(1, link_fault::hang);
+    std::atomic<int> calls{0};
+    auto const       ask_all = [&](milliseconds duration)
+    {
+        auto const end = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            auto const id = "c-" + std::to_string(++calls);
+            static_cast<void>(
+                ask(cluster.caller_port(calls % 2), {.id = id, .body = id}));
+            std::this_thread::sleep_for(milliseconds{20});
+        }
+    };
+    ask_all(seconds{5});
+    auto const before =
+        own_connect_failures(cluster, 0) + own_connect_failures(cluster, 1);
+    ask_all(seconds{5});
+    EXPECT_EQ(own_connect_failures(cluster, 0) + own_connect_failures(cluster, 1),
+              before);
+}
+
 // A call in flight whenever a VM lost its links was taken for one that crashes servers,
 // and refused on all VMs.
 TEST(platform_lost_links, calls_that_end_with_lost_links_are_not_suspected)
