Removed servers aren't kept after reads that say nothing about the store

Callers saw requests sent to servers up to 4.5 s after their entries had been removed (DRAIN; 3 s are allowed) at sound VMs of a fleet of 90, with a sound store.

Cause: servers_follower began an outage of the store with every read that failed. Members of a large fleet read through relays. 1,400 routes more went through these at that moment, their replies came later than a member waits, and the read failed without the store having been asked. Entries that are missing after an outage stay in use for 2 s, and the next silence extended that. The class: a failure of the observer's own path taken for a failure of what it observes.

Fix: only evidence about the store begins an outage: a call to it that fails, or relays that reply with records so old that they have lost the store themselves, now told by topic. Silent relays, trimmed changes and a state behind the own one (not_asked, trimmed) begin none.

--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -108,6 +108,25 @@
     return "trimmed";
 }
 
+/// Whether a failure is evidence that the store is away, for others too. The silence of
+/// other VMs is none, nor is a response of the store.
+inline bool shows_outage(store_fault value)
+{
+    switch (value)
+    {
+    case store_fault::unreachable:
+    case store_fault::refused:
+    case store_fault::no_response:
+    case store_fault::malformed:
+        return true;
+    case store_fault::not_asked:
+    case store_fault::moved:
+    case store_fault::trimmed:
+        break;
+    }
+    return false;
+}
+
 /// A failed request to the store.
 struct store_failure
 {
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -17,6 +17,7 @@
 #include <iterator>
 #include <list>
 #include <map>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -178,6 +179,18 @@
         }
     }
 
+    void note_age(std::string const& topic, millis age)
+    {
+        if (age > records_query{}.max_age)
+        {
+            stale.insert(topic);
+        }
+        else
+        {
+            stale.erase(topic);
+        }
+    }
+
     void heard(std::string const& address, bool known)
     {
         if (auto* relay = find(address))
@@ -264,8 +277,8 @@
             millis const age{answer->age_ms()};
             bool const   known = answer->known() || answer->trimmed();
             heard(address, known);
-            stale = age > records_query{}.max_age;
-            if (stale)
+            note_age(query.topic, age);
+            if (stale.count(query.topic) > 0)
             {
                 avoid_stale(address);
             }
@@ -296,8 +309,8 @@
             avoid_silent(older_from);
             co_return older;
         }
-        stale = millis{answer->age_ms()} > query.max_age;
-        if (stale)
+        note_age(query.topic, millis{answer->age_ms()});
+        if (stale.count(query.topic) > 0)
         {
             avoid_stale(older_from);
             co_return older;
@@ -473,8 +486,8 @@
     std::vector<relay_peer>                                 relays;
     std::map<std::uint64_t, std::shared_ptr<pending_query>> pending_queries;
     std::uint64_t                                           number = 0;
-    bool stale = false;  // the relay that replied last has lost the store
-    bool serves = false; // other VMs query this one
+    std::set<std::string> stale; // topics; the relay that replied last has old records
+    bool                  serves = false; // other VMs query this one
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
     std::list<waiting_query>                                waiting;
@@ -550,9 +563,9 @@
                        { return !each.silent && !each.unknown; });
 }
 
-bool record_link::relays_lost_store() const
+bool record_link::relays_lost_store(std::string const& topic) const
 {
-    return state_->stale;
+    return state_->stale.count(topic) > 0;
 }
 
 asio::awaitable<std::optional<log_chunk>> record_link::fetch(records_query query)
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -83,9 +83,10 @@
     /// True while at least one relay replies with records, even with old ones.
     bool replied() const;
 
-    /// Whether the relay that replied last has lost the store itself, so that the store
-    /// is lost for more VMs than this one. A silent relay doesn't change this.
-    bool relays_lost_store() const;
+    /// Whether the relay that replied last to a query for `topic` has lost the store
+    /// itself, so that the store is lost for more VMs than this one. A silent relay
+    /// doesn't change this.
+    bool relays_lost_store(std::string const& topic) const;
 
     /// The reply of the first relay that isn't avoided and has the records, fresh enough.
     /// Nothing if the store is to be read, also after the first silent relay, since
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -138,7 +138,7 @@
         }
         if (must_wait(topic, sent) || !may_list(topic, sent))
         {
-            co_return store_failure{store_fault::not_asked, 0};
+            co_return not_asked(topic);
         }
         ++tally_.of(topic).listings;
         auto        result = co_await store_.newest(lane, topic, after);
@@ -184,7 +184,7 @@
         }
         if (!may_fall_back(topic))
         {
-            co_return store_failure{store_fault::not_asked, 0};
+            co_return not_asked(topic);
         }
         co_return co_await read_store(lane, topic, from, wait, max_kb);
     }
@@ -211,6 +211,14 @@
                direct_topics_.count(topic) == 0 && !reads_itself;
     }
 
+    /// The failure of a read that relays don't answer and that this VM doesn't send to
+    /// the store. Relays whose records are old have lost the store themselves.
+    store_failure not_asked(std::string const& topic) const
+    {
+        bool const lost = link_ != nullptr && link_->relays_lost_store(topic);
+        return {lost ? store_fault::unreachable : store_fault::not_asked, 0};
+    }
+
     /// Relays that reply with old records read the store themselves, so their members
     /// need only wait. If hundreds of members read records of thousands of servers,
     /// nobody would get them in time.
@@ -248,7 +256,7 @@
         auto const sent = boot_clock::now();
         if (must_wait(topic, sent))
         {
-            co_return store_failure{store_fault::not_asked, 0};
+            co_return not_asked(topic);
         }
         auto        result = co_await store_.read(lane, topic, from, wait, max_kb);
         auto*       chunk = std::get_if<log_chunk>(&result);
@@ -276,7 +284,7 @@
     bool must_wait(std::string const& topic, boot_clock::time_point now)
     {
         bool const follows = reads_via_relays(topic);
-        bool const lost = follows && link_->relays_lost_store();
+        bool const lost = follows && link_->relays_lost_store(topic);
         bool const member = relays_used_ && !passes_on_;
         auto&      gate = gates_.try_emplace(topic, slow_retries).first->second;
         gate.limit(member && !lost ? member_retries : slow_retries);
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -278,7 +278,10 @@
             if (failure)
             {
                 synced_ = synced_ && failure->fault != store_fault::trimmed;
-                state_.servers.store_lost();
+                if (shows_outage(failure->fault))
+                {
+                    state_.servers.store_lost();
+                }
                 log_lost(*failure);
                 co_await loop_sleep(backoff_.next(state_.tie_break()));
                 continue;
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <sstream>
 #include <thread>
 
 namespace marigoldcrank::tests
@@ -420,6 +421,23 @@
     }
 }
 
+/// The lines of all VMs about their lists of servers and their relays.
+std::string server_lines(entry_cluster const& cluster)
+{
+    std::string result;
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        std::istringstream text(cluster.output(index));
+        for (std::string line; std::getline(text, line);)
+        {
+            bool const wanted = line.find("ev=server") != std::string::npos ||
+                                line.find("ev=relays") != std::string::npos;
+            result += wanted ? std::to_string(index) + " " + line + "\n" : "";
+        }
+    }
+    return result;
+}
+
 /// Stops a VM's process for a time.
 void freeze(entry_cluster& cluster, int index, millis duration)
 {
@@ -452,6 +470,7 @@
             for (std::size_t call = 0; !stopping; ++call)
             {
                 static_cast<void>(status_at(*cluster, members[call % members.size()]));
+                std::this_thread::sleep_for(millis{10});
             }
         });
     freeze(*cluster, relays[0], silence);
@@ -465,7 +484,41 @@
     stopping = true;
     caller.join();
     EXPECT_GE(arrivals.count(removed - drain, removed), 1U);
-    EXPECT_EQ(arrivals.count(removed + drain, std::chrono::steady_clock::now()), 0U);
+    EXPECT_EQ(arrivals.count(removed + drain, std::chrono::steady_clock::now()), 0U)
+        << server_lines(*cluster);
+}
+
+// Members hear of an outage of the store only through their relays. Entries that lapsed
+// in it were dropped, and calls refused until the servers had renewed them.
+TEST(platform_relays, servers_that_lapse_in_an_outage_of_the_store_stay_in_use)
+{
+    constexpr millis outage{4500};
+    constexpr millis renewal{1000}; // after the outage
+    auto const       cluster = fleet("key_life_ms = 30000\n");
+    cluster->store().trouble(store_fault_kind::silent);
+    std::this_thread::sleep_for(outage);
+    for (int server = 0; server < 2; ++server)
+    {
+        cluster->store().remove("keyed.servers", cluster->server(server).id());
+    }
+    cluster->store().trouble(store_fault_kind::none);
+    auto const listed = std::chrono::steady_clock::now() + renewal;
+    int        failed = 0;
+    auto const ask_until = [&](std::chrono::steady_clock::time_point end)
+    {
+        for (int call = 0; std::chrono::steady_clock::now() < end; ++call)
+        {
+            failed += status_at(*cluster, call % fleet_size) == 200 ? 0 : 1;
+            std::this_thread::sleep_for(millis{10});
+        }
+    };
+    ask_until(listed);
+    for (int server = 0; server < 2; ++server)
+    {
+        cluster->list_server(cluster->server(server));
+    }
+    ask_until(listed + millis{2500});
+    EXPECT_EQ(failed, 0);
 }
 
 // All VMs of a large fleet lose power and start at once. If each read the whole usage
