Relays say that they couldn't read the store; their old records don't

Callers saw requests at servers whose entries had been removed (DRAIN), by the daemon test: with the hold after silent relays mended, a relay that had been frozen for 1.2 s replied with records of 2.5 s ago when it was back, and its members took that for an outage of the store and kept removed servers for 2 s more.

Cause: old records were read as 'the relay has lost the store'.

Evidence: member's log of a failed run: reply with age 2,564 ms from the relay that was continued 500 ms before, servers_lost fault=unreachable, server_held.

Fix: the VM that reads the store notes by topic whether its last read failed so that the store may be away, and its replies carry that (records_answer.store_lost), over further relays too. Only this begins an outage at a member, and slows reads of the store.

--- a/src/ports/log_store_port.hpp
+++ b/src/ports/log_store_port.hpp
@@ -37,6 +37,7 @@
          covered; // where to read on, if records without a change are left out
     bool trimmed =
         false; // the sender can't tell the changes since `from`, only the state
+    bool store_lost = false; // relayed while the sender couldn't read the store
 
     std::uint64_t offset_at(std::size_t place) const
     {
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -105,6 +105,7 @@
     }
     chunk.trimmed = answer.trimmed();
     chunk.relayed = true;
+    chunk.store_lost = answer.store_lost();
     // The relay held the query for `held_ms` before it replied, so the reply was made at
     // least that long after the query was sent.
     chunk.age = millis{static_cast<std::int64_t>(answer.age_ms())} -
@@ -179,15 +180,15 @@
         }
     }
 
-    void note_age(std::string const& topic, millis age)
+    void note_store(std::string const& topic, bool lost)
     {
-        if (age > records_query{}.max_age)
+        if (lost)
         {
-            stale.insert(topic);
+            store_lost.insert(topic);
         }
         else
         {
-            stale.erase(topic);
+            store_lost.erase(topic);
         }
     }
 
@@ -277,8 +278,8 @@
             millis const age{answer->age_ms()};
             bool const   known = answer->known() || answer->trimmed();
             heard(address, known);
-            note_age(query.topic, age);
-            if (stale.count(query.topic) > 0)
+            note_store(query.topic, answer->store_lost());
+            if (age > records_query{}.max_age)
             {
                 avoid_stale(address);
             }
@@ -309,8 +310,8 @@
             avoid_silent(older_from);
             co_return older;
         }
-        note_age(query.topic, millis{answer->age_ms()});
-        if (stale.count(query.topic) > 0)
+        note_store(query.topic, answer->store_lost());
+        if (millis{answer->age_ms()} > query.max_age)
         {
             avoid_stale(older_from);
             co_return older;
@@ -402,6 +403,7 @@
             auto const waited = std::chrono::floor<millis>(now - waiter.since);
             answer.set_held_ms(static_cast<std::uint64_t>(waited.count()));
             set_age(answer, found->second, now);
+            answer.set_store_lost(store_lost.count(waiter.ask.topic()) > 0);
         }
         if (held)
         {
@@ -486,7 +488,7 @@
     std::vector<relay_peer>                                 relays;
     std::map<std::uint64_t, std::shared_ptr<pending_query>> pending_queries;
     std::uint64_t                                           number = 0;
-    std::set<std::string> stale; // topics; the relay that replied last has old records
+    std::set<std::string> store_lost; // topics whose last known read of the store failed
     bool                  serves = false; // other VMs query this one
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
@@ -563,9 +565,14 @@
                        { return !each.silent && !each.unknown; });
 }
 
-bool record_link::relays_lost_store(std::string const& topic) const
+void record_link::note_store(std::string const& topic, bool lost)
 {
-    return state_->stale.count(topic) > 0;
+    state_->note_store(topic, lost);
+}
+
+bool record_link::store_lost(std::string const& topic) const
+{
+    return state_->store_lost.count(topic) > 0;
 }
 
 asio::awaitable<std::optional<log_chunk>> record_link::fetch(records_query query)
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -83,10 +83,14 @@
     /// True while at least one relay replies with records, even with old ones.
     bool replied() const;
 
-    /// Whether the relay that replied last to a query for `topic` has lost the store
-    /// itself, so that the store is lost for more VMs than this one. A silent relay
-    /// doesn't change this.
-    bool relays_lost_store(std::string const& topic) const;
+    /// Records whether a read of `topic` at the store has failed so that the store may be
+    /// away. Replies tell it, since old records alone don't: a relay may have been away
+    /// itself.
+    void note_store(std::string const& topic, bool lost);
+
+    /// Whether the store was away at the last read of `topic` that is known of, by this
+    /// VM or the relay that replied last.
+    bool store_lost(std::string const& topic) const;
 
     /// The reply of the first relay that isn't avoided and has the records, fresh enough.
     /// Nothing if the store is to be read, also after the first silent relay, since
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -144,6 +144,7 @@
         auto        result = co_await store_.newest(lane, topic, after);
         auto const* page = std::get_if<keyed_page>(&result);
         update_gate(topic, page != nullptr);
+        note_store(topic, std::get_if<store_failure>(&result));
         tally_.of(topic).failed += page == nullptr ? 1 : 0;
         if (page != nullptr)
         {
@@ -212,10 +213,10 @@
     }
 
     /// The failure of a read that relays don't answer and that this VM doesn't send to
-    /// the store. Relays whose records are old have lost the store themselves.
+    /// the store.
     store_failure not_asked(std::string const& topic) const
     {
-        bool const lost = link_ != nullptr && link_->relays_lost_store(topic);
+        bool const lost = link_ != nullptr && link_->store_lost(topic);
         return {lost ? store_fault::unreachable : store_fault::not_asked, 0};
     }
 
@@ -263,6 +264,7 @@
         auto const* failure = std::get_if<store_failure>(&result);
         // A read of trimmed records was answered.
         update_gate(topic, failure == nullptr || failure->fault == store_fault::trimmed);
+        note_store(topic, failure);
         ++tally_.of(topic).reads;
         tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
         if (chunk != nullptr)
@@ -284,13 +286,22 @@
     bool must_wait(std::string const& topic, boot_clock::time_point now)
     {
         bool const follows = reads_via_relays(topic);
-        bool const lost = follows && link_->relays_lost_store(topic);
+        bool const lost = follows && link_->store_lost(topic);
         bool const member = relays_used_ && !passes_on_;
         auto&      gate = gates_.try_emplace(topic, slow_retries).first->second;
         gate.limit(member && !lost ? member_retries : slow_retries);
         return gate.must_wait(lost || member, now);
     }
 
+    /// Keeps for the VMs that query this one whether the store was away.
+    void note_store(std::string const& topic, store_failure const* failure)
+    {
+        if (link_ != nullptr)
+        {
+            link_->note_store(topic, failure != nullptr && shows_outage(failure->fault));
+        }
+    }
+
     void update_gate(std::string const& topic, bool answered)
     {
         auto& gate = gates_.try_emplace(topic, slow_retries).first->second;
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -286,7 +286,7 @@
                 co_await loop_sleep(backoff_.next(state_.tie_break()));
                 continue;
             }
-            state_.servers.store_answered(now);
+            note_store(now);
             log_regained();
             backoff_.reset();
             for (auto const& id : state_.servers.expire(now))
@@ -343,6 +343,7 @@
             after = page.records.back().key;
         }
         synced_ = true;
+        store_lost_ = false;
         // The listing is applied only now that the store is known to be back.
         state_.servers.store_answered(boot_clock::now());
         state_.servers.replace(all, boot_clock::now());
@@ -364,7 +365,8 @@
         }
         auto const& chunk = std::get<log_chunk>(result);
         relayed_ = chunk.relayed;
-        state_.servers.store_answered(boot_clock::now());
+        store_lost_ = chunk.store_lost;
+        note_store(boot_clock::now());
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
             if (auto const record = Codec::keyed(chunk.records[at], chunk.offset_at(at)))
@@ -426,6 +428,20 @@
         }
     }
 
+    /// Servers can't renew their entries while the store is away, even if another VM
+    /// replies with records that it has.
+    void note_store(boot_clock::time_point now)
+    {
+        if (store_lost_)
+        {
+            state_.servers.store_lost();
+        }
+        else
+        {
+            state_.servers.store_answered(now);
+        }
+    }
+
     void forget(std::string const& id, std::string_view cause)
     {
         bool const held = state_.servers.servers().count(id) > 0;
@@ -493,7 +509,8 @@
     std::uint64_t           next_ = 0;
     bool                    synced_; // `next_` continues the last read
     bool                    relayed_ = false;
-    std::vector<event_line> lines_; // about servers, not written yet
+    bool                    store_lost_ = false; // so the last reply of a relay says
+    std::vector<event_line> lines_;              // about servers, not written yet
     boot_clock::time_point  answered_at_ = boot_clock::now(); // the last answered read
     std::optional<boot_clock::time_point> lost_since_; // first failed read after it
 };
