Relays that are gone are queried last, and those that are back at once

A member asked a frozen relay for 950 ms, then paused for up to 800 ms though the store hadn't been asked, and left the relay that was back out for 2 s (another relay: 8 s).

Cause: silence of a relay was only found by waiting for it, and its backoff outlived it, though digests tell within half a second which VMs are live.

Fix: relays that are live by their digests are queried first; a query to one that goes away meanwhile ends if another is live, and goes on there at once; the backoff ends when a relay has been away and is live again; looks at relays alone don't lengthen the pause. No further calls to the store.

--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -136,6 +136,11 @@
     state_.quotas = quotas_.get();
     state_.owners = owners_.get();
     state_.keepers = origins_.get();
+    if (records_)
+    {
+        records_->watch([this](std::string const& records)
+                        { return state_.is_live(records, boot_clock::now()); });
+    }
 }
 
 peer_exchange::~peer_exchange()
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -64,14 +64,19 @@
     millis                          backoff = min_backoff;
     bool                            silent = false;  // since the last query
     bool                            unknown = false; // it replied that it lacks the topic
+    bool                            gone = false;    // not live since it fell silent
 };
 
 /// A query of this VM that waits for its reply.
 struct pending_query
 {
-    explicit pending_query(asio::io_context& loop) : timer(loop) {}
+    pending_query(asio::io_context& loop, std::string relay_address)
+        : timer(loop), relay(std::move(relay_address))
+    {
+    }
 
     asio::steady_timer                  timer;
+    std::string                         relay; // its address
     std::optional<wire::records_answer> answer;
 };
 
@@ -144,6 +149,54 @@
         return found == relays.end() ? nullptr : &*found;
     }
 
+    bool is_live(std::string const& address) const
+    {
+        return live && live(address);
+    }
+
+    /// The relays to query now, those that are live first: the silence of another one
+    /// costs as much time as a live one needs for the reply.
+    std::vector<std::string> order() const
+    {
+        auto const               now = boot_clock::now();
+        std::vector<std::string> result;
+        for (auto const& each : relays)
+        {
+            if (now >= each.avoided_until)
+            {
+                result.push_back(each.address);
+            }
+        }
+        std::stable_partition(result.begin(), result.end(),
+                              [&](std::string const& each) { return is_live(each); });
+        return result;
+    }
+
+    /// Ends the backoff for relays that have been away and are live again, and the
+    /// queries to those that have gone away, if another relay is live.
+    void update_liveness()
+    {
+        bool any_live = false;
+        for (auto& relay : relays)
+        {
+            bool const now_live = is_live(relay.address);
+            any_live = any_live || now_live;
+            if (relay.silent && now_live && std::exchange(relay.gone, false))
+            {
+                relay.avoided_until = {};
+                relay.backoff = min_backoff;
+            }
+            relay.gone = relay.silent && !now_live;
+        }
+        for (auto const& [key, query] : pending_queries)
+        {
+            if (any_live && !is_live(query->relay))
+            {
+                query->timer.cancel();
+            }
+        }
+    }
+
     /// Avoids a relay that replies with old records: it has lost the store, maybe as all
     /// VMs have. The backoff is short because the reply costs no time, and because
     /// otherwise its members would go on reading the store for seconds after an outage.
@@ -229,7 +282,7 @@
                                                                records_query query)
     {
         auto const        query_number = ++number;
-        auto const        pending = std::make_shared<pending_query>(loop);
+        auto const        pending = std::make_shared<pending_query>(loop, relay.address);
         wire::records_ask message;
         message.set_number(query_number);
         message.set_topic(query.topic);
@@ -255,15 +308,16 @@
         // relay.
         std::optional<wire::records_answer> older;
         std::string                         older_from;
-        for (std::size_t place = 0; place < relays.size(); ++place)
+        auto const                          sources = order();
+        for (std::size_t place = 0; place < sources.size(); ++place)
         {
-            auto& relay = relays[place];
-            if (boot_clock::now() < relay.avoided_until)
+            auto const& address = sources[place];
+            auto*       relay = find(address); // the plan may change meanwhile
+            if (relay == nullptr)
             {
                 continue;
             }
-            auto const address = relay.address;
-            auto       answer = co_await fetch(relay, query);
+            auto answer = co_await fetch(*relay, query);
             if (!answer && query.state)
             {
                 // A VM without the state has nothing that gets old by the next query.
@@ -273,7 +327,14 @@
             if (!answer)
             {
                 avoid_silent(address);
-                break;
+                bool const next_is_live =
+                    place + 1 < sources.size() && is_live(sources[place + 1]);
+                if (!next_is_live)
+                {
+                    break;
+                }
+                query.wait = millis{0}; // the records get older by each silence
+                continue;
             }
             millis const age{answer->age_ms()};
             bool const   known = answer->known() || answer->trimmed();
@@ -490,6 +551,7 @@
     std::uint64_t                                           number = 0;
     std::set<std::string> store_lost; // topics whose last known read of the store failed
     bool                  serves = false; // other VMs query this one
+    record_link::liveness live;           // empty: not known of any relay
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
     std::list<waiting_query>                                waiting;
@@ -540,6 +602,11 @@
     state_->serves = queried;
 }
 
+void record_link::watch(liveness is_live)
+{
+    state_->live = std::move(is_live);
+}
+
 void record_link::reply_to_others(std::string const& kind, other_query_handler answer)
 {
     state_->other_handlers[kind] = std::move(answer);
@@ -652,6 +719,7 @@
 
 void record_link::tick()
 {
+    state_->update_liveness();
     state_->reply_to_waiting();
 }
 
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -69,6 +69,11 @@
     /// them.
     void serve(bool queried);
 
+    /// Sets what tells whether the VM at an address has been heard of lately. Relays that
+    /// haven't are queried last.
+    using liveness = std::function<bool(std::string const& address)>;
+    void watch(liveness is_live);
+
     /// Handles the queries of a further kind, which arrive at the same address. An empty
     /// reply isn't sent.
     using other_query_handler = std::function<std::string(std::string const& query)>;
@@ -93,8 +98,8 @@
     bool store_lost(std::string const& topic) const;
 
     /// The reply of the first relay that isn't avoided and has the records, fresh enough.
-    /// Nothing if the store is to be read, also after the first silent relay, since
-    /// waiting for several would let the records get old.
+    /// Nothing if the store is to be read, also after a silent relay if the next one
+    /// isn't live, since waiting for several would let the records get old.
     boost::asio::awaitable<std::optional<log_chunk>> fetch(records_query query);
 
     /// The state of a keyed topic, part by part; nothing if no relay has it whole.
@@ -112,7 +117,8 @@
     void merge(std::string const& topic, log_chunk const& chunk,
                boot_clock::time_point as_of);
 
-    /// Replies to queries that have waited long enough; called a few times a second.
+    /// Replies to queries that have waited long enough, and follows which relays are
+    /// live; called a few times a second.
     void tick();
 
 private:
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -283,7 +283,10 @@
                     state_.servers.store_lost();
                 }
                 log_lost(*failure);
-                co_await loop_sleep(backoff_.next(state_.tie_break()));
+                // Another look at the relays costs the store nothing.
+                bool const asked = failure->fault != store_fault::not_asked;
+                co_await loop_sleep(asked ? backoff_.next(state_.tie_break())
+                                          : options_.min_retry);
                 continue;
             }
             note_store(now);
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -187,6 +187,35 @@
     EXPECT_FALSE(vms.member.relayed());
 }
 
+// Records got old while the silence of a relay was waited for that was known to be gone.
+TEST(record_link, relay_that_is_not_live_is_queried_last)
+{
+    linked_vms vms;
+    vms.member.follow({"127.0.0.1:1", vms.relay_address});
+    vms.member.watch([&](std::string const& address)
+                     { return address == vms.relay_address; });
+    vms.relay.merge("rules", one_record(), boot_clock::now());
+    auto const began = boot_clock::now();
+    EXPECT_TRUE(vms.fetch({"rules", 7, millis{500}}));
+    EXPECT_LT(boot_clock::now() - began, millis{400});
+}
+
+// A relay was left out for seconds after it was back.
+TEST(record_link, relay_that_is_live_again_is_queried_at_once)
+{
+    linked_vms vms;
+    bool       live = false;
+    vms.member.watch([&](std::string const&) { return live; });
+    vms.relay.merge("rules", one_record(), boot_clock::now());
+    vms.member.follow({"127.0.0.1:1"});
+    EXPECT_FALSE(vms.fetch({"rules", 7, millis{50}}));
+    EXPECT_FALSE(vms.member.relayed());
+    vms.member.tick();
+    live = true;
+    vms.member.tick();
+    EXPECT_TRUE(vms.member.relayed());
+}
+
 TEST(record_link, change_ends_the_wait)
 {
     linked_vms vms;
