--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -205,15 +205,16 @@
 {
     linked_vms vms;
     bool       live = false;
+    auto const address = "127.0.0.1:" + std::to_string(vms.ports.next());
     vms.member.watch([&](std::string const&) { return live; });
-    vms.relay.merge("rules", one_record(), boot_clock::now());
-    vms.member.follow({"127.0.0.1:1"});
-    EXPECT_FALSE(vms.fetch({"rules", 7, millis{50}}));
-    EXPECT_FALSE(vms.member.relayed());
+    vms.member.follow({address});
+    EXPECT_FALSE(vms.fetch({"rules", 7, millis{50}})); // nobody is there
     vms.member.tick();
+    record_link returned{vms.loop, vms.context, address, linked_vms::keep_all};
+    returned.merge("rules", one_record(), boot_clock::now());
     live = true;
     vms.member.tick();
-    EXPECT_TRUE(vms.member.relayed());
+    EXPECT_TRUE(vms.fetch({"rules", 7, millis{500}}));
 }
 
 TEST(record_link, change_ends_the_wait)
