Connections through other VMs end with their call

Cause: a VM kept a connection through another VM, a tunnel, to each server for seconds, and an idle tunnel takes one of the other VM's places (64 at a small one). So the places that are needed grow with VMs times servers and not with the calls in flight. A VM without places stops offering any, and then its idle tunnels can't be used again either. The class: a bounded resource held while idle.

Fix: a connection through another VM isn't kept after its call. The places needed are the calls in flight, whatever the number of servers. proxy_list::offers has no caller any more; its test asks choose() at the same time.

--- a/src/policy/proxy_list.hpp
+++ b/src/policy/proxy_list.hpp
@@ -105,13 +105,6 @@
         return result;
     }
 
-    /// Whether the VM at `address` still offers to open connections.
-    bool offers(std::string const& address, boot_clock::time_point now) const
-    {
-        auto const found = entries_.find(address);
-        return found != entries_.end() && is_current(found->second, now);
-    }
-
     /// Up to `count` current offers that follow the one at a place chosen by `random`, of
     /// the VMs in `data_centre` only unless it is empty.
     std::vector<server_proxy> sample(std::size_t count, std::string const& data_centre,
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -215,10 +215,6 @@
                http_connection const& connection)
 {
     auto const now = boot_clock::now();
-    if (!connection.proxy.empty())
-    {
-        return state.links_lost(service) && state.proxies.offers(connection.proxy, now);
-    }
     auto const found = state.links.find(service);
     auto const idle = loop_clock::now() - connection.last_used;
     return found == state.links.end() || !found->second.may_be_silent(now - idle);
--- a/src/serving/server_connector.hpp
+++ b/src/serving/server_connector.hpp
@@ -56,8 +56,7 @@
 connect_server(entry_state& state, backend_server server, loop_time until);
 
 /// Whether a kept connection may carry another call: not if it may have become silent
-/// with the links, nor through another VM that has stopped to offer connections or is no
-/// longer needed.
+/// with the links.
 bool may_reuse(entry_state const& state, std::string const& service,
                http_connection const& connection);
 
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -248,7 +248,9 @@
         {
             return;
         }
-        bool const keep = connection_->reusable() && !stray_ && !facts_.closes;
+        // An idle connection through another VM would take a place there from a call.
+        bool const keep = connection_->reusable() && !stray_ && !facts_.closes &&
+                          connection_->proxy.empty();
         if (keep)
         {
             state_.pool.give_back(server_.id, std::move(connection_), loop_clock::now());
--- a/tests/unit/proxy_list_test.cpp
+++ b/tests/unit/proxy_list_test.cpp
@@ -56,9 +56,8 @@
 TEST(proxy_list, offers_end_unless_they_are_repeated)
 {
     auto list = listed({{"a", "here", {}}});
-    EXPECT_TRUE(list.offers("a", start + millis{900}));
+    EXPECT_EQ(chosen(list, {}, 0, start + millis{900}), "a");
     EXPECT_EQ(chosen(list, {}, 0, start + millis{1100}), "");
-    EXPECT_FALSE(list.offers("a", start + millis{1100}));
 }
 
 // Each call asked the same full VM again.
