Links that are known to hang are left to the probes

Cause: without another VM, a call tried the lost link itself, since this server alone might be reachable. That is worth it where the attempt fails at once, and costs a timeout where links hang.

Fix: link_watch says whether a call may try a lost link. If links refuse, as before. If they hang, a call tries only servers that have been reached since the loss, or the first one after it, and later none as long as probes look. So a wrong belief that links are lost still ends with the first calls, and calls are refused at once otherwise.

--- a/src/policy/link_watch.hpp
+++ b/src/policy/link_watch.hpp
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace marigoldcrank
@@ -34,6 +35,9 @@
     millis window{2000};
     // 2     connections in a row after which the links count as restored
     int min_connections = 2;
+    // 1000  ms; between attempts over links that hang. Longer than the pause and the
+    //       timeout of a probe, so that calls leave these attempts to the probes
+    millis attempt_interval{1000};
 
     bool operator==(link_watch_options const&) const = default;
 };
@@ -56,6 +60,7 @@
         std::erase_if(failures_, [&](auto const& each)
                       { return now - each.second > options_.window; });
         failures_[server] = now;
+        reached_.erase(server);
         connections_ = 0;
         if (failure == link_failure::timed_out && !silent_since_)
         {
@@ -68,8 +73,9 @@
         return lost_ && !was_lost;
     }
 
-    /// Records that a connection was made. True if the links are restored from now on.
-    bool record_connection()
+    /// Records that a connection to `server` was made. True if the links are restored
+    /// from now on.
+    bool record_connection(std::string const& server)
     {
         failures_.clear();
         ++connections_;
@@ -78,6 +84,12 @@
         {
             lost_ = false;
             silent_since_.reset();
+            reached_.clear();
+        }
+        else
+        {
+            reached_.insert(server);
+            next_attempt_ = {};
         }
         return restored;
     }
@@ -87,11 +99,29 @@
         return lost_;
     }
 
-    /// Whether the last attempt to connect to `server` has failed lately.
-    bool failed_lately(std::string const& server, boot_clock::time_point now) const
+    /// Whether a call may try a lost link to `server` now: not if it has failed lately.
+    /// An attempt over links that hang costs the call a timeout, so these are tried one
+    /// at a time, unless the server has been reached since the loss.
+    bool begin_attempt(std::string const& server, boot_clock::time_point now)
     {
         auto const found = failures_.find(server);
-        return found != failures_.end() && now - found->second <= options_.window;
+        if (found != failures_.end() && now - found->second <= options_.window)
+        {
+            return false;
+        }
+        if (!silent_since_ || reached_.count(server) > 0)
+        {
+            return true;
+        }
+        bool const free = now >= next_attempt_;
+        next_attempt_ = free ? now + options_.attempt_interval : next_attempt_;
+        return free;
+    }
+
+    /// Records that a probe of a lost link begins.
+    void begin_probe(boot_clock::time_point now)
+    {
+        next_attempt_ = now + options_.attempt_interval;
     }
 
     /// Whether a connection whose last response was complete at `last_used` may have
@@ -108,6 +138,8 @@
     std::map<std::string, boot_clock::time_point> failures_;        // by server
     int                                           connections_ = 0; // since a failure
     std::optional<boot_clock::time_point>         silent_since_;
+    std::set<std::string>                         reached_; // servers, since the loss
+    boot_clock::time_point                        next_attempt_{}; // while they hang
     bool                                          lost_ = false;
 };
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -469,11 +469,11 @@
     return result;
 }
 
-void entry_state::record_connection(std::string const& service)
+void entry_state::record_connection(backend_server const& server)
 {
-    if (links[service].record_connection())
+    if (links[server.group].record_connection(server.id))
     {
-        log.write(event_line{"links_restored"}.add("service", service),
+        log.write(event_line{"links_restored"}.add("service", server.group),
                   boot_clock::now());
     }
 }
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -178,8 +178,8 @@
 
     std::set<std::string> services_without_links() const;
 
-    /// Records that a connection to a server of `service` was made over an own link.
-    void record_connection(std::string const& service);
+    /// Records that a connection to `server` was made over an own link.
+    void record_connection(backend_server const& server);
 
     /// Records that a connection to `server` that was begun at `began` has failed. It
     /// counts against the server only while the links to its service aren't lost.
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -60,7 +60,7 @@
     if (step == io_result::ok)
     {
         connection->connected = boot_clock::now();
-        state.record_connection(server.group);
+        state.record_connection(server);
         co_return open_connection{connection, "", "own"};
     }
     connection->close();
@@ -198,8 +198,8 @@
     {
         co_return opened;
     }
-    // No other VM offers a connection: perhaps this server alone is reachable.
-    if (!state.links[server.group].failed_lately(server.id, boot_clock::now()))
+    // No other VM opens a connection: perhaps this server alone is reachable.
+    if (state.links[server.group].begin_attempt(server.id, boot_clock::now()))
     {
         opened = co_await connect_directly(state, server, until);
     }
@@ -255,7 +255,8 @@
         for (auto const& server : servers_to_probe(state))
         {
             auto const until = loop_clock::now() + options.connect_timeout;
-            auto       probe = co_await connect_directly(state, server, until);
+            state.links[server.group].begin_probe(boot_clock::now());
+            auto probe = co_await connect_directly(state, server, until);
             if (probe.connection != nullptr)
             {
                 state.pool.give_back(server.id, std::move(probe.connection),
--- a/src/serving/server_connector.hpp
+++ b/src/serving/server_connector.hpp
@@ -51,7 +51,7 @@
 
 /// Connects over this VM's own link or, if the links to the servers of its service are
 /// lost, through another VM. A failure is attributed to the server only if other servers
-/// can be reached.
+/// can be reached. Links that are known to hang are left to the probes.
 boost::asio::awaitable<open_connection>
 connect_server(entry_state& state, backend_server server, loop_time until);
 
--- a/tests/unit/fleet_orders_test.cpp
+++ b/tests/unit/fleet_orders_test.cpp
@@ -182,8 +182,8 @@
         offset++, now);
     vm.act();
     EXPECT_TRUE(vm.duties.changed.empty());
-    vm.state.record_connection("m");
-    vm.state.record_connection("m");
+    vm.state.record_connection(vm.state.servers.servers().at("0"));
+    vm.state.record_connection(vm.state.servers.servers().at("1"));
     vm.act();
     EXPECT_EQ(vm.duties.changed.size(), announced.size());
 }
--- a/tests/unit/link_watch_test.cpp
+++ b/tests/unit/link_watch_test.cpp
@@ -55,7 +55,7 @@
 TEST(link_watch, connection_in_between_counts_against_a_lost_link)
 {
     auto watch = after_failures({"a"}, 9);
-    watch.record_connection();
+    watch.record_connection("d");
     EXPECT_FALSE(watch.record_failure("b", 9, refused, at(200), at(200)));
     EXPECT_FALSE(watch.lost());
 }
@@ -71,11 +71,11 @@
 TEST(link_watch, links_are_restored_by_two_connections_in_a_row)
 {
     auto watch = after_failures({"a", "b"}, 9);
-    EXPECT_FALSE(watch.record_connection());
+    EXPECT_FALSE(watch.record_connection("d"));
     watch.record_failure("c", 9, refused, at(700), at(700));
-    EXPECT_FALSE(watch.record_connection());
+    EXPECT_FALSE(watch.record_connection("d"));
     EXPECT_TRUE(watch.lost());
-    EXPECT_TRUE(watch.record_connection());
+    EXPECT_TRUE(watch.record_connection("d"));
     EXPECT_FALSE(watch.lost());
 }
 
@@ -96,10 +96,35 @@
 // A server that nobody reaches was tried by every call, each time until a timeout.
 TEST(link_watch, failures_are_remembered_for_the_window)
 {
-    auto const watch = after_failures({"a", "b"}, 9);
-    EXPECT_TRUE(watch.failed_lately("a", at(1900)));
-    EXPECT_FALSE(watch.failed_lately("a", at(2100)));
-    EXPECT_FALSE(watch.failed_lately("c", at(0)));
+    auto watch = after_failures({"a", "b"}, 9);
+    EXPECT_FALSE(watch.begin_attempt("a", at(1900)));
+    EXPECT_TRUE(watch.begin_attempt("a", at(2100)));
+    EXPECT_TRUE(watch.begin_attempt("c", at(0)));
+}
+
+// Each call waited for a timeout of its own.
+TEST(link_watch, links_that_hang_are_tried_one_at_a_time)
+{
+    auto watch = after_failures({"a", "b"}, 9, timed_out);
+    EXPECT_TRUE(watch.begin_attempt("c", at(100)));
+    EXPECT_FALSE(watch.begin_attempt("d", at(200)));
+    EXPECT_TRUE(watch.begin_attempt("d", at(1200)));
+    watch.begin_probe(at(2000));
+    EXPECT_FALSE(watch.begin_attempt("e", at(2900)));
+    EXPECT_TRUE(watch.begin_attempt("e", at(3100)));
+}
+
+// A service was refused although some of its servers could be reached.
+TEST(link_watch, servers_reached_since_the_loss_are_tried)
+{
+    auto watch = after_failures({"a", "b"}, 9, timed_out);
+    watch.begin_probe(at(100));
+    watch.record_connection("c");
+    watch.begin_probe(at(200));
+    EXPECT_TRUE(watch.begin_attempt("c", at(300)));
+    EXPECT_FALSE(watch.begin_attempt("d", at(300)));
+    watch.record_failure("c", 9, timed_out, at(400), at(400));
+    EXPECT_FALSE(watch.begin_attempt("c", at(500)));
 }
 
 } // namespace
