VMs probe their links after a call has timed out

Cause: only new connections count as evidence about links, which is right, but nothing opened any while open ones were left. Where the kernel finds the silence (keepalive, 2.5 s), it hid this.

Fix: a call's timeout over an own link makes the VM probe its links to this service: one server, and another one if the first can't be connected to.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -158,6 +158,10 @@
     tried_.insert(result.server);
     last_fault_ = result.fault.empty() ? "broken" : result.fault;
     report_health(result);
+    if (result.fault == "timeout" && !result.proxied)
+    {
+        state_.suspected_links.insert(admitted_.service_name);
+    }
     if (result.fate == attempt_outcome::unknown)
     {
         report_suspected_crash(result);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -236,6 +236,8 @@
     metrics                             counters;
     step_filtered_clock                 day;
     crash_watch                         crashes;
+    std::set<std::string>
+        suspected_links; // services; a call's connection timed out, no probe since
     std::map<std::string, boot_clock::time_point>
         no_proxy_logged_at; // by service; the last line about it
     std::map<std::string, boot_clock::time_point>
--- a/src/serving/server_connector.cpp
+++ b/src/serving/server_connector.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace marigoldcrank
@@ -225,26 +226,45 @@
 namespace
 {
 
-/// One server of each service whose links are lost, at random.
-std::vector<backend_server> servers_to_probe(entry_state& state)
+using servers_by_service = std::map<std::string, std::vector<backend_server>>;
+
+/// The servers of the services whose links are lost or suspected, in random order.
+servers_by_service servers_to_probe(entry_state&                 state,
+                                    std::set<std::string> const& suspected)
 {
-    std::map<std::string, std::vector<backend_server const*>> by_service;
+    servers_by_service result;
     for (auto const& [id, server] : state.servers.servers())
     {
-        if (state.links_lost(server.group) && !server.leaving)
+        bool const wanted =
+            state.links_lost(server.group) || suspected.count(server.group) > 0;
+        if (wanted && !server.leaving)
         {
-            by_service[server.group].push_back(&server);
+            result[server.group].push_back(server);
         }
     }
-    std::vector<backend_server> result;
-    result.reserve(by_service.size());
-    for (auto const& [service, servers] : by_service)
+    for (auto& [service, servers] : result)
     {
-        result.push_back(*servers[state.tie_break() % servers.size()]);
+        auto const offset = state.tie_break() % servers.size();
+        std::rotate(servers.begin(),
+                    servers.begin() + static_cast<std::ptrdiff_t>(offset), servers.end());
     }
     return result;
 }
 
+/// Whether a connection to `server` over its own link was made.
+asio::awaitable<bool> probe_link(entry_state& state, backend_server server)
+{
+    auto const until = loop_clock::now() + options.connect_timeout;
+    state.links[server.group].begin_probe(boot_clock::now());
+    auto probe = co_await connect_directly(state, server, until);
+    if (probe.connection == nullptr)
+    {
+        co_return false;
+    }
+    state.pool.give_back(server.id, std::move(probe.connection), loop_clock::now());
+    co_return true;
+}
+
 } // namespace
 
 asio::awaitable<void> run_link_probes(entry_state& state)
@@ -252,15 +272,13 @@
     while (true)
     {
         co_await loop_sleep(options.probe_interval);
-        for (auto const& server : servers_to_probe(state))
+        auto const suspected = std::exchange(state.suspected_links, {});
+        for (auto const& [service, servers] : servers_to_probe(state, suspected))
         {
-            auto const until = loop_clock::now() + options.connect_timeout;
-            state.links[server.group].begin_probe(boot_clock::now());
-            auto probe = co_await connect_directly(state, server, until);
-            if (probe.connection != nullptr)
+            bool const made = co_await probe_link(state, servers.front());
+            if (!made && !state.links_lost(service) && servers.size() > 1)
             {
-                state.pool.give_back(server.id, std::move(probe.connection),
-                                     loop_clock::now());
+                co_await probe_link(state, servers[1]);
             }
         }
     }
--- a/src/serving/server_connector.hpp
+++ b/src/serving/server_connector.hpp
@@ -60,7 +60,8 @@
 bool may_reuse(entry_state const& state, std::string const& service,
                http_connection const& connection);
 
-/// Looks for the return of lost links, without calls at stake. Runs until the loop ends.
+/// Looks for the return of lost links, and for the loss of links over which a call has
+/// timed out, without calls at stake. Runs until the loop ends.
 boost::asio::awaitable<void> run_link_probes(entry_state& state);
 
 } // namespace marigoldcrank
