Large rules are compressed between VMs

Cause: rules with 1,400 routes more are a record of 0.6 MB that each of 90 VMs gets through relays: 17 to 20 MB from one relay within a second, and half a second and more of a member's link of 10 Mbit/s.

Fix: records of 4 KiB or more are compressed in replies to VMs that ask for it, once for all that ask. The class: bulk and urgent data on one connection; of the two ways out, a connection for each topic would share the link between them, but send the same 20 MB.

--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -4,6 +4,7 @@
 // Index: 1 relays and queries, 2 state: querying, replying, 3 record_link
 #include "serving/record_link.hpp"
 
+#include "adapters/compression.hpp"
 #include "serving/keyed_mirror.hpp"
 #include "serving/topic_mirror.hpp"
 #include "serving/watched_socket.hpp"
@@ -39,6 +40,10 @@
 // 32    KiB of records in a reply; a slow link passes them on well within the margin. The
 //       rest follows in further replies
 constexpr std::size_t max_reply_bytes = std::size_t{32} * 1024;
+// 4096  bytes; larger records are compressed. Rules with thousands of routes would hold
+// up
+//       the records of other topics on a slow link for longer than a reply may take
+constexpr std::size_t min_compressed_bytes = 4096;
 // 1000  ms; until a relay that is asked for a part of a state counts as silent. Many VMs
 //       may ask at once, and no key gets older by the wait
 constexpr millis state_margin{1000};
@@ -80,6 +85,13 @@
     std::optional<wire::records_answer> answer;
 };
 
+/// A record and its compressed form.
+struct compressed_record
+{
+    std::string record;
+    std::string bytes;
+};
+
 /// A query of another VM that waits for a change.
 struct waiting_query
 {
@@ -89,6 +101,27 @@
     boot_clock::time_point until{};
 };
 
+/// Replaces compressed records by what they were made from. False if one is malformed.
+bool expand_records(wire::records_answer& answer)
+{
+    auto const count = std::min(answer.sizes_size(), answer.records_size());
+    for (int at = 0; at < count; ++at)
+    {
+        auto const size = answer.sizes(at);
+        if (size == 0)
+        {
+            continue;
+        }
+        auto text = expand(answer.records(at), size);
+        if (!text)
+        {
+            return false;
+        }
+        answer.set_records(at, std::move(*text));
+    }
+    return true;
+}
+
 /// Appends a part of a state to the parts before it.
 void append(log_chunk& state, log_chunk part)
 {
@@ -290,6 +323,7 @@
         message.set_wait_ms(static_cast<std::uint32_t>(query.wait.count()));
         message.set_oldest_ms(static_cast<std::uint32_t>(query.max_age.count()));
         message.set_state(query.state);
+        message.set_expands(true);
         pending_queries[query_number] = pending;
         pending->timer.expires_after(query.wait +
                                      (query.state ? state_margin : reply_margin));
@@ -384,7 +418,8 @@
     {
         wire::records_answer answer;
         auto const&          bytes = parts.back();
-        if (!answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        if (!answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+            !expand_records(answer))
         {
             return; // the query times out
         }
@@ -469,6 +504,10 @@
         if (held)
         {
             fill(answer, found->second, waiter.ask.from());
+            if (waiter.ask.expands())
+            {
+                compress_records(answer);
+            }
         }
         send_reply(waiter.requester, answer.SerializeAsString());
         return true;
@@ -521,6 +560,26 @@
         }
     }
 
+    /// Compresses large records. Many VMs ask for the same one, so the last one is kept.
+    void compress_records(wire::records_answer& answer)
+    {
+        for (int at = 0; at < answer.records_size(); ++at)
+        {
+            auto const& record = answer.records(at);
+            bool const  large = record.size() >= min_compressed_bytes;
+            answer.add_sizes(large ? record.size() : 0);
+            if (!large)
+            {
+                continue;
+            }
+            if (record != compressed.record)
+            {
+                compressed = {record, compress(record)};
+            }
+            answer.set_records(at, compressed.bytes);
+        }
+    }
+
     /// The copy of a topic; created when it is first read.
     mirror& mirror_of(std::string const& topic)
     {
@@ -554,6 +613,7 @@
     record_link::liveness live;           // empty: not known of any relay
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
+    compressed_record                                       compressed; // the last one
     std::list<waiting_query>                                waiting;
     watched_socket                                          server;
 };
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/support/raw_caller.hpp"
 #include "serving/record_link.hpp"
 #include "support/eventually.hpp"
+#include "support/tcp_relay.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -232,6 +233,55 @@
     EXPECT_LT(boot_clock::now() - began, millis{2500});
 }
 
+/// Rules with this many routes, about 400 bytes each.
+std::string large_rules(int routes)
+{
+    std::string text;
+    for (int route = 0; route < routes; ++route)
+    {
+        auto const number = std::to_string(route * 7919);
+        text += R"({"name":"route-)" + number + R"(","host":"h)" + number +
+                R"(.example","path_prefix":"/p)" + number + R"(/","service":"desk",)" +
+                std::string(300, ' ') + "},";
+    }
+    return text;
+}
+
+// A server's leaving was heard late, behind rules with many routes on a slow link.
+TEST(record_link, large_rules_do_not_hold_up_other_records)
+{
+    linked_vms vms;
+    auto const port = vms.ports.next();
+    auto const relay_port = vms.relay_address.substr(vms.relay_address.find(':') + 1);
+    tcp_relay  slow_link(port, std::stoi(relay_port));
+    slow_link.limit_rate(1'000'000);
+    vms.member.follow({"127.0.0.1:" + std::to_string(port)});
+    log_chunk const rules{.from = 0, .end = 1, .records = {large_rules(2000)}};
+    vms.relay.merge("rules", rules, boot_clock::now());
+    vms.relay.merge("servers", one_record(), boot_clock::now());
+    records_query const      query{"rules", 0, millis{1000}};
+    std::optional<log_chunk> received;
+    bool                     done = false;
+    auto                     asking = [&]() -> boost::asio::awaitable<void>
+    {
+        received = co_await vms.member.fetch(query);
+        done = true;
+    };
+    boost::asio::co_spawn(vms.loop, asking(), boost::asio::detached);
+    vms.loop.run_for(millis{50});
+    vms.loop.restart();
+    auto const began = boot_clock::now();
+    EXPECT_TRUE(vms.fetch({"servers", 7, millis{1000}}));
+    EXPECT_LT(boot_clock::now() - began, millis{300});
+    while (!done)
+    {
+        vms.loop.run_for(millis{20});
+        vms.loop.restart();
+    }
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->records, rules.records);
+}
+
 /// Records "KEY=VALUE" of a keyed topic.
 topic_format keyed_text(std::string const&)
 {
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -179,6 +179,12 @@
     delay_ = value;
 }
 
+void tcp_relay::limit_rate(std::size_t bytes_per_second)
+{
+    std::lock_guard const lock(mutex_);
+    rate_ = bytes_per_second;
+}
+
 std::size_t tcp_relay::accepted() const
 {
     std::lock_guard const lock(mutex_);
@@ -300,7 +306,15 @@
         // An empty piece marks the end of the stream.
         if (!lost && size >= 0)
         {
-            to.waiting.push_back({clock::now() + delay_, std::move(bytes)});
+            auto due = clock::now() + delay_;
+            if (rate_ > 0)
+            {
+                auto const took =
+                    std::chrono::microseconds{bytes.size() * 1'000'000 / rate_};
+                due = std::max(due, to.free_at) + took;
+                to.free_at = due;
+            }
+            to.waiting.push_back({due, std::move(bytes)});
         }
         own.silent = own.silent || silent_senders_.count(own.sender) != 0;
     }
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -61,6 +61,9 @@
     /// Delays all data by this time, in both directions.
     void delay(std::chrono::milliseconds value);
 
+    /// Relays at most this many bytes a second of each connection and direction; 0: any.
+    void limit_rate(std::size_t bytes_per_second);
+
     /// Number of connections accepted so far, and of those that are open.
     std::size_t accepted() const;
     std::size_t open() const;
@@ -76,7 +79,8 @@
     struct half
     {
         int               socket = -1;
-        std::deque<piece> waiting; // data to be written to `socket`
+        std::deque<piece> waiting;   // data to be written to `socket`
+        clock::time_point free_at{}; // when the data so far is through, at a limited rate
     };
     struct connection
     {
@@ -113,6 +117,7 @@
     bool                      all_one_way_ = false;
     bool                      cut_ = false;
     std::chrono::milliseconds delay_{0};
+    std::size_t               rate_ = 0; // bytes a second; 0: any
     std::size_t               accepted_ = 0;
     std::atomic<bool>         stopping_{false};
     std::thread               thread_;
