--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -335,81 +335,119 @@
         co_return std::move(pending->answer);
     }
 
+    /// A reply with older records than the query asks for, and the relay that sent it.
+    struct older_reply
+    {
+        std::string                         relay;
+        std::optional<wire::records_answer> answer;
+    };
+
     /// The reply of the first relay that has the records, fresh enough.
     asio::awaitable<std::optional<wire::records_answer>> fetch_usable(records_query query)
     {
         // Replies without usable records come at once, so there is time to query the next
         // relay.
-        std::optional<wire::records_answer> older;
-        std::string                         older_from;
-        auto const                          sources = order();
+        older_reply older;
+        auto        next_query = query;
+        auto const  sources = order();
         for (std::size_t place = 0; place < sources.size(); ++place)
         {
             auto const& address = sources[place];
-            auto*       relay = find(address); // the plan may change meanwhile
+            auto* const relay = find(address); // the plan may change meanwhile
             if (relay == nullptr)
             {
                 continue;
             }
-            auto answer = co_await fetch(*relay, query);
-            if (!answer && query.state)
-            {
-                // A VM without the state has nothing that gets old by the next query.
-                retry_soon(address);
-                continue;
-            }
+            auto answer = co_await fetch(*relay, next_query);
             if (!answer)
             {
-                avoid_silent(address);
-                bool const next_is_live =
-                    place + 1 < sources.size() && is_live(sources[place + 1]);
-                if (!next_is_live)
+                auto const next =
+                    place + 1 < sources.size() ? sources[place + 1] : std::string{};
+                if (!goes_on_after_silence(address, next, query.state))
                 {
                     break;
                 }
-                query.wait = millis{0}; // the records get older by each silence
-                continue;
+                next_query.wait = millis{0}; // the records get older by each silence
             }
-            millis const age{answer->age_ms()};
-            bool const   known = answer->known() || answer->trimmed();
-            heard(address, known);
-            note_store(query.topic, answer->store_lost());
-            if (age > records_query{}.max_age)
+            else if (is_usable(address, *answer, query))
             {
-                avoid_stale(address);
-            }
-            else if (known && age <= query.max_age)
-            {
-                reset_backoff(address);
                 co_return answer;
             }
-            else if (known && query.accept_older)
+            else if (is_acceptable(*answer, query))
             {
-                older = std::move(answer);
-                older_from = address;
+                older = {address, std::move(answer)};
             }
         }
-        bool const has_news =
-            older && (older->records_size() > 0 || older->trimmed() || query.state);
-        auto* const relay = older ? find(older_from) : nullptr;
+        co_return co_await wait_for_change(std::move(older), std::move(query));
+    }
+
+    /// Avoids a relay that hasn't replied. Whether the relay `next` is to be queried.
+    bool goes_on_after_silence(std::string const& address, std::string const& next,
+                               bool wants_state)
+    {
+        if (wants_state)
+        {
+            // A VM without the state has nothing that gets old by the next query.
+            retry_soon(address);
+            return true;
+        }
+        avoid_silent(address);
+        return is_live(next);
+    }
+
+    /// Notes what the reply of a relay shows. Whether it is fresh enough for the query.
+    bool is_usable(std::string const& address, wire::records_answer const& answer,
+                   records_query const& query)
+    {
+        millis const age{answer.age_ms()};
+        bool const   known = answer.known() || answer.trimmed();
+        heard(address, known);
+        note_store(query.topic, answer.store_lost());
+        if (age > records_query{}.max_age)
+        {
+            avoid_stale(address);
+        }
+        bool const usable =
+            known && age <= std::min(query.max_age, records_query{}.max_age);
+        if (usable)
+        {
+            reset_backoff(address);
+        }
+        return usable;
+    }
+
+    static bool is_acceptable(wire::records_answer const& answer,
+                              records_query const&        query)
+    {
+        bool const known = answer.known() || answer.trimmed();
+        return known && query.accept_older &&
+               millis{answer.age_ms()} <= records_query{}.max_age;
+    }
+
+    /// Waits at a relay that is behind and has nothing new yet. This, instead of queries
+    /// at once, keeps hundreds of VMs from slowing it down further.
+    asio::awaitable<std::optional<wire::records_answer>>
+    wait_for_change(older_reply older, records_query query)
+    {
+        bool const  has_news = older.answer && (older.answer->records_size() > 0 ||
+                                               older.answer->trimmed() || query.state);
+        auto* const relay = older.answer ? find(older.relay) : nullptr;
         if (has_news || relay == nullptr)
         {
-            co_return older;
+            co_return std::move(older.answer);
         }
-        // The relay is behind and has nothing new yet. Waiting there, instead of asking
-        // again at once, keeps hundreds of VMs from slowing it down further.
         query.max_age = records_query{}.max_age;
         auto answer = co_await fetch(*relay, query);
         if (!answer)
         {
-            avoid_silent(older_from);
-            co_return older;
+            avoid_silent(older.relay);
+            co_return std::move(older.answer);
         }
         note_store(query.topic, answer->store_lost());
         if (millis{answer->age_ms()} > query.max_age)
         {
-            avoid_stale(older_from);
-            co_return older;
+            avoid_stale(older.relay);
+            co_return std::move(older.answer);
         }
         co_return answer;
     }
