A VM whose own read of the store failed isn't slowed down by that

Found in a reading of the diff: with records_answer.store_lost, a relay's own failed read counted as the word of its relays, and held its next reads of the store back for 1 to 8 s. Only the word of relays does that, as before.

--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -40,9 +40,9 @@
 // 32    KiB of records in a reply; a slow link passes them on well within the margin. The
 //       rest follows in further replies
 constexpr std::size_t max_reply_bytes = std::size_t{32} * 1024;
-// 4096  bytes; larger records are compressed. Rules with thousands of routes would hold
-// up
-//       the records of other topics on a slow link for longer than a reply may take
+// 4096  bytes; larger records are compressed: rules with thousands of routes would keep
+//       the records of other topics waiting on a slow link for longer than a reply may
+//       take
 constexpr std::size_t min_compressed_bytes = 4096;
 // 1000  ms; until a relay that is asked for a part of a state counts as silent. Many VMs
 //       may ask at once, and no key gets older by the wait
@@ -275,6 +275,17 @@
         else
         {
             store_lost.erase(topic);
+            relays_lost_store.erase(topic);
+        }
+    }
+
+    /// Notes what a relay says of the store.
+    void note_reply(std::string const& topic, bool lost)
+    {
+        note_store(topic, lost);
+        if (lost)
+        {
+            relays_lost_store.insert(topic);
         }
     }
 
@@ -402,7 +413,7 @@
         millis const age{answer.age_ms()};
         bool const   known = answer.known() || answer.trimmed();
         heard(address, known);
-        note_store(query.topic, answer.store_lost());
+        note_reply(query.topic, answer.store_lost());
         if (age > records_query{}.max_age)
         {
             avoid_stale(address);
@@ -443,7 +454,7 @@
             avoid_silent(older.relay);
             co_return std::move(older.answer);
         }
-        note_store(query.topic, answer->store_lost());
+        note_reply(query.topic, answer->store_lost());
         if (millis{answer->age_ms()} > query.max_age)
         {
             avoid_stale(older.relay);
@@ -647,8 +658,9 @@
     std::map<std::uint64_t, std::shared_ptr<pending_query>> pending_queries;
     std::uint64_t                                           number = 0;
     std::set<std::string> store_lost; // topics whose last known read of the store failed
-    bool                  serves = false; // other VMs query this one
-    record_link::liveness live;           // empty: not known of any relay
+    std::set<std::string> relays_lost_store; // those of them of which a relay said so
+    bool                  serves = false;    // other VMs query this one
+    record_link::liveness live;              // empty: not known of any relay
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
     compressed_record                                       compressed; // the last one
@@ -735,6 +747,11 @@
     state_->note_store(topic, lost);
 }
 
+bool record_link::relays_lost_store(std::string const& topic) const
+{
+    return state_->relays_lost_store.count(topic) > 0;
+}
+
 bool record_link::store_lost(std::string const& topic) const
 {
     return state_->store_lost.count(topic) > 0;
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -97,6 +97,9 @@
     /// VM or the relay that replied last.
     bool store_lost(std::string const& topic) const;
 
+    /// Whether a relay has said so, so that the store is lost for more VMs than this one.
+    bool relays_lost_store(std::string const& topic) const;
+
     /// The reply of the first relay that isn't avoided and has the records, fresh enough.
     /// Nothing if the store is to be read, also after a silent relay if the next one
     /// isn't live, since waiting for several would let the records get old.
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -286,7 +286,7 @@
     bool must_wait(std::string const& topic, boot_clock::time_point now)
     {
         bool const follows = reads_via_relays(topic);
-        bool const lost = follows && link_->store_lost(topic);
+        bool const lost = follows && link_->relays_lost_store(topic);
         bool const member = relays_used_ && !passes_on_;
         auto&      gate = gates_.try_emplace(topic, slow_retries).first->second;
         gate.limit(member && !lost ? member_retries : slow_retries);
