Calls try lost links until several servers have hung

Two crashed servers that fall silent are taken for lost links on every VM, so no VM offers a way, and the probes alone had to find out.

Cause: two servers that hang are enough to ask another VM, but not to keep calls from servers that nobody has tried.

Fix: calls leave the links to the probes once four servers, or all of a smaller service, have timed out without a connection to any; until then they try servers that haven't failed, and any connection starts the count anew.

Tests: link_watch.two_servers_that_hang_do_not_keep_calls_from_the_others (new) fails before; the two beside it ask the same of links of which four have hung.

--- a/src/policy/link_watch.hpp
+++ b/src/policy/link_watch.hpp
@@ -35,6 +35,10 @@
     millis window{2000};
     // 2     connections in a row after which the links count as restored
     int min_connections = 2;
+    // 4     servers to which connections must time out, or all of a smaller service,
+    // before
+    //       calls leave lost links to the probes: two may have crashed at once
+    std::size_t min_hanging = 4;
     // 1000  ms; between attempts over links that hang. Longer than the pause and the
     //       timeout of a probe, so that calls leave these attempts to the probes
     millis attempt_interval{1000};
@@ -62,6 +66,12 @@
         failures_[server] = now;
         reached_.erase(server);
         connections_ = 0;
+        if (failure == link_failure::timed_out)
+        {
+            hanging_.insert(server);
+        }
+        all_hang_ = hanging_.size() >=
+                    std::min(options_.min_hanging, std::max<std::size_t>(servers, 1));
         if (failure == link_failure::timed_out && !silent_since_)
         {
             silent_since_ = began;
@@ -78,6 +88,8 @@
     bool record_connection(std::string const& server)
     {
         failures_.clear();
+        hanging_.clear();
+        all_hang_ = false;
         ++connections_;
         bool const restored = lost_ && connections_ >= options_.min_connections;
         if (!lost_ || restored)
@@ -100,8 +112,8 @@
     }
 
     /// Whether a call may try a lost link to `server` now: not if it has failed lately.
-    /// An attempt over links that hang costs the call a timeout, so these are tried one
-    /// at a time, unless the server has been reached since the loss.
+    /// An attempt over a link that hangs costs the call a timeout. Once several have
+    /// hung, calls try only servers that have been reached since the loss.
     bool begin_attempt(std::string const& server, boot_clock::time_point now)
     {
         auto const found = failures_.find(server);
@@ -109,7 +121,7 @@
         {
             return false;
         }
-        if (!silent_since_ || reached_.count(server) > 0)
+        if (!all_hang_ || reached_.count(server) > 0)
         {
             return true;
         }
@@ -138,6 +150,8 @@
     std::map<std::string, boot_clock::time_point> failures_;        // by server
     int                                           connections_ = 0; // since a failure
     std::optional<boot_clock::time_point>         silent_since_;
+    std::set<std::string>                         hanging_; // servers, since a connection
+    bool                                          all_hang_ = false;
     std::set<std::string>                         reached_; // servers, since the loss
     boot_clock::time_point                        next_attempt_{}; // while they hang
     bool                                          lost_ = false;
