--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -260,7 +260,8 @@
     auto plan = plan_relays(vms, state_.contact,
                             {.mesh = static_cast<std::size_t>(state_.settings.mesh),
                              .vms = static_cast<std::size_t>(told)});
-    log_plan(plan);
+    log_plan(plan, static_cast<std::int64_t>(vms.size() +
+                                             (vms.count(state_.contact) > 0 ? 0 : 1)));
     digests_.follow(plan.digests, scopes_of(plan));
     // A VM of a large fleet that knows no other is no relay yet.
     bool const alone = vms.empty() && told > state_.settings.mesh;
@@ -299,10 +300,11 @@
                      boot_clock::now());
 }
 
-void peer_exchange::log_plan(relay_plan const& plan)
+void peer_exchange::log_plan(relay_plan const& plan, std::int64_t vms)
 {
-    if (plan.mesh == plan_.mesh && plan.serves_records == plan_.serves_records &&
-        plan.records == plan_.records)
+    bool const same_vms = std::exchange(planned_vms_, vms) == vms;
+    if (same_vms && plan.mesh == plan_.mesh &&
+        plan.serves_records == plan_.serves_records && plan.records == plan_.records)
     {
         return;
     }
@@ -312,7 +314,8 @@
             .add("relay", plan.relay ? 1 : 0)
             .add("answers", plan.serves_records ? 1 : 0)
             .add("digests_from", static_cast<std::int64_t>(plan.digests.size()))
-            .add("records_from", plan.records.empty() ? "" : plan.records.front()),
+            .add("records_from", plan.records.empty() ? "" : plan.records.front())
+            .add("vms", vms),
         boot_clock::now());
 }
 
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -45,7 +45,8 @@
 
 private:
     void receive(load_digest digest, digest_extras const& extras);
-    void log_plan(relay_plan const& plan);
+    /// Logs the plan if it or the number of VMs that it was made from has changed.
+    void log_plan(relay_plan const& plan, std::int64_t vms);
     void update_relayed(bool relayed);
 
     entry_state&                       state_;
@@ -59,7 +60,8 @@
     relay_plan                         plan_;
     std::map<std::string, std::string> incarnations_; // of VMs heard, by address
     std::uint64_t                      rounds_ = 0;
-    std::int64_t                       listed_vms_ = 0; // VMs in the last relay plan
+    std::int64_t                       listed_vms_ = 0;  // VMs in the last relay plan
+    std::int64_t                       planned_vms_ = 0; // VMs that it was made from
 };
 
 /// Format of the topic of servers' entries. Most records only report that the server is
