VMs that heard of a lost server leave the next attempt to those that found it

The pause of a lost server ended at all VMs at the same moment: in relayed fleets the news of the next failed attempt takes 450 ms, so all VMs sent to the server, which looked idle, and failed together every 500 ms. VMs that only heard of a loss now wait for two ages of a digest longer.

--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -94,12 +94,15 @@
         states_[server].published[update_source::own] = now + options_.changed_pause;
     }
 
-    /// Merges another VM's update: that VM avoids the server for `left`.
+    /// Merges another VM's update: that VM avoids the server for `left`. This VM avoids
+    /// it for `news_delay` longer, in which the other one has tried it again and
+    /// published the result. Otherwise all VMs would try a server that is still lost, and
+    /// looks idle, as soon as the pause ends.
     void receive(std::string const& server, millis left, update_source source,
-                 boot_clock::time_point now)
+                 boot_clock::time_point now, millis news_delay = millis{0})
     {
         auto const until = now + std::clamp(left, millis{0}, options_.longest_pause);
-        pause(server, until);
+        pause(server, until + news_delay);
         states_[server].published[source] = until;
     }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -511,8 +511,10 @@
 void entry_state::receive_loss(std::string const& server, millis left,
                                update_source source, boot_clock::time_point now)
 {
-    bool const avoided = health.avoided(server, now);
-    health.receive(server, left, source, now);
+    // 2     ages of a digest; until a VM's next attempt at a server has become known
+    constexpr int attempt_news_ages = 2;
+    bool const    avoided = health.avoided(server, now);
+    health.receive(server, left, source, now, attempt_news_ages * digest_age());
     if (!avoided)
     {
         log_loss(server, source, now);
--- a/tests/unit/server_health_updates_test.cpp
+++ b/tests/unit/server_health_updates_test.cpp
@@ -73,5 +73,33 @@
     EXPECT_FALSE(health.avoided("e", at(4001)));
 }
 
+// The pause of a lost server ends at all VMs at once, and all send to it while it is
+// idle.
+TEST(server_health_updates, the_vm_that_found_a_loss_tries_the_server_first)
+{
+    server_health finder;
+    server_health other;
+    finder.failed("e", true, at(0));
+    auto const left = finder.updates(update_source::own, at(0)).at("e");
+    other.receive("e", left, update_source::centre, at(450), millis{900});
+    EXPECT_FALSE(finder.avoided("e", at(501)));
+    EXPECT_TRUE(other.avoided("e", at(501)));
+    finder.failed("e", true, at(600));
+    auto const again = finder.updates(update_source::own, at(600)).at("e");
+    other.receive("e", again - millis{450}, update_source::centre, at(1050), millis{900});
+    EXPECT_TRUE(other.avoided("e", at(2400)));
+    EXPECT_FALSE(other.avoided("e", at(2501)));
+}
+
+// A VM that found a loss and ended must not keep the others from the server for good.
+TEST(server_health_updates, a_heard_pause_ends_without_further_news)
+{
+    server_health other;
+    other.receive("e", millis{500}, update_source::centre, at(0), millis{900});
+    EXPECT_TRUE(other.avoided("e", at(1399)));
+    EXPECT_FALSE(other.avoided("e", at(1401)));
+    EXPECT_TRUE(other.updates(update_source::centre, at(501)).empty());
+}
+
 } // namespace
 } // namespace marigoldcrank
