VMs publish long prompts as they send them

VMs now publish each prompt of 1,000 tokens or more as they send it, the same way as digests but without their period; others count it at its engine until it should be prefilled or digests include it.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -184,6 +184,7 @@
         flag_option("policy", "refuse", &entry_settings::refuse_long_waits),
         flag_option("policy", "roles", &entry_settings::change_roles),
         flag_option("policy", "spread", &entry_settings::spread_choices),
+        flag_option("policy", "announce", &entry_settings::announce_sends),
         flag_option("policy", "warn", &entry_settings::share_server_losses),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -81,6 +81,8 @@
     bool refuse_long_waits = true; // true  calls that would wait far too long are refused
     bool change_roles = true;      // true  the roles of engines follow the load
     bool spread_choices = true; // true  VMs don't all choose the engine that was idlest
+    bool announce_sends =
+        true; // true  VMs learn at once of long prompts that others send
     bool share_server_losses = true; // true  VMs learn of lost servers from other VMs
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -1,7 +1,7 @@
 // Sends digests over one PUB socket and receives them over one SUB socket.
 //
 // A message has two frames: one byte for the scope, which is the subscription prefix, and
-// the encoded digest.
+// the encoded digest. Notices have prefixes of their own, one for each scope.
 #include "serving/digest_link.hpp"
 
 #include "serving/watched_socket.hpp"
@@ -17,14 +17,53 @@
 namespace
 {
 
-// 4     digests queued per peer; older ones are superseded
-constexpr int queue_limit = 4;
+// 16    messages queued per peer: a digest, and the notices until the next one
+constexpr int queue_limit = 16;
+// First byte of notices about the VM itself; the next ones are for wider scopes.
+constexpr char first_notice_prefix = 'a';
 
 std::string scope_prefix(digest_scope scope)
 {
     return std::string(1, static_cast<char>('0' + static_cast<int>(scope)));
 }
 
+std::string notice_prefix(digest_scope scope)
+{
+    return std::string(1,
+                       static_cast<char>(first_notice_prefix + static_cast<int>(scope)));
+}
+
+/// The scope of notices with this first frame; nothing if it is no such frame.
+std::optional<digest_scope> notice_scope(std::string_view prefix)
+{
+    for (auto const scope : {digest_scope::vm, digest_scope::centre, digest_scope::fleet})
+    {
+        if (prefix == notice_prefix(scope))
+        {
+            return scope;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<send_notice> parse_notices(zmq::message_t const& bytes)
+{
+    wire::send_notices       message;
+    std::vector<send_notice> notices;
+    if (message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    {
+        for (auto const& entry : message.notices())
+        {
+            constexpr std::uint64_t most_tokens = 1'000'000'000;
+            notices.push_back({entry.number(), entry.server(),
+                               static_cast<std::int64_t>(
+                                   std::min<std::uint64_t>(entry.tokens(), most_tokens)),
+                               millis{entry.life_ms()}});
+        }
+    }
+    return notices;
+}
+
 void add_proxies(wire::load_digest& message, std::vector<server_proxy> const& proxies)
 {
     for (auto const& each : proxies)
@@ -215,8 +254,9 @@
 
 struct digest_link::state
 {
-    state(asio::io_context& loop, zmq::context_t& context, handler on_digest)
-        : deliver(std::move(on_digest)),
+    state(asio::io_context& loop, zmq::context_t& context, handler on_digest,
+          notice_handler on_notices)
+        : deliver(std::move(on_digest)), deliver_notices(std::move(on_notices)),
           publisher(loop, context, zmq::socket_type::pub, queue_limit, {}),
           subscriber(loop, context, zmq::socket_type::sub, queue_limit,
                      [this](std::vector<zmq::message_t>& parts) { receive(parts); })
@@ -227,6 +267,12 @@
     /// anyway.
     void receive(std::vector<zmq::message_t>& parts) const
     {
+        if (auto const scope = parts.size() == 2 ? notice_scope(parts[0].to_string_view())
+                                                 : std::nullopt)
+        {
+            deliver_notices(*scope, parse_notices(parts[1]));
+            return;
+        }
         // A message has hundreds of entries; the arena allocates them in one block.
         google::protobuf::Arena arena;
         auto&                   message =
@@ -244,6 +290,7 @@
     }
 
     handler                deliver;
+    notice_handler         deliver_notices;
     watched_socket         publisher;
     watched_socket         subscriber;
     std::set<std::string>  peers;
@@ -251,8 +298,10 @@
 };
 
 digest_link::digest_link(asio::io_context& loop, zmq::context_t& context,
-                         std::string const& bind_address, handler on_digest)
-    : state_(std::make_unique<state>(loop, context, std::move(on_digest)))
+                         std::string const& bind_address, handler on_digest,
+                         notice_handler on_notices)
+    : state_(std::make_unique<state>(loop, context, std::move(on_digest),
+                                     std::move(on_notices)))
 {
     state_->publisher.socket().bind(zmq_endpoint(bind_address));
 }
@@ -268,6 +317,7 @@
         if (state_->scopes.insert(scope).second)
         {
             socket.set(zmq::sockopt::subscribe, scope_prefix(scope));
+            socket.set(zmq::sockopt::subscribe, notice_prefix(scope));
         }
     }
     std::erase_if(state_->scopes,
@@ -277,6 +327,7 @@
                       if (gone)
                       {
                           socket.set(zmq::sockopt::unsubscribe, scope_prefix(scope));
+                          socket.set(zmq::sockopt::unsubscribe, notice_prefix(scope));
                       }
                       return gone;
                   });
@@ -310,6 +361,24 @@
     static_cast<void>(socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
 }
 
+void digest_link::publish(digest_scope scope, std::vector<send_notice> const& notices)
+{
+    wire::send_notices message;
+    for (auto const& each : notices)
+    {
+        auto* entry = message.add_notices();
+        entry->set_number(each.number);
+        entry->set_server(each.server);
+        entry->set_tokens(static_cast<std::uint64_t>(each.tokens));
+        entry->set_life_ms(static_cast<std::uint32_t>(each.life.count()));
+    }
+    auto const bytes = message.SerializeAsString();
+    auto&      socket = state_->publisher.socket();
+    static_cast<void>(socket.send(zmq::buffer(notice_prefix(scope)),
+                                  zmq::send_flags::dontwait | zmq::send_flags::sndmore));
+    static_cast<void>(socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait));
+}
+
 void digest_link::receive_pending()
 {
     state_->subscriber.receive_pending();
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -1,4 +1,5 @@
-// Publishes and receives load digests between entry VMs over ZeroMQ, on the event loop.
+// Publishes and receives load digests, and notices of prompts that have just been sent,
+// between entry VMs over ZeroMQ, on the event loop.
 //
 // Index: 1 digest_extras, 2 digest_link
 #ifndef MARIGOLDCRANK_SERVING_DIGEST_LINK_HPP
@@ -9,6 +10,7 @@
 #include "policy/load_relay.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/proxy_list.hpp"
+#include "policy/recent_sends.hpp"
 #include "policy/server_limits.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -50,9 +52,14 @@
     /// Called on the loop for each received digest.
     using handler = std::function<void(load_digest digest, digest_extras const& extras)>;
 
+    /// Called on the loop for the notices of one message.
+    using notice_handler =
+        std::function<void(digest_scope scope, std::vector<send_notice> const& notices)>;
+
     /// `bind_address`: "IP:PORT". Throws zmq::error_t if the address can't be bound.
     digest_link(boost::asio::io_context& loop, zmq::context_t& context,
-                std::string const& bind_address, handler on_digest);
+                std::string const& bind_address, handler on_digest,
+                notice_handler on_notices);
     ~digest_link();
     digest_link(digest_link const&) = delete;
     digest_link& operator=(digest_link const&) = delete;
@@ -63,6 +70,9 @@
 
     void publish(load_digest const& digest, digest_extras const& extras);
 
+    /// Publishes notices to the subscribers of digests of this scope.
+    void publish(digest_scope scope, std::vector<send_notice> const& notices);
+
     /// Handles all digests that have arrived. The owner also calls this regularly, since
     /// the socket's descriptor signals state changes only, not every message.
     void receive_pending();
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -1,6 +1,8 @@
 // Freshness of keys, candidate servers, and this VM's shares of loads and budgets.
 #include "serving/entry_state.hpp"
 
+#include "serving/send_announcer.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -117,7 +119,7 @@
 }
 
 candidate entry_state::candidate_of(backend_server const&  server,
-                                    boot_clock::time_point now) const
+                                    boot_clock::time_point now)
 {
     candidate  result{.server = &server,
                       .load = peers.at(server.id, now),
@@ -127,12 +129,13 @@
     {
         result.load.add(load->second);
     }
+    result.load.prefill_tokens += sends.tokens_at(server.id, now);
     return result;
 }
 
 std::vector<candidate> entry_state::candidates(server_scope const&          scope,
                                                std::set<std::string> const& tried,
-                                               boot_clock::time_point       now) const
+                                               boot_clock::time_point       now)
 {
     std::vector<candidate> result;
     for (auto const& [id, server] : servers.servers())
@@ -225,6 +228,15 @@
     return result;
 }
 
+void entry_state::announce_send(std::string const& server, std::int64_t tokens,
+                                millis life)
+{
+    if (announcer != nullptr && settings.announce_sends && sends.worth_publishing(tokens))
+    {
+        announcer->announce({tie_break(), server, tokens, life});
+    }
+}
+
 bool entry_state::has_kept_version(backend_server const& server) const
 {
     auto const listed = servers.servers().find(server.id);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -22,6 +22,7 @@
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/proxy_list.hpp"
+#include "policy/recent_sends.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
 #include "policy/send_holds.hpp"
@@ -47,6 +48,7 @@
 inline constexpr millis digest_interval{150};
 
 class origin_link;
+class send_announcer;
 class owner_link;
 class quota_gate;
 
@@ -89,7 +91,7 @@
     /// those in `tried`.
     std::vector<candidate> candidates(server_scope const&          scope,
                                       std::set<std::string> const& tried,
-                                      boot_clock::time_point       now) const;
+                                      boot_clock::time_point       now);
 
     /// Whether a service has so many servers that a call considers only a few of them.
     bool draws_candidates(std::string const& service) const;
@@ -107,6 +109,10 @@
     std::optional<millis> first_hold_end(server_scope const&    scope,
                                          boot_clock::time_point now) const;
 
+    /// Publishes that a prompt of `tokens` is sent to `server`, which will have prefilled
+    /// it after `life`, if it is long enough.
+    void announce_send(std::string const& server, std::int64_t tokens, millis life);
+
     /// Whether the list doesn't show another version than this copy of a server's entry.
     /// If it does, the server has started again, and either version may have responded.
     bool has_kept_version(backend_server const& server) const;
@@ -214,8 +220,10 @@
     std::string                         incarnation;
     rules_view                          view;
     server_list                         servers;
-    server_loads                        loads;    // from calls of this VM
-    load_relay                          peers;    // from calls of the other VMs
+    server_loads                        loads; // from calls of this VM
+    load_relay                          peers; // from calls of the other VMs
+    recent_sends                        sends; // of other VMs, not in `peers` yet
+    send_announcer*                     announcer = nullptr; // null: no VM is told yet
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
     std::map<std::string, link_watch>   links; // by service
@@ -268,8 +276,7 @@
 
     bool may_get_work(backend_server const& server, std::set<std::string> const& tried,
                       boot_clock::time_point now) const;
-    candidate candidate_of(backend_server const&  server,
-                           boot_clock::time_point now) const;
+    candidate candidate_of(backend_server const& server, boot_clock::time_point now);
 
     std::map<std::string, retry_budget>  budgets_;
     std::map<std::vector<part_key>, int> suspected_parts_; // as logged; crashes by parts
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -170,6 +170,7 @@
         auto const prefill_time =
             millis{std::llround(planned.wait_ms + planned.prefill_ms)};
         state_.prefixes.sent(server, call_.prompt, prefill_time, boot_clock::now());
+        state_.announce_send(server, planned.prefill_tokens, prefill_time);
     }
 }
 
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -129,10 +129,15 @@
       origins_(owners_ ? std::make_unique<origin_link>(loop, *context_, state, *owners_,
                                                        *records_)
                        : nullptr),
-      digests_(loop, *context_, state.contact.digests,
-               [this](load_digest digest, digest_extras const& extras)
-               { receive(std::move(digest), extras); })
+      digests_(
+          loop, *context_, state.contact.digests,
+          [this](load_digest digest, digest_extras const& extras)
+          { receive(std::move(digest), extras); },
+          [this](digest_scope scope, std::vector<send_notice> const& notices)
+          { announcer_.receive(scope, notices); }),
+      announcer_(loop, state, digests_)
 {
+    state_.announcer = &announcer_;
     state_.quotas = quotas_.get();
     state_.owners = owners_.get();
     state_.keepers = origins_.get();
@@ -145,6 +150,7 @@
 
 peer_exchange::~peer_exchange()
 {
+    state_.announcer = nullptr;
     state_.quotas = nullptr;
     state_.owners = nullptr;
     state_.keepers = nullptr;
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -11,6 +11,7 @@
 #include "serving/owner_link.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/record_link.hpp"
+#include "serving/send_announcer.hpp"
 #include "serving/send_permit.hpp"
 
 #include <map>
@@ -57,6 +58,7 @@
     std::unique_ptr<limit_owner>       limits_;  // null if `records_` is
     std::unique_ptr<origin_link>       origins_; // null if `records_` is
     digest_link                        digests_;
+    send_announcer                     announcer_;
     relay_plan                         plan_;
     std::map<std::string, std::string> incarnations_; // of VMs heard, by address
     std::uint64_t                      rounds_ = 0;
--- /dev/null
+++ b/src/serving/send_announcer.cpp
@@ -0,0 +1,92 @@
+// Batches and directions of notices.
+#include "serving/send_announcer.hpp"
+
+#include "serving/digest_link.hpp"
+#include "serving/entry_state.hpp"
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+// 5     ms in which notices are collected: short against a prefill, and few messages
+constexpr millis batch_time{5};
+// 2000  ms; longer than relays take to return a notice to its sender
+constexpr millis echo_time{2000};
+
+} // namespace
+
+send_announcer::send_announcer(boost::asio::io_context& loop, entry_state& state,
+                               digest_link& link)
+    : state_(state), link_(link), timer_(loop)
+{
+}
+
+void send_announcer::announce(send_notice notice)
+{
+    auto const now = boot_clock::now();
+    while (!own_ends_.empty() && own_ends_.begin()->first <= now)
+    {
+        own_.erase(own_ends_.begin()->second);
+        own_ends_.erase(own_ends_.begin());
+    }
+    own_.insert(notice.number);
+    own_ends_.emplace(now + echo_time, notice.number);
+    add(digest_scope::vm, notice);
+    if (state_.is_relay)
+    {
+        add(digest_scope::centre, notice);
+        add(digest_scope::fleet, notice);
+    }
+}
+
+void send_announcer::receive(digest_scope scope, std::vector<send_notice> const& notices)
+{
+    auto const now = boot_clock::now();
+    for (auto const& each : notices)
+    {
+        bool const is_new = own_.count(each.number) == 0 &&
+                            state_.sends.receive(each, state_.digest_age(), now);
+        if (!is_new || !state_.is_relay)
+        {
+            continue;
+        }
+        if (scope == digest_scope::vm)
+        {
+            add(digest_scope::centre, each);
+        }
+        add(digest_scope::fleet, each);
+    }
+}
+
+void send_announcer::add(digest_scope scope, send_notice const& notice)
+{
+    bool const waiting = !pending_.empty();
+    pending_[scope].push_back(notice);
+    if (!waiting)
+    {
+        timer_.expires_after(batch_time);
+        timer_.async_wait(
+            [this](boost::system::error_code const& error)
+            {
+                if (!error)
+                {
+                    publish();
+                }
+            });
+    }
+}
+
+void send_announcer::publish()
+{
+    auto const pending = std::exchange(pending_, {});
+    for (auto const& [scope, notices] : pending)
+    {
+        link_.publish(scope, notices);
+    }
+    // A send may consume the signal of a message that has arrived.
+    link_.receive_pending();
+}
+
+} // namespace marigoldcrank
