Place calls and choose roles by the pace of each server

Predicted times, deadlines, queues and roles went by one speed per service, so a long prompt went to an engine of 0.7 as readily as to one of 1.7, and a plain server that had turned slow got as many calls. VMs publish additive sums of their samples in load digests; relays add them up. Off by [policy] paces = false.

--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -102,6 +102,12 @@
         return peers_.vms(now);
     }
 
+    /// Samples of servers' paces at all other VMs, from recent digests.
+    server_pace_sums paces(boot_clock::time_point now) const
+    {
+        return peers_.paces(now);
+    }
+
     /// Work of all other VMs at one server, from recent digests.
     server_load at(std::string const& server, boot_clock::time_point now) const
     {
--- a/src/policy/pace_sums.hpp
+++ b/src/policy/pace_sums.hpp
@@ -26,12 +26,21 @@
         logs += other.logs;
     }
 
-    /// Subtracts a part of this sum. The part may be slightly newer than the sum; then
-    /// the weight is limited to zero and nothing of the sum remains.
+    /// Subtracts a part of this sum. The part may be slightly newer than the sum, so the
+    /// weight is limited to zero, and the mean of the rest to what samples can say.
     void subtract(log_sum const& part)
     {
         weight = std::max(weight - part.weight, 0.0);
-        logs = weight > 0 ? logs - part.logs : 0;
+        logs = logs - part.logs;
+        limit();
+    }
+
+    /// Bounds the mean, whatever the origin of the sums.
+    void limit()
+    {
+        constexpr double most = 2; // more than any sample's logarithm
+        weight = std::max(weight, 0.0);
+        logs = std::clamp(logs, -most * weight, most * weight);
     }
 
     void scale(double factor)
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/pace_sums.hpp"
 #include "policy/work_meter.hpp"
 
 #include <algorithm>
@@ -46,9 +47,10 @@
 /// Work of one or more VMs at servers, and the demand of their callers.
 struct vm_work
 {
-    server_loads    loads;   // by server
-    service_demands demands; // by service
-    std::int64_t    vms = 0; // 0  number of VMs whose work this is
+    server_loads     loads;   // by server
+    service_demands  demands; // by service
+    std::int64_t     vms = 0; // 0  number of VMs whose work this is
+    server_pace_sums paces;   // by server
 
     bool operator==(vm_work const&) const = default;
 
@@ -63,6 +65,10 @@
         {
             demands[service].add(demand);
         }
+        for (auto const& [server, sums] : other.paces)
+        {
+            paces[server].add(sums);
+        }
     }
 
     /// Subtracts a part of this sum. The part may be slightly newer than the sum, so the
@@ -86,6 +92,14 @@
                 found->second.subtract(demand);
             }
         }
+        for (auto const& [server, sums] : part.paces)
+        {
+            auto const found = paces.find(server);
+            if (found != paces.end())
+            {
+                found->second.subtract(sums);
+            }
+        }
     }
 };
 
@@ -140,6 +154,24 @@
         return sum;
     }
 
+    /// Samples of servers' paces, added up over recent digests.
+    server_pace_sums paces(boot_clock::time_point now) const
+    {
+        server_pace_sums result;
+        for (auto const& [vm, digest] : peers_)
+        {
+            if (now - digest.received_at > options_.max_age)
+            {
+                continue;
+            }
+            for (auto const& [server, sums] : digest.work.paces)
+            {
+                result[server].add(sums);
+            }
+        }
+        return result;
+    }
+
     /// Number of VMs whose work the recent digests contain.
     std::int64_t vms(boot_clock::time_point now) const
     {
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -86,17 +86,19 @@
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const& data_centre, std::uint64_t tie_break)
 {
-    // 1.5  running calls; cost of a hop to another data centre
+    // 1.5  calls at a server of pace 1; cost of a hop to another data centre
     constexpr double remote_penalty = 1.5;
-    auto const       best = cheapest(candidates, tie_break,
-                                     [&](candidate const& each)
-                                     {
-                                   bool const near =
-                                       each.server->data_centre == data_centre;
-                                   return static_cast<double>(each.load.running) +
-                                          (near ? 0 : remote_penalty) +
-                                          (each.avoided ? avoided_cost : 0);
-                               });
+    auto const       best =
+        cheapest(candidates, tie_break,
+                 [&](candidate const& each)
+                 {
+                     bool const near = each.server->data_centre == data_centre;
+                     // All VMs would choose the fastest server that was idle.
+                     auto const pace = std::min(each.pace, 1.0);
+                     return static_cast<double>(each.load.running + 1) / pace +
+                            (near ? 0 : remote_penalty) +
+                            (each.avoided ? avoided_cost : 0);
+                 });
     return best.chosen == nullptr ? nullptr : best.chosen->server;
 }
 
@@ -180,6 +182,7 @@
             result.prefill_tokens -= fetched;
             result.prefill_ms = fixed_time(each) + prefill_own + fetch;
         }
+        result.paced = paced_prefill_of(each, result);
         return result;
     }
 
@@ -191,9 +194,10 @@
         bool const is_rendezvous =
             each.server ==
             (is_prefill_engine(each) ? prefill_rendezvous_ : decode_rendezvous_);
-        auto const discount = is_rendezvous ? options_.rendezvous_margin *
-                                                  prefill_time(each, shared_tokens_)
-                                            : 0.0;
+        auto const discount = is_rendezvous
+                                  ? options_.rendezvous_margin *
+                                        prefill_time(each, shared_tokens_) * each.pace
+                                  : 0.0;
         return placed.wait_ms + placed.prefill_ms +
                (options_.recompute_weight - 1) * shared - discount + distance_cost(each) +
                random_cost(each) + (is_sampled(each) ? 0.0 : unsampled_cost);
@@ -204,14 +208,15 @@
     {
         return !is_prefill_engine(each) &&
                (!has_prefill_engine_ ||
-                each.load.prefill_tokens + placed.prefill_tokens <=
-                    costs_.max_colocated_tokens);
+                static_cast<double>(each.load.prefill_tokens + placed.prefill_tokens) <=
+                    static_cast<double>(costs_.max_colocated_tokens) * each.pace);
     }
 
     double queue_time(candidate const& each) const
     {
         return prefill_time(each, each.load.prefill_tokens) +
-               static_cast<double>(each.load.running) * options_.stream_slowdown_ms;
+               static_cast<double>(each.load.running) * options_.stream_slowdown_ms /
+                   each.pace;
     }
 
     double distance_cost(candidate const& each) const
@@ -237,7 +242,8 @@
     double random_cost(candidate const& each) const
     {
         auto const most = options_.random_range * costs_.unreported_ms;
-        return most <= 0 ? 0.0 : most * hash_fraction(tie_break_, each.server->id);
+        return most <= 0 ? 0.0
+                         : most / each.pace * hash_fraction(tie_break_, each.server->id);
     }
 
 private:
@@ -245,13 +251,33 @@
     {
         auto const speed =
             is_prefill_engine(each) ? costs_.prefill_rate : costs_.colocated_rate;
-        return static_cast<double>(tokens) / speed;
+        return static_cast<double>(tokens) / speed / each.pace;
     }
 
     double fixed_time(candidate const& each) const
     {
-        return is_prefill_engine(each) ? costs_.prefill_fixed_ms
-                                       : costs_.colocated_fixed_ms;
+        return (is_prefill_engine(each) ? costs_.prefill_fixed_ms
+                                        : costs_.colocated_fixed_ms) /
+               each.pace;
+    }
+
+    /// The weight of the sample is the time of the tokens that are surely read, compared
+    /// with that of all that may delay the response: the wait may be longer, and the
+    /// cached parts may have been dropped.
+    paced_prefill paced_prefill_of(candidate const& each, placement const& placed) const
+    {
+        paced_prefill result{.mean_ms = placed.prefill_ms * each.pace,
+                             .pace = each.pace,
+                             .remote = each.server->data_centre != data_centre_};
+        if (placed.fetch_from == nullptr)
+        {
+            auto const longest = fixed_time(each) +
+                                 prefill_time(each, own_tokens_ + shared_tokens_) +
+                                 2 * placed.wait_ms;
+            result.weight =
+                longest > 0 ? prefill_time(each, placed.prefill_tokens) / longest : 0;
+        }
+        return result;
     }
 
     /// Tokens that the engine could fetch from the one that caches most of the prompt.
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -1,7 +1,7 @@
 // Chooses the server for a call, from the load that all known VMs put on each server.
 //
-// Index: 1 engine_costs, 2 placement_options, 3 candidate, 4 placement, 5 place_plain,
-//        6 place_model, 7 place_decode
+// Index: 1 engine_costs, 2 placement_options, 3 candidate, 4 paced_prefill, 5 placement,
+//        6 place_plain, 7 place_model, 8 place_decode
 //
 // Prompts have a few hundred to tens of thousands of tokens and share long parts; a
 // prefill engine reads them twice as fast as a decode engine. A model call is placed by
@@ -90,6 +90,16 @@
                                            // is, the rank among the candidates decides
     std::int64_t cached = 0; // tokens of shared parts cached or being computed
     std::int64_t ready = 0;  // of these, already computed
+    double       pace = 1;   // speed relative to the mean of the service
+};
+
+/// What the time of a prefill, once it is known, says about the pace of its engine.
+struct paced_prefill
+{
+    double mean_ms = 0;    // predicted duration at an engine of pace 1
+    double weight = 0;     // 0 to 1; part of the time that depends on known work only
+    double pace = 1;       // assumed for the prediction
+    bool   remote = false; // the engine is in another data centre
 };
 
 /// The first server of a model call and the predicted times there.
@@ -101,12 +111,14 @@
     double       wait_ms = 0;        // until the prefill queued before it is done
     double       prefill_ms = 0;     // duration of its prefill and fetches
     backend_server const* fetch_from =
-        nullptr; // its cached parts are fetched; null: none
+        nullptr;         // its cached parts are fetched; null: none
+    paced_prefill paced; // for the sample that the prefill will be
 };
 
-/// The server with the fewest running calls for a call without a prompt. A server in
-/// another data centre is chosen only if it has at least two fewer. `tie_break` breaks
-/// ties, so that VMs don't all choose the same server. Null without candidates.
+/// The server for a call without a prompt: the one with the fewest running calls, this
+/// one included, for its pace. Of servers of the same pace, one in another data centre is
+/// chosen only if it has at least two fewer. `tie_break` breaks ties, so that VMs don't
+/// all choose the same server. Null without candidates.
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const&            data_centre,
                                   std::uint64_t                 tie_break);
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -8,6 +8,75 @@
 namespace marigoldcrank
 {
 
+namespace
+{
+
+/// Load of the fuller role relative to its planned load.
+double split_load(std::int64_t engines, std::int64_t prefill, role_need const& need)
+{
+    auto const decode_engines = static_cast<double>(engines - prefill);
+    if (need.colocated)
+    {
+        // A decode engine prefills at half the speed of a prefill engine.
+        return (need.prefill + need.decode / 2) /
+               (static_cast<double>(prefill) + decode_engines / 2);
+    }
+    return std::max(need.prefill /
+                        static_cast<double>(std::max<std::int64_t>(prefill, 1)),
+                    need.decode / std::max(decode_engines, 1.0));
+}
+
+/// Engines whose paces differ by less than the factor of a swap count as equally fast.
+std::int64_t speed_class(split_engine const& each, role_split_options const& options)
+{
+    return std::llround(std::log(each.pace) / std::log(options.swap_ratio));
+}
+
+/// Of each data centre without a recent change the fastest decode engine and the slowest
+/// prefill engine, if these differ enough; at most `allowed` engines.
+std::vector<backend_server const*> plan_swaps(std::vector<split_engine> const& engines,
+                                              std::int64_t                     allowed,
+                                              boot_clock::time_point           now,
+                                              role_split_options const&        options)
+{
+    struct pair
+    {
+        split_engine const* decode = nullptr;
+        split_engine const* prefill = nullptr;
+        bool                changing = false;
+    };
+    std::map<std::string, pair> by_centre;
+    for (auto const& each : engines)
+    {
+        auto& found = by_centre[each.server->data_centre];
+        found.changing = found.changing || now - each.changed < options.change_interval;
+        if (now - each.changed < options.swap_interval)
+        {
+            continue;
+        }
+        bool const is_prefill = each.role == engine_role::prefill;
+        auto&      best = is_prefill ? found.prefill : found.decode;
+        bool const better = best == nullptr || (is_prefill ? each.pace < best->pace
+                                                           : each.pace > best->pace);
+        best = better ? &each : best;
+    }
+    std::vector<backend_server const*> result;
+    for (auto const& [centre, found] : by_centre)
+    {
+        bool const both = found.decode != nullptr && found.prefill != nullptr;
+        bool const fits = static_cast<std::int64_t>(result.size()) + 2 <= allowed;
+        if (both && fits && !found.changing &&
+            found.decode->pace >= options.swap_ratio * found.prefill->pace)
+        {
+            result.push_back(found.decode->server);
+            result.push_back(found.prefill->server);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
 role_need compute_role_need(work_demand const& fleet, std::int64_t slots,
                             role_split_options const& options)
 {
@@ -22,16 +91,7 @@
 {
     auto const load = [&](std::int64_t count)
     {
-        auto const decode_engines = static_cast<double>(engines - count);
-        if (need.colocated)
-        {
-            // A decode engine prefills at half the speed of a prefill engine.
-            return (need.prefill + need.decode / 2) /
-                   (static_cast<double>(count) + decode_engines / 2);
-        }
-        return std::max(need.prefill /
-                            static_cast<double>(std::max<std::int64_t>(count, 1)),
-                        need.decode / std::max(decode_engines, 1.0));
+        return split_load(engines, count, need);
     };
     auto best = prefill;
     for (std::int64_t count = 1; count < engines; ++count)
@@ -62,10 +122,16 @@
     auto const change = wanted_prefill(count, prefill, need, options) - prefill;
     auto const allowed =
         std::max<std::int64_t>(1, count / options.change_divisor) - changing;
-    if (change == 0 || allowed <= 0)
+    if (allowed <= 0)
     {
         return {};
     }
+    if (change == 0)
+    {
+        return split_load(count, prefill, need) <= options.swap_load
+                   ? plan_swaps(engines, allowed, now, options)
+                   : std::vector<backend_server const*>{};
+    }
     bool const more_prefill = change > 0;
     auto const movable = [&](split_engine const& each)
     {
@@ -77,12 +143,15 @@
     while (static_cast<std::int64_t>(result.size()) < std::min(allowed, std::abs(change)))
     {
         // The data centre with the fewest prefill engines gains one first, the one with
-        // the most loses one first; in it the engine with the fewest calls changes.
+        // the most loses one first; in it the fastest engine becomes a prefill engine or
+        // the slowest a decode engine, and of several the one with the fewest calls.
         auto const rank = [&](split_engine const& each)
         {
             auto const centre_prefill = by_centre[each.server->data_centre];
+            auto const speed = speed_class(each, options);
             return std::tuple{more_prefill ? centre_prefill : -centre_prefill,
-                              each.running, each.server->id};
+                              more_prefill ? -speed : speed, each.running,
+                              each.server->id};
         };
         split_engine const* best = nullptr;
         for (auto const& each : engines)
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -40,6 +40,13 @@
     millis change_interval{9000};
     // 6     one engine in 6 may change at a time
     std::int64_t change_divisor = 6;
+    // 1.5   times; an engine that decodes and is so much faster than one that prefills
+    //       changes places with it: long prompts gain more by speed than streams do
+    double swap_ratio = 1.5;
+    // 0.8   of the planned load; above it no engines change places
+    double swap_load = 0.8;
+    // 120000 ms after any change of an engine before it changes places again
+    millis swap_interval{120'000};
 
     bool operator==(role_split_options const&) const = default;
 };
@@ -51,6 +58,7 @@
     engine_role           role = engine_role::mixed; // now, or after a change in progress
     std::int64_t          running = 0;               // calls of this VM in progress
     boot_clock::time_point changed{};                // last order; epoch: never
+    double                 pace = 1; // lasting speed relative to the service's mean
 };
 
 /// Load on each role, in engines at their planned load.
@@ -76,7 +84,10 @@
 
 /// Engines to change now, limited to a fraction of the fleet. If more prefill engines are
 /// wanted, the data centre with the fewest of them comes first, else the one with the
-/// most, and in it the engine with the fewest calls.
+/// most, and in it the fastest engine to prefill or the slowest to decode, and of several
+/// the one with the fewest calls. If no more or fewer are wanted and the load is low, a
+/// fast decode engine and a slow prefill engine of a data centre change places, one pair
+/// of a data centre at a time.
 std::vector<backend_server const*>
 plan_role_changes(std::vector<split_engine> const& engines, role_need const& need,
                   boot_clock::time_point now, role_split_options const& options);
--- a/src/policy/server_paces.cpp
+++ b/src/policy/server_paces.cpp
@@ -93,6 +93,7 @@
         auto&         entry = own_[sample.server];
         decay(entry, now);
         entry.sums.add({added, added});
+        entry.sampled_at = now;
     }
     // What the known paces don't explain is the VM's.
     auto const residual = clip(relative - std::log(pace(sample.server)));
@@ -107,6 +108,7 @@
 {
     own_.erase(server);
     paces_.erase(server);
+    lasting_.erase(server);
     mean_shifts_.erase(server);
 }
 
@@ -144,26 +146,55 @@
     return result;
 }
 
+std::optional<pace_change> server_paces::change_of(std::string const& server,
+                                                   std::string const& service,
+                                                   double value, double samples,
+                                                   boot_clock::time_point now) const
+{
+    auto const before = pace(server);
+    if ((before > 1) == (value > 1) && (before < 1) == (value < 1))
+    {
+        return std::nullopt;
+    }
+    auto const  own = own_.find(server);
+    pace_change result{server, service, value, samples};
+    if (own != own_.end())
+    {
+        result.own_age = std::chrono::duration_cast<millis>(now - own->second.sampled_at);
+    }
+    return result;
+}
+
 std::vector<pace_change>
-server_paces::apply(std::map<std::string, service_estimates> const& services)
+server_paces::apply(std::map<std::string, service_estimates> const& services,
+                    boot_clock::time_point                          now)
 {
     std::vector<pace_change>                    changes;
     std::unordered_map<std::string, known_pace> paces;
     mean_shifts_.clear();
+    lasting_.clear();
     for (auto const& [service, known] : services)
     {
         double sum = 0;
+        double lasting_sum = 0;
         for (auto const& [server, each] : known.estimates)
         {
             sum += each.log_pace;
+            lasting_sum += each.lasting;
         }
         // Servers without samples count as mean ones.
         auto const size = std::max<std::int64_t>(
             known.size, static_cast<std::int64_t>(known.estimates.size()));
         auto const mean = sum / static_cast<double>(size);
+        auto const lasting_mean = lasting_sum / static_cast<double>(size);
         for (auto const& [server, each] : known.estimates)
         {
             mean_shifts_.emplace(server, mean);
+            auto const lasting = clip(each.lasting - lasting_mean);
+            if (std::abs(lasting) > each.dead_band)
+            {
+                lasting_.emplace(server, std::exp(lasting));
+            }
             auto const relative = clip(each.log_pace - mean);
             bool const differs = std::abs(relative) > each.dead_band;
             auto const value = differs ? std::exp(relative) : 1.0;
@@ -171,10 +202,9 @@
             {
                 paces.emplace(server, known_pace{service, value});
             }
-            auto const before = pace(server);
-            if ((before > 1) != (value > 1) || (before < 1) != (value < 1))
+            if (auto change = change_of(server, service, value, each.weight, now))
             {
-                changes.push_back({server, service, value, each.weight});
+                changes.push_back(*std::move(change));
             }
         }
     }
@@ -182,7 +212,7 @@
     {
         if (mean_shifts_.count(server) == 0)
         {
-            changes.push_back({server, before.service, 1, 0});
+            changes.push_back({server, before.service, 1, 0, millis{-1}});
         }
     }
     paces_ = std::move(paces);
--- a/src/policy/server_paces.hpp
+++ b/src/policy/server_paces.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -25,8 +26,8 @@
 
 struct pace_options
 {
-    // 15 and 1.5  s; time constants of the lasting and of the recent samples
-    double lasting_s = 15;
+    // 30 and 1.5  s; time constants of the lasting and of the recent samples
+    double lasting_s = 30;
     double recent_s = 1.5;
     // 1 and 1.5   samples; weight of pace 1 against the lasting samples, and of the
     //             lasting mean against the recent samples
@@ -71,6 +72,7 @@
     std::string service;
     double      pace = 1;
     double      samples = 0; // weight of the samples of all VMs
+    millis      own_age{-1}; // of this VM's newest sample; -1: none lately
 };
 
 /// Paces by the samples of this VM and of others. No I/O; the caller passes the time.
@@ -98,15 +100,16 @@
             std::string const service = service_of(server);
             if (!service.empty())
             {
-                services[service].estimates[server] = {log_pace(sums), dead_band(sums),
-                                                       sums.lasting.weight};
+                services[service].estimates[server] = {
+                    log_pace(sums), dead_band(sums),
+                    sums.lasting.mean(0, options_.lasting_prior), sums.lasting.weight};
             }
         }
         for (auto& [service, each] : services)
         {
             each.size = size_of(service);
         }
-        return apply(services);
+        return apply(services, now);
     }
 
     /// The speed of a server relative to the mean of its service; 1 if unknown.
@@ -116,6 +119,13 @@
         return found == paces_.end() ? 1 : found->second.pace;
     }
 
+    /// The same without what passes within seconds.
+    double lasting(std::string const& server) const
+    {
+        auto const found = lasting_.find(server);
+        return found == lasting_.end() ? 1 : found->second;
+    }
+
     /// The sums to publish of several VMs' sums: those of the most samples.
     server_pace_sums most_sampled(server_pace_sums sums) const;
 
@@ -140,12 +150,14 @@
     {
         pace_sums              sums;
         boot_clock::time_point decayed_at{};
+        boot_clock::time_point sampled_at{};
     };
 
     struct estimate
     {
         double log_pace = 0;
         double dead_band = 0; // logarithm
+        double lasting = 0;   // logarithm
         double weight = 0;
     };
 
@@ -169,12 +181,20 @@
     double           clip(double log_ratio) const;
     server_pace_sums total(server_pace_sums const& others, boot_clock::time_point now);
     std::vector<pace_change>
-    apply(std::map<std::string, service_estimates> const& services);
+    apply(std::map<std::string, service_estimates> const& services,
+          boot_clock::time_point                          now);
+
+    /// The change of a server's pace to `value`; nothing if it stays on its side of 1.
+    std::optional<pace_change> change_of(std::string const& server,
+                                         std::string const& service, double value,
+                                         double                 samples,
+                                         boot_clock::time_point now) const;
 
     pace_options                                options_;
     std::map<std::string, own_sums>             own_;         // by server
     std::map<baseline_key, baseline>            baselines_;   // of this VM
     std::unordered_map<std::string, known_pace> paces_;       // those that aren't 1
+    std::unordered_map<std::string, double>     lasting_;     // those that aren't 1
     std::unordered_map<std::string, double>     mean_shifts_; // by sampled server
 };
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -9,6 +9,9 @@
 #include <google/protobuf/arena.h>
 #include <wire.pb.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace marigoldcrank
 {
 
@@ -59,6 +62,27 @@
     }
 }
 
+std::int32_t to_milli(double value)
+{
+    constexpr double milli = 1000;
+    constexpr double most = 1e6; // samples
+    return static_cast<std::int32_t>(std::lround(std::clamp(value, -most, most) * milli));
+}
+
+void add_paces(wire::load_digest& message, server_pace_sums const& paces)
+{
+    for (auto const& [server, sums] : paces)
+    {
+        auto* entry = message.add_paces();
+        entry->set_server(server);
+        entry->set_weight(static_cast<std::uint32_t>(to_milli(sums.lasting.weight)));
+        entry->set_logs(to_milli(sums.lasting.logs));
+        entry->set_recent_weight(
+            static_cast<std::uint32_t>(to_milli(sums.recent.weight)));
+        entry->set_recent_logs(to_milli(sums.recent.logs));
+    }
+}
+
 wire::load_digest format_digest(load_digest const& digest, digest_extras const& extras)
 {
     wire::load_digest message;
@@ -116,9 +140,21 @@
     }
     add_proxies(message, extras.proxies);
     add_crashes(message, extras);
+    add_paces(message, digest.work.paces);
     return message;
 }
 
+/// A sum from a message, bounded so that sums with it stay finite and no mean lies beyond
+/// what samples can say.
+log_sum parse_log_sum(std::uint32_t weight, std::int32_t logs)
+{
+    constexpr double milli = 1000;
+    log_sum          result{static_cast<double>(weight) / milli,
+                   static_cast<double>(logs) / milli};
+    result.limit();
+    return result;
+}
+
 vm_work parse_work(wire::load_digest const& message)
 {
     vm_work work;
@@ -137,6 +173,13 @@
                                          .prefill_speed = entry.prefill_speed(),
                                          .streams = entry.streams()};
     }
+    for (auto const& entry : message.paces())
+    {
+        work.paces.insert_or_assign(
+            work.paces.end(), entry.server(),
+            pace_sums{parse_log_sum(entry.weight(), entry.logs()),
+                      parse_log_sum(entry.recent_weight(), entry.recent_logs())});
+    }
     return work;
 }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -121,7 +121,8 @@
 {
     candidate  result{.server = &server,
                       .load = peers.at(server.id, now),
-                      .avoided = health.avoided(server.id, now)};
+                      .avoided = health.avoided(server.id, now),
+                      .pace = settings.paces ? paces.pace(server.id) : 1};
     auto const load = loads.find(server.id);
     if (load != loads.end())
     {
@@ -327,6 +328,10 @@
     {
         work.demands[service] = meter.demand(now);
     }
+    if (settings.paces)
+    {
+        work.paces = paces.own(now);
+    }
     return work;
 }
 
@@ -562,8 +567,57 @@
               boot_clock::now());
 }
 
+void entry_state::update_paces(boot_clock::time_point now)
+{
+    if (!settings.paces)
+    {
+        return;
+    }
+    auto const service_of = [&](std::string const& id)
+    {
+        auto const listed = servers.servers().find(id);
+        return listed == servers.servers().end() ? std::string{} : listed->second.group;
+    };
+    auto const changes = paces.update(
+        peers.paces(now), service_of,
+        [&](std::string const& service) { return staying_servers(service); }, now);
+    for (auto const& each : changes)
+    {
+        log_pace(each, now);
+    }
+}
+
+void entry_state::log_pace(pace_change const& change, boot_clock::time_point now)
+{
+    std::string const turned = change.pace < 1   ? "slow"
+                               : change.pace > 1 ? "fast"
+                                                 : "usual";
+    counters.add("server_pace_changes_total",
+                 "service=\"" + change.service + "\",pace=\"" + turned + "\"");
+    // Many servers change at once when the sums of a data centre come or go.
+    constexpr std::int64_t max_lines = 4; // a second
+    if (now - pace_lines_from_ >= std::chrono::seconds{1})
+    {
+        pace_lines_from_ = now;
+        pace_lines_ = 0;
+    }
+    if (++pace_lines_ > max_lines)
+    {
+        return;
+    }
+    constexpr double milli = 1000;
+    log.write(event_line{"server_pace"}
+                  .add("server", change.server)
+                  .add("service", change.service)
+                  .add("pace_milli", std::llround(change.pace * milli))
+                  .add("samples_milli", std::llround(change.samples * milli))
+                  .add("own_age_ms", change.own_age),
+              now);
+}
+
 void entry_state::forget_server(std::string const& server)
 {
+    paces.forget(server);
     crashes.server_ended(server, boot_clock::now());
     health.forget(server);
     limits.forget(server);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -27,6 +27,7 @@
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
+#include "policy/server_paces.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
@@ -198,6 +199,10 @@
     void receive(limit_update const& update, update_source source,
                  boot_clock::time_point now);
 
+    /// Computes the paces of servers from own samples and those of other VMs, and logs
+    /// and counts changes.
+    void update_paces(boot_clock::time_point now);
+
     /// Drops what is known about a server that is gone or has restarted.
     void forget_server(std::string const& server);
 
@@ -222,6 +227,7 @@
     proxy_list                          proxies;
     std::int64_t                        tunnels = 0; // open for other VMs
     server_limits                       limits;
+    server_paces                        paces;
     send_holds                          holds;           // of servers
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
@@ -263,6 +269,7 @@
     void log_withdrawn(std::vector<crash_update> const& withdrawn,
                        boot_clock::time_point           now);
     void log_limit(std::string const& server, std::string_view learned_from);
+    void log_pace(pace_change const& change, boot_clock::time_point now);
     void log_loss(std::string const& server, update_source learned_from,
                   boot_clock::time_point now);
 
@@ -274,6 +281,8 @@
     std::map<std::string, retry_budget>  budgets_;
     std::map<std::vector<part_key>, int> suspected_parts_; // as logged; crashes by parts
     std::mt19937_64                      random_;
+    boot_clock::time_point               pace_lines_from_{}; // start of a second
+    std::int64_t                         pace_lines_ = 0;    // of the log, in it
 };
 
 /// Hash that identifies a repeated call: the same path, caller and body.
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -318,6 +318,7 @@
             split_engine each{.server = &server, .role = server.role};
             auto const   load = state_.loads.find(id);
             each.running = load == state_.loads.end() ? 0 : load->second.running;
+            each.pace = state_.settings.paces ? state_.paces.lasting(id) : 1;
             auto const logged = log_.changing().find(id);
             if (logged != log_.changing().end())
             {
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -7,6 +7,7 @@
 #include "serving/call_admission.hpp"
 
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace marigoldcrank
@@ -58,13 +59,20 @@
     /// Records the time to the first event of a handoff.
     void record_handoff(boot_clock::duration took);
 
+    /// Records the whole response of a plain call, sent to `server` at `sent`.
+    void record_response(backend_server const& server, boot_clock::time_point sent);
+
     /// Records a complete stream: its number of chunks, their time and the longest pause.
     void record_stream(std::int64_t chunk_count, boot_clock::duration took,
                        boot_clock::duration longest_pause);
 
 private:
     work_meter&  meter() const;
-    engine_costs costs() const;
+    engine_costs costs(std::vector<candidate> const& candidates) const;
+    /// Records what the time of a prefill says about the pace of its engine, and returns
+    /// the time that it would have taken at an engine of pace 1, with the wait.
+    boot_clock::duration sample_pace(std::string_view kind, placement const& planned,
+                                     boot_clock::duration took);
     /// Prefill work per engine that isn't in the digests yet, in ms, from demand and age.
     double unreported_ms() const;
 
@@ -74,6 +82,7 @@
     entry_state&         state_;
     caller_call const&   call_;
     admitted_call const& admitted_;
+    std::string          attempted_; // id of the server of the last attempt
 };
 
 } // namespace marigoldcrank
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -169,8 +169,15 @@
                       { return state_.last_heard.count(each.first) == 0; });
         state_.proxies.expire(now);
     }
-    for (auto const& digest : state_.peers.digests(state_.own_work(now), now))
+    state_.update_paces(now);
+    for (auto& digest : state_.peers.digests(state_.own_work(now), now))
     {
+        if (digest.scope != digest_scope::vm)
+        {
+            digest.work.paces = digest.scope == digest_scope::centre
+                                    ? state_.paces.most_sampled(digest.work.paces)
+                                    : state_.paces.differing(digest.work.paces);
+        }
         bool const own = digest.scope == digest_scope::vm;
         extras.usage = own && rounds_ % usage_interval == 0 ? state_.recent_usage()
                                                             : std::vector<usage_record>{};
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -96,6 +96,10 @@
         if (status < first_server_error)
         {
             context_.state.health.succeeded(link.server().id);
+            if (status < first_redirect)
+            {
+                context_.placement.record_response(link.server(), link.sent_at());
+            }
             // Perhaps refused by the server, so its prompt's parts may still crash it.
             context_.state.record_completion(
                 {.content = context_.admitted.features.content}, link.sent_at());
@@ -117,6 +121,7 @@
     using current_exchange_guard =
         typename attempt_sender<Dialect>::current_exchange_guard;
 
+    static constexpr unsigned first_redirect = 300;
     static constexpr unsigned first_server_error = 500;
 
     call_context&            context_;
--- a/tests/property/load_relay_property_test.cpp
+++ b/tests/property/load_relay_property_test.cpp
@@ -91,6 +91,31 @@
     }
 }
 
+// If a VM's samples of a server counted twice, one slow VM could make it look slow.
+RC_GTEST_PROP(load_relay, samples_of_paces_are_counted_once_everywhere, ())
+{
+    auto   vms = make_fleet(*rc::gen::inRange(1, 5), *rc::gen::inRange(1, 9));
+    double total = 0;
+    for (auto& vm : vms)
+    {
+        auto const    weight = *rc::gen::inRange(0, 9) * 1.0;
+        log_sum const sum{weight, -weight / 2};
+        vm.own.paces["engine"] = {sum, sum};
+        total += weight;
+    }
+    for (int round = 0; round < 5; ++round)
+    {
+        publish_all(vms, at_ms(1000 + 150 * round));
+    }
+    for (auto const& vm : vms)
+    {
+        auto const others = total - vm.own.paces.at("engine").lasting.weight;
+        auto const known = vm.relay.paces(at_ms(1750))["engine"];
+        RC_ASSERT(known.lasting == (log_sum{others, -others / 2}));
+        RC_ASSERT(known.recent == known.lasting);
+    }
+}
+
 // A relay fails. Its members receive from the other one, and the failed relay's sums are
 // dropped instead of being added.
 TEST(load_relay, members_continue_with_the_other_relay)
--- a/tests/unit/entry_settings_test.cpp
+++ b/tests/unit/entry_settings_test.cpp
@@ -49,6 +49,18 @@
     EXPECT_EQ(value.lease, millis{3000});
 }
 
+TEST(entry_settings, paces_are_followed_unless_switched_off)
+{
+    EXPECT_TRUE(entry_settings{}.paces);
+    auto const off = good + "[policy]\npaces = false\n";
+    auto const value = leaf::try_handle_all(
+        [&] { return parse_entry_settings(off, "f"); }, [] { return entry_settings{}; });
+    EXPECT_FALSE(value.paces);
+    auto const refused = failure_of(good + "[policy]\npaces = 2\n");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->key, "paces");
+}
+
 TEST(entry_settings, a_missing_required_key_is_reported)
 {
     auto const failure = failure_of(with("store = 10.0.0.2:90", ""));
