--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -84,6 +84,7 @@
     bool announce_sends =
         true; // true  VMs learn at once of long prompts that others send
     bool share_server_losses = true; // true  VMs learn of lost servers from other VMs
+    bool paces = true;               // true  placement follows the speed of each server
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
