--- a/scripts/load_report.py
+++ b/scripts/load_report.py
@@ -117,7 +117,7 @@
         self.services = {}  # service by server, from `server` lines and ended calls
         self.calls = {}
         self.marks = collections.defaultdict(collections.Counter)  # by second
-        self.first_time = None
+        self.first_time = None  # Unix time, ms
         self.last_time = 0
 
     def read(self, file, lines):
@@ -167,16 +167,23 @@
             call.centre = self.centres.get(call.centre, "?")
             if call.end.get("service") and call.end.get("server"):
                 self.services.setdefault(call.end["server"], call.end["service"])
+        routes = self.services_of_routes(ended)
         for call in ended:
             end = call.end
-            end["objective_ms"] = end.get("objective_ms") or self.objectives.get(
-                end.get("route", ""), 0
-            )
-            if not end.get("service"):
-                server = end.get("server") or (call.sends[-1]["server"] if call.sends else "")
-                end["service"] = self.services.get(server, "?")
+            route = end.get("route", "")
+            end["objective_ms"] = end.get("objective_ms") or self.objectives.get(route, 0)
+            end["service"] = end.get("service") or routes.get(route, "?")
         return ended
 
+    def services_of_routes(self, ended):
+        """For lines without `service`: the service of most servers that a route used."""
+        used = collections.defaultdict(collections.Counter)
+        for call in ended:
+            for server in [call.end.get("server", ""), *(send["server"] for send in call.sends)]:
+                if server in self.services:
+                    used[call.end.get("route", "")][self.services[server]] += 1
+        return {route: counts.most_common(1)[0][0] for route, counts in used.items()}
+
     def weight(self, call):
         return self.sample if call.end.get("outcome") == "served" else 1
 
@@ -209,25 +216,27 @@
     """Splits the time to the first event of a sampled call, in ms.
 
     held: arrival to first send; failed: to the send that was served or its prefill;
-    wait, prefill: as predicted there; beyond: the rest.
+    wait, prefill: as predicted there; beyond: the rest. The server that did the prefill
+    took `observed` for what was predicted.
     """
     end, sends = call.end, call.sends
     if not sends or "t" not in end:
         return None
     arrived = end["t"] - end.get("took_ms", 0)
     last = len(sends) - 1
-    if sends[last].get("work") == "run" and last > 0:
-        last -= 1  # the prefill elsewhere that led to this run
-    served = sends[last]
+    elsewhere = sends[last].get("work") == "run" and last > 0
+    served = sends[last - 1] if elsewhere else sends[last]
     held = max(0, sends[0]["t"] - arrived)
     failed = max(0, served["t"] - sends[0]["t"])
     wait, prefill = served.get("wait_ms", 0), served.get("read_ms", 0)
     beyond = response_ms(call) - held - failed - wait - prefill
-    return {"held": held, "failed": failed, "wait": wait, "prefill": prefill, "beyond": beyond}
+    observed = sends[last]["t"] - served["t"] if elsewhere else wait + prefill + beyond
+    return {"held": held, "failed": failed, "wait": wait, "prefill": prefill, "beyond": beyond,
+            "tokens": served.get("tokens", 0), "server": served["server"], "observed": observed}
 
 
 class Use:
-    """How one server was used, by sampled calls with one attempt."""
+    """How one server was used by sampled calls; its times by those without a failure."""
 
     def __init__(self):
         self.calls = 0
@@ -249,9 +258,9 @@
         for send in call.sends:
             uses[(call.end["service"], send["server"])].calls += 1
         parts = parts_of(call)
-        if parts and len(call.sends) == 1 and call.end.get("outcome") == "served":
-            use = uses[(call.end["service"], call.sends[0]["server"])]
-            use.observed.append(response_ms(call) - parts["held"])
+        if parts and not call.failures and call.end.get("outcome") == "served":
+            use = uses[(call.end["service"], parts["server"])]
+            use.observed.append(parts["observed"])
             use.predicted.append(parts["wait"] + parts["prefill"])
     return uses
 
@@ -289,7 +298,7 @@
             return name
     if parts["wait"] + parts["prefill"] > call.end["objective_ms"]:
         return "wait" if parts["wait"] >= parts["prefill"] else "prefill"
-    is_slow = (call.end["service"], call.sends[-1]["server"]) in slow
+    is_slow = (call.end["service"], parts["server"]) in slow
     return "slow_server" if is_slow else "prediction"
 
 
@@ -387,13 +396,13 @@
     for call in calls:
         parts = parts_of(call)
         if parts and call.end.get("outcome") == "served":
-            groups[(call.end.get("route", ""), verdict(call))].append((call, parts))
+            groups[(call.end.get("route", ""), verdict(call))].append(parts)
     rows = []
     names = ("held", "failed", "wait", "prefill", "beyond")
     for (route, fate), members in sorted(groups.items()):
-        row = [route, fate, len(members), mean(call.sends[-1].get("tokens", 0) for call, _ in members)]
-        row += [mean(parts[name] for _, parts in members) for name in names]
-        rows.append(row + [quantile([parts["beyond"] for _, parts in members], 0.95)])
+        row = [route, fate, len(members), mean(parts["tokens"] for parts in members)]
+        row += [mean(parts[name] for parts in members) for name in names]
+        rows.append(row + [quantile([parts["beyond"] for parts in members], 0.95)])
     head = ["route", "", "sampled", "tokens", *names, "beyond 95 %"]
     table("Waits: where the time to the first event went, mean ms", head, rows)
 
