A single retry is granted after a quiet time, also from an empty budget

Callers got 502 outcome_unknown after one attempt when an outage had used up the retries of a node and few requests had come since: the budget is filled by admitted requests alone (10 retries per 100), so the next call that met a silent connection was not sent again.

Change: a retry is granted if none was asked for during half of the time after which a connection counts as silent. Retries that follow each other closely have the budget alone, as before.

--- a/src/app/model_parts.hpp
+++ b/src/app/model_parts.hpp
@@ -48,7 +48,7 @@
     bool take()
     {
         std::lock_guard const lock(mutex_);
-        return budget_.take();
+        return budget_.take(boot_clock::now());
     }
 
 private:
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -85,7 +85,10 @@
            [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
            {.data_centre = options.data_centre,
             .max_attempts = options.max_attempts,
-            .retries = {options.retry_percent, options.retry_burst}}),
+            // A request that meets a silence asks for its retry this long after all
+            // earlier ones, unless others run beside it.
+            .retries = {options.retry_percent, options.retry_burst,
+                        millis{options.progress_ms / 2}}}),
       services({backend, directory, spans, counters, idempotency,
                 [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
                 [this](std::string const& id) { return state_of_key(id); },
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -4,6 +4,8 @@
 #ifndef MARIGOLDCRANK_POLICY_RETRY_BUDGET_HPP
 #define MARIGOLDCRANK_POLICY_RETRY_BUDGET_HPP
 
+#include "domain/boot_clock.hpp"
+
 #include <algorithm>
 #include <cstdint>
 
@@ -14,6 +16,8 @@
 {
     std::int64_t percent = 10; // 10  retries per 100 admitted requests
     std::int64_t burst = 64;   // 64  most retries that accumulate while nothing fails
+    millis quiet{0}; // 0  ms; a retry is always granted if none was asked for so long; 0:
+                     //    only retries that have accumulated are granted
 
     bool operator==(retry_budget_options const&) const = default;
 };
@@ -53,13 +57,25 @@
         return true;
     }
 
+    /// Takes one retry as above, or a single one that was asked for after a quiet time.
+    /// Few requests fill the budget slowly, so that it would remain empty for long after
+    /// an outage.
+    bool take(boot_clock::time_point now) noexcept
+    {
+        bool const single = options_.quiet.count() > 0 && options_.percent > 0 &&
+                            now - last_asked_ >= options_.quiet;
+        last_asked_ = now;
+        return take() || single;
+    }
+
     bool operator==(retry_budget const&) const = default;
 
 private:
     static constexpr std::int64_t units_per_retry = 100;
 
-    retry_budget_options options_;
-    std::int64_t         hundredths_; // hundredths of a retry
+    retry_budget_options   options_;
+    std::int64_t           hundredths_;   // hundredths of a retry
+    boot_clock::time_point last_asked_{}; // for a retry; the epoch: never
 };
 
 } // namespace marigoldcrank
--- a/tests/failure/silent_connections_test.cpp
+++ b/tests/failure/silent_connections_test.cpp
@@ -53,6 +53,23 @@
     EXPECT_TRUE(call_model(system, 0, chat).whole(chat));
 }
 
+// An outage has used up the retries, and hardly any requests have come since. A call that
+// then meets a single silent connection must not fail.
+TEST(silent_connections, single_one_costs_no_call_after_retries_were_used_up)
+{
+    auto options = one_engine();
+    options.node_settings["progress_ms"] = "200";
+    options.node_settings["retry_burst"] = "1";
+    fleet              system(options);
+    chat_request const chat;
+    for (int silences = 0; silences < 4; ++silences)
+    {
+        EXPECT_TRUE(call_model(system, 0, chat).whole(chat));
+        system.engine_relay(0).silence_open();
+        EXPECT_TRUE(call_model(system, 0, chat).whole(chat)) << silences;
+    }
+}
+
 // The connection to the only engine becomes silent during a stream. The caller sees a
 // pause of progress_ms, then the rest, with each token once.
 TEST(silent_connections, a_stream_goes_on_at_the_same_engine_over_a_new_one)
--- a/tests/property/request_values_property_test.cpp
+++ b/tests/property/request_values_property_test.cpp
@@ -155,6 +155,37 @@
     }
 }
 
+// Retries that follow each other closely get no more than the share and the burst, and
+// single ones no more than one in each quiet time.
+RC_GTEST_PROP(retry_budget_value, quiet_times_add_one_retry_each, ())
+{
+    retry_budget_options const options{.percent = *rc::gen::inRange(0, 101),
+                                       .burst = *rc::gen::inRange(0, 20),
+                                       .quiet = millis{*rc::gen::inRange(0, 50)}};
+    auto const   pauses = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+    retry_budget budget(options);
+    boot_clock::time_point now{millis{100'000}};
+    bool const             singles = options.quiet.count() > 0 && options.percent > 0;
+    std::int64_t           admitted = 0;
+    std::int64_t           quiet_times = 0;
+    std::int64_t           retried = 0;
+    bool                   first = true;
+    for (int const pause : pauses)
+    {
+        now += millis{pause};
+        budget.admit();
+        ++admitted;
+        bool const quiet = first || millis{pause} >= options.quiet;
+        first = false;
+        bool const granted = budget.take(now);
+        quiet_times += singles && quiet ? 1 : 0;
+        retried += granted ? 1 : 0;
+        RC_ASSERT(granted || !(singles && quiet));
+        RC_ASSERT(retried * 100 <=
+                  (options.burst + quiet_times) * 100 + admitted * options.percent);
+    }
+}
+
 RC_GTEST_PROP(poison_list_value, updates_of_peers_merge_in_any_order, ())
 {
     auto const crashes = *rc::gen::container<std::vector<std::pair<int, int>>>(
