Bound what a VM holds for callers, and read on while they pause

A stream's reader waited in the write to its caller, so one slow caller stopped the reading from its server, which cut the response after some seconds; the end counted as a crash of the server and of the content. Nothing counted what a VM held.

Bytes are now queued per connection and written by one writer; the reader waits only above caller_bytes. held_memory counts bodies, plain responses in reading and unwritten responses; near its bound new requests are read later, then refused as not run, and callers that pause are ended by a rule. An end after the response was left unread isn't held against server or content. Calls larger than any engine of their service are refused finally.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -143,6 +143,57 @@
             }};
 }
 
+/// A whole number between two limits, given as text for error messages too; 0 is always
+/// allowed if `zero` is set, and stands for a default.
+entry_option bounded_option(char const* section, char const* key, char const* allowed,
+                            std::int64_t least, std::int64_t most, bool zero,
+                            std::function<void(entry_settings&, std::int64_t)> assign)
+{
+    return {section, key, allowed, false,
+            [=](entry_settings& value, std::string const& content)
+            {
+                double number = 0;
+                if (!parse_number(content, number) || number > max_units)
+                {
+                    return false;
+                }
+                auto const whole = std::llround(number);
+                assign(value, whole);
+                return (zero && whole == 0) || (whole >= least && whole <= most);
+            }};
+}
+
+/// Options for what is held for callers.
+std::vector<entry_option> memory_options()
+{
+    constexpr std::int64_t mib = 1048576;
+    constexpr std::int64_t max_memory = 1048576; // MB
+    return {bounded_option("node", "memory", "0 (not stated) or 32 to 1048576 MB", 32,
+                           max_memory, true,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.memory = number; }),
+            bounded_option("policy", "held_bytes",
+                           "0 (by the memory) or 1048576 to 1099511627776", mib,
+                           mib * mib, true,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.held_bytes = number; }),
+            bounded_option("policy", "caller_bytes", "16384 to 16777216", mib / 64,
+                           mib * 16, false,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.caller_bytes = number; }),
+            bounded_option("policy", "caller_stall_ms", "500 to 60000", 500, 60000, false,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.caller_stall = millis{number}; }),
+            bounded_option("policy", "caller_full_stall_ms", "100 to 60000", 100, 60000,
+                           false,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.caller_full_stall = millis{number}; }),
+            bounded_option("policy", "idle_connections",
+                           "0 (by the memory) or 8 to 1000000", 8, max_count, true,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.idle_connections = number; })};
+}
+
 std::vector<entry_option> const& options()
 {
     static std::vector<entry_option> const table{
@@ -231,7 +282,12 @@
             setting_failure{setting_fault::malformed, file, "", "", "an INI file"});
     }
     entry_settings value;
-    for (auto const& option : options())
+    auto           all = options();
+    for (auto& option : memory_options())
+    {
+        all.push_back(std::move(option));
+    }
+    for (auto const& option : all)
     {
         auto const* content = ini.GetValue(option.section, option.key, nullptr);
         bool const  absent = content == nullptr || *content == '\0';
@@ -243,11 +299,18 @@
         }
         if (!absent && !option.store(value, content))
         {
-            return leaf::new_error(setting_failure{setting_fault::out_of_range, file,
-                                                   option.section, option.key,
-                                                   option.allowed});
+            return leaf::new_error(setting_failure{
+                setting_fault::out_of_range, file, option.section, option.key,
+                std::string{option.allowed} + ", not " + content});
         }
     }
+    constexpr std::int64_t bytes_per_mb = 1'000'000;
+    if (value.memory > 0 && value.held_bytes > value.memory * bytes_per_mb / 2)
+    {
+        return leaf::new_error(setting_failure{
+            setting_fault::out_of_range, file, "policy", "held_bytes",
+            "at most half of node.memory, not " + std::to_string(value.held_bytes)});
+    }
     if (value.tunnels.port == 0 && value.peers.port != 0)
     {
         value.tunnels = {value.peers.host,
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -53,6 +53,7 @@
     // where other VMs ask for connections to servers; by default the port after `peers`
     socket_address tunnels;
     std::int64_t   capacity = 0; // 0  thousandths of a core; larger VMs become relays
+    std::int64_t   memory = 0;   // 0  MB; 0: not stated
     std::int64_t   mesh = 16;    // 16  VMs; with more, relays forward digests
     bool           first_start = false; //  no VM of the deployment has run before
     // [platform]
@@ -82,6 +83,13 @@
     bool change_roles = true;      // true  the roles of engines follow the load
     bool spread_choices = true; // true  VMs don't all choose the engine that was idlest
     bool share_server_losses = true; // true  VMs learn of lost servers from other VMs
+    // 0  bytes held for callers and servers; 0: a quarter of the memory
+    std::int64_t held_bytes = 0;
+    // 262144  bytes of a stream that its caller hasn't taken; with more, its server waits
+    std::int64_t caller_bytes = 262144;
+    millis       caller_stall{10000};     // 10000  a caller that takes nothing is ended
+    millis       caller_full_stall{2000}; // 2000  the same, while its server waits
+    std::int64_t idle_connections = 0;    // 0  of callers; 0: by the memory
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -141,9 +141,10 @@
 
     attempt_result result_of(exchange& link, attempt_outcome fate) const
     {
+        bool const cut = fate == attempt_outcome::unknown && link.was_left_unread();
         return {.server = link.server().id,
                 .fate = fate,
-                .fault = link.fault(),
+                .fault = cut ? fault_unread : link.fault(),
                 .status = link.facts().status,
                 .proxied = link.proxied(),
                 .framing = link.framing(),
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -35,6 +35,15 @@
     return std::nullopt;
 }
 
+/// Whether no engine of the service can hold the call's prompt and output at once. Each
+/// would refuse it as if it were full.
+bool exceeds_engines(caller_call const& call, service const& target)
+{
+    auto const tokens =
+        call.stated_tokens.value_or(call.prompt_tokens() + call.output_tokens);
+    return target.engine_tokens > 0 && tokens > target.engine_tokens;
+}
+
 loop_time deadline_of(caller_call const& call, route const& matched)
 {
     auto caller_timeout = call.caller_timeout.value_or(default_timeout);
@@ -107,6 +116,10 @@
     admitted.service_name = pick_target(matched, state.tie_break())->service;
     admitted.features.service = admitted.service_name;
     admitted.target = admitted.rules->find_service(admitted.service_name);
+    if (admitted.target != nullptr && exceeds_engines(call, *admitted.target))
+    {
+        return own_response{413, call_fate::final_refusal, "engine_memory", std::nullopt};
+    }
     admitted.rank = ranked ? admitted.caller_workspace->rank : matched.rank;
     admitted.repeatable = matched.kind == call_kind::idempotent ||
                           (matched.kind == call_kind::stream && matched.resumable);
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -200,7 +200,8 @@
     {
         state_.health.refused(result.server, now);
     }
-    else if (result.fate == attempt_outcome::unknown && !over_lost_link(result))
+    else if (result.fate == attempt_outcome::unknown && result.fault != fault_unread &&
+             !over_lost_link(result))
     {
         state_.record_failure(result.server, result.fault == "broken" && !result.proxied,
                               now);
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -17,6 +17,10 @@
 namespace marigoldcrank
 {
 
+/// Fault of a response that ended after this VM had left it unread. The server may have
+/// cut it, so its end says nothing about the server or the call.
+inline constexpr std::string_view fault_unread = "unread";
+
 /// How one attempt ended.
 struct attempt_result
 {
--- a/src/serving/call_ending.cpp
+++ b/src/serving/call_ending.cpp
@@ -1,17 +1,11 @@
 // Final responses, refusals and resets.
 #include "serving/call_ending.hpp"
 
-namespace marigoldcrank
-{
+#include <algorithm>
 
-namespace
+namespace marigoldcrank
 {
 
-// 2000  ms; a caller that doesn't take a response for this long is disconnected
-constexpr millis write_timeout{2000};
-
-} // namespace
-
 call_ending::call_ending(call_context& context) : context_(context) {}
 
 void call_ending::keep_failure(std::string bytes, unsigned status)
@@ -60,7 +54,8 @@
     context_.state.counters.add("refusals_total",
                                 "cause=\"" + std::string{context_.outcome} +
                                     "\",status=\"" + std::to_string(value.status) + "\"");
-    co_await write_out(format_own_response(value, !context_.keep_alive));
+    queue(format_own_response(value, !context_.keep_alive));
+    co_return;
 }
 
 boost::asio::awaitable<void> call_ending::send_response(std::string bytes,
@@ -68,7 +63,8 @@
 {
     context_.status = status;
     context_.outcome = "served";
-    return write_out(std::move(bytes));
+    queue(std::move(bytes));
+    co_return;
 }
 
 void call_ending::count_usage()
@@ -81,6 +77,25 @@
     }
 }
 
+boost::asio::awaitable<void> call_ending::deliver()
+{
+    auto const now = loop_clock::now();
+    auto const until = std::max(now, context_.admitted.deadline) +
+                       context_.state.held->options().most_late;
+    bool const reset = context_.disposition == connection_disposition::aborted;
+    if (!reset && !co_await context_.caller.wait_unwritten(0, until))
+    {
+        context_.outcome = {};
+        context_.disposition = connection_disposition::aborted;
+    }
+    auto const& slow = context_.caller.slow();
+    if (slow.rule != slow_rule::none)
+    {
+        context_.outcome = "slow_caller";
+        context_.log.slow_caller(slow);
+    }
+}
+
 void call_ending::log_end()
 {
     if (context_.caller.disconnected() && context_.outcome.empty())
@@ -110,13 +125,11 @@
                     : refusal_retry_after;
 }
 
-boost::asio::awaitable<void> call_ending::write_out(std::string bytes)
+void call_ending::queue(std::string bytes)
 {
-    bool const written =
-        co_await context_.caller.write(bytes, loop_clock::now() + write_timeout);
-    context_.disposition = !written              ? connection_disposition::aborted
-                           : context_.keep_alive ? connection_disposition::keep
-                                                 : connection_disposition::close;
+    context_.caller.queue(std::move(bytes));
+    context_.disposition = context_.keep_alive ? connection_disposition::keep
+                                               : connection_disposition::close;
 }
 
 } // namespace marigoldcrank
--- a/src/serving/call_ending.hpp
+++ b/src/serving/call_ending.hpp
@@ -1,4 +1,4 @@
-// Ends a call: writes its final response, or resets its stream.
+// Ends a call: writes its final response and delivers it, or resets its stream.
 //
 // Index: call_ending
 #ifndef MARIGOLDCRANK_SERVING_CALL_ENDING_HPP
@@ -37,6 +37,10 @@
 
     void count_usage();
 
+    /// Waits until the caller has taken all that was written for it, also after the
+    /// call's deadline, or until a rule ends it.
+    boost::asio::awaitable<void> deliver();
+
     void log_end();
 
 private:
@@ -46,7 +50,7 @@
     /// that callers don't return all at once.
     millis retry_after();
 
-    boost::asio::awaitable<void> write_out(std::string bytes);
+    void queue(std::string bytes);
 
     call_context& context_;
     std::string   server_failure_; // as formatted bytes; empty: none
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -58,6 +58,18 @@
                      now);
 }
 
+void call_log::slow_caller(slow_end const& end)
+{
+    auto const* rule = slow_rule_name(end.rule);
+    state_.counters.add("slow_callers_ended_total", std::string{"rule=\""} + rule + "\"");
+    state_.log.write(event_line{"slow_caller"}
+                         .add("id", call_.id)
+                         .add("bytes", end.response.bytes)
+                         .add("age_ms", end.response.stalled)
+                         .add("rule", rule),
+                     boot_clock::now());
+}
+
 void call_log::call_ended(call_summary const& summary, admitted_call const& admitted)
 {
     auto const now = boot_clock::now();
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -7,6 +7,7 @@
 #include "policy/attempt_history.hpp"
 #include "policy/placement.hpp"
 #include "serving/call_admission.hpp"
+#include "serving/caller_socket.hpp"
 #include "serving/stream_timing.hpp"
 
 #include <cstdint>
@@ -64,6 +65,8 @@
     void attempt_failed(attempt_failure const& failure);
 
     /// Logs and counts the end of the call. Served calls are logged only if sampled.
+    void slow_caller(slow_end const& end);
+
     void call_ended(call_summary const& summary, admitted_call const& admitted);
 
 private:
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -37,13 +37,14 @@
             refusal = co_await context_.state.quotas->admit(
                 context_.call, *context_.admitted.caller_workspace, quota_hold_);
         }
+        context_.caller.watch_disconnect([this] { sender_.stop(); });
         if (refusal)
         {
             co_await ending_.send_own_response(*refusal);
         }
         else
         {
-            context_.caller.watch_disconnect([this] { sender_.stop(); });
+            context_.caller.rank(context_.admitted.rank);
             if (context_.is_stream() || context_.placement.needs_prefill())
             {
                 co_await stream_.serve();
@@ -52,8 +53,9 @@
             {
                 co_await plain_.serve();
             }
-            context_.caller.stop_watching();
         }
+        co_await ending_.deliver();
+        context_.caller.stop_watching();
         --context_.state.active_calls;
         if (quota_hold_.units > 0 && !context_.attempts.history().may_have_run() &&
             context_.state.quotas != nullptr)
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -5,32 +5,29 @@
 #define MARIGOLDCRANK_SERVING_CALLER_SESSION_HPP
 
 #include "serving/call_runner.hpp"
+#include "serving/caller_connections.hpp"
 #include "serving/http_rules.hpp"
+#include "serving/loop_sleep.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <optional>
-#include <set>
 
 namespace marigoldcrank
 {
 
-/// Connections that wait for a request. A drain closes them once the load balancer has
-/// noticed it.
-using idle_connections = std::set<std::shared_ptr<caller_socket>>;
-
 /// Limits on headers, body and times come from the rules in force when a request begins.
 /// A request that violates HTTP or these limits is refused, and its connection is closed.
 template <wire_dialect Dialect>
 class caller_session
 {
 public:
-    caller_session(entry_state& state, idle_connections& idle,
+    caller_session(entry_state& state, caller_connections& callers,
                    boost::asio::ip::tcp::socket socket)
-        : state_(state), idle_(idle),
-          connection_(std::make_shared<caller_socket>(std::move(socket)))
+        : state_(state), callers_(callers),
+          connection_(std::make_shared<caller_socket>(std::move(socket), state.held))
     {
     }
 
@@ -58,6 +55,11 @@
 
     // 2000  ms; a caller that doesn't take a refusal for this long is disconnected
     static constexpr millis write_timeout{2000};
+    // 300   ms; longest wait for memory before a request is refused, checked every 100
+    // ms.
+    //       Callers give up an attempt that isn't read within a second
+    static constexpr millis memory_wait{300};
+    static constexpr millis memory_poll{100};
 
     boost::asio::awaitable<connection_disposition> serve_next()
     {
@@ -70,10 +72,15 @@
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
-        auto refusal = co_await read_head(parser, limits);
+        held_share body{state_.held, held_kind::requests};
+        auto       refusal = co_await read_head(parser, limits);
+        if (!refusal)
+        {
+            refusal = co_await wait_for_memory();
+        }
         if (!refusal)
         {
-            refusal = co_await read_body(parser, limits);
+            refusal = co_await read_body(parser, limits, body);
         }
         if (refusal)
         {
@@ -94,8 +101,9 @@
             co_return co_await refuse(bad_request(
                 *fault == call_fault::bad_number ? "bad_number" : "repeated_field"));
         }
-        call_runner<Dialect> runner{state_, *connection_, request,
+        call_runner<Dialect>  runner{state_, *connection_, request,
                                     std::move(std::get<caller_call>(call))};
+        busy_connection const busy{callers_, connection_};
         co_return co_await runner.run();
     }
 
@@ -109,13 +117,13 @@
         }
         constexpr std::size_t     chunk_size = 4096;
         boost::system::error_code error;
-        idle_.insert(connection_);
+        callers_.add_idle(connection_, state_.held->options().most_idle);
         connection_->stream().expires_after(limits.idle_time);
         auto const read = co_await connection_->stream().async_read_some(
             buffer.prepare(chunk_size),
             boost::asio::redirect_error(boost::asio::use_awaitable, error));
         buffer.commit(read);
-        bool const ended = idle_.erase(connection_) == 0; // a drain has closed this side
+        bool const ended = callers_.idle.erase(connection_) == 0; // this side was closed
         co_return !error && !ended;
     }
 
@@ -139,8 +147,24 @@
         co_return std::nullopt;
     }
 
+    /// Waits a short time while the VM holds much. A body that isn't read yet waits at
+    /// its caller.
+    boost::asio::awaitable<std::optional<own_response>> wait_for_memory()
+    {
+        auto const until = loop_clock::now() + memory_wait;
+        while (!state_.held->has_room_for_new())
+        {
+            if (loop_clock::now() >= until)
+            {
+                co_return out_of_memory();
+            }
+            co_await loop_sleep(memory_poll);
+        }
+        co_return std::nullopt;
+    }
+
     boost::asio::awaitable<std::optional<own_response>>
-    read_body(request_parser& parser, caller_limits const& limits)
+    read_body(request_parser& parser, caller_limits const& limits, held_share& held)
     {
         if (parser.get().count(boost::beast::http::field::expect) > 0 &&
             !parser.is_done())
@@ -153,9 +177,18 @@
         }
         boost::system::error_code error;
         connection_->stream().expires_after(limits.idle_time);
-        co_await boost::beast::http::async_read(
-            connection_->stream(), connection_->buffer(), parser,
-            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        while (!parser.is_done() && !error)
+        {
+            co_await boost::beast::http::async_read_some(
+                connection_->stream(), connection_->buffer(), parser,
+                boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            constexpr std::int64_t copies = 2; // this one, and one sent to a server
+            held.set(static_cast<std::int64_t>(parser.get().body().size()) * copies);
+            if (!error && !state_.held->has_room())
+            {
+                co_return out_of_memory();
+            }
+        }
         if (error)
         {
             co_return refusal_of(error);
@@ -163,6 +196,11 @@
         co_return std::nullopt;
     }
 
+    static own_response out_of_memory()
+    {
+        return {503, call_fate::not_run, "memory", refusal_retry_after};
+    }
+
     static own_response bad_request(std::string_view cause)
     {
         return {400, call_fate::final_refusal, cause, std::nullopt};
@@ -205,15 +243,14 @@
                              .add("cause", refusal.cause)
                              .add("status", static_cast<std::int64_t>(refusal.status)),
                          boot_clock::now());
-        auto const bytes = format_own_response(refusal, true);
-        bool const written =
-            co_await connection_->write(bytes, loop_clock::now() + write_timeout);
+        bool const written = co_await connection_->write(
+            format_own_response(refusal, true), loop_clock::now() + write_timeout);
         co_return written ? connection_disposition::close
                           : connection_disposition::aborted;
     }
 
     entry_state&                   state_;
-    idle_connections&              idle_;
+    caller_connections&            callers_;
     std::shared_ptr<caller_socket> connection_;
 };
 
--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -1,11 +1,17 @@
-// Writes to callers, polls for their disconnect, and closes gracefully.
+// Writes to callers, polls for their disconnect, ends slow ones, and closes gracefully.
+//
+// Index: 1 writing, 2 slow callers, 3 disconnects, 4 closing
 #include "serving/caller_socket.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
 
 namespace marigoldcrank
 {
@@ -25,6 +31,18 @@
 constexpr std::size_t linger_bytes = 262144;
 constexpr std::size_t linger_chunk = 4096;
 
+// 64 KiB; send buffer of the socket, whose bytes count for the VM but aren't in `held_`
+constexpr int send_buffer = 65536;
+// 16 KiB; a reader that waits goes on once so much is free. Its server sees it read
+//         often, as it would cut a response left unread for long
+constexpr std::int64_t read_ahead = 16384;
+constexpr std::int64_t no_bytes = 0;
+// 16    pieces of the queue written at once
+constexpr std::size_t write_batch = 16;
+// 1000  ms without progress; from then on the kernel keeps the connection for as long as
+//       the rules for slow callers allow
+constexpr millis long_pause{1000};
+
 /// True if the peer has closed or reset the connection, even behind unread bytes.
 bool closed_by_peer(int handle)
 {
@@ -35,25 +53,188 @@
 
 } // namespace
 
-caller_socket::caller_socket(tcp::socket socket)
-    : stream_(std::move(socket)), check_timer_(stream_.get_executor())
+caller_socket::caller_socket(tcp::socket socket, std::shared_ptr<held_memory> memory)
+    : stream_(std::move(socket)), check_timer_(stream_.get_executor()),
+      progress_timer_(stream_.get_executor()), memory_(memory),
+      held_(std::move(memory), held_kind::responses)
 {
     set_tcp_options(stream_.socket(), tcp_options{});
+    error_code ignored; // without it, the kernel's own limits hold
+    stream_.socket().set_option(asio::socket_base::send_buffer_size(send_buffer),
+                                ignored);
 }
 
-asio::awaitable<bool> caller_socket::write(std::string_view bytes, loop_time until)
+// 1. Writing
+
+void caller_socket::queue(std::string bytes)
 {
-    stream_.expires_at(until);
-    error_code error;
-    co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (error)
+    if (disconnected_ || bytes.empty())
+    {
+        return;
+    }
+    if (queue_.empty())
+    {
+        last_progress_ = loop_clock::now();
+    }
+    held_.set(held_.bytes() + static_cast<std::int64_t>(bytes.size()));
+    queue_.push_back(std::move(bytes));
+    if (!writing_)
+    {
+        write_next();
+    }
+}
+
+void caller_socket::write_next()
+{
+    std::array<asio::const_buffer, write_batch> pieces;
+    std::size_t                                 count = 0;
+    for (; count < write_batch && count < queue_.size(); ++count)
+    {
+        auto const& piece = queue_[count];
+        auto const  begin = count == 0 ? front_written_ : 0;
+        pieces[count] = asio::buffer(piece.data() + begin, piece.size() - begin);
+    }
+    writing_ = true;
+    stream_.socket().async_write_some(
+        pieces, [self = shared_from_this()](error_code const& error, std::size_t bytes)
+        { self->handle_written(error, bytes); });
+}
+
+void caller_socket::handle_written(error_code const& error, std::size_t bytes)
+{
+    writing_ = false;
+    if (error || disconnected_)
     {
         handle_disconnect();
+        return;
+    }
+    last_progress_ = loop_clock::now();
+    held_.set(held_.bytes() - static_cast<std::int64_t>(bytes));
+    front_written_ += bytes;
+    while (!queue_.empty() && front_written_ >= queue_.front().size())
+    {
+        front_written_ -= queue_.front().size();
+        queue_.pop_front();
+    }
+    if (!queue_.empty())
+    {
+        write_next();
+    }
+    else
+    {
+        tolerate_pause(false);
+    }
+    progress_timer_.cancel();
+}
+
+std::int64_t caller_socket::unwritten() const noexcept
+{
+    return held_.bytes();
+}
+
+asio::awaitable<bool> caller_socket::wait_unwritten(std::int64_t most, loop_time until)
+{
+    while (!disconnected_ && held_.bytes() > most)
+    {
+        if (loop_clock::now() >= until)
+        {
+            end_slow(server_waits_ ? slow_rule::full : slow_rule::late);
+            break;
+        }
+        error_code ignored; // a cancelled wait means that the state has changed
+        progress_timer_.expires_at(until);
+        co_await progress_timer_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return !disconnected_;
+}
+
+asio::awaitable<bool> caller_socket::wait_for_room(loop_time until)
+{
+    auto const most = memory_->most_unwritten();
+    if (held_.bytes() <= most)
+    {
+        co_return !disconnected_;
     }
-    co_return !error;
+    server_waits_ = true;
+    bool const room =
+        co_await wait_unwritten(std::max(most - read_ahead, no_bytes), until);
+    server_waits_ = false;
+    co_return room;
+}
+
+asio::awaitable<bool> caller_socket::write(std::string bytes, loop_time until)
+{
+    queue(std::move(bytes));
+    return wait_unwritten(0, until);
+}
+
+// 2. Slow callers
+
+unwritten_response caller_socket::backlog() const
+{
+    auto const stalled = queue_.empty() ? loop_clock::duration::zero()
+                                        : loop_clock::now() - last_progress_;
+    return {.bytes = held_.bytes(),
+            .stalled = std::chrono::duration_cast<millis>(stalled),
+            .server_waits = server_waits_,
+            .rank = rank_};
 }
 
+void caller_socket::check_slow()
+{
+    if (queue_.empty())
+    {
+        return;
+    }
+    auto const response = backlog();
+    auto const rule = rule_for(response, memory_->options());
+    if (rule != slow_rule::none)
+    {
+        end_slow(rule);
+    }
+    else if (response.stalled >= long_pause)
+    {
+        tolerate_pause(true);
+    }
+}
+
+void caller_socket::end_slow(slow_rule rule)
+{
+    slow_ = {rule, backlog()};
+    abort();
+    handle_disconnect();
+}
+
+slow_end const& caller_socket::slow() const noexcept
+{
+    return slow_;
+}
+
+void caller_socket::rank(std::int64_t value) noexcept
+{
+    rank_ = value;
+}
+
+/// The kernel closes a connection whose peer takes nothing for TCP_USER_TIMEOUT.
+void caller_socket::tolerate_pause(bool value)
+{
+    if (tolerates_pause_ == value)
+    {
+        return;
+    }
+    tolerates_pause_ = value;
+    auto const timeout =
+        value ? static_cast<unsigned>(
+                    (memory_->options().stall + memory_->options().most_late).count())
+              : tcp_options{}.user_timeout_ms;
+    // Without the option, the connection ends sooner, with a reset.
+    static_cast<void>(::setsockopt(stream_.socket().native_handle(), IPPROTO_TCP,
+                                   TCP_USER_TIMEOUT, &timeout, sizeof timeout));
+}
+
+// 3. Disconnects
+
 void caller_socket::watch_disconnect(std::function<void()> on_disconnect)
 {
     ++watch_number_;
@@ -98,7 +279,12 @@
 
 void caller_socket::check()
 {
-    if (!check_disconnected())
+    if (check_disconnected())
+    {
+        return;
+    }
+    check_slow();
+    if (!disconnected_)
     {
         schedule_check();
     }
@@ -107,12 +293,20 @@
 void caller_socket::handle_disconnect()
 {
     disconnected_ = true;
+    held_.set(0);
+    if (!writing_)
+    {
+        queue_.clear(); // else the write in progress uses it
+    }
+    progress_timer_.cancel();
     if (auto const callback = std::exchange(on_disconnect_, nullptr))
     {
         callback();
     }
 }
 
+// 4. Closing
+
 void caller_socket::abort()
 {
     error_code ignored; // the connection is dropped either way
--- a/src/serving/caller_socket.hpp
+++ b/src/serving/caller_socket.hpp
@@ -1,14 +1,17 @@
-// A caller's connection: writes responses and detects that the caller has disconnected.
+// A caller's connection: writes responses, detects that the caller has disconnected, and
+// ends callers that are too slow.
 //
 // Index: caller_socket
 #ifndef MARIGOLDCRANK_SERVING_CALLER_SOCKET_HPP
 #define MARIGOLDCRANK_SERVING_CALLER_SOCKET_HPP
 
+#include "policy/held_memory.hpp"
 #include "serving/http_connection.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,15 +20,48 @@
 namespace marigoldcrank
 {
 
-/// The connection is shared by its session and the call in progress.
+/// How a slow caller was ended.
+struct slow_end
+{
+    slow_rule          rule = slow_rule::none; // none: it wasn't
+    unwritten_response response;               // what it hadn't taken
+};
+
+/// The connection is shared by its session and the call in progress. Bytes are queued and
+/// written in order, so that the rest of a response can be read meanwhile.
 class caller_socket : public std::enable_shared_from_this<caller_socket>
 {
 public:
-    explicit caller_socket(boost::asio::ip::tcp::socket socket);
+    caller_socket(boost::asio::ip::tcp::socket socket,
+                  std::shared_ptr<held_memory> memory);
+
+    /// Adds bytes to those that are being written. Drops them if the caller has
+    /// disconnected.
+    void queue(std::string bytes);
+
+    /// Bytes queued that the socket hasn't taken yet.
+    std::int64_t unwritten() const noexcept;
+
+    /// Waits until at most `most` bytes are unwritten. Returns false if the caller has
+    /// disconnected or was ended, as it is if it hasn't taken them by `until`.
+    boost::asio::awaitable<bool> wait_unwritten(std::int64_t most, loop_time until);
+
+    /// Waits while the queue is full, and so lets the server of the response wait.
+    boost::asio::awaitable<bool> wait_for_room(loop_time until);
 
     /// Writes all bytes. Returns false if the caller has disconnected or hasn't taken
     /// them by `until`.
-    boost::asio::awaitable<bool> write(std::string_view bytes, loop_time until);
+    boost::asio::awaitable<bool> write(std::string bytes, loop_time until);
+
+    /// What the caller hasn't taken.
+    unwritten_response backlog() const;
+
+    /// Resets the connection because the caller is too slow.
+    void            end_slow(slow_rule rule);
+    slow_end const& slow() const noexcept;
+
+    /// Rank of the call in progress; 0 is the most urgent.
+    void rank(std::int64_t value) noexcept;
 
     /// Calls `on_disconnect` once if the caller closes its side before `stop_watching` is
     /// called.
@@ -48,17 +84,34 @@
     boost::beast::tcp_stream&  stream() noexcept;
     boost::beast::flat_buffer& buffer() noexcept;
 
+    loop_time idle_since{}; // when it began to wait for a request
+
 private:
     void schedule_check();
     void check();
+    void check_slow();
     void handle_disconnect();
+    void write_next();
+    void handle_written(boost::system::error_code const& error, std::size_t bytes);
+    void tolerate_pause(bool value);
 
-    boost::beast::tcp_stream  stream_;
-    boost::beast::flat_buffer buffer_;
-    boost::asio::steady_timer check_timer_;
-    std::function<void()>     on_disconnect_;
-    std::uint64_t             watch_number_ = 0; // timers of earlier ones are ignored
-    bool                      disconnected_ = false;
+    boost::beast::tcp_stream     stream_;
+    boost::beast::flat_buffer    buffer_;
+    boost::asio::steady_timer    check_timer_;
+    boost::asio::steady_timer    progress_timer_; // cancelled when bytes were written
+    std::shared_ptr<held_memory> memory_;
+    held_share                   held_; // the unwritten bytes
+    std::deque<std::string>      queue_;
+    std::size_t                  front_written_ = 0; // bytes of the first in the queue
+    loop_time                    last_progress_{};
+    std::function<void()>        on_disconnect_;
+    slow_end                     slow_;
+    std::int64_t                 rank_ = 0;
+    std::uint64_t                watch_number_ = 0; // timers of earlier ones are ignored
+    bool                         disconnected_ = false;
+    bool                         writing_ = false;
+    bool                         server_waits_ = false;
+    bool                         tolerates_pause_ = false;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -109,7 +109,7 @@
                           co_await session->run();
                       };
                       spawn(run(std::make_shared<caller_session<Dialect>>(
-                          state_, idle_, std::move(socket))));
+                          state_, callers_, std::move(socket))));
                   });
         serve_status(loop_, state_.settings.readiness,
                      [this]
@@ -130,6 +130,13 @@
         }
         state_.counters.add_callback("log_lines_dropped_total", "",
                                      [this] { return state_.log.dropped(); });
+        for (auto const kind : held_kinds)
+        {
+            state_.counters.add_callback(
+                "held_bytes", std::string{"kind=\""} + held_kind_name(kind) + "\"",
+                [this, kind]
+                { return static_cast<std::uint64_t>(state_.held->held(kind)); });
+        }
     }
 
     /// Starts the readers of the store once other VMs are known, or `max_discovery` has
@@ -162,6 +169,7 @@
         while (true)
         {
             state_.pool.trim(loop_clock::now());
+            callers_.relieve(*state_.held);
             state_.log.flush(boot_clock::now());
             log_readiness();
             log_store_calls();
@@ -290,12 +298,12 @@
         state_.log.write(event_line{"stop"}.add("calls", state_.active_calls), began);
         co_await loop_sleep(state_.settings.drain_notice);
         state_.closed = true;
-        close_idle_links();
+        callers_.close_idle();
         auto const limit = state_.settings.grace - drain_reserve;
         while (boot_clock::now() - began < limit &&
-               (state_.active_calls > 0 || state_.tunnels > 0 || !idle_.empty()))
+               (state_.active_calls > 0 || state_.tunnels > 0 || !callers_.idle.empty()))
         {
-            close_idle_links();
+            callers_.close_idle();
             co_await loop_sleep(drain_poll);
         }
         co_await append_usage_until(began + state_.settings.grace - exit_reserve);
@@ -324,19 +332,6 @@
         *done = true;
     }
 
-    /// Shuts down the sending direction first, so that a caller can tell apart a request
-    /// that crosses the close.
-    void close_idle_links()
-    {
-        auto const links = std::exchange(idle_, {});
-        for (auto const& link : links)
-        {
-            boost::system::error_code ignored; // the connection may be closed already
-            link->stream().socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                                             ignored);
-        }
-    }
-
     std::string                                  file_;
     boost::asio::io_context                      loop_{1};
     entry_state                                  state_;
@@ -347,7 +342,7 @@
     servers_follower<shared_store<Store>, Codec> servers_;
     duty_worker<shared_store<Store>, Duties>     worker_;
     relay_registry<shared_store<Store>, Codec>   registry_;
-    idle_connections                             idle_;
+    caller_connections                           callers_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_at_{};
     boot_clock::time_point                       planned_at_{}; // the last relay plan
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -16,6 +16,7 @@
 #include "ledger/usage_windows.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/fleet_share.hpp"
+#include "policy/held_memory.hpp"
 #include "policy/link_watch.hpp"
 #include "policy/load_relay.hpp"
 #include "policy/pause_watch.hpp"
@@ -226,6 +227,7 @@
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
     connection_pool                     pool;
+    std::shared_ptr<held_memory>        held;    // for callers and servers
     vm_contact                          contact; // addresses of this VM
     usage_counter                       usage;
     usage_sum                           usage_known; // of all VMs
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -75,11 +75,12 @@
     boost::asio::awaitable<bool> relay(exchange& link)
     {
         std::string body;
+        held_share  held{context_.state.held, held_kind::reading};
         bool const  head_only = context_.request.method_string() == "HEAD";
         if (!head_only)
         {
             bool const complete = co_await link.read_complete_body(
-                body, context_.attempts.attempt_deadline());
+                body, held, context_.attempts.attempt_deadline());
             if (!complete && !context_.caller.disconnected())
             {
                 context_.attempts.record_result(
@@ -92,6 +93,8 @@
         }
         auto const status = link.facts().status;
         auto bytes = format_response(link.head(), body, !context_.keep_alive, head_only);
+        body = {};
+        held.set(0);
         ending_.count_usage();
         if (status < first_server_error)
         {
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include "policy/attempt_history.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/loop_sleep.hpp"
 #include "serving/send_permit.hpp"
 #include "serving/server_connector.hpp"
 
@@ -158,15 +159,49 @@
         return connection_->read_body(out, until);
     }
 
-    /// Reads the rest of the body. Returns false if it is incomplete or too long.
-    boost::asio::awaitable<bool> read_complete_body(std::string& out, loop_time until)
+    /// Reads the rest of the body, whose bytes `held` counts. Leaves it unread while the
+    /// VM holds too much. Returns false if it is incomplete or too long.
+    boost::asio::awaitable<bool> read_complete_body(std::string& out, held_share& held,
+                                                    loop_time until)
     {
         auto step = body_result::more;
         while (step == body_result::more && out.size() <= max_body_size)
         {
             step = co_await connection_->read_body(out, until);
+            held.set(static_cast<std::int64_t>(out.size()));
+            if (step == body_result::more)
+            {
+                co_await wait_for_memory(until);
+            }
         }
-        co_return is_complete_body(step);
+        co_return is_complete_body(step) && !may_be_cut(step);
+    }
+
+    /// The same, without a holder of the bytes.
+    boost::asio::awaitable<bool> read_complete_body(std::string& out, loop_time until)
+    {
+        held_share held{state_.held, held_kind::reading};
+        co_return co_await read_complete_body(out, held, until);
+    }
+
+    /// Records that the response was left unread for `time`, because of its caller or of
+    /// what this VM holds.
+    void left_unread(loop_clock::duration time)
+    {
+        unread_ += time;
+    }
+
+    /// Whether it was left unread for so long that the server may have cut it.
+    bool was_left_unread() const noexcept
+    {
+        return unread_ >= long_unread;
+    }
+
+    /// Whether a body that ended in this way may have been cut because it was left
+    /// unread.
+    bool may_be_cut(body_result end) const noexcept
+    {
+        return end != body_result::framed && was_left_unread();
     }
 
     /// Closes the connection, which aborts the operation in progress and makes the server
@@ -184,6 +219,20 @@
     static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
     static constexpr std::size_t max_body_size = 16U << 20U; // 16 MiB; plain responses
+    // 1000  ms; servers cut responses that they can't send for some seconds
+    static constexpr millis long_unread{1000};
+    // 50    ms; between checks for memory
+    static constexpr millis memory_poll{50};
+
+    boost::asio::awaitable<void> wait_for_memory(loop_time until)
+    {
+        auto const began = loop_clock::now();
+        while (!state_.held->has_room() && loop_clock::now() < until)
+        {
+            co_await loop_sleep(memory_poll);
+        }
+        left_unread(loop_clock::now() - began);
+    }
 
     boost::asio::awaitable<bool> open(exchange_request const& request)
     {
@@ -266,6 +315,7 @@
     std::shared_ptr<http_connection> connection_;
     response_facts                   facts_;
     boot_clock::time_point           sent_at_{};
+    loop_clock::duration             unread_{};
     char const*                      fault_ = "";
     char const*                      framing_ = "";
     char const*                      path_ = "";
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -163,9 +163,12 @@
             {
                 co_return true;
             }
-            auto const out = take_bytes(link, bytes, step);
-            if (!out.empty() &&
-                !co_await context_.caller.write(out, context_.admitted.deadline))
+            // The end of the connection is no orderly end if the server may have cut it.
+            step = link.may_be_cut(step) && step == body_result::unframed
+                       ? body_result::broken
+                       : step;
+            context_.caller.queue(take_bytes(link, bytes, step));
+            if (step == body_result::more && !co_await wait_for_caller(link))
             {
                 co_return true;
             }
@@ -175,16 +178,27 @@
             end_stream(link);
             co_return true;
         }
-        auto result = sender_.result_of(link, attempt_outcome::unknown);
-        result.fault = step == body_result::framed ? "torn" : result.fault;
+        auto       result = sender_.result_of(link, attempt_outcome::unknown);
+        bool const cut = link.was_left_unread();
+        result.fault = step == body_result::framed && !cut ? "torn" : result.fault;
         context_.attempts.record_result(result);
-        if (context_.stream.started() && !context_.attempts.may_retry())
+        if (context_.stream.started() && (cut || !context_.attempts.may_retry()))
         {
             co_return co_await ending_.abort_stream(context_.attempts.fault());
         }
         co_return false;
     }
 
+    /// Waits while the caller has left too much untaken. Returns false if it is gone.
+    boost::asio::awaitable<bool> wait_for_caller(exchange& link)
+    {
+        auto const began = loop_clock::now();
+        bool const room =
+            co_await context_.caller.wait_for_room(context_.admitted.deadline);
+        link.left_unread(loop_clock::now() - began);
+        co_return room;
+    }
+
     /// Takes bytes of a stream, and its end if `step` is one. Returns the bytes to send
     /// to the caller now.
     std::string take_bytes(exchange& link, std::string const& bytes, body_result step)
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -122,12 +122,16 @@
     {
         north.update(nlohmann::json::parse(options_.north_fields));
     }
+    nlohmann::json engine{{"kv_hold_s", 5.0}};
+    if (options_.engine_tokens > 0)
+    {
+        engine["kv_capacity_tokens"] = options_.engine_tokens;
+    }
     nlohmann::json const rules{
         {"version", version},
         {"routes", routes},
-        {"services",
-         nlohmann::json::array({{{"name", "desk"}, {"max_connections", 100}},
-                                {{"name", "models"}, {"engine", {{"kv_hold_s", 5.0}}}}})},
+        {"services", nlohmann::json::array({{{"name", "desk"}, {"max_connections", 100}},
+                                            {{"name", "models"}, {"engine", engine}}})},
         {"limits",
          {{"max_header_bytes", 8192},
           {"max_body_bytes", 100000},
@@ -299,7 +303,8 @@
              << "\n[platform]\nstore = " << loopback_address(store_ports_[slot])
              << "\nduties = " << loopback_address(duty_port_)
              << "\n[logs]\nsample = 1\n[bounds]\n"
-             << options_.bounds;
+             << options_.bounds << "\n[policy]\n"
+             << options_.policy;
     settings.close();
     daemons_[slot] = std::make_unique<child_process>(
         std::vector<std::string>{MARIGOLDCRANK_BINARIES "/marigoldcrankd", "--entry",
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -36,8 +36,10 @@
     bool        relayed = false; // connections to the store and servers pass TCP relays
     bool own_links = false;      // each daemon reaches each server through its own relay
     int  distant = 0;            // daemons, the last ones, in another data centre
-    std::string route_fields;    // a JSON object: further fields of all routes
-    std::string north_fields;    // a JSON object: further fields of workspace north
+    std::string  route_fields;   // a JSON object: further fields of all routes
+    std::string  north_fields;   // a JSON object: further fields of workspace north
+    std::string  policy;         // lines of the settings' [policy] section
+    std::int64_t engine_tokens = 0; // that an engine of "models" holds; 0: not stated
 };
 
 /// What becomes of the connections between a VM and the servers.
--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -18,9 +18,14 @@
     return response.fields.count("instance-signature") > 0;
 }
 
-raw_caller::raw_caller(int port)
+raw_caller::raw_caller(int port, int receive_buffer)
 {
     socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0)
+    {
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                     sizeof receive_buffer);
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
--- a/tests/platform/support/raw_caller.hpp
+++ b/tests/platform/support/raw_caller.hpp
@@ -27,7 +27,8 @@
 class raw_caller
 {
 public:
-    explicit raw_caller(int port);
+    /// `receive_buffer`: of its socket, in bytes; 0: the system's default.
+    explicit raw_caller(int port, int receive_buffer = 0);
     ~raw_caller();
     raw_caller(raw_caller const&) = delete;
     raw_caller& operator=(raw_caller const&) = delete;
--- a/tests/platform/support/wire_server.cpp
+++ b/tests/platform/support/wire_server.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 
 namespace marigoldcrank::tests
@@ -137,6 +138,26 @@
     }
 }
 
+bool wire_connection::send_patiently(std::string const&        bytes,
+                                     std::chrono::milliseconds patience)
+{
+    int const buffer = 8192;
+    ::setsockopt(socket_, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
+    for (std::size_t sent = 0; sent < bytes.size();)
+    {
+        auto const count = ::send(socket_, bytes.data() + sent, bytes.size() - sent,
+                                  MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        pollfd state{socket_, POLLOUT, 0};
+        if (count < 0 && (errno != EAGAIN ||
+                          ::poll(&state, 1, static_cast<int>(patience.count())) != 1))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void wire_connection::reset()
 {
     linger const abort_on_close{1, 0};
--- a/tests/platform/support/wire_server.hpp
+++ b/tests/platform/support/wire_server.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_TESTS_PLATFORM_WIRE_SERVER_HPP
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,9 @@
 
     bool read(wire_request& request); // false: the connection has ended
     void send(std::string const& bytes);
+    /// Sends with a small buffer. Returns false as soon as nothing could be sent for
+    /// `patience`, because the peer doesn't read.
+    bool send_patiently(std::string const& bytes, std::chrono::milliseconds patience);
     void reset(); // closes with a TCP reset
     void close();
     bool closed_by_peer() const;
--- a/tests/unit/entry_settings_test.cpp
+++ b/tests/unit/entry_settings_test.cpp
@@ -75,7 +75,17 @@
           bad_value{"callers = 10.0.0.1:80", "callers = 10.0.0.1", "callers"},
           bad_value{"callers = 10.0.0.1:80", "callers = :80", "callers"},
           bad_value{"callers = 10.0.0.1:80", "callers = a:65536", "callers"},
-          bad_value{"retry_ratio = 0.2", "retry_ratio = x", "retry_ratio"}})
+          bad_value{"retry_ratio = 0.2", "retry_ratio = x", "retry_ratio"},
+          bad_value{"[new]", "[policy]\nheld_bytes = 1000\n[new]", "held_bytes"},
+          bad_value{"[new]", "[policy]\ncaller_bytes = 0\n[new]", "caller_bytes"},
+          bad_value{"[new]", "[policy]\ncaller_stall_ms = 499\n[new]", "caller_stall_ms"},
+          bad_value{"[new]", "[policy]\ncaller_full_stall_ms = 60001\n[new]",
+                    "caller_full_stall_ms"},
+          bad_value{"[new]", "[policy]\nidle_connections = 7\n[new]", "idle_connections"},
+          bad_value{"name = vm", "name = vm\nmemory = 31", "memory"},
+          bad_value{"[new]",
+                    "[node]\nmemory = 120\n[policy]\nheld_bytes = 60000001\n[new]",
+                    "held_bytes"}})
     {
         auto const failure = failure_of(with(bad.from, bad.to));
         ASSERT_TRUE(failure) << bad.to;
