Calls with time to spare wait at their VM while no server is ready

Engines prefill prompts in the order of arrival, whatever their priority. In a burst, calls with an objective of two seconds stood before calls with half a second in the same queues, and a call that was sent could neither be overtaken nor placed anew.

Then it is placed anew. The order is rank, time left, use of the workspace. A VM sends no more waiting calls than its part of the ready servers, since all VMs learn of these at once. Calls without anything more urgent beside them, services of one rank and objective, and all while a server is ready, go as before. A stop of the VM refuses waiting calls as not run.

Settings: queue, queue_calls, queue_bytes in [policy].

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -143,6 +143,22 @@
             }};
 }
 
+/// A whole number within bounds; `allowed` states them.
+entry_option range_option(char const* section, char const* key, char const* allowed,
+                          std::int64_t least, std::int64_t most,
+                          std::int64_t entry_settings::*field)
+{
+    return {section, key, allowed, false,
+            [field, least, most](entry_settings& value, std::string const& content)
+            {
+                double     number = 0;
+                bool const parsed = parse_number(content, number);
+                value.*field = parsed ? std::llround(std::min(number, max_units)) : 0;
+                return parsed && std::floor(number) == number && value.*field >= least &&
+                       value.*field <= most;
+            }};
+}
+
 std::vector<entry_option> const& options()
 {
     static std::vector<entry_option> const table{
@@ -185,6 +201,11 @@
         flag_option("policy", "roles", &entry_settings::change_roles),
         flag_option("policy", "spread", &entry_settings::spread_choices),
         flag_option("policy", "warn", &entry_settings::share_server_losses),
+        flag_option("policy", "queue", &entry_settings::queue),
+        range_option("policy", "queue_calls", "1 to 10000", 1, 10'000,
+                     &entry_settings::queue_calls),
+        range_option("policy", "queue_bytes", "65536 to 1073741824", 65'536,
+                     1'073'741'824, &entry_settings::queue_bytes),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_SERVING_ATTEMPT_SENDER_HPP
 #define MARIGOLDCRANK_SERVING_ATTEMPT_SENDER_HPP
 
+#include "policy/urgency.hpp"
 #include "serving/call_ending.hpp"
 #include "serving/handle_release.hpp"
 #include "serving/loop_sleep.hpp"
@@ -107,7 +108,7 @@
                                  : context_.admitted.caller_workspace->name,
                 .left = std::chrono::duration_cast<millis>(context_.admitted.deadline -
                                                            loop_clock::now()),
-                .rank = context_.admitted.rank,
+                .rank = urgency(),
                 .resume_after = context_.stream.last_event()};
     }
 
@@ -184,6 +185,21 @@
     std::optional<boot_clock::time_point> first_event;
 
 private:
+    /// The urgency that the server is told.
+    std::int64_t urgency() const
+    {
+        auto const& admitted = context_.admitted;
+        if (!context_.state.settings.queue)
+        {
+            return admitted.rank;
+        }
+        auto const waited = boot_clock::now() - context_.arrived;
+        return urgency_of(
+            admitted.rank,
+            std::chrono::duration_cast<millis>(admitted.matched->objective - waited),
+            scale_of(*admitted.rules), urgency_levels);
+    }
+
     call_context& context_;
     call_ending&  ending_;
     bool          hold_waited_ = false;
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -21,8 +21,9 @@
     call_runner(entry_state& state, caller_socket& caller, http_request const& request,
                 caller_call call)
         : context_(state, caller, request, std::move(call)), ending_(context_),
-          sender_(context_, ending_), plain_(context_, sender_, ending_),
-          stream_(context_, sender_, ending_, plain_)
+          sender_(context_, ending_), turn_(context_, ending_),
+          plain_(context_, sender_, ending_, turn_),
+          stream_(context_, sender_, ending_, plain_, turn_)
     {
     }
 
@@ -43,7 +44,12 @@
         }
         else
         {
-            context_.caller.watch_disconnect([this] { sender_.stop(); });
+            context_.caller.watch_disconnect(
+                [this]
+                {
+                    sender_.stop();
+                    turn_.stop();
+                });
             if (context_.is_stream() || context_.placement.needs_prefill())
             {
                 co_await stream_.serve();
@@ -75,6 +81,7 @@
     call_context            context_;
     call_ending             ending_;
     attempt_sender<Dialect> sender_;
+    send_turn               turn_;
     plain_call<Dialect>     plain_;
     stream_call<Dialect>    stream_;
     quota_hold              quota_hold_;
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -128,6 +128,9 @@
         {
             serve_tunnels(loop_, state_);
         }
+        state_.counters.add_callback(
+            "calls_waiting", "",
+            [this] { return static_cast<std::uint64_t>(state_.waiting.size()); });
         state_.counters.add_callback("log_lines_dropped_total", "",
                                      [this] { return state_.log.dropped(); });
     }
@@ -287,6 +290,7 @@
     {
         auto const began = boot_clock::now();
         state_.draining = true;
+        state_.waiting.stop();
         state_.log.write(event_line{"stop"}.add("calls", state_.active_calls), began);
         co_await loop_sleep(state_.settings.drain_notice);
         state_.closed = true;
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -625,6 +625,11 @@
 {
     state_.loads[server_].prefill_tokens -= tokens_;
     tokens_ = 0;
+    auto const listed = state_.servers.servers().find(server_);
+    if (state_.waiting.size() > 0 && listed != state_.servers.servers().end())
+    {
+        state_.waiting.wake_next(listed->second.group);
+    }
 }
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -31,6 +31,7 @@
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
 #include "policy/work_meter.hpp"
+#include "serving/call_queue.hpp"
 #include "serving/connection_pool.hpp"
 
 #include <map>
@@ -226,6 +227,7 @@
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
     connection_pool                     pool;
+    call_queue                          waiting; // calls that aren't sent yet
     vm_contact                          contact; // addresses of this VM
     usage_counter                       usage;
     usage_sum                           usage_known; // of all VMs
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -1,6 +1,7 @@
 // Choice of engines, deadlines and measured times of model calls.
 #include "serving/model_placement.hpp"
 
+#include "policy/send_time.hpp"
 #include "policy/wait_limit.hpp"
 
 #include <algorithm>
@@ -77,6 +78,29 @@
                         state_.tie_break(), state_.placement_settings());
 }
 
+std::int64_t
+model_placement::ready_engines(std::vector<candidate> const& candidates) const
+{
+    if (!needs_prefill())
+    {
+        return static_cast<std::int64_t>(candidates.size());
+    }
+    auto const is_split = [](candidate const& each)
+    {
+        return !each.avoided && each.server->role == engine_role::prefill;
+    };
+    bool const split = std::any_of(candidates.begin(), candidates.end(), is_split);
+    auto const speeds = costs();
+    auto const limit = static_cast<std::int64_t>(
+        send_options{}.ready_ms * (split ? speeds.prefill_rate : speeds.colocated_rate));
+    return std::count_if(candidates.begin(), candidates.end(),
+                         [&](candidate const& each)
+                         {
+                             return !each.avoided && (!split || is_split(each)) &&
+                                    each.load.prefill_tokens <= limit;
+                         });
+}
+
 std::optional<millis> model_placement::queue_retry_after(placement const& placed) const
 {
     if (!needs_prefill() || !state_.settings.refuse_long_waits)
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -35,6 +35,10 @@
     /// Chooses the engine that decodes after a handoff; null if there is none.
     backend_server const* choose_decode_engine(std::vector<candidate> const& candidates);
 
+    /// Number of the engines whose queues of prompts are so short that they can begin a
+    /// call now; of the prefill engines, if there are any.
+    std::int64_t ready_engines(std::vector<candidate> const& candidates) const;
+
     /// The Retry-After if the call would wait too long at `placed`; else nothing.
     std::optional<millis> queue_retry_after(placement const& placed) const;
 
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_PLAIN_CALL_HPP
 
 #include "serving/attempt_sender.hpp"
+#include "serving/send_turn.hpp"
 
 namespace marigoldcrank
 {
@@ -17,8 +18,8 @@
     using exchange = typename attempt_sender<Dialect>::exchange;
 
     plain_call(call_context& context, attempt_sender<Dialect>& sender,
-               call_ending& ending)
-        : context_(context), sender_(sender), ending_(ending)
+               call_ending& ending, send_turn& turn)
+        : context_(context), sender_(sender), ending_(ending), turn_(turn)
     {
     }
 
@@ -35,6 +36,12 @@
                 co_await sender_.wait_or_end();
                 continue;
             }
+            auto const forecast =
+                forecast_plain(candidates, context_.admitted.matched->objective);
+            if (!co_await turn_.wait(forecast))
+            {
+                continue;
+            }
             backend_server const server = *chosen; // copy: the list may change
             auto const           permit = co_await sender_.begin_attempt(server.id);
             if (!permit)
@@ -122,6 +129,7 @@
     call_context&            context_;
     attempt_sender<Dialect>& sender_;
     call_ending&             ending_;
+    send_turn&               turn_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -18,8 +18,8 @@
 {
 public:
     stream_call(call_context& context, attempt_sender<Dialect>& sender,
-                call_ending& ending, plain_call<Dialect>& plain)
-        : context_(context), sender_(sender), ending_(ending), plain_(plain),
+                call_ending& ending, plain_call<Dialect>& plain, send_turn& turn)
+        : context_(context), sender_(sender), ending_(ending), plain_(plain), turn_(turn),
           origin_(context), prefill_(context, sender)
     {
     }
@@ -35,22 +35,15 @@
         context_.placement.count_demand(context_.arrived);
         while (!context_.ended() && !context_.caller.check_disconnected())
         {
-            auto const first = context_.placement.choose_first(
-                context_.attempts.servers_to_try(),
-                !prefill_.attempted && !context_.stream.started());
+            auto const first = choose_first();
             if (!first)
             {
                 co_await sender_.wait_or_end();
                 continue;
             }
-            auto const retry_after = wait_checked_
-                                         ? std::nullopt
-                                         : context_.placement.queue_retry_after(*first);
-            wait_checked_ = true;
-            if (retry_after)
+            if (!co_await may_send(*first))
             {
-                own_response const refusal{503, call_fate::not_run, "queue", retry_after};
-                co_return co_await ending_.send_own_response(refusal);
+                continue;
             }
             auto           decode_server = *first->server; // copy: the list may change
             backend_server prefill_server;
@@ -102,6 +95,31 @@
     using current_exchange_guard =
         typename attempt_sender<Dialect>::current_exchange_guard;
 
+    std::optional<placement> choose_first()
+    {
+        auto const candidates = context_.attempts.servers_to_try();
+        ready_engines_ = context_.placement.ready_engines(candidates);
+        return context_.placement.choose_first(
+            candidates, !prefill_.attempted && !context_.stream.started());
+    }
+
+    /// Returns true at once if the call may be sent to `first` now. Otherwise refuses it,
+    /// or lets it wait, after which `first` is out of date.
+    boost::asio::awaitable<bool> may_send(placement const& first)
+    {
+        auto const retry_after =
+            wait_checked_ ? std::nullopt : context_.placement.queue_retry_after(first);
+        if (retry_after)
+        {
+            own_response const refusal{503, call_fate::not_run, "queue", retry_after};
+            co_await ending_.send_own_response(refusal);
+            co_return false;
+        }
+        wait_checked_ =
+            co_await turn_.wait({first.wait_ms, first.prefill_ms, ready_engines_});
+        co_return wait_checked_;
+    }
+
     /// Runs the call at `server`. Returns true if the call has ended, false if another
     /// server should be tried.
     boost::asio::awaitable<bool> run_stream(backend_server     server,
@@ -251,9 +269,11 @@
     attempt_sender<Dialect>& sender_;
     call_ending&             ending_;
     plain_call<Dialect>&     plain_;
+    send_turn&               turn_;
     call_origin              origin_;
     prefill_step<Dialect>    prefill_;
     bool                     wait_checked_ = false;
+    std::int64_t             ready_engines_ = 0; // when the first one was chosen
     boot_clock::time_point   run_sent_at_{};
     placement                run_plan_; // of the latest attempt; its pointers may dangle
 };
