--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -238,6 +238,14 @@
         flag_option("policy", "announce", &entry_settings::announce_sends),
         flag_option("policy", "warn", &entry_settings::share_server_losses),
         flag_option("policy", "paces", &entry_settings::paces),
+        bounded_option("policy", "queue_calls", "1 to 10000", 1, 10'000, false,
+                       [](entry_settings& value, std::int64_t number)
+                       { value.queue_calls = number; }),
+        bounded_option("policy", "queue_bytes", "65536 to 1073741824", 65'536,
+                       1'073'741'824, false,
+                       [](entry_settings& value, std::int64_t number)
+                       { value.queue_bytes = number; }),
+        flag_option("policy", "queue", &entry_settings::queue),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -21,8 +21,9 @@
     call_runner(entry_state& state, caller_socket& caller, http_request const& request,
                 caller_call call)
         : context_(state, caller, request, std::move(call)), ending_(context_),
-          sender_(context_, ending_), plain_(context_, sender_, ending_),
-          stream_(context_, sender_, ending_, plain_)
+          sender_(context_, ending_), turn_(context_, ending_),
+          plain_(context_, sender_, ending_, turn_),
+          stream_(context_, sender_, ending_, plain_, turn_)
     {
     }
 
@@ -37,7 +38,12 @@
             refusal = co_await context_.state.quotas->admit(
                 context_.call, *context_.admitted.caller_workspace, quota_hold_);
         }
-        context_.caller.watch_disconnect([this] { sender_.stop(); });
+        context_.caller.watch_disconnect(
+            [this]
+            {
+                sender_.stop();
+                turn_.stop();
+            });
         if (refusal)
         {
             co_await ending_.send_own_response(*refusal);
@@ -77,6 +83,7 @@
     call_context            context_;
     call_ending             ending_;
     attempt_sender<Dialect> sender_;
+    send_turn               turn_;
     plain_call<Dialect>     plain_;
     stream_call<Dialect>    stream_;
     quota_hold              quota_hold_;
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -34,6 +34,7 @@
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
 #include "policy/work_meter.hpp"
+#include "serving/call_queue.hpp"
 #include "serving/connection_pool.hpp"
 
 #include <map>
@@ -242,6 +243,7 @@
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
     connection_pool                     pool;
     std::shared_ptr<held_memory>        held;    // for callers and servers
+    call_queue                          waiting; // calls that aren't sent yet
     vm_contact                          contact; // addresses of this VM
     usage_counter                       usage;
     usage_sum                           usage_known; // of all VMs
