--- a/tests/unit/recent_sends_test.cpp
+++ b/tests/unit/recent_sends_test.cpp
@@ -58,7 +58,7 @@
     std::vector<backend_server> engines;
     for (int index = 0; index < 8; ++index)
     {
-        engines.push_back({.id = "e" + std::to_string(index),
+        engines.push_back({.id = std::string{"e"}.append(std::to_string(index)),
                            .data_centre = "a",
                            .role = engine_role::prefill});
     }
