Level of admission by rank and workspace, and times of return

In an overload of seconds, calls that can't be served in time still reached the engines, and all behind them were late. A call above the level waits while it has time to spare and is refused when due; others are refused at once. Within the rank of the level, workspaces have max-min shares (fair_level). Refused callers get times of return from a schedule, in the order of their refusals, at most a third of the time that they have left.

A first form that only kept new calls within the capacity gained nothing: the queue of the first second stayed. Not measured on the deployments.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -202,6 +202,8 @@
         flag_option("policy", "spread", &entry_settings::spread_choices),
         flag_option("policy", "warn", &entry_settings::share_server_losses),
         flag_option("policy", "queue", &entry_settings::queue),
+        flag_option("policy", "level", &entry_settings::level),
+        flag_option("policy", "shares", &entry_settings::shares),
         range_option("policy", "queue_calls", "1 to 10000", 1, 10'000,
                      &entry_settings::queue_calls),
         range_option("policy", "queue_bytes", "65536 to 1073741824", 65'536,
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -83,8 +83,10 @@
     bool spread_choices = true; // true  VMs don't all choose the engine that was idlest
     bool share_server_losses = true; // true  VMs learn of lost servers from other VMs
     bool queue = true; // true  calls with time to spare wait here while servers are busy
-    std::int64_t queue_calls = 256;        // 256  calls that may wait at once
+    std::int64_t queue_calls = 128;        // 128  calls that may wait at once
     std::int64_t queue_bytes = 16'777'216; // 16777216  bytes of their requests
+    bool level = false; // false  while a service is overloaded, it serves calls by rank
+    bool shares = true; // true  and within a rank by the shares of workspaces
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -84,6 +84,13 @@
             centre.add(peers_.sum(vm_key, now));
             auto fleet = centre;
             fleet.add(peers_.sum(centre_key, now));
+            for (auto* const sum : {&centre, &fleet})
+            {
+                for (auto& [service, work] : sum->works)
+                {
+                    keep_heaviest(work);
+                }
+            }
             result.push_back({digest_scope::centre, vm_, centre_, std::move(centre)});
             result.push_back({digest_scope::fleet, vm_, centre_, std::move(fleet)});
         }
@@ -96,6 +103,12 @@
         return peers_.demand(service, now);
     }
 
+    /// Work that callers of all other VMs ask of a service, from recent digests.
+    service_work work(std::string const& service, boot_clock::time_point now) const
+    {
+        return peers_.work(service, now);
+    }
+
     /// Number of other VMs in recent digests, directly or through relays.
     std::int64_t vms(boot_clock::time_point now) const
     {
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_POLICY_PEER_LOADS_HPP
 
 #include "domain/boot_clock.hpp"
+#include "policy/service_work.hpp"
 #include "policy/work_meter.hpp"
 
 #include <algorithm>
@@ -42,12 +43,14 @@
 
 using server_loads = std::map<std::string, server_load>;
 using service_demands = std::map<std::string, work_demand>;
+using service_works = std::map<std::string, service_work>;
 
 /// Work of one or more VMs at servers, and the demand of their callers.
 struct vm_work
 {
     server_loads    loads;   // by server
     service_demands demands; // by service
+    service_works   works;   // by service
     std::int64_t    vms = 0; // 0  number of VMs whose work this is
 
     bool operator==(vm_work const&) const = default;
@@ -63,6 +66,10 @@
         {
             demands[service].add(demand);
         }
+        for (auto const& [service, work] : other.works)
+        {
+            works[service].add(work);
+        }
     }
 
     /// Subtracts a part of this sum. The part may be slightly newer than the sum, so the
@@ -86,6 +93,14 @@
                 found->second.subtract(demand);
             }
         }
+        for (auto const& [service, work] : part.works)
+        {
+            auto const found = works.find(service);
+            if (found != works.end())
+            {
+                found->second.subtract(work);
+            }
+        }
     }
 };
 
@@ -140,6 +155,22 @@
         return sum;
     }
 
+    /// Work that callers ask of a service, added up over recent digests.
+    service_work work(std::string const& service, boot_clock::time_point now) const
+    {
+        service_work sum;
+        for (auto const& [vm, digest] : peers_)
+        {
+            auto const found = digest.work.works.find(service);
+            if (now - digest.received_at <= options_.max_age &&
+                found != digest.work.works.end())
+            {
+                sum.add(found->second);
+            }
+        }
+        return sum;
+    }
+
     /// Number of VMs whose work the recent digests contain.
     std::int64_t vms(boot_clock::time_point now) const
     {
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -36,6 +36,53 @@
     }
 }
 
+void add_works(wire::load_digest& message, service_works const& works)
+{
+    for (auto const& [service, work] : works)
+    {
+        for (auto const& [rank, each] : work.ranks)
+        {
+            auto* entry = message.add_ranks();
+            entry->set_service(service);
+            entry->set_rank(static_cast<std::uint32_t>(rank));
+            entry->set_offered(each.offered);
+            entry->set_admitted(each.admitted);
+        }
+        for (auto const& [key, offered] : work.workspaces)
+        {
+            auto* entry = message.add_workspaces();
+            entry->set_service(service);
+            entry->set_rank(static_cast<std::uint32_t>(key.first));
+            entry->set_workspace(key.second);
+            entry->set_offered(offered);
+        }
+    }
+}
+
+/// A rate from a message, bounded so that sums with it stay finite.
+double parse_rate(double value)
+{
+    constexpr double most = 1e12;
+    return value > 0 ? std::min(value, most) : 0;
+}
+
+service_works parse_works(wire::load_digest const& message)
+{
+    service_works works;
+    for (auto const& entry : message.ranks())
+    {
+        works[entry.service()].ranks[entry.rank()] = {
+            .offered = parse_rate(entry.offered()),
+            .admitted = parse_rate(entry.admitted())};
+    }
+    for (auto const& entry : message.workspaces())
+    {
+        works[entry.service()].workspaces[{entry.rank(), entry.workspace()}] =
+            parse_rate(entry.offered());
+    }
+    return works;
+}
+
 void add_crashes(wire::load_digest& message, digest_extras const& extras)
 {
     for (auto const& each : extras.crashes)
@@ -114,6 +161,7 @@
         entry->set_sent_age_ms(each.sent_age.count());
         entry->set_arrived_age_ms(each.arrived_age.count());
     }
+    add_works(message, digest.work.works);
     add_proxies(message, extras.proxies);
     add_crashes(message, extras);
     return message;
@@ -123,6 +171,7 @@
 {
     vm_work work;
     work.vms = message.vms();
+    work.works = parse_works(message);
     for (auto const& entry : message.servers())
     {
         // The sender lists its servers in key order, so inserting at the end is cheap.
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -327,9 +327,21 @@
     {
         work.demands[service] = meter.demand(now);
     }
+    for (auto& [service, meter] : callers_work)
+    {
+        work.works[service] = meter.work(now);
+    }
     return work;
 }
 
+service_work entry_state::offered_work(std::string const&     service,
+                                       boot_clock::time_point now)
+{
+    auto sum = peers.work(service, now);
+    sum.add(callers_work[service].work(now));
+    return sum;
+}
+
 std::vector<usage_record> entry_state::recent_usage()
 {
     return usage.recent(usage.window_of(unix_ms()));
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -14,6 +14,7 @@
 #include "domain/step_filtered_clock.hpp"
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
+#include "policy/admission_level.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/fleet_share.hpp"
 #include "policy/link_watch.hpp"
@@ -24,6 +25,7 @@
 #include "policy/proxy_list.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
+#include "policy/return_schedule.hpp"
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
@@ -47,6 +49,14 @@
 //       placement must not use much older loads
 inline constexpr millis digest_interval{150};
 
+/// The level of a service as it was last computed.
+struct level_state
+{
+    level_control          control;
+    admission_level        level;
+    boot_clock::time_point updated_at{};
+};
+
 class origin_link;
 class owner_link;
 class quota_gate;
@@ -146,6 +156,9 @@
     /// Demand for a service at all VMs together.
     work_demand demand(std::string const& service, boot_clock::time_point now);
 
+    /// Work that callers of all VMs together ask of a service.
+    service_work offered_work(std::string const& service, boot_clock::time_point now);
+
     /// This VM's usage counts of the last windows.
     std::vector<usage_record> recent_usage();
 
@@ -261,6 +274,10 @@
     bool         closed = false;   // accepts no new calls
     std::int64_t active_calls = 0;
 
+    std::map<std::string, work_by_caller>  callers_work; // by service; of this VM
+    std::map<std::string, level_state>     levels;       // by service
+    std::map<std::string, return_schedule> returns;      // of refused calls, by service
+
 private:
     void log_withdrawn(std::vector<crash_update> const& withdrawn,
                        boot_clock::time_point           now);
--- /dev/null
+++ b/src/serving/level_gate.cpp
@@ -0,0 +1,175 @@
+// The level of a service at this VM, and the returns of refused callers.
+#include "serving/level_gate.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace marigoldcrank
+{
+
+namespace
+{
+
+// 50    ms; between two computations of a service's level
+constexpr millis level_interval{50};
+// 100   ms; a call that the level refuses returns no sooner
+constexpr millis least_return{100};
+
+/// From 0 to 1, the same at every VM.
+double draw_of(std::string const& call_id)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(XXH3_64bits(call_id.data(), call_id.size())) / range;
+}
+
+/// What the rules say about the calls to a service.
+struct service_kinds
+{
+    bool   ranked = false;        // their ranks differ
+    millis shortest_objective{0}; // 0: none has one
+};
+
+service_kinds kinds_of(serving_rules const& rules, std::string const& service)
+{
+    service_kinds               result;
+    std::optional<std::int64_t> first;
+    auto const                  add_rank = [&](std::int64_t rank)
+    {
+        first = first.value_or(rank);
+        result.ranked = result.ranked || rank != *first;
+    };
+    for (auto const& each : rules.routes())
+    {
+        bool const same = std::any_of(each.targets.begin(), each.targets.end(),
+                                      [&](route_target const& target)
+                                      { return target.service == service; });
+        auto&      shortest = result.shortest_objective;
+        if (same)
+        {
+            add_rank(each.rank);
+            bool const shorter = shortest.count() == 0 || each.objective < shortest;
+            shortest = each.objective.count() > 0 && shorter ? each.objective : shortest;
+        }
+    }
+    for (auto const& each : rules.workspaces())
+    {
+        if (each.rank >= 0)
+        {
+            add_rank(each.rank);
+        }
+    }
+    return result;
+}
+
+void log_level(entry_state& state, std::string const& service, level_input const& input,
+               admission_level const& level, boot_clock::time_point now)
+{
+    constexpr double milli = 1000;
+    double           offered = 0;
+    for (auto const& [rank, work] : input.offered.ranks)
+    {
+        offered += work.offered;
+    }
+    state.counters.add("level_changes_total", "service=\"" + service + "\"");
+    state.log.write(event_line{"level"}
+                        .add("service", service)
+                        .add("set", level.set ? 1 : 0)
+                        .add("rank", level.rank)
+                        .add("part_milli", std::llround(level.part * milli))
+                        .add("offered", std::llround(offered))
+                        .add("capacity", std::llround(input.capacity))
+                        .add("ready_milli", std::llround(input.ready_share * milli))
+                        .add("queue_ms", std::llround(input.queue_ms))
+                        .add("age_ms", input.age),
+                    now);
+}
+
+admission_level const& level_of(call_context& context, engine_readiness const& engines,
+                                boot_clock::time_point now)
+{
+    auto&       state = context.state;
+    auto const& service = context.admitted.service_name;
+    auto&       known = state.levels[service];
+    if (now - known.updated_at < level_interval)
+    {
+        return known.level;
+    }
+    known.updated_at = now;
+    auto const        all = std::max<std::int64_t>(engines.all, 1);
+    auto const&       rules = *context.admitted.rules;
+    auto const        kinds = kinds_of(rules, service);
+    level_input const input{
+        .offered = state.offered_work(service, now),
+        .workspaces = state.settings.shares
+                          ? static_cast<std::int64_t>(rules.workspaces().size())
+                          : 0,
+        .capacity = kinds.ranked ? engines.capacity : 0,
+        .ready_share = static_cast<double>(engines.ready) / static_cast<double>(all),
+        .queue_ms = engines.queue_ms,
+        .objective = kinds.shortest_objective,
+        .age = state.digest_age()};
+    auto const before = std::exchange(known.level, known.control.update(input, now));
+    if (before.set != known.level.set || before.rank != known.level.rank)
+    {
+        log_level(state, service, input, known.level, now);
+    }
+    return known.level;
+}
+
+} // namespace
+
+bool is_above_level(call_context& context, engine_readiness const& engines,
+                    double work_ms, bool is_new)
+{
+    auto& state = context.state;
+    if (!state.settings.level || !context.placement.needs_prefill() ||
+        !context.call.resume_after.empty())
+    {
+        return false;
+    }
+    auto const  now = boot_clock::now();
+    auto const& admitted = context.admitted;
+    auto const  name =
+        admitted.caller_workspace == nullptr ? "" : admitted.caller_workspace->name;
+    bool const served = level_of(context, engines, now)
+                            .admits(admitted.rank, name, draw_of(context.call.id));
+    if (is_new)
+    {
+        state.callers_work[admitted.service_name].record(admitted.rank, name, work_ms,
+                                                         served, now);
+    }
+    return !served;
+}
+
+own_response level_refusal(call_context& context, engine_readiness const& engines,
+                           double work_ms)
+{
+    auto const& admitted = context.admitted;
+    context.state.counters.add("level_refusals_total",
+                               "service=\"" + admitted.service_name + "\",rank=\"" +
+                                   std::to_string(admitted.rank) + "\"");
+    return {
+        503, call_fate::not_run, "level",
+        refused_return(context, static_cast<double>(engines.all), work_ms, least_return)};
+}
+
+millis refused_return(call_context& context, double servers, double work_ms,
+                      millis earliest)
+{
+    auto&      state = context.state;
+    auto const now = boot_clock::now();
+    auto const vms = static_cast<double>(state.peers.vms(now) + 1);
+    auto const left =
+        std::chrono::duration_cast<millis>(context.admitted.deadline - loop_clock::now());
+    return state.returns[context.admitted.service_name].next({.work_ms = work_ms,
+                                                              .servers = servers / vms,
+                                                              .earliest = earliest,
+                                                              .left = left},
+                                                             now);
+}
+
+} // namespace marigoldcrank
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -78,27 +78,46 @@
                         state_.tie_break(), state_.placement_settings());
 }
 
-std::int64_t
-model_placement::ready_engines(std::vector<candidate> const& candidates) const
+engine_readiness model_placement::readiness(std::vector<candidate> const& candidates,
+                                            backend_server const*         chosen) const
 {
+    constexpr double second_ms = 1000;
+    auto const       known = static_cast<std::int64_t>(candidates.size());
     if (!needs_prefill())
     {
-        return static_cast<std::int64_t>(candidates.size());
+        return {.ready = known, .all = known, .chosen_ready = true};
     }
-    auto const is_split = [](candidate const& each)
+    auto const reads = [](candidate const& each)
     {
         return !each.avoided && each.server->role == engine_role::prefill;
     };
-    bool const split = std::any_of(candidates.begin(), candidates.end(), is_split);
-    auto const speeds = costs();
-    auto const limit = static_cast<std::int64_t>(
-        send_options{}.ready_ms * (split ? speeds.prefill_rate : speeds.colocated_rate));
-    return std::count_if(candidates.begin(), candidates.end(),
-                         [&](candidate const& each)
-                         {
-                             return !each.avoided && (!split || is_split(each)) &&
-                                    each.load.prefill_tokens <= limit;
-                         });
+    bool const       split = std::any_of(candidates.begin(), candidates.end(), reads);
+    auto const       speeds = costs();
+    auto const       rate = split ? speeds.prefill_rate : speeds.colocated_rate;
+    auto const       limit = static_cast<std::int64_t>(send_options{}.ready_ms * rate);
+    std::int64_t     queued = 0;
+    engine_readiness result;
+    for (auto const& each : candidates)
+    {
+        bool const counts = !each.avoided && (!split || reads(each));
+        bool const ready = each.load.prefill_tokens <= limit;
+        result.all += counts ? 1 : 0;
+        queued += counts ? each.load.prefill_tokens : 0;
+        result.ready += counts && ready ? 1 : 0;
+        result.chosen_ready = result.chosen_ready || (ready && each.server == chosen);
+    }
+    result.queue_ms = static_cast<double>(queued) /
+                      static_cast<double>(std::max<std::int64_t>(result.all, 1)) / rate;
+    // Of a large service the candidates are a sample.
+    bool const  drawn = state_.draws_candidates(admitted_.service_name);
+    auto const  servers = drawn ? state_.staying_servers(admitted_.service_name) : known;
+    auto const& times = split ? meter().dedicated() : meter().colocated();
+    if (times.observed() && known > 0)
+    {
+        result.capacity = second_ms * static_cast<double>(servers) *
+                          static_cast<double>(result.all) / static_cast<double>(known);
+    }
+    return result;
 }
 
 std::optional<millis> model_placement::queue_retry_after(placement const& placed) const
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -1,6 +1,6 @@
 // Chooses engines for one model call: applies src/policy to the current state of this VM.
 //
-// Index: model_placement
+// Index: 1 engine_readiness, 2 model_placement
 #ifndef MARIGOLDCRANK_SERVING_MODEL_PLACEMENT_HPP
 #define MARIGOLDCRANK_SERVING_MODEL_PLACEMENT_HPP
 
@@ -12,6 +12,18 @@
 namespace marigoldcrank
 {
 
+/// How many engines can begin a call now, since their queues of prompts are short.
+struct engine_readiness
+{
+    std::int64_t ready = 0;
+    std::int64_t all = 0;
+    double       capacity = 0;         // ms of server time per second; 0: unknown
+    double       queue_ms = 0;         // mean time of the prompts queued at one
+    bool         chosen_ready = false; // the one that the call is placed at can begin it
+
+    bool operator==(engine_readiness const&) const = default;
+};
+
 /// Chooses the engines for prefill and decode, sets deadlines for them, and records
 /// measured times for later choices. Calls without a prompt, and services without
 /// engines, are placed as plain calls. Lives as long as its call. Does no I/O.
@@ -35,9 +47,10 @@
     /// Chooses the engine that decodes after a handoff; null if there is none.
     backend_server const* choose_decode_engine(std::vector<candidate> const& candidates);
 
-    /// Number of the engines whose queues of prompts are so short that they can begin a
-    /// call now; of the prefill engines, if there are any.
-    std::int64_t ready_engines(std::vector<candidate> const& candidates) const;
+    /// The engines that read prompts: those for prefill, if there are any, else all.
+    /// `chosen` is where the call is placed.
+    engine_readiness readiness(std::vector<candidate> const& candidates,
+                               backend_server const*         chosen) const;
 
     /// The Retry-After if the call would wait too long at `placed`; else nothing.
     std::optional<millis> queue_retry_after(placement const& placed) const;
--- a/src/serving/send_turn.cpp
+++ b/src/serving/send_turn.cpp
@@ -55,6 +55,11 @@
     }
     if (decision.send || place_ == nullptr)
     {
+        if (place_ != nullptr)
+        {
+            state.waiting.order(context_.admitted.service_name)
+                .record_release(place_->call(), forecast.work_ms, now);
+        }
         leave(name_of(decision.reason), forecast);
         co_return true;
     }
@@ -132,8 +137,6 @@
     auto&      state = context_.state;
     auto const now = boot_clock::now();
     auto const waited = now - entered_at_;
-    state.waiting.order(context_.admitted.service_name)
-        .record_release(place_->call(), forecast.work_ms, now);
     place_.reset();
     state.counters.observe("queue_seconds", waited);
     state.counters.add("waits_total", "reason=\"" + std::string{reason} + "\",rank=\"" +
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -5,9 +5,13 @@
 #define MARIGOLDCRANK_SERVING_STREAM_CALL_HPP
 
 #include "serving/call_origin.hpp"
+#include "serving/level_gate.hpp"
 #include "serving/plain_call.hpp"
 #include "serving/prefill_step.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace marigoldcrank
 {
 
@@ -98,26 +102,44 @@
     std::optional<placement> choose_first()
     {
         auto const candidates = context_.attempts.servers_to_try();
-        ready_engines_ = context_.placement.ready_engines(candidates);
-        return context_.placement.choose_first(
+        auto const first = context_.placement.choose_first(
             candidates, !prefill_.attempted && !context_.stream.started());
+        engines_ =
+            context_.placement.readiness(candidates, first ? first->server : nullptr);
+        return first;
     }
 
     /// Returns true at once if the call may be sent to `first` now. Otherwise refuses it,
     /// or lets it wait, after which `first` is out of date.
     boost::asio::awaitable<bool> may_send(placement const& first)
     {
-        auto const retry_after =
-            wait_checked_ ? std::nullopt : context_.placement.queue_retry_after(first);
-        if (retry_after)
+        if (may_be_sent_)
+        {
+            co_return true;
+        }
+        auto const delay = context_.placement.queue_retry_after(first);
+        if (delay)
         {
-            own_response const refusal{503, call_fate::not_run, "queue", retry_after};
+            auto const back = refused_return(context_, static_cast<double>(engines_.all),
+                                             first.prefill_ms, *delay);
+            own_response const refusal{503, call_fate::not_run, "queue", back};
             co_await ending_.send_own_response(refusal);
             co_return false;
         }
-        wait_checked_ =
-            co_await turn_.wait({first.wait_ms, first.prefill_ms, ready_engines_});
-        co_return wait_checked_;
+        bool const above = is_above_level(context_, engines_, first.prefill_ms,
+                                          !std::exchange(work_counted_, true));
+        auto const ready =
+            std::max<std::int64_t>(engines_.ready, engines_.chosen_ready ? 1 : 0);
+        // A call above the level waits like one for which no engine is ready.
+        may_be_sent_ =
+            co_await turn_.wait({first.wait_ms, first.prefill_ms, above ? 0 : ready});
+        if (may_be_sent_ && above)
+        {
+            co_await ending_.send_own_response(
+                level_refusal(context_, engines_, first.prefill_ms));
+            co_return false;
+        }
+        co_return may_be_sent_;
     }
 
     /// Runs the call at `server`. Returns true if the call has ended, false if another
@@ -272,8 +294,9 @@
     send_turn&               turn_;
     call_origin              origin_;
     prefill_step<Dialect>    prefill_;
-    bool                     wait_checked_ = false;
-    std::int64_t             ready_engines_ = 0; // when the first one was chosen
+    bool                     work_counted_ = false;
+    bool                     may_be_sent_ = false; // it has been sent, or has waited
+    engine_readiness         engines_;             // when the first one was chosen
     boot_clock::time_point   run_sent_at_{};
     placement                run_plan_; // of the latest attempt; its pointers may dangle
 };
--- a/tests/property/load_relay_property_test.cpp
+++ b/tests/property/load_relay_property_test.cpp
@@ -73,6 +73,8 @@
         vm.own.loads["engine"].running = running;
         vm.own.loads["engine"].prefill_tokens = running * 1000;
         vm.own.demands["models"].prompt_rate = running * 500.0;
+        vm.own.works["models"].ranks[1].offered = running * 10.0;
+        vm.own.works["models"].workspaces[{1, "w"}] = running * 10.0;
         total += running;
     }
     constexpr int rounds = 5; // a sum needs three digests to reach all VMs
@@ -88,6 +90,12 @@
         RC_ASSERT(vm.relay.at("engine", now).prefill_tokens == others * 1000);
         RC_ASSERT(vm.relay.demand("models", now).prompt_rate ==
                   static_cast<double>(others) * 500.0);
+        auto const expected = static_cast<double>(others) * 10.0;
+        auto       work = vm.relay.work("models", now);
+        auto const offered = work.ranks[1].offered;
+        auto const of_workspace = work.workspaces[{1, "w"}];
+        RC_ASSERT(offered == expected);
+        RC_ASSERT(of_workspace == expected);
     }
 }
 
--- a/tests/replay/waiting_calls_test.cpp
+++ b/tests/replay/waiting_calls_test.cpp
@@ -1,12 +1,14 @@
 // Loads under which calls wait at their VM: bursts with kinds of different urgency.
 //
 // Index: 1 replay, 2 loads
+#include "policy/admission_level.hpp"
 #include "policy/placement.hpp"
 #include "policy/send_time.hpp"
 #include "policy/wait_queue.hpp"
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
@@ -38,6 +40,7 @@
 struct replay_options
 {
     send_form form = send_form::mixed;
+    bool      level = false; // calls above the level wait, and are refused when due
     int       engines = 20;
     int       vms = 8;
     int       load_age = 150;  // ms; of the other VMs' loads
@@ -55,6 +58,7 @@
 {
     int calls = 0;
     int in_time = 0;
+    int refused = 0;
 
     double share() const
     {
@@ -72,7 +76,8 @@
           free_at_(static_cast<std::size_t>(options_.engines)),
           queues_(static_cast<std::size_t>(options_.vms)),
           waiting_(static_cast<std::size_t>(options_.vms)),
-          own_(static_cast<std::size_t>(options_.vms))
+          own_(static_cast<std::size_t>(options_.vms)),
+          controls_(static_cast<std::size_t>(options_.vms))
     {
         for (int index = 0; index < options_.engines; ++index)
         {
@@ -222,11 +227,13 @@
                           });
         auto&      queue = queues_[vm];
         auto const now = time();
+        bool const above = options_.level &&
+                           is_above_level(vm, each, known, placed->prefill_ms, !number);
         auto const objective =
             options_.form == send_form::when_ready ? kind.objective * 2 : kind.objective;
         send_input const input{
             .yields = options_.form != send_form::at_once && kind.yields,
-            .server_ready = ready > 0,
+            .server_ready = ready > 0 && !above,
             .is_next =
                 number ? queue.first(now) == number
                        : !queue.goes_before(
@@ -263,10 +270,53 @@
             queue.record_release(each.call, placed->prefill_ms, now);
             waiting_[vm].erase(*number);
         }
+        if (above)
+        {
+            ++results_[each.kind].refused;
+            return true;
+        }
         send(vm, each, placed->server);
         return true;
     }
 
+    /// The level as the VM computes it from what it knows of all callers' work.
+    bool is_above_level(std::size_t vm, pending const& each,
+                        std::vector<candidate> const& known, double work_ms, bool is_new)
+    {
+        auto const& kind = options_.kinds[each.kind];
+        double      ready = 0;
+        double      queued = 0;
+        for (auto const& engine : known)
+        {
+            auto const queue_ms = static_cast<double>(engine.load.prefill_tokens) / speed;
+            ready += queue_ms <= send_options{}.ready_ms ? 1 : 0;
+            queued += queue_ms;
+        }
+        works_.emplace_back(now_, work_.work(time()));
+        while (works_.size() > 1 && works_[1].first <= now_ - options_.load_age)
+        {
+            works_.pop_front();
+        }
+        auto const engines = static_cast<double>(known.size());
+        auto const level =
+            controls_[vm].update({.offered = works_.front().second,
+                                  .capacity = 1000 * engines,
+                                  .ready_share = ready / engines,
+                                  .queue_ms = queued / engines,
+                                  .objective = options_.kinds.front().objective,
+                                  .age = millis{options_.load_age}},
+                                 time());
+        // The same for the same call whenever it is asked.
+        auto const draw = std::fmod(
+            static_cast<double>(each.tokens) * 0.618 + each.arrived * 0.41, 1.0);
+        bool const above = !level.admits(kind.rank, "", draw);
+        if (is_new)
+        {
+            work_.record(kind.rank, "", work_ms, !above, time());
+        }
+        return above;
+    }
+
     void send(std::size_t vm, pending const& each, backend_server const* server)
     {
         auto const index = static_cast<std::size_t>(server - servers_.data());
@@ -307,6 +357,9 @@
     std::mt19937_64                                         random_{20261202};
     int                                                     now_ = 0;
     std::size_t                                             most_waiting_ = 0;
+    std::vector<level_control>                              controls_; // by VM
+    work_by_caller                                          work_;     // of all VMs
+    std::deque<std::pair<int, service_work>> works_; // as it was, the oldest first
 };
 
 std::vector<call_kind_load> urgent_and_patient()
@@ -398,6 +451,44 @@
     EXPECT_GT(mixed[1].share(), 0.99);
 }
 
+// More than the engines can do for three seconds. Without a level, each call stands
+// behind all that came before it, and late ones delay the others. With it, the urgent
+// kind is served, and as much of the other as there is room for.
+TEST(waiting_calls, level_serves_the_urgent_kind_through_a_long_overload)
+{
+    for (int const age : {150, 450})
+    {
+        replay_options load{.load_age = age,
+                            .base_load = 0.5,
+                            .burst_load = 1.2,
+                            .burst_begin = 1000,
+                            .burst_end = 4000,
+                            .duration = 5500,
+                            .kinds = urgent_and_patient()};
+        auto const     without = play(load, send_form::mixed);
+        load.level = true;
+        auto const with = play(load, send_form::mixed);
+        EXPECT_GT(with[0].share(), without[0].share() + 0.15);
+        EXPECT_LT(with[0].refused, with[0].calls / 20);
+        EXPECT_GT(with[1].share(), without[1].share() - 0.25);
+    }
+}
+
+// A burst that the patient calls can wait out: hardly any is refused.
+TEST(waiting_calls, level_refuses_little_in_a_short_burst)
+{
+    replay_options load{.level = true,
+                        .base_load = 0.6,
+                        .burst_load = 1.8,
+                        .burst_begin = 1000,
+                        .burst_end = 1300,
+                        .duration = 2800,
+                        .kinds = urgent_and_patient()};
+    auto const     result = play(load, send_form::mixed);
+    EXPECT_LT(result[0].refused, result[0].calls / 50);
+    EXPECT_LT(result[1].refused, result[1].calls / 50);
+}
+
 // While engines are free, and where no kind goes before another, the queue changes
 // nothing.
 TEST(waiting_calls, nothing_changes_without_load_or_with_one_kind)
