--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -246,6 +246,8 @@
                        [](entry_settings& value, std::int64_t number)
                        { value.queue_bytes = number; }),
         flag_option("policy", "queue", &entry_settings::queue),
+        flag_option("policy", "level", &entry_settings::level),
+        flag_option("policy", "shares", &entry_settings::shares),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -94,8 +94,10 @@
     millis       caller_full_stall{2000}; // 2000  the same, while its server waits
     std::int64_t idle_connections = 0;    // 0  of callers; 0: by the memory
     bool queue = true; // true  calls with time to spare wait here while servers are busy
-    std::int64_t queue_calls = 256;        // 256  calls that may wait at once
+    std::int64_t queue_calls = 128;        // 128  calls that may wait at once
     std::int64_t queue_bytes = 16'777'216; // 16777216  bytes of their requests
+    bool level = false; // false  while a service is overloaded, it serves calls by rank
+    bool shares = true; // true  and within a rank by the shares of workspaces
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
