Read bodies later above three quarters of the bound, refuse only at the bound

A call whose body had arrived was delayed and refused while there was room. Failures kept as a call's last response are counted.

--- a/src/policy/held_memory.hpp
+++ b/src/policy/held_memory.hpp
@@ -56,7 +56,7 @@
     std::int64_t most_unwritten = 262144; // 256 KiB  of a stream; then its server waits
     millis       stall{10000};       // 10000  ms; a caller that takes nothing is ended
     millis       full_stall{2000};   // 2000  ms; the same while its server waits
-    millis       memory_stall{1000}; // 1000  ms; the same while the VM is at its bound
+    millis       memory_stall{1000}; // 1000  ms; the same while the VM holds much
     millis       most_late{30000};   // 30000  ms after the deadline
     std::size_t  most_idle = 2000;   // 2000  connections that wait for a request
     double       wait_level = 0.75;  // of `most`; above it new bodies are read later
@@ -187,7 +187,7 @@
     none,
     stalled, // took nothing for too long
     full,    // the same, while its server waited
-    memory,  // the same, while the VM was at its bound
+    memory,  // the same, while the VM held too much
     late     // still took bytes long after the call's deadline
 };
 
--- a/src/serving/call_ending.cpp
+++ b/src/serving/call_ending.cpp
@@ -6,11 +6,15 @@
 namespace marigoldcrank
 {
 
-call_ending::call_ending(call_context& context) : context_(context) {}
+call_ending::call_ending(call_context& context)
+    : context_(context), server_failure_held_(context.state.held, held_kind::reading)
+{
+}
 
 void call_ending::keep_failure(std::string bytes, unsigned status)
 {
     server_failure_ = std::move(bytes);
+    server_failure_held_.set(static_cast<std::int64_t>(server_failure_.size()));
     server_failure_status_ = status;
 }
 
--- a/src/serving/call_ending.hpp
+++ b/src/serving/call_ending.hpp
@@ -54,6 +54,7 @@
 
     call_context& context_;
     std::string   server_failure_; // as formatted bytes; empty: none
+    held_share    server_failure_held_;
     unsigned      server_failure_status_ = 0;
     bool          usage_counted_ = false;
 };
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -55,8 +55,7 @@
 
     // 2000  ms; a caller that doesn't take a refusal for this long is disconnected
     static constexpr millis write_timeout{2000};
-    // 300   ms; longest wait for memory before a request is refused, checked every 100
-    // ms.
+    // 300   ms; longest wait for memory before a body is read, checked every 100 ms.
     //       Callers give up an attempt that isn't read within a second
     static constexpr millis memory_wait{300};
     static constexpr millis memory_poll{100};
@@ -76,7 +75,7 @@
         auto       refusal = co_await read_head(parser, limits);
         if (!refusal)
         {
-            refusal = co_await wait_for_memory();
+            refusal = co_await wait_for_memory(parser);
         }
         if (!refusal)
         {
@@ -147,19 +146,23 @@
         co_return std::nullopt;
     }
 
-    /// Waits a short time while the VM holds much. A body that isn't read yet waits at
-    /// its caller.
-    boost::asio::awaitable<std::optional<own_response>> wait_for_memory()
+    /// While the VM holds much, waits a short time before a body is read, which stays at
+    /// its caller meanwhile. At the bound, refuses the request.
+    boost::asio::awaitable<std::optional<own_response>>
+    wait_for_memory(request_parser const& parser)
     {
+        auto const rest = parser.content_length_remaining();
+        bool const arrived =
+            parser.is_done() || (rest && *rest <= connection_->buffer().size());
         auto const until = loop_clock::now() + memory_wait;
-        while (!state_.held->has_room_for_new())
+        while (!arrived && !state_.held->has_room_for_new() && loop_clock::now() < until)
         {
-            if (loop_clock::now() >= until)
-            {
-                co_return out_of_memory();
-            }
             co_await loop_sleep(memory_poll);
         }
+        if (!state_.held->has_room())
+        {
+            co_return out_of_memory();
+        }
         co_return std::nullopt;
     }
 
--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -278,17 +278,18 @@
             connection.send(server_standin::signed_response(request, "done"));
             return true;
         });
+    std::string const                        body(99000, 'a'); // counts twice
     std::vector<std::unique_ptr<raw_caller>> callers;
-    for (int number = 0; number < 4; ++number)
+    for (int number = 0; number < 5; ++number)
     {
         callers.push_back(std::make_unique<raw_caller>(cluster.caller_port()));
-        callers.back()->send(make_request(
-            {.id = "held-" + std::to_string(number), .body = std::string(99000, 'a')}));
+        callers.back()->send(
+            make_request({.id = "held-" + std::to_string(number), .body = body}));
     }
     ASSERT_TRUE(eventually(
-        [&] { return cluster.server(0).received_requests().size() == 4; }, 3000));
+        [&] { return cluster.server(0).received_requests().size() == 5; }, 3000));
     auto const began = clock::now();
-    auto const refused = ask(cluster.caller_port(), {.id = "refused"});
+    auto const refused = ask(cluster.caller_port(), {.id = "refused", .body = body});
     EXPECT_EQ(refused.status, 503);
     EXPECT_EQ(refused.fields.count("retry-after"), 1U);
     EXPECT_LT(clock::now() - began, milliseconds{900});
