Join small pieces queued for a caller; keep the short timeout for vanished callers

A queue of single events took several times its counted size. TCP_USER_TIMEOUT was raised for every caller that paused for a second, so one that had vanished kept its server for ten seconds instead of 2.5; it is raised only while all that was sent is acknowledged.

--- a/src/serving/call_ending.cpp
+++ b/src/serving/call_ending.cpp
@@ -89,7 +89,7 @@
     bool const reset = context_.disposition == connection_disposition::aborted;
     if (!reset && !co_await context_.caller.wait_unwritten(0, until))
     {
-        context_.outcome = {};
+        context_.outcome = context_.outcome == "served" ? "" : context_.outcome;
         context_.disposition = connection_disposition::aborted;
     }
     auto const& slow = context_.caller.slow();
--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -39,6 +39,8 @@
 constexpr std::int64_t no_bytes = 0;
 // 16    pieces of the queue written at once
 constexpr std::size_t write_batch = 16;
+// 4096  bytes; queued pieces are joined up to this size
+constexpr std::size_t join_bytes = 4096;
 // 1000  ms without progress; from then on the kernel keeps the connection for as long as
 //       the rules for slow callers allow
 constexpr millis long_pause{1000};
@@ -77,7 +79,15 @@
         last_progress_ = loop_clock::now();
     }
     held_.set(held_.bytes() + static_cast<std::int64_t>(bytes.size()));
-    queue_.push_back(std::move(bytes));
+    // Many small events would take several times their size.
+    if (queue_.size() > in_flight_ && queue_.back().size() + bytes.size() <= join_bytes)
+    {
+        queue_.back() += bytes;
+    }
+    else
+    {
+        queue_.push_back(std::move(bytes));
+    }
     if (!writing_)
     {
         write_next();
@@ -95,6 +105,7 @@
         pieces[count] = asio::buffer(piece.data() + begin, piece.size() - begin);
     }
     writing_ = true;
+    in_flight_ = count;
     stream_.socket().async_write_some(
         pieces, [self = shared_from_this()](error_code const& error, std::size_t bytes)
         { self->handle_written(error, bytes); });
@@ -103,6 +114,7 @@
 void caller_socket::handle_written(error_code const& error, std::size_t bytes)
 {
     writing_ = false;
+    in_flight_ = 0;
     if (error || disconnected_)
     {
         handle_disconnect();
@@ -193,7 +205,7 @@
     {
         end_slow(rule);
     }
-    else if (response.stalled >= long_pause)
+    else if (response.stalled >= long_pause && acknowledges())
     {
         tolerate_pause(true);
     }
@@ -216,6 +228,17 @@
     rank_ = value;
 }
 
+/// Whether the peer has acknowledged all that was sent, so that it is alive and only
+/// doesn't read.
+bool caller_socket::acknowledges()
+{
+    tcp_info   info{};
+    socklen_t  size = sizeof info;
+    auto const handle = stream_.socket().native_handle();
+    return ::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+           info.tcpi_unacked == 0;
+}
+
 /// The kernel closes a connection whose peer takes nothing for TCP_USER_TIMEOUT.
 void caller_socket::tolerate_pause(bool value)
 {
--- a/src/serving/caller_socket.hpp
+++ b/src/serving/caller_socket.hpp
@@ -93,6 +93,7 @@
     void handle_disconnect();
     void write_next();
     void handle_written(boost::system::error_code const& error, std::size_t bytes);
+    bool acknowledges();
     void tolerate_pause(bool value);
 
     boost::beast::tcp_stream     stream_;
@@ -102,6 +103,7 @@
     std::shared_ptr<held_memory> memory_;
     held_share                   held_; // the unwritten bytes
     std::deque<std::string>      queue_;
+    std::size_t                  in_flight_ = 0;     // pieces of it being written
     std::size_t                  front_written_ = 0; // bytes of the first in the queue
     loop_time                    last_progress_{};
     std::function<void()>        on_disconnect_;
