A prompt whose prefill reached no engine is placed as a new call

Callers got the first event of a long prompt after 0.9 to 1.1 s where 0.5 s are promised: if the chosen prefill engine could not be connected to, the whole prompt went to the decode engine with the fewest streams, to be read there beside them.

Change: after such a prefill the call is placed once more, without the engine that could not be reached. Nothing was sent, so this draws on no budget. A second failure goes to a decode engine as before, and so do prefills that may have reached their engine.

platform_calls.prompt_goes_to_another_prefill_engine_if_the_first_is_unreachable fails in 3 of 3 runs without the change and passes in 3 of 3 with it. Engines of test clusters with relays are listed by their relay's address, as other servers were.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -180,7 +180,11 @@
 void call_attempts::record_failed_prefill(attempt_result const& result)
 {
     report_health(result);
-    if (result.fate != attempt_outcome::not_sent)
+    if (result.fate == attempt_outcome::not_sent)
+    {
+        tried_.insert(result.server);
+    }
+    else
     {
         history_.prefill_failed();
         prefill_failed_ = true;
--- a/src/serving/prefill_step.hpp
+++ b/src/serving/prefill_step.hpp
@@ -40,8 +40,9 @@
         auto       message = sender_.attempt_options_for(server);
         message.prefill_only = true;
         message.fetch_from = fetch_from;
-        auto const  fate = co_await sender_.send_message(link, message, true, until);
-        std::string body;
+        auto const fate = co_await sender_.send_message(link, message, true, until);
+        unsent = fate == attempt_outcome::not_sent;
+        std::string        body;
         constexpr unsigned ok = 200;
         bool answered = fate == attempt_outcome::answered && link.facts().status == ok;
         if (answered)
@@ -95,6 +96,7 @@
     }
 
     bool        attempted = false;
+    bool        unsent = false; // the latest prefill reached no engine
     std::string fetch_from;   // address of an engine that has parts of the prompt cached
     std::string fetch_server; // id of that engine
 
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -72,6 +72,13 @@
                 prefill_.attempted = true;
                 prefill_server = decode_server;
                 source = co_await prefill_.run(prefill_server, planned, *permit);
+                if (source.empty() && prefill_.unsent && !prefill_placed_again_)
+                {
+                    // Nothing has reached an engine, so the call is placed as a new one.
+                    prefill_placed_again_ = true;
+                    prefill_.attempted = false;
+                    continue;
+                }
                 planned = placement{.prefill_tokens =
                                         source.empty() ? planned.prefill_tokens : 0};
                 permit.reset();
@@ -254,6 +261,7 @@
     call_origin              origin_;
     prefill_step<Dialect>    prefill_;
     bool                     wait_checked_ = false;
+    bool                     prefill_placed_again_ = false;
     boot_clock::time_point   run_sent_at_{};
     placement                run_plan_; // of the latest attempt; its pointers may dangle
 };
--- a/tests/platform/streams_test.cpp
+++ b/tests/platform/streams_test.cpp
@@ -155,6 +155,41 @@
     EXPECT_EQ(run.field("prefix-hash"), "aa:1000,bb:8000");
 }
 
+// A long prompt's prefill engine is gone. No engine has got the prompt yet, so another
+// prefill engine must get it; a decode engine would read it slowly, beside its streams.
+TEST(platform_calls, prompt_goes_to_another_prefill_engine_if_the_first_is_unreachable)
+{
+    entry_cluster cluster({.servers = 3, .relayed = true});
+    auto const    prefill = [](wire_request const&, wire_connection& connection)
+    {
+        connection.send(wire_response(200, "Connection: close\r\n",
+                                      R"({"kv_handle":"h1","tokens":9000,"version":1})"));
+        return true;
+    };
+    cluster.list_engine(cluster.server(0), "prefill");
+    cluster.list_engine(cluster.server(1), "prefill");
+    cluster.list_engine(cluster.server(2), "decode");
+    cluster.server(0).handle_always(prefill);
+    cluster.server(1).handle_always(prefill);
+    std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
+    for (int lost = 0; lost < 2; ++lost)
+    {
+        cluster.server_relay(lost).refuse_new(true);
+        std::this_thread::sleep_for(milliseconds{50}); // it no longer accepts
+        for (int calls = 0; calls < 4; ++calls)
+        {
+            auto const response = ask(cluster.caller_port(),
+                                      {.path = "/model/x",
+                                       .fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                                                 "Prefix-Hash: aa:1000,bb:8000\r\n"});
+            EXPECT_EQ(response.body, "served by i-2");
+            EXPECT_NE(cluster.server(2).received_requests().back().field("kv-source"), "")
+                << lost << " lost, call " << calls;
+        }
+        cluster.server_relay(lost).refuse_new(false);
+    }
+}
+
 // Prefill engines refuse all prompts, and each such call is sent to another engine.
 // Without a bound, a full fleet would get twice the calls, so the second attempt must be
 // taken from the retry budget; once it is exhausted, the call is refused.
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -163,7 +163,7 @@
                                 std::string const& version)
 {
     nlohmann::json const entry{
-        {"service", "models"}, {"address", loopback_address(server.port())},
+        {"service", "models"}, {"address", loopback_address(port_of(server))},
         {"zone", "here"},      {"slots", 8},
         {"state", "ready"},    {"stage", stage},
         {"sequence", 1},       {"version", version}};
