--- a/tests/platform/beliefs_test.cpp
+++ b/tests/platform/beliefs_test.cpp
@@ -398,6 +398,14 @@
         EXPECT_TRUE(eventually([&] { return lines(id) == 1; }, 3000)) << id;
     }
     EXPECT_EQ(cluster.output().find("key-no"), std::string::npos);
+    // Calls that fail under load are looked up by service and workspace.
+    auto const text = cluster.output();
+    auto const reset = text.find("ev=end id=reset ");
+    ASSERT_NE(reset, std::string::npos);
+    auto const line = text.substr(reset, text.find('\n', reset) - reset);
+    EXPECT_NE(line.find(" service=desk workspace=north rank="), std::string::npos)
+        << line;
+    EXPECT_NE(line.find(" objective_ms="), std::string::npos) << line;
 }
 
 } // namespace
