Relay tests begin when all VMs plan with the whole fleet

platform_relays.members_go_on_without_their_relays failed at times: three members had not logged relays_lost.

Two VMs took themselves for relays that were none in the end, a third one, still alone in its mesh, was the relay that the others queried. The test stopped the first two; the relay went on and nothing was lost. The number of relays and queriers added up by chance.

Nothing is eased: the condition is the former one and this.

--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -400,14 +400,19 @@
     return last_plan(cluster, index).find("relay=1") != std::string::npos;
 }
 
-/// Whether all VMs know each other: there are two relays, and one of them queries the
-/// other.
+/// Whether all VMs plan with the whole fleet: there are two relays, and one of them
+/// queries the other. VMs that know only some of the others choose other relays.
 bool planned(entry_cluster const& cluster)
 {
-    int relays = 0;
-    int askers = 0;
+    int        relays = 0;
+    int        askers = 0;
+    auto const whole = " vms=" + std::to_string(fleet_size);
     for (int index = 0; index < fleet_size; ++index)
     {
+        if (!last_plan(cluster, index).ends_with(whole))
+        {
+            return false;
+        }
         relays += is_relay(cluster, index) ? 1 : 0;
         bool const asks =
             last_plan(cluster, index).find("records_from=127") != std::string::npos;
