--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -83,22 +83,45 @@
 
 // 2. Plain
 
+namespace
+{
+
+// 1e6  ms or calls; above any real cost, so that a server outside the sample is chosen
+//      only if all sampled ones are avoided
+constexpr double unsampled_cost = 1e6;
+// 3    servers in this data centre, and as many in others, that a call considers on
+//      average if servers differ in pace
+constexpr double drawn_servers = 3;
+
+} // namespace
+
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const& data_centre, std::uint64_t tie_break)
 {
     // 1.5  calls at a server of pace 1; cost of a hop to another data centre
     constexpr double remote_penalty = 1.5;
-    auto const       best =
-        cheapest(candidates, tie_break,
-                 [&](candidate const& each)
-                 {
-                     bool const near = each.server->data_centre == data_centre;
-                     // All VMs would choose the fastest server that was idle.
-                     auto const pace = std::min(each.pace, 1.0);
-                     return static_cast<double>(each.load.running + 1) / pace +
-                            (near ? 0 : remote_penalty) +
-                            (each.avoided ? avoided_cost : 0);
-                 });
+    auto const       is_near = [&](candidate const& each)
+    {
+        return each.server->data_centre == data_centre;
+    };
+    // With equal paces most costs are equal, which spreads the calls of VMs whose loads
+    // are old. Without ties all VMs would choose the same server.
+    bool const all_drawn = std::all_of(candidates.begin(), candidates.end(),
+                                       [](auto const& each) { return each.pace == 1; });
+    auto const near_count = std::count_if(candidates.begin(), candidates.end(), is_near);
+    double const near_servers = static_cast<double>(near_count);
+    double const far_servers = static_cast<double>(candidates.size()) - near_servers;
+    auto const   cost = [&](candidate const& each)
+    {
+        auto const servers = is_near(each) ? near_servers : far_servers;
+        bool const drawn =
+            all_drawn || servers <= drawn_servers ||
+            hash_fraction(~tie_break, each.server->id) * servers < drawn_servers;
+        return static_cast<double>(each.load.running + 1) / each.pace +
+               (is_near(each) ? 0 : remote_penalty) + (drawn ? 0 : unsampled_cost) +
+               (each.avoided ? avoided_cost : 0);
+    };
+    auto const best = cheapest(candidates, tie_break, cost);
     return best.chosen == nullptr ? nullptr : best.chosen->server;
 }
 
@@ -107,9 +130,6 @@
 namespace
 {
 
-// 1e6  ms; above any real wait, so that an engine outside the sample is chosen only if
-//      all sampled ones are avoided
-constexpr double unsampled_cost = 1e6;
 constexpr double infeasible_cost = std::numeric_limits<double>::infinity();
 
 bool is_prefill_engine(candidate const& each)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -117,8 +117,9 @@
 
 /// The server for a call without a prompt: the one with the fewest running calls, this
 /// one included, for its pace. Of servers of the same pace, one in another data centre is
-/// chosen only if it has at least two fewer. `tie_break` breaks ties, so that VMs don't
-/// all choose the same server. Null without candidates.
+/// chosen only if it has at least two fewer. `tie_break` breaks ties, and draws a few
+/// servers if these differ in pace, so that VMs don't all choose the same server. Null
+/// without candidates.
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const&            data_centre,
                                   std::uint64_t                 tie_break);
--- a/src/policy/server_paces.cpp
+++ b/src/policy/server_paces.cpp
@@ -92,7 +92,9 @@
         log_sum const added{weight, weight * relative};
         auto&         entry = own_[sample.server];
         decay(entry, now);
-        entry.sums.add({added, added});
+        // Without a prediction the time includes the wait at the server. If that counted
+        // at once, all VMs would avoid a loaded server together and load another.
+        entry.sums.add({added, predicted ? added : log_sum{}});
         entry.sampled_at = now;
     }
     // What the known paces don't explain is the VM's.
