--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -145,9 +145,10 @@
 
 /// A whole number between two limits, given as text for error messages too; 0 is always
 /// allowed if `zero` is set, and stands for a default.
-entry_option bounded_option(char const* section, char const* key, char const* allowed,
-                            std::int64_t least, std::int64_t most, bool zero,
-                            std::function<void(entry_settings&, std::int64_t)> assign)
+entry_option
+bounded_option(char const* section, char const* key, char const* allowed,
+               std::int64_t least, std::int64_t most, bool zero,
+               std::function<void(entry_settings&, std::int64_t)> const& assign)
 {
     return {section, key, allowed, false,
             [=](entry_settings& value, std::string const& content)
@@ -173,8 +174,8 @@
                            [](entry_settings& value, std::int64_t number)
                            { value.memory = number; }),
             bounded_option("policy", "held_bytes",
-                           "0 (by the memory) or 1048576 to 1099511627776", mib,
-                           mib * mib, true,
+                           "0 (by the memory) or 1048576 to 1000000000000", mib,
+                           static_cast<std::int64_t>(max_units), true,
                            [](entry_settings& value, std::int64_t number)
                            { value.held_bytes = number; }),
             bounded_option("policy", "caller_bytes", "16384 to 16777216", mib / 64,
--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -55,7 +55,7 @@
 
 /// Sends events of `bytes` bytes, and cuts the response once the peer has read nothing
 /// for `patience`.
-server_standin::behaviour impatient_stream(std::shared_ptr<response_tally> tally,
+server_standin::behaviour impatient_stream(std::shared_ptr<response_tally> const& tally,
                                            std::size_t bytes, milliseconds patience,
                                            cut_form form = cut_form::reset)
 {
