--- a/tests/unit/entry_settings_test.cpp
+++ b/tests/unit/entry_settings_test.cpp
@@ -49,6 +49,21 @@
     EXPECT_EQ(value.lease, millis{3000});
 }
 
+TEST(entry_settings, bounds_of_the_queue_of_calls_are_checked)
+{
+    EXPECT_FALSE(failure_of(good + "[policy]\nqueue_calls = 1\nlevel = true\n"));
+    for (auto const* const line :
+         {"queue_calls = 0", "queue_calls = 10001", "queue_calls = 1.5",
+          "queue_calls = many", "queue_bytes = 65535", "queue_bytes = 1073741825"})
+    {
+        auto const failure = failure_of(good + "[policy]\n" + line + "\n");
+        ASSERT_TRUE(failure) << line;
+        EXPECT_EQ(failure->fault, setting_fault::out_of_range) << line;
+        EXPECT_EQ(failure->section, "policy") << line;
+        EXPECT_FALSE(failure->allowed.empty()) << line;
+    }
+}
+
 TEST(entry_settings, a_missing_required_key_is_reported)
 {
     auto const failure = failure_of(with("store = 10.0.0.2:90", ""));
