--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -154,7 +154,8 @@
             [=](entry_settings& value, std::string const& content)
             {
                 double number = 0;
-                if (!parse_number(content, number) || number > max_units)
+                if (!parse_number(content, number) || number > max_units ||
+                    std::floor(number) != number)
                 {
                     return false;
                 }
