Streams go on from copies of their runs after a crash

Cause: a stream on a route that isn't resumable was broken off whenever its engine crashed or was taken back; a resumable one had its whole prompt read again, even where that takes longer than the pause its caller bears.

After an interruption in mid-stream the VM closes the first engine's connection and sends the same call to the second one, once, with its copy as the source and the last event's id; that takes a retry from the budget and is checked for crashes by content. Otherwise as before.

Result: platform_copies* 11 of 11 twice in a row. Red before: with the continuation taken out 7 of the 11 fail; with the release of the first engine and the check of the target taken out, the test of each fails (first_engine_is_released..., stream_is_not_continued_by_another_version). The tests of a leaving target, of a short prompt and of the setting switched off were not seen red (a leaving target is refused by its permit as well). resumable_stream_with_a_short_prompt_is_not_copied failed in 4 of its first 11 runs: it looked at either attempt, and the last attempt is copied by design; it now checks both attempts. In the first run two tests were wrong: the log line was looked for before it was flushed, and a budget with slack 0 still grants one retry (both replaced, as strict). unit_tests 199 of 199; platform_calls, _leaving, _crashes 43 of 43, platform_versions.stream_goes* 2 of 2; platform_decoders, attempt, placement and retry properties 17 of 17 at 1000 cases.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -185,6 +185,7 @@
         flag_option("policy", "roles", &entry_settings::change_roles),
         flag_option("policy", "spread", &entry_settings::spread_choices),
         flag_option("policy", "warn", &entry_settings::share_server_losses),
+        flag_option("policy", "copies", &entry_settings::copy_streams),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -82,6 +82,7 @@
     bool change_roles = true;      // true  the roles of engines follow the load
     bool spread_choices = true; // true  VMs don't all choose the engine that was idlest
     bool share_server_losses = true; // true  VMs learn of lost servers from other VMs
+    bool copy_streams = true; // true  streams go on at an engine that has a copy of them
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -73,6 +73,7 @@
     std::int64_t connections = 0;      // 0  max. connections per server; 0: not stated
     bool         has_engines = false;  //  its servers are model engines
     millis       handle_lifetime{0};   // 0  ms that an engine keeps a prefilled prompt
+    bool         has_copies = false;   //  its engines copy a run's memory to another one
     std::optional<fleet_bounds> fleet; // none: its servers aren't ordered
 
     bool operator==(service const&) const = default;
--- a/src/policy/attempt_history.hpp
+++ b/src/policy/attempt_history.hpp
@@ -88,6 +88,13 @@
         maybe_run_ = maybe_run_ || ran;
     }
 
+    /// Withdraws the last attempt: the server had no copy to go on from. That doesn't
+    /// show that the service is full, so it doesn't count as a refusal.
+    void withdraw()
+    {
+        --runs_;
+    }
+
     /// Records that a prefill request returned no KV handle. Prefill alone does not run
     /// the call.
     void prefill_failed()
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -121,6 +121,7 @@
         auto message = attempt_options_for(link.server());
         message.cache_source = source;
         message.fetch_from = source.empty() ? fetch_from : std::string{};
+        message.copy_to = copy_to;
         return send_message(link, message, false, until);
     }
 
@@ -182,6 +183,8 @@
 
     // The first event of the current attempt, if there is one.
     std::optional<boot_clock::time_point> first_event;
+    // The address of the engine that gets a copy of the current run; empty: none.
+    std::string copy_to;
 
 private:
     call_context& context_;
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -91,6 +91,11 @@
     return !cause.empty();
 }
 
+bool call_attempts::may_continue_from_copy()
+{
+    return time_left() && !would_crash() && take_retry();
+}
+
 bool call_attempts::may_run_after_prefill()
 {
     if (would_crash())
@@ -169,6 +174,11 @@
     log_failure("send_failed", result);
 }
 
+void call_attempts::record_missing_copy()
+{
+    history_.withdraw();
+}
+
 void call_attempts::record_server_failure(attempt_result const& result)
 {
     tried_.insert(result.server);
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -62,6 +62,10 @@
     /// Whether another attempt is possible, apart from the retry budget.
     bool may_retry() const;
 
+    /// Whether a stream that was cut off may go on from the copy of its run. That counts
+    /// as the same run, so it isn't bound by the route's attempts, but as a retry.
+    bool may_continue_from_copy();
+
     /// Whether the call may run after its prefill. A failed prefill may have reached a
     /// server, so the run counts as a retry.
     bool may_run_after_prefill();
@@ -85,6 +89,9 @@
     /// response was interrupted after its head.
     void record_result(attempt_result const& result);
 
+    /// Records that the server which the call was sent to had no copy to go on from.
+    void record_missing_copy();
+
     /// Records that a server responded with a failure of its own (status 500 or above).
     void record_server_failure(attempt_result const& result);
 
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -65,6 +65,29 @@
                      now);
 }
 
+void call_log::copy_asked(std::string_view source, std::string_view target)
+{
+    state_.counters.add("copies_asked_total");
+    event_line line{"copy"};
+    line.add("id", call_.id).add("source", source).add("target", target);
+    state_.log.write_step(call_.id, line, boot_clock::now());
+}
+
+void call_log::stream_continued(continuation_record const& record)
+{
+    auto const now = boot_clock::now();
+    state_.counters.add("streams_continued_total",
+                        "outcome=\"" + std::string{record.outcome} + "\"");
+    state_.log.write(event_line{"continued"}
+                         .add("id", call_.id)
+                         .add("source", record.source)
+                         .add("target", record.target)
+                         .add("outcome", record.outcome)
+                         .add("events", record.events)
+                         .add("age_ms", now - arrived_),
+                     now);
+}
+
 void call_log::call_ended(call_summary const& summary, admitted_call const& admitted)
 {
     auto const now = boot_clock::now();
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -1,6 +1,7 @@
 // Writes the log lines and counters of one call.
 //
-// Index: 1 call_summary, 2 attempt_failure, 3 attempt_plan, 4 call_log
+// Index: 1 call_summary, 2 attempt_failure, 3 attempt_plan, 4 continuation_record,
+//        5 call_log
 #ifndef MARIGOLDCRANK_SERVING_CALL_LOG_HPP
 #define MARIGOLDCRANK_SERVING_CALL_LOG_HPP
 
@@ -51,6 +52,15 @@
     std::string_view fetch;   // engine whose cached parts are fetched; empty: none
 };
 
+/// How a stream went on from the copy of its run.
+struct continuation_record
+{
+    std::string_view source;     // the engine that cut it off
+    std::string_view target;     // the engine with the copy
+    std::string_view outcome;    // "served", or why not in one word
+    std::int64_t     events = 0; // chunks of events relayed before the interruption
+};
+
 /// Lives as long as its call.
 class call_log
 {
@@ -63,6 +73,13 @@
     /// Logs and counts a failed attempt.
     void attempt_failed(attempt_failure const& failure);
 
+    /// Counts a copy of the run at `source` that is asked for, and logs it for sampled
+    /// calls only.
+    void copy_asked(std::string_view source, std::string_view target);
+
+    /// Logs and counts the end of a continuation from a copy.
+    void stream_continued(continuation_record const& record);
+
     /// Logs and counts the end of the call. Served calls are logged only if sampled.
     void call_ended(call_summary const& summary, admitted_call const& admitted);
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -27,6 +27,7 @@
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
+#include "policy/stream_copy.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
@@ -216,6 +217,7 @@
     server_list                         servers;
     server_loads                        loads;    // from calls of this VM
     load_relay                          peers;    // from calls of the other VMs
+    copy_counts                         copies;   // of runs of this VM's calls
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
     std::map<std::string, link_watch>   links; // by service
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -163,6 +163,14 @@
     return candidates;
 }
 
+double model_placement::reread_ms(placement const& planned) const
+{
+    auto const expected = costs();
+    auto const tokens = std::max(planned.prefill_tokens, call_.unshared_tokens());
+    return expected.colocated_fixed_ms +
+           static_cast<double>(tokens) / expected.colocated_rate;
+}
+
 void model_placement::record_attempt(std::string const& server, placement const& planned)
 {
     if (needs_prefill())
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -46,6 +46,10 @@
     /// responding without closing the connection would wait until its own deadline.
     loop_time first_event_deadline(placement const& placed) const;
 
+    /// The predicted time in ms in which a decoding engine reads the prompt again, of
+    /// which `planned` had to read a part.
+    double reread_ms(placement const& planned) const;
+
     /// Records that the call is sent to `server`, which will have its prompt cached.
     void record_attempt(std::string const& server, placement const& planned);
 
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -7,6 +7,7 @@
 #include "serving/call_origin.hpp"
 #include "serving/plain_call.hpp"
 #include "serving/prefill_step.hpp"
+#include "serving/stream_continuation.hpp"
 
 namespace marigoldcrank
 {
@@ -20,7 +21,7 @@
     stream_call(call_context& context, attempt_sender<Dialect>& sender,
                 call_ending& ending, plain_call<Dialect>& plain)
         : context_(context), sender_(sender), ending_(ending), plain_(plain),
-          origin_(context), prefill_(context, sender)
+          origin_(context), prefill_(context, sender), continuation_(context, sender)
     {
     }
 
@@ -121,6 +122,7 @@
         run_sent_at_ = boot_clock::now();
         run_plan_ = planned;
         context_.attempts.record_start(server.id);
+        continuation_.prepare(server, planned);
         auto const until = context_.attempts.is_last_server()
                                ? context_.admitted.deadline
                                : context_.placement.first_event_deadline(planned);
@@ -178,6 +180,11 @@
         auto result = sender_.result_of(link, attempt_outcome::unknown);
         result.fault = step == body_result::framed ? "torn" : result.fault;
         context_.attempts.record_result(result);
+        if (co_await continuation_.run(link, [this](exchange& next)
+                                       { return relay_events(next); }))
+        {
+            co_return true;
+        }
         if (context_.stream.started() && !context_.attempts.may_retry())
         {
             co_return co_await ending_.abort_stream(context_.attempts.fault());
@@ -247,15 +254,16 @@
                                    : connection_disposition::close;
     }
 
-    call_context&            context_;
-    attempt_sender<Dialect>& sender_;
-    call_ending&             ending_;
-    plain_call<Dialect>&     plain_;
-    call_origin              origin_;
-    prefill_step<Dialect>    prefill_;
-    bool                     wait_checked_ = false;
-    boot_clock::time_point   run_sent_at_{};
-    placement                run_plan_; // of the latest attempt; its pointers may dangle
+    call_context&                context_;
+    attempt_sender<Dialect>&     sender_;
+    call_ending&                 ending_;
+    plain_call<Dialect>&         plain_;
+    call_origin                  origin_;
+    prefill_step<Dialect>        prefill_;
+    stream_continuation<Dialect> continuation_;
+    bool                         wait_checked_ = false;
+    boot_clock::time_point       run_sent_at_{};
+    placement run_plan_; // of the latest attempt; its pointers may dangle
 };
 
 } // namespace marigoldcrank
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -41,6 +41,7 @@
     std::string  cache_source; // ADDRESS/HANDLE of a KV cache to use; empty: none
     std::string  fetch_from;   // ADDRESS of an engine with parts cached; empty: none
     std::string  resume_after; // id of the last event received; empty: from the start
+    std::string  copy_to; // ADDRESS of an engine that gets a copy of the run; empty: none
 
     bool operator==(attempt_options const&) const = default;
 };
