--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -250,6 +250,7 @@
         flag_option("policy", "queue", &entry_settings::queue),
         flag_option("policy", "level", &entry_settings::level),
         flag_option("policy", "shares", &entry_settings::shares),
+        flag_option("policy", "copies", &entry_settings::copy_streams),
         count_option("logs", "lines_per_s", 1, &entry_settings::log_lines_per_s),
         count_option("logs", "sample", 1, &entry_settings::log_sample),
     };
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -98,6 +98,7 @@
     std::int64_t queue_bytes = 16'777'216; // 16777216  bytes of their requests
     bool level = false; // false  while a service is overloaded, it serves calls by rank
     bool shares = true; // true  and within a rank by the shares of workspaces
+    bool copy_streams = true; // true  streams go on at an engine that has a copy of them
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
     std::int64_t log_sample = 8;        // 8  every n-th call has all its lines written
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -32,6 +32,7 @@
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
 #include "policy/server_paces.hpp"
+#include "policy/stream_copy.hpp"
 #include "policy/stream_origins.hpp"
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
@@ -244,6 +245,7 @@
     load_relay                          peers; // from calls of the other VMs
     recent_sends                        sends; // of other VMs, not in `peers` yet
     send_announcer*                     announcer = nullptr; // null: no VM is told yet
+    copy_counts                         copies;              // of runs of this VM's calls
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
     std::map<std::string, link_watch>   links; // by service
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -215,6 +215,13 @@
     return candidates;
 }
 
+double model_placement::reread_ms(placement const& planned) const
+{
+    auto const& times = meter().colocated();
+    auto const  tokens = std::max(planned.prefill_tokens, call_.unshared_tokens());
+    return times.fixed_ms() + static_cast<double>(tokens) / times.speed();
+}
+
 void model_placement::record_attempt(std::string const& server, placement const& planned)
 {
     attempted_ = server;
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -8,6 +8,7 @@
 #include "serving/level_gate.hpp"
 #include "serving/plain_call.hpp"
 #include "serving/prefill_step.hpp"
+#include "serving/stream_continuation.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +25,7 @@
     stream_call(call_context& context, attempt_sender<Dialect>& sender,
                 call_ending& ending, plain_call<Dialect>& plain, send_turn& turn)
         : context_(context), sender_(sender), ending_(ending), plain_(plain), turn_(turn),
-          origin_(context), prefill_(context, sender)
+          origin_(context), prefill_(context, sender), continuation_(context, sender)
     {
     }
 
@@ -168,6 +169,7 @@
         run_sent_at_ = boot_clock::now();
         run_plan_ = planned;
         context_.attempts.record_start(server.id);
+        continuation_.prepare(server, planned);
         auto const until = context_.attempts.is_last_server()
                                ? context_.admitted.deadline
                                : context_.placement.first_event_deadline(planned);
@@ -229,6 +231,11 @@
         bool const cut = link.was_left_unread();
         result.fault = step == body_result::framed && !cut ? "torn" : result.fault;
         context_.attempts.record_result(result);
+        if (!cut && co_await continuation_.run(link, [this](exchange& next)
+                                               { return relay_events(next); }))
+        {
+            co_return true;
+        }
         if (context_.stream.started() && (cut || !context_.attempts.may_retry()))
         {
             co_return co_await ending_.abort_stream(context_.attempts.fault());
@@ -308,19 +315,20 @@
                                    : connection_disposition::close;
     }
 
-    call_context&            context_;
-    attempt_sender<Dialect>& sender_;
-    call_ending&             ending_;
-    plain_call<Dialect>&     plain_;
-    send_turn&               turn_;
-    call_origin              origin_;
-    prefill_step<Dialect>    prefill_;
-    bool                     work_counted_ = false;
-    bool                     may_be_sent_ = false; // it has been sent, or has waited
-    engine_readiness         engines_;             // when the first one was chosen
-    bool                     prefill_placed_again_ = false;
-    boot_clock::time_point   run_sent_at_{};
-    placement                run_plan_; // of the latest attempt; its pointers may dangle
+    call_context&                context_;
+    attempt_sender<Dialect>&     sender_;
+    call_ending&                 ending_;
+    plain_call<Dialect>&         plain_;
+    send_turn&                   turn_;
+    call_origin                  origin_;
+    prefill_step<Dialect>        prefill_;
+    stream_continuation<Dialect> continuation_;
+    bool                         work_counted_ = false;
+    bool                         may_be_sent_ = false; // it has been sent, or has waited
+    engine_readiness             engines_;             // when the first one was chosen
+    bool                         prefill_placed_again_ = false;
+    boot_clock::time_point       run_sent_at_{};
+    placement run_plan_; // of the latest attempt; its pointers may dangle
 };
 
 } // namespace marigoldcrank
