--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -123,7 +123,7 @@
     admitted.rank = ranked ? admitted.caller_workspace->rank : matched.rank;
     admitted.repeatable = matched.kind == call_kind::idempotent ||
                           (matched.kind == call_kind::stream && matched.resumable);
-    state.budget(admitted.service_name).admit();
+    state.count_call(admitted.service_name, arrived);
     return std::nullopt;
 }
 
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -34,6 +34,10 @@
 constexpr int         drawn_anywhere = 4;
 constexpr int         drawn_near = 2;
 constexpr std::size_t drawn_holders = 8;
+// 2000  ms; the retries that the calls of this time add are kept in reserve. Failures
+// meet
+//       few of many VMs at once, and the slack alone gives each of them one or two
+constexpr millis reserve_span{2000};
 // 500   ms; a VM without a digest for so long, the time of three digests and a late one,
 //       is taken for silent
 constexpr millis peer_timeout{500};
@@ -372,14 +376,27 @@
     return sum;
 }
 
+void entry_state::count_call(std::string const& service, boot_clock::time_point now)
+{
+    recent_calls_.try_emplace(service, reserve_span).first->second.add(now);
+    budget(service).admit();
+}
+
 retry_budget& entry_state::budget(std::string const& service)
 {
-    auto const vms =
+    constexpr std::int64_t hundred = 100;
+    auto const             vms =
         known_vms == 0 ? default_vms : known_vms * assumed_vms_parts / known_vms_parts;
-    retry_budget_options const share{
-        .percent = settings.retry_percent * safe_tenths / tenths,
-        .burst = std::max<std::int64_t>(
-            settings.retry_slack / std::max<std::int64_t>(vms, 1), 1)};
+    auto const percent = settings.retry_percent * safe_tenths / tenths;
+    auto const recent = recent_calls_.find(service);
+    auto const calls =
+        recent == recent_calls_.end()
+            ? 0
+            : static_cast<std::int64_t>(recent->second.count(boot_clock::now()));
+    auto const slack =
+        std::max<std::int64_t>(settings.retry_slack / std::max<std::int64_t>(vms, 1), 1);
+    retry_budget_options const share{.percent = percent,
+                                     .burst = slack + calls * percent / hundred};
     auto& budget = budgets_.try_emplace(service, share).first->second;
     budget.limit(share);
     return budget;
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -24,6 +24,7 @@
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/proxy_list.hpp"
+#include "policy/recent_calls.hpp"
 #include "policy/recent_sends.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
@@ -171,6 +172,9 @@
     /// This VM's usage counts of the last windows.
     std::vector<usage_record> recent_usage();
 
+    /// Counts a call that is admitted to `service`, for its retry budget.
+    void count_call(std::string const& service, boot_clock::time_point now);
+
     /// Retry budget for a service: this VM's share of the deployment's budget.
     retry_budget& budget(std::string const& service);
 
@@ -309,6 +313,7 @@
     candidate candidate_of(backend_server const& server, boot_clock::time_point now);
 
     std::map<std::string, retry_budget>  budgets_;
+    std::map<std::string, recent_calls>  recent_calls_;    // by service
     std::map<std::vector<part_key>, int> suspected_parts_; // as logged; crashes by parts
     std::mt19937_64                      random_;
     boot_clock::time_point               pace_lines_from_{}; // start of a second
--- a/src/serving/send_announcer.cpp
+++ b/src/serving/send_announcer.cpp
@@ -31,6 +31,7 @@
         own_.erase(own_ends_.begin()->second);
         own_ends_.erase(own_ends_.begin());
     }
+    state_.counters.add("announced_prompts_total");
     own_.insert(notice.number);
     own_ends_.emplace(now + echo_time, notice.number);
     add(digest_scope::vm, notice);
@@ -48,6 +49,10 @@
     {
         bool const is_new = own_.count(each.number) == 0 &&
                             state_.sends.receive(each, state_.digest_age(), now);
+        if (is_new)
+        {
+            state_.counters.add("heard_prompts_total");
+        }
         if (!is_new || !state_.is_relay)
         {
             continue;
