Resumable streams are copied only where reading again would lose their callers

A pause for reading again makes such a stream late, not lost. The bound is now the time after which callers leave (two seconds, four objectives, eight pauses), not the pause of the route.

--- a/src/policy/stream_copy.cpp
+++ b/src/policy/stream_copy.cpp
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <tuple>
 
 namespace marigoldcrank
@@ -27,6 +28,14 @@
 
 } // namespace
 
+millis caller_patience_in_stream(route const& matched)
+{
+    constexpr millis least{2000};
+    constexpr int    objectives = 4;
+    constexpr int    gaps = 8;
+    return std::max({least, objectives * matched.objective, gaps * matched.event_gap});
+}
+
 bool wants_copy(stream_outlook const& stream, copy_options const& options)
 {
     if (stream.output_tokens < options.min_output_tokens)
@@ -34,8 +43,8 @@
         return false;
     }
     bool const reread_too_long =
-        stream.event_gap.count() > 0 &&
-        stream.reread_ms > static_cast<double>(stream.event_gap.count());
+        stream.patience.count() > 0 &&
+        stream.reread_ms > static_cast<double>(stream.patience.count());
     return !stream.may_be_resumed || reread_too_long;
 }
 
--- a/src/policy/stream_copy.hpp
+++ b/src/policy/stream_copy.hpp
@@ -1,7 +1,7 @@
 // Decides on copies of running streams, and on how an interrupted stream goes on.
 //
-// Index: 1 copy_options, 2 stream_outlook, 3 wants_copy, 4 choose_copy_target,
-//        5 interrupted_stream, 6 decide_continuation
+// Index: 1 copy_options, 2 stream_outlook, 3 caller_patience_in_stream, 4 wants_copy,
+//        5 choose_copy_target, 6 interrupted_stream, 7 decide_continuation
 //
 // An engine that crashes or is taken back cuts off all its streams. Those that may not be
 // resumed are lost, and the prompts of the others are read again, all at once. An engine
@@ -9,6 +9,7 @@
 #ifndef MARIGOLDCRANK_POLICY_STREAM_COPY_HPP
 #define MARIGOLDCRANK_POLICY_STREAM_COPY_HPP
 
+#include "domain/serving_rules.hpp"
 #include "policy/placement.hpp"
 
 #include <cstdint>
@@ -35,14 +36,18 @@
 {
     bool         may_be_resumed = false; // by reading its prompt again
     double       reread_ms = 0;          // predicted time for that
-    millis       event_gap{0}; // longest pause between events that callers bear; 0: any
-    std::int64_t output_tokens = 0; // max. tokens to generate
+    millis       patience{0};            // the caller leaves after a longer pause; 0: any
+    std::int64_t output_tokens = 0;      // max. tokens to generate
 
     bool operator==(stream_outlook const&) const = default;
 };
 
+/// The pause between events after which callers of this route leave.
+millis caller_patience_in_stream(route const& matched);
+
 /// Whether a copy would serve the caller: the stream could not go on without it, or only
-/// after a pause that is too long.
+/// after the caller has left. A copy of every long prompt would move more memory than the
+/// runs themselves.
 bool wants_copy(stream_outlook const& stream, copy_options const& options);
 
 /// Copies that a VM has asked for, by the id of the engine that gets them.
--- a/src/serving/stream_continuation.hpp
+++ b/src/serving/stream_continuation.hpp
@@ -132,7 +132,7 @@
         return wants_copy(
             {.may_be_resumed = resumable,
              .reread_ms = resumable ? context_.placement.reread_ms(planned) : 0,
-             .event_gap = context_.admitted.matched->event_gap,
+             .patience = caller_patience_in_stream(*context_.admitted.matched),
              .output_tokens = context_.call.output_tokens},
             copy_options{});
     }
