The test relay connects without blocking, so that one full accept queue doesn't stop all its connections

Cause: the stand-in of an engine listens with a backlog of 5. When that was full, the relay's only thread waited in connect() for the second SYN, and all connections through it were silent for a second or more. Callers that gave up after 200 ms queued new ones meanwhile, each of which was connected for nobody and filled the queue again. Seen in a run that hung: both relay threads in connect() (two sockets in SYN_SENT, to the two engines), 489 and 300 of 512 connections waiting at the relays, ListenOverflows up by thousands.

--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -4,12 +4,14 @@
 #include "support/tcp_relay.hpp"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 #include <vector>
 
@@ -258,10 +260,14 @@
 {
     int const caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     ++accepted_;
-    int const  target = open_socket();
+    int const target = open_socket();
+    // A full accept queue delays a connection by a second and more; the others go on.
+    ::fcntl(target, F_SETFL, O_NONBLOCK);
     auto const address = loopback(target_port_);
-    if (cut_ ||
-        ::connect(target, reinterpret_cast<sockaddr const*>(&address), sizeof address))
+    bool const fails = ::connect(target, reinterpret_cast<sockaddr const*>(&address),
+                                 sizeof address) != 0 &&
+                       errno != EINPROGRESS;
+    if (cut_ || fails)
     {
         ::close(caller);
         ::close(target);
