--- a/src/serving/send_announcer.cpp
+++ b/src/serving/send_announcer.cpp
@@ -23,7 +23,7 @@
 {
 }
 
-void send_announcer::announce(send_notice notice)
+void send_announcer::announce(send_notice const& notice)
 {
     auto const now = boot_clock::now();
     while (!own_ends_.empty() && own_ends_.begin()->first <= now)
--- a/src/serving/send_announcer.hpp
+++ b/src/serving/send_announcer.hpp
@@ -32,7 +32,7 @@
     send_announcer(send_announcer const&) = delete;
     send_announcer& operator=(send_announcer const&) = delete;
 
-    void announce(send_notice notice);
+    void announce(send_notice const& notice);
 
     /// Records notices of other VMs, and passes them on if this VM is a relay.
     void receive(digest_scope scope, std::vector<send_notice> const& notices);
