--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -85,8 +85,8 @@
            [this](wire::usage_delta delta) { add_usage(std::move(delta)); },
            {.data_centre = options.data_centre,
             .max_attempts = options.max_attempts,
-            // A request that meets a silence asks for its retry this long after all
-            // earlier ones, unless others run beside it.
+            // A silent server is noticed after progress_ms. If no retry was asked for in
+            // half of that, the failure is a single one, and its retry is granted.
             .retries = {options.retry_percent, options.retry_burst,
                         millis{options.progress_ms / 2}}}),
       services({backend, directory, spans, counters, idempotency,
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -97,7 +97,7 @@
     std::int64_t queue_calls = 128;        // 128  calls that may wait at once
     std::int64_t queue_bytes = 16'777'216; // 16777216  bytes of their requests
     bool level = false; // false  while a service is overloaded, it serves calls by rank
-    bool shares = true; // true  and within a rank by the shares of workspaces
+    bool shares = true; // true  with `level`: within a rank by the shares of workspaces
     bool copy_streams = true; // true  streams go on at an engine that has a copy of them
     // [logs]
     std::int64_t log_lines_per_s = 400; // 400  max. lines/s; others are only counted
--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -73,7 +73,7 @@
     std::int64_t connections = 0;      // 0  max. connections per server; 0: not stated
     bool         has_engines = false;  //  its servers are model engines
     millis       handle_lifetime{0};   // 0  ms that an engine keeps a prefilled prompt
-    std::int64_t engine_tokens = 0;    // 0  that an engine holds at once; 0: not stated
+    std::int64_t engine_tokens = 0;    // 0  tokens that an engine holds; 0: not stated
     bool         has_copies = false;   //  its engines copy a run's memory to another one
     std::optional<fleet_bounds> fleet; // none: its servers aren't ordered
 
--- a/src/policy/admission_level.hpp
+++ b/src/policy/admission_level.hpp
@@ -33,11 +33,11 @@
     //       less it is lifted
     double set_load = 1.1;
     double lift_load = 0.9;
-    // 0.2   of the shortest objective; queues of that length are left, so that servers
-    //       don't run out of work
+    // 0.2   of the shortest objective; queues shrink to that length and no further, so
+    //       that servers don't run out of work
     double kept_queue = 0.2;
-    // 1000  ms, but at least 3 ages of what is known; time in which longer queues are to
-    //       shrink to that length. A shorter one would make the level swing
+    // 1000  ms, but at least 3 times `age`; time in which longer queues are to shrink to
+    //       that length. A shorter one would make the level swing
     double shrink_ms = 1000;
     double shrink_ages = 3;
     // 0.3   of what the servers can do is admitted at least
@@ -86,9 +86,9 @@
     }
 };
 
-/// The max-min fair parts of the workspaces at the level's rank, of which `capacity` can
-/// be served. `workspaces` may share the service; those without a name in `offered` count
-/// as alike.
+/// Sets the max-min fair parts of the workspaces at the level's rank, for which
+/// `capacity` is left. Of `workspaces` that may use the service, those that `offered`
+/// doesn't name are taken to ask for equal work.
 inline void set_shares(admission_level& level, service_work const& offered,
                        std::int64_t workspaces, double capacity)
 {
--- a/src/policy/attempt_history.hpp
+++ b/src/policy/attempt_history.hpp
@@ -88,8 +88,8 @@
         maybe_run_ = maybe_run_ || ran;
     }
 
-    /// Withdraws the last attempt: the server had no copy to go on from. That doesn't
-    /// show that the service is full, so it doesn't count as a refusal.
+    /// Withdraws the last attempt, as its server had no copy to go on from. This isn't a
+    /// refusal, since it doesn't show that the service is full.
     void withdraw()
     {
         --runs_;
--- a/src/policy/held_memory.hpp
+++ b/src/policy/held_memory.hpp
@@ -2,11 +2,11 @@
 // ended.
 //
 // Index: 1 held_kind, 2 held_options, 3 held_memory, 4 held_share, 5 slow_rule,
-// 6 choose_for_memory
+//        6 unwritten_response, 7 rule_for, 8 choose_for_memory
 //
 // Responses that callers don't take and requests that servers don't read stay in the
 // memory of a VM, and the smallest VM has 120 MB. Without a bound, some hundreds of slow
-// callers end the daemon and with it every other call.
+// callers would use up the memory, and the daemon would end with all its calls.
 #ifndef MARIGOLDCRANK_POLICY_HELD_MEMORY_HPP
 #define MARIGOLDCRANK_POLICY_HELD_MEMORY_HPP
 
@@ -27,9 +27,9 @@
 /// What bytes are held for.
 enum class held_kind
 {
-    requests, // bodies, and their copies on the way to servers
+    requests, // bodies of requests, and their copies on the way to servers
     reading,  // plain responses that aren't complete yet
-    responses // not yet written to callers
+    responses // responses not yet written to callers
 };
 
 inline constexpr std::array held_kinds{held_kind::requests, held_kind::reading,
@@ -59,7 +59,7 @@
     millis       memory_stall{1000}; // 1000  ms; the same while the VM holds much
     millis       most_late{30000};   // 30000  ms after the deadline
     std::size_t  most_idle = 2000;   // 2000  connections that wait for a request
-    double       wait_level = 0.75;  // of `most`; above it new bodies are read later
+    double       wait_level = 0.75;  // 0.75  of `most`; above it new bodies wait
 
     bool operator==(held_options const&) const = default;
 };
@@ -124,7 +124,7 @@
                static_cast<double>(options_.most) * options_.wait_level;
     }
 
-    /// Bytes above the level from which new requests wait; 0 or less: none.
+    /// Bytes above the level from which new bodies wait; 0 or less: none.
     std::int64_t excess() const noexcept
     {
         return sum() - static_cast<std::int64_t>(static_cast<double>(options_.most) *
@@ -221,8 +221,8 @@
     bool operator==(unwritten_response const&) const = default;
 };
 
-/// The rule that ends a caller by its own response alone. While its server waits it is
-/// ended sooner: a response that was read to its end costs no server.
+/// The rule that ends a caller, whatever the VM holds for others. It is ended sooner
+/// while its server waits: a response that has been read to its end occupies no server.
 constexpr slow_rule rule_for(unwritten_response const& response,
                              held_options const&       options)
 {
--- a/src/policy/pace_sums.hpp
+++ b/src/policy/pace_sums.hpp
@@ -27,7 +27,7 @@
     }
 
     /// Subtracts a part of this sum. The part may be slightly newer than the sum, so the
-    /// weight is limited to zero, and the mean of the rest to what samples can say.
+    /// weight is limited to zero, and the mean of the rest to what samples can give.
     void subtract(log_sum const& part)
     {
         weight = std::max(weight - part.weight, 0.0);
@@ -35,7 +35,7 @@
         limit();
     }
 
-    /// Bounds the mean, whatever the origin of the sums.
+    /// Bounds the mean to what samples can give: other VMs may publish anything.
     void limit()
     {
         constexpr double most = 2; // more than any sample's logarithm
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -104,8 +104,8 @@
     {
         return each.server->data_centre == data_centre;
     };
-    // With equal paces most costs are equal, which spreads the calls of VMs whose loads
-    // are old. Without ties all VMs would choose the same server.
+    // With equal paces there are many ties, which spread the calls of VMs with old loads.
+    // With different ones all VMs would choose the same server if none were left out.
     bool const all_drawn = std::all_of(candidates.begin(), candidates.end(),
                                        [](auto const& each) { return each.pace == 1; });
     auto const near_count = std::count_if(candidates.begin(), candidates.end(), is_near);
@@ -281,9 +281,8 @@
                each.pace;
     }
 
-    /// The weight of the sample is the time of the tokens that are surely read, compared
-    /// with that of all that may delay the response: the wait may be longer, and the
-    /// cached parts may have been dropped.
+    /// The weight of the sample is the time of the tokens known to be prefilled, relative
+    /// to the longest time: if the wait is twice as long and no part is cached any more.
     paced_prefill paced_prefill_of(candidate const& each, placement const& placed) const
     {
         paced_prefill result{.mean_ms = placed.prefill_ms * each.pace,
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -93,7 +93,7 @@
     double       pace = 1;   // speed relative to the mean of the service
 };
 
-/// What the time of a prefill, once it is known, says about the pace of its engine.
+/// How the time of a prefill, once it is known, counts for the pace of its engine.
 struct paced_prefill
 {
     double mean_ms = 0;    // predicted duration at an engine of pace 1
@@ -112,14 +112,14 @@
     double       prefill_ms = 0;     // duration of its prefill and fetches
     backend_server const* fetch_from =
         nullptr;         // its cached parts are fetched; null: none
-    paced_prefill paced; // for the sample that the prefill will be
+    paced_prefill paced; // for the pace sample that its prefill gives
 };
 
 /// The server for a call without a prompt: the one with the fewest running calls, this
-/// one included, for its pace. Of servers of the same pace, one in another data centre is
-/// chosen only if it has at least two fewer. `tie_break` breaks ties, and draws a few
-/// servers if these differ in pace, so that VMs don't all choose the same server. Null
-/// without candidates.
+/// one included, divided by its pace. Of servers of the same pace, one in another data
+/// centre is chosen only if it has at least two fewer. If paces differ, only a few
+/// servers are considered, drawn by `tie_break`, which also breaks ties: VMs must not all
+/// choose the same server. Null without candidates.
 backend_server const* place_plain(std::vector<candidate> const& candidates,
                                   std::string const&            data_centre,
                                   std::uint64_t                 tie_break);
--- a/src/policy/recent_sends.hpp
+++ b/src/policy/recent_sends.hpp
@@ -2,10 +2,9 @@
 //
 // Index: 1 send_notice, 2 recent_sends_options, 3 recent_sends
 //
-// A load digest is up to half a second old, and most prompts are prefilled in less. Every
-// VM would take an engine for idle that has just been given a long prompt by another one,
-// and the later of two prompts waits for the earlier. VMs therefore publish each longer
-// prompt as they send it.
+// A load digest is up to half a second old, and most prompts are prefilled in less time.
+// By digests alone, an engine that has just got a long prompt looks idle to the other
+// VMs, which send it theirs. VMs therefore publish each long prompt as they send it.
 #ifndef MARIGOLDCRANK_POLICY_RECENT_SENDS_HPP
 #define MARIGOLDCRANK_POLICY_RECENT_SENDS_HPP
 
@@ -33,7 +32,7 @@
 
 struct recent_sends_options
 {
-    // 1000  tokens; shorter prompts are prefilled before the news of them arrives
+    // 1000  tokens; shorter prompts are prefilled before their notices arrive
     std::int64_t min_tokens = 1000;
     // 4096  notices; further ones aren't recorded
     std::size_t most = 4096;
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -57,9 +57,9 @@
         return true;
     }
 
-    /// Takes one retry as above, or a single one that was asked for after a quiet time.
-    /// Few requests fill the budget slowly, so that it would remain empty for long after
-    /// an outage.
+    /// Takes one retry as above. If the budget is empty, grants a single one after a
+    /// quiet time: few requests fill the budget slowly, so it would stay empty for long
+    /// after an outage.
     bool take(boot_clock::time_point now) noexcept
     {
         bool const single = options_.quiet.count() > 0 && options_.percent > 0 &&
--- a/src/policy/return_schedule.hpp
+++ b/src/policy/return_schedule.hpp
@@ -1,4 +1,4 @@
-// Tells refused callers when to return, so that those who do find room.
+// Tells refused callers when to return, so that servers have room for them then.
 //
 // Index: 1 return_options, 2 return_request, 3 return_schedule
 #ifndef MARIGOLDCRANK_POLICY_RETURN_SCHEDULE_HPP
@@ -50,7 +50,8 @@
         auto const wait = std::chrono::ceil<millis>(at - now);
         if (wait > most)
         {
-            // Its turn comes after the caller gives up, so it takes no time from others.
+            // The caller's turn would come too late for it, so it gets no time of its
+            // own.
             booked_until_ = std::max(booked_until_, now + most);
             return most;
         }
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -143,8 +143,8 @@
     while (static_cast<std::int64_t>(result.size()) < std::min(allowed, std::abs(change)))
     {
         // The data centre with the fewest prefill engines gains one first, the one with
-        // the most loses one first; in it the fastest engine becomes a prefill engine or
-        // the slowest a decode engine, and of several the one with the fewest calls.
+        // the most loses one first. In it the fastest engine becomes a prefill engine, or
+        // the slowest a decode engine; of equally fast ones, that with the fewest calls.
         auto const rank = [&](split_engine const& each)
         {
             auto const centre_prefill = by_centre[each.server->data_centre];
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -40,12 +40,12 @@
     millis change_interval{9000};
     // 6     one engine in 6 may change at a time
     std::int64_t change_divisor = 6;
-    // 1.5   times; an engine that decodes and is so much faster than one that prefills
-    //       changes places with it: long prompts gain more by speed than streams do
+    // 1.5   times; a decode engine that is faster than a prefill engine by this factor
+    //       changes places with it: prompts gain more by speed than streams do
     double swap_ratio = 1.5;
     // 0.8   of the planned load; above it no engines change places
     double swap_load = 0.8;
-    // 120000 ms after any change of an engine before it changes places again
+    // 120000 ms; from any change of an engine until it may change places
     millis swap_interval{120'000};
 
     bool operator==(role_split_options const&) const = default;
@@ -83,11 +83,11 @@
                             role_need const& need, role_split_options const& options);
 
 /// Engines to change now, limited to a fraction of the fleet. If more prefill engines are
-/// wanted, the data centre with the fewest of them comes first, else the one with the
-/// most, and in it the fastest engine to prefill or the slowest to decode, and of several
-/// the one with the fewest calls. If no more or fewer are wanted and the load is low, a
-/// fast decode engine and a slow prefill engine of a data centre change places, one pair
-/// of a data centre at a time.
+/// wanted, the fastest engine of the data centre with the fewest of them comes first,
+/// else the slowest one of the data centre with the most; of equally fast ones, that with
+/// the fewest calls. If their number is to stay and the load is low, a fast decode engine
+/// and a slow prefill engine of a data centre change places, one pair of a data centre at
+/// a time.
 std::vector<backend_server const*>
 plan_role_changes(std::vector<split_engine> const& engines, role_need const& need,
                   boot_clock::time_point now, role_split_options const& options);
--- a/src/policy/send_time.hpp
+++ b/src/policy/send_time.hpp
@@ -26,7 +26,7 @@
     // 30    ms; a server whose queue takes less time can begin a call now
     double ready_ms = 30;
     // 2     ages of the known loads are kept in reserve: while three times as much
-    //       arrives as the servers can do, queues grow by twice the time that has passed
+    //       arrives as the servers can do, queues grow by twice that age unseen
     double reserve_ages = 2;
     // 0.1   of the objective is kept in reserve besides
     double reserve_part = 0.1;
@@ -35,7 +35,7 @@
     // 20 and 200  ms; between two decisions on the same call
     millis min_check{20};
     millis max_check{200};
-    // 30    ms; the same for the call that is sent next
+    // 30    ms; longest time for the call that is to be sent next
     millis next_check{30};
 
     bool operator==(send_options const&) const = default;
@@ -62,7 +62,7 @@
 {
     direct, // its kind doesn't wait
     ready,  // a server can begin it
-    due     // it would be late if it waited longer
+    due     // it would be late if it waited longer, or has waited for the longest time
 };
 
 struct send_decision
@@ -104,9 +104,8 @@
             input.is_next ? std::min(half, options.next_check) : half};
 }
 
-/// Server time of waiting calls that one of `vms` VMs may send within the age of the
-/// loads, while `ready` servers can begin a call: its part of the time that these do
-/// within that age.
+/// Server time of the waiting calls that one of `vms` VMs may send within the age of the
+/// loads: its part of the time of the `ready` servers, which can begin a call now.
 inline double release_budget_ms(std::int64_t ready, std::int64_t vms, millis load_age)
 {
     return static_cast<double>(ready) /
@@ -115,8 +114,8 @@
 }
 
 /// Whether `rules` put other calls to `service` before one of this rank and objective:
-/// those of a more urgent rank, and those of the same rank with a shorter objective. The
-/// calls that this is false for never wait.
+/// those of a more urgent rank, and those of the same rank with a shorter objective.
+/// Calls that yield to none never wait.
 inline bool yields_to_others(serving_rules const& rules, std::string_view service,
                              std::int64_t rank, millis objective)
 {
--- a/src/policy/server_health.hpp
+++ b/src/policy/server_health.hpp
@@ -95,9 +95,8 @@
     }
 
     /// Merges another VM's update: that VM avoids the server for `left`. This VM avoids
-    /// it for `news_delay` longer, in which the other one has tried it again and
-    /// published the result. Otherwise all VMs would try a server that is still lost, and
-    /// looks idle, as soon as the pause ends.
+    /// it for `news_delay` longer, the time until it learns of the other one's next
+    /// attempt. Otherwise all VMs would try a server that is still lost at the same time.
     void receive(std::string const& server, millis left, update_source source,
                  boot_clock::time_point now, millis news_delay = millis{0})
     {
--- a/src/policy/server_paces.cpp
+++ b/src/policy/server_paces.cpp
@@ -97,7 +97,7 @@
         entry.sums.add({added, predicted ? added : log_sum{}});
         entry.sampled_at = now;
     }
-    // What the known paces don't explain is the VM's.
+    // The part that the server's pace doesn't explain goes into this VM's baseline.
     auto const residual = clip(relative - std::log(pace(sample.server)));
     base.weight = std::min(base.weight + sample.weight, options_.baseline_samples);
     auto const step = sample.weight / std::max(base.weight, options_.baseline_prior);
--- a/src/policy/server_paces.hpp
+++ b/src/policy/server_paces.hpp
@@ -43,7 +43,7 @@
     // 8     samples; weight of a predicted baseline. A baseline without a prediction is
     //       used after so many samples
     double baseline_prior = 8;
-    // 60    samples; no more count in a baseline
+    // 60    samples; largest weight of a baseline, so that it follows changes
     double baseline_samples = 60;
     // 64 and 256  servers in the digest of a VM, and in that of several VMs
     std::size_t max_own = 64;
@@ -119,18 +119,18 @@
         return found == paces_.end() ? 1 : found->second.pace;
     }
 
-    /// The same without what passes within seconds.
+    /// The same by the lasting samples alone.
     double lasting(std::string const& server) const
     {
         auto const found = lasting_.find(server);
         return found == lasting_.end() ? 1 : found->second;
     }
 
-    /// The sums to publish of several VMs' sums: those of the most samples.
+    /// The servers with most samples, for the digest of a data centre.
     server_pace_sums most_sampled(server_pace_sums sums) const;
 
-    /// The sums to publish to VMs that know no others: of the servers that differ,
-    /// relative to the means of their services.
+    /// The servers whose pace isn't 1, for the digest of the fleet. The members of a
+    /// relay hear no other digest, so these sums are relative to the mean of the service.
     server_pace_sums differing(server_pace_sums const& sums) const;
 
     /// Drops what is known about a server that is gone or has restarted.
--- a/src/policy/stream_copy.hpp
+++ b/src/policy/stream_copy.hpp
@@ -4,8 +4,9 @@
 //        5 choose_copy_target, 6 interrupted_stream, 7 decide_continuation
 //
 // An engine that crashes or is taken back cuts off all its streams. Those that may not be
-// resumed are lost, and the prompts of the others are read again, all at once. An engine
-// can send the memory of a run to another engine as it grows, from which the run goes on.
+// resumed are lost, and the prompts of the others are prefilled again, all at once. An
+// engine can copy a run's KV cache to another engine as it grows, and the run can go on
+// there.
 #ifndef MARIGOLDCRANK_POLICY_STREAM_COPY_HPP
 #define MARIGOLDCRANK_POLICY_STREAM_COPY_HPP
 
@@ -46,8 +47,8 @@
 millis caller_patience_in_stream(route const& matched);
 
 /// Whether a copy would serve the caller: the stream could not go on without it, or only
-/// after the caller has left. A copy of every long prompt would move more memory than the
-/// runs themselves.
+/// after the caller has left. Other streams aren't copied, for copies take memory and
+/// bandwidth.
 bool wants_copy(stream_outlook const& stream, copy_options const& options);
 
 /// Copies that a VM has asked for, by the id of the engine that gets them.
--- a/src/policy/urgency.hpp
+++ b/src/policy/urgency.hpp
@@ -13,7 +13,7 @@
 namespace marigoldcrank
 {
 
-// 10    levels of urgency that servers tell apart
+// 10    urgencies that servers tell apart
 constexpr std::int64_t urgency_levels = 10;
 
 /// What the rules say about urgency.
@@ -52,9 +52,9 @@
 }
 
 /// The urgency of a call, 0 first, if servers tell `levels` of them apart. Calls of one
-/// rank stay before those of the next. Within a rank, a call that has no more than the
-/// shortest objective left goes before one that has more, and one that is late already
-/// goes last. With a single rank, or too many, it is the rank alone.
+/// rank go before those of the next. Within a rank, those with less time left go first,
+/// in steps of the shortest objective, and those that are late already go last. With a
+/// single rank, or more ranks than levels, the urgency is the rank.
 inline std::int64_t urgency_of(std::int64_t rank, millis left, urgency_scale const& scale,
                                std::int64_t levels)
 {
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// 64    releases that are remembered; more within the age of a digest aren't allowed
+// 64    releases that are remembered, and so the most within one span
 constexpr std::size_t max_releases = 64;
 
 } // namespace
--- a/src/policy/wait_queue.hpp
+++ b/src/policy/wait_queue.hpp
@@ -19,7 +19,7 @@
 struct waiting_call
 {
     std::int64_t           rank = 0;  // 0 is the most urgent
-    boot_clock::time_point send_by{}; // later it would miss its objective
+    boot_clock::time_point send_by{}; // sent later, it would miss its objective
     std::string            workspace; // empty: the call has none
     std::int64_t           tokens = 0;
 
@@ -39,8 +39,8 @@
     bool operator==(wait_queue_options const&) const = default;
 };
 
-/// Calls in the order of rank, then of the time left, then of what their workspace has
-/// used. No I/O; the caller passes the time.
+/// Calls in the order of rank, then of `send_by` in steps, then of what their workspace
+/// has used. No I/O; the caller passes the time.
 class wait_queue
 {
 public:
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -185,7 +185,7 @@
 
     // The first event of the current attempt, if there is one.
     std::optional<boot_clock::time_point> first_event;
-    // The address of the engine that gets a copy of the current run; empty: none.
+    // The address of the engine that the next run is copied to; empty: none.
     std::string copy_to;
 
 private:
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -17,8 +17,8 @@
 namespace marigoldcrank
 {
 
-/// Fault of a response that ended after this VM had left it unread. The server may have
-/// cut it, so its end says nothing about the server or the call.
+/// Fault of a response that ended early after this VM had left it unread. The server may
+/// have cut it for that, so the end isn't held against the server or the call.
 inline constexpr std::string_view fault_unread = "unread";
 
 /// How one attempt ended.
@@ -66,8 +66,9 @@
     /// Whether another attempt is possible, apart from the retry budget.
     bool may_retry() const;
 
-    /// Whether a stream that was cut off may go on from the copy of its run. That counts
-    /// as the same run, so it isn't bound by the route's attempts, but as a retry.
+    /// Whether a stream that was cut off may go on from the copy of its run. This takes a
+    /// retry from the budget, but isn't bound by the route's limit of servers, since the
+    /// run is the same.
     bool may_continue_from_copy();
 
     /// Whether the call may run after its prefill. A failed prefill may have reached a
@@ -93,7 +94,7 @@
     /// response was interrupted after its head.
     void record_result(attempt_result const& result);
 
-    /// Records that the server which the call was sent to had no copy to go on from.
+    /// Records that the latest server had no copy to go on from.
     void record_missing_copy();
 
     /// Records that a server responded with a failure of its own (status 500 or above).
--- a/src/serving/call_context.hpp
+++ b/src/serving/call_context.hpp
@@ -23,7 +23,7 @@
 {
     keep,
     close,  // gracefully: the response is delivered first
-    aborted // it has been closed or reset already
+    aborted // the connection has been closed or reset already
 };
 
 /// One call: what came in, what has been decided, and how it ended. Lives as long as the
--- a/src/serving/call_ending.hpp
+++ b/src/serving/call_ending.hpp
@@ -35,19 +35,19 @@
 
     boost::asio::awaitable<void> send_response(std::string bytes, unsigned status);
 
+    /// Counts the call into its workspace's usage, at most once.
     void count_usage();
 
-    /// Waits until the caller has taken all that was written for it, also after the
-    /// call's deadline, or until a rule ends it.
+    /// Waits until the caller has taken the whole response, also after the call's
+    /// deadline, or until a rule for slow callers ends it.
     boost::asio::awaitable<void> deliver();
 
     void log_end();
 
 private:
-    /// When a refused caller should return. If the call would crash servers, that
-    /// is not soon.
-    /// If all servers of the service are on hold, that is after the first hold, spread so
-    /// that callers don't return all at once.
+    /// When a refused caller should return: late if the call would crash servers; after
+    /// the first hold if all servers of the service are on hold, spread so that callers
+    /// don't return all at once; else soon.
     millis retry_after();
 
     void queue(std::string bytes);
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -81,9 +81,10 @@
     /// Logs and counts the end of a continuation from a copy.
     void stream_continued(continuation_record const& record);
 
-    /// Logs and counts the end of the call. Served calls are logged only if sampled.
+    /// Logs and counts that the caller was ended for being too slow.
     void slow_caller(slow_end const& end);
 
+    /// Logs and counts the end of the call. Served calls are logged only if sampled.
     void call_ended(call_summary const& summary, admitted_call const& admitted);
 
 private:
--- a/src/serving/call_origin.hpp
+++ b/src/serving/call_origin.hpp
@@ -1,4 +1,4 @@
-// Which server version wrote the stream that a call takes up or begins.
+// Finds and records the server version that began a call's stream.
 //
 // Index: call_origin
 #ifndef MARIGOLDCRANK_SERVING_CALL_ORIGIN_HPP
@@ -13,15 +13,15 @@
 namespace marigoldcrank
 {
 
-/// Keeps a stream at one version over its attempts and its caller's tries: another
-/// version can't go on with what the first has written.
+/// Keeps a stream at one version over all attempts, also when its caller asks again:
+/// another version can't go on with what the first one has written.
 class call_origin
 {
 public:
     explicit call_origin(call_context& context);
 
-    /// Finds what began the stream that the caller takes up, and allows only servers that
-    /// can go on with it. Returns false if that isn't known.
+    /// Finds what began the stream that the caller resumes, and allows only servers that
+    /// can go on with it. Returns false if its origin isn't known.
     boost::asio::awaitable<bool> find();
 
     /// Keeps the call at the version of the server that wrote its first event, and
@@ -33,9 +33,10 @@
     /// such service.
     bool serve_at(std::string const& service);
 
-    /// The key of the stream: of the try that brought its first event.
+    /// The key of the stream, by the id of the caller's request that got its first event.
     std::uint64_t origin_key() const;
 
+    /// How long the origin must be known.
     millis stream_span();
 
     call_context& context_;
--- a/src/serving/call_queue.hpp
+++ b/src/serving/call_queue.hpp
@@ -45,10 +45,10 @@
     /// The order of the calls to a service.
     wait_queue& order(std::string const& service);
 
-    /// Wakes the next call to `service`, because a server of it may be free now.
+    /// Wakes the next call to `service`: one of its servers may be free now.
     void wake_next(std::string const& service);
 
-    /// Wakes all calls, none of which may go on waiting.
+    /// Wakes all calls, which must then leave, and lets no more enter.
     void stop();
 
     bool         stopped() const noexcept;
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -55,9 +55,10 @@
 
     // 2000  ms; a caller that doesn't take a refusal for this long is disconnected
     static constexpr millis write_timeout{2000};
-    // 300   ms; longest wait for memory before a body is read, checked every 100 ms.
-    //       Callers give up an attempt that isn't read within a second
+    // 300   ms; longest wait for memory before a body is read: callers give up an attempt
+    //       whose body isn't taken within a second
     static constexpr millis memory_wait{300};
+    // 100   ms; between checks for memory
     static constexpr millis memory_poll{100};
 
     boost::asio::awaitable<connection_disposition> serve_next()
@@ -146,8 +147,8 @@
         co_return std::nullopt;
     }
 
-    /// While the VM holds much, waits a short time before a body is read, which stays at
-    /// its caller meanwhile. At the bound, refuses the request.
+    /// While the VM holds much, waits a short time and leaves the body unread. Refuses
+    /// the request if the VM is at its bound.
     boost::asio::awaitable<std::optional<own_response>>
     wait_for_memory(request_parser const& parser)
     {
--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -31,12 +31,11 @@
 constexpr std::size_t linger_bytes = 262144;
 constexpr std::size_t linger_chunk = 4096;
 
-// 64 KiB; send buffer of the socket, whose bytes count for the VM but aren't in `held_`
+// 64 KiB; send buffer of the socket, which takes memory of the VM besides `held_`
 constexpr int send_buffer = 65536;
-// 16 KiB; a reader that waits goes on once so much is free. Its server sees it read
-//         often, as it would cut a response left unread for long
+// 16 KiB; a reader that waits goes on once so much is free. It reads often in small
+//         pieces, since servers cut responses that stay unread for long
 constexpr std::int64_t read_ahead = 16384;
-constexpr std::int64_t no_bytes = 0;
 // 16    pieces of the queue written at once
 constexpr std::size_t write_batch = 16;
 // 4096  bytes; queued pieces are joined up to this size
@@ -79,7 +78,7 @@
         last_progress_ = loop_clock::now();
     }
     held_.set(held_.bytes() + static_cast<std::int64_t>(bytes.size()));
-    // Many small events would take several times their size.
+    // A string of its own for each small event would take several times its size.
     if (queue_.size() > in_flight_ && queue_.back().size() + bytes.size() <= join_bytes)
     {
         queue_.back() += bytes;
@@ -169,8 +168,8 @@
         co_return !disconnected_;
     }
     server_waits_ = true;
-    bool const room =
-        co_await wait_unwritten(std::max(most - read_ahead, no_bytes), until);
+    auto const goal = std::max<std::int64_t>(most - read_ahead, 0);
+    bool const room = co_await wait_unwritten(goal, until);
     server_waits_ = false;
     co_return room;
 }
@@ -239,7 +238,8 @@
            info.tcpi_unacked == 0;
 }
 
-/// The kernel closes a connection whose peer takes nothing for TCP_USER_TIMEOUT.
+/// Sets how long the kernel keeps the connection while the peer takes nothing: as long as
+/// the rules for slow callers allow, or the usual short time.
 void caller_socket::tolerate_pause(bool value)
 {
     if (tolerates_pause_ == value)
--- a/src/serving/caller_socket.hpp
+++ b/src/serving/caller_socket.hpp
@@ -20,7 +20,7 @@
 namespace marigoldcrank
 {
 
-/// How a slow caller was ended.
+/// Why a caller was ended for being too slow.
 struct slow_end
 {
     slow_rule          rule = slow_rule::none; // none: it wasn't
@@ -42,11 +42,12 @@
     /// Bytes queued that the socket hasn't taken yet.
     std::int64_t unwritten() const noexcept;
 
-    /// Waits until at most `most` bytes are unwritten. Returns false if the caller has
-    /// disconnected or was ended, as it is if it hasn't taken them by `until`.
+    /// Waits until at most `most` bytes are unwritten; ends the caller at `until`.
+    /// Returns false if the caller was ended or has disconnected.
     boost::asio::awaitable<bool> wait_unwritten(std::int64_t most, loop_time until);
 
-    /// Waits while the queue is full, and so lets the server of the response wait.
+    /// Waits while the queue is full. Meanwhile nothing is read from the server of the
+    /// response. Returns false if the caller was ended or has disconnected.
     boost::asio::awaitable<bool> wait_for_room(loop_time until);
 
     /// Writes all bytes. Returns false if the caller has disconnected or hasn't taken
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-// 16    messages queued per peer: a digest, and the notices until the next one
+// 16    messages queued per peer, digests and batches of notices; more are dropped
 constexpr int queue_limit = 16;
 // First byte of notices about the VM itself; the next ones are for wider scopes.
 constexpr char first_notice_prefix = 'a';
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -34,9 +34,8 @@
 constexpr int         drawn_anywhere = 4;
 constexpr int         drawn_near = 2;
 constexpr std::size_t drawn_holders = 8;
-// 2000  ms; the retries that the calls of this time add are kept in reserve. Failures
-// meet
-//       few of many VMs at once, and the slack alone gives each of them one or two
+// 2000  ms; the retries that the calls of this time add are kept in reserve. A failure is
+//       seen by few VMs at once, and the slack alone gives each of them one or two
 constexpr millis reserve_span{2000};
 // 500   ms; a VM without a digest for so long, the time of three digests and a late one,
 //       is taken for silent
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -124,8 +124,8 @@
     std::optional<millis> first_hold_end(server_scope const&    scope,
                                          boot_clock::time_point now) const;
 
-    /// Publishes that a prompt of `tokens` is sent to `server`, which will have prefilled
-    /// it after `life`, if it is long enough.
+    /// Publishes that a prompt of `tokens` is sent to `server`, which is expected to have
+    /// prefilled it after `life`. Short prompts aren't published.
     void announce_send(std::string const& server, std::int64_t tokens, millis life);
 
     /// Whether the list doesn't show another version than this copy of a server's entry.
@@ -172,7 +172,7 @@
     /// This VM's usage counts of the last windows.
     std::vector<usage_record> recent_usage();
 
-    /// Counts a call that is admitted to `service`, for its retry budget.
+    /// Counts an admitted call to `service` into its retry budget.
     void count_call(std::string const& service, boot_clock::time_point now);
 
     /// Retry budget for a service: this VM's share of the deployment's budget.
@@ -247,7 +247,7 @@
     server_list                         servers;
     server_loads                        loads; // from calls of this VM
     load_relay                          peers; // from calls of the other VMs
-    recent_sends                        sends; // of other VMs, not in `peers` yet
+    recent_sends                        sends; // of other VMs; not in `peers` yet
     send_announcer*                     announcer = nullptr; // null: no VM is told yet
     copy_counts                         copies;              // of runs of this VM's calls
     std::set<std::string>               changing; // engines in a change of role
@@ -317,7 +317,7 @@
     std::map<std::vector<part_key>, int> suspected_parts_; // as logged; crashes by parts
     std::mt19937_64                      random_;
     boot_clock::time_point               pace_lines_from_{}; // start of a second
-    std::int64_t                         pace_lines_ = 0;    // of the log, in it
+    std::int64_t                         pace_lines_ = 0;    // log lines in that second
 };
 
 /// Hash that identifies a repeated call: the same path, caller and body.
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -114,7 +114,7 @@
     }
     result.queue_ms = static_cast<double>(queued) /
                       static_cast<double>(std::max<std::int64_t>(result.all, 1)) / rate;
-    // Of a large service the candidates are a sample.
+    // The candidates of a large service are only some of its servers.
     bool const  drawn = state_.draws_candidates(admitted_.service_name);
     auto const  servers = drawn ? state_.staying_servers(admitted_.service_name) : known;
     auto const& times = split ? meter().dedicated() : meter().colocated();
@@ -162,7 +162,7 @@
 
 engine_costs model_placement::costs(std::vector<candidate> const& candidates) const
 {
-    // All VMs would choose the fastest engine of all that was idle.
+    // If calls considered all engines, all VMs would choose the fastest idle one.
     bool const  paced = std::any_of(candidates.begin(), candidates.end(),
                                     [](candidate const& each) { return each.pace != 1; });
     auto const& prefills = meter().dedicated();
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -20,7 +20,7 @@
     std::int64_t all = 0;
     double       capacity = 0;         // ms of server time per second; 0: unknown
     double       queue_ms = 0;         // mean time of the prompts queued at one
-    bool         chosen_ready = false; // the one that the call is placed at can begin it
+    bool         chosen_ready = false; // the engine chosen for the call can begin it
 
     bool operator==(engine_readiness const&) const = default;
 };
@@ -48,8 +48,8 @@
     /// Chooses the engine that decodes after a handoff; null if there is none.
     backend_server const* choose_decode_engine(std::vector<candidate> const& candidates);
 
-    /// The engines that read prompts: those for prefill, if there are any, else all.
-    /// `chosen` is where the call is placed.
+    /// Of the engines that prefill (those of that role, else all), how many can begin a
+    /// call now. `chosen` is the engine chosen for this one.
     engine_readiness readiness(std::vector<candidate> const& candidates,
                                backend_server const*         chosen) const;
 
@@ -64,8 +64,8 @@
     /// responding without closing the connection would wait until its own deadline.
     loop_time first_event_deadline(placement const& placed) const;
 
-    /// The predicted time in ms in which a decoding engine reads the prompt again, of
-    /// which `planned` had to read a part.
+    /// The predicted time in ms for a decode engine to prefill the prompt again: the
+    /// tokens that `planned` had to prefill, but at least the unshared ones.
     double reread_ms(placement const& planned) const;
 
     /// Records that the call is sent to `server`, which will have its prompt cached.
--- a/src/serving/peer_exchange.hpp
+++ b/src/serving/peer_exchange.hpp
@@ -63,7 +63,7 @@
     std::map<std::string, std::string> incarnations_; // of VMs heard, by address
     std::uint64_t                      rounds_ = 0;
     std::int64_t                       listed_vms_ = 0;  // VMs in the last relay plan
-    std::int64_t                       planned_vms_ = 0; // VMs that it was made from
+    std::int64_t                       planned_vms_ = 0; // VMs known when it was made
 };
 
 /// Format of the topic of servers' entries. Most records only report that the server is
--- a/src/serving/prefill_step.hpp
+++ b/src/serving/prefill_step.hpp
@@ -95,8 +95,8 @@
         co_return std::nullopt;
     }
 
-    bool        attempted = false;
-    bool        unsent = false; // the latest prefill reached no engine
+    bool        attempted = false; // a prefill was tried, and none follows
+    bool        unsent = false;    // the latest prefill reached no engine
     std::string fetch_from;   // address of an engine that has parts of the prompt cached
     std::string fetch_server; // id of that engine
 
--- a/src/serving/send_announcer.cpp
+++ b/src/serving/send_announcer.cpp
@@ -10,9 +10,10 @@
 namespace
 {
 
-// 5     ms in which notices are collected: short against a prefill, and few messages
+// 5     ms in which notices are collected: much less than a prefill takes, and at most
+//       200 messages of a scope a second
 constexpr millis batch_time{5};
-// 2000  ms; longer than relays take to return a notice to its sender
+// 2000  ms for which own notices are recognised, as relays return them to their sender
 constexpr millis echo_time{2000};
 
 } // namespace
--- a/src/serving/send_turn.hpp
+++ b/src/serving/send_turn.hpp
@@ -51,7 +51,7 @@
     call_context&                context_;
     call_ending&                 ending_;
     std::unique_ptr<queue_place> place_;        // null: the call doesn't wait
-    bool                         over_ = false; // it has been sent, or had no room
+    bool                         over_ = false; // the call doesn't wait (again)
     boot_clock::time_point       entered_at_{};
 };
 
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -177,7 +177,8 @@
         co_return is_complete_body(step) && !may_be_cut(step);
     }
 
-    /// The same, without a holder of the bytes.
+    /// The same, for a body that the caller of this function doesn't keep for long: its
+    /// bytes are counted only while it is read.
     boost::asio::awaitable<bool> read_complete_body(std::string& out, loop_time until)
     {
         held_share held{state_.held, held_kind::reading};
@@ -191,7 +192,7 @@
         unread_ += time;
     }
 
-    /// Whether it was left unread for so long that the server may have cut it.
+    /// Whether the response was left unread for so long that the server may have cut it.
     bool was_left_unread() const noexcept
     {
         return unread_ >= long_unread;
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -117,8 +117,8 @@
         return first;
     }
 
-    /// Returns true at once if the call may be sent to `first` now. Otherwise refuses it,
-    /// or lets it wait, after which `first` is out of date.
+    /// Returns true at once if the call may be sent as planned in `first`. Otherwise
+    /// refuses it or lets it wait, and returns false; then `first` is out of date.
     boost::asio::awaitable<bool> may_send(placement const& first)
     {
         if (may_be_sent_)
@@ -138,7 +138,7 @@
                                           !std::exchange(work_counted_, true));
         auto const ready =
             std::max<std::int64_t>(engines_.ready, engines_.chosen_ready ? 1 : 0);
-        // A call above the level waits like one for which no engine is ready.
+        // A call above the level waits as if no engine were ready.
         may_be_sent_ =
             co_await turn_.wait({first.wait_ms, first.prefill_ms, above ? 0 : ready});
         if (may_be_sent_ && above)
@@ -324,8 +324,8 @@
     prefill_step<Dialect>        prefill_;
     stream_continuation<Dialect> continuation_;
     bool                         work_counted_ = false;
-    bool                         may_be_sent_ = false; // it has been sent, or has waited
-    engine_readiness             engines_;             // when the first one was chosen
+    bool                         may_be_sent_ = false; // further attempts don't wait
+    engine_readiness             engines_;             // at the latest choice
     bool                         prefill_placed_again_ = false;
     boot_clock::time_point       run_sent_at_{};
     placement run_plan_; // of the latest attempt; its pointers may dangle
--- a/src/serving/stream_continuation.hpp
+++ b/src/serving/stream_continuation.hpp
@@ -14,7 +14,7 @@
 namespace marigoldcrank
 {
 
-/// Counts a copy at its engine, and removes it on destruction.
+/// Counts a copy at its engine for its lifetime.
 class copy_share
 {
 public:
@@ -199,7 +199,7 @@
         context_.attempts.record_start(target_->id);
         auto message = sender_.attempt_options_for(*target_);
         message.cache_source = sender_.address_of(&*target_) + "/" + context_.call.id;
-        // Little of the copy may have arrived, so that it reads most of the prompt.
+        // If little of the copy has arrived, the engine prefills most of the prompt.
         auto const until =
             context_.placement.first_event_deadline({.prefill_ms = reread_ms_});
         auto const fate = co_await sender_.send_message(link, message, false, until);
@@ -236,7 +236,7 @@
     std::optional<backend_server> target_; // has the copy; none: no copy was asked for
     std::optional<copy_share>     share_;
     double                        reread_ms_ = 0; // predicted, of the whole prompt
-    bool                          used_ = false;  // went on from a copy before
+    bool                          used_ = false;  // the stream has gone on from a copy
 };
 
 } // namespace marigoldcrank
