--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -10,6 +10,7 @@
 
 #include "domain/boot_clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -54,6 +55,13 @@
     bool resumable = false; // a broken stream may be continued on another server
 
     bool operator==(route const&) const = default;
+
+    bool has_target(std::string_view service) const
+    {
+        return std::any_of(targets.begin(), targets.end(),
+                           [&](route_target const& each)
+                           { return each.service == service; });
+    }
 };
 
 /// Bounds of the number of servers that are ordered for a service in each data centre.
--- a/src/policy/send_time.hpp
+++ b/src/policy/send_time.hpp
@@ -121,10 +121,7 @@
 {
     auto const goes_before = [&](route const& other)
     {
-        bool const same = std::any_of(other.targets.begin(), other.targets.end(),
-                                      [&](route_target const& target)
-                                      { return target.service == service; });
-        return same && other.objective.count() > 0 &&
+        return other.has_target(service) && other.objective.count() > 0 &&
                (other.rank < rank || (other.rank == rank && other.objective < objective));
     };
     auto const more_urgent = [&](workspace const& other)
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -103,11 +103,8 @@
     attempt_options attempt_options_for(backend_server const& server) const
     {
         return {.server_id = server.id,
-                .workspace = context_.admitted.caller_workspace == nullptr
-                                 ? ""
-                                 : context_.admitted.caller_workspace->name,
-                .left = std::chrono::duration_cast<millis>(context_.admitted.deadline -
-                                                           loop_clock::now()),
+                .workspace = context_.admitted.workspace_name(),
+                .left = context_.until_deadline(),
                 .rank = urgency(),
                 .resume_after = context_.stream.last_event()};
     }
--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -34,6 +34,12 @@
     call_features    features; // what identifies requests that crash servers
     bool             repeatable = false; // the call may run more than once
     loop_time        deadline{};         // of the final response
+
+    /// Empty if the call has no workspace.
+    std::string workspace_name() const
+    {
+        return caller_workspace == nullptr ? std::string{} : caller_workspace->name;
+    }
 };
 
 /// The longest time for which the caller may go on trying: what it states, within bounds,
--- a/src/serving/call_context.hpp
+++ b/src/serving/call_context.hpp
@@ -54,6 +54,12 @@
         return !outcome.empty();
     }
 
+    /// Time until the deadline of the final response; negative once it has passed.
+    millis until_deadline() const
+    {
+        return std::chrono::duration_cast<millis>(admitted.deadline - loop_clock::now());
+    }
+
     bool supports_chunks() const
     {
         constexpr unsigned http_1_1 = 11;
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -14,13 +14,6 @@
     return admitted.rules ? static_cast<std::int64_t>(admitted.rules->version()) : 0;
 }
 
-std::string_view workspace_of(admitted_call const& admitted)
-{
-    return admitted.caller_workspace == nullptr
-               ? std::string_view{}
-               : std::string_view{admitted.caller_workspace->name};
-}
-
 } // namespace
 
 call_log::call_log(entry_state& state, caller_call const& call,
@@ -109,7 +102,7 @@
         .add("status", static_cast<std::int64_t>(summary.status))
         .add("route", admitted.matched == nullptr ? "" : admitted.matched->name)
         .add("service", admitted.service_name)
-        .add("workspace", workspace_of(admitted))
+        .add("workspace", admitted.workspace_name())
         .add("rank", admitted.rank)
         .add("objective_ms",
              admitted.matched == nullptr ? millis{0} : admitted.matched->objective)
--- a/src/serving/call_origin.cpp
+++ b/src/serving/call_origin.cpp
@@ -1,8 +1,6 @@
 // Queries and records of the version that a stream began with.
 #include "serving/call_origin.hpp"
 
-#include <algorithm>
-
 namespace marigoldcrank
 {
 
@@ -28,10 +26,7 @@
 
 bool call_origin::serve_at(std::string const& service)
 {
-    auto const& targets = context_.admitted.matched->targets;
-    bool const  allowed =
-        std::any_of(targets.begin(), targets.end(),
-                    [&](route_target const& each) { return each.service == service; });
+    bool const allowed = context_.admitted.matched->has_target(service);
     if (allowed && service != context_.admitted.service_name)
     {
         context_.admitted.service_name = service;
@@ -66,9 +61,8 @@
 
 std::uint64_t call_origin::origin_key() const
 {
-    auto const& workspace = context_.admitted.caller_workspace;
-    bool const  again = !context_.call.resume_after.empty();
-    return stream_key(workspace == nullptr ? "" : workspace->name,
+    bool const again = !context_.call.resume_after.empty();
+    return stream_key(context_.admitted.workspace_name(),
                       again ? context_.call.resumes : context_.call.id);
 }
 
--- a/src/serving/level_gate.cpp
+++ b/src/serving/level_gate.cpp
@@ -44,11 +44,8 @@
     };
     for (auto const& each : rules.routes())
     {
-        bool const same = std::any_of(each.targets.begin(), each.targets.end(),
-                                      [&](route_target const& target)
-                                      { return target.service == service; });
-        auto&      shortest = result.shortest_objective;
-        if (same)
+        auto& shortest = result.shortest_objective;
+        if (each.has_target(service))
         {
             add_rank(each.rank);
             bool const shorter = shortest.count() == 0 || each.objective < shortest;
@@ -133,9 +130,8 @@
     }
     auto const  now = boot_clock::now();
     auto const& admitted = context.admitted;
-    auto const  name =
-        admitted.caller_workspace == nullptr ? "" : admitted.caller_workspace->name;
-    bool const served = level_of(context, engines, now)
+    auto const  name = admitted.workspace_name();
+    bool const  served = level_of(context, engines, now)
                             .admits(admitted.rank, name, draw_of(context.call.id));
     if (is_new)
     {
@@ -163,13 +159,12 @@
     auto&      state = context.state;
     auto const now = boot_clock::now();
     auto const vms = static_cast<double>(state.peers.vms(now) + 1);
-    auto const left =
-        std::chrono::duration_cast<millis>(context.admitted.deadline - loop_clock::now());
-    return state.returns[context.admitted.service_name].next({.work_ms = work_ms,
-                                                              .servers = servers / vms,
-                                                              .earliest = earliest,
-                                                              .left = left},
-                                                             now);
+    return state.returns[context.admitted.service_name].next(
+        {.work_ms = work_ms,
+         .servers = servers / vms,
+         .earliest = earliest,
+         .left = context.until_deadline()},
+        now);
 }
 
 } // namespace marigoldcrank
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -131,7 +131,6 @@
     using current_exchange_guard =
         typename attempt_sender<Dialect>::current_exchange_guard;
 
-    static constexpr unsigned first_redirect = 300;
     static constexpr unsigned first_server_error = 500;
 
     call_context&            context_;
--- a/src/serving/send_turn.cpp
+++ b/src/serving/send_turn.cpp
@@ -109,8 +109,7 @@
             .work_ms = forecast.work_ms,
             .objective = objective,
             .waited = std::chrono::duration_cast<millis>(now - context_.arrived),
-            .left =
-                std::chrono::duration_cast<millis>(admitted.deadline - loop_clock::now()),
+            .left = context_.until_deadline(),
             .load_age = state.digest_age()};
 }
 
@@ -121,9 +120,7 @@
     auto const  spare = decision.send ? admitted.matched->objective : decision.spare;
     return {.rank = admitted.rank,
             .send_by = now + spare,
-            .workspace = admitted.caller_workspace == nullptr
-                             ? ""
-                             : admitted.caller_workspace->name,
+            .workspace = admitted.workspace_name(),
             .tokens = context_.call.prompt_tokens()};
 }
 
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -1,6 +1,6 @@
 // One HTTP exchange with a backend server, on a new or reused connection.
 //
-// Index: 1 exchange_request, 2 server_exchange
+// Index: 1 first_redirect, 2 exchange_request, 3 server_exchange
 #ifndef MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 #define MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 
@@ -18,6 +18,9 @@
 namespace marigoldcrank
 {
 
+// 300   status; final responses with a lower one are successes
+inline constexpr unsigned first_redirect = 300;
+
 /// The request of one exchange.
 struct exchange_request
 {
@@ -271,7 +274,6 @@
             return attempt_outcome::not_run;
         }
         constexpr unsigned first_success = 200;
-        constexpr unsigned first_redirect = 300;
         bool const         success =
             facts_.status >= first_success && facts_.status < first_redirect;
         // A success is valid only if the server signed it and the body is the server's
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -186,7 +186,6 @@
             co_return false;
         }
         share.prefill_done();
-        constexpr unsigned first_redirect = 300;
         if (link.facts().status >= first_redirect)
         {
             if (context_.stream.started())
--- a/src/serving/stream_continuation.hpp
+++ b/src/serving/stream_continuation.hpp
@@ -208,7 +208,6 @@
             outcome = "caller_left";
             co_return true;
         }
-        constexpr unsigned first_redirect = 300;
         constexpr unsigned unavailable = 503;
         auto const         status = link.facts().status;
         if (fate == attempt_outcome::not_run && status == unavailable)
