--- a/scripts/load_report.py
+++ b/scripts/load_report.py
@@ -95,10 +95,11 @@
 class Call:
     """The lines of one call at one VM."""
 
-    __slots__ = ("centre", "end", "failures", "sends")
+    __slots__ = ("centre", "end", "failures", "sends", "vm")
 
-    def __init__(self, centre):
-        self.centre = centre
+    def __init__(self, vm):
+        self.vm = vm
+        self.centre = "?"  # known once all lines are read
         self.sends = []
         self.failures = []
         self.end = None
@@ -157,14 +158,14 @@
     def end_call(self, key, call, fields):
         if call.end is not None:  # an id that came again
             self.calls[(*key, len(self.calls))] = self.calls.pop(key)
-            call = self.calls.setdefault(key, Call(call.centre))
+            call = self.calls.setdefault(key, Call(call.vm))
         call.end = fields
 
     def finish(self):
         """Sets data centres, services and objectives; returns the ended calls."""
         ended = [call for call in self.calls.values() if call.end is not None]
         for call in ended:
-            call.centre = self.centres.get(call.centre, "?")
+            call.centre = self.centres.get(call.vm, "?")
             if call.end.get("service") and call.end.get("server"):
                 self.services.setdefault(call.end["server"], call.end["service"])
         routes = self.services_of_routes(ended)
@@ -190,7 +191,7 @@
 
 # 3. Causes
 
-NOT_SENT = (502, 503, 504)
+STATUS_NO_RESPONSE = (502, 503, 504)  # ends a call that no server responded to
 STATUS_REFUSED = (401, 403, 404, 429, 503)
 
 
@@ -200,7 +201,7 @@
 
 
 def verdict(call):
-    """In one word how a call fared for its caller."""
+    """How a call fared for its caller: one of FATES."""
     end = call.end
     if end.get("outcome") == "caller_left":
         return "left"
@@ -216,8 +217,8 @@
     """Splits the time to the first event of a sampled call, in ms.
 
     held: arrival to first send; failed: to the send that was served or its prefill;
-    wait, prefill: as predicted there; beyond: the rest. The server that did the prefill
-    took `observed` for what was predicted.
+    wait, prefill: as predicted there; beyond: the rest. `observed` is the time that the
+    server of the prefill took for what was predicted.
     """
     end, sends = call.end, call.sends
     if not sends or "t" not in end:
@@ -305,7 +306,7 @@
 def unsent_cause(call):
     """Why a call of status 502 to 504 came to nothing; empty if a server responded."""
     end = call.end
-    if end.get("status") not in NOT_SENT or end.get("outcome") == "served":
+    if end.get("status") not in STATUS_NO_RESPONSE or end.get("outcome") == "served":
         return ""
     if end.get("runs", 0) == 0:
         return "never sent"
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -39,13 +39,13 @@
                                               boot_clock::time_point           now,
                                               role_split_options const&        options)
 {
-    struct pair
+    struct swap_candidates
     {
         split_engine const* decode = nullptr;
         split_engine const* prefill = nullptr;
         bool                changing = false;
     };
-    std::map<std::string, pair> by_centre;
+    std::map<std::string, swap_candidates> by_centre;
     for (auto const& each : engines)
     {
         auto& found = by_centre[each.server->data_centre];
