--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -47,7 +47,8 @@
 {
     std::string_view server;
     std::string_view version; // of the server's software
-    std::string_view work;    // "call"; "prompt": prefill only; "run": decode only
+    std::string_view work;    // "call"; "prompt": prefill only; "run": decode only;
+                              // "continue": from the copy of a run
     std::int64_t     run = 0; // attempts to run this call before this one
     placement        planned; // tokens to prefill there, and the expected times
     std::string_view fetch;   // engine whose cached parts are fetched; empty: none
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -26,7 +26,7 @@
 {
     http_request     message;
     std::string      call_id;
-    std::string_view work; // "call", "prompt" or "run", as in attempt_plan; "release"
+    std::string_view work; // "call", "prompt", "run" (also for "continue"); "release"
     bool             not_repeatable = false; // reuses only recently used connections
     bool             internal = false; // response isn't relayed and needs no signature
     loop_time        until{};
--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -2,7 +2,7 @@
 // left unread.
 //
 // Index: 1 servers and callers, 2 reading ahead, 3 cut responses, 4 slow callers ended,
-// 5 memory of the VM, 6 calls that no engine can hold
+//        5 memory of the VM, 6 calls that no engine can hold
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 #include "support/eventually.hpp"
@@ -98,8 +98,8 @@
 
 // 2. Reading ahead
 
-// Stopped reading from the server while its caller took nothing, so the server cut the
-// response, and the end counted as a crash.
+// A VM that stopped reading while the caller takes nothing would make the server cut the
+// response, and the end would count as a crash.
 TEST(slow_callers, a_pause_of_the_caller_does_not_stop_its_server)
 {
     entry_cluster     cluster{one_server()};
@@ -117,7 +117,7 @@
     EXPECT_FALSE(logged(cluster, "ev=suspect"));
 }
 
-// Was reset two seconds after the response, however the caller read.
+// A caller that begins to read only after the deadline still gets the whole response.
 TEST(slow_callers, a_plain_response_is_delivered_late)
 {
     entry_cluster     cluster{one_server()};
@@ -142,8 +142,8 @@
 {
 };
 
-// The server and the content were suspected of a crash. Without framing, the cut stream
-// was passed on as complete.
+// Neither server nor content may be suspected of a crash. Without framing, the cut stream
+// must not be passed on as complete.
 TEST_P(cut_responses, an_unread_response_that_the_server_cuts_is_no_crash)
 {
     auto options = one_server();
@@ -172,7 +172,7 @@
 
 // 4. Slow callers ended
 
-// Held its server until the server cut the response or the deadline passed.
+// The server must not be held until it cuts the response or the deadline passes.
 TEST(slow_callers, a_server_that_waits_for_its_caller_is_set_free)
 {
     auto options = one_server();
@@ -190,7 +190,7 @@
     EXPECT_FALSE(logged(cluster, "ev=suspect"));
 }
 
-// A caller that takes nothing kept its connection until the call's deadline.
+// Its connection must not last until the call's deadline.
 TEST(slow_callers, a_caller_that_takes_nothing_is_ended)
 {
     auto options = one_server();
@@ -220,7 +220,7 @@
     return 0;
 }
 
-// The daemon held what 200 callers didn't take, without a bound.
+// The daemon holds no more than its bound of what 200 callers don't take.
 TEST(slow_callers, many_of_them_leave_memory_and_service_to_the_others)
 {
     auto options = one_server();
@@ -264,7 +264,7 @@
     EXPECT_TRUE(cluster.daemon().running());
 }
 
-// Bodies were read however much was held already.
+// Bodies aren't read once the VM holds as much as it may.
 TEST(slow_callers, new_calls_are_refused_as_not_run_without_memory)
 {
     auto options = one_server();
@@ -302,7 +302,6 @@
     EXPECT_EQ(ask(cluster.caller_port(), {.id = "after"}).status, 200);
 }
 
-// Idle connections were kept without a bound.
 TEST(slow_callers, idle_connections_are_bounded)
 {
     auto options = one_server();
@@ -326,7 +325,7 @@
 
 // 6. Calls that no engine can hold
 
-// Each engine refused it as if it were full, and the caller was asked to return.
+// Engines would each refuse it as if they were full, and the caller would ask again.
 TEST(slow_callers, a_call_larger_than_any_engine_is_refused_finally)
 {
     auto options = one_server();
--- a/tests/unit/server_paces_test.cpp
+++ b/tests/unit/server_paces_test.cpp
@@ -1,7 +1,7 @@
 // Tests what VMs learn together about the paces of servers.
 //
-// Index: 1 simulated fleet, 2 steady paces, 3 changes, 4 false samples, 5 forms, 6
-// digests
+// Index: 1 simulated fleet, 2 steady paces, 3 changes, 4 false samples, 5 forms,
+//        6 digests
 #include "policy/server_paces.hpp"
 
 #include <gtest/gtest.h>
@@ -295,8 +295,8 @@
 
 // 5. Forms
 
-/// The form that was not chosen: each VM moves its own value per server by quantile
-/// steps, and the VMs use the mean of their values.
+/// The error of another form, to compare with: each VM moves its own value per server by
+/// quantile steps, and the VMs use the mean of their values.
 double quantile_step_error(std::vector<double> const& before,
                            std::vector<double> const& after, std::size_t vm_count,
                            int calls_per_server, int calls_after)
