--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -10,6 +10,7 @@
 
 #include "domain/boot_clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -54,6 +55,13 @@
     bool resumable = false; // a broken stream may be continued on another server
 
     bool operator==(route const&) const = default;
+
+    bool has_target(std::string_view service) const
+    {
+        return std::any_of(targets.begin(), targets.end(),
+                           [&](route_target const& each)
+                           { return each.service == service; });
+    }
 };
 
 /// Bounds of the number of servers that are ordered for a service in each data centre.
@@ -73,7 +81,7 @@
     std::int64_t connections = 0;      // 0  max. connections per server; 0: not stated
     bool         has_engines = false;  //  its servers are model engines
     millis       handle_lifetime{0};   // 0  ms that an engine keeps a prefilled prompt
-    std::int64_t engine_tokens = 0;    // 0  that an engine holds at once; 0: not stated
+    std::int64_t engine_tokens = 0;    // 0  tokens that an engine holds; 0: not stated
     bool         has_copies = false;   //  its engines copy a run's memory to another one
     std::optional<fleet_bounds> fleet; // none: its servers aren't ordered
 
--- a/src/serving/call_context.hpp
+++ b/src/serving/call_context.hpp
@@ -23,7 +23,7 @@
 {
     keep,
     close,  // gracefully: the response is delivered first
-    aborted // it has been closed or reset already
+    aborted // the connection has been closed or reset already
 };
 
 /// One call: what came in, what has been decided, and how it ended. Lives as long as the
@@ -54,6 +54,12 @@
         return !outcome.empty();
     }
 
+    /// Time until the deadline of the final response; negative once it has passed.
+    millis until_deadline() const
+    {
+        return std::chrono::duration_cast<millis>(admitted.deadline - loop_clock::now());
+    }
+
     bool supports_chunks() const
     {
         constexpr unsigned http_1_1 = 11;
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -1,6 +1,6 @@
 // One HTTP exchange with a backend server, on a new or reused connection.
 //
-// Index: 1 exchange_request, 2 server_exchange
+// Index: 1 first_redirect, 2 exchange_request, 3 server_exchange
 #ifndef MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 #define MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 
@@ -18,12 +18,15 @@
 namespace marigoldcrank
 {
 
+// 300   status; final responses with a lower one are successes
+inline constexpr unsigned first_redirect = 300;
+
 /// The request of one exchange.
 struct exchange_request
 {
     http_request     message;
     std::string      call_id;
-    std::string_view work; // "call", "prompt" or "run", as in attempt_plan; "release"
+    std::string_view work; // "call", "prompt", "run" (also for "continue"); "release"
     bool             not_repeatable = false; // reuses only recently used connections
     bool             internal = false; // response isn't relayed and needs no signature
     loop_time        until{};
@@ -177,7 +180,8 @@
         co_return is_complete_body(step) && !may_be_cut(step);
     }
 
-    /// The same, without a holder of the bytes.
+    /// The same, for a body that the caller of this function doesn't keep for long: its
+    /// bytes are counted only while it is read.
     boost::asio::awaitable<bool> read_complete_body(std::string& out, loop_time until)
     {
         held_share held{state_.held, held_kind::reading};
@@ -191,7 +195,7 @@
         unread_ += time;
     }
 
-    /// Whether it was left unread for so long that the server may have cut it.
+    /// Whether the response was left unread for so long that the server may have cut it.
     bool was_left_unread() const noexcept
     {
         return unread_ >= long_unread;
@@ -270,7 +274,6 @@
             return attempt_outcome::not_run;
         }
         constexpr unsigned first_success = 200;
-        constexpr unsigned first_redirect = 300;
         bool const         success =
             facts_.status >= first_success && facts_.status < first_redirect;
         // A success is valid only if the server signed it and the body is the server's
