Waiting calls: VMs that start together know each other sooner; mends found in review

- A call above a busy drawn engine counted any other ready engine as its own and was sent.
- VMs that aren't heard of count when free servers are shared out.
- Free places of plain servers count, not servers with a free place.
- A call that is refused or ended while it waits leaves the queue at once; it stood before the others until its response was delivered.
The same after a reload with queue = false.

--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -60,6 +60,7 @@
                 co_await plain_.serve();
             }
         }
+        turn_.end();
         co_await ending_.deliver();
         context_.caller.stop_watching();
         --context_.state.active_calls;
--- a/src/serving/duty_times.hpp
+++ b/src/serving/duty_times.hpp
@@ -38,6 +38,8 @@
     millis member_usage_delay{2500};
     // 15000 ms; after the start, the VM looks for other VMs more often
     millis discovery{15000};
+    // 3000  ms; after the start, a VM that knows no other looks for them more often still
+    millis startup_discovery{3000};
     // 1500  ms; after a window's end, until it is sealed if all VMs have appended their
     //       counts
     millis seal{1500};
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -57,7 +57,13 @@
             bool const often = log_.held_until(now) || state_.serves_peers ||
                                now - started < times_.discovery;
             bool const closing = past > appended_before_;
-            auto const pause_between = !often ? state_.settings.usage_window
+            // VMs that start together may each read the log before the others have
+            // appended, and until they know of each other each takes all servers for its
+            // own.
+            bool const alone = state_.known_vms <= 1 && state_.settings.peers.port != 0 &&
+                               now - started < times_.startup_discovery;
+            auto const pause_between = !often  ? state_.settings.usage_window
+                                       : alone ? usage_poll
                                        : state_.reads_via_peers
                                            ? times_.relayed_usage_poll
                                            : times_.renew;
--- a/src/serving/level_gate.cpp
+++ b/src/serving/level_gate.cpp
@@ -158,7 +158,9 @@
 {
     auto&      state = context.state;
     auto const now = boot_clock::now();
-    auto const vms = static_cast<double>(state.peers.vms(now) + 1);
+    // VMs that aren't heard of go on using the servers.
+    auto const vms =
+        static_cast<double>(std::max(state.peers.vms(now) + 1, state.known_vms));
     return state.returns[context.admitted.service_name].next(
         {.work_ms = work_ms,
          .servers = servers / vms,
--- a/src/serving/send_turn.cpp
+++ b/src/serving/send_turn.cpp
@@ -40,6 +40,7 @@
     if (over_ || !state.settings.queue || context_.attempts.history().runs() > 0 ||
         !context_.call.resume_after.empty())
     {
+        place_.reset(); // a reload may have switched the queue off
         co_return true;
     }
     auto const now = boot_clock::now();
@@ -78,6 +79,14 @@
     co_return false;
 }
 
+void send_turn::end()
+{
+    if (place_ != nullptr)
+    {
+        leave("ended", {});
+    }
+}
+
 void send_turn::stop()
 {
     if (place_ != nullptr)
@@ -92,9 +101,10 @@
     auto const& admitted = context_.admitted;
     auto const  objective = admitted.matched->objective;
     auto&       order = state.waiting.order(admitted.service_name);
-    auto const  vms = std::max<std::int64_t>(state.peers.vms(now) + 1, 1);
-    bool const  next = place_ == nullptr ? !order.goes_before(order_of({}, now), now)
-                                         : place_->is_next(now);
+    // VMs that aren't heard of go on using the servers.
+    auto const vms = std::max(state.peers.vms(now) + 1, state.known_vms);
+    bool const next = place_ == nullptr ? !order.goes_before(order_of({}, now), now)
+                                        : place_->is_next(now);
     // Looking through the rules is needed only while servers are busy or calls wait.
     bool const busy = forecast.ready_servers == 0 || !next || place_ != nullptr;
     return {.yields = busy && yields_to_others(*admitted.rules, admitted.service_name,
@@ -154,13 +164,14 @@
 
 send_forecast forecast_plain(std::vector<candidate> const& candidates, millis objective)
 {
-    auto const ready = std::count_if(candidates.begin(), candidates.end(),
-                                     [](candidate const& each)
-                                     {
-                                         auto const slots = each.server->slots;
-                                         return !each.avoided &&
-                                                (slots <= 0 || each.load.running < slots);
-                                     });
+    std::int64_t ready = 0; // free places
+    for (auto const& each : candidates)
+    {
+        auto const slots = each.server->slots;
+        auto const free =
+            slots <= 0 ? 1 : std::max(slots - each.load.running, std::int64_t{0});
+        ready += each.avoided ? 0 : free;
+    }
     return {.work_ms = plain_work_part * static_cast<double>(objective.count()),
             .ready_servers = ready};
 }
--- a/src/serving/send_turn.hpp
+++ b/src/serving/send_turn.hpp
@@ -39,6 +39,9 @@
     /// unless the call has ended.
     boost::asio::awaitable<bool> wait(send_forecast forecast);
 
+    /// Leaves the queue, if the call is still in it; it won't be sent.
+    void end();
+
     /// Ends the wait early, since the caller has disconnected.
     void stop();
 
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -136,8 +136,10 @@
         }
         bool const above = is_above_level(context_, engines_, first.prefill_ms,
                                           !std::exchange(work_counted_, true));
+        // The chosen engine is the best of those that were drawn. If it is busy, the next
+        // draw may find one that is ready.
         auto const ready =
-            std::max<std::int64_t>(engines_.ready, engines_.chosen_ready ? 1 : 0);
+            engines_.chosen_ready ? std::max<std::int64_t>(engines_.ready, 1) : 0;
         // A call above the level waits as if no engine were ready.
         may_be_sent_ =
             co_await turn_.wait({first.wait_ms, first.prefill_ms, above ? 0 : ready});
