Roles: engines change places soon after a boot, several pairs at once

The time of an engine's last change is the clock's epoch while there was none, and the clock counts from the boot of the VM: for 2 minutes after it no engines changed places, and for 9 s none changed roles. Pairs of a data centre change places together, within the limit of changes; one pair in 9 s would take a minute for 50 engines. Both tests were seen red by reading only: the old code had no such case.

--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -32,44 +32,72 @@
     return std::llround(std::log(each.pace) / std::log(options.swap_ratio));
 }
 
-/// Of each data centre without a recent change the fastest decode engine and the slowest
-/// prefill engine, if these differ enough; at most `allowed` engines.
-std::vector<backend_server const*> plan_swaps(std::vector<split_engine> const& engines,
-                                              std::int64_t                     allowed,
-                                              boot_clock::time_point           now,
-                                              role_split_options const&        options)
+/// Whether the engine was changed less than `interval` ago.
+bool changed_within(split_engine const& each, millis interval, boot_clock::time_point now)
 {
-    struct swap_candidates
-    {
-        split_engine const* decode = nullptr;
-        split_engine const* prefill = nullptr;
-        bool                changing = false;
-    };
-    std::map<std::string, swap_candidates> by_centre;
+    return each.changed != boot_clock::time_point{} && now - each.changed < interval;
+}
+
+/// Engines of a data centre that may change places, those that gain most by it first.
+struct swap_candidates
+{
+    std::vector<split_engine const*> decode;  // fastest first
+    std::vector<split_engine const*> prefill; // slowest first
+    bool                             changing = false;
+};
+
+std::map<std::string, swap_candidates>
+find_swap_candidates(std::vector<split_engine> const& engines, boot_clock::time_point now,
+                     role_split_options const& options)
+{
+    std::map<std::string, swap_candidates> result;
     for (auto const& each : engines)
     {
-        auto& found = by_centre[each.server->data_centre];
-        found.changing = found.changing || now - each.changed < options.change_interval;
-        if (now - each.changed < options.swap_interval)
+        auto& found = result[each.server->data_centre];
+        found.changing =
+            found.changing || changed_within(each, options.change_interval, now);
+        if (!changed_within(each, options.swap_interval, now))
         {
-            continue;
+            bool const is_prefill = each.role == engine_role::prefill;
+            (is_prefill ? found.prefill : found.decode).push_back(&each);
         }
-        bool const is_prefill = each.role == engine_role::prefill;
-        auto&      best = is_prefill ? found.prefill : found.decode;
-        bool const better = best == nullptr || (is_prefill ? each.pace < best->pace
-                                                           : each.pace > best->pace);
-        best = better ? &each : best;
     }
+    for (auto& [centre, found] : result)
+    {
+        std::stable_sort(found.decode.begin(), found.decode.end(),
+                         [](auto const* one, auto const* other)
+                         { return one->pace > other->pace; });
+        std::stable_sort(found.prefill.begin(), found.prefill.end(),
+                         [](auto const* one, auto const* other)
+                         { return one->pace < other->pace; });
+    }
+    return result;
+}
+
+/// Pairs of a fast decode engine and a slow prefill engine, in the data centres in turn;
+/// at most `allowed` engines.
+std::vector<backend_server const*> plan_swaps(std::vector<split_engine> const& engines,
+                                              std::int64_t                     allowed,
+                                              boot_clock::time_point           now,
+                                              role_split_options const&        options)
+{
+    auto const centres = find_swap_candidates(engines, now, options);
     std::vector<backend_server const*> result;
-    for (auto const& [centre, found] : by_centre)
+    bool                               found = true;
+    for (std::size_t rank = 0; found; ++rank)
     {
-        bool const both = found.decode != nullptr && found.prefill != nullptr;
-        bool const fits = static_cast<std::int64_t>(result.size()) + 2 <= allowed;
-        if (both && fits && !found.changing &&
-            found.decode->pace >= options.swap_ratio * found.prefill->pace)
+        found = false;
+        for (auto const& [centre, each] : centres)
         {
-            result.push_back(found.decode->server);
-            result.push_back(found.prefill->server);
+            bool const both = rank < std::min(each.decode.size(), each.prefill.size());
+            bool const fits = static_cast<std::int64_t>(result.size()) + 2 <= allowed;
+            if (both && fits && !each.changing &&
+                each.decode[rank]->pace >= options.swap_ratio * each.prefill[rank]->pace)
+            {
+                result.push_back(each.decode[rank]->server);
+                result.push_back(each.prefill[rank]->server);
+                found = true;
+            }
         }
     }
     return result;
@@ -116,7 +144,7 @@
         bool const is_prefill = each.role == engine_role::prefill;
         prefill += is_prefill ? 1 : 0;
         by_centre[each.server->data_centre] += is_prefill ? 1 : 0;
-        changing += now - each.changed < options.change_interval ? 1 : 0;
+        changing += changed_within(each, options.change_interval, now) ? 1 : 0;
     }
     auto const count = static_cast<std::int64_t>(engines.size());
     auto const change = wanted_prefill(count, prefill, need, options) - prefill;
@@ -137,7 +165,7 @@
     {
         bool const is_prefill = each.role == engine_role::prefill;
         return is_prefill != more_prefill &&
-               now - each.changed >= options.change_interval;
+               !changed_within(each, options.change_interval, now);
     };
     std::vector<backend_server const*> result;
     while (static_cast<std::int64_t>(result.size()) < std::min(allowed, std::abs(change)))
--- a/tests/unit/role_split_test.cpp
+++ b/tests/unit/role_split_test.cpp
@@ -57,6 +57,36 @@
     EXPECT_EQ(fleet.plan(calm), (ids{"engine-10", "engine-2"}));
 }
 
+// With one pair at a time, the engines of a large data centre would take minutes to have
+// the roles that fit them.
+TEST(role_split, several_pairs_of_a_data_centre_change_places_at_once)
+{
+    simulated_engines fleet;
+    for (int copy = 0; copy < 2; ++copy) // three times as many engines of pace 1
+    {
+        auto const engines = fleet.engines;
+        fleet.engines.insert(fleet.engines.end(), engines.begin(), engines.end());
+    }
+    fleet.engines[2].pace = 0.7;  // prefill, east
+    fleet.engines[4].pace = 0.7;  // prefill, east
+    fleet.engines[8].pace = 1.7;  // decode, east
+    fleet.engines[10].pace = 1.7; // decode, east
+    fleet.engines[3].pace = 0.7;  // prefill, west
+    fleet.engines[9].pace = 1.7;  // decode, west
+    EXPECT_EQ(fleet.plan({4, 4}), (ids{"engine-8", "engine-2", "engine-9", "engine-3",
+                                       "engine-10", "engine-4"}));
+}
+
+// The time since the boot of a VM was taken for the time since an engine's last change.
+TEST(role_split, engines_change_places_soon_after_the_boot_of_the_vm)
+{
+    simulated_engines fleet;
+    fleet.engines[2].pace = 0.7;
+    fleet.engines[10].pace = 1.7;
+    boot_clock::time_point const booted{std::chrono::seconds{5}};
+    EXPECT_EQ(plan_role_changes(fleet.engines, calm, booted, {}).size(), 2U);
+}
+
 // The paths of two data centres would be crossed by a pair of both.
 TEST(role_split, engines_of_different_data_centres_do_not_change_places)
 {
