--- a/src/policy/load_relay.hpp
+++ b/src/policy/load_relay.hpp
@@ -1,13 +1,14 @@
 // Collects the work of the other VMs from their digests and builds the digests to
 // publish.
 //
-// Index: 1 digest_scope, 2 load_digest, 3 load_relay
+// Index: 1 digest_scope, 2 received_scopes, 3 load_digest, 4 load_relay
 #ifndef MARIGOLDCRANK_POLICY_LOAD_RELAY_HPP
 #define MARIGOLDCRANK_POLICY_LOAD_RELAY_HPP
 
 #include "policy/peer_loads.hpp"
 #include "policy/relay_plan.hpp"
 
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,17 @@
     fleet   // all VMs
 };
 
+/// The scopes of the digests and notices that a VM with this plan receives.
+inline std::set<digest_scope> received_scopes(relay_plan const& plan)
+{
+    if (plan.mesh)
+    {
+        return {digest_scope::vm};
+    }
+    return plan.relay ? std::set{digest_scope::vm, digest_scope::centre}
+                      : std::set{digest_scope::fleet};
+}
+
 /// One digest, as sent and received.
 struct load_digest
 {
@@ -77,7 +89,8 @@
     {
         peers_.expire(now);
         previous_published_ = std::exchange(last_published_, own);
-        std::vector<load_digest> result{{digest_scope::vm, vm_, centre_, own}};
+        std::vector<load_digest> result;
+        result.push_back({digest_scope::vm, vm_, centre_, own});
         if (plan_.relay)
         {
             auto centre = own;
--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -11,8 +11,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 
 namespace marigoldcrank
 {
@@ -134,20 +138,40 @@
     /// Records a sender's newest digest, received now.
     void merge(std::string const& vm, vm_work work, boot_clock::time_point now)
     {
-        peers_[vm] = {now, std::move(work)};
+        auto const [found, is_new] = peers_.try_emplace(vm);
+        auto& digest = found->second;
+        if (is_new)
+        {
+            by_time_.emplace(now, vm);
+        }
+        else
+        {
+            auto entry = by_time_.extract({digest.received_at, vm});
+            entry.value().first = now;
+            by_time_.insert(std::move(entry));
+        }
+        replace_loads(digest.work.loads, work.loads);
+        digest = {now, std::move(work)};
     }
 
-    /// Work at one server, added up over recent digests.
+    /// Work at one server, added up over recent digests. Each placement asks for all
+    /// servers of a service, so the sums are kept.
     server_load at(std::string const& server, boot_clock::time_point now) const
     {
-        server_load sum;
-        for (auto const& [vm, digest] : peers_)
+        auto const  found = sums_.find(server);
+        server_load sum = found == sums_.end() ? server_load{} : found->second;
+        for (auto const& [received_at, vm] : by_time_)
         {
-            auto const found = digest.work.loads.find(server);
-            if (now - digest.received_at <= options_.max_age &&
-                found != digest.work.loads.end())
+            if (now - received_at <= options_.max_age)
             {
-                sum.add(found->second);
+                break;
+            }
+            auto const& loads = peers_.at(vm).work.loads;
+            auto const  load = loads.find(server);
+            if (load != loads.end())
+            {
+                sum.running -= load->second.running;
+                sum.prefill_tokens -= load->second.prefill_tokens;
             }
         }
         return sum;
@@ -231,8 +255,13 @@
     /// Drops digests that are too old to count.
     void expire(boot_clock::time_point now)
     {
-        std::erase_if(peers_, [&](auto const& entry)
-                      { return now - entry.second.received_at > options_.max_age; });
+        while (!by_time_.empty() && now - by_time_.begin()->first > options_.max_age)
+        {
+            auto const oldest = peers_.find(by_time_.begin()->second);
+            replace_loads(oldest->second.work.loads, {});
+            peers_.erase(oldest);
+            by_time_.erase(by_time_.begin());
+        }
     }
 
 private:
@@ -242,8 +271,39 @@
         vm_work                work;
     };
 
-    peer_loads_options                     options_;
-    std::map<std::string, received_digest> peers_;
+    /// Changes the sums from the loads of one digest to those of the next. Both are in
+    /// the order of servers, and most loads stay the same.
+    void replace_loads(server_loads const& before, server_loads const& after)
+    {
+        auto old = before.begin();
+        auto next = after.begin();
+        while (old != before.end() || next != after.end())
+        {
+            auto const order = old == before.end()   ? 1
+                               : next == after.end() ? -1
+                                                     : old->first.compare(next->first);
+            auto const was = order <= 0 ? old->second : server_load{};
+            auto const is = order >= 0 ? next->second : server_load{};
+            if (was != is)
+            {
+                auto const& server = order <= 0 ? old->first : next->first;
+                auto const  sum = sums_.try_emplace(server).first;
+                sum->second.running += is.running - was.running;
+                sum->second.prefill_tokens += is.prefill_tokens - was.prefill_tokens;
+                if (sum->second == server_load{})
+                {
+                    sums_.erase(sum);
+                }
+            }
+            old = order <= 0 ? std::next(old) : old;
+            next = order >= 0 ? std::next(next) : next;
+        }
+    }
+
+    peer_loads_options                                       options_;
+    std::map<std::string, received_digest>                   peers_;
+    std::set<std::pair<boot_clock::time_point, std::string>> by_time_; // oldest first
+    std::unordered_map<std::string, server_load>             sums_;    // of all in peers_
 };
 
 } // namespace marigoldcrank
--- a/src/policy/server_paces.cpp
+++ b/src/policy/server_paces.cpp
@@ -135,18 +135,17 @@
                     options_.dead_band_errors * std::sqrt(variance));
 }
 
-server_pace_sums server_paces::total(server_pace_sums const& others,
-                                     boot_clock::time_point  now)
+/// The sums of all VMs; `others` are those of the other ones.
+server_pace_sums server_paces::total(server_pace_sums others, boot_clock::time_point now)
 {
-    auto result = others;
     for (auto& [server, entry] : own_)
     {
         decay(entry, now);
-        result[server].add(entry.sums);
+        others[server].add(entry.sums);
     }
     std::erase_if(own_, [](auto const& each)
                   { return each.second.sums.lasting.weight < least_weight; });
-    return result;
+    return others;
 }
 
 std::optional<pace_change> server_paces::change_of(std::string const& server,
--- a/src/policy/server_paces.hpp
+++ b/src/policy/server_paces.hpp
@@ -19,6 +19,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace marigoldcrank
@@ -93,12 +94,11 @@
     /// the service of a listed server, or an empty text; `size_of` the number of servers
     /// of a service. Returns what has changed.
     template <class ServiceOf, class SizeOf>
-    std::vector<pace_change> update(server_pace_sums const& others,
-                                    ServiceOf&& service_of, SizeOf&& size_of,
-                                    boot_clock::time_point now)
+    std::vector<pace_change> update(server_pace_sums others, ServiceOf&& service_of,
+                                    SizeOf&& size_of, boot_clock::time_point now)
     {
         std::map<std::string, service_estimates> services;
-        for (auto const& [server, sums] : total(others, now))
+        for (auto const& [server, sums] : total(std::move(others), now))
         {
             std::string const service = service_of(server);
             if (!service.empty())
@@ -182,7 +182,7 @@
     double           log_pace(pace_sums const& sums) const;
     double           dead_band(pace_sums const& sums) const;
     double           clip(double log_ratio) const;
-    server_pace_sums total(server_pace_sums const& others, boot_clock::time_point now);
+    server_pace_sums total(server_pace_sums others, boot_clock::time_point now);
     std::vector<pace_change>
     apply(std::map<std::string, service_estimates> const& services,
           boot_clock::time_point                          now);
--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -198,7 +198,7 @@
         return urgency_of(
             admitted.rank,
             std::chrono::duration_cast<millis>(admitted.matched->objective - waited),
-            scale_of(*admitted.rules), urgency_levels);
+            context_.state.memo.scale(admitted.rules), urgency_levels);
     }
 
     call_context& context_;
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -49,6 +49,13 @@
     return std::nullopt;
 }
 
+/// A count from a message, bounded so that sums with it can't overflow.
+std::int64_t parse_count(std::uint64_t value)
+{
+    constexpr std::uint64_t most = 1'000'000'000;
+    return static_cast<std::int64_t>(std::min(value, most));
+}
+
 std::vector<send_notice> parse_notices(zmq::message_t const& bytes)
 {
     wire::send_notices       message;
@@ -57,11 +64,8 @@
     {
         for (auto const& entry : message.notices())
         {
-            constexpr std::uint64_t most_tokens = 1'000'000'000;
             notices.push_back({entry.number(), entry.server(),
-                               static_cast<std::int64_t>(
-                                   std::min<std::uint64_t>(entry.tokens(), most_tokens)),
-                               millis{entry.life_ms()}});
+                               parse_count(entry.tokens()), millis{entry.life_ms()}});
         }
     }
     return notices;
@@ -101,11 +105,13 @@
     }
 }
 
-/// A rate from a message, bounded so that sums with it stay finite.
+/// A rate or speed from a message, bounded so that sums and quotients with it stay
+/// finite. What is no number, infinite, or too small to matter counts as 0.
 double parse_rate(double value)
 {
+    constexpr double least = 1e-6;
     constexpr double most = 1e12;
-    return value > 0 ? std::min(value, most) : 0;
+    return std::isfinite(value) && value >= least ? std::min(value, most) : 0;
 }
 
 service_works parse_works(wire::load_digest const& message)
@@ -233,42 +239,49 @@
 }
 
 /// A sum from a message, bounded so that sums with it stay finite and no mean lies beyond
-/// what samples can say.
-log_sum parse_log_sum(std::uint32_t weight, std::int32_t logs)
+/// what samples can say. One VM counts as 1,000 samples at most, so that it can't
+/// outweigh all others.
+log_sum parse_log_sum(digest_scope scope, std::uint32_t weight, std::int32_t logs)
 {
     constexpr double milli = 1000;
+    constexpr double most_of_vm = 1000;
     log_sum          result{static_cast<double>(weight) / milli,
                    static_cast<double>(logs) / milli};
     result.limit();
+    if (scope == digest_scope::vm && result.weight > most_of_vm)
+    {
+        result.scale(most_of_vm / result.weight);
+    }
     return result;
 }
 
-vm_work parse_work(wire::load_digest const& message)
+vm_work parse_work(digest_scope scope, wire::load_digest const& message)
 {
     vm_work work;
-    work.vms = message.vms();
+    work.vms =
+        parse_count(static_cast<std::uint64_t>(std::max<std::int64_t>(message.vms(), 0)));
     work.works = parse_works(message);
     for (auto const& entry : message.servers())
     {
         // The sender lists its servers in key order, so inserting at the end is cheap.
-        server_load const load{.running = static_cast<std::int64_t>(entry.running()),
-                               .prefill_tokens =
-                                   static_cast<std::int64_t>(entry.unread())};
+        server_load const load{.running = parse_count(entry.running()),
+                               .prefill_tokens = parse_count(entry.unread())};
         work.loads.insert_or_assign(work.loads.end(), entry.server(), load);
     }
     for (auto const& entry : message.demands())
     {
-        work.demands[entry.service()] = {.prompt_rate = entry.prompt_rate(),
-                                         .prefill_speed = entry.prefill_speed(),
-                                         .colocated_speed = entry.colocated_speed(),
-                                         .streams = entry.streams()};
+        work.demands[entry.service()] = {
+            .prompt_rate = parse_rate(entry.prompt_rate()),
+            .prefill_speed = parse_rate(entry.prefill_speed()),
+            .colocated_speed = parse_rate(entry.colocated_speed()),
+            .streams = parse_rate(entry.streams())};
     }
     for (auto const& entry : message.paces())
     {
         work.paces.insert_or_assign(
             work.paces.end(), entry.server(),
-            pace_sums{parse_log_sum(entry.weight(), entry.logs()),
-                      parse_log_sum(entry.recent_weight(), entry.recent_logs())});
+            pace_sums{parse_log_sum(scope, entry.weight(), entry.logs()),
+                      parse_log_sum(scope, entry.recent_weight(), entry.recent_logs())});
     }
     return work;
 }
@@ -377,8 +390,9 @@
             message.ParseFromArray(parts[1].data(), static_cast<int>(parts[1].size()));
         if (read && message.scope() <= last)
         {
-            load_digest digest{static_cast<digest_scope>(message.scope()), message.vm(),
-                               message.data_centre(), parse_work(message)};
+            auto const  scope = static_cast<digest_scope>(message.scope());
+            load_digest digest{scope, message.vm(), message.data_centre(),
+                               parse_work(scope, message)};
             deliver(std::move(digest), parse_notes(message));
         }
     }
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -237,7 +237,8 @@
 void entry_state::announce_send(std::string const& server, std::int64_t tokens,
                                 millis life)
 {
-    if (announcer != nullptr && settings.announce_sends && sends.worth_publishing(tokens))
+    bool const worth = sends.worth_publishing(tokens, life);
+    if (announcer != nullptr && settings.announce_sends && worth)
     {
         announcer->announce({tie_break(), server, tokens, life});
     }
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -29,6 +29,7 @@
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
 #include "policy/return_schedule.hpp"
+#include "policy/rules_memo.hpp"
 #include "policy/send_holds.hpp"
 #include "policy/server_health.hpp"
 #include "policy/server_limits.hpp"
@@ -247,6 +248,7 @@
     entry_settings                      settings;
     std::string                         incarnation;
     rules_view                          view;
+    rules_memo                          memo; // of the rules that calls go by
     server_list                         servers;
     server_loads                        loads; // from calls of this VM
     load_relay                          peers; // from calls of the other VMs
--- a/src/serving/level_gate.cpp
+++ b/src/serving/level_gate.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 #include <utility>
 
 namespace marigoldcrank
@@ -26,42 +25,6 @@
     return static_cast<double>(XXH3_64bits(call_id.data(), call_id.size())) / range;
 }
 
-/// What the rules say about the calls to a service.
-struct service_kinds
-{
-    bool   ranked = false;        // their ranks differ
-    millis shortest_objective{0}; // 0: none has one
-};
-
-service_kinds kinds_of(serving_rules const& rules, std::string const& service)
-{
-    service_kinds               result;
-    std::optional<std::int64_t> first;
-    auto const                  add_rank = [&](std::int64_t rank)
-    {
-        first = first.value_or(rank);
-        result.ranked = result.ranked || rank != *first;
-    };
-    for (auto const& each : rules.routes())
-    {
-        auto& shortest = result.shortest_objective;
-        if (each.has_target(service))
-        {
-            add_rank(each.rank);
-            bool const shorter = shortest.count() == 0 || each.objective < shortest;
-            shortest = each.objective.count() > 0 && shorter ? each.objective : shortest;
-        }
-    }
-    for (auto const& each : rules.workspaces())
-    {
-        if (each.rank >= 0)
-        {
-            add_rank(each.rank);
-        }
-    }
-    return result;
-}
-
 void log_level(entry_state& state, std::string const& service, level_input const& input,
                admission_level const& level, boot_clock::time_point now)
 {
@@ -97,12 +60,12 @@
     }
     known.updated_at = now;
     auto const        all = std::max<std::int64_t>(engines.all, 1);
-    auto const&       rules = *context.admitted.rules;
-    auto const        kinds = kinds_of(rules, service);
+    auto const&       rules = context.admitted.rules;
+    auto const        kinds = state.memo.kinds(rules, service);
     level_input const input{
         .offered = state.offered_work(service, now),
         .workspaces = state.settings.shares
-                          ? static_cast<std::int64_t>(rules.workspaces().size())
+                          ? static_cast<std::int64_t>(rules->workspaces().size())
                           : 0,
         .capacity = kinds.ranked ? engines.capacity : 0,
         .ready_share = static_cast<double>(engines.ready) / static_cast<double>(all),
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -14,19 +14,12 @@
 // 3     rounds; one digest in three includes usage counts. A killed VM loses 450 ms of
 //       its counts, a tenth of a window, of which 0.05 may be missing over all VMs
 constexpr std::uint64_t usage_interval = 3;
+// 3     rounds between updates of paces, which cost some allocations a server; samples
+//       count for ten rounds and more
+constexpr std::uint64_t paces_interval = 3;
 // 16    rounds between removals of expired entries
 constexpr std::uint64_t expiry_interval = 16;
 
-std::set<digest_scope> scopes_of(relay_plan const& plan)
-{
-    if (plan.mesh)
-    {
-        return {digest_scope::vm};
-    }
-    return plan.relay ? std::set{digest_scope::vm, digest_scope::centre}
-                      : std::set{digest_scope::fleet};
-}
-
 /// The sources whose observations a digest includes: the digest of a VM only its own,
 /// that of a data centre those of its VMs, that of the fleet all.
 update_source widest_source(digest_scope scope)
@@ -175,7 +168,10 @@
                       { return state_.last_heard.count(each.first) == 0; });
         state_.proxies.expire(now);
     }
-    state_.update_paces(now);
+    if (rounds_ % paces_interval == 0)
+    {
+        state_.update_paces(now);
+    }
     state_.follow_speeds(now);
     for (auto& digest : state_.peers.digests(state_.own_work(now), now))
     {
@@ -276,7 +272,7 @@
                              .vms = static_cast<std::size_t>(told)});
     log_plan(plan, static_cast<std::int64_t>(vms.size() +
                                              (vms.count(state_.contact) > 0 ? 0 : 1)));
-    digests_.follow(plan.digests, scopes_of(plan));
+    digests_.follow(plan.digests, received_scopes(plan));
     // A VM of a large fleet that knows no other is no relay yet.
     bool const alone = vms.empty() && told > state_.settings.mesh;
     state_.serves_peers = plan.serves_records && !alone;
--- a/src/serving/send_announcer.cpp
+++ b/src/serving/send_announcer.cpp
@@ -1,6 +1,7 @@
 // Batches and directions of notices.
 #include "serving/send_announcer.hpp"
 
+#include "policy/notice_route.hpp"
 #include "serving/digest_link.hpp"
 #include "serving/entry_state.hpp"
 
@@ -10,12 +11,23 @@
 namespace
 {
 
-// 5     ms in which notices are collected: much less than a prefill takes, and at most
-//       200 messages of a scope a second
+// 5 and 15  ms in which a VM and a relay collect notices: less than the prefills take
+// that
+//           are announced, and at most 200 and 67 messages of a scope a second
 constexpr millis batch_time{5};
+constexpr millis relay_batch_time{15};
 // 2000  ms for which own notices are recognised, as relays return them to their sender
 constexpr millis echo_time{2000};
 
+notice_place place_of(entry_state const& state)
+{
+    if (!state.is_relay)
+    {
+        return notice_place::member;
+    }
+    return state.is_first_relay ? notice_place::first_relay : notice_place::relay;
+}
+
 } // namespace
 
 send_announcer::send_announcer(boost::asio::io_context& loop, entry_state& state,
@@ -35,34 +47,29 @@
     state_.counters.add("announced_prompts_total");
     own_.insert(notice.number);
     own_ends_.emplace(now + echo_time, notice.number);
-    add(digest_scope::vm, notice);
-    if (state_.is_relay)
+    for (auto const scope : own_notice_scopes(place_of(state_)))
     {
-        add(digest_scope::centre, notice);
-        add(digest_scope::fleet, notice);
+        add(scope, notice);
     }
 }
 
 void send_announcer::receive(digest_scope scope, std::vector<send_notice> const& notices)
 {
     auto const now = boot_clock::now();
+    auto const scopes = passed_notice_scopes(place_of(state_), scope);
     for (auto const& each : notices)
     {
         bool const is_new = own_.count(each.number) == 0 &&
                             state_.sends.receive(each, state_.digest_age(), now);
-        if (is_new)
-        {
-            state_.counters.add("heard_prompts_total");
-        }
-        if (!is_new || !state_.is_relay)
+        if (!is_new)
         {
             continue;
         }
-        if (scope == digest_scope::vm)
+        state_.counters.add("heard_prompts_total");
+        for (auto const passed : scopes)
         {
-            add(digest_scope::centre, each);
+            add(passed, each);
         }
-        add(digest_scope::fleet, each);
     }
 }
 
@@ -72,7 +79,7 @@
     pending_[scope].push_back(notice);
     if (!waiting)
     {
-        timer_.expires_after(batch_time);
+        timer_.expires_after(state_.is_relay ? relay_batch_time : batch_time);
         timer_.async_wait(
             [this](boost::system::error_code const& error)
             {
--- a/src/serving/send_announcer.hpp
+++ b/src/serving/send_announcer.hpp
@@ -12,7 +12,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <unordered_set>
 #include <vector>
 
 namespace marigoldcrank
@@ -21,9 +21,9 @@
 class digest_link;
 class entry_state;
 
-/// Collects notices for some milliseconds and publishes them together, in the way of the
-/// digests: a member to its relays, these to the relays of other data centres and to
-/// their members.
+/// Collects notices for some milliseconds and publishes them together (notice_route): a
+/// member to its relays, these to the relays of other data centres, and the first of them
+/// to their members.
 class send_announcer
 {
 public:
@@ -46,7 +46,8 @@
     boost::asio::steady_timer                            timer_;
     std::map<digest_scope, std::vector<send_notice>>     pending_;
     std::multimap<boot_clock::time_point, std::uint64_t> own_ends_;
-    std::set<std::uint64_t> own_; // numbers of notices that may come back from relays
+    // Numbers of notices that may come back from relays.
+    std::unordered_set<std::uint64_t> own_;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/send_turn.cpp
+++ b/src/serving/send_turn.cpp
@@ -105,10 +105,10 @@
     auto const vms = std::max(state.peers.vms(now) + 1, state.known_vms);
     bool const next = place_ == nullptr ? !order.goes_before(order_of({}, now), now)
                                         : place_->is_next(now);
-    // Looking through the rules is needed only while servers are busy or calls wait.
+    // The rules matter only while servers are busy or calls wait.
     bool const busy = forecast.ready_servers == 0 || !next || place_ != nullptr;
-    return {.yields = busy && yields_to_others(*admitted.rules, admitted.service_name,
-                                               admitted.rank, objective),
+    return {.yields = busy && state.memo.yields(admitted.rules, admitted.service_name,
+                                                admitted.rank, objective),
             .server_ready = forecast.ready_servers > 0,
             .is_next = next,
             .may_release = place_ == nullptr ||
--- a/tests/unit/recent_sends_test.cpp
+++ b/tests/unit/recent_sends_test.cpp
@@ -28,6 +28,38 @@
     EXPECT_EQ(sends.tokens_at("e", at(4)), 5000);
 }
 
+// A copy that comes over a slower relay when the prompt is prefilled already must neither
+// count nor be passed on again.
+TEST(recent_sends, copies_after_the_life_of_a_notice_do_not_count)
+{
+    recent_sends      sends;
+    send_notice const notice{7, "e", 5000, millis{40}};
+    EXPECT_TRUE(sends.receive(notice, digest_age, at(0)));
+    EXPECT_EQ(sends.tokens_at("e", at(41)), 0);
+    EXPECT_FALSE(sends.receive(notice, digest_age, at(60)));
+    EXPECT_FALSE(sends.receive(notice, digest_age, at(450)));
+    EXPECT_EQ(sends.tokens_at("e", at(451)), 0);
+}
+
+// Notices with short lives must not use up the memory by their numbers.
+TEST(recent_sends, the_number_of_remembered_notices_is_bounded)
+{
+    recent_sends sends{{.most_numbers = 2}};
+    EXPECT_TRUE(sends.receive({1, "a", 1000, millis{1}}, digest_age, at(0)));
+    EXPECT_TRUE(sends.receive({2, "b", 1000, millis{1}}, digest_age, at(2)));
+    EXPECT_FALSE(sends.receive({3, "c", 1000, millis{1}}, digest_age, at(4)));
+    EXPECT_TRUE(sends.receive({3, "c", 1000, millis{1}}, digest_age, at(1003)));
+}
+
+// The notice of a prompt that is prefilled when it arrives is a wasted message.
+TEST(recent_sends, long_prompts_are_published_if_their_prefill_takes_long)
+{
+    recent_sends const sends;
+    EXPECT_TRUE(sends.worth_publishing(1000, millis{30}));
+    EXPECT_FALSE(sends.worth_publishing(999, millis{300}));
+    EXPECT_FALSE(sends.worth_publishing(50000, millis{29}));
+}
+
 // A prompt must not count beside the digests that include it.
 TEST(recent_sends, a_notice_ends_with_its_prefill_or_once_digests_include_it)
 {
