--- a/src/serving/send_announcer.cpp
+++ b/src/serving/send_announcer.cpp
@@ -11,9 +11,8 @@
 namespace
 {
 
-// 5 and 15  ms in which a VM and a relay collect notices: less than the prefills take
-// that
-//           are announced, and at most 200 and 67 messages of a scope a second
+// 5 and 15  ms in which a VM and a relay collect notices: less than the prefills that
+//           are announced take, and at most 200 and 67 messages of a scope a second
 constexpr millis batch_time{5};
 constexpr millis relay_batch_time{15};
 // 2000  ms for which own notices are recognised, as relays return them to their sender
--- a/tests/unit/send_time_test.cpp
+++ b/tests/unit/send_time_test.cpp
@@ -1,5 +1,6 @@
 // When a call is sent and when it waits.
 #include "policy/send_time.hpp"
+#include "serving/send_turn.hpp"
 
 #include <gtest/gtest.h>
 
@@ -106,4 +107,22 @@
     EXPECT_FALSE(yields_to_others(rules, "m", 1, millis{500}));
 }
 
+// Servers with many free places counted as one, so that VMs let few calls go at a time.
+TEST(send_time, forecast_of_plain_calls_counts_free_places)
+{
+    backend_server const   free{.id = "free", .slots = 16};
+    backend_server const   full{.id = "full", .slots = 16};
+    backend_server const   avoided{.id = "avoided", .slots = 16};
+    backend_server const   unlimited{.id = "unlimited"};
+    std::vector<candidate> candidates(4);
+    candidates[0].server = &free;
+    candidates[0].load.running = 6;
+    candidates[1].server = &full;
+    candidates[1].load.running = 17;
+    candidates[2].server = &avoided;
+    candidates[2].avoided = true;
+    candidates[3].server = &unlimited;
+    EXPECT_EQ(forecast_plain(candidates, millis{1000}).ready_servers, 11);
+}
+
 } // namespace marigoldcrank
