--- a/src/policy/held_memory.hpp
+++ b/src/policy/held_memory.hpp
@@ -28,7 +28,7 @@
 enum class held_kind
 {
     requests, // bodies of requests, and their copies on the way to servers
-    reading,  // plain responses that aren't complete yet
+    reading,  // plain responses, and events of streams, that aren't complete yet
     responses // responses not yet written to callers
 };
 
@@ -84,6 +84,8 @@
             .most_idle = static_cast<std::size_t>(idle)};
 }
 
+class held_share;
+
 /// Sums by kind. Pure: no I/O and no clock.
 class held_memory
 {
@@ -137,9 +139,41 @@
         return has_room() ? options_.most_unwritten : 0;
     }
 
+    /// Whether the reader of a plain response leaves the rest unread for now; `reader`
+    /// counts the bytes read so far. At the bound, unwritten responses leave by
+    /// themselves, so it waits for them. Requests and responses that are being read leave
+    /// only by reading on; all of these responses go on while they take less than half of
+    /// the bound, and above that one of them.
+    bool must_wait(held_share const& reader) noexcept
+    {
+        constexpr std::int64_t unwritten_part = 4;
+        constexpr std::int64_t reading_part = 2;
+        if (has_room())
+        {
+            return false;
+        }
+        if (unwritten_part * held(held_kind::responses) >= options_.most)
+        {
+            return true;
+        }
+        if (reading_part * held(held_kind::reading) < options_.most)
+        {
+            return false;
+        }
+        reads_on_ = reads_on_ == nullptr ? &reader : reads_on_;
+        return reads_on_ != &reader;
+    }
+
+    /// Lets another reader go on in place of `reader`, which has ended.
+    void end_reading(held_share const& reader) noexcept
+    {
+        reads_on_ = reads_on_ == &reader ? nullptr : reads_on_;
+    }
+
 private:
     held_options                options_;
     std::array<std::int64_t, 3> held_{};
+    held_share const*           reads_on_ = nullptr; // the one reader; only compared
 };
 
 /// The bytes that one holder has; removes them from the sum on destruction.
@@ -154,6 +188,7 @@
     ~held_share()
     {
         set(0);
+        memory_->end_reading(*this);
     }
 
     held_share(held_share const&) = delete;
@@ -213,7 +248,8 @@
 /// What a caller hasn't taken yet.
 struct unwritten_response
 {
-    std::int64_t bytes = 0;
+    std::int64_t bytes = 0;            // that the VM counts as held
+    std::int64_t in_kernel = 0;        // written, but the caller has no room for them
     millis       stalled{0};           // since the caller last took bytes
     bool         server_waits = false; // the rest isn't read from the server
     std::int64_t rank = 0;             // of the call; 0 is the most urgent
@@ -226,7 +262,7 @@
 constexpr slow_rule rule_for(unwritten_response const& response,
                              held_options const&       options)
 {
-    if (response.bytes == 0)
+    if (response.bytes + response.in_kernel == 0)
     {
         return slow_rule::none;
     }
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -21,6 +21,9 @@
 /// have cut it for that, so the end isn't held against the server or the call.
 inline constexpr std::string_view fault_unread = "unread";
 
+/// Fault of a stream that was given up because one of its events was too long.
+inline constexpr std::string_view fault_event_limit = "event_limit";
+
 /// How one attempt ended.
 struct attempt_result
 {
--- a/src/serving/call_ending.cpp
+++ b/src/serving/call_ending.cpp
@@ -27,6 +27,7 @@
     }
     if (!server_failure_.empty())
     {
+        server_failure_held_.set(0); // the caller's connection counts it from here on
         co_return co_await send_response(std::move(server_failure_),
                                          server_failure_status_);
     }
@@ -87,7 +88,7 @@
     auto const until = std::max(now, context_.admitted.deadline) +
                        context_.state.held->options().most_late;
     bool const reset = context_.disposition == connection_disposition::aborted;
-    if (!reset && !co_await context_.caller.wait_unwritten(0, until))
+    if (!reset && !co_await context_.caller.wait_taken(until))
     {
         context_.outcome = context_.outcome == "served" ? "" : context_.outcome;
         context_.disposition = connection_disposition::aborted;
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -64,7 +64,7 @@
     state_.counters.add("slow_callers_ended_total", std::string{"rule=\""} + rule + "\"");
     state_.log.write(event_line{"slow_caller"}
                          .add("id", call_.id)
-                         .add("bytes", end.response.bytes)
+                         .add("bytes", end.response.bytes + end.response.in_kernel)
                          .add("age_ms", end.response.stalled)
                          .add("rule", rule),
                      boot_clock::now());
--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -40,9 +42,15 @@
 constexpr std::size_t write_batch = 16;
 // 4096  bytes; queued pieces are joined up to this size
 constexpr std::size_t join_bytes = 4096;
-// 1000  ms without progress; from then on the kernel keeps the connection for as long as
-//       the rules for slow callers allow
+// 1000  ms without progress while bytes are queued; from then on the kernel keeps the
+//       connection for as long as the rules for slow callers allow
 constexpr millis long_pause{1000};
+// 1     ms, and 50 ms; shortest and longest time between checks whether the kernel has
+//       sent all. They are a quarter of the time waited so far, so that a caller with a
+//       distant link doesn't wait for its next call
+constexpr millis shortest_poll{1};
+constexpr millis longest_poll{50};
+constexpr int    poll_part = 4;
 
 /// True if the peer has closed or reset the connection, even behind unread bytes.
 bool closed_by_peer(int handle)
@@ -120,6 +128,7 @@
         return;
     }
     last_progress_ = loop_clock::now();
+    in_kernel_ = 0; // what it holds now counts from here on
     held_.set(held_.bytes() - static_cast<std::int64_t>(bytes));
     front_written_ += bytes;
     while (!queue_.empty() && front_written_ >= queue_.front().size())
@@ -131,10 +140,6 @@
     {
         write_next();
     }
-    else
-    {
-        tolerate_pause(false);
-    }
     progress_timer_.cancel();
 }
 
@@ -160,6 +165,33 @@
     co_return !disconnected_;
 }
 
+asio::awaitable<bool> caller_socket::wait_taken(loop_time until)
+{
+    bool const written = co_await wait_unwritten(0, until);
+    if (!written)
+    {
+        co_return false;
+    }
+    auto const began = loop_clock::now();
+    while (!disconnected_ && check_in_kernel() > 0)
+    {
+        auto const now = loop_clock::now();
+        if (now >= until)
+        {
+            end_slow(slow_rule::late);
+            break;
+        }
+        auto const pause = std::clamp<loop_clock::duration>((now - began) / poll_part,
+                                                            shortest_poll, longest_poll);
+        error_code ignored; // a cancelled wait means that the state has changed
+        progress_timer_.expires_after(pause);
+        co_await progress_timer_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    tolerate_pause(false);
+    co_return !disconnected_;
+}
+
 asio::awaitable<bool> caller_socket::wait_for_room(loop_time until)
 {
     auto const most = memory_->most_unwritten();
@@ -184,9 +216,12 @@
 
 unwritten_response caller_socket::backlog() const
 {
-    auto const stalled = queue_.empty() ? loop_clock::duration::zero()
-                                        : loop_clock::now() - last_progress_;
+    auto const in_kernel = queue_.empty() ? in_kernel_ : 0;
+    auto const stalled = queue_.empty() && in_kernel == 0
+                             ? loop_clock::duration::zero()
+                             : loop_clock::now() - last_progress_;
     return {.bytes = held_.bytes(),
+            .in_kernel = in_kernel,
             .stalled = std::chrono::duration_cast<millis>(stalled),
             .server_waits = server_waits_,
             .rank = rank_};
@@ -194,8 +229,9 @@
 
 void caller_socket::check_slow()
 {
-    if (queue_.empty())
+    if (queue_.empty() && check_in_kernel() == 0)
     {
+        tolerate_pause(false);
         return;
     }
     auto const response = backlog();
@@ -204,7 +240,7 @@
     {
         end_slow(rule);
     }
-    else if (response.stalled >= long_pause && acknowledges())
+    else if ((response.stalled >= long_pause || response.in_kernel > 0) && acknowledges())
     {
         tolerate_pause(true);
     }
@@ -227,6 +263,17 @@
     rank_ = value;
 }
 
+std::int64_t caller_socket::check_in_kernel()
+{
+    int        bytes = 0;
+    auto const handle = stream_.socket().native_handle();
+    bool const known = ::ioctl(handle, SIOCOUTQNSD, &bytes) == 0;
+    bytes = known ? bytes : 0;
+    last_progress_ = bytes < in_kernel_ ? loop_clock::now() : last_progress_;
+    in_kernel_ = bytes;
+    return in_kernel_;
+}
+
 /// Whether the peer has acknowledged all that was sent, so that it is alive and only
 /// doesn't read.
 bool caller_socket::acknowledges()
--- a/src/serving/caller_socket.hpp
+++ b/src/serving/caller_socket.hpp
@@ -46,6 +46,10 @@
     /// Returns false if the caller was ended or has disconnected.
     boost::asio::awaitable<bool> wait_unwritten(std::int64_t most, loop_time until);
 
+    /// Waits until the caller has taken, or has room for, all bytes; ends the caller at
+    /// `until`. Returns false if the caller was ended or has disconnected.
+    boost::asio::awaitable<bool> wait_taken(loop_time until);
+
     /// Waits while the queue is full. Meanwhile nothing is read from the server of the
     /// response. Returns false if the caller was ended or has disconnected.
     boost::asio::awaitable<bool> wait_for_room(loop_time until);
@@ -95,7 +99,10 @@
     void write_next();
     void handle_written(boost::system::error_code const& error, std::size_t bytes);
     bool acknowledges();
-    void tolerate_pause(bool value);
+    /// Returns how many written bytes the kernel hasn't sent yet, since the caller's
+    /// window is closed; records the progress if they have become fewer.
+    std::int64_t check_in_kernel();
+    void         tolerate_pause(bool value);
 
     boost::beast::tcp_stream     stream_;
     boost::beast::flat_buffer    buffer_;
@@ -106,6 +113,7 @@
     std::deque<std::string>      queue_;
     std::size_t                  in_flight_ = 0;     // pieces of it being written
     std::size_t                  front_written_ = 0; // bytes of the first in the queue
+    std::int64_t                 in_kernel_ = 0;     // when it was last checked
     loop_time                    last_progress_{};
     std::function<void()>        on_disconnect_;
     slow_end                     slow_;
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -1,15 +1,20 @@
 // Splits a server-sent event stream at event boundaries, with its bytes unchanged.
 //
-// Index: complete_events, event_splitter
+// Index: max_event_size, complete_events, event_splitter
 #ifndef MARIGOLDCRANK_SERVING_EVENT_SPLITTER_HPP
 #define MARIGOLDCRANK_SERVING_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace marigoldcrank
 {
 
+// 16 MiB; longest event, and longest body of a stream that isn't one of events. Its bytes
+//         are held until it has ended
+inline constexpr std::size_t max_event_size = 16U << 20U;
+
 /// Consecutive complete events of a stream.
 struct complete_events
 {
@@ -33,6 +38,9 @@
     /// Whether these bytes are a part of an event, and not only ends of lines.
     bool inside_event() const noexcept;
 
+    /// Whether these bytes are more than an event may have.
+    bool too_long() const noexcept;
+
 private:
     std::string rest_;
 };
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 
 #include "policy/attempt_history.hpp"
+#include "policy/unread_time.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/send_permit.hpp"
@@ -163,7 +164,8 @@
     }
 
     /// Reads the rest of the body, whose bytes `held` counts. Leaves it unread while the
-    /// VM holds too much. Returns false if it is incomplete or too long.
+    /// VM holds too much and others will make room. Returns false if it is incomplete or
+    /// too long.
     boost::asio::awaitable<bool> read_complete_body(std::string& out, held_share& held,
                                                     loop_time until)
     {
@@ -174,7 +176,7 @@
             held.set(static_cast<std::int64_t>(out.size()));
             if (step == body_result::more)
             {
-                co_await wait_for_memory(until);
+                co_await wait_for_memory(held, until);
             }
         }
         co_return is_complete_body(step) && !may_be_cut(step);
@@ -188,17 +190,18 @@
         co_return co_await read_complete_body(out, held, until);
     }
 
-    /// Records that the response was left unread for `time`, because of its caller or of
-    /// what this VM holds.
-    void left_unread(loop_clock::duration time)
+    /// Records that the response was left unread from `began` until now, because of its
+    /// caller or of what this VM holds.
+    void left_unread(loop_time began)
     {
-        unread_ += time;
+        unread_.record(began, loop_clock::now());
     }
 
-    /// Whether the response was left unread for so long that the server may have cut it.
+    /// Whether the response was left unread so long and so recently that the server may
+    /// have cut it.
     bool was_left_unread() const noexcept
     {
-        return unread_ >= long_unread;
+        return unread_.may_be_cut(loop_clock::now());
     }
 
     /// Whether a body that ended in this way may have been cut because it was left
@@ -223,19 +226,17 @@
     static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
     static constexpr std::size_t max_body_size = 16U << 20U; // 16 MiB; plain responses
-    // 1000  ms; servers cut responses that they can't send for some seconds
-    static constexpr millis long_unread{1000};
     // 50    ms; between checks for memory
     static constexpr millis memory_poll{50};
 
-    boost::asio::awaitable<void> wait_for_memory(loop_time until)
+    boost::asio::awaitable<void> wait_for_memory(held_share const& held, loop_time until)
     {
         auto const began = loop_clock::now();
-        while (!state_.held->has_room() && loop_clock::now() < until)
+        while (state_.held->must_wait(held) && loop_clock::now() < until)
         {
             co_await loop_sleep(memory_poll);
         }
-        left_unread(loop_clock::now() - began);
+        left_unread(began);
     }
 
     boost::asio::awaitable<bool> open(exchange_request const& request)
@@ -318,7 +319,7 @@
     std::shared_ptr<http_connection> connection_;
     response_facts                   facts_;
     boot_clock::time_point           sent_at_{};
-    loop_clock::duration             unread_{};
+    unread_time                      unread_;
     char const*                      fault_ = "";
     char const*                      framing_ = "";
     char const*                      path_ = "";
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -204,6 +204,7 @@
     {
         std::string bytes;
         auto        step = body_result::more;
+        held_share  held{context_.state.held, held_kind::reading};
         context_.stream.begin_server(link.head());
         while (step == body_result::more)
         {
@@ -218,6 +219,11 @@
                        ? body_result::broken
                        : step;
             context_.caller.queue(take_bytes(link, bytes, step));
+            held.set(context_.stream.held_bytes());
+            if (step == body_result::more && context_.stream.event_too_long())
+            {
+                step = body_result::broken;
+            }
             if (step == body_result::more && !co_await wait_for_caller(link))
             {
                 co_return true;
@@ -230,8 +236,11 @@
         }
         auto       result = sender_.result_of(link, attempt_outcome::unknown);
         bool const cut = link.was_left_unread();
-        result.fault = step == body_result::framed && !cut ? "torn" : result.fault;
+        result.fault = context_.stream.event_too_long()      ? fault_event_limit
+                       : step == body_result::framed && !cut ? "torn"
+                                                             : result.fault;
         context_.attempts.record_result(result);
+        held.set(0); // another server begins anew
         if (!cut && co_await continuation_.run(link, [this](exchange& next)
                                                { return relay_events(next); }))
         {
@@ -250,7 +259,7 @@
         auto const began = loop_clock::now();
         bool const room =
             co_await context_.caller.wait_for_room(context_.admitted.deadline);
-        link.left_unread(loop_clock::now() - began);
+        link.left_unread(began);
         co_return room;
     }
 
--- a/src/serving/stream_relay.cpp
+++ b/src/serving/stream_relay.cpp
@@ -72,6 +72,16 @@
             .inside_event = splitter_.inside_event()};
 }
 
+std::int64_t stream_relay::held_bytes() const noexcept
+{
+    return static_cast<std::int64_t>(splitter_.rest().size());
+}
+
+bool stream_relay::event_too_long() const noexcept
+{
+    return splitter_.too_long();
+}
+
 bool stream_relay::started() const noexcept
 {
     return started_;
--- a/src/serving/stream_relay.hpp
+++ b/src/serving/stream_relay.hpp
@@ -39,6 +39,12 @@
     /// Where the stream of the current server stands.
     stream_position position() const noexcept;
 
+    /// Bytes held of an event that hasn't ended.
+    std::int64_t held_bytes() const noexcept;
+
+    /// Whether these are more than an event may have.
+    bool event_too_long() const noexcept;
+
     /// Whether the head has been returned; the status can't change from then on.
     bool started() const noexcept;
 
--- a/tests/platform/beliefs_test.cpp
+++ b/tests/platform/beliefs_test.cpp
@@ -200,7 +200,7 @@
     std::this_thread::sleep_for(milliseconds{200});
     cluster.store().trouble(store_fault_kind::silent);
     cluster.daemon().signal(SIGTERM);
-    EXPECT_GE(cluster.daemon().wait(15000), 0);
+    EXPECT_EQ(cluster.daemon().wait(15000), 0);
     auto const output = cluster.output();
     auto const line = output.find("ev=stopped");
     ASSERT_NE(line, std::string::npos);
--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -136,6 +136,37 @@
     EXPECT_EQ(response.body, body);
 }
 
+// The kernel holds the rest of a response that is smaller than the send buffer. It must
+// not reset the connection sooner than the rules for slow callers do.
+class delivered_late_by_the_kernel : public testing::TestWithParam<std::size_t>
+{
+};
+
+TEST_P(delivered_late_by_the_kernel, a_small_plain_response)
+{
+    entry_cluster     cluster{one_server()};
+    std::string const body(GetParam(), 'x');
+    cluster.server(0).handle_always(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::signed_response(request, body));
+            return true;
+        });
+    raw_caller caller(cluster.caller_port(), small_buffer);
+    caller.send(make_request({.id = "kernel-1"}));
+    std::this_thread::sleep_for(milliseconds{4000});
+    EXPECT_FALSE(logged(cluster, "ev=end id=kernel-1"));
+    auto const response = caller.read();
+    EXPECT_EQ(response.status, 200);
+    EXPECT_TRUE(response.complete);
+    EXPECT_EQ(response.body, body);
+    caller.send(make_request({.id = "kernel-2"}));
+    EXPECT_EQ(caller.read().body, body);
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, delivered_late_by_the_kernel,
+                         testing::Values(20000U, 60000U, 80000U, 100000U));
+
 // 3. Cut responses
 
 class cut_responses : public testing::TestWithParam<cut_form>
@@ -170,6 +201,77 @@
 INSTANTIATE_TEST_SUITE_P(forms, cut_responses,
                          testing::Values(cut_form::reset, cut_form::in_order));
 
+// Each pause is too short for a server to cut the response, so its end is a crash.
+TEST(slow_callers, a_crash_after_many_short_pauses_is_a_crash)
+{
+    auto options = one_server();
+    options.policy = "caller_bytes = 16384\n";
+    entry_cluster    cluster{options};
+    std::atomic<int> bursts{0};
+    constexpr int    all_bursts = 16;
+    std::string      filling; // more than sockets and queue take
+    for (int number = 0; number < 220; ++number)
+    {
+        filling += "data: " + std::string(1000, 'x') + "\n\n";
+    }
+    cluster.server(0).handle_always(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::stream_head(request));
+            for (int number = 1; number <= all_bursts; ++number)
+            {
+                eventually([&] { return bursts >= number; }, 5000);
+                connection.send(server_standin::chunk(filling + "data: last of " +
+                                                      std::to_string(number) + "\n\n"));
+            }
+            eventually([&] { return bursts > all_bursts; }, 5000);
+            connection.reset();
+            return false;
+        });
+    raw_caller caller(cluster.caller_port(), small_buffer);
+    auto       request = stream_request("pauses-1");
+    request.deadline_ms = 20000;
+    caller.send(make_request(request));
+    for (int number = 1; number <= all_bursts; ++number)
+    {
+        bursts = number;
+        std::this_thread::sleep_for(milliseconds{120});
+        auto const text = "data: last of " + std::to_string(number) + "\n";
+        ASSERT_NE(caller.read_until(text, 5000).find(text), std::string::npos);
+        std::this_thread::sleep_for(milliseconds{200});
+    }
+    ++bursts;
+    EXPECT_TRUE(eventually([&] { return logged(cluster, "ev=send_failed"); }, 2000));
+    EXPECT_TRUE(logged(cluster, "fault=broken"));
+    EXPECT_TRUE(eventually([&] { return logged(cluster, "ev=suspect"); }, 2000));
+}
+
+// An event that doesn't end must not fill the memory of the VM.
+TEST(slow_callers, an_event_without_an_end_is_a_broken_response)
+{
+    auto options = one_server();
+    options.policy = "caller_full_stall_ms = 5000\n";
+    entry_cluster     cluster{options};
+    std::atomic<bool> cut{false};
+    cluster.server(0).handle_always(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::stream_head(request));
+            std::string const piece(65536, 'x');
+            for (int number = 0; number < 400 && !cut; ++number)
+            {
+                connection.send(server_standin::chunk(piece));
+                cut = connection.closed_by_peer();
+            }
+            return false;
+        });
+    auto const response = ask(cluster.caller_port(), stream_request("endless-1"));
+    EXPECT_EQ(response.status, 502);
+    EXPECT_TRUE(cut);
+    EXPECT_TRUE(eventually([&] { return logged(cluster, "fault=event_limit"); }, 2000));
+    EXPECT_FALSE(logged(cluster, "ev=suspect"));
+}
+
 // 4. Slow callers ended
 
 // The server must not be held until it cuts the response or the deadline passes.
@@ -205,6 +307,26 @@
     EXPECT_FALSE(caller.read().complete);
 }
 
+// The same if the kernel holds all that it hasn't taken.
+TEST(slow_callers, a_caller_that_takes_nothing_of_a_small_response_is_ended)
+{
+    auto options = one_server();
+    options.policy = "caller_stall_ms = 3000\n";
+    entry_cluster     cluster{options};
+    std::string const body(60000, 'x');
+    cluster.server(0).handle_always(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::signed_response(request, body));
+            return true;
+        });
+    raw_caller caller(cluster.caller_port(), small_buffer);
+    caller.send(make_request({.id = "stalled-2"}));
+    EXPECT_TRUE(eventually([&] { return logged(cluster, "rule=stalled"); }, 5000));
+    EXPECT_TRUE(eventually([&] { return logged(cluster, "outcome=slow_caller"); }, 1000));
+    EXPECT_FALSE(caller.read().complete);
+}
+
 // 5. Memory of the VM
 
 std::int64_t resident_kb(pid_t pid)
@@ -302,6 +424,68 @@
     EXPECT_EQ(ask(cluster.caller_port(), {.id = "after"}).status, 200);
 }
 
+// Only reading the responses frees what their calls hold, so they must not wait for each
+// other.
+TEST(slow_callers, responses_are_read_while_calls_hold_all_memory)
+{
+    auto options = one_server();
+    options.policy = "held_bytes = 1048576\n";
+    entry_cluster     cluster{options};
+    constexpr int     calls = 5;
+    std::atomic<bool> released{false};
+    std::string const answer(65536, 'r');
+    cluster.server(0).handle_always(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            eventually([&] { return released.load(); }, 5000);
+            connection.send(server_standin::signed_response(request, answer));
+            return true;
+        });
+    std::string const                        body(99000, 'a'); // counts twice
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int number = 0; number < calls; ++number)
+    {
+        callers.push_back(std::make_unique<raw_caller>(cluster.caller_port()));
+        callers.back()->send(make_request(
+            {.id = "full-" + std::to_string(number), .body = body, .deadline_ms = 4000}));
+    }
+    ASSERT_TRUE(eventually(
+        [&] { return cluster.server(0).received_requests().size() == calls; }, 3000));
+    auto const began = clock::now();
+    released = true;
+    for (auto const& caller : callers)
+    {
+        auto const response = caller->read();
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, answer);
+    }
+    EXPECT_LT(clock::now() - began, milliseconds{1000});
+    EXPECT_EQ(cluster.server(0).received_requests().size(), calls);
+}
+
+// A server's failure that a slow caller hasn't taken is counted once.
+TEST(slow_callers, a_failure_of_a_server_is_counted_once)
+{
+    auto options = one_server();
+    options.policy = "held_bytes = 1500000\n";
+    entry_cluster     cluster{options};
+    std::string const failure(1000000, 'f');
+    cluster.server(0).handle_next(
+        [&](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::signed_response(request, failure, 500));
+            return true;
+        });
+    raw_caller caller(cluster.caller_port(), small_buffer);
+    caller.send(make_request({.path = "/once/x", .id = "failure-1"}));
+    ASSERT_TRUE(eventually(
+        [&] { return logged(cluster, "ev=server_error id=failure-1"); }, 2000));
+    EXPECT_EQ(ask(cluster.caller_port(), {.id = "next"}).status, 200);
+    auto const response = caller.read();
+    EXPECT_EQ(response.status, 500);
+    EXPECT_EQ(response.body, failure);
+}
+
 TEST(slow_callers, idle_connections_are_bounded)
 {
     auto options = one_server();
--- a/tests/unit/held_memory_test.cpp
+++ b/tests/unit/held_memory_test.cpp
@@ -29,6 +29,45 @@
     EXPECT_EQ(memory->most_unwritten(), memory->options().most_unwritten);
 }
 
+TEST(held_memory, responses_wait_only_for_what_leaves_by_itself)
+{
+    auto const memory = std::make_shared<held_memory>(held_options{.most = 1000});
+    held_share bodies{memory, held_kind::requests};
+    held_share unwritten{memory, held_kind::responses};
+    held_share response{memory, held_kind::reading};
+    bodies.set(700);
+    response.set(299);
+    EXPECT_FALSE(memory->must_wait(response));
+    response.set(300);
+    EXPECT_FALSE(memory->must_wait(response)); // only reading frees memory
+    unwritten.set(249);
+    EXPECT_FALSE(memory->must_wait(response));
+    unwritten.set(250);
+    EXPECT_TRUE(memory->must_wait(response));
+    bodies.set(0);
+    EXPECT_FALSE(memory->must_wait(response)); // there is room
+}
+
+TEST(held_memory, of_many_large_responses_one_at_a_time_is_read)
+{
+    auto const memory = std::make_shared<held_memory>(held_options{.most = 1000});
+    held_share other{memory, held_kind::reading};
+    other.set(600);
+    {
+        held_share first{memory, held_kind::reading};
+        first.set(500);
+        EXPECT_FALSE(memory->must_wait(first));
+        EXPECT_TRUE(memory->must_wait(other));
+        first.set(900);
+        EXPECT_FALSE(memory->must_wait(first));
+        EXPECT_TRUE(memory->must_wait(other));
+    }
+    EXPECT_FALSE(memory->must_wait(other)); // there is room
+    held_share bodies{memory, held_kind::requests};
+    bodies.set(500);
+    EXPECT_FALSE(memory->must_wait(other)); // its turn
+}
+
 TEST(held_memory, bounds_follow_the_memory_of_the_vm)
 {
     entry_settings settings;
