Paces go out with every third digest

They are computed with every third digest anyway; the others say that the former paces hold (keeps_paces).

--- a/src/policy/peer_loads.hpp
+++ b/src/policy/peer_loads.hpp
@@ -58,6 +58,8 @@
     service_works    works;   // by service
     std::int64_t     vms = 0; // 0  number of VMs whose work this is
     server_pace_sums paces;   // by server
+    // false  `paces` is empty, and those of the sender's former digest hold
+    bool keeps_paces = false;
 
     bool operator==(vm_work const&) const = default;
 
@@ -151,6 +153,10 @@
             by_time_.insert(std::move(entry));
         }
         replace_loads(digest.work.loads, work.loads);
+        if (work.keeps_paces)
+        {
+            work.paces = std::move(digest.work.paces);
+        }
         digest = {now, std::move(work)};
     }
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -235,6 +235,7 @@
     add_proxies(message, extras.proxies);
     add_crashes(message, extras);
     add_paces(message, digest.work.paces);
+    message.set_keeps_paces(digest.work.keeps_paces);
     return message;
 }
 
@@ -276,6 +277,7 @@
             .colocated_speed = parse_rate(entry.colocated_speed()),
             .streams = parse_rate(entry.streams())};
     }
+    work.keeps_paces = message.keeps_paces();
     for (auto const& entry : message.paces())
     {
         work.paces.insert_or_assign(
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -14,8 +14,9 @@
 // 3     rounds; one digest in three includes usage counts. A killed VM loses 450 ms of
 //       its counts, a tenth of a window, of which 0.05 may be missing over all VMs
 constexpr std::uint64_t usage_interval = 3;
-// 3     rounds between updates of paces, which cost some allocations a server; samples
-//       count for ten rounds and more
+// 3     rounds between updates of paces, which cost some allocations a server and are
+// most
+//       of a digest's bytes; samples count for ten rounds and more
 constexpr std::uint64_t paces_interval = 3;
 // 16    rounds between removals of expired entries
 constexpr std::uint64_t expiry_interval = 16;
@@ -168,14 +169,20 @@
                       { return state_.last_heard.count(each.first) == 0; });
         state_.proxies.expire(now);
     }
-    if (rounds_ % paces_interval == 0)
+    bool const with_paces = rounds_ % paces_interval == 0;
+    if (with_paces)
     {
         state_.update_paces(now);
     }
     state_.follow_speeds(now);
     for (auto& digest : state_.peers.digests(state_.own_work(now), now))
     {
-        if (digest.scope != digest_scope::vm)
+        if (!with_paces)
+        {
+            digest.work.paces.clear();
+            digest.work.keeps_paces = true;
+        }
+        else if (digest.scope != digest_scope::vm)
         {
             digest.work.paces = digest.scope == digest_scope::centre
                                     ? state_.paces.most_sampled(digest.work.paces)
--- a/tests/property/load_relay_property_test.cpp
+++ b/tests/property/load_relay_property_test.cpp
@@ -99,6 +99,29 @@
     }
 }
 
+// Paces are sent with every third digest, and a VM may miss any digest.
+RC_GTEST_PROP(load_relay, paces_hold_until_a_digest_brings_others, ())
+{
+    peer_loads       peers;
+    server_pace_sums last;
+    for (int round = 0; round < 12; ++round)
+    {
+        vm_work work{.vms = 1};
+        work.keeps_paces = round % 3 != 0;
+        if (!work.keeps_paces)
+        {
+            work.paces["engine"].lasting = {round + 1.0, 0};
+        }
+        if (*rc::gen::inRange(0, 3) == 0)
+        {
+            continue; // lost
+        }
+        last = work.keeps_paces ? last : work.paces;
+        peers.merge("vm", work, at_ms(1000 + 150 * round));
+        RC_ASSERT(peers.paces(at_ms(1000 + 150 * round)) == last);
+    }
+}
+
 // If a VM's samples of a server counted twice, one slow VM could make it look slow.
 RC_GTEST_PROP(load_relay, samples_of_paces_are_counted_once_everywhere, ())
 {
