--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -287,7 +288,7 @@
     return readiness_ports_.at(static_cast<std::size_t>(index));
 }
 
-void entry_cluster::start(int index)
+std::string entry_cluster::write_settings(int index) const
 {
     auto const    slot = static_cast<std::size_t>(index);
     auto const    file = directory_ + "/entry-" + std::to_string(index) + ".ini";
@@ -305,7 +306,13 @@
              << "\n[logs]\nsample = 1\n[bounds]\n"
              << options_.bounds << "\n[policy]\n"
              << options_.policy;
-    settings.close();
+    return file;
+}
+
+void entry_cluster::start(int index)
+{
+    auto const slot = static_cast<std::size_t>(index);
+    auto const file = write_settings(index);
     daemons_[slot] = std::make_unique<child_process>(
         std::vector<std::string>{MARIGOLDCRANK_BINARIES "/marigoldcrankd", "--entry",
                                  file},
@@ -318,6 +325,13 @@
     start(index);
 }
 
+void entry_cluster::reload(int index, std::string const& policy)
+{
+    options_.policy = policy;
+    write_settings(index);
+    daemon(index).signal(SIGHUP);
+}
+
 std::string entry_cluster::output(int index) const
 {
     std::ifstream      file(directory_ + "/output-" + std::to_string(index));
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -108,6 +108,9 @@
     /// Ends the process of daemon `index` and starts a new one.
     void restart(int index);
 
+    /// Lets daemon `index` read its settings anew, with these lines of [policy].
+    void reload(int index, std::string const& policy);
+
     /// What daemon `index` has written to standard output so far.
     std::string output(int index = 0) const;
 
@@ -118,6 +121,8 @@
     int  port_of(server_standin const& server) const;
     bool record_duty_request(wire_request const& request, wire_connection& connection);
     void start(int index);
+    /// Writes the settings of daemon `index`; returns their file.
+    std::string write_settings(int index) const;
     /// Adds the links of the next daemon; returns the port of the store where it sees
     /// the servers behind them.
     int add_links();
