--- a/src/serving/send_turn.cpp
+++ b/src/serving/send_turn.cpp
@@ -40,7 +40,10 @@
     if (over_ || !state.settings.queue || context_.attempts.history().runs() > 0 ||
         !context_.call.resume_after.empty())
     {
-        place_.reset(); // a reload may have switched the queue off
+        if (place_ != nullptr)
+        {
+            leave("off", forecast); // a reload has switched the queue off
+        }
         co_return true;
     }
     auto const now = boot_clock::now();
--- a/tests/platform/waiting_calls_test.cpp
+++ b/tests/platform/waiting_calls_test.cpp
@@ -307,6 +307,13 @@
         EXPECT_EQ(each->read().status, 200);
     }
     EXPECT_EQ(held.arrived(), slots + waiting_calls);
+    for (int index = 0; index < waiting_calls; ++index)
+    {
+        auto const line = "ev=wait id=" + numbered("patient", index) + " outcome=off";
+        EXPECT_TRUE(eventually(
+            [&] { return held.cluster.output().find(line) != std::string::npos; }, 3000))
+            << line;
+    }
 }
 
 } // namespace marigoldcrank::tests
