Level of admission: refused work counts, ranks beyond 15, engines split by role

- Calls that are refused for a long queue weren't counted as asked for, so the level was lifted too early.
The work of a new call is counted before that refusal.
No test shows this: the gate needs a whole call.
- With engines split by role, a short prompt that a decoding engine reads was refused above a level computed from the engines for prefill only.
It doesn't count into that level and isn't refused by it.
- Work of ranks above 15 counts as that of 15, but their calls were judged by the rank itself, so that all were refused when a part should have been served.
The test of numbers that are none sends both kinds in offered now.

--- a/src/policy/admission_level.hpp
+++ b/src/policy/admission_level.hpp
@@ -1,7 +1,7 @@
 // The level of admission of a service: which ranks are served while it is overloaded.
 //
-// Index: 1 level_options, 2 level_input, 3 admission_level, 4 set_shares, level_for,
-//        5 level_control
+// Index: 1 level_options, 2 level_input, 3 admission_level, 4 level_holds_for,
+//        5 set_shares, level_for, 6 level_control
 //
 // The level follows from what callers ask for, not from what has been admitted, so that a
 // refusal doesn't change it. All VMs compute it from the same sums in the digests.
@@ -10,6 +10,7 @@
 
 #include "domain/boot_clock.hpp"
 #include "policy/fair_share.hpp"
+#include "policy/placement.hpp"
 #include "policy/service_work.hpp"
 
 #include <algorithm>
@@ -81,11 +82,19 @@
     /// every VM.
     bool admits(std::int64_t call_rank, std::string const& workspace, double draw) const
     {
-        return !set || call_rank < rank ||
-               (call_rank == rank && draw < part_of(workspace));
+        auto const counted = counted_rank(call_rank);
+        return !set || counted < rank || (counted == rank && draw < part_of(workspace));
     }
 };
 
+/// Whether the level of a service holds for a call. With engines split by role it is
+/// computed from those that prefill, so it doesn't hold for a prompt that a decoding
+/// engine prefills.
+inline bool level_holds_for(placement const& placed, bool split)
+{
+    return !split || placed.prefill_only;
+}
+
 /// Sets the max-min fair parts of the workspaces at the level's rank, for which
 /// `capacity` is left. Of `workspaces` that may use the service, those that `offered`
 /// doesn't name are taken to ask for equal work.
--- a/src/policy/service_work.hpp
+++ b/src/policy/service_work.hpp
@@ -1,6 +1,7 @@
 // Work that callers ask of one service, by rank and by workspace.
 //
-// Index: 1 rank_work, 2 service_work, 3 keep_heaviest, 4 work_by_caller
+// Index: 1 max_rank, counted_rank, 2 rank_work, 3 service_work, 4 keep_heaviest,
+//        5 work_by_caller
 #ifndef MARIGOLDCRANK_POLICY_SERVICE_WORK_HPP
 #define MARIGOLDCRANK_POLICY_SERVICE_WORK_HPP
 
@@ -18,11 +19,19 @@
 namespace marigoldcrank
 {
 
+// 15    later ranks are counted as this one
+constexpr std::int64_t max_rank = 15;
+
+/// The rank as which a call's work is counted.
+inline std::int64_t counted_rank(std::int64_t rank)
+{
+    return std::clamp<std::int64_t>(rank, 0, max_rank);
+}
+
 /// Work of one rank, in ms of server time per second.
 struct rank_work
 {
     double offered = 0;
-    double admitted = 0; // of it admitted
 
     bool operator==(rank_work const&) const = default;
 };
@@ -42,7 +51,6 @@
         for (auto const& [rank, work] : other.ranks)
         {
             ranks[rank].offered += work.offered;
-            ranks[rank].admitted += work.admitted;
         }
         for (auto const& [key, work] : other.workspaces)
         {
@@ -58,7 +66,6 @@
         {
             auto& left = ranks[rank];
             left.offered = std::max(left.offered - work.offered, 0.0);
-            left.admitted = std::max(left.admitted - work.admitted, 0.0);
         }
         for (auto const& [key, work] : part.workspaces)
         {
@@ -98,14 +105,13 @@
 {
 public:
     void record(std::int64_t rank, std::string const& workspace, double work_ms,
-                bool admitted, boot_clock::time_point now)
+                boot_clock::time_point now)
     {
         decay(now);
-        auto const known_rank = std::clamp<std::int64_t>(rank, 0, max_rank);
+        auto const known_rank = counted_rank(rank);
         auto&      work = work_.ranks[known_rank];
         auto const rate = work_ms / decay_s;
         work.offered += rate;
-        work.admitted += admitted ? rate : 0;
         if (!workspace.empty())
         {
             work_.workspaces[{known_rank, workspace}] += rate;
@@ -121,9 +127,8 @@
     }
 
 private:
-    static constexpr double       decay_s = 1;
-    static constexpr double       least = 0.1;   // ms/s; less is forgotten
-    static constexpr std::int64_t max_rank = 15; // later ranks are counted as this one
+    static constexpr double decay_s = 1;
+    static constexpr double least = 0.1; // ms/s; less is forgotten
 
     void decay(boot_clock::time_point now)
     {
@@ -132,7 +137,6 @@
         for (auto& [rank, work] : work_.ranks)
         {
             work.offered *= factor;
-            work.admitted *= factor;
         }
         for (auto& [key, work] : work_.workspaces)
         {
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -92,7 +92,6 @@
             entry->set_service(service);
             entry->set_rank(static_cast<std::uint32_t>(rank));
             entry->set_offered(each.offered);
-            entry->set_admitted(each.admitted);
         }
         for (auto const& [key, offered] : work.workspaces)
         {
@@ -119,9 +118,8 @@
     service_works works;
     for (auto const& entry : message.ranks())
     {
-        works[entry.service()].ranks[entry.rank()] = {
-            .offered = parse_rate(entry.offered()),
-            .admitted = parse_rate(entry.admitted())};
+        works[entry.service()].ranks[entry.rank()] = {.offered =
+                                                          parse_rate(entry.offered())};
     }
     for (auto const& entry : message.workspaces())
     {
--- a/src/serving/level_gate.cpp
+++ b/src/serving/level_gate.cpp
@@ -80,28 +80,36 @@
     return known.level;
 }
 
+bool is_gated(call_context const& context, engine_readiness const& engines,
+              placement const& placed)
+{
+    return context.state.settings.level && context.placement.needs_prefill() &&
+           context.call.resume_after.empty() && level_holds_for(placed, engines.split);
+}
+
 } // namespace
 
-bool is_above_level(call_context& context, engine_readiness const& engines,
-                    double work_ms, bool is_new)
+bool count_offered_work(call_context& context, engine_readiness const& engines,
+                        placement const& placed)
 {
-    auto& state = context.state;
-    if (!state.settings.level || !context.placement.needs_prefill() ||
-        !context.call.resume_after.empty())
+    if (!is_gated(context, engines, placed))
     {
         return false;
     }
-    auto const  now = boot_clock::now();
     auto const& admitted = context.admitted;
-    auto const  name = admitted.workspace_name();
-    bool const  served = level_of(context, engines, now)
-                            .admits(admitted.rank, name, draw_of(context.call.id));
-    if (is_new)
-    {
-        state.callers_work[admitted.service_name].record(admitted.rank, name, work_ms,
-                                                         served, now);
-    }
-    return !served;
+    context.state.callers_work[admitted.service_name].record(
+        admitted.rank, admitted.workspace_name(), placed.prefill_ms, boot_clock::now());
+    return true;
+}
+
+bool is_above_level(call_context& context, engine_readiness const& engines,
+                    placement const& placed)
+{
+    auto const& admitted = context.admitted;
+    return is_gated(context, engines, placed) &&
+           !level_of(context, engines, boot_clock::now())
+                .admits(admitted.rank, admitted.workspace_name(),
+                        draw_of(context.call.id));
 }
 
 own_response level_refusal(call_context& context, engine_readiness const& engines,
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -101,7 +101,7 @@
     auto const       rate = split ? speeds.prefill_rate : speeds.colocated_rate;
     auto const       limit = send_options{}.ready_ms * rate;
     std::int64_t     queued = 0;
-    engine_readiness result;
+    engine_readiness result{.split = split};
     for (auto const& each : candidates)
     {
         bool const counts = !each.avoided && (!split || reads(each));
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -21,6 +21,7 @@
     double       capacity = 0;         // ms of server time per second; 0: unknown
     double       queue_ms = 0;         // mean time of the prompts queued at one
     bool         chosen_ready = false; // the engine chosen for the call can begin it
+    bool         split = false;        // only engines for prefill are counted
 
     bool operator==(engine_readiness const&) const = default;
 };
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -11,7 +11,6 @@
 #include "serving/stream_continuation.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace marigoldcrank
 {
@@ -125,6 +124,7 @@
         {
             co_return true;
         }
+        work_counted_ = work_counted_ || count_offered_work(context_, engines_, first);
         auto const delay = context_.placement.queue_retry_after(first);
         if (delay)
         {
@@ -134,8 +134,7 @@
             co_await ending_.send_own_response(refusal);
             co_return false;
         }
-        bool const above = is_above_level(context_, engines_, first.prefill_ms,
-                                          !std::exchange(work_counted_, true));
+        bool const above = is_above_level(context_, engines_, first);
         // The chosen engine is the best of those that were drawn. If it is busy, the next
         // draw may find one that is ready.
         auto const ready =
--- a/tests/property/admission_level_property_test.cpp
+++ b/tests/property/admission_level_property_test.cpp
@@ -92,7 +92,7 @@
 // doesn't keep it.
 TEST(admission_level, level_holds_between_the_bounds_and_is_lifted_when_old)
 {
-    level_input const over{.offered = {.ranks = {{0, {2000, 0}}}},
+    level_input const over{.offered = {.ranks = {{0, {2000}}}},
                            .capacity = 1000,
                            .ready_share = 0,
                            .queue_ms = 100.1,
@@ -111,7 +111,7 @@
 TEST(admission_level, short_queues_set_no_level)
 {
     level_control     control;
-    level_input const burst{.offered = {.ranks = {{0, {5000, 0}}}},
+    level_input const burst{.offered = {.ranks = {{0, {5000}}}},
                             .capacity = 1000,
                             .ready_share = 0,
                             .queue_ms = 90,
@@ -214,7 +214,7 @@
         work_by_caller meter;
         for (int call = 0; call < 20; ++call)
         {
-            meter.record(1, "w-" + std::to_string(*rc::gen::inRange(0, 200)), 10, true,
+            meter.record(1, "w-" + std::to_string(*rc::gen::inRange(0, 200)), 10,
                          at(call));
         }
         auto const own = meter.work(at(20));
@@ -255,7 +255,7 @@
     for (int now = 0; now < 60'000; now += step)
     {
         service_work const offered{
-            .ranks = {{0, {0.2 * load * capacity, 0}}, {2, {0.8 * load * capacity, 0}}}};
+            .ranks = {{0, {0.2 * load * capacity}}, {2, {0.8 * load * capacity}}}};
         double work = 0; // ms, at each server
         for (auto const& [rank, each] : offered.ranks)
         {
--- a/tests/replay/waiting_calls_test.cpp
+++ b/tests/replay/waiting_calls_test.cpp
@@ -312,7 +312,7 @@
         bool const above = !level.admits(kind.rank, "", draw);
         if (is_new)
         {
-            work_.record(kind.rank, "", work_ms, !above, time());
+            work_.record(kind.rank, "", work_ms, time());
         }
         return above;
     }
--- a/tests/unit/digest_link_test.cpp
+++ b/tests/unit/digest_link_test.cpp
@@ -76,7 +76,8 @@
         {"infinite", {infinite, infinite, infinite, infinite}},
         {"negative", {-1, -infinite, -1e300, -1e-300}},
         {"sound", sound}};
-    digest.work.works["sound"].ranks[0] = {.offered = infinite, .admitted = not_a_number};
+    digest.work.works["sound"].ranks = {{0, {.offered = infinite}},
+                                        {1, {.offered = not_a_number}}};
     auto const received = vms.send(digest);
     ASSERT_TRUE(received);
     auto const& demands = received->work.demands;
@@ -89,7 +90,7 @@
     }
     EXPECT_EQ(demands.at("sound"), sound);
     EXPECT_EQ(received->work.works.at("sound").ranks.at(0).offered, 0);
-    EXPECT_EQ(received->work.works.at("sound").ranks.at(0).admitted, 0);
+    EXPECT_EQ(received->work.works.at("sound").ranks.at(1).offered, 0);
 }
 
 // Quotients and means of rates and speeds stay finite too.
