Entry soak: waiting calls, the level, slow callers, copies, paces

Settings are drawn from the seed and changed by SIGHUP, routes have ranks and objectives, two engines serve a service of their own, one server at a time is slow, and four callers pause, read slowly or leave. A slow caller's broken response counts as lost unless the VM logged slow_caller for its id.

--- a/bench/entry_soak/soak_checker.hpp
+++ b/bench/entry_soak/soak_checker.hpp
@@ -92,6 +92,7 @@
         std::string key;
         call_origin origin;
         int         runs = 0;
+        bool        copied = false;  // a run was asked for a copy
         bool        refused = false; // as not run: 429 or 503
     };
 
--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -17,6 +17,7 @@
 
 constexpr int          daemons = 3;
 constexpr int          servers = 3;
+constexpr int          engines = 2;
 constexpr milliseconds min_fault_time{300};
 constexpr int          max_extra_fault_ms = 4000; // beyond min_fault_time
 constexpr milliseconds settle_time{6000};         // then interruptions are violations
@@ -177,7 +178,7 @@
 {
     auto const crash_one = [this]
     {
-        server_faults_.crashing_server = random_below(servers);
+        server_faults_.crashing_server = random_below(servers + engines);
         return [this]
         {
             server_faults_.crashing_server = -1;
@@ -388,8 +389,40 @@
     };
 }
 
+std::string soak_fault_schedule::draw_policy(std::mt19937_64& random)
+{
+    std::string lines;
+    for (auto const* changed :
+         {"queue = false\n", "level = true\n", "shares = false\n", "paces = false\n",
+          "share_learned = false\n", "copies = false\n", "held_bytes = 1048576\n",
+          "caller_bytes = 16384\n", "caller_stall_ms = 1500\n",
+          "caller_full_stall_ms = 700\n"})
+    {
+        lines += random() % 2 == 0 ? changed : "";
+    }
+    return lines;
+}
+
+/// Daemons that are disrupted, or not ready yet, read the settings when they start.
+void soak_fault_schedule::change_settings(std::string const& policy)
+{
+    cluster_.set_policy(policy);
+    for (int index = 0; index < daemons; ++index)
+    {
+        if (!disrupted_[static_cast<std::size_t>(index)] && cluster_.ready(index))
+        {
+            cluster_.daemon(index).signal(SIGHUP);
+        }
+    }
+}
+
 void soak_fault_schedule::begin_random_fault()
 {
+    if (random_below(3) == 0)
+    {
+        change_settings(draw_policy(random_));
+    }
+    server_faults_.slow_server = random_below(servers + engines + 1) - 1;
     auto const  all = all_faults();
     auto const& kind =
         all[static_cast<std::size_t>(random_below(static_cast<int>(all.size())))];
@@ -433,6 +466,9 @@
         std::this_thread::sleep_for(milliseconds{20});
     }
     end_due(soak_clock::time_point::max());
+    server_faults_.slow_server = -1;
+    // The level may refuse more than the check of the recovery allows.
+    change_settings(draw_policy(random_) + "level = false\n");
 }
 
 } // namespace marigoldcrank::soak
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -29,6 +29,9 @@
                         server_faults& injected, soak_notices& notices,
                         std::array<std::string, 3> versions, std::uint64_t seed);
 
+    /// Lines of the settings' [policy] section, drawn at random.
+    static std::string draw_policy(std::mt19937_64& random);
+
     /// Begins and ends faults for `length`, then ends those that are still active.
     void run(std::chrono::seconds length);
 
@@ -63,6 +66,7 @@
     std::function<void()> pause_daemon();
     std::function<void()> begin_store_fault(tests::store_fault_kind kind);
     std::function<void()> withdraw_key();
+    void                  change_settings(std::string const& policy);
     std::function<void()> break_links(tests::link_fault fault);
     std::function<void()> set(std::atomic<bool>& flag);
     std::function<void()> state(server_notice const& notice);
--- a/bench/entry_soak/soak_servers.hpp
+++ b/bench/entry_soak/soak_servers.hpp
@@ -1,7 +1,7 @@
 // Responses of the backend servers in the entry soak.
 //
-// Index: 1 server_faults, 2 soak_server, 3 stream_part, 4 workspace_of, 5 is_whole_body,
-//        6 serve_soak
+// Index: 1 server_faults, 2 soak_server, 3 is_slow, 4 stream_part, 5 workspace_of,
+//        6 is_whole_body, 7 serve_soak
 #ifndef MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_SERVERS_HPP
 #define MARIGOLDCRANK_BENCH_ENTRY_SOAK_SOAK_SERVERS_HPP
 
@@ -22,6 +22,7 @@
     std::atomic<bool> crashing{false};     // all break responses off, or before them
     std::atomic<int>  crashing_server{-1}; // the only one that does; -1: none
     std::atomic<bool> full{false};         // all refuse calls as not executed
+    std::atomic<int>  slow_server{-1};     // takes longer; -1: none
 
     bool crashes(int server) const
     {
@@ -35,6 +36,9 @@
     std::string version; // of its software; its events name it
 };
 
+/// Whether a caller that reads slowly sends the call; its response is long.
+bool is_slow(std::string const& id);
+
 /// Consecutive events of a stream, and the versions that wrote them.
 struct stream_part
 {
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -13,6 +13,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 
 namespace marigoldcrank::tests
@@ -40,6 +41,8 @@
     std::string  north_fields;   // a JSON object: further fields of workspace north
     std::string  policy;         // lines of the settings' [policy] section
     std::int64_t engine_tokens = 0; // that an engine of "models" holds; 0: not stated
+    int          slots = 6;         // of a server of "desk"
+    std::function<void(nlohmann::json& rules)> change_rules; // before they are written
 };
 
 /// What becomes of the connections between a VM and the servers.
@@ -108,6 +111,10 @@
     /// Ends the process of daemon `index` and starts a new one.
     void restart(int index);
 
+    /// Sets the [policy] section of all daemons; one that runs reads it at its next
+    /// SIGHUP, and some of its keys only at its next start.
+    void set_policy(std::string const& lines);
+
     /// What daemon `index` has written to standard output so far.
     std::string output(int index = 0) const;
 
@@ -117,7 +124,8 @@
 private:
     int  port_of(server_standin const& server) const;
     bool record_duty_request(wire_request const& request, wire_connection& connection);
-    void start(int index);
+    std::string write_settings(int index) const; // returns the file
+    void        start(int index);
     /// Adds the links of the next daemon; returns the port of the store where it sees
     /// the servers behind them.
     int add_links();
