--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -42,9 +42,6 @@
 constexpr std::size_t write_batch = 16;
 // 4096  bytes; queued pieces are joined up to this size
 constexpr std::size_t join_bytes = 4096;
-// 1000  ms without progress while bytes are queued; from then on the kernel keeps the
-//       connection for as long as the rules for slow callers allow
-constexpr millis long_pause{1000};
 // 1     ms, and 50 ms; shortest and longest time between checks whether the kernel has
 //       sent all. They are a quarter of the time waited so far, so that a caller with a
 //       distant link doesn't wait for its next call
@@ -240,9 +237,9 @@
     {
         end_slow(rule);
     }
-    else if ((response.stalled >= long_pause || response.in_kernel > 0) && acknowledges())
+    else
     {
-        tolerate_pause(true);
+        tolerate_pause(acknowledges());
     }
 }
 
