--- a/bench/entry_soak/entry_soak.cpp
+++ b/bench/entry_soak/entry_soak.cpp
@@ -138,23 +138,44 @@
     rules["tenants"][0]["priority"] = 1;
 }
 
+tests::cluster_options options_for(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    return {.daemons = vms,
+            .servers = servers + engines,
+            .bounds = "usage_window_s = 2\nlease_ms = 1500\n"
+                      "key_life_ms = 5000\ngrace_s = 8\n"
+                      "[logs]\nlines_per_s = 10000\n",
+            .relayed = true,
+            .own_links = true,
+            .policy = soak_fault_schedule::draw_policy(random),
+            .slots = seed % 3 == 0 ? 6 : 2,
+            .change_rules = change_rules};
+}
+
+void print_results(soak_checker& checker, std::vector<std::string> const& violations,
+                   std::uint64_t seed)
+{
+    std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN");
+    for (auto const& [status, count] : checker.statuses())
+    {
+        std::cout << "  " << status << ": " << count;
+    }
+    auto const [taken_up, went_on] = checker.resumptions();
+    std::cout << "  taken up: " << taken_up << "  went on: " << went_on << std::endl;
+    for (auto const& each : violations)
+    {
+        std::cout << "  " << each << std::endl;
+    }
+}
+
 /// Runs the soak with one seed. Returns true if no check failed.
 bool run_seed(std::uint64_t seed, soak_options const& options)
 {
     soak_checker         checker;
     server_faults        injected;
     soak_notices         notices(checker);
-    std::mt19937_64      random(seed);
-    tests::entry_cluster cluster({.daemons = vms,
-                                  .servers = servers + engines,
-                                  .bounds = "usage_window_s = 2\nlease_ms = 1500\n"
-                                            "key_life_ms = 5000\ngrace_s = 8\n"
-                                            "[logs]\nlines_per_s = 10000\n",
-                                  .relayed = true,
-                                  .own_links = true,
-                                  .policy = soak_fault_schedule::draw_policy(random),
-                                  .slots = seed % 3 == 0 ? 6 : 2,
-                                  .change_rules = change_rules});
+    tests::entry_cluster cluster(options_for(seed));
     auto const           versions = versions_for(seed);
     soak_fault_schedule  schedule(cluster, checker, injected, notices, versions, seed);
     // Servers may still use it while the cluster is destroyed.
@@ -198,17 +219,7 @@
     check_reports(cluster, checker);
     check_logs(cluster, checker);
     auto const violations = checker.violations();
-    std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN");
-    for (auto const& [status, count] : checker.statuses())
-    {
-        std::cout << "  " << status << ": " << count;
-    }
-    auto const [taken_up, went_on] = checker.resumptions();
-    std::cout << "  taken up: " << taken_up << "  went on: " << went_on << std::endl;
-    for (auto const& each : violations)
-    {
-        std::cout << "  " << each << std::endl;
-    }
+    print_results(checker, violations, seed);
     if (!violations.empty() && !options.keep.empty())
     {
         write_logs(cluster, options.keep, seed);
