Tests (red): crashing requests and parts are forgotten when all VMs are killed

Callers lose servers anew after each restart of all VMs: 8 requests reached servers where six are allowed (three kills), and three more engines ended under a part that was blocked before (one kill). Logs of both: suspect and content_blocked lines only, no crash_withdrawn, on VMs with new incarnations.

--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -292,6 +292,45 @@
     EXPECT_EQ(service.fatal_arrivals(), before);
 }
 
+/// Kills all VMs at once and starts them again.
+void kill_and_restart_all(entry_cluster& cluster, int vms)
+{
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        cluster.daemon(vm).signal(SIGKILL);
+    }
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        cluster.restart(vm);
+    }
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+}
+
+// The VMs were killed together, and with them ended what they knew.
+TEST(platform_crashes, request_crashes_servers_anew_each_time_all_vms_were_killed)
+{
+    constexpr int    vms = 3;
+    constexpr int    kills = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{4});
+    for (int kill = 0; kill < kills; ++kill)
+    {
+        kill_and_restart_all(cluster, vms);
+        repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
+    }
+    EXPECT_LE(service.fatal_arrivals(), most_in_all) << crash_events(cluster, vms);
+    EXPECT_GE(service.fatal_arrivals(), 2U);
+}
+
 // A call that had waited or failed was sent on though its content was blocked meanwhile.
 TEST(platform_crashes, call_is_retried_after_its_content_was_blocked)
 {
--- a/tests/platform/prompt_parts_test.cpp
+++ b/tests/platform/prompt_parts_test.cpp
@@ -320,5 +320,39 @@
     EXPECT_EQ(engines.fatal_arrivals(), before);
 }
 
+// The VMs were killed together, and with them ended what they knew.
+TEST(platform_prompt_parts, part_crashes_engines_anew_after_all_vms_were_killed)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 1});
+    crashing_engines engines(cluster, 6);
+    {
+        model_callers sound(cluster, vms, 6, "aa:300,bb:100", milliseconds{60});
+        std::this_thread::sleep_for(seconds{4}); // the VMs have discovered each other
+        send_bad_requests(cluster, vms, "aa:300,bad:100", "a", seconds{6});
+    }
+    auto const before = engines.fatal_arrivals();
+    EXPECT_GE(before, 3U);
+    EXPECT_LE(before, most_fatal_arrivals);
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        cluster.daemon(vm).signal(SIGKILL);
+    }
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        cluster.restart(vm);
+    }
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    model_callers sound(cluster, vms, 6, "aa:300,bb:100", milliseconds{60});
+    send_bad_requests(cluster, vms, "aa:300,bad:100", "b", seconds{5});
+    EXPECT_LE(engines.fatal_arrivals(), before) << crash_events(cluster, vms);
+    EXPECT_GT(sound.asked(), 60);
+    EXPECT_GE(sound.served() * 100, sound.asked() * 90)
+        << sound.served() << " of " << sound.asked();
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
