Logs tell why a crash was withdrawn or not counted, and which content a failed attempt had

The hypotheses of docs/incidents/crashes-forgotten.md couldn't be told apart by the log: crash_withdrawn had no cause, an ended connection of a server that had left the list had no line, and send_failed didn't say whether the call was the one that crashes servers.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -244,7 +244,11 @@
         crash.parts = admitted_.features.parts;
     }
     bool const ended = last_fault_ == "broken" && !may_be_whole(result);
-    if (ended && !leaving && state_.crashes.record_crash(crash, result.connected, now))
+    if (ended && leaving)
+    {
+        state_.log_crash("suspect_ignored", crash, now, "leaving");
+    }
+    else if (ended && state_.crashes.record_crash(crash, result.connected, now))
     {
         state_.log_crash("suspect", crash, now);
     }
@@ -252,8 +256,12 @@
 
 void call_attempts::log_failure(std::string_view event, attempt_result const& result)
 {
+    bool const may_have_run = result.fate == attempt_outcome::unknown;
     log_.attempt_failed({.event = event,
                          .server = result.server,
+                         .content = may_have_run
+                                        ? std::string_view{admitted_.features.content}
+                                        : std::string_view{},
                          .fate = result.fate,
                          .fault = result.fault,
                          .framing = result.framing,
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -53,6 +53,7 @@
                          .add("fault", failure.fault)
                          .add("framing", failure.framing)
                          .add("path", failure.path)
+                         .add("content", failure.content)
                          .add("status", static_cast<std::int64_t>(failure.status))
                          .add("age_ms", now - arrived_),
                      now);
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -35,6 +35,7 @@
 {
     std::string_view event; // name of the log line
     std::string_view server;
+    std::string_view content{}; // of a call that the server may have run
     attempt_outcome  fate = attempt_outcome::unknown;
     std::string_view fault;
     std::string_view framing; // of the response; empty: none
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -452,19 +452,20 @@
                                   boot_clock::time_point sent)
 {
     auto const now = boot_clock::now();
-    log_withdrawn(crashes.record_response(server, connected, sent, now), now);
+    log_withdrawn(crashes.record_response(server, connected, sent, now),
+                  "older_connection", now);
 }
 
 void entry_state::record_completion(call_features const&   call,
                                     boot_clock::time_point sent)
 {
     auto const now = boot_clock::now();
-    log_withdrawn(crashes.record_completion(call, sent, now), now);
+    log_withdrawn(crashes.record_completion(call, sent, now), "served", now);
 }
 
 void entry_state::update_crashes(boot_clock::time_point now)
 {
-    log_withdrawn(crashes.withdraw_disproved(now), now);
+    log_withdrawn(crashes.withdraw_disproved(now), "no_restart", now);
     std::map<std::vector<part_key>, int> suspected;
     for (auto const& each : crashes.suspects())
     {
@@ -492,11 +493,11 @@
 }
 
 void entry_state::log_withdrawn(std::vector<crash_update> const& withdrawn,
-                                boot_clock::time_point           now)
+                                std::string_view cause, boot_clock::time_point now)
 {
     for (auto const& each : withdrawn)
     {
-        log_crash("crash_withdrawn", each, now);
+        log_crash("crash_withdrawn", each, now, cause);
     }
 }
 
@@ -583,7 +584,7 @@
 }
 
 void entry_state::log_crash(std::string_view event, crash_update const& crash,
-                            boot_clock::time_point now)
+                            boot_clock::time_point now, std::string_view cause)
 {
     counters.add("suspected_crashes_total", "event=\"" + std::string{event} + "\"");
     log.write(event_line{event}
@@ -591,7 +592,8 @@
                   .add("server", crash.server)
                   .add("id", crash.call_id)
                   .add("parts", format_parts(crash.parts))
-                  .add("blocked", is_blocked(crashes, crash.content, now) ? 1 : 0),
+                  .add("blocked", is_blocked(crashes, crash.content, now) ? 1 : 0)
+                  .add("cause", cause),
               now);
 }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -216,7 +216,7 @@
 
     /// Logs and counts a change of what is known about crashes.
     void log_crash(std::string_view event, crash_update const& crash,
-                   boot_clock::time_point now);
+                   boot_clock::time_point now, std::string_view cause = {});
 
     /// Merges another VM's update that it avoids a server for `left`.
     void receive_loss(std::string const& server, millis left, update_source source,
@@ -306,8 +306,8 @@
     std::map<std::string, return_schedule> returns;      // of refused calls, by service
 
 private:
-    void log_withdrawn(std::vector<crash_update> const& withdrawn,
-                       boot_clock::time_point           now);
+    void log_withdrawn(std::vector<crash_update> const& withdrawn, std::string_view cause,
+                       boot_clock::time_point now);
     void log_limit(std::string const& server, std::string_view learned_from);
     void log_pace(pace_change const& change, boot_clock::time_point now);
     void log_loss(std::string const& server, update_source learned_from,
