What blocks calls is recorded in the store and read before a VM's first call

Callers saw: after each restart of all VMs a request that had been blocked crashed two or three servers anew, and a part of many prompts three engines. Cause: what crashes servers was known to the VMs' memory alone; evidence lived shorter than what it guards against. Change: a block (its counted crashes, of parts only the blocked ones) is a record of the keyed topic keyed.crashes. The VM that has seen the newest crash writes it at once; one VM (in a large fleet one a data centre) compares the records with its blocks a second after each change, writes what is missing and removes what was lifted. Without crashes there are no calls but one listing a start; none at the first start of a deployment. A sound content that was in flight at two crashes is blocked no longer than before: the record has the same crashes, and goes when it is served.

--- a/src/policy/crash_update.hpp
+++ b/src/policy/crash_update.hpp
@@ -1,7 +1,7 @@
 // What VMs tell each other about calls that broke off, and what calls have in common.
 //
-// Index: 1 crash_update, 2 published_crash, published_part, 3 call_features,
-//        4 crash_verdict
+// Index: 1 crash_update, 2 published_crash, published_part, 3 crash_block,
+//        4 call_features, 5 crash_verdict
 #ifndef MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
 #define MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
 
@@ -49,6 +49,17 @@
     bool operator==(published_part const&) const = default;
 };
 
+/// The crashes that block a content, or calls with certain parts, at one VM.
+struct crash_block
+{
+    std::string               name;        // the same for this block on all VMs
+    std::vector<crash_update> crashes;     // that count, the newest first; one at least
+    bool                      own = false; // this VM has seen the newest one
+    boot_clock::time_point    as_of{};     // time from which the ages count
+
+    auto operator<=>(crash_block const&) const = default;
+};
+
 /// What a call may have in common with one that crashed a server.
 struct call_features
 {
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -86,6 +86,7 @@
     {
         return false;
     }
+    ++revision_;
     by_content_[crash.content].insert(key);
     auto const end = server_ends_.find(crash.server);
     at->second.server_ended = end != server_ends_.end() && end->second >= ended;
@@ -191,6 +192,7 @@
                            std::vector<crash_update>& withdrawn)
 {
     auto& call = calls_.at(key);
+    ++revision_;
     forget_parts(key, call);
     call.withdrawn = true;
     call.source = update_source::own;
@@ -323,33 +325,73 @@
 
 // 3. Blocked contents and parts
 
-int crash_watch::crashes_of(std::set<call_key> const& keys) const
+std::vector<crash_watch::call_key>
+crash_watch::counted_calls(std::set<call_key> const& keys) const
 {
     // Calls that overlap may have been hit by one event; one that was sent after the end
     // of another was not.
-    std::vector<broken_call const*> calls;
+    std::vector<std::pair<broken_call const*, call_key>> calls;
     for (auto const& key : keys)
     {
         auto const& call = calls_.at(key);
         if (!call.withdrawn)
         {
-            calls.push_back(&call);
+            calls.emplace_back(&call, key);
         }
     }
     std::sort(calls.begin(), calls.end(),
-              [](auto const* left, auto const* right)
-              { return left->ended < right->ended; });
-    int                    crashes = 0;
+              [](auto const& left, auto const& right)
+              { return left.first->ended < right.first->ended; });
+    std::vector<call_key>  counted;
     boot_clock::time_point last{};
-    for (auto const* call : calls)
+    for (auto const& [call, key] : calls)
     {
-        if (crashes == 0 || call->sent + options_.clock_error >= last)
+        if (counted.empty() || call->sent + options_.clock_error >= last)
         {
-            ++crashes;
+            counted.push_back(key);
             last = call->ended;
         }
     }
-    return crashes;
+    return counted;
+}
+
+int crash_watch::crashes_of(std::set<call_key> const& keys) const
+{
+    return static_cast<int>(counted_calls(keys).size());
+}
+
+std::vector<crash_watch::call_key>
+crash_watch::counted_calls(part_suspect const& suspect) const
+{
+    std::vector<std::pair<broken_call const*, call_key>> calls;
+    for (auto const& key : by_part_.at(suspect.parts.front()))
+    {
+        auto const& call = calls_.at(key);
+        if (has_all(call.parts, suspect.parts))
+        {
+            calls.emplace_back(&call, key);
+        }
+    }
+    std::sort(calls.begin(), calls.end(),
+              [](auto const& left, auto const& right)
+              { return left.first->ended > right.first->ended; });
+    auto const& limits = options_.suspects;
+    auto const  wanted =
+        suspect.crashes - (suspect.sound ? limits.sound_crashes - limits.crashes : 0);
+    std::vector<call_key>             counted;
+    std::set<std::string>             contents;
+    std::optional<broken_call const*> last;
+    for (auto const& [call, key] : calls)
+    {
+        bool const apart = !last || (*last)->ended - call->ended >= limits.apart;
+        if (apart && static_cast<int>(counted.size()) < wanted &&
+            contents.insert(call->content).second)
+        {
+            counted.push_back(key);
+            last = call;
+        }
+    }
+    return counted;
 }
 
 boot_clock::time_point crash_watch::block_end(std::string const&     name,
@@ -502,6 +544,7 @@
         witnesses.push_back({call.content, key.first, call.service, call.ended,
                              call.parts, call.others_served});
     }
+    ++revision_;
     suspects_ = find_part_suspects(std::move(witnesses), {served_.begin(), served_.end()},
                                    sound_, options_.suspects);
     for (auto const& suspect : suspects_)
@@ -516,6 +559,64 @@
     }
 }
 
+crash_block crash_watch::block_of(std::string                  name,
+                                  std::vector<call_key> const& newest_first,
+                                  boot_clock::time_point       now) const
+{
+    crash_block result{.name = std::move(name), .as_of = now};
+    auto const  count = std::min(newest_first.size(), options_.max_recorded);
+    result.own = calls_.at(newest_first.front()).source == update_source::own;
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        auto const& key = newest_first[at];
+        result.crashes.push_back(update_of(key, calls_.at(key), now));
+    }
+    return result;
+}
+
+std::vector<crash_block> crash_watch::blocks(boot_clock::time_point now) const
+{
+    std::vector<crash_block> result;
+    for (auto const& [content, keys] : by_content_)
+    {
+        auto counted = keys.size() >= blocking_crashes ? counted_calls(keys)
+                                                       : std::vector<call_key>{};
+        if (counted.size() >= blocking_crashes)
+        {
+            std::reverse(counted.begin(), counted.end());
+            result.push_back(block_of("content/" + content, counted, now));
+            for (auto& crash : result.back().crashes)
+            {
+                crash.parts.clear();
+            }
+        }
+    }
+    for (auto const& suspect : suspects_)
+    {
+        auto const counted = counted_calls(suspect);
+        if (counted.empty())
+        {
+            continue;
+        }
+        auto const parts = name_of(suspect.parts);
+        auto const name = XXH3_64bits(parts.data(), parts.size());
+        result.push_back(block_of("parts/" + std::to_string(name), counted, now));
+        for (auto& crash : result.back().crashes)
+        {
+            crash.parts = suspect.parts;
+        }
+    }
+    auto const age = [](crash_block const& block)
+    {
+        return block.crashes.front().age;
+    };
+    std::sort(result.begin(), result.end(),
+              [&](auto const& left, auto const& right)
+              { return age(left) < age(right); });
+    result.resize(std::min(result.size(), options_.max_blocks));
+    return result;
+}
+
 std::map<crash_watch::call_key, boot_clock::time_point>
 crash_watch::standing_calls() const
 {
@@ -713,6 +814,7 @@
 
 void crash_watch::erase(call_key const& key)
 {
+    ++revision_;
     auto const found = calls_.find(key);
     auto const content = by_content_.find(found->second.content);
     content->second.erase(key);
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -19,6 +19,7 @@
 #include "policy/part_suspects.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -69,6 +70,10 @@
     millis keep_withdrawn{10'000};
     // 4096  calls; the oldest are dropped beyond it, those that block calls last
     std::size_t max_calls = 4096;
+    // 8     newest crashes of a block that are recorded: no block grows beyond them
+    std::size_t max_recorded = 8;
+    // 512   newest blocks that are recorded
+    std::size_t max_blocks = 512;
     // 8192  parts on which whole responses were written
     std::size_t max_sound_parts = 8192;
     // 512   calls that were served last, remembered while a part may be suspected
@@ -132,6 +137,19 @@
     /// started.
     void republish();
 
+    // Records
+
+    /// What blocks calls, or would if its time had not passed, to be recorded for VMs
+    /// that start when no other is left. A VM that merges the crashes of a block comes to
+    /// the same block.
+    std::vector<crash_block> blocks(boot_clock::time_point now) const;
+
+    /// Differs after every change of `blocks`.
+    std::uint64_t revision() const noexcept
+    {
+        return revision_;
+    }
+
     // Decisions
 
     /// Whether a call may run. After a block has ended, one call of this VM may, until
@@ -204,8 +222,15 @@
 
     // Blocked contents and parts
 
-    /// Crashes of a content that one call after the other has suffered.
-    int crashes_of(std::set<call_key> const& keys) const;
+    /// Of the crashes of a content those that one call after the other has suffered, the
+    /// oldest first.
+    std::vector<call_key> counted_calls(std::set<call_key> const& keys) const;
+    int                   crashes_of(std::set<call_key> const& keys) const;
+    /// Crashes that make others take the parts of `suspect` for suspects, and block them
+    /// as long, if they know nothing else of them; the newest first.
+    std::vector<call_key> counted_calls(part_suspect const& suspect) const;
+    crash_block block_of(std::string name, std::vector<call_key> const& newest_first,
+                         boot_clock::time_point now) const;
     /// When a content may run again; the epoch if it isn't blocked.
     boot_clock::time_point block_end(std::string const&        content,
                                      std::set<call_key> const& keys) const;
@@ -238,6 +263,7 @@
     std::map<part_key, unpublished_part> unpublished_parts_;
     std::vector<part_suspect>            suspects_;
     std::map<std::string, trial>         trials_; // by name of the block
+    std::uint64_t                        revision_ = 0;
     boot_clock::time_point               next_republish_{};
     boot_clock::time_point               next_expiry_{};
 };
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
 #include "serving/caller_session.hpp"
+#include "serving/crash_recorder.hpp"
 #include "serving/duty_worker.hpp"
 #include "serving/listener.hpp"
 #include "serving/peer_exchange.hpp"
@@ -33,9 +34,10 @@
           store_(settings.store), shared_(store_), duties_(settings.duties),
           rules_(state_, shared_), servers_(state_, shared_),
           worker_(state_, shared_, duties_), registry_(state_, shared_),
-          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          recorder_(state_, shared_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
         shared_.read_directly(relay_registry<shared_store<Store>, Codec>::topic(), true);
+        shared_.read_directly(crash_recorder<shared_store<Store>, Codec>::topic(), true);
         shared_.set_fallback(Codec::servers_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.duty_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
@@ -50,6 +52,7 @@
     {
         listen();
         spawn(worker_.run_usage());
+        spawn(recorder_.run());
         spawn(follow_store());
         spawn(run_housekeeping());
         spawn(exchange_with_peers());
@@ -82,6 +85,10 @@
     static constexpr millis max_discovery{4000};
     // 50    ms; between checks whether any are known
     static constexpr millis discovery_poll{50};
+    // 400   ms; longest wait for what blocks calls before the rules are read, without
+    //       which no call runs
+    static constexpr millis max_crashes_wait{400};
+    static constexpr millis crashes_poll{2}; // between checks whether they are read
     // 1000  ms; between relay plans, each of which sorts all VMs
     static constexpr millis plan_interval{1000};
     // 5000  ms; between log lines about calls to the store
@@ -153,6 +160,10 @@
         {
             co_await loop_sleep(discovery_poll);
         }
+        while (!recorder_.has_read() && boot_clock::now() - began < max_crashes_wait)
+        {
+            co_await loop_sleep(crashes_poll);
+        }
         spawn(rules_.run());
         spawn(servers_.run());
         spawn(worker_.run_duties());
@@ -346,6 +357,7 @@
     servers_follower<shared_store<Store>, Codec> servers_;
     duty_worker<shared_store<Store>, Duties>     worker_;
     relay_registry<shared_store<Store>, Codec>   registry_;
+    crash_recorder<shared_store<Store>, Codec>   recorder_;
     caller_connections                           callers_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_at_{};
