A VM that has just started doesn't disprove crashes from before its start

Callers saw: a blocked request crashed servers anew a few seconds after one VM had started again, if servers keep their ids over a restart. Cause: a crash is withdrawn when its server responds over a newer connection and no restart becomes known within 3 s. A VM that starts has seen no restart at all, so every response of a server that had restarted before disproved its crash, on all VMs. Restarts that only a whole listing shows weren't reported to crash_watch either. Evidence: platform_crashes.vm_that_has_started_again_withdraws_crashes_ before_its_start, red before: crash_withdrawn cause=no_restart for both crashes at the VM that had started, 5.1 s after its start. Why it works: responses disprove only crashes since the VM first listed the servers; a restart since then is in its list.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -89,7 +89,8 @@
     ++revision_;
     by_content_[crash.content].insert(key);
     auto const end = server_ends_.find(crash.server);
-    at->second.server_ended = end != server_ends_.end() && end->second >= ended;
+    at->second.server_ended = ended < watches_from_ ||
+                              (end != server_ends_.end() && end->second >= ended);
     if (!crash.withdrawn)
     {
         for (auto const part : at->second.parts)
@@ -310,6 +311,20 @@
     }
 }
 
+void crash_watch::watch_restarts_from(boot_clock::time_point began)
+{
+    watches_from_ = began;
+    for (auto& [key, call] : calls_)
+    {
+        if (call.ended < began)
+        {
+            call.server_ended = true;
+            call.responded.reset();
+            responded_.erase(key);
+        }
+    }
+}
+
 std::vector<crash_update> crash_watch::withdraw_disproved(boot_clock::time_point now)
 {
     std::vector<crash_update> withdrawn;
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -117,6 +117,10 @@
     /// another one from now on.
     void server_ended(std::string const& server, boot_clock::time_point now);
 
+    /// Sets when this VM began to watch the list of servers. It doesn't know whether the
+    /// servers of earlier crashes have restarted, so their responses prove nothing.
+    void watch_restarts_from(boot_clock::time_point began);
+
     /// Withdraws crashes at servers that have responded since, if no restart of them has
     /// become known meanwhile. Returns these crashes.
     std::vector<crash_update> withdraw_disproved(boot_clock::time_point now);
@@ -263,6 +267,7 @@
     std::map<part_key, unpublished_part> unpublished_parts_;
     std::vector<part_suspect>            suspects_;
     std::map<std::string, trial>         trials_; // by name of the block
+    boot_clock::time_point               watches_from_{}; // restarts of servers
     std::uint64_t                        revision_ = 0;
     boot_clock::time_point               next_republish_{};
     boot_clock::time_point               next_expiry_{};
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -100,6 +100,7 @@
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
       crashes({.vm = incarnation}), random_(std::random_device{}())
 {
+    crashes.watch_restarts_from(boot_clock::now());
 }
 
 bool entry_state::keys_fresh(boot_clock::time_point now) const
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -316,6 +316,7 @@
     {
         std::vector<backend_server> all;
         std::string                 after;
+        auto const                  sent = boot_clock::now();
         while (true)
         {
             auto result = co_await store_.newest(lane, Codec::servers_topic(), after);
@@ -349,6 +350,14 @@
         store_lost_ = false;
         // The listing is applied only now that the store is known to be back.
         state_.servers.store_answered(boot_clock::now());
+        if (!std::exchange(watches_restarts_, true))
+        {
+            state_.crashes.watch_restarts_from(sent);
+        }
+        for (auto const& server : all)
+        {
+            forget_former(server);
+        }
         state_.servers.replace(all, boot_clock::now());
         state_.servers.caught_up();
         state_.log.write(
@@ -512,6 +521,7 @@
     std::uint64_t           next_ = 0;
     bool                    synced_; // `next_` continues the last read
     bool                    relayed_ = false;
+    bool                    watches_restarts_ = false; // has listed the servers
     bool                    store_lost_ = false; // so the last reply of a relay says
     std::vector<event_line> lines_;              // about servers, not written yet
     boot_clock::time_point  answered_at_ = boot_clock::now(); // the last answered read
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -292,6 +292,27 @@
     EXPECT_EQ(service.fatal_arrivals(), before);
 }
 
+// Servers that had restarted under their ids answered a VM that had started since; it
+// took that for proof that they had never ended.
+TEST(platform_crashes, vm_that_has_started_again_withdraws_crashes_before_its_start)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3, true);
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
+    cluster.restart(0);
+    ASSERT_TRUE(eventually([&] { return cluster.ready(0); }));
+    sound_callers sound(cluster, vms);
+    std::this_thread::sleep_for(seconds{5}); // longer than a restart takes to be listed
+    EXPECT_EQ(crash_events(cluster, vms).find("ev=crash_withdrawn"), std::string::npos)
+        << crash_events(cluster, vms);
+}
+
 /// Kills all VMs at once and starts them again.
 void kill_and_restart_all(entry_cluster& cluster, int vms)
 {
