An outage of the store doesn't disprove crashes

Callers saw: during an outage of the store a blocked request crashed servers anew about five seconds after each crash, if they keep their ids. Cause: a response over a newer connection disproves a crash unless a restart becomes known within 3 s, but nothing is listed while the store is away. Absence of news counted as evidence while no news could come. Why it works: the 3 s count from the end of the outage, in which live servers list themselves anew; during one nothing is withdrawn for this cause.

--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -134,6 +134,12 @@
     }
 }
 
+std::optional<boot_clock::time_point> server_list::listed_since() const noexcept
+{
+    auto const since = store_returned_at_.value_or(boot_clock::time_point{});
+    return store_lost_ ? std::nullopt : std::optional{since};
+}
+
 void server_list::caught_up()
 {
     catching_up_ = false;
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -67,6 +67,9 @@
     /// Called when a read of the store succeeds; ends an outage.
     void store_answered(boot_clock::time_point now);
 
+    /// Since when the store has answered without an outage; none during one.
+    std::optional<boot_clock::time_point> listed_since() const noexcept;
+
     /// Called when all changes made during an outage have been applied.
     void caught_up();
 
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -89,8 +89,8 @@
     ++revision_;
     by_content_[crash.content].insert(key);
     auto const end = server_ends_.find(crash.server);
-    at->second.server_ended = ended < watches_from_ ||
-                              (end != server_ends_.end() && end->second >= ended);
+    at->second.server_ended =
+        ended < watches_from_ || (end != server_ends_.end() && end->second >= ended);
     if (!crash.withdrawn)
     {
         for (auto const part : at->second.parts)
@@ -325,12 +325,19 @@
     }
 }
 
-std::vector<crash_update> crash_watch::withdraw_disproved(boot_clock::time_point now)
+std::vector<crash_update>
+crash_watch::withdraw_disproved(std::optional<boot_clock::time_point> listed_since,
+                                boot_clock::time_point                now)
 {
     std::vector<crash_update> withdrawn;
+    if (!listed_since)
+    {
+        return withdrawn;
+    }
     for (auto const& key : std::set<call_key>{responded_})
     {
-        if (now - *calls_.at(key).responded >= options_.restart_listed)
+        auto const from = std::max(*calls_.at(key).responded, *listed_since);
+        if (now - from >= options_.restart_listed)
         {
             withdraw(key, now, withdrawn);
         }
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -122,8 +122,11 @@
     void watch_restarts_from(boot_clock::time_point began);
 
     /// Withdraws crashes at servers that have responded since, if no restart of them has
-    /// become known meanwhile. Returns these crashes.
-    std::vector<crash_update> withdraw_disproved(boot_clock::time_point now);
+    /// become known meanwhile. `listed_since`: since when servers can list restarts
+    /// without interruption; none: they can't now. Returns these crashes.
+    std::vector<crash_update>
+    withdraw_disproved(std::optional<boot_clock::time_point> listed_since,
+                       boot_clock::time_point                now);
 
     // Updates between VMs
 
@@ -266,7 +269,7 @@
     bool served_changed_ = false; // since the suspects were found
     std::map<part_key, unpublished_part> unpublished_parts_;
     std::vector<part_suspect>            suspects_;
-    std::map<std::string, trial>         trials_; // by name of the block
+    std::map<std::string, trial>         trials_;         // by name of the block
     boot_clock::time_point               watches_from_{}; // restarts of servers
     std::uint64_t                        revision_ = 0;
     boot_clock::time_point               next_republish_{};
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -313,6 +313,33 @@
         << crash_events(cluster, vms);
 }
 
+// Nothing is listed while the store is silent, so servers that restarted under their ids
+// seemed never to have ended.
+TEST(platform_crashes, crashes_during_an_outage_of_the_store_are_withdrawn)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3, true);
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
+    }
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    cluster.store().trouble(store_fault_kind::silent);
+    std::this_thread::sleep_for(seconds{2}); // all VMs have noticed
+    auto const end = clock::now() + seconds{10};
+    for (int call = 0; clock::now() < end; ++call)
+    {
+        send_fatal_request(cluster, call % vms, "/open/x", 1000 + call);
+        ask(cluster.caller_port(call % vms),
+            {.path = "/open/x", .id = "s-" + std::to_string(call), .body = "sound"});
+        std::this_thread::sleep_for(milliseconds{100});
+    }
+    EXPECT_LE(service.fatal_arrivals(), most_in_all) << crash_events(cluster, vms);
+    EXPECT_EQ(crash_events(cluster, vms).find("ev=crash_withdrawn"), std::string::npos)
+        << crash_events(cluster, vms);
+}
+
 /// Kills all VMs at once and starts them again.
 void kill_and_restart_all(entry_cluster& cluster, int vms)
 {
--- a/tests/property/crash_watch_property_test.cpp
+++ b/tests/property/crash_watch_property_test.cpp
@@ -295,7 +295,7 @@
         next_digests_ = now_ + digest_interval;
         for (std::size_t vm = 0; vm < watches_.size(); ++vm)
         {
-            watches_[vm].withdraw_disproved(now_);
+            watches_[vm].withdraw_disproved(boot_clock::time_point{}, now_);
             auto const crashes = watches_[vm].take_updates(now_);
             for (std::size_t to = 0; to < watches_.size(); ++to)
             {
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -227,9 +227,9 @@
     record(watch, crash("s1", "1"), 0);
     record(watch, crash("s2", "2"), 500);
     EXPECT_TRUE(watch.record_response("s1", at(2000), at(2000), at(2010)).empty());
-    EXPECT_TRUE(watch.withdraw_disproved(at(3000)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(0), at(3000)).empty());
     watch.server_ended("s1", at(3100));
-    EXPECT_TRUE(watch.withdraw_disproved(at(9000)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(0), at(9000)).empty());
     EXPECT_TRUE(blocked(watch, at(5400)));
 }
 
@@ -242,7 +242,7 @@
     late.age = millis{1600};
     watch.merge(late, update_source::centre, at(1600));
     EXPECT_TRUE(watch.record_response("s1", at(1700), at(1700), at(1710)).empty());
-    EXPECT_TRUE(watch.withdraw_disproved(at(9000)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(0), at(9000)).empty());
 }
 
 TEST(crash_watch,
@@ -253,7 +253,7 @@
     record(watch, crash("s2", "2"), 500);
     EXPECT_TRUE(watch.record_response("s1", at(600), at(600), at(610)).empty());
     EXPECT_TRUE(blocked(watch, at(700)));
-    EXPECT_EQ(watch.withdraw_disproved(at(3700)).size(), 1U);
+    EXPECT_EQ(watch.withdraw_disproved(at(0), at(3700)).size(), 1U);
     EXPECT_FALSE(blocked(watch, at(3700)));
 }
 
