Responses without end are bounded in bytes and in time

Callers saw: one server that sends a chunk's extension, a trailer or trailers without end takes 1.9 to 2.5 GB of a VM within 3 s (six callers); informational heads hold a call until its time is up; long bodies and events take 187 to 192 MB, and of the sound calls beside them 112 to 248 of 281 to 287 are in time. The end of each such response counted as a crash of the server by the content. Cause: the buffer of a connection had no bound, so what the parser wants whole (a chunk's header, a trailer) grew with what the server sent; 1xx heads weren't counted; of a body the length was bounded but not the memory (a string doubles), and any failure within a body counted as a broken connection. A body's failure has a type (malformed, body_timeout, body_limit), and only a connection that ends is a suspected crash. Large responses that take half of what a VM may hold are read one at a time and ended above a sixth of it; late responses, prefills and releases have 1 MiB at most.

--- a/src/policy/held_memory.hpp
+++ b/src/policy/held_memory.hpp
@@ -52,8 +52,9 @@
 
 struct held_options
 {
-    std::int64_t most = 31457280;         // 30 MiB  bytes held by the VM
-    std::int64_t most_unwritten = 262144; // 256 KiB  of a stream; then its server waits
+    std::int64_t most = 31457280;          // 30 MiB  bytes held by the VM
+    std::int64_t most_unwritten = 262144;  // 256 KiB  of a stream; then its server waits
+    std::int64_t most_response = 16777216; // 16 MiB  plain response, event of a stream
     millis       stall{10000};       // 10000  ms; a caller that takes nothing is ended
     millis       full_stall{2000};   // 2000  ms; the same while its server waits
     millis       memory_stall{1000}; // 1000  ms; the same while the VM holds much
@@ -77,8 +78,12 @@
         (settings.memory > 0 ? settings.memory : smallest_vm) * bytes_per_mb;
     auto const idle = settings.idle_connections > 0 ? settings.idle_connections
                                                     : memory / idle_part / idle_bytes;
-    return {.most = settings.held_bytes > 0 ? settings.held_bytes : memory / held_part,
+    constexpr std::int64_t spared_part = 4; // for the other calls
+    constexpr std::int64_t longest_response = std::int64_t{16} << 20;
+    auto const most = settings.held_bytes > 0 ? settings.held_bytes : memory / held_part;
+    return {.most = most,
             .most_unwritten = settings.caller_bytes,
+            .most_response = std::min(most - most / spared_part, longest_response),
             .stall = settings.caller_stall,
             .full_stall = settings.caller_full_stall,
             .most_idle = static_cast<std::size_t>(idle)};
@@ -143,20 +148,17 @@
     /// counts the bytes read so far. At the bound, unwritten responses leave by
     /// themselves, so it waits for them. Requests and responses that are being read leave
     /// only by reading on; all of these responses go on while they take less than half of
-    /// the bound, and above that one of them.
+    /// the bound, and above that one of them, and those that are small so far.
     bool must_wait(held_share const& reader) noexcept
     {
         constexpr std::int64_t unwritten_part = 4;
         constexpr std::int64_t reading_part = 2;
-        if (has_room())
-        {
-            return false;
-        }
-        if (unwritten_part * held(held_kind::responses) >= options_.most)
+        if (!has_room() && unwritten_part * held(held_kind::responses) >= options_.most)
         {
             return true;
         }
-        if (reading_part * held(held_kind::reading) < options_.most)
+        if (reading_part * held(held_kind::reading) < options_.most ||
+            (has_room() && is_small(reader)))
         {
             return false;
         }
@@ -164,6 +166,10 @@
         return reads_on_ != &reader;
     }
 
+    /// Whether `reader` is one of several large responses that together leave new calls
+    /// no room, and has had its share: it may have no end. Others wait behind it.
+    bool must_end(held_share const& reader) const noexcept;
+
     /// Lets another reader go on in place of `reader`, which has ended.
     void end_reading(held_share const& reader) noexcept
     {
@@ -171,6 +177,8 @@
     }
 
 private:
+    bool is_small(held_share const& reader) const noexcept;
+
     held_options                options_;
     std::array<std::int64_t, 3> held_{};
     held_share const*           reads_on_ = nullptr; // the one reader; only compared
@@ -216,6 +224,22 @@
     std::int64_t                 bytes_ = 0;
 };
 
+inline bool held_memory::is_small(held_share const& reader) const noexcept
+{
+    constexpr std::int64_t small_part = 256;
+    return reader.bytes() * small_part < options_.most;
+}
+
+inline bool held_memory::must_end(held_share const& reader) const noexcept
+{
+    constexpr std::int64_t share_part = 6;
+    constexpr std::int64_t reading_part = 2;
+    auto const             reading = held(held_kind::reading);
+    return reader.bytes() > options_.most_response ||
+           (reader.bytes() * share_part > options_.most &&
+            reading * reading_part >= options_.most && reading > reader.bytes());
+}
+
 /// Why a slow caller was ended.
 enum class slow_rule
 {
--- a/src/policy/response_end.hpp
+++ b/src/policy/response_end.hpp
@@ -15,9 +15,10 @@
 enum class body_result
 {
     more,
-    framed,   // ended where its framing says
-    unframed, // no framing; the server has closed the connection in order
-    broken,   // ended before its framing says, with a reset, or for an unknown reason
+    framed,    // ended where its framing says
+    unframed,  // no framing; the server has closed the connection in order
+    broken,    // ended before its framing says, with a reset, or for an unknown reason
+    malformed, // the bytes are no body, or their framing is too long
     timed_out
 };
 
@@ -50,6 +51,7 @@
         return at.has_events && !at.inside_event;
     case body_result::more:
     case body_result::broken:
+    case body_result::malformed:
     case body_result::timed_out:
         break;
     }
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace marigoldcrank
@@ -38,6 +39,16 @@
     return error == beast::error::timeout ? io_result::timed_out : io_result::broken;
 }
 
+/// Whether the bytes themselves are at fault, as opposed to the connection.
+bool is_malformed(error_code const& error)
+{
+    bool const by_parser =
+        error.category() == http::make_error_code(http::error::end_of_stream).category();
+    bool const ended =
+        error == http::error::end_of_stream || error == http::error::partial_message;
+    return by_parser && !ended;
+}
+
 template <class Value>
 void set_option(int socket, int level, int name, Value value)
 {
@@ -128,10 +139,12 @@
 
 asio::awaitable<io_result> http_connection::read_head(bool head_only, loop_time until)
 {
-    constexpr unsigned informational = 200;
+    constexpr unsigned first_final = 200;
     complete_ = false;
     head_only_ = head_only;
-    do
+    body_bytes_ = 0;
+    framing_bytes_ = 0;
+    for (int heads = 0; heads <= limits.informational; ++heads)
     {
         parser_.emplace();
         parser_->body_limit(boost::none);
@@ -142,16 +155,15 @@
             stream_, buffer_, *parser_, asio::redirect_error(asio::use_awaitable, error));
         if (error)
         {
-            bool const ours =
-                error.category() ==
-                http::make_error_code(http::error::end_of_stream).category();
-            bool const ended = error == http::error::end_of_stream ||
-                               error == http::error::partial_message;
-            co_return ours && !ended ? io_result::malformed : io_result_of(error);
+            co_return is_malformed(error) ? io_result::malformed : io_result_of(error);
         }
-    } while (parser_->get().result_int() < informational);
-    complete_ = parser_->is_done();
-    co_return io_result::ok;
+        if (parser_->get().result_int() >= first_final)
+        {
+            complete_ = parser_->is_done();
+            co_return io_result::ok;
+        }
+    }
+    co_return io_result::malformed;
 }
 
 response_head const& http_connection::head() const
@@ -187,15 +199,23 @@
     body.more = true;
     stream_.expires_at(until);
     error_code error;
-    co_await http::async_read_some(stream_, buffer_, *parser_,
-                                   asio::redirect_error(asio::use_awaitable, error));
-    out.append(chunk.data(), chunk.size() - body.size);
+    auto const consumed = co_await http::async_read_some(
+        stream_, buffer_, *parser_, asio::redirect_error(asio::use_awaitable, error));
+    auto const count = chunk.size() - body.size;
+    out.append(chunk.data(), count);
     body.data = nullptr;
+    body_bytes_ += count;
+    framing_bytes_ += consumed - std::min(count, consumed);
     if (error && error != http::error::need_buffer)
     {
         co_return error == beast::error::timeout ? body_result::timed_out
+        : is_malformed(error)                    ? body_result::malformed
                                                  : body_result::broken;
     }
+    if (framing_bytes_ > limits.framing + limits.framing_per_byte * body_bytes_)
+    {
+        co_return body_result::malformed;
+    }
     complete_ = parser_->is_done();
     co_return complete_ ? end_of_body() : body_result::more;
 }
--- a/src/serving/prefill_step.hpp
+++ b/src/serving/prefill_step.hpp
@@ -47,7 +47,7 @@
         bool answered = fate == attempt_outcome::answered && link.facts().status == ok;
         if (answered)
         {
-            answered = co_await link.read_complete_body(body, until);
+            answered = co_await link.read_small_body(body, until);
         }
         auto const handle = answered ? Dialect::parse_handle(body) : std::nullopt;
         if (!handle)
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -11,7 +11,9 @@
 #include "serving/send_permit.hpp"
 #include "serving/server_connector.hpp"
 
+#include <algorithm>
 #include <cassert>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -160,34 +162,56 @@
 
     boost::asio::awaitable<body_result> read_body(std::string& out, loop_time until)
     {
-        return connection_->read_body(out, until);
+        auto const result = co_await connection_->read_body(out, until);
+        fault_ = result == body_result::timed_out   ? "body_timeout"
+                 : result == body_result::malformed ? "malformed"
+                                                    : fault_;
+        co_return result;
     }
 
-    /// Reads the rest of the body, whose bytes `held` counts. Leaves it unread while the
+    /// Reads the rest of the body, whose memory `held` counts. Leaves it unread while the
     /// VM holds too much and others will make room. Returns false if it is incomplete or
-    /// too long.
+    /// too long for this VM.
     boost::asio::awaitable<bool> read_complete_body(std::string& out, held_share& held,
                                                     loop_time until)
     {
         auto step = body_result::more;
-        while (step == body_result::more && out.size() <= max_body_size)
+        while (step == body_result::more && !state_.held->must_end(held))
         {
-            step = co_await connection_->read_body(out, until);
-            held.set(static_cast<std::int64_t>(out.size()));
+            reserve_more(out);
+            step = co_await read_body(out, until);
+            held.set(static_cast<std::int64_t>(out.capacity()));
             if (step == body_result::more)
             {
                 co_await wait_for_memory(held, until);
             }
         }
+        fault_ = step == body_result::more ? "body_limit" : fault_;
         co_return is_complete_body(step) && !may_be_cut(step);
     }
 
-    /// The same, for a body that the caller of this function doesn't keep for long: its
-    /// bytes are counted only while it is read.
-    boost::asio::awaitable<bool> read_complete_body(std::string& out, loop_time until)
+    /// The same for a response to the system itself, or to nobody.
+    boost::asio::awaitable<bool> read_small_body(std::string& out, loop_time until)
     {
+        auto       step = body_result::more;
         held_share held{state_.held, held_kind::reading};
-        co_return co_await read_complete_body(out, held, until);
+        while (step == body_result::more && out.size() <= most_small_body)
+        {
+            step = co_await read_body(out, until);
+            held.set(static_cast<std::int64_t>(out.capacity()));
+        }
+        co_return is_complete_body(step);
+    }
+
+    /// Waits while the VM holds too much for `held` to grow and others will make room.
+    boost::asio::awaitable<void> wait_for_memory(held_share const& held, loop_time until)
+    {
+        auto const began = loop_clock::now();
+        while (state_.held->must_wait(held) && loop_clock::now() < until)
+        {
+            co_await loop_sleep(memory_poll);
+        }
+        left_unread(began);
     }
 
     /// Records that the response was left unread from `began` until now, because of its
@@ -225,18 +249,20 @@
     // The response is of another server, which has got the address.
     static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
-    static constexpr std::size_t max_body_size = 16U << 20U; // 16 MiB; plain responses
+    static constexpr std::size_t most_small_body = std::size_t{1} << 20; // 1 MiB
     // 50    ms; between checks for memory
     static constexpr millis memory_poll{50};
 
-    boost::asio::awaitable<void> wait_for_memory(held_share const& held, loop_time until)
+    /// Makes room for the next bytes. A string doubles by itself, which would be up to
+    /// twice the memory of the body.
+    static void reserve_more(std::string& body)
     {
-        auto const began = loop_clock::now();
-        while (state_.held->must_wait(held) && loop_clock::now() < until)
+        constexpr std::size_t step = 16384;
+        constexpr std::size_t part = 4;
+        if (body.capacity() - body.size() < step)
         {
-            co_await loop_sleep(memory_poll);
+            body.reserve(body.size() + std::max(step, body.size() / part));
         }
-        left_unread(began);
     }
 
     boost::asio::awaitable<bool> open(exchange_request const& request)
@@ -290,7 +316,7 @@
     boost::asio::awaitable<bool> skip_body(loop_time until)
     {
         std::string ignored;
-        co_return co_await read_complete_body(ignored, until);
+        co_return co_await read_small_body(ignored, until);
     }
 
     /// Returns the connection to the pool unless bytes on it could be taken for the
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -204,6 +204,7 @@
         std::string bytes;
         auto        step = body_result::more;
         held_share  held{context_.state.held, held_kind::reading};
+        bool        event_too_long = false;
         context_.stream.begin_server(link.head());
         while (step == body_result::more)
         {
@@ -219,14 +220,18 @@
                        : step;
             context_.caller.queue(take_bytes(link, bytes, step));
             held.set(context_.stream.held_bytes());
-            if (step == body_result::more && context_.stream.event_too_long())
-            {
-                step = body_result::broken;
-            }
+            event_too_long =
+                step == body_result::more &&
+                (context_.stream.event_too_long() || context_.state.held->must_end(held));
+            step = event_too_long ? body_result::malformed : step;
             if (step == body_result::more && !co_await wait_for_caller(link))
             {
                 co_return true;
             }
+            if (step == body_result::more)
+            {
+                co_await link.wait_for_memory(held, context_.admitted.deadline);
+            }
         }
         if (is_complete_stream(step, context_.stream.position()))
         {
@@ -235,7 +240,7 @@
         }
         auto       result = sender_.result_of(link, attempt_outcome::unknown);
         bool const cut = link.was_left_unread();
-        result.fault = context_.stream.event_too_long()      ? fault_event_limit
+        result.fault = event_too_long                        ? fault_event_limit
                        : step == body_result::framed && !cut ? "torn"
                                                              : result.fault;
         context_.attempts.record_result(result);
