All VMs count the crashes of a content alike when news come late

Cause: calls that overlap count once, by their times with 20 ms of error. The times of calls heard of from other VMs are off by the way of the news, so two calls that one crash broke off counted twice where one was heard of late, and a retry not at all. Change: calls at one server within 500 ms are one crash, and a further attempt of a call is a further crash, whatever the times say. Evidence: two unit tests, red before (c.f. calls_broken_by_one_server_crash_ count_twice_where_one_is_heard_late, retry_counts_as_one_crash_where_the_ first_is_heard_late).

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -351,7 +351,8 @@
 crash_watch::counted_calls(std::set<call_key> const& keys) const
 {
     // Calls that overlap may have been hit by one event; one that was sent after the end
-    // of another was not.
+    // of another was not. News that come late make calls seem to end late, so the order
+    // of calls at one server, or of one call at several, doesn't rest on times alone.
     std::vector<std::pair<broken_call const*, call_key>> calls;
     for (auto const& key : keys)
     {
@@ -365,14 +366,21 @@
               [](auto const& left, auto const& right)
               { return left.first->ended < right.first->ended; });
     std::vector<call_key>  counted;
+    std::set<std::string>  hit; // ids of the calls of the newest counted crash
     boot_clock::time_point last{};
     for (auto const& [call, key] : calls)
     {
-        if (counted.empty() || call->sent + options_.clock_error >= last)
+        bool const same_server = !counted.empty() && key.first == counted.back().first;
+        bool const same_crash = same_server && call->ended - last < options_.one_crash;
+        bool const is_retry = !same_server && hit.count(key.second) > 0;
+        bool const after = call->sent + options_.clock_error >= last;
+        if (counted.empty() || (!same_crash && (is_retry || after)))
         {
             counted.push_back(key);
+            hit.clear();
             last = call->ended;
         }
+        hit.insert(key.second);
     }
     return counted;
 }
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -156,6 +156,28 @@
     EXPECT_TRUE(blocked(watch, at(530)));
 }
 
+// A VM that heard of one of them late took them for two crashes, and the others for one.
+TEST(crash_watch, calls_broken_by_one_server_crash_count_twice_where_one_is_heard_late)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    auto late = crash("s1", "2");
+    late.age = millis{2};
+    watch.merge(late, update_source::others, at(200)); // 196 ms on its way
+    EXPECT_FALSE(blocked(watch, at(200)));
+}
+
+// A VM that heard of the first crash of a call late took its retry for a call beside it.
+TEST(crash_watch, retry_counts_as_one_crash_where_the_first_is_heard_late)
+{
+    crash_watch watch;
+    auto        first = crash("s1", "1");
+    first.age = millis{60};
+    watch.merge(first, update_source::others, at(160));
+    watch.merge(crash("s2", "1"), update_source::others, at(110)); // sent 10 ms later
+    EXPECT_TRUE(blocked(watch, at(200)));
+}
+
 // 3. Evidence against a crash
 
 // A harmless request loses its connection now and then, and another server completes it
