--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace marigoldcrank::soak
 {
@@ -128,7 +129,12 @@
                                      {"kill", false,
                                       [this]
                                       {
-                                          return kill_daemon();
+                                          return kill_daemon(random_below(daemons));
+                                      }},
+                                     {"kill-all", false,
+                                      [this]
+                                      {
+                                          return kill_all_daemons();
                                       }},
                                      {"pause", false,
                                       [this]
@@ -331,9 +337,8 @@
     };
 }
 
-std::function<void()> soak_fault_schedule::kill_daemon()
+std::function<void()> soak_fault_schedule::kill_daemon(int index)
 {
-    auto const index = random_below(daemons);
     if (disrupted_[static_cast<std::size_t>(index)])
     {
         return [] {
@@ -350,6 +355,22 @@
     };
 }
 
+std::function<void()> soak_fault_schedule::kill_all_daemons()
+{
+    std::vector<std::function<void()>> ends;
+    for (int index = 0; index < daemons; ++index)
+    {
+        ends.push_back(kill_daemon(index));
+    }
+    return [ends]
+    {
+        for (auto const& end : ends)
+        {
+            end();
+        }
+    };
+}
+
 std::function<void()> soak_fault_schedule::pause_daemon()
 {
     auto const index = random_below(daemons);
--- a/bench/entry_soak/soak_fault_schedule.hpp
+++ b/bench/entry_soak/soak_fault_schedule.hpp
@@ -62,7 +62,8 @@
     int                          random_below(int count);
 
     std::function<void()> stop_daemon();
-    std::function<void()> kill_daemon();
+    std::function<void()> kill_daemon(int index);
+    std::function<void()> kill_all_daemons();
     std::function<void()> pause_daemon();
     std::function<void()> begin_store_fault(tests::store_fault_kind kind);
     std::function<void()> withdraw_key();
