--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -260,6 +260,8 @@
                      .more = "HTTP/1.1 102 Processing\r\n\r\n",
                      .has_head = false},
         endless_case{.name = "chunk_extension", .begin = "1;", .more = "x"},
+        endless_case{.name = "extensions_of_small_chunks",
+                     .more = "1;" + std::string(2000, 'x') + "\r\nx\r\n"},
         endless_case{.name = "trailer", .begin = "0\r\nX-Long: ", .more = "x"},
         endless_case{.name = "trailers", .begin = "0\r\n", .more = "X-Field: x\r\n"},
         endless_case{.name = "body_without_length",
--- a/tests/unit/held_memory_test.cpp
+++ b/tests/unit/held_memory_test.cpp
@@ -68,6 +68,28 @@
     EXPECT_FALSE(memory->must_wait(other)); // its turn
 }
 
+// One response without end kept all others waiting, and new calls were refused.
+TEST(held_memory, large_response_goes_on_while_others_wait)
+{
+    auto const memory =
+        std::make_shared<held_memory>(held_options{.most = 1200, .most_response = 900});
+    held_share large{memory, held_kind::reading};
+    large.set(900);
+    EXPECT_FALSE(memory->must_end(large)); // alone
+    large.set(901);
+    EXPECT_TRUE(memory->must_end(large));
+    large.set(201);
+    held_share other{memory, held_kind::reading};
+    other.set(398);
+    EXPECT_FALSE(memory->must_end(large)); // there is room
+    other.set(399);
+    EXPECT_TRUE(memory->must_end(large));
+    large.set(200);
+    other.set(400);
+    EXPECT_FALSE(memory->must_end(large)); // it has had less than its share
+    EXPECT_TRUE(memory->must_end(other));
+}
+
 TEST(held_memory, bounds_follow_the_memory_of_the_vm)
 {
     entry_settings settings;
