--- a/src/policy/crash_records.hpp
+++ b/src/policy/crash_records.hpp
@@ -43,7 +43,7 @@
     std::string                name;
     std::optional<crash_block> block;
 
-    auto operator<=>(crash_record_change const&) const = default;
+    bool operator==(crash_record_change const&) const = default;
 };
 
 /// Does no I/O; the caller passes in the time. Not thread-safe.
--- a/src/policy/crash_update.hpp
+++ b/src/policy/crash_update.hpp
@@ -57,7 +57,7 @@
     bool                      own = false; // this VM has seen the newest one
     boot_clock::time_point    as_of{};     // time from which the ages count
 
-    auto operator<=>(crash_block const&) const = default;
+    bool operator==(crash_block const&) const = default;
 };
 
 /// What a call may have in common with one that crashed a server.
