--- a/bench/entry_soak/soak_fault_schedule.cpp
+++ b/bench/entry_soak/soak_fault_schedule.cpp
@@ -358,6 +358,7 @@
 std::function<void()> soak_fault_schedule::kill_all_daemons()
 {
     std::vector<std::function<void()>> ends;
+    ends.reserve(daemons);
     for (int index = 0; index < daemons; ++index)
     {
         ends.push_back(kill_daemon(index));
