--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -299,10 +299,7 @@
     constexpr int    vms = 3;
     entry_cluster    cluster({.daemons = vms, .servers = 0});
     crashing_service service(cluster, 3, true);
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
-    }
+    ASSERT_TRUE(cluster.all_ready());
     std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
     repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
     cluster.restart(0);
@@ -320,10 +317,7 @@
     constexpr int    vms = 3;
     entry_cluster    cluster({.daemons = vms, .servers = 0});
     crashing_service service(cluster, 3, true);
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
-    }
+    ASSERT_TRUE(cluster.all_ready());
     std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
     cluster.store().trouble(store_fault_kind::silent);
     std::this_thread::sleep_for(seconds{2}); // all VMs have noticed
@@ -340,23 +334,6 @@
         << crash_events(cluster, vms);
 }
 
-/// Kills all VMs at once and starts them again.
-void kill_and_restart_all(entry_cluster& cluster, int vms)
-{
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        cluster.daemon(vm).signal(SIGKILL);
-    }
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        cluster.restart(vm);
-    }
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
-    }
-}
-
 // The VMs were killed together, and with them ended what they knew.
 TEST(platform_crashes, request_crashes_servers_anew_each_time_all_vms_were_killed)
 {
@@ -364,15 +341,12 @@
     constexpr int    kills = 3;
     entry_cluster    cluster({.daemons = vms, .servers = 0});
     crashing_service service(cluster, 3);
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
-    }
+    ASSERT_TRUE(cluster.all_ready());
     std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
     repeat_fatal_request(cluster, vms, "/repeat/x", seconds{4});
     for (int kill = 0; kill < kills; ++kill)
     {
-        kill_and_restart_all(cluster, vms);
+        ASSERT_TRUE(cluster.restart_all());
         repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
     }
     EXPECT_LE(service.fatal_arrivals(), most_in_all) << crash_events(cluster, vms);
--- a/tests/platform/prompt_parts_test.cpp
+++ b/tests/platform/prompt_parts_test.cpp
@@ -334,18 +334,7 @@
     auto const before = engines.fatal_arrivals();
     EXPECT_GE(before, 3U);
     EXPECT_LE(before, most_fatal_arrivals);
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        cluster.daemon(vm).signal(SIGKILL);
-    }
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        cluster.restart(vm);
-    }
-    for (int vm = 0; vm < vms; ++vm)
-    {
-        ASSERT_TRUE(eventually([&] { return cluster.ready(vm); }));
-    }
+    ASSERT_TRUE(cluster.restart_all());
     model_callers sound(cluster, vms, 6, "aa:300,bb:100", milliseconds{60});
     send_bad_requests(cluster, vms, "aa:300,bad:100", "b", seconds{5});
     EXPECT_LE(engines.fatal_arrivals(), before) << crash_events(cluster, vms);
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -340,6 +340,31 @@
     start(index);
 }
 
+bool entry_cluster::restart_all()
+{
+    for (auto const& each : daemons_)
+    {
+        each->signal(SIGKILL);
+    }
+    for (int index = 0; index < options_.daemons; ++index)
+    {
+        restart(index);
+    }
+    return all_ready();
+}
+
+bool entry_cluster::all_ready() const
+{
+    for (int index = 0; index < options_.daemons; ++index)
+    {
+        if (!eventually([&] { return ready(index); }))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void entry_cluster::reload(int index, std::string const& policy)
 {
     options_.policy = policy;
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -111,6 +111,13 @@
     /// Ends the process of daemon `index` and starts a new one.
     void restart(int index);
 
+    /// Kills all daemons at once and starts new ones. Returns false if one of them isn't
+    /// ready in time.
+    bool restart_all();
+
+    /// Waits until all daemons are ready. Returns false if one isn't in time.
+    bool all_ready() const;
+
     /// Lets daemon `index` read its settings anew, with these lines of [policy].
     void reload(int index, std::string const& policy);
 
