A block grows by blocks that failed, not by crashes of one outage

Cause: a block was 12 times as long for each crash beyond those it takes, also for those of calls that were already on their way: six crashes within 1.5 s counted as three failed trials. Change: only a crash after the end of a block lengthens the next one.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -424,20 +424,41 @@
     return counted;
 }
 
-boot_clock::time_point crash_watch::block_end(std::string const&     name,
-                                              boot_clock::time_point last, millis first,
-                                              int further) const
+millis crash_watch::block_length(millis first, int failed) const
 {
-    constexpr int    growth = 12;
-    constexpr double steps = 1024;
-    auto             length = first;
-    for (int crash = 0; crash < further && length < options_.longest_block; ++crash)
+    constexpr int growth = 12;
+    auto          length = first;
+    for (int block = 0; block < failed && length < options_.longest_block; ++block)
     {
         length *= growth;
     }
-    length = std::min(length, options_.longest_block);
-    auto const own = options_.vm + '\n' + name;
-    auto const step = static_cast<double>(XXH3_64bits(own.data(), own.size()) %
+    return std::min(length, options_.longest_block);
+}
+
+int crash_watch::failed_blocks(std::vector<call_key> const& calls, int needed,
+                               millis first) const
+{
+    int                    failed = 0;
+    boot_clock::time_point end{};
+    for (auto at = static_cast<std::size_t>(needed) - 1; at < calls.size(); ++at)
+    {
+        // Calls that were on their way, or at VMs that didn't know the block yet, crash
+        // servers before its end.
+        auto const crash = calls_.at(calls[at]).ended;
+        failed += end != boot_clock::time_point{} && crash >= end ? 1 : 0;
+        end = std::max(end, crash + block_length(first, failed));
+    }
+    return failed;
+}
+
+boot_clock::time_point crash_watch::block_end(std::string const&     name,
+                                              boot_clock::time_point last, millis first,
+                                              int failed) const
+{
+    constexpr double steps = 1024;
+    auto const       length = block_length(first, failed);
+    auto const       own = options_.vm + '\n' + name;
+    auto const       step = static_cast<double>(XXH3_64bits(own.data(), own.size()) %
                                           static_cast<std::uint64_t>(steps));
     return last + length +
            std::chrono::duration_cast<boot_clock::duration>(length * (step / steps));
@@ -446,8 +467,8 @@
 boot_clock::time_point crash_watch::block_end(std::string const&        content,
                                               std::set<call_key> const& keys) const
 {
-    auto const crashes = crashes_of(keys);
-    if (crashes < blocking_crashes)
+    auto const calls = counted_calls(keys);
+    if (calls.size() < blocking_crashes)
     {
         return {};
     }
@@ -457,16 +478,19 @@
         auto const& call = calls_.at(key);
         last = call.withdrawn ? last : std::max(last, call.ended);
     }
-    return block_end(content, last, options_.first_block, crashes - blocking_crashes);
+    auto const first = options_.first_block;
+    return block_end(content, last, first, failed_blocks(calls, blocking_crashes, first));
 }
 
 boot_clock::time_point crash_watch::block_end(part_suspect const& suspect) const
 {
-    auto const& limits = options_.suspects;
-    return block_end(
-        name_of(suspect.parts), suspect.last,
-        suspect.others_served ? options_.first_block_of_parts : options_.first_block,
-        suspect.crashes - (suspect.sound ? limits.sound_crashes : limits.crashes));
+    return block_end(name_of(suspect.parts), suspect.last, first_block_of(suspect),
+                     failed_blocks_.at(suspect.parts));
+}
+
+millis crash_watch::first_block_of(part_suspect const& suspect) const
+{
+    return suspect.others_served ? options_.first_block_of_parts : options_.first_block;
 }
 
 bool crash_watch::in_trial(std::string const& name, std::string const& call_id,
@@ -577,8 +601,15 @@
     ++revision_;
     suspects_ = find_part_suspects(std::move(witnesses), {served_.begin(), served_.end()},
                                    sound_, options_.suspects);
+    failed_blocks_.clear();
     for (auto const& suspect : suspects_)
     {
+        auto counted = counted_calls(suspect);
+        std::reverse(counted.begin(), counted.end());
+        failed_blocks_[suspect.parts] = failed_blocks(
+            counted,
+            std::min(options_.suspects.crashes, static_cast<int>(counted.size())),
+            first_block_of(suspect));
         for (auto const& key : keys)
         {
             auto& call = calls_.at(key);
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -49,8 +49,8 @@
     millis restart_listed{3000};
     // 5000  ms from the last crash until a blocked content or part may run again, for
     //       those that stood in several crashes by chance, such as an outage of their
-    //       service; 12 times as long after each further crash, up to a day, so that one
-    //       that crashes servers does so rarely
+    //       service; 12 times as long after each block that ended with a further crash,
+    //       up to a day, so that one that crashes servers does so rarely
     millis first_block{5'000};
     // 60000 ms; the same for parts if calls without them are served meanwhile
     millis first_block_of_parts{60'000};
@@ -244,12 +244,18 @@
     boot_clock::time_point block_end(std::string const&        content,
                                      std::set<call_key> const& keys) const;
     boot_clock::time_point block_end(part_suspect const& suspect) const;
+    millis                 first_block_of(part_suspect const& suspect) const;
     /// When the block `name` ends at this VM if its last crash was at `last`, and
-    /// `further` crashes are known beyond those that it takes.
+    /// `failed` blocks before it have ended with one.
     boot_clock::time_point block_end(std::string const& name, boot_clock::time_point last,
-                                     millis first, int further) const;
-    bool                   in_trial(std::string const& name, std::string const& call_id,
-                                    boot_clock::time_point now) const;
+                                     millis first, int failed) const;
+    /// Length of a block, before it is lengthened for this VM.
+    millis block_length(millis first, int failed) const;
+    /// How many blocks have ended with a further crash. `calls`: those that count, the
+    /// oldest first, of which the first `needed` began a block.
+    int failed_blocks(std::vector<call_key> const& calls, int needed, millis first) const;
+    bool in_trial(std::string const& name, std::string const& call_id,
+                  boot_clock::time_point now) const;
     /// Names of the blocks, ended ones included, that concern a call.
     std::vector<std::string> blocks_of(call_features const& call) const;
     /// The calls that block others, of each part no more than it takes, with the last
@@ -271,6 +277,7 @@
     bool served_changed_ = false; // since the suspects were found
     std::map<part_key, unpublished_part> unpublished_parts_;
     std::vector<part_suspect>            suspects_;
+    std::map<std::vector<part_key>, int> failed_blocks_;  // by parts of a suspect
     std::map<std::string, trial>         trials_;         // by name of the block
     boot_clock::time_point               watches_from_{}; // restarts of servers
     std::uint64_t                        revision_ = 0;
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -178,6 +178,32 @@
     EXPECT_TRUE(blocked(watch, at(200)));
 }
 
+// All servers of a service were lost for seconds, and the calls that they ran were
+// blocked for hours.
+TEST(crash_watch, outage_of_a_service_blocks_its_calls_for_hours)
+{
+    crash_watch watch;
+    for (int number = 0; number < 8; ++number)
+    {
+        auto const name = std::to_string(number);
+        record(watch, crash("s" + name, name), 300 * number);
+        record(watch,
+               {.content = "x" + name,
+                .server = "s" + name,
+                .service = "models",
+                .call_id = "x" + name,
+                .parts = {7},
+                .ran = millis{50}},
+               300 * number);
+    }
+    constexpr int       last = 2100;
+    call_features const with_part{.content = "new", .parts = {7}};
+    EXPECT_TRUE(blocked(watch, at(last + 4900)));
+    EXPECT_EQ(watch.evaluate(with_part, at(last + 4900)), crash_verdict::parts_blocked);
+    EXPECT_FALSE(blocked(watch, at(last + 10'100)));
+    EXPECT_EQ(watch.evaluate(with_part, at(last + 10'100)), crash_verdict::may_run);
+}
+
 // 3. Evidence against a crash
 
 // A harmless request loses its connection now and then, and another server completes it
