--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -65,8 +65,8 @@
     millis stale_connection{20};
     // 20    ms; error of times that other VMs state
     millis clock_error{20};
-    // 500   ms; a server that has ended can't run a call again within this
-    millis one_crash{500};
+    // 200   ms; a server that has ended can't run a call again within this
+    millis one_crash{200};
     // 10000 ms after its last publication; a withdrawn crash is remembered until no VM
     //       publishes it any more
     millis keep_withdrawn{10'000};
