--- a/bench/entry_soak/soak_checker.cpp
+++ b/bench/entry_soak/soak_checker.cpp
@@ -1,6 +1,7 @@
 // Checks of single calls and of usage reports.
 #include "soak_checker.hpp"
 
+#include "platform/field_names.hpp"
 #include "soak_servers.hpp"
 
 #include <algorithm>
@@ -22,7 +23,7 @@
 void soak_checker::on_run(tests::wire_request const& request)
 {
     std::lock_guard const lock{mutex_};
-    auto const            id = request.field("request-id");
+    auto const            id = request.field(platform::call_id_field);
     auto const            found = calls_.find(id);
     if (found == calls_.end())
     {
@@ -30,12 +31,13 @@
         return;
     }
     auto&      call = found->second;
-    bool const goes_on = !request.field("kv-source").empty(); // from a copy of its run
+    bool const goes_on =
+        !request.field(platform::cache_source_field).empty(); // from a copy of its run
     if (goes_on && !call.copied)
     {
         violations_.push_back("a call without a copy went on from one: " + id);
     }
-    call.copied = call.copied || !request.field("kv-backup").empty();
+    call.copied = call.copied || !request.field(platform::copy_field).empty();
     call.runs += goes_on ? 0 : 1;
     if (!request.field("authorization").empty())
     {
--- a/bench/entry_soak/soak_servers.cpp
+++ b/bench/entry_soak/soak_servers.cpp
@@ -1,9 +1,12 @@
 // Plain and streamed responses of the backend servers.
 #include "soak_servers.hpp"
 
+#include "platform/field_names.hpp"
+
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <string_view>
 #include <thread>
 
 namespace marigoldcrank::soak
@@ -41,21 +44,26 @@
     return std::chrono::milliseconds{std::hash<std::string>{}(id) % longest_ms};
 }
 
+std::string field_line(std::string_view name, std::string const& value)
+{
+    return std::string{name} + ": " + value + "\r\n";
+}
+
 /// The response with the header fields that state a notice.
 std::string with_notice(std::string response, server_notice const& stated)
 {
     std::string fields;
     if (stated.limit)
     {
-        fields += "Server-Limit: " + std::to_string(*stated.limit) + "\r\n";
+        fields += field_line(platform::rate_limit_field, std::to_string(*stated.limit));
     }
     if (stated.pause_s > 0)
     {
-        fields += "Retry-After: " + std::to_string(stated.pause_s) + "\r\n";
+        fields += field_line(platform::pause_field, std::to_string(stated.pause_s));
     }
     if (stated.leaving)
     {
-        fields += "Server-Leaving: 1\r\n";
+        fields += field_line(platform::leaving_field, "1");
     }
     return response.insert(response.find("\r\n") + 2, fields);
 }
@@ -76,11 +84,11 @@
                   soak_server const& server, tests::wire_request const& request,
                   tests::wire_connection& connection)
 {
-    auto const after = request.field("last-event-id");
+    auto const after = request.field(platform::resume_field);
     int const  first = after.empty() ? 1 : std::stoi(after) + 1;
-    bool const unframed = is_unframed(request.field("request-id"));
+    bool const unframed = is_unframed(request.field(platform::call_id_field));
     auto const head = with_notice(server_standin::stream_head(request), stated);
-    auto const text = server.version + padding_of(request.field("request-id"));
+    auto const text = server.version + padding_of(request.field(platform::call_id_field));
     connection.send(unframed ? server_standin::without_framing(head) : head);
     for (int number = first; number <= event_count; ++number)
     {
@@ -159,9 +167,9 @@
                 server_notice const& stated, soak_server const& server,
                 tests::wire_request const& request, tests::wire_connection& connection)
 {
-    auto const id = request.field("request-id");
+    auto const id = request.field(platform::call_id_field);
     auto const kind = class_of(request);
-    bool const goes_on = !request.field("kv-source").empty();
+    bool const goes_on = !request.field(platform::cache_source_field).empty();
     bool const no_copy = goes_on && std::hash<std::string>{}("copy " + id) % 3 == 0;
     if (faults.full || stated.pause_s > 0 || no_copy)
     {
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -49,9 +49,9 @@
         for (int index = 0; index < servers; ++index)
         {
             crashing_server_options options;
-            options.crashes_on = [](wire_request const& request)
+            options.crashes_on = [this](wire_request const& request)
             {
-                return request.body == fatal_body;
+                return crashes_ && request.body == fatal_body;
             };
             options.keeps_id = keeps_ids;
             options.list = [this, &cluster](server_standin const& server)
@@ -67,6 +67,12 @@
         }
     }
 
+    /// From now on the request crashes no server: something else had.
+    void clear()
+    {
+        crashes_ = false;
+    }
+
     std::size_t fatal_arrivals() const
     {
         std::size_t result = 0;
@@ -85,6 +91,7 @@
 private:
     port_block                                    ports_;
     std::atomic<std::int64_t>                     born_{1'000'000};
+    std::atomic<bool>                             crashes_{true};
     std::vector<std::unique_ptr<crashing_server>> servers_;
 };
 
@@ -353,6 +360,117 @@
     EXPECT_GE(service.fatal_arrivals(), 2U);
 }
 
+// As above, where all are told to stop one after the other.
+TEST(platform_crashes, request_crashes_servers_anew_after_all_vms_were_stopped)
+{
+    constexpr int    vms = 3;
+    constexpr int    stop_timeout_ms = 12000;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    ASSERT_TRUE(cluster.all_ready());
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{2});
+    for (int round = 0; round < 2; ++round)
+    {
+        for (int vm = 0; vm < vms; ++vm)
+        {
+            cluster.daemon(vm).signal(SIGTERM);
+            std::this_thread::sleep_for(milliseconds{300});
+        }
+        for (int vm = 0; vm < vms; ++vm)
+        {
+            EXPECT_EQ(cluster.daemon(vm).wait(stop_timeout_ms), 0);
+        }
+        for (int vm = 0; vm < vms; ++vm)
+        {
+            cluster.restart(vm);
+        }
+        ASSERT_TRUE(cluster.all_ready());
+        repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
+    }
+    EXPECT_LE(service.fatal_arrivals(), most_in_all) << crash_events(cluster, vms);
+    EXPECT_GE(service.fatal_arrivals(), 2U);
+}
+
+// Crashes while the store was away weren't recorded when it came back.
+TEST(platform_crashes, crashes_during_an_outage_of_the_store_are_never_recorded)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    ASSERT_TRUE(cluster.all_ready());
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    cluster.store().trouble(store_fault_kind::refusing);
+    repeat_fatal_request(cluster, vms, "/open/x", seconds{2});
+    EXPECT_GE(service.fatal_arrivals(), 2U);
+    EXPECT_TRUE(cluster.store().records("keyed.crashes").empty());
+    cluster.store().trouble(store_fault_kind::none);
+    EXPECT_TRUE(
+        eventually([&] { return !cluster.store().records("keyed.crashes").empty(); }));
+    ASSERT_TRUE(cluster.restart_all());
+    auto const before = service.fatal_arrivals();
+    repeat_fatal_request(cluster, vms, "/open/x", seconds{1});
+    EXPECT_LE(service.fatal_arrivals(), most_fatal_arrivals)
+        << before << "\n"
+        << crash_events(cluster, vms);
+}
+
+// Sound calls waited for records that couldn't be read, and blocked ones ran meanwhile.
+TEST(platform_crashes, vms_that_start_during_an_outage_of_the_store_know_no_crashes)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    ASSERT_TRUE(cluster.all_ready());
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/open/x", seconds{2});
+    cluster.store().trouble(store_fault_kind::refusing);
+    EXPECT_FALSE(cluster.store().records("keyed.crashes").empty());
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        cluster.restart(vm);
+    }
+    repeat_fatal_request(cluster, vms, "/open/x", seconds{2});
+    cluster.store().trouble(store_fault_kind::none);
+    auto const back = clock::now();
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return ask(cluster.caller_port(), {.path = "/open/x", .body = "sound"})
+                       .status == 200;
+        }));
+    EXPECT_LT(clock::now() - back, seconds{4});
+    repeat_fatal_request(cluster, vms, "/open/x", seconds{1});
+    EXPECT_LE(service.fatal_arrivals(), most_fatal_arrivals)
+        << crash_events(cluster, vms);
+}
+
+// A content that was in flight at two crashes by chance stayed in the store after it had
+// been served, and VMs that started blocked it again.
+TEST(platform_crashes, block_by_mistake_outlasts_a_restart_of_all_vms)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    ASSERT_TRUE(cluster.all_ready());
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    send_fatal_request(cluster, 0, "/repeat/x", 1);
+    EXPECT_EQ(service.fatal_arrivals(), 2U);
+    service.clear();
+    EXPECT_TRUE(
+        eventually([&] { return !cluster.store().records("keyed.crashes").empty(); }));
+    EXPECT_EQ(send_fatal_request(cluster, 0, "/repeat/x", 2).status, 503);
+    EXPECT_TRUE(eventually(
+        [&, call = 2]() mutable
+        { return send_fatal_request(cluster, 0, "/repeat/x", ++call).status == 200; }));
+    std::this_thread::sleep_for(seconds{2}); // the records have been compared
+    ASSERT_TRUE(cluster.restart_all());
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        EXPECT_EQ(send_fatal_request(cluster, vm, "/repeat/x", 100 + vm).status, 200);
+    }
+}
+
 // A call that had waited or failed was sent on though its content was blocked meanwhile.
 TEST(platform_crashes, call_is_retried_after_its_content_was_blocked)
 {
--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -269,6 +269,16 @@
                      .framed = false,
                      .has_body = true},
         endless_case{.name = "chunks", .more = chunk_of_a_body, .has_body = true},
+        endless_case{.name = "late_responses",
+                     .more = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                             "Content-Length: 0\r\n\r\n",
+                     .has_head = false},
+        endless_case{.name = "late_response",
+                     .begin = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n",
+                     .more = chunk_of_a_body,
+                     .has_head = false,
+                     .has_body = true},
         endless_case{.name = "stream_chunk_extension",
                      .path = "/stream/x",
                      .begin = "1;",
--- a/tests/platform/support/wire_server.cpp
+++ b/tests/platform/support/wire_server.cpp
@@ -48,9 +48,9 @@
 
 } // namespace
 
-std::string wire_request::field(std::string const& name) const
+std::string wire_request::field(std::string_view name) const
 {
-    auto const found = fields.find(lower(name));
+    auto const found = fields.find(lower(std::string{name}));
     return found == fields.end() ? "" : found->second;
 }
 
--- a/tests/platform/support/wire_server.hpp
+++ b/tests/platform/support/wire_server.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -27,7 +28,7 @@
     std::string                             body;
 
     /// The value of a header field or query parameter; empty if there is none.
-    std::string field(std::string const& name) const;
+    std::string field(std::string_view name) const;
     std::string query(std::string const& name) const;
     std::string path() const;
 };
