--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -306,5 +306,43 @@
                      .through_another_vm = true}),
     [](auto const& each) { return each.param.name; });
 
+// The VM went on reading what is no handle of a cache, up to the limit of plain
+// responses.
+TEST(endless_prefills, call_is_prefilled_until_its_time_is_up)
+{
+    constexpr std::int64_t smallest_vm_mb = 120;
+    entry_cluster          cluster({.servers = 2});
+    endless_case const     given{.more = chunk_of_a_body};
+    endless_servers        prefills(cluster, given, 1);
+    cluster.server(1).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            connection.send(server_standin::stream_head(request) +
+                            server_standin::chunk(server_standin::event(1)) +
+                            "0\r\n\r\n");
+            return true;
+        });
+    cluster.list_engine(cluster.server(0), "prefill");
+    cluster.list_engine(cluster.server(1), "decode");
+    std::this_thread::sleep_for(seconds{2}); // the list has been read
+    for (int call = 0; call < 3; ++call)
+    {
+        auto const id = "p-" + std::to_string(call);
+        auto const response =
+            ask(cluster.caller_port(),
+                {.path = "/model/x",
+                 .id = id,
+                 .fields = "Model: m\r\nToken-Count: 9000,3\r\nPrefix-Hash: aa:4000," +
+                           id + ":5000\r\n",
+                 .body = std::string{endless_body}});
+        EXPECT_EQ(response.status, 200);
+        EXPECT_TRUE(response.complete);
+    }
+    EXPECT_GE(prefills.responses(), 1);
+    EXPECT_LE(prefills.longest(), milliseconds{500});
+    EXPECT_LE(prefills.most_bytes(), 16 << 20);
+    EXPECT_LE(peak_mb(cluster.daemon().pid()), smallest_vm_mb);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
