--- a/src/serving/crash_recorder.hpp
+++ b/src/serving/crash_recorder.hpp
@@ -206,10 +206,7 @@
         {
             records_.write_failed(now);
         }
-        for (auto const& each : changes)
-        {
-            log_change(each, done, now);
-        }
+        log_written(changes, done, now);
         co_return done;
     }
 
@@ -229,16 +226,19 @@
         }
     }
 
-    void log_change(crash_record_change const& change, bool done,
-                    boot_clock::time_point now)
+    void log_written(std::vector<crash_record_change> const& changes, bool done,
+                     boot_clock::time_point now)
     {
-        auto const crashes =
-            change.block ? static_cast<std::int64_t>(change.block->crashes.size()) : 0;
-        state_.log.write(event_line{"crashes_recorded"}
-                             .add("name", change.name)
-                             .add("crashes", crashes)
-                             .add("written", done ? 1 : 0),
-                         now);
+        auto const removed =
+            std::count_if(changes.begin(), changes.end(),
+                          [](crash_record_change const& each) { return !each.block; });
+        state_.log.write(
+            event_line{"crashes_recorded"}
+                .add("records", static_cast<std::int64_t>(changes.size()) - removed)
+                .add("removed", static_cast<std::int64_t>(removed))
+                .add("first", changes.front().name)
+                .add("written", done ? 1 : 0),
+            now);
     }
 
     entry_state&  state_;
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -281,6 +281,22 @@
     EXPECT_TRUE(blocked(watch, at(5400)));
 }
 
+// No restart can become known while the store is away, nor of the time before the VM
+// began to watch.
+TEST(crash_watch, absence_of_news_disproves_a_crash_while_none_can_come)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 500);
+    EXPECT_TRUE(watch.record_response("s1", at(2000), at(2000), at(2010)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(std::nullopt, at(9000)).empty());
+    EXPECT_TRUE(watch.withdraw_disproved(at(9000), at(11'990)).empty());
+    watch.watch_restarts_from(at(400)); // between the crashes
+    EXPECT_TRUE(watch.withdraw_disproved(at(9000), at(12'000)).empty());
+    EXPECT_TRUE(watch.record_response("s2", at(12'000), at(12'000), at(12'010)).empty());
+    EXPECT_EQ(watch.withdraw_disproved(at(9000), at(15'010)).size(), 1U);
+}
+
 // The news of a crash arrived after the restart.
 TEST(crash_watch, response_after_a_restart_withdraws_a_crash_that_is_heard_late)
 {
