Servers that may have crashed are asked whether they still run

Callers saw a sound call refused for 5 to 10 s after its VM had lost its links twice, seconds apart, while the call was in flight (503, poison).

Cause: a suspected crash is disproved by a later response of its server, but nothing brought one about.

In both logs that were read the first crash was at a server that got no call for five seconds; all calls went to the other.

Change: the VM that has seen the crash asks the server at its health_path after 1, 2, 4... s which one it is. The answer counts as any response does: it withdraws the crash only if no restart becomes known within 3 s. A failed check is held against neither the server nor the links.

The test relay frees its port at once: a thread that waits for it kept it for 2 ms.

--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -84,6 +84,7 @@
     std::int64_t engine_tokens = 0;    // 0  tokens that an engine holds; 0: not stated
     bool         has_copies = false;   //  its engines copy a run's memory to another one
     std::optional<fleet_bounds> fleet; // none: its servers aren't ordered
+    std::string health_path; // where a server says which one it is; empty: nowhere
 
     bool operator==(service const&) const = default;
 };
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -62,6 +62,7 @@
                          .ended = ended,
                          .source = source,
                          .next_publication = now,
+                         .next_check = options_.first_check,
                          .withdrawn = crash.withdrawn,
                          .others_served = crash.others_served});
     if (!added)
@@ -327,6 +328,26 @@
     return withdrawn;
 }
 
+std::vector<std::string> crash_watch::take_checks(boot_clock::time_point now)
+{
+    std::set<std::string> servers;
+    for (auto& [key, call] : calls_)
+    {
+        bool const open = call.source == update_source::own && !call.withdrawn &&
+                          !call.server_ended && !call.responded;
+        bool const wanted = open && now - call.ended >= call.next_check;
+        if (wanted && (servers.size() < options_.max_checks || servers.count(key.first)))
+        {
+            servers.insert(key.first);
+            while (now - call.ended >= call.next_check)
+            {
+                call.next_check *= 2;
+            }
+        }
+    }
+    return {servers.begin(), servers.end()};
+}
+
 // 3. Updates
 
 void crash_watch::publish(part_key part, update_source source, boot_clock::time_point now)
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -47,6 +47,11 @@
     std::size_t max_parts = 128;
     // 3000  ms; a restarted server is listed anew within this
     millis restart_listed{3000};
+    // 1000  ms after a crash, its server is asked whether it still runs, unless it has
+    //       responded or ended; then at each doubling of that time
+    millis first_check{1000};
+    // 16    servers that are asked at once
+    std::size_t max_checks = 16;
     // 5000  ms from the last crash until a blocked content or part may run again, for
     //       those that stood in several crashes by chance, such as an outage of their
     //       service; 12 times as long after each block that ended with a further crash,
@@ -130,6 +135,10 @@
     withdraw_disproved(std::optional<boot_clock::time_point> listed_since,
                        boot_clock::time_point                now);
 
+    /// The servers to ask now whether they still run: crashes that this VM has seen there
+    /// are neither proved nor disproved, because no call has reached them since.
+    std::vector<std::string> take_checks(boot_clock::time_point now);
+
     // Updates between VMs
 
     /// Merges an update of another VM. True if its content is blocked from now on.
@@ -192,7 +201,8 @@
         update_source                         source = update_source::own;
         boot_clock::time_point                next_publication{};
         int                                   publications = 0;
-        std::optional<boot_clock::time_point> responded; // the server, since then
+        millis                                next_check{0}; // after the crash
+        std::optional<boot_clock::time_point> responded;     // the server, since then
         bool                                  server_ended = false;
         bool                                  withdrawn = false;
         bool                                  others_served = false; // as in crash_update
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -13,6 +13,7 @@
 #include "serving/shared_store.hpp"
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
+#include "serving/survival_checks.hpp"
 #include "serving/tunnel_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -58,6 +59,7 @@
         spawn(exchange_with_peers());
         spawn(run_registry());
         spawn(run_link_probes(state_));
+        spawn(run_survival_checks<Dialect>(state_));
         spawn(await_signals());
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -65,6 +65,7 @@
     std::optional<millis> pause;      // after a refusal: it wants no requests for so long
     // The same as Unix ms, if the server states a time and not its own time of day.
     std::optional<std::int64_t> pause_end_unix_ms;
+    std::string                 server_id; // of the server that responds, if it states it
     std::string unreadable; // NAME=VALUE of a field about the server, if it
                             // can't be parsed
 
@@ -92,6 +93,9 @@
     {
         Dialect::build_release_request(text, text)
         } -> std::same_as<http_request>;
+    {
+        Dialect::build_check_request(text, text, text)
+        } -> std::same_as<http_request>;
 };
 
 } // namespace marigoldcrank
--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -306,6 +306,39 @@
     EXPECT_EQ(ask(cluster.caller_port(1), same).status, 200);
 }
 
+// The suspicion stood for as long as nothing else called the server, and a second loss of
+// links, seconds later, blocked the call.
+TEST(platform_lost_links, suspicion_stands_while_its_server_gets_no_calls)
+{
+    entry_cluster cluster({.daemons = 2, .servers = 2, .own_links = true});
+    for (int server = 0; server < 2; ++server)
+    {
+        cluster.server(server).handle_always(
+            [](wire_request const& request, wire_connection& connection)
+            {
+                std::this_thread::sleep_for(milliseconds{300});
+                connection.send(server_standin::signed_response(request, "served"));
+                return true;
+            });
+    }
+    for (std::string const id : {"first", "second"})
+    {
+        std::thread in_flight(
+            [&]
+            {
+                static_cast<void>(ask(cluster.caller_port(0),
+                                      {.path = "/once/x", .id = id, .body = "same"}));
+            });
+        std::this_thread::sleep_for(milliseconds{150});
+        cluster.break_links(0, link_fault::reset);
+        in_flight.join();
+        cluster.restore_links(0);
+        std::this_thread::sleep_for(seconds{7});
+    }
+    request_options const again{.path = "/once/x", .id = "again", .body = "same"};
+    EXPECT_EQ(ask(cluster.caller_port(1), again).status, 200);
+}
+
 // Calls failed until the VM that relayed them was back.
 TEST(platform_lost_links, calls_are_served_after_the_relaying_vm_is_killed)
 {
--- a/tests/platform/support/server_standin.cpp
+++ b/tests/platform/support/server_standin.cpp
@@ -97,6 +97,11 @@
 
 bool server_standin::handle(wire_request const& request, wire_connection& connection)
 {
+    if (request.target == health_target)
+    {
+        connection.send(wire_response(200, "Instance-Id: " + id_ + "\r\n", ""));
+        return true;
+    }
     behaviour respond;
     {
         std::lock_guard lock{mutex_};
--- a/tests/platform/support/server_standin.hpp
+++ b/tests/platform/support/server_standin.hpp
@@ -12,10 +12,13 @@
 namespace marigoldcrank::tests
 {
 
-/// Refuses with 421 a request that names another incarnation than its own.
+/// Refuses with 421 a request that names another incarnation than its own. Requests to
+/// check its health aren't recorded.
 class server_standin
 {
 public:
+    static constexpr std::string_view health_target = "/healthz";
+
     using behaviour = wire_server::handler;
 
     /// `id` is the incarnation that the field Expect-Instance of a request must name.
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -147,6 +147,8 @@
     std::lock_guard const lock(mutex_);
     if (on && listener_ >= 0)
     {
+        // The thread may wait for it, which would keep the port in use.
+        ::shutdown(listener_, SHUT_RDWR);
         ::close(listener_);
         listener_ = -1;
     }
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -298,6 +298,25 @@
 }
 
 // The news of a crash arrived after the restart.
+// A crash stood for as long as no call came to its server.
+TEST(crash_watch, nobody_asks_the_server_of_a_crash_whether_it_still_runs)
+{
+    using servers = std::vector<std::string>;
+    crash_watch watch;
+    record(watch, crash("a", "1"), 1000);
+    watch.merge(crash("b", "2"), update_source::centre, at(1000)); // of another VM
+    EXPECT_EQ(watch.take_checks(at(1999)), servers{});
+    EXPECT_EQ(watch.take_checks(at(2000)), servers{"a"});
+    EXPECT_EQ(watch.take_checks(at(2999)), servers{});
+    EXPECT_EQ(watch.take_checks(at(3000)), servers{"a"});
+    watch.record_response("a", at(3010), at(3010), at(3020));
+    EXPECT_EQ(watch.take_checks(at(9000)), servers{});
+
+    record(watch, crash("c", "3"), 10'000);
+    watch.server_ended("c", at(10'500));
+    EXPECT_EQ(watch.take_checks(at(20'000)), servers{});
+}
+
 TEST(crash_watch, response_after_a_restart_withdraws_a_crash_that_is_heard_late)
 {
     crash_watch watch;
