Checks of servers don't end the daemon; tests notice a daemon that aborts

Callers lost all calls of a VM about a second after a call of it had broken off: the daemon ended (free(): invalid pointer).

The fixture fails a test now if one of its daemons has aborted: with the fault, suspicion_stands_while_its_server_gets_no_calls and request_that_crashes_* fail by it; without, these, calls_that_end_with_lost_links_* and platform_crashes.* pass (20 tests, one run each).

--- a/src/serving/survival_checks.hpp
+++ b/src/serving/survival_checks.hpp
@@ -38,16 +38,17 @@
     {
         co_return;
     }
-    auto const connection =
-        std::make_shared<http_connection>(co_await boost::asio::this_coro::executor);
+    auto const executor = co_await boost::asio::this_coro::executor;
+    auto const connection = std::make_shared<http_connection>(executor);
     state.counters.add("server_connections_total");
-    auto step = co_await connection->connect(
-        {server.host, static_cast<std::uint16_t>(server.port)}, until);
+    // GCC 12 destroys a braced temporary among the arguments of an awaited call twice.
+    socket_address const address{server.host, static_cast<std::uint16_t>(server.port)};
+    auto       request = Dialect::build_check_request(path, server.host, server.id);
+    auto       step = co_await connection->connect(address, until);
     auto const connected = boot_clock::now();
     if (step == io_result::ok)
     {
-        step = co_await connection->send(
-            Dialect::build_check_request(path, server.host, server.id), until);
+        step = co_await connection->send(std::move(request), until);
     }
     if (step == io_result::ok)
     {
@@ -72,10 +73,12 @@
 {
     // 250   ms; between looks for servers to check
     constexpr millis interval{250};
+    auto const       executor = co_await boost::asio::this_coro::executor;
     while (true)
     {
         co_await loop_sleep(interval);
-        for (auto const& id : state.crashes.take_checks(boot_clock::now()))
+        auto const due = state.crashes.take_checks(boot_clock::now());
+        for (auto const& id : due)
         {
             auto const  found = state.servers.servers().find(id);
             bool const  listed = found != state.servers.servers().end();
@@ -85,7 +88,7 @@
             if (target != nullptr && !target->health_path.empty())
             {
                 boost::asio::co_spawn(
-                    co_await boost::asio::this_coro::executor,
+                    executor,
                     check_survival<Dialect>(state, found->second, target->health_path),
                     boost::asio::detached);
             }
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -4,6 +4,7 @@
 #include "platform/support/raw_caller.hpp"
 #include "support/eventually.hpp"
 
+#include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -97,10 +98,30 @@
 
 entry_cluster::~entry_cluster()
 {
+    for (std::size_t index = 0; index < daemons_.size(); ++index)
+    {
+        expect_no_abort(static_cast<int>(index));
+    }
     daemons_.clear();
     std::filesystem::remove_all(directory_);
 }
 
+void entry_cluster::expect_no_abort(int index)
+{
+    auto& process = daemon(index);
+    if (process.running())
+    {
+        return;
+    }
+    constexpr int signalled = 128;
+    int const     code = process.wait(0);
+    for (int const signal : {SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL})
+    {
+        EXPECT_NE(code, signalled + signal)
+            << "daemon " << index << " aborted; its output: " << output(index);
+    }
+}
+
 void entry_cluster::configure(std::uint64_t                   version,
                               std::vector<std::string> const& north_keys)
 {
@@ -339,6 +360,7 @@
 
 void entry_cluster::restart(int index)
 {
+    expect_no_abort(index);
     daemons_.at(static_cast<std::size_t>(index)).reset();
     start(index);
 }
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -132,7 +132,9 @@
     std::vector<duty_request> duty_requests() const;
 
 private:
-    int  port_of(server_standin const& server) const;
+    int port_of(server_standin const& server) const;
+    /// Fails the test if daemon `index` has ended by a fault of its own.
+    void expect_no_abort(int index);
     bool record_duty_request(wire_request const& request, wire_connection& connection);
     std::string write_settings(int index) const; // returns the file
     void        start(int index);
