Endless responses are bounded in the clients of the older path, too

Cause: cpp-httplib reads a line of a head, a chunk's extension or a trailer whole, whatever its length; bodies of plain responses had no bound either, and reads of the load, of the role, and cancels had no deadline of their own.

Change: exchange_watch, which ends exchanges at their deadline, compares what the kernel has received with a bound as well (16 MiB a plain response, 4 MiB between two events of a stream, 1 MiB for load, role and cancel), and watches these three, too. Between two looks, 10 ms apart, some MB more may come.

Evidence: endless_responses.* in unit_tests, eight places, five exchanges each.

--- a/src/adapters/exchange_watch.cpp
+++ b/src/adapters/exchange_watch.cpp
@@ -1,7 +1,7 @@
-// Closes HTTP exchanges that have passed their deadline.
+// Closes HTTP exchanges that have passed their deadline or bring too many bytes.
 #include "adapters/exchange_watch.hpp"
 
-#include <httplib.h>
+#include "adapters/counted_client.hpp"
 
 namespace marigoldcrank
 {
@@ -11,14 +11,15 @@
 constexpr millis check_interval{10}; // ms between two checks of all deadlines
 } // namespace
 
-exchange_watch::guard::guard(exchange_watch& watch, httplib::Client& client,
-                             boot_clock::time_point deadline)
+exchange_watch::guard::guard(exchange_watch& watch, counted_client& client,
+                             boot_clock::time_point deadline, std::int64_t most_bytes)
     : watch_(watch)
 {
     std::lock_guard const lock(watch_.mutex_);
     position_ = watch_.entries_.emplace(watch_.entries_.end());
     position_->client = &client;
-    move_deadline(deadline);
+    position_->most_bytes = most_bytes;
+    progress(deadline);
     watch_.changed_.notify_one();
 }
 
@@ -45,6 +46,12 @@
     position_->deadline = deadline.time_since_epoch().count();
 }
 
+void exchange_watch::guard::progress(boot_clock::time_point deadline) noexcept
+{
+    position_->counted_from = position_->client->received();
+    move_deadline(deadline);
+}
+
 bool exchange_watch::guard::expired() const noexcept
 {
     return position_->expired;
@@ -78,7 +85,11 @@
     auto const now = boot_clock::now().time_since_epoch().count();
     for (auto& each : entries_)
     {
-        if (now >= each.deadline)
+        // A new connection has received less than the one before it.
+        auto const received = each.client->received();
+        auto const from = each.counted_from.load();
+        bool const too_long = received - (received < from ? 0 : from) > each.most_bytes;
+        if (now >= each.deadline || too_long)
         {
             // Repeated on every tick: a stop between two steps of the library, before its
             // socket counts as in use, has no effect. While a client connects, stop()
--- a/src/adapters/exchange_watch.hpp
+++ b/src/adapters/exchange_watch.hpp
@@ -1,4 +1,5 @@
-// Closes HTTP exchanges that have passed their deadline, from a thread of its own.
+// Closes HTTP exchanges that have passed their deadline or bring too many bytes, from a
+// thread of its own.
 //
 // Index: 1 exchange_watch, 2 exchange_watch::guard
 #ifndef MARIGOLDCRANK_ADAPTERS_EXCHANGE_WATCH_HPP
@@ -14,18 +15,15 @@
 #include <mutex>
 #include <thread>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace marigoldcrank
 {
 
-/// Enforces a deadline on HTTP exchanges. A read timeout starts again with every byte, so
-/// a server that trickles junk, or headers byte by byte, would hold a caller beyond its
-/// deadline. The watch shuts the socket down at the deadline, whatever the reading thread
-/// waits for.
+class counted_client;
+
+/// Enforces a deadline and a number of bytes on HTTP exchanges. A read timeout starts
+/// again with every byte, so a server that trickles junk, or headers byte by byte, would
+/// hold a caller beyond its deadline, and one that sends at full speed would take all
+/// memory. The watch shuts the socket down then, whatever the reading thread waits for.
 class exchange_watch
 {
     struct entry;
@@ -35,8 +33,10 @@
     class guard
     {
     public:
-        guard(exchange_watch& watch, httplib::Client& client,
-              boot_clock::time_point deadline);
+        /// `most_bytes`: that the exchange may receive until it has made progress, with
+        /// what arrives between two checks.
+        guard(exchange_watch& watch, counted_client& client,
+              boot_clock::time_point deadline, std::int64_t most_bytes);
         ~guard();
         guard(guard const&) = delete;
         guard& operator=(guard const&) = delete;
@@ -44,6 +44,9 @@
         /// Changes the deadline; takes no lock.
         void move_deadline(boot_clock::time_point deadline) noexcept;
 
+        /// The same after progress: bytes count from now on.
+        void progress(boot_clock::time_point deadline) noexcept;
+
         /// True if the watch has ended the exchange.
         bool expired() const noexcept;
 
@@ -64,8 +67,10 @@
 private:
     struct entry
     {
-        httplib::Client*             client = nullptr;
-        std::atomic<boot_clock::rep> deadline{0}; // nanoseconds since boot
+        counted_client*              client = nullptr;
+        std::int64_t                 most_bytes = 0;
+        std::atomic<std::int64_t>    counted_from{0}; // bytes received before
+        std::atomic<boot_clock::rep> deadline{0};     // nanoseconds since boot
         std::atomic<bool>            expired{false};
     };
 
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -3,6 +3,7 @@
 // Index: 1 events, 2 streams, 3 service calls, 4 cancel and load
 #include "adapters/http_backend.hpp"
 
+#include "adapters/counted_client.hpp"
 #include "adapters/http_exchange.hpp"
 #include "adapters/json_fields.hpp"
 #include "adapters/sse_reader.hpp"
@@ -24,6 +25,18 @@
 constexpr char const* json_type = "application/json";
 constexpr int         status_ok = 200;
 
+// 16 MiB of a plain response, 1 MiB of one to this process itself, and 4 MiB of a stream
+// until its next event, which may have 1 MiB
+constexpr std::int64_t most_response_bytes = std::int64_t{16} << 20;
+constexpr std::int64_t most_report_bytes = std::int64_t{1} << 20;
+constexpr std::int64_t most_bytes_between_events = std::int64_t{4} << 20;
+
+/// When an exchange that takes no more than these timeouts has ended.
+boot_clock::time_point deadline_of(http_timeouts const& timeouts)
+{
+    return boot_clock::now() + timeouts.connect + timeouts.max_silence;
+}
+
 // 1. Events
 
 constexpr millis stream_end_timeout{50}; // ms to read the end of a complete response
@@ -112,7 +125,8 @@
         return std::min(call.deadline, boot_clock::now() + max_silence);
     };
     auto                  client = clients_.take(server.host, server.port);
-    exchange_watch::guard deadline_guard(watch_, *client, next_deadline());
+    exchange_watch::guard deadline_guard(watch_, *client, next_deadline(),
+                                         most_bytes_between_events);
     sse_reader            reader;
     int                   status = 0;
     bool                  complete = false;
@@ -122,7 +136,7 @@
         auto const verdict = sink(parse_event(event));
         if (verdict == event_verdict::progress)
         {
-            deadline_guard.move_deadline(next_deadline());
+            deadline_guard.progress(next_deadline());
         }
         if (verdict == event_verdict::complete && !std::exchange(complete, true))
         {
@@ -163,9 +177,9 @@
     return return_client(server, std::move(client), deadline_guard.release());
 }
 
-leaf::result<void> http_backend::return_client(backend_server const&            server,
-                                               std::unique_ptr<httplib::Client> client,
-                                               bool                             expired)
+leaf::result<void> http_backend::return_client(backend_server const&           server,
+                                               std::unique_ptr<counted_client> client,
+                                               bool                            expired)
 {
     if (!expired)
     {
@@ -187,7 +201,8 @@
     http_client_pool unshared_clients(clients_.timeouts());
     auto             client = unshared_clients.take(server.host, server.port);
     client->set_keep_alive(false);
-    exchange_watch::guard deadline_guard(watch_, *client, service.deadline);
+    exchange_watch::guard deadline_guard(watch_, *client, service.deadline,
+                                         most_response_bytes);
     httplib::Request      request;
     request.method = service.method;
     request.path = service.path;
@@ -213,11 +228,13 @@
 void http_backend::cancel(backend_server const& server, std::string const& request_id,
                           std::uint64_t attempt)
 {
-    auto       client = clients_.take(server.host, server.port);
-    auto const response = client->Post(
-        "/cancel", {{"X-Sender", sender_}},
-        json{{"request_id", request_id}, {"attempt", attempt}}.dump(), json_type);
-    if (response)
+    auto                  client = clients_.take(server.host, server.port);
+    exchange_watch::guard guard(watch_, *client, deadline_of(clients_.timeouts()),
+                                most_report_bytes);
+    auto const            response = client->Post(
+                   "/cancel", {{"X-Sender", sender_}},
+                   json{{"request_id", request_id}, {"attempt", attempt}}.dump(), json_type);
+    if (!guard.release() && response)
     {
         clients_.put_back(server.host, server.port, std::move(client));
     }
@@ -225,17 +242,20 @@
 
 leaf::result<load_report> http_backend::load(backend_server const& server)
 {
-    auto       client = load_clients_.take(server.host, server.port);
-    auto const begun = boot_clock::now();
-    auto const response = client->Get("/load", {{"X-Sender", sender_}});
-    if (!response)
+    auto                  client = load_clients_.take(server.host, server.port);
+    auto const            begun = boot_clock::now();
+    exchange_watch::guard guard(watch_, *client, deadline_of(load_clients_.timeouts()),
+                                most_report_bytes);
+    auto const            response = client->Get("/load", {{"X-Sender", sender_}});
+    bool const            ended = guard.release();
+    if (!response || ended)
     {
         load_clients_.drop_idle(server.host, server.port);
         drop_idle_after_failure(clients_, response.error(), server);
         // A process that ends closes its connections before it stops listening. A new
         // connection made in between breaks at once and must not be reported as silent.
         return leaf::new_error(
-            transport_failure{read_fault(response.error(), false, begun,
+            transport_failure{read_fault(response.error(), ended, begun,
                                          load_clients_.timeouts().max_silence),
                               server.id, 0});
     }
--- a/src/adapters/http_backend.hpp
+++ b/src/adapters/http_backend.hpp
@@ -34,9 +34,9 @@
 
 private:
     /// Returns the client to the pool unless its exchange has been ended at the deadline.
-    leaf::result<void> return_client(backend_server const&            server,
-                                     std::unique_ptr<httplib::Client> client,
-                                     bool                             expired);
+    leaf::result<void> return_client(backend_server const&           server,
+                                     std::unique_ptr<counted_client> client,
+                                     bool                            expired);
 
     std::string      sender_;
     http_client_pool clients_;
--- a/src/adapters/http_client_pool.cpp
+++ b/src/adapters/http_client_pool.cpp
@@ -1,7 +1,7 @@
 // Pool of keep-alive HTTP clients.
 #include "adapters/http_client_pool.hpp"
 
-#include <httplib.h>
+#include "adapters/counted_client.hpp"
 
 #include <netinet/tcp.h>
 
@@ -29,7 +29,7 @@
 
 http_client_pool::~http_client_pool() = default;
 
-std::unique_ptr<httplib::Client> http_client_pool::take(std::string const& host, int port)
+std::unique_ptr<counted_client> http_client_pool::take(std::string const& host, int port)
 {
     {
         std::lock_guard const lock(mutex_);
@@ -42,19 +42,20 @@
             return client;
         }
     }
-    auto client = std::make_unique<httplib::Client>(host, port);
+    auto client =
+        std::make_unique<counted_client>(host, port,
+                                         [max_silence = timeouts_.max_silence](int socket)
+                                         { set_tcp_timeouts(socket, max_silence); });
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_connection_timeout(timeouts_.connect);
     client->set_read_timeout(timeouts_.max_silence);
     client->set_write_timeout(timeouts_.max_silence);
-    client->set_socket_options([max_silence = timeouts_.max_silence](int socket)
-                               { set_tcp_timeouts(socket, max_silence); });
     return client;
 }
 
 void http_client_pool::put_back(std::string const& host, int port,
-                                std::unique_ptr<httplib::Client> client)
+                                std::unique_ptr<counted_client> client)
 {
     std::lock_guard const lock(mutex_);
     auto const            now = boot_clock::now();
--- a/src/adapters/http_client_pool.hpp
+++ b/src/adapters/http_client_pool.hpp
@@ -13,14 +13,11 @@
 #include <utility>
 #include <vector>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace marigoldcrank
 {
 
+class counted_client;
+
 /// Timeouts of one exchange.
 struct http_timeouts
 {
@@ -40,9 +37,9 @@
     ~http_client_pool();
 
     /// Takes an idle client of the address, or makes a new one.
-    std::unique_ptr<httplib::Client> take(std::string const& host, int port);
-    void                             put_back(std::string const& host, int port,
-                                              std::unique_ptr<httplib::Client> client);
+    std::unique_ptr<counted_client> take(std::string const& host, int port);
+    void                            put_back(std::string const& host, int port,
+                                             std::unique_ptr<counted_client> client);
 
     /// Closes the idle clients of one address; the next take makes a new one.
     void drop_idle(std::string const& host, int port);
@@ -56,8 +53,8 @@
     using address = std::pair<std::string, int>;
     struct idle_client
     {
-        std::unique_ptr<httplib::Client> client;
-        boot_clock::time_point           idle_since;
+        std::unique_ptr<counted_client> client;
+        boot_clock::time_point          idle_since;
     };
 
     void evict_old(boot_clock::time_point now); // the caller holds mutex_
--- a/src/adapters/http_engine_state.cpp
+++ b/src/adapters/http_engine_state.cpp
@@ -1,6 +1,7 @@
 // Reads the role that an engine reports about itself, over HTTP.
 #include "adapters/http_engine_state.hpp"
 
+#include "adapters/counted_client.hpp"
 #include "adapters/http_exchange.hpp"
 
 #include <httplib.h>
@@ -17,10 +18,16 @@
 leaf::result<engine_state> http_engine_state::state(backend_server const& server)
 {
     using nlohmann::json;
-    constexpr int status_ok = 200;
-    auto          client = clients_.take(server.host, server.port);
-    auto const    response = client->Get("/state", {{"X-Sender", sender_}});
-    if (!response)
+    constexpr int          status_ok = 200;
+    constexpr std::int64_t most_bytes = std::int64_t{1} << 20; // 1 MiB
+    auto                   client = clients_.take(server.host, server.port);
+    auto const&            timeouts = clients_.timeouts();
+    exchange_watch::guard  guard(
+         watch_, *client, boot_clock::now() + timeouts.connect + timeouts.max_silence,
+         most_bytes);
+    auto const response = client->Get("/state", {{"X-Sender", sender_}});
+    bool const ended = guard.release();
+    if (!response || ended)
     {
         return transport_error(response.error(), server.id);
     }
--- a/src/adapters/http_engine_state.hpp
+++ b/src/adapters/http_engine_state.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_ADAPTERS_HTTP_ENGINE_STATE_HPP
 #define MARIGOLDCRANK_ADAPTERS_HTTP_ENGINE_STATE_HPP
 
+#include "adapters/exchange_watch.hpp"
 #include "adapters/http_client_pool.hpp"
 #include "ports/order_port.hpp"
 
@@ -24,6 +25,7 @@
 private:
     std::string      sender_;
     http_client_pool clients_;
+    exchange_watch   watch_;
 };
 
 static_assert(engine_state_port<http_engine_state>);
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -3,6 +3,7 @@
 // Index: 1 exchanges, 2 log, 3 VM list
 #include "adapters/http_platform.hpp"
 
+#include "adapters/counted_client.hpp"
 #include "adapters/http_exchange.hpp"
 #include "adapters/json_fields.hpp"
 
--- a/tests/unit/http_backend_test.cpp
+++ b/tests/unit/http_backend_test.cpp
@@ -1,10 +1,21 @@
-// http_backend with engines that send malformed reports and events.
+// Clients of engines and services that send malformed reports and events, or bytes
+// without end.
+//
+// Index: 1 malformed reports and events, 2 endless responses
 #include "adapters/http_backend.hpp"
+#include "adapters/http_engine_state.hpp"
 
 #include <httplib.h>
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
 #include <thread>
 
 namespace marigoldcrank
@@ -12,6 +23,8 @@
 namespace
 {
 
+// 1. Malformed reports and events
+
 /// An engine in the test process that sends the same text for every request.
 class fake_engine
 {
@@ -89,5 +102,164 @@
     EXPECT_EQ(events, std::vector<stream_event>{stream_event{}});
 }
 
+// 2. Endless responses
+
+/// A server that replies to one request with `begin`, and then with `more` again and
+/// again until the connection is closed or six seconds have passed.
+class endless_server
+{
+public:
+    endless_server(std::string begin, std::string const& more) : begin_(std::move(begin))
+    {
+        constexpr std::size_t piece = 65536;
+        while (piece_.size() < piece)
+        {
+            piece_ += more;
+        }
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t   size = sizeof address;
+        auto* const any = reinterpret_cast<sockaddr*>(&address);
+        listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::bind(listener_, any, size) != 0 || ::listen(listener_, 1) != 0 ||
+            ::getsockname(listener_, any, &size) != 0)
+        {
+            throw std::runtime_error("the endless server cannot listen");
+        }
+        port_ = ntohs(address.sin_port);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~endless_server()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+
+    backend_server address() const
+    {
+        return {.id = "engine", .host = "127.0.0.1", .port = port_};
+    }
+
+    /// Waits until the connection has ended.
+    std::int64_t bytes()
+    {
+        while (!ended_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        return bytes_;
+    }
+
+private:
+    void run()
+    {
+        int const              socket = ::accept(listener_, nullptr, nullptr);
+        std::array<char, 4096> request{};
+        static_cast<void>(::recv(socket, request.data(), request.size(), 0));
+        static_cast<void>(::send(socket, begin_.data(), begin_.size(), MSG_NOSIGNAL));
+        auto const end = std::chrono::steady_clock::now() + std::chrono::seconds{6};
+        // A closed connection whose window is full fails no send for a minute.
+        pollfd peer{socket, POLLOUT | POLLRDHUP, 0};
+        while ((peer.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
+               std::chrono::steady_clock::now() < end)
+        {
+            auto const sent =
+                ::send(socket, piece_.data(), piece_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            bytes_ += std::max(sent, ssize_t{0});
+            ::poll(&peer, 1, 50);
+        }
+        ::close(socket);
+        ended_ = true;
+    }
+
+    std::string               begin_;
+    std::string               piece_;
+    int                       listener_ = -1;
+    int                       port_ = 0;
+    std::atomic<std::int64_t> bytes_{0};
+    std::atomic<bool>         ended_{false};
+    std::thread               thread_;
+};
+
+struct endless_case
+{
+    std::string name;
+    std::string begin;
+    std::string more;
+};
+
+class endless_responses : public testing::TestWithParam<endless_case>
+{
+protected:
+    /// Makes an exchange with such a server. Returns whether it succeeded.
+    template <class Exchange>
+    bool succeeds(Exchange exchange)
+    {
+        auto const&    given = GetParam();
+        endless_server server(given.begin, given.more);
+        http_backend   backend({}, millis{500}, "node");
+        auto const     began = std::chrono::steady_clock::now();
+        bool const     success = leaf::try_handle_all(
+            [&]() -> leaf::result<bool>
+            {
+                BOOST_LEAF_CHECK(exchange(backend, server.address()));
+                return true;
+            },
+            [] { return false; });
+        EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds{2});
+        EXPECT_LE(server.bytes(), std::int64_t{64} << 20); // half of the smallest VM
+        return success;
+    }
+};
+
+// The client kept reading, at full speed, until its deadline or for ever.
+TEST_P(endless_responses, end_soon_without_a_success)
+{
+    auto const later = []
+    {
+        return boot_clock::now() + millis{5000};
+    };
+    EXPECT_FALSE(succeeds([&](http_backend& backend, backend_server const& server)
+                          { return backend.call(server, {.deadline = later()}); }));
+    EXPECT_FALSE(succeeds(
+        [&](http_backend& backend, backend_server const& server)
+        {
+            return backend.stream(server, {.path = "/", .deadline = later()},
+                                  [](auto const&) { return event_verdict::no_progress; });
+        }));
+    EXPECT_FALSE(succeeds([](http_backend& backend, backend_server const& server)
+                          { return backend.load(server); }));
+    EXPECT_FALSE(succeeds(
+        [](http_backend&, backend_server const& server) {
+            return http_engine_state({.max_silence = millis{500}}, "node").state(server);
+        }));
+    succeeds(
+        [](http_backend& backend, backend_server const& server) -> leaf::result<void>
+        {
+            backend.cancel(server, "r", 1);
+            return {};
+        });
+}
+
+std::string const chunked_head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    places, endless_responses,
+    testing::Values(endless_case{"field", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+                    endless_case{"fields", "HTTP/1.1 200 OK\r\n", "X-Field: x\r\n"},
+                    endless_case{"informational_heads", "",
+                                 "HTTP/1.1 100 Continue\r\n\r\n"},
+                    endless_case{"chunk_extension", chunked_head + "1;", "x"},
+                    endless_case{"trailer", chunked_head + "0\r\nX-Long: ", "x"},
+                    endless_case{"trailers", chunked_head + "0\r\n", "X-Field: x\r\n"},
+                    endless_case{"chunks", chunked_head,
+                                 "1000\r\n" + std::string(4096, 'b') + "\r\n"},
+                    endless_case{"body_without_length", "HTTP/1.1 200 OK\r\n\r\n", "x"}),
+    [](auto const& each) { return each.param.name; });
+
 } // namespace
 } // namespace marigoldcrank
