--- a/tests/platform/lost_links_test.cpp
+++ b/tests/platform/lost_links_test.cpp
@@ -217,6 +217,21 @@
     }
 }
 
+/// Lets the servers respond after 300 ms, so that a call is in flight when links break.
+void respond_slowly(entry_cluster& cluster, int servers)
+{
+    for (int server = 0; server < servers; ++server)
+    {
+        cluster.server(server).handle_always(
+            [](wire_request const& request, wire_connection& connection)
+            {
+                std::this_thread::sleep_for(milliseconds{300});
+                connection.send(server_standin::signed_response(request, "served"));
+                return true;
+            });
+    }
+}
+
 // Each call waited for four connects and was refused, although other VMs had links.
 TEST(platform_lost_links, calls_are_served_while_links_hang)
 {
@@ -278,16 +293,7 @@
 TEST(platform_lost_links, calls_that_end_with_lost_links_are_not_suspected)
 {
     entry_cluster cluster({.daemons = 2, .servers = 2, .own_links = true});
-    for (int server = 0; server < 2; ++server)
-    {
-        cluster.server(server).handle_always(
-            [](wire_request const& request, wire_connection& connection)
-            {
-                std::this_thread::sleep_for(milliseconds{300});
-                connection.send(server_standin::signed_response(request, "served"));
-                return true;
-            });
-    }
+    respond_slowly(cluster, 2);
     request_options const same{.path = "/once/x", .body = "same"};
     for (int round = 0; round < 3; ++round)
     {
@@ -311,16 +317,7 @@
 TEST(platform_lost_links, suspicion_stands_while_its_server_gets_no_calls)
 {
     entry_cluster cluster({.daemons = 2, .servers = 2, .own_links = true});
-    for (int server = 0; server < 2; ++server)
-    {
-        cluster.server(server).handle_always(
-            [](wire_request const& request, wire_connection& connection)
-            {
-                std::this_thread::sleep_for(milliseconds{300});
-                connection.send(server_standin::signed_response(request, "served"));
-                return true;
-            });
-    }
+    respond_slowly(cluster, 2);
     for (std::string const id : {"first", "second"})
     {
         std::thread in_flight(
