--- a/src/adapters/exchange_watch.cpp
+++ b/src/adapters/exchange_watch.cpp
@@ -46,6 +46,12 @@
     position_->deadline = deadline.time_since_epoch().count();
 }
 
+void exchange_watch::guard::allow(std::int64_t most_bytes) noexcept
+{
+    position_->counted_from = position_->client->received();
+    position_->most_bytes = most_bytes;
+}
+
 void exchange_watch::guard::progress(boot_clock::time_point deadline) noexcept
 {
     position_->counted_from = position_->client->received();
--- a/src/adapters/exchange_watch.hpp
+++ b/src/adapters/exchange_watch.hpp
@@ -44,7 +44,10 @@
         /// Changes the deadline; takes no lock.
         void move_deadline(boot_clock::time_point deadline) noexcept;
 
-        /// The same after progress: bytes count from now on.
+        /// Sets how many bytes may come from now on; takes no lock.
+        void allow(std::int64_t most_bytes) noexcept;
+
+        /// Changes the deadline after progress: bytes count from now on.
         void progress(boot_clock::time_point deadline) noexcept;
 
         /// True if the watch has ended the exchange.
@@ -68,7 +71,7 @@
     struct entry
     {
         counted_client*              client = nullptr;
-        std::int64_t                 most_bytes = 0;
+        std::atomic<std::int64_t>    most_bytes{0};
         std::atomic<std::int64_t>    counted_from{0}; // bytes received before
         std::atomic<boot_clock::rep> deadline{0};     // nanoseconds since boot
         std::atomic<bool>            expired{false};
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -25,8 +25,10 @@
 constexpr char const* json_type = "application/json";
 constexpr int         status_ok = 200;
 
-// 16 MiB of a plain response, 1 MiB of one to this process itself, and 4 MiB of a stream
-// until its next event, which may have 1 MiB
+// 1 MiB until a head has been read, with what waits in the kernel: fields take many times
+// their size. 16 MiB of the body of a plain response, 1 MiB of one to this process
+// itself, and 4 MiB of a stream until its next event, which may have 1 MiB
+constexpr std::int64_t most_head_bytes = std::int64_t{1} << 20;
 constexpr std::int64_t most_response_bytes = std::int64_t{16} << 20;
 constexpr std::int64_t most_report_bytes = std::int64_t{1} << 20;
 constexpr std::int64_t most_bytes_between_events = std::int64_t{4} << 20;
@@ -126,7 +128,7 @@
     };
     auto                  client = clients_.take(server.host, server.port);
     exchange_watch::guard deadline_guard(watch_, *client, next_deadline(),
-                                         most_bytes_between_events);
+                                         most_head_bytes);
     sse_reader            reader;
     int                   status = 0;
     bool                  complete = false;
@@ -145,9 +147,10 @@
         return true;
     };
     auto request = stream_request(call, sender_);
-    request.response_handler = [&status](httplib::Response const& response)
+    request.response_handler = [&](httplib::Response const& response)
     {
         status = response.status;
+        deadline_guard.allow(most_bytes_between_events);
         return true;
     };
     request.content_receiver =
@@ -202,8 +205,13 @@
     auto             client = unshared_clients.take(server.host, server.port);
     client->set_keep_alive(false);
     exchange_watch::guard deadline_guard(watch_, *client, service.deadline,
-                                         most_response_bytes);
+                                         most_head_bytes);
     httplib::Request      request;
+    request.response_handler = [&](httplib::Response const&)
+    {
+        deadline_guard.allow(most_response_bytes);
+        return true;
+    };
     request.method = service.method;
     request.path = service.path;
     request.body = service.body;
--- a/src/adapters/http_client_pool.cpp
+++ b/src/adapters/http_client_pool.cpp
@@ -14,13 +14,17 @@
 constexpr millis      max_idle_age{4000}; // ms; below the servers' usual keep-alive time
 constexpr millis      sweep_interval{1000}; // ms
 
-/// TCP_USER_TIMEOUT ends a connection whose sent bytes are not acknowledged. A read
-/// timeout alone does not detect that while the kernel retransmits.
-void set_tcp_timeouts(int socket, millis max_silence)
+/// Sets timeouts and a bound: TCP_USER_TIMEOUT ends a connection whose sent bytes are not
+/// acknowledged. A read timeout alone does not detect that while the kernel retransmits.
+void prepare_socket(int socket, millis max_silence)
 {
+    // 256   KiB that wait in the kernel, so that a bound on received bytes is one on read
+    //       bytes, too
+    constexpr int      receive_buffer = 256 << 10;
     int const          on = 1;
     unsigned int const limit = static_cast<unsigned int>(max_silence.count());
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
 }
 } // namespace
@@ -45,7 +49,7 @@
     auto client =
         std::make_unique<counted_client>(host, port,
                                          [max_silence = timeouts_.max_silence](int socket)
-                                         { set_tcp_timeouts(socket, max_silence); });
+                                         { prepare_socket(socket, max_silence); });
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_connection_timeout(timeouts_.connect);
