paces_test builds with GCC 12 on arm64

The file didn't compile there: GCC 12.2 takes a chain of operator+ on strings for overlapping copies (-Werror=restrict), a false alarm. The id is formatted by a stream instead; the warning stays on.

Result: platform_tests builds on arm64.

--- a/tests/platform/paces_test.cpp
+++ b/tests/platform/paces_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
 #include <thread>
 
 namespace marigoldcrank::tests
@@ -31,9 +32,10 @@
     int served = 0;
     for (int call = 0; call < count; ++call)
     {
-        auto const id = std::to_string(daemon) + "-" + std::to_string(call);
+        std::ostringstream id;
+        id << daemon << '-' << call;
         auto const response =
-            ask(cluster.caller_port(daemon), {.path = "/repeat/x", .id = id});
+            ask(cluster.caller_port(daemon), {.path = "/repeat/x", .id = id.str()});
         served += response.status == 200 ? 1 : 0;
     }
     return served;
