Red test: members of relays that have lost the store send to leaving servers

Five daemons, two of them relays whose links to the store fall silent; the other three go on asking them, and their requests reach a server later than 2 s after its notice in the store.

--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -422,10 +422,13 @@
 }
 
 /// A fleet whose members have found their relays.
-std::unique_ptr<entry_cluster> fleet(std::string bounds = "")
+std::unique_ptr<entry_cluster> fleet(std::string bounds = "", bool relayed = false)
 {
-    auto cluster = std::make_unique<entry_cluster>(
-        cluster_options{.daemons = fleet_size, .bounds = std::move(bounds), .mesh = 2});
+    auto cluster =
+        std::make_unique<entry_cluster>(cluster_options{.daemons = fleet_size,
+                                                        .bounds = std::move(bounds),
+                                                        .mesh = 2,
+                                                        .relayed = relayed});
     EXPECT_TRUE(eventually([&] { return planned(*cluster); }, 10000));
     return cluster;
 }
@@ -573,6 +576,52 @@
         << server_lines(*cluster);
 }
 
+// The relays had lost the store, and their members, which had not, went on with old lists
+// of servers.
+TEST(platform_relays, leaving_server_gets_no_requests_while_relays_have_lost_the_store)
+{
+    constexpr std::chrono::seconds drain{2}; // requests may arrive for so long
+    constexpr millis               head_start{300};
+    arrival_times                  arrivals;
+    auto const                     cluster = fleet("key_life_ms = 30000\n", true);
+    cluster->server(0).handle_always(headed_response(arrivals, ""));
+    std::vector<int> members;
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        if (is_relay(*cluster, index))
+        {
+            cluster->store_relay(index).silence_all(true);
+        }
+        else
+        {
+            members.push_back(index);
+        }
+    }
+    ASSERT_EQ(members.size(), 3U);
+    std::atomic<bool> stopping{false};
+    std::atomic<int>  failed{0};
+    std::thread       caller(
+        [&]
+        {
+            for (std::size_t call = 0; !stopping; ++call)
+            {
+                auto const status = status_at(*cluster, members[call % members.size()]);
+                failed += status == 200 ? 0 : 1;
+                std::this_thread::sleep_for(millis{10});
+            }
+        });
+    std::this_thread::sleep_for(head_start);
+    cluster->list_server(cluster->server(0), "draining");
+    auto const left = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(drain + millis{2500});
+    stopping = true;
+    caller.join();
+    EXPECT_GE(arrivals.count(left - drain, left), 1U);
+    EXPECT_EQ(arrivals.count(left + drain, std::chrono::steady_clock::now()), 0U)
+        << server_lines(*cluster);
+    EXPECT_EQ(failed, 0);
+}
+
 // Members hear of an outage of the store only through their relays. Entries that lapsed
 // in it were dropped, and calls refused until the servers had renewed them.
 TEST(platform_relays, servers_that_lapse_in_an_outage_of_the_store_stay_in_use)
