The age of the list of servers at each send is logged and measured

A log couldn't tell a send by an old list from one whose bytes left long after its permit. The list now knows up to when it is complete, by the store: a reply of a relay counts from the time at which its records were read there. send lines have list_ms; server_list_age_seconds and send_delay_seconds (from the permit to the write) are histograms of each VM.

No decision uses them yet.

--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -145,6 +145,11 @@
     catching_up_ = false;
 }
 
+void server_list::complete_up_to(boot_clock::time_point as_of)
+{
+    complete_up_to_ = std::max(complete_up_to_, as_of);
+}
+
 bool server_list::usable(std::string const& id, boot_clock::time_point now) const
 {
     auto const held = hold_ends_.find(id);
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -73,6 +73,15 @@
     /// Called when all changes made during an outage have been applied.
     void caught_up();
 
+    /// Records that the list has all changes made up to `as_of`, by the store.
+    void complete_up_to(boot_clock::time_point as_of);
+
+    /// How long ago the list was known to be complete.
+    boot_clock::duration age(boot_clock::time_point now) const noexcept
+    {
+        return now - complete_up_to_;
+    }
+
     /// False once the hold of a missing entry is over.
     bool usable(std::string const& id, boot_clock::time_point now) const;
 
@@ -101,6 +110,7 @@
     bool                                store_lost_ = false; // an outage is on
     bool                                catching_up_ = false;
     std::optional<boot_clock::time_point> store_returned_at_; // end of the last outage
+    boot_clock::time_point                complete_up_to_{};
 };
 
 } // namespace marigoldcrank
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -37,6 +37,7 @@
         .add("read_ms", std::llround(planned.prefill_ms))
         .add("fetch", plan.fetch)
         .add("rules", version_of(admitted))
+        .add("list_ms", state_.servers.age(boot_clock::now()))
         .add("left_ms", admitted.deadline - loop_clock::now());
     state_.log.write_step(call_.id, line, boot_clock::now());
 }
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -42,7 +42,7 @@
 {
 public:
     server_exchange(entry_state& state, backend_server server, send_permit const& permit)
-        : state_(state), server_(std::move(server))
+        : state_(state), server_(std::move(server)), permitted_at_(boot_clock::now())
     {
         assert(permit.server() == server_.id &&
                "request a permit for the server that the exchange goes to");
@@ -73,6 +73,9 @@
         }
         count_request(request);
         sent_at_ = boot_clock::now();
+        state_.counters.observe("server_list_age_seconds",
+                                state_.servers.age(sent_at_));
+        state_.counters.observe("send_delay_seconds", sent_at_ - permitted_at_);
         auto const sent =
             co_await connection_->send(std::move(request.message), request.until);
         if (sent != io_result::ok)
@@ -344,6 +347,7 @@
     backend_server                   server_;
     std::shared_ptr<http_connection> connection_;
     response_facts                   facts_;
+    boot_clock::time_point           permitted_at_;
     boot_clock::time_point           sent_at_{};
     unread_time                      unread_;
     char const*                      fault_ = "";
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -316,6 +316,7 @@
     {
         std::vector<backend_server> all;
         std::string                 after;
+        millis                      age{0};
         auto const                  sent = boot_clock::now();
         while (true)
         {
@@ -330,6 +331,7 @@
                 // An older state would take a leaving server back into use.
                 co_return store_failure{store_fault::not_asked, 0};
             }
+            age = std::max(age, page.age);
             for (auto const& record : page.records)
             {
                 if (auto server = Codec::server(record.key, *record.value))
@@ -347,6 +349,7 @@
             after = page.records.back().key;
         }
         synced_ = true;
+        state_.servers.complete_up_to(sent - age);
         store_lost_ = false;
         // The listing is applied only now that the store is known to be back.
         state_.servers.store_answered(boot_clock::now());
@@ -368,6 +371,7 @@
 
     boost::asio::awaitable<std::optional<store_failure>> read_updates()
     {
+        auto const sent = boot_clock::now();
         auto result = co_await store_.read(lane, Codec::servers_topic(), next_,
                                            state_.reads_via_peers ? options_.servers_pause
                                                                   : millis{0});
@@ -389,6 +393,7 @@
         next_ = chunk.next();
         if (next_ >= chunk.end)
         {
+            state_.servers.complete_up_to(sent - chunk.age);
             state_.servers.caught_up();
         }
         co_return std::nullopt;
