Sends by an old list of servers confirm it at the store, when they are written

Cause: nothing that sends knew how old its list was. The news come over the store's reader, relays and queues, and each hop accepts records of some age without knowing what the hops before it used. Besides, the last look at the list came before the connection was opened, and a server that had been removed since wasn't noticed at all.

The check is now at the write, after the connection is there, for whatever goes to a server: calls, prefills, decodes, continuations, releases, over tunnels too. A prefilled prompt whose engine left goes to another one without being read again.

--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -60,10 +60,12 @@
     socket_address store;  // the append-only log with the durable records
     socket_address duties; // takes usage reports and server orders
     // [bounds]
-    millis       drain_notice{2500}; // 2500  time in which the balancer notices a drain
-    millis       grace{8000};        // 8000  from SIGTERM to the end of the process
-    millis       key_life{5000}; // 5000  how long keys stay valid after they were read
-    bool         keys_fail_closed = true; // true  refuse calls once keys are older
+    millis drain_notice{2500};      // 2500  time in which the balancer notices a drain
+    millis grace{8000};             // 8000  from SIGTERM to the end of the process
+    millis key_life{5000};          // 5000  how long keys stay valid after they were read
+    bool   keys_fail_closed = true; // true  refuse calls once keys are older
+    // 2000  a leaving server gets no requests this long after its notice
+    millis       leave_bound{2000};
     millis       lease{3000}; // 3000  how long a renewal of the duty lease is valid
     millis       usage_window{5000}; // 5000  length of a usage window
     millis       usage_due{10000}; // 10000  a window is reported this long after its end
--- /dev/null
+++ b/src/policy/list_age.hpp
@@ -0,0 +1,59 @@
+// Decides whether a request may be sent by the list of servers as it is, or by how old it
+// is has to be confirmed first.
+//
+// Index: 1 list_age_input, 2 max_list_age, 3 decide_list_step
+//
+// A list tells of a leaving server only as late as it is old, whatever way its records
+// took. So a request that is written by a list of at most `max_list_age` reaches no
+// server that left longer ago than that and the time of the write.
+#ifndef MARIGOLDCRANK_POLICY_LIST_AGE_HPP
+#define MARIGOLDCRANK_POLICY_LIST_AGE_HPP
+
+#include "domain/boot_clock.hpp"
+
+namespace marigoldcrank
+{
+
+enum class list_step
+{
+    send,          // the list is new enough, or nothing newer can be had now
+    confirm,       // wait until the store has been read
+    confirm_aside, // read the store, but send without waiting
+};
+
+struct list_age_input
+{
+    boot_clock::duration age{};           // of the list
+    millis               max_age{0};      // as max_list_age()
+    bool                 failed = false;  // the latest confirmation failed
+    bool                 running = false; // a confirmation is in progress
+    bool                 open = true;     // the pause after a failed one is over
+};
+
+/// The age up to which a list is sent by, if a leaving server may get requests for
+/// `leave_bound`. The rest of it is for the write and the way to the server.
+constexpr millis max_list_age(millis leave_bound) noexcept
+{
+    constexpr int tenths = 10;
+    constexpr int age_tenths = 7;
+    return leave_bound * age_tenths / tenths;
+}
+
+/// A VM that can't read the store must go on serving: after a failed confirmation, sends
+/// don't wait until one has succeeded.
+constexpr list_step decide_list_step(list_age_input const& input) noexcept
+{
+    if (input.age <= input.max_age)
+    {
+        return list_step::send;
+    }
+    if (input.failed)
+    {
+        return input.open && !input.running ? list_step::confirm_aside : list_step::send;
+    }
+    return list_step::confirm;
+}
+
+} // namespace marigoldcrank
+
+#endif
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -168,6 +168,10 @@
         }
         spawn(rules_.run());
         spawn(servers_.run());
+        state_.list.read = [this]
+        {
+            return servers_.confirm();
+        };
         spawn(worker_.run_duties());
     }
 
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -41,6 +41,7 @@
 #include "policy/work_meter.hpp"
 #include "serving/call_queue.hpp"
 #include "serving/connection_pool.hpp"
+#include "serving/list_check.hpp"
 
 #include <map>
 #include <memory>
@@ -255,6 +256,7 @@
     recent_sends                        sends; // of other VMs; not in `peers` yet
     send_announcer*                     announcer = nullptr; // null: no VM is told yet
     copy_counts                         copies;              // of runs of this VM's calls
+    list_confirmation                   list;                // of the list of servers
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
     std::map<std::string, link_watch>   links; // by service
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -7,6 +7,7 @@
 #include "policy/attempt_history.hpp"
 #include "policy/unread_time.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/list_check.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/send_permit.hpp"
 #include "serving/server_connector.hpp"
@@ -71,10 +72,14 @@
         {
             co_return attempt_outcome::not_sent;
         }
+        if (!co_await may_write_to(state_, server_.id))
+        {
+            fault_ = "left";
+            co_return attempt_outcome::not_sent;
+        }
         count_request(request);
         sent_at_ = boot_clock::now();
-        state_.counters.observe("server_list_age_seconds",
-                                state_.servers.age(sent_at_));
+        state_.counters.observe("server_list_age_seconds", state_.servers.age(sent_at_));
         state_.counters.observe("send_delay_seconds", sent_at_ - permitted_at_);
         auto const sent =
             co_await connection_->send(std::move(request.message), request.until);
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -190,6 +190,22 @@
         co_return co_await read_store(lane, topic, from, wait, max_kb);
     }
 
+    /// Reads at the store, also while relays reply. A failure isn't told to other VMs.
+    boost::asio::awaitable<store_result<log_chunk>>
+    read_at_store(unsigned lane, std::string const& topic, std::uint64_t from)
+    {
+        auto const  sent = boot_clock::now();
+        auto        result = co_await store_.read(lane, topic, from, millis{0});
+        auto const* chunk = std::get_if<log_chunk>(&result);
+        ++tally_.of(topic).reads;
+        tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
+        if (link_ != nullptr && chunk != nullptr)
+        {
+            link_->merge(topic, *chunk, sent);
+        }
+        co_return result;
+    }
+
 private:
     // 700   ms; longest wait for new records at a relay. The records of a member are no
     //       older than this wait, the same wait of its relay and 600 ms of the VM that
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -304,9 +304,37 @@
         }
     }
 
+    /// Reads the changes at the store, whatever relays tell. False if that failed, which
+    /// says nothing about the store to others: only the way to this VM may be lost.
+    boost::asio::awaitable<bool> confirm()
+    {
+        bool complete = false;
+        while (synced_ && !complete)
+        {
+            auto const sent = boot_clock::now();
+            auto const result = co_await store_.read_at_store(
+                confirming_lane, Codec::servers_topic(), next_);
+            auto const* chunk = std::get_if<log_chunk>(&result);
+            if (chunk == nullptr || !synced_)
+            {
+                co_return false;
+            }
+            apply(*chunk);
+            complete = next_ >= chunk->end;
+            if (complete)
+            {
+                state_.servers.complete_up_to(sent);
+            }
+            write_lines();
+        }
+        co_return complete;
+    }
+
 private:
     static constexpr unsigned lane = 1;
 
+    static constexpr unsigned confirming_lane = 6;
+
     boost::asio::awaitable<std::optional<store_failure>> next_read()
     {
         return synced_ ? read_updates() : read_newest();
@@ -372,9 +400,9 @@
     boost::asio::awaitable<std::optional<store_failure>> read_updates()
     {
         auto const sent = boot_clock::now();
-        auto result = co_await store_.read(lane, Codec::servers_topic(), next_,
+        auto       result = co_await store_.read(lane, Codec::servers_topic(), next_,
                                            state_.reads_via_peers ? options_.servers_pause
-                                                                  : millis{0});
+                                                                        : millis{0});
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
@@ -383,14 +411,7 @@
         relayed_ = chunk.relayed;
         store_lost_ = chunk.store_lost;
         note_store(boot_clock::now());
-        for (std::size_t at = 0; at < chunk.records.size(); ++at)
-        {
-            if (auto const record = Codec::keyed(chunk.records[at], chunk.offset_at(at)))
-            {
-                apply(*record);
-            }
-        }
-        next_ = chunk.next();
+        apply(chunk);
         if (next_ >= chunk.end)
         {
             state_.servers.complete_up_to(sent - chunk.age);
@@ -399,6 +420,25 @@
         co_return std::nullopt;
     }
 
+    /// Applies the changes of a chunk. Two reads may be in progress at once, and an older
+    /// change must not replace a newer one.
+    void apply(log_chunk const& chunk)
+    {
+        for (std::size_t at = 0; at < chunk.records.size(); ++at)
+        {
+            auto const offset = chunk.offset_at(at);
+            if (offset < next_)
+            {
+                continue;
+            }
+            if (auto const record = Codec::keyed(chunk.records[at], offset))
+            {
+                apply(*record);
+            }
+        }
+        next_ = std::max(next_, chunk.next());
+    }
+
     /// Forgets the cached prompts of an engine that has restarted or changed its role,
     /// and all that is known about one that has restarted.
     void forget_former(backend_server const& server)
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -93,7 +93,18 @@
                     co_return;
                 }
             }
-            if (co_await run_stream(decode_server, source, planned, *permit))
+            bool ended = co_await run_stream(decode_server, source, planned, *permit);
+            // No engine has fetched the prefilled prompt yet, so another one can run it.
+            while (!ended && run_unsent_ && !source.empty())
+            {
+                permit = co_await prefill_.choose_decode_server(decode_server);
+                if (!permit || context_.caller.check_disconnected())
+                {
+                    break;
+                }
+                ended = co_await run_stream(decode_server, source, planned, *permit);
+            }
+            if (ended)
             {
                 co_return;
             }
@@ -182,6 +193,7 @@
         }
         context_.framing = link.framing();
         context_.attempts.record_result(sender_.result_of(link, fate));
+        run_unsent_ = fate == attempt_outcome::not_sent;
         if (fate != attempt_outcome::answered)
         {
             co_return false;
@@ -339,6 +351,7 @@
     stream_continuation<Dialect> continuation_;
     bool                         work_counted_ = false;
     bool                         may_be_sent_ = false; // further attempts don't wait
+    bool                         run_unsent_ = false;  // the latest run reached no engine
     engine_readiness             engines_;             // at the latest choice
     bool                         prefill_placed_again_ = false;
     boot_clock::time_point       run_sent_at_{};
--- a/tests/unit/servers_follower_test.cpp
+++ b/tests/unit/servers_follower_test.cpp
@@ -41,7 +41,14 @@
         co_return keyed_page{.records = {{server_id, "listed", 0}}, .end = 1};
     }
 
+    boost::asio::awaitable<store_result<log_chunk>> read_at_store(unsigned, std::string,
+                                                                  std::uint64_t)
+    {
+        co_return confirmation;
+    }
+
     std::deque<store_result<log_chunk>> reads;
+    store_result<log_chunk>             confirmation;
 };
 
 /// Records "KEY": the key was removed.
@@ -113,6 +120,38 @@
     EXPECT_FALSE(in_use_after(store_fault::trimmed));
 }
 
+// A relay's reply that had been under way while the store was read undid what the store
+// had told.
+TEST(servers_follower, late_reply_of_a_relay_does_not_undo_a_confirmation)
+{
+    scripted_store                                  store;
+    entry_state                                     state{entry_settings{}, "vm"};
+    servers_follower<scripted_store, removal_codec> follower{
+        state, store, {.servers_pause = millis{10}}};
+    boost::asio::io_context loop;
+    boost::asio::co_spawn(loop, follower.run(), boost::asio::detached);
+    loop.run_for(millis{30}); // listed; waits for a relay
+    state.servers.put({.id = "i-2", .group = "desk"});
+    store.confirmation = log_chunk{.from = 1, .end = 3, .records = {"i-1", "i-3"}};
+    bool confirmed = false;
+    auto confirm = [&]() -> boost::asio::awaitable<void>
+    {
+        confirmed = co_await follower.confirm();
+    };
+    boost::asio::co_spawn(loop, confirm(), boost::asio::detached);
+    loop.restart();
+    loop.run_for(millis{30});
+    EXPECT_TRUE(confirmed);
+    EXPECT_EQ(state.servers.servers().count(server_id), 0U);
+    EXPECT_LT(state.servers.age(boot_clock::now()), millis{500});
+    // Offset 1 is older than what has been applied.
+    store.reads = {log_chunk{.from = 1, .end = 2, .records = {"i-2"}, .relayed = true}};
+    loop.restart();
+    loop.run_for(millis{100});
+    EXPECT_TRUE(store.reads.empty());
+    EXPECT_EQ(state.servers.servers().count("i-2"), 1U);
+}
+
 // Servers can't renew their entries during an outage, so all of them would be lost.
 TEST(servers_follower, removed_server_is_kept_after_the_store_was_away)
 {
