Versions of servers that have left stay on record for VMs that start

Callers who took their streams up after all VMs had been killed at once got, as 200 and complete, text of two software versions (ORDER).

Cause: a VM that has just started concluded from the age of the listed servers that there had been no other version. A list shows who is there, not who has left: with the old version's servers gone, all streams went on at the new one.

The versions of each service are now on record in the store (keyed.versions), written by the holder of the duties, under the condition that nobody else wrote meanwhile. A version stays until its writer has followed the list for as long as any caller may take a stream up without seeing it; no clock has to survive a restart. A VM that starts takes the age of servers for proof only beside a record of that one version. Without records it refuses until it has followed the list itself.

--- a/src/policy/version_history.hpp
+++ b/src/policy/version_history.hpp
@@ -1,6 +1,6 @@
 // Software versions that the servers of each service have had lately.
 //
-// Index: 1 max_stream_life, 2 version_history
+// Index: 1 max_stream_life, default_caller_patience, 2 version_history
 //
 // A stream may only go on at the version that began it. If all servers have had one
 // version for as long as a stream can live, that is the version of every stream.
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace marigoldcrank
@@ -19,6 +20,8 @@
 
 // 600000  ms; no caller takes a stream up again later
 inline constexpr millis max_stream_life{600'000};
+// 60000  ms; the patience of a caller that states none, where its route has no timeout
+inline constexpr millis default_caller_patience{60'000};
 
 /// Value type without I/O; the caller passes the time.
 class version_history
@@ -48,17 +51,35 @@
         return listed_within(service, span, now).size() > 1;
     }
 
+    /// The versions of all servers listed within the last `span`, by this VM's list.
+    std::set<std::string> versions_within(std::string const& service, millis span,
+                                          boot_clock::time_point now) const
+    {
+        std::set<std::string> result;
+        for (auto const& [version, listed] : listed_within(service, span, now))
+        {
+            result.insert(version);
+        }
+        return result;
+    }
+
+    /// Whether the list of `service` has been followed for `span`.
+    bool followed_for(std::string const& service, millis span,
+                      boot_clock::time_point now) const
+    {
+        auto const found = services_.find(service);
+        return found != services_.end() && found->second.followed_since &&
+               now - *found->second.followed_since >= span;
+    }
+
     /// The version of all servers listed within the last `span`; nothing if there were
     /// several, or if the list has not been followed for so long.
     std::optional<std::string> only_version(std::string const& service, millis span,
                                             boot_clock::time_point now) const
     {
         auto const versions = listed_within(service, span, now);
-        auto const found = services_.find(service);
-        bool const followed = found != services_.end() && found->second.followed_since &&
-                              now - *found->second.followed_since >= span;
-        return followed && versions.size() == 1 ? std::optional{versions.begin()->first}
-                                                : std::nullopt;
+        bool const only = followed_for(service, span, now) && versions.size() == 1;
+        return only ? std::optional{versions.begin()->first} : std::nullopt;
     }
 
     /// Forgets versions that were not listed within the last `span`.
--- a/src/serving/call_admission.cpp
+++ b/src/serving/call_admission.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// 60000 ms; deadline of calls that state none
-constexpr millis default_timeout{60000};
-
 /// Checks the call's API key. While a VM can't reach the store, it doesn't hear of
 /// withdrawn keys; once its rules are too old, it refuses every call that needs a key as
 /// not run.
@@ -46,7 +43,7 @@
 
 loop_time deadline_of(caller_call const& call, route const& matched)
 {
-    auto caller_timeout = call.caller_timeout.value_or(default_timeout);
+    auto caller_timeout = call.caller_timeout.value_or(default_caller_patience);
     if (matched.timeout.count() > 0)
     {
         caller_timeout = std::min(caller_timeout, matched.timeout);
@@ -58,9 +55,10 @@
 
 millis caller_patience(caller_call const& call, route const& matched)
 {
-    auto const per_try = matched.timeout.count() > 0 ? matched.timeout : default_timeout;
-    auto const stated = call.caller_timeout.value_or(default_timeout);
-    return std::min(std::max(std::min(stated, default_timeout), per_try),
+    auto const per_try =
+        matched.timeout.count() > 0 ? matched.timeout : default_caller_patience;
+    auto const stated = call.caller_timeout.value_or(default_caller_patience);
+    return std::min(std::max(std::min(stated, default_caller_patience), per_try),
                     max_stream_life);
 }
 
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -15,6 +15,7 @@
 #include "serving/store_followers.hpp"
 #include "serving/survival_checks.hpp"
 #include "serving/tunnel_server.hpp"
+#include "serving/version_recorder.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,10 +36,13 @@
           store_(settings.store), shared_(store_), duties_(settings.duties),
           rules_(state_, shared_), servers_(state_, shared_),
           worker_(state_, shared_, duties_), registry_(state_, shared_),
-          recorder_(state_, shared_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          recorder_(state_, shared_), versions_(state_, shared_),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
         shared_.read_directly(relay_registry<shared_store<Store>, Codec>::topic(), true);
         shared_.read_directly(crash_recorder<shared_store<Store>, Codec>::topic(), true);
+        shared_.read_directly(version_recorder<shared_store<Store>, Codec>::topic(),
+                              true);
         shared_.set_fallback(Codec::servers_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.duty_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
@@ -54,6 +58,7 @@
         listen();
         spawn(worker_.run_usage());
         spawn(recorder_.run());
+        spawn(versions_.run());
         spawn(follow_store());
         spawn(run_housekeeping());
         spawn(exchange_with_peers());
@@ -364,6 +369,7 @@
     duty_worker<shared_store<Store>, Duties>     worker_;
     relay_registry<shared_store<Store>, Codec>   registry_;
     crash_recorder<shared_store<Store>, Codec>   recorder_;
+    version_recorder<shared_store<Store>, Codec> versions_;
     caller_connections                           callers_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_at_{};
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -288,6 +288,20 @@
     return longest;
 }
 
+millis entry_state::longest_patience(std::string const& service) const
+{
+    auto longest = default_caller_patience;
+    if (view.rules)
+    {
+        for (auto const& each : view.rules->routes())
+        {
+            longest =
+                each.has_target(service) ? std::max(longest, each.timeout) : longest;
+        }
+    }
+    return std::min(longest, max_stream_life);
+}
+
 std::optional<std::string> entry_state::only_version(std::string const&     service,
                                                      millis                 span,
                                                      boot_clock::time_point now)
@@ -302,8 +316,8 @@
     {
         return std::nullopt;
     }
-    // A VM that has just started knows no earlier lists. If no server has been replaced
-    // within the span, the servers were the same all the time.
+    // A VM that has just started knows no earlier lists. If no server has come within the
+    // span, and the records show no version that has left, there was only this one.
     auto const began = unix_ms() - span.count();
     auto const older = [&](auto const& each)
     {
@@ -312,9 +326,11 @@
                (server.born_unix_ms > 0 && server.born_unix_ms < began);
     };
     auto const& all = servers.servers();
-    bool const  unchanged = std::all_of(all.begin(), all.end(), older);
-    return unchanged ? std::optional{listed->second.begin()->first}
-                     : versions.only_version(service, span, now);
+    auto const& version = listed->second.begin()->first;
+    bool const  recorded =
+        settings.first_start || proves_only_version(recorded_versions, service, version);
+    bool const proven = recorded && std::all_of(all.begin(), all.end(), older);
+    return proven ? std::optional{version} : versions.only_version(service, span, now);
 }
 
 millis entry_state::digest_age() const
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -38,6 +38,7 @@
 #include "policy/stream_origins.hpp"
 #include "policy/token_bucket.hpp"
 #include "policy/version_history.hpp"
+#include "policy/version_records.hpp"
 #include "policy/work_meter.hpp"
 #include "serving/call_queue.hpp"
 #include "serving/connection_pool.hpp"
@@ -154,6 +155,9 @@
     /// that a caller of it has stated, `life` included.
     millis stream_span(std::string const& service, millis life);
 
+    /// The longest time in which any caller may take a stream of `service` up again.
+    millis longest_patience(std::string const& service) const;
+
     /// The version of every stream of `service` that began within the last `span`;
     /// nothing if several versions may have begun them.
     std::optional<std::string> only_version(std::string const& service, millis span,
@@ -285,14 +289,16 @@
     std::map<std::string, boot_clock::time_point>
         no_proxy_logged_at; // by service; the last line about it
     std::map<std::string, boot_clock::time_point>
-                                  last_heard; // by the address where a VM answers
-    version_history               versions;
-    stream_origins                origins;      // of streams that this VM knows
-    std::map<std::string, millis> stream_spans; // by service
-    fleet_share                   fleet;
-    quota_gate*                   quotas = nullptr;  // null: no VM can be queried yet
-    owner_link*                   owners = nullptr;  // null: no VM can be queried yet
-    origin_link*                  keepers = nullptr; // null: no VM can be queried yet
+                    last_heard; // by the address where a VM answers
+    version_history versions;
+    // As the store had them when this VM started; none: not read yet.
+    std::optional<version_records> recorded_versions;
+    stream_origins                 origins;      // of streams that this VM knows
+    std::map<std::string, millis>  stream_spans; // by service
+    fleet_share                    fleet;
+    quota_gate*                    quotas = nullptr;  // null: no VM can be queried yet
+    owner_link*                    owners = nullptr;  // null: no VM can be queried yet
+    origin_link*                   keepers = nullptr; // null: no VM can be queried yet
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -329,7 +329,8 @@
              << "\npeers = " << loopback_address(peer_ports_[slot])
              << "\nrecords = " << loopback_address(record_ports_[slot])
              << "\ntunnels = " << loopback_address(tunnel_ports_[slot])
-             << "\nmesh = " << options_.mesh
+             << "\nmesh = " << options_.mesh << "\nfirst_start = "
+             << (options_.first_start && started_.count(index) == 0 ? "true" : "false")
              << "\n[platform]\nstore = " << loopback_address(store_ports_[slot])
              << "\nduties = " << loopback_address(duty_port_)
              << "\n[logs]\nsample = 1\n[bounds]\n"
@@ -356,6 +357,7 @@
         std::vector<std::string>{MARIGOLDCRANK_BINARIES "/marigoldcrankd", "--entry",
                                  file},
         directory_ + "/output-" + std::to_string(index));
+    started_.insert(index);
 }
 
 void entry_cluster::restart(int index)
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace marigoldcrank::tests
 {
@@ -42,6 +43,7 @@
     std::string  policy;         // lines of the settings' [policy] section
     std::int64_t engine_tokens = 0; // that an engine of "models" holds; 0: not stated
     int          slots = 6;         // of a server of "desk"
+    bool first_start = false;       // no VM has run before, so the VMs know all there was
     std::function<void(nlohmann::json& rules)> change_rules; // before they are written
 };
 
@@ -161,6 +163,7 @@
     std::vector<int>                                     record_ports_;
     std::vector<int>                                     tunnel_ports_;
     std::vector<std::unique_ptr<child_process>>          daemons_;
+    std::set<int>                                        started_; // once at least
     mutable std::mutex                                   mutex_;
     std::vector<duty_request>                            duty_requests_;
 };
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -353,8 +353,9 @@
 // With one version, callers were refused although any server can go on.
 TEST(platform_versions, stream_of_an_only_version_is_refused)
 {
-    entry_cluster cluster({.daemons = 3, .servers = 2, .distant = 1});
-    auto const    born = std::chrono::duration_cast<milliseconds>(
+    entry_cluster cluster(
+        {.daemons = 3, .servers = 2, .distant = 1, .first_start = true});
+    auto const born = std::chrono::duration_cast<milliseconds>(
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
     constexpr std::int64_t age_ms = 100'000;
@@ -375,6 +376,104 @@
     EXPECT_EQ(result.went_on, 8);
 }
 
+/// Lists `count` servers that have run for long: the first half of them v1, if `two`, the
+/// others v1.2.
+void run_old_servers(entry_cluster& cluster, int count, bool two)
+{
+    auto const now = std::chrono::duration_cast<milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+    constexpr std::int64_t age_ms = 900'000;
+    for (int index = 0; index < count; ++index)
+    {
+        std::string const version = two && index >= count / 2 ? "v1.2" : "v1";
+        cluster.server(index).handle_always(versioned_stream(version, hold));
+        cluster.list_server(cluster.server(index), "ready", now - age_ms, version);
+    }
+    std::this_thread::sleep_for(list_read);
+}
+
+/// Kills all VMs at once, lets `meanwhile` happen, and starts them again.
+void kill_all(entry_cluster& cluster, std::function<void()> const& meanwhile)
+{
+    for (int index = 0; index < 3; ++index)
+    {
+        cluster.daemon(index).signal(SIGKILL);
+    }
+    meanwhile();
+    for (int index = 0; index < 3; ++index)
+    {
+        cluster.restart(index);
+    }
+    EXPECT_TRUE(cluster.all_ready());
+}
+
+void remove_first_version(entry_cluster& cluster)
+{
+    cluster.store().remove("keyed.servers", cluster.server(0).id());
+    cluster.store().remove("keyed.servers", cluster.server(1).id());
+}
+
+// All VMs were killed and their streams' version left meanwhile; the VMs that started saw
+// one version and took it for that of all streams.
+TEST(platform_versions, streams_go_on_at_another_version_after_all_vms_were_killed)
+{
+    for (auto const left_before :
+         {milliseconds{0}, milliseconds{300}, milliseconds{3000}})
+    {
+        entry_cluster cluster(
+            {.daemons = 3, .servers = 4, .distant = 1, .first_start = true});
+        run_old_servers(cluster, 4, true);
+        auto const result =
+            take_streams_up(cluster, 12, 1,
+                            [&]
+                            {
+                                bool const before = left_before.count() > 0;
+                                if (before)
+                                {
+                                    remove_first_version(cluster);
+                                    std::this_thread::sleep_for(left_before);
+                                }
+                                kill_all(cluster,
+                                         [&]
+                                         {
+                                             if (!before)
+                                             {
+                                                 remove_first_version(cluster);
+                                             }
+                                         });
+                            });
+        EXPECT_GE(result.taken_up, 6);
+        EXPECT_EQ(result.mixed, 0) << left_before.count();
+    }
+}
+
+// The servers have had one version all the time, and callers were refused all the same.
+TEST(platform_versions, streams_of_an_only_version_are_refused_after_all_vms_were_killed)
+{
+    entry_cluster cluster(
+        {.daemons = 3, .servers = 2, .distant = 1, .first_start = true});
+    run_old_servers(cluster, 2, false);
+    ASSERT_TRUE(
+        eventually([&] { return !cluster.store().records("keyed.versions").empty(); }));
+    auto const result = take_streams_up(cluster, 8, 1, [&] { kill_all(cluster, [] {}); });
+    EXPECT_EQ(result.taken_up, 8);
+    EXPECT_EQ(result.went_on, 8);
+    EXPECT_EQ(result.mixed, 0);
+}
+
+// There are no records, as after an update from a release that kept none, and the age of
+// the servers was taken for proof.
+TEST(platform_versions, streams_go_on_at_another_version_without_records)
+{
+    entry_cluster cluster({.daemons = 3, .servers = 2, .distant = 1});
+    run_old_servers(cluster, 2, false);
+    auto const result = take_streams_up(cluster, 4, 1, [&] { kill_all(cluster, [] {}); });
+    EXPECT_EQ(result.taken_up, 4);
+    EXPECT_EQ(result.went_on, 0);
+    EXPECT_TRUE(cluster.store().records("keyed.versions").empty());
+}
+
 // An id started again with another version, and its old streams went on there.
 TEST(platform_versions, stream_goes_on_at_its_server_after_a_start_with_another_version)
 {
