What began the streams under way outlives a kill of all VMs

After all VMs had been killed at once, no stream was taken up while servers of two versions served, though servers of its version were there: 12 of 12 refused. Only VMs kept what had begun a stream, in memory.

Each VM now keeps a record of its own open streams in the store (keyed.origins), while their service has several versions or had them within a stream's life. A take-up waits 500 ms at most for it.

--- a/src/serving/call_origin.cpp
+++ b/src/serving/call_origin.cpp
@@ -49,6 +49,7 @@
     origin_record const record{.key = origin_key(),
                                .origin = {server.group, server.version},
                                .life = stream_span()};
+    context_.state.open.begin(record, boot_clock::now());
     if (context_.state.keepers != nullptr)
     {
         context_.state.keepers->record(record);
@@ -59,6 +60,11 @@
     }
 }
 
+void call_origin::end()
+{
+    context_.state.open.end(origin_key());
+}
+
 std::uint64_t call_origin::origin_key() const
 {
     bool const again = !context_.call.resume_after.empty();
--- a/src/serving/call_origin.hpp
+++ b/src/serving/call_origin.hpp
@@ -28,6 +28,9 @@
     /// records it for the caller's further tries.
     void record(backend_server const& server);
 
+    /// The caller has the whole stream and won't take it up again.
+    void end();
+
 private:
     /// Sends the call to this service of its route. Returns false if the route has no
     /// such service.
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -8,6 +8,7 @@
 #include "serving/crash_recorder.hpp"
 #include "serving/duty_worker.hpp"
 #include "serving/listener.hpp"
+#include "serving/origin_recorder.hpp"
 #include "serving/peer_exchange.hpp"
 #include "serving/relay_registry.hpp"
 #include "serving/shared_store.hpp"
@@ -37,12 +38,13 @@
           rules_(state_, shared_), servers_(state_, shared_),
           worker_(state_, shared_, duties_), registry_(state_, shared_),
           recorder_(state_, shared_), versions_(state_, shared_),
-          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          origins_(state_, shared_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
         shared_.read_directly(relay_registry<shared_store<Store>, Codec>::topic(), true);
         shared_.read_directly(crash_recorder<shared_store<Store>, Codec>::topic(), true);
         shared_.read_directly(version_recorder<shared_store<Store>, Codec>::topic(),
                               true);
+        shared_.read_directly(origin_recorder<shared_store<Store>, Codec>::topic(), true);
         shared_.set_fallback(Codec::servers_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.duty_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
@@ -59,6 +61,7 @@
         spawn(worker_.run_usage());
         spawn(recorder_.run());
         spawn(versions_.run());
+        spawn(origins_.run());
         spawn(follow_store());
         spawn(run_housekeeping());
         spawn(exchange_with_peers());
@@ -370,6 +373,7 @@
     relay_registry<shared_store<Store>, Codec>   registry_;
     crash_recorder<shared_store<Store>, Codec>   recorder_;
     version_recorder<shared_store<Store>, Codec> versions_;
+    origin_recorder<shared_store<Store>, Codec>  origins_;
     caller_connections                           callers_;
     boost::asio::signal_set                      signals_;
     boot_clock::time_point                       tallied_at_{};
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -20,6 +20,7 @@
 #include "policy/held_memory.hpp"
 #include "policy/link_watch.hpp"
 #include "policy/load_relay.hpp"
+#include "policy/open_streams.hpp"
 #include "policy/pause_watch.hpp"
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
@@ -293,12 +294,14 @@
     version_history versions;
     // As the store had them when this VM started; none: not read yet.
     std::optional<version_records> recorded_versions;
-    stream_origins                 origins;      // of streams that this VM knows
-    std::map<std::string, millis>  stream_spans; // by service
-    fleet_share                    fleet;
-    quota_gate*                    quotas = nullptr;  // null: no VM can be queried yet
-    owner_link*                    owners = nullptr;  // null: no VM can be queried yet
-    origin_link*                   keepers = nullptr; // null: no VM can be queried yet
+    bool           origins_read = false; // this VM has what the store kept of streams
+    open_streams   open;                 // that calls of this VM have begun
+    stream_origins origins;              // of streams that this VM knows
+    std::map<std::string, millis> stream_spans; // by service
+    fleet_share                   fleet;
+    quota_gate*                   quotas = nullptr;  // null: no VM can be queried yet
+    owner_link*                   owners = nullptr;  // null: no VM can be queried yet
+    origin_link*                  keepers = nullptr; // null: no VM can be queried yet
     std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
     bool         reads_via_peers = false; // other VMs pass on the records of the store
     bool         serves_peers = false;    // this VM passes on the records of the store
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -1,6 +1,6 @@
 // Keeping of records, queries and replies.
 //
-// Index: 1 own_knowledge, 2 records, 3 queries, 4 replies
+// Index: 1 formats and own_knowledge, 2 records, 3 queries, 4 replies
 #include "serving/origin_link.hpp"
 
 #include "serving/loop_sleep.hpp"
@@ -24,6 +24,30 @@
 // 512   records in one message
 constexpr int max_records = 512;
 
+void add_record(wire::stream_origin_message& message, origin_record const& stream)
+{
+    auto* record = message.add_records();
+    record->set_stream(stream.key);
+    record->set_service(stream.origin.service);
+    record->set_version(stream.origin.version);
+    record->set_life_ms(static_cast<std::uint32_t>(stream.life.count()));
+}
+
+std::vector<origin_record> records_of(wire::stream_origin_message const& message)
+{
+    std::vector<origin_record> result;
+    for (auto const& record : message.records())
+    {
+        if (!record.service().empty() && !record.version().empty())
+        {
+            result.push_back({.key = record.stream(),
+                              .origin = {record.service(), record.version()},
+                              .life = millis{record.life_ms()}});
+        }
+    }
+    return result;
+}
+
 origin_knowledge knowledge_from(wire::stream_origin_reply const& reply)
 {
     origin_knowledge result{.only_version = reply.only_version(), .mixed = reply.mixed()};
@@ -36,7 +60,24 @@
 
 } // namespace
 
-// 1. own_knowledge
+// 1. Formats and own_knowledge
+
+std::string format_origins(std::vector<origin_record> const& streams)
+{
+    wire::stream_origin_message message;
+    for (auto const& stream : streams)
+    {
+        add_record(message, stream);
+    }
+    return message.SerializeAsString();
+}
+
+std::vector<origin_record> parse_origins(std::string const& bytes)
+{
+    wire::stream_origin_message message;
+    return message.ParseFromString(bytes) ? records_of(message)
+                                          : std::vector<origin_record>{};
+}
 
 origin_knowledge own_knowledge(entry_state& state, origin_query const& wanted)
 {
@@ -102,11 +143,7 @@
         for (auto const& keeper : keepers_of(stream.key, keepers_per_stream))
         {
             auto& message = messages[keeper];
-            auto* record = message.add_records();
-            record->set_stream(stream.key);
-            record->set_service(stream.origin.service);
-            record->set_version(stream.origin.version);
-            record->set_life_ms(static_cast<std::uint32_t>(stream.life.count()));
+            add_record(message, stream);
             if (message.records_size() >= max_records)
             {
                 queries_.send(keeper, message.SerializeAsString());
@@ -138,6 +175,13 @@
     {
         co_await loop_sleep(fleet_check_interval);
     }
+    // 500   ms; a VM that has just started waits so long for the records of the store
+    constexpr millis max_records_wait{500};
+    auto const       began = boot_clock::now();
+    while (!state_.origins_read && boot_clock::now() - began < max_records_wait)
+    {
+        co_await loop_sleep(fleet_check_interval);
+    }
     auto known = own_knowledge(state_, wanted);
     // The list of keepers may differ between VMs by one that has come or gone.
     auto const keepers = keepers_of(wanted.key, keepers_per_stream + 1);
@@ -181,16 +225,9 @@
         return "";
     }
     auto const now = boot_clock::now();
-    for (auto const& record : message.records())
+    for (auto const& stream : records_of(message))
     {
-        bool const valid = !record.service().empty() && !record.version().empty();
-        if (valid)
-        {
-            state_.origins.record({.key = record.stream(),
-                                   .origin = {record.service(), record.version()},
-                                   .life = millis{record.life_ms()}},
-                                  now);
-        }
+        state_.origins.record(stream, now);
     }
     if (message.number() == 0)
     {
--- a/src/serving/origin_link.hpp
+++ b/src/serving/origin_link.hpp
@@ -1,6 +1,6 @@
 // Records of other VMs' streams, and queries between VMs for what began a stream.
 //
-// Index: 1 origin_query, 2 origin_link, 3 own_knowledge
+// Index: 1 origin_query, 2 origin_link, 3 formats, 4 own_knowledge
 //
 // A caller whose connection breaks takes its stream up at any VM, and the VM that began
 // it may be the one that was lost. So while a service has servers of several versions,
@@ -71,6 +71,12 @@
     std::set<std::string> mixed_; // services whose records the keepers get
 };
 
+/// The bytes of a record of streams, for the store.
+std::string format_origins(std::vector<origin_record> const& streams);
+
+/// Malformed bytes, and records without a service or version, give none.
+std::vector<origin_record> parse_origins(std::string const& bytes);
+
 /// What this VM itself knows about the origin of a stream.
 origin_knowledge own_knowledge(entry_state& state, origin_query const& wanted);
 
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -328,6 +328,7 @@
     void end_stream(exchange& link)
     {
         auto const now = boot_clock::now();
+        origin_.end();
         context_.state.health.succeeded(link.server().id);
         context_.state.record_completion(context_.admitted.features, link.sent_at());
         context_.placement.record_stream(context_.stream.chunk_count(),
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -448,6 +448,24 @@
     }
 }
 
+// All VMs were killed while both versions served on, and no stream was taken up, though
+// servers of its version were there.
+TEST(platform_versions, streams_are_refused_though_servers_of_their_version_are_there)
+{
+    entry_cluster cluster(
+        {.daemons = 3, .servers = 4, .distant = 1, .first_start = true});
+    run_old_servers(cluster, 4, true);
+    auto const result = take_streams_up(cluster, 12, 1,
+                                        [&]
+                                        {
+                                            std::this_thread::sleep_for(seconds{1});
+                                            kill_all(cluster, [] {});
+                                        });
+    EXPECT_GE(result.taken_up, 6);
+    EXPECT_EQ(result.mixed, 0);
+    EXPECT_EQ(result.went_on, result.taken_up);
+}
+
 // The servers have had one version all the time, and callers were refused all the same.
 TEST(platform_versions, streams_of_an_only_version_are_refused_after_all_vms_were_killed)
 {
