Odd entries name no server; numbers of records are bounded where they are read

Another operator's VMs ended or stopped following the list of servers after an odd entry. Not seen here: deeply nested entries, bytes that can't be read and bad ports in every topic end no VM and hide no other entry, at a start, while running, and through relays. But numbers out of range came through: 2^64-1 slots became -1, a port of 2^32+80 became 80 in the older path, times and counts of records near the end of their range overflowed where they were added up.

Cause: a 64-bit number was cast or taken over without a bound. It now has one where it is read; an entry beyond it is left out like any other odd one.

--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -273,10 +273,11 @@
     {
         return leaf::new_error(message_failure{"load report", "not a JSON object"});
     }
-    load_report load;
-    load.running = static_cast<std::int64_t>(number_field(body, "running"));
-    load.waiting = static_cast<std::int64_t>(number_field(body, "waiting"));
-    load.prefill_tokens = static_cast<std::int64_t>(number_field(body, "prefill_tokens"));
+    load_report            load;
+    constexpr std::int64_t most = 1'000'000'000'000; // of a report that is no mistake
+    load.running = bounded_field(body, "running", most).value_or(0);
+    load.waiting = bounded_field(body, "waiting", most).value_or(0);
+    load.prefill_tokens = bounded_field(body, "prefill_tokens", most).value_or(0);
     load.lag_ms = number_field(body, "lag_ms");
     load.leaving = flag_field(body, "leaving");
     auto const role = text_field(body, "role");
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -113,18 +113,30 @@
 
 namespace
 {
-backend_server parse_backend_server(json const& entry)
+/// Nothing for an entry that names no server to use.
+std::optional<backend_server> parse_backend_server(json const& entry)
 {
+    constexpr std::int64_t max_port = 65'535;
+    if (!entry.is_object())
+    {
+        return std::nullopt;
+    }
     auto const state = text_field(entry, "state");
-    return {.id = text_field(entry, "id"),
-            .host = text_field(entry, "host"),
-            .port = static_cast<int>(number_field(entry, "port")),
-            .data_centre = text_field(entry, "data_centre"),
-            .group = text_field(entry, "group"),
-            .cheap = flag_field(entry, "cheap"),
-            .leaving = !state.empty() && state != "live",
-            .order_id = text_field(entry, "order_id"),
-            .starting = state == "starting"};
+    auto const port = bounded_field(entry, "port", max_port);
+    bool const usable = port && (*port > 0 || state == "starting");
+    if (!usable)
+    {
+        return std::nullopt;
+    }
+    return backend_server{.id = text_field(entry, "id"),
+                          .host = text_field(entry, "host"),
+                          .port = static_cast<int>(*port),
+                          .data_centre = text_field(entry, "data_centre"),
+                          .group = text_field(entry, "group"),
+                          .cheap = flag_field(entry, "cheap"),
+                          .leaving = !state.empty() && state != "live",
+                          .order_id = text_field(entry, "order_id"),
+                          .starting = state == "starting"};
 }
 } // namespace
 
@@ -147,7 +159,10 @@
     std::vector<backend_server> servers;
     for (auto const& entry : body)
     {
-        servers.push_back(parse_backend_server(entry));
+        if (auto server = parse_backend_server(entry))
+        {
+            servers.push_back(std::move(*server));
+        }
     }
     return servers;
 }
--- a/src/adapters/json_fields.hpp
+++ b/src/adapters/json_fields.hpp
@@ -1,7 +1,7 @@
 // Reads fields of JSON objects that other processes sent; a field of the wrong type
 // counts as absent.
 //
-// Index: number_field, text_field, flag_field
+// Index: number_field, bounded_field, text_field, flag_field
 //
 // nlohmann's value() throws if the type differs; a faulty message from an engine would
 // then end the daemon.
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace marigoldcrank
@@ -25,6 +26,21 @@
                : 0;
 }
 
+/// The value of an integer field from 0 to `most`, and 0 if it is absent; nothing if it
+/// has another type or is out of range.
+inline std::optional<std::int64_t> bounded_field(nlohmann::json const& object,
+                                                 char const* name, std::int64_t most)
+{
+    auto const found = object.find(name);
+    if (found == object.end())
+    {
+        return 0;
+    }
+    bool const valid = found->is_number_unsigned() &&
+                       found->get<std::uint64_t>() <= static_cast<std::uint64_t>(most);
+    return valid ? std::optional{found->get<std::int64_t>()} : std::nullopt;
+}
+
 /// The value of a string field; empty if there is none.
 inline std::string text_field(nlohmann::json const& object, char const* name)
 {
--- a/src/ledger/crash_entry.cpp
+++ b/src/ledger/crash_entry.cpp
@@ -64,10 +64,15 @@
         {
             entry.crashes.push_back(crash_of(each));
         }
+        constexpr std::int64_t max_unix_ms = 1'000'000'000'000'000;
+        auto const             valid = [](recorded_crash const& each)
+        {
+            return !each.server.empty() && each.ended_unix_ms >= 0 &&
+                   each.ended_unix_ms <= max_unix_ms;
+        };
         bool const usable =
             !entry.crashes.empty() &&
-            std::none_of(entry.crashes.begin(), entry.crashes.end(),
-                         [](recorded_crash const& each) { return each.server.empty(); });
+            std::all_of(entry.crashes.begin(), entry.crashes.end(), valid);
         return usable ? std::optional{std::move(entry)} : std::nullopt;
     }
     catch (nlohmann::json::exception const&)
--- a/src/ledger/relay_entry.cpp
+++ b/src/ledger/relay_entry.cpp
@@ -25,13 +25,19 @@
     }
     try
     {
-        relay_entry entry{.contact = {.digests = document.at("address"),
-                                      .records = document.at("records"),
-                                      .data_centre = document.at("data_centre"),
-                                      .capacity = document.at("capacity")},
-                          .vms = document.at("vms")};
-        bool const  usable = !entry.contact.digests.empty() &&
-                            !entry.contact.records.empty() && entry.vms >= 0;
+        relay_entry            entry{.contact = {.digests = document.at("address"),
+                                                 .records = document.at("records"),
+                                                 .data_centre = document.at("data_centre"),
+                                                 .capacity = document.at("capacity")},
+                                     .vms = document.at("vms")};
+        constexpr std::int64_t max_count = 1'000'000'000; // of VMs, and of capacity
+        auto const             in_range = [](std::int64_t value)
+        {
+            return value >= 0 && value <= max_count;
+        };
+        bool const usable = !entry.contact.digests.empty() &&
+                            !entry.contact.records.empty() && in_range(entry.vms) &&
+                            in_range(entry.contact.capacity);
         return usable ? std::optional{std::move(entry)} : std::nullopt;
     }
     catch (nlohmann::json::exception const&)
--- a/src/ledger/usage_windows.cpp
+++ b/src/ledger/usage_windows.cpp
@@ -8,6 +8,14 @@
 namespace marigoldcrank
 {
 
+namespace
+{
+
+// 1e12  of a window, a count or a capacity; a larger number is treated as an error
+constexpr std::int64_t max_recorded_number = 1'000'000'000'000;
+
+} // namespace
+
 std::string format_usage_record(usage_record const& value)
 {
     return nlohmann::json{{"writer", value.writer},
@@ -29,7 +37,7 @@
     }
     try
     {
-        return usage_record{
+        usage_record record{
             .writer = document.at("writer").get<std::string>(),
             .window = document.at("window").get<std::int64_t>(),
             .counts = document.at("counts").get<usage_counts>(),
@@ -37,6 +45,15 @@
                         .records = document.value("records", ""),
                         .data_centre = document.value("data_centre", ""),
                         .capacity = document.value("capacity", std::int64_t{0})}};
+        auto const in_range = [](std::int64_t value)
+        {
+            return value >= 0 && value <= max_recorded_number;
+        };
+        bool const valid =
+            in_range(record.window) && in_range(record.contact.capacity) &&
+            std::all_of(record.counts.begin(), record.counts.end(),
+                        [&](auto const& each) { return in_range(each.second); });
+        return valid ? std::optional{std::move(record)} : std::nullopt;
     }
     catch (nlohmann::json::exception const&)
     {
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -622,6 +622,50 @@
     EXPECT_EQ(failed, 0);
 }
 
+/// Another writer's records: deeply nested, or with a number out of range.
+void write_odd_entries(store_standin& store)
+{
+    std::string const nested(100'000, '[');
+    std::string const numbers =
+        R"({"service":"desk","address":"127.0.0.1:70000","zone":"z","state":"ready",)"
+        R"("version":"v1","slots":18446744073709551615,"born":1e999,"capacity":-1})";
+    for (auto const* topic : {"keyed.servers", "keyed.op", "keyed.relays",
+                              "keyed.crashes", "keyed.versions", "keyed.origins"})
+    {
+        store.put(topic, "odd-1", nested);
+        store.put(topic, "odd-2", numbers);
+        store.put(topic, "odd-3", "\xff\xfe");
+    }
+    for (auto const* topic : {"usage", "duty"})
+    {
+        store.append(topic, nested);
+        store.append(topic, numbers);
+    }
+}
+
+// A VM that read an odd entry ended, or no longer followed the list of servers.
+TEST(platform_relays, odd_entries_hide_no_others)
+{
+    auto const cluster = fleet();
+    write_odd_entries(cluster->store());
+    std::this_thread::sleep_for(millis{1500});
+    for (int index : {0, fleet_size - 1})
+    {
+        cluster->restart(index);
+        ASSERT_TRUE(eventually([&] { return cluster->ready(index); }, 10000));
+    }
+    cluster->list_server(cluster->server(0), "draining");
+    std::this_thread::sleep_for(millis{2000});
+    auto const before = cluster->server(0).received_requests().size();
+    EXPECT_TRUE(all_answer(*cluster, 200));
+    EXPECT_EQ(cluster->server(0).received_requests().size(), before);
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        auto const lines = cluster->output(index);
+        EXPECT_EQ(lines.find("server=odd-"), std::string::npos) << index;
+    }
+}
+
 // Members hear of an outage of the store only through their relays. Entries that lapsed
 // in it were dropped, and calls refused until the servers had renewed them.
 TEST(platform_relays, servers_that_lapse_in_an_outage_of_the_store_stay_in_use)
