Tests: heads of responses that are cut short

Another operator's callers got a 200 with an empty body after a server had closed in the middle of its head. Not seen here: heads cut at every byte, closed and reset, on plain calls, streams and behind an informational head; through another VM; of prefills; and in the clients of the older path. The tests hold that.

--- a/tests/platform/answer_ends_test.cpp
+++ b/tests/platform/answer_ends_test.cpp
@@ -1,6 +1,7 @@
 // Responses of servers that end early, with each framing, as callers receive them.
 //
-// Index: 1 server responses, 2 streams, 3 plain responses, 4 prefills, 5 other VMs
+// Index: 1 server responses, 2 streams, 3 plain responses, 4 prefills, 5 other VMs,
+//        6 heads that are cut short
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 #include "support/eventually.hpp"
@@ -8,9 +9,11 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <string>
+#include <thread>
 
 namespace marigoldcrank::tests
 {
@@ -416,5 +419,144 @@
     EXPECT_FALSE(response.status == 200 && response.complete);
 }
 
+// 6. Heads that are cut short
+
+/// What servers do: the next request gets `head` and the end of its connection, each
+/// other one a whole response.
+class head_cutter
+{
+public:
+    explicit head_cutter(entry_cluster& cluster)
+    {
+        handle_always(cluster,
+                      [this](wire_request const& request, wire_connection& connection)
+                      {
+                          if (!armed_.exchange(false))
+                          {
+                              connection.send(whole(request));
+                              return true;
+                          }
+                          ++cuts_;
+                          connection.send(head_);
+                          std::this_thread::sleep_for(milliseconds{1});
+                          if (resets_)
+                          {
+                              connection.reset();
+                          }
+                          return false;
+                      });
+    }
+
+    static bool is_stream(std::string const& path)
+    {
+        return path.starts_with("/stream/") || path.starts_with("/resume/");
+    }
+
+    static std::string whole(wire_request const& request)
+    {
+        return is_stream(request.target)
+                   ? server_standin::stream_head(request) +
+                         server_standin::chunk(server_standin::event(1)) + "0\r\n\r\n"
+                   : server_standin::signed_response(request, "whole");
+    }
+
+    /// Calls daemon 0 with the first `size` bytes of a head for the first attempt.
+    void expect_no_false_success(entry_cluster const& cluster, std::string const& path,
+                                 std::string const& head, bool resets)
+    {
+        head_ = head;
+        resets_ = resets;
+        armed_ = true;
+        auto const response = ask(cluster.caller_port(0), new_request(path));
+        armed_ = false;
+        auto const body = is_stream(path) ? server_standin::event(1) : "whole";
+        EXPECT_TRUE(response.status != 200 ||
+                    (response.complete && response.body == body))
+            << path << " " << head.size() << " " << response.body;
+    }
+
+    int cuts() const
+    {
+        return cuts_;
+    }
+
+private:
+    std::string       head_;
+    bool              resets_ = false;
+    std::atomic<bool> armed_{false};
+    std::atomic<int>  cuts_{0};
+};
+
+std::string const cut_head =
+    "HTTP/1.1 200 OK\r\nInstance-Signature: s\r\nContent-Length: 5\r\n\r\n";
+
+// A server closed in the middle of its response's head, and the caller got a 200 with an
+// empty or short body, framed as whole.
+TEST(platform_answer_ends, head_that_is_cut_short_is_a_success)
+{
+    entry_cluster cluster;
+    head_cutter   cutter(cluster);
+    int           calls = 0;
+    for (std::string const before : {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"})
+    {
+        for (std::size_t size = 0; size <= cut_head.size(); ++size)
+        {
+            for (std::string const path :
+                 {"/repeat/x", "/once/x", "/stream/x", "/resume/x"})
+            {
+                cutter.expect_no_false_success(
+                    cluster, path, before + cut_head.substr(0, size), ++calls % 2 == 0);
+            }
+        }
+    }
+    EXPECT_GE(cutter.cuts(), calls / 2);
+}
+
+// The same through another VM, which ends the connection as well.
+TEST(platform_answer_ends, head_that_is_cut_short_through_another_vm_is_a_success)
+{
+    entry_cluster cluster({.daemons = 2, .own_links = true});
+    cluster.break_links(0, link_fault::refuse_new);
+    head_cutter cutter(cluster);
+    EXPECT_TRUE(eventually(
+        [&]
+        { return ask(cluster.caller_port(0), new_request("/once/x")).status == 200; }));
+    int calls = 0;
+    for (std::size_t size = 0; size <= cut_head.size(); size += 3)
+    {
+        for (std::string const path : {"/once/x", "/stream/x"})
+        {
+            cutter.expect_no_false_success(cluster, path, cut_head.substr(0, size),
+                                           ++calls % 2 == 0);
+        }
+    }
+    EXPECT_GE(cutter.cuts(), calls / 2);
+}
+
+// A prefill's response that ended within its head was taken for a handle.
+TEST(platform_answer_ends, head_of_a_prefill_that_is_cut_short_gives_a_handle)
+{
+    for (std::size_t size = 0; size <= cut_head.size(); size += 12)
+    {
+        entry_cluster cluster;
+        cluster.list_engine(cluster.server(0), "prefill");
+        cluster.list_engine(cluster.server(1), "decode");
+        std::this_thread::sleep_for(
+            milliseconds{1500}); // the entries are read once a second
+        cluster.server(0).handle_next(
+            [size](wire_request const&, wire_connection& connection)
+            {
+                connection.send(cut_head.substr(0, size));
+                return false;
+            });
+        auto request = new_request("/model/x");
+        request.fields = "Model: m\r\nToken-Count: 9000,5\r\n"
+                         "Prefix-Hash: aa:1000,bb:8000\r\n";
+        EXPECT_EQ(ask(cluster.caller_port(), request).body, "served by i-1");
+        EXPECT_EQ(cluster.server(0).received_requests().size(), 1U) << size;
+        EXPECT_EQ(cluster.server(1).received_requests().back().field("kv-source"), "");
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/unit/http_backend_test.cpp
+++ b/tests/unit/http_backend_test.cpp
@@ -1,7 +1,7 @@
 // Clients of engines and services that send malformed reports and events, or bytes
 // without end.
 //
-// Index: 1 malformed reports and events, 2 endless responses
+// Index: 1 malformed reports and events, 2 endless responses, 3 heads that are cut short
 #include "adapters/http_backend.hpp"
 #include "adapters/http_engine_state.hpp"
 
@@ -105,14 +105,16 @@
 // 2. Endless responses
 
 /// A server that replies to one request with `begin`, and then with `more` again and
-/// again until the connection is closed or six seconds have passed.
+/// again until the connection is closed or six seconds have passed. Without `more` it
+/// closes or resets the connection after `begin`.
 class endless_server
 {
 public:
-    endless_server(std::string begin, std::string const& more) : begin_(std::move(begin))
+    endless_server(std::string begin, std::string const& more, bool resets = false)
+        : begin_(std::move(begin)), resets_(resets)
     {
         constexpr std::size_t piece = 65536;
-        while (piece_.size() < piece)
+        while (!more.empty() && piece_.size() < piece)
         {
             piece_ += more;
         }
@@ -163,7 +165,7 @@
         auto const end = std::chrono::steady_clock::now() + std::chrono::seconds{6};
         // A closed connection whose window is full fails no send for a minute.
         pollfd peer{socket, POLLOUT | POLLRDHUP, 0};
-        while ((peer.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
+        while (!piece_.empty() && (peer.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 &&
                std::chrono::steady_clock::now() < end)
         {
             auto const sent =
@@ -171,12 +173,18 @@
             bytes_ += std::max(sent, ssize_t{0});
             ::poll(&peer, 1, 50);
         }
+        linger const at_once{1, 0};
+        if (resets_)
+        {
+            ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        }
         ::close(socket);
         ended_ = true;
     }
 
     std::string               begin_;
     std::string               piece_;
+    bool                      resets_ = false;
     int                       listener_ = -1;
     int                       port_ = 0;
     std::atomic<std::int64_t> bytes_{0};
@@ -261,5 +269,58 @@
                     endless_case{"body_without_length", "HTTP/1.1 200 OK\r\n\r\n", "x"}),
     [](auto const& each) { return each.param.name; });
 
+// 3. Heads that are cut short
+
+/// Whether `exchange` succeeds with a server that sends `head` and ends the connection.
+template <class Exchange>
+bool succeeds_with(std::string const& head, bool resets, Exchange exchange)
+{
+    endless_server server(head, "", resets);
+    http_backend   backend({}, millis{500}, "node");
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            BOOST_LEAF_CHECK(exchange(backend, server.address()));
+            return true;
+        },
+        [] { return false; });
+}
+
+// A server closed in the middle of its response's head, and the caller got a 200 with an
+// empty body.
+TEST(http_backend, head_that_is_cut_short_is_no_response)
+{
+    std::string const whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                              "X-Sequence: 4\r\nContent-Length: 2\r\n\r\n{}";
+    auto const        later = []
+    {
+        return boot_clock::now() + millis{2000};
+    };
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        for (bool const resets : {false, true})
+        {
+            auto const head = whole.substr(0, size);
+            EXPECT_FALSE(
+                succeeds_with(head, resets,
+                              [&](http_backend& backend, backend_server const& server)
+                              { return backend.call(server, {.deadline = later()}); }))
+                << size << resets;
+            EXPECT_FALSE(
+                succeeds_with(head, resets,
+                              [](http_backend& backend, backend_server const& server)
+                              { return backend.load(server); }))
+                << size << resets;
+            EXPECT_FALSE(succeeds_with(
+                head, resets,
+                [](http_backend&, backend_server const& server) {
+                    return http_engine_state({.max_silence = millis{500}}, "node")
+                        .state(server);
+                }))
+                << size << resets;
+        }
+    }
+}
+
 } // namespace
 } // namespace marigoldcrank
