VMs read the records of versions at growing intervals while they lack a service

After an update from a release that kept no records, each VM listed keyed.versions every second for a minute, as the store_calls lines of a soak showed (5 in 5 s). The pause between reads now doubles, from 0.5 to 16 s.

--- a/src/serving/version_recorder.hpp
+++ b/src/serving/version_recorder.hpp
@@ -39,9 +39,11 @@
             bool const wanted = state_.holds_duties || lacks_records();
             if (wanted && !up_to_date_ && now >= next_read_)
             {
-                next_read_ = now + read_interval;
+                next_read_ = now + pause_;
+                pause_ = std::min(pause_ * 2, max_pause);
                 co_await read();
             }
+            pause_ = state_.holds_duties ? min_pause : pause_;
             if (state_.holds_duties && up_to_date_)
             {
                 co_await write(changes(boot_clock::now()));
@@ -57,8 +59,10 @@
 
 private:
     static constexpr unsigned lane = 7;
-    // 1000  ms; between reads of the records
-    static constexpr millis read_interval{1000};
+    // 500 to 16000  ms; between reads of the records, doubled each time: after an update
+    // from a release that kept none they lack services for a minute
+    static constexpr millis min_pause{500};
+    static constexpr millis max_pause{16'000};
     // 200   ms; between looks for changes
     static constexpr millis look_interval{200};
 
@@ -170,6 +174,7 @@
     std::uint64_t          end_ = 0; // of the topic, by the latest read or append
     bool                   up_to_date_ = false; // the records, for all that is known
     boot_clock::time_point next_read_{};
+    millis                 pause_ = min_pause;
 };
 
 } // namespace marigoldcrank
