A confirmation that makes no progress fails; one name for confirmations of the list

A read that brings no records though the topic has more would have been repeated at once, for as long as the store replies so.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -176,7 +176,7 @@
         }
         spawn(rules_.run());
         spawn(servers_.run());
-        state_.list.read = [this]
+        state_.confirmation.read = [this]
         {
             return servers_.confirm();
         };
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -261,7 +261,7 @@
     recent_sends                        sends; // of other VMs; not in `peers` yet
     send_announcer*                     announcer = nullptr; // null: no VM is told yet
     copy_counts                         copies;              // of runs of this VM's calls
-    list_confirmation                   list;                // of the list of servers
+    list_confirmation                   confirmation;        // of the list of servers
     std::set<std::string>               changing; // engines in a change of role
     server_health                       health;
     std::map<std::string, link_watch>   links; // by service
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -24,34 +24,34 @@
 list_age_input list_age_of(entry_state const& state)
 {
     auto const  now = boot_clock::now();
-    auto const& confirmation = state.list;
+    auto const& latest = state.confirmation;
     return {.age = state.servers.age(now),
             .max_age = max_list_age(state.settings.leave_bound),
-            .failed = confirmation.failed || !confirmation.read,
-            .running = confirmation.running || !confirmation.read,
-            .open = confirmation.gate.open(now)};
+            .failed = latest.failed || !latest.read,
+            .running = latest.running || !latest.read,
+            .open = latest.gate.open(now)};
 }
 
 /// Records the outcome of a confirmation that has ended, or that sends no longer wait
 /// for.
 void record(entry_state& state, bool confirmed)
 {
-    state.list.failed = !confirmed;
+    state.confirmation.failed = !confirmed;
     if (confirmed)
     {
-        state.list.gate.succeeded();
+        state.confirmation.gate.succeeded();
     }
     else
     {
-        state.list.gate.failed(boot_clock::now());
+        state.confirmation.gate.failed(boot_clock::now());
     }
 }
 
 asio::awaitable<void> confirm(entry_state& state)
 {
-    auto const done = state.list.done;
-    bool const confirmed = co_await state.list.read();
-    state.list.running = false;
+    auto const done = state.confirmation.done;
+    bool const confirmed = co_await state.confirmation.read();
+    state.confirmation.running = false;
     record(state, confirmed);
     state.counters.add("list_confirmations_total",
                        confirmed ? "outcome=\"confirmed\"" : "outcome=\"failed\"");
@@ -60,18 +60,18 @@
 
 void begin_confirmation(entry_state& state, asio::any_io_executor const& executor)
 {
-    state.list.running = true;
-    state.list.done =
+    state.confirmation.running = true;
+    state.confirmation.done =
         std::make_shared<asio::steady_timer>(executor, max_confirmation_wait);
     asio::co_spawn(executor, confirm(state), asio::detached);
 }
 
 asio::awaitable<void> wait_for_confirmation(entry_state& state)
 {
-    auto const                done = state.list.done;
+    auto const                done = state.confirmation.done;
     boost::system::error_code ended; // by the confirmation; else it takes too long
     co_await done->async_wait(asio::redirect_error(asio::use_awaitable, ended));
-    if (!ended && state.list.running)
+    if (!ended && state.confirmation.running)
     {
         record(state, false);
     }
@@ -91,7 +91,7 @@
 {
     auto const executor = co_await asio::this_coro::executor;
     auto const step = decide_list_step(list_age_of(state));
-    if (step != list_step::send && !state.list.running)
+    if (step != list_step::send && !state.confirmation.running)
     {
         begin_confirmation(state, executor);
     }
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -319,13 +319,18 @@
             {
                 co_return false;
             }
+            auto const before = next_;
             apply(*chunk);
+            write_lines();
             complete = next_ >= chunk->end;
+            if (!complete && next_ == before)
+            {
+                co_return false; // no records, though the topic has more
+            }
             if (complete)
             {
                 state_.servers.complete_up_to(sent);
             }
-            write_lines();
         }
         co_return complete;
     }
--- a/tests/unit/list_check_test.cpp
+++ b/tests/unit/list_check_test.cpp
@@ -25,7 +25,7 @@
     {
         state.servers.put({.id = server_id, .group = "desk"});
         state.servers.complete_up_to(boot_clock::now() - list_age);
-        state.list.read = [this]() -> boost::asio::awaitable<bool>
+        state.confirmation.read = [this]() -> boost::asio::awaitable<bool>
         {
             ++reads;
             co_await loop_sleep(read_takes);
