--- a/src/serving/origin_recorder.hpp
+++ b/src/serving/origin_recorder.hpp
@@ -61,9 +61,7 @@
     static constexpr millis read_retry{100};
     // 200   ms; shortest time between two records of a VM
     static constexpr millis min_write_interval{200};
-    // 25    ms; the same for each VM of the fleet, which limits all of them together to
-    // 40
-    //       appends a second
+    // 25    ms; the same for each VM of the fleet: 40 appends a second by all of them
     static constexpr millis write_interval_per_vm{25};
 
     millis write_interval() const
