Logs: demand behind server orders, held servers, requests written by an old list

New: ev=demand when the number changes, with the needs of both roles, the measured speed and the number of VMs; held= on summarized server lines; ev=old_list when a request is written by a list older than it should be. No decision changes.

--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -85,6 +85,12 @@
     /// False once the hold of a missing entry is over.
     bool usable(std::string const& id, boot_clock::time_point now) const;
 
+    /// Number of entries that are missing in the store and still usable.
+    std::size_t held() const noexcept
+    {
+        return hold_ends_.size();
+    }
+
     /// Removes the entries whose hold is over; returns their ids.
     std::vector<std::string> expire(boot_clock::time_point now);
 
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -116,7 +116,10 @@
         {
             auto& fleet = fleets_[value.name];
             fleet.count(count_fleet(value.name, state_.servers.servers()));
-            fleet.record_demand(wanted_servers(value), boot_clock::now());
+            auto const before = fleet.wanted;
+            auto const need = compute_role_need(value, split_engines(value.name));
+            fleet.record_demand(wanted_servers(value, need), boot_clock::now());
+            log_demand(value, before, need);
             co_await send_server_orders(value);
             // If cheap servers were refused, the second pass orders full-price ones at
             // once.
@@ -125,11 +128,9 @@
     }
 
     /// Number of servers that the demand for a service needs; 0 if that isn't known.
-    std::int64_t wanted_servers(service const& value)
+    static std::int64_t wanted_servers(service const& value, role_need const& need)
     {
-        return value.has_engines
-                   ? servers_for(compute_role_need(value, split_engines(value.name)))
-                   : 0;
+        return value.has_engines ? servers_for(need) : 0;
     }
 
     boost::asio::awaitable<void> send_server_orders(service const& value)
@@ -177,6 +178,29 @@
         }
     }
 
+    /// Logs the demand that orders follow when the number of wanted servers changes.
+    void log_demand(service const& value, std::int64_t before, role_need const& need)
+    {
+        auto const now = boot_clock::now();
+        auto const after = fleets_[value.name].wanted;
+        if (!value.has_engines || before == after)
+        {
+            return;
+        }
+        auto const demand = state_.demand(value.name, now);
+        state_.log.write(event_line{"demand"}
+                             .add("service", value.name)
+                             .add("wanted", after)
+                             .add("before", before)
+                             .add("prefill_need_milli", std::llround(need.prefill * milli))
+                             .add("decode_need_milli", std::llround(need.decode * milli))
+                             .add("prompt_rate", std::llround(demand.prompt_rate))
+                             .add("prefill_speed", std::llround(demand.prefill_speed))
+                             .add("streams_milli", std::llround(demand.streams * milli))
+                             .add("vms", state_.peers.vms(now) + 1),
+                         now);
+    }
+
     void plan_roles()
     {
         auto const rules = state_.view.rules;
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -85,6 +85,22 @@
            state.servers.usable(server, boot_clock::now());
 }
 
+/// Logs that a request is written by a list that is older than it should be.
+void log_old_list(entry_state& state, std::string const& server)
+{
+    auto const now = boot_clock::now();
+    auto const age = state.servers.age(now);
+    if (age > max_list_age(state.settings.leave_bound))
+    {
+        state.log.write(event_line{"old_list"}
+                            .add("server", server)
+                            .add("age_ms", age)
+                            .add("failed", state.confirmation.failed ? 1 : 0)
+                            .add("running", state.confirmation.running ? 1 : 0),
+                        now);
+    }
+}
+
 } // namespace
 
 asio::awaitable<bool> may_write_to(entry_state& state, std::string server)
@@ -99,7 +115,12 @@
     {
         co_await wait_for_confirmation(state);
     }
-    co_return stays(state, server);
+    bool const may_write = stays(state, server);
+    if (may_write)
+    {
+        log_old_list(state, server);
+    }
+    co_return may_write;
 }
 
 } // namespace marigoldcrank
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -554,7 +554,11 @@
         {
             auto const changed = static_cast<std::int64_t>(lines_.size());
             auto const known = static_cast<std::int64_t>(state_.servers.servers().size());
-            lines_ = {event_line{"servers"}.add("count", known).add("changed", changed)};
+            auto const held = state_.servers.held();
+            lines_ = {event_line{"servers"}
+                          .add("count", known)
+                          .add("changed", changed)
+                          .add("held", static_cast<std::int64_t>(held))};
         }
         for (auto const& line : std::exchange(lines_, {}))
         {
