Removed servers are held only after an outage in which entries may have expired

Callers' requests reached servers 3.0 to 3.3 s after the store had acknowledged the removal of their entries (3 s are allowed), on a fleet that reads the store through one VM.

Cause: a failed read of one observer counted as an outage for all, however short, and the hold was bounded by its end, not by the removal. But an entry expires only after three renewals were missed. So the list now measures how long nobody it hears of got an answer: from the last complete read to the one that brings the removal, by the time at the store. Under two renewals (renewal_ms, from the platform's heartbeat) nothing can have expired, and what is missing was removed. A confirmation at the store also ends an outage.

Red before: servers_follower.removed_server_is_not_kept_while_another_vm_has_lost_the_store and ..._after_one_failed_read (3 of 3 cases each). removed_server_is_kept_after_the_store_was_away had an outage of 10 ms, in which no entry expires; it now states a renewal of 1 ms, so that its outage is as long as it says, with the same three faults and expectations.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -217,6 +217,7 @@
         time_option("bounds", "key_life_ms", 1, &entry_settings::key_life),
         flag_option("bounds", "keys_fail_closed", &entry_settings::keys_fail_closed),
         time_option("bounds", "leave_ms", 1, &entry_settings::leave_bound),
+        time_option("bounds", "renewal_ms", 1, &entry_settings::renewal),
         time_option("bounds", "lease_ms", 1, &entry_settings::lease),
         time_option("bounds", "usage_window_s", ms_per_second,
                     &entry_settings::usage_window),
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -66,7 +66,8 @@
     bool   keys_fail_closed = true; // true  refuse calls once keys are older
     // 2000  a leaving server gets no requests this long after its notice
     millis       leave_bound{2000};
-    millis       lease{3000}; // 3000  how long a renewal of the duty lease is valid
+    millis       renewal{1200}; // 1200  interval in which servers renew their entries
+    millis       lease{3000};   // 3000  how long a renewal of the duty lease is valid
     millis       usage_window{5000}; // 5000  length of a usage window
     millis       usage_due{10000}; // 10000  a window is reported this long after its end
     std::int64_t retry_percent = 20; // 20  retries per 100 calls, over all VMs
--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -9,11 +9,12 @@
 
 server_list::server_list(server_list_options options) : options_(options) {}
 
-boot_clock::time_point server_list::hold_until(boot_clock::time_point now) const
+boot_clock::time_point server_list::hold_until(boot_clock::time_point now,
+                                               boot_clock::time_point as_of) const
 {
     if (store_lost_)
     {
-        return boot_clock::time_point::max();
+        return may_have_expired(as_of) ? boot_clock::time_point::max() : now;
     }
     if (!store_returned_at_)
     {
@@ -65,13 +66,14 @@
     return leaving_.insert_or_assign(id, found->second.born_unix_ms).second;
 }
 
-bool server_list::drop(std::string const& id, boot_clock::time_point now)
+bool server_list::drop(std::string const& id, boot_clock::time_point now,
+                       boot_clock::time_point as_of)
 {
     if (servers_.count(id) == 0)
     {
         return false;
     }
-    auto const until = hold_until(now);
+    auto const until = hold_until(now, as_of);
     if (until > now)
     {
         return hold_ends_.try_emplace(id, until).second;
@@ -116,22 +118,30 @@
 
 void server_list::store_lost()
 {
+    lost_from_ = store_lost_ ? lost_from_ : complete_up_to_;
     store_lost_ = true;
 }
 
-void server_list::store_answered(boot_clock::time_point now)
+std::optional<boot_clock::duration>
+server_list::store_answered(boot_clock::time_point now, boot_clock::time_point as_of)
 {
     if (!store_lost_)
     {
-        return;
+        return std::nullopt;
     }
     store_lost_ = false;
+    auto const lasted = as_of - lost_from_;
+    if (!may_have_expired(as_of))
+    {
+        return lasted;
+    }
     catching_up_ = true;
     store_returned_at_ = now;
     for (auto& [id, until] : hold_ends_)
     {
         until = now + options_.hold;
     }
+    return lasted;
 }
 
 std::optional<boot_clock::time_point> server_list::listed_since() const noexcept
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -5,10 +5,12 @@
 // Entries expire during an outage, because servers can't renew them. If the first listing
 // after the outage were applied as it is, the list would be empty and every call refused,
 // although all servers run. So entries that this listing lacks stay usable until `hold`
-// after the end of the outage; those still missing then are removed. An entry that
-// disappears soon afterwards may have expired late, or may have been removed by a server
-// that is leaving. It is held too, but only so long that a leaving server gets no work
-// after the time allowed.
+// after the end of the outage; those still missing then are removed. A store that refuses
+// one VM looks like an outage to it and to all that it tells. But if the store has
+// answered anyone meanwhile, no entry can have expired, and what is missing was removed.
+// An entry that disappears soon afterwards may have expired late, or may have been
+// removed by a server that is leaving. It is held too, but only so long that a leaving
+// server gets no work after the time allowed.
 #ifndef MARIGOLDCRANK_LEDGER_SERVER_LIST_HPP
 #define MARIGOLDCRANK_LEDGER_SERVER_LIST_HPP
 
@@ -35,6 +37,10 @@
     /// leaving server may get no work.
     millis late_hold{700};
 
+    /// 2400  ms between two answered reads; in less time servers renew their entries, so
+    /// that none expires.
+    millis min_outage{2400};
+
     bool operator==(server_list_options const&) const = default;
 };
 
@@ -50,9 +56,14 @@
     /// or has changed.
     bool put(backend_server const& server);
 
-    /// Removes or holds an entry that was deleted from the store or can't be parsed. True
-    /// if this changed anything.
-    bool drop(std::string const& id, boot_clock::time_point now);
+    /// Removes or holds an entry that was deleted from the store or can't be parsed, as
+    /// records read at the store at `as_of` tell. True if this changed anything.
+    bool drop(std::string const& id, boot_clock::time_point now,
+              boot_clock::time_point as_of);
+    bool drop(std::string const& id, boot_clock::time_point now)
+    {
+        return drop(id, now, now);
+    }
 
     /// Applies a complete listing; entries that it lacks are dropped.
     void replace(std::vector<backend_server> const& all, boot_clock::time_point now);
@@ -61,11 +72,18 @@
     /// until it restarts, since the store may have older ones. True if that is new.
     bool mark_leaving(std::string const& id);
 
-    /// Called when a read of the store fails: an outage begins.
+    /// Called when a read of the store fails: an outage may have begun after the last
+    /// change that the list has.
     void store_lost();
 
-    /// Called when a read of the store succeeds; ends an outage.
-    void store_answered(boot_clock::time_point now);
+    /// Called when a read of the store succeeds, whose records are as of `as_of`; ends an
+    /// outage. Returns how long no read was answered; nothing if no outage was on.
+    std::optional<boot_clock::duration> store_answered(boot_clock::time_point now,
+                                                       boot_clock::time_point as_of);
+    std::optional<boot_clock::duration> store_answered(boot_clock::time_point now)
+    {
+        return store_answered(now, now);
+    }
 
     /// Since when the store has answered without an outage; none during one.
     std::optional<boot_clock::time_point> listed_since() const noexcept;
@@ -76,6 +94,12 @@
     /// Records that the list has all changes made up to `as_of`, by the store.
     void complete_up_to(boot_clock::time_point as_of);
 
+    /// Up to when the list is known to have all changes, by the store.
+    boot_clock::time_point as_of() const noexcept
+    {
+        return complete_up_to_;
+    }
+
     /// How long ago the list was known to be complete.
     boot_clock::duration age(boot_clock::time_point now) const noexcept
     {
@@ -106,14 +130,22 @@
     void erase(std::string const& id);
 
     /// Until when an entry that is dropped now stays usable; `now` if it isn't held.
-    boot_clock::time_point hold_until(boot_clock::time_point now) const;
+    boot_clock::time_point hold_until(boot_clock::time_point now,
+                                      boot_clock::time_point as_of) const;
+
+    /// Whether entries may have expired because the store answered nobody until `as_of`.
+    bool may_have_expired(boot_clock::time_point as_of) const
+    {
+        return as_of - lost_from_ >= options_.min_outage;
+    }
 
     server_list_options                           options_;
     std::map<std::string, backend_server>         servers_;
     server_index                                  index_;
     std::map<std::string, boot_clock::time_point> hold_ends_; // of missing entries
     std::map<std::string, std::int64_t> leaving_; // start of the incarnation that leaves
-    bool                                store_lost_ = false; // an outage is on
+    bool                                store_lost_ = false; // an outage may be on
+    boot_clock::time_point              lost_from_{}; // last answered read before it
     bool                                catching_up_ = false;
     std::optional<boot_clock::time_point> store_returned_at_; // end of the last outage
     boot_clock::time_point                complete_up_to_{};
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -95,6 +95,7 @@
 
 entry_state::entry_state(entry_settings value, std::string incarnation_name)
     : settings(std::move(value)), incarnation(std::move(incarnation_name)),
+      servers({.min_outage = 2 * settings.renewal}),
       held(std::make_shared<held_memory>(held_options_for(settings))),
       contact(contact_of(settings)), usage(incarnation, contact, settings.usage_window),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -289,7 +289,6 @@
                                           : options_.min_retry);
                 continue;
             }
-            note_store(now);
             log_regained();
             backoff_.reset();
             for (auto const& id : state_.servers.expire(now))
@@ -308,19 +307,45 @@
     /// says nothing about the store to others: only the way to this VM may be lost.
     boost::asio::awaitable<bool> confirm()
     {
+        return confirm_by(
+            [this] { return store_.read_at_store(confirming_lane, topic_, next_); });
+    }
+
+    /// Asks other VMs for the changes. False if none has records of at most `max_age`.
+    boost::asio::awaitable<bool> confirm_at_vms(millis max_age)
+    {
+        return confirm_by([this, max_age]
+                          { return store_.read_at_vms(topic_, next_, max_age); });
+    }
+
+private:
+    static constexpr unsigned lane = 1;
+
+    static constexpr unsigned confirming_lane = 6;
+
+    // 400   ms; longest wait for a listing before a confirmation, and between looks
+    static constexpr millis max_listing_wait{400};
+    static constexpr millis listing_poll{20};
+
+    /// Applies the changes that `read` returns until there are no more.
+    template <class Read>
+    boost::asio::awaitable<bool> confirm_by(Read read)
+    {
+        co_await wait_for_listing();
         bool complete = false;
         while (synced_ && !complete)
         {
-            auto const sent = boot_clock::now();
-            auto const result = co_await store_.read_at_store(
-                confirming_lane, Codec::servers_topic(), next_);
+            auto const  sent = boot_clock::now();
+            auto const  result = co_await read();
             auto const* chunk = std::get_if<log_chunk>(&result);
             if (chunk == nullptr || !synced_)
             {
                 co_return false;
             }
             auto const before = next_;
-            apply(*chunk);
+            auto const as_of = sent - chunk->age;
+            note_store(chunk->store_lost, as_of);
+            apply(*chunk, as_of);
             write_lines();
             complete = next_ >= chunk->end;
             if (!complete && next_ == before)
@@ -329,16 +354,21 @@
             }
             if (complete)
             {
-                state_.servers.complete_up_to(sent);
+                state_.servers.complete_up_to(as_of);
             }
         }
         co_return complete;
     }
 
-private:
-    static constexpr unsigned lane = 1;
-
-    static constexpr unsigned confirming_lane = 6;
+    /// Waits for a listing in progress, without which changes can't be read.
+    boost::asio::awaitable<void> wait_for_listing()
+    {
+        auto const until = boot_clock::now() + max_listing_wait;
+        while (!synced_ && boot_clock::now() < until)
+        {
+            co_await loop_sleep(listing_poll);
+        }
+    }
 
     boost::asio::awaitable<std::optional<store_failure>> next_read()
     {
@@ -383,9 +413,8 @@
         }
         synced_ = true;
         state_.servers.complete_up_to(sent - age);
-        store_lost_ = false;
         // The listing is applied only now that the store is known to be back.
-        state_.servers.store_answered(boot_clock::now());
+        note_store(false, sent - age);
         if (!std::exchange(watches_restarts_, true))
         {
             state_.crashes.watch_restarts_from(sent);
@@ -413,13 +442,13 @@
             co_return *failure;
         }
         auto const& chunk = std::get<log_chunk>(result);
+        auto const  as_of = sent - chunk.age;
         relayed_ = chunk.relayed;
-        store_lost_ = chunk.store_lost;
-        note_store(boot_clock::now());
-        apply(chunk);
+        note_store(chunk.store_lost, as_of);
+        apply(chunk, as_of);
         if (next_ >= chunk.end)
         {
-            state_.servers.complete_up_to(sent - chunk.age);
+            state_.servers.complete_up_to(as_of);
             state_.servers.caught_up();
         }
         co_return std::nullopt;
@@ -427,7 +456,7 @@
 
     /// Applies the changes of a chunk. Two reads may be in progress at once, and an older
     /// change must not replace a newer one.
-    void apply(log_chunk const& chunk)
+    void apply(log_chunk const& chunk, boot_clock::time_point as_of)
     {
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
@@ -438,7 +467,7 @@
             }
             if (auto const record = Codec::keyed(chunk.records[at], offset))
             {
-                apply(*record);
+                apply(*record, as_of);
             }
         }
         next_ = std::max(next_, chunk.next());
@@ -463,14 +492,14 @@
         }
     }
 
-    void apply(keyed_record const& record)
+    void apply(keyed_record const& record, boot_clock::time_point as_of)
     {
         auto const server =
             record.value ? Codec::server(record.key, *record.value) : std::nullopt;
         auto const now = boot_clock::now();
         if (!server)
         {
-            if (state_.servers.drop(record.key, now))
+            if (state_.servers.drop(record.key, now, as_of))
             {
                 forget(record.key, record.value ? "unreadable" : "removed");
             }
@@ -479,6 +508,8 @@
         forget_former(*server);
         if (state_.servers.put(*server))
         {
+            // A version may come and go within the changes of one read.
+            state_.versions.record(server->group, {{server->version, 1}}, now);
             lines_.push_back(
                 event_line{"server"}
                     .add("server", server->id)
@@ -490,17 +521,24 @@
         }
     }
 
-    /// Servers can't renew their entries while the store is away, even if another VM
-    /// replies with records that it has.
-    void note_store(boot_clock::time_point now)
+    /// Notes what a read that got records as of `as_of` tells of the store. Servers can't
+    /// renew their entries while it is away, even if another VM replies with records that
+    /// it has.
+    void note_store(bool lost, boot_clock::time_point as_of)
     {
-        if (store_lost_)
+        if (lost)
         {
-            state_.servers.store_lost();
+            return state_.servers.store_lost();
         }
-        else
+        auto const now = boot_clock::now();
+        auto const lasted = state_.servers.store_answered(now, as_of);
+        if (lasted)
         {
-            state_.servers.store_answered(now);
+            state_.log.write(
+                event_line{"store_answered"}
+                    .add("unanswered_ms", *lasted)
+                    .add("held", static_cast<std::int64_t>(state_.servers.held())),
+                now);
         }
     }
 
@@ -572,12 +610,12 @@
     Store&                  store_;
     follow_options          options_;
     retry_backoff           backoff_;
+    std::string const       topic_ = Codec::servers_topic(); // outlives all reads
     std::uint64_t           next_ = 0;
     bool                    synced_; // `next_` continues the last read
     bool                    relayed_ = false;
     bool                    watches_restarts_ = false; // has listed the servers
-    bool                    store_lost_ = false; // so the last reply of a relay says
-    std::vector<event_line> lines_;              // about servers, not written yet
+    std::vector<event_line> lines_;                    // about servers, not written yet
     boot_clock::time_point  answered_at_ = boot_clock::now(); // the last answered read
     std::optional<boot_clock::time_point> lost_since_; // first failed read after it
 };
--- a/tests/unit/servers_follower_test.cpp
+++ b/tests/unit/servers_follower_test.cpp
@@ -86,13 +86,18 @@
     }
 };
 
-/// Whether a server stays in use after a read has failed and the next one removes it.
-bool in_use_after(store_fault fault)
+log_chunk removal()
 {
-    scripted_store  store;
-    log_chunk const removal{.from = 1, .end = 2, .records = {server_id}};
-    store.reads = {store_failure{fault, 0}, removal};
-    entry_state          state{entry_settings{}, "vm"};
+    return {.from = 1, .end = 2, .records = {server_id}};
+}
+
+/// Whether a server stays in use after these reads, the last of which removes it.
+bool in_use_after(std::deque<store_result<log_chunk>> reads,
+                  entry_settings const&               settings = {})
+{
+    scripted_store store;
+    store.reads = std::move(reads);
+    entry_state          state{settings, "vm"};
     follow_options const options{
         .servers_pause = millis{10}, .min_retry = millis{10}, .max_retry = millis{10}};
     servers_follower<scripted_store, removal_codec> follower{state, store, options};
@@ -108,6 +113,12 @@
     return state.servers.servers().count(server_id) > 0;
 }
 
+/// The same after a read has failed and the next one removes the server.
+bool in_use_after(store_fault fault, entry_settings const& settings = {})
+{
+    return in_use_after({store_failure{fault, 0}, removal()}, settings);
+}
+
 // A relay's silence was taken for an outage of the store.
 TEST(servers_follower, removed_server_is_not_kept_after_relays_were_silent)
 {
@@ -155,9 +166,32 @@
 // Servers can't renew their entries during an outage, so all of them would be lost.
 TEST(servers_follower, removed_server_is_kept_after_the_store_was_away)
 {
-    EXPECT_TRUE(in_use_after(store_fault::unreachable));
-    EXPECT_TRUE(in_use_after(store_fault::no_response));
-    EXPECT_TRUE(in_use_after(store_fault::refused));
+    entry_settings renewed;
+    renewed.renewal = millis{1}; // several times in the outage
+    EXPECT_TRUE(in_use_after(store_fault::unreachable, renewed));
+    EXPECT_TRUE(in_use_after(store_fault::no_response, renewed));
+    EXPECT_TRUE(in_use_after(store_fault::refused, renewed));
+}
+
+// The store refused the VM that reads it for the others. They took that for an outage,
+// though they got the removal from it through another VM.
+TEST(servers_follower, removed_server_is_not_kept_while_another_vm_has_lost_the_store)
+{
+    log_chunk const told{.from = 1, .end = 1, .relayed = true, .store_lost = true};
+    auto            relayed = removal();
+    relayed.relayed = true;
+    EXPECT_FALSE(in_use_after({told, relayed}));
+    relayed.store_lost = true;
+    EXPECT_FALSE(in_use_after({relayed}));
+    EXPECT_FALSE(in_use_after({told, relayed}));
+}
+
+// One failed read was taken for an outage in which entries expire.
+TEST(servers_follower, removed_server_is_not_kept_after_one_failed_read)
+{
+    EXPECT_FALSE(in_use_after(store_fault::unreachable));
+    EXPECT_FALSE(in_use_after(store_fault::no_response));
+    EXPECT_FALSE(in_use_after(store_fault::refused));
 }
 
 } // namespace
