An old list of servers is confirmed at other VMs too

Cause: news had one way, which shared its bottleneck with the reads that confirm them, and after one failed confirmation no send waited any more. Now the VMs that hold records (two of each data centre) are asked if the store hasn't answered within 100 ms, or at once during the pause after a failed read. What they reply counts as of the time at which it was read at the store. A send waits until nine tenths of the bound are used up, not for 800 ms whatever the age. A listing in progress is waited for. A VM that reaches neither the store nor another VM serves on.

--- a/src/policy/list_age.hpp
+++ b/src/policy/list_age.hpp
@@ -1,7 +1,7 @@
 // Decides whether a request may be sent by the list of servers as it is, or by how old it
 // is has to be confirmed first.
 //
-// Index: 1 list_age_input, 2 max_list_age, 3 decide_list_step
+// Index: 1 list_age_input, 2 max_list_age, 3 max_list_wait, 4 decide_list_step
 //
 // A list tells of a leaving server only as late as it is old, whatever way its records
 // took. So a request that is written by a list of at most `max_list_age` reaches no
@@ -11,6 +11,9 @@
 
 #include "domain/boot_clock.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 namespace marigoldcrank
 {
 
@@ -39,6 +42,19 @@
     return leave_bound * age_tenths / tenths;
 }
 
+/// How long a request may wait for a list of `age` to be confirmed. With a tenth of the
+/// bound for the write, the server has left no longer than the bound ago. A list that is
+/// older than the bound already gets the least time.
+constexpr millis max_list_wait(millis leave_bound, boot_clock::duration age) noexcept
+{
+    constexpr int    tenths = 10;
+    constexpr int    sent_tenths = 9;
+    constexpr millis least{200};
+    auto const       left =
+        leave_bound * sent_tenths / tenths - std::chrono::duration_cast<millis>(age);
+    return std::max<millis>(left, least);
+}
+
 /// A VM that can't read the store must go on serving: after a failed confirmation, sends
 /// don't wait until one has succeeded.
 constexpr list_step decide_list_step(list_age_input const& input) noexcept
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -4,6 +4,7 @@
 #ifndef MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
+#include "policy/list_age.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/crash_recorder.hpp"
 #include "serving/duty_worker.hpp"
@@ -180,6 +181,13 @@
         {
             return servers_.confirm();
         };
+        if (!alone)
+        {
+            state_.confirmation.ask = [this]
+            {
+                return servers_.confirm_at_vms(max_list_age(state_.settings.leave_bound));
+            };
+        }
         spawn(worker_.run_duties());
     }
 
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -3,6 +3,7 @@
 
 #include "policy/list_age.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/loop_sleep.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +11,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace marigoldcrank
 {
 
@@ -18,8 +21,14 @@
 namespace
 {
 
-// 800   ms; sends wait for a confirmation at most so long
-constexpr millis max_confirmation_wait{800};
+// 100   ms; a sound store answers within this, so that no other VM is asked
+constexpr millis store_head_start{100};
+// 50    ms; between queries of other VMs, whose lists may be too old as well
+constexpr millis ask_pause{50};
+// 800   ms; longest wait for a read at the store
+constexpr millis max_read_wait{800};
+// 4     ms; between looks whether it has ended
+constexpr millis read_poll{4};
 
 list_age_input list_age_of(entry_state const& state)
 {
@@ -29,51 +38,124 @@
             .max_age = max_list_age(state.settings.leave_bound),
             .failed = latest.failed || !latest.read,
             .running = latest.running || !latest.read,
-            .open = latest.gate.open(now)};
+            .open = latest.gate.open(now) || (latest.ask && latest.ask_gate.open(now))};
+}
+
+bool is_too_old(entry_state const& state)
+{
+    return state.servers.age(boot_clock::now()) >
+           max_list_age(state.settings.leave_bound);
+}
+
+/// Ends the wait of the sends.
+void end_confirmation(entry_state& state, bool confirmed)
+{
+    auto& confirmation = state.confirmation;
+    confirmation.failed = !confirmed;
+    if (std::exchange(confirmation.running, false))
+    {
+        confirmation.done->cancel();
+        state.counters.add("list_confirmations_total",
+                           confirmed ? "outcome=\"confirmed\"" : "outcome=\"failed\"");
+    }
 }
 
-/// Records the outcome of a confirmation that has ended, or that sends no longer wait
-/// for.
+/// Records the outcome of one way to confirm the list; the other one may still succeed.
 void record(entry_state& state, bool confirmed)
 {
-    state.confirmation.failed = !confirmed;
+    auto const& confirmation = state.confirmation;
+    if (confirmed || (!confirmation.reading && !confirmation.asking))
+    {
+        end_confirmation(state, confirmed);
+    }
+}
+
+asio::awaitable<void> read_store(entry_state& state)
+{
+    auto&      confirmation = state.confirmation;
+    bool const confirmed = co_await confirmation.read();
+    confirmation.reading = false;
     if (confirmed)
     {
-        state.confirmation.gate.succeeded();
+        confirmation.gate.succeeded();
     }
     else
     {
-        state.confirmation.gate.failed(boot_clock::now());
+        confirmation.gate.failed(boot_clock::now());
     }
+    record(state, confirmed);
 }
 
-asio::awaitable<void> confirm(entry_state& state)
+asio::awaitable<void> ask_vms(entry_state& state)
 {
-    auto const done = state.confirmation.done;
-    bool const confirmed = co_await state.confirmation.read();
-    state.confirmation.running = false;
-    record(state, confirmed);
-    state.counters.add("list_confirmations_total",
-                       confirmed ? "outcome=\"confirmed\"" : "outcome=\"failed\"");
-    done->cancel();
+    auto&      confirmation = state.confirmation;
+    auto const now = boot_clock::now();
+    auto const until =
+        now + max_list_wait(state.settings.leave_bound, state.servers.age(now));
+    if (confirmation.reading)
+    {
+        co_await loop_sleep(store_head_start);
+    }
+    bool confirmed = !is_too_old(state);
+    while (!confirmed && boot_clock::now() < until)
+    {
+        confirmed = co_await confirmation.ask();
+        if (!confirmed)
+        {
+            co_await loop_sleep(ask_pause);
+        }
+    }
+    confirmation.asking = false;
+    if (confirmed)
+    {
+        confirmation.ask_gate.succeeded();
+    }
+    else
+    {
+        confirmation.ask_gate.failed(boot_clock::now());
+    }
+    end_confirmation(state, confirmed);
+}
+
+void begin_read(entry_state& state, asio::any_io_executor const& executor)
+{
+    state.confirmation.reading = true;
+    asio::co_spawn(executor, read_store(state), asio::detached);
 }
 
+/// Begins to confirm the list in the ways that aren't in progress. After a failed read
+/// the store is left alone for a pause if other VMs can be asked.
 void begin_confirmation(entry_state& state, asio::any_io_executor const& executor)
 {
-    state.confirmation.running = true;
-    state.confirmation.done =
-        std::make_shared<asio::steady_timer>(executor, max_confirmation_wait);
-    asio::co_spawn(executor, confirm(state), asio::detached);
+    auto&      confirmation = state.confirmation;
+    auto const now = boot_clock::now();
+    confirmation.running = true;
+    confirmation.done = std::make_shared<asio::steady_timer>(
+        executor, max_list_wait(state.settings.leave_bound, state.servers.age(now)));
+    if (!confirmation.reading && (!confirmation.ask || confirmation.gate.open(now)))
+    {
+        begin_read(state, executor);
+    }
+    if (!confirmation.asking && confirmation.ask)
+    {
+        confirmation.asking = true;
+        asio::co_spawn(executor, ask_vms(state), asio::detached);
+    }
 }
 
+/// Waits for the confirmation in progress. One that takes too long has failed.
 asio::awaitable<void> wait_for_confirmation(entry_state& state)
 {
     auto const                done = state.confirmation.done;
     boost::system::error_code ended; // by the confirmation; else it takes too long
     co_await done->async_wait(asio::redirect_error(asio::use_awaitable, ended));
-    if (!ended && state.confirmation.running)
+    if (!ended && state.confirmation.running && state.confirmation.done == done)
     {
-        record(state, false);
+        end_confirmation(state, false);
+        if (state.confirmation.reading)
+        {
+            state.confirmation.gate.failed(boot_clock::now());
+        }
     }
 }
 
@@ -96,7 +178,7 @@
                             .add("server", server)
                             .add("age_ms", age)
                             .add("failed", state.confirmation.failed ? 1 : 0)
-                            .add("running", state.confirmation.running ? 1 : 0),
+                            .add("reading", state.confirmation.reading ? 1 : 0),
                         now);
     }
 }
@@ -123,4 +205,27 @@
     co_return may_write;
 }
 
+asio::awaitable<bool> list_is_as_of(entry_state& state, boot_clock::time_point since)
+{
+    auto const  executor = co_await asio::this_coro::executor;
+    auto const  limit = boot_clock::now() + max_read_wait;
+    auto const& confirmation = state.confirmation;
+    // A read in progress may have been sent before `since`; the next one isn't.
+    constexpr int max_reads = 2;
+    for (int reads = 0; reads < max_reads && state.servers.as_of() < since; ++reads)
+    {
+        bool const may_read =
+            confirmation.read && confirmation.gate.open(boot_clock::now());
+        if (!confirmation.reading && may_read)
+        {
+            begin_read(state, executor);
+        }
+        while (confirmation.reading && boot_clock::now() < limit)
+        {
+            co_await loop_sleep(read_poll);
+        }
+    }
+    co_return state.servers.as_of() >= since;
+}
+
 } // namespace marigoldcrank
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -299,6 +299,9 @@
         auto sources = plan.records;
         sources.insert(sources.end(), plan.backups.begin(), plan.backups.end());
         records_->follow(sources);
+        auto keepers = plan.owners;
+        std::erase(keepers, state_.contact.records);
+        records_->set_keepers(keepers);
         records_->serve(state_.serves_peers);
     }
     plan_ = std::move(plan);
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -49,6 +49,8 @@
 constexpr millis state_margin{1000};
 // 3     tries to get all parts of a state from one copy
 constexpr int max_state_tries = 3;
+// 3     VMs that are asked for records one after the other besides the relays
+constexpr std::size_t max_asked_keepers = 3;
 // 2000 to 8000 ms; backoff for a silent relay
 constexpr millis min_backoff{2000};
 constexpr millis max_backoff{8000};
@@ -174,12 +176,17 @@
         return found == relays.end() ? nullptr : &*found;
     }
 
-    relay_peer* find(std::string const& address)
+    static relay_peer* find(std::vector<relay_peer>& peers, std::string const& address)
     {
         auto const found =
-            std::find_if(relays.begin(), relays.end(),
+            std::find_if(peers.begin(), peers.end(),
                          [&](relay_peer const& each) { return each.address == address; });
-        return found == relays.end() ? nullptr : &*found;
+        return found == peers.end() ? nullptr : &*found;
+    }
+
+    relay_peer* find(std::string const& address)
+    {
+        return find(relays, address);
     }
 
     bool is_live(std::string const& address) const
@@ -346,6 +353,41 @@
         co_return std::move(pending->answer);
     }
 
+    /// The VMs to ask for records besides the relays, those that are live first.
+    std::vector<std::string> keepers_to_ask() const
+    {
+        std::vector<std::string> result;
+        for (auto const& each : keepers)
+        {
+            result.push_back(each.address);
+        }
+        std::stable_partition(result.begin(), result.end(),
+                              [&](std::string const& each) { return is_live(each); });
+        result.resize(std::min(result.size(), max_asked_keepers));
+        return result;
+    }
+
+    asio::awaitable<std::optional<wire::records_answer>> ask_keepers(records_query query)
+    {
+        query.wait = millis{0};
+        for (auto const& address : keepers_to_ask())
+        {
+            auto* const keeper = find(keepers, address); // the plan may change meanwhile
+            if (keeper == nullptr)
+            {
+                continue;
+            }
+            auto       answer = co_await fetch(*keeper, query);
+            bool const usable = answer && answer->known() && !answer->trimmed() &&
+                                millis{answer->age_ms()} <= query.max_age;
+            if (usable)
+            {
+                co_return answer;
+            }
+        }
+        co_return std::nullopt;
+    }
+
     /// A reply with older records than the query asks for, and the relay that sent it.
     struct older_reply
     {
@@ -655,6 +697,7 @@
     zmq::context_t&                                         context;
     format_source                                           format_of;
     std::vector<relay_peer>                                 relays;
+    std::vector<relay_peer>                                 keepers;
     std::map<std::uint64_t, std::shared_ptr<pending_query>> pending_queries;
     std::uint64_t                                           number = 0;
     std::set<std::string> store_lost; // topics whose last known read of the store failed
@@ -679,34 +722,60 @@
 
 record_link::~record_link() = default;
 
-void record_link::follow(std::vector<std::string> const& relays)
+namespace
+{
+
+/// Replaces `peers`. VMs that stay keep their connection and what is known of them.
+void replace_peers(std::vector<relay_peer>&        peers,
+                   std::vector<std::string> const& addresses)
 {
     auto const same = [](relay_peer const& peer, std::string const& address)
     {
         return peer.address == address;
     };
-    if (std::equal(state_->relays.begin(), state_->relays.end(), relays.begin(),
-                   relays.end(), same))
+    if (std::equal(peers.begin(), peers.end(), addresses.begin(), addresses.end(), same))
     {
         return;
     }
-    // Relays that stay keep their connection and what is known of them.
-    auto known = std::exchange(state_->relays, {});
-    for (auto const& address : relays)
+    auto known = std::exchange(peers, {});
+    for (auto const& address : addresses)
     {
         auto const found =
             std::find_if(known.begin(), known.end(),
                          [&](relay_peer const& each) { return each.address == address; });
         if (found != known.end())
         {
-            state_->relays.push_back(std::move(*found));
+            peers.push_back(std::move(*found));
             known.erase(found);
             continue;
         }
-        state_->relays.push_back({.address = address});
+        peers.push_back({.address = address});
     }
 }
 
+} // namespace
+
+void record_link::follow(std::vector<std::string> const& relays)
+{
+    replace_peers(state_->relays, relays);
+}
+
+void record_link::set_keepers(std::vector<std::string> const& vms)
+{
+    replace_peers(state_->keepers, vms);
+}
+
+bool record_link::has_keepers() const
+{
+    return !state_->keepers.empty();
+}
+
+asio::awaitable<std::optional<log_chunk>> record_link::ask_keepers(records_query query)
+{
+    auto const answer = co_await state_->ask_keepers(std::move(query));
+    co_return answer ? std::optional{chunk_of(*answer)} : std::nullopt;
+}
+
 void record_link::serve(bool queried)
 {
     state_->serves = queried;
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -65,6 +65,15 @@
     /// Sets the relays to query, in this order. Without any, the store is read.
     void follow(std::vector<std::string> const& relays);
 
+    /// Sets the VMs that hold records and can be asked besides the relays.
+    void set_keepers(std::vector<std::string> const& vms);
+
+    bool has_keepers() const;
+
+    /// The reply of the first of these VMs that has the records, fresh enough, without a
+    /// wait for changes. Nothing if none of a few has.
+    boost::asio::awaitable<std::optional<log_chunk>> ask_keepers(records_query query);
+
     /// Sets whether other VMs query this one. If not, records from relays aren't kept for
     /// them.
     void serve(bool queried);
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -206,6 +206,27 @@
         co_return result;
     }
 
+    /// Reads at other VMs that hold records of at most `max_age`, also while relays
+    /// reply.
+    boost::asio::awaitable<store_result<log_chunk>>
+    read_at_vms(std::string const& topic, std::uint64_t from, millis max_age)
+    {
+        auto const sent = boot_clock::now();
+        if (link_ == nullptr || !link_->has_keepers())
+        {
+            co_return store_failure{store_fault::not_asked, 0};
+        }
+        records_query query{.topic = topic, .from = from, .max_age = max_age};
+        auto const    chunk = co_await link_->ask_keepers(std::move(query));
+        if (!chunk)
+        {
+            co_return store_failure{store_fault::not_asked, 0};
+        }
+        ++tally_.of(topic).relayed;
+        link_->merge(topic, *chunk, sent - chunk->age);
+        co_return *chunk;
+    }
+
 private:
     // 700   ms; longest wait for new records at a relay. The records of a member are no
     //       older than this wait, the same wait of its relay and 600 ms of the VM that
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -509,19 +509,27 @@
     }
 }
 
+/// The lines of a VM that contain `word`.
+std::string lines_of(entry_cluster const& cluster, int index, std::string const& word)
+{
+    std::string        result;
+    std::istringstream text(cluster.output(index));
+    for (std::string line; std::getline(text, line);)
+    {
+        bool const wanted = line.find(word) != std::string::npos;
+        result += wanted ? std::to_string(index) + " " + line + "\n" : "";
+    }
+    return result;
+}
+
 /// The lines of all VMs about their lists of servers and their relays.
 std::string server_lines(entry_cluster const& cluster)
 {
     std::string result;
     for (int index = 0; index < fleet_size; ++index)
     {
-        std::istringstream text(cluster.output(index));
-        for (std::string line; std::getline(text, line);)
-        {
-            bool const wanted = line.find("ev=server") != std::string::npos ||
-                                line.find("ev=relays") != std::string::npos;
-            result += wanted ? std::to_string(index) + " " + line + "\n" : "";
-        }
+        result +=
+            lines_of(cluster, index, "ev=server") + lines_of(cluster, index, "ev=relays");
     }
     return result;
 }
@@ -622,6 +630,39 @@
     EXPECT_EQ(failed, 0);
 }
 
+// One VM of a small fleet had lost the store, and went on with an old list of servers
+// though the others knew better.
+TEST(platform_relays, leaving_server_gets_no_requests_from_a_vm_that_has_lost_the_store)
+{
+    constexpr std::chrono::seconds drain{2}; // requests may arrive for so long
+    arrival_times                  arrivals;
+    entry_cluster                  cluster(
+                         {.daemons = 3, .bounds = "key_life_ms = 30000\n", .relayed = true});
+    cluster.server(0).handle_always(headed_response(arrivals, ""));
+    // It has heard of the others, by the store.
+    ASSERT_TRUE(eventually([&] { return last_plan(cluster, 2).ends_with(" vms=3"); }));
+    cluster.store_relay(2).silence_all(true);
+    std::atomic<bool> stopping{false};
+    std::thread       caller(
+        [&]
+        {
+            while (!stopping)
+            {
+                static_cast<void>(status_at(cluster, 2));
+                std::this_thread::sleep_for(millis{10});
+            }
+        });
+    std::this_thread::sleep_for(millis{300});
+    cluster.list_server(cluster.server(0), "draining");
+    auto const left = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(2 * drain);
+    stopping = true;
+    caller.join();
+    EXPECT_GE(arrivals.count(left - drain, left), 1U);
+    EXPECT_EQ(arrivals.count(left + drain, std::chrono::steady_clock::now()), 0U)
+        << lines_of(cluster, 2, "ev=old_list") << lines_of(cluster, 2, "ev=server");
+}
+
 /// Another writer's records: deeply nested, or with a number out of range.
 void write_odd_entries(store_standin& store)
 {
