A demand that isn't known is no demand of zero

Cause: the speed of a prefill is known after ten prefills that didn't wait. A burst that came before them made all prefills wait or time out, none counted, the speed stayed unknown, and an unknown speed gave a need of 0 prefill engines. Streams counted as demand only when they ended well, so the need fell further the less was served.

Speeds and needs that aren't known are now values of their own (std::optional). While the demand isn't known no server is dismissed, the full number of cheap ones is ordered, and no roles change. Until the speed is known, prefills that waited or were given up count, with their wait. Streams count as demand by the calls that ask for them.

In digest_link_test and two others .value() or an optional takes the place of a number, with the same bounds.

--- a/src/policy/fleet_plan.cpp
+++ b/src/policy/fleet_plan.cpp
@@ -61,6 +61,12 @@
                now_ - centre.refused >= options_.cheap_backoff;
     }
 
+    /// Servers that carry the demand; 0 while there is none or it isn't known.
+    std::int64_t wanted() const
+    {
+        return state_.wanted.value_or(0);
+    }
+
     std::int64_t room(std::string const& data_centre) const
     {
         return std::max<std::int64_t>(bounds_.most - full_.at(data_centre), 0);
@@ -72,8 +78,7 @@
     {
         auto const centres = static_cast<std::int64_t>(state_.centres.size());
         auto const most = bounds_.most / options_.full_price_divisor_without_cheap;
-        return state_.wanted == 0 ? most
-                                  : std::min(most, ceil_divide(state_.wanted, centres));
+        return wanted() == 0 ? most : std::min(most, ceil_divide(wanted(), centres));
     }
 
     /// Servers left, without further full-price orders, after the platform reclaims the
@@ -97,7 +102,7 @@
     /// time.
     void buy_full()
     {
-        auto missing = state_.wanted - left_after_reclaim();
+        auto missing = wanted() - left_after_reclaim();
         bool found = true;
         while (missing > 0 && found)
         {
@@ -121,7 +126,7 @@
     /// them.
     void keep_full()
     {
-        auto spare = present_ - state_.wanted;
+        auto spare = state_.wanted ? present_ - *state_.wanted : 0;
         for (auto const& [name, centre] : state_.centres)
         {
             auto&      target = full_[name];
@@ -142,7 +147,7 @@
         {
             return;
         }
-        auto         remaining = options_.cheap_factor * state_.wanted;
+        auto         remaining = options_.cheap_factor * wanted();
         std::int64_t cheap_centres = 0;
         for (auto const& [name, centre] : state_.centres)
         {
@@ -195,13 +200,20 @@
     }
 }
 
-void fleet_state::record_demand(std::int64_t servers, boot_clock::time_point now)
+void fleet_state::record_demand(std::optional<std::int64_t> servers,
+                                boot_clock::time_point      now)
 {
-    if (demand_known_since == boot_clock::time_point{} && servers > 0)
+    if (!servers)
+    {
+        demand_known_since = {};
+        wanted.reset();
+        return;
+    }
+    if (demand_known_since == boot_clock::time_point{} && *servers > 0)
     {
         demand_known_since = now;
     }
-    if (servers >= wanted || now - wanted_updated_at >= demand_window)
+    if (!wanted || *servers >= *wanted || now - wanted_updated_at >= demand_window)
     {
         wanted = servers;
         wanted_updated_at = now;
--- a/src/policy/fleet_plan.hpp
+++ b/src/policy/fleet_plan.hpp
@@ -18,6 +18,7 @@
 #include "ports/duty_port.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,8 +77,8 @@
 struct fleet_state
 {
     std::map<std::string, data_centre_state> centres;
-    std::int64_t                             wanted = 0; // servers that carry the demand
-    boot_clock::time_point                   wanted_updated_at{};
+    std::optional<std::int64_t> wanted; // servers that carry the demand; none: unknown
+    boot_clock::time_point      wanted_updated_at{};
     boot_clock::time_point demand_known_since{}; // first demand; epoch: no demand yet
 
     bool operator==(fleet_state const&) const = default;
@@ -87,8 +88,9 @@
 
     /// Records how many servers the current demand needs. `wanted` rises at once and
     /// falls only after several seconds without a higher value, because a server that is
-    /// dismissed between two bursts is missing in the second one.
-    void record_demand(std::int64_t servers, boot_clock::time_point now);
+    /// dismissed between two bursts is missing in the second one. While the demand isn't
+    /// known, no server is dismissed, and as many are ordered as before the first demand.
+    void record_demand(std::optional<std::int64_t> servers, boot_clock::time_point now);
 
     /// True once demand has been observed for long enough to dismiss servers based on it.
     bool settled(boot_clock::time_point now) const;
--- a/src/policy/prefill_model.hpp
+++ b/src/policy/prefill_model.hpp
@@ -5,8 +5,9 @@
 // Engines of different deployments differ by a factor of ten in prefill speed, and also
 // in the fixed time before the first token. The model estimates a time per token and a
 // fixed time separately, so that short prompts don't make an engine look slow. Samples
-// that waited in a queue don't count. A VM of many sees few prefills, so each one also
-// follows the mean of the speeds that the VMs have learned.
+// that waited in a queue count only until the speed is known: without them it would stay
+// unknown in a fleet that is overloaded from the start. A VM of many sees few prefills,
+// so each one also follows the mean of the speeds that the VMs have learned.
 #ifndef MARIGOLDCRANK_POLICY_PREFILL_MODEL_HPP
 #define MARIGOLDCRANK_POLICY_PREFILL_MODEL_HPP
 
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 
 namespace marigoldcrank
 {
@@ -39,7 +41,7 @@
     //               the speed
     std::int64_t short_prompt = 800;
     std::int64_t long_prompt = 3000;
-    // 20    ms; samples with a longer expected wait don't count
+    // 20    ms; samples with a longer expected wait count only while the speed is unknown
     double max_wait_ms = 20;
     // 0.5   s; time constant with which the speed follows that of all VMs
     double follow_s = 0.5;
@@ -52,7 +54,7 @@
 {
     std::int64_t         tokens = 0;  // uncached tokens, as far as known
     double               wait_ms = 0; // expected wait before the prefill
-    boot_clock::duration took{};
+    boot_clock::duration took{};      // with the wait
 };
 
 /// Estimates medians with steps of a fixed relative size, so that no single sample moves
@@ -69,24 +71,33 @@
     /// Adjusts the estimates by one prefill.
     void record_prefill(prefill_sample const& sample)
     {
-        if (sample.tokens <= 0 || sample.wait_ms > options_.max_wait_ms)
+        bool const waited = sample.wait_ms > options_.max_wait_ms;
+        if (sample.tokens <= 0 || (waited && observed()))
         {
             return;
         }
-        auto const took = milliseconds(sample.took);
-        auto const tokens = static_cast<double>(sample.tokens);
-        bool const slower = took > fixed_ms_ + tokens * token_ms_;
-        if (sample.tokens < options_.long_prompt)
+        auto const expected = expected_ms(sample) + (waited ? sample.wait_ms : 0);
+        bool const slower = milliseconds(sample.took) > expected;
+        if (sample.tokens < options_.long_prompt && !waited)
         {
             fixed_ms_ = adjust(fixed_ms_, slower, options_.fixed_step);
             fixed_ms_ = std::clamp(fixed_ms_, 1.0, options_.max_fixed_ms);
         }
         if (sample.tokens >= options_.short_prompt)
         {
-            token_ms_ = adjust(token_ms_, slower, options_.speed_step);
-            token_ms_ =
-                std::clamp(token_ms_, 1 / options_.max_speed, 1 / options_.min_speed);
-            ++samples_;
+            adjust_speed(slower);
+        }
+    }
+
+    /// Counts a prefill that was given up after `sample.took`, while the speed is
+    /// unknown: the engine is slower than it would have to be to finish by then.
+    void record_unfinished(prefill_sample const& sample)
+    {
+        bool const slower =
+            milliseconds(sample.took) > expected_ms(sample) + sample.wait_ms;
+        if (!observed() && slower && sample.tokens >= options_.short_prompt)
+        {
+            adjust_speed(true);
         }
     }
 
@@ -100,15 +111,15 @@
     }
 
     /// Moves the speed towards `shared`, the mean of what the VMs have learned, in tokens
-    /// per ms; 0: unknown. `passed` is the time since the last call.
-    void follow(double shared, boot_clock::duration passed)
+    /// per ms; nothing if none knows it. `passed` is the time since the last call.
+    void follow(std::optional<double> shared, boot_clock::duration passed)
     {
-        if (!(shared > 0))
+        if (!shared)
         {
             return;
         }
         auto const target =
-            1 / std::clamp(shared, options_.min_speed, options_.max_speed);
+            1 / std::clamp(*shared, options_.min_speed, options_.max_speed);
         auto const s = std::max(std::chrono::duration<double>(passed).count(), 0.0);
         auto const share = observed() ? 1 - std::exp(-s / options_.follow_s) : 1;
         token_ms_ *= std::pow(target / token_ms_, share);
@@ -152,6 +163,19 @@
         return up ? value * (1 + step) : value / (1 + step);
     }
 
+    /// The predicted time of a prefill without a wait.
+    double expected_ms(prefill_sample const& sample) const
+    {
+        return fixed_ms_ + static_cast<double>(sample.tokens) * token_ms_;
+    }
+
+    void adjust_speed(bool slower)
+    {
+        token_ms_ = adjust(token_ms_, slower, options_.speed_step);
+        token_ms_ = std::clamp(token_ms_, 1 / options_.max_speed, 1 / options_.min_speed);
+        ++samples_;
+    }
+
     prefill_model_options options_;
     double                token_ms_;
     double                fixed_ms_;
--- a/src/policy/role_split.cpp
+++ b/src/policy/role_split.cpp
@@ -105,13 +105,17 @@
 
 } // namespace
 
-role_need compute_role_need(work_demand const& fleet, std::int64_t slots,
-                            role_split_options const& options)
+std::optional<role_need> compute_role_need(work_demand const& fleet, std::int64_t slots,
+                                           role_split_options const& options)
 {
+    auto const prefill = fleet.prefill_engines();
+    if (!prefill)
+    {
+        return std::nullopt;
+    }
     auto const streams_per_engine =
         std::max(1.0, static_cast<double>(slots) * options.stream_share);
-    return {fleet.prefill_engines() / options.prefill_load,
-            fleet.streams / streams_per_engine};
+    return role_need{*prefill / options.prefill_load, fleet.streams / streams_per_engine};
 }
 
 std::int64_t wanted_prefill(std::int64_t engines, std::int64_t prefill,
--- a/src/policy/role_split.hpp
+++ b/src/policy/role_split.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,9 +72,10 @@
     bool operator==(role_need const&) const = default;
 };
 
-/// The load on each role from the demand of the fleet; `slots` of one engine.
-role_need compute_role_need(work_demand const& fleet, std::int64_t slots,
-                            role_split_options const& options);
+/// The load on each role from the demand of the fleet; `slots` of one engine. Nothing
+/// while the demand isn't known.
+std::optional<role_need> compute_role_need(work_demand const& fleet, std::int64_t slots,
+                                           role_split_options const& options);
 
 /// Number of engines, of `engines` in total, that should be prefill engines. It stays at
 /// `prefill` while neither role is busy or no change would help. A change leaves each
--- a/src/policy/work_meter.hpp
+++ b/src/policy/work_meter.hpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 
 namespace marigoldcrank
 {
@@ -17,21 +18,34 @@
 /// Demand on the engines of a service, as measured at one or more VMs.
 struct work_demand
 {
-    double prompt_rate = 0;     // prompt tokens per second to prefill
-    double prefill_speed = 0;   // tokens per second of one prefill engine; 0: unknown
-    double colocated_speed = 0; // the same of a decode engine beside its streams
-    double streams = 0;         // concurrent streams, if engines do nothing but decode
+    double                prompt_rate = 0; // prompt tokens per second to prefill
+    std::optional<double> prefill_speed;   // tokens per second of one prefill engine
+    std::optional<double> colocated_speed; // of a decode engine beside its streams
+    double streams = 0; // concurrent streams, if engines do nothing but decode
 
     bool operator==(work_demand const&) const = default;
 
-    /// Engines that prefill keeps busy; 0 while their speed is unknown.
-    double prefill_engines() const
+    /// Engines that prefill keeps busy; nothing while prompts arrive and no speed is
+    /// known.
+    std::optional<double> prefill_engines() const
     {
-        return prefill_speed > 0 ? prompt_rate / prefill_speed : 0;
+        constexpr double least_rate = 1;         // token per second
+        constexpr double colocated_slowdown = 2; // of a decode engine
+        if (prompt_rate < least_rate)
+        {
+            return 0.0;
+        }
+        if (prefill_speed)
+        {
+            return prompt_rate / *prefill_speed;
+        }
+        return colocated_speed
+                   ? std::optional{prompt_rate / (*colocated_speed * colocated_slowdown)}
+                   : std::nullopt;
     }
 
-    /// Speeds become the geometric mean, weighted by the prompts behind them. The highest
-    /// one would be that of the VM that errs most.
+    /// Speeds become the geometric mean of those that are known, weighted by the prompts
+    /// behind them. The highest one would be that of the VM that errs most.
     void add(work_demand const& other)
     {
         prefill_speed = mean_speed(prefill_speed, other, other.prefill_speed);
@@ -49,16 +63,17 @@
     }
 
 private:
-    double mean_speed(double own, work_demand const& other, double others) const
+    std::optional<double> mean_speed(std::optional<double> own, work_demand const& other,
+                                     std::optional<double> others) const
     {
-        if (!(own > 0) || !(others > 0))
+        if (!own || !others)
         {
-            return own > 0 ? own : others;
+            return own ? own : others;
         }
         constexpr double least = 1; // token per second; weight of a VM without prompts
         auto const       weight = prompt_rate + least;
         auto const       added = other.prompt_rate + least;
-        return own * std::pow(others / own, added / (weight + added));
+        return *own * std::pow(*others / *own, added / (weight + added));
     }
 };
 
@@ -68,6 +83,13 @@
 class work_meter
 {
 public:
+    /// Records a call that asks for a stream, whatever becomes of it.
+    void call(boot_clock::time_point now)
+    {
+        decay(now);
+        call_rate_ += 1 / decay_s;
+    }
+
     /// Records a prompt whose prefill is about to begin; `tokens` are those that are
     /// probably not cached.
     void prompt(std::int64_t tokens, boot_clock::time_point now)
@@ -82,6 +104,17 @@
         prefill_.record_prefill(sample);
     }
 
+    /// Records a prefill that was given up, at a prefill engine or at a decode engine.
+    void prefill_unfinished(prefill_sample const& sample)
+    {
+        prefill_.record_unfinished(sample);
+    }
+
+    void colocated_prefill_unfinished(prefill_sample const& sample)
+    {
+        colocated_.record_unfinished(sample);
+    }
+
     /// Records a handoff: a call whose prompt another engine had prefilled gave its first
     /// event after `took`.
     void handoff_done(boot_clock::duration took)
@@ -115,6 +148,9 @@
     {
         decay(now);
         event_rate_ += static_cast<double>(events) / decay_s;
+        auto const count = static_cast<double>(events);
+        mean_events_ =
+            mean_events_ ? *mean_events_ + events_step * (count - *mean_events_) : count;
         if (events >= min_events)
         {
             auto const interval = std::chrono::duration<double>(took).count() /
@@ -125,30 +161,31 @@
         }
     }
 
-    /// Prefill speed of one engine that does nothing else, in tokens per second; 0:
-    /// unknown.
-    double prefill_speed() const
+    /// Prefill speed of one engine that does nothing else, in tokens per second; nothing
+    /// until it has been observed.
+    std::optional<double> prefill_speed() const
     {
-        return prefill_.observed() ? prefill_.speed() * second_ms : 0;
+        return speed_of(prefill_);
     }
 
     /// Moves the speeds towards those of all VMs, as `fleet` contains them.
     void follow(work_demand const& fleet, boot_clock::duration passed)
     {
-        prefill_.follow(fleet.prefill_speed / second_ms, passed);
-        colocated_.follow(fleet.colocated_speed / second_ms, passed);
+        prefill_.follow(per_ms(fleet.prefill_speed), passed);
+        colocated_.follow(per_ms(fleet.colocated_speed), passed);
     }
 
     /// The current demand. Rates are corrected for the short time since the start.
+    /// Streams are those that calls ask for: an overloaded fleet ends few of them.
     work_demand demand(boot_clock::time_point now)
     {
         decay(now);
         auto const covered = measured_share(now);
         return {.prompt_rate = prompt_rate_ / covered,
                 .prefill_speed = prefill_speed(),
-                .colocated_speed =
-                    colocated_.observed() ? colocated_.speed() * second_ms : 0,
-                .streams = event_rate_ / covered * best_interval_};
+                .colocated_speed = speed_of(colocated_),
+                .streams = std::max(event_rate_, call_rate_ * mean_events_.value_or(0)) /
+                           covered * best_interval_};
     }
 
 private:
@@ -160,6 +197,18 @@
     // thousand slow samples; with faster decay a queue would look like a slow engine.
     static constexpr double       interval_decay = 0.9998;
     static constexpr std::int64_t min_events = 4; // fewer don't show the stream's speed
+    // 0.05  of the difference; step of the mean number of events per ended stream
+    static constexpr double events_step = 0.05;
+
+    static std::optional<double> speed_of(prefill_model const& model)
+    {
+        return model.observed() ? std::optional{model.speed() * second_ms} : std::nullopt;
+    }
+
+    static std::optional<double> per_ms(std::optional<double> per_second)
+    {
+        return per_second ? std::optional{*per_second / second_ms} : std::nullopt;
+    }
 
     /// Factor by which a decaying rate is too low because it has been measured for only a
     /// short time.
@@ -179,6 +228,7 @@
         auto const factor = std::exp(-std::max(passed, 0.0) / decay_s);
         prompt_rate_ *= factor;
         event_rate_ *= factor;
+        call_rate_ *= factor;
         decayed_at_ = now;
     }
 
@@ -188,7 +238,9 @@
     boot_clock::time_point started_at_{};
     boot_clock::time_point decayed_at_{};
     double                 prompt_rate_ = 0;   // tokens per second
-    double                 event_rate_ = 0;    // events per second
+    double                 event_rate_ = 0;    // events per second of ended streams
+    double                 call_rate_ = 0;     // calls for streams per second
+    std::optional<double>  mean_events_;       // of ended streams
     double                 best_interval_ = 0; // s between events
 };
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -196,9 +196,9 @@
         auto* entry = message.add_demands();
         entry->set_service(service);
         entry->set_prompt_rate(demand.prompt_rate);
-        entry->set_prefill_speed(demand.prefill_speed);
+        entry->set_prefill_speed(demand.prefill_speed.value_or(0));
         entry->set_streams(demand.streams);
-        entry->set_colocated_speed(demand.colocated_speed);
+        entry->set_colocated_speed(demand.colocated_speed.value_or(0));
     }
     for (auto const& each : extras.usage)
     {
@@ -254,6 +254,13 @@
     return result;
 }
 
+/// The speed of an engine; nothing if the sender doesn't know it.
+std::optional<double> parse_speed(double value)
+{
+    auto const speed = parse_rate(value);
+    return speed > 0 ? std::optional{speed} : std::nullopt;
+}
+
 vm_work parse_work(digest_scope scope, wire::load_digest const& message)
 {
     vm_work work;
@@ -271,8 +278,8 @@
     {
         work.demands[entry.service()] = {
             .prompt_rate = parse_rate(entry.prompt_rate()),
-            .prefill_speed = parse_rate(entry.prefill_speed()),
-            .colocated_speed = parse_rate(entry.colocated_speed()),
+            .prefill_speed = parse_speed(entry.prefill_speed()),
+            .colocated_speed = parse_speed(entry.colocated_speed()),
             .streams = parse_rate(entry.streams())};
     }
     work.keeps_paces = message.keeps_paces();
--- a/src/serving/fleet_orders.hpp
+++ b/src/serving/fleet_orders.hpp
@@ -16,6 +16,7 @@
 
 #include <cmath>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -127,10 +128,22 @@
         }
     }
 
-    /// Number of servers that the demand for a service needs; 0 if that isn't known.
-    static std::int64_t wanted_servers(service const& value, role_need const& need)
+    /// Number of servers that the demand for a service needs; nothing if that isn't
+    /// known.
+    static std::optional<std::int64_t>
+    wanted_servers(service const& value, std::optional<role_need> const& need)
     {
-        return value.has_engines ? servers_for(need) : 0;
+        if (!value.has_engines)
+        {
+            return 0;
+        }
+        return need ? std::optional{servers_for(*need)} : std::nullopt;
+    }
+
+    /// A number of servers for logs.
+    static std::string format_count(std::optional<std::int64_t> const& count)
+    {
+        return count ? std::to_string(*count) : "unknown";
     }
 
     boost::asio::awaitable<void> send_server_orders(service const& value)
@@ -170,7 +183,7 @@
                                  .add("count", order.count)
                                  .add("full_present", centre.present.full)
                                  .add("cheap_present", centre.present.cheap)
-                                 .add("wanted", fleet.wanted)
+                                 .add("wanted", format_count(fleet.wanted))
                                  .add("epoch", static_cast<std::int64_t>(sender->epoch))
                                  .add("outcome", static_cast<std::int64_t>(outcome)),
                              now);
@@ -179,7 +192,8 @@
     }
 
     /// Logs the demand that orders follow when the number of wanted servers changes.
-    void log_demand(service const& value, std::int64_t before, role_need const& need)
+    void log_demand(service const& value, std::optional<std::int64_t> const& before,
+                    std::optional<role_need> const& known)
     {
         auto const now = boot_clock::now();
         auto const after = fleets_[value.name].wanted;
@@ -187,18 +201,20 @@
         {
             return;
         }
+        auto const need = known.value_or(role_need{});
         auto const demand = state_.demand(value.name, now);
-        state_.log.write(event_line{"demand"}
-                             .add("service", value.name)
-                             .add("wanted", after)
-                             .add("before", before)
-                             .add("prefill_need_milli", std::llround(need.prefill * milli))
-                             .add("decode_need_milli", std::llround(need.decode * milli))
-                             .add("prompt_rate", std::llround(demand.prompt_rate))
-                             .add("prefill_speed", std::llround(demand.prefill_speed))
-                             .add("streams_milli", std::llround(demand.streams * milli))
-                             .add("vms", state_.peers.vms(now) + 1),
-                         now);
+        state_.log.write(
+            event_line{"demand"}
+                .add("service", value.name)
+                .add("wanted", format_count(after))
+                .add("before", format_count(before))
+                .add("prefill_need_milli", std::llround(need.prefill * milli))
+                .add("decode_need_milli", std::llround(need.decode * milli))
+                .add("prompt_rate", std::llround(demand.prompt_rate))
+                .add("prefill_speed", std::llround(demand.prefill_speed.value_or(0)))
+                .add("streams_milli", std::llround(demand.streams * milli))
+                .add("vms", state_.peers.vms(now) + 1),
+            now);
     }
 
     void plan_roles()
@@ -224,7 +240,12 @@
         auto const               now = boot_clock::now();
         auto const               engines = split_engines(value.name);
         role_split_options const options;
-        auto const               need = compute_role_need(value, engines);
+        auto const               known = compute_role_need(value, engines);
+        if (!known)
+        {
+            return; // a change takes an engine out of service for seconds
+        }
+        auto const need = *known;
         for (auto const* engine : plan_role_changes(engines, need, now, options))
         {
             auto const role = engine->role == engine_role::prefill ? engine_role::decode
@@ -240,19 +261,22 @@
         }
     }
 
-    /// Demand for a service at all VMs, in engines.
-    role_need compute_role_need(service const&                   value,
-                                std::vector<split_engine> const& engines)
+    /// Demand for a service at all VMs, in engines; nothing if it isn't known.
+    std::optional<role_need> compute_role_need(service const&                   value,
+                                               std::vector<split_engine> const& engines)
     {
         if (engines.empty())
         {
-            return {};
+            return role_need{};
         }
         auto const demand = state_.demand(value.name, boot_clock::now());
         auto       need = marigoldcrank::compute_role_need(
                   demand, engines.front().server->slots, role_split_options{});
-        need.colocated =
-            state_.pauses[value.name].tolerates_prefill(state_.settings.colocated);
+        if (need)
+        {
+            need->colocated =
+                state_.pauses[value.name].tolerates_prefill(state_.settings.colocated);
+        }
         return need;
     }
 
--- a/src/serving/model_placement.cpp
+++ b/src/serving/model_placement.cpp
@@ -48,6 +48,10 @@
 
 void model_placement::count_demand(boot_clock::time_point arrived)
 {
+    if (needs_prefill())
+    {
+        meter().call(arrived);
+    }
     // Short prompts are always prefilled colocated.
     if (needs_prefill() &&
         call_.unshared_tokens() >= placement_options{}.min_handoff_tokens)
@@ -134,7 +138,7 @@
     }
     auto const left = admitted_.deadline - loop_clock::now();
     return retry_after_if_late({.placed = placed,
-                                .observed = meter().prefill_speed() > 0,
+                                .observed = meter().prefill_speed().has_value(),
                                 .objective = admitted_.matched->objective,
                                 .left = std::chrono::duration_cast<millis>(left)},
                                wait_options{});
@@ -143,7 +147,7 @@
 loop_time model_placement::prefill_deadline(placement const& placed) const
 {
     auto const now = loop_clock::now();
-    if (meter().prefill_speed() <= 0)
+    if (!meter().prefill_speed())
     {
         return now + (admitted_.deadline - now) / 2;
     }
@@ -191,7 +195,8 @@
         static_cast<double>(state_.staying_servers(admitted_.service_name));
     auto const busy = state_.demand(admitted_.service_name, now).prefill_engines();
     auto const age = state_.digest_age().count();
-    return engines > 0 ? busy / engines * static_cast<double>(age) : 0;
+    // An unknown demand gives no reason to prefer another engine.
+    return engines > 0 ? busy.value_or(0) / engines * static_cast<double>(age) : 0;
 }
 
 std::vector<candidate>
@@ -299,6 +304,17 @@
     }
 }
 
+void model_placement::record_unfinished_prefill(placement const&     planned,
+                                                boot_clock::duration took)
+{
+    if (state_.settings.learn_prefill_times)
+    {
+        prefill_sample const sample{planned.prefill_tokens, planned.wait_ms, took};
+        planned.prefill_only ? meter().prefill_unfinished(sample)
+                             : meter().colocated_prefill_unfinished(sample);
+    }
+}
+
 void model_placement::record_handoff(boot_clock::duration took)
 {
     meter().handoff_done(took);
--- a/src/serving/model_placement.hpp
+++ b/src/serving/model_placement.hpp
@@ -78,6 +78,9 @@
     /// Records the time to the first event of a colocated prefill.
     void record_colocated_prefill(placement const& planned, boot_clock::duration took);
 
+    /// Records a prefill that was given up after `took`.
+    void record_unfinished_prefill(placement const& planned, boot_clock::duration took);
+
     /// Records the time to the first event of a handoff.
     void record_handoff(boot_clock::duration took);
 
--- a/src/serving/prefill_step.hpp
+++ b/src/serving/prefill_step.hpp
@@ -56,6 +56,11 @@
             {
                 context_.attempts.record_failed_prefill(sender_.result_of(link, fate));
             }
+            if (context_.caller.disconnected() || link.timed_out())
+            {
+                context_.placement.record_unfinished_prefill(placed,
+                                                             boot_clock::now() - began);
+            }
             co_return std::string{};
         }
         context_.state.health.succeeded(server.id);
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -93,7 +93,7 @@
             auto const read = co_await connection_->read_head(head_only, request.until);
             if (read != io_result::ok)
             {
-                fault_ = read == io_result::timed_out   ? "timeout"
+                fault_ = read == io_result::timed_out   ? fault_timeout
                          : read == io_result::malformed ? "malformed"
                                                         : "broken";
                 co_return attempt_outcome::unknown;
@@ -139,6 +139,12 @@
         return fault_;
     }
 
+    /// Whether the time for a head of a response has passed without one.
+    bool timed_out() const noexcept
+    {
+        return fault_ == fault_timeout;
+    }
+
     /// When the request was sent, and when its connection was made.
     boot_clock::time_point sent_at() const noexcept
     {
@@ -254,6 +260,7 @@
     }
 
 private:
+    static constexpr char const* fault_timeout = "timeout";
     // The response is of another server, which has got the address.
     static constexpr unsigned    status_misdirected = 421;
     static constexpr int         max_stray_responses = 4;
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -196,6 +196,13 @@
                                : context_.placement.first_event_deadline(planned);
         auto const fate =
             co_await sender_.send_call(link, source, prefill_.fetch_from, until);
+        bool const unfinished = fate == attempt_outcome::unknown &&
+                                (context_.caller.disconnected() || link.timed_out());
+        if (unfinished && source.empty() && context_.placement.needs_prefill())
+        {
+            context_.placement.record_unfinished_prefill(planned, boot_clock::now() -
+                                                                      run_sent_at_);
+        }
         if (context_.caller.disconnected())
         {
             co_return true;
--- a/tests/property/prefill_model_property_test.cpp
+++ b/tests/property/prefill_model_property_test.cpp
@@ -177,18 +177,38 @@
         sum.add({.prompt_rate = 5000, .prefill_speed = 100'000});
     }
     sum.add({.prompt_rate = 5000, .prefill_speed = 1'000'000});
-    EXPECT_NEAR(sum.prefill_engines(), 1, 0.15);
+    EXPECT_NEAR(sum.prefill_engines().value(), 1, 0.15);
 }
 
 // A VM that has just started knows no speed of its own, and takes that of the others.
 TEST(prefill_model, new_vm_takes_the_speed_of_the_others)
 {
     work_meter meter;
-    EXPECT_EQ(meter.prefill_speed(), 0);
+    EXPECT_EQ(meter.prefill_speed(), std::nullopt);
     meter.follow({.prompt_rate = 5000, .prefill_speed = 100'000}, millis{150});
-    EXPECT_NEAR(meter.prefill_speed(), 100'000, 1);
+    EXPECT_NEAR(meter.prefill_speed().value(), 100'000, 1);
     meter.follow({}, millis{150});
-    EXPECT_NEAR(meter.prefill_speed(), 100'000, 1);
+    EXPECT_NEAR(meter.prefill_speed().value(), 100'000, 1);
+}
+
+// All prefills waited or timed out from the start, none counted, and the speed stayed
+// unknown.
+TEST(prefill_model, speed_is_learned_while_all_prefills_wait)
+{
+    constexpr double       speed = 30; // tokens per ms
+    constexpr std::int64_t tokens = 6000;
+    constexpr double       queued = 50'000; // tokens before each prefill
+    prefill_model          waited;
+    prefill_model          timed_out;
+    for (int read = 0; read < 10; ++read)
+    {
+        auto const took = millis{std::llround((queued + tokens) / speed)};
+        waited.record_prefill({tokens, queued / waited.speed(), took});
+        timed_out.record_unfinished({tokens, queued / timed_out.speed(), took});
+    }
+    EXPECT_TRUE(waited.observed());
+    EXPECT_NEAR(waited.speed(), speed, 3);
+    EXPECT_LT(timed_out.speed(), 35);
 }
 
 } // namespace
--- a/tests/replay/load_policy_test.cpp
+++ b/tests/replay/load_policy_test.cpp
@@ -468,7 +468,7 @@
         meter.prefill_done({.tokens = 6000, .wait_ms = 2800, .took = seconds{3}});
     }
     EXPECT_GT(meter.prefill_speed(), 50'000);
-    EXPECT_LT(meter.demand(now).prefill_engines(), 5);
+    EXPECT_LT(meter.demand(now).prefill_engines().value(), 5);
 }
 
 // 5. Server orders
@@ -623,7 +623,60 @@
         meter.prompt(5000, now);
         now += millis{10};
     }
-    EXPECT_NEAR(meter.demand(now).prefill_engines(), 10, 1.5);
+    EXPECT_NEAR(meter.demand(now).prefill_engines().value(), 10, 1.5);
+}
+
+// A burst met a fleet before any prefill had been measured. Prefills timed out, none was
+// measured, and the fleet dismissed its servers in the middle of the burst.
+TEST(load_policy, burst_before_the_first_measured_prefill_dismisses_no_server)
+{
+    constexpr double       needed = 5; // prefill engines
+    work_meter             meter;
+    auto                   state = three_data_centres({.full = 1, .cheap = 5}, 0);
+    boot_clock::time_point now = start_time;
+    for (int call = 0; call < 2000; ++call)
+    {
+        meter.call(now);
+        meter.prompt(static_cast<std::int64_t>(prefill_speed * needed / 100), now);
+        if (call % 20 == 10)
+        {
+            meter.prefill_unfinished(
+                {.tokens = 10'000, .wait_ms = 500, .took = seconds{2}});
+        }
+        if (call % 50 == 10)
+        {
+            meter.stream(8, millis{400}, now); // one in fifty is served
+        }
+        now += millis{10};
+        auto const need = compute_role_need(meter.demand(now), 128, {});
+        state.record_demand(need ? std::optional{servers_for(*need)} : std::nullopt, now);
+        for (auto const& order : plan_fleet(model_service(), state, now, {}))
+        {
+            EXPECT_GE(order.count, order.cheap ? 5 : 1) << call;
+        }
+    }
+    EXPECT_GE(state.wanted.value(), needed);
+}
+
+// One stream in ten ended, and the others were not counted as demand.
+TEST(load_policy, streams_that_are_not_served_count_as_demand)
+{
+    work_meter served;
+    work_meter overloaded;
+    auto       now = start_time;
+    for (int call = 0; call < 3000; ++call)
+    {
+        now += millis{10};
+        for (auto* meter : {&served, &overloaded})
+        {
+            meter->call(now);
+            if (meter == &served || call % 10 == 0)
+            {
+                meter->stream(20, millis{950}, now);
+            }
+        }
+    }
+    EXPECT_NEAR(overloaded.demand(now).streams, served.demand(now).streams, 5);
 }
 
 // Demand falls between two bursts. The servers that the next burst needs must stay
--- a/tests/unit/digest_link_test.cpp
+++ b/tests/unit/digest_link_test.cpp
@@ -115,9 +115,9 @@
         for (auto const& each : {demand, sum, other})
         {
             EXPECT_TRUE(std::isfinite(each.prompt_rate)) << name;
-            EXPECT_TRUE(std::isfinite(each.prefill_engines())) << name;
-            EXPECT_TRUE(std::isfinite(each.prefill_speed)) << name;
-            EXPECT_TRUE(std::isfinite(each.colocated_speed)) << name;
+            EXPECT_TRUE(std::isfinite(each.prefill_engines().value_or(0))) << name;
+            EXPECT_TRUE(std::isfinite(each.prefill_speed.value_or(0))) << name;
+            EXPECT_TRUE(std::isfinite(each.colocated_speed.value_or(0))) << name;
             EXPECT_TRUE(std::isfinite(each.streams)) << name;
         }
     }
