Streams are taken up by a list that is newer than the question

Two VMs stood still and lost the store while servers of a new version came.

Cause: what the only version is was concluded from a list of any age, and one reply of a VM that was as much out of step counted as proof. Now the conclusion needs a list that was complete, by the store, after the stream was asked for. If the store can't be read, it holds only if every VM of the fleet is heard and all keepers reply: no version comes while the store is away, and a VM that knows of one has told the keepers. A recorded origin whose servers the list lacks has the list read before the refusal.

--- a/src/serving/call_origin.cpp
+++ b/src/serving/call_origin.cpp
@@ -1,6 +1,8 @@
 // Queries and records of the version that a stream began with.
 #include "serving/call_origin.hpp"
 
+#include "serving/list_check.hpp"
+
 namespace marigoldcrank
 {
 
@@ -11,6 +13,7 @@
     origin_query const wanted{.key = origin_key(),
                               .service = context_.admitted.service_name,
                               .span = stream_span()};
+    auto const         began = boot_clock::now();
     auto origin = conclude_origin(own_knowledge(context_.state, wanted), wanted.service);
     if (context_.state.keepers != nullptr)
     {
@@ -20,10 +23,22 @@
     {
         co_return false;
     }
+    if (!is_listed(*origin))
+    {
+        // The list may only lack the servers of the version so far.
+        co_await list_is_as_of(context_.state, began);
+    }
     context_.attempts.require_version(origin->version);
     co_return true;
 }
 
+bool call_origin::is_listed(stream_origin const& origin) const
+{
+    auto const& versions = context_.state.servers.index().versions();
+    auto const  listed = versions.find(origin.service);
+    return listed != versions.end() && listed->second.count(origin.version) > 0;
+}
+
 bool call_origin::serve_at(std::string const& service)
 {
     bool const allowed = context_.admitted.matched->has_target(service);
--- a/src/serving/call_origin.hpp
+++ b/src/serving/call_origin.hpp
@@ -36,6 +36,9 @@
     /// such service.
     bool serve_at(std::string const& service);
 
+    /// Whether any server of what began the stream is listed.
+    bool is_listed(stream_origin const& origin) const;
+
     /// The key of the stream, by the id of the caller's request that got its first event.
     std::uint64_t origin_key() const;
 
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -3,6 +3,7 @@
 // Index: 1 formats and own_knowledge, 2 records, 3 queries, 4 replies
 #include "serving/origin_link.hpp"
 
+#include "serving/list_check.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/owner_link.hpp"
 #include "serving/record_link.hpp"
@@ -211,7 +212,24 @@
     {
         co_return std::nullopt;
     }
-    co_return conclude_origin(known, wanted.service);
+    if (!known.recorded && !co_await knows_versions(replies == std::ssize(keepers)))
+    {
+        co_return std::nullopt;
+    }
+    co_return conclude_origin(add(known, own_knowledge(state_, wanted)), wanted.service);
+}
+
+asio::awaitable<bool> origin_link::knows_versions(bool all_replied)
+{
+    auto const now = boot_clock::now();
+    if (co_await list_is_as_of(state_, now))
+    {
+        co_return true;
+    }
+    // No version comes while the store is away. If no VM is missing, one that knows of a
+    // further version has sent its records to the keepers.
+    bool const        whole = state_.peers.vms(now) + 1 >= state_.fleet.vms();
+    co_return whole&& all_replied;
 }
 
 // 4. Replies
--- a/src/serving/origin_link.hpp
+++ b/src/serving/origin_link.hpp
@@ -62,6 +62,11 @@
     /// The other VMs that keep the records of a stream, the first ones first.
     std::vector<std::string> keepers_of(std::uint64_t key, std::size_t count) const;
 
+    /// Whether this VM and those that replied would know of a further version. Their
+    /// lists may be as old as its own, so it reads the store. `all_replied`: all keepers
+    /// have.
+    boost::asio::awaitable<bool> knows_versions(bool all_replied);
+
     void        send(std::vector<origin_record> const& streams);
     std::string reply_to_vm(std::string const& serialized);
 
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -466,6 +466,61 @@
     EXPECT_EQ(result.went_on, result.taken_up);
 }
 
+/// Stops or continues the VMs `first` to `last`.
+void signal_vms(entry_cluster& cluster, int first, int last, int number)
+{
+    for (int index = first; index <= last; ++index)
+    {
+        cluster.daemon(index).signal(number);
+    }
+}
+
+/// Lists two servers of v1, and those of v1.2 only once `run_second_version` is called.
+void run_first_version(entry_cluster& cluster)
+{
+    run_old_servers(cluster, 2, false);
+    for (int index = 2; index < 4; ++index)
+    {
+        cluster.store().remove("keyed.servers", cluster.server(index).id());
+    }
+    std::this_thread::sleep_for(list_read);
+}
+
+void run_second_version(entry_cluster& cluster)
+{
+    run_version(cluster, 2, "v1.2", hold);
+    run_version(cluster, 3, "v1.2", hold);
+    std::this_thread::sleep_for(list_read);
+}
+
+// Two VMs stood still and lost the store while servers of a new version came. Each took
+// the other's old list for proof that there was one version only.
+TEST(platform_versions, streams_go_on_at_another_version_at_vms_that_are_out_of_step)
+{
+    entry_cluster cluster({.daemons = 5,
+                           .servers = 4,
+                           .bounds = "key_life_ms = 60000\n",
+                           .relayed = true,
+                           .distant = 2,
+                           .first_start = true});
+    run_first_version(cluster);
+    signal_vms(cluster, 3, 4, SIGSTOP);
+    cluster.store_relay(3).silence_all(true);
+    cluster.store_relay(4).silence_all(true);
+    run_second_version(cluster);
+    auto const result =
+        take_streams_up(cluster, 12, 3,
+                        [&]
+                        {
+                            signal_vms(cluster, 0, 2, SIGSTOP);
+                            signal_vms(cluster, 3, 4, SIGCONT);
+                            std::this_thread::sleep_for(milliseconds{300});
+                        });
+    signal_vms(cluster, 0, 2, SIGCONT);
+    EXPECT_GE(result.taken_up, 6);
+    EXPECT_EQ(result.mixed, 0);
+}
+
 // The servers have had one version all the time, and callers were refused all the same.
 TEST(platform_versions, streams_of_an_only_version_are_refused_after_all_vms_were_killed)
 {
