Test: entries that expire in 1.5 s are renewed every 500 ms

platform_beliefs.servers_stay_in_use_after_their_entries_expire let entries expire in an outage of 1.5 s, with servers that renew them every 1.2 s by default: by the platform's pages an entry expires after three missed renewals, so none could.

--- a/tests/platform/beliefs_test.cpp
+++ b/tests/platform/beliefs_test.cpp
@@ -100,7 +100,8 @@
 // refuse every call, although all servers are alive.
 TEST(platform_beliefs, servers_stay_in_use_after_their_entries_expire)
 {
-    entry_cluster cluster;
+    // Entries that are renewed so often expire in an outage of 1.5 s.
+    entry_cluster cluster({.bounds = "renewal_ms = 500\n"});
     cluster.store().trouble(store_fault_kind::refusing);
     std::this_thread::sleep_for(milliseconds{1500});
     cluster.store().remove("keyed.servers", "i-0");
