A question for a newer list waits only for a store that answers

list_is_as_of waited up to 800 ms for a read that hangs, for each stream that was taken up while the store was silent, though the read before had shown that. It now marks the store as not answering, and later questions are decided at once until the pause is over.

--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -207,24 +207,32 @@
 
 asio::awaitable<bool> list_is_as_of(entry_state& state, boot_clock::time_point since)
 {
-    auto const  executor = co_await asio::this_coro::executor;
-    auto const  limit = boot_clock::now() + max_read_wait;
-    auto const& confirmation = state.confirmation;
+    auto const executor = co_await asio::this_coro::executor;
+    auto const limit = boot_clock::now() + max_read_wait;
+    auto&      confirmation = state.confirmation;
+    auto const may_read = [&]
+    {
+        auto const now = boot_clock::now();
+        return confirmation.read && confirmation.gate.open(now) && now < limit &&
+               state.servers.as_of() < since;
+    };
     // A read in progress may have been sent before `since`; the next one isn't.
     constexpr int max_reads = 2;
-    for (int reads = 0; reads < max_reads && state.servers.as_of() < since; ++reads)
+    for (int reads = 0; reads < max_reads && may_read(); ++reads)
     {
-        bool const may_read =
-            confirmation.read && confirmation.gate.open(boot_clock::now());
-        if (!confirmation.reading && may_read)
+        if (!confirmation.reading)
         {
             begin_read(state, executor);
         }
-        while (confirmation.reading && boot_clock::now() < limit)
+        while (confirmation.reading && may_read())
         {
             co_await loop_sleep(read_poll);
         }
     }
+    if (confirmation.reading && boot_clock::now() >= limit)
+    {
+        confirmation.gate.failed(boot_clock::now()); // later questions don't wait for it
+    }
     co_return state.servers.as_of() >= since;
 }
 
--- a/src/serving/origin_link.cpp
+++ b/src/serving/origin_link.cpp
@@ -212,7 +212,8 @@
     {
         co_return std::nullopt;
     }
-    if (!known.recorded && !co_await knows_versions(replies == std::ssize(keepers)))
+    bool const undecided = !known.recorded && !known.mixed;
+    if (undecided && !co_await knows_versions(replies == std::ssize(keepers)))
     {
         co_return std::nullopt;
     }
@@ -228,8 +229,9 @@
     }
     // No version comes while the store is away. If no VM is missing, one that knows of a
     // further version has sent its records to the keepers.
-    bool const        whole = state_.peers.vms(now) + 1 >= state_.fleet.vms();
-    co_return whole&& all_replied;
+    bool const hears_all = state_.peers.vms(now) + 1 >= state_.fleet.vms();
+    bool const all_told = hears_all && all_replied;
+    co_return all_told;
 }
 
 // 4. Replies
