--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
     cloud = Cloud(record, host_of(0))
     await store.start()
     await cloud.start()
-    engine = Engine(record, host_of(20), "i-01", "desk", slots=6, queue=0, work_s=0.02)
+    engine = Engine(record, host_of(20), "i-01", "desk", slots=4, queue=3, work_s=0.02)
     routes = [route("order", "non_idempotent", "desk", 1)]
     store.do_append(
         "keyed.op",
