--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -46,6 +46,20 @@
         return probe.getsockname()[1]
 
 
+def free_range(host, count):
+    """The first and the last of `count` ports, of which the daemon listens on three."""
+    first = 20000 + os.getpid() * 64 % 10000
+    while first < 32000:
+        try:
+            for port in (first, first + 1, first + count - 1):
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+            return [first, first + count - 1]
+        except OSError:
+            first += count
+    raise OSError("no free ports")
+
+
 class Message:
     def __init__(self, first, fields, body):
         self.first = first
@@ -469,8 +483,7 @@
         self.folder = folder
         self.callers = free_port(host)
         self.ready_port = free_port(host)
-        first = 20000 + (os.getpid() * 37 + index * 64) % 20000
-        self.ports = [first, first + 15]
+        self.ports = free_range(host, 16)
         self.store = store
         self.cloud = cloud
         self.file = os.path.join(folder, self.name + ".ini")
@@ -656,6 +669,7 @@
     if not os.access(os.path.join(ROOT, "target", "marigoldcrankd"), os.X_OK):
         print("target/marigoldcrankd is missing: run the build of deploy/system.toml")
         sys.exit(NOT_RUN)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     here = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(here, "record.txt"))
     record.line("script", "%s TROUBLE=%d" % (name, 1 if TROUBLE else 0))
@@ -677,7 +691,9 @@
         record.line("script", text)
         record.close()
         print(text)
-    sys.exit(code)
+    # The loop has ended with connections open; nothing of them is of use any more.
+    sys.stdout.flush()
+    os._exit(code)
 
 
 def host_of(index):
