--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 STORM_GAP_S, STORM_S = 0.33, 4.0  # config_storm
 ROUTES = 700  # big_config, 350 routes, twice
 CALLERS = 36
-PAUSE_S = 0.1
+PAUSE_S = 0.05
 
 
 async def main(record, folder, daemons):
