--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,10 +13,11 @@
 STORM_GAP_S, STORM_S = 0.33, 4.0  # config_storm
 ROUTES = 700  # big_config, 350 routes, twice
 CALLERS = 36
-PAUSE_S = 0.05
+PAUSE_S = 0.05  # on the mean, between two requests of a client
 
 
 async def main(record, folder, daemons):
+    rng = random.Random()
     store = Store(record, host_of(0))
     cloud = Cloud(record, host_of(0))
     await store.start()
@@ -55,17 +56,17 @@
     statuses = {}
 
     async def call(number):
-        daemon = daemons[number % DAEMONS]
+        # Two thirds of them have their connection to the machine that will be turned away.
+        daemon = daemons[0 if number % 3 < 2 else 1 + number // 3 % 2]
         caller = Caller(record, daemon.host, daemon.callers)
         at = 0
-        await asyncio.sleep(PAUSE_S * number / CALLERS)
         while not stop.is_set():
             at += 1
             name = "c%02d-%04d" % (number, at)
             outcome = await caller.ask(name, "GET", "/read/%d" % at, key="key-b")
             sent[name] = outcome
             statuses[outcome.status] = statuses.get(outcome.status, 0) + 1
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(rng.uniform(0.2, 1.8) * PAUSE_S)
 
     calls = [asyncio.ensure_future(call(number)) for number in range(CALLERS)]
     await asyncio.sleep(4)
