--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -666,13 +666,15 @@
 
 def run_script(name, main):
     """Runs `main(record, folder)`, which returns an exit code and a verdict."""
+    record = Record(sys.argv[1])
+    record.line("script", "%s TROUBLE=%d" % (name, 1 if TROUBLE else 0))
     if not os.access(os.path.join(ROOT, "target", "marigoldcrankd"), os.X_OK):
-        print("target/marigoldcrankd is missing: run the build of deploy/system.toml")
+        text = "could not run: target/marigoldcrankd is missing: run the build of deploy/system.toml"
+        record.line("script", text)
+        record.close()
+        print(text)
         sys.exit(NOT_RUN)
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
-    here = os.path.dirname(os.path.abspath(sys.argv[0]))
-    record = Record(os.path.join(here, "record.txt"))
-    record.line("script", "%s TROUBLE=%d" % (name, 1 if TROUBLE else 0))
     folder = tempfile.mkdtemp(prefix="marigoldcrank-review-")
     code, verdict = NOT_RUN, "did not end"
     daemons = []
@@ -680,6 +682,8 @@
         code, verdict = asyncio.run(limited(main(record, folder, daemons)))
     except asyncio.TimeoutError:
         verdict = "not ended within 110 s"
+    except Exception as error:  # a fault of the script is no verdict
+        verdict = "%s: %s" % (type(error).__name__, error)
     finally:
         for each in daemons:
             each.stop()
