--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -145,6 +145,7 @@
                 .fate = fate,
                 .fault = cut ? fault_unread : link.fault(),
                 .status = link.facts().status,
+                .connection = link.use(),
                 .proxied = link.proxied(),
                 .framing = link.framing(),
                 .path = link.path(),
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -266,7 +266,8 @@
                          .fault = result.fault,
                          .framing = result.framing,
                          .path = result.path,
-                         .status = result.status});
+                         .status = result.status,
+                         .connection = result.connection});
 }
 
 } // namespace marigoldcrank
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_CALL_ATTEMPTS_HPP
 
 #include "policy/attempt_history.hpp"
+#include "policy/carried_calls.hpp"
 #include "serving/call_admission.hpp"
 #include "serving/call_log.hpp"
 
@@ -31,6 +32,7 @@
     attempt_outcome        fate = attempt_outcome::unknown;
     std::string_view       fault; // of a fixed set of words; empty: response interrupted
     unsigned               status = 0;
+    connection_use         connection{};
     bool                   proxied = false; // over a connection that another VM relays
     std::string_view       framing;         // of the response, for logs; empty: none
     std::string_view       path;            // of a new connection, for logs
--- a/src/serving/call_log.hpp
+++ b/src/serving/call_log.hpp
@@ -6,6 +6,7 @@
 #define MARIGOLDCRANK_SERVING_CALL_LOG_HPP
 
 #include "policy/attempt_history.hpp"
+#include "policy/carried_calls.hpp"
 #include "policy/placement.hpp"
 #include "serving/call_admission.hpp"
 #include "serving/caller_socket.hpp"
@@ -41,6 +42,7 @@
     std::string_view framing; // of the response; empty: none
     std::string_view path;    // of a new connection; empty: it was kept
     unsigned         status = 0;
+    connection_use   connection{};
 };
 
 /// What an attempt is for, and the work that was expected from it.
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -105,6 +105,8 @@
     if (!error)
     {
         set_tcp_options(stream_.socket(), tcp_options{});
+        error_code ignored; // only logs use the port
+        local_port_ = stream_.socket().local_endpoint(ignored).port();
     }
     co_return io_result_of(error);
 }
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -6,6 +6,7 @@
 #define MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 
 #include "domain/entry_settings.hpp"
+#include "policy/carried_calls.hpp"
 #include "policy/response_end.hpp"
 #include "serving/wire_dialect.hpp"
 
@@ -105,6 +106,12 @@
     /// Waits for the next bytes of the body and appends them to `out`.
     boost::asio::awaitable<body_result> read_body(std::string& out, loop_time until);
 
+    /// Local TCP port, also after the connection was closed; 0: never connected.
+    std::int64_t local_port() const noexcept
+    {
+        return local_port_;
+    }
+
     /// Whether another request may follow: request sent, response complete, no bytes
     /// after it.
     bool reusable() const;
@@ -122,6 +129,7 @@
     loop_time              last_used{};
     std::optional<millis>  idle_limit;
     std::string            proxy; // address of the VM that relays it; empty: own link
+    carried_calls          carried;
 
 private:
     using message_parser =
@@ -138,6 +146,7 @@
     std::optional<message_parser> parser_;
     std::size_t                   body_bytes_ = 0;    // of the response so far
     std::size_t                   framing_bytes_ = 0; // besides
+    std::int64_t                  local_port_ = 0;
     bool                          writing_ = false;
     bool                          write_failed_ = false;
     bool                          complete_ = false;
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_SERVER_EXCHANGE_HPP
 
 #include "policy/attempt_history.hpp"
+#include "policy/carried_calls.hpp"
 #include "policy/unread_time.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/list_check.hpp"
@@ -78,6 +79,7 @@
             co_return attempt_outcome::not_sent;
         }
         count_request(request);
+        record_use(request.call_id);
         sent_at_ = boot_clock::now();
         state_.counters.observe("server_list_age_seconds", state_.servers.age(sent_at_));
         state_.counters.observe("send_delay_seconds", sent_at_ - permitted_at_);
@@ -168,6 +170,12 @@
         return path_;
     }
 
+    /// The connection that the request was sent on, for logs.
+    connection_use const& use() const noexcept
+    {
+        return use_;
+    }
+
     /// Whether another VM relays the connection.
     bool proxied() const noexcept
     {
@@ -307,6 +315,15 @@
         }
     }
 
+    void record_use(std::string const& call_id)
+    {
+        auto& carried = connection_->carried;
+        use_ = {.port = connection_->local_port(),
+                .calls = static_cast<std::int64_t>(carried.count()),
+                .again = carried.contains(call_id)};
+        carried.record(call_id);
+    }
+
     attempt_outcome evaluate_head()
     {
         connection_->idle_limit = facts_.idle_limit;
@@ -361,6 +378,7 @@
     response_facts                   facts_;
     boot_clock::time_point           permitted_at_;
     boot_clock::time_point           sent_at_{};
+    connection_use                   use_;
     unread_time                      unread_;
     char const*                      fault_ = "";
     char const*                      framing_ = "";
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -182,9 +182,32 @@
             }
         }
         next_ = chunk.next();
+        log_backlog(chunk);
         co_return std::nullopt;
     }
 
+    /// Logs a read that ended before the end of the topic.
+    void log_backlog(log_chunk const& chunk)
+    {
+        if (chunk.next() >= chunk.end)
+        {
+            return;
+        }
+        auto const now = boot_clock::now();
+        auto const number = [](std::uint64_t offset)
+        {
+            return static_cast<std::int64_t>(offset);
+        };
+        state_.log.write(event_line{"rules_backlog"}
+                             .add("from", number(chunk.from))
+                             .add("next", number(chunk.next()))
+                             .add("end", number(chunk.end))
+                             .add("relayed", chunk.relayed ? 1 : 0)
+                             .add("read_age_ms", chunk.age)
+                             .add("age_ms", now - state_.view.read_sent),
+                         now);
+    }
+
     /// Applies only newer versions, in whatever order records are read.
     void apply(keyed_record const& record)
     {
