A connection to a server carries a call once

Cause: a response on a kept connection was taken for the answer to a request if it bore the call's id. The id tells calls apart, not the sends of one call. After a rejection the only server was tried again over the same connection, and the late copy of its rejection answered the second send.

Evidence: send_failed has again=1 on the port of the first send in the failing calls; the server's own record shows one rejection, one copy and a run.

Fix: a connection remembers the calls that it has carried and carries none of them again, so an id on a connection stands for one send. That holds for retries, a run after its prefill, continuations and ids that callers repeat.

--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -292,8 +292,11 @@
     {
         connection_ =
             state_.pool.take(server_.id, request.not_repeatable, loop_clock::now(),
-                             [this](http_connection const& kept)
-                             { return may_reuse(state_, server_.group, kept); });
+                             [&](http_connection const& kept)
+                             {
+                                 return kept.carried.may_carry(request.call_id) &&
+                                        may_reuse(state_, server_.group, kept);
+                             });
         if (connection_)
         {
             co_return true;
@@ -361,7 +364,7 @@
         }
         // An idle connection through another VM would take a place there from a call.
         bool const keep = connection_->reusable() && !stray_ && !facts_.closes &&
-                          connection_->proxy.empty();
+                          !connection_->carried.is_full() && connection_->proxy.empty();
         if (keep)
         {
             state_.pool.give_back(server_.id, std::move(connection_), loop_clock::now());
--- a/tests/platform/answers_test.cpp
+++ b/tests/platform/answers_test.cpp
@@ -43,6 +43,39 @@
     EXPECT_EQ(response.body, "second");
 }
 
+// The only server of a service sent its rejection of a call once more, where the answer
+// to the second send of the same call was due. The caller was told "not run", and the
+// call ran.
+TEST(platform_calls, late_second_rejection_refuses_no_call_that_runs)
+{
+    for (std::string const path : {"/once/x", "/stream/x"})
+    {
+        entry_cluster    cluster(one_server());
+        wire_connection* rejected_on = nullptr;
+        cluster.server(0).handle_next(
+            [&](wire_request const& request, wire_connection& connection)
+            {
+                rejected_on = &connection;
+                connection.send(server_standin::not_executed_response(request));
+                return true;
+            });
+        cluster.server(0).handle_always(
+            [&](wire_request const& request, wire_connection& connection)
+            {
+                if (&connection == rejected_on)
+                {
+                    connection.send(server_standin::not_executed_response(request));
+                }
+                connection.send(server_standin::stream_head(request) +
+                                server_standin::chunk(server_standin::event(1)) +
+                                server_standin::chunk(""));
+                return true;
+            });
+        EXPECT_EQ(ask(cluster.caller_port(), {.path = path}).status, 200) << path;
+        EXPECT_EQ(cluster.server(0).received_requests().size(), 2U) << path;
+    }
+}
+
 // A server sends bytes after a complete response. On a reused connection, the next call
 // would read them as its response. The connection must not be reused.
 TEST(platform_calls, bytes_behind_an_answer_belong_to_no_call)
