A response without the call's id proves nothing about the call

Cause: a head without an id counted as the answer to the current request, so additional bytes after an earlier response could reject a call that a server had begun.

Evidence: the attempts end as not_run while the response with the call's id follows on the connection.

Fix: match_response tells apart the answer (by id), an unproven answer (no id, nothing else was sent on the connection; its 'not run' isn't believed) and stray responses, which are skipped. Calls without an id of their own get a new connection.

--- a/src/policy/carried_calls.hpp
+++ b/src/policy/carried_calls.hpp
@@ -24,7 +24,7 @@
 struct connection_use
 {
     std::int64_t port = 0;      // local TCP port; 0: no connection
-    std::int64_t calls = 0;     // sent on it before
+    std::int64_t requests = 0;  // sent on it before
     bool         again = false; // one of them was the same call
 
     bool operator==(connection_use const&) const = default;
@@ -38,6 +38,7 @@
     /// Records a request. One without an id is no call, and its answer has no id either.
     void record(std::string_view id)
     {
+        ++requests_;
         if (!id.empty())
         {
             ids_.push_back(hash(id));
@@ -62,9 +63,10 @@
         return std::find(ids_.begin(), ids_.end(), hash(id)) != ids_.end();
     }
 
-    std::size_t count() const noexcept
+    /// The requests so far, also those without an id.
+    std::int64_t requests() const noexcept
     {
-        return ids_.size();
+        return requests_;
     }
 
     bool operator==(carried_calls const&) const = default;
@@ -79,6 +81,7 @@
     }
 
     std::vector<std::uint64_t> ids_;
+    std::int64_t               requests_ = 0;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include "policy/attempt_history.hpp"
 #include "policy/carried_calls.hpp"
+#include "policy/response_match.hpp"
 #include "policy/unread_time.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/list_check.hpp"
@@ -102,19 +103,23 @@
             }
             facts_ = Dialect::parse_response(connection_->head());
             framing_ = response_framing_name(connection_->framing());
-            if (facts_.call_id.empty() || facts_.call_id == request.call_id)
+            auto const match =
+                match_response(request.call_id, facts_.call_id, use_.requests == 0);
+            if (match != response_match::answer)
+            {
+                note_unmatched(request, match);
+            }
+            if (match != response_match::stray)
             {
                 if (facts_.status != status_misdirected)
                 {
                     state_.record_response(server_.id, facts_, sent_at_);
                     state_.record_survival(server_.id, connection_->connected, sent_at_);
                 }
-                co_return evaluate_head();
+                co_return evaluate_head(match);
             }
-            // This is a late response to an earlier call. It is skipped, and the
-            // connection is not reused, since more of them may follow.
+            // It is skipped, and the connection is not reused, since more may follow.
             stray_ = true;
-            state_.counters.add("stray_answers_total");
             if (!co_await skip_body(request.until))
             {
                 fault_ = "stray";
@@ -290,13 +295,19 @@
 
     boost::asio::awaitable<bool> open(exchange_request const& request)
     {
-        connection_ =
-            state_.pool.take(server_.id, request.not_repeatable, loop_clock::now(),
-                             [&](http_connection const& kept)
-                             {
-                                 return kept.carried.may_carry(request.call_id) &&
-                                        may_reuse(state_, server_.group, kept);
-                             });
+        // The answer to a call without an id couldn't be told from further bytes of an
+        // earlier one.
+        bool const untraceable = request.call_id.empty() && !request.internal;
+        if (!untraceable)
+        {
+            connection_ =
+                state_.pool.take(server_.id, request.not_repeatable, loop_clock::now(),
+                                 [&](http_connection const& kept)
+                                 {
+                                     return kept.carried.may_carry(request.call_id) &&
+                                            may_reuse(state_, server_.group, kept);
+                                 });
+        }
         if (connection_)
         {
             co_return true;
@@ -322,14 +333,35 @@
     {
         auto& carried = connection_->carried;
         use_ = {.port = connection_->local_port(),
-                .calls = static_cast<std::int64_t>(carried.count()),
+                .requests = carried.requests(),
                 .again = carried.contains(call_id)};
         carried.record(call_id);
     }
 
-    attempt_outcome evaluate_head()
+    /// Logs and counts a response that isn't known to be the answer to the request.
+    void note_unmatched(exchange_request const& request, response_match match)
+    {
+        auto const* name = response_match_name(match);
+        state_.counters.add("stray_answers_total", std::string{"match=\""} + name + "\"");
+        state_.log.write(event_line{"stray"}
+                             .add("id", request.call_id)
+                             .add("server", server_.id)
+                             .add("match", name)
+                             .add("of", facts_.call_id)
+                             .add("status", static_cast<std::int64_t>(facts_.status))
+                             .add("port", use_.port)
+                             .add("carried", use_.requests),
+                         boot_clock::now());
+    }
+
+    attempt_outcome evaluate_head(response_match match)
     {
         connection_->idle_limit = facts_.idle_limit;
+        if (facts_.not_run && match != response_match::answer)
+        {
+            fault_ = "no_id";
+            return attempt_outcome::unknown;
+        }
         if (facts_.not_run)
         {
             fault_ = "refused";
--- a/tests/platform/answers_test.cpp
+++ b/tests/platform/answers_test.cpp
@@ -76,6 +76,26 @@
     }
 }
 
+// A rejection without an id was believed, and the order was sent to a second server while
+// the first ran it.
+TEST(platform_calls, rejection_without_id_is_no_proof_that_a_call_has_not_run)
+{
+    entry_cluster cluster;
+    for (int server = 0; server < 2; ++server)
+    {
+        cluster.server(server).handle_always(
+            [](wire_request const&, wire_connection& connection)
+            {
+                connection.send(wire_response(503, "Not-Executed: 1\r\n", ""));
+                return true;
+            });
+    }
+    EXPECT_EQ(ask(cluster.caller_port(), {.path = "/once/x"}).status, 502);
+    EXPECT_EQ(cluster.server(0).received_requests().size() +
+                  cluster.server(1).received_requests().size(),
+              1U);
+}
+
 // A server sends bytes after a complete response. On a reused connection, the next call
 // would read them as its response. The connection must not be reused.
 TEST(platform_calls, bytes_behind_an_answer_belong_to_no_call)
--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -105,12 +105,10 @@
 {
     entry_cluster cluster(one_server());
     cluster.server(0).handle_next(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(421,
-                                          "Instance-Id: i-other\r\nServer-Leaving: 1\r\n"
-                                          "Server-Limit: 0\r\n",
-                                          ""));
+            connection.send(server_standin::misdirected_response(
+                request, "i-other", "Server-Leaving: 1\r\nServer-Limit: 0\r\n"));
             return true;
         });
     static_cast<void>(ask(cluster.caller_port(), {.path = "/once/x", .id = "other"}));
--- a/tests/platform/repeated_answers_test.cpp
+++ b/tests/platform/repeated_answers_test.cpp
@@ -205,5 +205,23 @@
                                   .servers = 2}),
     [](auto const& each) { return each.param.name; });
 
+std::string without_id(std::string text)
+{
+    std::string const field = "Request-Id: ID\r\n";
+    return text.erase(text.find(field), field.size());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    without_an_id, repeated_answers,
+    testing::Values(repeated_case{.name = "rejection", .extra = without_id(rejection)},
+                    repeated_case{.name = "rejection_by_two_servers",
+                                  .extra = without_id(rejection),
+                                  .servers = 2},
+                    repeated_case{.name = "misdirection",
+                                  .extra = without_id(misdirection)},
+                    repeated_case{.name = "success", .extra = without_id(success)},
+                    repeated_case{.name = "failure", .extra = without_id(failure)}),
+    [](auto const& each) { return each.param.name; });
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/sends_test.cpp
+++ b/tests/platform/sends_test.cpp
@@ -60,9 +60,9 @@
 {
     entry_cluster cluster(one_server());
     cluster.server(0).handle_always(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(503, "Not-Executed: 1\r\n", ""));
+            connection.send(server_standin::not_executed_response(request));
             return true;
         });
     auto const begin = steady_clock::now();
@@ -79,9 +79,9 @@
 {
     entry_cluster cluster;
     cluster.server(0).handle_always(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(421, "Instance-Id: i-other\r\n", ""));
+            connection.send(server_standin::misdirected_response(request, "i-other"));
             return true;
         });
     auto const response = ask(cluster.caller_port(), {.path = "/once/x"});
--- a/tests/platform/streams_test.cpp
+++ b/tests/platform/streams_test.cpp
@@ -199,9 +199,9 @@
     cluster.list_engine(cluster.server(0), "prefill");
     cluster.list_engine(cluster.server(1), "decode");
     cluster.server(0).handle_always(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(503, "Not-Executed: 1\r\n", ""));
+            connection.send(server_standin::not_executed_response(request));
             return true;
         });
     std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
--- a/tests/platform/support/server_standin.cpp
+++ b/tests/platform/support/server_standin.cpp
@@ -62,6 +62,16 @@
         "");
 }
 
+std::string server_standin::misdirected_response(wire_request const& request,
+                                                 std::string const&  responder,
+                                                 std::string const&  fields)
+{
+    return wire_response(421,
+                         "Instance-Id: " + responder + "\r\nRequest-Id: " +
+                             request.field("request-id") + "\r\n" + fields,
+                         "");
+}
+
 std::string server_standin::stream_head(wire_request const& request)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " +
@@ -119,7 +129,7 @@
     auto const expected = request.field("expect-instance");
     if (!expected.empty() && expected != id_)
     {
-        connection.send(wire_response(421, "Instance-Id: " + id_ + "\r\n", ""));
+        connection.send(misdirected_response(request, id_));
         return true;
     }
     if (respond)
--- a/tests/platform/support/server_standin.hpp
+++ b/tests/platform/support/server_standin.hpp
@@ -42,6 +42,11 @@
     /// A 503 response that says the request hasn't run.
     static std::string not_executed_response(wire_request const& request);
 
+    /// A 421 response of the server `responder`; each line of `fields` has its line end.
+    static std::string misdirected_response(wire_request const& request,
+                                            std::string const&  responder,
+                                            std::string const&  fields = {});
+
     /// The head of a signed event stream in chunked transfer coding.
     static std::string stream_head(wire_request const& request);
 
--- a/tests/unit/carried_calls_test.cpp
+++ b/tests/unit/carried_calls_test.cpp
@@ -28,7 +28,7 @@
     carried.record("");
     carried.record("");
     EXPECT_TRUE(carried.may_carry(""));
-    EXPECT_EQ(carried.count(), 0U);
+    EXPECT_EQ(carried.requests(), 2);
 }
 
 // A connection that forgot its first calls would carry one of them again.
@@ -37,9 +37,9 @@
     carried_calls carried;
     while (!carried.is_full())
     {
-        carried.record(std::to_string(carried.count()));
+        carried.record(std::to_string(carried.requests()));
     }
-    EXPECT_EQ(carried.count(), 1024U);
+    EXPECT_EQ(carried.requests(), 1024);
     EXPECT_FALSE(carried.may_carry("0"));
     EXPECT_FALSE(carried.may_carry("another"));
 }
