--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -117,7 +117,7 @@
         .add("framing", summary.framing)
         .add("resumes", call_.resumes)
         .add("rules", version_of(admitted))
-        .add("keys_age_ms", now - state_.view.read_sent)
+        .add("keys_age_ms", state_.view.age(now))
         .add("first_ms", summary.timing.time_to_first_event())
         .add("pause_ms", summary.timing.longest_pause())
         .add("took_ms", now - arrived_);
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -267,7 +267,7 @@
         {
             ready_ = ready;
             state_.log.write(event_line{ready ? "ready" : "not_ready"}
-                                 .add("keys_age_ms", now - state_.view.read_sent)
+                                 .add("keys_age_ms", state_.view.age(now))
                                  .add("servers", static_cast<std::int64_t>(
                                                      state_.servers.servers().size())),
                              now);
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -107,7 +107,7 @@
 bool entry_state::keys_fresh(boot_clock::time_point now) const
 {
     return !settings.keys_fail_closed ||
-           now - view.read_sent < settings.key_life * safe_tenths / tenths;
+           view.age(now) < settings.key_life * safe_tenths / tenths;
 }
 
 bool entry_state::ready(boot_clock::time_point now) const
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -25,6 +25,7 @@
 #include "policy/placement.hpp"
 #include "policy/prefix_directory.hpp"
 #include "policy/proxy_list.hpp"
+#include "policy/read_progress.hpp"
 #include "policy/recent_calls.hpp"
 #include "policy/recent_sends.hpp"
 #include "policy/retry_budget.hpp"
@@ -71,11 +72,17 @@
 class owner_link;
 class quota_gate;
 
-/// The rules in force, and the time from which their age counts.
+/// The rules in force, and as of when they are known to be the newest.
 struct rules_view
 {
     std::shared_ptr<serving_rules const> rules; // null: none read yet
-    boot_clock::time_point read_sent{};         // sending of the newest answered read
+    read_progress                        progress;
+
+    /// How long ago there were no newer rules.
+    boot_clock::duration age(boot_clock::time_point now) const
+    {
+        return now - progress.known_as_of();
+    }
 };
 
 /// Servers that a call may go to.
@@ -98,9 +105,9 @@
 public:
     entry_state(entry_settings value, std::string incarnation_name);
 
-    /// True while keys may be accepted: a read that was sent within the safe part of
-    /// their life was answered. Otherwise a withdrawn key would go on working at a VM
-    /// that can't reach the store.
+    /// True while keys may be accepted: within the safe part of their life the rules were
+    /// known to be the newest. Otherwise a withdrawn key would go on working at a VM that
+    /// can't reach the store, or hasn't read all that was written meanwhile.
     bool keys_fresh(boot_clock::time_point now) const;
 
     /// Whether the balancer should send new connections to this VM.
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -315,7 +315,7 @@
     }
     state_.reads_via_peers = relayed;
     state_.log.write(event_line{relayed ? "relays_regained" : "relays_lost"}
-                         .add("keys_age_ms", boot_clock::now() - state_.view.read_sent)
+                         .add("keys_age_ms", state_.view.age(boot_clock::now()))
                          .add("relays", static_cast<std::int64_t>(plan_.records.size())),
                      boot_clock::now());
 }
--- a/src/serving/quota_gate.cpp
+++ b/src/serving/quota_gate.cpp
@@ -180,7 +180,7 @@
             .add("rules", state_.view.rules
                               ? static_cast<std::int64_t>(state_.view.rules->version())
                               : 0)
-            .add("rules_age_ms", boot_clock::now() - state_.view.read_sent)
+            .add("rules_age_ms", state_.view.age(boot_clock::now()))
             .add("retry_ms", answer.retry_after),
         boot_clock::now());
 }
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -9,6 +9,7 @@
 #ifndef MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
 #define MARIGOLDCRANK_SERVING_STORE_FOLLOWERS_HPP
 
+#include "policy/read_progress.hpp"
 #include "ports/log_store_port.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/loop_sleep.hpp"
@@ -110,11 +111,9 @@
     {
         while (true)
         {
-            auto const sent = boot_clock::now();
             auto const failure = co_await next_read();
             if (!failure)
             {
-                state_.view.read_sent = std::max(state_.view.read_sent, sent - age_);
                 log_reachability(true, store_fault::unreachable);
                 backoff_.reset();
                 continue;
@@ -136,7 +135,8 @@
     boost::asio::awaitable<std::optional<store_failure>> read_newest()
     {
         std::string after;
-        age_ = millis{0};
+        millis      age{0};
+        auto const  sent = boot_clock::now();
         while (true)
         {
             auto result = co_await store_.newest(lane, Codec::rules_topic(), after);
@@ -145,7 +145,7 @@
                 co_return *failure;
             }
             auto const& page = std::get<keyed_page>(result);
-            age_ = std::max(age_, page.age);
+            age = std::max(age, page.age);
             for (auto const& record : page.records)
             {
                 apply(record);
@@ -156,6 +156,7 @@
             if (!page.more || page.records.empty())
             {
                 synced_ = true;
+                state_.view.progress.record(next_, next_, sent - age);
                 co_return std::nullopt;
             }
             after = page.records.back().key;
@@ -167,13 +168,13 @@
         bool const answers_peers = state_.serves_peers && state_.relays_used();
         auto const longest = answers_peers ? options_.relay_wait : options_.rules_wait;
         auto const wait = lost_ ? millis{0} : longest;
+        auto const sent = boot_clock::now();
         auto       result = co_await store_.read(lane, Codec::rules_topic(), next_, wait);
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             co_return *failure;
         }
         auto const& chunk = std::get<log_chunk>(result);
-        age_ = chunk.age;
         for (std::size_t at = 0; at < chunk.records.size(); ++at)
         {
             if (auto const record = Codec::keyed(chunk.records[at], chunk.offset_at(at)))
@@ -183,6 +184,7 @@
         }
         next_ = chunk.next();
         log_backlog(chunk);
+        state_.view.progress.record(next_, chunk.end, sent - chunk.age);
         co_return std::nullopt;
     }
 
@@ -204,7 +206,7 @@
                              .add("end", number(chunk.end))
                              .add("relayed", chunk.relayed ? 1 : 0)
                              .add("read_age_ms", chunk.age)
-                             .add("age_ms", now - state_.view.read_sent),
+                             .add("age_ms", state_.view.age(now)),
                          now);
     }
 
@@ -268,7 +270,7 @@
         state_.log.write(event_line{reachable ? "store_regained" : "store_lost"}
                              .add("topic", Codec::rules_topic())
                              .add("fault", static_cast<std::int64_t>(fault))
-                             .add("age_ms", now - state_.view.read_sent),
+                             .add("age_ms", state_.view.age(now)),
                          now);
     }
 
@@ -277,7 +279,6 @@
     follow_options options_;
     retry_backoff  backoff_;
     std::uint64_t  next_ = 0;
-    millis         age_{0}; // age of the last chunk when its read was sent
     bool           synced_; // `next_` continues the last read
     bool           lost_ = false;
 };
@@ -375,10 +376,6 @@
             {
                 co_return false; // no records, though the topic has more
             }
-            if (complete)
-            {
-                state_.servers.complete_up_to(as_of);
-            }
         }
         co_return complete;
     }
@@ -435,7 +432,7 @@
             after = page.records.back().key;
         }
         synced_ = true;
-        state_.servers.complete_up_to(sent - age);
+        record_progress(next_, sent - age);
         // The listing is applied only now that the store is known to be back.
         note_store(false, sent - age);
         if (!std::exchange(watches_restarts_, true))
@@ -471,12 +468,18 @@
         apply(chunk, as_of);
         if (next_ >= chunk.end)
         {
-            state_.servers.complete_up_to(as_of);
             state_.servers.caught_up();
         }
         co_return std::nullopt;
     }
 
+    /// Records a read that states where the topic ended as of `as_of`.
+    void record_progress(std::uint64_t end, boot_clock::time_point as_of)
+    {
+        progress_.record(next_, end, as_of);
+        state_.servers.complete_up_to(progress_.known_as_of());
+    }
+
     /// Applies the changes of a chunk. Two reads may be in progress at once, and an older
     /// change must not replace a newer one.
     void apply(log_chunk const& chunk, boot_clock::time_point as_of)
@@ -494,6 +497,7 @@
             }
         }
         next_ = std::max(next_, chunk.next());
+        record_progress(chunk.end, as_of);
     }
 
     /// Forgets the cached prompts of an engine that has restarted or changed its role,
@@ -635,6 +639,7 @@
     retry_backoff           backoff_;
     std::string const       topic_ = Codec::servers_topic(); // outlives all reads
     std::uint64_t           next_ = 0;
+    read_progress           progress_;
     bool                    synced_; // `next_` continues the last read
     bool                    relayed_ = false;
     bool                    watches_restarts_ = false; // has listed the servers
--- a/tests/platform/beliefs_test.cpp
+++ b/tests/platform/beliefs_test.cpp
@@ -55,6 +55,30 @@
     EXPECT_TRUE(eventually([&] { return status_of(cluster, {}) == 200; }, 8000));
 }
 
+// A VM that the store had turned away returned to several parts of changes. It accepted
+// a key by the first part that the last one withdrew.
+TEST(platform_beliefs, withdrawn_key_stays_refused_while_a_backlog_is_read)
+{
+    entry_cluster cluster({.bounds = "key_life_ms = 2500\n"});
+    cluster.store().trouble(store_fault_kind::refusing);
+    for (std::uint64_t version = 2; version < 8; ++version)
+    {
+        cluster.configure(version, {"key-north"});
+    }
+    cluster.configure(8, {"key-other"});
+    ASSERT_TRUE(eventually([&] { return status_of(cluster, {}) == 503; }, 8000));
+    cluster.store().read_in_parts(1, milliseconds{150});
+    cluster.store().trouble(store_fault_kind::none);
+    auto const until = steady_clock::now() + milliseconds{4000};
+    auto       status = 503;
+    while (status == 503 && steady_clock::now() < until)
+    {
+        status = status_of(cluster, {});
+    }
+    EXPECT_EQ(status, 401);
+    EXPECT_EQ(status_of(cluster, {.key = "key-other"}), 200);
+}
+
 // An old version is read after a newer one, as when a VM reads pages of a store that is
 // being written. The old version must not come into force again.
 TEST(platform_beliefs, older_rules_never_replace_newer_ones)
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -105,6 +105,13 @@
     }
 }
 
+void store_standin::read_in_parts(std::size_t records, std::chrono::milliseconds pause)
+{
+    std::lock_guard lock{mutex_};
+    records_per_read_ = records;
+    read_pause_ = pause;
+}
+
 void store_standin::put(std::string const& topic, std::string const& key,
                         std::string const& value)
 {
@@ -179,6 +186,13 @@
         return true;
     }
     auto const path = request.path();
+    if (path == "/api/log-read")
+    {
+        std::unique_lock lock{mutex_};
+        auto const       pause = read_pause_;
+        lock.unlock();
+        std::this_thread::sleep_for(pause);
+    }
     auto const response = path == "/api/log-append" ? append(request)
                           : path == "/api/log-read" ? read(request, view)
                                                     : newest_by_key(request, view);
@@ -228,8 +242,9 @@
         appended_.wait_for(lock, std::chrono::milliseconds{std::stoi(wait)},
                            [&] { return stopping_ || topic.records.size() > from; });
     }
+    auto const               most = records_per_read_;
     std::vector<std::string> records;
-    for (auto at = from; at < topic.records.size(); ++at)
+    for (auto at = from; at < topic.records.size() && records.size() < most; ++at)
     {
         auto const record =
             view ? platform::decode_keyed(topic.records[at], at) : std::nullopt;
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -40,6 +40,10 @@
     /// Sets the fault of all requests from now on.
     void trouble(store_fault_kind kind);
 
+    /// Answers each read with `records` at most, after `pause`, as while there is a
+    /// backlog of large records.
+    void read_in_parts(std::size_t records, std::chrono::milliseconds pause);
+
     /// Appends a new value of a key, or its removal, to a keyed topic.
     void put(std::string const& topic, std::string const& key, std::string const& value);
     void remove(std::string const& topic, std::string const& key);
@@ -70,6 +74,8 @@
     std::condition_variable          appended_;
     std::map<std::string, topic_log> topics_;
     store_fault_kind                 fault_ = store_fault_kind::none;
+    std::size_t                      records_per_read_ = SIZE_MAX;
+    std::chrono::milliseconds        read_pause_{0};
     std::size_t                      request_count_ = 0;
     std::map<std::pair<std::string, std::string>, std::size_t> counts_; // path, topic
     bool                                                       stopping_ = false;
