An empty page of a listing that goes on is a failed read

All five readers of listings (rules, servers, crashes, versions, origins of streams) take a page without records for the last one, since reading goes on after the last record's key. One that says that more follow would end the listing early: servers, or what blocks crashing contents, would be missing, and the listing would count as complete.

--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -9,6 +9,7 @@
 #include "ledger/relay_entry.hpp"
 #include "ledger/usage_windows.hpp"
 #include "ledger/version_entry.hpp"
+#include "platform/log_codec.hpp"
 #include "platform/rules_decoder.hpp"
 #include "platform/server_decoder.hpp"
 
@@ -128,6 +129,16 @@
     }
 }
 
+// Readers of a listing take a page without records for its end, so servers or blocked
+// contents of the pages after it would be missing.
+TEST(odd_entries, empty_page_of_a_listing_that_goes_on_is_a_failed_read)
+{
+    using platform::decode_page;
+    EXPECT_FALSE(decode_page(R"({"items":[],"has_more":true,"end_offset":7})"));
+    EXPECT_TRUE(decode_page(R"({"items":[],"has_more":false,"end_offset":7})"));
+    EXPECT_TRUE(decode_page(R"({"items":[],"end_offset":0})"));
+}
+
 // 2. The platform's and engines' own interfaces
 
 /// Sends the same text for every request.
