Calls that outlast a planned stop get a final answer

Callers saw: no answer, for calls that were under way when a VM that had been told to stop exited at the end of its grace period, among them some that may not be repeated (reported by other operators; 4 of 4 calls to a silent server here, grace 4 s).

Cause: nothing ended calls before the process ended. 'stopped calls=4', and no 'end' line for any of them.

Fix: plan_stop gives a stop three times: requests are refused, calls without a response get their final one, the process exits. After the second nothing is sent to a server, so 503 ('not run') stays true; calls that may have run get 504. What the VM breaks off itself isn't held against servers, links or calls. Streams under way go on until the exit.

--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -68,7 +68,7 @@
 {
     if (!time_left())
     {
-        last_fault_ = "deadline";
+        last_fault_ = ended_ ? fault_stopping : "deadline";
         return false;
     }
     if (would_crash())
@@ -108,7 +108,7 @@
     }
     if (!time_left())
     {
-        last_fault_ = "deadline";
+        last_fault_ = ended_ ? fault_stopping : "deadline";
         return false;
     }
     return true;
@@ -116,7 +116,7 @@
 
 bool call_attempts::time_left() const
 {
-    return admitted_.deadline - loop_clock::now() >= min_time_left;
+    return !ended_ && admitted_.deadline - loop_clock::now() >= min_time_left;
 }
 
 bool call_attempts::is_last_server() const
@@ -167,7 +167,7 @@
     {
         state_.suspected_links.insert(admitted_.service_name);
     }
-    if (result.fate == attempt_outcome::unknown)
+    if (result.fate == attempt_outcome::unknown && !ended_)
     {
         report_suspected_crash(result);
     }
@@ -206,6 +206,10 @@
 {
     constexpr unsigned misdirected = 421;
     auto const         now = boot_clock::now();
+    if (ended_)
+    {
+        return;
+    }
     if (result.fate == attempt_outcome::not_run && result.status == misdirected)
     {
         state_.health.changed(result.server, now);
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -22,6 +22,9 @@
 /// have cut it for that, so the end isn't held against the server or the call.
 inline constexpr std::string_view fault_unread = "unread";
 
+/// Fault of a call that was ended because this VM stops.
+inline constexpr std::string_view fault_stopping = "stopping";
+
 /// Fault of a stream that was given up because one of its events was too long.
 inline constexpr std::string_view fault_event_limit = "event_limit";
 
@@ -93,6 +96,13 @@
     /// Records that the call is sent to `server` to be run.
     void record_start(std::string const& server);
 
+    /// Makes the call end without another attempt, as this VM stops. What its current
+    /// attempt brings isn't held against the server.
+    void end() noexcept
+    {
+        ended_ = true;
+    }
+
     // After an attempt
 
     /// Records how an attempt to run the call ended. Also called for an attempt whose
@@ -162,6 +172,7 @@
     attempt_history            history_;
     std::set<std::string>      tried_;
     std::optional<std::string> version_; // required; none: any
+    bool                       ended_ = false;
     bool more_servers_ = false;   // another server can be tried after the current one
     bool prefill_failed_ = false; // a prefill was sent and returned no handle
     std::string_view last_fault_ = "no_server";
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -10,6 +10,9 @@
 #include "serving/quota_gate.hpp"
 #include "serving/stream_call.hpp"
 
+#include <optional>
+#include <utility>
+
 namespace marigoldcrank
 {
 
@@ -30,7 +33,11 @@
     /// Serves the call and sends its final response, unless the caller has disconnected.
     boost::asio::awaitable<connection_disposition> run()
     {
-        ++context_.state.active_calls;
+        std::optional<running_calls::place> place{std::in_place, context_.state.running,
+                                                  [this]
+                                                  {
+                                                      end();
+                                                  }};
         auto refusal = admit_call(context_.state, context_.call, context_.request.body(),
                                   context_.arrived, context_.admitted);
         if (!refusal && has_quota())
@@ -63,7 +70,7 @@
         turn_.end();
         co_await ending_.deliver();
         context_.caller.stop_watching();
-        --context_.state.active_calls;
+        place.reset();
         if (quota_hold_.units > 0 && !context_.attempts.history().may_have_run() &&
             context_.state.quotas != nullptr)
         {
@@ -74,6 +81,18 @@
     }
 
 private:
+    /// Ends the call, unless its response has begun.
+    void end()
+    {
+        if (context_.ended() || context_.stream.started())
+        {
+            return;
+        }
+        context_.attempts.end();
+        sender_.stop();
+        turn_.stop();
+    }
+
     bool has_quota() const
     {
         return context_.admitted.caller_workspace != nullptr &&
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
 #include "policy/list_age.hpp"
+#include "policy/stop_plan.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/crash_recorder.hpp"
 #include "serving/duty_worker.hpp"
@@ -106,8 +107,6 @@
     static constexpr millis tally_interval{5000};
     // 50    ms; between checks whether all calls have ended
     static constexpr millis drain_poll{50};
-    // 300   ms; part of the grace period for callers to receive the last responses
-    static constexpr millis drain_reserve{300};
     // 100   ms; part of the grace period for the process to exit
     static constexpr millis exit_reserve{100};
 
@@ -326,28 +325,51 @@
     }
 
     /// Reports not ready at once, but serves until the balancer has noticed. Then it
-    /// closes idle connections, and running calls get the rest of the grace period.
+    /// closes idle connections. Running calls get the rest of the grace period, and a
+    /// final answer before it is over.
     boost::asio::awaitable<void> drain()
     {
         auto const began = boot_clock::now();
+        auto const plan =
+            plan_stop({state_.settings.grace, state_.settings.drain_notice});
         state_.draining = true;
         state_.waiting.stop();
-        state_.log.write(event_line{"stop"}.add("calls", state_.active_calls), began);
-        co_await loop_sleep(state_.settings.drain_notice);
+        state_.log.write(event_line{"stop"}.add("calls", state_.running.size()), began);
+        co_await loop_sleep(plan.closes);
         state_.closed = true;
+        co_await close_until(began + plan.ends_calls);
+        end_calls();
+        co_await close_until(began + plan.exits);
+        co_await append_usage_until(began + state_.settings.grace - exit_reserve);
+        state_.log.write(event_line{"stopped"}
+                             .add("calls", state_.running.size())
+                             .add("took_ms", boot_clock::now() - began),
+                         boot_clock::now());
+    }
+
+    /// Closes connections until none is in use, or until `until`.
+    boost::asio::awaitable<void> close_until(boot_clock::time_point until)
+    {
         callers_.close_idle();
-        auto const limit = state_.settings.grace - drain_reserve;
-        while (boot_clock::now() - began < limit &&
-               (state_.active_calls > 0 || state_.tunnels > 0 || !callers_.idle.empty()))
+        while (
+            boot_clock::now() < until &&
+            (state_.running.size() > 0 || state_.tunnels > 0 || !callers_.idle.empty()))
         {
             callers_.close_idle();
             co_await loop_sleep(drain_poll);
         }
-        co_await append_usage_until(began + state_.settings.grace - exit_reserve);
-        state_.log.write(event_line{"stopped"}
-                             .add("calls", state_.active_calls)
-                             .add("took_ms", boot_clock::now() - began),
-                         boot_clock::now());
+    }
+
+    /// Lets the calls end that wait for a server: their callers get an answer.
+    void end_calls()
+    {
+        auto const calls = state_.running.size();
+        state_.running.end_all();
+        if (calls > 0)
+        {
+            state_.log.write(event_line{"calls_ended"}.add("calls", calls),
+                             boot_clock::now());
+        }
     }
 
     /// Appends usage counts until `until`. A store that doesn't respond can delay an
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -45,6 +45,7 @@
 #include "serving/call_queue.hpp"
 #include "serving/connection_pool.hpp"
 #include "serving/list_check.hpp"
+#include "serving/running_calls.hpp"
 
 #include <map>
 #include <memory>
@@ -309,15 +310,15 @@
     quota_gate*                   quotas = nullptr;  // null: no VM can be queried yet
     owner_link*                   owners = nullptr;  // null: no VM can be queried yet
     origin_link*                  keepers = nullptr; // null: no VM can be queried yet
-    std::int64_t known_vms = 0;           // VMs that appended usage lately; 0: none
-    bool         reads_via_peers = false; // other VMs pass on the records of the store
-    bool         serves_peers = false;    // this VM passes on the records of the store
-    bool         is_relay = false;        // adds up the digests of its data centre
-    bool         is_first_relay = false;  // the first of its data centre's relays
-    bool         holds_duties = false;
-    bool         draining = false; // reports not ready, still serves
-    bool         closed = false;   // accepts no new calls
-    std::int64_t active_calls = 0;
+    std::int64_t  known_vms = 0;           // VMs that appended usage lately; 0: none
+    bool          reads_via_peers = false; // other VMs pass on the records of the store
+    bool          serves_peers = false;    // this VM passes on the records of the store
+    bool          is_relay = false;        // adds up the digests of its data centre
+    bool          is_first_relay = false;  // the first of its data centre's relays
+    bool          holds_duties = false;
+    bool          draining = false; // reports not ready, still serves
+    bool          closed = false;   // accepts no new calls
+    running_calls running;
 
     std::map<std::string, work_by_caller>  callers_work; // by service; of this VM
     std::map<std::string, level_state>     levels;       // by service
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -79,6 +79,11 @@
             fault_ = "left";
             co_return attempt_outcome::not_sent;
         }
+        if (state_.running.ended())
+        {
+            fault_ = "stopping";
+            co_return attempt_outcome::not_sent;
+        }
         count_request(request);
         record_use(request.call_id);
         sent_at_ = boot_clock::now();
