A VM that stops takes no call that may run once only and can't end in time

Callers saw: calls without an answer that had been read late in a stop (reported by other operators). Here requests were taken for 2.5 s after the signal whatever the grace period and the call's own time; with a grace period of 1.5 s the process was killed while it still took calls.

Fix: fits_stop refuses a plain call that may run once only, at once and as not run, if its time reaches beyond the end of calls; another VM can serve it.

--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -1,6 +1,7 @@
 // Decides whether a call is admitted, by rules, API key, content, and age of the rules.
 //
-// Index: 1 refusal_retry_after, poison_retry_after, 2 admitted_call, 3 crash_cause,
+// Index: 1 refusal_retry_after, poison_retry_after, stopping_retry_after, 2
+// admitted_call, 3 crash_cause,
 //        4 admit_call
 #ifndef MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 #define MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
@@ -20,6 +21,8 @@
 // 5000 ms; a request that has crashed two servers isn't run again, but its caller may
 //      have changed it by then
 constexpr millis poison_retry_after{5000};
+// 50    ms; at a VM that stops. Another one can serve the call at once
+constexpr millis stopping_retry_after{50};
 
 /// What the rules in force at its arrival say about a call. The pointers lead into
 /// `rules`, which this struct keeps alive.
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -7,6 +7,7 @@
 #ifndef MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 #define MARIGOLDCRANK_SERVING_CALL_RUNNER_HPP
 
+#include "policy/stop_plan.hpp"
 #include "serving/quota_gate.hpp"
 #include "serving/stream_call.hpp"
 
@@ -40,6 +41,11 @@
                                                   }};
         auto refusal = admit_call(context_.state, context_.call, context_.request.body(),
                                   context_.arrived, context_.admitted);
+        if (!refusal && !fits_planned_stop())
+        {
+            refusal = own_response{503, call_fate::not_run, fault_stopping,
+                                   stopping_retry_after};
+        }
         if (!refusal && has_quota())
         {
             refusal = co_await context_.state.quotas->admit(
@@ -93,6 +99,20 @@
         turn_.stop();
     }
 
+    /// Whether the VM isn't stopping, or the call has time until it stops.
+    bool fits_planned_stop() const
+    {
+        auto const& end = context_.state.calls_end;
+        auto const  left = [&]
+        {
+            return std::chrono::duration_cast<millis>(*end - loop_clock::now());
+        };
+        return !end || fits_stop({.repeatable = context_.admitted.repeatable,
+                                  .stream = context_.is_stream(),
+                                  .limit = context_.until_deadline()},
+                                 left());
+    }
+
     bool has_quota() const
     {
         return context_.admitted.caller_workspace != nullptr &&
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -88,11 +88,9 @@
         }
         if (state_.closed)
         {
-            // The call might not end within the grace period of the shutdown; another VM
-            // can serve it immediately.
-            constexpr millis stopping_retry_after{50};
+            // The call might not end within the grace period of the shutdown.
             co_return co_await refuse(
-                {503, call_fate::not_run, "stopping", stopping_retry_after});
+                {503, call_fate::not_run, fault_stopping, stopping_retry_after});
         }
         auto const request = parser.release();
         auto       call = Dialect::parse_call(request.base());
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -333,6 +333,7 @@
         auto const plan =
             plan_stop({state_.settings.grace, state_.settings.drain_notice});
         state_.draining = true;
+        state_.calls_end = loop_clock::now() + plan.ends_calls;
         state_.waiting.stop();
         state_.log.write(event_line{"stop"}.add("calls", state_.running.size()), began);
         co_await loop_sleep(plan.closes);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -319,6 +319,8 @@
     bool          draining = false; // reports not ready, still serves
     bool          closed = false;   // accepts no new calls
     running_calls running;
+    // In a planned stop, when the calls get their final responses.
+    std::optional<loop_time> calls_end;
 
     std::map<std::string, work_by_caller>  callers_work; // by service; of this VM
     std::map<std::string, level_state>     levels;       // by service
