Responses aren't read past the time of their attempt

Callers would see: all calls of a VM end when it runs out of memory, after engines have sent bytes without end (reported by other operators). Here: 64 callers, 8 such servers, a VM of 120 MB: 286 to 417 MB taken, and half of the calls beside them refused.

Cause: a read completes with bytes that are ready before its timer is looked at. A reader that waited for memory stopped waiting when its time was up, and then read on at full speed: every response grew to a sixth of the bound instead of half of it in sum, 0.6 to 5 s past its time.

Evidence: held bytes, logged in a trial, stay at 15 to 20 MB for the first second of the calls and then rise to 245 MB (30 MB allowed); settings of the allocator change little.

Fix: http_connection::read_body returns timed_out once its time is up.

Tests, failed before: endless_responses_of_many for bodies without a length, chunks and events (286, 299 and 407 MB of 120; responses of 3.1 to 7.4 s of 2.5 s).

--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -194,6 +194,12 @@
         complete_ = true;
         co_return end_of_body();
     }
+    // While bytes are ready to be read, an operation completes before its time is looked
+    // at, so a response without end would go on past it.
+    if (loop_clock::now() >= until)
+    {
+        co_return body_result::timed_out;
+    }
     std::array<char, body_chunk_size> chunk;
     auto&                             body = parser_->get().body();
     body.data = chunk.data();
--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -306,6 +306,68 @@
                      .through_another_vm = true}),
     [](auto const& each) { return each.param.name; });
 
+class endless_responses_of_many : public testing::TestWithParam<endless_case>
+{
+};
+
+// Each response alone was bounded. Many at once must be, too: the bounds of a single one
+// add up.
+TEST_P(endless_responses_of_many, leave_memory_and_service_to_the_others)
+{
+    constexpr int          servers = 8;
+    constexpr int          callers = 64;
+    constexpr std::int64_t smallest_vm_mb = 120;
+    auto const&            given = GetParam();
+    entry_cluster          cluster({.servers = servers, .slots = 64});
+    endless_servers        endless(cluster, given, servers);
+    ASSERT_TRUE(eventually(
+        [&] { return ask(cluster.caller_port(), {.path = "/open/x"}).status == 200; }));
+    call_tally               bad;
+    call_tally               sound;
+    auto const               end = clock::now() + seconds{4};
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < callers; ++caller)
+    {
+        threads.emplace_back(
+            [&, caller]
+            {
+                send_calls(cluster.caller_port(), given.path, std::string{endless_body},
+                           caller, end, bad);
+            });
+    }
+    threads.emplace_back(
+        [&] { send_calls(cluster.caller_port(), "/open/x", "", 0, end, sound); });
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    EXPECT_EQ(bad.served, 0);
+    EXPECT_GE(sound.asked, 5);
+    EXPECT_GE(sound.served * 100, sound.asked * 95)
+        << sound.served << " of " << sound.asked;
+    EXPECT_LE(peak_mb(cluster.daemon().pid()), smallest_vm_mb);
+    EXPECT_LE(endless.longest(), deadline + milliseconds{500});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    places, endless_responses_of_many,
+    testing::Values(
+        endless_case{.name = "field",
+                     .begin = "HTTP/1.1 200 OK\r\nX-Long: ",
+                     .more = "x",
+                     .has_head = false},
+        endless_case{.name = "trailers", .begin = "0\r\n", .more = "X-Field: x\r\n"},
+        endless_case{.name = "body_without_length",
+                     .more = "x",
+                     .framed = false,
+                     .has_body = true},
+        endless_case{.name = "chunks", .more = chunk_of_a_body, .has_body = true},
+        endless_case{.name = "stream_event",
+                     .path = "/stream/x",
+                     .more = "1006\r\n" + event_line_without_end + "\r\n",
+                     .has_body = true}),
+    [](auto const& each) { return each.param.name; });
+
 // The VM went on reading what is no handle of a cache, up to the limit of plain
 // responses.
 TEST(endless_prefills, call_is_prefilled_until_its_time_is_up)
