Late responses are skipped without being kept

Cause: what was skipped was kept until it ended, up to 1 MiB each, and counted as held. Fix: discard_body keeps nothing; releases use it, too.

--- a/src/serving/handle_release.hpp
+++ b/src/serving/handle_release.hpp
@@ -37,8 +37,7 @@
     auto const               until = request.until;
     if (co_await link.start(std::move(request)) == attempt_outcome::answered)
     {
-        std::string ignored;
-        co_await link.read_small_body(ignored, until);
+        co_await link.discard_body(until);
     }
 }
 
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -125,7 +125,7 @@
             }
             // It is skipped, and the connection is not reused, since more may follow.
             stray_ = true;
-            if (!co_await skip_body(request.until))
+            if (!co_await discard_body(request.until))
             {
                 fault_ = "stray";
                 co_return attempt_outcome::unknown;
@@ -222,7 +222,7 @@
         co_return is_complete_body(step) && !may_be_cut(step);
     }
 
-    /// The same for a response to the system itself, or to nobody.
+    /// The same for a response to the system itself.
     boost::asio::awaitable<bool> read_small_body(std::string& out, loop_time until)
     {
         auto       step = body_result::more;
@@ -235,6 +235,22 @@
         co_return is_complete_body(step);
     }
 
+    /// Reads a body that nobody needs and keeps none of it. Returns false if it is
+    /// incomplete or too long.
+    boost::asio::awaitable<bool> discard_body(loop_time until)
+    {
+        auto        step = body_result::more;
+        std::size_t bytes = 0;
+        std::string part;
+        while (step == body_result::more && bytes <= most_small_body)
+        {
+            part.clear();
+            step = co_await read_body(part, until);
+            bytes += part.size();
+        }
+        co_return is_complete_body(step);
+    }
+
     /// Waits while the VM holds too much for `held` to grow and others will make room.
     boost::asio::awaitable<void> wait_for_memory(held_share const& held, loop_time until)
     {
@@ -385,12 +401,6 @@
         return attempt_outcome::answered;
     }
 
-    boost::asio::awaitable<bool> skip_body(loop_time until)
-    {
-        std::string ignored;
-        co_return co_await read_small_body(ignored, until);
-    }
-
     /// Returns the connection to the pool unless bytes on it could be taken for the
     /// response to another call; else closes it.
     void release_connection()
--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -362,6 +362,12 @@
                      .framed = false,
                      .has_body = true},
         endless_case{.name = "chunks", .more = chunk_of_a_body, .has_body = true},
+        endless_case{.name = "late_response",
+                     .begin = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n",
+                     .more = chunk_of_a_body,
+                     .has_head = false,
+                     .has_body = true},
         endless_case{.name = "stream_event",
                      .path = "/stream/x",
                      .more = "1006\r\n" + event_line_without_end + "\r\n",
