--- a/tests/platform/endless_responses_test.cpp
+++ b/tests/platform/endless_responses_test.cpp
@@ -374,6 +374,26 @@
                      .has_body = true}),
     [](auto const& each) { return each.param.name; });
 
+// A response of the store was bounded by its time only, and at full speed it took all
+// memory of a VM within that time.
+TEST(endless_responses_of_the_store, leave_memory_and_service_to_callers)
+{
+    constexpr std::int64_t smallest_vm_mb = 120;
+    entry_cluster          cluster;
+    cluster.store().trouble(store_fault_kind::endless);
+    call_tally sound;
+    send_calls(cluster.caller_port(), "/open/x", "", 0, clock::now() + seconds{4}, sound);
+    EXPECT_GE(sound.asked, 20);
+    EXPECT_GE(sound.in_time * 100, sound.asked * 95)
+        << sound.in_time << " of " << sound.asked;
+    EXPECT_LE(peak_mb(cluster.daemon().pid()), smallest_vm_mb);
+    cluster.store().trouble(store_fault_kind::none);
+    cluster.configure(2, {"key-new"});
+    EXPECT_TRUE(eventually(
+        [&] { return ask(cluster.caller_port(), {.key = "key-new"}).status == 200; },
+        8000));
+}
+
 // The VM went on reading what is no handle of a cache, up to the limit of plain
 // responses.
 TEST(endless_prefills, call_is_prefilled_until_its_time_is_up)
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -186,6 +186,16 @@
         return true;
     }
     auto const path = request.path();
+    if (kind == store_fault_kind::endless)
+    {
+        connection.send("HTTP/1.1 200 OK\r\n\r\n");
+        std::string const piece(65536, 'x');
+        while (!connection.closed_by_peer())
+        {
+            connection.send(piece);
+        }
+        return false;
+    }
     if (path == "/api/log-read")
     {
         std::unique_lock lock{mutex_};
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -21,7 +21,8 @@
     silent,           // no response, nothing is appended
     refusing,         // response 503, nothing is appended
     losing_responses, // appends take effect, but their responses are lost
-    truncated         // records so far are discarded; reads of them get 410
+    truncated,        // records so far are discarded; reads of them get 410
+    endless           // reads get bytes without end
 };
 
 /// Keeps all topics in memory.
