Responses to HEAD requests have no body

Cause: the daemon's own responses were made without regard to the request's method, and a HEAD request to a streaming route was relayed as a stream in chunks. Fix: format_own_response takes head_only, from the method; a HEAD request is no stream.

--- a/src/serving/call_context.hpp
+++ b/src/serving/call_context.hpp
@@ -43,9 +43,15 @@
     call_context(call_context const&) = delete;
     call_context& operator=(call_context const&) = delete;
 
+    /// Whether the response has no body whatever it says.
+    bool head_only() const
+    {
+        return request.method() == boost::beast::http::verb::head;
+    }
+
     bool is_stream() const
     {
-        return admitted.matched->kind == call_kind::stream;
+        return admitted.matched->kind == call_kind::stream && !head_only();
     }
 
     /// Whether the final response has been sent, or the connection aborted.
--- a/src/serving/call_ending.cpp
+++ b/src/serving/call_ending.cpp
@@ -59,7 +59,7 @@
     context_.state.counters.add("refusals_total",
                                 "cause=\"" + std::string{context_.outcome} +
                                     "\",status=\"" + std::to_string(value.status) + "\"");
-    queue(format_own_response(value, !context_.keep_alive));
+    queue(format_own_response(value, !context_.keep_alive, context_.head_only()));
     co_return;
 }
 
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -84,20 +84,24 @@
         }
         if (refusal)
         {
-            co_return co_await refuse(*refusal);
+            co_return co_await refuse(*refusal, is_head(parser));
         }
         if (state_.closed)
         {
             // The call might not end within the grace period of the shutdown.
             co_return co_await refuse(
-                {503, call_fate::not_run, fault_stopping, stopping_retry_after});
+                {503, call_fate::not_run, fault_stopping, stopping_retry_after},
+                is_head(parser));
         }
+        bool const head_only = is_head(parser);
         auto const request = parser.release();
         auto       call = Dialect::parse_call(request.base());
         if (auto const* fault = std::get_if<call_fault>(&call))
         {
-            co_return co_await refuse(bad_request(
-                *fault == call_fault::bad_number ? "bad_number" : "repeated_field"));
+            co_return co_await refuse(bad_request(*fault == call_fault::bad_number
+                                                      ? "bad_number"
+                                                      : "repeated_field"),
+                                      head_only);
         }
         call_runner<Dialect>  runner{state_, *connection_, request,
                                     std::move(std::get<caller_call>(call))};
@@ -198,6 +202,11 @@
         co_return std::nullopt;
     }
 
+    static bool is_head(request_parser const& parser)
+    {
+        return parser.get().method() == boost::beast::http::verb::head;
+    }
+
     static own_response out_of_memory()
     {
         return {503, call_fate::not_run, "memory", refusal_retry_after};
@@ -232,7 +241,8 @@
 
     /// Refuses a request that can't be served as it is, and closes the connection, since
     /// it isn't certain where the next request begins.
-    boost::asio::awaitable<connection_disposition> refuse(own_response refusal)
+    boost::asio::awaitable<connection_disposition> refuse(own_response refusal,
+                                                          bool         head_only)
     {
         if (refusal.cause == "closed" || !connection_->stream().socket().is_open())
         {
@@ -245,8 +255,9 @@
                              .add("cause", refusal.cause)
                              .add("status", static_cast<std::int64_t>(refusal.status)),
                          boot_clock::now());
-        bool const written = co_await connection_->write(
-            format_own_response(refusal, true), loop_clock::now() + write_timeout);
+        bool const written =
+            co_await connection_->write(format_own_response(refusal, true, head_only),
+                                        loop_clock::now() + write_timeout);
         co_return written ? connection_disposition::close
                           : connection_disposition::aborted;
     }
--- a/src/serving/own_response.cpp
+++ b/src/serving/own_response.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-std::string format_own_response(own_response const& reply, bool close)
+std::string format_own_response(own_response const& reply, bool close, bool head_only)
 {
     auto const body = nlohmann::json{{"error",
                                       {{"cause", std::string{reply.cause}},
@@ -72,7 +72,7 @@
         out += seconds.data();
     }
     out += close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
-    return out + body;
+    return head_only ? out : out + body;
 }
 
 std::string format_response(response_head const& head, std::string const& body,
--- a/src/serving/own_response.hpp
+++ b/src/serving/own_response.hpp
@@ -26,10 +26,12 @@
     bool operator==(own_response const&) const = default;
 };
 
-/// The complete response as bytes.
-std::string format_own_response(own_response const& reply, bool close);
+/// The complete response as bytes; only its head with `head_only`, to a HEAD request.
+std::string format_own_response(own_response const& reply, bool close, bool head_only);
 
 /// A server's response as bytes, with end-to-end fields only and a new Content-Length.
+/// With `head_only`, to a HEAD request, only its head, with the length that the server
+/// stated, if any.
 std::string format_response(response_head const& head, std::string const& body,
                             bool close, bool head_only);
 
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -83,7 +83,7 @@
     {
         std::string body;
         held_share  held{context_.state.held, held_kind::reading};
-        bool const  head_only = context_.request.method_string() == "HEAD";
+        bool const  head_only = context_.head_only();
         if (!head_only)
         {
             bool const complete = co_await link.read_complete_body(
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -68,7 +68,7 @@
     /// Connects, sends the request, and reads heads until one belongs to this call.
     boost::asio::awaitable<attempt_outcome> start(exchange_request request)
     {
-        bool const head_only = request.message.method_string() == "HEAD";
+        bool const head_only = request.message.method() == boost::beast::http::verb::head;
         internal_ = request.internal;
         if (!co_await open(request))
         {
--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -75,14 +75,20 @@
     return count > 0;
 }
 
-raw_response raw_caller::read(int timeout_ms)
+raw_response raw_caller::read_head(int timeout_ms)
 {
     raw_response response;
+    response.complete = read_head(response, timeout_ms);
+    return response;
+}
+
+bool raw_caller::read_head(raw_response& response, int timeout_ms)
+{
     while (buffer_.find("\r\n\r\n") == std::string::npos)
     {
         if (!receive_some(timeout_ms))
         {
-            return response;
+            return false;
         }
     }
     auto const head_end = buffer_.find("\r\n\r\n") + 4;
@@ -98,6 +104,16 @@
         response.fields[name] = head.substr(colon + 2, end - colon - 2);
         at = end + 2;
     }
+    return true;
+}
+
+raw_response raw_caller::read(int timeout_ms)
+{
+    raw_response response;
+    if (!read_head(response, timeout_ms))
+    {
+        return response;
+    }
     if (response.fields["transfer-encoding"] == "chunked")
     {
         while (true)
--- a/tests/platform/support/raw_caller.hpp
+++ b/tests/platform/support/raw_caller.hpp
@@ -39,6 +39,9 @@
     /// passes, the response is returned as far as it was read.
     raw_response read(int timeout_ms = 15000);
 
+    /// Reads the next response, to a HEAD request.
+    raw_response read_head(int timeout_ms = 15000);
+
     /// Reads until the unread bytes contain `text`, and returns them without consuming
     /// them.
     std::string read_until(std::string const& text, int timeout_ms = 15000);
@@ -49,6 +52,8 @@
     void close();
 
 private:
+    /// Reads the status and the fields. False if the connection ends before.
+    bool read_head(raw_response& response, int timeout_ms);
     bool receive_some(int timeout_ms);
 
     int         socket_ = -1;
