A response to HEAD without a length gets none

Cause: the server's field was copied also where there was none. Fix: it is copied if the server has stated it. Test, failed before: head_requests.responses_without_a_length_get_none.

--- a/src/serving/own_response.cpp
+++ b/src/serving/own_response.cpp
@@ -81,7 +81,10 @@
     auto result = relayed_head(head, close);
     if (head_only)
     {
-        result.set(http::field::content_length, head[http::field::content_length]);
+        if (head.count(http::field::content_length) > 0)
+        {
+            result.set(http::field::content_length, head[http::field::content_length]);
+        }
         return to_text(result);
     }
     constexpr unsigned no_content = 204;
--- a/tests/platform/head_requests_test.cpp
+++ b/tests/platform/head_requests_test.cpp
@@ -48,6 +48,30 @@
     EXPECT_TRUE(ambiguous.closed());
 }
 
+// A response without a length got an empty Content-Length.
+TEST(head_requests, responses_without_a_length_get_none)
+{
+    entry_cluster cluster(one_server());
+    for (std::string const framing :
+         {"", "Transfer-Encoding: chunked\r\n", "Content-Length: 13\r\n"})
+    {
+        cluster.server(0).handle_next(
+            [framing](wire_request const& request, wire_connection& connection)
+            {
+                auto head = server_standin::without_framing(
+                    server_standin::signed_response(request, ""));
+                connection.send(head.insert(head.find("\r\n") + 2, framing));
+                return true;
+            });
+        auto const answered = ask_head(cluster.caller_port(), {});
+        EXPECT_EQ(answered.head.status, 200) << framing;
+        bool const stated = answered.head.fields.count("content-length") > 0;
+        EXPECT_EQ(stated, framing.starts_with("Content-Length")) << framing;
+        EXPECT_TRUE(!stated || answered.head.fields.at("content-length") == "13");
+        EXPECT_EQ(answered.next.body, "served by i-0") << framing;
+    }
+}
+
 // The end of the chunks of a stream was sent as a body.
 TEST(head_requests, streams_are_answered_by_their_head_only)
 {
