A head with a status line within it is malformed

Callers would see: 503 for calls that ran, where a server sends a cut rejection after a complete response: its bytes and the answer to the next call are one head by the grammar, with the status of the first and the id of the second.

Fix: contains_status_line; the call ends as unknown and its connection is closed.

--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -31,8 +31,40 @@
                        { return letter <= ' ' || letter == 0x7f || letter == '#'; });
 }
 
+/// Whether `text` contains "HTTP/1.x NNN".
+bool has_status_line(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view rest = "x NNN"; // after it
+    auto const                 is_digit = [](char letter)
+    {
+        return std::isdigit(static_cast<unsigned char>(letter)) != 0;
+    };
+    auto at = text.find(version);
+    while (at != std::string_view::npos)
+    {
+        auto const line = text.substr(at + version.size(), rest.size());
+        bool const found =
+            line.size() == rest.size() && is_digit(line[0]) && line[1] == ' ' &&
+            is_digit(line[2]) && is_digit(line[3]) && is_digit(line[4]);
+        if (found)
+        {
+            return true;
+        }
+        at = text.find(version, at + 1);
+    }
+    return false;
+}
+
 } // namespace
 
+bool contains_status_line(response_head const& head)
+{
+    return has_status_line(view(head.reason())) ||
+           std::any_of(head.begin(), head.end(), [](auto const& field)
+                       { return has_status_line(view(field.value())); });
+}
+
 head_fault check_head(request_head const& head)
 {
     if (head.count(http::field::host) != 1 ||
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -32,6 +32,10 @@
 /// The name of the fault for logs and responses.
 char const* head_fault_name(head_fault value);
 
+/// Whether a status line stands within the head. Then a response was cut within its own
+/// head, and the next one was read as the rest of it.
+bool contains_status_line(response_head const& head);
+
 /// Copies the end-to-end fields. Hop-by-hop fields and those listed in Connection are
 /// left out, except that `kept(name)` keeps a field that Connection lists.
 template <class Kept>
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -9,6 +9,7 @@
 #include "policy/response_match.hpp"
 #include "policy/unread_time.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/http_rules.hpp"
 #include "serving/list_check.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/send_permit.hpp"
@@ -106,6 +107,11 @@
                                                         : "broken";
                 co_return attempt_outcome::unknown;
             }
+            if (contains_status_line(connection_->head()))
+            {
+                fault_ = "malformed";
+                co_return attempt_outcome::unknown;
+            }
             facts_ = Dialect::parse_response(connection_->head());
             framing_ = response_framing_name(connection_->framing());
             auto const match =
