A server's refusal that promises nothing isn't relayed as a promise

Callers saw: a server's own 408, 429 or 503, which doesn't say that the call hasn't run, relayed as it is.

Cause: every failure of a server was relayed unchanged. Fix: where the call may run once only, the caller gets 502, outcome_unknown, without the server's signature; repeatable calls get the server's response as before. Test, failed before: platform_calls.failure_of_a_server_promises_nothing_for_a_call_that_ may_run_once (408, 429 and 503 relayed).

--- a/src/policy/attempt_history.hpp
+++ b/src/policy/attempt_history.hpp
@@ -1,6 +1,6 @@
 // The outcomes of a call's attempts so far, and whether another attempt is allowed.
 //
-// Index: 1 attempt_outcome, 2 attempt_limits, 3 attempt_history
+// Index: 1 attempt_outcome, 2 promises_not_run, 3 attempt_limits, 4 attempt_history
 //
 // It prevents that a call which must not be repeated runs twice, that a refusal reports
 // "not run" for a call that may have run, and that a call tries full or unreachable
@@ -39,6 +39,18 @@
     return "unknown";
 }
 
+/// Whether a response with this status promises its caller that the call hasn't run and
+/// won't. A caller sends a call that may run once only again after such a response.
+constexpr bool promises_not_run(unsigned status)
+{
+    constexpr unsigned request_timeout = 408;
+    constexpr unsigned misdirected = 421;
+    constexpr unsigned too_many = 429;
+    constexpr unsigned unavailable = 503;
+    return status == request_timeout || status == misdirected || status == too_many ||
+           status == unavailable;
+}
+
 /// Limits that the rules set for a call.
 struct attempt_limits
 {
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -103,6 +103,15 @@
         body = {};
         held.set(0);
         ending_.count_usage();
+        // A rejection that says that it is one never gets here.
+        if (promises_not_run(status) && !context_.admitted.repeatable)
+        {
+            context_.attempts.record_server_failure(
+                sender_.result_of(link, attempt_outcome::answered));
+            co_await ending_.send_own_response(
+                {502, call_fate::outcome_unknown, "server_error", std::nullopt});
+            co_return true;
+        }
         if (status < first_server_error)
         {
             context_.state.health.succeeded(link.server().id);
--- a/tests/platform/answers_test.cpp
+++ b/tests/platform/answers_test.cpp
@@ -76,6 +76,30 @@
     }
 }
 
+// A server's 503 that doesn't say that the call hasn't run was relayed. Callers send the
+// call again after that status.
+TEST(platform_calls, failure_of_a_server_promises_nothing_for_a_call_that_may_run_once)
+{
+    entry_cluster cluster(one_server());
+    for (int const status : {408, 429, 503})
+    {
+        cluster.server(0).handle_always(
+            [status](wire_request const& request, wire_connection& connection)
+            {
+                connection.send(
+                    server_standin::signed_response(request, "half done", status));
+                return true;
+            });
+        auto const once = ask(cluster.caller_port(), {.path = "/once/x", .id = "once"});
+        EXPECT_EQ(once.status, 502);
+        EXPECT_EQ(once.fields.count("instance-signature"), 0U);
+        EXPECT_NE(once.body.find("outcome_unknown"), std::string::npos);
+        auto const repeatable = ask(cluster.caller_port(), {.id = "repeatable"});
+        EXPECT_EQ(repeatable.status, status);
+        EXPECT_EQ(repeatable.body, "half done");
+    }
+}
+
 // A rejection without an id was believed, and the order was sent to a second server while
 // the first ran it.
 TEST(platform_calls, rejection_without_id_is_no_proof_that_a_call_has_not_run)
