--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -44,9 +44,9 @@
     while (at != std::string_view::npos)
     {
         auto const line = text.substr(at + version.size(), rest.size());
-        bool const found =
-            line.size() == rest.size() && is_digit(line[0]) && line[1] == ' ' &&
-            is_digit(line[2]) && is_digit(line[3]) && is_digit(line[4]);
+        bool const found = line.size() == rest.size() && is_digit(line[0]) &&
+                           line[1] == ' ' && is_digit(line[2]) && is_digit(line[3]) &&
+                           is_digit(line[4]);
         if (found)
         {
             return true;
@@ -61,7 +61,8 @@
 bool contains_status_line(response_head const& head)
 {
     return has_status_line(view(head.reason())) ||
-           std::any_of(head.begin(), head.end(), [](auto const& field)
+           std::any_of(head.begin(), head.end(),
+                       [](auto const& field)
                        { return has_status_line(view(field.value())); });
 }
 
