Refused uploads are read until their callers have sent them

Callers that write their whole request before they read saw a reset in place of a refusal in the middle of their upload (413, 503 memory, 400), and couldn't tell that the call hasn't run.

Cause: after a refusal the connection was closed once 256 KiB or 1 s of the rest had been read; closing with bytes unread resets it (RFC 9112, 9.6).

Why it works: the rest is read and dropped while bytes come at least once a second, for up to 10 s and 16 MiB; the caller's last write succeeds, and then it reads.

Also: index of call_admission.hpp on two lines.

--- a/src/serving/call_admission.hpp
+++ b/src/serving/call_admission.hpp
@@ -1,8 +1,7 @@
 // Decides whether a call is admitted, by rules, API key, content, and age of the rules.
 //
-// Index: 1 refusal_retry_after, poison_retry_after, stopping_retry_after, 2
-// admitted_call, 3 crash_cause,
-//        4 admit_call
+// Index: 1 refusal_retry_after, poison_retry_after, stopping_retry_after,
+//        2 admitted_call, 3 crash_cause, 4 admit_call
 #ifndef MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 #define MARIGOLDCRANK_SERVING_CALL_ADMISSION_HPP
 
--- a/src/serving/caller_socket.cpp
+++ b/src/serving/caller_socket.cpp
@@ -28,9 +28,12 @@
 // 100  ms; interval of checks for a disconnect during a call. Readiness of the socket
 //      isn't enough: pipelined bytes keep it readable and hide the disconnect
 constexpr millis check_interval{100};
-// 1000  ms and 256 KiB; limits of reading a caller's remaining bytes before the close
-constexpr millis      linger_timeout{1000};
-constexpr std::size_t linger_bytes = 262144;
+// Limits of reading a caller's remaining bytes before the close: 1 s without any, 10 s
+// and 16 MiB in all. Bytes that aren't read reset the connection, and callers that write
+// their whole request first never read the response.
+constexpr millis      linger_pause{1000};
+constexpr millis      linger_time{10000};
+constexpr std::size_t linger_bytes = std::size_t{16} << 20;
 constexpr std::size_t linger_chunk = 4096;
 
 // 64 KiB; send buffer of the socket, which takes memory of the VM besides `held_`
@@ -386,10 +389,11 @@
     error_code error;
     stream_.socket().shutdown(tcp::socket::shutdown_send, error);
     std::size_t read = 0;
-    stream_.expires_after(linger_timeout);
-    while (!error && read < linger_bytes)
+    auto const  until = loop_clock::now() + linger_time;
+    while (!error && read < linger_bytes && loop_clock::now() < until)
     {
         buffer_.clear();
+        stream_.expires_after(linger_pause);
         read += co_await stream_.async_read_some(
             buffer_.prepare(linger_chunk),
             asio::redirect_error(asio::use_awaitable, error));
--- a/tests/platform/requests_test.cpp
+++ b/tests/platform/requests_test.cpp
@@ -1,11 +1,15 @@
 // Which parts of a caller's request reach a server, and which requests are refused.
 //
-// Index: fields and keys, folded lines, ambiguous requests
+// Index: fields and keys, folded lines, ambiguous requests, uploads
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <string>
+#include <thread>
+
 namespace marigoldcrank::tests
 {
 namespace
@@ -119,5 +123,45 @@
     EXPECT_EQ(ask(cluster.caller_port(), {}).status, 200); // it still serves
 }
 
+// A caller that reads after it has sent its whole body found the connection reset.
+TEST(platform_calls, refused_upload_is_read_until_its_caller_has_sent_it)
+{
+    entry_cluster     cluster(one_server());
+    raw_caller        caller(cluster.caller_port());
+    std::string const piece(65536, 'u');
+    constexpr int     pieces = 60;
+    bool              sent = caller.send(
+                     head("Content-Length: " + std::to_string(piece.size() * pieces) + "\r\n\r\n"));
+    int accepted = 0;
+    while (sent && accepted < pieces)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{40});
+        sent = caller.send(piece);
+        accepted += sent ? 1 : 0;
+    }
+    EXPECT_EQ(accepted, pieces);
+    auto const response = caller.read();
+    EXPECT_EQ(response.status, 413);
+    EXPECT_TRUE(response.complete);
+    EXPECT_TRUE(caller.closed());
+    EXPECT_TRUE(cluster.server(0).received_requests().empty());
+}
+
+// A caller that never ends its upload must not keep its connection.
+TEST(platform_calls, refused_upload_without_end_is_cut)
+{
+    entry_cluster     cluster(one_server());
+    raw_caller        caller(cluster.caller_port());
+    std::string const piece(65536, 'u');
+    auto const        began = std::chrono::steady_clock::now();
+    bool              sent = caller.send(head("Content-Length: 100000000000\r\n\r\n"));
+    while (sent && std::chrono::steady_clock::now() - began < std::chrono::seconds{30})
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        sent = caller.send(piece);
+    }
+    EXPECT_FALSE(sent);
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -50,12 +50,11 @@
     }
 }
 
-void raw_caller::send(std::string const& bytes)
+bool raw_caller::send(std::string const& bytes)
 {
-    if (socket_ >= 0)
-    {
-        static_cast<void>(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-    }
+    return socket_ >= 0 &&
+           ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
 }
 
 bool raw_caller::receive_some(int timeout_ms)
--- a/tests/platform/support/raw_caller.hpp
+++ b/tests/platform/support/raw_caller.hpp
@@ -33,7 +33,8 @@
     raw_caller(raw_caller const&) = delete;
     raw_caller& operator=(raw_caller const&) = delete;
 
-    void send(std::string const& bytes);
+    /// False if not all bytes were accepted, as the connection has ended.
+    bool send(std::string const& bytes);
 
     /// Reads the next response. `timeout_ms` bounds each wait for more bytes; if it
     /// passes, the response is returned as far as it was read.
