Fields of a trailer aren't taken for fields of the head

Callers saw the Request-Id of another call on a chunked response whose trailer had one, and trailer fields among those of the head; a chunked request with a trailer was refused as ambiguous, or sent a second Host to the server, past the check.

Cause: Beast's parser adds the fields of a trailer to those of the message, which were read again after the body.

Why it works: the head of a chunked message is kept before its body is read, and only it is relayed (RFC 9110, 6.5.1).

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace marigoldcrank
 {
@@ -181,6 +182,13 @@
                 co_return bad_request("closed");
             }
         }
+        // The parser adds the fields of a trailer to those of the head, which have been
+        // checked.
+        std::optional<boost::beast::http::request_header<>> head;
+        if (parser.chunked())
+        {
+            head = parser.get().base();
+        }
         boost::system::error_code error;
         connection_->stream().expires_after(limits.idle_time);
         while (!parser.is_done() && !error)
@@ -199,6 +207,10 @@
         {
             co_return refusal_of(error);
         }
+        if (head)
+        {
+            parser.get().base() = std::move(*head);
+        }
         co_return std::nullopt;
     }
 
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -143,6 +143,7 @@
 {
     constexpr unsigned first_final = 200;
     complete_ = false;
+    head_.reset();
     head_only_ = head_only;
     body_bytes_ = 0;
     framing_bytes_ = 0;
@@ -161,6 +162,10 @@
         }
         if (parser_->get().result_int() >= first_final)
         {
+            if (parser_->chunked())
+            {
+                head_ = parser_->get().base();
+            }
             complete_ = parser_->is_done();
             co_return io_result::ok;
         }
@@ -170,7 +175,7 @@
 
 response_head const& http_connection::head() const
 {
-    return parser_->get().base();
+    return head_ ? *head_ : parser_->get().base();
 }
 
 response_framing http_connection::framing() const
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -98,6 +98,7 @@
     /// Reads the head of the next response, and skips informational (1xx) ones.
     boost::asio::awaitable<io_result> read_head(bool head_only, loop_time until);
 
+    /// The head of the latest final response, without the fields of a trailer.
     response_head const& head() const;
 
     /// How the response is framed whose head has been read.
@@ -144,13 +145,15 @@
     boost::beast::tcp_stream      stream_;
     boost::beast::flat_buffer     buffer_{limits.part};
     std::optional<message_parser> parser_;
-    std::size_t                   body_bytes_ = 0;    // of the response so far
-    std::size_t                   framing_bytes_ = 0; // besides
-    std::int64_t                  local_port_ = 0;
-    bool                          writing_ = false;
-    bool                          write_failed_ = false;
-    bool                          complete_ = false;
-    bool                          head_only_ = false; // the response has no body
+    // Of a chunked response: the parser adds the fields of its trailer to its own.
+    std::optional<response_head> head_;
+    std::size_t                  body_bytes_ = 0;    // of the response so far
+    std::size_t                  framing_bytes_ = 0; // besides
+    std::int64_t                 local_port_ = 0;
+    bool                         writing_ = false;
+    bool                         write_failed_ = false;
+    bool                         complete_ = false;
+    bool                         head_only_ = false; // the response has no body
 };
 
 } // namespace marigoldcrank
