An empty line before a request is skipped

Callers that send an empty line after a body, as some clients do, got 400 for their next request, and their connection was closed.

Cause: the parser takes the line for a request line (RFC 9112, 2.2 asks servers to skip at least one).

Evidence: http_behaviour.empty_line_before_a_request_is_skipped failed before (400), passes after.

Why it works: the line is taken off the buffer before the parser sees it; one a request, so a caller can't keep a connection busy with them.

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace marigoldcrank
@@ -66,7 +67,7 @@
     {
         auto const limits =
             state_.view.rules ? state_.view.rules->limits() : caller_limits{};
-        if (!co_await wait_first_byte(limits))
+        if (!co_await wait_first_byte(limits) || !co_await skip_empty_line(limits))
         {
             co_return connection_disposition::aborted;
         }
@@ -130,6 +131,22 @@
         co_return !error && !ended;
     }
 
+    /// Skips an empty line before a request, which some clients send after a body (RFC
+    /// 9112, 2.2). Returns false if the connection closed or was idle for too long.
+    boost::asio::awaitable<bool> skip_empty_line(caller_limits const& limits)
+    {
+        constexpr std::string_view empty_line = "\r\n";
+        auto&                      buffer = connection_->buffer();
+        std::string_view const     bytes{static_cast<char const*>(buffer.data().data()),
+                                     buffer.size()};
+        if (!bytes.starts_with(empty_line))
+        {
+            co_return true;
+        }
+        buffer.consume(empty_line.size());
+        co_return co_await wait_first_byte(limits);
+    }
+
     boost::asio::awaitable<std::optional<own_response>>
     read_head(request_parser& parser, caller_limits const& limits)
     {
--- a/tests/platform/http_behaviour_test.cpp
+++ b/tests/platform/http_behaviour_test.cpp
@@ -48,6 +48,17 @@
     EXPECT_EQ(caller.read().status, 413);
 }
 
+// Some clients send an empty line after a body.
+TEST(http_behaviour, empty_line_before_a_request_is_skipped)
+{
+    entry_cluster cluster(one_server());
+    raw_caller    caller(cluster.caller_port());
+    caller.send("\r\n" + make_request({}));
+    EXPECT_EQ(caller.read().status, 200);
+    caller.send("\r\n" + make_request({.id = "second"}));
+    EXPECT_EQ(caller.read().status, 200);
+}
+
 TEST(http_behaviour, pipelined_requests_are_answered_in_their_order)
 {
     entry_cluster cluster(one_server());
