server_exchange: reading the answer is a function of its own

No change of behaviour: a head with a status line within it ends the attempt as one that can't be parsed, as before.

--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -97,48 +97,7 @@
             fault_ = "send";
             co_return attempt_outcome::unknown;
         }
-        for (int responses = 0; responses < max_stray_responses; ++responses)
-        {
-            auto const read = co_await connection_->read_head(head_only, request.until);
-            if (read != io_result::ok)
-            {
-                fault_ = read == io_result::timed_out   ? fault_timeout
-                         : read == io_result::malformed ? "malformed"
-                                                        : "broken";
-                co_return attempt_outcome::unknown;
-            }
-            if (contains_status_line(connection_->head()))
-            {
-                fault_ = "malformed";
-                co_return attempt_outcome::unknown;
-            }
-            facts_ = Dialect::parse_response(connection_->head());
-            framing_ = response_framing_name(connection_->framing());
-            auto const match =
-                match_response(request.call_id, facts_.call_id, use_.requests == 0);
-            if (match != response_match::answer)
-            {
-                note_unmatched(request, match);
-            }
-            if (match != response_match::stray)
-            {
-                if (facts_.status != status_misdirected)
-                {
-                    state_.record_response(server_.id, facts_, sent_at_);
-                    state_.record_survival(server_.id, connection_->connected, sent_at_);
-                }
-                co_return evaluate_head(match);
-            }
-            // It is skipped, and the connection is not reused, since more may follow.
-            stray_ = true;
-            if (!co_await discard_body(request.until))
-            {
-                fault_ = "stray";
-                co_return attempt_outcome::unknown;
-            }
-        }
-        fault_ = "stray";
-        co_return attempt_outcome::unknown;
+        co_return co_await read_answer(request, head_only);
     }
 
     response_facts const& facts() const noexcept
@@ -356,6 +315,53 @@
         }
     }
 
+    /// Reads heads until one belongs to the request, and evaluates it.
+    boost::asio::awaitable<attempt_outcome> read_answer(exchange_request const& request,
+                                                        bool                    head_only)
+    {
+        for (int responses = 0; responses < max_stray_responses; ++responses)
+        {
+            auto read = co_await connection_->read_head(head_only, request.until);
+            if (read == io_result::ok && contains_status_line(connection_->head()))
+            {
+                read = io_result::malformed;
+            }
+            if (read != io_result::ok)
+            {
+                fault_ = read == io_result::timed_out   ? fault_timeout
+                         : read == io_result::malformed ? "malformed"
+                                                        : "broken";
+                co_return attempt_outcome::unknown;
+            }
+            facts_ = Dialect::parse_response(connection_->head());
+            framing_ = response_framing_name(connection_->framing());
+            auto const match =
+                match_response(request.call_id, facts_.call_id, use_.requests == 0);
+            if (match != response_match::answer)
+            {
+                note_unmatched(request, match);
+            }
+            if (match != response_match::stray)
+            {
+                if (facts_.status != status_misdirected)
+                {
+                    state_.record_response(server_.id, facts_, sent_at_);
+                    state_.record_survival(server_.id, connection_->connected, sent_at_);
+                }
+                co_return evaluate_head(match);
+            }
+            // It is skipped, and the connection is not reused, since more may follow.
+            stray_ = true;
+            if (!co_await discard_body(request.until))
+            {
+                fault_ = "stray";
+                co_return attempt_outcome::unknown;
+            }
+        }
+        fault_ = "stray";
+        co_return attempt_outcome::unknown;
+    }
+
     void record_use(std::string const& call_id)
     {
         auto& carried = connection_->carried;
