Tests: the stand-in's responses to prefills have the call's id

platform_pauses.engine_that_asked_for_a_pause_is_not_chosen_after_a_prefill failed in the whole run, and 3 of 3 alone: 2 calls served of more than 20.

Cause: its server answered prefills without the call's id. Since responses without it count for nothing on a kept connection, each prefill but the first ran into its time. The users' pages say that servers echo the id in their responses, so the stand-in was at fault; four tests had such a stand-in.

What the tests expect is unchanged. After it 3 of 3 pass, and platform_prompt_parts and all tests of prefills (16 of 16).

--- a/tests/platform/pauses_test.cpp
+++ b/tests/platform/pauses_test.cpp
@@ -73,10 +73,9 @@
     cluster.list_engine(cluster.server(1), "decode");
     cluster.list_engine(cluster.server(2), "decode");
     cluster.server(0).handle_always(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(
-                200, "", R"({"kv_handle":"h1","tokens":9000,"version":1})"));
+            connection.send(server_standin::prefill_response(request));
             return true;
         });
     cluster.server(1).handle_always(refusal(arrivals, "2.5"));
--- a/tests/platform/prompt_parts_test.cpp
+++ b/tests/platform/prompt_parts_test.cpp
@@ -82,8 +82,7 @@
         constexpr milliseconds pause{20};
         if (request.field("serving-stage") == "prefill")
         {
-            connection.send(wire_response(
-                200, "", R"({"kv_handle":"h1","tokens":9000,"version":1})"));
+            connection.send(server_standin::prefill_response(request));
             return true;
         }
         std::this_thread::sleep_for(pause);
--- a/tests/platform/streams_test.cpp
+++ b/tests/platform/streams_test.cpp
@@ -135,10 +135,9 @@
     cluster.list_engine(cluster.server(0), "prefill");
     cluster.list_engine(cluster.server(1), "decode");
     cluster.server(0).handle_always(
-        [](wire_request const&, wire_connection& connection)
+        [](wire_request const& request, wire_connection& connection)
         {
-            connection.send(wire_response(
-                200, "", R"({"kv_handle":"h1","tokens":9000,"version":1})"));
+            connection.send(server_standin::prefill_response(request));
             return true;
         });
     std::this_thread::sleep_for(milliseconds{1500}); // the entries are read once a second
@@ -160,10 +159,10 @@
 TEST(platform_calls, prompt_goes_to_another_prefill_engine_if_the_first_is_unreachable)
 {
     entry_cluster cluster({.servers = 3, .relayed = true});
-    auto const    prefill = [](wire_request const&, wire_connection& connection)
+    auto const    prefill = [](wire_request const& request, wire_connection& connection)
     {
-        connection.send(wire_response(200, "Connection: close\r\n",
-                                      R"({"kv_handle":"h1","tokens":9000,"version":1})"));
+        connection.send(
+            server_standin::prefill_response(request, "Connection: close\r\n"));
         return true;
     };
     cluster.list_engine(cluster.server(0), "prefill");
--- a/tests/platform/support/server_standin.cpp
+++ b/tests/platform/support/server_standin.cpp
@@ -55,6 +55,14 @@
                          body);
 }
 
+std::string server_standin::prefill_response(wire_request const& request,
+                                             std::string const&  fields)
+{
+    return wire_response(200,
+                         "Request-Id: " + request.field("request-id") + "\r\n" + fields,
+                         R"({"kv_handle":"h1","tokens":9000,"version":1})");
+}
+
 std::string server_standin::not_executed_response(wire_request const& request)
 {
     return wire_response(
--- a/tests/platform/support/server_standin.hpp
+++ b/tests/platform/support/server_standin.hpp
@@ -47,6 +47,11 @@
                                             std::string const&  responder,
                                             std::string const&  fields = {});
 
+    /// The response to a prefill, with the handle `h1`; each line of `fields` has its
+    /// line end.
+    static std::string prefill_response(wire_request const& request,
+                                        std::string const&  fields = {});
+
     /// The head of a signed event stream in chunked transfer coding.
     static std::string stream_head(wire_request const& request);
 
