--- a/tests/platform/support/raw_caller.cpp
+++ b/tests/platform/support/raw_caller.cpp
@@ -52,9 +52,8 @@
 
 bool raw_caller::send(std::string const& bytes)
 {
-    return socket_ >= 0 &&
-           ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-               static_cast<ssize_t>(bytes.size());
+    return socket_ >= 0 && ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                               static_cast<ssize_t>(bytes.size());
 }
 
 bool raw_caller::receive_some(int timeout_ms)
