Tests of clients outside the limits, with their crowds and bounds

Each way has a test against a real daemon on loopback that states 64 MB and 192 descriptors: 12 connections that send up to 16 MiB, or 400 connections. Checked: the process lives, memory, descriptors, one ordinary request and readiness afterwards. They run one at a time.

--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -41,6 +41,7 @@
     std::string  route_fields;   // a JSON object: further fields of all routes
     std::string  north_fields;   // a JSON object: further fields of workspace north
     std::string  policy;         // lines of the settings' [policy] section
+    std::string  node;           // further lines of its [node] section
     std::int64_t engine_tokens = 0; // that an engine of "models" holds; 0: not stated
     int          slots = 6;         // of a server of "desk"
     bool first_start = false;       // no VM has run before, so the VMs know all there was
@@ -110,6 +111,9 @@
     int             caller_port(int index = 0) const;
     int             readiness_port(int index = 0) const;
 
+    /// The port of daemon 0 for callers, readiness, tunnels, peers or records.
+    int port(std::string const& name) const;
+
     /// Ends the process of daemon `index` and starts a new one.
     void restart(int index);
 
--- /dev/null
+++ b/tests/unruly/connections_test.cpp
@@ -0,0 +1,197 @@
+// Clients that keep more connections open than the VM has descriptors for, on each port.
+//
+// Index: 1 ways, 2 cases, 3 callers
+#include "platform/support/raw_caller.hpp"
+#include "unruly/client_crowd.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <tuple>
+
+namespace marigoldcrank::tests
+{
+namespace
+{
+
+// 1. Ways
+
+/// What each connection sends before it falls silent.
+struct connection_way
+{
+    std::string name;
+    std::string bytes;
+    bool        shuts_down = false; // its sending side
+    int         returns = 0;        // times that closed connections are opened anew
+};
+
+std::string short_fields(std::size_t bytes)
+{
+    std::string result;
+    for (int number = 0; result.size() < bytes; ++number)
+    {
+        result += "a:\r\n";
+    }
+    return result;
+}
+
+std::string const head = "POST /repeat/x HTTP/1.1\r\nHost: shop.example\r\n"
+                         "Authorization: Bearer key-north\r\n";
+
+std::vector<connection_way> ways_at_all_ports()
+{
+    return {{"silent", ""},
+            {"silent_that_return", "", false, 3},
+            {"with_half_a_head", head},
+            {"with_half_a_head_that_return", head, false, 3},
+            {"with_a_refused_request", "GET /repeat/x HTTP/1.1\r\n\r\n"},
+            {"with_zmtp_greeting", std::string("\xff\0\0\0\0\0\0\0\1\x7f\3", 11)}};
+}
+
+std::vector<connection_way> ways_of_callers()
+{
+    return {
+        {"with_half_a_long_head", head + "X-Name: " + std::string(7000, 'h')},
+        {"with_half_a_body",
+         head + "Content-Length: 90000\r\n\r\n" + std::string(1000, 'b')},
+        {"with_half_a_chunked_body",
+         head + "Transfer-Encoding: chunked\r\n\r\n3e8\r\n" + std::string(500, 'b')},
+        {"with_many_short_fields_and_half_a_body",
+         head + short_fields(7600) + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n"},
+        {"that_wait_for_100_continue",
+         head + "Content-Length: 90000\r\nExpect: 100-continue\r\n\r\n"},
+        {"with_a_refused_request_that_return", "GET /repeat/x HTTP/1.1\r\n\r\n", false,
+         3},
+        {"with_a_served_request", make_request({.id = "kept"})},
+        {"with_a_served_request_that_return", make_request({.id = "kept"}), false, 3},
+        {"that_shut_down_their_side", head, true},
+    };
+}
+
+// 2. Cases
+
+using connection_case = std::tuple<connection_way, std::string>;
+
+class crowds_of_connections : public testing::TestWithParam<connection_case>
+{
+};
+
+// Without a limit on connections in every state, no descriptor is left for callers that
+// behave, for backend servers or for the store.
+TEST_P(crowds_of_connections, leave_descriptors_and_service)
+{
+    constexpr std::chrono::milliseconds settling{400};
+    auto const& [way, port] = GetParam();
+    unruly_cluster vm;
+    client_crowd   crowd(vm.port(port), bounds.connections);
+    for (int round = 0; round <= way.returns; ++round)
+    {
+        crowd.come_back();
+        std::this_thread::sleep_for(settling);
+        vm.check();
+        crowd.send(way.bytes);
+        if (way.shuts_down)
+        {
+            crowd.shut_down();
+        }
+        std::this_thread::sleep_for(settling);
+        vm.check();
+        crowd.open();
+    }
+    vm.check_afterwards();
+}
+
+std::string case_name(testing::TestParamInfo<connection_case> const& info)
+{
+    return std::get<0>(info.param).name + "_at_" + std::get<1>(info.param);
+}
+
+INSTANTIATE_TEST_SUITE_P(unruly, crowds_of_connections,
+                         testing::Combine(testing::ValuesIn(ways_at_all_ports()),
+                                          testing::Values("callers", "readiness",
+                                                          "metrics", "tunnels", "peers",
+                                                          "records")),
+                         case_name);
+
+INSTANTIATE_TEST_SUITE_P(unruly_callers, crowds_of_connections,
+                         testing::Combine(testing::ValuesIn(ways_of_callers()),
+                                          testing::Values("callers")),
+                         case_name);
+
+// 3. Callers
+
+// Connections that the daemon has closed as idle, and that their clients keep open, must
+// not keep their descriptors.
+TEST(unruly_callers, idle_connections_that_are_ended_give_back_their_descriptors)
+{
+    constexpr std::chrono::milliseconds settling{400};
+    unruly_cluster                      vm{"idle_connections = 8\n"};
+    client_crowd                        crowd(vm.port("callers"), bounds.connections);
+    std::this_thread::sleep_for(settling);
+    vm.check_afterwards();
+}
+
+// Calls that wait for a server hold two descriptors each.
+TEST(unruly_callers, calls_at_a_server_that_is_silent_leave_descriptors)
+{
+    constexpr std::chrono::milliseconds settling{1000};
+    unruly_cluster                      vm;
+    vm.cluster().server(0).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            if (request.field("request-id") != "ordinary")
+            {
+                std::this_thread::sleep_for(std::chrono::seconds{3});
+            }
+            connection.send(server_standin::signed_response(request, "done"));
+            return true;
+        });
+    client_crowd crowd(vm.port("callers"), bounds.connections);
+    crowd.send(make_request({.id = "waits", .deadline_ms = 4000}));
+    std::this_thread::sleep_for(settling);
+    vm.check();
+    vm.check_afterwards();
+}
+
+// Responses that their callers leave unread fill the buffers of their connections.
+TEST(unruly_callers, responses_that_stay_unread_leave_memory)
+{
+    constexpr std::size_t               body_bytes = 400000;
+    constexpr std::chrono::milliseconds settling{1500};
+    unruly_cluster                      vm;
+    vm.cluster().server(0).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            bool const ordinary = request.field("request-id") == "ordinary";
+            connection.send(server_standin::signed_response(
+                request, std::string(ordinary ? 10 : body_bytes, 'r')));
+            return true;
+        });
+    client_crowd crowd(vm.port("callers"), bounds.connections);
+    crowd.stop_reading();
+    crowd.send(make_request({.id = "unread"}));
+    std::this_thread::sleep_for(settling);
+    vm.check();
+    vm.check_afterwards();
+}
+
+// Heads near their limit must not leave their buffers to idle connections.
+TEST(unruly_callers, long_heads_and_bodies_leave_no_memory_to_idle_connections)
+{
+    constexpr std::size_t field_bytes = 7600;
+    constexpr std::size_t body_bytes = 90000;
+    unruly_cluster        vm;
+    client_crowd          crowd(vm.port("callers"), bounds.connections);
+    auto const            request =
+        make_request({.id = "long",
+                      .fields = "X-Name: " + std::string(field_bytes, 'n') + "\r\n",
+                      .body = std::string(body_bytes, 'b')});
+    crowd.press(request, "", 0);
+    vm.check();
+    vm.check_afterwards();
+}
+
+} // namespace
+} // namespace marigoldcrank::tests
