Trailers and chunk headers of requests are bounded

Callers saw: a client that sends trailer fields, a chunk extension or a chunk size without end ended the daemon, and all its calls with it: out of memory.

Cause: the parser looks for the end of a chunk's header or of a trailer in the connection's buffer, which had no bound; the limit of the head doesn't hold for either. Chunk headers in sum were unbounded too, and a body whose bytes are always ready was read past its time, since an operation completes before its time is looked at.

Framing in sum has the bound that servers' responses have: message_limits now serves both directions. The reader looks at the time itself.

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -72,6 +73,8 @@
             co_return connection_disposition::aborted;
         }
         request_parser parser;
+    // 4096  bytes read beyond the limit of a head, which a parser then reports
+    static constexpr std::size_t read_ahead = 4096;
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
         held_share body{state_.held, held_kind::requests};
@@ -81,6 +84,9 @@
             refusal = co_await wait_for_memory(parser);
         }
         if (!refusal)
+        // The parser looks for the end of a chunk's header or a trailer in the buffer.
+        auto& buffer = connection_->buffer();
+        buffer.max_size(std::max(max_part(limits), buffer.size()));
         {
             refusal = co_await read_body(parser, limits, body);
         }
@@ -207,14 +213,20 @@
             head = parser.get().base();
         }
         boost::system::error_code error;
-        connection_->stream().expires_after(limits.idle_time);
+        auto const                until = loop_clock::now() + limits.idle_time;
+        std::size_t               framing_bytes = 0;
+        message_limits            most{.part = max_part(limits)};
+        most.framing += most.part; // a trailer may be as long as a head
+        auto const& content = parser.get().body();
+        connection_->stream().expires_at(until);
         while (!parser.is_done() && !error)
         {
-            co_await boost::beast::http::async_read_some(
+            auto const before = content.size();
+            auto const consumed = co_await boost::beast::http::async_read_some(
                 connection_->stream(), connection_->buffer(), parser,
                 boost::asio::redirect_error(boost::asio::use_awaitable, error));
             constexpr std::int64_t copies = 2; // this one, and one sent to a server
-            held.set(static_cast<std::int64_t>(parser.get().body().size()) * copies);
+            held.set(static_cast<std::int64_t>(content.size()) * copies);
             if (!error && !state_.held->has_room())
             {
                 co_return out_of_memory();
@@ -232,12 +244,22 @@
     }
 
     static bool is_head(request_parser const& parser)
+            framing_bytes += consumed - std::min(content.size() - before, consumed);
     {
         return parser.get().method() == boost::beast::http::verb::head;
     }
 
     static own_response out_of_memory()
     {
+            if (exceeds_framing(most, framing_bytes, content.size()))
+            {
+                co_return framing_limit();
+            }
+            // An operation whose bytes have arrived completes even if its time is up.
+            if (!error && !parser.is_done() && loop_clock::now() >= until)
+            {
+                error = boost::beast::error::timeout;
+            }
         return {503, call_fate::not_run, "memory", refusal_retry_after};
     }
 
@@ -260,6 +282,17 @@
         if (error == boost::beast::error::timeout)
         {
             return {408, call_fate::not_run, "slow_request", std::nullopt};
+    static own_response framing_limit()
+    {
+        return {431, call_fate::final_refusal, "framing_limit", std::nullopt};
+    }
+
+    /// Bytes of a head, of one chunk's header, or of a trailer, that may be buffered.
+    static std::size_t max_part(caller_limits const& limits)
+    {
+        return static_cast<std::size_t>(limits.header_bytes) + read_ahead;
+    }
+
         }
         bool const parsing =
             error.category() ==
@@ -276,6 +309,10 @@
         if (refusal.cause == "closed" || !connection_->stream().socket().is_open())
         {
             co_return connection_disposition::aborted;
+        if (error == http::error::buffer_overflow)
+        {
+            return framing_limit();
+        }
         }
         state_.counters.add("refusals_total", "cause=\"" + std::string{refusal.cause} +
                                                   "\",status=\"" +
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -225,7 +225,7 @@
         : is_malformed(error)                    ? body_result::malformed
                                                  : body_result::broken;
     }
-    if (framing_bytes_ > limits.framing + limits.framing_per_byte * body_bytes_)
+    if (exceeds_framing(limits, framing_bytes_, body_bytes_))
     {
         co_return body_result::malformed;
     }
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -1,13 +1,13 @@
 // An HTTP/1.1 client connection to a backend server or to the platform, for coroutines.
 //
-// Index: 1 io_result, 2 response_framing, 3 tcp_options, 4 response_limits,
-//        5 http_connection
+// Index: 1 io_result, 2 response_framing, 3 tcp_options, 4 http_connection
 #ifndef MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_CONNECTION_HPP
 
 #include "domain/entry_settings.hpp"
 #include "policy/carried_calls.hpp"
 #include "policy/response_end.hpp"
+#include "serving/message_limits.hpp"
 #include "serving/wire_dialect.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -63,21 +63,6 @@
     bool operator==(tcp_options const&) const = default;
 };
 
-/// What a response may have besides its body. A server that sends more is out of order,
-/// and would otherwise be read until the call's time or the VM's memory is used up.
-struct response_limits
-{
-    // 65536 bytes of a head, a chunk's header, or a trailer
-    std::size_t part = 65536;
-    // 8     informational heads before the final one
-    int informational = 8;
-    // 65536 bytes of chunk headers and trailers, and 16 a byte of the body
-    std::size_t framing = 65536;
-    std::size_t framing_per_byte = 16;
-
-    bool operator==(response_limits const&) const = default;
-};
-
 /// Sets TCP_NODELAY, the keepalive probes and TCP_USER_TIMEOUT. Without the latter two, a
 /// connection whose peer vanishes without a reset hangs for minutes.
 void set_tcp_options(boost::asio::ip::tcp::socket& socket, tcp_options const& options);
@@ -137,7 +122,7 @@
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     static constexpr std::size_t body_chunk_size = 16384;
 
-    static constexpr response_limits limits{};
+    static constexpr message_limits limits{};
 
     /// How the body ended, once the parser has reached its end.
     body_result end_of_body() const;
