The readiness and metrics ports read no bodies

Seen: trailers or chunk headers without end at either port took memory until the daemon ended; the balancer and monitoring need no body there at all.

Cause: the whole request was read, by a parser whose buffer had no bound.

Change: only the head is read, into a bounded buffer. After a request with a body the connection is closed. A response has 2 s to be taken: the time of the request before held for it.

--- a/src/serving/status_server.cpp
+++ b/src/serving/status_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -24,33 +25,37 @@
 namespace
 {
 
-constexpr millis idle_timeout{30000}; // 30000 ms; keep-alive without a request
+constexpr millis      idle_timeout{30000};  // 30000 ms; keep-alive without a request
+constexpr millis      write_timeout{2000};  // 2000  ms; in which a response is taken
+constexpr std::size_t buffer_bytes = 12288; // 12288 bytes; a head may have 8192
 
 asio::awaitable<void> serve_connection(tcp::socket                      socket,
                                        std::function<status_response()> respond)
 {
     boost::beast::tcp_stream  stream{std::move(socket)};
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{buffer_bytes};
     boost::system::error_code error;
     bool                      keep = true;
     while (keep && !error)
     {
-        http::request<http::string_body> request;
+        http::request_parser<http::empty_body> request;
         stream.expires_after(idle_timeout);
-        co_await http::async_read(stream, buffer, request,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(
+            stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
         {
             break;
         }
+        // A body isn't read, so nothing may follow it on this connection.
+        keep = request.keep_alive() && request.is_done();
         auto                              value = respond();
         http::response<http::string_body> response;
         response.version(11);
         response.result(value.status);
         response.body() = std::move(value.text);
-        response.keep_alive(request.keep_alive());
+        response.keep_alive(keep);
         response.prepare_payload();
-        keep = request.keep_alive();
+        stream.expires_after(write_timeout);
         co_await http::async_write(stream, response,
                                    asio::redirect_error(asio::use_awaitable, error));
     }
