Connections of callers have a bound in every state

Seen: clients that open connections and send nothing, half a request, or keep refused and ended ones open took 436 to 836 of 192 descriptors; with the VM's real number nothing would be left for callers, servers, readiness or the store.

Cause: only idle connections had a bound. One above it was shut down for sending and forgotten, but stayed open until its client closed it or idle_timeout passed. Those that are read, refused or linger stood in no list, and the daemon didn't know how many descriptors it has.

Above the bound the connection that is longest in its phase is closed: ended, lingering, idle, then read ones; a call that runs is never given up, then the new connection is closed. Ended ones are closed after a second. Buffers that a long head has made grow are freed while a connection is idle. Idle connections to servers have a bound in sum. Counted in connections_closed_total, logged as connections_closed.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -174,6 +174,10 @@
                            max_memory, true,
                            [](entry_settings& value, std::int64_t number)
                            { value.memory = number; }),
+            bounded_option("node", "descriptors", "0 (not stated) or 128 to 1000000", 128,
+                           max_count, true,
+                           [](entry_settings& value, std::int64_t number)
+                           { value.descriptors = number; }),
             bounded_option("policy", "held_bytes",
                            "0 (by the memory) or 1048576 to 1000000000000", mib,
                            static_cast<std::int64_t>(max_units), true,
--- a/src/serving/caller_connections.cpp
+++ b/src/serving/caller_connections.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// 1000  ms; in which a caller notices that its idle connection was ended
+constexpr millis ended_time{1000};
+
 void shut_down_sending(caller_socket& connection)
 {
     boost::system::error_code ignored; // the connection may be closed already
@@ -20,27 +23,81 @@
 
 } // namespace
 
-void caller_connections::add_idle(std::shared_ptr<caller_socket> const& connection,
-                                  std::size_t                           most)
+void caller_connections::enter(socket_pointer const& connection, connection_phase phase)
+{
+    auto const kept = connection; // `connection` may be the listed pointer
+    leave(*kept);
+    kept->place = {phase, ++last_number_, loop_clock::now()};
+    listed_[phase].emplace(last_number_, kept);
+    ++size_;
+}
+
+void caller_connections::enter_idle(socket_pointer const& connection, std::size_t most)
 {
-    connection->idle_since = loop_clock::now();
-    idle.insert(connection);
+    enter(connection, connection_phase::idle);
+    auto const& idle = listed_[connection_phase::idle];
     if (idle.size() > most)
     {
-        auto const oldest =
-            std::min_element(idle.begin(), idle.end(),
-                             [](auto const& one, auto const& other)
-                             { return one->idle_since < other->idle_since; });
-        shut_down_sending(**oldest);
-        idle.erase(oldest);
+        end(idle.begin()->second);
+    }
+}
+
+void caller_connections::leave(caller_socket const& connection)
+{
+    size_ -= listed_[connection.place.phase].erase(connection.place.number);
+}
+
+std::size_t caller_connections::size() const noexcept
+{
+    return size_;
+}
+
+std::size_t caller_connections::count(connection_phase phase) const
+{
+    auto const found = listed_.find(phase);
+    return found == listed_.end() ? 0 : found->second.size();
+}
+
+std::optional<connection_phase> caller_connections::make_room()
+{
+    for (auto const phase : phases_to_close)
+    {
+        auto const& candidates = listed_[phase];
+        if (!candidates.empty())
+        {
+            auto const chosen = candidates.begin()->second;
+            leave(*chosen);
+            chosen->stream().close();
+            return phase;
+        }
     }
+    return std::nullopt;
+}
+
+void caller_connections::end(socket_pointer const& connection)
+{
+    shut_down_sending(*connection);
+    enter(connection, connection_phase::ended);
 }
 
 void caller_connections::close_idle()
 {
-    for (auto const& connection : std::exchange(idle, {}))
+    auto const& idle = listed_[connection_phase::idle];
+    while (!idle.empty())
+    {
+        end(idle.begin()->second);
+    }
+}
+
+void caller_connections::close_ended()
+{
+    auto const  before = loop_clock::now() - ended_time;
+    auto const& ended = listed_[connection_phase::ended];
+    while (!ended.empty() && ended.begin()->second->place.since < before)
     {
-        shut_down_sending(*connection);
+        auto const chosen = ended.begin()->second;
+        leave(*chosen);
+        chosen->stream().close();
     }
 }
 
@@ -50,11 +107,11 @@
     {
         return;
     }
-    std::vector<std::shared_ptr<caller_socket>> const callers{busy.begin(), busy.end()};
-    std::vector<unwritten_response>                   responses;
-    responses.reserve(callers.size());
-    for (auto const& caller : callers)
+    std::vector<socket_pointer>     callers;
+    std::vector<unwritten_response> responses;
+    for (auto const& [number, caller] : listed_[connection_phase::busy])
     {
+        callers.push_back(caller);
         responses.push_back(caller->backlog());
     }
     for (auto const index :
--- a/src/serving/caller_connections.hpp
+++ b/src/serving/caller_connections.hpp
@@ -1,59 +1,61 @@
-// The connections of callers: those that wait for a request and those with a call.
+// The connections of callers, by what they are in, and their bounds.
 //
-// Index: 1 caller_connections, 2 busy_connection
+// Index: caller_connections
 #ifndef MARIGOLDCRANK_SERVING_CALLER_CONNECTIONS_HPP
 #define MARIGOLDCRANK_SERVING_CALLER_CONNECTIONS_HPP
 
+#include "policy/connection_phase.hpp"
 #include "serving/caller_socket.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 
 namespace marigoldcrank
 {
 
 /// Used on the thread of the event loop only.
-struct caller_connections
+class caller_connections
 {
-    using connection_set = std::set<std::shared_ptr<caller_socket>>;
+public:
+    using socket_pointer = std::shared_ptr<caller_socket>;
+
+    /// Lists a new connection, or moves one to another phase.
+    void enter(socket_pointer const& connection, connection_phase phase);
+
+    /// Lists a connection as idle. If more than `most` are, ends the one that has waited
+    /// longest.
+    void enter_idle(socket_pointer const& connection, std::size_t most);
+
+    void leave(caller_socket const& connection);
 
-    /// Adds a connection that waits for a request. If there are more than `most`, ends
-    /// the one that has waited longest.
-    void add_idle(std::shared_ptr<caller_socket> const& connection, std::size_t most);
+    std::size_t size() const noexcept;
+    std::size_t count(connection_phase phase) const;
+
+    /// Closes a connection that makes room for another one: of the first phase that has
+    /// any, the one that has been in it for longest. Nothing if all have calls.
+    std::optional<connection_phase> make_room();
 
     /// Ends all idle connections. The sending direction is shut down first, so that a
     /// caller can tell apart a request that crosses the close.
     void close_idle();
 
+    /// Closes connections that were ended, and whose callers have had time to notice.
+    void close_ended();
+
     /// Ends slow callers while the VM holds too much.
     void relieve(held_memory const& memory);
 
-    connection_set idle;
-    connection_set busy;
-};
-
-/// Lists a connection as busy for its lifetime.
-class busy_connection
-{
-public:
-    busy_connection(caller_connections&                   callers,
-                    std::shared_ptr<caller_socket> const& connection)
-        : callers_(callers), connection_(connection)
-    {
-        callers_.busy.insert(connection_);
-    }
-
-    ~busy_connection()
-    {
-        callers_.busy.erase(connection_);
-    }
+private:
+    /// By number, so that the one listed first in a phase comes first.
+    using listed = std::map<std::uint64_t, socket_pointer>;
 
-    busy_connection(busy_connection const&) = delete;
-    busy_connection& operator=(busy_connection const&) = delete;
+    void end(socket_pointer const& connection);
 
-private:
-    caller_connections&                   callers_;
-    std::shared_ptr<caller_socket> const& connection_;
+    std::map<connection_phase, listed> listed_;
+    std::size_t                        size_ = 0;
+    std::uint64_t                      last_number_ = 0;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -32,8 +32,17 @@
         : state_(state), callers_(callers),
           connection_(std::make_shared<caller_socket>(std::move(socket), state.held))
     {
+        callers_.enter(connection_, connection_phase::idle);
     }
 
+    ~caller_session()
+    {
+        callers_.leave(*connection_);
+    }
+
+    caller_session(caller_session const&) = delete;
+    caller_session& operator=(caller_session const&) = delete;
+
     /// Serves requests until the connection closes.
     boost::asio::awaitable<void> run()
     {
@@ -44,6 +53,7 @@
         }
         if (disposition == connection_disposition::close)
         {
+            callers_.enter(connection_, connection_phase::lingering);
             co_await connection_->close_gracefully();
         }
         else
@@ -63,6 +73,8 @@
     static constexpr millis memory_wait{300};
     // 100   ms; between checks for memory
     static constexpr millis memory_poll{100};
+    // 4096  bytes read beyond the limit of a head, which a parser then reports
+    static constexpr std::size_t read_ahead = 4096;
 
     boost::asio::awaitable<connection_disposition> serve_next()
     {
@@ -72,9 +84,10 @@
         {
             co_return connection_disposition::aborted;
         }
+        // The parser looks for the end of a chunk's header or a trailer in the buffer.
+        auto& buffer = connection_->buffer();
+        buffer.max_size(std::max(max_part(limits), buffer.size()));
         request_parser parser;
-    // 4096  bytes read beyond the limit of a head, which a parser then reports
-    static constexpr std::size_t read_ahead = 4096;
         parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
         parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
         held_share body{state_.held, held_kind::requests};
@@ -84,9 +97,6 @@
             refusal = co_await wait_for_memory(parser);
         }
         if (!refusal)
-        // The parser looks for the end of a chunk's header or a trailer in the buffer.
-        auto& buffer = connection_->buffer();
-        buffer.max_size(std::max(max_part(limits), buffer.size()));
         {
             refusal = co_await read_body(parser, limits, body);
         }
@@ -111,9 +121,9 @@
                                                       : "repeated_field"),
                                       head_only);
         }
-        call_runner<Dialect>  runner{state_, *connection_, request,
+        call_runner<Dialect> runner{state_, *connection_, request,
                                     std::move(std::get<caller_call>(call))};
-        busy_connection const busy{callers_, connection_};
+        callers_.enter(connection_, connection_phase::busy);
         co_return co_await runner.run();
     }
 
@@ -123,18 +133,27 @@
         auto& buffer = connection_->buffer();
         if (buffer.size() > 0)
         {
+            callers_.enter(connection_, connection_phase::reading);
             co_return true;
         }
-        constexpr std::size_t     chunk_size = 4096;
+        constexpr std::size_t chunk_size = 4096;
+        if (buffer.capacity() > 2 * chunk_size)
+        {
+            buffer.shrink_to_fit(); // a long head has made it grow
+        }
         boost::system::error_code error;
-        callers_.add_idle(connection_, state_.held->options().most_idle);
+        callers_.enter_idle(connection_, state_.held->options().most_idle);
         connection_->stream().expires_after(limits.idle_time);
         auto const read = co_await connection_->stream().async_read_some(
             buffer.prepare(chunk_size),
             boost::asio::redirect_error(boost::asio::use_awaitable, error));
         buffer.commit(read);
-        bool const ended = callers_.idle.erase(connection_) == 0; // this side was closed
-        co_return !error && !ended;
+        if (error || connection_->place.phase != connection_phase::idle)
+        {
+            co_return false; // closed by either side
+        }
+        callers_.enter(connection_, connection_phase::reading);
+        co_return true;
     }
 
     /// Skips an empty line before a request, which some clients send after a body (RFC
@@ -225,12 +244,22 @@
             auto const consumed = co_await boost::beast::http::async_read_some(
                 connection_->stream(), connection_->buffer(), parser,
                 boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            framing_bytes += consumed - std::min(content.size() - before, consumed);
             constexpr std::int64_t copies = 2; // this one, and one sent to a server
             held.set(static_cast<std::int64_t>(content.size()) * copies);
             if (!error && !state_.held->has_room())
             {
                 co_return out_of_memory();
             }
+            if (exceeds_framing(most, framing_bytes, content.size()))
+            {
+                co_return framing_limit();
+            }
+            // An operation whose bytes have arrived completes even if its time is up.
+            if (!error && !parser.is_done() && loop_clock::now() >= until)
+            {
+                error = boost::beast::error::timeout;
+            }
         }
         if (error)
         {
@@ -244,25 +273,26 @@
     }
 
     static bool is_head(request_parser const& parser)
-            framing_bytes += consumed - std::min(content.size() - before, consumed);
     {
         return parser.get().method() == boost::beast::http::verb::head;
     }
 
     static own_response out_of_memory()
     {
-            if (exceeds_framing(most, framing_bytes, content.size()))
-            {
-                co_return framing_limit();
-            }
-            // An operation whose bytes have arrived completes even if its time is up.
-            if (!error && !parser.is_done() && loop_clock::now() >= until)
-            {
-                error = boost::beast::error::timeout;
-            }
         return {503, call_fate::not_run, "memory", refusal_retry_after};
     }
 
+    static own_response framing_limit()
+    {
+        return {431, call_fate::final_refusal, "framing_limit", std::nullopt};
+    }
+
+    /// Bytes of a head, of one chunk's header, or of a trailer, that may be buffered.
+    static std::size_t max_part(caller_limits const& limits)
+    {
+        return static_cast<std::size_t>(limits.header_bytes) + read_ahead;
+    }
+
     static own_response bad_request(std::string_view cause)
     {
         return {400, call_fate::final_refusal, cause, std::nullopt};
@@ -279,20 +309,13 @@
         {
             return {413, call_fate::final_refusal, "body_limit", std::nullopt};
         }
+        if (error == http::error::buffer_overflow)
+        {
+            return framing_limit();
+        }
         if (error == boost::beast::error::timeout)
         {
             return {408, call_fate::not_run, "slow_request", std::nullopt};
-    static own_response framing_limit()
-    {
-        return {431, call_fate::final_refusal, "framing_limit", std::nullopt};
-    }
-
-    /// Bytes of a head, of one chunk's header, or of a trailer, that may be buffered.
-    static std::size_t max_part(caller_limits const& limits)
-    {
-        return static_cast<std::size_t>(limits.header_bytes) + read_ahead;
-    }
-
         }
         bool const parsing =
             error.category() ==
@@ -309,10 +332,6 @@
         if (refusal.cause == "closed" || !connection_->stream().socket().is_open())
         {
             co_return connection_disposition::aborted;
-        if (error == http::error::buffer_overflow)
-        {
-            return framing_limit();
-        }
         }
         state_.counters.add("refusals_total", "cause=\"" + std::string{refusal.cause} +
                                                   "\",status=\"" +
--- a/src/serving/caller_socket.hpp
+++ b/src/serving/caller_socket.hpp
@@ -1,10 +1,11 @@
 // A caller's connection: writes responses, detects that the caller has disconnected, and
 // ends callers that are too slow.
 //
-// Index: caller_socket
+// Index: 1 slow_end, 2 connection_place, 3 caller_socket
 #ifndef MARIGOLDCRANK_SERVING_CALLER_SOCKET_HPP
 #define MARIGOLDCRANK_SERVING_CALLER_SOCKET_HPP
 
+#include "policy/connection_phase.hpp"
 #include "policy/held_memory.hpp"
 #include "serving/http_connection.hpp"
 
@@ -27,6 +28,14 @@
     unwritten_response response;               // what it hadn't taken
 };
 
+/// Where a connection is listed.
+struct connection_place
+{
+    connection_phase phase = connection_phase::idle;
+    std::uint64_t    number = 0; // 0: not listed
+    loop_time        since{};    // when the phase began
+};
+
 /// The connection is shared by its session and the call in progress. Bytes are queued and
 /// written in order, so that the rest of a response can be read meanwhile.
 class caller_socket : public std::enable_shared_from_this<caller_socket>
@@ -89,7 +98,7 @@
     boost::beast::tcp_stream&  stream() noexcept;
     boost::beast::flat_buffer& buffer() noexcept;
 
-    loop_time idle_since{}; // when it began to wait for a request
+    connection_place place; // kept by caller_connections
 
 private:
     void schedule_check();
--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -55,6 +55,11 @@
 {
     connection->last_used = now;
     auto& list = idle_[server];
+    if (list.size() < options_.max_idle && size() >= options_.max_total)
+    {
+        connection->close();
+        return;
+    }
     if (list.size() >= options_.max_idle)
     {
         list.front()->close();
@@ -63,6 +68,16 @@
     list.push_back(std::move(connection));
 }
 
+std::size_t connection_pool::size() const
+{
+    std::size_t result = 0;
+    for (auto const& [server, list] : idle_)
+    {
+        result += list.size();
+    }
+    return result;
+}
+
 void connection_pool::drop(std::string const& server)
 {
     auto const found = idle_.find(server);
--- a/src/serving/connection_pool.hpp
+++ b/src/serving/connection_pool.hpp
@@ -17,6 +17,7 @@
 struct pool_options
 {
     std::size_t max_idle = 16; // 16    idle connections per server; the oldest is closed
+    std::size_t max_total = 1024;      // 1024  idle connections; above it none is kept
     millis default_idle_timeout{3000}; // 3000  ms; idle timeout if the server states none
     millis close_margin{1000}; // 1000  ms before the stated timeout: a request that
                                //       crosses the server's close may or may not run
@@ -39,7 +40,7 @@
     std::shared_ptr<http_connection> take(std::string const& server, bool not_repeatable,
                                           loop_time now, condition const& suits);
 
-    /// Keeps a connection for reuse.
+    /// Keeps a connection for reuse, unless as many are kept as may be.
     void give_back(std::string const& server, std::shared_ptr<http_connection> connection,
                    loop_time now);
 
@@ -54,6 +55,8 @@
     bool is_usable(http_connection const& connection, bool not_repeatable,
                    loop_time now) const;
 
+    std::size_t size() const;
+
     pool_options                                                         options_;
     std::map<std::string, std::vector<std::shared_ptr<http_connection>>> idle_;
 };
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -103,7 +103,7 @@
     static constexpr millis crashes_poll{2}; // between checks whether they are read
     // 1000  ms; between relay plans, each of which sorts all VMs
     static constexpr millis plan_interval{1000};
-    // 5000  ms; between log lines about calls to the store
+    // 5000  ms; between log lines about calls to the store and closed connections
     static constexpr millis tally_interval{5000};
     // 50    ms; between checks whether all calls have ended
     static constexpr millis drain_poll{50};
@@ -120,6 +120,10 @@
         listen_on(loop_, state_.settings.callers,
                   [this](boost::asio::ip::tcp::socket socket)
                   {
+                      if (!has_room_for_caller())
+                      {
+                          return; // closes it
+                      }
                       auto run = [](std::shared_ptr<caller_session<Dialect>> session)
                           -> boost::asio::awaitable<void>
                       {
@@ -159,6 +163,19 @@
         }
     }
 
+    /// Closes another connection if there are as many as the VM takes. False if all of
+    /// them have calls.
+    bool has_room_for_caller()
+    {
+        if (callers_.size() < state_.most_connections.callers)
+        {
+            return true;
+        }
+        auto const closed = callers_.make_room();
+        state_.count_closed("callers", closed ? connection_phase_name(*closed) : "new");
+        return closed.has_value();
+    }
+
     /// Starts the readers of the store once other VMs are known, or `max_discovery` has
     /// passed. When all VMs of a large fleet start at once, each would otherwise list and
     /// read every topic before it knows which VM to query.
@@ -205,9 +222,10 @@
         {
             state_.pool.trim(loop_clock::now());
             callers_.relieve(*state_.held);
+            callers_.close_ended();
             state_.log.flush(boot_clock::now());
             log_readiness();
-            log_store_calls();
+            log_tallies();
             co_await loop_sleep(housekeeping_interval);
         }
     }
@@ -273,7 +291,7 @@
         }
     }
 
-    void log_store_calls()
+    void log_tallies()
     {
         auto const now = boot_clock::now();
         if (now - tallied_at_ < tally_interval)
@@ -281,6 +299,14 @@
             return;
         }
         tallied_at_ = now;
+        for (auto const& [key, count] : std::exchange(state_.closed_connections, {}))
+        {
+            state_.log.write(event_line{"connections_closed"}
+                                 .add("port", key.first)
+                                 .add("phase", key.second)
+                                 .add("count", count),
+                             now);
+        }
         for (auto const& [topic, calls] : shared_.tally().take())
         {
             state_.log.write(event_line{"store_calls"}
@@ -352,9 +378,9 @@
     boost::asio::awaitable<void> close_until(boot_clock::time_point until)
     {
         callers_.close_idle();
-        while (
-            boot_clock::now() < until &&
-            (state_.running.size() > 0 || state_.tunnels > 0 || !callers_.idle.empty()))
+        while (boot_clock::now() < until &&
+               (state_.running.size() > 0 || state_.tunnels > 0 ||
+                callers_.count(connection_phase::idle) > 0))
         {
             callers_.close_idle();
             co_await loop_sleep(drain_poll);
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -96,6 +96,8 @@
 entry_state::entry_state(entry_settings value, std::string incarnation_name)
     : settings(std::move(value)), incarnation(std::move(incarnation_name)),
       servers({.min_outage = 2 * settings.renewal}),
+      most_connections(plan_connections(settings.descriptors, settings.memory)),
+      pool({.max_total = most_connections.idle_servers}),
       held(std::make_shared<held_memory>(held_options_for(settings))),
       contact(contact_of(settings)), usage(incarnation, contact, settings.usage_window),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
@@ -705,6 +707,13 @@
     isolated_limits.erase(server);
 }
 
+void entry_state::count_closed(std::string const& port, std::string const& phase)
+{
+    ++closed_connections[{port, phase}];
+    counters.add("connections_closed_total",
+                 "port=\"" + port + "\",phase=\"" + phase + "\"");
+}
+
 std::int64_t entry_state::unix_ms()
 {
     return day.read(boot_clock::now(), static_cast<std::int64_t>(unix_millis()));
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -15,6 +15,7 @@
 #include "ledger/server_list.hpp"
 #include "ledger/usage_windows.hpp"
 #include "policy/admission_level.hpp"
+#include "policy/connection_budget.hpp"
 #include "policy/crash_watch.hpp"
 #include "policy/fleet_share.hpp"
 #include "policy/held_memory.hpp"
@@ -256,6 +257,10 @@
     /// Options for the placement of model calls, from the settings.
     placement_options placement_settings() const;
 
+    /// Counts a connection that was closed, in this phase, because its port has as many
+    /// as the VM takes.
+    void count_closed(std::string const& port, std::string const& phase);
+
     /// Time in ms since 1970 that divides usage windows.
     std::int64_t unix_ms();
 
@@ -280,6 +285,7 @@
     send_holds                          holds;           // of servers
     std::map<std::string, token_bucket> isolated_limits; // while no owner replies
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
+    connection_budget                   most_connections;
     connection_pool                     pool;
     std::shared_ptr<held_memory>        held;    // for callers and servers
     call_queue                          waiting; // calls that aren't sent yet
@@ -322,6 +328,9 @@
     // In a planned stop, when the calls get their final responses.
     std::optional<loop_time> calls_end;
 
+    // By port and phase; since the last log lines about them.
+    std::map<std::pair<std::string, std::string>, std::int64_t> closed_connections;
+
     std::map<std::string, work_by_caller>  callers_work; // by service; of this VM
     std::map<std::string, level_state>     levels;       // by service
     std::map<std::string, return_schedule> returns;      // of refused calls, by service
