Connections to the readiness, metrics and tunnel ports have a bound

Seen: 400 silent connections at any of these ports took 436 of 192 descriptors. Requests for tunnels that arrive at once could also open more than the limit, since one counted only once its server was connected.

Cause: none of the ports counted its connections; 30 s of idleness were allowed.

Change: connection_limit closes the connection that has been silent for longest when there is one too many, so a balancer that asks each second keeps its own. A tunnel counts from before its server is connected, and the sum is bounded by the VM's descriptors besides its cores.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -132,7 +132,7 @@
                       spawn(run(std::make_shared<caller_session<Dialect>>(
                           state_, callers_, std::move(socket))));
                   });
-        serve_status(loop_, state_.settings.readiness,
+        serve_status(loop_, state_.settings.readiness, status_limit("readiness"),
                      [this]
                      {
                          bool const ready = state_.ready(boot_clock::now());
@@ -140,7 +140,7 @@
                      });
         if (state_.settings.metrics.port != 0)
         {
-            serve_status(loop_, state_.settings.metrics,
+            serve_status(loop_, state_.settings.metrics, status_limit("metrics"),
                          [this] {
                              return status_response{200, state_.counters.exposition()};
                          });
@@ -163,6 +163,13 @@
         }
     }
 
+    std::shared_ptr<connection_limit> status_limit(std::string const& port)
+    {
+        return std::make_shared<connection_limit>(
+            state_.most_connections.status,
+            [this, port] { state_.count_closed(port, "silent"); });
+    }
+
     /// Closes another connection if there are as many as the VM takes. False if all of
     /// them have calls.
     bool has_room_for_caller()
--- a/src/serving/status_server.cpp
+++ b/src/serving/status_server.cpp
@@ -29,10 +29,12 @@
 constexpr millis      write_timeout{2000};  // 2000  ms; in which a response is taken
 constexpr std::size_t buffer_bytes = 12288; // 12288 bytes; a head may have 8192
 
-asio::awaitable<void> serve_connection(tcp::socket                      socket,
-                                       std::function<status_response()> respond)
+asio::awaitable<void> serve_connection(tcp::socket                       socket,
+                                       std::shared_ptr<connection_limit> limit,
+                                       std::function<status_response()>  respond)
 {
     boost::beast::tcp_stream  stream{std::move(socket)};
+    limited_connection        counted{std::move(limit), stream};
     boost::beast::flat_buffer buffer{buffer_bytes};
     boost::system::error_code error;
     bool                      keep = true;
@@ -46,6 +48,7 @@
         {
             break;
         }
+        counted.renew();
         // A body isn't read, so nothing may follow it on this connection.
         keep = request.keep_alive() && request.is_done();
         auto                              value = respond();
@@ -65,11 +68,15 @@
 } // namespace
 
 void serve_status(asio::io_context& loop, socket_address const& address,
-                  std::function<status_response()> respond)
+                  std::shared_ptr<connection_limit> limit,
+                  std::function<status_response()>  respond)
 {
     listen_on(loop, address,
-              [&loop, respond = std::move(respond)](tcp::socket socket) {
-                  asio::co_spawn(loop, serve_connection(std::move(socket), respond),
+              [&loop, limit = std::move(limit),
+               respond = std::move(respond)](tcp::socket socket)
+              {
+                  asio::co_spawn(loop,
+                                 serve_connection(std::move(socket), limit, respond),
                                  asio::detached);
               });
 }
--- a/src/serving/status_server.hpp
+++ b/src/serving/status_server.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_STATUS_SERVER_HPP
 
 #include "domain/entry_settings.hpp"
+#include "serving/connection_limit.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,10 +22,11 @@
 };
 
 /// Accepts connections on `address` for as long as the loop runs, and answers every
-/// request with `respond()`. Throws boost::system::system_error if it can't listen on the
-/// address.
+/// request with `respond()`, without reading a body. Throws boost::system::system_error
+/// if it can't listen on the address.
 void serve_status(boost::asio::io_context& loop, socket_address const& address,
-                  std::function<status_response()> respond);
+                  std::shared_ptr<connection_limit> limit,
+                  std::function<status_response()>  respond);
 
 } // namespace marigoldcrank
 
--- a/src/serving/tunnel_server.cpp
+++ b/src/serving/tunnel_server.cpp
@@ -3,6 +3,7 @@
 // Index: 1 tunnel, 2 relaying, 3 requests
 #include "serving/tunnel_server.hpp"
 
+#include "serving/connection_limit.hpp"
 #include "serving/listener.hpp"
 #include "serving/server_connector.hpp"
 
@@ -36,22 +37,31 @@
 
 constexpr tunnel_options options;
 
-/// The two connections of a tunnel. Counts as open for its lifetime.
-struct tunnel
+/// Counts a tunnel from before its server is connected, so that requests that arrive at
+/// once don't exceed the limit.
+class tunnel_share
 {
-    tunnel(entry_state& owner, tcp::socket vm_socket, tcp::socket server_socket)
-        : state(owner), vm(std::move(vm_socket)), server(std::move(server_socket))
+public:
+    explicit tunnel_share(entry_state& state) : state_(state)
     {
-        ++state.tunnels;
+        ++state_.tunnels;
     }
 
-    ~tunnel()
+    ~tunnel_share()
     {
-        --state.tunnels;
+        --state_.tunnels;
     }
 
-    tunnel(tunnel const&) = delete;
-    tunnel& operator=(tunnel const&) = delete;
+    tunnel_share(tunnel_share const&) = delete;
+    tunnel_share& operator=(tunnel_share const&) = delete;
+
+private:
+    entry_state& state_;
+};
+
+/// The two connections of a tunnel.
+struct tunnel
+{
 
     void close()
     {
@@ -60,9 +70,9 @@
         server.close(ignored);
     }
 
-    entry_state& state;
-    tcp::socket  vm;     // to the VM that asked for the tunnel
-    tcp::socket  server; // to the backend server
+    std::unique_ptr<tunnel_share> share;
+    tcp::socket                   vm;     // to the VM that asked for the tunnel
+    tcp::socket                   server; // to the backend server
 };
 
 /// Closes with a reset, so that the other end doesn't take a response without a length
@@ -121,11 +131,12 @@
 
 // 3. Requests
 
-std::int64_t max_tunnels(entry_settings const& settings)
+std::int64_t max_tunnels(entry_state const& state)
 {
     constexpr std::int64_t per_core_scale = 1000;
-    return std::max(options.min_tunnels,
-                    settings.capacity * options.per_core / per_core_scale);
+    auto const             by_cores = std::max(
+                    options.min_tunnels, state.settings.capacity * options.per_core / per_core_scale);
+    return std::min(by_cores, static_cast<std::int64_t>(state.most_connections.tunnels));
 }
 
 /// The server with this id, if this VM sends new work to it.
@@ -148,11 +159,13 @@
                                asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<void> serve_tunnel(entry_state& state, tcp::socket socket)
+asio::awaitable<void> serve_tunnel(entry_state& state, tcp::socket socket,
+                                   std::shared_ptr<connection_limit> limit)
 {
     set_tcp_options(socket, tcp_options{});
-    auto const                             executor = socket.get_executor();
-    boost::beast::tcp_stream               stream{std::move(socket)};
+    auto const               executor = socket.get_executor();
+    boost::beast::tcp_stream stream{std::move(socket)};
+    auto counted = std::make_unique<limited_connection>(std::move(limit), stream);
     boost::beast::flat_buffer              buffer;
     http::request_parser<http::empty_body> parser;
     error_code                             error;
@@ -171,6 +184,7 @@
         co_return co_await respond(stream, "503 Service Unavailable",
                                    "Content-Length: 0\r\n");
     }
+    auto                 share = std::make_unique<tunnel_share>(state);
     backend_server const server = *listed; // copy: the list may change
     open_connection      opened;
     if (!state.health.found_lost(server.id, boot_clock::now()))
@@ -188,8 +202,9 @@
     }
     co_await respond(stream, "200 OK", "");
     stream.expires_never();
-    auto const both = std::make_shared<tunnel>(state, stream.release_socket(),
-                                               opened.connection->release_socket());
+    counted.reset();
+    std::shared_ptr<tunnel> const both{new tunnel{
+        std::move(share), stream.release_socket(), opened.connection->release_socket()}};
     asio::co_spawn(executor, relay_to_server(both), asio::detached);
     co_await relay_to_vm(both);
 }
@@ -199,15 +214,17 @@
 bool offers_tunnels(entry_state const& state)
 {
     return state.settings.tunnels.port != 0 && !state.draining &&
-           !state.servers.servers().empty() &&
-           state.tunnels < max_tunnels(state.settings);
+           !state.servers.servers().empty() && state.tunnels < max_tunnels(state);
 }
 
 void serve_tunnels(asio::io_context& loop, entry_state& state)
 {
+    auto const limit =
+        std::make_shared<connection_limit>(state.most_connections.tunnels, [&state]
+                                           { state.count_closed("tunnels", "silent"); });
     listen_on(loop, state.settings.tunnels,
-              [&loop, &state](tcp::socket socket) {
-                  asio::co_spawn(loop, serve_tunnel(state, std::move(socket)),
+              [&loop, &state, limit](tcp::socket socket) {
+                  asio::co_spawn(loop, serve_tunnel(state, std::move(socket), limit),
                                  asio::detached);
               });
 }
