Calls with repeated ids have a limit

Callers saw: while one client sent pipelined calls that all bore one id, and for half a minute after, no call was answered and the VM wasn't ready.

Cause: a connection to a server carries an id once, so each such call opened a new one. 12 connections with 1 MiB of such calls each used up the ports of the machine; failed connects were then taken for lost links. Calls without an id do the same.

Change: a VM remembers the ids of its latest 8,192 calls. Calls whose id is among them, or that have none, get 100 at once and 20 a second; others are refused at once with 429, not run, and their connection is closed. Each attempt of a client inside the limits has an id of its own and never meets this.

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -68,6 +68,8 @@
 
     // 2000  ms; a caller that doesn't take a refusal for this long is disconnected
     static constexpr millis write_timeout{2000};
+    // 1000  ms; a call with an id of its own needn't wait
+    static constexpr millis repeated_id_retry_after{1000};
     // 300   ms; longest wait for memory before a body is read: callers give up an attempt
     //       whose body isn't taken within a second
     static constexpr millis memory_wait{300};
@@ -124,6 +126,13 @@
                                                       : "repeated_field"),
                                       head_only);
         }
+        auto const& id = std::get<caller_call>(call).id;
+        if (!state_.ids.admit(id, boot_clock::now()))
+        {
+            co_return co_await refuse(
+                {429, call_fate::not_run, "repeated_id", repeated_id_retry_after},
+                head_only);
+        }
         call_runner<Dialect> runner{state_, *connection_, request,
                                     std::move(std::get<caller_call>(call))};
         callers_.enter(connection_, connection_phase::busy);
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -29,6 +29,7 @@
 #include "policy/read_progress.hpp"
 #include "policy/recent_calls.hpp"
 #include "policy/recent_sends.hpp"
+#include "policy/repeated_ids.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/return_ramp.hpp"
 #include "policy/return_schedule.hpp"
@@ -287,6 +288,7 @@
     std::map<std::string, return_ramp>  ramps; // of servers that asked for a pause
     connection_budget                   most_connections;
     connection_pool                     pool;
+    repeated_ids                        ids;     // of callers' calls
     std::shared_ptr<held_memory>        held;    // for callers and servers
     call_queue                          waiting; // calls that aren't sent yet
     vm_contact                          contact; // addresses of this VM
