Names in Connection fields are looked up once a request

Seen by reading: each field of a head was compared with each name that Connection fields list, parsing the list anew: a head of 16 KiB costs millions of steps for each attempt, on the loop that serves all calls.

Change: the names are collected once; a head without names costs nothing more. Not measured under load; http_behaviour.* and the unit tests pass.

--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -136,17 +136,36 @@
                        { return http::token_list{field.value()}.exists(name); });
 }
 
-std::string bare_host(std::string_view host)
+std::set<std::string> names_in_connection(http::fields const& fields)
+{
+    std::set<std::string> result;
+    auto const [first, last] = fields.equal_range(http::field::connection);
+    for (auto field = first; field != last; ++field)
+    {
+        for (auto const name : http::token_list{field->value()})
+        {
+            result.insert(lower_case(view(name)));
+        }
+    }
+    return result;
+}
+
+std::string lower_case(std::string_view text)
 {
-    auto const  colon = host.rfind(':');
-    bool const  bracketed = !host.empty() && host.back() == ']';
-    std::string result{
-        colon == std::string_view::npos || bracketed ? host : host.substr(0, colon)};
+    std::string result{text};
     std::transform(result.begin(), result.end(), result.begin(),
                    [](unsigned char letter) { return std::tolower(letter); });
     return result;
 }
 
+std::string bare_host(std::string_view host)
+{
+    auto const colon = host.rfind(':');
+    bool const bracketed = !host.empty() && host.back() == ']';
+    return lower_case(
+        colon == std::string_view::npos || bracketed ? host : host.substr(0, colon));
+}
+
 std::optional<std::int64_t> parse_whole_number(std::string_view text)
 {
     std::int64_t value = 0;
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,11 @@
 bool listed_in_connection(boost::beast::http::fields const& fields,
                           std::string_view                  name);
 
+/// The names that Connection fields list, in lower case.
+std::set<std::string> names_in_connection(boost::beast::http::fields const& fields);
+
+std::string lower_case(std::string_view text);
+
 /// The host in lower case, without its port.
 std::string bare_host(std::string_view host);
 
@@ -68,12 +74,14 @@
 void copy_end_to_end(boost::beast::http::fields const& from,
                      boost::beast::http::fields& to, Kept&& kept)
 {
+    // A head may list thousands of names and have thousands of fields.
+    auto const listed = names_in_connection(from);
     for (auto const& field : from)
     {
         auto const             text = field.name_string();
         std::string_view const name{text.data(), text.size()};
-        bool const             stays =
-            is_hop_by_hop(name) || (!kept(name) && listed_in_connection(from, name));
+        bool const stays = is_hop_by_hop(name) || (!listed.empty() && !kept(name) &&
+                                                   listed.count(lower_case(name)) > 0);
         if (!stays)
         {
             to.insert(field.name(), text, field.value());
