Frames, handshakes, waiting queries and message floods at VMs' ports have limits

Seen: a frame of 1 GiB that is sent to the peers or records port is kept in memory as it comes (219 MB with 12 senders); queries that ask for a wait are kept for 5 s however many there are (515 MB); a socket whose messages never end was read without a turn for calls; half a greeting held a connection for 30 s.

Cause: the library's defaults, and a list of waiting queries without a bound.

Evidence: failed before on, alone: unruly_vms.frame_without_end_at_peers and _at_records, unruly_vms.queries_without_end_at_records.

Change: a longest frame for each kind of socket; 2 s for a handshake; above 8,192 waiting queries, a query gets what there is; 256 messages at a turn of the loop. Still red, and listed: messages of frames without end, subscriptions without end and the number of connections, for which the library has no limit.

--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -32,6 +32,8 @@
 
 // 64    messages queued per VM; each queries one topic at a time
 constexpr int queue_limit = 64;
+// 8192  queries that wait for a change; a VM has one for each of its topics
+constexpr std::size_t max_waiting = 8192;
 // 250   ms beyond the requested wait, until a relay counts as silent and the store is
 //       read, before the records of keys are too old
 constexpr millis reply_margin{250};
@@ -543,6 +545,10 @@
         auto const wait = std::min(millis{waiter.ask.wait_ms()}, longest);
         waiter.since = boot_clock::now();
         waiter.until = waiter.since + wait;
+        if (waiting.size() >= max_waiting)
+        {
+            waiter.until = waiter.since; // gets what there is
+        }
         if (!reply_if_due(waiter, boot_clock::now()))
         {
             waiting.push_back(std::move(waiter));
--- a/src/serving/watched_socket.hpp
+++ b/src/serving/watched_socket.hpp
@@ -11,6 +11,7 @@
 #include <zmq.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -36,17 +37,21 @@
         return socket_;
     }
 
-    /// Handles all messages that have arrived. Must follow each send: the socket's
+    /// Handles the messages that have arrived; if there are many, some of them now and
+    /// the others on a later turn of the loop. Must follow each send: the socket's
     /// descriptor signals state changes only, and a send may consume the signal.
     void receive_pending();
 
 private:
+    void receive_later();
     void wait_readable();
 
-    zmq::socket_t socket_;
+    std::shared_ptr<void> alive_ = std::make_shared<char>(); // expires with this object
+    zmq::socket_t         socket_;
     boost::asio::posix::stream_descriptor
             readable_; // its descriptor belongs to `socket_`
     handler on_message_;
+    bool    continues_ = false; // `receive_later` was called
 };
 
 std::string zmq_endpoint(std::string const& address);
