A VM that has closed leaves new connections time for their request

Callers saw: a call on a new connection at a VM that stops got no answer in place of 503.

Cause: a connection counts as idle until its first byte, and a VM that has closed shuts down idle ones every 50 ms, so one that was just accepted could be shut before its request arrived.

Change: connections that have waited for less than 100 ms aren't ended; the next turn, 50 ms later, looks at them again.

--- a/src/serving/caller_connections.cpp
+++ b/src/serving/caller_connections.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+// 100   ms; in which the first byte of a request arrives on a new connection
+constexpr millis settling_time{100};
 // 1000  ms; in which a caller notices that its idle connection was ended
 constexpr millis ended_time{1000};
 
@@ -82,8 +84,9 @@
 
 void caller_connections::close_idle()
 {
+    auto const  before = loop_clock::now() - settling_time;
     auto const& idle = listed_[connection_phase::idle];
-    while (!idle.empty())
+    while (!idle.empty() && idle.begin()->second->place.since < before)
     {
         end(idle.begin()->second);
     }
--- a/src/serving/caller_connections.hpp
+++ b/src/serving/caller_connections.hpp
@@ -37,7 +37,8 @@
     /// any, the one that has been in it for longest. Nothing if all have calls.
     std::optional<connection_phase> make_room();
 
-    /// Ends all idle connections. The sending direction is shut down first, so that a
+    /// Ends idle connections, except those that are so new that their request may be on
+    /// its way. The sending direction is shut down first, so that a
     /// caller can tell apart a request that crosses the close.
     void close_idle();
 
