--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -52,10 +52,10 @@
     socket_address records;     // where other VMs send queries; port 0: nowhere
     // where other VMs ask for connections to servers; by default the port after `peers`
     socket_address tunnels;
-    std::int64_t   capacity = 0; // 0  thousandths of a core; larger VMs become relays
-    std::int64_t   memory = 0;   // 0  MB; 0: not stated
+    std::int64_t   capacity = 0;    // 0  thousandths of a core; larger VMs become relays
+    std::int64_t   memory = 0;      // 0  MB; 0: not stated
     std::int64_t   descriptors = 0; // 0  that the process may open; 0: not stated
-    std::int64_t   mesh = 16;    // 16  VMs; with more, relays forward digests
+    std::int64_t   mesh = 16;       // 16  VMs; with more, relays forward digests
     bool           first_start = false; //  no VM of the deployment has run before
     // [platform]
     socket_address store;  // the append-only log with the durable records
--- a/src/serving/caller_connections.cpp
+++ b/src/serving/caller_connections.cpp
@@ -25,12 +25,11 @@
 
 } // namespace
 
-void caller_connections::enter(socket_pointer const& connection, connection_phase phase)
+void caller_connections::enter(socket_pointer connection, connection_phase phase)
 {
-    auto const kept = connection; // `connection` may be the listed pointer
-    leave(*kept);
-    kept->place = {phase, ++last_number_, loop_clock::now()};
-    listed_[phase].emplace(last_number_, kept);
+    leave(*connection);
+    connection->place = {phase, ++last_number_, loop_clock::now()};
+    listed_[phase].emplace(last_number_, std::move(connection));
     ++size_;
 }
 
--- a/src/serving/caller_connections.hpp
+++ b/src/serving/caller_connections.hpp
@@ -22,7 +22,7 @@
     using socket_pointer = std::shared_ptr<caller_socket>;
 
     /// Lists a new connection, or moves one to another phase.
-    void enter(socket_pointer const& connection, connection_phase phase);
+    void enter(socket_pointer connection, connection_phase phase);
 
     /// Lists a connection as idle. If more than `most` are, ends the one that has waited
     /// longest.
@@ -38,8 +38,8 @@
     std::optional<connection_phase> make_room();
 
     /// Ends idle connections, except those that are so new that their request may be on
-    /// its way. The sending direction is shut down first, so that a
-    /// caller can tell apart a request that crosses the close.
+    /// its way. The sending direction is shut down first, so that a caller can tell apart
+    /// a request that crosses the close.
     void close_idle();
 
     /// Closes connections that were ended, and whose callers have had time to notice.
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -246,8 +246,8 @@
         boost::system::error_code error;
         auto const                until = loop_clock::now() + limits.idle_time;
         std::size_t               framing_bytes = 0;
-        message_limits            most{.part = max_part(limits)};
-        most.framing += most.part; // a trailer may be as long as a head
+        message_limits            most;
+        most.framing += max_part(limits); // a trailer may be as long as a head
         auto const& content = parser.get().body();
         auto const  head_bytes = held.bytes();
         connection_->stream().expires_at(until);
