--- a/tests/unruly/client_crowd.cpp
+++ b/tests/unruly/client_crowd.cpp
@@ -143,6 +143,19 @@
     }
 }
 
+void client_crowd::reset()
+{
+    linger const at_once{1, 0};
+    for (auto& each : clients_)
+    {
+        if (each.socket >= 0)
+        {
+            ::setsockopt(each.socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+            ::close(std::exchange(each.socket, -1));
+        }
+    }
+}
+
 std::size_t client_crowd::open()
 {
     for (auto& each : clients_)
--- a/tests/unruly/client_crowd.hpp
+++ b/tests/unruly/client_crowd.hpp
@@ -48,6 +48,9 @@
     /// Closes the sending side of each connection.
     void shut_down();
 
+    /// Closes all connections with a reset.
+    void reset();
+
     /// Opens a new connection in the place of each one that has been closed.
     void come_back();
 
--- a/tests/unruly/connections_test.cpp
+++ b/tests/unruly/connections_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -25,6 +26,7 @@
     std::string bytes;
     bool        shuts_down = false; // its sending side
     int         returns = 0;        // times that closed connections are opened anew
+    bool        resets = false;     // all connections, each time
 };
 
 std::string short_fields(std::size_t bytes)
@@ -67,6 +69,22 @@
         {"with_a_served_request", make_request({.id = "kept"})},
         {"with_a_served_request_that_return", make_request({.id = "kept"}), false, 3},
         {"that_shut_down_their_side", head, true},
+        {"that_shut_down_after_a_request", make_request({.id = "gone"}), true},
+        {"reset_while_silent", "", false, 5, true},
+        {"reset_within_a_head", head, false, 5, true},
+        {"reset_within_a_body",
+         head + "Content-Length: 90000\r\n\r\n" + std::string(1000, 'b'), false, 5, true},
+        {"reset_within_a_call", make_request({.id = "reset"}), false, 5, true},
+        {"with_two_lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
+        {"with_a_length_and_chunks",
+         head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
+        {"with_a_folded_field", head + "X-Name: a\r\n b\r\n\r\n"},
+        {"with_bare_line_feeds", "GET /repeat/x HTTP/1.1\nHost: shop.example\n\n"},
+        {"with_a_zero_in_a_field", head + std::string("X-Name: a\0b\r\n\r\n", 16)},
+        {"with_connect",
+         "CONNECT shop.example:443 HTTP/1.1\r\nHost: shop.example\r\n\r\n"},
+        {"with_an_upgrade", head + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"},
+        {"with_the_preface_of_http_2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"},
     };
 }
 
@@ -99,6 +117,10 @@
         std::this_thread::sleep_for(settling);
         vm.check();
         crowd.open();
+        if (way.resets)
+        {
+            crowd.reset();
+        }
     }
     vm.check_afterwards();
 }
@@ -177,6 +199,59 @@
     vm.check_afterwards();
 }
 
+// Streams that are never read are kept up to a bound for each, and in sum.
+TEST(unruly_callers, streams_that_stay_unread_leave_memory)
+{
+    constexpr std::chrono::milliseconds settling{2500};
+    unruly_cluster                      vm;
+    vm.cluster().server(0).handle_always(
+        [](wire_request const& request, wire_connection& connection)
+        {
+            if (request.field("request-id") == "ordinary")
+            {
+                connection.send(server_standin::signed_response(request, "done"));
+                return true;
+            }
+            constexpr int events = 200000;
+            bool          sends = true;
+            connection.send(server_standin::stream_head(request));
+            for (int number = 1; number <= events && sends; ++number)
+            {
+                sends = connection.send_patiently(
+                    server_standin::chunk(server_standin::event(number)),
+                    std::chrono::seconds{5});
+            }
+            return false;
+        });
+    client_crowd crowd(vm.port("callers"), bounds.connections);
+    crowd.stop_reading();
+    crowd.send(make_request({.path = "/stream/x", .id = "unread", .deadline_ms = 5000}));
+    std::this_thread::sleep_for(settling);
+    vm.check();
+    vm.check_afterwards();
+}
+
+// A VM that stops must not wait for clients that send half of a request.
+TEST(unruly_callers, half_requests_do_not_keep_a_vm_from_stopping)
+{
+    constexpr std::chrono::milliseconds settling{400};
+    constexpr int                       longest_stop_ms = 20000;
+    unruly_cluster                      vm;
+    client_crowd                        heads(vm.port("callers"), bounds.senders);
+    client_crowd                        bodies(vm.port("callers"), bounds.senders);
+    client_crowd                        status(vm.port("readiness"), bounds.senders);
+    client_crowd                        tunnels(vm.port("tunnels"), bounds.senders);
+    std::this_thread::sleep_for(settling);
+    heads.send(head);
+    bodies.send(head + "Content-Length: 90000\r\n\r\n" + std::string(1000, 'b'));
+    status.send("GET /ready HTTP/1.1\r\n");
+    tunnels.send("CONNECT i-0 HTTP/1.1\r\n");
+    std::this_thread::sleep_for(settling);
+    vm.check();
+    vm.cluster().daemon().signal(SIGTERM);
+    EXPECT_EQ(vm.cluster().daemon().wait(longest_stop_ms), 0);
+}
+
 // A field takes many times its length once it is parsed, also while its body is awaited.
 TEST(unruly_callers, short_fields_of_long_heads_leave_memory)
 {
