Remembered parts of prompts have a bound

Seen: one caller whose calls list new prompt parts took the daemon to 381 MB on a VM of 64 MB within 2,000 calls that an engine served.

Cause: the directory of cached parts keeps each part for 20 s after its last use, some 200 bytes at each engine, however many there are. Parts to be published grew without a bound where no digests are sent.

Change: 256 parts of a prompt are recorded, and in sum a quarter of the memory at 256 bytes each. What isn't recorded only doesn't attract calls to its engine. Counted in prompt_parts_dropped_total, logged as prompt_parts_dropped.

--- a/src/policy/prefix_directory.cpp
+++ b/src/policy/prefix_directory.cpp
@@ -18,11 +18,33 @@
 {
 }
 
+prefix_directory_options prefix_options_for(std::int64_t memory)
+{
+    constexpr std::int64_t bytes_per_mb = 1'000'000;
+    constexpr std::int64_t smallest_vm = 120; // MB
+    constexpr std::int64_t memory_part = 4;
+    constexpr std::int64_t use_bytes = 256;
+    return {.max_uses = static_cast<std::size_t>((memory > 0 ? memory : smallest_vm) *
+                                                 bytes_per_mb / memory_part / use_bytes)};
+}
+
+bool prefix_directory::holds(std::uint64_t part, std::string const& server) const
+{
+    auto const found = parts_.find(part);
+    return found != parts_.end() && found->second.count(server) > 0;
+}
+
 bool prefix_directory::note_use(std::uint64_t part, std::string const& server,
                                 millis prefill_time, boot_clock::time_point now)
 {
+    if (uses_ >= options_.max_uses && !holds(part, server))
+    {
+        ++dropped_;
+        return false;
+    }
     auto const [held, added] = parts_[part].try_emplace(server);
-    auto&      entry = held->second;
+    auto& entry = held->second;
+    uses_ += added ? 1 : 0;
     bool const known = !added && alive(entry, now);
     if (added)
     {
@@ -40,16 +62,27 @@
                             std::vector<prompt_part> const& prompt, millis prefill_time,
                             boot_clock::time_point now)
 {
-    for (std::size_t index = 0; index + 1 < prompt.size(); ++index)
+    auto const count = std::min(prompt.size(), options_.max_parts_per_prompt + 1);
+    for (std::size_t index = 0; index + 1 < count; ++index)
     {
         auto const part = part_hash(prompt[index].id);
         if (note_use(part, server, prefill_time, now))
         {
-            unpublished_[update_source::own][server].push_back(part);
+            publish(update_source::own, server, part);
         }
     }
 }
 
+void prefix_directory::publish(update_source source, std::string const& server,
+                               std::uint64_t part)
+{
+    auto& parts = unpublished_[source][server];
+    if (parts.size() < options_.max_parts_per_digest)
+    {
+        parts.push_back(part);
+    }
+}
+
 void prefix_directory::receive(prefix_update const& update, update_source source,
                                boot_clock::time_point now)
 {
@@ -57,7 +90,7 @@
     {
         if (note_use(part, update.server, options_.prefill_time, now))
         {
-            unpublished_[source][update.server].push_back(part);
+            publish(source, update.server, part);
         }
     }
 }
@@ -71,7 +104,7 @@
     }
     for (auto const part : held.mapped())
     {
-        parts_.at(part).erase(server);
+        uses_ -= parts_.at(part).erase(server);
     }
 }
 
@@ -180,7 +213,6 @@
     {
         for (auto& [server, parts] : engines)
         {
-            parts.resize(std::min(parts.size(), options_.max_parts_per_digest));
             result[source].push_back({server, std::move(parts)});
         }
     }
@@ -199,6 +231,7 @@
                           if (old)
                           {
                               remove_part(holder.first, part->first);
+                              --uses_;
                           }
                           return old;
                       });
--- a/src/policy/prefix_directory.hpp
+++ b/src/policy/prefix_directory.hpp
@@ -58,10 +58,18 @@
     millis prefill_time{400};
     // 64    parts of one engine in one digest; a VM sends no more between two digests
     std::size_t max_parts_per_digest = 64;
+    // 256   parts of one prompt that are recorded, from its beginning
+    std::size_t max_parts_per_prompt = 256;
+    // 262144 parts in sum, at each engine that holds one; further ones aren't recorded
+    std::size_t max_uses = 262144;
 
     bool operator==(prefix_directory_options const&) const = default;
 };
 
+/// The options for a VM with so much memory, in MB; 0: not stated. A caller may list new
+/// parts in each call, and a use takes some 200 bytes for as long as it is kept.
+prefix_directory_options prefix_options_for(std::int64_t memory);
+
 /// Engines by part, and the updates still to be published. No I/O; the caller passes the
 /// time.
 class prefix_directory
@@ -112,6 +120,12 @@
         return parts_.size();
     }
 
+    /// Parts that weren't recorded for want of room.
+    std::uint64_t dropped() const noexcept
+    {
+        return dropped_;
+    }
+
 private:
     struct use
     {
@@ -124,6 +138,10 @@
     using part_set = std::unordered_set<std::uint64_t>;
     using pending_parts = std::map<std::string, std::vector<std::uint64_t>>;
 
+    bool holds(std::uint64_t part, std::string const& server) const;
+
+    void publish(update_source source, std::string const& server, std::uint64_t part);
+
     /// Records a use; true if it is to be published.
     bool note_use(std::uint64_t part, std::string const& server, millis prefill_time,
                   boot_clock::time_point now);
@@ -144,6 +162,8 @@
     // part, and a fleet can lose a hundred engines at once.
     std::unordered_map<std::string, part_set> parts_by_server_;
     std::map<update_source, pending_parts>    unpublished_;
+    std::size_t                               uses_ = 0; // in parts_
+    std::uint64_t                             dropped_ = 0;
 };
 
 /// Hash under which VMs publish a part.
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -154,6 +154,8 @@
             [this] { return static_cast<std::uint64_t>(state_.waiting.size()); });
         state_.counters.add_callback("log_lines_dropped_total", "",
                                      [this] { return state_.log.dropped(); });
+        state_.counters.add_callback("prompt_parts_dropped_total", "",
+                                     [this] { return state_.prefixes.dropped(); });
         for (auto const kind : held_kinds)
         {
             state_.counters.add_callback(
@@ -314,6 +316,14 @@
                                  .add("count", count),
                              now);
         }
+        auto const dropped = state_.prefixes.dropped();
+        if (auto const before = std::exchange(state_.logged_drops, dropped);
+            before != dropped)
+        {
+            state_.log.write(event_line{"prompt_parts_dropped"}.add(
+                                 "count", static_cast<std::int64_t>(dropped - before)),
+                             now);
+        }
         for (auto const& [topic, calls] : shared_.tally().take())
         {
             state_.log.write(event_line{"store_calls"}
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -100,6 +100,7 @@
       pool({.max_total = most_connections.idle_servers}),
       held(std::make_shared<held_memory>(held_options_for(settings))),
       contact(contact_of(settings)), usage(incarnation, contact, settings.usage_window),
+      prefixes(prefix_options_for(settings.memory)),
       log({.lines_per_s = settings.log_lines_per_s, .sample = settings.log_sample}),
       crashes({.vm = incarnation}), random_(std::random_device{}())
 {
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -330,6 +330,7 @@
     // In a planned stop, when the calls get their final responses.
     std::optional<loop_time> calls_end;
 
+    std::uint64_t logged_drops = 0; // of prompt parts
     // By port and phase; since the last log lines about them.
     std::map<std::pair<std::string, std::string>, std::int64_t> closed_connections;
 
--- a/tests/unit/prefix_directory_test.cpp
+++ b/tests/unit/prefix_directory_test.cpp
@@ -178,5 +178,25 @@
     EXPECT_TRUE(caches.holders_of({{"q", 1}, {"z", 7}}, "", 8, at(10)).empty());
 }
 
+// A caller that lists new parts in each call must not fill the memory.
+TEST(prefix_directory, parts_have_a_bound_until_others_leave)
+{
+    prefix_directory caches{{.max_parts_per_prompt = 2, .max_uses = 3}};
+    caches.sent("e", {{"a", 1}, {"b", 1}, {"c", 1}, {"own", 1}}, millis{0}, at(0));
+    EXPECT_EQ(caches.size(), 2U);
+    caches.sent("e", {{"d", 1}, {"f", 1}, {"own", 1}}, millis{0}, at(0));
+    EXPECT_EQ(caches.size(), 3U);
+    EXPECT_EQ(caches.dropped(), 1U);
+    caches.sent("e", {{"a", 1}, {"own", 1}}, millis{0}, at(15000));
+    EXPECT_EQ(caches.dropped(), 1U);
+    caches.expire(at(25000));
+    EXPECT_EQ(caches.size(), 1U);
+    caches.sent("e", {{"g", 1}, {"h", 1}, {"own", 1}}, millis{0}, at(25000));
+    EXPECT_EQ(caches.size(), 3U);
+    caches.forget("e");
+    caches.sent("e", {{"i", 1}, {"j", 1}, {"own", 1}}, millis{0}, at(25000));
+    EXPECT_EQ(caches.dropped(), 1U);
+}
+
 } // namespace
 } // namespace marigoldcrank
--- a/tests/unruly/client_crowd.cpp
+++ b/tests/unruly/client_crowd.cpp
@@ -176,9 +176,9 @@
 
 // 3. unruly_cluster
 
-unruly_cluster::unruly_cluster(std::string const& policy, int header_bytes)
+unruly_cluster::unruly_cluster(std::string const& policy, int header_bytes, int servers)
     : metrics_port_(ports_.next()),
-      cluster_({.servers = 1,
+      cluster_({.servers = servers,
                 .policy = policy,
                 .node = "memory = " + std::to_string(bounds.memory) +
                         "\ndescriptors = " + std::to_string(bounds.descriptors) +
--- a/tests/unruly/client_crowd.hpp
+++ b/tests/unruly/client_crowd.hpp
@@ -76,12 +76,13 @@
     std::vector<client> clients_;
 };
 
-/// One daemon on a VM with the memory and the descriptors of `bounds`, and one server.
+/// One daemon on a VM with the memory and the descriptors of `bounds`.
 class unruly_cluster
 {
 public:
     /// `header_bytes`: the rules' limit of a head.
-    explicit unruly_cluster(std::string const& policy = {}, int header_bytes = 8192);
+    explicit unruly_cluster(std::string const& policy = {}, int header_bytes = 8192,
+                            int servers = 1);
 
     entry_cluster& cluster();
 
--- a/tests/unruly/connections_test.cpp
+++ b/tests/unruly/connections_test.cpp
@@ -231,6 +231,32 @@
     vm.check_afterwards();
 }
 
+// Parts of prompts are remembered for as long as an engine may have them cached.
+TEST(unruly_callers, parts_of_prompts_leave_memory)
+{
+    constexpr std::size_t part_bytes = 7000; // of a call's list
+    constexpr std::size_t calls = 2000;
+    unruly_cluster        vm{"", 8192, 2};
+    vm.cluster().list_engine(vm.cluster().server(1), "mixed");
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    std::string requests;
+    for (std::size_t call = 0, part = 0; call < calls; ++call)
+    {
+        std::string parts;
+        while (parts.size() < part_bytes)
+        {
+            parts += std::to_string(++part) + ":1,";
+        }
+        requests += make_request({.path = "/model/x",
+                                  .id = "parts-" + std::to_string(call),
+                                  .fields = "Prefix-Hash: " + parts + "own:1\r\n",
+                                  .body = ""});
+    }
+    client_crowd crowd(vm.port("callers"), 1);
+    crowd.press("", requests, requests.size());
+    vm.check_afterwards();
+}
+
 // A VM that stops must not wait for clients that send half of a request.
 TEST(unruly_callers, half_requests_do_not_keep_a_vm_from_stopping)
 {
