Repeated ids are limited for each connection of a caller

Change: the VM still remembers the latest ids, but each connection of a caller has its own allowance: 16 such calls at once and 4 a second.

Suspected and not shown: a caller that comes back with a new connection for every 16 calls still opens many connections to servers.

--- a/src/policy/repeated_ids.hpp
+++ b/src/policy/repeated_ids.hpp
@@ -1,6 +1,6 @@
 // Limits calls whose id other calls have had lately, or that have none.
 //
-// Index: 1 repeated_id_options, 2 repeated_ids
+// Index: 1 repeated_id_options, 2 repeated_id_use, 3 repeated_ids
 #ifndef MARIGOLDCRANK_POLICY_REPEATED_IDS_HPP
 #define MARIGOLDCRANK_POLICY_REPEATED_IDS_HPP
 
@@ -19,36 +19,42 @@
 
 struct repeated_id_options
 {
-    double      rate = 20;         // 20    such calls a second
-    double      burst = 100;       // 100   at once
+    double      rate = 4;          // 4     such calls a second on a connection
+    double      burst = 16;        // 16    at once on a connection
     std::size_t remembered = 8192; // 8192  ids of the latest calls
 
     bool operator==(repeated_id_options const&) const = default;
 };
 
+/// Such calls of one connection of a caller.
+struct repeated_id_use
+{
+    double                 count = 0; // lately
+    boot_clock::time_point at{};      // of the last one
+
+    bool operator==(repeated_id_use const&) const = default;
+};
+
 /// A connection to a server carries an id once, so each such call opens a new one.
 /// Without a limit, one client uses up the VM's ports and a server's connections, and
 /// failed connects then look like lost links. Makes no calls and reads no clock.
 class repeated_ids
 {
 public:
-    explicit repeated_ids(repeated_id_options options = {})
-        : options_(options), allowed_(options.burst)
-    {
-    }
+    explicit repeated_ids(repeated_id_options options = {}) : options_(options) {}
 
-    /// Records a call. False if it must be refused.
-    bool admit(std::string_view id, boot_clock::time_point now)
+    /// Records a call. False if it must be refused; `use` is that of its connection.
+    bool admit(std::string_view id, repeated_id_use& use, boot_clock::time_point now)
     {
         if (!id.empty() && is_new(XXH3_64bits(id.data(), id.size())))
         {
             return true;
         }
-        auto const seconds = std::chrono::duration<double>(now - refilled_at_).count();
-        allowed_ = std::min(allowed_ + seconds * options_.rate, options_.burst);
-        refilled_at_ = now;
-        bool const admitted = allowed_ >= 1;
-        allowed_ -= admitted ? 1 : 0;
+        auto const seconds = std::chrono::duration<double>(now - use.at).count();
+        use.count = std::max(use.count - seconds * options_.rate, 0.0);
+        use.at = now;
+        bool const admitted = use.count + 1 <= options_.burst;
+        use.count += admitted ? 1 : 0;
         return admitted;
     }
 
@@ -69,8 +75,6 @@
     }
 
     repeated_id_options               options_;
-    double                            allowed_;
-    boot_clock::time_point            refilled_at_{};
     std::unordered_set<std::uint64_t> known_;
     std::deque<std::uint64_t>         order_; // the oldest first
 };
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -127,7 +127,7 @@
                                       head_only);
         }
         auto const& id = std::get<caller_call>(call).id;
-        if (!state_.ids.admit(id, boot_clock::now()))
+        if (!state_.ids.admit(id, repeated_ids_, boot_clock::now()))
         {
             co_return co_await refuse(
                 {429, call_fate::not_run, "repeated_id", repeated_id_retry_after},
@@ -362,6 +362,7 @@
     entry_state&                   state_;
     caller_connections&            callers_;
     std::shared_ptr<caller_socket> connection_;
+    repeated_id_use                repeated_ids_;
 };
 
 } // namespace marigoldcrank
