Daemons await in the bodies of loops, not in their conditions

What callers saw: nothing was served. Daemons ended at their start with code 139 (arm64).

Cause: GCC 12 evaluates the right operand of `while (a && co_await f())` although `a` is false. origin_recorder read `*recorded_versions` before there was a value, at a first start too, and crash_recorder listed its records at a first start (the `listings=1` of keyed.crashes in the users' record). On x86-64 the undefined read happened to go well.

Why it works: the conditions are plain, and the reads stand in the loops' bodies.

versions_test: GCC 12 reports an overlap in "v" + to_string() once the assertions are on; the string is built otherwise, the checks are the same.

--- a/src/serving/crash_recorder.hpp
+++ b/src/serving/crash_recorder.hpp
@@ -28,9 +28,14 @@
     /// Reads the records, and then writes changes.
     boost::asio::awaitable<void> run()
     {
-        while (!state_.settings.first_start && !co_await read())
+        bool answered = state_.settings.first_start;
+        while (!answered)
         {
-            co_await loop_sleep(read_retry);
+            answered = co_await read();
+            if (!answered)
+            {
+                co_await loop_sleep(read_retry);
+            }
         }
         has_read_ = true;
         records_.begin(blocks(boot_clock::now()));
--- a/src/serving/origin_recorder.hpp
+++ b/src/serving/origin_recorder.hpp
@@ -31,10 +31,17 @@
     /// this VM's.
     boost::asio::awaitable<void> run()
     {
-        while (!state_.settings.first_start &&
-               (!state_.recorded_versions || !co_await read()))
+        bool answered = state_.settings.first_start;
+        while (!answered)
         {
-            co_await loop_sleep(read_retry);
+            if (state_.recorded_versions)
+            {
+                answered = co_await read();
+            }
+            if (!answered)
+            {
+                co_await loop_sleep(read_retry);
+            }
         }
         state_.origins_read = true;
         while (true)
--- a/tests/platform/support/entry_cluster.cpp
+++ b/tests/platform/support/entry_cluster.cpp
@@ -329,28 +329,85 @@
 std::string entry_cluster::write_settings(int index) const
 {
     auto const    slot = static_cast<std::size_t>(index);
+    bool const    first_start = options_.first_start && started_.count(index) == 0;
     auto const    file = directory_ + "/entry-" + std::to_string(index) + ".ini";
     auto const    written = file + ".new"; // a daemon may read the file at any time
     std::ofstream settings(written);
-    settings << "[node]\nname = vm-" << index << "\ndata_centre = "
-             << (index < options_.daemons - options_.distant ? "here" : "there")
+    settings << (options_.deployed ? deployed_settings(slot, first_start)
+                                   : test_settings(slot, first_start));
+    settings.close();
+    std::filesystem::rename(written, file);
+    return file;
+}
+
+std::string entry_cluster::test_settings(std::size_t slot, bool first_start) const
+{
+    bool const distant = static_cast<int>(slot) >= options_.daemons - options_.distant;
+    std::ostringstream settings;
+    settings << "[node]\nname = vm-" << slot
+             << "\ndata_centre = " << (distant ? "there" : "here")
              << "\ncallers = " << loopback_address(caller_ports_[slot])
              << "\nreadiness = " << loopback_address(readiness_ports_[slot])
              << "\npeers = " << loopback_address(peer_ports_[slot])
              << "\nrecords = " << loopback_address(record_ports_[slot])
              << "\ntunnels = " << loopback_address(tunnel_ports_[slot])
-             << "\nmesh = " << options_.mesh << "\nfirst_start = "
-             << (options_.first_start && started_.count(index) == 0 ? "true" : "false")
-             << "\n"
+             << "\nmesh = " << options_.mesh
+             << "\nfirst_start = " << (first_start ? "true" : "false") << "\n"
              << options_.node
              << "[platform]\nstore = " << loopback_address(store_ports_[slot])
              << "\nduties = " << loopback_address(duty_port_)
              << "\n[logs]\nsample = 1\n[bounds]\n"
              << options_.bounds << "\n[policy]\n"
              << options_.policy;
-    settings.close();
-    std::filesystem::rename(written, file);
-    return file;
+    return settings.str();
+}
+
+std::string entry_cluster::deployed_settings(std::size_t slot, bool first_start) const
+{
+    std::ifstream      file(MARIGOLDCRANK_SOURCE "/platform/settings.ini.in");
+    std::ostringstream text;
+    text << file.rdbuf();
+    // The port of metrics is fixed, so each VM has an address of its own.
+    constexpr int hosts = 250;
+    auto const    process = static_cast<int>(::getpid());
+    auto const    ip = "127." + std::to_string(1 + process % hosts) + "." +
+                    std::to_string(process / hosts % hosts) + "." +
+                    std::to_string(slot + 1);
+    std::map<std::string, std::string> const fields{
+        {"node_name", "vm-" + std::to_string(slot)},
+        {"zone", "here"},
+        {"listen.frontend", loopback_address(caller_ports_[slot])},
+        {"listen.ready", loopback_address(readiness_ports_[slot])},
+        {"ip", ip},
+        {"internal_port_range.0", std::to_string(peer_ports_[slot])},
+        {"internal_port_range.1", std::to_string(record_ports_[slot])},
+        {"limits.cpu_share", "0.25"},
+        {"limits.memory_mb", "260"},
+        {"limits.file_descriptors", "4100"},
+        {"bootstrap", first_start ? "true" : "false"},
+        {"platform.address", loopback_address(store_ports_[slot])},
+        {"cloud_api.address", loopback_address(duty_port_)},
+        {"heartbeat_ms", "1200"},
+        {"bounds.grace_s", "8"},
+        {"bounds.revoke_ms", "5000"},
+        {"bounds.drain_ms", "3000"},
+        {"bounds.revoke_fail_closed", "true"},
+        {"bounds.lease_ms", "3000"},
+        {"bounds.usage_window_s", "5"},
+        {"bounds.usage_late_s", "10"},
+        {"bounds.retry_budget_ratio", "0.2"},
+        {"bounds.retry_budget_slack", "58"}};
+    auto           rest = text.str();
+    std::string    filled;
+    constexpr auto brace = std::string_view{"{{"}.size();
+    for (auto at = rest.find("{{"); at != std::string::npos; at = rest.find("{{"))
+    {
+        auto const end = rest.find("}}");
+        auto const value = fields.find(rest.substr(at + brace, end - at - brace));
+        filled += rest.substr(0, at) + (value == fields.end() ? "" : value->second);
+        rest.erase(0, end + brace);
+    }
+    return filled + rest;
 }
 
 void entry_cluster::set_policy(std::string const& lines)
--- a/tests/platform/support/entry_cluster.hpp
+++ b/tests/platform/support/entry_cluster.hpp
@@ -45,6 +45,7 @@
     std::int64_t engine_tokens = 0; // that an engine of "models" holds; 0: not stated
     int          slots = 6;         // of a server of "desk"
     bool first_start = false;       // no VM has run before, so the VMs know all there was
+    bool deployed = false;          // settings from the platform's template
     std::function<void(nlohmann::json& rules)> change_rules; // before they are written
 };
 
@@ -143,6 +144,9 @@
     void expect_no_abort(int index);
     bool record_duty_request(wire_request const& request, wire_connection& connection);
     std::string write_settings(int index) const; // returns the file
+    std::string test_settings(std::size_t slot, bool first_start) const;
+    /// The settings template as the platform fills it in.
+    std::string deployed_settings(std::size_t slot, bool first_start) const;
     void        start(int index);
     /// Adds the links of the next daemon; returns the port of the store where it sees
     /// the servers behind them.
--- a/tests/platform/versions_test.cpp
+++ b/tests/platform/versions_test.cpp
@@ -336,7 +336,7 @@
                                        {"service": "models", "weight": 1}]})"});
     for (int index = 0; index < 4; ++index)
     {
-        auto const version = "v" + std::to_string(index);
+        auto const version = std::string{"v"}.append(std::to_string(index));
         run_version(cluster, index, version, hold);
         if (index >= 2)
         {
