A response that a reset cuts during an upload isn't whole

What callers saw: a server answered a long upload at once with an unframed 200, sent a part of the body and reset the connection while the upload was still being written. Callers got the part as a whole response with a Content-Length.

Cause: the kernel reports a reset once, to the first operation on the socket. The upload is written in the background; its write got the error, and the read of the response an orderly end, which ends a body that has no framing. The class: an end of a connection taken for the end of a response, without asking whether the connection ended in order.

Why it works: an unframed body is whole only if the request was written whole without an error, so that no write can have taken the error, or if the state of the socket (CLOSE_WAIT) says that the server has closed its side and nothing was reset. Decided in one function, end_of_unframed_body(), for calls, streams, prefills, the store and all else that reads through http_connection.

--- a/src/policy/response_end.hpp
+++ b/src/policy/response_end.hpp
@@ -1,6 +1,7 @@
 // How the bodies of backend servers' responses end, and which ends make them complete.
 //
-// Index: 1 body_result, 2 stream_position, 3 is_complete_body, is_complete_stream
+// Index: 1 body_result, 2 connection_end, 3 end_of_unframed_body, 4 stream_position,
+//        5 is_complete_body, is_complete_stream
 //
 // Framing (a length, chunks) states where a body ends. A response without it ends with
 // its connection, and a server that crashes ends its connections too, so such an end is
@@ -22,6 +23,24 @@
     timed_out
 };
 
+/// What is known when a read has found the end of a connection.
+struct connection_end
+{
+    bool relayed = false;         // by another VM, whose end it may be
+    bool request_written = false; // all of it, without an error
+    bool closed_in_order = false; // the server has ended its side, and nothing was reset
+
+    bool operator==(connection_end const&) const = default;
+};
+
+/// How a body without framing has ended. The kernel reports a reset once: if the request
+/// was still being written, its write may have got the error, and the read an end.
+constexpr body_result end_of_unframed_body(connection_end const& end)
+{
+    bool const in_order = end.request_written || end.closed_in_order;
+    return in_order && !end.relayed ? body_result::unframed : body_result::broken;
+}
+
 /// Where a stream of events stands after the bytes of its latest server.
 struct stream_position
 {
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -239,8 +239,18 @@
     {
         return body_result::framed;
     }
-    // The end of a relayed connection may be that of the VM that relays it.
-    return proxy.empty() ? body_result::unframed : body_result::broken;
+    return end_of_unframed_body({.relayed = !proxy.empty(),
+                                 .request_written = !writing_ && !write_failed_,
+                                 .closed_in_order = closed_by_peer()});
+}
+
+bool http_connection::closed_by_peer() const
+{
+    auto const handle = const_cast<beast::tcp_stream&>(stream_).socket().native_handle();
+    tcp_info   info{};
+    socklen_t  length = sizeof info;
+    return ::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 &&
+           info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 // 4. State
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -126,6 +126,8 @@
 
     /// How the body ended, once the parser has reached its end.
     body_result end_of_body() const;
+    /// Whether the peer has ended its side, and the connection was not reset.
+    bool closed_by_peer() const;
 
     boost::beast::tcp_stream      stream_;
     boost::beast::flat_buffer     buffer_{limits.part};
--- a/tests/platform/answer_ends_test.cpp
+++ b/tests/platform/answer_ends_test.cpp
@@ -1,7 +1,7 @@
 // Responses of servers that end early, with each framing, as callers receive them.
 //
 // Index: 1 server responses, 2 streams, 3 plain responses, 4 prefills, 5 other VMs,
-//        6 heads that are cut short
+//        6 heads that are cut short, 7 responses to uploads
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 #include "support/eventually.hpp"
@@ -558,5 +558,134 @@
     }
 }
 
+// 7. Responses to uploads
+
+/// Takes uploads that exceed the buffers of a connection.
+cluster_options with_uploads(cluster_options options = {})
+{
+    options.change_rules = [](nlohmann::json& rules)
+    {
+        rules["limits"]["max_body_bytes"] = 20'000'000;
+    };
+    return options;
+}
+
+/// An upload whose server responds when it has read the head.
+request_options upload(std::string const& path)
+{
+    auto request = new_request(path);
+    request.fields = "Answer-Early: 1\r\n";
+    request.body += std::string(8'000'000, 'u');
+    return request;
+}
+
+/// Sends `response` while the upload arrives, and then ends the connection.
+server_standin::behaviour
+early_response(std::function<std::string(wire_request const&)> response, ending end,
+               milliseconds pause = milliseconds{0})
+{
+    return [=](wire_request const& request, wire_connection& connection)
+    {
+        connection.send(response(request));
+        std::this_thread::sleep_for(pause);
+        if (end == ending::reset)
+        {
+            connection.reset();
+        }
+        else
+        {
+            connection.finish();
+        }
+        return false;
+    };
+}
+
+std::string unframed_body(wire_request const& request)
+{
+    return server_standin::without_framing(
+        server_standin::signed_response(request, "a part"));
+}
+
+std::string unframed_events(wire_request const& request)
+{
+    return server_standin::without_framing(server_standin::stream_head(request)) +
+           events(1, 3);
+}
+
+// The write of the upload took the error of the reset, and the reader saw an orderly end.
+TEST(platform_answer_ends,
+     part_of_a_response_that_a_reset_cuts_during_an_upload_looks_whole)
+{
+    entry_cluster cluster(with_uploads());
+    for (int const pause : {0, 5, 25})
+    {
+        for (std::string const path : {"/once/x", "/repeat/x"})
+        {
+            handle_always(cluster, early_response(unframed_body, ending::reset,
+                                                  milliseconds{pause}));
+            for (int call = 0; call < 4; ++call)
+            {
+                auto const response = ask(cluster.caller_port(), upload(path));
+                EXPECT_EQ(response.status, 502) << path << " after " << pause << " ms";
+                EXPECT_FALSE(signed_by_server(response));
+            }
+        }
+        handle_always(
+            cluster, early_response(unframed_events, ending::reset, milliseconds{pause}));
+        auto const response = ask(cluster.caller_port(), upload("/stream/x"));
+        EXPECT_FALSE(response.status == 200 && response.complete) << pause;
+    }
+}
+
+// As above, at a server that another VM relays to.
+TEST(platform_answer_ends, reset_during_an_upload_through_another_vm_looks_like_an_end)
+{
+    entry_cluster cluster(with_uploads({.daemons = 2, .own_links = true}));
+    cluster.break_links(0, link_fault::refuse_new);
+    EXPECT_TRUE(eventually(
+        [&]
+        { return ask(cluster.caller_port(0), new_request("/once/x")).status == 200; }));
+    for (int const pause : {0, 5, 25})
+    {
+        handle_always(cluster,
+                      early_response(unframed_body, ending::reset, milliseconds{pause}));
+        EXPECT_NE(ask(cluster.caller_port(0), upload("/once/x")).status, 200) << pause;
+    }
+}
+
+// A server may respond before it has read an upload, and read it afterwards or not.
+TEST(platform_answer_ends, early_response_to_an_upload_is_lost)
+{
+    entry_cluster cluster(with_uploads());
+    auto const    framed = [](wire_request const& request)
+    {
+        return server_standin::signed_response(request, "a part");
+    };
+    for (auto const& response :
+         {std::function<std::string(wire_request const&)>{framed}, {unframed_body}})
+    {
+        handle_always(cluster, early_response(response, ending::in_order));
+        auto const received = ask(cluster.caller_port(), upload("/once/x"));
+        EXPECT_EQ(received.status, 200);
+        EXPECT_EQ(received.body, "a part");
+    }
+    handle_always(cluster, early_response(unframed_events, ending::in_order));
+    auto const stream = ask(cluster.caller_port(), upload("/stream/x"));
+    EXPECT_EQ(stream.body, events(1, 3));
+    EXPECT_TRUE(stream.complete);
+}
+
+// An unframed response after the whole upload ends in order.
+TEST(platform_answer_ends, unframed_response_after_an_upload_is_lost)
+{
+    entry_cluster cluster(with_uploads());
+    auto          request = upload("/once/x");
+    request.fields = "";
+    handle_always(cluster, unframed_response(200, "a body"));
+    auto const response = ask(cluster.caller_port(), request);
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "a body");
+}
+
 } // namespace
 } // namespace marigoldcrank::tests
--- a/tests/platform/support/wire_server.cpp
+++ b/tests/platform/support/wire_server.cpp
@@ -109,7 +109,9 @@
     auto const end = buffer_.find("\r\n\r\n") + 4;
     request.head = buffer_.substr(0, end);
     parse_head(request);
-    auto const length = request.field("content-length");
+    auto const length = request.field("answer-early").empty()
+                            ? request.field("content-length")
+                            : std::string{};
     auto const total = end + (length.empty() ? 0 : std::stoul(length));
     while (buffer_.size() < total)
     {
@@ -165,6 +167,15 @@
     ::close(socket_.exchange(-1)); // shutdown() would close it without a reset
 }
 
+void wire_connection::finish()
+{
+    ::shutdown(socket_, SHUT_WR);
+    char piece[8192];
+    while (::recv(socket_, piece, sizeof piece, 0) > 0)
+    {
+    }
+}
+
 void wire_connection::close()
 {
     ::shutdown(socket_, SHUT_RDWR);
--- a/tests/platform/support/wire_server.hpp
+++ b/tests/platform/support/wire_server.hpp
@@ -40,12 +40,16 @@
     explicit wire_connection(int socket);
     ~wire_connection();
 
-    bool read(wire_request& request); // false: the connection has ended
+    /// Reads a request; of one with the field Answer-Early only the head. Returns false
+    /// if the connection has ended.
+    bool read(wire_request& request);
     void send(std::string const& bytes);
     /// Sends with a small buffer. Returns false as soon as nothing could be sent for
     /// `patience`, because the peer doesn't read.
     bool send_patiently(std::string const& bytes, std::chrono::milliseconds patience);
     void reset(); // closes with a TCP reset
+    /// Ends what it sends in order, and reads until the peer closes.
+    void finish();
     void close();
     bool closed_by_peer() const;
 
