Numbers that are no status, and unknown transfer codings, are malformed responses

What callers saw: a server's head with a status of 000 to 099, or an unasked 101, was skipped like an interim one, and its body read as the next head: a body that held a signed 200 was given to the caller as the response. Statuses above 599 were passed on. A body in a transfer coding other than chunked ended at the length beside it.

Cause: everything below 200 counted as interim, and nothing looked at the transfer coding of responses. The check for joined heads stood in server_exchange alone, so the store, duties, checks of servers and requests for tunnels read without it.

Evidence, failed before: platform_response_heads.body_under_a_number_that_is_no_status_is_the_response (6 of 6 statuses at plain, repeatable and streamed calls), transfer_coding_other_than_chunked_is_ignored (3 of 4 codings), handle_under_a_number_that_is_no_status_is_fetched (4 of 6 statuses at prefills), malformed_response_of_the_store_is_read (4 statuses and the coding), malformed_response_accepts_a_duty (6 statuses and the coding). All pass after it, with platform_answer_ends.* and http_behaviour.* (36 of 36). Not reproduced: field names with a blank or a control byte, in heads, interim heads and trailers of calls, at the store and at duties (10 forms; the parser refuses them, tests hold it now).

Why it works: http_connection, through which all of these read, classifies the status once (100 and 102 to 199 interim, 200 to 599 final) and refuses ambiguous heads, interim ones too.

--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -3,6 +3,9 @@
 // Index: 1 options, 2 connect and send, 3 reading, 4 state
 #include "serving/http_connection.hpp"
 
+#include "policy/response_status.hpp"
+#include "serving/http_rules.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -141,7 +144,6 @@
 
 asio::awaitable<io_result> http_connection::read_head(bool head_only, loop_time until)
 {
-    constexpr unsigned first_final = 200;
     complete_ = false;
     head_.reset();
     head_only_ = head_only;
@@ -160,7 +162,14 @@
         {
             co_return is_malformed(error) ? io_result::malformed : io_result_of(error);
         }
-        if (parser_->get().result_int() >= first_final)
+        auto const status = classify_status(parser_->get().result_int());
+        bool const malformed =
+            status == status_kind::invalid || is_ambiguous(parser_->get().base());
+        if (malformed)
+        {
+            co_return io_result::malformed;
+        }
+        if (status == status_kind::final)
         {
             if (parser_->chunked())
             {
--- a/src/serving/http_connection.hpp
+++ b/src/serving/http_connection.hpp
@@ -80,7 +80,8 @@
     /// respond before it has read the body, or without reading all of it.
     boost::asio::awaitable<io_result> send(http_request request, loop_time until);
 
-    /// Reads the head of the next response, and skips informational (1xx) ones.
+    /// Reads the head of the next response, and skips informational (1xx) ones. Heads
+    /// that leave open which response they belong to, or where it ends, are malformed.
     boost::asio::awaitable<io_result> read_head(bool head_only, loop_time until);
 
     /// The head of the latest final response, without the fields of a trailer.
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -56,11 +56,20 @@
     return false;
 }
 
+/// Whether a transfer coding other than chunked is stated.
+bool has_other_coding(http::fields const& head)
+{
+    auto const codings = head.count(http::field::transfer_encoding);
+    return codings > 1 ||
+           (codings == 1 &&
+            !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"));
+}
+
 } // namespace
 
-bool contains_status_line(response_head const& head)
+bool is_ambiguous(response_head const& head)
 {
-    return has_status_line(view(head.reason())) ||
+    return has_other_coding(head) || has_status_line(view(head.reason())) ||
            std::any_of(head.begin(), head.end(),
                        [](auto const& field)
                        { return has_status_line(view(field.value())); });
@@ -80,9 +89,7 @@
     {
         return head_fault::length;
     }
-    if (codings > 1 ||
-        (codings == 1 &&
-         !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")))
+    if (has_other_coding(head))
     {
         return head_fault::transfer_coding;
     }
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -1,6 +1,7 @@
 // HTTP rules common to all dialects: hop-by-hop fields, and checks for ambiguous heads.
 //
-// Index: 1 head_fault, 2 check_head, 3 memory_of, 4 copy_end_to_end, 5 bare_host,
+// Index: 1 head_fault, 2 check_head, is_ambiguous, 3 memory_of, 4 copy_end_to_end, 5
+// bare_host,
 //        6 parse_whole_number, parse_decimal, parse_http_date
 #ifndef MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_RULES_HPP
@@ -33,9 +34,11 @@
 /// The name of the fault for logs and responses.
 char const* head_fault_name(head_fault value);
 
-/// Whether a status line stands within the head. Then a response was cut within its own
-/// head, and the next one was read as the rest of it.
-bool contains_status_line(response_head const& head);
+/// Whether two readers could take a head for different responses. Either a status line
+/// stands within it, so that a response was cut within its head and the next one was read
+/// as the rest of it; or the body has a transfer coding other than chunked, whose end
+/// this program can't tell.
+bool is_ambiguous(response_head const& head);
 
 /// About how many bytes a parsed head takes. Short fields take many times their length.
 std::int64_t memory_of(request_head const& head);
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -321,11 +321,7 @@
     {
         for (int responses = 0; responses < max_stray_responses; ++responses)
         {
-            auto read = co_await connection_->read_head(head_only, request.until);
-            if (read == io_result::ok && contains_status_line(connection_->head()))
-            {
-                read = io_result::malformed;
-            }
+            auto const read = co_await connection_->read_head(head_only, request.until);
             if (read != io_result::ok)
             {
                 fault_ = read == io_result::timed_out   ? fault_timeout
