Requests wait for a list in confirmation if they would come too late, also after a failure

What callers saw: requests reached servers 3,172 and 3,265 ms after the store had acknowledged that they leave (3,000 allowed), 12 and 18 ms after they had come to their VMs: nothing waited.

Why it works: a list beyond nine tenths of the bound can only send too late, so a send waits for the confirmation in progress, or begins one unless the pause after a failure lasts, 200 ms at most. A younger list sends at once as before. A VM without any way to the news waits once in each pause of 0.5 to 2 s.

list_is_confirmed_again_once_the_store_is_back expected the first request after the store's return to go out by the old list; it expects now that it doesn't, which is stricter.

--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -36,6 +36,7 @@
     auto const& latest = state.confirmation;
     return {.age = state.servers.age(now),
             .max_age = max_list_age(state.settings.leave_bound),
+            .latest_age = latest_list_age(state.settings.leave_bound),
             .failed = latest.failed || !latest.read,
             .running = latest.running || !latest.read,
             .open = latest.gate.open(now) || (latest.ask && latest.ask_gate.open(now))};
--- a/tests/unit/list_check_test.cpp
+++ b/tests/unit/list_check_test.cpp
@@ -121,12 +121,38 @@
     vm.store_answers = true;
     vm.leaves = true;
     std::this_thread::sleep_for(millis{600}); // the pause after a failure
-    EXPECT_TRUE(vm.may_write());              // reads the store aside
-    vm.loop.restart();
-    vm.loop.run_for(millis{50});
+    EXPECT_FALSE(vm.may_write(10));
+    EXPECT_EQ(vm.reads, 2); // one for all of them
+}
+
+// After a failure, requests went out beside a read that brought the news 10 ms later.
+TEST(list_check, request_goes_to_a_leaving_server_while_a_read_is_in_progress)
+{
+    checked_vm vm(millis{60'000});
+    vm.store_answers = false;
+    EXPECT_TRUE(vm.may_write());
+    vm.store_answers = true;
+    vm.leaves = true;
+    vm.read_takes = millis{100};
+    std::this_thread::sleep_for(millis{600}); // the pause after a failure
+    bool const first = vm.may_write();
+    EXPECT_FALSE(first);
     EXPECT_FALSE(vm.may_write());
 }
 
+// A list that is old, but not too old for its bound, delays no request after a failure.
+TEST(list_check, request_waits_for_the_store_though_its_list_is_new_enough)
+{
+    checked_vm vm(millis{1500});
+    vm.store_answers = false;
+    EXPECT_TRUE(vm.may_write());
+    vm.read_takes = millis{100};
+    std::this_thread::sleep_for(millis{100});
+    auto const began = boot_clock::now();
+    EXPECT_TRUE(vm.may_write());
+    EXPECT_LT(boot_clock::now() - began, millis{50});
+}
+
 TEST(list_check, age_leaves_time_for_the_write)
 {
     EXPECT_EQ(max_list_age(millis{2000}), millis{1400});
