A blocked request is tried once, not by every VM every two seconds

Cause: when a block ends, each VM lets one call run as its trial. The block is lengthened by a crash and lifted by a response; a trial that ended in neither (rejected, failed, timed out) left it as it was, so the next call was the next trial two seconds later, at each VM, and retries of a trial were sent too. The class: the lack of an outcome counts as none having been asked for, and what one VM has tried the others don't know.

Why it works: a call that is sent as a trial begins the block anew, as a crash would, and the VMs tell each other of it (load_digest.trials). It ends with a crash, which counts in its place, or a response, which lifts the block at once instead of after two seconds. A trial that reached no server is taken back. A trial is sent once, after its prefill if it has one. Older VMs ignore the new field.

--- a/src/policy/crash_update.hpp
+++ b/src/policy/crash_update.hpp
@@ -1,7 +1,7 @@
 // What VMs tell each other about calls that broke off, and what calls have in common.
 //
-// Index: 1 crash_update, 2 published_crash, published_part, 3 crash_block,
-//        4 call_features, 5 crash_verdict
+// Index: 1 crash_update, 2 block_trial, 3 published_crash, published_part,
+//        published_trial, 4 crash_block, 5 call_features, 6 crash_verdict
 #ifndef MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
 #define MARIGOLDCRANK_POLICY_CRASH_UPDATE_HPP
 
@@ -31,6 +31,17 @@
     auto operator<=>(crash_update const&) const = default;
 };
 
+/// A call that was sent after a block of its content or parts had ended, as VMs publish
+/// it to each other. Unless it crashes its server or is served, it has shown nothing.
+struct block_trial
+{
+    std::string block; // its name, the same on all VMs
+    std::string call_id;
+    millis      age{0}; // since the call was sent
+
+    auto operator<=>(block_trial const&) const = default;
+};
+
 /// An update to publish, and who needs it.
 struct published_crash
 {
@@ -49,6 +60,15 @@
     bool operator==(published_part const&) const = default;
 };
 
+struct published_trial
+{
+    block_trial   trial;
+    update_source source = update_source::own;
+    bool          standing = false; // as in published_crash
+
+    bool operator==(published_trial const&) const = default;
+};
+
 /// The crashes that block a content, or calls with certain parts, at one VM.
 struct crash_block
 {
--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -70,6 +70,7 @@
         return false;
     }
     ++revision_;
+    forget_trial(crash.call_id);
     by_content_[crash.content].insert(key);
     auto const end = server_ends_.find(crash.server);
     at->second.server_ended =
@@ -222,6 +223,9 @@
         record_sound(part, update_source::own, sent, now);
     }
     record_served(call, sent);
+    forget_trial(call.call_id);
+    std::erase_if(trials_,
+                  [&](auto const& each) { return each.second.call_id == call.call_id; });
     std::vector<crash_update> withdrawn;
     auto const                found = by_content_.find(call.content);
     if (found == by_content_.end())
@@ -422,9 +426,36 @@
     return result;
 }
 
+std::vector<published_trial> crash_watch::take_trials(boot_clock::time_point now)
+{
+    std::vector<published_trial> result;
+    bool const                   republishes = now >= next_trial_republish_;
+    next_trial_republish_ =
+        republishes ? now + options_.republish : next_trial_republish_;
+    for (auto& [name, trials] : sent_trials_)
+    {
+        for (auto& [call_id, each] : trials)
+        {
+            bool const news =
+                each.publications < options_.publications && now >= each.next_publication;
+            if ((news || republishes) && result.size() < options_.max_published)
+            {
+                each.next_publication =
+                    now + options_.first_interval * (1 << each.publications);
+                each.publications =
+                    std::min(each.publications + 1, options_.publications);
+                auto const age = std::chrono::duration_cast<millis>(now - each.sent);
+                result.push_back({{name, call_id, age}, each.source, republishes});
+            }
+        }
+    }
+    return result;
+}
+
 void crash_watch::republish()
 {
     next_republish_ = {};
+    next_trial_republish_ = {};
 }
 
 // 4. Bounds
@@ -437,6 +468,7 @@
     }
     next_expiry_ = now + expiry_interval;
     std::erase_if(trials_, [&](auto const& each) { return now >= each.second.until; });
+    expire_trials(now);
     std::erase_if(unpublished_parts_,
                   [&](auto const& each) { return !sound_.latest(each.first); });
     std::erase_if(server_ends_, [&](auto const& each)
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -146,10 +146,13 @@
                boot_clock::time_point now);
     void merge(sound_part const& update, update_source source,
                boot_clock::time_point now);
+    void merge(block_trial const& update, update_source source,
+               boot_clock::time_point now);
 
     /// The updates to publish in the next digests.
     std::vector<published_crash> take_updates(boot_clock::time_point now);
     std::vector<published_part>  take_part_updates(boot_clock::time_point now);
+    std::vector<published_trial> take_trials(boot_clock::time_point now);
 
     /// Publishes all that blocks calls in the next digests, because a VM may have
     /// started.
@@ -177,6 +180,16 @@
     /// The same for a call that is sent now if it may run.
     crash_verdict begin_attempt(call_features const& call, boot_clock::time_point now);
 
+    /// Records that a call which may run is sent now. As the trial of a block it begins
+    /// the block anew, on all VMs, until it crashes its server or is served: a trial
+    /// without an outcome would be followed by others at every VM.
+    void record_sent(call_features const& call, boot_clock::time_point now);
+    /// Records that the call has reached no server after all.
+    void record_unsent(std::string const& call_id);
+
+    /// Whether the call was sent as the trial of a block. It isn't sent once more.
+    bool was_tried(call_features const& call) const;
+
     /// The parts that crash servers.
     std::vector<part_suspect> const& suspects() const noexcept
     {
@@ -223,6 +236,16 @@
         boot_clock::time_point until{};
     };
 
+    /// A trial that was sent, without an outcome so far.
+    struct sent_trial
+    {
+        boot_clock::time_point sent{};
+        update_source          source = update_source::own;
+        boot_clock::time_point next_publication{};
+        int                    publications = 0;
+    };
+    using sent_trials = std::map<std::string, sent_trial>; // by id of the call
+
     // Records
 
     bool add(crash_update const& crash, update_source source, boot_clock::time_point now);
@@ -250,15 +273,20 @@
     std::vector<call_key> counted_calls(part_suspect const& suspect) const;
     crash_block block_of(std::string name, std::vector<call_key> const& newest_first,
                          boot_clock::time_point now) const;
-    /// When a content may run again; the epoch if it isn't blocked.
+    /// When a content may run again; the epoch if it isn't blocked. The call `call_id`
+    /// isn't blocked by its own trial.
     boot_clock::time_point block_end(std::string const&        content,
-                                     std::set<call_key> const& keys) const;
-    boot_clock::time_point block_end(part_suspect const& suspect) const;
+                                     std::set<call_key> const& keys,
+                                     std::string const&        call_id) const;
+    boot_clock::time_point block_end(part_suspect const& suspect,
+                                     std::string const&  call_id) const;
     millis                 first_block_of(part_suspect const& suspect) const;
     /// When the block `name` ends at this VM if its last crash was at `last`, and
-    /// `failed` blocks before it have ended with one.
+    /// `failed` blocks before it have ended with one. Trials without an outcome count as
+    /// crashes in this.
     boot_clock::time_point block_end(std::string const& name, boot_clock::time_point last,
-                                     millis first, int failed) const;
+                                     millis first, int failed,
+                                     std::string const& call_id) const;
     /// Length of a block, before it is lengthened for this VM.
     millis block_length(millis first, int failed) const;
     /// How many blocks have ended with a further crash. `calls`: those that count, the
@@ -268,6 +296,9 @@
                   boot_clock::time_point now) const;
     /// Names of the blocks, ended ones included, that concern a call.
     std::vector<std::string> blocks_of(call_features const& call) const;
+    bool                     is_block(std::string const& name) const;
+    void                     forget_trial(std::string const& call_id);
+    void                     expire_trials(boot_clock::time_point now);
     /// The calls that block others, of each part no more than it takes, with the last
     /// crash of the block.
     std::map<call_key, boot_clock::time_point> standing_calls() const;
@@ -289,9 +320,11 @@
     std::vector<part_suspect>            suspects_;
     std::map<std::vector<part_key>, int> failed_blocks_;  // by parts of a suspect
     std::map<std::string, trial>         trials_;         // by name of the block
+    std::map<std::string, sent_trials>   sent_trials_;    // the same
     boot_clock::time_point               watches_from_{}; // restarts of servers
     std::uint64_t                        revision_ = 0;
     boot_clock::time_point               next_republish_{};
+    boot_clock::time_point               next_trial_republish_{};
     boot_clock::time_point               next_expiry_{};
 };
 
--- a/src/policy/crash_watch_blocks.cpp
+++ b/src/policy/crash_watch_blocks.cpp
@@ -144,19 +144,31 @@
 
 boot_clock::time_point crash_watch::block_end(std::string const&     name,
                                               boot_clock::time_point last, millis first,
-                                              int failed) const
+                                              int                failed,
+                                              std::string const& call_id) const
 {
     constexpr double steps = 1024;
-    auto const       length = block_length(first, failed);
-    auto const       own = options_.vm + '\n' + name;
-    auto const       step = static_cast<double>(XXH3_64bits(own.data(), own.size()) %
+    auto const       trials = sent_trials_.find(name);
+    if (trials != sent_trials_.end())
+    {
+        for (auto const& [id, each] : trials->second)
+        {
+            bool const other = id != call_id;
+            failed += other ? 1 : 0;
+            last = other ? std::max(last, each.sent) : last;
+        }
+    }
+    auto const length = block_length(first, failed);
+    auto const own = options_.vm + '\n' + name;
+    auto const step = static_cast<double>(XXH3_64bits(own.data(), own.size()) %
                                           static_cast<std::uint64_t>(steps));
     return last + length +
            std::chrono::duration_cast<boot_clock::duration>(length * (step / steps));
 }
 
 boot_clock::time_point crash_watch::block_end(std::string const&        content,
-                                              std::set<call_key> const& keys) const
+                                              std::set<call_key> const& keys,
+                                              std::string const&        call_id) const
 {
     auto const calls = counted_calls(keys);
     if (calls.size() < blocking_crashes)
@@ -170,13 +182,15 @@
         last = call.withdrawn ? last : std::max(last, call.ended);
     }
     auto const first = options_.first_block;
-    return block_end(content, last, first, failed_blocks(calls, blocking_crashes, first));
+    return block_end(content, last, first, failed_blocks(calls, blocking_crashes, first),
+                     call_id);
 }
 
-boot_clock::time_point crash_watch::block_end(part_suspect const& suspect) const
+boot_clock::time_point crash_watch::block_end(part_suspect const& suspect,
+                                              std::string const&  call_id) const
 {
     return block_end(name_of(suspect.parts), suspect.last, first_block_of(suspect),
-                     failed_blocks_.at(suspect.parts));
+                     failed_blocks_.at(suspect.parts), call_id);
 }
 
 millis crash_watch::first_block_of(part_suspect const& suspect) const
@@ -200,7 +214,7 @@
     auto const content = by_content_.find(call.content);
     if (content != by_content_.end())
     {
-        auto const end = block_end(call.content, content->second);
+        auto const end = block_end(call.content, content->second, call.call_id);
         if (now < end || in_trial(call.content, call.call_id, now))
         {
             return crash_verdict::content_blocked;
@@ -211,7 +225,7 @@
                     [&](part_suspect const& suspect)
                     {
                         return has_all(call.parts, suspect.parts) &&
-                               (now < block_end(suspect) ||
+                               (now < block_end(suspect, call.call_id) ||
                                 in_trial(name_of(suspect.parts), call.call_id, now));
                     });
     return suspected ? crash_verdict::parts_blocked : crash_verdict::may_run;
@@ -231,6 +245,87 @@
     return verdict;
 }
 
+void crash_watch::record_sent(call_features const& call, boot_clock::time_point now)
+{
+    for (auto const& name : blocks_of(call))
+    {
+        auto const reserved = trials_.find(name);
+        if (reserved != trials_.end() && reserved->second.call_id == call.call_id)
+        {
+            sent_trials_[name].try_emplace(
+                call.call_id, sent_trial{.sent = now, .next_publication = now});
+        }
+    }
+}
+
+void crash_watch::record_unsent(std::string const& call_id)
+{
+    forget_trial(call_id);
+}
+
+bool crash_watch::was_tried(call_features const& call) const
+{
+    auto const names = blocks_of(call);
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string const& name)
+                       {
+                           auto const trials = sent_trials_.find(name);
+                           return trials != sent_trials_.end() &&
+                                  trials->second.count(call.call_id) > 0;
+                       });
+}
+
+void crash_watch::merge(block_trial const& update, update_source source,
+                        boot_clock::time_point now)
+{
+    bool const crashed = std::any_of(calls_.begin(), calls_.end(),
+                                     [&](auto const& each)
+                                     { return each.first.second == update.call_id; });
+    bool const room =
+        sent_trials_.size() < options_.max_blocks || sent_trials_.count(update.block) > 0;
+    if (crashed || !room || sent_trials_[update.block].size() >= options_.max_recorded)
+    {
+        return;
+    }
+    sent_trials_[update.block].try_emplace(
+        update.call_id,
+        sent_trial{.sent = now - update.age, .source = source, .next_publication = now});
+}
+
+void crash_watch::forget_trial(std::string const& call_id)
+{
+    for (auto& [name, trials] : sent_trials_)
+    {
+        trials.erase(call_id);
+    }
+    std::erase_if(sent_trials_, [](auto const& each) { return each.second.empty(); });
+}
+
+bool crash_watch::is_block(std::string const& name) const
+{
+    auto const content = by_content_.find(name);
+    return (content != by_content_.end() &&
+            crashes_of(content->second) >= blocking_crashes) ||
+           std::any_of(suspects_.begin(), suspects_.end(),
+                       [&](part_suspect const& each)
+                       { return name_of(each.parts) == name; });
+}
+
+void crash_watch::expire_trials(boot_clock::time_point now)
+{
+    // News of a trial may come before those of the crashes.
+    std::erase_if(sent_trials_,
+                  [&](auto const& each)
+                  {
+                      auto const newest = std::max_element(
+                          each.second.begin(), each.second.end(),
+                          [](auto const& left, auto const& right)
+                          { return left.second.sent < right.second.sent; });
+                      return now - newest->second.sent >= options_.keep_withdrawn &&
+                             !is_block(each.first);
+                  });
+}
+
 std::vector<std::string> crash_watch::blocks_of(call_features const& call) const
 {
     std::vector<std::string> names;
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -71,7 +71,7 @@
         last_fault_ = ended_ ? fault_stopping : "deadline";
         return false;
     }
-    if (would_crash())
+    if (would_crash(history_.is_retry()))
     {
         return false;
     }
@@ -83,22 +83,25 @@
     return history_.allows(terms()) && time_left();
 }
 
-bool call_attempts::would_crash()
+bool call_attempts::would_crash(bool sent_before)
 {
-    auto const cause =
-        crash_cause(state_.crashes.begin_attempt(admitted_.features, boot_clock::now()));
+    auto const& features = admitted_.features;
+    bool const  tried = sent_before && state_.crashes.was_tried(features);
+    auto const  cause =
+        crash_cause(tried ? crash_verdict::parts_blocked
+                          : state_.crashes.begin_attempt(features, boot_clock::now()));
     last_fault_ = cause.empty() ? last_fault_ : cause;
     return !cause.empty();
 }
 
 bool call_attempts::may_continue_from_copy()
 {
-    return time_left() && !would_crash() && take_retry();
+    return time_left() && !would_crash(true) && take_retry();
 }
 
 bool call_attempts::may_run_after_prefill()
 {
-    if (would_crash())
+    if (would_crash(prefill_failed_))
     {
         return false;
     }
@@ -135,6 +138,12 @@
 {
     history_.begin();
     last_server_ = server;
+    record_sent();
+}
+
+void call_attempts::record_sent()
+{
+    state_.crashes.record_sent(admitted_.features, boot_clock::now());
 }
 
 attempt_limits call_attempts::terms() const
@@ -163,6 +172,10 @@
     tried_.insert(result.server);
     last_fault_ = result.fault.empty() ? "broken" : result.fault;
     report_health(result);
+    if (result.fate == attempt_outcome::not_sent)
+    {
+        state_.crashes.record_unsent(call_.id);
+    }
     if (result.fault == "timeout" && !result.proxied)
     {
         state_.suspected_links.insert(admitted_.service_name);
@@ -193,6 +206,7 @@
     if (result.fate == attempt_outcome::not_sent)
     {
         tried_.insert(result.server);
+        state_.crashes.record_unsent(call_.id);
     }
     else
     {
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -95,6 +95,8 @@
 
     /// Records that the call is sent to `server` to be run.
     void record_start(std::string const& server);
+    /// Records that the call, or its prefill, is sent to a server.
+    void record_sent();
 
     /// Makes the call end without another attempt, as this VM stops. What its current
     /// attempt brings isn't held against the server.
@@ -143,7 +145,7 @@
 
 private:
     /// Whether the content or parts of the call have been blocked since it was admitted.
-    bool would_crash();
+    bool would_crash(bool sent_before);
 
     std::vector<candidate> candidates_except(std::set<std::string> const& tried);
 
--- a/src/serving/digest_link.cpp
+++ b/src/serving/digest_link.cpp
@@ -150,6 +150,13 @@
         entry->set_part(each.part);
         entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
     }
+    for (auto const& each : extras.trials)
+    {
+        auto* entry = message.add_trials();
+        entry->set_block(each.block);
+        entry->set_call_id(each.call_id);
+        entry->set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+    }
 }
 
 std::int32_t to_milli(double value)
@@ -330,6 +337,11 @@
     {
         extras.sound_parts.push_back({entry.part(), parse_millis(entry.age_ms())});
     }
+    for (auto const& entry : message.trials())
+    {
+        extras.trials.push_back(
+            {entry.block(), entry.call_id(), parse_millis(entry.age_ms())});
+    }
     for (auto const& entry : message.avoided())
     {
         extras.avoided.emplace(entry.server(), millis{entry.left_ms()});
--- a/src/serving/digest_link.hpp
+++ b/src/serving/digest_link.hpp
@@ -34,6 +34,7 @@
 {
     std::vector<crash_update>     crashes;
     std::vector<sound_part>       sound_parts;
+    std::vector<block_trial>      trials;
     std::vector<usage_record>     usage; // the sender's counts
     std::vector<prefix_update>    prefixes;
     std::map<std::string, millis> avoided; // by server: remaining backoff
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -77,6 +77,13 @@
 
 /// Members leave it to their relays to publish what blocks calls, since these publish it
 /// to all VMs.
+template <class Published>
+bool is_for(digest_scope scope, Published const& update, bool mesh)
+{
+    bool const standing = update.standing && (mesh || scope != digest_scope::vm);
+    return standing || update.source <= widest_source(scope);
+}
+
 std::vector<crash_update> crashes_for(digest_scope                        scope,
                                       std::vector<published_crash> const& crash_updates,
                                       bool                                mesh)
@@ -84,8 +91,7 @@
     std::vector<crash_update> result;
     for (auto const& each : crash_updates)
     {
-        bool const standing = each.standing && (mesh || scope != digest_scope::vm);
-        if (standing || each.source <= widest_source(scope))
+        if (is_for(scope, each, mesh))
         {
             result.push_back(each.crash);
         }
@@ -93,6 +99,20 @@
     return result;
 }
 
+std::vector<block_trial> trials_for(digest_scope                        scope,
+                                    std::vector<published_trial> const& trials, bool mesh)
+{
+    std::vector<block_trial> result;
+    for (auto const& each : trials)
+    {
+        if (is_for(scope, each, mesh))
+        {
+            result.push_back(each.trial);
+        }
+    }
+    return result;
+}
+
 std::vector<sound_part> sound_parts_for(digest_scope                       scope,
                                         std::vector<published_part> const& part_updates)
 {
@@ -160,6 +180,7 @@
     state_.update_crashes(now);
     auto const crash_updates = state_.crashes.take_updates(now);
     auto const part_updates = state_.crashes.take_part_updates(now);
+    auto const trials = state_.crashes.take_trials(now);
     ++rounds_;
     if (rounds_ % expiry_interval == 0)
     {
@@ -194,6 +215,7 @@
         extras.prefixes = prefixes_for(digest.scope, prefix_updates);
         extras.crashes = crashes_for(digest.scope, crash_updates, plan_.mesh);
         extras.sound_parts = sound_parts_for(digest.scope, part_updates);
+        extras.trials = trials_for(digest.scope, trials, plan_.mesh);
         extras.avoided = state_.health.updates(widest_source(digest.scope), now);
         extras.limits = state_.limits.updates(widest_source(digest.scope), now);
         extras.proxies = proxies_for(digest.scope, state_, now);
@@ -244,6 +266,10 @@
     {
         state_.crashes.merge(each, source, now);
     }
+    for (auto const& each : extras.trials)
+    {
+        state_.crashes.merge(each, source, now);
+    }
     for (auto const& [server, left] : extras.avoided)
     {
         if (state_.settings.share_server_losses)
--- a/src/serving/prefill_step.hpp
+++ b/src/serving/prefill_step.hpp
@@ -35,6 +35,7 @@
                                       fetch_server},
                                      context_.admitted);
         context_.placement.record_attempt(server.id, placed);
+        context_.attempts.record_sent();
         auto const until = context_.placement.prefill_deadline(placed);
         auto const began = boot_clock::now();
         auto       message = sender_.attempt_options_for(server);
--- a/tests/platform/crashes_test.cpp
+++ b/tests/platform/crashes_test.cpp
@@ -53,6 +53,16 @@
             {
                 return crashes_ && request.body == fatal_body;
             };
+            options.respond =
+                [this](wire_request const& request, wire_connection& connection)
+            {
+                bool const rejects = rejects_ && request.body == fatal_body;
+                rejected_ += rejects ? 1 : 0;
+                connection.send(rejects
+                                    ? server_standin::not_executed_response(request)
+                                    : server_standin::signed_response(request, "served"));
+                return true;
+            };
             options.keeps_id = keeps_ids;
             options.list = [this, &cluster](server_standin const& server)
             {
@@ -73,6 +83,18 @@
         crashes_ = false;
     }
 
+    /// From now on servers reject the request.
+    void reject()
+    {
+        crashes_ = false;
+        rejects_ = true;
+    }
+
+    std::size_t rejected() const
+    {
+        return rejected_;
+    }
+
     std::size_t fatal_arrivals() const
     {
         std::size_t result = 0;
@@ -92,6 +114,8 @@
     port_block                                    ports_;
     std::atomic<std::int64_t>                     born_{1'000'000};
     std::atomic<bool>                             crashes_{true};
+    std::atomic<bool>                             rejects_{false};
+    std::atomic<std::size_t>                      rejected_{0};
     std::vector<std::unique_ptr<crashing_server>> servers_;
 };
 
@@ -299,6 +323,23 @@
     EXPECT_EQ(service.fatal_arrivals(), before);
 }
 
+// Each VM sent the request to servers every two seconds while they rejected it.
+TEST(platform_crashes, rejected_request_that_crashed_servers_is_tried_again_and_again)
+{
+    constexpr int    vms = 3;
+    entry_cluster    cluster({.daemons = vms, .servers = 0});
+    crashing_service service(cluster, 3);
+    ASSERT_TRUE(cluster.all_ready());
+    std::this_thread::sleep_for(seconds{3}); // the VMs have discovered each other
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{3});
+    auto const crashes = service.fatal_arrivals();
+    EXPECT_GE(crashes, 2U);
+    service.reject();
+    repeat_fatal_request(cluster, vms, "/repeat/x", seconds{25});
+    EXPECT_GE(service.rejected(), 1U);
+    EXPECT_LE(crashes + service.rejected(), most_in_all) << crash_events(cluster, vms);
+}
+
 // Servers that had restarted under their ids answered a VM that had started since; it
 // took that for proof that they had never ended.
 TEST(platform_crashes, vm_that_has_started_again_withdraws_crashes_before_its_start)
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace marigoldcrank
 {
@@ -87,6 +89,101 @@
     EXPECT_LE(crashes, 6); // a day; three after the third
 }
 
+bool begin(crash_watch& watch, std::string const& call, int ms)
+{
+    call_features const features{.content = "c", .call_id = call};
+    bool const may_run = watch.begin_attempt(features, at(ms)) == crash_verdict::may_run;
+    if (may_run)
+    {
+        watch.record_sent(features, at(ms));
+    }
+    return may_run;
+}
+
+// Trials of a blocked request that servers rejected were repeated every two seconds.
+TEST(crash_watch, trial_without_an_outcome_is_repeated_at_once)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 1000);
+    int trials = 0;
+    for (int ms = 1000; ms < 86'400'000; ms += 1000)
+    {
+        trials += begin(watch, std::to_string(ms), ms) ? 1 : 0;
+    }
+    EXPECT_LE(trials, 4); // a day
+    EXPECT_GE(trials, 2);
+}
+
+// As above, at each VM: one didn't know of the trials of another.
+TEST(crash_watch, trial_without_an_outcome_is_repeated_at_every_vm)
+{
+    std::vector<crash_watch> vms;
+    for (int vm = 0; vm < 9; ++vm)
+    {
+        vms.emplace_back(crash_watch_options{.vm = "vm-" + std::to_string(vm)});
+        vms.back().merge(crash("s1", "1"), update_source::centre, at(0));
+        vms.back().merge(crash("s2", "2"), update_source::centre, at(1000));
+    }
+    int trials = 0;
+    for (int ms = 1000; ms < 120'000; ms += 50)
+    {
+        for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        {
+            auto const call = std::to_string(vm) + "-" + std::to_string(ms);
+            trials += begin(vms[vm], call, ms) ? 1 : 0;
+        }
+        for (auto& from : vms)
+        {
+            auto const crashes = from.take_updates(at(ms));
+            auto const updates = from.take_trials(at(ms));
+            for (auto& to : vms)
+            {
+                for (auto const& each : crashes)
+                {
+                    to.merge(each.crash, update_source::centre, at(ms));
+                }
+                for (auto const& each : updates)
+                {
+                    to.merge(each.trial, update_source::centre, at(ms));
+                }
+            }
+        }
+    }
+    EXPECT_LE(trials, 3); // two minutes
+    EXPECT_GE(trials, 1);
+}
+
+// The trial of a block runs after its prefill, and isn't sent to a second server.
+TEST(crash_watch, trial_is_blocked_by_itself)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 1000);
+    call_features const call{.content = "c", .call_id = "trial"};
+    EXPECT_FALSE(watch.was_tried(call));
+    ASSERT_TRUE(begin(watch, "trial", 12'000));
+    EXPECT_TRUE(begin(watch, "trial", 12'500));
+    EXPECT_TRUE(watch.was_tried(call));
+    EXPECT_FALSE(begin(watch, "other", 12'500));
+    record(watch, crash("s3", "other"), 12'600);
+    EXPECT_FALSE(begin(watch, "trial", 12'700));
+}
+
+// A trial that reached no server, or was served, lengthens no block.
+TEST(crash_watch, trial_that_reached_no_server_lengthens_the_block)
+{
+    crash_watch watch;
+    record(watch, crash("s1", "1"), 0);
+    record(watch, crash("s2", "2"), 1000);
+    ASSERT_TRUE(begin(watch, "1st", 12'000));
+    watch.record_unsent("1st");
+    ASSERT_TRUE(begin(watch, "2nd", 14'100));
+    watch.record_completion({.content = "c", .call_id = "2nd"}, at(14'100), at(14'200));
+    EXPECT_TRUE(begin(watch, "3rd", 14'300));
+    EXPECT_TRUE(begin(watch, "4th", 14'300));
+}
+
 // Two callers send the same request when its server crashes for another reason, and both
 // calls end at once, at two VMs. If they counted as two crashes, the request would be
 // refused.
