Malformed heads of servers' responses are refused on the older path, too

Cause: cpp-httplib takes any three digits and any text before a colon, and nothing looked at them. Evidence: http_backend.malformed_head_is_a_response failed before with all ten forms, and passes after it. Fix: is_valid_head() ends a call and a stream as a lost response, by classify_status() of the serving path and the token rule of RFC 9110.

--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -151,7 +151,7 @@
     {
         status = response.status;
         deadline_guard.allow(most_bytes_between_events);
-        return true;
+        return is_valid_head(response);
     };
     request.content_receiver =
         [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t)
@@ -207,10 +207,10 @@
     exchange_watch::guard deadline_guard(watch_, *client, service.deadline,
                                          most_head_bytes);
     httplib::Request      request;
-    request.response_handler = [&](httplib::Response const&)
+    request.response_handler = [&](httplib::Response const& response)
     {
         deadline_guard.allow(most_response_bytes);
-        return true;
+        return is_valid_head(response);
     };
     request.method = service.method;
     request.path = service.path;
--- a/src/adapters/http_exchange.cpp
+++ b/src/adapters/http_exchange.cpp
@@ -1,6 +1,10 @@
 // Maps errors of cpp-httplib to transport faults.
 #include "adapters/http_exchange.hpp"
 
+#include "policy/response_head.hpp"
+
+#include <algorithm>
+
 namespace marigoldcrank
 {
 
@@ -24,4 +28,12 @@
     return leaf::new_error(transport_failure{fault_of(error), std::move(peer), 0});
 }
 
+bool is_valid_head(httplib::Response const& response)
+{
+    auto const status = classify_status(static_cast<unsigned>(response.status));
+    return status == status_kind::final &&
+           std::all_of(response.headers.begin(), response.headers.end(),
+                       [](auto const& field) { return is_field_name(field.first); });
+}
+
 } // namespace marigoldcrank
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -3,7 +3,7 @@
 // Index: 1 options, 2 connect and send, 3 reading, 4 state
 #include "serving/http_connection.hpp"
 
-#include "policy/response_status.hpp"
+#include "policy/response_head.hpp"
 #include "serving/http_rules.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/unit/http_backend_test.cpp
+++ b/tests/unit/http_backend_test.cpp
@@ -4,6 +4,8 @@
 // Index: 1 malformed reports and events, 2 endless responses, 3 heads that are cut short
 #include "adapters/http_backend.hpp"
 #include "adapters/http_engine_state.hpp"
+#include "platform/support/wire_server.hpp"
+#include "support/port_block.hpp"
 
 #include <httplib.h>
 
@@ -286,6 +288,46 @@
         [] { return false; });
 }
 
+/// Whether a call gets this response of a service.
+bool is_response(std::string const& bytes)
+{
+    tests::port_block        ports;
+    auto const               port = ports.next();
+    tests::wire_server const server(
+        port,
+        [&](tests::wire_request const&, tests::wire_connection& connection)
+        {
+            connection.send(bytes);
+            return false;
+        });
+    http_backend         backend({}, millis{500}, "node");
+    backend_server const service{.id = "service", .host = "127.0.0.1", .port = port};
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool>
+        {
+            auto const until = boot_clock::now() + millis{2000};
+            BOOST_LEAF_CHECK(backend.call(service, {.path = "/x", .deadline = until}));
+            return true;
+        },
+        [] { return false; });
+}
+
+// Numbers that are no status, and lines that are no field, were given to callers.
+TEST(http_backend, malformed_head_is_a_response)
+{
+    std::string const rest = "\r\nContent-Length: 2\r\n\r\n{}";
+    for (std::string const status : {"000", "099", "101", "600", "999"})
+    {
+        EXPECT_FALSE(is_response("HTTP/1.1 " + status + " X" + rest)) << status;
+    }
+    for (std::string const line : {"X Y: z", "X\tY: z", "X\x01Y: z", "X : z", "X\x7f: z"})
+    {
+        EXPECT_FALSE(is_response("HTTP/1.1 200 OK\r\n" + line + rest)) << line;
+    }
+    EXPECT_TRUE(is_response("HTTP/1.1 404 X" + rest));
+    EXPECT_TRUE(is_response("HTTP/1.1 200 X\r\nX-Y: z" + rest));
+}
+
 // A server closed in the middle of its response's head, and the caller got a 200 with an
 // empty body.
 TEST(http_backend, head_that_is_cut_short_is_no_response)
