Trials of blocks are logged and counted

New: ev=block_trial, block_trials_total. The users' record couldn't tell tries that a block let through from tries without a block. record_unsent() was a second name of forget_trial().

--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -182,10 +182,11 @@
 
     /// Records that a call which may run is sent now. As the trial of a block it begins
     /// the block anew, on all VMs, until it crashes its server or is served: a trial
-    /// without an outcome would be followed by others at every VM.
-    void record_sent(call_features const& call, boot_clock::time_point now);
-    /// Records that the call has reached no server after all.
-    void record_unsent(std::string const& call_id);
+    /// without an outcome would be followed by others at every VM. Returns whether it
+    /// is the trial of a block.
+    bool record_sent(call_features const& call, boot_clock::time_point now);
+    /// Forgets the trial of a call that has reached no server after all.
+    void forget_trial(std::string const& call_id);
 
     /// Whether the call was sent as the trial of a block. It isn't sent once more.
     bool was_tried(call_features const& call) const;
@@ -297,7 +298,6 @@
     /// Names of the blocks, ended ones included, that concern a call.
     std::vector<std::string> blocks_of(call_features const& call) const;
     bool                     is_block(std::string const& name) const;
-    void                     forget_trial(std::string const& call_id);
     void                     expire_trials(boot_clock::time_point now);
     /// The calls that block others, of each part no more than it takes, with the last
     /// crash of the block.
--- a/src/policy/crash_watch_blocks.cpp
+++ b/src/policy/crash_watch_blocks.cpp
@@ -245,8 +245,9 @@
     return verdict;
 }
 
-void crash_watch::record_sent(call_features const& call, boot_clock::time_point now)
+bool crash_watch::record_sent(call_features const& call, boot_clock::time_point now)
 {
+    bool is_trial = false;
     for (auto const& name : blocks_of(call))
     {
         auto const reserved = trials_.find(name);
@@ -254,13 +255,10 @@
         {
             sent_trials_[name].try_emplace(
                 call.call_id, sent_trial{.sent = now, .next_publication = now});
+            is_trial = true;
         }
     }
-}
-
-void crash_watch::record_unsent(std::string const& call_id)
-{
-    forget_trial(call_id);
+    return is_trial;
 }
 
 bool crash_watch::was_tried(call_features const& call) const
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -143,7 +143,15 @@
 
 void call_attempts::record_sent()
 {
-    state_.crashes.record_sent(admitted_.features, boot_clock::now());
+    auto const now = boot_clock::now();
+    if (state_.crashes.record_sent(admitted_.features, now))
+    {
+        state_.counters.add("block_trials_total");
+        state_.log.write(event_line{"block_trial"}
+                             .add("id", call_.id)
+                             .add("content", admitted_.features.content),
+                         now);
+    }
 }
 
 attempt_limits call_attempts::terms() const
@@ -174,7 +182,7 @@
     report_health(result);
     if (result.fate == attempt_outcome::not_sent)
     {
-        state_.crashes.record_unsent(call_.id);
+        state_.crashes.forget_trial(call_.id);
     }
     if (result.fault == "timeout" && !result.proxied)
     {
@@ -206,7 +214,7 @@
     if (result.fate == attempt_outcome::not_sent)
     {
         tried_.insert(result.server);
-        state_.crashes.record_unsent(call_.id);
+        state_.crashes.forget_trial(call_.id);
     }
     else
     {
--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -177,7 +177,7 @@
     record(watch, crash("s1", "1"), 0);
     record(watch, crash("s2", "2"), 1000);
     ASSERT_TRUE(begin(watch, "1st", 12'000));
-    watch.record_unsent("1st");
+    watch.forget_trial("1st");
     ASSERT_TRUE(begin(watch, "2nd", 14'100));
     watch.record_completion({.content = "c", .call_id = "2nd"}, at(14'100), at(14'200));
     EXPECT_TRUE(begin(watch, "3rd", 14'300));
