--- a/tests/unit/crash_watch_test.cpp
+++ b/tests/unit/crash_watch_test.cpp
@@ -154,6 +154,33 @@
     EXPECT_GE(trials, 1);
 }
 
+// The same for a part that crashes servers, in requests that are otherwise different.
+TEST(crash_watch, trial_of_a_part_without_an_outcome_is_repeated_at_once)
+{
+    crash_watch watch;
+    for (int number = 0; number < 5; ++number)
+    {
+        auto const id = std::to_string(number);
+        watch.record_crash(
+            {.content = id, .server = id, .call_id = id, .parts = {7}, .ran = millis{50}},
+            at(1000 * number - 50), at(1000 * number));
+    }
+    int trials = 0;
+    for (int ms = 5000; ms < 86'400'000; ms += 500)
+    {
+        auto const          id = std::to_string(ms);
+        call_features const call{.content = id, .parts = {7}, .call_id = id};
+        bool const may_run = watch.begin_attempt(call, at(ms)) == crash_verdict::may_run;
+        trials += may_run ? 1 : 0;
+        if (may_run)
+        {
+            EXPECT_TRUE(watch.record_sent(call, at(ms)));
+        }
+    }
+    EXPECT_LE(trials, 4); // a day
+    EXPECT_GE(trials, 2);
+}
+
 // The trial of a block runs after its prefill, and isn't sent to a second server.
 TEST(crash_watch, trial_is_blocked_by_itself)
 {
