--- a/src/policy/list_age.hpp
+++ b/src/policy/list_age.hpp
@@ -44,8 +44,8 @@
     return leave_bound * age_tenths / tenths;
 }
 
-/// The age from which a list may send a request too late. A tenth of the bound is left for
-/// the write.
+/// The age from which a list may send a request too late. A tenth of the bound is left
+/// for the write.
 constexpr millis latest_list_age(millis leave_bound) noexcept
 {
     constexpr int tenths = 10;
