A part that was sound is blocked where few other calls are served

Cause (suspected for the record, shown by a test): a part on which responses were written before is blocked after six crashes only if ten calls without it are served meanwhile. Each VM counted ten for itself, and only from the third crash on, while callers are spread over all VMs. The fewer calls there are, and the more of them the crashes break off, the longer engines go on crashing. The class: a threshold for one observer in a fleet that shares its observations.

Why it works: a VM needs its share of the ten, two at least, and tells the others, as before. In a service that fails as a whole no VM sees calls served, and nothing is blocked. part_suspects, crash_watch and part_history hold what is sound.

--- a/src/policy/crash_watch.cpp
+++ b/src/policy/crash_watch.cpp
@@ -42,7 +42,8 @@
 } // namespace
 
 crash_watch::crash_watch(crash_watch_options options)
-    : options_(std::move(options)), sound_(options_.max_sound_parts)
+    : options_(std::move(options)), others_served_(options_.suspects.others_served),
+      sound_(options_.max_sound_parts)
 {
 }
 
@@ -298,6 +299,13 @@
     }
 }
 
+void crash_watch::spread_over(std::int64_t vms)
+{
+    auto const needed = others_served_at(vms, options_.suspects.others_served);
+    served_changed_ = served_changed_ || needed != others_served_;
+    others_served_ = needed;
+}
+
 void crash_watch::watch_restarts_from(boot_clock::time_point began)
 {
     watches_from_ = began;
--- a/src/policy/crash_watch.hpp
+++ b/src/policy/crash_watch.hpp
@@ -124,6 +124,9 @@
     /// another one from now on.
     void server_ended(std::string const& server, boot_clock::time_point now);
 
+    /// Sets over how many VMs callers are spread, this one included.
+    void spread_over(std::int64_t vms);
+
     /// Sets when this VM began to watch the list of servers. It doesn't know whether the
     /// servers of earlier crashes have restarted, so their responses prove nothing.
     void watch_restarts_from(boot_clock::time_point began);
@@ -307,6 +310,7 @@
     void find_suspects(std::vector<part_key> const& changed);
 
     crash_watch_options                       options_;
+    int                                       others_served_; // needed at this VM
     std::map<call_key, broken_call>           calls_;
     std::map<std::string, std::set<call_key>> by_content_;
     std::map<part_key, std::set<call_key>>    by_part_; // without withdrawn ones
--- a/src/policy/crash_watch_blocks.cpp
+++ b/src/policy/crash_watch_blocks.cpp
@@ -387,8 +387,10 @@
                              call.parts, call.others_served});
     }
     ++revision_;
+    auto limits = options_.suspects;
+    limits.others_served = others_served_;
     suspects_ = find_part_suspects(std::move(witnesses), {served_.begin(), served_.end()},
-                                   sound_, options_.suspects);
+                                   sound_, limits);
     failed_blocks_.clear();
     for (auto const& suspect : suspects_)
     {
--- a/src/policy/part_suspects.hpp
+++ b/src/policy/part_suspects.hpp
@@ -1,12 +1,14 @@
 // Finds the prompt parts that crash servers, among the parts of all calls that broke off.
 //
 // Index: 1 part_witness, 2 served_call, 3 part_suspect, 4 part_suspect_options,
-//        5 find_part_suspects
+//        5 others_served_at, 6 find_part_suspects
 #ifndef MARIGOLDCRANK_POLICY_PART_SUSPECTS_HPP
 #define MARIGOLDCRANK_POLICY_PART_SUSPECTS_HPP
 
 #include "policy/sound_parts.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -57,7 +59,7 @@
     int crashes = 3;
     // 6     crashes with any other part, if calls without it are served meanwhile
     int sound_crashes = 6;
-    // 10    such calls
+    // 10    such calls, at all VMs together
     int others_served = 10;
     // 250   ms; servers that are lost closer together count as one crash: they may have
     //       one cause, such as a reclaimed data centre
@@ -66,6 +68,15 @@
     bool operator==(part_suspect_options const&) const = default;
 };
 
+/// How many of `all` calls a VM sees for its part if callers are spread over `vms`. It
+/// tells the others, so that the first VM to see as many decides for all.
+constexpr int others_served_at(std::int64_t vms, int all) noexcept
+{
+    constexpr std::int64_t least = 2;
+    auto const             share = (all + vms - 1) / std::max<std::int64_t>(vms, 1);
+    return static_cast<int>(std::min<std::int64_t>(std::max(share, least), all));
+}
+
 /// A server that crashes breaks off all its calls, so most witnesses are innocent. A part
 /// is no cause of a crash if a call with it that was sent later got a whole response.
 /// Of the others, the part that most crashes have in common is suspected, with all parts
--- a/src/serving/peer_exchange.cpp
+++ b/src/serving/peer_exchange.cpp
@@ -178,6 +178,7 @@
     state_.fleet.note(state_.peers.vms(now) + 1, listed_vms_, now);
     auto const prefix_updates = state_.prefixes.take_updates();
     state_.update_crashes(now);
+    state_.crashes.spread_over(state_.peers.vms(now) + 1);
     auto const crash_updates = state_.crashes.take_updates(now);
     auto const part_updates = state_.crashes.take_part_updates(now);
     auto const trials = state_.crashes.take_trials(now);
--- a/tests/platform/prompt_parts_test.cpp
+++ b/tests/platform/prompt_parts_test.cpp
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -41,9 +42,10 @@
         {
             auto const              stage = index < decode ? "decode" : "prefill";
             crashing_server_options options;
-            options.crashes_on = [](wire_request const& request)
+            options.crashes_on = [this](wire_request const& request)
             {
-                return request.field("prefix-hash").find("bad:") != std::string::npos &&
+                return !spares_ &&
+                       request.field("prefix-hash").find("bad:") != std::string::npos &&
                        request.field("serving-stage") != "prefill";
             };
             options.begin_response =
@@ -65,6 +67,30 @@
         }
     }
 
+    /// Whether the engines write on the part without a crash.
+    void spare(bool spares)
+    {
+        spares_ = spares;
+    }
+
+    /// Arrivals later than `slack` after the fifth.
+    std::size_t arrivals_after_the_fifth(milliseconds slack) const
+    {
+        std::vector<clock::time_point> times;
+        for (auto const& engine : engines_)
+        {
+            auto const each = engine->fatal_arrivals();
+            times.insert(times.end(), each.begin(), each.end());
+        }
+        constexpr std::size_t fifth = 4;
+        std::sort(times.begin(), times.end());
+        return times.size() <= fifth
+                   ? 0
+                   : static_cast<std::size_t>(times.end() -
+                                              std::upper_bound(times.begin(), times.end(),
+                                                               times[fifth] + slack));
+    }
+
     std::size_t fatal_arrivals() const
     {
         std::size_t result = 0;
@@ -97,6 +123,7 @@
     }
 
     port_block                                    ports_;
+    std::atomic<bool>                             spares_{false};
     std::vector<std::unique_ptr<crashing_server>> engines_;
 };
 
@@ -298,6 +325,25 @@
     expect_part_stopped({.bad_parts = "aa:4000,bad:4000", .prefill = 2});
 }
 
+// A part on which responses had been written wasn't blocked before each VM by itself had
+// seen ten other calls served.
+TEST(platform_prompt_parts, part_that_was_sound_crashes_engines_beside_few_other_calls)
+{
+    constexpr int          vms = 3;
+    constexpr milliseconds contact{3000}; // news reach all VMs within it
+    entry_cluster          cluster({.daemons = vms, .servers = 1});
+    crashing_engines       engines(cluster, 6);
+    model_callers          sound(cluster, vms, 1, "aa:300,bb:100", milliseconds{60});
+    std::this_thread::sleep_for(seconds{4}); // the VMs have discovered each other
+    engines.spare(true);
+    send_bad_requests(cluster, vms, "aa:300,bad:100", "s", seconds{3});
+    engines.spare(false);
+    send_bad_requests(cluster, vms, "aa:300,bad:100", "a", seconds{15});
+    EXPECT_GE(engines.fatal_arrivals(), 5U);
+    EXPECT_LE(engines.arrivals_after_the_fifth(contact), 3U)
+        << crash_events(cluster, vms);
+}
+
 // A VM that had just started sent such requests to engines again.
 TEST(platform_prompt_parts, part_crashes_an_engine_through_a_vm_that_has_started_again)
 {
--- a/tests/unit/part_suspects_test.cpp
+++ b/tests/unit/part_suspects_test.cpp
@@ -317,5 +317,14 @@
     EXPECT_EQ(updates[0].crash.parts.size(), crash_watch_options{}.max_parts);
 }
 
+TEST(part_suspects, each_vm_sees_a_share_of_the_calls_that_are_served)
+{
+    EXPECT_EQ(others_served_at(1, 10), 10);
+    EXPECT_EQ(others_served_at(3, 10), 4);
+    EXPECT_EQ(others_served_at(9, 10), 2);
+    EXPECT_EQ(others_served_at(985, 10), 2);
+    EXPECT_EQ(others_served_at(9, 1), 1);
+}
+
 } // namespace
 } // namespace marigoldcrank
