Property tests evaluate no empty optional

RC_ASSERT(a || b) evaluates both sides, since the library overloads the operators to print their operands.

--- a/tests/property/platform_decoders_property_test.cpp
+++ b/tests/property/platform_decoders_property_test.cpp
@@ -102,8 +102,8 @@
     bool const  free = !tenant.quota && tenant.quota_valid;
     bool const  no_rate = entry["rate_per_s"].is_null() || entry["rate_per_s"] == 0;
     RC_ASSERT(!free || no_rate || entry["rate_per_s"] < 1);
-    RC_ASSERT(!tenant.quota || (tenant.quota->rate > 0 && tenant.quota->burst >= 0 &&
-                                tenant.quota->default_units >= 0));
+    RC_ASSERT((!tenant.quota || (tenant.quota->rate > 0 && tenant.quota->burst >= 0 &&
+                                 tenant.quota->default_units >= 0)));
 }
 
 TEST(platform_decoders, complete_rules_are_decoded)
--- a/tests/property/request_values_property_test.cpp
+++ b/tests/property/request_values_property_test.cpp
@@ -284,8 +284,8 @@
         }
         if (kind == 0)
         {
-            RC_ASSERT(!entry || entry->phase != call_phase::intended ||
-                      released.count(entry->request_id) == 0);
+            RC_ASSERT((!entry || entry->phase != call_phase::intended ||
+                       released.count(entry->request_id) == 0));
         }
         if (entry && entry->phase == call_phase::answered)
         {
--- a/tests/property/stream_origins_property_test.cpp
+++ b/tests/property/stream_origins_property_test.cpp
@@ -94,7 +94,7 @@
     for (auto const& [key, version] : truth)
     {
         auto const found = origins.find(key, at(0));
-        RC_ASSERT(!found || found->version == version);
+        RC_ASSERT((!found || found->version == version));
     }
     RC_ASSERT(origins.of_service("s", at(0)).size() == origins.size());
     RC_ASSERT(origins.of_service("t", at(0)).empty());
@@ -182,7 +182,7 @@
             known = add(known, all[static_cast<std::size_t>(vm)].knowledge(resumed, now));
         }
         auto const origin = conclude_origin(known, "s");
-        RC_ASSERT(!origin || origin->version == truth[resumed]);
+        RC_ASSERT((!origin || origin->version == truth[resumed]));
     }
 }
 
