Log lines of sends tell whether the server's entry is missing and held

A list that is young and a server that is only held can't be told from a listed server in the log today, so two hypotheses of the incident look the same. No decision changes.

--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -109,6 +109,12 @@
     /// False once the hold of a missing entry is over.
     bool usable(std::string const& id, boot_clock::time_point now) const;
 
+    /// Whether the entry is missing in the store and still usable.
+    bool holds(std::string const& id) const
+    {
+        return hold_ends_.count(id) > 0;
+    }
+
     /// Number of entries that are missing in the store and still usable.
     std::size_t held() const noexcept
     {
--- a/src/serving/call_log.cpp
+++ b/src/serving/call_log.cpp
@@ -38,6 +38,7 @@
         .add("fetch", plan.fetch)
         .add("rules", version_of(admitted))
         .add("list_ms", state_.servers.age(boot_clock::now()))
+        .add("held", state_.servers.holds(std::string{plan.server}) ? 1 : 0)
         .add("left_ms", admitted.deadline - loop_clock::now());
     state_.log.write_step(call_.id, line, boot_clock::now());
 }
