Nothing is sent by an old list unless the store is known to be away

What callers saw: requests reached servers up to 3.3 s after the store had acknowledged that they leave (3 s allowed), 12 to 18 ms after they had come to their VM: nothing waited.

Cause (shown in tests; suspected for the record): a confirmation of the list that failed, or took longer than 200 to 800 ms, was taken as leave to send. In the pause after it, and after each further wait, requests went out by a list of any age. A VM whose own link, processor or relays are slow looks the same as one whose store is away. Class: silence taken for knowledge.

Now old news are used only by evidence: the VM's own reads at the store have failed or are overdue, and another VM says the same of its own reads (or none is known, or nobody at all has replied for 3 s, as on a VM that is cut off). Without evidence a request waits for the confirmation, 800 ms at most, and is refused as not run, so that its caller comes back at another VM.

Evidence: list_check.request_goes_out_by_an_old_list_though_the_store_may_have_newer_records and vm_that_hears_nobody_goes_on_after_a_while fail with the old rule put back (written whatever the outcome), 2 of 11; now all 11 pass, 345 unit tests, and the 32 platform tests of relays, beliefs and leaving servers.

--- a/src/policy/answer_watch.hpp
+++ b/src/policy/answer_watch.hpp
@@ -14,8 +14,8 @@
 
 struct answer_watch_options
 {
-    millis patience{500};  // 500   ms; a read without an answer for so long isn't answered
-    millis recent{1000};   // 1000  ms after a failed read, which tells nothing later
+    millis patience{500}; // 500   ms; a read without an answer for so long isn't answered
+    millis recent{1000};  // 1000  ms after a failed read, which tells nothing later
 
     bool operator==(answer_watch_options const&) const = default;
 };
--- a/src/serving/call_attempts.cpp
+++ b/src/serving/call_attempts.cpp
@@ -36,6 +36,11 @@
 
 std::vector<candidate> call_attempts::servers_to_try()
 {
+    if (unconfirmed_)
+    {
+        last_fault_ = fault_unconfirmed;
+        return {};
+    }
     auto untried = candidates_except(tried_);
     more_servers_ = untried.size() > 1;
     return untried.empty() ? candidates_except({}) : untried;
@@ -178,6 +183,7 @@
         return;
     }
     tried_.insert(result.server);
+    unconfirmed_ = result.fault == fault_unconfirmed;
     last_fault_ = result.fault.empty() ? "broken" : result.fault;
     report_health(result);
     if (result.fate == attempt_outcome::not_sent)
@@ -214,6 +220,7 @@
     if (result.fate == attempt_outcome::not_sent)
     {
         tried_.insert(result.server);
+        unconfirmed_ = result.fault == fault_unconfirmed;
         state_.crashes.forget_trial(call_.id);
     }
     else
--- a/src/serving/call_attempts.hpp
+++ b/src/serving/call_attempts.hpp
@@ -177,6 +177,7 @@
     bool                       ended_ = false;
     bool more_servers_ = false;   // another server can be tried after the current one
     bool prefill_failed_ = false; // a prefill was sent and returned no handle
+    bool unconfirmed_ = false;    // the list is too old to send by, to any server
     std::string_view last_fault_ = "no_server";
     std::string      last_server_;
 };
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -50,6 +50,7 @@
         shared_.set_fallback(Codec::servers_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.duty_topic(), store_fallback::relays_silent);
         shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
+        shared_.watch_answers(Codec::servers_topic(), state_.confirmation.answers);
         shared_.set_formats(&entry_node::format_of);
         shared_.limit_age(Codec::servers_topic(), max_servers_age);
         shared_.limit_age(Codec::rules_topic(), max_rules_age);
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -30,29 +30,40 @@
 // 4     ms; between looks whether it has ended
 constexpr millis read_poll{4};
 
-list_age_input list_age_of(entry_state const& state)
+bool is_too_old(entry_state const& state)
+{
+    return state.servers.age(boot_clock::now()) >
+           max_list_age(state.settings.leave_bound);
+}
+
+bool store_away(entry_state const& state)
 {
     auto const  now = boot_clock::now();
-    auto const& latest = state.confirmation;
-    return {.age = state.servers.age(now),
-            .max_age = max_list_age(state.settings.leave_bound),
-            .latest_age = latest_list_age(state.settings.leave_bound),
-            .failed = latest.failed || !latest.read,
-            .running = latest.running || !latest.read,
-            .open = latest.gate.open(now) || (latest.ask && latest.ask_gate.open(now))};
+    auto const& confirmation = state.confirmation;
+    if (!confirmation.read)
+    {
+        return true;
+    }
+    return confirmation.ask ? confirmation.contact.away(confirmation.answers, now)
+                            : confirmation.answers.lost(now);
 }
 
-bool is_too_old(entry_state const& state)
+list_step next_step(entry_state const& state)
 {
-    return state.servers.age(boot_clock::now()) >
-           max_list_age(state.settings.leave_bound);
+    auto const  now = boot_clock::now();
+    auto const& latest = state.confirmation;
+    bool const  open = latest.gate.open(now) || (latest.ask && latest.ask_gate.open(now));
+    return decide_list_step({.age = state.servers.age(now),
+                             .max_age = max_list_age(state.settings.leave_bound),
+                             .away = store_away(state),
+                             .running = latest.running,
+                             .open = latest.read && open});
 }
 
 /// Ends the wait of the sends.
 void end_confirmation(entry_state& state, bool confirmed)
 {
     auto& confirmation = state.confirmation;
-    confirmation.failed = !confirmed;
     if (std::exchange(confirmation.running, false))
     {
         confirmation.done->cancel();
@@ -79,6 +90,7 @@
     if (confirmed)
     {
         confirmation.gate.succeeded();
+        confirmation.contact.answered();
     }
     else
     {
@@ -87,21 +99,26 @@
     record(state, confirmed);
 }
 
+/// Asks other VMs until they have newer records, the store is known to be away, or sends
+/// no longer wait.
 asio::awaitable<void> ask_vms(entry_state& state)
 {
     auto&      confirmation = state.confirmation;
-    auto const now = boot_clock::now();
-    auto const until =
-        now + max_list_wait(state.settings.leave_bound, state.servers.age(now));
+    auto const until = boot_clock::now() + max_list_wait(store_away(state));
     if (confirmation.reading)
     {
         co_await loop_sleep(store_head_start);
     }
     bool confirmed = !is_too_old(state);
-    while (!confirmed && boot_clock::now() < until)
+    bool away = false;
+    while (!confirmed && !away && boot_clock::now() < until)
     {
-        confirmed = co_await confirmation.ask();
-        if (!confirmed)
+        auto const began = boot_clock::now();
+        auto const answer = co_await confirmation.ask();
+        confirmation.contact.record(answer, began, boot_clock::now());
+        confirmed = answer == vms_answer::newer;
+        away = !confirmed && store_away(state);
+        if (!confirmed && !away)
         {
             co_await loop_sleep(ask_pause);
         }
@@ -115,7 +132,10 @@
     {
         confirmation.ask_gate.failed(boot_clock::now());
     }
-    end_confirmation(state, confirmed);
+    if (confirmed || away || !confirmation.reading)
+    {
+        end_confirmation(state, confirmed);
+    }
 }
 
 void begin_read(entry_state& state, asio::any_io_executor const& executor)
@@ -124,16 +144,18 @@
     asio::co_spawn(executor, read_store(state), asio::detached);
 }
 
-/// Begins to confirm the list in the ways that aren't in progress. After a failed read
-/// the store is left alone for a pause if other VMs can be asked.
+/// Begins to confirm the list in the ways that aren't in progress. While the store is
+/// away, it is left alone for a pause after each failed read if other VMs can be asked.
 void begin_confirmation(entry_state& state, asio::any_io_executor const& executor)
 {
     auto&      confirmation = state.confirmation;
     auto const now = boot_clock::now();
+    bool const away = store_away(state);
     confirmation.running = true;
-    confirmation.done = std::make_shared<asio::steady_timer>(
-        executor, max_list_wait(state.settings.leave_bound, state.servers.age(now)));
-    if (!confirmation.reading && (!confirmation.ask || confirmation.gate.open(now)))
+    confirmation.done =
+        std::make_shared<asio::steady_timer>(executor, max_list_wait(away));
+    bool const may_read = !away || !confirmation.ask || confirmation.gate.open(now);
+    if (!confirmation.reading && may_read)
     {
         begin_read(state, executor);
     }
@@ -168,42 +190,55 @@
            state.servers.usable(server, boot_clock::now());
 }
 
-/// Logs that a request is written by a list that is older than it should be.
-void log_old_list(entry_state& state, std::string const& server)
+/// Logs a request that meets a list that is older than it should be.
+void log_old_list(entry_state& state, std::string const& server, bool written)
 {
-    auto const now = boot_clock::now();
-    auto const age = state.servers.age(now);
-    if (age > max_list_age(state.settings.leave_bound))
-    {
-        state.log.write(event_line{"old_list"}
-                            .add("server", server)
-                            .add("age_ms", age)
-                            .add("failed", state.confirmation.failed ? 1 : 0)
-                            .add("reading", state.confirmation.reading ? 1 : 0),
-                        now);
-    }
+    auto const  now = boot_clock::now();
+    auto const& confirmation = state.confirmation;
+    auto const  unanswered = confirmation.answers.unanswered(now);
+    state.counters.add("old_list_requests_total",
+                       written ? "outcome=\"written\"" : "outcome=\"refused\"");
+    state.log.write(event_line{"old_list"}
+                        .add("server", server)
+                        .add("age_ms", state.servers.age(now))
+                        .add("written", written ? 1 : 0)
+                        .add("reading", confirmation.reading ? 1 : 0)
+                        .add("unanswered_ms", unanswered),
+                    now);
 }
 
 } // namespace
 
-asio::awaitable<bool> may_write_to(entry_state& state, std::string server)
+asio::awaitable<write_verdict> may_write_to(entry_state& state, std::string server)
 {
     auto const executor = co_await asio::this_coro::executor;
-    auto const step = decide_list_step(list_age_of(state));
-    if (step != list_step::send && !state.confirmation.running)
+    if (next_step(state) == list_step::confirm)
     {
-        begin_confirmation(state, executor);
+        if (!state.confirmation.running)
+        {
+            begin_confirmation(state, executor);
+        }
+        co_await wait_for_confirmation(state);
     }
-    if (step == list_step::confirm)
+    if (!stays(state, server))
     {
-        co_await wait_for_confirmation(state);
+        co_return write_verdict::left;
+    }
+    if (!is_too_old(state))
+    {
+        co_return write_verdict::write;
     }
-    bool const may_write = stays(state, server);
-    if (may_write)
+    bool const write = store_away(state);
+    log_old_list(state, server, write);
+    co_return write ? write_verdict::write : write_verdict::unconfirmed;
+}
+
+void confirm_old_list(entry_state& state, asio::any_io_executor const& executor)
+{
+    if (!state.confirmation.running && next_step(state) == list_step::confirm)
     {
-        log_old_list(state, server);
+        begin_confirmation(state, executor);
     }
-    co_return may_write;
 }
 
 asio::awaitable<bool> list_is_as_of(entry_state& state, boot_clock::time_point since)
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -369,9 +369,10 @@
         return result;
     }
 
-    asio::awaitable<std::optional<wire::records_answer>> ask_keepers(records_query query)
+    asio::awaitable<keepers_reply> ask_keepers(records_query query)
     {
         query.wait = millis{0};
+        keepers_reply result;
         for (auto const& address : keepers_to_ask())
         {
             auto* const keeper = find(keepers, address); // the plan may change meanwhile
@@ -384,10 +385,29 @@
                                 millis{answer->age_ms()} <= query.max_age;
             if (usable)
             {
-                co_return answer;
+                co_return keepers_reply{vms_answer::newer, chunk_of(*answer)};
             }
+            result.answer = add_answer(result.answer, answer);
         }
-        co_return std::nullopt;
+        co_return result;
+    }
+
+    /// What the VMs say that were asked so far, after a further one without newer
+    /// records.
+    static vms_answer add_answer(vms_answer                                 before,
+                                 std::optional<wire::records_answer> const& reply)
+    {
+        if (before == vms_answer::store_lost)
+        {
+            return before;
+        }
+        if (!reply)
+        {
+            return before == vms_answer::no_vms ? vms_answer::silent : before;
+        }
+        bool const lost =
+            millis{reply->unanswered_ms()} >= answer_watch_options{}.patience;
+        return lost ? vms_answer::store_lost : vms_answer::none_newer;
     }
 
     /// A reply with older records than the query asks for, and the relay that sent it.
@@ -591,6 +611,7 @@
         answer.set_number(waiter.ask.number());
         answer.set_known(held);
         answer.set_trimmed(kind == mirror_answer::trimmed);
+        answer.set_unanswered_ms(unanswered_ms(waiter.ask.topic(), now));
         if (kind != mirror_answer::unknown)
         {
             auto const waited = std::chrono::floor<millis>(now - waiter.since);
@@ -610,6 +631,15 @@
         return true;
     }
 
+    std::uint64_t unanswered_ms(std::string const&     topic,
+                                boot_clock::time_point now) const
+    {
+        auto const found = own_reads.find(topic);
+        auto const time = found == own_reads.end() ? boot_clock::duration{}
+                                                   : found->second->unanswered(now);
+        return static_cast<std::uint64_t>(std::chrono::floor<millis>(time).count());
+    }
+
     static mirror_answer answer_to(mirror const& copy, wire::records_ask const& ask)
     {
         return std::visit([&](auto const& each)
@@ -708,8 +738,9 @@
     std::uint64_t                                           number = 0;
     std::set<std::string> store_lost; // topics whose last known read of the store failed
     std::set<std::string> relays_lost_store; // those of them of which a relay said so
-    bool                  serves = false;    // other VMs query this one
-    record_link::liveness live;              // empty: not known of any relay
+    std::map<std::string, answer_watch const*> own_reads;      // at the store, by topic
+    bool                                       serves = false; // other VMs query this one
+    record_link::liveness                      live; // empty: not known of any relay
     std::map<std::string, record_link::other_query_handler> other_handlers;
     std::map<std::string, mirror>                           mirrors;
     compressed_record                                       compressed; // the last one
@@ -771,15 +802,14 @@
     replace_peers(state_->keepers, vms);
 }
 
-bool record_link::has_keepers() const
+asio::awaitable<keepers_reply> record_link::ask_keepers(records_query query)
 {
-    return !state_->keepers.empty();
+    co_return co_await state_->ask_keepers(std::move(query));
 }
 
-asio::awaitable<std::optional<log_chunk>> record_link::ask_keepers(records_query query)
+void record_link::testify(std::string const& topic, answer_watch const& answers)
 {
-    auto const answer = co_await state_->ask_keepers(std::move(query));
-    co_return answer ? std::optional{chunk_of(*answer)} : std::nullopt;
+    state_->own_reads[topic] = &answers;
 }
 
 void record_link::serve(bool queried)
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -1,6 +1,6 @@
 // Passes records of the store's topics between entry VMs over ZeroMQ.
 //
-// Index: 1 records_query, 2 record_link
+// Index: 1 records_query, 2 keyed_state, 3 keepers_reply, 4 record_link
 //
 // A reply that is delayed on its way must not make old records look fresh, or a withdrawn
 // key would go on working. A reply states its age at the time it was made, and the reader
@@ -9,6 +9,8 @@
 #ifndef MARIGOLDCRANK_SERVING_RECORD_LINK_HPP
 #define MARIGOLDCRANK_SERVING_RECORD_LINK_HPP
 
+#include "policy/answer_watch.hpp"
+#include "policy/store_contact.hpp"
 #include "ports/log_store_port.hpp"
 #include "serving/topic_format.hpp"
 
@@ -48,6 +50,13 @@
     millis    age{0};  // ms; as of log_chunk
 };
 
+/// What VMs that were asked for newer records replied.
+struct keepers_reply
+{
+    vms_answer               answer = vms_answer::no_vms;
+    std::optional<log_chunk> chunk; // if they have newer records
+};
+
 /// Replies to other VMs with the records that this VM has read, and queries other VMs for
 /// theirs.
 class record_link
@@ -68,11 +77,13 @@
     /// Sets the VMs that hold records and can be asked besides the relays.
     void set_keepers(std::vector<std::string> const& vms);
 
-    bool has_keepers() const;
-
     /// The reply of the first of these VMs that has the records, fresh enough, without a
-    /// wait for changes. Nothing if none of a few has.
-    boost::asio::awaitable<std::optional<log_chunk>> ask_keepers(records_query query);
+    /// wait for changes; else what a few of them say of the store.
+    boost::asio::awaitable<keepers_reply> ask_keepers(records_query query);
+
+    /// Sets what replies tell of this VM's own reads of `topic` at the store. It must
+    /// outlive the link.
+    void testify(std::string const& topic, answer_watch const& answers);
 
     /// Sets whether other VMs query this one. If not, records from relays aren't kept for
     /// them.
--- a/src/serving/server_exchange.hpp
+++ b/src/serving/server_exchange.hpp
@@ -75,9 +75,10 @@
         {
             co_return attempt_outcome::not_sent;
         }
-        if (!co_await may_write_to(state_, server_.id))
+        auto const verdict = co_await may_write_to(state_, server_.id);
+        if (verdict != write_verdict::write)
         {
-            fault_ = "left";
+            fault_ = verdict == write_verdict::left ? "left" : fault_unconfirmed;
             co_return attempt_outcome::not_sent;
         }
         if (state_.running.ended())
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -37,6 +37,17 @@
     void set_link(record_link* link)
     {
         link_ = link;
+        for (auto const& [topic, answers] : answers_)
+        {
+            link_->testify(topic, *answers);
+        }
+    }
+
+    /// Sets where to record whether the store answers this VM's reads of `topic`. It must
+    /// outlive all calls. Other VMs are told.
+    void watch_answers(std::string const& topic, answer_watch& answers)
+    {
+        answers_[topic] = &answers;
     }
 
     /// Sets how the records of topics are read. Required before the first listing.
@@ -141,8 +152,10 @@
             co_return not_asked(topic);
         }
         ++tally_.of(topic).listings;
+        note_sent(topic, sent);
         auto        result = co_await store_.newest(lane, topic, after);
         auto const* page = std::get_if<keyed_page>(&result);
+        note_end(topic, std::get_if<store_failure>(&result));
         update_gate(topic, page != nullptr);
         note_store(topic, std::get_if<store_failure>(&result));
         tally_.of(topic).failed += page == nullptr ? 1 : 0;
@@ -194,9 +207,11 @@
     boost::asio::awaitable<store_result<log_chunk>>
     read_at_store(unsigned lane, std::string const& topic, std::uint64_t from)
     {
-        auto const  sent = boot_clock::now();
+        auto const sent = boot_clock::now();
+        note_sent(topic, sent);
         auto        result = co_await store_.read(lane, topic, from, millis{0});
         auto const* chunk = std::get_if<log_chunk>(&result);
+        note_end(topic, std::get_if<store_failure>(&result));
         ++tally_.of(topic).reads;
         tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
         if (link_ != nullptr && chunk != nullptr)
@@ -208,23 +223,22 @@
 
     /// Reads at other VMs that hold records of at most `max_age`, also while relays
     /// reply.
-    boost::asio::awaitable<store_result<log_chunk>>
-    read_at_vms(std::string const& topic, std::uint64_t from, millis max_age)
+    boost::asio::awaitable<keepers_reply> read_at_vms(std::string const& topic,
+                                                      std::uint64_t from, millis max_age)
     {
-        auto const sent = boot_clock::now();
-        if (link_ == nullptr || !link_->has_keepers())
+        if (link_ == nullptr)
         {
-            co_return store_failure{store_fault::not_asked, 0};
+            co_return keepers_reply{};
         }
+        auto const    sent = boot_clock::now();
         records_query query{.topic = topic, .from = from, .max_age = max_age};
-        auto const    chunk = co_await link_->ask_keepers(std::move(query));
-        if (!chunk)
+        auto          reply = co_await link_->ask_keepers(std::move(query));
+        if (reply.chunk)
         {
-            co_return store_failure{store_fault::not_asked, 0};
+            ++tally_.of(topic).relayed;
+            link_->merge(topic, *reply.chunk, sent - reply.chunk->age);
         }
-        ++tally_.of(topic).relayed;
-        link_->merge(topic, *chunk, sent - chunk->age);
-        co_return *chunk;
+        co_return reply;
     }
 
 private:
@@ -296,9 +310,11 @@
         {
             co_return not_asked(topic);
         }
+        note_sent(topic, sent + wait);
         auto        result = co_await store_.read(lane, topic, from, wait, max_kb);
         auto*       chunk = std::get_if<log_chunk>(&result);
         auto const* failure = std::get_if<store_failure>(&result);
+        note_end(topic, failure);
         // A read of trimmed records was answered.
         update_gate(topic, failure == nullptr || failure->fault == store_fault::trimmed);
         note_store(topic, failure);
@@ -339,6 +355,33 @@
         }
     }
 
+    void note_sent(std::string const& topic, boot_clock::time_point due)
+    {
+        auto const found = answers_.find(topic);
+        if (found != answers_.end())
+        {
+            found->second->sent(due);
+        }
+    }
+
+    /// Records how a read of the store has ended; without a failure it was answered.
+    void note_end(std::string const& topic, store_failure const* failure)
+    {
+        auto const found = answers_.find(topic);
+        if (found == answers_.end())
+        {
+            return;
+        }
+        if (failure != nullptr && shows_outage(failure->fault))
+        {
+            found->second->failed(boot_clock::now());
+        }
+        else
+        {
+            found->second->answered();
+        }
+    }
+
     void update_gate(std::string const& topic, bool answered)
     {
         auto& gate = gates_.try_emplace(topic, slow_retries).first->second;
@@ -414,6 +457,7 @@
     std::set<std::string>                  direct_topics_; // read from the store
     std::map<std::string, store_fallback>  fallbacks_;     // by topic
     std::map<std::string, millis>          max_ages_;      // by topic
+    std::map<std::string, answer_watch*>   answers_;       // by topic
     bool                                   passes_on_ = false;
     bool                                   relays_used_ = false;
     std::map<std::string, retry_gate>      gates_;    // by topic; for reads of the store
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -13,6 +13,7 @@
 #include "ports/log_store_port.hpp"
 #include "serving/entry_state.hpp"
 #include "serving/loop_sleep.hpp"
+#include "serving/record_link.hpp"
 
 #include <concepts>
 #include <optional>
@@ -331,15 +332,23 @@
     /// says nothing about the store to others: only the way to this VM may be lost.
     boost::asio::awaitable<bool> confirm()
     {
-        return confirm_by(
-            [this] { return store_.read_at_store(confirming_lane, topic_, next_); });
+        store_result<log_chunk> last;
+        co_return co_await confirm_by(
+            [this] { return store_.read_at_store(confirming_lane, topic_, next_); },
+            last);
     }
 
-    /// Asks other VMs for the changes. False if none has records of at most `max_age`.
-    boost::asio::awaitable<bool> confirm_at_vms(millis max_age)
+    /// Asks other VMs for the changes, in records of at most `max_age`.
+    boost::asio::awaitable<vms_answer> confirm_at_vms(millis max_age)
     {
-        return confirm_by([this, max_age]
-                          { return store_.read_at_vms(topic_, next_, max_age); });
+        keepers_reply last{.answer = vms_answer::none_newer};
+        bool const    complete = co_await confirm_by(
+            [this, max_age] { return store_.read_at_vms(topic_, next_, max_age); }, last);
+        if (complete)
+        {
+            co_return vms_answer::newer;
+        }
+        co_return last.answer == vms_answer::newer ? vms_answer::none_newer : last.answer;
     }
 
 private:
@@ -351,17 +360,28 @@
     static constexpr millis max_listing_wait{400};
     static constexpr millis listing_poll{20};
 
-    /// Applies the changes that `read` returns until there are no more.
-    template <class Read>
-    boost::asio::awaitable<bool> confirm_by(Read read)
+    static log_chunk const* chunk_in(store_result<log_chunk> const& result)
+    {
+        return std::get_if<log_chunk>(&result);
+    }
+
+    static log_chunk const* chunk_in(keepers_reply const& reply)
+    {
+        return reply.chunk ? &*reply.chunk : nullptr;
+    }
+
+    /// Applies the changes that `read` returns until there are no more. `last` is what it
+    /// returned last.
+    template <class Read, class Result>
+    boost::asio::awaitable<bool> confirm_by(Read read, Result& last)
     {
         co_await wait_for_listing();
         bool complete = false;
         while (synced_ && !complete)
         {
-            auto const  sent = boot_clock::now();
-            auto const  result = co_await read();
-            auto const* chunk = std::get_if<log_chunk>(&result);
+            auto const sent = boot_clock::now();
+            last = co_await read();
+            auto const* chunk = chunk_in(last);
             if (chunk == nullptr || !synced_)
             {
                 co_return false;
--- a/tests/unit/list_check_test.cpp
+++ b/tests/unit/list_check_test.cpp
@@ -28,7 +28,9 @@
         state.confirmation.read = [this]() -> boost::asio::awaitable<bool>
         {
             ++reads;
+            state.confirmation.answers.sent(boot_clock::now());
             co_await loop_sleep(read_takes);
+            record_answer();
             if (store_answers && leaves)
             {
                 state.servers.mark_leaving(server_id);
@@ -41,13 +43,42 @@
         };
     }
 
+    void record_answer()
+    {
+        if (store_answers)
+        {
+            state.confirmation.answers.answered();
+        }
+        else
+        {
+            state.confirmation.answers.failed(boot_clock::now());
+        }
+    }
+
+    /// Gives the VM others to ask, which answer so.
+    void ask_others(vms_answer answer)
+    {
+        others = answer;
+        state.confirmation.ask = [this]() -> boost::asio::awaitable<vms_answer>
+        {
+            co_await loop_sleep(millis{2});
+            if (others == vms_answer::newer)
+            {
+                state.servers.mark_leaving(server_id);
+                state.servers.complete_up_to(boot_clock::now());
+            }
+            co_return others;
+        };
+    }
+
     /// Whether all of `count` requests that are written at once may be.
     bool may_write(int count = 1)
     {
         bool all = true;
         auto check = [&]() -> boost::asio::awaitable<void>
         {
-            all = co_await may_write_to(state, server_id) && all;
+            verdict = co_await may_write_to(state, server_id);
+            all = verdict == write_verdict::write && all;
             --pending;
         };
         pending = count;
@@ -68,6 +99,8 @@
     millis                  read_takes{5};
     bool                    store_answers = true;
     bool                    leaves = false;
+    vms_answer              others = vms_answer::no_vms;
+    write_verdict           verdict = write_verdict::write; // the last one
     int                     reads = 0;
     int                     pending = 0;
 };
@@ -153,6 +186,62 @@
     EXPECT_LT(boot_clock::now() - began, millis{50});
 }
 
+// A confirmation had failed, and requests went out by a list of any age, though the store
+// answered others and the VM itself was only slow.
+TEST(list_check, request_goes_out_by_an_old_list_though_the_store_may_have_newer_records)
+{
+    for (auto const answer : {vms_answer::none_newer, vms_answer::silent})
+    {
+        checked_vm vm(millis{60'000});
+        vm.ask_others(answer);
+        vm.store_answers = false;
+        vm.leaves = true;
+        EXPECT_FALSE(vm.may_write(10));
+        EXPECT_EQ(vm.verdict, write_verdict::unconfirmed);
+        EXPECT_FALSE(vm.may_write());
+    }
+    checked_vm slow(millis{60'000});
+    slow.ask_others(vms_answer::none_newer);
+    slow.read_takes = millis{2000};
+    EXPECT_FALSE(slow.may_write());
+    EXPECT_EQ(slow.verdict, write_verdict::unconfirmed);
+}
+
+// Other VMs knew that the server leaves while the store didn't answer this one.
+TEST(list_check, vm_without_the_store_asks_others_before_it_sends)
+{
+    checked_vm vm(millis{60'000});
+    vm.ask_others(vms_answer::newer);
+    vm.store_answers = false;
+    EXPECT_FALSE(vm.may_write());
+    EXPECT_EQ(vm.verdict, write_verdict::left);
+}
+
+// A data centre that is cut off, or a store that is down for all, stopped every call.
+TEST(list_check, calls_go_on_by_an_old_list_while_the_store_is_away_for_all)
+{
+    checked_vm vm(millis{60'000});
+    vm.ask_others(vms_answer::store_lost);
+    vm.store_answers = false;
+    auto const began = boot_clock::now();
+    EXPECT_TRUE(vm.may_write(10));
+    EXPECT_LT(boot_clock::now() - began, millis{600});
+}
+
+// A VM that is cut off from everything stopped every call.
+TEST(list_check, vm_that_hears_nobody_goes_on_after_a_while)
+{
+    checked_vm vm(millis{60'000});
+    vm.ask_others(vms_answer::silent);
+    vm.store_answers = false;
+    auto const began = boot_clock::now();
+    EXPECT_FALSE(vm.may_write());
+    while (!vm.may_write() && boot_clock::now() - began < millis{6000})
+    {
+    }
+    EXPECT_LT(boot_clock::now() - began, millis{4500});
+}
+
 TEST(list_check, age_leaves_time_for_the_write)
 {
     EXPECT_EQ(max_list_age(millis{2000}), millis{1400});
