Only an outage that is known holds servers whose entries are missing

What callers saw: on a site of 80 VMs requests reached servers 3.0 to 3.3 s after their entries had been removed or had said that they leave (3 s allowed), from VMs whose lists were young and that waited for nothing.

Now the list is told of an outage only if the store is known to be away, by the same evidence as for sends by an old list. Each VM with an old list looks for that evidence, also without calls, so that a true outage still holds entries. `listed_since` goes by the list's own completeness instead, so crash records are withdrawn only after time in which a restart would have been listed.

Evidence: servers_follower.removed_server_is_kept_on_the_word_of_a_relay_without_the_store and removed_server_is_kept_after_a_failure_of_this_vm_alone fail with the two old lines put back, 2 of 8; now all pass, and platform_relays.servers_that_lapse_in_an_outage_of_the_store_stay_in_use does too. servers_follower's scripted store records failed reads as the real one does; removed_server_is_kept_after_the_store_was_away is unchanged.

--- a/src/ledger/server_list.cpp
+++ b/src/ledger/server_list.cpp
@@ -144,10 +144,11 @@
     return lasted;
 }
 
-std::optional<boot_clock::time_point> server_list::listed_since() const noexcept
+std::optional<boot_clock::time_point>
+server_list::listed_since(boot_clock::time_point now) const noexcept
 {
-    auto const since = store_returned_at_.value_or(boot_clock::time_point{});
-    return store_lost_ ? std::nullopt : std::optional{since};
+    bool const gap = store_lost_ || age(now) >= options_.min_outage;
+    return gap ? std::nullopt : std::optional{complete_since_};
 }
 
 void server_list::caught_up()
@@ -157,6 +158,10 @@
 
 void server_list::complete_up_to(boot_clock::time_point as_of)
 {
+    if (as_of - complete_up_to_ >= options_.min_outage)
+    {
+        complete_since_ = as_of;
+    }
     complete_up_to_ = std::max(complete_up_to_, as_of);
 }
 
--- a/src/ledger/server_list.hpp
+++ b/src/ledger/server_list.hpp
@@ -5,9 +5,8 @@
 // Entries expire during an outage, because servers can't renew them. If the first listing
 // after the outage were applied as it is, the list would be empty and every call refused,
 // although all servers run. So entries that this listing lacks stay usable until `hold`
-// after the end of the outage; those still missing then are removed. A store that refuses
-// one VM looks like an outage to it and to all that it tells. But if the store has
-// answered anyone meanwhile, no entry can have expired, and what is missing was removed.
+// after the end of the outage; those still missing then are removed. News that are late,
+// or another VM that has lost the store, are no outage: what is missing then was removed.
 // An entry that disappears soon afterwards may have expired late, or may have been
 // removed by a server that is leaving. It is held too, but only so long that a leaving
 // server gets no work after the time allowed.
@@ -72,8 +71,8 @@
     /// until it restarts, since the store may have older ones. True if that is new.
     bool mark_leaving(std::string const& id);
 
-    /// Called when a read of the store fails: an outage may have begun after the last
-    /// change that the list has.
+    /// Called when the store is known to be away, not only silent to this VM: an outage
+    /// may have begun after the last change that the list has.
     void store_lost();
 
     /// Called when a read of the store succeeds, whose records are as of `as_of`; ends an
@@ -85,8 +84,10 @@
         return store_answered(now, now);
     }
 
-    /// Since when the store has answered without an outage; none during one.
-    std::optional<boot_clock::time_point> listed_since() const noexcept;
+    /// Since when the list has been complete without a gap in which entries may expire;
+    /// none during one.
+    std::optional<boot_clock::time_point>
+    listed_since(boot_clock::time_point now) const noexcept;
 
     /// Called when all changes made during an outage have been applied.
     void caught_up();
@@ -155,6 +156,7 @@
     bool                                catching_up_ = false;
     std::optional<boot_clock::time_point> store_returned_at_; // end of the last outage
     boot_clock::time_point                complete_up_to_{};
+    boot_clock::time_point                complete_since_{};
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -486,8 +486,8 @@
 
 void entry_state::update_crashes(boot_clock::time_point now)
 {
-    log_withdrawn(crashes.withdraw_disproved(servers.listed_since(), now), "no_restart",
-                  now);
+    log_withdrawn(crashes.withdraw_disproved(servers.listed_since(now), now),
+                  "no_restart", now);
     std::map<std::vector<part_key>, int> suspected;
     for (auto const& each : crashes.suspects())
     {
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -48,6 +48,15 @@
                             : confirmation.answers.lost(now);
 }
 
+/// Entries expire while the store is away, as their servers can't renew them.
+void note_outage(entry_state& state)
+{
+    if (state.confirmation.read && store_away(state))
+    {
+        state.servers.store_lost();
+    }
+}
+
 list_step next_step(entry_state const& state)
 {
     auto const  now = boot_clock::now();
@@ -64,6 +73,7 @@
 void end_confirmation(entry_state& state, bool confirmed)
 {
     auto& confirmation = state.confirmation;
+    note_outage(state);
     if (std::exchange(confirmation.running, false))
     {
         confirmation.done->cancel();
@@ -235,6 +245,7 @@
 
 void confirm_old_list(entry_state& state, asio::any_io_executor const& executor)
 {
+    note_outage(state);
     if (!state.confirmation.running && next_step(state) == list_step::confirm)
     {
         begin_confirmation(state, executor);
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -12,6 +12,7 @@
 #include "policy/read_progress.hpp"
 #include "ports/log_store_port.hpp"
 #include "serving/entry_state.hpp"
+#include "serving/list_check.hpp"
 #include "serving/loop_sleep.hpp"
 #include "serving/record_link.hpp"
 
@@ -296,17 +297,15 @@
 
     boost::asio::awaitable<void> run()
     {
+        auto const executor = co_await boost::asio::this_coro::executor;
         while (true)
         {
             auto const failure = co_await next_read();
             auto const now = boot_clock::now();
+            confirm_old_list(state_, executor);
             if (failure)
             {
                 synced_ = synced_ && failure->fault != store_fault::trimmed;
-                if (shows_outage(failure->fault))
-                {
-                    state_.servers.store_lost();
-                }
                 log_lost(*failure);
                 // Another look at the relays costs the store nothing.
                 bool const asked = failure->fault != store_fault::not_asked;
@@ -568,14 +567,13 @@
         }
     }
 
-    /// Notes what a read that got records as of `as_of` tells of the store. Servers can't
-    /// renew their entries while it is away, even if another VM replies with records that
-    /// it has.
+    /// Notes that a read got records as of `as_of`. Those of a VM that has lost the store
+    /// don't show that it answers.
     void note_store(bool lost, boot_clock::time_point as_of)
     {
         if (lost)
         {
-            return state_.servers.store_lost();
+            return;
         }
         auto const now = boot_clock::now();
         auto const lasted = state_.servers.store_answered(now, as_of);
--- a/tests/unit/servers_follower_test.cpp
+++ b/tests/unit/servers_follower_test.cpp
@@ -32,6 +32,12 @@
         }
         auto result = std::move(reads.front());
         reads.pop_front();
+        auto const* failure = std::get_if<store_failure>(&result);
+        if (answers != nullptr && failure != nullptr && shows_outage(failure->fault))
+        {
+            answers->sent(boot_clock::now());
+            answers->failed(boot_clock::now());
+        }
         co_return result;
     }
 
@@ -49,6 +55,7 @@
 
     std::deque<store_result<log_chunk>> reads;
     store_result<log_chunk>             confirmation;
+    answer_watch*                       answers = nullptr;
 };
 
 /// Records "KEY": the key was removed.
@@ -93,7 +100,8 @@
 
 /// Whether a server stays in use after these reads, the last of which removes it.
 bool in_use_after(std::deque<store_result<log_chunk>> reads,
-                  entry_settings const&               settings = {})
+                  entry_settings const&               settings = {},
+                  std::optional<vms_answer>           others = std::nullopt)
 {
     scripted_store store;
     store.reads = std::move(reads);
@@ -102,6 +110,18 @@
         .servers_pause = millis{10}, .min_retry = millis{10}, .max_retry = millis{10}};
     servers_follower<scripted_store, removal_codec> follower{state, store, options};
     boost::asio::io_context                         loop;
+    store.answers = &state.confirmation.answers;
+    state.confirmation.read = []() -> boost::asio::awaitable<bool>
+    {
+        co_return false;
+    };
+    if (others)
+    {
+        state.confirmation.ask = [&others]() -> boost::asio::awaitable<vms_answer>
+        {
+            co_return *others;
+        };
+    }
     boost::asio::co_spawn(loop, follower.run(), boost::asio::detached);
     auto const end = boot_clock::now() + millis{3000};
     while (!store.reads.empty() && boot_clock::now() < end)
@@ -186,6 +206,33 @@
     EXPECT_FALSE(in_use_after({told, relayed}));
 }
 
+// A gap in the news of a VM counted as an outage if a relay said that it had lost the
+// store, and servers that had left got requests for two seconds more.
+TEST(servers_follower, removed_server_is_kept_on_the_word_of_a_relay_without_the_store)
+{
+    entry_settings renewed;
+    renewed.renewal = millis{1}; // several times in the gap
+    log_chunk const told{.from = 1, .end = 1, .relayed = true, .store_lost = true};
+    auto            relayed = removal();
+    relayed.relayed = true;
+    EXPECT_FALSE(in_use_after({told, relayed}, renewed));
+}
+
+// The VM's own reads had failed, and nobody had said that the store was away for others.
+TEST(servers_follower, removed_server_is_kept_after_a_failure_of_this_vm_alone)
+{
+    entry_settings renewed;
+    renewed.renewal = millis{1};
+    renewed.leave_bound = millis{10}; // over while reads fail
+    std::deque<store_result<log_chunk>> const reads{
+        store_failure{store_fault::no_response, 0},
+        store_failure{store_fault::no_response, 0},
+        store_failure{store_fault::no_response, 0}, removal()};
+    EXPECT_FALSE(in_use_after(reads, renewed, vms_answer::none_newer));
+    EXPECT_FALSE(in_use_after(reads, renewed, vms_answer::silent));
+    EXPECT_TRUE(in_use_after(reads, renewed, vms_answer::store_lost));
+}
+
 // One failed read was taken for an outage in which entries expire.
 TEST(servers_follower, removed_server_is_not_kept_after_one_failed_read)
 {
