VMs pass on that nothing has changed, in times that follow from the bound

What callers saw: in calm the lists of nearly all VMs were 1.9 to 2.1 s old, of a bound of 3 s, kept there only by confirmations at the store. One lost query, or a source that fell silent just as servers began to leave, made them too old.

Cause: the VM that reads for the fleet paused for 900 ms, and each VM on the way held a query without a change for its whole 700 ms, so the pauses added up to 2.5 s, whatever the bound and the number of hops. Class: constants that know neither of each other nor of the bound they serve.

Now a query states as of when its sender knows the list, and is answered as soon as the other VM knows by a tenth of the bound more recently that nothing has changed. Each answer follows the reader's read, so the age of a list is that of this read and the way, for any number of hops. The reader's pause (a fifth of the bound), the wait (a quarter) and the age passed on (two fifths) are derived from the bound. VMs of earlier releases ignore the new fields.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_ENTRY_NODE_HPP
 
 #include "policy/list_age.hpp"
+#include "policy/news_times.hpp"
 #include "policy/stop_plan.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/crash_recorder.hpp"
@@ -37,7 +38,8 @@
         : file_(std::move(settings_file)),
           state_(settings, settings.name + "/" + std::to_string(unix_millis())),
           store_(settings.store), shared_(store_), duties_(settings.duties),
-          rules_(state_, shared_), servers_(state_, shared_),
+          rules_(state_, shared_),
+          servers_(state_, shared_, {.reader_pause = times().read_pause}),
           worker_(state_, shared_, duties_), registry_(state_, shared_),
           recorder_(state_, shared_), versions_(state_, shared_),
           origins_(state_, shared_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
@@ -52,8 +54,10 @@
         shared_.set_fallback(worker_.usage_topic(), store_fallback::never);
         shared_.watch_answers(Codec::servers_topic(), state_.confirmation.answers);
         shared_.set_formats(&entry_node::format_of);
-        shared_.limit_age(Codec::servers_topic(), max_servers_age);
-        shared_.limit_age(Codec::rules_topic(), max_rules_age);
+        shared_.set_terms(Codec::servers_topic(), {.max_age = times().max_age,
+                                                   .wait = times().query_wait,
+                                                   .newer = times().newer});
+        shared_.set_terms(Codec::rules_topic(), {.max_age = max_rules_age});
     }
 
     /// Serves until a signal to stop, then drains. Throws boost::system::system_error if
@@ -83,11 +87,6 @@
     }
 
 private:
-    // 1300  ms; maximum age of relayed server entries. A leaving server must be out of
-    //       use two seconds after its notice. The VM that reads for the others does so
-    //       every 900 ms; if the store refuses its reads, the others read the store
-    //       themselves
-    static constexpr millis max_servers_age{1300};
     // 1400  ms; maximum age of relayed rules. New rules must be in force two seconds
     //       after they were written. The VM that reads for the others waits up to 600 ms
     //       for them at the store, those that relay them up to 700 ms
@@ -111,6 +110,12 @@
     // 100   ms; part of the grace period for the process to exit
     static constexpr millis exit_reserve{100};
 
+    /// The times for news of servers.
+    news_times times() const
+    {
+        return news_times_for(state_.settings.leave_bound);
+    }
+
     void spawn(boost::asio::awaitable<void> work)
     {
         boost::asio::co_spawn(loop_, std::move(work), boost::asio::detached);
--- a/src/serving/record_link.cpp
+++ b/src/serving/record_link.cpp
@@ -330,6 +330,18 @@
         relay.socket->receive_pending();
     }
 
+    /// The age of what this VM knows; zero if replies needn't depend on it.
+    static std::uint32_t known_age_ms(records_query const& query)
+    {
+        constexpr millis longest{60'000}; // from here on everything is newer
+        auto const       age =
+            std::chrono::duration_cast<millis>(boot_clock::now() - query.known_as_of);
+        return query.newer.count() == 0
+                   ? 0
+                   : static_cast<std::uint32_t>(
+                         std::clamp(age, millis{0}, longest).count());
+    }
+
     /// The relay's reply; nothing if it is silent.
     asio::awaitable<std::optional<wire::records_answer>> fetch(relay_peer&   relay,
                                                                records_query query)
@@ -344,6 +356,8 @@
         message.set_oldest_ms(static_cast<std::uint32_t>(query.max_age.count()));
         message.set_state(query.state);
         message.set_expands(true);
+        message.set_newer_ms(static_cast<std::uint32_t>(query.newer.count()));
+        message.set_known_age_ms(known_age_ms(query));
         pending_queries[query_number] = pending;
         pending->timer.expires_after(query.wait +
                                      (query.state ? state_margin : reply_margin));
@@ -602,7 +616,7 @@
         auto const kind = found == mirrors.end() ? mirror_answer::unknown
                                                  : answer_to(found->second, waiter.ask);
         bool const held = kind == mirror_answer::held;
-        bool const waits = held && must_wait(found->second, waiter.ask, now);
+        bool const waits = held && must_wait(found->second, waiter, now);
         if (waits && now < waiter.until)
         {
             return false;
@@ -648,14 +662,19 @@
     }
 
     /// Whether there is nothing to tell yet, and the copy is fresh enough to wait.
-    static bool must_wait(mirror const& copy, wire::records_ask const& ask,
+    static bool must_wait(mirror const& copy, waiting_query const& waiter,
                           boot_clock::time_point now)
     {
+        auto const& ask = waiter.ask;
+        auto const  known_as_of = waiter.since - millis{ask.known_age_ms()};
+        auto const  wanted = known_as_of + millis{ask.newer_ms()};
         return std::visit(
             [&](auto const& each)
             {
-                return !ask.state() && !each.has_changes(ask.from()) &&
-                       each.age(now) <= millis{ask.oldest_ms()};
+                auto const age = each.age(now);
+                bool const newer = ask.newer_ms() > 0 && now - age >= wanted;
+                return !ask.state() && !each.has_changes(ask.from()) && !newer &&
+                       age <= millis{ask.oldest_ms()};
             },
             copy);
     }
--- a/src/serving/record_link.hpp
+++ b/src/serving/record_link.hpp
@@ -41,6 +41,8 @@
                                //      them at the VM that reads for the fleet
     bool accept_older = false; // accept up to 2500 ms if no relay has newer records
     bool state = false;        // the newest record of each key instead of the changes
+    boot_clock::time_point known_as_of{}; // of what the asker knows
+    millis newer{0}; // also wanted without a change if so much newer; 0: only with one
 };
 
 /// The newest record of each key of a topic, as relays hold it.
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -1,6 +1,6 @@
 // Access to the store that reads records through other VMs in a large fleet.
 //
-// Index: 1 store_fallback, 2 shared_store
+// Index: 1 store_fallback, 2 relay_terms, 3 shared_store
 #ifndef MARIGOLDCRANK_SERVING_SHARED_STORE_HPP
 #define MARIGOLDCRANK_SERVING_SHARED_STORE_HPP
 
@@ -24,6 +24,19 @@
     never
 };
 
+/// How a topic is read through relays.
+struct relay_terms
+{
+    millis max_age{2500}; // 2500 ms; of relayed records at a VM that passes them on
+    millis wait{700};     // 700  ms; longest wait for new records. The rules of a member
+                          //      are no older than this wait, the same wait of its relay
+                      //      and 600 ms of the VM that reads for the fleet: 2 s of the
+                      //      4 s after which keys are no longer accepted
+    millis newer{0}; // 0    ms; also replies without a change if so much newer; 0: never
+
+    bool operator==(relay_terms const&) const = default;
+};
+
 /// Reads go to relays while there are any, else to the store. The records are then kept
 /// for the VMs that query this one. Appends and complete listings always go to the store.
 template <log_store_port Store>
@@ -77,10 +90,11 @@
         fallbacks_[topic] = when;
     }
 
-    /// Sets the maximum age of relayed records of `topic` at a VM that passes them on.
-    void limit_age(std::string const& topic, millis max_age)
+    /// Sets how `topic` is read through relays. Its age counts, so that VMs of a small
+    /// fleet read it themselves.
+    void set_terms(std::string const& topic, relay_terms const& terms)
     {
-        max_ages_[topic] = max_age;
+        terms_[topic] = terms;
     }
 
     /// Sets whether other VMs query this one. When the VM that reads for hundreds of
@@ -178,11 +192,16 @@
         }
         if (reads_via_relays(topic))
         {
-            wait = std::min(wait, max_relay_wait);
-            records_query query{topic, from, wait};
-            auto const    limit = max_ages_.find(topic);
-            query.max_age = limit == max_ages_.end() ? query.max_age : limit->second;
-            query.accept_older = !passes_on_;
+            auto const    found = terms_.find(topic);
+            auto const    terms = found == terms_.end() ? relay_terms{} : found->second;
+            records_query query{.topic = topic,
+                                .from = from,
+                                .wait = std::min(wait, terms.wait),
+                                .max_age = terms.max_age,
+                                .accept_older = !passes_on_,
+                                .known_as_of = known_as_of_[topic],
+                                .newer = terms.newer};
+            wait = query.wait;
             auto answer = co_await link_->fetch(std::move(query));
             if (answer && answer->trimmed)
             {
@@ -192,7 +211,7 @@
             {
                 held_topics_.insert(topic);
                 ++tally_.of(topic).relayed;
-                link_->merge(topic, *answer, sent - answer->age);
+                merge(topic, *answer, sent - answer->age);
                 co_return std::move(*answer);
             }
         }
@@ -214,9 +233,9 @@
         note_end(topic, std::get_if<store_failure>(&result));
         ++tally_.of(topic).reads;
         tally_.of(topic).failed += chunk == nullptr ? 1 : 0;
-        if (link_ != nullptr && chunk != nullptr)
+        if (chunk != nullptr)
         {
-            link_->merge(topic, *chunk, sent);
+            merge(topic, *chunk, sent);
         }
         co_return result;
     }
@@ -236,18 +255,12 @@
         if (reply.chunk)
         {
             ++tally_.of(topic).relayed;
-            link_->merge(topic, *reply.chunk, sent - reply.chunk->age);
+            merge(topic, *reply.chunk, sent - reply.chunk->age);
         }
         co_return reply;
     }
 
 private:
-    // 700   ms; longest wait for new records at a relay. The records of a member are no
-    //       older than this wait, the same wait of its relay and 600 ms of the VM that
-    //       reads for the fleet: 2 s of the 4 s after which keys are no longer accepted.
-    //       The rest is for a silent relay and the read of the store that replaces it
-    static constexpr millis max_relay_wait{700};
-
     // 5000  ms; a VM that starts waits for its relays to have the state of a topic
     static constexpr millis max_state_wait{5000};
 
@@ -258,7 +271,7 @@
 
     bool reads_via_relays(std::string const& topic) const
     {
-        bool const reads_itself = !relays_used_ && max_ages_.count(topic) > 0;
+        bool const reads_itself = !relays_used_ && terms_.count(topic) > 0;
         return link_ != nullptr && link_->has_relays() &&
                direct_topics_.count(topic) == 0 && !reads_itself;
     }
@@ -327,13 +340,25 @@
                 chunk->records.empty() && boot_clock::now() - sent >= wait;
             chunk->age = waited ? -wait : millis{0};
         }
-        if (link_ != nullptr && chunk != nullptr)
+        if (chunk != nullptr)
         {
-            link_->merge(topic, *chunk, sent - chunk->age);
+            merge(topic, *chunk, sent - chunk->age);
         }
         co_return result;
     }
 
+    /// Keeps the records for the VMs that query this one.
+    void merge(std::string const& topic, log_chunk const& chunk,
+               boot_clock::time_point as_of)
+    {
+        auto& known = known_as_of_[topic];
+        known = chunk.next() >= chunk.end ? std::max(known, as_of) : known;
+        if (link_ != nullptr)
+        {
+            link_->merge(topic, chunk, as_of);
+        }
+    }
+
     /// Whether a call to the store must wait after one that failed. VMs that pass records
     /// on retry at once, unless their relays have lost the store too.
     bool must_wait(std::string const& topic, boot_clock::time_point now)
@@ -452,14 +477,15 @@
         boot_clock::time_point sent{}; // of the first page
     };
 
-    Store&                                 store_;
-    record_link*                           link_ = nullptr;
-    std::set<std::string>                  direct_topics_; // read from the store
-    std::map<std::string, store_fallback>  fallbacks_;     // by topic
-    std::map<std::string, millis>          max_ages_;      // by topic
-    std::map<std::string, answer_watch*>   answers_;       // by topic
-    bool                                   passes_on_ = false;
-    bool                                   relays_used_ = false;
+    Store&                                        store_;
+    record_link*                                  link_ = nullptr;
+    std::set<std::string>                         direct_topics_; // read from the store
+    std::map<std::string, store_fallback>         fallbacks_;     // by topic
+    std::map<std::string, relay_terms>            terms_;         // by topic
+    std::map<std::string, boot_clock::time_point> known_as_of_;   // by topic
+    std::map<std::string, answer_watch*>          answers_;       // by topic
+    bool                                          passes_on_ = false;
+    bool                                          relays_used_ = false;
     std::map<std::string, retry_gate>      gates_;    // by topic; for reads of the store
     std::map<std::string, partial_listing> listings_; // by topic
     std::map<std::string, boot_clock::time_point>
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -60,6 +60,8 @@
     // 900   ms; between reads of the servers' entries, which change all the time. A
     //       leaving server must get no new work two seconds after its notice
     millis servers_pause{900};
+    // 400   ms; the same at a VM that reads them for others
+    millis reader_pause{400};
     // 100   ms; the same while relays tell of changes
     millis relayed_pause{100};
     // 150 to 800 ms; pause after a failed read, doubled each time
@@ -322,8 +324,7 @@
             write_lines();
             // A relay has already waited for new records; the pause gathers those that
             // follow.
-            co_await loop_sleep(relayed_ ? options_.relayed_pause
-                                         : options_.servers_pause);
+            co_await loop_sleep(pause());
         }
     }
 
@@ -399,6 +400,17 @@
         co_return complete;
     }
 
+    /// The pause until the next read.
+    millis pause() const
+    {
+        if (relayed_)
+        {
+            return options_.relayed_pause;
+        }
+        bool const reads_for_others = state_.serves_peers && state_.relays_used();
+        return reads_for_others ? options_.reader_pause : options_.servers_pause;
+    }
+
     /// Waits for a listing in progress, without which changes can't be read.
     boost::asio::awaitable<void> wait_for_listing()
     {
--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -233,6 +233,27 @@
     EXPECT_LT(boot_clock::now() - began, millis{2500});
 }
 
+// Where nothing changed, each VM on the way held what it knew back for the whole wait,
+// and members' lists were nearly too old to send by.
+TEST(record_link, knowledge_that_nothing_has_changed_is_held_back)
+{
+    linked_vms vms;
+    auto const old = boot_clock::now() - millis{600};
+    vms.relay.merge("servers", one_record(), old);
+    records_query query{"servers", 8, millis{3000}};
+    query.known_as_of = old;
+    query.newer = millis{200};
+    boost::asio::steady_timer later{vms.loop, millis{200}};
+    later.async_wait(
+        [&](auto)
+        { vms.relay.merge("servers", {.from = 8, .end = 8}, boot_clock::now()); });
+    auto const began = boot_clock::now();
+    auto const reply = vms.fetch(query);
+    ASSERT_TRUE(reply);
+    EXPECT_LT(boot_clock::now() - began, millis{1000});
+    EXPECT_LT(reply->age, millis{100});
+}
+
 /// Rules with this many routes, about 400 bytes each.
 std::string large_rules(int routes)
 {
@@ -630,6 +651,51 @@
     EXPECT_EQ(failed, 0);
 }
 
+/// The ages of the list at the sends that a VM has logged, in ms.
+std::vector<int> list_ages(entry_cluster const& cluster, int index)
+{
+    std::vector<int>   ages;
+    std::istringstream lines(lines_of(cluster, index, "ev=send "));
+    std::string        field;
+    while (lines >> field)
+    {
+        if (field.starts_with("list_ms="))
+        {
+            ages.push_back(std::stoi(field.substr(field.find('=') + 1)));
+        }
+    }
+    return ages;
+}
+
+// In calm, lists were kept young enough only by confirmations at the store, so that one
+// lost query made them too old just as the first servers left.
+TEST(platform_relays, lists_grow_old_while_nothing_changes)
+{
+    constexpr int max_age = 1000; // ms; half of the bound of 2 s
+    auto const    cluster = fleet();
+    std::this_thread::sleep_for(millis{1000});
+    std::vector<std::size_t> before;
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        before.push_back(list_ages(*cluster, index).size());
+    }
+    auto const until = boot_clock::now() + millis{4000};
+    while (boot_clock::now() < until)
+    {
+        EXPECT_TRUE(all_answer(*cluster, 200));
+        std::this_thread::sleep_for(millis{5});
+    }
+    std::this_thread::sleep_for(millis{500}); // until the log is written
+    for (int index = 0; index < fleet_size; ++index)
+    {
+        auto const ages = list_ages(*cluster, index);
+        ASSERT_GT(ages.size(), before[static_cast<std::size_t>(index)] + 4);
+        auto const calm = std::vector<int>(
+            ages.begin() + static_cast<std::ptrdiff_t>(before[index]), ages.end());
+        EXPECT_LT(*std::max_element(calm.begin(), calm.end()), max_age);
+    }
+}
+
 // One VM of a small fleet had lost the store, and went on with an old list of servers
 // though the others knew better.
 TEST(platform_relays, leaving_server_gets_no_requests_from_a_vm_that_has_lost_the_store)
