--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -27,12 +27,14 @@
 /// How a topic is read through relays.
 struct relay_terms
 {
-    millis max_age{2500}; // 2500 ms; of relayed records at a VM that passes them on
-    millis wait{700};     // 700  ms; longest wait for new records. The rules of a member
-                          //      are no older than this wait, the same wait of its relay
-                      //      and 600 ms of the VM that reads for the fleet: 2 s of the
-                      //      4 s after which keys are no longer accepted
-    millis newer{0}; // 0    ms; also replies without a change if so much newer; 0: never
+    // 2500  ms; of relayed records at a VM that passes them on
+    millis max_age{2500};
+    // 700   ms; longest wait for new records. The rules of a member are no older than
+    //       this wait, the same wait of its relay and 600 ms of the VM that reads for
+    //       the fleet: 2 s of the 4 s after which keys are no longer accepted
+    millis wait{700};
+    // 0     ms; also replies without a change if so much newer; 0: never
+    millis newer{0};
 
     bool operator==(relay_terms const&) const = default;
 };
