VMs that read servers' entries themselves don't wait at the store

What callers saw: nothing yet; on sites of 9 VMs lists were as close to the age by which sends wait as on large ones.

Cause: a VM of a small fleet asked the store to wait for records, up to 900 ms, as it does with relays. What the store returns counts from when the read was sent, so the wait made the list older than the pause between two reads does.

--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -56,7 +56,8 @@
         shared_.set_formats(&entry_node::format_of);
         shared_.set_terms(Codec::servers_topic(), {.max_age = times().max_age,
                                                    .wait = times().query_wait,
-                                                   .newer = times().newer});
+                                                   .newer = times().newer,
+                                                   .store_waits = false});
         shared_.set_terms(Codec::rules_topic(), {.max_age = max_rules_age});
     }
 
--- a/src/serving/shared_store.hpp
+++ b/src/serving/shared_store.hpp
@@ -35,6 +35,9 @@
     millis wait{700};
     // 0     ms; also replies without a change if so much newer; 0: never
     millis newer{0};
+    // true  reads of the store wait for new records, too. What they return counts from
+    //       the time they were sent, so it is older by the wait
+    bool store_waits = true;
 
     bool operator==(relay_terms const&) const = default;
 };
@@ -192,10 +195,10 @@
         {
             co_return store_failure{store_fault::trimmed, 0};
         }
+        auto const found = terms_.find(topic);
+        auto const terms = found == terms_.end() ? relay_terms{} : found->second;
         if (reads_via_relays(topic))
         {
-            auto const    found = terms_.find(topic);
-            auto const    terms = found == terms_.end() ? relay_terms{} : found->second;
             records_query query{.topic = topic,
                                 .from = from,
                                 .wait = std::min(wait, terms.wait),
@@ -221,7 +224,8 @@
         {
             co_return not_asked(topic);
         }
-        co_return co_await read_store(lane, topic, from, wait, max_kb);
+        co_return co_await read_store(lane, topic, from,
+                                      terms.store_waits ? wait : millis{0}, max_kb);
     }
 
     /// Reads at the store, also while relays reply. A failure isn't told to other VMs.
