A relay doesn't replace what it knows by an older listing

Its copy then went back to where that state ended, but kept the time up to which it had known all changes. Members behind it that asked for the changes since were told that there were none, as of that time, and sent by a list that counted as young and lacked a leaving server.

Now a listing keeps the newer changes that the copy has, and is left out if the copy lacks some of the changes after it; the next listing follows.

Evidence: keyed_mirror.older_listing_hides_changes_that_were_known fails on the code before and passes now; 349 unit tests pass.

--- a/src/serving/keyed_mirror.cpp
+++ b/src/serving/keyed_mirror.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace marigoldcrank
 {
@@ -48,13 +50,28 @@
 
 void keyed_mirror::replace(log_chunk const& listing, boot_clock::time_point as_of)
 {
+    if (used_ && listing.end < first_)
+    {
+        return; // the changes between the listing and the copy aren't known
+    }
+    auto const         next = next_;
+    auto const         end = end_;
+    std::vector<entry> newer;
+    for (auto at = by_offset_.lower_bound(listing.end); at != by_offset_.end(); ++at)
+    {
+        newer.push_back(entries_.at(at->second));
+    }
     clear(listing.end);
     for (std::size_t at = 0; at < listing.records.size(); ++at)
     {
         put(listing.offset_at(at), listing.records[at], as_of);
     }
-    next_ = listing.end;
-    end_ = listing.end;
+    for (auto const& each : newer)
+    {
+        put(each.offset, each.record, each.merged_at);
+    }
+    next_ = std::max(listing.end, next);
+    end_ = std::max(listing.end, end);
     complete_ = true;
     used_ = true;
     as_of_ = std::max(as_of_, as_of);
--- a/src/serving/keyed_mirror.hpp
+++ b/src/serving/keyed_mirror.hpp
@@ -38,7 +38,8 @@
     /// continue the copy replaces it; the state is then incomplete until `replace`.
     void merge(log_chunk const& chunk, boot_clock::time_point as_of);
 
-    /// Replaces the copy by a complete listing; changes after it begin at `listing.end`.
+    /// Replaces the copy by a complete listing, up to `listing.end`; the changes after it
+    /// that the copy has are kept. A listing is left out if the copy lacks some of them.
     void replace(log_chunk const& listing, boot_clock::time_point as_of);
 
     /// Whether the copy tells all changes from `from` on, or with `state`, the part of
--- a/tests/unit/keyed_mirror_test.cpp
+++ b/tests/unit/keyed_mirror_test.cpp
@@ -96,6 +96,25 @@
     EXPECT_LE(parts, 10); // of 22 bytes a server, however many records there were
 }
 
+// A VM that became a relay took an older state from another one, and told its members
+// that nothing had changed since, as of its own last read.
+TEST(keyed_mirror, older_listing_hides_changes_that_were_known)
+{
+    keyed_mirror mirror{format()};
+    mirror.merge(chunk(0, {"a=ready", "b=ready", "c=ready", "a=leaving", "b"}), at_ms(9));
+    mirror.replace({.end = 3, .records = {"a=ready", "b=ready", "c=ready"}}, at_ms(5));
+    EXPECT_EQ(mirror.read(3, whole).records, (texts{"a=leaving", "b"}));
+    EXPECT_EQ(mirror.read(3, whole).next(), 5U);
+    EXPECT_EQ(mirror.read(0, whole).records, (texts{"c=ready", "a=leaving", "b"}));
+    // It doesn't have the changes from 3 to 5, so it isn't the state.
+    keyed_mirror begun{format()};
+    begun.merge(chunk(5, {"a=leaving"}), at_ms(9));
+    begun.replace({.end = 3, .records = {"a=ready", "b=ready", "c=ready"}}, at_ms(5));
+    EXPECT_FALSE(begun.complete());
+    EXPECT_NE(begun.answer_to(3, false), mirror_answer::held);
+    EXPECT_EQ(begun.read(5, whole).records, texts{"a=leaving"});
+}
+
 TEST(keyed_mirror, removals_are_told_for_a_while)
 {
     keyed_mirror mirror{format()};
