VMs ask others about the store as soon as it doesn't answer them

Now a VM asks as soon as its own reads fail or are overdue. A VM that nobody replies to sends by what it has, but takes its isolation for no outage: servers that leave meanwhile aren't held when it is back.

--- a/src/policy/store_contact.hpp
+++ b/src/policy/store_contact.hpp
@@ -71,14 +71,17 @@
     /// Whether the store is known to be away for this VM and for those it can ask.
     bool away(answer_watch const& own, boot_clock::time_point now) const
     {
-        if (!own.lost(now))
-        {
-            return false;
-        }
+        bool const alone = silent_since_ && now - *silent_since_ >= options_.alone;
+        return outage(own, now) || (alone && own.lost(now));
+    }
+
+    /// Whether the store is known to be away for more than this VM. A VM that nobody
+    /// replies to has lost the store, but servers may renew their entries there.
+    bool outage(answer_watch const& own, boot_clock::time_point now) const
+    {
         bool const witnessed =
             witnessed_at_ && now - *witnessed_at_ <= options_.witness_life;
-        bool const alone = silent_since_ && now - *silent_since_ >= options_.alone;
-        return no_vms_ || witnessed || alone;
+        return own.lost(now) && (no_vms_ || witnessed);
     }
 
     bool operator==(store_contact const&) const = default;
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -51,7 +51,12 @@
 /// Entries expire while the store is away, as their servers can't renew them.
 void note_outage(entry_state& state)
 {
-    if (state.confirmation.read && store_away(state))
+    auto const  now = boot_clock::now();
+    auto const& confirmation = state.confirmation;
+    bool const  outage = confirmation.ask
+                             ? confirmation.contact.outage(confirmation.answers, now)
+                             : confirmation.answers.lost(now);
+    if (confirmation.read && outage)
     {
         state.servers.store_lost();
     }
@@ -119,7 +124,7 @@
     {
         co_await loop_sleep(store_head_start);
     }
-    bool confirmed = !is_too_old(state);
+    bool confirmed = !is_too_old(state) && !confirmation.answers.lost(boot_clock::now());
     bool away = false;
     while (!confirmed && !away && boot_clock::now() < until)
     {
@@ -246,7 +251,11 @@
 void confirm_old_list(entry_state& state, asio::any_io_executor const& executor)
 {
     note_outage(state);
-    if (!state.confirmation.running && next_step(state) == list_step::confirm)
+    auto const  now = boot_clock::now();
+    auto const& latest = state.confirmation;
+    // Entries may expire in an outage that is shorter than a list may be old.
+    bool const asks = latest.answers.lost(now) && latest.ask && latest.ask_gate.open(now);
+    if (!latest.running && (asks || next_step(state) == list_step::confirm))
     {
         begin_confirmation(state, executor);
     }
--- a/src/serving/list_check.hpp
+++ b/src/serving/list_check.hpp
@@ -62,8 +62,9 @@
 boost::asio::awaitable<write_verdict> may_write_to(entry_state& state,
                                                    std::string  server);
 
-/// Tells the list if the store is known to be away, and begins to confirm a list that is
-/// too old, so that a VM without calls learns of an outage too.
+/// Tells the list if the store is known to be away. Begins to confirm a list that is too
+/// old, and to ask other VMs once the store doesn't answer this one, so that a VM without
+/// calls learns of an outage too.
 void confirm_old_list(entry_state& state, boost::asio::any_io_executor const& executor);
 
 /// Whether the list has all changes made up to `since`, by the store, after it has been
