--- a/tests/platform/relays_test.cpp
+++ b/tests/platform/relays_test.cpp
@@ -387,6 +387,22 @@
     EXPECT_EQ(state->records.records.size(), 2U);
 }
 
+// A VM that had just become a relay hid a server's leaving from its members, which sent
+// requests to it later than the bound.
+TEST(record_link, leaving_server_is_hidden_by_a_relay_that_lists_an_older_state)
+{
+    keyed_vms  vms;
+    auto const now = boot_clock::now();
+    vms.relay.merge("servers", {.end = 2, .records = {"a=ready", "b=ready"}}, now);
+    vms.relay.merge("servers", {.from = 2, .end = 3, .records = {"a=leaving"}}, now);
+    vms.relay.replace("servers", {.end = 2, .records = {"a=ready", "b=ready"}},
+                      now - millis{1500});
+    records_query const query{"servers", 2, millis{100}};
+    auto const          reply = vms.run([&] { return vms.member.fetch(query); });
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->records, std::vector<std::string>{"a=leaving"});
+}
+
 // The relay lags behind. Members that asked again at once would slow it down further, and
 // it would never catch up.
 TEST(record_link, member_of_a_lagging_relay_waits_between_its_queries)
