--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -4,10 +4,12 @@
 #ifndef MARIGOLDCRANK_SERVING_CALLER_SESSION_HPP
 #define MARIGOLDCRANK_SERVING_CALLER_SESSION_HPP
 
+#include "policy/head_limits.hpp"
 #include "serving/call_runner.hpp"
 #include "serving/caller_connections.hpp"
 #include "serving/http_rules.hpp"
 #include "serving/loop_sleep.hpp"
+#include "serving/request_parser.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -63,9 +65,6 @@
     }
 
 private:
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     // 2000  ms; a caller that doesn't take a refusal for this long is disconnected
     static constexpr millis write_timeout{2000};
     // 1000  ms; a call with an id of its own needn't wait
@@ -77,8 +76,6 @@
     static constexpr millis memory_poll{100};
     // 2     copies of a request: one is sent to a server
     static constexpr std::int64_t copies = 2;
-    // 4096  bytes read beyond the limit of a head, which a parser then reports
-    static constexpr std::size_t read_ahead = 4096;
 
     boost::asio::awaitable<connection_disposition> serve_next()
     {
@@ -88,43 +85,25 @@
         {
             co_return connection_disposition::aborted;
         }
-        // The parser looks for the end of a chunk's header or a trailer in the buffer.
-        auto& buffer = connection_->buffer();
-        buffer.max_size(std::max(max_part(limits), buffer.size()));
-        request_parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
-        held_share held{state_.held, held_kind::requests};
-        auto       refusal = co_await read_head(parser, limits);
-        if (!refusal)
-        {
-            held.set(copies * memory_of(parser.get().base()));
-            refusal = co_await wait_for_memory(parser);
-        }
-        if (!refusal)
-        {
-            refusal = co_await read_body(parser, limits, held);
-        }
+        held_share   held{state_.held, held_kind::requests};
+        http_request request;
+        auto const   refusal = co_await read_request(request, limits, held);
+        bool const   head_only = request.method() == boost::beast::http::verb::head;
         if (refusal)
         {
-            co_return co_await refuse(*refusal, is_head(parser));
+            co_return co_await refuse(*refusal, head_only);
         }
         if (state_.closed)
         {
             // The call might not end within the grace period of the shutdown.
             co_return co_await refuse(
                 {503, call_fate::not_run, fault_stopping, stopping_retry_after},
-                is_head(parser));
+                head_only);
         }
-        bool const head_only = is_head(parser);
-        auto const request = parser.release();
-        auto       call = Dialect::parse_call(request.base());
+        auto call = Dialect::parse_call(request);
         if (auto const* fault = std::get_if<call_fault>(&call))
         {
-            co_return co_await refuse(bad_request(*fault == call_fault::bad_number
-                                                      ? "bad_number"
-                                                      : "repeated_field"),
-                                      head_only);
+            co_return co_await refuse(refusal_of(*fault), head_only);
         }
         auto const& id = std::get<caller_call>(call).id;
         if (!state_.ids.admit(id, repeated_ids_, boot_clock::now()))
@@ -184,19 +163,101 @@
         co_return co_await wait_first_byte(limits);
     }
 
+    /// Reads a whole request. Of one that is refused, `request` gets no more than the
+    /// method HEAD, so that the rest doesn't take memory while the refusal is written.
     boost::asio::awaitable<std::optional<own_response>>
-    read_head(request_parser& parser, caller_limits const& limits)
+    read_request(http_request& request, caller_limits const& limits, held_share& held)
+    {
+        auto const parts = head_limits_for(limits.header_bytes);
+        connection_->buffer().max_size(
+            std::max(parts.usual, connection_->buffer().size()));
+        request_parser parser;
+        parser.header_limit(parts.head);
+        parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
+        auto refusal = co_await read_head(parser, limits, parts, held);
+        shrink_buffer(parts);
+        held.set(0);
+        if (!refusal)
+        {
+            held.set(copies * memory_of(parser.request()));
+            refusal = co_await wait_for_memory(parser);
+        }
+        if (!refusal)
+        {
+            refusal = co_await read_body(parser, limits, parts, held);
+            shrink_buffer(parts);
+        }
+        if (!refusal)
+        {
+            request = parser.release();
+            held.set(copies * (memory_of(request) +
+                               static_cast<std::int64_t>(request.body().size())));
+        }
+        else if (parser.request().method() == boost::beast::http::verb::head)
+        {
+            request.method(boost::beast::http::verb::head);
+        }
+        if (refusal)
+        {
+            held.set(0);
+        }
+        co_return refusal;
+    }
+
+    /// Lets the buffer grow once a part of a request has filled it; what is beyond the
+    /// usual size counts as held. Returns false if it is as large as the limits or the
+    /// VM's memory allow.
+    bool grow_buffer(head_limits const& parts, held_share& held)
+    {
+        auto&      buffer = connection_->buffer();
+        auto const before = buffer.max_size();
+        auto const size = larger_buffer(parts, before);
+        if (size == before || !state_.held->has_room())
+        {
+            return false;
+        }
+        held.set(held.bytes() + static_cast<std::int64_t>(size - before));
+        buffer.max_size(size);
+        return true;
+    }
+
+    /// Gives back what `grow_buffer` has added, as far as unread bytes don't occupy it.
+    void shrink_buffer(head_limits const& parts)
     {
+        auto& buffer = connection_->buffer();
+        if (buffer.capacity() > parts.usual)
+        {
+            buffer.shrink_to_fit();
+        }
+        buffer.max_size(std::max(parts.usual, buffer.size()));
+    }
+
+    /// Why a buffer can't hold a part of a request.
+    own_response full_buffer(head_limits const& parts) const
+    {
+        return connection_->buffer().max_size() < parts.part ? out_of_memory()
+                                                             : framing_limit();
+    }
+
+    boost::asio::awaitable<std::optional<own_response>>
+    read_head(request_parser& parser, caller_limits const& limits,
+              head_limits const& parts, held_share& held)
+    {
+        namespace http = boost::beast::http;
         boost::system::error_code error;
         connection_->stream().expires_after(limits.header_time);
-        co_await boost::beast::http::async_read_header(
-            connection_->stream(), connection_->buffer(), parser,
-            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        do
+        {
+            co_await http::async_read_header(
+                connection_->stream(), connection_->buffer(), parser,
+                boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        } while (error == http::error::buffer_overflow && grow_buffer(parts, held));
         if (error)
         {
-            co_return refusal_of(error);
+            co_return error == http::error::buffer_overflow ? full_buffer(parts)
+                                                            : refusal_of(error);
         }
-        auto const fault = check_head(parser.get().base());
+        auto const fault = check_head(parser.request());
         if (fault != head_fault::none)
         {
             co_return bad_request(head_fault_name(fault));
@@ -205,7 +266,7 @@
     }
 
     /// While the VM holds much, waits a short time and leaves the body unread. Refuses
-    /// the request if the VM is at its bound.
+    /// the request if the VM is at its bound, or can't hold so long a body at all.
     boost::asio::awaitable<std::optional<own_response>>
     wait_for_memory(request_parser const& parser)
     {
@@ -213,6 +274,11 @@
         bool const arrived =
             parser.is_done() || (rest && *rest <= connection_->buffer().size());
         auto const until = loop_clock::now() + memory_wait;
+        auto const most = state_.held->options().most / copies;
+        if (rest && *rest > static_cast<std::uint64_t>(most))
+        {
+            co_return out_of_memory();
+        }
         while (!arrived && !state_.held->has_room_for_new() && loop_clock::now() < until)
         {
             co_await loop_sleep(memory_poll);
@@ -225,10 +291,11 @@
     }
 
     boost::asio::awaitable<std::optional<own_response>>
-    read_body(request_parser& parser, caller_limits const& limits, held_share& held)
+    read_body(request_parser& parser, caller_limits const& limits,
+              head_limits const& parts, held_share& held)
     {
-        if (parser.get().count(boost::beast::http::field::expect) > 0 &&
-            !parser.is_done())
+        namespace http = boost::beast::http;
+        if (parser.request().count(http::field::expect) > 0 && !parser.is_done())
         {
             auto const until = loop_clock::now() + write_timeout;
             if (!co_await connection_->write("HTTP/1.1 100 Continue\r\n\r\n", until))
@@ -236,29 +303,22 @@
                 co_return bad_request("closed");
             }
         }
-        // The parser adds the fields of a trailer to those of the head, which have been
-        // checked.
-        std::optional<boost::beast::http::request_header<>> head;
-        if (parser.chunked())
-        {
-            head = parser.get().base();
-        }
         boost::system::error_code error;
         auto const                until = loop_clock::now() + limits.idle_time;
         std::size_t               framing_bytes = 0;
         message_limits            most;
-        most.framing += max_part(limits); // a trailer may be as long as a head
-        auto const& content = parser.get().body();
-        auto const  head_bytes = held.bytes();
+        most.framing += parts.part; // a trailer may be as long as a head
+        auto const& content = parser.request().body();
         connection_->stream().expires_at(until);
         while (!parser.is_done() && !error)
         {
             auto const before = content.size();
-            auto const consumed = co_await boost::beast::http::async_read_some(
+            auto const consumed = co_await http::async_read_some(
                 connection_->stream(), connection_->buffer(), parser,
                 boost::asio::redirect_error(boost::asio::use_awaitable, error));
-            framing_bytes += consumed - std::min(content.size() - before, consumed);
-            held.set(head_bytes + static_cast<std::int64_t>(content.size()) * copies);
+            auto const count = content.size() - before;
+            framing_bytes += consumed - std::min(count, consumed);
+            held.set(held.bytes() + static_cast<std::int64_t>(count) * copies);
             if (!error && !state_.held->has_room())
             {
                 co_return out_of_memory();
@@ -267,6 +327,10 @@
             {
                 co_return framing_limit();
             }
+            if (error == http::error::buffer_overflow && grow_buffer(parts, held))
+            {
+                error = {};
+            }
             // An operation whose bytes have arrived completes even if its time is up.
             if (!error && !parser.is_done() && loop_clock::now() >= until)
             {
@@ -275,20 +339,12 @@
         }
         if (error)
         {
-            co_return refusal_of(error);
-        }
-        if (head)
-        {
-            parser.get().base() = std::move(*head);
+            co_return error == http::error::buffer_overflow ? full_buffer(parts)
+                                                            : refusal_of(error);
         }
         co_return std::nullopt;
     }
 
-    static bool is_head(request_parser const& parser)
-    {
-        return parser.get().method() == boost::beast::http::verb::head;
-    }
-
     static own_response out_of_memory()
     {
         return {503, call_fate::not_run, "memory", refusal_retry_after};
@@ -299,15 +355,23 @@
         return {431, call_fate::final_refusal, "framing_limit", std::nullopt};
     }
 
-    /// Bytes of a head, of one chunk's header, or of a trailer, that may be buffered.
-    static std::size_t max_part(caller_limits const& limits)
+    static own_response bad_request(std::string_view cause)
     {
-        return static_cast<std::size_t>(limits.header_bytes) + read_ahead;
+        return {400, call_fate::final_refusal, cause, std::nullopt};
     }
 
-    static own_response bad_request(std::string_view cause)
+    static own_response refusal_of(call_fault fault)
     {
-        return {400, call_fate::final_refusal, cause, std::nullopt};
+        switch (fault)
+        {
+        case call_fault::bad_number:
+            return bad_request("bad_number");
+        case call_fault::long_field:
+            return {431, call_fate::final_refusal, "field_limit", std::nullopt};
+        case call_fault::repeated_field:
+            break;
+        }
+        return bad_request("repeated_field");
     }
 
     static own_response refusal_of(boost::system::error_code const& error)
@@ -321,10 +385,6 @@
         {
             return {413, call_fate::final_refusal, "body_limit", std::nullopt};
         }
-        if (error == http::error::buffer_overflow)
-        {
-            return framing_limit();
-        }
         if (error == boost::beast::error::timeout)
         {
             return {408, call_fate::not_run, "slow_request", std::nullopt};
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -59,6 +60,23 @@
     static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
 }
 
+asio::awaitable<error_code> write_request(beast::tcp_stream&  stream,
+                                          http_request const& request)
+{
+    error_code error;
+    if (request.long_fields.empty())
+    {
+        co_await http::async_write(stream, request,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        co_return error;
+    }
+    auto const       head = format_head(request);
+    std::array const parts{asio::buffer(head), asio::buffer(request.body())};
+    co_await asio::async_write(stream, parts,
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return error;
+}
+
 } // namespace
 
 char const* response_framing_name(response_framing value)
@@ -118,20 +136,15 @@
 {
     stream_.expires_at(until);
     complete_ = false;
-    if (request.body().size() <= background_bytes)
+    if (request.body().size() <= background_bytes && request.long_fields.empty())
     {
-        error_code error;
-        co_await http::async_write(stream_, request,
-                                   asio::redirect_error(asio::use_awaitable, error));
-        co_return io_result_of(error);
+        co_return io_result_of(co_await write_request(stream_, request));
     }
     writing_ = true;
     auto write = [](std::shared_ptr<http_connection> self,
                     http_request                     message) -> asio::awaitable<void>
     {
-        error_code error;
-        co_await http::async_write(self->stream_, message,
-                                   asio::redirect_error(asio::use_awaitable, error));
+        auto const error = co_await write_request(self->stream_, message);
         self->writing_ = false;
         self->write_failed_ = static_cast<bool>(error);
     };
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -75,7 +75,7 @@
                        { return has_status_line(view(field.value())); });
 }
 
-head_fault check_head(request_head const& head)
+head_fault check_head(http_request const& head)
 {
     if (head.count(http::field::host) != 1 ||
         bare_host(view(head[http::field::host])).empty())
@@ -96,7 +96,7 @@
     return bad_target(view(head.target())) ? head_fault::target : head_fault::none;
 }
 
-std::int64_t memory_of(request_head const& head)
+std::int64_t memory_of(http_request const& head)
 {
     constexpr std::size_t field_bytes = 128; // of a node, its hooks and its allocation
     std::size_t           result = head.target().size();
@@ -104,6 +104,10 @@
     {
         result += field_bytes + field.name_string().size() + field.value().size();
     }
+    for (auto const& each : head.long_fields)
+    {
+        result += field_bytes + each.name.size() + each.value.size();
+    }
     return static_cast<std::int64_t>(result);
 }
 
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -29,7 +29,7 @@
 
 /// Finds heads that two parsers could read differently. If one were forwarded, a second
 /// request could be smuggled in its body and run with another caller's rights.
-head_fault check_head(request_head const& head);
+head_fault check_head(http_request const& head);
 
 /// The name of the fault for logs and responses.
 char const* head_fault_name(head_fault value);
@@ -41,7 +41,7 @@
 bool is_ambiguous(response_head const& head);
 
 /// About how many bytes a parsed head takes. Short fields take many times their length.
-std::int64_t memory_of(request_head const& head);
+std::int64_t memory_of(http_request const& head);
 
 /// Copies the end-to-end fields. Hop-by-hop fields and those listed in Connection are
 /// left out, except that `kept(name)` keeps a field that Connection lists.
--- a/src/serving/wire_dialect.hpp
+++ b/src/serving/wire_dialect.hpp
@@ -5,9 +5,9 @@
 #define MARIGOLDCRANK_SERVING_WIRE_DIALECT_HPP
 
 #include "domain/caller_call.hpp"
+#include "serving/http_request.hpp"
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <concepts>
 #include <optional>
@@ -19,15 +19,14 @@
 
 // 1. Messages
 
-using http_request = boost::beast::http::request<boost::beast::http::string_body>;
-using request_head = boost::beast::http::request_header<>;
 using response_head = boost::beast::http::response_header<>;
 
 /// Why a caller's request is invalid.
 enum class call_fault
 {
     repeated_field, // a field that is allowed once occurs twice
-    bad_number      // a numeric field holds something else
+    bad_number,     // a numeric field holds something else
+    long_field      // a field that VMs keep for a call has over 65,533 bytes
 };
 
 /// What an attempt at a backend server adds to the caller's request.
@@ -74,12 +73,11 @@
 
 /// Pure translation between the names on the wire and the types above.
 template <class Dialect>
-concept wire_dialect = requires(request_head const& head, response_head const& answer,
-                                http_request const&    request,
+concept wire_dialect = requires(http_request const& request, response_head const& answer,
                                 attempt_options const& onward, std::string const& text)
 {
     {
-        Dialect::parse_call(head)
+        Dialect::parse_call(request)
         } -> std::same_as<std::variant<caller_call, call_fault>>;
     {
         Dialect::build_attempt_request(request, onward)
--- a/tests/platform/within_limits_test.cpp
+++ b/tests/platform/within_limits_test.cpp
@@ -1,12 +1,15 @@
 // Clients at the limits of the rules, but inside them: a VM in calm serves each of them.
 //
-// Index: 1 one request at a time, 2 slow ones
+// Index: 1 one request at a time, 2 limits of any size, 3 slow ones
 #include "platform/support/entry_cluster.hpp"
 #include "platform/support/raw_caller.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <thread>
 
@@ -109,7 +112,72 @@
     }
 }
 
-// 2. Slow ones
+// 2. Limits of any size
+
+cluster_options with_limits(nlohmann::json const& limits)
+{
+    auto options = one_server();
+    options.change_rules = [=](nlohmann::json& rules)
+    {
+        rules["limits"].update(limits);
+    };
+    return options;
+}
+
+constexpr std::size_t longer_than_16_bits = 72000;
+
+// A field that the library's container couldn't hold ended the process that read it.
+TEST(within_limits, field_that_is_most_of_a_long_head)
+{
+    entry_cluster     cluster{with_limits({{"max_header_bytes", 131072}})};
+    std::string const value(longer_than_16_bits, 'f');
+    auto const        response = send(
+               cluster, make_request({.id = "long", .fields = "X-Name: " + value + "\r\n"}));
+    ASSERT_EQ(response.status, 200);
+    auto const received = cluster.server(0).received_requests().back();
+    ASSERT_EQ(received.fields.count("x-name"), 1U);
+    EXPECT_EQ(received.fields.find("x-name")->second, value);
+}
+
+TEST(within_limits, trailer_that_is_one_field)
+{
+    entry_cluster cluster{with_limits({{"max_header_bytes", 131072}})};
+    auto const    field = "X-Name: " + std::string(longer_than_16_bits, 't') + "\r\n";
+    ASSERT_EQ(send(cluster, chunked("1\r\nb\r\n0\r\n" + field + "\r\n")).status, 200);
+    EXPECT_EQ(body_at_server(cluster), 1U);
+}
+
+// Memory for the stated length was taken at once: the process ended by a failure to get
+// it.
+TEST(within_limits, stated_length_that_no_vm_has_memory_for)
+{
+    constexpr std::int64_t petabyte = 1'000'000'000'000'000;
+    entry_cluster          cluster{with_limits({{"max_body_bytes", petabyte}})};
+    auto const             response = send(
+                    cluster, "POST /repeat/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: huge\r\n"
+                                         "Authorization: Bearer key-north\r\nContent-Length: " +
+                                 std::to_string(petabyte) + "\r\n\r\nbody");
+    EXPECT_EQ(response.status, 503);
+    EXPECT_TRUE(cluster.daemon().running());
+    EXPECT_EQ(send(cluster, make_request({.id = "next"})).status, 200);
+}
+
+// A limit above 32 bits became a small one, and 0 refused every call.
+TEST(within_limits, limits_at_the_ends_of_their_range)
+{
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    for (std::int64_t const bytes : {std::int64_t{1} << 32, most, std::int64_t{0}})
+    {
+        entry_cluster cluster{
+            with_limits({{"max_header_bytes", bytes},
+                         {"max_body_bytes", std::max<std::int64_t>(bytes, 1000)},
+                         {"header_timeout_ms", bytes},
+                         {"idle_timeout_ms", bytes}})};
+        EXPECT_EQ(send(cluster, make_request({.id = "ends"})).status, 200) << bytes;
+    }
+}
+
+// 3. Slow ones
 
 TEST(within_limits, slow_upload)
 {
--- a/tests/property/platform_decoders_property_test.cpp
+++ b/tests/property/platform_decoders_property_test.cpp
@@ -220,7 +220,7 @@
     request.set("Connection", "Request-Id, X-Hop");
     request.set("X-Hop", "1");
     request.set("Request-Id", "r");
-    auto const call = platform_dialect::parse_call(request.base());
+    auto const call = platform_dialect::parse_call(request);
     RC_ASSERT(std::get<caller_call>(call).key == key);
     auto const attempt =
         platform_dialect::build_attempt_request(request, {.server_id = "i"});
--- a/tests/unit/caller_numbers_test.cpp
+++ b/tests/unit/caller_numbers_test.cpp
@@ -14,7 +14,7 @@
 
 caller_call parse(std::string const& name, std::string const& value)
 {
-    request_head head;
+    http_request head;
     head.set("Host", "shop.example");
     head.set(name, value);
     return std::get<caller_call>(platform_dialect::parse_call(head));
--- a/tests/unruly/connections_test.cpp
+++ b/tests/unruly/connections_test.cpp
@@ -292,6 +292,33 @@
     vm.check_afterwards();
 }
 
+// The rules may allow any head; what callers send of it must not use up the memory.
+TEST(unruly_callers, halves_of_heads_near_a_large_limit_leave_memory)
+{
+    constexpr int         header_bytes = 16U << 20;
+    constexpr std::size_t sent_bytes = 4U << 20;
+    unruly_cluster        vm{"", header_bytes};
+    client_crowd          crowd(vm.port("callers"), bounds.connections);
+    crowd.press(head + "X-Name: ", std::string(65536, 'h'), sent_bytes);
+    vm.check_afterwards();
+}
+
+// The same for whole heads, whose prompts have as many parts as fit.
+TEST(unruly_callers, long_prompts_near_a_large_limit_leave_memory)
+{
+    constexpr int         header_bytes = 16U << 20;
+    constexpr std::size_t prompt_bytes = 1'000'000;
+    std::string           prompt = "a:1";
+    while (prompt.size() < prompt_bytes)
+    {
+        prompt += ",b:1";
+    }
+    unruly_cluster vm{"", header_bytes};
+    client_crowd   crowd(vm.port("callers"), bounds.connections);
+    crowd.press(head + "Prefix-Hash: " + prompt + "\r\n\r\n", "", 0);
+    vm.check_afterwards();
+}
+
 // Heads near their limit must not leave their buffers to idle connections.
 TEST(unruly_callers, long_heads_and_bodies_leave_no_memory_to_idle_connections)
 {
