--- a/src/domain/serving_rules.cpp
+++ b/src/domain/serving_rules.cpp
@@ -9,9 +9,10 @@
 serving_rules::serving_rules(std::uint64_t version, std::vector<route> routes,
                              std::vector<service>   services,
                              std::vector<workspace> workspaces, bool keyed,
-                             caller_limits limits)
+                             caller_limits limits, std::vector<number_fault> faults)
     : version_(version), routes_(std::move(routes)), services_(std::move(services)),
-      workspaces_(std::move(workspaces)), keyed_(keyed), limits_(limits)
+      workspaces_(std::move(workspaces)), keyed_(keyed), limits_(limits),
+      faults_(std::move(faults))
 {
     for (std::size_t index = 0; index < routes_.size(); ++index)
     {
@@ -117,11 +118,16 @@
     return workspaces_;
 }
 
+std::vector<number_fault> const& serving_rules::faults() const noexcept
+{
+    return faults_;
+}
+
 bool serving_rules::operator==(serving_rules const& other) const
 {
     return version_ == other.version_ && routes_ == other.routes_ &&
            services_ == other.services_ && workspaces_ == other.workspaces_ &&
-           keyed_ == other.keyed_ && limits_ == other.limits_;
+           keyed_ == other.keyed_ && limits_ == other.limits_ && faults_ == other.faults_;
 }
 
 route_target const* pick_target(route const& value, std::uint64_t tie_break)
--- a/src/domain/serving_rules.hpp
+++ b/src/domain/serving_rules.hpp
@@ -1,7 +1,7 @@
 // The rules in force: routes, services, workspaces and limits, and look-ups in them.
 //
 // Index: 1 call_kind, 2 route, 3 service with fleet_bounds, 4 workspace with
-//        workspace_quota, 5 caller_limits, 6 serving_rules
+//        workspace_quota, 5 caller_limits, 6 number_fault, 7 serving_rules
 //
 // These are plain values. The rules decoder fills them from the store's records, and the
 // serving path reads them.
@@ -112,6 +112,11 @@
     bool operator==(workspace const&) const = default;
 };
 
+// 1048576  bytes of a head at most, whatever the rules state: a head is kept several
+// times
+//          over while its call runs
+inline constexpr std::int64_t max_header_bytes = 1048576;
+
 /// Limits on the size of a caller's requests and on the time to send them.
 struct caller_limits
 {
@@ -123,6 +128,16 @@
     bool operator==(caller_limits const&) const = default;
 };
 
+/// A number in the rules that is of another type or out of its range.
+struct number_fault
+{
+    std::string                 field;  // such as "services.m.scaling.max"
+    std::string                 stated; // the first characters of what stands there
+    std::optional<std::int64_t> used;   // in its place; none: as if it were absent
+
+    auto operator<=>(number_fault const&) const = default;
+};
+
 /// One complete version of the rules, made by the rules decoder. It isn't changed once it
 /// is shared between readers.
 class serving_rules
@@ -134,7 +149,8 @@
     /// need a key.
     serving_rules(std::uint64_t version, std::vector<route> routes,
                   std::vector<service> services, std::vector<workspace> workspaces,
-                  bool keyed, caller_limits limits);
+                  bool keyed, caller_limits limits,
+                  std::vector<number_fault> faults = {});
 
     std::uint64_t version() const noexcept;
     bool          keyed() const noexcept; // calls need a key, except on open routes
@@ -161,15 +177,19 @@
     std::vector<service> const&   services() const noexcept;
     std::vector<workspace> const& workspaces() const noexcept;
 
+    /// What the decoder couldn't take as it is stated, in the order of the document.
+    std::vector<number_fault> const& faults() const noexcept;
+
     bool operator==(serving_rules const& other) const;
 
 private:
-    std::uint64_t          version_ = 0;
-    std::vector<route>     routes_;
-    std::vector<service>   services_;
-    std::vector<workspace> workspaces_;
-    bool                   keyed_ = false;
-    caller_limits          limits_;
+    std::uint64_t             version_ = 0;
+    std::vector<route>        routes_;
+    std::vector<service>      services_;
+    std::vector<workspace>    workspaces_;
+    bool                      keyed_ = false;
+    caller_limits             limits_;
+    std::vector<number_fault> faults_;
     std::map<std::string, std::vector<std::size_t>, std::less<>>
                                                     by_host_; // longest prefix first
     std::map<std::string, std::size_t, std::less<>> by_key_;
--- a/src/policy/fleet_plan.cpp
+++ b/src/policy/fleet_plan.cpp
@@ -16,9 +16,18 @@
 // 1.5   times the need, which is a mean over seconds that bursts exceed
 constexpr double burst_factor = 1.5;
 
+// 1e9   servers; callers state the tokens that a need is computed from
+constexpr double max_need = 1e9;
+
 std::int64_t ceil_divide(std::int64_t value, std::int64_t parts)
 {
-    return (value + parts - 1) / parts;
+    return value / parts + (value % parts > 0 ? 1 : 0);
+}
+
+/// The number of cheap servers changes in multiples of this.
+std::int64_t step_of(fleet_bounds const& bounds, fleet_options const& options)
+{
+    return std::max<std::int64_t>(ceil_divide(bounds.most, options.steps), 1);
 }
 
 /// Computes the target numbers of full-price and cheap servers of each data centre.
@@ -28,9 +37,10 @@
     fleet_targets(fleet_bounds const& bounds, fleet_state const& state,
                   boot_clock::time_point now, fleet_options const& options)
         : bounds_(bounds), state_(state), now_(now), options_(options),
-          floor_(std::max({bounds.least,
-                           ceil_divide(bounds.most, options.full_price_divisor),
-                           std::int64_t{1}}))
+          floor_(std::min(bounds.most,
+                          std::max({bounds.least,
+                                    ceil_divide(bounds.most, options.full_price_divisor),
+                                    std::int64_t{1}})))
     {
         for (auto const& [name, centre] : state.centres)
         {
@@ -98,28 +108,42 @@
         return sum - most_cheap;
     }
 
-    /// Spreads the missing servers over the data centres without cheap servers, one at a
-    /// time.
+    /// Spreads the missing servers evenly over the data centres without cheap servers, as
+    /// far as each has room.
     void buy_full()
     {
         auto missing = wanted() - left_after_reclaim();
-        bool found = true;
-        while (missing > 0 && found)
+        auto open = places_for_full();
+        while (missing > 0 && !open.empty())
+        {
+            auto const centres = static_cast<std::int64_t>(open.size());
+            auto const share = std::max<std::int64_t>(missing / centres, 1);
+            for (auto const& [name, places] : open)
+            {
+                auto const bought = std::min({share, places, missing});
+                full_[name] += bought;
+                missing -= bought;
+            }
+            open = places_for_full();
+        }
+    }
+
+    /// How many more full-price servers each data centre without cheap ones has room for;
+    /// only those that have.
+    std::map<std::string, std::int64_t> places_for_full() const
+    {
+        std::map<std::string, std::int64_t> result;
+        for (auto const& [name, centre] : state_.centres)
         {
-            found = false;
-            for (auto const& [name, centre] : state_.centres)
+            auto const reserved =
+                std::max(centre.present.cheap, options_.reserved_cheap_places);
+            auto const places = bounds_.most - reserved - full_.at(name);
+            if (!cheap_available(centre) && places > 0)
             {
-                auto const reserved =
-                    std::max(centre.present.cheap, options_.reserved_cheap_places);
-                if (missing > 0 && !cheap_available(centre) &&
-                    full_[name] < bounds_.most - reserved)
-                {
-                    ++full_[name];
-                    --missing;
-                    found = true;
-                }
+                result[name] = places;
             }
         }
+        return result;
     }
 
     /// Raises the targets so that present full-price servers stay while the fleet needs
@@ -132,7 +156,7 @@
             auto&      target = full_[name];
             auto const excess = std::max<std::int64_t>(centre.present.full - target, 0);
             auto const released = std::clamp<std::int64_t>(spare, 0, excess);
-            target += excess - released;
+            target = std::min(target + excess - released, bounds_.most);
             spare -= released;
         }
     }
@@ -155,7 +179,7 @@
             remaining -= full_.at(name);
         }
         auto const parts = std::max<std::int64_t>(cheap_centres - 1, 1);
-        auto const step = ceil_divide(bounds_.most, options_.steps);
+        auto const step = step_of(bounds_, options_);
         auto const share = ceil_divide(std::max<std::int64_t>(remaining, 1), parts);
         cheap_ = ceil_divide(share, step) * step;
     }
@@ -228,8 +252,8 @@
 
 std::int64_t servers_for(role_need const& need)
 {
-    return static_cast<std::int64_t>(
-        std::ceil(burst_factor * (need.prefill + need.decode)));
+    auto const servers = std::ceil(burst_factor * (need.prefill + need.decode));
+    return static_cast<std::int64_t>(std::fmin(std::fmax(servers, 0.0), max_need));
 }
 
 std::vector<server_order> plan_fleet(service const& value, fleet_state const& state,
@@ -242,7 +266,7 @@
         return orders;
     }
     fleet_targets const targets(*value.fleet, state, now, options);
-    auto const          step = ceil_divide(value.fleet->most, options.steps);
+    auto const          step = step_of(*value.fleet, options);
     for (auto const& [name, centre] : state.centres)
     {
         auto const full = targets.full(name);
@@ -253,7 +277,9 @@
         }
         bool const too_few = centre.present.cheap < cheap;
         bool const spare = centre.present.cheap > cheap + step;
-        if (too_few || spare)
+        bool const above_bound = centre.present.cheap > cheap &&
+                                 full + centre.present.cheap > value.fleet->most;
+        if (too_few || spare || above_bound)
         {
             orders.push_back({value.name, name, cheap, true});
         }
--- a/src/policy/fleet_plan.hpp
+++ b/src/policy/fleet_plan.hpp
@@ -104,8 +104,9 @@
 /// that the number is still met without one of the data centres that have them. If the
 /// servers left after the next reclaim don't carry the demand, full-price servers are
 /// bought in the data centres without cheap ones. A full-price server is given back only
-/// if enough other servers are present. Services without reclaimable servers get no
-/// orders.
+/// if enough other servers are present. No target is above the maximum, whatever the
+/// minimum; a maximum of 0 gives back all servers. Services without reclaimable servers
+/// get no orders.
 std::vector<server_order> plan_fleet(service const& value, fleet_state const& state,
                                      boot_clock::time_point now,
                                      fleet_options const&   options);
--- a/src/policy/head_limits.hpp
+++ b/src/policy/head_limits.hpp
@@ -24,15 +24,12 @@
     bool operator==(head_limits const&) const = default;
 };
 
-/// `header_bytes`: the limit in the rules, of any size; 0: the default. A head is kept
-/// several times over while its call runs, so none may be longer than 1 MiB.
-inline head_limits head_limits_for(std::int64_t header_bytes)
+/// `header_bytes`: the limit in the rules.
+constexpr head_limits head_limits_for(std::int64_t header_bytes)
 {
-    constexpr std::int64_t longest_head = 1048576;
-    constexpr std::size_t  usual_part = 20480;
-    constexpr std::size_t  read_ahead = 4096; // behind the limit, which a parser reports
-    auto const             head = std::min(
-                    header_bytes > 0 ? header_bytes : caller_limits{}.header_bytes, longest_head);
+    constexpr std::size_t usual_part = 20480;
+    constexpr std::size_t read_ahead = 4096; // behind the limit, which a parser reports
+    auto const head = std::clamp<std::int64_t>(header_bytes, 0, max_header_bytes);
     auto const part = static_cast<std::size_t>(head) + read_ahead;
     return {.head = static_cast<std::uint32_t>(head),
             .part = part,
--- a/src/serving/store_followers.hpp
+++ b/src/serving/store_followers.hpp
@@ -244,9 +244,29 @@
                 .add("offset", static_cast<std::int64_t>(record.offset))
                 .add("routes", static_cast<std::int64_t>(rules->routes().size())),
             now);
+        log_faults(*rules);
         state_.view.rules = std::make_shared<serving_rules const>(std::move(*rules));
     }
 
+    /// Logs the numbers that aren't taken as they are stated, the first ones by name.
+    void log_faults(serving_rules const& rules)
+    {
+        constexpr std::size_t most_logged = 8;
+        auto const&           faults = rules.faults();
+        for (std::size_t at = 0; at < std::min(faults.size(), most_logged); ++at)
+        {
+            auto const& fault = faults[at];
+            state_.log.write(
+                event_line{"rules_number"}
+                    .add("version", static_cast<std::int64_t>(rules.version()))
+                    .add("field", fault.field)
+                    .add("stated", fault.stated)
+                    .add("used", fault.used ? std::to_string(*fault.used) : "none")
+                    .add("of", static_cast<std::int64_t>(faults.size())),
+                boot_clock::now());
+        }
+    }
+
     /// Keeps the last quota where a new one is unreadable, so that its workspace doesn't
     /// become unlimited.
     void carry_over_quotas(serving_rules& rules)
--- a/tests/unit/request_parser_test.cpp
+++ b/tests/unit/request_parser_test.cpp
@@ -173,7 +173,7 @@
     EXPECT_EQ(head_limits_for(above_32_bits).head, 1048576U);
     EXPECT_EQ(head_limits_for(most), head_limits_for(above_32_bits));
     EXPECT_EQ(head_limits_for(131072).head, 131072U);
-    EXPECT_EQ(head_limits_for(0).head, 16384U);
+    EXPECT_EQ(head_limits_for(-1).head, 0U);
     EXPECT_EQ(head_limits_for(1).head, 1U);
     EXPECT_GE(head_limits_for(1).usual, 4096U);
     auto const limits = head_limits_for(131072);
