A usage window without a length ends no process

What operators saw: with usage_window_s = 0, or a length that rounds to 0 ms, the daemon ended with SIGFPE at its start, before it listened and without a line.

Cause: the time of day is divided by the window's length, and a time in the settings may be 0.

Change: a window has 0.1 s at least; a file without that isn't taken, with the key and its range in start_failed. What a process was started with (names, addresses, the window) stays at a reload: windows were reported by a new length and counted by the old one.

The two new tests of entry_settings pass; the first fails on the code before, which took the value.

--- a/src/domain/entry_settings.cpp
+++ b/src/domain/entry_settings.cpp
@@ -22,6 +22,7 @@
 // 1. Values
 
 constexpr double       max_seconds = 86'400;
+constexpr std::int64_t min_window = 100; // ms; windows are counted from 1970
 constexpr std::int64_t max_count = 1'000'000;
 constexpr double       max_units = 1e12;
 constexpr double       ms_per_second = 1000;
@@ -98,6 +99,20 @@
             }};
 }
 
+/// The length of a usage window, by which the time of day is divided.
+entry_option usage_window_option()
+{
+    auto option = time_option("bounds", "usage_window_s", ms_per_second,
+                              &entry_settings::usage_window);
+    option.allowed = "0.1 or more, up to one day";
+    option.store =
+        [store = option.store](entry_settings& value, std::string const& content)
+    {
+        return store(value, content) && value.usage_window.count() >= min_window;
+    };
+    return option;
+}
+
 entry_option flag_option(char const* section, char const* key,
                          bool entry_settings::*field)
 {
@@ -223,8 +238,7 @@
         time_option("bounds", "leave_ms", 1, &entry_settings::leave_bound),
         time_option("bounds", "renewal_ms", 1, &entry_settings::renewal),
         time_option("bounds", "lease_ms", 1, &entry_settings::lease),
-        time_option("bounds", "usage_window_s", ms_per_second,
-                    &entry_settings::usage_window),
+        usage_window_option(),
         time_option("bounds", "usage_due_s", ms_per_second, &entry_settings::usage_due),
         count_option("bounds", "retry_ratio", percent_scale,
                      &entry_settings::retry_percent),
@@ -341,6 +355,23 @@
     return value;
 }
 
+entry_settings reloaded_settings(entry_settings const& running, entry_settings loaded)
+{
+    loaded.name = running.name;
+    loaded.data_centre = running.data_centre;
+    loaded.first_start = running.first_start;
+    loaded.callers = running.callers;
+    loaded.readiness = running.readiness;
+    loaded.metrics = running.metrics;
+    loaded.peers = running.peers;
+    loaded.records = running.records;
+    loaded.tunnels = running.tunnels;
+    loaded.store = running.store;
+    loaded.duties = running.duties;
+    loaded.usage_window = running.usage_window;
+    return loaded;
+}
+
 leaf::result<entry_settings> load_entry_settings(std::string const& path)
 {
     std::ifstream file(path);
--- a/src/domain/entry_settings.hpp
+++ b/src/domain/entry_settings.hpp
@@ -115,6 +115,10 @@
 leaf::result<entry_settings> parse_entry_settings(std::string const& text,
                                                   std::string const& file);
 
+/// What is in force once a process has read its settings anew: what it is, its addresses
+/// and the length of usage windows stay as they were at its start.
+entry_settings reloaded_settings(entry_settings const& running, entry_settings loaded);
+
 /// Reads and parses the file at `path`. Fails with setting_failure.
 leaf::result<entry_settings> load_entry_settings(std::string const& path);
 
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -359,7 +359,7 @@
         loop_.stop();
     }
 
-    /// Loads limits from the changed settings file. Addresses don't change while running.
+    /// Loads limits from the changed settings file.
     void reload()
     {
         auto const now = boot_clock::now();
@@ -367,7 +367,7 @@
             [&]() -> leaf::result<bool>
             {
                 BOOST_LEAF_AUTO(value, load_entry_settings(file_));
-                state_.settings = value;
+                state_.settings = reloaded_settings(state_.settings, value);
                 return true;
             },
             [] { return false; });
--- a/tests/unit/entry_settings_test.cpp
+++ b/tests/unit/entry_settings_test.cpp
@@ -49,6 +49,34 @@
     EXPECT_EQ(value.lease, millis{3000});
 }
 
+// The time of day is divided by a window's length: one of 0 ended the process.
+TEST(entry_settings, usage_window_without_a_length_is_refused)
+{
+    for (auto const* length : {"0", "0.0001", "0.09", "-1"})
+    {
+        auto const failure =
+            failure_of(with("grace_s = 8.5", std::string{"usage_window_s = "} + length));
+        ASSERT_TRUE(failure) << length;
+        EXPECT_EQ(failure->key, "usage_window_s");
+    }
+    EXPECT_FALSE(failure_of(with("grace_s = 8.5", "usage_window_s = 0.1")));
+}
+
+// Counts of windows of two lengths can't be told apart; other VMs know this one by its
+// addresses.
+TEST(entry_settings,
+     what_a_process_was_started_with_stays_when_it_reads_its_settings_anew)
+{
+    entry_settings const running{.name = "a", .callers = {"10.0.0.1", 80}};
+    entry_settings const loaded{
+        .name = "b", .usage_window = millis{100}, .retry_slack = 7};
+    auto const value = reloaded_settings(running, loaded);
+    EXPECT_EQ(value.name, "a");
+    EXPECT_EQ(value.callers, running.callers);
+    EXPECT_EQ(value.usage_window, running.usage_window);
+    EXPECT_EQ(value.retry_slack, 7);
+}
+
 TEST(entry_settings, learned_prefill_times_are_shared_unless_switched_off)
 {
     EXPECT_TRUE(entry_settings{}.share_prefill_times);
