An exception ends the task that threw it, and not the process

A call that ended so left a function of its own with its caller's connection, to be called on a destroyed object.

Change: tasks have names; one that throws is logged (task_failed) and counted, and ends alone. The daemon's own tasks start again a second later. A call that throws ends with a reset of its connection, and its destructors free what it holds; the lane of the usage log and the marks of reads in progress are freed too. The loop goes on after a handler that threw.

--- a/src/serving/attempt_sender.hpp
+++ b/src/serving/attempt_sender.hpp
@@ -10,8 +10,6 @@
 #include "serving/loop_sleep.hpp"
 #include "serving/server_exchange.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <string>
 
@@ -174,10 +172,10 @@
         auto const slash = source.find('/');
         if (slash != std::string::npos)
         {
-            boost::asio::co_spawn(
-                context_.caller.stream().get_executor(),
-                release_handle<Dialect>(context_.state, server, source.substr(slash + 1)),
-                boost::asio::detached);
+            spawn_task(context_.caller.stream().get_executor(), "release",
+                       context_.state.failures(),
+                       release_handle<Dialect>(context_.state, server,
+                                               source.substr(slash + 1)));
         }
     }
 
--- a/src/serving/call_runner.hpp
+++ b/src/serving/call_runner.hpp
@@ -31,6 +31,15 @@
     {
     }
 
+    /// An exception may have ended the call, whose caller's connection is still watched.
+    ~call_runner()
+    {
+        context_.caller.stop_watching();
+    }
+
+    call_runner(call_runner const&) = delete;
+    call_runner& operator=(call_runner const&) = delete;
+
     /// Serves the call and sends its final response, unless the caller has disconnected.
     boost::asio::awaitable<connection_disposition> run()
     {
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -51,7 +51,17 @@
         auto disposition = connection_disposition::keep;
         while (disposition == connection_disposition::keep)
         {
-            disposition = co_await serve_next();
+            try
+            {
+                disposition = co_await serve_next();
+            }
+            catch (...)
+            {
+                // The caller must not take what it has of a response for the whole.
+                connection_->abort();
+                disposition = connection_disposition::aborted;
+                state_.failures()("call", describe_failure(std::current_exception()));
+            }
         }
         if (disposition == connection_disposition::close)
         {
--- a/src/serving/duty_worker.hpp
+++ b/src/serving/duty_worker.hpp
@@ -14,6 +14,7 @@
 #include "serving/loop_sleep.hpp"
 
 #include <cmath>
+#include <optional>
 #include <set>
 #include <tuple>
 
@@ -143,6 +144,27 @@
     }
 
 private:
+    /// Occupies the lane of the usage log, also if the call on it throws.
+    class lane_use
+    {
+    public:
+        explicit lane_use(bool& busy) : busy_(busy)
+        {
+            busy_ = true;
+        }
+
+        ~lane_use()
+        {
+            busy_ = false;
+        }
+
+        lane_use(lane_use const&) = delete;
+        lane_use& operator=(lane_use const&) = delete;
+
+    private:
+        bool& busy_;
+    };
+
     std::int64_t current_window() const
     {
         return state_.usage.window_of(state_.unix_ms());
@@ -179,10 +201,10 @@
         {
             texts.push_back(format_usage_record(record));
         }
-        usage_lane_busy_ = true;
-        auto const result =
+        std::optional<lane_use> lane{std::in_place, usage_lane_busy_};
+        auto const              result =
             co_await store_.append(usage_lane, usage_topic(), texts, std::nullopt);
-        usage_lane_busy_ = false;
+        lane.reset();
         auto const* offset = std::get_if<std::uint64_t>(&result);
         bool const  appended = offset != nullptr;
         if (appended && !usage_started_)
@@ -425,11 +447,11 @@
         {
             co_await loop_sleep(lane_poll);
         }
-        usage_lane_busy_ = true;
-        auto result =
+        std::optional<lane_use> lane{std::in_place, usage_lane_busy_};
+        auto                    result =
             co_await store_.read(usage_lane, usage_topic(), usage_next_, millis{0},
                                  reads_whole_log() ? default_read_kb : first_read_kb);
-        usage_lane_busy_ = false;
+        lane.reset();
         if (auto const* failure = std::get_if<store_failure>(&result))
         {
             usage_next_ =
--- a/src/serving/entry_node.hpp
+++ b/src/serving/entry_node.hpp
@@ -18,14 +18,14 @@
 #include "serving/status_server.hpp"
 #include "serving/store_followers.hpp"
 #include "serving/survival_checks.hpp"
+#include "serving/task_guard.hpp"
 #include "serving/tunnel_server.hpp"
 #include "serving/version_recorder.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <memory>
 
 namespace marigoldcrank
 {
@@ -42,7 +42,8 @@
           servers_(state_, shared_, {.reader_pause = times().read_pause}),
           worker_(state_, shared_, duties_), registry_(state_, shared_),
           recorder_(state_, shared_), versions_(state_, shared_),
-          origins_(state_, shared_), signals_(loop_, SIGTERM, SIGINT, SIGHUP)
+          origins_(state_, shared_), tasks_(loop_, state_.failures()),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP)
     {
         shared_.read_directly(relay_registry<shared_store<Store>, Codec>::topic(), true);
         shared_.read_directly(crash_recorder<shared_store<Store>, Codec>::topic(), true);
@@ -66,24 +67,25 @@
     void run()
     {
         listen();
-        spawn(worker_.run_usage());
-        spawn(recorder_.run());
-        spawn(versions_.run());
-        spawn(origins_.run());
-        spawn(follow_store());
-        spawn(run_housekeeping());
-        spawn(exchange_with_peers());
-        spawn(run_registry());
-        spawn(run_link_probes(state_));
-        spawn(run_survival_checks<Dialect>(state_));
-        spawn(await_signals());
+        tasks_.start("usage", [this] { return worker_.run_usage(); });
+        tasks_.start("crashes", [this] { return recorder_.run(); });
+        tasks_.start("versions", [this] { return versions_.run(); });
+        tasks_.start("origins", [this] { return origins_.run(); });
+        tasks_.start("store", [this] { return follow_store(); });
+        tasks_.start("housekeeping", [this] { return run_housekeeping(); });
+        tasks_.start("peers", [this] { return exchange_with_peers(); });
+        tasks_.start("registry", [this] { return run_registry(); });
+        tasks_.start("link_probes", [this] { return run_link_probes(state_); });
+        tasks_.start("survival_checks",
+                     [this] { return run_survival_checks<Dialect>(state_); });
+        tasks_.start("signals", [this] { return await_signals(); });
         state_.log.write(event_line{"start"}
                              .add("vm", state_.settings.name)
                              .add("incarnation", state_.incarnation)
                              .add("data_centre", state_.settings.data_centre)
                              .add("first_start", state_.settings.first_start ? 1 : 0),
                          boot_clock::now());
-        loop_.run();
+        run_loop(loop_, state_.failures(), [this] { tasks_.restart_lost(); });
         state_.log.flush(boot_clock::now());
     }
 
@@ -117,14 +119,9 @@
         return news_times_for(state_.settings.leave_bound);
     }
 
-    void spawn(boost::asio::awaitable<void> work)
-    {
-        boost::asio::co_spawn(loop_, std::move(work), boost::asio::detached);
-    }
-
     void listen()
     {
-        listen_on(loop_, state_.settings.callers,
+        listen_on(loop_, state_.settings.callers, state_.failures(),
                   [this](boost::asio::ip::tcp::socket socket)
                   {
                       if (!has_room_for_caller())
@@ -136,10 +133,12 @@
                       {
                           co_await session->run();
                       };
-                      spawn(run(std::make_shared<caller_session<Dialect>>(
-                          state_, callers_, std::move(socket))));
+                      spawn_task(loop_, "caller", state_.failures(),
+                                 run(std::make_shared<caller_session<Dialect>>(
+                                     state_, callers_, std::move(socket))));
                   });
         serve_status(loop_, state_.settings.readiness, status_limit("readiness"),
+                     state_.failures(),
                      [this]
                      {
                          bool const ready = state_.ready(boot_clock::now());
@@ -148,6 +147,7 @@
         if (state_.settings.metrics.port != 0)
         {
             serve_status(loop_, state_.settings.metrics, status_limit("metrics"),
+                         state_.failures(),
                          [this] {
                              return status_response{200, state_.counters.exposition()};
                          });
@@ -207,8 +207,8 @@
         {
             co_await loop_sleep(crashes_poll);
         }
-        spawn(rules_.run());
-        spawn(servers_.run());
+        tasks_.start("rules", [this] { return rules_.run(); });
+        tasks_.start("servers", [this] { return servers_.run(); });
         state_.confirmation.read = [this]
         {
             return servers_.confirm();
@@ -220,7 +220,7 @@
                 return servers_.confirm_at_vms(max_list_age(state_.settings.leave_bound));
             };
         }
-        spawn(worker_.run_duties());
+        tasks_.start("duties", [this] { return worker_.run_duties(); });
     }
 
     boost::asio::awaitable<void> run_registry()
@@ -252,8 +252,12 @@
         {
             co_return;
         }
-        peer_exchange exchange{loop_, state_, &entry_node::format_of};
-        shared_.set_link(exchange.records());
+        if (!exchange_)
+        {
+            exchange_ =
+                std::make_unique<peer_exchange>(loop_, state_, &entry_node::format_of);
+            shared_.set_link(exchange_->records());
+        }
         while (true)
         {
             auto const now = boot_clock::now();
@@ -269,10 +273,10 @@
                                       : 0;
                 state_.known_vms = std::max(state_.known_vms, told);
                 planned_vms_ = state_.known_vms;
-                exchange.follow(registry_.contacts(worker_.vms(), worker_.knows_vms()),
-                                told);
+                exchange_->follow(registry_.contacts(worker_.vms(), worker_.knows_vms()),
+                                  told);
             }
-            exchange.publish_digests();
+            exchange_->publish_digests();
             bool const small = state_.known_vms > 0 && !state_.relays_used();
             peers_known_ =
                 peers_known_ || small || registry_.listed() || worker_.knows_vms();
@@ -429,7 +433,7 @@
     boost::asio::awaitable<void> append_usage_until(boot_clock::time_point until)
     {
         auto const done = std::make_shared<bool>(false);
-        spawn(append_usage(done));
+        spawn_task(loop_, "last_usage", state_.failures(), append_usage(done));
         while (!*done && boot_clock::now() < until)
         {
             co_await loop_sleep(drain_poll);
@@ -456,14 +460,16 @@
     version_recorder<shared_store<Store>, Codec> versions_;
     origin_recorder<shared_store<Store>, Codec>  origins_;
     caller_connections                           callers_;
-    boost::asio::signal_set                      signals_;
-    boot_clock::time_point                       tallied_at_{};
-    boot_clock::time_point                       planned_at_{}; // the last relay plan
-    std::int64_t planned_vms_ = -1;                             // VMs known at that time
-    bool         planned_listed_ = false; // whether relays were listed at that time
-    bool         planned_log_ = false;    // whether the usage log told of all VMs then
-    bool         peers_known_ = false;    // other VMs can be queried
-    bool         ready_ = false;
+    std::unique_ptr<peer_exchange> exchange_; // from its first use on, as calls use it
+    background_tasks               tasks_;
+    boost::asio::signal_set        signals_;
+    boot_clock::time_point         tallied_at_{};
+    boot_clock::time_point         planned_at_{};     // the last relay plan
+    std::int64_t                   planned_vms_ = -1; // VMs known at that time
+    bool planned_listed_ = false; // whether relays were listed at that time
+    bool planned_log_ = false;    // whether the usage log told of all VMs then
+    bool peers_known_ = false;    // other VMs can be queried
+    bool ready_ = false;
 };
 
 } // namespace marigoldcrank
--- a/src/serving/entry_state.cpp
+++ b/src/serving/entry_state.cpp
@@ -775,4 +775,14 @@
     }
 }
 
+failure_sink entry_state::failures()
+{
+    return [this](std::string_view task, std::string_view cause)
+    {
+        counters.add("task_failures_total", "task=\"" + std::string{task} + "\"");
+        log.write(event_line{"task_failed"}.add("task", task).add("cause", cause),
+                  boot_clock::now());
+    };
+}
+
 } // namespace marigoldcrank
--- a/src/serving/entry_state.hpp
+++ b/src/serving/entry_state.hpp
@@ -48,6 +48,7 @@
 #include "serving/connection_pool.hpp"
 #include "serving/list_check.hpp"
 #include "serving/running_calls.hpp"
+#include "serving/task_guard.hpp"
 
 #include <map>
 #include <memory>
@@ -297,10 +298,13 @@
     std::map<std::string, work_meter>   meters;      // by service
     std::map<std::string, pause_watch>  pauses;      // by service
     prefix_directory                    prefixes;
-    event_log                           log;
-    metrics                             counters;
-    step_filtered_clock                 day;
-    crash_watch                         crashes;
+    /// Logs and counts tasks that fail.
+    failure_sink failures();
+
+    event_log           log;
+    metrics             counters;
+    step_filtered_clock day;
+    crash_watch         crashes;
     std::set<std::string>
         suspected_links; // services; a call's connection timed out, no probe since
     std::map<std::string, boot_clock::time_point>
--- a/src/serving/http_connection.cpp
+++ b/src/serving/http_connection.cpp
@@ -5,9 +5,8 @@
 
 #include "policy/response_head.hpp"
 #include "serving/http_rules.hpp"
+#include "serving/task_guard.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -148,8 +147,14 @@
         self->writing_ = false;
         self->write_failed_ = static_cast<bool>(error);
     };
-    asio::co_spawn(stream_.get_executor(), write(shared_from_this(), std::move(request)),
-                   asio::detached);
+    auto const failed =
+        [self = shared_from_this()](std::string_view /*task*/, std::string_view /*cause*/)
+    {
+        self->writing_ = false;
+        self->write_failed_ = true;
+    };
+    spawn_task(stream_.get_executor(), "write", failed,
+               write(shared_from_this(), std::move(request)));
     co_return io_result::ok;
 }
 
--- a/src/serving/list_check.cpp
+++ b/src/serving/list_check.cpp
@@ -5,8 +5,6 @@
 #include "serving/entry_state.hpp"
 #include "serving/loop_sleep.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -156,7 +154,13 @@
 void begin_read(entry_state& state, asio::any_io_executor const& executor)
 {
     state.confirmation.reading = true;
-    asio::co_spawn(executor, read_store(state), asio::detached);
+    auto const failed =
+        [&state, sink = state.failures()](std::string_view task, std::string_view cause)
+    {
+        state.confirmation.reading = false;
+        sink(task, cause);
+    };
+    spawn_task(executor, "list_read", failed, read_store(state));
 }
 
 /// Begins to confirm the list in the ways that aren't in progress. While the store is
@@ -177,7 +181,13 @@
     if (!confirmation.asking && confirmation.ask)
     {
         confirmation.asking = true;
-        asio::co_spawn(executor, ask_vms(state), asio::detached);
+        auto const failed = [&state, sink = state.failures()](std::string_view task,
+                                                              std::string_view cause)
+        {
+            state.confirmation.asking = false;
+            sink(task, cause);
+        };
+        spawn_task(executor, "list_query", failed, ask_vms(state));
     }
 }
 
--- a/src/serving/listener.cpp
+++ b/src/serving/listener.cpp
@@ -3,9 +3,6 @@
 
 #include "serving/loop_sleep.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace marigoldcrank
 {
 
@@ -20,7 +17,7 @@
 // 100   ms; pause after a failed accept, as when no file descriptors are free
 constexpr millis accept_retry_pause{100};
 
-asio::awaitable<void> accept_all(tcp::acceptor                    acceptor,
+asio::awaitable<void> accept_all(tcp::acceptor acceptor, failure_sink sink,
                                  std::function<void(tcp::socket)> handler)
 {
     while (true)
@@ -33,13 +30,20 @@
             co_await loop_sleep(accept_retry_pause);
             continue;
         }
-        handler(std::move(socket));
+        try
+        {
+            handler(std::move(socket));
+        }
+        catch (...)
+        {
+            sink("accept", describe_failure(std::current_exception()));
+        }
     }
 }
 
 } // namespace
 
-void listen_on(asio::io_context& loop, socket_address const& address,
+void listen_on(asio::io_context& loop, socket_address const& address, failure_sink sink,
                std::function<void(tcp::socket)> handler)
 {
     tcp::endpoint const endpoint{asio::ip::make_address(address.host), address.port};
@@ -48,8 +52,8 @@
     acceptor.set_option(asio::socket_base::reuse_address(true));
     acceptor.bind(endpoint);
     acceptor.listen(backlog);
-    asio::co_spawn(loop, accept_all(std::move(acceptor), std::move(handler)),
-                   asio::detached);
+    spawn_task(loop, "listener", sink,
+               accept_all(std::move(acceptor), sink, std::move(handler)));
 }
 
 } // namespace marigoldcrank
--- a/src/serving/listener.hpp
+++ b/src/serving/listener.hpp
@@ -5,6 +5,7 @@
 #define MARIGOLDCRANK_SERVING_LISTENER_HPP
 
 #include "domain/entry_settings.hpp"
+#include "serving/task_guard.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,8 +16,10 @@
 {
 
 /// Listens on `address` and calls `handler` with each accepted connection while the loop
-/// runs. Throws boost::system::system_error if it can't listen.
+/// runs; one that it throws for is closed. Throws boost::system::system_error if it can't
+/// listen.
 void listen_on(boost::asio::io_context& loop, socket_address const& address,
+               failure_sink                                      sink,
                std::function<void(boost::asio::ip::tcp::socket)> handler);
 
 } // namespace marigoldcrank
--- a/src/serving/status_server.cpp
+++ b/src/serving/status_server.cpp
@@ -3,8 +3,6 @@
 
 #include "serving/listener.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -68,16 +66,15 @@
 } // namespace
 
 void serve_status(asio::io_context& loop, socket_address const& address,
-                  std::shared_ptr<connection_limit> limit,
-                  std::function<status_response()>  respond)
+                  std::shared_ptr<connection_limit> limit, failure_sink sink,
+                  std::function<status_response()> respond)
 {
-    listen_on(loop, address,
-              [&loop, limit = std::move(limit),
+    listen_on(loop, address, sink,
+              [&loop, sink, limit = std::move(limit),
                respond = std::move(respond)](tcp::socket socket)
               {
-                  asio::co_spawn(loop,
-                                 serve_connection(std::move(socket), limit, respond),
-                                 asio::detached);
+                  spawn_task(loop, "status", sink,
+                             serve_connection(std::move(socket), limit, respond));
               });
 }
 
--- a/src/serving/status_server.hpp
+++ b/src/serving/status_server.hpp
@@ -6,6 +6,7 @@
 
 #include "domain/entry_settings.hpp"
 #include "serving/connection_limit.hpp"
+#include "serving/task_guard.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -25,8 +26,8 @@
 /// request with `respond()`, without reading a body. Throws boost::system::system_error
 /// if it can't listen on the address.
 void serve_status(boost::asio::io_context& loop, socket_address const& address,
-                  std::shared_ptr<connection_limit> limit,
-                  std::function<status_response()>  respond);
+                  std::shared_ptr<connection_limit> limit, failure_sink sink,
+                  std::function<status_response()> respond);
 
 } // namespace marigoldcrank
 
--- a/src/serving/survival_checks.hpp
+++ b/src/serving/survival_checks.hpp
@@ -15,8 +15,6 @@
 #include "serving/wire_dialect.hpp"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <memory>
 #include <string>
@@ -87,10 +85,9 @@
                                      : nullptr;
             if (target != nullptr && !target->health_path.empty())
             {
-                boost::asio::co_spawn(
-                    executor,
-                    check_survival<Dialect>(state, found->second, target->health_path),
-                    boost::asio::detached);
+                spawn_task(
+                    executor, "survival_check", state.failures(),
+                    check_survival<Dialect>(state, found->second, target->health_path));
             }
         }
     }
--- a/src/serving/tunnel_server.cpp
+++ b/src/serving/tunnel_server.cpp
@@ -7,8 +7,6 @@
 #include "serving/listener.hpp"
 #include "serving/server_connector.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -205,7 +203,7 @@
     counted.reset();
     std::shared_ptr<tunnel> const both{new tunnel{
         std::move(share), stream.release_socket(), opened.connection->release_socket()}};
-    asio::co_spawn(executor, relay_to_server(both), asio::detached);
+    spawn_task(executor, "tunnel", state.failures(), relay_to_server(both));
     co_await relay_to_vm(both);
 }
 
@@ -222,10 +220,11 @@
     auto const limit =
         std::make_shared<connection_limit>(state.most_connections.tunnels, [&state]
                                            { state.count_closed("tunnels", "silent"); });
-    listen_on(loop, state.settings.tunnels,
-              [&loop, &state, limit](tcp::socket socket) {
-                  asio::co_spawn(loop, serve_tunnel(state, std::move(socket), limit),
-                                 asio::detached);
+    listen_on(loop, state.settings.tunnels, state.failures(),
+              [&loop, &state, limit](tcp::socket socket)
+              {
+                  spawn_task(loop, "tunnel", state.failures(),
+                             serve_tunnel(state, std::move(socket), limit));
               });
 }
 
