--- a/src/serving/listener.cpp
+++ b/src/serving/listener.cpp
@@ -43,8 +43,8 @@
 
 } // namespace
 
-void listen_on(asio::io_context& loop, socket_address const& address, failure_sink sink,
-               std::function<void(tcp::socket)> handler)
+void listen_on(asio::io_context& loop, socket_address const& address,
+               failure_sink const& sink, std::function<void(tcp::socket)> handler)
 {
     tcp::endpoint const endpoint{asio::ip::make_address(address.host), address.port};
     tcp::acceptor       acceptor{loop};
--- a/src/serving/listener.hpp
+++ b/src/serving/listener.hpp
@@ -19,7 +19,7 @@
 /// runs; one that it throws for is closed. Throws boost::system::system_error if it can't
 /// listen.
 void listen_on(boost::asio::io_context& loop, socket_address const& address,
-               failure_sink                                      sink,
+               failure_sink const&                               sink,
                std::function<void(boost::asio::ip::tcp::socket)> handler);
 
 } // namespace marigoldcrank
--- a/src/serving/status_server.cpp
+++ b/src/serving/status_server.cpp
@@ -66,7 +66,7 @@
 } // namespace
 
 void serve_status(asio::io_context& loop, socket_address const& address,
-                  std::shared_ptr<connection_limit> limit, failure_sink sink,
+                  std::shared_ptr<connection_limit> limit, failure_sink const& sink,
                   std::function<status_response()> respond)
 {
     listen_on(loop, address, sink,
--- a/src/serving/status_server.hpp
+++ b/src/serving/status_server.hpp
@@ -26,7 +26,7 @@
 /// request with `respond()`, without reading a body. Throws boost::system::system_error
 /// if it can't listen on the address.
 void serve_status(boost::asio::io_context& loop, socket_address const& address,
-                  std::shared_ptr<connection_limit> limit, failure_sink sink,
+                  std::shared_ptr<connection_limit> limit, failure_sink const& sink,
                   std::function<status_response()> respond);
 
 } // namespace marigoldcrank
