Parts of a parsed prompt count as held memory

A head at the default limit has room for 4,096 parts, which take some 200 kB once they are parsed. They weren't counted, so a thousand calls could take more than a small VM has (by reading; not shown by a run). Above the bound a call is refused with 503 `memory`.

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -115,6 +115,12 @@
         {
             co_return co_await refuse(refusal_of(*fault), head_only);
         }
+        held.set(held.bytes() + memory_of(std::get<caller_call>(call)));
+        if (!state_.held->has_room())
+        {
+            held.set(0);
+            co_return co_await refuse(out_of_memory(), head_only);
+        }
         auto const& id = std::get<caller_call>(call).id;
         if (!state_.ids.admit(id, repeated_ids_, boot_clock::now()))
         {
@@ -197,21 +203,19 @@
             refusal = co_await read_body(parser, limits, parts, held);
             shrink_buffer(parts);
         }
-        if (!refusal)
-        {
-            request = parser.release();
-            held.set(copies * (memory_of(request) +
-                               static_cast<std::int64_t>(request.body().size())));
-        }
-        else if (parser.request().method() == boost::beast::http::verb::head)
-        {
-            request.method(boost::beast::http::verb::head);
-        }
         if (refusal)
         {
+            bool const head_only =
+                parser.request().method() == boost::beast::http::verb::head;
+            request.method(head_only ? boost::beast::http::verb::head
+                                     : boost::beast::http::verb::unknown);
             held.set(0);
+            co_return refusal;
         }
-        co_return refusal;
+        request = parser.release();
+        held.set(copies *
+                 (memory_of(request) + static_cast<std::int64_t>(request.body().size())));
+        co_return std::nullopt;
     }
 
     /// Lets the buffer grow once a part of a request has filled it; what is beyond the
--- a/src/serving/http_request.hpp
+++ b/src/serving/http_request.hpp
@@ -1,7 +1,7 @@
 // A request with its whole body, whose fields may be of any length.
 //
-// Index: 1 long_field, 2 http_request, 3 insert_field, set_field, 4 count_fields,
-//        field_value
+// Index: 1 long_field, 2 http_request, 3 is_long, insert_field, set_field,
+//        4 count_fields, field_value, 5 format_head
 #ifndef MARIGOLDCRANK_SERVING_HTTP_REQUEST_HPP
 #define MARIGOLDCRANK_SERVING_HTTP_REQUEST_HPP
 
--- a/src/serving/http_rules.cpp
+++ b/src/serving/http_rules.cpp
@@ -111,6 +111,17 @@
     return static_cast<std::int64_t>(result);
 }
 
+std::int64_t memory_of(caller_call const& call)
+{
+    constexpr std::size_t key_bytes = 8; // of each part, for what crashes servers
+    std::size_t           result = 0;
+    for (auto const& part : call.prompt)
+    {
+        result += sizeof part + key_bytes + part.id.size();
+    }
+    return static_cast<std::int64_t>(result);
+}
+
 char const* head_fault_name(head_fault value)
 {
     switch (value)
--- a/src/serving/http_rules.hpp
+++ b/src/serving/http_rules.hpp
@@ -43,6 +43,10 @@
 /// About how many bytes a parsed head takes. Short fields take many times their length.
 std::int64_t memory_of(http_request const& head);
 
+/// About how many bytes a parsed call takes besides its request: its prompt may have
+/// thousands of parts.
+std::int64_t memory_of(caller_call const& call);
+
 /// Copies the end-to-end fields. Hop-by-hop fields and those listed in Connection are
 /// left out, except that `kept(name)` keeps a field that Connection lists.
 template <class Kept>
--- a/tests/unit/request_parser_test.cpp
+++ b/tests/unit/request_parser_test.cpp
@@ -163,6 +163,7 @@
     EXPECT_EQ(call.prompt_tokens(), 2 * count);
     EXPECT_EQ(call.prompt.size(), 4096U);
     EXPECT_EQ(call.prompt.back().id, std::to_string(count - 1));
+    EXPECT_GE(memory_of(call), 4096 * static_cast<std::int64_t>(sizeof(prompt_part)));
 }
 
 // The rules state any limit: one above 32 bits became a small one.
