A refused request sets no method that the library doesn't take

Cause: since the method of a refused request was set to `unknown`, for which Beast throws std::invalid_argument: its caller got a reset in place of the refusal. Found by reading the diff.

Test: slow_callers.an_event_without_an_end_is_a_broken_response failed in 1 of 1 whole run on and in 1 of 25 runs at a load of 19: the server of the test notices the cut after the caller has its 502. The test waits 2 s for that now, as it does for the log line; a server that isn't cut still fails it.

--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -205,10 +205,10 @@
         }
         if (refusal)
         {
-            bool const head_only =
-                parser.request().method() == boost::beast::http::verb::head;
-            request.method(head_only ? boost::beast::http::verb::head
-                                     : boost::beast::http::verb::unknown);
+            if (parser.request().method() == boost::beast::http::verb::head)
+            {
+                request.method(boost::beast::http::verb::head);
+            }
             held.set(0);
             co_return refusal;
         }
--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -267,7 +267,7 @@
         });
     auto const response = ask(cluster.caller_port(), stream_request("endless-1"));
     EXPECT_EQ(response.status, 502);
-    EXPECT_TRUE(cut);
+    EXPECT_TRUE(eventually([&] { return cut.load(); }, 2000));
     EXPECT_TRUE(eventually([&] { return logged(cluster, "fault=event_limit"); }, 2000));
     EXPECT_FALSE(logged(cluster, "ev=suspect"));
 }
