--- a/tests/platform/slow_callers_test.cpp
+++ b/tests/platform/slow_callers_test.cpp
@@ -253,6 +253,9 @@
     options.policy = "caller_full_stall_ms = 5000\n";
     entry_cluster     cluster{options};
     std::atomic<bool> cut{false};
+    std::atomic<bool> answered{false};
+    std::atomic<int>  late_pieces{
+        0}; // that the server began once its caller had the answer
     cluster.server(0).handle_always(
         [&](wire_request const& request, wire_connection& connection)
         {
@@ -260,14 +263,17 @@
             std::string const piece(65536, 'x');
             for (int number = 0; number < 400 && !cut; ++number)
             {
+                late_pieces += answered ? 1 : 0;
                 connection.send(server_standin::chunk(piece));
                 cut = connection.closed_by_peer();
             }
             return false;
         });
     auto const response = ask(cluster.caller_port(), stream_request("endless-1"));
+    answered = true;
     EXPECT_EQ(response.status, 502);
     EXPECT_TRUE(eventually([&] { return cut.load(); }, 2000));
+    EXPECT_LE(late_pieces, 1);
     EXPECT_TRUE(eventually([&] { return logged(cluster, "fault=event_limit"); }, 2000));
     EXPECT_FALSE(logged(cluster, "ev=suspect"));
 }
